--- /dev/null
+++ b/crates/bundle/src/bundle.rs
@@ -0,0 +1,86 @@
+//! The checked bundle.
+
+use crate::digest::Digest;
+use crate::endpoint::Endpoint;
+use crate::id::{EndpointId, ModelId, Number, PriorityId, ServiceId, TeamId, ZoneId};
+use crate::kind::Kind;
+use crate::link::Link;
+use crate::model::Model;
+use crate::priority::Priority;
+use crate::service::Service;
+use crate::signer::Signer;
+use crate::team::Team;
+use crate::zone::Zone;
+
+/// A checked bundle: dense tables, each keyed by its id type.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Bundle {
+    /// Its number.
+    pub number: Number,
+    /// Digest of its canonical text.
+    pub digest: Digest,
+    /// Digest of the version it follows; all zero for the first.
+    pub parent: Digest,
+    /// Name of the person who signed it.
+    pub signer: String,
+    /// Availability zones.
+    pub zones: Vec<Zone>,
+    /// Accelerator kinds.
+    pub kinds: Vec<Kind>,
+    /// Models.
+    pub models: Vec<Model>,
+    /// Endpoints.
+    pub endpoints: Vec<Endpoint>,
+    /// Plain services.
+    pub services: Vec<Service>,
+    /// Priorities, most urgent first.
+    pub priorities: Vec<Priority>,
+    /// Teams.
+    pub teams: Vec<Team>,
+    /// Links.
+    pub links: Vec<Link>,
+    /// Signers.
+    pub signers: Vec<Signer>,
+}
+
+impl Bundle {
+    /// The availability zone named `name`.
+    pub fn zone(&self, name: &str) -> Option<ZoneId> {
+        position(&self.zones, |z| z.name == name)
+    }
+
+    /// The model named `name`.
+    pub fn model(&self, name: &str) -> Option<ModelId> {
+        position(&self.models, |m| m.name == name)
+    }
+
+    /// The endpoint named `name`.
+    pub fn endpoint(&self, name: &str) -> Option<EndpointId> {
+        position(&self.endpoints, |e| e.name == name)
+    }
+
+    /// The plain service named `name`.
+    pub fn service(&self, name: &str) -> Option<ServiceId> {
+        position(&self.services, |s| s.name == name)
+    }
+
+    /// The priority named `name`.
+    pub fn priority(&self, name: &str) -> Option<PriorityId> {
+        position(&self.priorities, |p| p.name == name)
+    }
+
+    /// The team named `name`.
+    pub fn team(&self, name: &str) -> Option<TeamId> {
+        position(&self.teams, |t| t.name == name)
+    }
+
+    /// The team that holds the bearer key with digest `key`.
+    pub fn holder(&self, key: &Digest) -> Option<TeamId> {
+        position(&self.teams, |t| t.keys.contains(key))
+    }
+}
+
+/// Index of the first row that `test` accepts; the verifier keeps tables within their id types.
+fn position<T, I: TryFrom<usize>>(rows: &[T], test: impl Fn(&T) -> bool) -> Option<I> {
+    rows.iter().position(test).and_then(|i| I::try_from(i).ok())
+}
--- /dev/null
+++ b/crates/bundle/src/zone.rs
@@ -0,0 +1,10 @@
+//! Availability zones.
+
+/// An availability zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Zone {
+    /// Name, unique in the bundle.
+    pub name: String,
+    /// Name of the region it belongs to.
+    pub region: String,
+}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,2 @@
+//! The operator command line.
+fn main() {}
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,2 @@
+//! The node binary.
+fn main() {}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
