Bundle: text, verifier, signed deltas and the fold of the log

Cause: nodes need one bundle in force everywhere, chosen by the order of the log alone, and operators need findings with their line before that.

Change: INI text to sections (rust-ini, with line numbers), a verifier apart from it, deltas by sections, seals, JSON records, and fold::Fold with gaps, checkpoints and peers' heads. Bundle gets one new field, `sections`, which the next delta is made against; its digest is over the sections' digests, so that a small delta is cheap to hash.

API for the thin path: `text.parse::<Bundle>()`, `sign::version(parent, text, signer, key) -> record bytes`, `Fold::new(trusted)`, `fold.gap(first)`, `fold.apply(offset, body)` (or `fold.page(first, records)`), `fold.head()`, `fold.next_offset()`, `fold.adopt(body)`, `fold.offer(after)`, `fold.checkpoint()`.

--- a/crates/bundle/src/bundle.rs
+++ b/crates/bundle/src/bundle.rs
@@ -7,6 +7,7 @@
 use crate::link::Link;
 use crate::model::Model;
 use crate::priority::Priority;
+use crate::sections::Sections;
 use crate::service::Service;
 use crate::signer::Signer;
 use crate::team::Team;
@@ -17,7 +18,7 @@
 pub struct Bundle {
     /// Its number.
     pub number: Number,
-    /// Digest of its canonical text.
+    /// Digest of its sections, see [`Sections::digest`].
     pub digest: Digest,
     /// Digest of the version it follows; all zero for the first.
     pub parent: Digest,
@@ -41,6 +42,8 @@
     pub links: Vec<Link>,
     /// Signers.
     pub signers: Vec<Signer>,
+    /// The sections that the tables were made of; shared with the bundle's parent.
+    pub sections: Sections,
 }
 
 impl Bundle {
@@ -84,3 +87,13 @@
 fn position<T, I: TryFrom<usize>>(rows: &[T], test: impl Fn(&T) -> bool) -> Option<I> {
     rows.iter().position(test).and_then(|i| I::try_from(i).ok())
 }
+
+/// Canonical text, after comment lines that name the version.
+impl std::fmt::Display for Bundle {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        writeln!(f, "# version {} signed by {}", self.number, self.signer)?;
+        writeln!(f, "# digest {}", self.digest)?;
+        writeln!(f, "# parent {}", self.parent)?;
+        write!(f, "{}", self.sections)
+    }
+}
--- /dev/null
+++ b/crates/bundle/src/fold/known.rs
@@ -0,0 +1,63 @@
+//! A bundle with the seal that vouches for it.
+
+use super::history::Entry;
+use super::verdict::Reason;
+use crate::bundle::Bundle;
+use crate::sections::{self, Sections};
+use crate::signed::{Head, Header, Seal};
+use crate::verify;
+use std::sync::Arc;
+
+/// A known state.
+#[derive(Clone, Debug)]
+pub(super) struct Known {
+    /// The bundle.
+    pub bundle: Arc<Bundle>,
+    /// Header and signature.
+    pub seal: Arc<Seal>,
+    /// All records of the log below this offset are accounted for.
+    pub next: u64,
+}
+
+impl Known {
+    /// A state whose signature was checked.
+    pub fn new(bundle: Arc<Bundle>, seal: Seal, next: u64) -> Self {
+        let seal = Arc::new(seal);
+        Self { bundle, seal, next }
+    }
+
+    /// Its line in the history.
+    pub fn entry(&self, offset: Option<u64>) -> Entry {
+        let header = &self.seal.header;
+        Entry {
+            number: header.number,
+            signer: header.signer.clone(),
+            digest: header.result,
+            parent: header.parent,
+            id: header.id(),
+            offset,
+        }
+    }
+
+    /// As a record that accounts for the log below `next`.
+    pub fn head(&self, next: u64) -> Head {
+        Head {
+            seal: (*self.seal).clone(),
+            next,
+            sections: self.bundle.sections.clone(),
+        }
+    }
+}
+
+/// The checked bundle of `sections`, whose digest is the one in `header`.
+pub(super) fn checked(sections: &Sections, header: &Header) -> Result<Bundle, Reason> {
+    if sections.len() > sections::MOST {
+        return Err(Reason::Size(sections.len()));
+    }
+    let report = verify::verify(sections);
+    let mut bundle = report.bundle.ok_or(Reason::Bundle(report.findings))?;
+    bundle.number = header.number;
+    bundle.parent = header.parent;
+    bundle.signer.clone_from(&header.signer);
+    Ok(bundle)
+}
--- /dev/null
+++ b/crates/bundle/src/record.rs
@@ -0,0 +1,249 @@
+//! Records of the log's stream of bundles, and their encoding.
+//!
+//! The encoding is JSON. Bodies are nearly all names and text, so a binary codec saves little
+//! (the figures are in `docs/design/bundles.md`); the same bytes are the body of the admin API's
+//! one write, and operators can read the log with what they have. What is signed is not the
+//! JSON but [`crate::signed::Header::message`], so spaces and the order of keys don't matter.
+
+use crate::delta::Delta;
+use crate::digest::Digest;
+use crate::finding::Findings;
+use crate::section::{Key, Section};
+use crate::signed::{Head, Header, Seal, Version};
+use crate::text;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::sync::Arc;
+
+/// Longest record, in bytes; a longer one is refused before it is read.
+pub const MAX_RECORD: usize = 4 << 20;
+
+/// A record of the stream.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Record {
+    /// A version, to be judged against the head.
+    Version(Version),
+    /// All that the records before it came to.
+    Checkpoint(Head),
+}
+
+/// Why bytes are no record.
+#[derive(Debug)]
+pub enum Error {
+    /// Longer than [`MAX_RECORD`].
+    Size(usize),
+    /// Not JSON of the expected shape.
+    Shape(serde_json::Error),
+    /// Sections in it can't be read.
+    Text(Findings),
+    /// The delta or the sections are not those that the header names.
+    Digest,
+}
+
+/// A result of reading a record.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Size(len) => write!(f, "{len} bytes, over {MAX_RECORD}"),
+            Self::Shape(e) => write!(f, "not a record: {e}"),
+            Self::Text(findings) => write!(f, "sections can't be read: {findings}"),
+            Self::Digest => f.write_str("content doesn't have the digest in the header"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Wire form of a record.
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum RawRecord {
+    Version(RawVersion),
+    Checkpoint(RawHead),
+}
+
+/// Wire form of a header with its signature; digests and keys in hex.
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawSeal {
+    signer: String,
+    number: u64,
+    parent: Hex<32>,
+    result: Hex<32>,
+    delta: Hex<32>,
+    signature: Hex<64>,
+}
+
+/// Wire form of a version.
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawVersion {
+    seal: RawSeal,
+    #[serde(default)]
+    set: BTreeMap<String, String>,
+    #[serde(default)]
+    removed: BTreeSet<String>,
+}
+
+/// Wire form of a head.
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawHead {
+    seal: RawSeal,
+    next: u64,
+    text: String,
+}
+
+/// Bytes that are written in hex.
+#[derive(Clone, Copy, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+struct Hex<const N: usize>([u8; N]);
+
+impl<const N: usize> From<Hex<N>> for String {
+    fn from(hex: Hex<N>) -> Self {
+        hex::encode(hex.0)
+    }
+}
+
+impl<const N: usize> TryFrom<String> for Hex<N> {
+    type Error = hex::FromHexError;
+
+    fn try_from(text: String) -> Result<Self, hex::FromHexError> {
+        let mut bytes = [0; N];
+        hex::decode_to_slice(text, &mut bytes)?;
+        Ok(Self(bytes))
+    }
+}
+
+impl Record {
+    /// Reads a record. Its content has the digests of its header; the signature is not checked.
+    pub fn decode(body: &[u8]) -> Result<Self> {
+        if body.len() > MAX_RECORD {
+            return Err(Error::Size(body.len()));
+        }
+        let raw = serde_json::from_slice(body).map_err(Error::Shape)?;
+        match raw {
+            RawRecord::Version(raw) => Version::try_from(raw).map(Self::Version),
+            RawRecord::Checkpoint(raw) => Head::try_from(raw).map(Self::Checkpoint),
+        }
+    }
+
+    /// The bytes of the record.
+    pub fn encode(&self) -> Vec<u8> {
+        let raw = match self {
+            Self::Version(version) => RawRecord::Version(version.into()),
+            Self::Checkpoint(head) => RawRecord::Checkpoint(head.into()),
+        };
+        // Only maps with keys that aren't strings can fail, and there are none.
+        serde_json::to_vec(&raw).unwrap_or_default()
+    }
+
+    /// Header and signature.
+    pub fn seal(&self) -> &Seal {
+        match self {
+            Self::Version(version) => &version.seal,
+            Self::Checkpoint(head) => &head.seal,
+        }
+    }
+}
+
+impl From<RawSeal> for Seal {
+    fn from(raw: RawSeal) -> Self {
+        Self {
+            header: Header {
+                signer: raw.signer,
+                number: raw.number,
+                parent: Digest(raw.parent.0),
+                result: Digest(raw.result.0),
+                delta: Digest(raw.delta.0),
+            },
+            signature: raw.signature.0,
+        }
+    }
+}
+
+impl From<&Seal> for RawSeal {
+    fn from(seal: &Seal) -> Self {
+        let header = &seal.header;
+        Self {
+            signer: header.signer.clone(),
+            number: header.number,
+            parent: Hex(header.parent.0),
+            result: Hex(header.result.0),
+            delta: Hex(header.delta.0),
+            signature: Hex(seal.signature),
+        }
+    }
+}
+
+impl From<&Version> for RawVersion {
+    fn from(version: &Version) -> Self {
+        let set = version.delta.set.values();
+        let removed = version.delta.removed.iter();
+        Self {
+            seal: (&version.seal).into(),
+            set: set.map(|s| (s.key().to_string(), s.body())).collect(),
+            removed: removed.map(Key::to_string).collect(),
+        }
+    }
+}
+
+impl TryFrom<RawVersion> for Version {
+    type Error = Error;
+
+    fn try_from(raw: RawVersion) -> Result<Self> {
+        let mut findings = Findings::default();
+        let mut delta = Delta::default();
+        for (header, body) in &raw.set {
+            let section: Option<Section> = text::section(header, body, 0, &mut findings);
+            let Some(section) = section else { continue };
+            delta.set.insert(section.key().clone(), Arc::new(section));
+        }
+        for header in &raw.removed {
+            match header.parse() {
+                Ok(key) => {
+                    delta.removed.insert(key);
+                }
+                Err(message) => findings.push(text::error(0, header, message)),
+            }
+        }
+        if findings.failed() {
+            return Err(Error::Text(findings));
+        }
+        let seal = Seal::from(raw.seal);
+        if delta.digest() != seal.header.delta {
+            return Err(Error::Digest);
+        }
+        Ok(Self { seal, delta })
+    }
+}
+
+impl From<&Head> for RawHead {
+    fn from(head: &Head) -> Self {
+        Self {
+            seal: (&head.seal).into(),
+            next: head.next,
+            text: head.sections.to_string(),
+        }
+    }
+}
+
+impl TryFrom<RawHead> for Head {
+    type Error = Error;
+
+    fn try_from(raw: RawHead) -> Result<Self> {
+        let sections = text::parse(&raw.text).map_err(Error::Text)?;
+        let seal = Seal::from(raw.seal);
+        if sections.digest() != seal.header.result {
+            return Err(Error::Digest);
+        }
+        Ok(Self {
+            seal,
+            next: raw.next,
+            sections,
+        })
+    }
+}
--- /dev/null
+++ b/crates/bundle/src/section.rs
@@ -0,0 +1,230 @@
+//! Sections: the unit in which bundle text is checked, changed and hashed.
+
+use crate::digest::Digest;
+use std::fmt;
+use std::str::FromStr;
+
+/// Longest name of a section, in bytes.
+pub const MAX_NAME: usize = 64;
+
+/// Kinds of sections, in canonical order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Kind {
+    /// `[zone NAME]`
+    Zone,
+    /// `[kind NAME]`
+    Kind,
+    /// `[model NAME]`
+    Model,
+    /// `[endpoint NAME]`
+    Endpoint,
+    /// `[service NAME]`
+    Service,
+    /// `[priority NAME]`
+    Priority,
+    /// `[team NAME]`
+    Team,
+    /// `[link A B]`
+    Link,
+    /// `[signer NAME]`
+    Signer,
+}
+
+impl Kind {
+    /// Every kind, in canonical order.
+    pub const ALL: [Self; 9] = [
+        Self::Zone,
+        Self::Kind,
+        Self::Model,
+        Self::Endpoint,
+        Self::Service,
+        Self::Priority,
+        Self::Team,
+        Self::Link,
+        Self::Signer,
+    ];
+
+    /// Its word in a header.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Zone => "zone",
+            Self::Kind => "kind",
+            Self::Model => "model",
+            Self::Endpoint => "endpoint",
+            Self::Service => "service",
+            Self::Priority => "priority",
+            Self::Team => "team",
+            Self::Link => "link",
+            Self::Signer => "signer",
+        }
+    }
+
+    /// Keys that its sections may hold, sorted.
+    pub fn keys(self) -> &'static [&'static str] {
+        match self {
+            Self::Zone => &["region"],
+            Self::Kind => &["layers_per_second"],
+            Self::Model => &["adapters", "context", "layers", "version"],
+            Self::Endpoint => &[
+                "addr", "fenced", "instance", "kind", "services", "slots", "spans", "zone",
+            ],
+            Self::Service => &["repeatable"],
+            Self::Priority => &["rank", "urgent", "weight"],
+            Self::Team => &[
+                "in_flight",
+                "keys",
+                "models",
+                "rate",
+                "top",
+                "usual",
+                "weight",
+            ],
+            Self::Link => &["latency", "tokens_per_second"],
+            Self::Signer => &["key", "revoked"],
+        }
+    }
+}
+
+/// Header of a section: its kind and name. A link's name is both its ends, sorted.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Key {
+    /// The kind.
+    pub kind: Kind,
+    /// The name.
+    pub name: String,
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.kind.word(), self.name)
+    }
+}
+
+impl FromStr for Key {
+    type Err = String;
+
+    fn from_str(header: &str) -> Result<Self, String> {
+        let mut words = header.split_whitespace();
+        let word = words.next().ok_or("empty section header")?;
+        let kind = Kind::ALL.into_iter().find(|k| k.word() == word);
+        let kind = kind.ok_or_else(|| unknown_kind(word))?;
+        let mut names: Vec<&str> = words.collect();
+        let expected = if kind == Kind::Link { 2 } else { 1 };
+        if names.len() != expected {
+            return Err(format!(
+                "[{word}] takes {expected} name(s), not {}",
+                names.len()
+            ));
+        }
+        if let Some(bad) = names.iter().find(|n| !is_name(n)) {
+            return Err(format!(
+                "`{bad:.80}` is no name: 1 to {MAX_NAME} of a-z A-Z 0-9 . _ -"
+            ));
+        }
+        names.sort_unstable();
+        let name = names.join(" ");
+        Ok(Self { kind, name })
+    }
+}
+
+/// Message for a header that starts with an unknown word.
+fn unknown_kind(word: &str) -> String {
+    let known = Kind::ALL.into_iter().map(Kind::word);
+    match crate::nearest::nearest(word, known) {
+        Some(near) => format!("unknown section `{word:.80}`; `{near}` is near"),
+        None => format!("unknown section `{word:.80}`"),
+    }
+}
+
+/// Whether `text` can name a section.
+pub fn is_name(text: &str) -> bool {
+    let ok = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'.' | b'_' | b'-');
+    !text.is_empty() && text.len() <= MAX_NAME && text.bytes().all(ok)
+}
+
+/// A key of a section with its value.
+#[derive(Clone, Debug)]
+pub struct Pair {
+    /// The key, one of [`Kind::keys`].
+    pub key: &'static str,
+    /// The normalised value.
+    pub value: Box<str>,
+    /// Its line in the text, from 1; 0 for none.
+    pub line: u32,
+}
+
+/// A section in normal form: known keys only, sorted, values with single spaces.
+#[derive(Clone, Debug)]
+pub struct Section {
+    key: Key,
+    line: u32,
+    pairs: Vec<Pair>,
+    digest: Digest,
+}
+
+impl Section {
+    /// A section of `pairs`, which may come in any order.
+    pub fn new(key: Key, line: u32, mut pairs: Vec<Pair>) -> Self {
+        pairs.sort_by_key(|p| p.key);
+        let digest = Digest::default();
+        let mut section = Self {
+            key,
+            line,
+            pairs,
+            digest,
+        };
+        section.digest = Digest::of(section.to_string().as_bytes());
+        section
+    }
+
+    /// Its header.
+    pub fn key(&self) -> &Key {
+        &self.key
+    }
+
+    /// Line of its header, from 1; 0 for none.
+    pub fn line(&self) -> u32 {
+        self.line
+    }
+
+    /// Its keys and values, sorted by key.
+    pub fn pairs(&self) -> &[Pair] {
+        &self.pairs
+    }
+
+    /// The pair with `key`.
+    pub fn pair(&self, key: &str) -> Option<&Pair> {
+        self.pairs.iter().find(|p| p.key == key)
+    }
+
+    /// Digest of its canonical text.
+    pub fn digest(&self) -> Digest {
+        self.digest
+    }
+
+    /// The canonical text below the header.
+    pub fn body(&self) -> String {
+        let line = |p: &Pair| format!("{} = {}\n", p.key, p.value);
+        self.pairs.iter().map(line).collect()
+    }
+}
+
+/// Canonical text.
+impl fmt::Display for Section {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "[{}]", self.key)?;
+        for pair in &self.pairs {
+            writeln!(f, "{} = {}", pair.key, pair.value)?;
+        }
+        Ok(())
+    }
+}
+
+/// Equal canonical text; lines don't count.
+impl PartialEq for Section {
+    fn eq(&self, other: &Self) -> bool {
+        self.digest == other.digest
+    }
+}
+
+impl Eq for Section {}
--- /dev/null
+++ b/crates/bundle/src/sign.rs
@@ -0,0 +1,121 @@
+//! Keys and signing, for the operators' side.
+
+use crate::bundle::Bundle;
+use crate::delta::Delta;
+use crate::digest::Digest;
+use crate::finding::Findings;
+use crate::record::Record;
+use crate::section::is_name;
+use crate::signed::{Header, Seal, Version};
+use crate::verify;
+use ed25519_dalek::Signer as _;
+use ed25519_dalek::pkcs8::spki::der::pem::LineEnding;
+use ed25519_dalek::pkcs8::{DecodePrivateKey, EncodePrivateKey};
+use std::fmt;
+
+pub use ed25519_dalek::SigningKey;
+
+/// Why nothing was signed.
+#[derive(Debug)]
+pub enum Error {
+    /// The bundle is wrong.
+    Bundle(Findings),
+    /// The bundle says what its parent does.
+    Same,
+    /// The signer's name can't be one.
+    Name,
+    /// The private key can't be read or written.
+    Key(ed25519_dalek::pkcs8::Error),
+}
+
+/// A result of signing.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Bundle(findings) => write!(f, "{findings}"),
+            Self::Same => f.write_str("the bundle is the same as its parent"),
+            Self::Name => f.write_str("the signer's name is none"),
+            Self::Key(e) => write!(f, "private key: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// The key made of `seed`, 32 secret bytes from the operating system's generator.
+pub fn key(seed: [u8; 32]) -> SigningKey {
+    SigningKey::from_bytes(&seed)
+}
+
+/// The private key as PKCS #8 PEM.
+pub fn to_pem(key: &SigningKey) -> Result<String> {
+    let pem = key.to_pkcs8_pem(LineEnding::LF).map_err(Error::Key)?;
+    Ok(pem.to_string())
+}
+
+/// The private key in PKCS #8 PEM.
+pub fn from_pem(pem: &str) -> Result<SigningKey> {
+    SigningKey::from_pkcs8_pem(pem).map_err(Error::Key)
+}
+
+/// The public key in hex, as settings and `[signer NAME]` hold it.
+pub fn public(key: &SigningKey) -> String {
+    hex::encode(key.verifying_key().as_bytes())
+}
+
+/// Checks `text`, signs it as the child of `parent` (`None` for the first version) and gives the
+/// record to append.
+pub fn version(
+    parent: Option<&Bundle>,
+    text: &str,
+    signer: &str,
+    key: &SigningKey,
+) -> Result<Vec<u8>> {
+    let child: Bundle = text.parse().map_err(Error::Bundle)?;
+    let version = child_of(parent, &child, signer, key)?;
+    Ok(Record::Version(version).encode())
+}
+
+/// Signs the checked bundle `child` as the version after `parent`.
+pub fn child_of(
+    parent: Option<&Bundle>,
+    child: &Bundle,
+    signer: &str,
+    key: &SigningKey,
+) -> Result<Version> {
+    if !is_name(signer) {
+        return Err(Error::Name);
+    }
+    let none = Bundle::default();
+    let parent = parent.unwrap_or(&none);
+    let findings = verify::step(parent, child);
+    if findings.failed() {
+        return Err(Error::Bundle(findings));
+    }
+    let delta = Delta::between(&parent.sections, &child.sections);
+    if delta.is_empty() {
+        return Err(Error::Same);
+    }
+    let header = Header {
+        signer: signer.into(),
+        number: parent.number + 1,
+        parent: parent.digest,
+        result: child.digest,
+        delta: delta.digest(),
+    };
+    let seal = seal(header, key);
+    Ok(Version { seal, delta })
+}
+
+/// Signs a header.
+pub fn seal(header: Header, key: &SigningKey) -> Seal {
+    let signature = key.sign(&header.message()).to_bytes();
+    Seal { header, signature }
+}
+
+/// Digest of a caller's bearer key, as `[team NAME]` holds it.
+pub fn bearer(key: &str) -> Digest {
+    Digest::of(key.as_bytes())
+}
--- /dev/null
+++ b/crates/bundle/src/text.rs
@@ -0,0 +1,192 @@
+//! INI text to sections.
+//!
+//! rust-ini reads the keys and values; it knows no line of a key, so this module cuts the text
+//! at section headers, hands rust-ini one section at a time, and keeps the line numbers.
+//! Whether the sections make sense together is left to [`crate::verify`].
+
+use crate::finding::{Finding, Findings, Level};
+use crate::nearest::nearest;
+use crate::section::{Key, Pair, Section};
+use crate::sections::{self, Sections};
+use ini::{Ini, ParseOption};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// Longest text that is read, in bytes.
+pub const MAX_TEXT: usize = 16 << 20;
+
+/// Values are plain: no quotes, escapes or values over several lines, so that one line is one
+/// key and the canonical text reads back as itself.
+const PLAIN: ParseOption = ParseOption {
+    enabled_quote: false,
+    enabled_escape: false,
+    enabled_indented_mutiline_value: false,
+    enabled_preserve_key_leading_whitespace: false,
+};
+
+/// Lines of one section, not yet read.
+struct Chunk<'a> {
+    header: &'a str,
+    line: u32,
+    body: &'a str,
+}
+
+/// Reads bundle text; all findings are collected.
+pub fn parse(text: &str) -> Result<Sections, Findings> {
+    let mut findings = Findings::default();
+    if text.len() > MAX_TEXT {
+        findings.push(error(0, "", format!("longer than {MAX_TEXT} bytes")));
+        return Err(findings);
+    }
+    let mut all = Sections::default();
+    for chunk in chunks(text, &mut findings) {
+        let Some(section) = section(chunk.header, chunk.body, chunk.line, &mut findings) else {
+            continue;
+        };
+        let line = section.line();
+        let header = section.key().to_string();
+        if let Some(first) = all.set(Arc::new(section)) {
+            let message = format!("defined twice, first in line {}", first.line());
+            findings.push(error(line, &header, message));
+        }
+        if all.len() > sections::MOST {
+            findings.push(error(
+                line,
+                &header,
+                format!("over {} sections", sections::MOST),
+            ));
+            break;
+        }
+    }
+    findings.sort();
+    if findings.failed() {
+        Err(findings)
+    } else {
+        Ok(all)
+    }
+}
+
+/// Reads one section from its header (without brackets) and the lines below it.
+pub fn section(header: &str, body: &str, line: u32, findings: &mut Findings) -> Option<Section> {
+    let key: Key = match header.parse() {
+        Ok(key) => key,
+        Err(message) => {
+            findings.push(error(line, header.get(..80).unwrap_or(header), message));
+            return None;
+        }
+    };
+    let header = key.to_string();
+    let lines = key_lines(body);
+    let ini = match Ini::load_from_str_opt(body, PLAIN) {
+        Ok(ini) => ini,
+        Err(e) => {
+            let at = line + u32::try_from(e.line).unwrap_or(0);
+            findings.push(error(at, &header, format!("not INI: {}", e.msg)));
+            return None;
+        }
+    };
+    let mut pairs = Vec::new();
+    let mut seen = BTreeSet::new();
+    let values = ini.iter().flat_map(|(_, properties)| properties.iter());
+    for (i, (name, value)) in values.enumerate() {
+        let line = lines.get(i).map_or(line, |offset| line + offset);
+        let Some(known) = known_key(&key, name, line, findings) else {
+            continue;
+        };
+        if !seen.insert(known) {
+            findings.push(at_key(line, &header, known, "set twice".into()));
+            continue;
+        }
+        let value = normal(value);
+        pairs.push(Pair {
+            key: known,
+            value,
+            line,
+        });
+    }
+    Some(Section::new(key, line, pairs))
+}
+
+/// Cuts the text at its headers.
+fn chunks<'a>(text: &'a str, findings: &mut Findings) -> Vec<Chunk<'a>> {
+    let mut chunks: Vec<Chunk<'a>> = Vec::new();
+    let mut start = 0;
+    let mut line = 0;
+    for raw in text.split_inclusive('\n') {
+        line += 1;
+        let trimmed = raw.trim();
+        let end = start + raw.len();
+        if let Some(rest) = trimmed.strip_prefix('[') {
+            let header = rest.strip_suffix(']');
+            if header.is_none() {
+                findings.push(error(line, "", "section header without `]`".into()));
+            }
+            let header = header.unwrap_or(rest).trim();
+            chunks.push(Chunk {
+                header,
+                line,
+                body: &text[end..end],
+            });
+        } else if let Some(chunk) = chunks.last_mut() {
+            let from = end - raw.len() - chunk.body.len();
+            chunk.body = &text[from..end];
+        } else if is_pair(trimmed) {
+            findings.push(error(line, "", "text before the first section".into()));
+        }
+        start = end;
+    }
+    chunks
+}
+
+/// Offsets (from 1) of the lines that hold a key.
+fn key_lines(body: &str) -> Vec<u32> {
+    let numbered = (1..).zip(body.lines());
+    numbered
+        .filter(|(_, l)| is_pair(l.trim()))
+        .map(|(i, _)| i)
+        .collect()
+}
+
+/// Whether a trimmed line is neither blank nor a comment.
+fn is_pair(line: &str) -> bool {
+    !line.is_empty() && !line.starts_with([';', '#'])
+}
+
+/// The static form of `name`, or a finding.
+fn known_key(key: &Key, name: &str, line: u32, findings: &mut Findings) -> Option<&'static str> {
+    let keys = key.kind.keys();
+    let found = keys.iter().find(|k| **k == name);
+    if found.is_none() {
+        let near = nearest(name, keys.iter().copied());
+        let near = near.map_or_else(String::new, |n| format!("; `{n}` is near"));
+        let message = format!("unknown key `{name:.80}`{near}");
+        findings.push(error(line, &key.to_string(), message));
+    }
+    found.copied()
+}
+
+/// Single spaces, none around commas but one after each.
+fn normal(value: &str) -> Box<str> {
+    let parts = value.split(',').map(|part| {
+        let words: Vec<&str> = part.split_whitespace().collect();
+        words.join(" ")
+    });
+    let parts: Vec<String> = parts.collect();
+    parts.join(", ").into()
+}
+
+/// An error about a section.
+pub(crate) fn error(line: u32, section: &str, message: String) -> Finding {
+    at_key(line, section, "", message)
+}
+
+/// An error about a key.
+fn at_key(line: u32, section: &str, key: &str, message: String) -> Finding {
+    Finding {
+        level: Level::Error,
+        line,
+        section: section.into(),
+        key: key.into(),
+        message,
+    }
+}
--- /dev/null
+++ b/crates/bundle/src/verify/endpoint.rs
@@ -0,0 +1,106 @@
+//! The table of endpoints.
+
+use super::fields::Fields;
+use super::model;
+use super::names::Names;
+use crate::endpoint::{Endpoint, Span};
+use crate::finding::Findings;
+use crate::model::Model;
+use crate::section::Kind;
+use crate::sections::Sections;
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// Most requests one endpoint may run at once; beyond it a typing mistake is likelier.
+const MOST_SLOTS: u32 = 65_536;
+
+/// Stands for an address that couldn't be read.
+const NO_ADDR: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
+/// Builds the table.
+pub(super) fn table(
+    sections: &Sections,
+    names: &Names<'_>,
+    models: &[Model],
+    findings: &mut Findings,
+) -> Vec<Endpoint> {
+    let mut rows = Vec::new();
+    let mut addrs: BTreeMap<SocketAddr, String> = BTreeMap::new();
+    for section in sections.of(Kind::Endpoint) {
+        let mut fields = Fields::new(section, findings);
+        let row = row(&mut fields, names, models);
+        if row.addr != NO_ADDR
+            && let Some(other) = addrs.insert(row.addr, row.name.clone())
+        {
+            fields.error("addr", format_args!("is the address of `{other}` too"));
+        }
+        rows.push(row);
+    }
+    rows
+}
+
+/// Reads one row.
+fn row(fields: &mut Fields<'_>, names: &Names<'_>, models: &[Model]) -> Endpoint {
+    let row = Endpoint {
+        name: fields.name(),
+        instance: fields.text("instance").unwrap_or_default().into(),
+        addr: addr(fields),
+        zone: fields.id("zone", &names.zones).unwrap_or_default(),
+        kind: kind(fields, names),
+        spans: spans(fields, names, models),
+        services: fields.ids("services", &names.services),
+        slots: fields.count("slots"),
+        fenced: fields.flag("fenced", false),
+    };
+    check(fields, &row);
+    row
+}
+
+/// The address; one that nothing can listen on is an error.
+fn addr(fields: &mut Fields<'_>) -> SocketAddr {
+    let addr = fields.read("addr", "an IP address with a port");
+    let addr = addr.unwrap_or(NO_ADDR);
+    if fields
+        .optional("addr")
+        .is_some_and(|t| t.parse() == Ok(addr))
+        && (addr.port() == 0 || addr.ip().is_unspecified() || addr.ip().is_multicast())
+    {
+        fields.error("addr", "nothing can be reached there");
+    }
+    addr
+}
+
+/// The accelerator's kind, if it names one.
+fn kind(fields: &mut Fields<'_>, names: &Names<'_>) -> Option<crate::id::KindId> {
+    fields.optional("kind")?;
+    fields.id("kind", &names.kinds)
+}
+
+/// The spans; an error for each that can't be read.
+fn spans(fields: &mut Fields<'_>, names: &Names<'_>, models: &[Model]) -> Vec<Span> {
+    let mut spans = Vec::new();
+    for text in fields.list("spans") {
+        match model::span(text, models, |name| names.models.get(name)) {
+            Ok(span) => spans.push(span),
+            Err(Some(message)) => fields.error("spans", message),
+            Err(None) => {
+                let name = text.split(' ').next().unwrap_or(text);
+                fields.lookup("spans", name, &names.models);
+            }
+        }
+    }
+    spans
+}
+
+/// Checks of the row as a whole.
+fn check(fields: &mut Fields<'_>, row: &Endpoint) {
+    if row.slots > MOST_SLOTS {
+        fields.error("slots", format_args!("is over {MOST_SLOTS}"));
+    }
+    if !row.spans.is_empty() && fields.optional("kind").is_none() {
+        fields.error("kind", "is missing, but the endpoint serves layers");
+    }
+    if fields.optional("spans").is_none() && fields.optional("services").is_none() {
+        fields.error("", "serves neither a span nor a service");
+    }
+}
--- /dev/null
+++ b/crates/bundle/src/verify/model.rs
@@ -0,0 +1,115 @@
+//! The table of models, and whether their layers can be covered.
+
+use super::fields::Fields;
+use crate::endpoint::{Endpoint, Span};
+use crate::finding::Findings;
+use crate::id::{Layer, ModelId};
+use crate::model::Model;
+use crate::section::{Kind, is_name};
+use crate::sections::Sections;
+use std::collections::BTreeSet;
+
+/// Builds the table.
+pub(super) fn table(sections: &Sections, findings: &mut Findings) -> Vec<Model> {
+    let mut rows = Vec::new();
+    for section in sections.of(Kind::Model) {
+        let mut fields = Fields::new(section, findings);
+        let adapters = fields.list("adapters");
+        for bad in adapters.iter().filter(|a| !is_name(a)) {
+            fields.error("adapters", format_args!("`{bad:.80}` is no name"));
+        }
+        rows.push(Model {
+            name: fields.name(),
+            version: fields.text("version").unwrap_or_default().into(),
+            layers: fields.count("layers"),
+            context: fields.count("context"),
+            adapters: adapters.into_iter().map(String::from).collect(),
+        });
+    }
+    rows
+}
+
+/// Checks that for each model some chain of spans covers all layers once, in order.
+pub(super) fn check_coverage(
+    sections: &Sections,
+    models: &[Model],
+    endpoints: &[Endpoint],
+    findings: &mut Findings,
+) {
+    let mut spans: Vec<BTreeSet<(Layer, Layer)>> = vec![BTreeSet::new(); models.len()];
+    let all = endpoints.iter().flat_map(|e| &e.spans);
+    for Span { model, from, to } in all {
+        if let Some(ranges) = spans.get_mut(usize::from(*model)) {
+            ranges.insert((*from, *to));
+        }
+    }
+    for (i, section) in sections.of(Kind::Model).enumerate() {
+        let (Some(model), Some(ranges)) = (models.get(i), spans.get(i)) else {
+            return;
+        };
+        let mut fields = Fields::new(section, findings);
+        if let Some(message) = gap(model, ranges) {
+            fields.error("layers", message);
+        }
+    }
+}
+
+/// Says where the chains from layer 0 end, if none reaches the last layer.
+fn gap(model: &Model, ranges: &BTreeSet<(Layer, Layer)>) -> Option<String> {
+    let layers = model.layers;
+    if ranges.is_empty() {
+        return Some("no endpoint serves any layer of it".into());
+    }
+    let reached = reach(ranges);
+    if layers == 0 || reached.contains(&layers) {
+        return None;
+    }
+    let end = reached.last().copied().unwrap_or_default();
+    let overlap = ranges.iter().find(|(from, to)| *from < end && end < *to);
+    Some(match overlap {
+        Some((from, to)) => format!(
+            "no chain of spans covers 0..{layers}: chains end at {end}, and {from}..{to} overlaps \
+             them"
+        ),
+        None => format!("no chain of spans covers 0..{layers}: gap after {end}"),
+    })
+}
+
+/// Layers at which a chain of spans from layer 0 can end; spans come sorted by their start.
+fn reach(ranges: &BTreeSet<(Layer, Layer)>) -> BTreeSet<Layer> {
+    let mut reached = BTreeSet::from([0]);
+    for (from, to) in ranges {
+        if reached.contains(from) {
+            reached.insert(*to);
+        }
+    }
+    reached
+}
+
+/// Parses `MODEL A..B`; `models` are the names with their ids.
+pub(super) fn span(
+    text: &str,
+    models: &[Model],
+    id: impl Fn(&str) -> Option<ModelId>,
+) -> Result<Span, Option<String>> {
+    let (name, range) = text.split_once(' ').ok_or_else(|| Some(shape(text)))?;
+    let (from, to) = range.split_once("..").ok_or_else(|| Some(shape(text)))?;
+    let from = from.trim().parse().map_err(|_| Some(shape(text)))?;
+    let to = to.trim().parse().map_err(|_| Some(shape(text)))?;
+    let model = id(name).ok_or(None)?;
+    if from >= to {
+        return Err(Some(format!("`{text:.80}` holds no layer")));
+    }
+    let layers = models.get(usize::from(model)).map_or(0, |m| m.layers);
+    if layers > 0 && to > layers {
+        return Err(Some(format!(
+            "`{text:.80}` goes past the model's {layers} layers"
+        )));
+    }
+    Ok(Span { model, from, to })
+}
+
+/// Message for a span that can't be read.
+fn shape(text: &str) -> String {
+    format!("`{text:.80}` is not a span such as `menu 0..16`")
+}
--- /dev/null
+++ b/crates/bundle/src/verify/names.rs
@@ -0,0 +1,107 @@
+//! Names to ids.
+
+use crate::finding::{Finding, Findings, Level};
+use crate::id::{KindId, ModelId, PriorityId, ServiceId, ZoneId};
+use crate::nearest::nearest;
+use crate::section::Kind;
+use crate::sections::Sections;
+use std::cell::Cell;
+use std::collections::BTreeMap;
+
+/// Most unknown names for which a near one is looked for: it costs a pass over the table, and a
+/// hostile text could ask for it a million times.
+const MOST_NEAREST: u32 = 64;
+
+/// A row's id.
+pub(super) trait Id: Copy + TryFrom<usize> {}
+
+impl<T: Copy + TryFrom<usize>> Id for T {}
+
+/// The names of one table.
+pub(super) struct Index<'a, I> {
+    kind: Kind,
+    ids: BTreeMap<&'a str, I>,
+    searches: Cell<u32>,
+}
+
+impl<'a, I: Id> Index<'a, I> {
+    /// Ids in the order of `names`; a finding if they don't fit the id type.
+    fn new(kind: Kind, names: impl Iterator<Item = &'a str>, findings: &mut Findings) -> Self {
+        let mut ids = BTreeMap::new();
+        for (i, name) in names.enumerate() {
+            match I::try_from(i) {
+                Ok(id) => {
+                    ids.insert(name, id);
+                }
+                Err(_) => {
+                    findings.push(too_many(kind, i));
+                    break;
+                }
+            }
+        }
+        Self {
+            kind,
+            ids,
+            searches: Cell::new(0),
+        }
+    }
+
+    /// The id of `name`.
+    pub fn get(&self, name: &str) -> Option<I> {
+        self.ids.get(name).copied()
+    }
+
+    /// The known name most like `name`.
+    pub fn nearest(&self, name: &str) -> Option<&'a str> {
+        if self.searches.get() >= MOST_NEAREST {
+            return None;
+        }
+        self.searches.set(self.searches.get() + 1);
+        nearest(name, self.ids.keys().copied())
+    }
+
+    /// Word for one row of the table.
+    pub fn word(&self) -> &'static str {
+        self.kind.word()
+    }
+}
+
+/// The names that sections refer to.
+pub(super) struct Names<'a> {
+    pub zones: Index<'a, ZoneId>,
+    pub kinds: Index<'a, KindId>,
+    pub models: Index<'a, ModelId>,
+    pub services: Index<'a, ServiceId>,
+    pub priorities: Index<'a, PriorityId>,
+}
+
+impl<'a> Names<'a> {
+    /// The names of all tables.
+    pub fn new(sections: &'a Sections, findings: &mut Findings) -> Self {
+        let ranked = super::priority::ranked(sections);
+        Self {
+            zones: index(sections, Kind::Zone, findings),
+            kinds: index(sections, Kind::Kind, findings),
+            models: index(sections, Kind::Model, findings),
+            services: index(sections, Kind::Service, findings),
+            priorities: Index::new(Kind::Priority, ranked.into_iter(), findings),
+        }
+    }
+}
+
+/// The index of a table that is sorted by name.
+fn index<'a, I: Id>(sections: &'a Sections, kind: Kind, findings: &mut Findings) -> Index<'a, I> {
+    let names = sections.of(kind).map(|s| s.key().name.as_str());
+    Index::new(kind, names, findings)
+}
+
+/// A finding for a table that outgrew its id type.
+fn too_many(kind: Kind, most: usize) -> Finding {
+    Finding {
+        level: Level::Error,
+        line: 0,
+        section: kind.word().into(),
+        key: String::new(),
+        message: format!("more than {most} of this kind"),
+    }
+}
--- /dev/null
+++ b/crates/bundle/src/verify/priority.rs
@@ -0,0 +1,85 @@
+//! The table of priorities.
+
+use super::fields::Fields;
+use super::names::Names;
+use crate::finding::Findings;
+use crate::priority::Priority;
+use crate::section::{Kind, Section};
+use crate::sections::Sections;
+use std::collections::BTreeMap;
+
+/// Names by rank, most urgent first; one without a readable rank goes last.
+pub(super) fn ranked(sections: &Sections) -> Vec<&str> {
+    let mut rows: Vec<(u32, &str)> = sections.of(Kind::Priority).map(|s| rank(s)).collect();
+    rows.sort_unstable();
+    rows.into_iter().map(|(_, name)| name).collect()
+}
+
+/// Rank and name of a section.
+fn rank(section: &Section) -> (u32, &str) {
+    let rank = section.pair("rank").and_then(|p| p.value.parse().ok());
+    (rank.unwrap_or(u32::MAX), &section.key().name)
+}
+
+/// Builds the table, sorted by rank.
+pub(super) fn table(
+    sections: &Sections,
+    names: &Names<'_>,
+    findings: &mut Findings,
+) -> Vec<Priority> {
+    let mut rows: Vec<Priority> = Vec::new();
+    let mut ranks: BTreeMap<u32, String> = BTreeMap::new();
+    for section in sections.of(Kind::Priority) {
+        let mut fields = Fields::new(section, findings);
+        let row = row(&mut fields);
+        if let Some(other) = ranks.insert(row.rank, row.name.clone()) {
+            fields.error("rank", format_args!("is the rank of `{other}` too"));
+        }
+        rows.push(row);
+    }
+    if rows.is_empty() {
+        findings.push(none());
+    }
+    rows.sort_by_key(|r| names.priorities.get(&r.name));
+    check_urgent_first(sections, &rows, findings);
+    rows
+}
+
+/// Reads one row.
+fn row(fields: &mut Fields<'_>) -> Priority {
+    let urgent = fields.flag("urgent", false);
+    let weight = match fields.optional("weight") {
+        None if urgent => 0,
+        _ => fields.count("weight"),
+    };
+    Priority {
+        name: fields.name(),
+        rank: fields.read("rank", "a whole number").unwrap_or_default(),
+        urgent,
+        weight,
+    }
+}
+
+/// Urgent ones must have the lowest ranks: strict order and ranks would contradict each other.
+fn check_urgent_first(sections: &Sections, rows: &[Priority], findings: &mut Findings) {
+    let mut usual = rows.iter().skip_while(|r| r.urgent);
+    let Some(first) = usual.next() else { return };
+    for late in usual.filter(|r| r.urgent) {
+        let mut all = sections.of(Kind::Priority);
+        if let Some(section) = all.find(|s| s.key().name == late.name) {
+            let message = format!("urgent, but ranked after `{}`, which is not", first.name);
+            Fields::new(section, findings).error("rank", message);
+        }
+    }
+}
+
+/// The finding for a bundle without priorities.
+fn none() -> crate::finding::Finding {
+    crate::finding::Finding {
+        level: crate::finding::Level::Error,
+        line: 0,
+        section: "priority".into(),
+        key: String::new(),
+        message: "there is no priority; requests need at least one".into(),
+    }
+}
--- /dev/null
+++ b/crates/bundle/src/verify/signer.rs
@@ -0,0 +1,57 @@
+//! The table of signers.
+
+use super::fields::Fields;
+use crate::finding::{Finding, Findings, Level};
+use crate::section::Kind;
+use crate::sections::Sections;
+use crate::signer::Signer;
+use ed25519_dalek::VerifyingKey;
+use std::collections::BTreeMap;
+
+/// Builds the table.
+pub(super) fn table(sections: &Sections, findings: &mut Findings) -> Vec<Signer> {
+    let mut rows: Vec<Signer> = Vec::new();
+    let mut holders: BTreeMap<[u8; 32], String> = BTreeMap::new();
+    for section in sections.of(Kind::Signer) {
+        let mut fields = Fields::new(section, findings);
+        let key = key(&mut fields);
+        if let Some(other) = key.and_then(|k| holders.insert(k, fields.name())) {
+            fields.error("key", format_args!("is the key of `{other}` too"));
+        }
+        rows.push(Signer {
+            name: fields.name(),
+            key: key.unwrap_or_default(),
+            revoked: fields.flag("revoked", false),
+        });
+    }
+    if !rows.is_empty() && rows.iter().all(|r| r.revoked) {
+        findings.push(none_left());
+    }
+    rows
+}
+
+/// The public key.
+fn key(fields: &mut Fields<'_>) -> Option<[u8; 32]> {
+    let text = fields.text("key")?;
+    let mut key = [0; 32];
+    let read = hex::decode_to_slice(text, &mut key).is_ok();
+    let valid = read && VerifyingKey::from_bytes(&key).is_ok_and(|k| !k.is_weak());
+    if !valid {
+        fields.error(
+            "key",
+            format_args!("`{text:.80}` is not an ed25519 public key in hex"),
+        );
+    }
+    valid.then_some(key)
+}
+
+/// The finding for a bundle after which nobody listed could sign the next.
+fn none_left() -> Finding {
+    Finding {
+        level: Level::Error,
+        line: 0,
+        section: "signer".into(),
+        key: "revoked".into(),
+        message: "all signers are revoked; nobody could sign the next version".into(),
+    }
+}
--- /dev/null
+++ b/crates/bundle/src/verify/step.rs
@@ -0,0 +1,44 @@
+//! What a version may not change of its parent.
+
+use super::fields::Fields;
+use crate::bundle::Bundle;
+use crate::finding::{Finding, Findings, Level};
+use crate::section::{Key, Kind};
+use crate::signer::Signer;
+
+/// Checks `child` against its `parent`: a revoked key stays revoked.
+///
+/// Without this, whoever holds a revoked key only needs one careless edit by somebody else (an
+/// old file signed again) to be trusted again. A person may come back with a new key.
+pub fn step(parent: &Bundle, child: &Bundle) -> Findings {
+    let mut findings = Findings::default();
+    let revoked = parent.signers.iter().filter(|s| s.revoked);
+    for signer in revoked {
+        check_signer(signer, child, &mut findings);
+    }
+    findings
+}
+
+/// Checks one revoked signer of the parent.
+fn check_signer(signer: &Signer, child: &Bundle, findings: &mut Findings) {
+    let row = child.signers.iter().find(|s| s.key == signer.key);
+    if row.is_some_and(|r| r.revoked) {
+        return;
+    }
+    let message = "its key was revoked and must stay listed as revoked";
+    let name = row.map_or(&signer.name, |r| &r.name);
+    let key = Key {
+        kind: Kind::Signer,
+        name: name.clone(),
+    };
+    match child.sections.get(&key) {
+        Some(section) => Fields::new(section, findings).error("revoked", message),
+        None => findings.push(Finding {
+            level: Level::Error,
+            line: 0,
+            section: key.to_string(),
+            key: String::new(),
+            message: message.into(),
+        }),
+    }
+}
