platform: clients of the log service, instance list and weight store; their stand-ins

Cause: every part that agrees through the log needs a client that says honestly whether an append may have taken effect, and something to run against. Change: traits Log, List, Weights with HTTP/1.1 clients (time limits, body bounds, page checks, jittered back-off); stand-ins over loopback with faults switched at run time (down, silent, slow, lost answers, rate, retention, lag); docs/PLATFORM.md gives the formats. Conclusion: the API others integrate against is platform::{Log, List, Weights, Error, Limits}.

--- /dev/null
+++ b/crates/platform/src/format.rs
@@ -0,0 +1,222 @@
+//! What is sent over the network, described in `docs/PLATFORM.md`. The stand-ins use it as well.
+
+use crate::error::Cause;
+use crate::instance::{Instance, State};
+use crate::log;
+use crate::weights::Rate;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Largest page a decoder accepts, in bytes, whatever the client's own bound.
+const MAX_PAGE: usize = 16 << 20;
+/// Longest stream name.
+const MAX_STREAM: usize = 64;
+
+/// Answer to an append, JSON.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Appended {
+    /// Offset of the record.
+    pub offset: u64,
+}
+
+/// A record within a page.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Offset of the record.
+    pub offset: u64,
+    /// What was appended.
+    pub body: Vec<u8>,
+}
+
+/// Answer to a read, bincode in its standard configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Page {
+    /// The first offset still held.
+    pub first: u64,
+    /// Where to read on.
+    pub next: u64,
+    /// Records.
+    pub records: Vec<Record>,
+}
+
+/// An instance, JSON.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Item {
+    /// Name.
+    pub name: String,
+    /// `live` or `leaving`.
+    pub state: String,
+    /// Name of the availability zone.
+    pub zone: String,
+    /// `IP:PORT`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub addr: Option<SocketAddr>,
+}
+
+/// Answer of the instance list, JSON.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Instances {
+    /// The instances.
+    pub instances: Vec<Item>,
+}
+
+/// Answer of the weight store, JSON.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Allowed {
+    /// Fetches started per minute.
+    pub per_minute: u32,
+    /// Fetches at once.
+    pub at_once: u32,
+}
+
+/// Path of the records of a stream.
+pub fn records(stream: &str) -> Result<String, Cause> {
+    if stream.is_empty() || stream.len() > MAX_STREAM || !stream.bytes().all(plain) {
+        return Err(Cause::Invalid(format!("stream name {stream:?}")));
+    }
+    Ok(format!("/v1/streams/{stream}/records"))
+}
+
+/// Path of the instance list.
+pub const INSTANCES: &str = "/v1/instances";
+/// Path of the weight store's rate.
+pub const RATE: &str = "/v1/rate";
+
+/// Decodes JSON.
+pub fn json<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, Cause> {
+    serde_json::from_slice(bytes).map_err(|e| Cause::Decode(e.to_string()))
+}
+
+impl Page {
+    /// Encodes the page.
+    pub fn encode(&self) -> Vec<u8> {
+        bincode::serde::encode_to_vec(self, bincode::config::standard()).unwrap_or_default()
+    }
+
+    /// Decodes a page.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Cause> {
+        let config = bincode::config::standard().with_limit::<MAX_PAGE>();
+        let (page, used) = bincode::serde::decode_from_slice(bytes, config)
+            .map_err(|e| Cause::Decode(e.to_string()))?;
+        match used == bytes.len() {
+            true => Ok(page),
+            false => Err(Cause::Decode(format!(
+                "{} bytes after the page",
+                bytes.len() - used
+            ))),
+        }
+    }
+}
+
+impl From<log::Page> for Page {
+    fn from(page: log::Page) -> Self {
+        let record = |r: log::Record| Record {
+            offset: r.offset,
+            body: r.body.to_vec(),
+        };
+        let records = page.records.into_iter().map(record).collect();
+        Self {
+            first: page.first,
+            next: page.next,
+            records,
+        }
+    }
+}
+
+impl TryFrom<Page> for log::Page {
+    type Error = Cause;
+
+    /// Checks that offsets rise by one, start no lower than `first` and end at `next`: a reader
+    /// that took a page with a hole for a whole one would judge without having seen all.
+    fn try_from(page: Page) -> Result<Self, Cause> {
+        let mut records = Vec::with_capacity(page.records.len());
+        let mut expected = page.records.first().map_or(page.next, |r| r.offset);
+        if expected < page.first {
+            return Err(Cause::Decode(format!(
+                "offset {expected} below {}",
+                page.first
+            )));
+        }
+        for record in page.records {
+            if record.offset != expected {
+                let found = record.offset;
+                return Err(Cause::Decode(format!(
+                    "offset {found} in place of {expected}"
+                )));
+            }
+            expected = expected
+                .checked_add(1)
+                .ok_or_else(|| Cause::Decode("offset".into()))?;
+            records.push(log::Record {
+                offset: record.offset,
+                body: Bytes::from(record.body),
+            });
+        }
+        match expected == page.next {
+            true => Ok(Self {
+                first: page.first,
+                next: page.next,
+                records,
+            }),
+            false => Err(Cause::Decode(format!(
+                "next {} after {expected}",
+                page.next
+            ))),
+        }
+    }
+}
+
+impl From<&Instance> for Item {
+    fn from(instance: &Instance) -> Self {
+        Self {
+            name: instance.name.clone(),
+            state: instance.state.to_string(),
+            zone: instance.zone.clone(),
+            addr: instance.addr,
+        }
+    }
+}
+
+impl TryFrom<Item> for Instance {
+    type Error = Cause;
+
+    fn try_from(item: Item) -> Result<Self, Cause> {
+        let state = match item.state.as_str() {
+            "live" => State::Live,
+            "leaving" => State::Leaving,
+            other => return Err(Cause::Decode(format!("{}: state {other:?}", item.name))),
+        };
+        if item.name.is_empty() {
+            return Err(Cause::Decode("an instance without a name".into()));
+        }
+        Ok(Self {
+            name: item.name,
+            state,
+            zone: item.zone,
+            addr: item.addr,
+        })
+    }
+}
+
+impl From<Rate> for Allowed {
+    fn from(rate: Rate) -> Self {
+        Self {
+            per_minute: rate.per_minute,
+            at_once: rate.at_once,
+        }
+    }
+}
+
+impl From<Allowed> for Rate {
+    fn from(allowed: Allowed) -> Self {
+        Self {
+            per_minute: allowed.per_minute,
+            at_once: allowed.at_once,
+        }
+    }
+}
+
+fn plain(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_'
+}
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,10 @@
+//! The clients over HTTP/1.1.
+
+pub mod client;
+pub mod list;
+pub mod log;
+pub mod weights;
+
+pub use list::List;
+pub use log::Log;
+pub use weights::Weights;
--- /dev/null
+++ b/crates/platform/src/http/list.rs
@@ -0,0 +1,40 @@
+//! The instance list over HTTP.
+
+use crate::error::{Error, Result};
+use crate::format::{self, Instances};
+use crate::http::client::Client;
+use crate::instance::Instance;
+use crate::limits::Limits;
+use crate::list;
+use bytes::Bytes;
+use http::Method;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A client of the instance list.
+#[derive(Debug)]
+pub struct List {
+    client: Client,
+}
+
+impl List {
+    /// A client of the service at `addr`.
+    pub fn new(addr: SocketAddr, limits: Limits) -> Self {
+        Self {
+            client: Client::new(addr, limits),
+        }
+    }
+}
+
+impl list::List for List {
+    async fn instances(&self) -> Result<Vec<Instance>> {
+        let call = self
+            .client
+            .call(Method::GET, format::INSTANCES, Bytes::new(), Duration::ZERO);
+        let answer = call.await?;
+        let raw: Instances = format::json(&answer).map_err(Error::sent)?;
+        let checked: std::result::Result<Vec<_>, _> =
+            raw.instances.into_iter().map(Instance::try_from).collect();
+        checked.map_err(Error::sent)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/fault.rs
@@ -0,0 +1,255 @@
+//! Faults shared by the stand-ins, and the server that brings them about.
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU8, AtomicU32, AtomicU64, Ordering::Relaxed};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+/// Largest body a stand-in takes, in bytes.
+const MAX_BODY: usize = 8 << 20;
+/// How often a request held by a silent service looks whether it speaks again.
+const SILENT_STEP: Duration = Duration::from_millis(20);
+
+/// How a service behaves as a whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// It answers.
+    Up,
+    /// It closes every connection without an answer or an effect.
+    Down,
+    /// It takes connections and requests, and neither acts nor answers.
+    Silent,
+}
+
+/// Switches of one stand-in.
+#[derive(Debug, Default)]
+pub struct Faults {
+    mode: AtomicU8,
+    delay: AtomicU64,
+    lose: AtomicU32,
+    lost: AtomicU64,
+    calls: AtomicU64,
+    connections: AtomicU64,
+    cut: Mutex<CancellationToken>,
+}
+
+impl Faults {
+    /// Sets the mode; leaving [`Mode::Up`] for [`Mode::Down`] closes what is open.
+    pub fn set(&self, mode: Mode) {
+        self.mode.store(mode as u8, Relaxed);
+        if mode == Mode::Down {
+            let fresh = CancellationToken::new();
+            std::mem::replace(&mut *lock(&self.cut), fresh).cancel();
+        }
+    }
+
+    /// The mode.
+    pub fn mode(&self) -> Mode {
+        match self.mode.load(Relaxed) {
+            0 => Mode::Up,
+            1 => Mode::Down,
+            _ => Mode::Silent,
+        }
+    }
+
+    /// Makes each call take this much longer before its effect.
+    pub fn slow(&self, delay: Duration) {
+        self.delay.store(
+            u64::try_from(delay.as_micros()).unwrap_or(u64::MAX),
+            Relaxed,
+        );
+    }
+
+    /// Loses the answers of the next `count` writes, after their effect.
+    pub fn lose(&self, count: u32) {
+        self.lose.store(count, Relaxed);
+    }
+
+    /// Answers lost so far.
+    pub fn lost(&self) -> u64 {
+        self.lost.load(Relaxed)
+    }
+
+    /// Calls that came so far.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Relaxed)
+    }
+
+    /// Connections taken so far.
+    pub fn connections(&self) -> u64 {
+        self.connections.load(Relaxed)
+    }
+
+    fn loses(&self) -> bool {
+        let taken = self
+            .lose
+            .fetch_update(Relaxed, Relaxed, |n| n.checked_sub(1))
+            .is_ok();
+        self.lost.fetch_add(u64::from(taken), Relaxed);
+        taken
+    }
+
+    fn token(&self) -> CancellationToken {
+        lock(&self.cut).clone()
+    }
+
+    async fn hold(&self) {
+        while self.mode() == Mode::Silent {
+            tokio::time::sleep(SILENT_STEP).await;
+        }
+        tokio::time::sleep(Duration::from_micros(self.delay.load(Relaxed))).await;
+    }
+}
+
+/// A service's answer, and whether it is to a write, so that [`Faults::lose`] applies.
+#[derive(Debug)]
+pub struct Answer {
+    /// The response.
+    pub response: Response<Full<Bytes>>,
+    /// Whether a write took effect.
+    pub written: bool,
+}
+
+impl Answer {
+    /// An answer with a status and a body.
+    pub fn new(status: StatusCode, body: impl Into<Bytes>) -> Self {
+        let mut response = Response::new(Full::new(body.into()));
+        *response.status_mut() = status;
+        Self {
+            response,
+            written: false,
+        }
+    }
+
+    /// A JSON answer.
+    pub fn json(value: &impl serde::Serialize) -> Self {
+        match serde_json::to_vec(value) {
+            Ok(body) => Self::new(StatusCode::OK, body),
+            Err(_) => Self::new(StatusCode::INTERNAL_SERVER_ERROR, ""),
+        }
+    }
+
+    /// The same answer, to a write that took effect.
+    pub fn written(self) -> Self {
+        Self {
+            written: true,
+            ..self
+        }
+    }
+}
+
+/// What a stand-in does with a request.
+pub trait Service: Send + Sync + 'static {
+    /// Answers a request whose body has been read.
+    fn answer(&self, request: Request<Bytes>) -> impl Future<Output = Answer> + Send;
+}
+
+/// A running stand-in's listener; it stops when this is dropped.
+#[derive(Debug)]
+pub struct Server {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    stop: CancellationToken,
+}
+
+impl Server {
+    /// Listens on `addr` and serves until dropped.
+    pub async fn start<S: Service>(
+        addr: SocketAddr,
+        faults: Arc<Faults>,
+        service: Arc<S>,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(addr).await?;
+        let addr = listener.local_addr()?;
+        let stop = CancellationToken::new();
+        tokio::spawn(stop.clone().run_until_cancelled_owned(accept(
+            listener,
+            faults,
+            service,
+            stop.clone(),
+        )));
+        Ok(Self { addr, stop })
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+async fn accept<S: Service>(
+    listener: TcpListener,
+    faults: Arc<Faults>,
+    service: Arc<S>,
+    stop: CancellationToken,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        if faults.mode() == Mode::Down {
+            continue;
+        }
+        faults.connections.fetch_add(1, Relaxed);
+        let cut = faults.token();
+        let work = serve(stream, faults.clone(), service.clone());
+        let stop = stop.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = work => {}
+                () = cut.cancelled() => {}
+                () = stop.cancelled() => {}
+            }
+        });
+    }
+}
+
+async fn serve<S: Service>(stream: TcpStream, faults: Arc<Faults>, service: Arc<S>) {
+    stream.set_nodelay(true).ok();
+    let handler = service_fn(move |request| respond(request, faults.clone(), service.clone()));
+    // An error here is a connection that ended early, which is the client's to notice.
+    let _ = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .serve_connection(TokioIo::new(stream), handler)
+        .await;
+}
+
+/// An error closes the connection without an answer.
+async fn respond<S: Service>(
+    request: Request<Incoming>,
+    faults: Arc<Faults>,
+    service: Arc<S>,
+) -> io::Result<Response<Full<Bytes>>> {
+    faults.calls.fetch_add(1, Relaxed);
+    faults.hold().await;
+    if faults.mode() == Mode::Down {
+        return Err(io::ErrorKind::ConnectionReset.into());
+    }
+    let (parts, body) = request.into_parts();
+    let Ok(body) = Limited::new(body, MAX_BODY).collect().await else {
+        return Ok(Answer::new(StatusCode::PAYLOAD_TOO_LARGE, "").response);
+    };
+    let answer = service
+        .answer(Request::from_parts(parts, body.to_bytes()))
+        .await;
+    if answer.written && faults.loses() {
+        return Err(io::ErrorKind::ConnectionReset.into());
+    }
+    Ok(answer.response)
+}
+
+/// Locks a mutex that no holder leaves half-changed.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/standin/src/list.rs
@@ -0,0 +1,79 @@
+//! The instance list.
+
+use crate::fault::{Answer, Faults, Server, Service, lock};
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use platform::format::{INSTANCES, Instances, Item};
+use platform::instance::Instance;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A running instance list; it stops when this is dropped.
+#[derive(Debug)]
+pub struct List {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its faults.
+    pub faults: Arc<Faults>,
+    store: Arc<Store>,
+    _server: Server,
+}
+
+impl List {
+    /// Starts a list with these instances.
+    pub async fn start(addr: SocketAddr, instances: Vec<Instance>) -> io::Result<Self> {
+        let faults = Arc::new(Faults::default());
+        let store = Arc::new(Store::default());
+        lock(&store.state).shown = instances;
+        let server = Server::start(addr, faults.clone(), store.clone()).await?;
+        Ok(Self {
+            addr: server.addr,
+            faults,
+            store,
+            _server: server,
+        })
+    }
+
+    /// Sets how long a change takes until the list shows it.
+    pub fn lag(&self, lag: Duration) {
+        lock(&self.store.state).lag = lag;
+    }
+
+    /// Changes what is true; the list shows it after its lag.
+    pub fn set(&self, instances: Vec<Instance>) {
+        let mut state = lock(&self.store.state);
+        let due = Instant::now() + state.lag;
+        state.changes.push((due, instances));
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    lag: Duration,
+    shown: Vec<Instance>,
+    changes: Vec<(Instant, Vec<Instance>)>,
+}
+
+#[derive(Debug, Default)]
+struct Store {
+    state: Mutex<State>,
+}
+
+impl Service for Store {
+    async fn answer(&self, request: Request<Bytes>) -> Answer {
+        if request.uri().path() != INSTANCES {
+            return Answer::new(StatusCode::NOT_FOUND, "");
+        }
+        let mut state = lock(&self.state);
+        let now = Instant::now();
+        while state.changes.first().is_some_and(|(due, _)| *due <= now) {
+            state.shown = state.changes.remove(0).1;
+        }
+        Answer::json(&Instances {
+            instances: state.shown.iter().map(Item::from).collect(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/standin/src/log.rs
@@ -0,0 +1,246 @@
+//! The log service.
+
+use crate::fault::{Answer, Faults, Server, Service, lock};
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, header};
+use platform::format::{Appended, Page, Record};
+use platform::log::Offset;
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
+
+/// Largest page given, in bytes of bodies; a page holds at least one record.
+const MAX_PAGE: usize = 1 << 20;
+/// Longest wait of a read.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+
+/// A running log service; it stops when this is dropped.
+#[derive(Debug)]
+pub struct Log {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its faults.
+    pub faults: Arc<Faults>,
+    store: Arc<Store>,
+    _server: Server,
+}
+
+impl Log {
+    /// Starts an empty log service.
+    pub async fn start(addr: SocketAddr) -> io::Result<Self> {
+        let faults = Arc::new(Faults::default());
+        let store = Arc::new(Store::default());
+        let server = Server::start(addr, faults.clone(), store.clone()).await?;
+        Ok(Self {
+            addr: server.addr,
+            faults,
+            store,
+            _server: server,
+        })
+    }
+
+    /// Allows this many appends a second; 0 lifts the limit.
+    pub fn limit(&self, appends: u32) {
+        self.store.rate.store(appends, Relaxed);
+    }
+
+    /// Drops the records of a stream below `first`, as retention does.
+    pub fn trim(&self, stream: &str, first: Offset) {
+        lock(&self.store.state).stream(stream).trim(first);
+    }
+
+    /// Keeps at most this many records of every stream from now on; 0 keeps all.
+    pub fn retain(&self, records: usize) {
+        lock(&self.store.state).retain = records;
+    }
+
+    /// Appends past all faults, as another program would have done.
+    pub fn append(&self, stream: &str, body: Bytes) -> Offset {
+        self.store.append(stream, body)
+    }
+
+    /// The records that a stream holds, with their offsets.
+    pub fn records(&self, stream: &str) -> Vec<(Offset, Bytes)> {
+        let mut state = lock(&self.store.state);
+        let stream = state.stream(stream);
+        (stream.first..)
+            .zip(stream.records.iter().cloned())
+            .collect()
+    }
+
+    /// Appends that took effect, over all streams.
+    pub fn appends(&self) -> u64 {
+        *self.store.changed.borrow()
+    }
+}
+
+#[derive(Debug, Default)]
+struct Stream {
+    first: Offset,
+    records: VecDeque<Bytes>,
+}
+
+impl Stream {
+    fn end(&self) -> Offset {
+        self.first + self.records.len() as u64
+    }
+
+    fn trim(&mut self, first: Offset) {
+        while self.first < first && self.records.pop_front().is_some() {
+            self.first += 1;
+        }
+    }
+
+    fn page(&self, from: Offset) -> Page {
+        let start = from.max(self.first);
+        let skip = usize::try_from(start - self.first).unwrap_or(usize::MAX);
+        let mut room = MAX_PAGE;
+        let mut records = Vec::new();
+        for (offset, body) in (start..).zip(self.records.iter().skip(skip)) {
+            if !records.is_empty() && body.len() > room {
+                break;
+            }
+            room = room.saturating_sub(body.len());
+            records.push(Record {
+                offset,
+                body: body.to_vec(),
+            });
+        }
+        let next = start + records.len() as u64;
+        Page {
+            first: self.first,
+            next,
+            records,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    streams: BTreeMap<String, Stream>,
+    retain: usize,
+    tokens: f64,
+    filled: Option<Instant>,
+}
+
+impl State {
+    fn stream(&mut self, name: &str) -> &mut Stream {
+        self.streams.entry(name.to_owned()).or_default()
+    }
+
+    /// Takes one append from a bucket that holds a second's worth.
+    fn admit(&mut self, rate: u32) -> bool {
+        if rate == 0 {
+            return true;
+        }
+        let now = Instant::now();
+        let rate = f64::from(rate);
+        let passed = self.filled.map_or(1.0, |t| (now - t).as_secs_f64());
+        self.filled = Some(now);
+        self.tokens = (self.tokens + passed * rate).min(rate);
+        let enough = self.tokens >= 1.0;
+        if enough {
+            self.tokens -= 1.0;
+        }
+        enough
+    }
+}
+
+#[derive(Debug)]
+struct Store {
+    state: Mutex<State>,
+    rate: AtomicU32,
+    /// Number of appends, watched by reads that wait.
+    changed: watch::Sender<u64>,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        let (changed, _) = watch::channel(0);
+        Self {
+            state: Mutex::default(),
+            rate: AtomicU32::new(0),
+            changed,
+        }
+    }
+}
+
+impl Store {
+    fn append(&self, stream: &str, body: Bytes) -> Offset {
+        let mut state = lock(&self.state);
+        let retain = state.retain;
+        let stream = state.stream(stream);
+        let offset = stream.end();
+        stream.records.push_back(body);
+        if retain > 0 {
+            stream.trim(stream.end().saturating_sub(retain as u64));
+        }
+        drop(state);
+        self.changed.send_modify(|n| *n += 1);
+        offset
+    }
+
+    fn write(&self, stream: &str, body: Bytes) -> Answer {
+        let admitted = lock(&self.state).admit(self.rate.load(Relaxed));
+        if !admitted {
+            let mut answer = Answer::new(StatusCode::TOO_MANY_REQUESTS, "");
+            let after = header::HeaderValue::from_static("1");
+            answer
+                .response
+                .headers_mut()
+                .insert(header::RETRY_AFTER, after);
+            return answer;
+        }
+        let offset = self.append(stream, body);
+        Answer::json(&Appended { offset }).written()
+    }
+
+    async fn read(&self, stream: &str, from: Offset, wait: Duration) -> Answer {
+        let mut changed = self.changed.subscribe();
+        let end = Instant::now() + wait.min(MAX_WAIT);
+        loop {
+            changed.borrow_and_update();
+            let page = self.page(stream, from);
+            let news = !page.records.is_empty() || page.first > from;
+            if news || timeout_at(end, changed.changed()).await.is_err() {
+                return Answer::new(StatusCode::OK, page.encode());
+            }
+        }
+    }
+
+    fn page(&self, stream: &str, from: Offset) -> Page {
+        lock(&self.state).stream(stream).page(from)
+    }
+}
+
+impl Service for Store {
+    async fn answer(&self, request: Request<Bytes>) -> Answer {
+        let Some(stream) = stream(request.uri().path()).map(str::to_owned) else {
+            return Answer::new(StatusCode::NOT_FOUND, "");
+        };
+        if request.method() == Method::POST {
+            return self.write(&stream, request.into_body());
+        }
+        let query = request.uri().query().unwrap_or_default();
+        let (Some(from), Some(wait)) = (number(query, "from"), number(query, "wait")) else {
+            return Answer::new(StatusCode::BAD_REQUEST, "");
+        };
+        self.read(&stream, from, Duration::from_millis(wait)).await
+    }
+}
+
+fn stream(path: &str) -> Option<&str> {
+    path.strip_prefix("/v1/streams/")?.strip_suffix("/records")
+}
+
+fn number(query: &str, name: &str) -> Option<u64> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs
+        .filter(|(key, _)| *key == name)
+        .find_map(|(_, value)| value.parse().ok())
+}
--- /dev/null
+++ b/crates/standin/src/weights.rs
@@ -0,0 +1,58 @@
+//! The weight store, as far as nodes ask it anything: its rate.
+
+use crate::fault::{Answer, Faults, Server, Service, lock};
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use platform::format::{Allowed, RATE};
+use platform::weights::Rate;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+/// A running weight store; it stops when this is dropped.
+#[derive(Debug)]
+pub struct Weights {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its faults.
+    pub faults: Arc<Faults>,
+    store: Arc<Store>,
+    _server: Server,
+}
+
+impl Weights {
+    /// Starts a weight store that allows `rate`.
+    pub async fn start(addr: SocketAddr, rate: Rate) -> io::Result<Self> {
+        let faults = Arc::new(Faults::default());
+        let store = Arc::new(Store {
+            rate: Mutex::new(rate),
+        });
+        let server = Server::start(addr, faults.clone(), store.clone()).await?;
+        Ok(Self {
+            addr: server.addr,
+            faults,
+            store,
+            _server: server,
+        })
+    }
+
+    /// Changes the rate.
+    pub fn set(&self, rate: Rate) {
+        *lock(&self.store.rate) = rate;
+    }
+}
+
+#[derive(Debug)]
+struct Store {
+    rate: Mutex<Rate>,
+}
+
+impl Service for Store {
+    async fn answer(&self, request: Request<Bytes>) -> Answer {
+        if request.uri().path() != RATE {
+            return Answer::new(StatusCode::NOT_FOUND, "");
+        }
+        let rate = *lock(&self.rate);
+        Answer::json(&Allowed::from(rate))
+    }
+}
