route: router with plans, queues, limits, retries and checks

Cause: the entry needs the decisions of one request worker behind events and actions. Change: router::Router with handle, report, verify and Display over plan (layered graph, maximum flow, flow shares), choose (draws by flow share, search, prefix memory), queue (strict urgent, stride scheduling below), share (team buckets), pace (concurrency by hop time), health, retry, crash (suspects, verdicts) and audit (the promises checked from events and actions alone). Additions to the given inputs: Target is Ord. The entry calls handle for every event, a Tick at least every 20 ms, and answers each Probe with Probed.

--- /dev/null
+++ b/crates/route/src/audit.rs
@@ -0,0 +1,210 @@
+//! Audit of what a router is told and says, apart from the code that decides.
+//!
+//! It keeps a small account of each live request from events and actions alone, and reports
+//! every action that breaks a promise to the caller. The router runs one over itself.
+
+use crate::action::{Action, Hop};
+use crate::chain;
+use crate::event::Event;
+use crate::finding::{Fault, Finding, Place};
+use crate::outcome::Outcome;
+use crate::request::{Id, Target};
+use crate::{Attempt, view::View};
+use bundle::Bundle;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// Account of one live request.
+#[derive(Clone, Debug)]
+struct Life {
+    target: Target,
+    repeatable: bool,
+    fingerprint: u64,
+    attempt: Attempt,
+    running: bool,
+    whole: bool,
+    sent: bool,
+    left: bool,
+}
+
+/// Accounts of all live requests.
+#[derive(Clone, Debug, Default)]
+pub struct Audit {
+    bundle: Arc<Bundle>,
+    open: Vec<bool>,
+    condemned: BTreeSet<u64>,
+    lives: BTreeMap<Id, Life>,
+}
+
+impl Audit {
+    /// Takes in an event, before the router handles it.
+    pub fn event(&mut self, event: &Event) {
+        match event {
+            Event::View(view) => self.view(view),
+            Event::Arrive(request) => {
+                let life = Life {
+                    target: request.target,
+                    repeatable: request.repeatable,
+                    fingerprint: request.fingerprint,
+                    attempt: 0,
+                    running: false,
+                    whole: false,
+                    sent: false,
+                    left: false,
+                };
+                self.lives.entry(request.id).or_insert(life);
+            }
+            Event::Finished(id, attempt) => {
+                if let Some(life) = self.current(*id, *attempt) {
+                    life.whole = true;
+                    life.running = false;
+                    life.sent = true;
+                }
+            }
+            Event::Failed(id, attempt, failure) => {
+                if let Some(life) = self.current(*id, *attempt) {
+                    life.running = false;
+                    life.sent |= failure.sent;
+                }
+            }
+            Event::Left(id) => {
+                self.lives
+                    .get_mut(id)
+                    .into_iter()
+                    .for_each(|l| l.left = true);
+            }
+            _ => {}
+        }
+    }
+
+    fn current(&mut self, id: Id, attempt: Attempt) -> Option<&mut Life> {
+        self.lives
+            .get_mut(&id)
+            .filter(|l| l.running && l.attempt == attempt)
+    }
+
+    fn view(&mut self, view: &View) {
+        let bundle = view.bundle.clone();
+        for life in self.lives.values_mut() {
+            life.target = renamed(&self.bundle, &bundle, life.target);
+        }
+        self.bundle = bundle;
+        self.open.clone_from(&view.open);
+        self.condemned.extend(&view.condemned);
+    }
+
+    /// Takes in an action; returns what it breaks.
+    pub fn action(&mut self, action: &Action) -> Vec<Finding> {
+        match action {
+            Action::Start(id, attempt, hops) => self.start(*id, *attempt, hops),
+            Action::Cancel(id, attempt) => self.cancel(*id, *attempt),
+            Action::Refuse(id, _) => self.end(*id, Outcome::NotRun),
+            Action::Finish(id, outcome) => self.end(*id, *outcome),
+            Action::Observe(crate::action::Observation::Condemned(print)) => {
+                self.condemned.insert(*print);
+                Vec::new()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn start(&mut self, id: Id, attempt: Attempt, hops: &[Hop]) -> Vec<Finding> {
+        let at = |fault| Finding {
+            place: Place::Request(id, attempt),
+            fault,
+        };
+        let Some(life) = self.lives.get_mut(&id).filter(|l| !l.left) else {
+            return vec![at(Fault::Ended)];
+        };
+        let mut faults = chain::check(&self.bundle, life.target, hops);
+        if life.running || attempt <= life.attempt {
+            faults.push(Fault::Twice);
+        }
+        if life.sent && !life.repeatable {
+            faults.push(Fault::Repeated);
+        }
+        if self.condemned.contains(&life.fingerprint) {
+            faults.push(Fault::Condemned);
+        }
+        let shut = |h: &&Hop| !self.open.get(h.endpoint as usize).copied().unwrap_or(false);
+        faults.extend(hops.iter().filter(shut).map(|h| Fault::Closed(h.endpoint)));
+        life.attempt = attempt;
+        life.running = true;
+        faults.into_iter().map(at).collect()
+    }
+
+    fn cancel(&mut self, id: Id, attempt: Attempt) -> Vec<Finding> {
+        let place = Place::Request(id, attempt);
+        let Some(life) = self.current(id, attempt) else {
+            return vec![Finding {
+                place,
+                fault: Fault::Ended,
+            }];
+        };
+        life.running = false;
+        life.sent = true;
+        Vec::new()
+    }
+
+    fn end(&mut self, id: Id, outcome: Outcome) -> Vec<Finding> {
+        let Some(life) = self.lives.remove(&id).filter(|l| !l.left) else {
+            return vec![Finding {
+                place: Place::Request(id, 0),
+                fault: Fault::Ended,
+            }];
+        };
+        let mut faults = Vec::new();
+        if life.running {
+            faults.push(Fault::Twice);
+        }
+        match outcome {
+            Outcome::Complete if !life.whole => faults.push(Fault::Partial),
+            Outcome::NotRun if life.sent => faults.push(Fault::Sent),
+            _ => {}
+        }
+        let place = Place::Request(id, life.attempt);
+        faults
+            .into_iter()
+            .map(|fault| Finding { place, fault })
+            .collect()
+    }
+
+    /// After all actions of one event: forgets requests whose caller left; what of them still
+    /// runs is a finding.
+    pub fn settle(&mut self, event: &Event) -> Vec<Finding> {
+        let Event::Left(id) = event else {
+            return Vec::new();
+        };
+        let Some(life) = self.lives.remove(id) else {
+            return Vec::new();
+        };
+        let place = Place::Request(*id, life.attempt);
+        life.running
+            .then_some(Finding {
+                place,
+                fault: Fault::Twice,
+            })
+            .into_iter()
+            .collect()
+    }
+
+    /// Live requests.
+    pub fn live(&self) -> usize {
+        self.lives.len()
+    }
+}
+
+/// The target of the same name in a new bundle; one out of range if it is gone.
+fn renamed(old: &Bundle, new: &Bundle, target: Target) -> Target {
+    match target {
+        Target::Model(model, adapter) => {
+            let name = old.models.get(model as usize).map(|m| m.name.as_str());
+            let model = name.and_then(|n| new.model(n)).unwrap_or(u16::MAX);
+            Target::Model(model, adapter)
+        }
+        Target::Service(service) => {
+            let name = old.services.get(service as usize).map(|s| s.name.as_str());
+            Target::Service(name.and_then(|n| new.service(n)).unwrap_or(u16::MAX))
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/choose.rs
@@ -0,0 +1,97 @@
+//! Choice of a chain: for each hop a few stages are drawn by flow share and the best is taken.
+//!
+//! Draws by flow share keep many routers from following the same late report; the best of a few
+//! by in-flight work over flow keeps each router's own work in proportion to the flow. When no
+//! drawn stage takes work, a search over all stages finds a chain if there is one.
+
+use crate::plan::Wires;
+use crate::plan::graph::{Graph, Next, Stage};
+use bundle::id::{EndpointId, ZoneId};
+use rand::{Rng, RngExt};
+
+pub mod locality;
+pub mod search;
+
+/// What the choice asks of endpoints and links.
+pub trait Load {
+    /// Streams on an endpoint, in units of its slots' usual speed; `None` if it takes no work.
+    fn endpoint(&self, endpoint: EndpointId) -> Option<f64>;
+    /// Streams over a pair of zones, see [`Wires::at`]; `None` if it takes no more.
+    fn link(&self, pair: usize) -> Option<f64>;
+}
+
+/// Factor on the cost of a stage that has the whole prefix in its cache.
+const CACHED: f64 = 0.5;
+/// Latency weighs as this many times itself, since each token pays it.
+const ROUND_TRIP: f64 = 2.0;
+
+/// A choice over one graph.
+pub struct Choice<'a, L> {
+    /// The graph.
+    pub graph: &'a Graph,
+    /// Links between zones.
+    pub wires: &'a Wires,
+    /// The router's zone.
+    pub zone: ZoneId,
+    /// Loads.
+    pub load: &'a L,
+    /// Stages drawn for each hop.
+    pub draws: usize,
+    /// Endpoints that have a part of the prompt in their cache, and which part (0..=1).
+    pub cached: &'a [EndpointId],
+    /// Part of the prompt that is cached there.
+    pub depth: f64,
+}
+
+impl<L: Load> Choice<'_, L> {
+    /// Draws a chain, as indexes of stages; `None` if some hop drew none that takes work.
+    pub fn draw(&self, rng: &mut impl Rng) -> Option<Vec<usize>> {
+        let mut chain: Vec<usize> = Vec::new();
+        let mut port = Graph::START;
+        let mut zone = self.zone;
+        loop {
+            let best = self.best(port, zone, rng)?;
+            let stage = &self.graph.stages[best];
+            chain.push(best);
+            if stage.to >= self.graph.layers {
+                return Some(chain);
+            }
+            port = self.graph.port(stage);
+            zone = stage.zone;
+        }
+    }
+
+    fn best(&self, port: usize, zone: ZoneId, rng: &mut impl Rng) -> Option<usize> {
+        let nexts = self.graph.nexts(port);
+        let drawn = (0..self.draws).filter_map(|_| draw(nexts, rng));
+        let local = nexts.iter().filter(|_| !self.cached.is_empty());
+        let local = local.filter(|n| self.cached.contains(&self.graph.stages[n.stage].endpoint));
+        let costs = drawn.chain(local.map(|n| n.stage));
+        let costs = costs.filter_map(|s| self.cost(zone, s).map(|c| (c, s)));
+        costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, s)| s)
+    }
+
+    /// Expected time of a token at a stage reached from `zone`, in seconds; `None` if it takes
+    /// no work.
+    pub fn cost(&self, zone: ZoneId, stage: usize) -> Option<f64> {
+        let row: &Stage = &self.graph.stages[stage];
+        let flow = self.graph.flows[stage];
+        let rate = if flow > 0.0 { flow } else { row.rate };
+        let mut cost = (self.load.endpoint(row.endpoint)? + 1.0) / rate;
+        if self.cached.contains(&row.endpoint) {
+            cost *= 1.0 - CACHED * self.depth;
+        }
+        let crossing = self.load.link(self.wires.at(zone, row.zone))? + 1.0;
+        let link = crossing / self.wires.rate(zone, row.zone);
+        let away = self.wires.latency(self.zone, row.zone).as_secs_f64() * ROUND_TRIP;
+        Some(cost + link + away)
+    }
+}
+
+/// Draws one of `nexts` by flow; their `sum` grows.
+fn draw(nexts: &[Next], rng: &mut impl Rng) -> Option<usize> {
+    let total = nexts.last()?.sum;
+    let at = rng.random::<f64>() * total;
+    let index = nexts.partition_point(|n| n.sum <= at).min(nexts.len() - 1);
+    Some(nexts[index].stage)
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -10,12 +10,29 @@
 use std::time::Duration;
 
 pub mod action;
+pub mod audit;
+pub mod chain;
+pub mod choose;
+pub mod crash;
 pub mod event;
 pub mod failure;
+pub mod finding;
+pub mod fleet;
+pub mod flight;
+pub mod health;
 pub mod load;
+pub mod meter;
 pub mod outcome;
+pub mod pace;
+pub mod plan;
+pub mod queue;
 pub mod refusal;
+pub mod report;
 pub mod request;
+pub mod retry;
+pub mod router;
+pub mod settings;
+pub mod share;
 pub mod view;
 
 /// Time since the process started, on the monotonic clock.
--- /dev/null
+++ b/crates/route/src/plan.rs
@@ -0,0 +1,199 @@
+//! Plans: for each model the layered graph of its endpoints, its maximum flow and flow shares.
+//!
+//! Endpoints with the same layers in the same availability zone are one edge of the network;
+//! their flow is split by capacity, so that none of them idles beside a full one. Edges are
+//! filled nearest first (same zone, same region, any), so that slow links carry only what the
+//! near ones can't. A link's capacity is applied at each layer boundary by itself; a model with
+//! several boundaries on one link is bounded from above by this, not exactly.
+
+use crate::view::View;
+use bundle::Bundle;
+use bundle::id::{EndpointId, Layer, ModelId, ZoneId};
+use bundle::link::Link;
+use std::collections::BTreeMap;
+use std::hash::Hasher;
+use std::time::Duration;
+
+pub mod flow;
+pub mod graph;
+
+use graph::{Graph, Stage};
+
+/// The most tokens per second that the hardware of `bundle` allows `model`, over all nodes.
+pub fn bound(bundle: &Bundle, model: ModelId) -> f64 {
+    let wires = Wires::new(bundle);
+    Graph::new(bundle, &wires, model, &stages(bundle, model, |_| true)).bound
+}
+
+/// The plans of all models and services.
+#[derive(Clone, Debug, Default)]
+pub struct Plan {
+    /// By model: the graph over all usable endpoints.
+    pub whole: Vec<Graph>,
+    /// By model: the graph over the preferred subset, when there are many endpoints.
+    pub near: Vec<Option<Graph>>,
+    /// By service: the endpoints that serve it.
+    pub services: Vec<Vec<EndpointId>>,
+    /// Links between zones.
+    pub wires: Wires,
+}
+
+impl Plan {
+    /// Plans over the endpoints that `usable` accepts.
+    pub fn new(view: &View, usable: impl Fn(EndpointId) -> bool, seed: u64, most: usize) -> Self {
+        let bundle = &*view.bundle;
+        let wires = Wires::new(bundle);
+        let mut plan = Self::default();
+        for model in 0..bundle.models.len() as ModelId {
+            let all = stages(bundle, model, &usable);
+            plan.whole.push(Graph::new(bundle, &wires, model, &all));
+            let near = (all.len() > most).then(|| nearest(view, &all, seed, most));
+            plan.near
+                .push(near.map(|near| Graph::new(bundle, &wires, model, &near)));
+        }
+        plan.services = (0..bundle.services.len() as u16)
+            .map(|s| {
+                ids(bundle)
+                    .filter(|&e| usable(e) && serves(bundle, e, s))
+                    .collect()
+            })
+            .collect();
+        plan.wires = wires;
+        plan
+    }
+}
+
+fn serves(bundle: &Bundle, endpoint: EndpointId, service: u16) -> bool {
+    bundle.endpoints[endpoint as usize]
+        .services
+        .contains(&service)
+}
+
+fn ids(bundle: &Bundle) -> impl Iterator<Item = EndpointId> + use<> {
+    0..bundle.endpoints.len() as EndpointId
+}
+
+/// The usable parts of `model`, in the order of endpoints.
+fn stages(bundle: &Bundle, model: ModelId, usable: impl Fn(EndpointId) -> bool) -> Vec<Stage> {
+    let mut stages = Vec::new();
+    for id in ids(bundle).filter(|&e| usable(e)) {
+        let row = &bundle.endpoints[id as usize];
+        let Some(kind) = row.kind else { continue };
+        let speed = bundle.kinds[kind as usize].layers_per_second;
+        for span in row
+            .spans
+            .iter()
+            .filter(|s| s.model == model && s.from < s.to)
+        {
+            stages.push(Stage {
+                endpoint: id,
+                zone: row.zone,
+                from: span.from,
+                to: span.to,
+                rate: speed / f64::from(span.to - span.from),
+            });
+        }
+    }
+    stages
+}
+
+/// Of each range of layers the nearest stages, about `most` in all; among equally near ones by a
+/// hash with the router's seed, so that routers take different ones.
+fn nearest(view: &View, all: &[Stage], seed: u64, most: usize) -> Vec<Stage> {
+    let mut ranges: BTreeMap<(Layer, Layer), Vec<Stage>> = BTreeMap::new();
+    for stage in all {
+        ranges
+            .entry((stage.from, stage.to))
+            .or_default()
+            .push(*stage);
+    }
+    let mut near = Vec::new();
+    for mut range in ranges.into_values() {
+        let keep = (range.len() * most).div_ceil(all.len()).max(MIN_RANGE);
+        range.sort_by_key(|s| {
+            (
+                distance(&view.bundle, view.zone, s.zone),
+                rank(view, seed, s),
+            )
+        });
+        near.extend(range.into_iter().take(keep));
+    }
+    near
+}
+
+/// Stages of each range of layers that a subset keeps at least.
+const MIN_RANGE: usize = 4;
+
+/// 0 within a zone, 1 within a region, 2 beyond.
+pub fn distance(bundle: &Bundle, a: ZoneId, b: ZoneId) -> u8 {
+    let region = |z: ZoneId| bundle.zones.get(z as usize).map(|z| z.region.as_str());
+    match (a == b, region(a) == region(b)) {
+        (true, _) => 0,
+        (false, true) => 1,
+        (false, false) => 2,
+    }
+}
+
+fn rank(view: &View, seed: u64, stage: &Stage) -> u64 {
+    let mut hash = xxhash_rust::xxh3::Xxh3::with_seed(seed);
+    hash.write(
+        view.bundle.endpoints[stage.endpoint as usize]
+            .name
+            .as_bytes(),
+    );
+    hash.finish()
+}
+
+/// Links by pair of zones; a pair that the bundle does not name is unbounded and has no latency.
+#[derive(Clone, Debug, Default)]
+pub struct Wires {
+    zones: usize,
+    latency: Vec<Duration>,
+    rate: Vec<f64>,
+}
+
+impl Wires {
+    /// The links of `bundle`.
+    pub fn new(bundle: &Bundle) -> Self {
+        let zones = bundle.zones.len();
+        let mut wires = Self {
+            zones,
+            latency: vec![Duration::ZERO; zones * zones],
+            rate: vec![flow::UNBOUNDED; zones * zones],
+        };
+        bundle.links.iter().for_each(|link| wires.set(link));
+        wires
+    }
+
+    fn set(&mut self, link: &Link) {
+        for at in [self.at(link.a, link.b), self.at(link.b, link.a)] {
+            self.latency[at] = link.latency;
+            self.rate[at] = link.tokens_per_second;
+        }
+    }
+
+    /// Index of a pair of zones.
+    pub fn at(&self, a: ZoneId, b: ZoneId) -> usize {
+        a as usize * self.zones + b as usize
+    }
+
+    /// Number of pairs.
+    pub fn pairs(&self) -> usize {
+        self.zones * self.zones
+    }
+
+    /// One-way latency.
+    pub fn latency(&self, a: ZoneId, b: ZoneId) -> Duration {
+        self.latency[self.at(a, b)]
+    }
+
+    /// Tokens' activations per second.
+    pub fn rate(&self, a: ZoneId, b: ZoneId) -> f64 {
+        self.rate[self.at(a, b)]
+    }
+
+    /// Tokens' activations per second over a pair.
+    pub fn rate_at(&self, pair: usize) -> f64 {
+        self.rate.get(pair).copied().unwrap_or(flow::UNBOUNDED)
+    }
+}
--- /dev/null
+++ b/crates/route/src/plan/graph.rs
@@ -0,0 +1,275 @@
+//! The layered graph of one model.
+
+use super::flow::{Edge, Network, UNBOUNDED};
+use super::{Wires, distance};
+use bundle::Bundle;
+use bundle::id::{EndpointId, Layer, ModelId, ZoneId};
+use std::collections::BTreeMap;
+
+/// An endpoint's part of a model.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Stage {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// First layer.
+    pub from: Layer,
+    /// One past the last layer.
+    pub to: Layer,
+    /// Tokens per second through these layers.
+    pub rate: f64,
+}
+
+/// A stage that a chain can go on with.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Next {
+    /// Index in [`Graph::stages`].
+    pub stage: usize,
+    /// Flow that arrives at the stage this way, and at those before it in the list, in tokens
+    /// per second.
+    pub sum: f64,
+}
+
+/// A place where a chain can stand: a layer boundary, in a zone; [`Graph::START`] before all.
+pub type Port = usize;
+
+/// The graph: stages and the flow between them.
+#[derive(Clone, Debug, Default)]
+pub struct Graph {
+    /// Layers of the model.
+    pub layers: Layer,
+    /// Maximum flow in tokens per second.
+    pub bound: f64,
+    /// Stages, sorted by first layer.
+    pub stages: Vec<Stage>,
+    /// By stage: its flow in tokens per second.
+    pub flows: Vec<f64>,
+    /// By layer boundary: first stage that starts there, in [`Graph::stages`].
+    cuts: Vec<Layer>,
+    zones: usize,
+    nexts: Vec<Vec<Next>>,
+}
+
+impl Graph {
+    /// The port before the first layer.
+    pub const START: Port = 0;
+
+    /// The graph of `stages`. Where no chain of whole stages covers the model, stages may be
+    /// entered in their middle.
+    pub fn new(bundle: &Bundle, wires: &Wires, model: ModelId, stages: &[Stage]) -> Self {
+        let layers = bundle.models[model as usize].layers;
+        let graph = Self::solve(bundle, wires, layers, stages.to_vec());
+        if graph.bound > 0.0 || stages.is_empty() {
+            return graph;
+        }
+        Self::solve(bundle, wires, layers, entered(stages))
+    }
+
+    fn solve(bundle: &Bundle, wires: &Wires, layers: Layer, mut stages: Vec<Stage>) -> Self {
+        stages.sort_by_key(|s| (s.from, s.to, s.zone, s.endpoint));
+        let mut graph = Self {
+            layers,
+            stages,
+            zones: bundle.zones.len(),
+            ..Self::default()
+        };
+        graph.cuts = graph.boundaries();
+        let mut build = Build::new(&graph);
+        build.groups(&graph);
+        for reach in 0..=2 {
+            build.links(&graph, bundle, wires, reach);
+            graph.bound += build.net.fill(build.source, build.sink);
+        }
+        build.shares(&mut graph);
+        graph
+    }
+
+    /// The port after `stage`.
+    pub fn port(&self, stage: &Stage) -> Port {
+        let cut = self.cuts.partition_point(|&c| c < stage.to);
+        1 + cut * self.zones + stage.zone as usize
+    }
+
+    /// Ways on from a port, by flow.
+    pub fn nexts(&self, port: Port) -> &[Next] {
+        self.nexts.get(port).map_or(&[], Vec::as_slice)
+    }
+
+    /// Number of ports.
+    pub fn ports(&self) -> usize {
+        1 + self.cuts.len() * self.zones
+    }
+
+    /// The stages that start at `layer`, as a range of indexes.
+    pub fn from(&self, layer: Layer) -> std::ops::Range<usize> {
+        let first = self.stages.partition_point(|s| s.from < layer);
+        first..self.stages.partition_point(|s| s.from <= layer)
+    }
+
+    /// The ports after `layer` with their zones.
+    pub fn at(&self, layer: Layer) -> impl Iterator<Item = (Port, ZoneId)> + use<> {
+        let first = 1 + self.cuts.partition_point(|&c| c < layer) * self.zones;
+        (0..self.zones).map(move |z| (first + z, z as ZoneId))
+    }
+
+    /// Layer boundaries in order.
+    pub fn cuts(&self) -> &[Layer] {
+        &self.cuts
+    }
+
+    fn boundaries(&self) -> Vec<Layer> {
+        let mut cuts: Vec<_> = self.stages.iter().flat_map(|s| [s.from, s.to]).collect();
+        cuts.extend([0, self.layers]);
+        cuts.sort_unstable();
+        cuts.dedup();
+        cuts
+    }
+}
+
+/// Stages with an extra entry at each other stage's end that lies within them.
+fn entered(stages: &[Stage]) -> Vec<Stage> {
+    let mut ends: Vec<_> = stages.iter().map(|s| s.to).collect();
+    ends.sort_unstable();
+    ends.dedup();
+    let mut all = stages.to_vec();
+    for stage in stages {
+        let inside = ends.iter().filter(|&&e| stage.from < e && e < stage.to);
+        all.extend(inside.map(|&from| {
+            let layers = f64::from(stage.to - stage.from) / f64::from(stage.to - from);
+            Stage {
+                from,
+                rate: stage.rate * layers,
+                ..*stage
+            }
+        }));
+    }
+    all
+}
+
+/// Stages with the same layers in the same zone: one edge.
+struct Group {
+    stages: std::ops::Range<usize>,
+    rate: f64,
+    edge: Edge,
+}
+
+/// A network under construction. Each port is two nodes: activations that came out of a stage in
+/// a zone, and activations that a stage in a zone can take in.
+struct Build {
+    net: Network,
+    source: usize,
+    sink: usize,
+    groups: Vec<Group>,
+    wires: BTreeMap<(Port, ZoneId), Edge>,
+}
+
+impl Build {
+    fn new(graph: &Graph) -> Self {
+        let ports = graph.ports();
+        let mut net = Network::new(2 * ports + 1);
+        let sink = 2 * ports;
+        let last = graph.cuts.partition_point(|&c| c < graph.layers);
+        for zone in 0..graph.zones {
+            net.edge(0, ports + 1 + zone, UNBOUNDED);
+            net.edge(1 + last * graph.zones + zone, sink, UNBOUNDED);
+        }
+        Self {
+            net,
+            source: 0,
+            sink,
+            groups: Vec::new(),
+            wires: BTreeMap::new(),
+        }
+    }
+
+    fn groups(&mut self, graph: &Graph) {
+        let key = |s: &Stage| (s.from, s.to, s.zone);
+        let mut first = 0;
+        for chunk in graph.stages.chunk_by(|a, b| key(a) == key(b)) {
+            let rate = chunk.iter().map(|s| s.rate).sum();
+            let edge = self
+                .net
+                .edge(intake(graph, &chunk[0]), graph.port(&chunk[0]), rate);
+            let stages = first..first + chunk.len();
+            first = stages.end;
+            self.groups.push(Group { stages, rate, edge });
+        }
+    }
+
+    /// Adds the links between zones at distance `reach`, at each inner boundary.
+    fn links(&mut self, graph: &Graph, bundle: &Bundle, wires: &Wires, reach: u8) {
+        for cut in 1..graph.cuts.len().saturating_sub(1) {
+            for a in 0..graph.zones {
+                for b in 0..graph.zones {
+                    let (from, to) = (a as ZoneId, b as ZoneId);
+                    if distance(bundle, from, to) != reach {
+                        continue;
+                    }
+                    let port = 1 + cut * graph.zones + a;
+                    let intake = graph.ports() + 1 + cut * graph.zones + b;
+                    let edge = self.net.edge(port, intake, wires.rate(from, to));
+                    self.wires.insert((port, to), edge);
+                }
+            }
+        }
+    }
+
+    /// Splits the flow of each group by rate, and says where each port's flow goes.
+    fn shares(&self, graph: &mut Graph) {
+        graph.flows = vec![0.0; graph.stages.len()];
+        graph.nexts = vec![Vec::new(); graph.ports()];
+        let mut arriving: BTreeMap<usize, f64> = BTreeMap::new();
+        for group in &self.groups {
+            let intake = intake(graph, &graph.stages[group.stages.start]);
+            *arriving.entry(intake).or_default() += self.net.flow(group.edge);
+        }
+        for group in &self.groups {
+            let through = self.net.flow(group.edge);
+            let lead = graph.stages[group.stages.start];
+            let total = arriving[&intake(graph, &lead)];
+            for at in group.stages.clone() {
+                graph.flows[at] = through * graph.stages[at].rate / group.rate;
+            }
+            if through <= 0.0 || total <= 0.0 {
+                continue;
+            }
+            self.share(graph, group, lead, total);
+        }
+    }
+
+    fn share(&self, graph: &mut Graph, group: &Group, lead: Stage, total: f64) {
+        if lead.from == 0 {
+            for stage in group.stages.clone() {
+                let flow = graph.flows[stage];
+                append(&mut graph.nexts[Graph::START], stage, flow);
+            }
+            return;
+        }
+        let cut = graph.cuts.partition_point(|&c| c < lead.from);
+        for zone in 0..graph.zones {
+            let port = 1 + cut * graph.zones + zone;
+            let Some(&edge) = self.wires.get(&(port, lead.zone)) else {
+                continue;
+            };
+            let link = self.net.flow(edge);
+            for stage in group.stages.clone() {
+                let flow = link * graph.flows[stage] / total;
+                append(&mut graph.nexts[port], stage, flow);
+            }
+        }
+    }
+}
+
+fn append(nexts: &mut Vec<Next>, stage: usize, flow: f64) {
+    if flow > 0.0 {
+        let sum = nexts.last().map_or(0.0, |n| n.sum) + flow;
+        nexts.push(Next { stage, sum });
+    }
+}
+
+/// Node where activations wait for a stage like `stage`.
+fn intake(graph: &Graph, stage: &Stage) -> usize {
+    let cut = graph.cuts.partition_point(|&c| c < stage.from);
+    graph.ports() + 1 + cut * graph.zones + stage.zone as usize
+}
--- /dev/null
+++ b/crates/route/src/queue.rs
@@ -0,0 +1,285 @@
+//! Queues: a line for each model and service; urgent work first, fair shares below.
+//!
+//! Within a line, urgent requests go strictly by priority, then by arrival. The others are
+//! shared by stride scheduling on two levels: between priorities by their weight, then between
+//! teams by theirs. A lane that was idle starts at its level's present pass: idle time earns no
+//! credit. Suspects wait apart, since they need endpoints for themselves.
+
+use crate::request::{Id, Target};
+use bundle::id::{PriorityId, TeamId};
+use std::collections::BTreeMap;
+
+/// What the queue needs to know of a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Entry {
+    /// The request.
+    pub id: Id,
+    /// Place in the order of arrival.
+    pub seq: u64,
+    /// Its line.
+    pub line: Target,
+    /// Its priority.
+    pub priority: PriorityId,
+    /// Its team.
+    pub team: TeamId,
+    /// How it waits.
+    pub rank: Rank,
+    /// Weight of its priority.
+    pub class: u32,
+    /// Weight of its team.
+    pub weight: u32,
+}
+
+/// How a request waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rank {
+    /// Strictly before what is not urgent.
+    Urgent,
+    /// Needs endpoints for itself; whether it is urgent.
+    Suspect(bool),
+    /// By fair shares.
+    Fair,
+}
+
+/// The line that a target waits in: adapters of a model share its line.
+pub fn line(target: Target) -> Target {
+    match target {
+        Target::Model(model, _) => Target::Model(model, None),
+        service => service,
+    }
+}
+
+/// One line.
+#[derive(Clone, Debug, Default)]
+pub struct Line {
+    urgent: BTreeMap<(PriorityId, u64), Id>,
+    suspects: BTreeMap<(bool, u64), Id>,
+    classes: BTreeMap<PriorityId, Class>,
+    pass: f64,
+    len: usize,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Class {
+    weight: u32,
+    pass: f64,
+    /// Pass of the lane served last.
+    now: f64,
+    len: usize,
+    lanes: BTreeMap<TeamId, Lane>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Lane {
+    weight: u32,
+    pass: f64,
+    ids: BTreeMap<u64, Id>,
+}
+
+/// All lines.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    lines: BTreeMap<Target, Line>,
+    /// Urgent requests that wait.
+    pub urgent: usize,
+    /// Other requests that wait.
+    pub fair: usize,
+}
+
+impl Queue {
+    /// Adds a request.
+    pub fn push(&mut self, entry: &Entry) {
+        let line = self.lines.entry(entry.line).or_default();
+        let fresh = match entry.rank {
+            Rank::Urgent => line
+                .urgent
+                .insert((entry.priority, entry.seq), entry.id)
+                .is_none(),
+            Rank::Suspect(urgent) => line
+                .suspects
+                .insert((!urgent, entry.seq), entry.id)
+                .is_none(),
+            Rank::Fair => line.enter(entry),
+        };
+        if fresh {
+            line.len += 1;
+            *self.counter(entry.rank) += 1;
+        }
+    }
+
+    /// Removes a request; whether it was there.
+    pub fn remove(&mut self, entry: &Entry) -> bool {
+        let Some(line) = self.lines.get_mut(&entry.line) else {
+            return false;
+        };
+        let found = match entry.rank {
+            Rank::Urgent => line.urgent.remove(&(entry.priority, entry.seq)).is_some(),
+            Rank::Suspect(urgent) => line.suspects.remove(&(!urgent, entry.seq)).is_some(),
+            Rank::Fair => line.leave(entry),
+        };
+        if found {
+            line.len -= 1;
+            *self.counter(entry.rank) -= 1;
+        }
+        found
+    }
+
+    fn counter(&mut self, rank: Rank) -> &mut usize {
+        match rank {
+            Rank::Urgent | Rank::Suspect(true) => &mut self.urgent,
+            Rank::Fair | Rank::Suspect(false) => &mut self.fair,
+        }
+    }
+
+    /// Lines in which something waits.
+    pub fn lines(&self) -> Vec<Target> {
+        self.lines
+            .iter()
+            .filter(|(_, l)| l.len > 0)
+            .map(|(&t, _)| t)
+            .collect()
+    }
+
+    /// The line of `target`.
+    pub fn line(&self, target: Target) -> Option<&Line> {
+        self.lines.get(&target)
+    }
+
+    /// Charges `cost` to a request's team and priority.
+    pub fn charge(&mut self, entry: &Entry, cost: f64) {
+        if let Some(line) = self.lines.get_mut(&entry.line) {
+            line.charge(entry, cost);
+        }
+    }
+
+    /// Forgets everything that waits, as before it is pushed again under new ids.
+    pub fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Recount of what waits: urgent and fair.
+    pub fn recount(&self) -> (usize, usize) {
+        let mut count = (0, 0);
+        for line in self.lines.values() {
+            let urgent = line.suspects.keys().filter(|(late, _)| !late).count();
+            count.0 += line.urgent.len() + urgent;
+            count.1 += line.suspects.len() - urgent;
+            count.1 += line
+                .classes
+                .values()
+                .flat_map(|c| c.lanes.values())
+                .map(|l| l.ids.len())
+                .sum::<usize>();
+        }
+        count
+    }
+}
+
+impl Line {
+    /// Requests that wait here.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether none waits here.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Urgent requests, first to go first.
+    pub fn urgent(&self) -> impl Iterator<Item = Id> + '_ {
+        self.urgent.values().copied()
+    }
+
+    /// Suspects, first to go first.
+    pub fn suspects(&self) -> impl Iterator<Item = Id> + '_ {
+        self.suspects.values().copied()
+    }
+
+    /// The request that is next by fair shares.
+    pub fn fair(&self) -> Option<Id> {
+        let busy = self.classes.values().filter(|c| c.len > 0);
+        let class = busy.min_by(|a, b| a.pass.total_cmp(&b.pass))?;
+        let busy = class.lanes.values().filter(|l| !l.ids.is_empty());
+        let lane = busy.min_by(|a, b| a.pass.total_cmp(&b.pass))?;
+        lane.ids.first_key_value().map(|(_, &id)| id)
+    }
+
+    /// The request that arrived last and is not urgent, the first to go when the queue is full.
+    pub fn newest(&self, team: TeamId, priority: PriorityId) -> Option<Id> {
+        let lane = self.classes.get(&priority)?.lanes.get(&team)?;
+        lane.ids.last_key_value().map(|(_, &id)| id)
+    }
+
+    /// Requests expected to start before a new one of `team` at `priority`, by fair shares.
+    pub fn ahead(&self, priority: PriorityId, team: TeamId, weight: u32, class: u32) -> f64 {
+        let urgent = (self.urgent.len() + self.suspects.len()) as f64;
+        let classes: u32 = self
+            .classes
+            .values()
+            .filter(|c| c.len > 0)
+            .map(|c| c.weight)
+            .sum();
+        let own = self.classes.get(&priority);
+        let (lanes, mine, all) = own.map_or((0, 0, 0), |c| {
+            let busy = c
+                .lanes
+                .iter()
+                .filter(|(t, l)| **t != team && !l.ids.is_empty());
+            let lanes = busy.map(|(_, l)| l.weight).sum();
+            (lanes, c.lanes.get(&team).map_or(0, |l| l.ids.len()), c.len)
+        });
+        let others = if own.is_some_and(|c| c.len > 0) {
+            classes - class.min(classes)
+        } else {
+            classes
+        };
+        let within =
+            (mine as f64 * f64::from(lanes + weight) / f64::from(weight.max(1))).min(all as f64);
+        let across = within * f64::from(others + class) / f64::from(class.max(1));
+        urgent + across.min((self.len as f64 - urgent).max(0.0))
+    }
+
+    fn enter(&mut self, entry: &Entry) -> bool {
+        let pass = self.pass;
+        let class = self.classes.entry(entry.priority).or_default();
+        class.weight = entry.class.max(1);
+        if class.len == 0 {
+            class.pass = class.pass.max(pass);
+        }
+        let now = class.now;
+        let lane = class.lanes.entry(entry.team).or_default();
+        lane.weight = entry.weight.max(1);
+        if lane.ids.is_empty() {
+            lane.pass = lane.pass.max(now);
+        }
+        let fresh = lane.ids.insert(entry.seq, entry.id).is_none();
+        class.len += usize::from(fresh);
+        fresh
+    }
+
+    fn leave(&mut self, entry: &Entry) -> bool {
+        let Some(class) = self.classes.get_mut(&entry.priority) else {
+            return false;
+        };
+        let Some(lane) = class.lanes.get_mut(&entry.team) else {
+            return false;
+        };
+        let found = lane.ids.remove(&entry.seq).is_some();
+        class.len -= usize::from(found);
+        found
+    }
+
+    fn charge(&mut self, entry: &Entry, cost: f64) {
+        let Some(class) = self.classes.get_mut(&entry.priority) else {
+            return;
+        };
+        let Some(lane) = class.lanes.get_mut(&entry.team) else {
+            return;
+        };
+        self.pass = self.pass.max(class.pass);
+        class.now = class.now.max(lane.pass);
+        class.pass += cost / f64::from(class.weight.max(1));
+        lane.pass += cost / f64::from(lane.weight.max(1));
+    }
+}
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -7,7 +7,7 @@
 pub type Id = u128;
 
 /// What a request asks for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Target {
     /// Tokens of a model.
     Model(ModelId, Option<AdapterId>),
--- /dev/null
+++ b/crates/route/src/router/dispatch.rs
@@ -0,0 +1,163 @@
+//! Dispatch: starts what waits, urgent work first.
+
+use super::Router;
+use super::eyes::Mode;
+use crate::Now;
+use crate::action::Hop;
+use crate::queue;
+use crate::refusal::Reason;
+use crate::request::{Id, Target};
+use bundle::id::EndpointId;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// When to come back once the router has given up on what waited.
+const LATER: Duration = Duration::from_secs(1);
+
+impl Router {
+    pub(super) fn dispatch(&mut self, now: Now) {
+        let mut lines = self.queue.lines();
+        self.abandon(now, &lines);
+        let none = BTreeSet::new();
+        let mut held = BTreeSet::new();
+        for &line in &lines {
+            if !self.dispatch_urgent(now, line, &none) {
+                self.hold(line, &mut held);
+            }
+        }
+        for &line in &lines {
+            self.dispatch_suspects(now, line);
+        }
+        if !lines.is_empty() {
+            let turn = self.ticks as usize % lines.len();
+            lines.rotate_left(turn);
+        }
+        for line in lines {
+            self.dispatch_fair(now, line, &held);
+        }
+    }
+
+    /// Gives up what waits for a target that nothing serves and that no return would serve.
+    fn abandon(&mut self, now: Now, lines: &[Target]) {
+        let lost: Vec<_> = lines
+            .iter()
+            .filter(|&&t| !self.served(t))
+            .copied()
+            .collect();
+        for line in lost {
+            let waiting = self.flights.values().filter(|f| f.entry.is_some());
+            let here = waiting.filter(|f| queue::line(f.request.target) == line);
+            let ids: Vec<Id> = here.map(|f| f.id()).collect();
+            ids.into_iter()
+                .for_each(|id| self.give_up(now, id, Reason::NoEndpoint, Some(LATER)));
+        }
+    }
+
+    /// Starts urgent requests; whether none is left waiting.
+    fn dispatch_urgent(&mut self, now: Now, line: Target, none: &BTreeSet<EndpointId>) -> bool {
+        while let Some(id) = self.queue.line(line).and_then(|l| l.urgent().next()) {
+            let started = self.launch(now, id, Mode::Urgent, none) || self.preempt(now, id);
+            if !started && !self.unward_line(now, line) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Keeps the endpoints of a line from work that is not urgent.
+    fn hold(&self, line: Target, held: &mut BTreeSet<EndpointId>) {
+        match line {
+            Target::Model(model, _) => {
+                let graph = self
+                    .plan
+                    .whole
+                    .get(model as usize)
+                    .filter(|g| g.bound > 0.0);
+                held.extend(graph.iter().flat_map(|g| &g.stages).map(|s| s.endpoint));
+            }
+            Target::Service(service) => {
+                held.extend(
+                    self.plan
+                        .services
+                        .get(service as usize)
+                        .into_iter()
+                        .flatten(),
+                );
+            }
+        }
+    }
+
+    fn dispatch_fair(&mut self, now: Now, line: Target, held: &BTreeSet<EndpointId>) {
+        while let Some(id) = self.queue.line(line).and_then(|l| l.fair()) {
+            let flight = self.flights.get(&id);
+            if flight.is_some_and(|f| self.hopeless(now, f)) {
+                self.give_up(now, id, Reason::Overload, Some(LATER));
+                continue;
+            }
+            if !self.launch(now, id, Mode::Fair, held) {
+                return;
+            }
+        }
+    }
+
+    /// Pauses work that yields on each full endpoint of a chain and starts an urgent request
+    /// there; whether it started.
+    fn preempt(&mut self, now: Now, id: Id) -> bool {
+        let yields = self.yields();
+        if yields.is_empty() {
+            return false;
+        }
+        let none = BTreeSet::new();
+        let Some(hops) = self.pick(now, id, Mode::Preempt, &none, &yields) else {
+            return false;
+        };
+        for hop in &hops {
+            self.make_room(now, hop);
+        }
+        self.start(now, id, hops, Mode::Urgent);
+        true
+    }
+
+    /// By endpoint: running work that yields to urgent work.
+    fn yields(&self) -> BTreeMap<EndpointId, u32> {
+        let mut yields = BTreeMap::new();
+        let runs = self
+            .flights
+            .values()
+            .filter(|f| f.yields())
+            .filter_map(|f| f.run.as_ref());
+        for endpoint in runs.flat_map(|r| r.rows.iter().flatten()) {
+            *yields.entry(*endpoint).or_default() += 1;
+        }
+        yields
+    }
+
+    fn make_room(&mut self, now: Now, hop: &Hop) {
+        while self
+            .fleet
+            .get(hop.endpoint)
+            .is_some_and(|r| r.flying >= r.limit())
+        {
+            let on = self
+                .flights
+                .values()
+                .filter(|f| f.yields() && f.on(hop.endpoint));
+            let least = on.max_by_key(|f| (f.request.priority, std::cmp::Reverse(f.tokens), f.seq));
+            let Some(victim) = least.map(|f| f.id()) else {
+                return;
+            };
+            self.pause(now, victim);
+            self.report.paused += 1;
+        }
+    }
+
+    /// Stops an attempt that yields; it goes on later from the tokens it had.
+    pub(super) fn pause(&mut self, now: Now, id: Id) {
+        self.cancel(now, id);
+        self.flights
+            .get_mut(&id)
+            .into_iter()
+            .for_each(|f| f.paused = true);
+        self.enqueue(now, id);
+    }
+}
--- /dev/null
+++ b/crates/route/src/router/eyes.rs
@@ -0,0 +1,80 @@
+//! How the router sees endpoints and links when it chooses, by the kind of work.
+
+use crate::Now;
+use crate::choose::Load;
+use crate::fleet::Fleet;
+use crate::request::Id;
+use crate::settings::Settings;
+use bundle::id::EndpointId;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Kind of work that looks for a place.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Mode {
+    /// Fair work: leaves alone what urgent work waits for.
+    Fair,
+    /// Urgent work: within the concurrency limits, whatever others run.
+    Urgent,
+    /// Urgent work that may pause what yields.
+    Preempt,
+    /// A suspect: idle endpoints only.
+    Alone(Id),
+    /// Endpoints to be emptied for a suspect.
+    Drain,
+}
+
+/// A look at the fleet.
+pub struct Eyes<'a> {
+    /// Endpoints and links.
+    pub fleet: &'a Fleet,
+    /// Capacities of links, by pair.
+    pub wires: &'a crate::plan::Wires,
+    /// Limits.
+    pub limits: &'a Settings,
+    /// Time.
+    pub now: Now,
+    /// Kind of work.
+    pub mode: Mode,
+    /// Endpoints that failed this request.
+    pub avoid: &'a [EndpointId],
+    /// Endpoints that urgent work waits for.
+    pub held: &'a BTreeSet<EndpointId>,
+    /// By endpoint: work that yields to urgent work.
+    pub yields: &'a BTreeMap<EndpointId, u32>,
+}
+
+/// Streams a link may carry, as a multiple of those that fill it at the aimed time per token.
+const LINK_HEADROOM: f64 = 2.0;
+
+impl Load for Eyes<'_> {
+    fn endpoint(&self, endpoint: EndpointId) -> Option<f64> {
+        let row = self.fleet.get(endpoint)?;
+        if !row.takes(self.now) || self.avoid.contains(&endpoint) {
+            return None;
+        }
+        let others = row.others(self.now, self.limits.half_life);
+        let all = f64::from(row.flying) + others;
+        let free = match self.mode {
+            Mode::Alone(id) => row.flying == 0 && row.ward.is_none_or(|w| w == id),
+            Mode::Drain => row.ward.is_none(),
+            _ if row.ward.is_some() => false,
+            Mode::Urgent => row.flying < row.limit(),
+            Mode::Preempt => {
+                let yields = self.yields.get(&endpoint).copied().unwrap_or(0);
+                row.flying.saturating_sub(yields) < row.limit()
+            }
+            Mode::Fair => {
+                let held = self.held.contains(&endpoint);
+                !held && row.flying < row.limit() && all < f64::from(row.slots)
+            }
+        };
+        free.then(|| all * row.pace.slow.max(1.0))
+    }
+
+    fn link(&self, pair: usize) -> Option<f64> {
+        let streams = f64::from(self.fleet.links.get(pair).copied().unwrap_or(0));
+        let most = self.wires.rate_at(pair) * self.limits.gap.as_secs_f64() * LINK_HEADROOM;
+        let free = self.mode != Mode::Fair || streams < most.max(1.0);
+        free.then_some(streams)
+    }
+}
--- /dev/null
+++ b/crates/route/src/router/tick.rs
@@ -0,0 +1,112 @@
+//! What time alone brings about: silence, timeouts, deadlines, refills.
+
+use super::Router;
+use crate::Now;
+use crate::action::Action;
+use crate::failure::Cause;
+use crate::flight::{Flight, Phase};
+use crate::health::State;
+use crate::queue;
+use crate::refusal::Reason;
+use crate::request::Id;
+use bundle::id::EndpointId;
+use std::time::Duration;
+
+/// Ticks between two tries to start what waits, when nothing else stirs.
+const STIR: u64 = 5;
+/// Time before the first token that counts as silence, as a multiple of the usual one.
+const FIRST: f64 = 6.0;
+/// Factor on the time that counts as silence for work that can't be repeated: nothing is gained
+/// by giving it up early.
+const ONCE: u32 = 4;
+
+impl Router {
+    pub(super) fn tick(&mut self, now: Now) {
+        self.ticks += 1;
+        self.stirred |= self.ticks.is_multiple_of(STIR);
+        let rate = self.view.as_ref().map_or(0.0, |v| v.retries);
+        let running = self.running();
+        self.budget
+            .fill(now, rate, self.limits.retry_burst, running);
+        self.settle(now);
+        self.expire(now);
+        self.revive(now);
+        self.listen(now);
+        self.unpark(now);
+    }
+
+    /// Gives up what waits past its deadline; a running answer goes on.
+    fn expire(&mut self, now: Now) {
+        while let Some(&(deadline, id)) = self.deadlines.first() {
+            if deadline > now {
+                return;
+            }
+            self.deadlines.pop_first();
+            let waits = self
+                .flights
+                .get(&id)
+                .is_some_and(|f| f.phase != Phase::Running);
+            if waits {
+                self.give_up(now, id, Reason::Deadline, None);
+            }
+        }
+    }
+
+    /// Probes endpoints whose time out of use is over, and ends probes without an answer.
+    fn revive(&mut self, now: Now) {
+        for id in 0..self.fleet.rows.len() as EndpointId {
+            let row = &mut self.fleet.rows[id as usize];
+            if row.open && row.health.due(now) {
+                self.report.probes += 1;
+                self.out.push(Action::Probe(id));
+                continue;
+            }
+            let late = |since: Now| since + self.limits.probe <= now;
+            if matches!(row.health.state, State::Probing(since) if late(since)) {
+                self.probed(now, id, false);
+            }
+        }
+    }
+
+    /// Finds attempts without progress.
+    fn listen(&mut self, now: Now) {
+        let running = self.flights.values().filter(|f| f.run.is_some());
+        let quiet = running.filter(|f| self.quiet(now, f));
+        let ids: Vec<(Id, Option<EndpointId>)> = quiet.map(|f| (f.id(), f.due())).collect();
+        for (id, endpoint) in ids {
+            let run = self.flights.get_mut(&id).and_then(|f| f.run.as_mut());
+            let Some(run) = run else { continue };
+            run.silent = true;
+            match endpoint {
+                Some(endpoint) => self.suspect_death(now, endpoint),
+                None => self.lose(now, id, None, Cause::Silent),
+            }
+        }
+    }
+
+    fn quiet(&self, now: Now, flight: &Flight) -> bool {
+        let Some(run) = &flight.run else { return false };
+        if run.silent {
+            return false;
+        }
+        let row = flight.due().and_then(|e| self.fleet.get(e));
+        let usual = match row {
+            Some(row) if run.made > 0 => row.pace.silence(self.limits.silence),
+            _ => self.first(flight),
+        };
+        let patience = if flight.request.repeatable {
+            usual
+        } else {
+            usual * ONCE
+        };
+        now.saturating_sub(run.since) > patience
+    }
+
+    fn first(&self, flight: &Flight) -> Duration {
+        let line = queue::line(flight.request.target);
+        let usual = self.meters.get(&line).map_or(0.0, |m| m.first);
+        self.limits
+            .first
+            .max(Duration::from_secs_f64(usual * FIRST))
+    }
+}
