--- /dev/null
+++ b/crates/member/src/check.rs
@@ -0,0 +1,145 @@
+//! Invariants of a group, checked apart from the code that keeps them.
+
+use crate::group::Group;
+use crate::identity::Id;
+use crate::message::Bucket;
+use crate::peer::State;
+use crate::roster::{self, BUCKETS};
+use crate::spread::subject;
+use std::collections::BTreeSet;
+use std::fmt;
+
+/// A broken invariant.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Error {
+    /// Which table and row.
+    pub place: String,
+    /// What is wrong there.
+    pub fault: Fault,
+}
+
+/// Kinds of broken invariants.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// The node itself is not in its roster, or not up.
+    Self_,
+    /// A row is in a wrong bucket or out of order.
+    Order,
+    /// A bucket's hash is not that of its rows.
+    Hash,
+    /// A row that was taken out is back with the same run.
+    Buried,
+    /// Items of an origin that is not in the roster.
+    Orphan,
+    /// An own item is newer than the node's own version.
+    Ahead,
+    /// Something that only the exchange spreads came ahead of its turn.
+    Early,
+    /// A peer was judged before it could refute.
+    Hasty,
+    /// Two pieces of news about one node.
+    Twice,
+    /// A table outgrew its bound.
+    Bound,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {:?}", self.place, self.fault)
+    }
+}
+
+impl Group {
+    /// Collects every broken invariant.
+    pub fn verify(&self) -> Vec<Error> {
+        let mut errors = Vec::new();
+        self.verify_roster(&mut errors);
+        self.verify_states(&mut errors);
+        self.verify_items(&mut errors);
+        self.verify_bounds(&mut errors);
+        errors
+    }
+
+    #[cfg(debug_assertions)]
+    pub(crate) fn assert(&self) {
+        let errors = self.verify();
+        assert!(errors.is_empty(), "invariants broken: {errors:?}");
+    }
+
+    fn verify_roster(&self, errors: &mut Vec<Error>) {
+        for index in 0..BUCKETS {
+            let rows = self.roster.bucket(index as Bucket);
+            let ordered = rows.windows(2).all(|w| w[0].id < w[1].id);
+            let placed = rows.iter().all(|p| roster::bucket(p.id) == index);
+            if !ordered || !placed {
+                errors.push(error("bucket", index, Fault::Order));
+            }
+            if self.roster.hash(index as Bucket) != Some(self.roster.expected(index)) {
+                errors.push(error("bucket", index, Fault::Hash));
+            }
+        }
+        if self
+            .roster
+            .get(self.me)
+            .is_none_or(|p| p.state != State::Up)
+        {
+            errors.push(error("peer", self.me, Fault::Self_));
+        }
+    }
+
+    fn verify_states(&self, errors: &mut Vec<Error>) {
+        for peer in self.roster.iter() {
+            let buried = self.graves.get(&peer.id);
+            if buried.is_some_and(|g| g.incarnation >= peer.identity.incarnation) {
+                errors.push(error("peer", peer.id, Fault::Buried));
+            }
+            let silent = peer.since.saturating_sub(peer.heard);
+            if peer.state == State::Parted && silent < self.settings.suspicion {
+                errors.push(error("peer", peer.id, Fault::Hasty));
+            }
+        }
+    }
+
+    fn verify_items(&self, errors: &mut Vec<Error>) {
+        for origin in self.store.origins() {
+            let Some(peer) = self.roster.get(origin) else {
+                errors.push(error("store", origin, Fault::Orphan));
+                continue;
+            };
+            for (_, slot) in self.store.of(origin) {
+                let ahead = slot.version > peer.version;
+                if ahead && origin == self.me {
+                    errors.push(error("store", origin, Fault::Ahead));
+                } else if ahead && !slot.body.urgent() {
+                    errors.push(error("store", origin, Fault::Early));
+                }
+            }
+        }
+    }
+
+    fn verify_bounds(&self, errors: &mut Vec<Error>) {
+        let subjects: BTreeSet<Id> = self.news.iter().map(|p| subject(&p.news)).collect();
+        if subjects.len() != self.news.len() {
+            errors.push(error("news", self.news.len(), Fault::Twice));
+        }
+        if self.roster.len() > self.settings.peers {
+            errors.push(error("roster", self.roster.len(), Fault::Bound));
+        }
+        let probes = self.probes.open.len();
+        let rounds = self
+            .settings
+            .probe
+            .div_duration_f64(self.settings.round)
+            .ceil() as usize;
+        if probes > rounds * 2 + 1 {
+            errors.push(error("probes", probes, Fault::Bound));
+        }
+    }
+}
+
+fn error(table: &str, row: impl fmt::Display, fault: Fault) -> Error {
+    Error {
+        place: format!("{table} {row}"),
+        fault,
+    }
+}
--- /dev/null
+++ b/crates/member/src/demand.rs
@@ -0,0 +1,193 @@
+//! Announcing a node's own demand: what changed most first, within a budget of items.
+
+use crate::Now;
+use crate::item::{Body, Team};
+use crate::level::Level;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Steps of 19% by which a demand must differ before it is announced again.
+const SLACK: u8 = 2;
+
+/// Requests of one team at one node.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Demand {
+    /// Requests per second that callers ask for, whether admitted or not.
+    pub rate: f64,
+    /// Requests in flight or waiting for a slot.
+    pub in_flight: f64,
+}
+
+/// A team's limits across all nodes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limit {
+    /// The team.
+    pub team: Team,
+    /// Requests started per second.
+    pub rate: f64,
+    /// Requests in flight.
+    pub in_flight: f64,
+}
+
+/// What was announced of one team, and the least of it within the window.
+#[derive(Clone, Debug, Default)]
+pub struct Announced {
+    last: (Level, Level),
+    past: VecDeque<(Level, Level)>,
+}
+
+impl Announced {
+    /// Notes what holds from now on; `window` steps are kept.
+    fn note(&mut self, levels: (Level, Level), window: usize) {
+        self.last = levels;
+        self.past.push_back(levels);
+        while self.past.len() > window {
+            self.past.pop_front();
+        }
+    }
+
+    /// The least demand announced within the window; zero until the window is full.
+    pub fn least(&self, window: usize) -> Demand {
+        if self.past.len() < window {
+            return Demand::default();
+        }
+        let rate = self.past.iter().map(|l| l.0).min().unwrap_or_default();
+        let in_flight = self.past.iter().map(|l| l.1).min().unwrap_or_default();
+        Demand {
+            rate: rate.amount(),
+            in_flight: in_flight.amount(),
+        }
+    }
+
+    /// What was announced last.
+    pub fn last(&self) -> Demand {
+        Demand {
+            rate: self.last.0.amount(),
+            in_flight: self.last.1.amount(),
+        }
+    }
+
+    /// Forgets the past, so that nothing counts until the window is full again.
+    fn clear(&mut self) {
+        self.past.clear();
+    }
+}
+
+/// Own demand of all teams, by the index of the team.
+#[derive(Clone, Debug, Default)]
+pub struct Announcer {
+    rows: Vec<Announced>,
+    credit: f64,
+    stepped: Option<Now>,
+}
+
+/// A change worth announcing.
+struct Change {
+    row: usize,
+    levels: (Level, Level),
+    weight: f64,
+}
+
+impl Announcer {
+    /// Fits the table to `teams` rows, in a new order given by `old`: the former index of each.
+    pub(crate) fn remap(&mut self, old: &[Option<usize>]) {
+        let row = |o: &Option<usize>| {
+            o.and_then(|i| self.rows.get(i).cloned())
+                .unwrap_or_default()
+        };
+        self.rows = old.iter().map(row).collect();
+    }
+
+    /// Forgets what counted so far.
+    pub(crate) fn clear(&mut self) {
+        self.rows.iter_mut().for_each(Announced::clear);
+    }
+
+    /// What was announced of the team with index `row`.
+    pub fn row(&self, row: usize) -> Option<&Announced> {
+        self.rows.get(row)
+    }
+
+    /// The items to publish now, at most `rate` per second on average. Demand below the floor,
+    /// which a node has anyway, is announced as none.
+    pub(crate) fn step(
+        &mut self,
+        now: Now,
+        budget: Budget,
+        limits: &[Limit],
+        demands: &[Demand],
+    ) -> Vec<Body> {
+        let gap = self
+            .stepped
+            .map_or(Duration::from_secs(1), |s| now.saturating_sub(s));
+        self.stepped = Some(now);
+        let most = (budget.rate * 4.0).max(1.0);
+        self.credit = (self.credit + budget.rate * gap.as_secs_f64()).min(most);
+        let mut changes = self.changes(budget.nodes, limits, demands);
+        changes.sort_by(|a, b| b.weight.total_cmp(&a.weight).then(a.row.cmp(&b.row)));
+        changes.truncate(self.credit as usize);
+        self.credit -= changes.len() as f64;
+        let mut levels: Vec<(Level, Level)> = self.rows.iter().map(|r| r.last).collect();
+        changes.iter().for_each(|c| levels[c.row] = c.levels);
+        for (row, levels) in self.rows.iter_mut().zip(levels) {
+            row.note(levels, budget.window);
+        }
+        let body = |c: Change| {
+            let (rate, in_flight) = c.levels;
+            Body::Demand {
+                team: limits[c.row].team,
+                rate,
+                in_flight,
+            }
+        };
+        changes.into_iter().map(body).collect()
+    }
+
+    fn changes(&self, nodes: usize, limits: &[Limit], demands: &[Demand]) -> Vec<Change> {
+        let rows = self.rows.iter().zip(limits.iter().zip(demands)).enumerate();
+        let change = |(row, (old, (limit, demand))): (usize, (&Announced, (&Limit, &Demand)))| {
+            let rate = level(demand.rate, limit.rate, nodes);
+            let in_flight = level(demand.in_flight, limit.in_flight, nodes);
+            let weight = weight(old.last.0, rate, limit.rate).max(weight(
+                old.last.1,
+                in_flight,
+                limit.in_flight,
+            ));
+            (weight > 0.0).then_some(Change {
+                row,
+                levels: (rate, in_flight),
+                weight,
+            })
+        };
+        rows.filter_map(change).collect()
+    }
+}
+
+/// Bounds of one step.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Budget {
+    /// Items per second.
+    pub(crate) rate: f64,
+    /// Steps of the window.
+    pub(crate) window: usize,
+    /// Nodes that exist.
+    pub(crate) nodes: usize,
+}
+
+fn level(demand: f64, limit: f64, nodes: usize) -> Level {
+    // Demand beyond the limit cannot be met anywhere and would only crowd out the others.
+    let demand = demand.min(limit);
+    match demand <= crate::share::floor(limit, nodes) {
+        true => Level(0),
+        false => Level::of(demand),
+    }
+}
+
+/// How much a change matters: its part of the limit; zero if it is too small.
+fn weight(old: Level, new: Level, limit: f64) -> f64 {
+    let zero = (old.0 == 0) != (new.0 == 0);
+    if limit <= 0.0 || (!zero && old.distance(new) < SLACK) {
+        return 0.0;
+    }
+    (old.amount() - new.amount()).abs() / limit
+}
--- /dev/null
+++ b/crates/member/src/group.rs
@@ -0,0 +1,338 @@
+//! The group of nodes as one of them sees it.
+
+use crate::Now;
+use crate::action::Action;
+use crate::counters::Counters;
+use crate::event::Event;
+use crate::head::Head;
+use crate::identity::{Id, Identity, Incarnation};
+use crate::item::Version;
+use crate::message::{Body, Message, Row};
+use crate::peer::{Entry, Peer, State};
+use crate::probe::Probes;
+use crate::roster::{self, Roster};
+use crate::settings::Settings;
+use crate::spread::Piece;
+use crate::store::Store;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+
+/// A run that was taken out of the roster.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Grave {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) since: Now,
+    /// Whether it left by itself; a run that was only out of reach may come back.
+    pub(crate) left: bool,
+}
+
+/// The state of membership and spread.
+#[derive(Clone, Debug)]
+pub struct Group {
+    pub(crate) me: Id,
+    pub(crate) settings: Settings,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) roster: Roster,
+    pub(crate) store: Store,
+    pub(crate) listed: Option<BTreeMap<Id, Entry>>,
+    pub(crate) head: Option<Head>,
+    pub(crate) asked: Option<(u64, Now)>,
+    pub(crate) version: Version,
+    pub(crate) news: Vec<Piece>,
+    pub(crate) probes: Probes,
+    pub(crate) graves: BTreeMap<Id, Grave>,
+    pub(crate) ticked: Option<Now>,
+    pub(crate) counters: Counters,
+}
+
+impl Group {
+    /// A group that holds only this node.
+    pub fn new(me: Identity, seed: u64, settings: Settings) -> Self {
+        let id = me.id();
+        let mut roster = Roster::default();
+        roster.insert(Peer::new(me, Now::ZERO));
+        Self {
+            me: id,
+            settings,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            roster,
+            store: Store::default(),
+            listed: None,
+            head: None,
+            asked: None,
+            version: 0,
+            news: Vec::new(),
+            probes: Probes::default(),
+            graves: BTreeMap::new(),
+            ticked: None,
+            counters: Counters::default(),
+        }
+    }
+
+    /// Takes an event that came at `now` and adds what is to be done to `out`.
+    pub fn handle(&mut self, now: Now, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Tick => self.tick(now, out),
+            Event::Frame { from, message } => self.frame(now, from, message, out),
+            Event::Listed(entries) => self.list(entries),
+            Event::Head(head) => self.adopt(head, out),
+            Event::Publish(bodies) => self.publish(now, bodies, out),
+            Event::Unreached(peer) => self.unreached(peer, out),
+            Event::Quit => self.quit(out),
+        }
+        #[cfg(debug_assertions)]
+        self.assert();
+    }
+
+    fn tick(&mut self, now: Now, out: &mut Vec<Action>) {
+        let gap = self.ticked.map_or(Now::ZERO, |t| roster::age(now, t));
+        self.ticked = Some(now);
+        if gap > self.settings.pause {
+            self.resume(now);
+        }
+        self.check_probes(now, out);
+        let due = self.due(now);
+        self.judge(now, due, out);
+        if due {
+            self.store.expire(now);
+            self.bury(now, out);
+            self.round(now, out);
+        }
+    }
+
+    /// After a pause of this process answers may wait unread while all timers have run out: the
+    /// peers are not to blame, so every probe and every suspicion starts anew.
+    fn resume(&mut self, now: Now) {
+        self.counters.pauses += 1;
+        self.probes.reset(now);
+        for peer in self.roster.iter_mut() {
+            if peer.state == State::Suspect {
+                peer.since = now;
+            }
+        }
+    }
+
+    fn frame(&mut self, now: Now, from: SocketAddr, message: Message, out: &mut Vec<Action>) {
+        let Message {
+            from: id,
+            incarnation,
+            head,
+            news,
+            body,
+        } = message;
+        if id == self.me {
+            self.counters.stale += 1;
+            return;
+        }
+        if !self.hear(now, id, incarnation, from, out) {
+            self.counters.stale += 1;
+            return;
+        }
+        if let Some(head) = head {
+            self.compare(now, head, id, from, out);
+        }
+        news.into_iter().for_each(|n| self.hear_news(now, n, out));
+        self.take(now, id, from, body, out);
+    }
+
+    fn take(&mut self, now: Now, id: Id, from: SocketAddr, body: Body, out: &mut Vec<Action>) {
+        match body {
+            Body::Ping { seq, to } => self.answer(id, from, seq, to, out),
+            Body::Ack { seq, of } => self.acked(now, seq, of, out),
+            Body::Relay { seq, to, addr } => self.relay(now, (id, from, seq), to, addr, out),
+            Body::Who => self.introduce(id, from, out),
+            Body::Rows(rows) => rows.into_iter().for_each(|r| self.merge(now, r, out)),
+            Body::Note => {}
+            Body::Rumour(items) => items.into_iter().for_each(|i| self.hear_item(now, i, out)),
+            Body::Digest(summaries) => self.digest(now, id, from, &summaries, out),
+            Body::Delta(delta) => self.delta(now, id, from, delta, out),
+        }
+    }
+
+    /// Notes that a run of `id` sent something. Returns whether the message counts.
+    fn hear(
+        &mut self,
+        now: Now,
+        id: Id,
+        run: Incarnation,
+        from: SocketAddr,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        if let Some(grave) = self.graves.get(&id) {
+            let gone = grave.incarnation > run || (grave.left && grave.incarnation == run);
+            if gone {
+                return false;
+            }
+        }
+        match self.roster.get(id).map(|p| p.identity.incarnation) {
+            Some(known) if known > run => return false,
+            Some(known) if known == run => self.up(now, id, out),
+            _ => {
+                self.graves.remove(&id);
+                self.send(id, from, Body::Who, out);
+            }
+        }
+        true
+    }
+
+    /// Takes over a row that a peer sent.
+    pub(crate) fn merge(&mut self, now: Now, row: Row, out: &mut Vec<Action>) {
+        let id = row.identity.id();
+        let run = row.identity.incarnation;
+        let buried = self.graves.get(&id).is_some_and(|g| g.incarnation >= run);
+        if buried {
+            return;
+        }
+        match self.roster.get(id).map(|p| p.identity.incarnation) {
+            Some(known) if known > run => {}
+            Some(known) if known == run => self.raise(now, id, row.turn, out),
+            Some(_) if id == self.me => {}
+            known => self.enter(now, row, known.is_some(), out),
+        }
+    }
+
+    fn enter(&mut self, now: Now, row: Row, restarted: bool, out: &mut Vec<Action>) {
+        let run = row.identity.incarnation;
+        let clash = self
+            .roster
+            .clash(&row.identity)
+            .map(|p| (p.id, p.identity.incarnation));
+        match clash {
+            Some((old, other)) if old == self.me || other >= run => return,
+            // Two names cannot listen on one address: the earlier run there has ended.
+            Some((old, _)) => self.remove(now, old, true, out),
+            None => {}
+        }
+        if self.roster.len() >= self.settings.peers {
+            self.counters.dropped += 1;
+            return;
+        }
+        let mut peer = Peer::new(row.identity.clone(), now);
+        peer.turn = row.turn;
+        peer.standing = self.standing(peer.id);
+        let id = peer.id;
+        if !self.roster.insert(peer) {
+            self.counters.dropped += 1;
+            return;
+        }
+        self.store.forget(id);
+        self.tell_join(row);
+        out.push(Action::Changed {
+            peer: id,
+            state: State::Up,
+            restarted,
+        });
+    }
+
+    /// Takes a row out and remembers its run.
+    pub(crate) fn remove(&mut self, now: Now, id: Id, left: bool, out: &mut Vec<Action>) {
+        let Some(peer) = self.roster.remove(id) else {
+            return;
+        };
+        self.store.forget(id);
+        let grave = Grave {
+            incarnation: peer.identity.incarnation,
+            since: now,
+            left,
+        };
+        self.graves.insert(id, grave);
+        self.probes.forget(id);
+        out.push(Action::Changed {
+            peer: id,
+            state: State::Left,
+            restarted: false,
+        });
+    }
+
+    fn list(&mut self, entries: Vec<Entry>) {
+        let table: BTreeMap<Id, Entry> = entries
+            .into_iter()
+            .map(|e| (crate::identity::id(&e.name), e))
+            .collect();
+        for peer in self.roster.iter_mut() {
+            peer.standing = table.get(&peer.id).map(|e| e.standing);
+        }
+        self.listed = Some(table);
+    }
+
+    fn standing(&self, id: Id) -> Option<crate::peer::Standing> {
+        self.listed.as_ref()?.get(&id).map(|e| e.standing)
+    }
+
+    /// Sends a message with the head and some news.
+    pub(crate) fn send(&mut self, peer: Id, to: SocketAddr, body: Body, out: &mut Vec<Action>) {
+        let message = Message {
+            from: self.me,
+            incarnation: self.incarnation(),
+            head: self.head,
+            news: self.pick_news(peer),
+            body,
+        };
+        out.push(Action::Send { peer, to, message });
+    }
+
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        self.roster
+            .get(self.me)
+            .map_or(0, |p| p.identity.incarnation)
+    }
+
+    /// The id of this node.
+    pub fn me(&self) -> Id {
+        self.me
+    }
+
+    /// The nodes heard of, this one among them.
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// What the nodes published.
+    pub fn store(&self) -> &Store {
+        &self.store
+    }
+
+    /// What this node has in force.
+    pub fn head(&self) -> Option<Head> {
+        self.head
+    }
+
+    /// What happened so far.
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// The instance list as last read.
+    pub fn listed(&self) -> impl Iterator<Item = &Entry> {
+        self.listed.iter().flat_map(BTreeMap::values)
+    }
+
+    /// Nodes that count as existing: heard of, or listed as live.
+    pub fn size(&self) -> usize {
+        let live = |e: &&Entry| e.standing == crate::peer::Standing::Live;
+        let unknown = self.listed().filter(live);
+        let unknown = unknown.filter(|e| self.roster.get(crate::identity::id(&e.name)).is_none());
+        self.roster.len() + unknown.count()
+    }
+}
+
+impl fmt::Display for Group {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.head {
+            Some(head) => writeln!(f, "head {head}")?,
+            None => writeln!(f, "head none")?,
+        }
+        writeln!(f, "{:?}", self.counters)?;
+        for peer in self.roster.iter() {
+            let mark = if peer.id == self.me { "me" } else { "peer" };
+            writeln!(f, "{mark} {peer}")?;
+            let rows = self.store.of(peer.id);
+            rows.map(|(_, s)| &s.body)
+                .try_for_each(|b| writeln!(f, "  {b}"))?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/member/src/identity.rs
@@ -0,0 +1,50 @@
+//! Who a node is.
+
+use std::fmt;
+use std::net::SocketAddr;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Hash of an instance's name; the key of all tables here.
+pub type Id = u64;
+/// Number of one run of an instance; a restart has a higher one (milliseconds since the epoch).
+pub type Incarnation = u64;
+
+/// The id of the instance named `name`.
+pub fn id(name: &str) -> Id {
+    xxh3_64(name.as_bytes())
+}
+
+/// Name, place and run of a node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Identity {
+    /// Name in the instance list.
+    pub name: String,
+    /// Address that peers connect to.
+    pub addr: SocketAddr,
+    /// Name of its availability zone.
+    pub zone: String,
+    /// Name of its region.
+    pub region: String,
+    /// Number of this run.
+    pub incarnation: Incarnation,
+}
+
+impl Identity {
+    /// The id of its name.
+    pub fn id(&self) -> Id {
+        id(&self.name)
+    }
+}
+
+impl fmt::Display for Identity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            name,
+            addr,
+            zone,
+            region,
+            incarnation,
+        } = self;
+        write!(f, "{name} {addr} {region}/{zone} run {incarnation}")
+    }
+}
--- /dev/null
+++ b/crates/member/src/judge.rs
@@ -0,0 +1,175 @@
+//! States of peers: suspicion, refutation, and whether a silent peer is dead or parted.
+
+use crate::Now;
+use crate::action::Action;
+use crate::group::Group;
+use crate::identity::Id;
+use crate::peer::{Peer, State, Turn};
+use crate::roster::age;
+use std::time::Duration;
+
+/// Peers that went silent within this time of each other are taken to have one cause.
+const TOGETHER: Duration = Duration::from_secs(20);
+
+impl Group {
+    /// Proof that the known run of a peer lives.
+    pub(crate) fn up(&mut self, now: Now, id: Id, out: &mut Vec<Action>) {
+        let Some(peer) = self.roster.get_mut(id) else {
+            return;
+        };
+        peer.heard = now;
+        if peer.state == State::Up || id == self.me {
+            return;
+        }
+        let back = peer.state > State::Suspect;
+        peer.state = State::Up;
+        peer.since = now;
+        self.counters.returned += u64::from(back);
+        out.push(Action::Changed {
+            peer: id,
+            state: State::Up,
+            restarted: false,
+        });
+    }
+
+    /// A refutation, or a row that holds one.
+    pub(crate) fn raise(&mut self, now: Now, id: Id, turn: Turn, out: &mut Vec<Action>) {
+        let Some(peer) = self.roster.get_mut(id) else {
+            return;
+        };
+        if turn <= peer.turn {
+            return;
+        }
+        peer.turn = turn;
+        self.up(now, id, out);
+    }
+
+    /// This node's own probe of a peer had no answer, direct or by others.
+    pub(crate) fn accuse(&mut self, now: Now, id: Id, out: &mut Vec<Action>) {
+        let Some(peer) = self.roster.get(id) else {
+            return;
+        };
+        if peer.state != State::Up {
+            return;
+        }
+        self.counters.suspected += 1;
+        self.suspect(now, id, out);
+    }
+
+    /// Starts the time in which a peer may refute.
+    pub(crate) fn suspect(&mut self, now: Now, id: Id, out: &mut Vec<Action>) {
+        let Some(peer) = self.roster.get_mut(id) else {
+            return;
+        };
+        if peer.state != State::Up || id == self.me {
+            return;
+        }
+        peer.state = State::Suspect;
+        peer.since = now;
+        let run = crate::spread::run(peer);
+        self.tell(crate::message::News::Suspect(run));
+        self.focus(id);
+        out.push(Action::Changed {
+            peer: id,
+            state: State::Suspect,
+            restarted: false,
+        });
+    }
+
+    /// Judges suspects whose time is over; parted and dead peers too if `again` is set, since
+    /// what happened to their availability zone may show only later.
+    pub(crate) fn judge(&mut self, now: Now, again: bool, out: &mut Vec<Action>) {
+        let wait = self.settings.suspicion(self.roster.len());
+        let open = |s: State| s == State::Suspect || (again && s > State::Suspect);
+        let over = |p: &&Peer| open(p.state) && age(now, p.since) >= wait;
+        let over: Vec<Id> = self.roster.iter().filter(over).map(|p| p.id).collect();
+        for id in over {
+            let state = self.verdict(id);
+            self.set(now, id, state, out);
+        }
+    }
+
+    fn set(&mut self, now: Now, id: Id, state: State, out: &mut Vec<Action>) {
+        let Some(peer) = self.roster.get_mut(id) else {
+            return;
+        };
+        if peer.state == state {
+            return;
+        }
+        peer.state = state;
+        if state == State::Dead {
+            self.counters.dead += 1;
+        } else {
+            peer.since = now;
+            self.counters.parted += 1;
+        }
+        out.push(Action::Changed {
+            peer: id,
+            state,
+            restarted: false,
+        });
+    }
+
+    /// Silent together with most of its availability zone, or of the group: parted. That keeps
+    /// its share and its row, since it most likely lives on the other side. Alone: dead.
+    fn verdict(&self, id: Id) -> State {
+        let Some(peer) = self.roster.get(id) else {
+            return State::Dead;
+        };
+        let zone = |p: &&Peer| {
+            p.identity.zone == peer.identity.zone && p.identity.region == peer.identity.region
+        };
+        let near = self.tally(peer, zone);
+        let all = self.tally(peer, |_| true);
+        match near.most() || all.most() {
+            true => State::Parted,
+            false => State::Dead,
+        }
+    }
+
+    /// Counts peers; those that died at another time than `peer` are left out.
+    fn tally(&self, peer: &Peer, like: impl Fn(&&Peer) -> bool) -> Tally {
+        let others = self.roster.iter().filter(|p| p.id != self.me).filter(like);
+        let apart = |p: &Peer| p.since.abs_diff(peer.since) > TOGETHER;
+        let mut tally = Tally::default();
+        for other in others.filter(|p| p.state != State::Dead || !apart(p)) {
+            tally.all += 1;
+            tally.away += usize::from(other.state != State::Up);
+        }
+        tally
+    }
+
+    /// Removes peers that nobody lists and nobody reaches. The list alone removes nobody: it
+    /// lags, and a node that is up may not be in it yet.
+    pub(crate) fn bury(&mut self, now: Now, out: &mut Vec<Action>) {
+        let bury = self.settings.bury;
+        self.graves.retain(|_, g| age(now, g.since) < bury);
+        if self.listed.is_none() {
+            return;
+        }
+        let keep = self.settings.keep;
+        let gone = |p: &&Peer| {
+            p.id != self.me
+                && p.state > State::Suspect
+                && p.standing.is_none()
+                && age(now, p.since) >= keep
+        };
+        let gone: Vec<Id> = self.roster.iter().filter(gone).map(|p| p.id).collect();
+        gone.into_iter()
+            .for_each(|id| self.remove(now, id, false, out));
+    }
+}
+
+/// Peers of one kind.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    all: usize,
+    away: usize,
+}
+
+impl Tally {
+    /// Whether more than half of two or more are away.
+    fn most(self) -> bool {
+        self.all >= 2 && self.away * 2 > self.all
+    }
+}
--- /dev/null
+++ b/crates/member/src/level.rs
@@ -0,0 +1,42 @@
+//! Quantised amounts: one byte for a rate or a count.
+
+use std::fmt;
+
+/// Levels per doubling. Four make one step 19%.
+const STEPS: f64 = 4.0;
+/// Amount of the lowest level above zero.
+const LOWEST: f64 = 0.01;
+
+/// An amount, rounded up to a step of 19%; from 0.01 to 1e17, and zero.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Level(pub u8);
+
+impl Level {
+    /// The lowest level whose amount is at least `amount`.
+    pub fn of(amount: f64) -> Self {
+        if amount <= 0.0 || amount.is_nan() {
+            return Self(0);
+        }
+        let step = ((amount / LOWEST).log2() * STEPS - 1e-9).ceil();
+        Self(step.clamp(0.0, 254.0) as u8 + 1)
+    }
+
+    /// The amount it stands for.
+    pub fn amount(self) -> f64 {
+        match self.0 {
+            0 => 0.0,
+            step => LOWEST * (f64::from(step - 1) / STEPS).exp2(),
+        }
+    }
+
+    /// Steps between two levels.
+    pub fn distance(self, other: Self) -> u8 {
+        self.0.abs_diff(other.0)
+    }
+}
+
+impl fmt::Display for Level {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:.3}", self.amount())
+    }
+}
--- /dev/null
+++ b/crates/member/src/probe.rs
@@ -0,0 +1,294 @@
+//! Probing: one peer per round, then others are asked, then it is suspected.
+
+use crate::Now;
+use crate::action::Action;
+use crate::group::Group;
+use crate::identity::{Id, id};
+use crate::message::{Body, News, Seq};
+use crate::peer::State;
+use crate::roster::age;
+use rand::RngExt;
+use rand::seq::{IndexedRandom, SliceRandom};
+use std::net::SocketAddr;
+
+/// Peers of a suspect's availability zone that are probed out of turn at most.
+const FOCUS: usize = 2;
+/// Probes for others that are open at most; more are not taken.
+const RELAYS: usize = 64;
+/// Listed but unknown nodes that are probed per round while this node knows nobody.
+const CONTACTS: usize = 3;
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Probe {
+    pub(crate) seq: Seq,
+    pub(crate) to: Id,
+    pub(crate) sent: Now,
+    /// Whether others were asked.
+    relayed: bool,
+    /// Whether a new connection to it failed.
+    failed: bool,
+}
+
+/// A probe for another node.
+#[derive(Clone, Copy, Debug)]
+struct Relay {
+    seq: Seq,
+    sent: Now,
+    asker: (Id, SocketAddr, Seq),
+}
+
+/// Open probes and the order of the next ones.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Probes {
+    pub(crate) open: Vec<Probe>,
+    relays: Vec<Relay>,
+    order: Vec<Id>,
+    focus: Vec<Id>,
+    seq: Seq,
+    next: Now,
+}
+
+impl Probes {
+    pub(crate) fn reset(&mut self, now: Now) {
+        self.open.clear();
+        self.relays.clear();
+        self.next = now;
+    }
+
+    pub(crate) fn forget(&mut self, id: Id) {
+        self.open.retain(|p| p.to != id);
+        self.focus.retain(|f| *f != id);
+    }
+
+    fn number(&mut self) -> Seq {
+        self.seq = self.seq.wrapping_add(1);
+        self.seq
+    }
+}
+
+impl Group {
+    pub(crate) fn due(&self, now: Now) -> bool {
+        now >= self.probes.next
+    }
+
+    /// Probes the next peer and exchanges digests: with the same one where it is up, since that
+    /// needs one connection instead of two.
+    pub(crate) fn round(&mut self, now: Now, out: &mut Vec<Action>) {
+        let jitter = self.rng.random_range(0.9..1.1);
+        self.probes.next = now + self.settings.round.mul_f64(jitter);
+        self.contact(out);
+        let Some(target) = self.target() else { return };
+        self.probe(now, target, out);
+        let up = self
+            .roster
+            .get(target)
+            .is_some_and(|p| p.state == State::Up);
+        let partner = if up {
+            Some(target)
+        } else {
+            self.random(1, None).first().copied()
+        };
+        if let Some(partner) = partner {
+            self.offer(partner, out);
+        }
+    }
+
+    /// Probes listed nodes that were never heard of: that is how a new node finds the others.
+    fn contact(&mut self, out: &mut Vec<Action>) {
+        let known = |name: &str| self.roster.get(id(name)).is_some();
+        let mut unknown: Vec<(Id, SocketAddr)> = self
+            .listed()
+            .filter(|e| !known(&e.name))
+            .map(|e| (id(&e.name), e.addr))
+            .collect();
+        unknown.shuffle(&mut self.rng);
+        let most = if self.roster.len() == 1 { CONTACTS } else { 1 };
+        for (to, addr) in unknown.into_iter().take(most) {
+            let seq = self.probes.number();
+            self.send(to, addr, Body::Ping { seq, to }, out);
+            let digest = self.summaries();
+            self.send(to, addr, Body::Digest(digest), out);
+        }
+    }
+
+    /// The next peer in a shuffled order that has each once, so that every peer is probed
+    /// within a bounded time.
+    fn target(&mut self) -> Option<Id> {
+        while let Some(id) = self.probes.focus.pop() {
+            if self.roster.get(id).is_some_and(|p| p.state == State::Up) {
+                return Some(id);
+            }
+        }
+        loop {
+            if self.probes.order.is_empty() {
+                let others = self.roster.iter().map(|p| p.id).filter(|id| *id != self.me);
+                self.probes.order = others.collect();
+                self.probes.order.shuffle(&mut self.rng);
+            }
+            let id = self.probes.order.pop()?;
+            if self.roster.get(id).is_some() {
+                return Some(id);
+            }
+        }
+    }
+
+    fn probe(&mut self, now: Now, to: Id, out: &mut Vec<Action>) {
+        let Some(peer) = self.roster.get(to) else {
+            return;
+        };
+        let addr = peer.identity.addr;
+        let seq = self.probes.number();
+        let probe = Probe {
+            seq,
+            to,
+            sent: now,
+            relayed: false,
+            failed: false,
+        };
+        self.probes.open.push(probe);
+        self.counters.probes += 1;
+        self.send(to, addr, Body::Ping { seq, to }, out);
+    }
+
+    pub(crate) fn check_probes(&mut self, now: Now, out: &mut Vec<Action>) {
+        let (direct, most) = (self.settings.direct, self.settings.probe);
+        let late = |p: &Probe| p.failed || age(now, p.sent) >= direct;
+        let mut asked = Vec::new();
+        for probe in self.probes.open.iter_mut().filter(|p| !p.relayed) {
+            if late(probe) {
+                probe.relayed = true;
+                asked.push((probe.seq, probe.to));
+            }
+        }
+        asked
+            .into_iter()
+            .for_each(|(seq, to)| self.ask(seq, to, out));
+        let (open, over): (Vec<Probe>, Vec<Probe>) = self
+            .probes
+            .open
+            .iter()
+            .partition(|p| age(now, p.sent) < most);
+        self.probes.open = open;
+        over.into_iter().for_each(|p| self.accuse(now, p.to, out));
+        self.probes.relays.retain(|r| age(now, r.sent) < most);
+    }
+
+    /// Asks others to probe, first those of other availability zones: a fault on the way from
+    /// here then does not look like the peer's.
+    fn ask(&mut self, seq: Seq, to: Id, out: &mut Vec<Action>) {
+        let Some(peer) = self.roster.get(to) else {
+            return;
+        };
+        let addr = peer.identity.addr;
+        let zone = self.roster.get(self.me).map(|p| p.identity.zone.clone());
+        let most = self.settings.helpers;
+        let mut helpers = self.random(most * 4, Some(to));
+        let same = |id: &Id| self.roster.get(*id).map(|p| &p.identity.zone) == zone.as_ref();
+        helpers.sort_by_key(same);
+        for helper in helpers.into_iter().take(most) {
+            let Some(at) = self.roster.get(helper).map(|p| p.identity.addr) else {
+                continue;
+            };
+            self.counters.relays += 1;
+            self.send(helper, at, Body::Relay { seq, to, addr }, out);
+        }
+    }
+
+    /// Some peers that are up, chosen at random.
+    pub(crate) fn random(&mut self, most: usize, but: Option<Id>) -> Vec<Id> {
+        let up = self.roster.iter().filter(|p| p.state == State::Up);
+        let ids: Vec<Id> = up
+            .map(|p| p.id)
+            .filter(|id| *id != self.me && Some(*id) != but)
+            .collect();
+        ids.sample(&mut self.rng, most).copied().collect()
+    }
+
+    pub(crate) fn answer(
+        &mut self,
+        id: Id,
+        from: SocketAddr,
+        seq: Seq,
+        to: Id,
+        out: &mut Vec<Action>,
+    ) {
+        if to == self.me {
+            self.send(id, from, Body::Ack { seq, of: to }, out);
+            return;
+        }
+        // The sender's row for this address is of an earlier process: tell it who is here now.
+        self.introduce(id, from, out);
+    }
+
+    pub(crate) fn relay(
+        &mut self,
+        now: Now,
+        asker: (Id, SocketAddr, Seq),
+        to: Id,
+        addr: SocketAddr,
+        out: &mut Vec<Action>,
+    ) {
+        if self.probes.relays.len() >= RELAYS {
+            self.counters.dropped += 1;
+            return;
+        }
+        let seq = self.probes.number();
+        self.probes.relays.push(Relay {
+            seq,
+            sent: now,
+            asker,
+        });
+        self.send(to, addr, Body::Ping { seq, to }, out);
+    }
+
+    pub(crate) fn acked(&mut self, now: Now, seq: Seq, of: Id, out: &mut Vec<Action>) {
+        if let Some(at) = self
+            .probes
+            .open
+            .iter()
+            .position(|p| p.seq == seq && p.to == of)
+        {
+            self.probes.open.remove(at);
+            self.counters.acks += 1;
+            self.up(now, of, out);
+            return;
+        }
+        let Some(at) = self.probes.relays.iter().position(|r| r.seq == seq) else {
+            return;
+        };
+        let (asker, addr, seq) = self.probes.relays.remove(at).asker;
+        self.send(asker, addr, Body::Ack { seq, of }, out);
+    }
+
+    /// A failed connection is no proof of death, only a reason not to wait for the answer.
+    pub(crate) fn unreached(&mut self, peer: Id, out: &mut Vec<Action>) {
+        let open = self.probes.open.iter_mut().filter(|p| p.to == peer);
+        open.for_each(|p| p.failed = true);
+        if let Some(now) = self.ticked {
+            self.check_probes(now, out);
+        }
+    }
+
+    /// Puts peers of the suspect's availability zone next in the order: whether they answer
+    /// tells a dead node from a parted zone.
+    pub(crate) fn focus(&mut self, suspect: Id) {
+        let Some(zone) = self.roster.get(suspect).map(|p| p.identity.zone.clone()) else {
+            return;
+        };
+        let mates = self
+            .roster
+            .iter()
+            .filter(|p| p.identity.zone == zone && p.state == State::Up);
+        let mates: Vec<Id> = mates.map(|p| p.id).filter(|id| *id != self.me).collect();
+        let open = FOCUS.saturating_sub(self.probes.focus.len());
+        self.probes
+            .focus
+            .extend(mates.sample(&mut self.rng, open).copied());
+    }
+
+    /// News that concern the receiver: that it is suspected, so that it can refute.
+    pub(crate) fn charge(&self, peer: Id) -> Option<News> {
+        let row = self.roster.get(peer)?;
+        (row.state > State::Up).then(|| News::Suspect(crate::spread::run(row)))
+    }
+}
--- /dev/null
+++ b/crates/member/src/settings.rs
@@ -0,0 +1,71 @@
+//! Settings of membership.
+
+use std::time::Duration;
+
+/// Times and bounds. The defaults are those that the figures in the docs were measured with.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// One peer is probed, and digests are exchanged with it, per round.
+    pub round: Duration,
+    /// How long a probe may take before others are asked to probe.
+    pub direct: Duration,
+    /// How long a probe may take in all before the peer is suspected.
+    pub probe: Duration,
+    /// How long a suspected peer may take to refute; grows with the logarithm of the group.
+    pub suspicion: Duration,
+    /// A gap between two ticks above this means that this process was paused.
+    pub pause: Duration,
+    /// How long a peer that is neither listed nor reachable is kept.
+    pub keep: Duration,
+    /// How long a removed run of a peer is remembered, so that late news do not bring it back.
+    pub bury: Duration,
+    /// Helpers asked to probe.
+    pub helpers: usize,
+    /// Peers that an urgent item is sent to by each node that learns it.
+    pub fanout: usize,
+    /// News in one message at most.
+    pub news: usize,
+    /// Bytes of items in one answer of an exchange at most, as an estimate.
+    pub delta: usize,
+    /// Rows of the roster in one answer of an exchange at most.
+    pub rows: usize,
+    /// Items stored per origin at most.
+    pub items: usize,
+    /// Peers at most.
+    pub peers: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            round: Duration::from_secs(1),
+            direct: Duration::from_millis(300),
+            probe: Duration::from_millis(900),
+            suspicion: Duration::from_secs(3),
+            pause: Duration::from_millis(700),
+            keep: Duration::from_secs(60),
+            bury: Duration::from_secs(600),
+            helpers: 3,
+            fanout: 4,
+            news: 8,
+            delta: 12_000,
+            rows: 128,
+            items: 2_048,
+            peers: 4_096,
+        }
+    }
+}
+
+impl Settings {
+    /// How long a suspicion lasts in a group of `peers`: rumours need a number of rounds that
+    /// grows with the logarithm of the group, there and back.
+    pub fn suspicion(&self, peers: usize) -> Duration {
+        let scale = (peers.max(2) as f64).log10().max(1.0);
+        self.suspicion.mul_f64(scale)
+    }
+
+    /// How often a piece of news is passed on by a node.
+    pub fn repeats(&self, peers: usize) -> u32 {
+        3 * (usize::BITS - peers.leading_zeros()).max(1)
+    }
+}
--- /dev/null
+++ b/crates/member/src/store.rs
@@ -0,0 +1,107 @@
+//! Items by origin.
+
+use crate::Now;
+use crate::identity::Id;
+use crate::item::{Body, Key, Version};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// An item as stored.
+#[derive(Clone, Debug)]
+pub struct Slot {
+    /// Its publication.
+    pub version: Version,
+    /// When it stops to count.
+    pub until: Option<Now>,
+    /// The observation.
+    pub body: Body,
+}
+
+impl Slot {
+    /// The observation with the time that it still counts.
+    pub fn rest(&self, now: Now) -> Body {
+        let left = self.until.map(|u| u.saturating_sub(now));
+        match left {
+            Some(left) => self.body.clone().with_ttl(left),
+            None => self.body.clone(),
+        }
+    }
+}
+
+/// Items by origin and key.
+#[derive(Clone, Debug, Default)]
+pub struct Store {
+    origins: BTreeMap<Id, BTreeMap<Key, Slot>>,
+}
+
+/// The longest an item may count; a peer's larger value is cut.
+pub const MAX_TTL: Duration = Duration::from_secs(24 * 3600);
+
+impl Store {
+    /// Stores an item unless a later one of its key is there, or the origin has `most` items.
+    pub(crate) fn put(
+        &mut self,
+        origin: Id,
+        version: Version,
+        body: Body,
+        now: Now,
+        most: usize,
+    ) -> Put {
+        let slots = self.origins.entry(origin).or_default();
+        let key = body.key();
+        let until = body.ttl().map(|ttl| now + ttl.min(MAX_TTL));
+        let slot = Slot {
+            version,
+            until,
+            body,
+        };
+        let full = slots.len() >= most;
+        match slots.get_mut(&key) {
+            Some(old) if old.version >= version => return Put::Known,
+            Some(old) => *old = slot,
+            None if full => return Put::Full,
+            None => {
+                slots.insert(key, slot);
+            }
+        }
+        Put::New
+    }
+
+    /// Drops all items of an origin.
+    pub(crate) fn forget(&mut self, origin: Id) {
+        self.origins.remove(&origin);
+    }
+
+    /// Drops what no longer counts.
+    pub(crate) fn expire(&mut self, now: Now) {
+        for slots in self.origins.values_mut() {
+            slots.retain(|_, slot| slot.until.is_none_or(|u| u > now));
+        }
+    }
+
+    /// Items of one origin, by key.
+    pub fn of(&self, origin: Id) -> impl Iterator<Item = (&Key, &Slot)> {
+        self.origins.get(&origin).into_iter().flatten()
+    }
+
+    /// One item.
+    pub fn get(&self, origin: Id, key: &Key) -> Option<&Slot> {
+        self.origins.get(&origin)?.get(key)
+    }
+
+    /// All origins with items.
+    pub fn origins(&self) -> impl Iterator<Item = Id> {
+        self.origins.keys().copied()
+    }
+}
+
+/// What became of an item.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Put {
+    /// It is stored.
+    New,
+    /// It, or a later one, was known.
+    Known,
+    /// There was no room.
+    Full,
+}
--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,113 @@
+//! Frames and their codec.
+
+use crate::error::{Error, Result};
+use crate::limits::MAX_FRAME;
+use crate::raw;
+use std::fmt;
+
+/// Number of an ask within one process.
+pub type Call = u64;
+
+/// How a frame belongs to an ask.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// It needs no answer.
+    Send,
+    /// It asks.
+    Ask(Call),
+    /// It answers the ask of that number.
+    Answer(Call),
+}
+
+/// A frame.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Frame {
+    /// How it belongs to an ask.
+    pub kind: Kind,
+    /// The matter itself.
+    pub body: Body,
+}
+
+/// The matter of a frame.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Body {
+    /// For the group.
+    Member(member::Message),
+    /// Asks for the records that lead to a version.
+    HeadAsk(HeadAsk),
+    /// The records; nothing if they are not at hand.
+    HeadGive(Option<Vec<u8>>),
+    /// Asks what is in force.
+    StatusAsk,
+    /// What is in force.
+    StatusGive(Status),
+}
+
+/// An ask for a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeadAsk {
+    /// The version wanted.
+    pub number: u64,
+    /// The version at hand; 0 for none.
+    pub have: u64,
+}
+
+/// What a node has in force.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Status {
+    /// Number of the version; 0 for none.
+    pub number: u64,
+    /// Its digest.
+    pub digest: [u8; 32],
+    /// The node's run.
+    pub incarnation: u64,
+    /// Whether the node takes no new work.
+    pub leaving: bool,
+}
+
+impl fmt::Display for Status {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            number,
+            digest,
+            incarnation,
+            leaving,
+        } = self;
+        let digest = hex::encode(digest);
+        write!(
+            f,
+            "version {number} {digest} run {incarnation} leaving={leaving}"
+        )
+    }
+}
+
+impl Frame {
+    /// A frame that needs no answer.
+    pub fn send(message: member::Message) -> Self {
+        Self {
+            kind: Kind::Send,
+            body: Body::Member(message),
+        }
+    }
+
+    /// Its bytes.
+    pub fn encode(&self) -> Result<Vec<u8>> {
+        let raw = raw::Frame::from(self);
+        bincode::serde::encode_to_vec(&raw, bincode::config::standard())
+            .map_err(|e| Error::Codec(e.to_string()))
+    }
+
+    /// Reads and checks its bytes.
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        if bytes.len() > MAX_FRAME {
+            return Err(Error::Long(bytes.len()));
+        }
+        let config = bincode::config::standard().with_limit::<MAX_FRAME>();
+        let (raw, used): (raw::Frame, usize) = bincode::serde::decode_from_slice(bytes, config)
+            .map_err(|e| Error::Codec(e.to_string()))?;
+        if used != bytes.len() {
+            return Err(Error::Codec("trailing bytes".into()));
+        }
+        Self::try_from(raw)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/listen.rs
@@ -0,0 +1,125 @@
+//! Accepting connections of peers.
+
+use crate::auth::{Hello, Session, Side};
+use crate::conn::{Conn, Pipe, count, pack, read, write};
+use crate::dial::{PATH, WINDOW};
+use crate::error::{Error, Result};
+use crate::peer::Link;
+use bytes::Bytes;
+use h2::server::SendResponse;
+use http::{Method, Request, Response, StatusCode};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::{sleep, timeout};
+
+/// How long to wait after the listener failed, for instance for want of file descriptors.
+const BREATHE: Duration = Duration::from_millis(100);
+/// Streams of one connection.
+const STREAMS: u32 = 1;
+/// Bytes of a request's headers.
+const HEADERS: u32 = 4 << 10;
+
+/// Accepts until the link is cancelled.
+pub(crate) async fn run(link: Link, listener: TcpListener) {
+    let room = Arc::new(Semaphore::new(link.shared.limits.inbound));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = link.shared.cancel.cancelled() => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            sleep(BREATHE).await;
+            continue;
+        };
+        let Ok(permit) = room.clone().try_acquire_owned() else {
+            link.shared.counters.refused.add(1);
+            continue;
+        };
+        let link = link.clone();
+        tokio::spawn(async move {
+            accept(&link, stream).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn accept(link: &Link, stream: TcpStream) {
+    link.shared.counters.accepted.add(1);
+    let limit = link.shared.limits.handshake;
+    let Ok(result) = timeout(limit, open(stream)).await else {
+        link.shared.counters.slow_hello.add(1);
+        return;
+    };
+    let Ok((mut connection, request, answer)) = result else {
+        return;
+    };
+    let Some(ping) = connection.ping_pong() else {
+        return;
+    };
+    // The connection makes progress only while it is polled; a second stream is refused.
+    let driver = async {
+        while let Some(Ok((_, mut other))) = connection.accept().await {
+            other.send_reset(h2::Reason::REFUSED_STREAM);
+        }
+    };
+    let session = async {
+        let hello = timeout(limit * 2, greet(link, request, answer, ping)).await;
+        match hello {
+            Ok(Ok(conn)) => link.shared.routes.serve(link, conn).await,
+            Ok(Err(error)) => count(link, Some(&error)),
+            Err(_) => link.shared.counters.slow_hello.add(1),
+        }
+    };
+    tokio::select! {
+        () = driver => {}
+        () = session => {}
+        () = link.shared.cancel.cancelled() => {}
+    }
+}
+
+type Opened = (
+    h2::server::Connection<TcpStream, Bytes>,
+    Request<h2::RecvStream>,
+    SendResponse<Bytes>,
+);
+
+async fn open(stream: TcpStream) -> Result<Opened> {
+    stream.set_nodelay(true)?;
+    let mut builder = h2::server::Builder::new();
+    builder
+        .initial_window_size(WINDOW)
+        .initial_connection_window_size(WINDOW);
+    builder
+        .max_concurrent_streams(STREAMS)
+        .max_header_list_size(HEADERS);
+    let mut connection = builder.handshake::<_, Bytes>(stream).await?;
+    let (request, answer) = connection.accept().await.ok_or(Error::Closed)??;
+    Ok((connection, request, answer))
+}
+
+async fn greet(
+    link: &Link,
+    request: Request<h2::RecvStream>,
+    mut answer: SendResponse<Bytes>,
+    ping: h2::PingPong,
+) -> Result<Conn> {
+    if request.method() != Method::POST || request.uri().path() != PATH {
+        let mut response = Response::new(());
+        *response.status_mut() = StatusCode::NOT_FOUND;
+        answer.send_response(response, true)?;
+        return Err(Error::Closed);
+    }
+    let send = answer.send_response(Response::new(()), false)?;
+    let mut pipe = Pipe::new(send, request.into_body(), ping);
+    let theirs = read(&mut pipe.recv, &mut pipe.codec, &mut pipe.buffer).await?;
+    let client = Hello::decode(&theirs)?;
+    let hello = Hello::new(link.shared.addr).encode()?;
+    let packed = pack(&mut pipe.codec, Bytes::copy_from_slice(&hello))?;
+    write(&mut pipe.send, packed).await?;
+    let session = Session::new(&link.shared.key, Side::Server, &theirs, &hello)?;
+    let mut conn = Conn::new(link, pipe, session, client.addr);
+    conn.prove(link).await?;
+    Ok(conn)
+}
--- /dev/null
+++ b/crates/wire/src/peer.rs
@@ -0,0 +1,261 @@
+//! The link of a node to its peers.
+
+use crate::auth::Key;
+use crate::counters::Counters;
+use crate::error::{Error, Result};
+use crate::frame::{Body, Call, Frame, HeadAsk, Kind, Status};
+use crate::limits::Limits;
+use crate::listen;
+use crate::route::{Outgoing, Routes};
+use bytes::Bytes;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
+
+/// What comes from peers.
+#[derive(Debug)]
+pub enum Inbound {
+    /// A message for the group.
+    Member {
+        /// Where its sender listens.
+        from: SocketAddr,
+        /// The message.
+        message: member::Message,
+    },
+    /// A peer asks for the records that lead to a version.
+    Head {
+        /// What it wants.
+        ask: HeadAsk,
+        /// Takes the answer.
+        reply: Reply<Option<Vec<u8>>>,
+    },
+    /// A peer asks what is in force.
+    Status {
+        /// Takes the answer.
+        reply: Reply<Status>,
+    },
+    /// A new connection to this address failed.
+    Unreached(SocketAddr),
+}
+
+/// How a link is set up.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Address that peers connect to; the one listened on if nothing.
+    pub advertise: Option<SocketAddr>,
+    /// The key that all nodes share.
+    pub key: Key,
+    /// Bounds.
+    pub limits: Limits,
+}
+
+/// What all tasks of a link share.
+pub(crate) struct Shared {
+    pub(crate) addr: SocketAddr,
+    pub(crate) key: Key,
+    pub(crate) limits: Limits,
+    pub(crate) counters: Counters,
+    pub(crate) inbound: mpsc::Sender<Inbound>,
+    pub(crate) cancel: CancellationToken,
+    pub(crate) routes: Routes,
+    calls: Mutex<HashMap<Call, Waiting>>,
+    next: AtomicU64,
+}
+
+/// An ask that waits.
+struct Waiting {
+    peer: SocketAddr,
+    answer: oneshot::Sender<Body>,
+}
+
+/// A link; clones share it.
+#[derive(Clone)]
+pub struct Link {
+    pub(crate) shared: Arc<Shared>,
+}
+
+impl Link {
+    /// Listens, and serves until `cancel`.
+    pub async fn start(
+        setup: Setup,
+        inbound: mpsc::Sender<Inbound>,
+        cancel: CancellationToken,
+    ) -> Result<Self> {
+        let listener = TcpListener::bind(setup.listen).await?;
+        let local = listener.local_addr()?;
+        let shared = Shared {
+            addr: setup.advertise.unwrap_or(local),
+            key: setup.key,
+            limits: setup.limits,
+            counters: Counters::default(),
+            inbound,
+            cancel,
+            routes: Routes::default(),
+            calls: Mutex::default(),
+            next: AtomicU64::new(1),
+        };
+        let link = Self {
+            shared: Arc::new(shared),
+        };
+        tokio::spawn(listen::run(link.clone(), listener));
+        Ok(link)
+    }
+
+    /// The address that peers connect to.
+    pub fn addr(&self) -> SocketAddr {
+        self.shared.addr
+    }
+
+    /// Its counters.
+    pub fn counters(&self) -> &Counters {
+        &self.shared.counters
+    }
+
+    /// Peers with an open route.
+    pub fn routes(&self) -> usize {
+        self.shared.routes.len()
+    }
+
+    /// Sends a message. It is dropped and counted if the queue to that peer is full.
+    pub fn send(&self, to: SocketAddr, message: member::Message) -> Result<()> {
+        self.push(to, &Frame::send(message))
+    }
+
+    /// Asks a peer for the records that lead to a version.
+    pub async fn head(&self, to: SocketAddr, ask: HeadAsk) -> Result<Option<Vec<u8>>> {
+        match self.ask(to, Body::HeadAsk(ask)).await? {
+            Body::HeadGive(bytes) => Ok(bytes),
+            _ => Err(Error::Field("answer")),
+        }
+    }
+
+    /// Asks a peer what it has in force.
+    pub async fn status(&self, to: SocketAddr) -> Result<Status> {
+        match self.ask(to, Body::StatusAsk).await? {
+            Body::StatusGive(status) => Ok(status),
+            _ => Err(Error::Field("answer")),
+        }
+    }
+
+    async fn ask(&self, to: SocketAddr, body: Body) -> Result<Body> {
+        let call = self.shared.next.fetch_add(1, Ordering::Relaxed);
+        let (answer, wait) = oneshot::channel();
+        self.calls().insert(call, Waiting { peer: to, answer });
+        let _guard = Forget { link: self, call };
+        self.push(
+            to,
+            &Frame {
+                kind: Kind::Ask(call),
+                body,
+            },
+        )?;
+        let limit = self.shared.limits.ask;
+        match tokio::time::timeout(limit, wait).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(_)) => Err(Error::Closed),
+            Err(_) => Err(Error::Timeout(to)),
+        }
+    }
+
+    fn calls(&self) -> std::sync::MutexGuard<'_, HashMap<Call, Waiting>> {
+        self.shared
+            .calls
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn push(&self, to: SocketAddr, frame: &Frame) -> Result<()> {
+        let bytes = Bytes::from(frame.encode()?);
+        if bytes.len() > self.shared.limits.frame {
+            return Err(Error::Long(bytes.len()));
+        }
+        let pushed = self
+            .shared
+            .routes
+            .push(self, to, Outgoing { bytes, tries: 0 });
+        if pushed.is_err() {
+            self.shared.counters.dropped.add(1);
+        }
+        pushed
+    }
+
+    /// Gives a frame to whom it is for.
+    pub(crate) async fn deliver(&self, from: SocketAddr, frame: Frame) {
+        let inbound = match (frame.kind, frame.body) {
+            (Kind::Send, Body::Member(message)) => Inbound::Member { from, message },
+            (Kind::Ask(call), Body::HeadAsk(ask)) => Inbound::Head {
+                ask,
+                reply: self.reply(from, call, Body::HeadGive),
+            },
+            (Kind::Ask(call), Body::StatusAsk) => Inbound::Status {
+                reply: self.reply(from, call, Body::StatusGive),
+            },
+            (Kind::Answer(call), body) => return self.answered(from, call, body),
+            _ => return,
+        };
+        let _ = self.shared.inbound.send(inbound).await;
+    }
+
+    fn reply<T>(&self, to: SocketAddr, call: Call, body: fn(T) -> Body) -> Reply<T> {
+        Reply {
+            link: self.clone(),
+            to,
+            call,
+            body,
+        }
+    }
+
+    /// An answer counts only from the peer that was asked.
+    fn answered(&self, from: SocketAddr, call: Call, body: Body) {
+        let mut calls = self.calls();
+        if calls.get(&call).is_none_or(|w| w.peer != from) {
+            return;
+        }
+        if let Some(waiting) = calls.remove(&call) {
+            let _ = waiting.answer.send(body);
+        }
+    }
+}
+
+/// Forgets an ask when its future is dropped, so that those that time out do not pile up.
+struct Forget<'a> {
+    link: &'a Link,
+    call: Call,
+}
+
+impl Drop for Forget<'_> {
+    fn drop(&mut self) {
+        self.link.calls().remove(&self.call);
+    }
+}
+
+/// Where the answer to a peer's ask goes.
+pub struct Reply<T> {
+    link: Link,
+    to: SocketAddr,
+    call: Call,
+    body: fn(T) -> Body,
+}
+
+impl<T> std::fmt::Debug for Reply<T> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Reply({} to {})", self.call, self.to)
+    }
+}
+
+impl<T> Reply<T> {
+    /// Answers.
+    pub fn send(self, answer: T) -> Result<()> {
+        let frame = Frame {
+            kind: Kind::Answer(self.call),
+            body: (self.body)(answer),
+        };
+        self.link.push(self.to, &frame)
+    }
+}
--- /dev/null
+++ b/crates/wire/tests/support/node.rs
@@ -0,0 +1,230 @@
+//! A group driven over a real link, as the control thread does.
+#![allow(dead_code)]
+
+use member::action::Action;
+use member::event::Event;
+use member::group::Group;
+use member::head::Head;
+use member::identity::{Id, Identity};
+use member::item::Item;
+use member::peer::{Entry, Standing, State};
+use member::settings::Settings;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use wire::auth::Key;
+use wire::frame::{HeadAsk, Status};
+use wire::limits::Limits;
+use wire::peer::{Inbound, Link, Setup};
+
+/// The key of the tests.
+pub const KEY: &str = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
+/// Generous bound of everything that is waited for.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// What a test sees of a node.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    /// Number of the head in force.
+    pub head: u64,
+    /// Peers that are up.
+    pub up: Vec<Id>,
+    /// Peers judged dead or parted.
+    pub gone: Vec<Id>,
+    /// Items learned.
+    pub items: Vec<Item>,
+}
+
+/// A running node.
+pub struct Node {
+    /// Its link.
+    pub link: Link,
+    /// Events from the test.
+    pub events: mpsc::Sender<Event>,
+    /// What it knows.
+    pub seen: watch::Receiver<Seen>,
+    /// Ends it.
+    pub cancel: CancellationToken,
+    entry: Entry,
+}
+
+impl Node {
+    /// Starts a node on a free port.
+    pub async fn start(name: &str, key: &str, limits: Limits) -> Self {
+        let (inbound, frames) = mpsc::channel(256);
+        let cancel = CancellationToken::new();
+        let setup = Setup {
+            listen: "127.0.0.1:0".parse().expect("address"),
+            advertise: None,
+            key: Key::try_from(key).expect("key"),
+            limits,
+        };
+        let link = Link::start(setup, inbound, cancel.clone())
+            .await
+            .expect("listen");
+        let identity = Identity {
+            name: name.into(),
+            addr: link.addr(),
+            zone: "a".into(),
+            region: "r".into(),
+            incarnation: 1,
+        };
+        let entry = Entry {
+            name: name.into(),
+            addr: link.addr(),
+            zone: "a".into(),
+            region: "r".into(),
+            standing: Standing::Live,
+        };
+        let settings = Settings {
+            round: Duration::from_millis(200),
+            ..Settings::default()
+        };
+        let group = Group::new(identity, 7, settings);
+        let (events, commands) = mpsc::channel(64);
+        let (show, seen) = watch::channel(Seen::default());
+        let run = Run {
+            group,
+            link: link.clone(),
+            begun: Instant::now(),
+            show,
+        };
+        tokio::spawn(run.run(frames, commands, cancel.clone()));
+        Self {
+            link,
+            events,
+            seen,
+            cancel,
+            entry,
+        }
+    }
+
+    /// Its line in the instance list.
+    pub fn entry(&self) -> Entry {
+        self.entry.clone()
+    }
+
+    /// Its id.
+    pub fn id(&self) -> Id {
+        member::identity::id(&self.entry.name)
+    }
+
+    /// Gives it an event.
+    pub async fn tell(&self, event: Event) {
+        self.events.send(event).await.expect("node runs");
+    }
+
+    /// Waits until `test` holds.
+    pub async fn until(&self, what: &str, test: impl Fn(&Seen) -> bool) {
+        let mut seen = self.seen.clone();
+        let wait = tokio::time::timeout(PATIENCE, seen.wait_for(|s| test(s)));
+        wait.await
+            .unwrap_or_else(|_| panic!("{what}"))
+            .expect("node runs");
+    }
+}
+
+struct Run {
+    group: Group,
+    link: Link,
+    begun: Instant,
+    show: watch::Sender<Seen>,
+}
+
+impl Run {
+    async fn run(
+        mut self,
+        mut frames: mpsc::Receiver<Inbound>,
+        mut commands: mpsc::Receiver<Event>,
+        cancel: CancellationToken,
+    ) {
+        let mut tick = tokio::time::interval(Duration::from_millis(20));
+        loop {
+            tokio::select! {
+                _ = tick.tick() => self.event(Event::Tick).await,
+                Some(inbound) = frames.recv() => self.inbound(inbound).await,
+                Some(event) = commands.recv() => self.event(event).await,
+                () = cancel.cancelled() => return,
+            }
+        }
+    }
+
+    async fn inbound(&mut self, inbound: Inbound) {
+        match inbound {
+            Inbound::Member { from, message } => self.event(Event::Frame { from, message }).await,
+            Inbound::Head { reply, .. } => {
+                let head = self.group.head().map(|h| h.number.to_le_bytes().to_vec());
+                let _ = reply.send(head);
+            }
+            Inbound::Status { reply } => {
+                let number = self.group.head().map_or(0, |h| h.number);
+                let _ = reply.send(Status {
+                    number,
+                    ..Status::default()
+                });
+            }
+            Inbound::Unreached(addr) => {
+                let id = self
+                    .group
+                    .roster()
+                    .iter()
+                    .find(|p| p.identity.addr == addr)
+                    .map(|p| p.id);
+                if let Some(id) = id {
+                    self.event(Event::Unreached(id)).await;
+                }
+            }
+        }
+    }
+
+    async fn event(&mut self, event: Event) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            let mut out = Vec::new();
+            self.group.handle(self.begun.elapsed(), event, &mut out);
+            for action in out {
+                events.extend(self.act(action).await);
+            }
+        }
+        let of = |test: fn(State) -> bool| {
+            let me = self.group.me();
+            let rows = self
+                .group
+                .roster()
+                .iter()
+                .filter(|p| p.id != me && test(p.state));
+            rows.map(|p| p.id).collect::<Vec<_>>()
+        };
+        let (up, gone) = (of(|s| s == State::Up), of(|s| s > State::Suspect));
+        let head = self.group.head().map_or(0, |h| h.number);
+        self.show
+            .send_modify(|s| (s.head, s.up, s.gone) = (head, up, gone));
+    }
+
+    async fn act(&mut self, action: Action) -> Option<Event> {
+        match action {
+            Action::Send { to, message, .. } => {
+                let _ = self.link.send(to, message);
+                None
+            }
+            Action::Newer { head, addr, .. } => self.fetch(head, addr).await,
+            Action::Learned(item) => {
+                self.show.send_modify(|s| s.items.push(item));
+                None
+            }
+            Action::Changed { .. } => None,
+        }
+    }
+
+    async fn fetch(&self, head: Head, addr: SocketAddr) -> Option<Event> {
+        let ask = HeadAsk {
+            number: head.number,
+            have: 0,
+        };
+        let bytes = self.link.head(addr, ask).await.ok()??;
+        let number = u64::from_le_bytes(bytes.try_into().ok()?);
+        (number == head.number).then_some(Event::Head(head))
+    }
+}
