Driver of a pipeline's stages and a stand-in engine

Cause: nothing spoke to model engines or plain services yet. Change: engine::{pool, chain, frame, load, order, prefix, service}: kept HTTP/2 connections, one stream per stage and attempt, opens accepted by all stages before the first step leaves, activations relayed piece by piece, every reply checked for request, attempt, step and layers. standin::engine computes a running hash over layers and positions; standin::oracle computes the same in a straight line. Conclusion: three stages over real sockets answer as the oracle does, and each layer runs once for each position (tests whole::*).

API as built: chain::Event::Progress has step 0 when a hop accepts the stream and steps count from 1 (the prefill). service::call takes service::Limit{head, fresh} and an &AtomicBool that is set just before the first byte can leave. prefix::chain names prompt blocks as the engines' cache events do.

--- /dev/null
+++ b/crates/engine/src/service.rs
@@ -0,0 +1,203 @@
+//! Calls of plain services, over HTTP/1.1.
+//!
+//! A call is written once, to one connection, and never again by this client, whatever happens to
+//! that connection: whether to call again is the router's decision.
+
+mod body;
+mod idle;
+
+pub use body::Body;
+pub(crate) use idle::Idle;
+
+use crate::pool::{Limits, Pool};
+use bytes::Bytes;
+use futures::FutureExt;
+use http::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use http::{HeaderValue, Request, Response, Uri, Version};
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+/// What went wrong with a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Cause {
+    /// No connection could be made.
+    Connect,
+    /// The connection broke before the answer was whole.
+    Reset,
+    /// The answer's head did not come in time.
+    Silent,
+    /// The request or the answer can't be framed, so that a cut answer would look like a whole one.
+    Protocol,
+}
+
+/// A failed call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Failure {
+    /// What went wrong.
+    pub cause: Cause,
+    /// Whether a byte that could start the work left.
+    pub sent: bool,
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let sent = if self.sent {
+            "after it was sent"
+        } else {
+            "before it was sent"
+        };
+        write!(f, "service call failed ({:?}) {sent}", self.cause)
+    }
+}
+
+impl std::error::Error for Failure {}
+
+/// Result of a call.
+pub type Result<T> = std::result::Result<T, Failure>;
+
+/// How to make a call.
+#[derive(Clone, Copy, Debug)]
+pub struct Limit {
+    /// Longest wait for the head of the answer.
+    pub head: Duration,
+    /// Whether to use a fresh connection even if one is kept. A kept one may be gone without a
+    /// sign; a call that may not be repeated would then be lost with its outcome unknown.
+    pub fresh: bool,
+}
+
+/// A connection ready for a call.
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    addr: SocketAddr,
+}
+
+/// Calls a service. `sent` is set just before the first byte of the call can leave, so that its
+/// owner can tell the outcome also when it drops this future.
+pub async fn call(
+    pool: &Pool,
+    addr: SocketAddr,
+    request: Request<Bytes>,
+    limit: Limit,
+    sent: &AtomicBool,
+) -> Result<Response<Body>> {
+    let request = prepare(addr, request)?;
+    let kept = if limit.fresh {
+        None
+    } else {
+        pool.idle().take(addr)
+    };
+    let mut connection = match kept {
+        Some(kept) => kept,
+        None => connect(addr, pool.limits()).await?,
+    };
+    sent.store(true, Ordering::SeqCst);
+    let answer = timeout(limit.head, connection.sender.try_send_request(request)).await;
+    match answer {
+        Ok(Ok(response)) => accept(pool, connection, response),
+        // The message is handed back only if none of it was written.
+        Ok(Err(error)) if error.message().is_some() => {
+            sent.store(false, Ordering::SeqCst);
+            Err(Failure {
+                cause: Cause::Reset,
+                sent: false,
+            })
+        }
+        Ok(Err(_)) => Err(Failure {
+            cause: Cause::Reset,
+            sent: true,
+        }),
+        Err(_) => {
+            connection.task.abort();
+            Err(Failure {
+                cause: Cause::Silent,
+                sent: true,
+            })
+        }
+    }
+}
+
+/// Whether the service answers `GET /health` with success on a new connection.
+pub(crate) async fn health(addr: SocketAddr) -> bool {
+    let Ok(request) = Request::get("/health").body(Bytes::new()) else {
+        return false;
+    };
+    let limit = Limit {
+        head: Duration::MAX,
+        fresh: true,
+    };
+    let answer = call(
+        &Pool::default(),
+        addr,
+        request,
+        limit,
+        &AtomicBool::new(false),
+    )
+    .await;
+    answer.is_ok_and(|response| response.status().is_success())
+}
+
+/// The request as HTTP/1.1 wants it: path only, a host, a known length.
+fn prepare(addr: SocketAddr, request: Request<Bytes>) -> Result<Request<Full<Bytes>>> {
+    let refused = Failure {
+        cause: Cause::Protocol,
+        sent: false,
+    };
+    let (mut parts, body) = request.into_parts();
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    parts.uri = path.parse::<Uri>().map_err(|_| refused)?;
+    parts.version = Version::HTTP_11;
+    parts.headers.remove(TRANSFER_ENCODING);
+    parts.headers.remove(CONTENT_LENGTH);
+    if !parts.headers.contains_key(HOST) {
+        let host = HeaderValue::from_str(&addr.to_string()).map_err(|_| refused)?;
+        parts.headers.insert(HOST, host);
+    }
+    Ok(Request::from_parts(parts, Full::new(body)))
+}
+
+async fn connect(addr: SocketAddr, limits: &Limits) -> Result<Connection> {
+    let refused = Failure {
+        cause: Cause::Connect,
+        sent: false,
+    };
+    let socket = timeout(limits.connect, TcpStream::connect(addr))
+        .await
+        .map_err(|_| refused)?
+        .map_err(|_| refused)?;
+    socket.set_nodelay(true).map_err(|_| refused)?;
+    let (sender, connection) = http1::handshake(TokioIo::new(socket))
+        .await
+        .map_err(|_| refused)?;
+    let task = tokio::spawn(connection.map(|_| ())).abort_handle();
+    Ok(Connection { sender, task, addr })
+}
+
+/// Takes an answer whose end can be told from a cut.
+fn accept(
+    pool: &Pool,
+    connection: Connection,
+    response: Response<hyper::body::Incoming>,
+) -> Result<Response<Body>> {
+    use hyper::body::Body as _;
+    let has_end = response.body().is_end_stream()
+        || response.body().size_hint().exact().is_some()
+        || response.headers().contains_key(TRANSFER_ENCODING);
+    if !has_end {
+        connection.task.abort();
+        return Err(Failure {
+            cause: Cause::Protocol,
+            sent: true,
+        });
+    }
+    Ok(response.map(|incoming| Body::new(pool.clone(), connection, incoming)))
+}
--- /dev/null
+++ b/crates/engine/src/service/body.rs
@@ -0,0 +1,91 @@
+//! The answer of a service as it comes.
+
+use super::{Cause, Connection, Failure};
+use crate::pool::Pool;
+use bytes::Bytes;
+use futures::FutureExt;
+use hyper::body::{Body as _, Frame, Incoming, SizeHint};
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+/// A streamed answer. It ends without an error only if it is whole. Dropped earlier, it closes the
+/// connection, which tells the service that its caller went away.
+#[derive(Debug)]
+pub struct Body {
+    pool: Pool,
+    connection: Option<Connection>,
+    incoming: Incoming,
+}
+
+impl Body {
+    pub(super) fn new(pool: Pool, connection: Connection, incoming: Incoming) -> Self {
+        let mut body = Self {
+            pool,
+            connection: Some(connection),
+            incoming,
+        };
+        if body.incoming.is_end_stream() {
+            body.keep();
+        }
+        body
+    }
+
+    /// Gives the connection back for another call, once it is ready.
+    fn keep(&mut self) {
+        let Some(mut connection) = self.connection.take() else {
+            return;
+        };
+        let pool = self.pool.clone();
+        if let Some(Ok(())) = connection.sender.ready().now_or_never() {
+            pool.idle().put(connection);
+            return;
+        }
+        tokio::spawn(async move {
+            if connection.sender.ready().await.is_ok() {
+                pool.idle().put(connection);
+            }
+        });
+    }
+}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = Failure;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Failure>>> {
+        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(cx));
+        match frame {
+            Some(Ok(frame)) => Poll::Ready(Some(Ok(frame))),
+            Some(Err(_)) => {
+                self.connection = None;
+                Poll::Ready(Some(Err(Failure {
+                    cause: Cause::Reset,
+                    sent: true,
+                })))
+            }
+            None => {
+                self.keep();
+                Poll::Ready(None)
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
+
+impl Drop for Body {
+    fn drop(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            connection.task.abort();
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/cache.rs
@@ -0,0 +1,92 @@
+//! Prefix cache: which prompt blocks an engine still holds, and its events.
+
+use engine::load::CacheEvent;
+use std::collections::{HashMap, VecDeque};
+
+/// Events that a report carries at most.
+const EVENTS: usize = 128;
+
+/// A cache of bounded size; the block used longest ago goes first.
+#[derive(Debug)]
+pub(super) struct Cache {
+    size: usize,
+    /// One event in so many is lost; 0 loses none.
+    loss: u64,
+    used: HashMap<u64, u64>,
+    clock: u64,
+    number: u64,
+    events: VecDeque<CacheEvent>,
+}
+
+impl Cache {
+    pub(super) fn new(size: usize, loss: u64) -> Self {
+        let (used, events) = (HashMap::new(), VecDeque::new());
+        Self {
+            size,
+            loss,
+            used,
+            clock: 0,
+            number: 0,
+            events,
+        }
+    }
+
+    /// Blocks of the prefix that were held; all of them are held afterwards.
+    pub(super) fn touch(&mut self, prefix: &[u64]) -> usize {
+        let hits = prefix
+            .iter()
+            .take_while(|block| self.used.contains_key(block))
+            .count();
+        for block in prefix.iter().take(self.size) {
+            self.clock += 1;
+            if self.used.insert(*block, self.clock).is_none() {
+                self.report(*block, true);
+            }
+        }
+        self.evict();
+        hits
+    }
+
+    /// The last events.
+    pub(super) fn events(&self) -> Vec<CacheEvent> {
+        self.events.iter().copied().collect()
+    }
+
+    /// Forgets all blocks, as a restart does.
+    pub(super) fn clear(&mut self) {
+        self.used.clear();
+        self.events.clear();
+    }
+
+    fn evict(&mut self) {
+        let excess = self.used.len().saturating_sub(self.size);
+        if excess == 0 {
+            return;
+        }
+        let mut oldest: Vec<_> = self
+            .used
+            .iter()
+            .map(|(block, used)| (*used, *block))
+            .collect();
+        oldest.sort_unstable();
+        for (_, block) in oldest.into_iter().take(excess) {
+            self.used.remove(&block);
+            self.report(block, false);
+        }
+    }
+
+    fn report(&mut self, block: u64, stored: bool) {
+        self.number += 1;
+        if self.loss > 0 && self.number.is_multiple_of(self.loss) {
+            return;
+        }
+        if self.events.len() == EVENTS {
+            self.events.pop_front();
+        }
+        self.events.push_back(CacheEvent {
+            number: self.number,
+            block,
+            stored,
+        });
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/counts.rs
@@ -0,0 +1,132 @@
+//! Counts and the account of layers that ran.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
+
+/// Counts since the engine was made; a restart doesn't reset them.
+#[derive(Debug, Default)]
+pub struct Counters {
+    /// Requests that got a slot.
+    pub opened: AtomicU64,
+    /// Requests that were refused.
+    pub refused: AtomicU64,
+    /// Steps run.
+    pub steps: AtomicU64,
+    /// Positions run through all layers held for them, prefill included.
+    pub positions: AtomicU64,
+    /// Requests whose caller ended them after its last step.
+    pub finished: AtomicU64,
+    /// Requests that were reset while they held a slot.
+    pub cancelled: AtomicU64,
+    /// Deaths.
+    pub deaths: AtomicU64,
+    /// Connections accepted.
+    pub connections: AtomicU64,
+    /// Orders carried out.
+    pub orders: AtomicU64,
+    /// Orders refused for their fencing number.
+    pub old_fences: AtomicU64,
+}
+
+impl Counters {
+    pub(super) fn add(counter: &AtomicU64) {
+        counter.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Reads a count.
+    pub fn get(counter: &AtomicU64) -> u64 {
+        counter.load(Ordering::SeqCst)
+    }
+}
+
+/// How often each layer ran for each position, in one attempt.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Runs {
+    /// First layer of the range.
+    pub from: u16,
+    /// By layer of the range, then by position.
+    pub counts: Vec<Vec<u32>>,
+}
+
+impl Runs {
+    /// Whether each layer ran exactly once for each of the first `positions` positions, and for
+    /// none beyond.
+    pub fn is_once(&self, positions: usize) -> bool {
+        let once = |layer: &Vec<u32>| layer.len() == positions && layer.iter().all(|n| *n == 1);
+        self.counts.iter().all(once)
+    }
+
+    fn enter(&mut self, layer: u16, position: u64) {
+        let Some(layer) = self.counts.get_mut(usize::from(layer - self.from)) else {
+            return;
+        };
+        let position = position as usize;
+        if layer.len() <= position {
+            layer.resize(position + 1, 0);
+        }
+        layer[position] += 1;
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Key {
+    request: u128,
+    attempt: u32,
+}
+
+#[derive(Debug, Default)]
+struct Kept {
+    runs: BTreeMap<Key, Runs>,
+    order: VecDeque<Key>,
+}
+
+/// The runs of the last attempts.
+#[derive(Debug)]
+pub(super) struct Ledger {
+    size: usize,
+    kept: Mutex<Kept>,
+}
+
+impl Ledger {
+    pub(super) fn new(size: usize) -> Self {
+        Self {
+            size,
+            kept: Mutex::default(),
+        }
+    }
+
+    /// Whether anything is kept.
+    pub(super) fn is_on(&self) -> bool {
+        self.size > 0
+    }
+
+    pub(super) fn enter(
+        &self,
+        request: u128,
+        attempt: u32,
+        range: std::ops::Range<u16>,
+        layers: &[u16],
+        position: u64,
+    ) {
+        let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        let key = Key { request, attempt };
+        if !kept.runs.contains_key(&key) {
+            kept.order.push_back(key);
+            if kept.order.len() > self.size {
+                let oldest = kept.order.pop_front();
+                oldest.map(|oldest| kept.runs.remove(&oldest));
+            }
+        }
+        let runs = kept.runs.entry(key).or_insert_with(|| Runs {
+            from: range.start,
+            counts: vec![Vec::new(); range.len()],
+        });
+        layers.iter().for_each(|layer| runs.enter(*layer, position));
+    }
+
+    pub(super) fn get(&self, request: u128, attempt: u32) -> Option<Runs> {
+        let kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        kept.runs.get(&Key { request, attempt }).cloned()
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/lanes.rs
@@ -0,0 +1,101 @@
+//! Pacing: how many steps an engine computes at once, and how long each takes.
+//!
+//! Timers fire up to a millisecond late. A lane is therefore accounted by the instant at which it
+//! would have been free, so that a busy engine's throughput is exactly lanes / cost.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep_until};
+
+/// Lanes shared by an engine's requests.
+#[derive(Debug)]
+pub(super) struct Lanes {
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    free: BinaryHeap<Reverse<Instant>>,
+    waiting: BTreeMap<(u32, u64), oneshot::Sender<Lane>>,
+    arrivals: u64,
+}
+
+/// A lane in use; free again when dropped.
+#[derive(Debug)]
+struct Lane {
+    lanes: Arc<Lanes>,
+    until: Instant,
+}
+
+impl Drop for Lane {
+    fn drop(&mut self) {
+        self.lanes.lock().free.push(Reverse(self.until));
+        self.lanes.dispatch();
+    }
+}
+
+impl Lanes {
+    pub(super) fn new(count: usize) -> Arc<Self> {
+        let now = Instant::now();
+        let free = std::iter::repeat_n(Reverse(now), count).collect();
+        let state = State {
+            free,
+            waiting: BTreeMap::new(),
+            arrivals: 0,
+        };
+        Arc::new(Self {
+            state: Mutex::new(state),
+        })
+    }
+
+    /// Steps that wait for a lane.
+    pub(super) fn waiting(&self) -> usize {
+        self.lock().waiting.len()
+    }
+
+    /// Takes a lane for `cost`; the lower rank goes first, then the earlier.
+    pub(super) async fn run(self: &Arc<Self>, rank: u32, cost: Duration) {
+        let arrived = Instant::now();
+        let (grant, granted) = oneshot::channel();
+        {
+            let mut state = self.lock();
+            state.arrivals += 1;
+            let key = (rank, state.arrivals);
+            state.waiting.insert(key, grant);
+        }
+        self.dispatch();
+        let Ok(mut lane) = granted.await else {
+            return;
+        };
+        lane.until = lane.until.max(arrived) + cost;
+        sleep_until(lane.until).await;
+    }
+
+    /// Gives free lanes to waiting steps. A step that went away drops its lane, which dispatches
+    /// again.
+    fn dispatch(self: &Arc<Self>) {
+        while let Some((grant, until)) = self.next() {
+            let _ = grant.send(Lane {
+                lanes: self.clone(),
+                until,
+            });
+        }
+    }
+
+    fn next(&self) -> Option<(oneshot::Sender<Lane>, Instant)> {
+        let mut state = self.lock();
+        state.waiting.retain(|_, grant| !grant.is_closed());
+        if state.waiting.is_empty() {
+            return None;
+        }
+        let Reverse(until) = state.free.pop()?;
+        state.waiting.pop_first().map(|(_, grant)| (grant, until))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/status.rs
@@ -0,0 +1,163 @@
+//! Load reports and orders.
+
+use super::Span;
+use super::counts::Counters;
+use super::state::{Held, Snapshot, State, lock};
+use bytes::{Bytes, BytesMut};
+use engine::load::{Loaded, Report};
+use engine::order::{Answer, Order, What};
+use h2::RecvStream;
+use h2::server::SendResponse;
+use http::{Response, StatusCode};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Longest order in bytes.
+const ORDER_LIMIT: usize = 64 << 10;
+
+/// Renews the load report as often as the lag says.
+pub(super) async fn keep(state: Arc<State>) {
+    let lag = state.config.report_lag;
+    if lag.is_zero() {
+        *lock(&state.snapshot) = None;
+        return;
+    }
+    loop {
+        let snapshot = Snapshot {
+            report: report(&state),
+            made: Instant::now(),
+        };
+        *lock(&state.snapshot) = Some(snapshot);
+        sleep(lag).await;
+    }
+}
+
+fn report(state: &State) -> Report {
+    let now = Instant::now();
+    let held = lock(&state.held);
+    let models = held.iter().map(|held| Loaded {
+        model: held.span.model.clone(),
+        version: held.span.version.clone(),
+        adapters: held.span.adapters.clone().unwrap_or_default(),
+        from: held.span.from,
+        to: held.span.to,
+        ready: held.ready_at <= now,
+    });
+    Report {
+        running: state.running() as u32,
+        waiting: state.lanes.waiting() as u32,
+        slots: state.config.slots as u32,
+        inter_token: Duration::from_nanos(state.inter_token.load(Ordering::Relaxed)),
+        age: Duration::ZERO,
+        models: models.collect(),
+        cache: lock(&state.cache).events(),
+        fence: state.fence.load(Ordering::SeqCst),
+    }
+}
+
+/// Answers with the last report.
+pub(super) fn load(state: &State, mut respond: SendResponse<Bytes>) {
+    let kept = lock(&state.snapshot).clone();
+    let report = match kept {
+        Some(Snapshot { report, made }) => Report {
+            age: made.elapsed(),
+            ..report
+        },
+        None => report(state),
+    };
+    let body = serde_json::to_vec(&report).unwrap_or_default();
+    answer(&mut respond, StatusCode::OK, body.into());
+}
+
+/// Carries out an order.
+pub(super) async fn order(
+    state: Arc<State>,
+    mut body: RecvStream,
+    mut respond: SendResponse<Bytes>,
+) {
+    let mut bytes = BytesMut::new();
+    while let Some(Ok(chunk)) = body.data().await {
+        let _ = body.flow_control().release_capacity(chunk.len());
+        bytes.extend_from_slice(&chunk);
+        if bytes.len() > ORDER_LIMIT {
+            return answer(&mut respond, StatusCode::PAYLOAD_TOO_LARGE, Bytes::new());
+        }
+    }
+    let Ok(order) = serde_json::from_slice::<Order>(&bytes) else {
+        return answer(&mut respond, StatusCode::BAD_REQUEST, Bytes::new());
+    };
+    let body = serde_json::to_vec(&obey(&state, order)).unwrap_or_default();
+    answer(&mut respond, StatusCode::OK, body.into());
+}
+
+fn obey(state: &State, order: Order) -> Answer {
+    let highest = state.fence.fetch_max(order.fence, Ordering::SeqCst);
+    if state.config.fenced && order.fence < highest {
+        Counters::add(&state.counters.old_fences);
+        return Answer::OldFence;
+    }
+    Counters::add(&state.counters.orders);
+    match order.what {
+        What::Load {
+            model,
+            version,
+            layers,
+            adapters,
+            from,
+            to,
+        } => {
+            let adapters = Some(adapters);
+            hold(
+                state,
+                Span {
+                    model,
+                    version,
+                    layers,
+                    from,
+                    to,
+                    adapters,
+                },
+            )
+        }
+        What::Unload { model, version } => {
+            let is_other =
+                |held: &Held| (&held.span.model, &held.span.version) != (&model, &version);
+            lock(&state.held).retain(is_other);
+            Answer::Done
+        }
+        What::Serve(on) => {
+            state.fault.leaving.store(!on, Ordering::SeqCst);
+            Answer::Done
+        }
+    }
+}
+
+fn hold(state: &State, span: Span) -> Answer {
+    if span.from >= span.to || span.to > span.layers {
+        return Answer::Refused;
+    }
+    let mut held = lock(&state.held);
+    if held.iter().any(|other| other.span == span) {
+        return Answer::Done;
+    }
+    held.retain(|other| (&other.span.model, &other.span.version) != (&span.model, &span.version));
+    held.push(Held {
+        span,
+        ready_at: Instant::now() + state.config.load_time,
+    });
+    Answer::Done
+}
+
+/// Sends a whole answer.
+pub(super) fn answer(respond: &mut SendResponse<Bytes>, status: StatusCode, body: Bytes) {
+    let mut response = Response::new(());
+    *response.status_mut() = status;
+    let Ok(mut sender) = respond.send_response(response, body.is_empty()) else {
+        return;
+    };
+    if !body.is_empty() {
+        let _ = sender.send_data(body, true);
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,7 @@
-//! placeholder
+//! Small fakes of the platform and the endpoints, for tests, measurements and the demo.
+//!
+//! They listen on loopback, many in one process, and can be made to fail while they run.
+
+pub mod engine;
+pub mod oracle;
+pub mod service;
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,1 @@
+//! A stand-in for a plain service.
