Nodes spread where they serve callers; routers tell their accounts

Cause: an address answer needs the callers' listener of each peer, and shares of team limits need what each worker's teams ask for; neither was reachable. Change: member::item::Body::Callers with its wire form; route::Router::accounts. Conclusion: control can build the address answer and the shares.

--- a/crates/member/src/item.rs
+++ b/crates/member/src/item.rs
@@ -3,6 +3,7 @@
 use crate::identity::{Id, Incarnation};
 use crate::level::Level;
 use std::fmt;
+use std::net::SocketAddr;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -26,6 +27,8 @@
     Leaving,
     /// Load of the origin.
     Load,
+    /// The origin's callers' listener.
+    Callers,
     /// An endpoint, by name.
     Endpoint(String),
     /// A fingerprint in flight at an endpoint's death.
@@ -43,6 +46,13 @@
     Leaving,
     /// Load of the origin as a fraction of what it can carry.
     Load(Level),
+    /// Where the origin serves callers.
+    Callers {
+        /// Address as callers reach it.
+        addr: SocketAddr,
+        /// Whether it speaks TLS.
+        tls: bool,
+    },
     /// The origin ejected an endpoint, or took it back.
     Endpoint {
         /// Name of the endpoint.
@@ -83,6 +93,7 @@
         match self {
             Self::Leaving => Key::Leaving,
             Self::Load(_) => Key::Load,
+            Self::Callers { .. } => Key::Callers,
             Self::Endpoint { name, .. } => Key::Endpoint(name.clone()),
             Self::Suspect { fingerprint, .. } => Key::Suspect(*fingerprint),
             Self::Condemned { fingerprint, .. } => Key::Condemned(*fingerprint),
@@ -136,6 +147,7 @@
         match self {
             Self::Leaving => write!(f, "leaving"),
             Self::Load(level) => write!(f, "load {level}"),
+            Self::Callers { addr, tls } => write!(f, "callers {addr} tls={tls}"),
             Self::Endpoint { name, ejected, ttl } => {
                 write!(f, "endpoint {name} ejected={ejected} for {ttl:?}")
             }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -173,6 +173,11 @@
         report
     }
 
+    /// Accounts by team of the view's bundle.
+    pub fn accounts(&self) -> &[crate::share::Account] {
+        &self.shares.rows
+    }
+
     fn running(&self) -> usize {
         self.flights.len() - self.parked.len() - self.queue.urgent - self.queue.fair
     }
--- a/crates/wire/src/raw.rs
+++ b/crates/wire/src/raw.rs
@@ -168,4 +168,8 @@
         fingerprint: Id,
         ttl: u32,
     },
+    Callers {
+        addr: SocketAddr,
+        tls: bool,
+    },
 }
--- a/crates/wire/src/raw/from.rs
+++ b/crates/wire/src/raw/from.rs
@@ -207,6 +207,10 @@
         match body {
             item::Body::Leaving => Self::Leaving,
             item::Body::Load(level) => Self::Load(level.0),
+            item::Body::Callers { addr, tls } => Self::Callers {
+                addr: *addr,
+                tls: *tls,
+            },
             item::Body::Endpoint { name, ejected, ttl } => Self::Endpoint {
                 name: name.clone(),
                 ejected: *ejected,
--- a/crates/wire/src/raw/into.rs
+++ b/crates/wire/src/raw/into.rs
@@ -290,6 +290,7 @@
         Ok(match raw {
             Observation::Leaving => Self::Leaving,
             Observation::Load(level) => Self::Load(Level(level)),
+            Observation::Callers { addr, tls } => Self::Callers { addr, tls },
             Observation::Endpoint {
                 name: text,
                 ejected,
