--- /dev/null
+++ b/crates/entry/src/admin.rs
@@ -0,0 +1,275 @@
+//! The admin listener: readiness, metrics, dumps and the administration API.
+//!
+//! Its one write takes a signed bundle version. It can't change anything else about an instance.
+
+use crate::api::error::Error;
+use crate::core::{Command, Tx};
+use crate::limits::Limits;
+use crate::reading;
+use bundle::answer::{Answer, Word};
+use bytes::Bytes;
+use http::StatusCode;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http_body_util::Full;
+use prometheus::{Encoder, Registry, TextEncoder};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+use viz::{Body, IntoResponse, Request, Response, Router};
+
+/// Questions that may wait for control; one more is answered with an error at once.
+pub const QUESTIONS: usize = 64;
+/// Longest time that control or a worker has to answer.
+const ANSWER_TIME: Duration = Duration::from_secs(2);
+/// Longest time that a published version has to be settled.
+const PUBLISH_TIME: Duration = Duration::from_secs(30);
+
+/// What the admin listener asks control.
+#[derive(Debug)]
+pub enum Question {
+    /// The state of this node.
+    Status(oneshot::Sender<Status>),
+    /// The versions that were in force.
+    History(oneshot::Sender<Vec<Version>>),
+    /// The nodes and what is in force on each.
+    Fleet(oneshot::Sender<Vec<Node>>),
+    /// Appends a signed version.
+    Publish(Bytes, oneshot::Sender<Answer>),
+    /// The state of control in text, a part each.
+    Dump(oneshot::Sender<Vec<Part>>),
+}
+
+/// State of a node.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// Name of the node.
+    pub node: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Incarnation: when it started, in milliseconds of Unix time.
+    pub incarnation: u64,
+    /// Whether it serves callers.
+    pub ready: bool,
+    /// Whether it leaves.
+    pub leaving: bool,
+    /// Number of the bundle in force; 0 before the first.
+    pub number: u64,
+    /// Digest of the bundle in force.
+    pub digest: String,
+    /// Who signed it.
+    pub signer: String,
+    /// Milliseconds since the log was last read to its end; none if never.
+    pub log_age_ms: Option<u64>,
+    /// Why the log could not be read last time.
+    pub log_error: Option<String>,
+}
+
+/// A version that was in force.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Version {
+    /// Number.
+    pub number: u64,
+    /// Digest of the result.
+    pub digest: String,
+    /// Who signed it.
+    pub signer: String,
+    /// Offset of its record; none when it came from a checkpoint or a peer.
+    pub offset: Option<u64>,
+}
+
+/// A node of the fleet.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Node {
+    /// Name.
+    pub node: String,
+    /// Availability zone.
+    pub zone: String,
+    /// What the node that answers holds of it.
+    pub state: String,
+    /// Number of the bundle in force there, as last heard.
+    pub number: u64,
+    /// Digest of the bundle in force there, as last heard.
+    pub digest: String,
+}
+
+/// A part of a dump.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// Name of the part.
+    pub part: String,
+    /// Its state.
+    pub text: String,
+}
+
+/// What the handlers share.
+pub struct Shared {
+    /// Where questions to control go.
+    pub control: mpsc::Sender<Question>,
+    /// The workers.
+    pub workers: Vec<Tx>,
+    /// The metrics page.
+    pub registry: Registry,
+    /// Bounds.
+    pub limits: Limits,
+}
+
+type State = Arc<Shared>;
+type Result<T> = std::result::Result<T, Error>;
+
+/// The admin routes.
+pub fn routes(state: State) -> Router {
+    let mut router = Router::new().get("/healthz", |_: Request| async { Ok("ok\n") });
+    let s = state.clone();
+    router = router.get("/readyz", move |_: Request| {
+        let s = s.clone();
+        async move { reply(ready(&s).await) }
+    });
+    let s = state.clone();
+    router = router.get("/metrics", move |_: Request| {
+        let s = s.clone();
+        async move { reply(metrics(&s)) }
+    });
+    let s = state.clone();
+    router = router.get("/dump", move |req: Request| {
+        let s = s.clone();
+        async move { reply(dump(&s, &req).await) }
+    });
+    let s = state.clone();
+    router = router.get("/admin/v1/status", move |_: Request| {
+        let s = s.clone();
+        async move {
+            reply(
+                ask(&s, ANSWER_TIME, Question::Status)
+                    .await
+                    .map(|v| json(&v)),
+            )
+        }
+    });
+    let s = state.clone();
+    router = router.get("/admin/v1/history", move |_: Request| {
+        let s = s.clone();
+        async move {
+            reply(
+                ask(&s, ANSWER_TIME, Question::History)
+                    .await
+                    .map(|v| json(&v)),
+            )
+        }
+    });
+    let s = state.clone();
+    router = router.get("/admin/v1/fleet", move |_: Request| {
+        let s = s.clone();
+        async move {
+            reply(
+                ask(&s, ANSWER_TIME, Question::Fleet)
+                    .await
+                    .map(|v| json(&v)),
+            )
+        }
+    });
+    let s = state;
+    router = router.post("/admin/v1/bundles", move |req: Request| {
+        let s = s.clone();
+        async move { reply(publish(&s, req).await) }
+    });
+    router.any("/*", |_: Request| async {
+        let error = Error::new(
+            StatusCode::NOT_FOUND,
+            "unknown_path",
+            "nothing is served here",
+        );
+        Ok(error.into_response())
+    })
+}
+
+fn reply(result: Result<Response>) -> viz::Result<Response> {
+    Ok(result.unwrap_or_else(IntoResponse::into_response))
+}
+
+/// Asks control and waits for its answer, both within bounds.
+async fn ask<T>(
+    state: &Shared,
+    limit: Duration,
+    question: impl FnOnce(oneshot::Sender<T>) -> Question,
+) -> Result<T> {
+    let busy = || {
+        let message = "control does not answer in time";
+        Error::new(StatusCode::SERVICE_UNAVAILABLE, "control_busy", message)
+    };
+    let (tx, rx) = oneshot::channel();
+    state.control.try_send(question(tx)).map_err(|_| busy())?;
+    let answer = timeout(limit, rx).await;
+    answer.ok().and_then(|a| a.ok()).ok_or_else(busy)
+}
+
+async fn ready(state: &Shared) -> Result<Response> {
+    let status = ask(state, ANSWER_TIME, Question::Status).await?;
+    let mut response = json(&status);
+    if !status.ready {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    Ok(response)
+}
+
+fn metrics(state: &Shared) -> Result<Response> {
+    let encoder = TextEncoder::new();
+    let mut text = Vec::new();
+    let encoded = encoder.encode(&state.registry.gather(), &mut text);
+    encoded.map_err(|e| Error::new(StatusCode::INTERNAL_SERVER_ERROR, "metrics", e.to_string()))?;
+    Ok(typed(Bytes::from(text), "text/plain; version=0.0.4"))
+}
+
+async fn dump(state: &Shared, req: &Request) -> Result<Response> {
+    let mut parts = ask(state, ANSWER_TIME, Question::Dump).await?;
+    for (number, tx) in state.workers.iter().enumerate() {
+        parts.push(worker_dump(number, tx).await);
+    }
+    let asked = viz::RequestExt::query_string(req).unwrap_or("");
+    if asked.split('&').any(|p| p == "format=json") {
+        return Ok(json(&parts));
+    }
+    let sections = parts
+        .iter()
+        .map(|p| format!("== {} ==\n{}\n", p.part, p.text));
+    let text: String = sections.collect();
+    Ok(typed(Bytes::from(text), "text/plain; charset=utf-8"))
+}
+
+async fn worker_dump(number: usize, worker: &Tx) -> Part {
+    let (tx, rx) = oneshot::channel();
+    let _ = worker.send(Command::Dump(tx));
+    let answer = timeout(ANSWER_TIME, rx).await;
+    let text = answer.ok().and_then(|a| a.ok());
+    Part {
+        part: format!("worker {number}"),
+        text: text.unwrap_or_else(|| "no answer in time\n".to_owned()),
+    }
+}
+
+async fn publish(state: &Shared, mut req: Request) -> Result<Response> {
+    let body = reading::body(&mut req, &state.limits).await?;
+    let answer = ask(state, PUBLISH_TIME, |tx| Question::Publish(body, tx)).await?;
+    let mut response = json(&answer);
+    *response.status_mut() = match answer.outcome {
+        Word::Accepted => StatusCode::OK,
+        Word::Lost => StatusCode::CONFLICT,
+        Word::Refused => StatusCode::UNPROCESSABLE_ENTITY,
+        Word::Failed => StatusCode::SERVICE_UNAVAILABLE,
+        Word::Unsure => StatusCode::GATEWAY_TIMEOUT,
+    };
+    Ok(response)
+}
+
+fn json<T: Serialize>(value: &T) -> Response {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    typed(Bytes::from(body), "application/json")
+}
+
+fn typed(body: Bytes, kind: &'static str) -> Response {
+    let mut response = Response::new(Body::from(Full::from(body)));
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+    response
+}
--- /dev/null
+++ b/crates/entry/src/api/ask.rs
@@ -0,0 +1,178 @@
+//! What a chat or text completion asks for, checked.
+
+use super::error::{Error, Result};
+use bytes::Bytes;
+use http::StatusCode;
+
+/// Most stop sequences in one request.
+const STOPS: usize = 4;
+/// Longest stop sequence, in bytes.
+const STOP_BYTES: usize = 256;
+
+/// Which of the two APIs is spoken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// `POST /v1/chat/completions`.
+    Chat,
+    /// `POST /v1/completions`.
+    Text,
+}
+
+/// A checked completion request, before the bundle is looked at.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    /// Which API.
+    pub kind: Kind,
+    /// Model, as named by the caller: `model` or `model:adapter`.
+    pub model: String,
+    /// Prompt text that the first stage tokenises.
+    pub prompt: Bytes,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+    /// Whether a streamed answer ends with its usage.
+    pub usage: bool,
+    /// Most tokens to generate, if named.
+    pub most: Option<u32>,
+    /// Seed of the sampling.
+    pub seed: u64,
+    /// Sequences at which the answer ends; they are not part of it.
+    pub stops: Vec<String>,
+}
+
+/// Fields that both APIs share, as they come.
+#[derive(Clone, Debug, Default, serde::Deserialize)]
+pub struct Raw {
+    model: Option<String>,
+    stream: Option<bool>,
+    stream_options: Option<RawStream>,
+    max_tokens: Option<i64>,
+    max_completion_tokens: Option<i64>,
+    seed: Option<i64>,
+    n: Option<i64>,
+    stop: Option<RawStop>,
+    logprobs: Option<serde_json::Value>,
+    tools: Option<serde_json::Value>,
+    functions: Option<serde_json::Value>,
+    response_format: Option<serde_json::Value>,
+    best_of: Option<i64>,
+    echo: Option<bool>,
+    suffix: Option<String>,
+}
+
+#[derive(Clone, Debug, Default, serde::Deserialize)]
+struct RawStream {
+    include_usage: Option<bool>,
+}
+
+#[derive(Clone, Debug, serde::Deserialize)]
+#[serde(untagged)]
+enum RawStop {
+    One(String),
+    Many(Vec<String>),
+}
+
+impl Raw {
+    /// Checks the shared fields and joins them with the prompt.
+    pub fn check(self, kind: Kind, prompt: Bytes) -> Result<Ask> {
+        self.refuse_unsupported()?;
+        let most = self.most()?;
+        let stops = stops(self.stop)?;
+        let model = self
+            .model
+            .filter(|m| !m.is_empty())
+            .ok_or_else(|| Error::value("model", "no model is named"))?;
+        Ok(Ask {
+            kind,
+            model,
+            prompt,
+            stream: self.stream.unwrap_or(false),
+            usage: self
+                .stream_options
+                .and_then(|o| o.include_usage)
+                .unwrap_or(false),
+            most,
+            seed: self.seed.unwrap_or(0) as u64,
+            stops,
+        })
+    }
+
+    /// An option that the engines would not honour is refused: an answer that silently left it out
+    /// would not be the answer asked for.
+    fn refuse_unsupported(&self) -> Result<()> {
+        let given = [
+            ("n", self.n.is_some_and(|n| n != 1)),
+            ("best_of", self.best_of.is_some_and(|n| n != 1)),
+            ("logprobs", asks(&self.logprobs)),
+            ("tools", asks(&self.tools)),
+            ("functions", asks(&self.functions)),
+            ("response_format", asks_format(&self.response_format)),
+            ("echo", self.echo == Some(true)),
+            ("suffix", self.suffix.is_some()),
+        ];
+        match given.iter().find(|(_, given)| *given) {
+            None => Ok(()),
+            Some((param, _)) => Err(Error::value(param, format!("{param} is not supported"))),
+        }
+    }
+
+    fn most(&self) -> Result<Option<u32>> {
+        let (param, value) = match (self.max_completion_tokens, self.max_tokens) {
+            (Some(most), _) => ("max_completion_tokens", most),
+            (None, Some(most)) => ("max_tokens", most),
+            (None, None) => return Ok(None),
+        };
+        match u32::try_from(value) {
+            Ok(most) if most > 0 => Ok(Some(most)),
+            _ => Err(Error::value(
+                param,
+                "the number of tokens must be 1 or more",
+            )),
+        }
+    }
+}
+
+fn asks(value: &Option<serde_json::Value>) -> bool {
+    use serde_json::Value;
+    match value {
+        None | Some(Value::Null | Value::Bool(false)) => false,
+        Some(Value::Array(list)) => !list.is_empty(),
+        Some(_) => true,
+    }
+}
+
+fn asks_format(value: &Option<serde_json::Value>) -> bool {
+    value
+        .as_ref()
+        .is_some_and(|v| v.get("type").and_then(|t| t.as_str()) != Some("text"))
+}
+
+fn stops(raw: Option<RawStop>) -> Result<Vec<String>> {
+    let stops = match raw {
+        None => Vec::new(),
+        Some(RawStop::One(stop)) => vec![stop],
+        Some(RawStop::Many(stops)) => stops,
+    };
+    if stops.len() > STOPS {
+        return Err(Error::value(
+            "stop",
+            format!("more than {STOPS} stop sequences"),
+        ));
+    }
+    if stops.iter().any(|s| s.is_empty() || s.len() > STOP_BYTES) {
+        let message = format!("a stop sequence is empty or longer than {STOP_BYTES} bytes");
+        return Err(Error::value("stop", message));
+    }
+    Ok(stops)
+}
+
+/// Parses `body`; broken JSON, wrong types and too deep nesting are told apart from bad values.
+pub fn parse<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T> {
+    serde_json::from_slice(body).map_err(|error| {
+        let message = format!("the body can't be read: {error}");
+        if error.is_data() {
+            Error::new(StatusCode::UNPROCESSABLE_ENTITY, "invalid_type", message)
+        } else {
+            Error::new(StatusCode::BAD_REQUEST, "invalid_json", message)
+        }
+    })
+}
--- /dev/null
+++ b/crates/entry/src/api/completion.rs
@@ -0,0 +1,69 @@
+//! Bodies and answers of `POST /v1/completions`.
+
+use super::ask::{Ask, Kind, Raw, parse};
+use super::chat::Usage;
+use super::error::{Error, Result};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+#[derive(Deserialize)]
+struct RawCompletion {
+    #[serde(flatten)]
+    shared: Raw,
+    prompt: Option<RawPrompt>,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum RawPrompt {
+    One(String),
+    Many(Vec<String>),
+}
+
+/// Reads and checks a body.
+pub fn read(body: &[u8]) -> Result<Ask> {
+    let raw: RawCompletion = parse(body)?;
+    let prompt = prompt(raw.prompt)?;
+    raw.shared.check(Kind::Text, Bytes::from(prompt))
+}
+
+fn prompt(raw: Option<RawPrompt>) -> Result<String> {
+    match raw {
+        Some(RawPrompt::One(prompt)) if !prompt.is_empty() => Ok(prompt),
+        Some(RawPrompt::Many(mut prompts)) if prompts.len() == 1 => Ok(prompts.remove(0)),
+        Some(RawPrompt::Many(_)) => Err(Error::value("prompt", "only one prompt is supported")),
+        _ => Err(Error::value("prompt", "there is no prompt")),
+    }
+}
+
+/// A whole answer, or one event of a streamed one.
+#[derive(Debug, Serialize)]
+pub struct Answer<'a> {
+    /// Id of the answer.
+    pub id: &'a str,
+    /// Kind of object.
+    pub object: &'static str,
+    /// Unix time of its making.
+    pub created: u64,
+    /// Model, as named by the caller.
+    pub model: &'a str,
+    /// The one choice; none in the event that only carries usage.
+    pub choices: Vec<Choice<'a>>,
+    /// Tokens used.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub usage: Option<Usage>,
+    /// Outcome, in the last event of a stream.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub outcome: Option<&'static str>,
+}
+
+/// The choice.
+#[derive(Debug, Serialize)]
+pub struct Choice<'a> {
+    /// Always 0.
+    pub index: u32,
+    /// Text, or what an event adds to it.
+    pub text: &'a str,
+    /// Why it ended.
+    pub finish_reason: Option<&'static str>,
+}
--- /dev/null
+++ b/crates/entry/src/api/header.rs
@@ -0,0 +1,150 @@
+//! Headers of the callers' API beyond the usual ones, and their checked form.
+
+use super::error::{Error, Result};
+use bundle::Bundle;
+use bundle::id::{PriorityId, TeamId};
+use http::header::AUTHORIZATION;
+use http::{HeaderMap, HeaderName, StatusCode};
+use std::time::Duration;
+
+/// Outcome of the request, in every answer whose outcome is known when its head is sent.
+pub const OUTCOME: HeaderName = HeaderName::from_static("x-wigeonshelf-outcome");
+/// Name of a priority of the bundle.
+pub const PRIORITY: HeaderName = HeaderName::from_static("x-wigeonshelf-priority");
+/// Milliseconds after which the answer has lost its worth.
+pub const DEADLINE: HeaderName = HeaderName::from_static("x-wigeonshelf-deadline-ms");
+/// `false` for a request that must run at most once.
+pub const REPEATABLE: HeaderName = HeaderName::from_static("x-wigeonshelf-repeatable");
+/// `true` for an answer that comes whole or not at all.
+pub const WHOLE: HeaderName = HeaderName::from_static("x-wigeonshelf-whole");
+/// Id of the request, in every answer.
+pub const REQUEST: HeaderName = HeaderName::from_static("x-request-id");
+/// Names a request so that sending it again gives the first run's answer.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Read by client libraries: whether to repeat the request by themselves.
+pub const SHOULD_RETRY: HeaderName = HeaderName::from_static("x-should-retry");
+
+/// Longest idempotency key, in bytes.
+const KEY_BYTES: usize = 256;
+
+/// What the headers of a request say, checked against the bundle.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Header {
+    /// The caller's team.
+    pub team: TeamId,
+    /// Priority, the team's usual one if none is named.
+    pub priority: PriorityId,
+    /// Time to answer, if named.
+    pub deadline: Option<Duration>,
+    /// Whether it may run more than once, if said.
+    pub repeatable: Option<bool>,
+    /// Whether the answer must come whole or not at all.
+    pub whole: bool,
+    /// Idempotency key.
+    pub key: Option<String>,
+}
+
+impl Header {
+    /// Checks `headers` against `bundle`.
+    pub fn check(headers: &HeaderMap, bundle: &Bundle) -> Result<Self> {
+        let team = team(headers, bundle)?;
+        Ok(Self {
+            team,
+            priority: priority(headers, bundle, team)?,
+            deadline: deadline(headers)?,
+            repeatable: flag(headers, &REPEATABLE)?,
+            whole: flag(headers, &WHOLE)?.unwrap_or(false),
+            key: key(headers)?,
+        })
+    }
+}
+
+/// The team whose bearer key the request carries.
+pub fn team(headers: &HeaderMap, bundle: &Bundle) -> Result<TeamId> {
+    let unauthorized =
+        |message: &str| Error::new(StatusCode::UNAUTHORIZED, "invalid_api_key", message);
+    let value = headers
+        .get(AUTHORIZATION)
+        .ok_or_else(|| unauthorized("no bearer key was given"))?;
+    let text = value.to_str().unwrap_or_default();
+    let key = text
+        .strip_prefix("Bearer ")
+        .ok_or_else(|| unauthorized("the authorization header is not a bearer key"))?;
+    let digest = bundle::digest::Digest::of(key.trim().as_bytes());
+    bundle
+        .holder(&digest)
+        .ok_or_else(|| unauthorized("no team has this key"))
+}
+
+fn priority(headers: &HeaderMap, bundle: &Bundle, team: TeamId) -> Result<PriorityId> {
+    let team = &bundle.teams[usize::from(team)];
+    let Some(name) = text(headers, &PRIORITY)? else {
+        return Ok(team.usual);
+    };
+    let priority = bundle
+        .priority(name)
+        .ok_or_else(|| Error::value(PRIORITY.as_str(), format!("no priority is called {name}")))?;
+    if priority < team.top {
+        let message = format!("team {} may not ask for priority {name}", team.name);
+        return Err(Error::new(
+            StatusCode::FORBIDDEN,
+            "priority_not_allowed",
+            message,
+        ));
+    }
+    Ok(priority)
+}
+
+fn deadline(headers: &HeaderMap) -> Result<Option<Duration>> {
+    let Some(value) = text(headers, &DEADLINE)? else {
+        return Ok(None);
+    };
+    let millis: u64 = value.parse().map_err(|_| {
+        Error::value(
+            DEADLINE.as_str(),
+            "the deadline is not a number of milliseconds",
+        )
+    })?;
+    Ok(Some(Duration::from_millis(millis)))
+}
+
+fn flag(headers: &HeaderMap, name: &HeaderName) -> Result<Option<bool>> {
+    match text(headers, name)? {
+        None => Ok(None),
+        Some("true") => Ok(Some(true)),
+        Some("false") => Ok(Some(false)),
+        Some(_) => Err(Error::value(
+            name.as_str(),
+            "the value is neither true nor false",
+        )),
+    }
+}
+
+fn key(headers: &HeaderMap) -> Result<Option<String>> {
+    let Some(key) = text(headers, &IDEMPOTENCY_KEY)? else {
+        return Ok(None);
+    };
+    if key.is_empty() || key.len() > KEY_BYTES {
+        let message = format!("the key is empty or longer than {KEY_BYTES} bytes");
+        return Err(Error::value(IDEMPOTENCY_KEY.as_str(), message));
+    }
+    Ok(Some(key.to_owned()))
+}
+
+/// The header's text; one given twice is refused, since two hops could read it differently.
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(Error::value(
+            name.as_str(),
+            "the header is given more than once",
+        ));
+    }
+    let text = value
+        .to_str()
+        .map_err(|_| Error::value(name.as_str(), "the value is not plain text"))?;
+    Ok(Some(text.trim()))
+}
--- /dev/null
+++ b/crates/entry/src/api/stop.rs
@@ -0,0 +1,71 @@
+//! Stop sequences: cuts an answer where one begins.
+//!
+//! A sequence can begin in one token and end in a later one, so text that could still be the
+//! beginning of a sequence is held back until the next token decides.
+
+/// Text of an answer, as far as it may be given to the caller.
+#[derive(Debug, Default)]
+pub struct Cutter {
+    stops: Vec<String>,
+    held: String,
+    done: bool,
+}
+
+impl Cutter {
+    /// A cutter for `stops`.
+    pub fn new(stops: Vec<String>) -> Self {
+        Self {
+            stops,
+            ..Self::default()
+        }
+    }
+
+    /// Whether a stop sequence was met.
+    pub fn done(&self) -> bool {
+        self.done
+    }
+
+    /// Takes a token's text; returns what may be given now.
+    pub fn push(&mut self, text: &str) -> String {
+        if self.stops.is_empty() {
+            return text.to_owned();
+        }
+        if self.done {
+            return String::new();
+        }
+        self.held.push_str(text);
+        if let Some(at) = self.first_stop() {
+            self.done = true;
+            self.held.truncate(at);
+            return std::mem::take(&mut self.held);
+        }
+        let keep = self.open_tail();
+        let rest = self.held.split_off(self.held.len() - keep);
+        std::mem::replace(&mut self.held, rest)
+    }
+
+    /// Returns what was held back, at the end of the answer.
+    pub fn finish(&mut self) -> String {
+        std::mem::take(&mut self.held)
+    }
+
+    fn first_stop(&self) -> Option<usize> {
+        let stops = self.stops.iter();
+        stops.filter_map(|s| self.held.find(s.as_str())).min()
+    }
+
+    /// Bytes at the end of the held text that begin some stop sequence.
+    fn open_tail(&self) -> usize {
+        let stops = self.stops.iter();
+        stops.map(|s| overlap(&self.held, s)).max().unwrap_or(0)
+    }
+}
+
+/// Length of the longest proper prefix of `stop` that ends `text`.
+fn overlap(text: &str, stop: &str) -> usize {
+    let most = text.len().min(stop.len() - 1);
+    (1..=most)
+        .rev()
+        .find(|&n| stop.is_char_boundary(n) && text.ends_with(&stop[..n]))
+        .unwrap_or(0)
+}
--- /dev/null
+++ b/crates/entry/src/handler.rs
@@ -0,0 +1,155 @@
+//! Handlers of the callers' listener.
+
+pub mod call;
+pub mod complete;
+pub mod place;
+
+use crate::api::error::Error;
+use crate::api::header::REQUEST;
+use crate::core::Tx;
+use crate::limits::{Ask, Limits};
+use crate::metrics::Metrics;
+use crate::snapshot::{Board, Snapshot};
+use http::header::HeaderValue;
+use http::{Method, StatusCode};
+use rand::rngs::StdRng;
+use route::request::Id;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::time::Instant;
+use viz::{IntoResponse, Request, Response, Router};
+
+/// Time to come back when no bundle is in force yet.
+const STARTING: Duration = Duration::from_secs(1);
+
+/// What the handlers of one worker share.
+pub struct Shared {
+    /// The worker's core.
+    pub tx: Tx,
+    /// Where control publishes.
+    pub board: Board,
+    /// Bounds of the listener.
+    pub limits: Limits,
+    /// Bounds of what a caller may ask for.
+    pub ask: Ask,
+    /// Seconds for which callers may keep an address answer.
+    pub address_ttl: u64,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Zero of the router's time.
+    pub start: Instant,
+    /// Draws request ids and the order of addresses; only this worker's thread takes the lock.
+    pub rng: Mutex<StdRng>,
+}
+
+/// Shared state, as handlers hold it.
+pub type State = Arc<Shared>;
+
+impl Shared {
+    /// The newest snapshot, or a refusal while no bundle is in force.
+    pub fn snapshot(&self) -> Result<Arc<Snapshot>, Error> {
+        self.board.load_full().ok_or_else(|| {
+            let message = "no bundle is in force on this node yet";
+            Error::new(StatusCode::SERVICE_UNAVAILABLE, "starting", message).retry_after(STARTING)
+        })
+    }
+
+    /// An id that no other request has, on any node: 128 random bits.
+    pub fn draw_id(&self) -> Id {
+        use rand::RngExt;
+        self.rng().random()
+    }
+
+    /// The generator. A panic of another handler can't leave it in a bad state.
+    pub fn rng(&self) -> std::sync::MutexGuard<'_, StdRng> {
+        self.rng.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// The router's time after `wait` from now, bounded by the longest deadline.
+    pub fn deadline(&self, wait: Option<Duration>) -> route::Now {
+        let wait = wait.unwrap_or(self.ask.usual_deadline);
+        self.start.elapsed() + wait.min(self.ask.longest_deadline)
+    }
+}
+
+/// The callers' routes.
+pub fn routes(state: State) -> Router {
+    let mut router = Router::new();
+    let s = state.clone();
+    router = router.post("/v1/chat/completions", move |req: Request| {
+        let s = s.clone();
+        async move { answer(&s, complete::chat(&s, req).await) }
+    });
+    let s = state.clone();
+    router = router.post("/v1/completions", move |req: Request| {
+        let s = s.clone();
+        async move { answer(&s, complete::text(&s, req).await) }
+    });
+    let s = state.clone();
+    router = router.get("/v1/models", move |req: Request| {
+        let s = s.clone();
+        async move { answer(&s, place::models(&s, &req)) }
+    });
+    let s = state.clone();
+    router = router.get("/v1/addresses", move |req: Request| {
+        let s = s.clone();
+        async move { answer(&s, place::addresses(&s, &req)) }
+    });
+    let s = state.clone();
+    router = router.any("/services/:service/*", move |req: Request| {
+        let s = s.clone();
+        async move { answer(&s, call::service(&s, req).await) }
+    });
+    let s = state;
+    router.any("/*", move |req: Request| {
+        let s = s.clone();
+        async move { answer(&s, Err(unknown(&req))) }
+    })
+}
+
+/// Counts an error and turns either into an answer of the listener.
+fn answer(state: &Shared, result: Result<Response, Error>) -> viz::Result<Response> {
+    Ok(result.unwrap_or_else(|error| {
+        state.metrics.rejected(error.code);
+        error.into_response()
+    }))
+}
+
+/// The error for a path or method that nothing serves.
+fn unknown(req: &Request) -> Error {
+    let path = req.uri().path();
+    let known = match path {
+        "/v1/chat/completions" | "/v1/completions" => Some(Method::POST),
+        "/v1/models" | "/v1/addresses" => Some(Method::GET),
+        _ => None,
+    };
+    match known {
+        Some(method) => {
+            let message = format!("{path} takes {method} only");
+            Error::new(
+                StatusCode::METHOD_NOT_ALLOWED,
+                "method_not_allowed",
+                message,
+            )
+        }
+        None => Error::new(
+            StatusCode::NOT_FOUND,
+            "unknown_path",
+            "nothing is served here",
+        ),
+    }
+}
+
+/// Adds the request's id to an answer.
+fn with_id(mut response: Response, id: Id) -> Response {
+    if let Ok(value) = HeaderValue::from_str(&format!("{id:032x}")) {
+        response.headers_mut().insert(REQUEST, value);
+    }
+    response
+}
+
+/// The caller's address, if the listener knows it.
+fn caller(req: &Request) -> Option<SocketAddr> {
+    viz::RequestExt::remote_addr(req).copied()
+}
--- /dev/null
+++ b/crates/entry/src/handler/place.rs
@@ -0,0 +1,58 @@
+//! Models and addresses.
+
+use super::Shared;
+use crate::address::{self, Place};
+use crate::api::error::Result;
+use crate::api::{header, models};
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http_body_util::Full;
+use serde::Serialize;
+use viz::{Body, Request, RequestExt, Response};
+
+/// Most addresses in one answer: a caller needs a few, and at full size the list is long.
+const MOST_ADDRESSES: usize = 16;
+
+/// `GET /v1/models`.
+pub fn models(state: &Shared, req: &Request) -> Result<Response> {
+    let snapshot = state.snapshot()?;
+    let bundle = &snapshot.view.bundle;
+    let team = header::team(req.headers(), bundle)?;
+    Ok(json(&models::list(bundle, team)))
+}
+
+#[derive(serde::Deserialize)]
+struct Query {
+    zone: Option<String>,
+}
+
+/// `GET /v1/addresses?zone=NAME`. It needs no key: a caller asks it before all else, and the
+/// answer holds no more than what it needs to connect. Without a zone the node's own is taken.
+pub fn addresses(state: &Shared, req: &Request) -> Result<Response> {
+    let snapshot = state.snapshot()?;
+    let view = &snapshot.view;
+    let zones = &view.bundle.zones;
+    let asked = req.query::<Query>().ok().and_then(|q| q.zone);
+    let named = asked.and_then(|name| zones.iter().find(|z| z.name == name));
+    let zone = named.or_else(|| zones.get(usize::from(view.zone)));
+    let place = zone.map_or_else(Place::default, |z| Place {
+        zone: z.name.clone(),
+        region: z.region.clone(),
+    });
+    let answer = address::answer(
+        &snapshot.addresses,
+        &place,
+        state.address_ttl,
+        MOST_ADDRESSES,
+        &mut state.rng(),
+    );
+    Ok(json(&answer))
+}
+
+fn json<T: Serialize>(value: &T) -> Response {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(Body::from(Full::from(Bytes::from(body))));
+    let kind = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,85 @@
+//! Counters and times of the request path, by opentelemetry.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, Meter};
+use route::outcome::Outcome;
+use route::refusal::Reason;
+
+/// Upper bounds of the time histograms, in seconds.
+const TIME_BOUNDS: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.045, 0.1, 0.2, 0.5, 1.0, 1.4, 3.0, 10.0, 60.0,
+];
+
+/// Instruments shared by the workers.
+#[derive(Clone)]
+pub struct Metrics {
+    /// Requests that ended, by outcome.
+    pub requests: Counter<u64>,
+    /// Requests refused, by reason.
+    pub refusals: Counter<u64>,
+    /// Requests answered with an error before they reached a router, by code.
+    pub rejects: Counter<u64>,
+    /// Attempts started.
+    pub attempts: Counter<u64>,
+    /// Tokens given to callers.
+    pub tokens: Counter<u64>,
+    /// Events of ended attempts that were dropped.
+    pub stale: Counter<u64>,
+    /// Connections closed at once because the listener was full.
+    pub overfull: Counter<u64>,
+    /// Seconds from arrival to the first token.
+    pub first_token: Histogram<f64>,
+    /// Seconds between two tokens of an answer.
+    pub inter_token: Histogram<f64>,
+}
+
+impl Metrics {
+    /// Instruments of `meter`.
+    pub fn new(meter: &Meter) -> Self {
+        let counter = |name: &'static str| meter.u64_counter(name).build();
+        let time = |name: &'static str| {
+            let builder = meter.f64_histogram(name).with_unit("s");
+            builder.with_boundaries(TIME_BOUNDS.to_vec()).build()
+        };
+        Self {
+            requests: counter("wigeonshelf_requests"),
+            refusals: counter("wigeonshelf_refusals"),
+            rejects: counter("wigeonshelf_rejects"),
+            attempts: counter("wigeonshelf_attempts"),
+            tokens: counter("wigeonshelf_tokens"),
+            stale: counter("wigeonshelf_stale_events"),
+            overfull: counter("wigeonshelf_connections_refused"),
+            first_token: time("wigeonshelf_first_token"),
+            inter_token: time("wigeonshelf_inter_token"),
+        }
+    }
+
+    /// Counts a request that ended.
+    pub fn ended(&self, outcome: Outcome) {
+        self.requests
+            .add(1, &[KeyValue::new("outcome", outcome.word())]);
+    }
+
+    /// Counts a refusal; it is an ended request too.
+    pub fn refused(&self, reason: Reason) {
+        self.ended(Outcome::NotRun);
+        self.refusals
+            .add(1, &[KeyValue::new("reason", word(reason))]);
+    }
+
+    /// Counts an error given before the request reached a router.
+    pub fn rejected(&self, code: &'static str) {
+        self.rejects.add(1, &[KeyValue::new("code", code)]);
+    }
+}
+
+fn word(reason: Reason) -> &'static str {
+    match reason {
+        Reason::Limit => "limit",
+        Reason::Overload => "overload",
+        Reason::Deadline => "deadline",
+        Reason::NoEndpoint => "no-endpoint",
+        Reason::Condemned => "condemned",
+        Reason::Leaving => "leaving",
+    }
+}
--- /dev/null
+++ b/crates/entry/src/reading.rs
@@ -0,0 +1,38 @@
+//! Reads a request's body within its bounds.
+
+use crate::api::error::{Error, Result};
+use crate::limits::Limits;
+use bytes::Bytes;
+use http::StatusCode;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use viz::{Body, Request};
+
+/// The whole body. A declared length over the bound is refused before a byte is read; a body that
+/// comes too slowly is given up on, so that slow callers can't pile up memory.
+pub async fn body(req: &mut Request, limits: &Limits) -> Result<Bytes> {
+    let declared = viz::RequestExt::content_length(req).unwrap_or(0);
+    if declared > limits.body_bytes as u64 {
+        return Err(too_large(limits));
+    }
+    let body = std::mem::replace(req.body_mut(), Body::Empty);
+    let collected = Limited::new(body, limits.body_bytes).collect();
+    match tokio::time::timeout(limits.body_time, collected).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large(limits)),
+        Ok(Err(_)) => Err(Error::new(
+            StatusCode::BAD_REQUEST,
+            "broken_body",
+            "the body ended early",
+        )),
+        Err(_) => Err(Error::new(
+            StatusCode::REQUEST_TIMEOUT,
+            "slow_body",
+            "the body did not come in time",
+        )),
+    }
+}
+
+fn too_large(limits: &Limits) -> Error {
+    let message = format!("the body is longer than {} bytes", limits.body_bytes);
+    Error::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message)
+}
--- /dev/null
+++ b/crates/entry/src/ring.rs
@@ -0,0 +1,81 @@
+//! Bounded single-producer rings between the threads of a node.
+//!
+//! A full ring never blocks its producer: [`Sender::push`] gives the value back, the loss is
+//! counted, and the caller decides what it means (each use states it). The consumer sleeps on a
+//! notification that is kept while nobody waits, so that no wake-up is lost.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::sync::Notify;
+
+/// The producing end.
+pub struct Sender<T> {
+    ring: rtrb::Producer<T>,
+    wake: Arc<Notify>,
+    full: Arc<AtomicU64>,
+}
+
+/// The consuming end.
+pub struct Receiver<T> {
+    ring: rtrb::Consumer<T>,
+    wake: Arc<Notify>,
+}
+
+/// A ring that holds `capacity` values.
+pub fn ring<T>(capacity: usize) -> (Sender<T>, Receiver<T>) {
+    let (producer, consumer) = rtrb::RingBuffer::new(capacity);
+    let wake = Arc::new(Notify::new());
+    let sender = Sender {
+        ring: producer,
+        wake: wake.clone(),
+        full: Arc::default(),
+    };
+    let receiver = Receiver {
+        ring: consumer,
+        wake,
+    };
+    (sender, receiver)
+}
+
+impl<T> Sender<T> {
+    /// Adds `value`, or gives it back when the ring is full or its consumer is gone.
+    pub fn push(&mut self, value: T) -> Result<(), T> {
+        if self.ring.is_abandoned() {
+            return Err(value);
+        }
+        let pushed = self.ring.push(value);
+        if pushed.is_err() {
+            self.full.fetch_add(1, Ordering::Relaxed);
+        }
+        self.wake.notify_one();
+        pushed.map_err(|rtrb::PushError::Full(value)| value)
+    }
+
+    /// Counter of values that found the ring full.
+    pub fn full(&self) -> Arc<AtomicU64> {
+        self.full.clone()
+    }
+}
+
+impl<T> Drop for Sender<T> {
+    fn drop(&mut self) {
+        self.wake.notify_one();
+    }
+}
+
+impl<T> Receiver<T> {
+    /// The next value, or `None` when the producer is gone and the ring is empty.
+    pub async fn pop(&mut self) -> Option<T> {
+        loop {
+            // Read before the pop: a producer that pushes and then goes must not be missed.
+            let gone = self.ring.is_abandoned();
+            if let Ok(value) = self.ring.pop() {
+                return Some(value);
+            }
+            if gone {
+                return None;
+            }
+            self.wake.notified().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/server.rs
@@ -0,0 +1,245 @@
+//! A bounded HTTP listener: connections, time and memory are limited, and a drain cuts nothing.
+//!
+//! A drain tells HTTP/2 callers to go away (GOAWAY) and HTTP/1 callers that their next answer is
+//! the last one of the connection (`connection: close`). A connection without a request yet is
+//! left alone, and new ones are still served: a caller may keep an address answer for a while, and
+//! closing on it would be a failed request. Only at the close are the idle ones ended.
+
+use crate::limits::Limits;
+use crate::metrics::Metrics;
+use crate::tls::Store;
+use http::header::{CONNECTION, HeaderValue};
+use hyper::body::Incoming;
+use hyper::service::Service;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::{Instant, timeout};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use viz::{Request, Responder, Response, Tree};
+
+/// Pause after a failed accept, so that a lack of file descriptors does not spin the thread.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// How often a connection is looked at for being idle.
+const IDLE_CHECK: Duration = Duration::from_millis(500);
+/// Frames that a caller may reset before the connection is closed, against reset floods.
+const RESETS: usize = 64;
+/// Bytes that wait for a caller who reads slowly, per stream.
+const SEND_BUFFER: usize = 64 << 10;
+
+/// What a listener is made of.
+pub struct Server {
+    /// Where it listens.
+    pub listener: TcpListener,
+    /// Routes.
+    pub tree: Arc<Tree>,
+    /// Bounds.
+    pub limits: Limits,
+    /// Certificate, if it speaks TLS.
+    pub tls: Option<Arc<Store>>,
+    /// Counters.
+    pub metrics: Metrics,
+}
+
+/// When a listener ends.
+#[derive(Clone, Debug, Default)]
+pub struct Stop {
+    /// Callers are told to go elsewhere; all that comes is still served.
+    pub drain: CancellationToken,
+    /// No connection is accepted any more; returns once all have ended.
+    pub close: CancellationToken,
+    /// Connections are broken off.
+    pub kill: CancellationToken,
+}
+
+impl Server {
+    /// Serves until `stop.close`, then until every connection has ended or `stop.kill`.
+    pub async fn run(self, stop: Stop) {
+        let tracker = TaskTracker::new();
+        let room = Arc::new(Semaphore::new(self.limits.connections));
+        let shared = Arc::new(self);
+        loop {
+            let accepted = tokio::select! {
+                biased;
+                () = stop.close.cancelled() => break,
+                () = stop.kill.cancelled() => break,
+                accepted = shared.listener.accept() => accepted,
+            };
+            let Ok((stream, addr)) = accepted else {
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            // Over the bound the connection is closed at once: the caller sees it and goes to
+            // another address, instead of waiting in a queue that it can't see.
+            let Ok(permit) = room.clone().try_acquire_owned() else {
+                shared.metrics.overfull.add(1, &[]);
+                continue;
+            };
+            let shared = shared.clone();
+            let stop = stop.clone();
+            tracker.spawn(async move {
+                tokio::select! {
+                    () = stop.kill.cancelled() => {}
+                    () = shared.connection(stream, addr, &stop) => {}
+                }
+                drop(permit);
+            });
+        }
+        tracker.close();
+        tracker.wait().await;
+    }
+
+    async fn connection(&self, stream: TcpStream, addr: SocketAddr, stop: &Stop) {
+        let _ = stream.set_nodelay(true);
+        let Some(tls) = &self.tls else {
+            return self.http(stream, addr, stop).await;
+        };
+        let acceptor = tokio_rustls::TlsAcceptor::from(tls.config());
+        let handshake = timeout(self.limits.head_time, acceptor.accept(stream));
+        if let Ok(Ok(stream)) = handshake.await {
+            self.http(stream, addr, stop).await;
+        }
+    }
+
+    async fn http<I>(&self, io: I, addr: SocketAddr, stop: &Stop)
+    where
+        I: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
+        let busy = Arc::new(Busy::default());
+        let service = Counted {
+            inner: Responder::new(self.tree.clone(), Some(addr)),
+            busy: busy.clone(),
+            drain: stop.drain.clone(),
+        };
+        let builder = self.builder();
+        let mut conn = pin!(builder.serve_connection(TokioIo::new(io), service));
+        let mut idle_since = Instant::now();
+        let mut told = false;
+        let mut closed = false;
+        let mut check = tokio::time::interval(IDLE_CHECK);
+        loop {
+            tokio::select! {
+                _ = conn.as_mut() => return,
+                () = stop.close.cancelled(), if !closed => {
+                    closed = true;
+                    conn.as_mut().graceful_shutdown();
+                }
+                _ = check.tick() => {}
+            }
+            if stop.drain.is_cancelled() && busy.http2.load(Ordering::Relaxed) && !told {
+                told = true;
+                conn.as_mut().graceful_shutdown();
+            }
+            if busy.now.load(Ordering::Relaxed) > 0 {
+                idle_since = Instant::now();
+            }
+            if idle_since.elapsed() > self.idle_bound(&busy) {
+                return;
+            }
+        }
+    }
+
+    /// A connection that has not brought its first request yet has the time of a head; without
+    /// this bound, callers that connect and say nothing would use up the connections.
+    fn idle_bound(&self, busy: &Busy) -> Duration {
+        match busy.served.load(Ordering::Relaxed) {
+            0 => self.limits.head_time,
+            _ => self.limits.idle_time,
+        }
+    }
+
+    fn builder(&self) -> Builder<TokioExecutor> {
+        let mut builder = Builder::new(TokioExecutor::new());
+        builder
+            .http1()
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.limits.head_time)
+            .max_buf_size(self.limits.head_bytes.max(8 << 10));
+        builder
+            .http2()
+            .timer(TokioTimer::new())
+            .max_concurrent_streams(self.limits.streams)
+            .max_header_list_size(self.limits.head_bytes as u32)
+            .max_pending_accept_reset_streams(RESETS)
+            .max_send_buf_size(SEND_BUFFER)
+            .keep_alive_interval(self.limits.idle_time / 4)
+            .keep_alive_timeout(self.limits.head_time);
+        builder
+    }
+}
+
+/// Requests of one connection.
+#[derive(Default)]
+struct Busy {
+    now: AtomicUsize,
+    served: AtomicUsize,
+    http2: AtomicBool,
+}
+
+/// Counts the requests of one connection that are under way, bodies of answers included.
+struct Counted {
+    inner: Responder<SocketAddr>,
+    busy: Arc<Busy>,
+    drain: CancellationToken,
+}
+
+impl Service<Request<Incoming>> for Counted {
+    type Response = Response;
+    type Error = Infallible;
+    type Future = futures::future::BoxFuture<'static, Result<Response, Infallible>>;
+
+    fn call(&self, req: Request<Incoming>) -> Self::Future {
+        let guard = Guard::new(self.busy.clone());
+        let http2 = req.version() == http::Version::HTTP_2;
+        self.busy.http2.store(http2, Ordering::Relaxed);
+        let drain = self.drain.clone();
+        let answer = self.inner.call(req);
+        Box::pin(async move {
+            let mut response = answer.await?;
+            if drain.is_cancelled() && !http2 {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok(response.map(|body| guarded(body, guard)))
+        })
+    }
+}
+
+/// One request under way.
+struct Guard(Arc<Busy>);
+
+impl Guard {
+    fn new(busy: Arc<Busy>) -> Self {
+        busy.now.fetch_add(1, Ordering::Relaxed);
+        busy.served.fetch_add(1, Ordering::Relaxed);
+        Self(busy)
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.0.now.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// The same body, holding the guard until it has been sent or dropped.
+fn guarded(body: viz::Body, guard: Guard) -> viz::Body {
+    use http_body_util::BodyExt;
+    use hyper::body::Body;
+    if body.is_end_stream() {
+        return body;
+    }
+    viz::Body::wrap(body.map_frame(move |frame| {
+        let _ = &guard;
+        frame
+    }))
+}
--- /dev/null
+++ b/crates/entry/src/snapshot.rs
@@ -0,0 +1,18 @@
+//! What control publishes to the request workers and the admin listener.
+
+use crate::address::Address;
+use arc_swap::ArcSwapOption;
+use route::view::View;
+use std::sync::Arc;
+
+/// Control's knowledge at one moment.
+#[derive(Clone, Debug)]
+pub struct Snapshot {
+    /// The router's part.
+    pub view: Arc<View>,
+    /// Entry nodes that take new callers, this one included unless it leaves.
+    pub addresses: Vec<Address>,
+}
+
+/// The place where control puts the newest snapshot; empty until a bundle is in force.
+pub type Board = Arc<ArcSwapOption<Snapshot>>;
--- /dev/null
+++ b/crates/node/src/control/input.rs
@@ -0,0 +1,34 @@
+//! What happens to control.
+
+use entry::core::Note;
+use platform::instance::Instance;
+use platform::{Offset, Page};
+use route::load::Report;
+use std::sync::Arc;
+use tokio::sync::{mpsc, oneshot};
+use wire::peer::Inbound;
+
+/// Inputs that may wait; a full queue slows down whoever adds one.
+pub const INPUTS: usize = 1024;
+
+/// Where inputs go.
+pub type Inputs = mpsc::Sender<Input>;
+
+/// An input.
+#[derive(Debug)]
+pub enum Input {
+    /// A page of the stream of bundles; the answer is the offset to read next.
+    Page(Page, oneshot::Sender<Offset>),
+    /// The stream of bundles could not be read.
+    LogOut(platform::Error),
+    /// The instance list was read.
+    Listed(Vec<Instance>),
+    /// Something came from a peer.
+    Peer(Inbound),
+    /// Records of a peer that has a newer bundle in force; none if it could not give them.
+    Records(Option<Vec<u8>>),
+    /// A worker observed something.
+    Note(usize, Note),
+    /// An endpoint reported its load.
+    Load(Arc<str>, Report),
+}
--- /dev/null
+++ b/crates/node/src/control/publish.rs
@@ -0,0 +1,81 @@
+//! Publishes a version for the admin listener, and writes checkpoints.
+
+use super::tail::BUNDLES;
+use bundle::answer::Answer;
+use bundle::fold::Fold;
+use bundle::publish::{Action, Event, Outcome, Publish};
+use bytes::Bytes;
+use platform::backoff::Backoff;
+use platform::http::Log as Client;
+use platform::{Log, Page};
+use std::time::Duration;
+
+/// First wait after a failed call.
+const LEAST_BACKOFF: Duration = Duration::from_millis(100);
+/// Longest wait after failed calls.
+const MOST_BACKOFF: Duration = Duration::from_secs(2);
+
+/// Publishes the version in `body` and tells how its race ended. `fold` is a copy of the node's
+/// own: it reads on by itself, so that the answer does not wait for control.
+pub async fn publish(log: Client, mut fold: Fold, body: Bytes, seed: u64) -> Answer {
+    let mut publish = match Publish::new(body.to_vec()) {
+        Ok(publish) => publish,
+        Err(error) => return Answer::from(&error),
+    };
+    let mut backoff = Backoff::new(LEAST_BACKOFF, MOST_BACKOFF, seed);
+    let mut action = publish.start();
+    loop {
+        let event = match action {
+            Action::Done(outcome) => return ended(&outcome),
+            Action::Read { failures } => {
+                if failures > 0 {
+                    tokio::time::sleep(backoff.failed(None)).await;
+                }
+                read(&log, &mut fold).await
+            }
+            Action::Append => append(&log, publish.body()).await,
+        };
+        action = publish.step(&fold, event);
+    }
+}
+
+fn ended(outcome: &Outcome) -> Answer {
+    let answer = Answer::from(outcome);
+    log::info!("a publication ended: {answer}");
+    answer
+}
+
+async fn read(log: &Client, fold: &mut Fold) -> Event {
+    match log.read(BUNDLES, fold.next_offset(), Duration::ZERO).await {
+        Ok(page) => {
+            apply(fold, &page);
+            Event::Read {
+                end: page.records.is_empty(),
+            }
+        }
+        Err(_) => Event::Failed { unsure: false },
+    }
+}
+
+fn apply(fold: &mut Fold, page: &Page) {
+    let records = page.records.iter().map(|r| (r.offset, r.body.as_ref()));
+    fold.page(page.first, records);
+}
+
+async fn append(log: &Client, body: &[u8]) -> Event {
+    match log.append(BUNDLES, Bytes::copy_from_slice(body)).await {
+        Ok(offset) => Event::Appended(offset),
+        Err(error) => Event::Failed {
+            unsure: error.unsure(),
+        },
+    }
+}
+
+/// Appends a checkpoint. Whether it got there is seen when it is read back; one that is lost is
+/// written again by the policy, and one too many does no harm.
+pub async fn checkpoint(log: Client, body: Vec<u8>) {
+    match log.append(BUNDLES, Bytes::from(body)).await {
+        Ok(offset) => log::info!("a checkpoint was written at offset {offset}"),
+        Err(error) => log::warn!("a checkpoint could not be written: {error}"),
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/state/answer.rs
@@ -0,0 +1,114 @@
+//! Answers to the admin listener.
+
+use super::State;
+use crate::control::publish;
+use bundle::answer::Answer;
+use bytes::Bytes;
+use entry::admin::{Node, Part, Status, Version};
+use futures::future::join_all;
+use tokio::sync::oneshot;
+
+/// Versions in a dump, newest first.
+const DUMPED_VERSIONS: usize = 16;
+
+impl State {
+    /// The state of this node.
+    pub(super) fn status(&self) -> Status {
+        let head = self.fold.head();
+        let node = &self.settings.node;
+        Status {
+            node: node.name.clone(),
+            zone: node.zone.clone(),
+            incarnation: self.incarnation,
+            ready: head.is_some() && !self.leaving,
+            leaving: self.leaving,
+            number: head.map_or(0, |b| b.number),
+            digest: head.map(|b| b.digest.to_string()).unwrap_or_default(),
+            signer: head.map(|b| b.signer.clone()).unwrap_or_default(),
+            log_age_ms: self.read.map(|at| at.elapsed().as_millis() as u64),
+            log_error: self.log_error.clone(),
+        }
+    }
+
+    /// The versions that were in force.
+    pub(super) fn history(&self) -> Vec<Version> {
+        let entries = self.fold.history();
+        entries
+            .map(|e| Version {
+                number: e.number,
+                digest: e.digest.to_string(),
+                signer: e.signer.clone(),
+                offset: e.offset,
+            })
+            .collect()
+    }
+
+    /// Asks every node of the group what is in force there; answers when all have answered or
+    /// the time for asks is over.
+    pub(super) fn fleet(&self, reply: oneshot::Sender<Vec<Node>>) {
+        let me = self.group.me();
+        let own = self.status();
+        let peers = self.group.roster().iter().filter(|p| p.id != me);
+        let asks: Vec<_> = peers
+            .map(|p| (p.identity.clone(), p.state, self.link.clone()))
+            .collect();
+        tokio::spawn(async move {
+            let asked = asks.into_iter().map(|(identity, state, link)| async move {
+                let status = link.status(identity.addr).await.unwrap_or_default();
+                Node {
+                    node: identity.name,
+                    zone: identity.zone,
+                    state: format!("{state:?}").to_lowercase(),
+                    number: status.number,
+                    digest: bundle::digest::Digest(status.digest).to_string(),
+                }
+            });
+            let mut nodes = join_all(asked).await;
+            nodes.push(Node {
+                node: own.node,
+                zone: own.zone,
+                state: "self".to_owned(),
+                number: own.number,
+                digest: own.digest,
+            });
+            nodes.sort_by(|a, b| a.node.cmp(&b.node));
+            let _ = reply.send(nodes);
+        });
+    }
+
+    /// Publishes a version; the answer comes when its race has ended.
+    pub(super) fn submit(&self, body: Bytes, reply: oneshot::Sender<Answer>) {
+        let log = self.log();
+        let fold = self.fold.clone();
+        let seed = self.seed;
+        tokio::spawn(async move {
+            let answer = publish::publish(log, fold, body, seed).await;
+            let _ = reply.send(answer);
+        });
+    }
+
+    /// The state of each part, in text.
+    pub(super) fn dump(&self) -> Vec<Part> {
+        let part = |part: &str, text: String| Part {
+            part: part.to_owned(),
+            text,
+        };
+        let status = self.status();
+        vec![
+            part("node", format!("{status:#?}\n")),
+            part("bundles", self.bundles_text()),
+            part("members", format!("{}", self.group)),
+            part("team limits", format!("{}", self.teams)),
+            part("instance list", format!("{}", self.listed)),
+        ]
+    }
+
+    fn bundles_text(&self) -> String {
+        let counters = self.fold.counters();
+        let history = self.fold.history().rev().take(DUMPED_VERSIONS);
+        let versions: String = history.map(|entry| format!("{entry}\n")).collect();
+        let next = self.fold.next_offset();
+        let gap = self.fold.in_gap();
+        format!("next offset {next}, gap {gap}\n{counters:?}\n{versions}")
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/state/peers.rs
@@ -0,0 +1,140 @@
+//! Peers: messages, the instance list's part about nodes, and what the group asks for.
+
+use super::State;
+use member::action::Action;
+use member::event::Event;
+use member::item::Body;
+use member::peer::{Entry, Standing};
+use platform::instance::{self, Instance};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use wire::frame::Status;
+use wire::peer::Inbound;
+
+impl State {
+    /// Tells peers where this node serves callers.
+    pub(super) fn publish_callers(&mut self) {
+        let callers = Body::Callers {
+            addr: self.callers,
+            tls: self.settings.callers.tls.is_some(),
+        };
+        self.handle(Event::Publish(vec![callers]));
+    }
+
+    /// Gives the group an event and does what it asks for.
+    pub(super) fn handle(&mut self, event: Event) {
+        let now = self.now();
+        let mut actions = std::mem::take(&mut self.actions);
+        self.group.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            self.act(action);
+        }
+        self.actions = actions;
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { to, message, .. } => {
+                // A full queue is counted by the link; gossip repeats itself.
+                let _ = self.link.send(to, message);
+            }
+            Action::Changed {
+                peer,
+                state,
+                restarted,
+            } => {
+                self.dirty = true;
+                let row = self.group.roster().get(peer);
+                let name = row.map_or("?", |p| p.identity.name.as_str());
+                let run = if restarted { " (another run)" } else { "" };
+                log::info!("node {name} is {state:?}{run}");
+            }
+            Action::Learned(_) => self.dirty = true,
+            Action::Newer { head, addr, .. } => self.fetch(head, addr),
+        }
+    }
+
+    /// Takes what came from a peer.
+    pub(super) fn inbound(&mut self, inbound: Inbound) {
+        match inbound {
+            Inbound::Member { from, message } => self.handle(Event::Frame { from, message }),
+            Inbound::Head { ask, reply } => {
+                let _ = reply.send(self.offer(ask));
+            }
+            Inbound::Status { reply } => {
+                let _ = reply.send(self.peer_status());
+            }
+            Inbound::Unreached(addr) => self.unreached(addr),
+        }
+    }
+
+    fn peer_status(&self) -> Status {
+        let head = self.fold.head();
+        Status {
+            number: head.map_or(0, |b| b.number),
+            digest: head.map_or([0; 32], |b| b.digest.0),
+            incarnation: self.incarnation,
+            leaving: self.leaving,
+        }
+    }
+
+    fn unreached(&mut self, addr: SocketAddr) {
+        let peers = self.group.roster().iter();
+        let gone = peers.filter(|p| p.identity.addr == addr).map(|p| p.id);
+        let gone: Vec<_> = gone.collect();
+        for peer in gone {
+            self.handle(Event::Unreached(peer));
+        }
+    }
+
+    /// Tells the group which nodes the instance list names. An instance is a node's if it has an
+    /// address and no endpoint of the bundle is on it.
+    pub(super) fn list_nodes(&mut self) {
+        let head = self.fold.head();
+        let rows = head.iter().flat_map(|b| b.endpoints.iter());
+        let endpoints: BTreeSet<&str> = rows.map(|e| e.instance.as_str()).collect();
+        let nodes = self.instances.iter();
+        let nodes = nodes.filter(|i| !endpoints.contains(i.name.as_str()));
+        let mut entries: Vec<_> = nodes.filter_map(|i| self.entry(i)).collect();
+        entries.extend(self.seeds(&entries));
+        if !entries.is_empty() {
+            self.handle(Event::Listed(entries));
+        }
+    }
+
+    fn entry(&self, instance: &Instance) -> Option<Entry> {
+        let bundle = self.fold.head();
+        let zones = bundle.iter().flat_map(|b| b.zones.iter());
+        let region = zones.filter(|z| z.name == instance.zone).map(|z| &z.region);
+        let region = region.map(String::as_str).next();
+        Some(Entry {
+            name: instance.name.clone(),
+            addr: instance.addr?,
+            zone: instance.zone.clone(),
+            region: region.unwrap_or(&instance.zone).to_owned(),
+            standing: match instance.state {
+                instance::State::Live => Standing::Live,
+                instance::State::Leaving => Standing::Leaving,
+            },
+        })
+    }
+
+    /// Seeds of the settings stand in for the list until it was read. Their names are not known;
+    /// they tell them when asked who they are.
+    fn seeds(&self, listed: &[Entry]) -> Vec<Entry> {
+        if !listed.is_empty() {
+            return Vec::new();
+        }
+        let node = &self.settings.node;
+        let seeds = self.settings.peers.seeds.iter();
+        seeds
+            .map(|addr| Entry {
+                name: format!("seed-{addr}"),
+                addr: *addr,
+                zone: node.zone.clone(),
+                region: node.region.clone(),
+                standing: Standing::Live,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/view.rs
@@ -0,0 +1,116 @@
+//! Builds what the workers and handlers read.
+
+use super::demand::Table;
+use super::listed::Listed;
+use super::observed;
+use crate::settings::Settings;
+use bundle::Bundle;
+use entry::address::Address;
+use entry::snapshot::Snapshot;
+use member::group::Group;
+use member::peer::{Peer, State};
+use member::team::Share;
+use route::view::View;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Retries per second of the whole fleet, as a part of the requests that teams may start.
+const RETRY_PART: f64 = 0.1;
+/// Retries per second that a worker may always spend.
+const LEAST_RETRIES: f64 = 0.5;
+
+/// What a view is built from.
+pub struct Source<'a> {
+    /// Settings of the node.
+    pub settings: &'a Settings,
+    /// The callers' listener as others reach it.
+    pub callers: SocketAddr,
+    /// The bundle in force.
+    pub bundle: &'a Arc<Bundle>,
+    /// The instance list.
+    pub listed: &'a Listed,
+    /// The nodes.
+    pub group: &'a Group,
+    /// The node's shares of the teams' limits.
+    pub shares: &'a [Share],
+    /// Demand by worker.
+    pub demand: &'a Table,
+    /// Whether the node leaves.
+    pub leaving: bool,
+}
+
+impl Source<'_> {
+    /// The snapshot for one worker.
+    pub fn snapshot(&self, worker: usize) -> Snapshot {
+        Snapshot {
+            view: Arc::new(self.view(worker)),
+            addresses: self.addresses(),
+        }
+    }
+
+    fn view(&self, worker: usize) -> View {
+        let observed = observed::read(self.group, self.bundle);
+        let shares = self.demand.worker(worker, self.shares, self.group.me());
+        let retries = shares.iter().map(|s| s.rate).sum::<f64>() * RETRY_PART;
+        View {
+            bundle: self.bundle.clone(),
+            zone: self.bundle.zone(&self.settings.node.zone).unwrap_or(0),
+            open: self.open(),
+            ejected: observed.ejected,
+            suspects: observed.suspects,
+            condemned: observed.condemned,
+            shares,
+            retries: retries.max(LEAST_RETRIES),
+            // A node that leaves serves all that still comes; the listener ends it.
+            leaving: false,
+        }
+    }
+
+    fn open(&self) -> Vec<bool> {
+        let rows = self.bundle.endpoints.iter();
+        rows.map(|e| self.listed.takes_work(&e.instance)).collect()
+    }
+
+    /// Nodes that take new callers: this one unless it leaves, and peers that are up.
+    fn addresses(&self) -> Vec<Address> {
+        let me = self.group.me();
+        let peers = self.group.roster().iter();
+        let up = peers.filter(|p| p.id != me && takes_callers(p));
+        let mut addresses: Vec<_> = up.filter_map(|p| self.peer(p)).collect();
+        if !self.leaving {
+            addresses.push(self.own(observed::free(self.group, me)));
+        }
+        addresses
+    }
+
+    fn peer(&self, peer: &Peer) -> Option<Address> {
+        let (addr, tls) = observed::callers(self.group, peer.id)?;
+        Some(Address {
+            node: peer.identity.name.clone(),
+            addr,
+            tls,
+            zone: peer.identity.zone.clone(),
+            region: peer.identity.region.clone(),
+            free: observed::free(self.group, peer.id),
+        })
+    }
+
+    fn own(&self, free: f64) -> Address {
+        let node = &self.settings.node;
+        Address {
+            node: node.name.clone(),
+            addr: self.callers,
+            tls: self.settings.callers.tls.is_some(),
+            zone: node.zone.clone(),
+            region: node.region.clone(),
+            free,
+        }
+    }
+}
+
+/// A suspected peer is not named: a caller that was sent to a dead node has to ask again, while
+/// one that is sent past a living node loses nothing.
+fn takes_callers(peer: &Peer) -> bool {
+    let listed = peer.standing != Some(member::peer::Standing::Leaving);
+    peer.state == State::Up && !peer.leaving && listed
+}
--- /dev/null
+++ b/crates/node/src/logging.rs
@@ -0,0 +1,42 @@
+//! Log lines by log4rs: text or a JSON object a line, to standard error or a file.
+
+use crate::settings::{Format, Logging};
+use log4rs::append::Append;
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::append::file::FileAppender;
+use log4rs::config::{Appender, Config, Root};
+use log4rs::encode::Encode;
+use log4rs::encode::json::JsonEncoder;
+use log4rs::encode::pattern::PatternEncoder;
+
+/// Name of the one appender.
+const MAIN: &str = "main";
+/// Form of a text line.
+const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3f%Z)(utc)} {l} {t} {m}{n}";
+
+/// Starts logging for the whole process.
+pub fn start(logging: &Logging) -> eyre::Result<()> {
+    let appender = Appender::builder().build(MAIN, appender(logging)?);
+    let root = Root::builder().appender(MAIN).build(logging.level);
+    let config = Config::builder().appender(appender).build(root)?;
+    log4rs::init_config(config)?;
+    Ok(())
+}
+
+fn appender(logging: &Logging) -> eyre::Result<Box<dyn Append>> {
+    let encoder = encoder(logging.format);
+    Ok(match &logging.file {
+        Some(path) => Box::new(FileAppender::builder().encoder(encoder).build(path)?),
+        None => {
+            let builder = ConsoleAppender::builder().target(Target::Stderr);
+            Box::new(builder.encoder(encoder).build())
+        }
+    })
+}
+
+fn encoder(format: Format) -> Box<dyn Encode> {
+    match format {
+        Format::Text => Box::new(PatternEncoder::new(PATTERN)),
+        Format::Json => Box::new(JsonEncoder::new()),
+    }
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,2 +1,114 @@
-//! The node binary.
-fn main() {}
+//! The `wigeonshelf` binary.
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use eyre::Result;
+use node::process::Process;
+use node::settings::{self, Settings};
+use node::{logging, process};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Exit code for settings that can't be used: nothing was started.
+const BAD_SETTINGS: u8 = 2;
+
+const CONFIG: &str = "config";
+const CHECK: &str = "check";
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    match matches.subcommand() {
+        Some((CHECK, matches)) => check(matches),
+        _ => run(&matches),
+    }
+}
+
+fn command() -> Command {
+    let config = Arg::new(CONFIG)
+        .long("config")
+        .short('c')
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .help("Settings, in INI");
+    let check = Command::new(CHECK)
+        .about("Checks settings and tells every finding; starts nothing")
+        .arg(config.clone().required(true));
+    Command::new("wigeonshelf")
+        .version(clap::crate_version!())
+        .about("Entry node of a router for pipelines over mixed accelerators")
+        .args_conflicts_with_subcommands(true)
+        .arg_required_else_help(true)
+        .arg(config)
+        .subcommand(check)
+}
+
+/// The settings, or every finding on standard error.
+fn load(matches: &ArgMatches) -> std::result::Result<Settings, ExitCode> {
+    let Some(file) = matches.get_one::<PathBuf>(CONFIG) else {
+        eprintln!("--config is missing");
+        return Err(ExitCode::from(BAD_SETTINGS));
+    };
+    settings::load(file).map_err(|findings| {
+        findings.iter().for_each(|finding| eprintln!("{finding}"));
+        ExitCode::from(BAD_SETTINGS)
+    })
+}
+
+fn check(matches: &ArgMatches) -> ExitCode {
+    match load(matches) {
+        Ok(settings) => {
+            println!("the settings of node {} are right", settings.node.name);
+            ExitCode::SUCCESS
+        }
+        Err(code) => code,
+    }
+}
+
+fn run(matches: &ArgMatches) -> ExitCode {
+    let settings = match load(matches) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    match serve(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("{error:#}");
+            eprintln!("{error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn serve(settings: Settings) -> Result<()> {
+    logging::start(&settings.logging)?;
+    let process = Process::start(settings)?;
+    log::info!(
+        "node {} serves callers on {}, peers on {}, admin on {}",
+        process.name,
+        process.callers,
+        process.peers,
+        process.admin
+    );
+    process::runtime()?.block_on(until_signal(&process))?;
+    process.join()
+}
+
+/// Leaves on the first signal and breaks off on the second.
+async fn until_signal(process: &Process) -> Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    log::info!("leaving: a second signal breaks off what is in flight");
+    let ends = process.ends();
+    let leaving = process.leave();
+    tokio::select! {
+        () = leaving => log::info!("nothing is in flight any more, or the finish time is over"),
+        _ = term.recv() => log::warn!("broken off by a second signal"),
+        _ = int.recv() => log::warn!("broken off by a second signal"),
+    }
+    ends.serving.kill.cancel();
+    Ok(())
+}
--- /dev/null
+++ b/crates/node/src/settings/check.rs
@@ -0,0 +1,275 @@
+//! Checks settings and collects every finding.
+
+use super::finding::Finding;
+use super::section::{Section, unknown_sections};
+use super::text::Text;
+use super::value::{self, addr, addrs, count, key, level, name, peer_key, time};
+use super::{Format, Listener, Logging, Node, Peers, Platform, Result, Settings};
+use bundle::signer::Signer;
+use entry::limits::{Ask, Limits};
+use entry::tls::Files;
+use std::path::PathBuf;
+use std::time::Duration;
+
+const NODE: &str = "node";
+const CALLERS: &str = "callers";
+const PEERS: &str = "peers";
+const ADMIN: &str = "admin";
+const PLATFORM: &str = "platform";
+const TRUST: &str = "trust";
+const LIMITS: &str = "limits";
+const LOGGING: &str = "logging";
+const SECTIONS: [&str; 8] = [
+    NODE, CALLERS, PEERS, ADMIN, PLATFORM, TRUST, LIMITS, LOGGING,
+];
+
+/// Request workers, unless set.
+const WORKERS: usize = 2;
+/// Most request workers: more than any instance has cores.
+const MOST_WORKERS: usize = 256;
+/// How long the log keeps a record, unless set.
+const RETENTION: Duration = Duration::from_secs(24 * 3600);
+const DRAIN: Duration = Duration::from_secs(10);
+const FINISH: Duration = Duration::from_secs(600);
+const ADDRESS_TTL: Duration = Duration::from_secs(5);
+
+/// Checks `text`.
+pub fn check(text: &Text) -> Result<Settings> {
+    let mut findings = Vec::new();
+    unknown_sections(text, &SECTIONS, &mut findings);
+    let node = node(text, &mut findings);
+    let callers = listener(text, CALLERS, &mut findings);
+    let peers = peers(text, &mut findings);
+    let admin = listener(text, ADMIN, &mut findings);
+    let platform = platform(text, &mut findings);
+    let trust = trust(text, &mut findings);
+    let ask = ask(text, &mut findings);
+    let logging = logging(text, &mut findings);
+    clashes(text, [&callers, &admin], &peers, &mut findings);
+    if !findings.is_empty() {
+        findings.sort();
+        return Err(findings);
+    }
+    let parts = (node, callers, peers, admin, platform);
+    let (Some(node), Some(callers), Some(peers), Some(admin), Some(platform)) = parts else {
+        return Err(vec![Finding::of_file(
+            &text.file,
+            "settings are incomplete",
+        )]);
+    };
+    Ok(Settings {
+        node,
+        callers,
+        peers,
+        admin,
+        platform,
+        trust,
+        ask,
+        route: route::settings::Settings::default(),
+        logging,
+    })
+}
+
+fn node(text: &Text, findings: &mut Vec<Finding>) -> Option<Node> {
+    let mut section = Section::new(text, NODE);
+    let own_name = section.required("name", name, findings);
+    let zone = section.required("zone", name, findings);
+    let region = section.required("region", name, findings);
+    let workers = section.or("workers", WORKERS, count, findings);
+    if workers > MOST_WORKERS {
+        findings.push(section.about("workers", format!("more than {MOST_WORKERS}")));
+    }
+    let drain = section.or("drain", DRAIN, time, findings);
+    let finish = section.or("finish", FINISH, time, findings);
+    let address_ttl = section.or("address_ttl", ADDRESS_TTL, time, findings);
+    // A caller may use an address until its answer is too old; a node that closed its listener
+    // before that would refuse connections that it has invited.
+    if drain < address_ttl {
+        findings.push(section.about("drain", "shorter than address_ttl"));
+    }
+    section.finish(findings);
+    Some(Node {
+        name: own_name?,
+        zone: zone?,
+        region: region?,
+        workers,
+        drain,
+        finish,
+        address_ttl,
+    })
+}
+
+fn listener(text: &Text, name: &'static str, findings: &mut Vec<Finding>) -> Option<Listener> {
+    let mut section = Section::new(text, name);
+    let usual = Limits::default();
+    let listen = section.required("listen", addr, findings);
+    let advertise = section.optional("advertise", addr, findings);
+    let limits = Limits {
+        connections: section.or("connections", usual.connections, count, findings),
+        streams: section.or("streams", usual.streams, count32, findings),
+        head_bytes: section.or("head_bytes", usual.head_bytes, count, findings),
+        body_bytes: section.or("body_bytes", usual.body_bytes, count, findings),
+        head_time: section.or("head_time", usual.head_time, time, findings),
+        body_time: section.or("body_time", usual.body_time, time, findings),
+        idle_time: section.or("idle_time", usual.idle_time, time, findings),
+    };
+    let tls = tls(&mut section, findings);
+    section.finish(findings);
+    let listen = listen?;
+    Some(Listener {
+        listen,
+        advertise: advertise.unwrap_or(listen),
+        limits,
+        tls,
+    })
+}
+
+fn tls(section: &mut Section<'_>, findings: &mut Vec<Finding>) -> Option<Files> {
+    let certificate = section.optional("certificate", path, findings);
+    let key = section.optional("key", path, findings);
+    match (certificate, key) {
+        (Some(certificate), Some(key)) => {
+            let files = Files { certificate, key };
+            if let Err(error) = files.load() {
+                findings.push(section.about("certificate", error.to_string()));
+            }
+            Some(files)
+        }
+        (None, None) => None,
+        (Some(_), None) => {
+            findings.push(section.about("key", "is missing beside certificate"));
+            None
+        }
+        (None, Some(_)) => {
+            findings.push(section.about("certificate", "is missing beside key"));
+            None
+        }
+    }
+}
+
+fn peers(text: &Text, findings: &mut Vec<Finding>) -> Option<Peers> {
+    let mut section = Section::new(text, PEERS);
+    let listen = section.required("listen", addr, findings);
+    let advertise = section.optional("advertise", addr, findings);
+    let shared = section.required("key", peer_key, findings);
+    let seeds = section.or("seeds", Vec::new(), addrs, findings);
+    section.finish(findings);
+    let listen = listen?;
+    Some(Peers {
+        listen,
+        advertise,
+        key: shared?,
+        seeds,
+    })
+}
+
+fn platform(text: &Text, findings: &mut Vec<Finding>) -> Option<Platform> {
+    let mut section = Section::new(text, PLATFORM);
+    let usual = platform::Limits::default();
+    let log = section.required("log", addr, findings);
+    let list = section.required("list", addr, findings);
+    let weights = section.optional("weights", addr, findings);
+    let retention = section.or("retention", RETENTION, time, findings);
+    let limits = platform::Limits {
+        connect: section.or("connect_time", usual.connect, time, findings),
+        call: section.or("call_time", usual.call, time, findings),
+        ..usual
+    };
+    section.finish(findings);
+    Some(Platform {
+        log: log?,
+        list: list?,
+        weights,
+        retention,
+        limits,
+    })
+}
+
+/// Keys of this section are names of persons, so none of them is unknown.
+fn trust(text: &Text, findings: &mut Vec<Finding>) -> Vec<Signer> {
+    let section = Section::new(text, TRUST);
+    let mut signers = Vec::new();
+    for entry in section.entries() {
+        match key(&entry.value) {
+            Ok(key) => signers.push(Signer {
+                name: entry.key.clone(),
+                key,
+                revoked: false,
+            }),
+            Err(message) => findings.push(section.about(&entry.key, message)),
+        }
+    }
+    if section.entries().next().is_none() {
+        findings.push(section.about("", "no signer is trusted, so no bundle can come in force"));
+    }
+    signers
+}
+
+fn ask(text: &Text, findings: &mut Vec<Finding>) -> Ask {
+    let mut section = Section::new(text, LIMITS);
+    let usual = Ask::default();
+    let ask = Ask {
+        usual_deadline: section.or("usual_deadline", usual.usual_deadline, time, findings),
+        longest_deadline: section.or("longest_deadline", usual.longest_deadline, time, findings),
+        usual_tokens: section.or("usual_tokens", usual.usual_tokens, count32, findings),
+    };
+    if ask.usual_deadline > ask.longest_deadline {
+        findings.push(section.about("usual_deadline", "longer than longest_deadline"));
+    }
+    section.finish(findings);
+    ask
+}
+
+fn logging(text: &Text, findings: &mut Vec<Finding>) -> Logging {
+    let mut section = Section::new(text, LOGGING);
+    let logging = Logging {
+        level: section.or("level", log::LevelFilter::Info, level, findings),
+        format: section.or("format", Format::Text, format, findings),
+        file: section.optional("file", path, findings),
+    };
+    section.finish(findings);
+    logging
+}
+
+/// Two listeners can't have one address.
+fn clashes(
+    text: &Text,
+    listeners: [&Option<Listener>; 2],
+    peers: &Option<Peers>,
+    findings: &mut Vec<Finding>,
+) {
+    let [callers, admin] = listeners;
+    let callers = callers.as_ref().map(|l| l.listen);
+    let admin = admin.as_ref().map(|l| l.listen);
+    let peers = peers.as_ref().map(|p| p.listen);
+    let same = |a: Option<_>, b: Option<std::net::SocketAddr>| {
+        a.is_some() && a == b && b.is_some_and(|b| b.port() != 0)
+    };
+    let message = "the same address as another listener";
+    if same(callers, admin) || same(peers, admin) {
+        findings.push(Section::new(text, ADMIN).about("listen", message));
+    }
+    if same(callers, peers) {
+        findings.push(Section::new(text, PEERS).about("listen", message));
+    }
+}
+
+fn path(text: &str) -> value::Result<PathBuf> {
+    if text.is_empty() {
+        return Err("is empty".to_owned());
+    }
+    Ok(PathBuf::from(text))
+}
+
+fn count32(text: &str) -> value::Result<u32> {
+    let number = count(text)?;
+    u32::try_from(number).map_err(|_| format!("{text:?} is too large"))
+}
+
+fn format(text: &str) -> value::Result<Format> {
+    match text {
+        "text" => Ok(Format::Text),
+        "json" => Ok(Format::Json),
+        _ => Err(format!("{text:?} is neither text nor json")),
+    }
+}
--- /dev/null
+++ b/crates/node/src/settings/section.rs
@@ -0,0 +1,150 @@
+//! Reads one section: each key is taken once, and what is left over is a finding.
+
+use super::finding::Finding;
+use super::text::{Entry, Text};
+use super::value;
+
+/// Similarity from which a known name is suggested for an unknown one.
+const NEAR: f64 = 0.75;
+
+/// A section being read.
+pub struct Section<'a> {
+    text: &'a Text,
+    name: &'static str,
+    known: Vec<&'static str>,
+}
+
+impl<'a> Section<'a> {
+    /// The section called `name`; it may be missing.
+    pub fn new(text: &'a Text, name: &'static str) -> Self {
+        Self {
+            text,
+            name,
+            known: Vec::new(),
+        }
+    }
+
+    /// Whether the text has the section.
+    pub fn present(&self) -> bool {
+        self.text.sections.iter().any(|(name, _)| name == self.name)
+    }
+
+    /// Its entries.
+    pub fn entries(&self) -> impl Iterator<Item = &'a Entry> {
+        let name = self.name;
+        self.text.entries.iter().filter(move |e| e.section == name)
+    }
+
+    /// The value of `key`, if it is given and right.
+    pub fn optional<T>(
+        &mut self,
+        key: &'static str,
+        read: impl Fn(&str) -> value::Result<T>,
+        findings: &mut Vec<Finding>,
+    ) -> Option<T> {
+        self.known.push(key);
+        let entry = self.entries().find(|e| e.key == key)?;
+        match read(&entry.value) {
+            Ok(value) => Some(value),
+            Err(message) => {
+                findings.push(self.finding(entry.line, key, message));
+                None
+            }
+        }
+    }
+
+    /// The value of `key`, or `usual` if it is not given.
+    pub fn or<T>(
+        &mut self,
+        key: &'static str,
+        usual: T,
+        read: impl Fn(&str) -> value::Result<T>,
+        findings: &mut Vec<Finding>,
+    ) -> T {
+        self.optional(key, read, findings).unwrap_or(usual)
+    }
+
+    /// The value of `key`; a finding if it is not given.
+    pub fn required<T>(
+        &mut self,
+        key: &'static str,
+        read: impl Fn(&str) -> value::Result<T>,
+        findings: &mut Vec<Finding>,
+    ) -> Option<T> {
+        if !self.entries().any(|e| e.key == key) {
+            self.known.push(key);
+            let line = self.line();
+            findings.push(self.finding(line, key, "is missing"));
+            return None;
+        }
+        self.optional(key, read, findings)
+    }
+
+    /// A finding about `key` of this section, at its line.
+    pub fn about(&self, key: &str, message: impl Into<String>) -> Finding {
+        let entry = self.entries().find(|e| e.key == key);
+        let line = entry.map_or(self.line(), |e| e.line);
+        self.finding(line, key, message)
+    }
+
+    /// Adds a finding for every key that was not asked for.
+    pub fn finish(self, findings: &mut Vec<Finding>) {
+        for entry in self.entries() {
+            if !self.known.contains(&entry.key.as_str()) {
+                let message = unknown("key", &entry.key, &self.known);
+                findings.push(self.finding(entry.line, &entry.key, message));
+            }
+        }
+    }
+
+    fn line(&self) -> usize {
+        let found = self
+            .text
+            .sections
+            .iter()
+            .find(|(name, _)| name == self.name);
+        found.map_or(0, |(_, line)| *line)
+    }
+
+    fn finding(&self, line: usize, key: &str, message: impl Into<String>) -> Finding {
+        Finding {
+            file: self.text.file.clone(),
+            line,
+            section: self.name.to_owned(),
+            key: key.to_owned(),
+            message: message.into(),
+        }
+    }
+}
+
+/// Findings for sections that nothing reads.
+pub fn unknown_sections(text: &Text, known: &[&str], findings: &mut Vec<Finding>) {
+    let unread = text
+        .sections
+        .iter()
+        .filter(|(name, _)| !known.contains(&name.as_str()));
+    for (name, line) in unread {
+        // The parser always has a section without a name; it matters only when it has keys.
+        if name.is_empty() && !text.entries.iter().any(|e| e.section.is_empty()) {
+            continue;
+        }
+        findings.push(Finding {
+            line: *line,
+            section: name.clone(),
+            ..Finding::of_file(&text.file, unknown("section", name, known))
+        });
+    }
+}
+
+fn unknown(what: &str, name: &str, known: &[&str]) -> String {
+    let near = known
+        .iter()
+        .map(|k| (strsim::jaro_winkler(name, k), k))
+        .max_by(|a, b| a.0.total_cmp(&b.0));
+    match near {
+        Some((similarity, near)) if similarity >= NEAR => {
+            format!("unknown {what}; did you mean {near}?")
+        }
+        _ => format!("unknown {what}"),
+    }
+}
--- /dev/null
+++ b/crates/node/src/settings/text.rs
@@ -0,0 +1,131 @@
+//! INI text with the line of each section and key.
+//!
+//! The library parses; it does not tell lines, so a scan beside it finds them.
+
+use super::Result;
+use super::finding::Finding;
+use ini::{Ini, ParseOption};
+
+/// A key with its value.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Line, from 1.
+    pub line: usize,
+    /// Section it stands in.
+    pub section: String,
+    /// Key.
+    pub key: String,
+    /// Value.
+    pub value: String,
+}
+
+/// The text of a settings file.
+#[derive(Clone, Debug)]
+pub struct Text {
+    /// Name of the file.
+    pub file: String,
+    /// Sections and their lines, in order.
+    pub sections: Vec<(String, usize)>,
+    /// Entries, in order.
+    pub entries: Vec<Entry>,
+}
+
+impl Text {
+    /// Parses `content`; a section or key that stands twice is a finding.
+    pub fn read(file: &str, content: &str) -> Result<Self> {
+        // A backslash in a path is a backslash.
+        let option = ParseOption {
+            enabled_escape: false,
+            ..ParseOption::default()
+        };
+        let ini = Ini::load_from_str_opt(content, option).map_err(|e| vec![broken(file, &e)])?;
+        let lines = lines(content);
+        let mut text = Self {
+            file: file.to_owned(),
+            sections: Vec::new(),
+            entries: Vec::new(),
+        };
+        for (section, properties) in &ini {
+            let section = section.unwrap_or_default();
+            for (key, value) in properties.iter() {
+                text.entries.push(Entry {
+                    line: line_of(&lines, section, Some(key)),
+                    section: section.to_owned(),
+                    key: key.to_owned(),
+                    value: value.trim().to_owned(),
+                });
+            }
+            let line = line_of(&lines, section, None);
+            text.sections.push((section.to_owned(), line));
+        }
+        let twice = twice(file, &lines);
+        if twice.is_empty() {
+            Ok(text)
+        } else {
+            Err(twice)
+        }
+    }
+}
+
+/// A section's or key's line as the scan finds it; a section has no key.
+struct Line {
+    number: usize,
+    section: String,
+    key: Option<String>,
+}
+
+fn lines(content: &str) -> Vec<Line> {
+    let mut section = String::new();
+    let mut lines = Vec::new();
+    for (i, text) in content.lines().enumerate() {
+        let text = text.trim();
+        if text.is_empty() || text.starts_with(['#', ';']) {
+            continue;
+        }
+        let key = match text.strip_prefix('[').and_then(|t| t.split_once(']')) {
+            Some((name, _)) => {
+                section = name.trim().to_owned();
+                None
+            }
+            None => text.split(['=', ':']).next().map(|k| k.trim().to_owned()),
+        };
+        lines.push(Line {
+            number: i + 1,
+            section: section.clone(),
+            key,
+        });
+    }
+    lines
+}
+
+fn line_of(lines: &[Line], section: &str, key: Option<&str>) -> usize {
+    let found = lines
+        .iter()
+        .find(|l| l.section == section && l.key.as_deref() == key);
+    found.map_or(0, |l| l.number)
+}
+
+fn twice(file: &str, lines: &[Line]) -> Vec<Finding> {
+    let repeated = lines.iter().enumerate().filter(|(i, line)| {
+        let before = &lines[..*i];
+        before
+            .iter()
+            .any(|b| b.section == line.section && b.key == line.key)
+    });
+    repeated
+        .map(|(_, line)| Finding {
+            file: file.to_owned(),
+            line: line.number,
+            section: line.section.clone(),
+            key: line.key.clone().unwrap_or_default(),
+            message: "stands twice".to_owned(),
+        })
+        .collect()
+}
+
+fn broken(file: &str, error: &ini::ParseError) -> Finding {
+    Finding {
+        line: error.line + 1,
+        ..Finding::of_file(file, format!("can't be parsed: {}", error.msg))
+    }
+}
--- /dev/null
+++ b/crates/node/src/settings/value.rs
@@ -0,0 +1,83 @@
+//! Values of settings: from text to checked types.
+
+use super::KEY_BYTES;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Result of reading a value; the error says what is expected.
+pub type Result<T> = std::result::Result<T, String>;
+
+/// An address with a port, such as `127.0.0.1:7000`.
+pub fn addr(text: &str) -> Result<SocketAddr> {
+    text.parse()
+        .map_err(|_| format!("{text:?} is not an IP address with a port"))
+}
+
+/// Addresses, separated by commas.
+pub fn addrs(text: &str) -> Result<Vec<SocketAddr>> {
+    let parts = text.split(',').map(str::trim).filter(|p| !p.is_empty());
+    parts.map(addr).collect()
+}
+
+/// A time with its unit: `250ms`, `10s`, `5m` or `24h`.
+pub fn time(text: &str) -> Result<Duration> {
+    let unit = text.trim_start_matches(|c: char| c.is_ascii_digit());
+    let digits = &text[..text.len() - unit.len()];
+    let wrong = || format!("{text:?} is not a time such as 250ms, 10s, 5m or 24h");
+    let number: u64 = digits.parse().map_err(|_| wrong())?;
+    let millis = match unit.trim() {
+        "ms" => Some(number),
+        "s" => number.checked_mul(1000),
+        "m" => number.checked_mul(60_000),
+        "h" => number.checked_mul(3_600_000),
+        _ => None,
+    };
+    millis.map(Duration::from_millis).ok_or_else(wrong)
+}
+
+/// A number of at least 1.
+pub fn count(text: &str) -> Result<usize> {
+    match text.parse() {
+        Ok(number) if number > 0 => Ok(number),
+        _ => Err(format!("{text:?} is not a number of at least 1")),
+    }
+}
+
+/// A share: a number above 0 and at most 1.
+pub fn share(text: &str) -> Result<f64> {
+    match text.parse::<f64>() {
+        Ok(share) if share > 0.0 && share <= 1.0 => Ok(share),
+        _ => Err(format!("{text:?} is not a number above 0 and at most 1")),
+    }
+}
+
+/// A key of [`KEY_BYTES`] bytes in hexadecimal.
+pub fn key(text: &str) -> Result<[u8; KEY_BYTES]> {
+    let mut key = [0; KEY_BYTES];
+    match hex::decode_to_slice(text, &mut key) {
+        Ok(()) => Ok(key),
+        Err(_) => Err(format!("not {} hexadecimal digits", 2 * KEY_BYTES)),
+    }
+}
+
+/// The key that all nodes share.
+pub fn peer_key(text: &str) -> Result<wire::auth::Key> {
+    wire::auth::Key::try_from(text).map_err(|e| e.to_string())
+}
+
+/// A name: letters, digits, `-`, `_` and `.`.
+pub fn name(text: &str) -> Result<String> {
+    let fits = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    if !text.is_empty() && text.len() <= 64 && text.chars().all(fits) {
+        return Ok(text.to_owned());
+    }
+    Err(format!(
+        "{text:?} is not a name of up to 64 letters, digits, '-', '_' and '.'"
+    ))
+}
+
+/// A level of log lines.
+pub fn level(text: &str) -> Result<log::LevelFilter> {
+    text.parse()
+        .map_err(|_| format!("{text:?} is none of off, error, warn, info, debug, trace"))
+}
