Failures of stages, brought about over real sockets; stand-in plain service

Cause: the driver's promises under failures were not yet seen to hold. Change: stand-in endpoints share lives (die, restart, silence) between engine and service; engines can also garble, end early and compute crosswise. Tests for refusals before anything ran, deaths at each hop and step with resumption elsewhere, silence on open connections, late and crossed frames, cancellation, broken computations, 200 requests at once, and prefills far larger than a window. No event follows a cancellation any more, also when the event's own receiver cancels.

--- a/crates/engine/src/chain.rs
+++ b/crates/engine/src/chain.rs
@@ -128,9 +128,15 @@
 /// [`Event::Failed`]; after cancellation no event comes, and the streams are reset so that the
 /// engines stop.
 pub async fn run(pool: &Pool, job: Job, out: &mut impl FnMut(Event), cancel: CancellationToken) {
+    // An event may itself lead to the cancellation; the ones made in the same breath are dropped.
+    let mut out = |event: Event| {
+        if !cancel.is_cancelled() {
+            out(event);
+        }
+    };
     tokio::select! {
         biased;
         () = cancel.cancelled() => {}
-        () = drive::drive(pool, &job, out) => {}
+        () = drive::drive(pool, &job, &mut out) => {}
     }
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -7,7 +7,6 @@
 mod cache;
 mod counts;
 mod fault;
-pub(crate) mod gate;
 pub mod hash;
 mod kv;
 mod lanes;
@@ -21,6 +20,7 @@
 pub use fault::Crossed;
 pub use kv::Broken;
 
+use crate::life;
 use state::State;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -122,10 +122,10 @@
 impl Engine {
     /// Starts an engine on the current runtime.
     pub async fn start(config: Config) -> io::Result<Handle> {
-        let listener = server::bind(config.addr).await?;
+        let listener = life::bind(config.addr).await?;
         let addr = listener.local_addr()?;
         let state = Arc::new(State::new(addr, config));
-        server::start(&state, listener);
+        life::start(&state, listener);
         Ok(Handle { addr, state })
     }
 }
@@ -141,7 +141,7 @@
 impl Handle {
     /// Dies now: the listener and all connections close, all state is lost.
     pub fn die(&self) {
-        self.state.die();
+        life::die(&self.state);
     }
 
     /// Dies while it computes the `count`-th step from now, 1 for the next one.
@@ -156,17 +156,17 @@
 
     /// Comes back on the same address, with nothing cached.
     pub async fn restart(&self) -> io::Result<()> {
-        server::restart(&self.state).await
+        life::restart(&self.state).await
     }
 
     /// Goes silent on the connections open now; new ones work.
     pub fn silence_open(&self) {
-        self.state.silence_open();
+        self.state.life.silence_open();
     }
 
     /// Goes silent wholly: connections are accepted and nothing is answered.
     pub fn silence(&self, on: bool) {
-        self.state.silence.store(on, Ordering::SeqCst);
+        self.state.life.silence(on);
     }
 
     /// Answers each step this much late.
@@ -209,6 +209,16 @@
         &self.state.counters
     }
 
+    /// Deaths so far.
+    pub fn deaths(&self) -> u64 {
+        self.state.life.deaths()
+    }
+
+    /// Connections accepted so far.
+    pub fn connections(&self) -> u64 {
+        self.state.life.connections()
+    }
+
     /// Requests that hold a slot now.
     pub fn running(&self) -> usize {
         self.state.running()
--- a/crates/standin/src/engine/counts.rs
+++ b/crates/standin/src/engine/counts.rs
@@ -19,10 +19,6 @@
     pub finished: AtomicU64,
     /// Requests that were reset while they held a slot.
     pub cancelled: AtomicU64,
-    /// Deaths.
-    pub deaths: AtomicU64,
-    /// Connections accepted.
-    pub connections: AtomicU64,
     /// Orders carried out.
     pub orders: AtomicU64,
     /// Orders refused for their fencing number.
--- a/crates/standin/src/engine/fault.rs
+++ b/crates/standin/src/engine/fault.rs
@@ -18,6 +18,10 @@
     OtherLayers,
     /// Each answer comes twice.
     Twice,
+    /// Bytes that are no frame come instead of an answer.
+    Garbled,
+    /// The stream ends instead of an answer, as it does after a whole one.
+    Ended,
 }
 
 #[derive(Debug)]
--- a/crates/standin/src/engine/kv.rs
+++ b/crates/standin/src/engine/kv.rs
@@ -12,6 +12,8 @@
     Double,
     /// The stage's layers run in the reverse order.
     Reorder,
+    /// The stage's input is the one that came before, often of another request.
+    Cross,
 }
 
 /// Bytes that carry an activation; the rest of its size is padding.
@@ -38,6 +40,11 @@
         }
     }
 
+    /// How it computes wrongly, if it does.
+    pub(super) fn broken(&self) -> Option<Broken> {
+        self.broken
+    }
+
     /// Position that comes next.
     pub(super) fn position(&self) -> u64 {
         self.position
@@ -66,7 +73,7 @@
 
 fn order(layers: usize, broken: Option<Broken>) -> Vec<usize> {
     match broken {
-        None => (0..layers).collect(),
+        None | Some(Broken::Cross) => (0..layers).collect(),
         Some(Broken::Skip) => (1..layers).collect(),
         Some(Broken::Double) => std::iter::once(0).chain(0..layers).collect(),
         Some(Broken::Reorder) => (0..layers).rev().collect(),
--- a/crates/standin/src/engine/stage.rs
+++ b/crates/standin/src/engine/stage.rs
@@ -4,9 +4,10 @@
 use super::counts::Counters;
 use super::fault::Crossed;
 use super::hash;
-use super::kv::{self, Kv};
+use super::kv::{self, Broken, Kv};
 use super::state::{Slot, State, lock};
 use super::vocabulary;
+use crate::life;
 use bytes::{Bytes, BytesMut};
 use engine::frame::{self, Call, Input, Item, Open, Place, Reader, Reply, Step};
 use engine::prefix;
@@ -235,7 +236,7 @@
         let is_prompt = matches!(step.input, Input::Prompt(_));
         let is_poison = is_prompt && self.state.fault.is_poison(payload);
         if is_poison || self.state.fault.is_last_step() {
-            self.state.die();
+            life::die(&self.state);
             future::pending::<()>().await;
         }
     }
@@ -356,6 +357,10 @@
     /// Runs one position, and enters the layers that ran.
     fn position(&mut self, input: u64) -> u64 {
         Counters::add(&self.state.counters.positions);
+        let input = match self.kv.broken() {
+            Some(Broken::Cross) => self.state.crossed.swap(input, Ordering::SeqCst),
+            _ => input,
+        };
         let position = self.kv.position();
         if !self.state.ledger.is_on() {
             return self.kv.run(input, |_| {});
@@ -387,6 +392,11 @@
                 io.reply(&other, payload.clone(), false)?;
                 io.reply(&reply, payload, false)
             }
+            Crossed::Garbled => {
+                let garbage = Bytes::from_static(&[0, 0, 0, 3, 255, 255, 255]);
+                io.sender.send_data(garbage, false).map_err(|_| Gone)
+            }
+            Crossed::Ended => io.sender.send_data(Bytes::new(), true).map_err(|_| Gone),
             _ => io.reply(&other, payload, false),
         }
     }
@@ -403,7 +413,7 @@
         Crossed::OtherRequest => place.request ^= 1,
         Crossed::OldStep => place.step = place.step.saturating_sub(1).max(1),
         Crossed::OtherLayers => place.to += 1,
-        Crossed::Twice => {}
+        Crossed::Twice | Crossed::Garbled | Crossed::Ended => {}
     }
     reply
 }
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -5,15 +5,15 @@
 use super::fault::Fault;
 use super::lanes::Lanes;
 use super::{Config, Span};
+use crate::life::Life;
+pub(super) use crate::life::lock;
 use engine::frame::{Open, Reason};
 use engine::load::Report;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::runtime::Handle as Runtime;
 use tokio::time::Instant;
-use tokio_util::sync::CancellationToken;
 
 /// A load report and when it was made.
 #[derive(Clone, Debug)]
@@ -32,23 +32,21 @@
 /// State of an engine through all its lives.
 #[derive(Debug)]
 pub(super) struct State {
-    pub(super) addr: SocketAddr,
     pub(super) config: Config,
     pub(super) fault: Fault,
     pub(super) counters: Counters,
     pub(super) ledger: Ledger,
     pub(super) cache: Mutex<Cache>,
     pub(super) lanes: Arc<Lanes>,
-    pub(super) silence: Arc<AtomicBool>,
+    pub(super) life: Life,
     pub(super) held: Mutex<Vec<Held>>,
     pub(super) fence: AtomicU64,
     pub(super) snapshot: Mutex<Option<Snapshot>>,
     /// Mean time between two steps of one request, in nanoseconds.
     pub(super) inter_token: AtomicU64,
-    pub(super) runtime: Runtime,
+    /// Input that [`super::Broken::Cross`] gives to the position that comes next.
+    pub(super) crossed: AtomicU64,
     running: AtomicUsize,
-    life: Mutex<CancellationToken>,
-    open: Mutex<Vec<Weak<AtomicBool>>>,
 }
 
 /// A request's hold on the engine.
@@ -75,21 +73,18 @@
             ready_at: now,
         });
         Self {
-            addr,
             fault: Fault::default(),
             counters: Counters::default(),
             ledger: Ledger::new(config.ledger),
             cache: Mutex::new(Cache::new(config.prefix_blocks, config.event_loss)),
             lanes: Lanes::new(batch.max(1)),
-            silence: Arc::default(),
+            life: Life::new(addr, config.restart_after),
             held: Mutex::new(held.collect()),
             fence: AtomicU64::new(0),
             snapshot: Mutex::new(None),
             inter_token: AtomicU64::new(0),
-            runtime: Runtime::current(),
+            crossed: AtomicU64::new(0),
             running: AtomicUsize::new(0),
-            life: Mutex::default(),
-            open: Mutex::default(),
             config,
         }
     }
@@ -146,54 +141,4 @@
             .map(|held| held.span.clone())
             .collect()
     }
-
-    /// The current life; its end closes all that belongs to it.
-    pub(super) fn life(&self) -> CancellationToken {
-        lock(&self.life).clone()
-    }
-
-    /// Begins a new life, with nothing cached.
-    pub(super) fn revive(&self) -> CancellationToken {
-        let life = CancellationToken::new();
-        *lock(&self.life) = life.clone();
-        lock(&self.cache).clear();
-        life
-    }
-
-    pub(super) fn die(self: &Arc<Self>) {
-        let life = self.life();
-        if life.is_cancelled() {
-            return;
-        }
-        Counters::add(&self.counters.deaths);
-        life.cancel();
-        let Some(after) = self.config.restart_after else {
-            return;
-        };
-        let state = self.clone();
-        self.runtime.spawn(async move {
-            tokio::time::sleep(after).await;
-            let _ = super::server::restart(&state).await;
-        });
-    }
-
-    /// A switch for a new connection's silence.
-    pub(super) fn connection(&self) -> Arc<AtomicBool> {
-        let silence = Arc::new(AtomicBool::new(false));
-        let mut open = lock(&self.open);
-        open.retain(|other| other.strong_count() > 0);
-        open.push(Arc::downgrade(&silence));
-        silence
-    }
-
-    pub(super) fn silence_open(&self) {
-        let open = lock(&self.open);
-        let live = open.iter().filter_map(Weak::upgrade);
-        live.for_each(|silence| silence.store(true, Ordering::SeqCst));
-    }
-}
-
-/// Locks, also after a panic elsewhere: the data are counts and settings, whole at any time.
-pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,5 +3,6 @@
 //! They listen on loopback, many in one process, and can be made to fail while they run.
 
 pub mod engine;
+mod life;
 pub mod oracle;
 pub mod service;
--- a/crates/standin/tests/driver.rs
+++ b/crates/standin/tests/driver.rs
@@ -2,5 +2,13 @@
 
 #[path = "driver/common.rs"]
 mod common;
+#[path = "driver/crossed.rs"]
+mod crossed;
+#[path = "driver/died.rs"]
+mod died;
+#[path = "driver/refused.rs"]
+mod refused;
+#[path = "driver/silent.rs"]
+mod silent;
 #[path = "driver/whole.rs"]
 mod whole;
--- /dev/null
+++ b/crates/standin/tests/driver/crossed.rs
@@ -0,0 +1,124 @@
+//! Answers that belong elsewhere, computations that go wrong, and many requests at once.
+
+use crate::common::{LAYERS, expected, job, pipeline, run, tokens, until};
+use engine::chain::{Cause, Event};
+use engine::pool::{Counters as PoolCounters, Pool};
+use futures::future::join_all;
+use standin::engine::{Broken, Config, Crossed};
+use std::sync::atomic::Ordering;
+
+fn stale(counters: &PoolCounters) -> u64 {
+    counters.stale_frames.load(Ordering::Relaxed)
+}
+
+#[tokio::test]
+async fn frames_of_an_ended_attempt_are_dropped() {
+    // Before each right answer comes one of the attempt before, as when a stage was slow to stop.
+    // They are told by the attempt's number, and the caller's answer is whole.
+    for hop in 0..3 {
+        let engines = pipeline(&[0, 4, 8, LAYERS], Config::default()).await;
+        engines[hop].cross(Some(Crossed::OldAttempt));
+        let pool = Pool::default();
+        let mut job = job(1, &engines, "soup", 8);
+        job.attempt = 2;
+        assert_eq!(tokens(&run(&pool, &job).await), expected(&job));
+        assert!(stale(pool.counters()) >= 8);
+    }
+}
+
+#[tokio::test]
+async fn an_answer_that_belongs_elsewhere_ends_the_attempt() {
+    // A stage answers for another request, step or range, answers twice, sends no frame, or ends
+    // the stream early. The attempt fails at that hop; the caller has no token that isn't its own.
+    let cases = [
+        Crossed::OtherRequest,
+        Crossed::OldStep,
+        Crossed::OtherLayers,
+        Crossed::Twice,
+        Crossed::Garbled,
+        Crossed::Ended,
+    ];
+    for crossed in cases {
+        for hop in 0..3 {
+            let engines = pipeline(&[0, 4, 8, LAYERS], Config::default()).await;
+            engines[hop].cross(Some(crossed));
+            let job = job(1, &engines, "soup", 8);
+            let events = run(&Pool::default(), &job).await;
+            let had = tokens(&events);
+            assert_eq!(had, expected(&job)[..had.len()], "{crossed:?} at {hop}");
+            assert!(had.len() <= 1, "{crossed:?} at {hop}");
+            let cause = Cause::Protocol;
+            let end = Event::Failed {
+                hop: hop as u8,
+                cause,
+                sent: true,
+                retry_after: None,
+            };
+            assert_eq!(events.last(), Some(&end), "{crossed:?} at {hop}");
+            until(|| engines.iter().all(|engine| engine.running() == 0)).await;
+        }
+    }
+}
+
+#[tokio::test]
+async fn the_oracle_catches_each_broken_computation() {
+    // The check itself: an engine that leaves out, doubles, reorders or crosses its layers, and
+    // reports all as done, must give another answer than the oracle.
+    for broken in [Broken::Skip, Broken::Double, Broken::Reorder, Broken::Cross] {
+        for hop in 0..3 {
+            let engines = pipeline(&[0, 4, 8, LAYERS], Config::default()).await;
+            engines[hop].break_with(Some(broken));
+            let job = job(1, &engines, "soup", 8);
+            let made = tokens(&run(&Pool::default(), &job).await);
+            assert!(!made.is_empty());
+            assert_ne!(made[0], expected(&job)[0], "{broken:?} at {hop}");
+            let is_counted = matches!(broken, Broken::Skip | Broken::Double);
+            let runs = engines[hop].runs(1, 1).expect("kept");
+            let positions = runs.counts.iter().map(Vec::len).max().expect("some");
+            assert_eq!(runs.is_once(positions), !is_counted, "{broken:?} at {hop}");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn two_hundred_requests_at_once_each_get_their_own_answer() {
+    // All share the connections and stages; no token of one may reach another.
+    let config = Config {
+        slots: 256,
+        ..Config::default()
+    };
+    let engines = pipeline(&[0, 3, 7, LAYERS], config).await;
+    let pool = Pool::default();
+    let jobs: Vec<_> = (1..=200)
+        .map(|request| {
+            job(
+                request,
+                &engines,
+                &format!("team {} recipe", request % 2),
+                24,
+            )
+        })
+        .collect();
+    let answers = join_all(jobs.iter().map(|job| run(&pool, job))).await;
+    for (job, events) in jobs.iter().zip(&answers) {
+        assert_eq!(tokens(events), expected(job));
+    }
+}
+
+#[tokio::test]
+async fn long_prompts_pass_through_narrow_windows() {
+    // A prefill's activations are far larger than a stream's window: they are relayed piece by
+    // piece, and arrive whole.
+    let config = Config {
+        activation: 8 << 10,
+        ..Config::default()
+    };
+    let engines = pipeline(&[0, 4, 8, LAYERS], config).await;
+    let pool = Pool::default();
+    let job = job(1, &engines, &"oat milk ".repeat(400), 6);
+    let events = run(&pool, &job).await;
+    assert_eq!(tokens(&events), expected(&job));
+    assert!(pool.counters().relayed.load(Ordering::Relaxed) > 10 << 20);
+    let progress = |event: &&Event| matches!(event, Event::Progress { hop: 0, step: 1 });
+    assert!(events.iter().filter(progress).count() > 3);
+}
--- /dev/null
+++ b/crates/standin/tests/driver/silent.rs
@@ -0,0 +1,98 @@
+//! Connections that go silent, and answers that come late.
+
+use crate::common::{LAYERS, LIMIT, expected, job, pipeline, run, run_with, tokens, until};
+use engine::chain::{Cause, Event};
+use engine::pool::Pool;
+use standin::engine::{Config, Counters};
+use std::time::Duration;
+
+/// Short, since the answer is known never to come.
+const NEVER: Duration = Duration::from_millis(200);
+
+#[tokio::test]
+async fn an_open_connection_goes_silent_while_new_ones_work() {
+    // Something between the two ends lost track of the connection: after two tokens nothing comes,
+    // and no error either. A probe on a new connection answers, so the endpoint isn't to blame; the
+    // pool forgets the connection, which ends the attempt, and the next one goes through.
+    let engines = pipeline(&[0, 4, 8, LAYERS], Config::default()).await;
+    let pool = Pool::default();
+    let first = job(1, &engines, "soup", 16);
+    let addr = engines[1].addr;
+    let mut count = 0;
+    let (probed, prober) = (std::cell::Cell::new(None), pool.clone());
+    let attempt = run_with(&pool, &first, |event, _| {
+        count += usize::from(matches!(event, Event::Token(_)));
+        if count == 2 {
+            engines[1].silence_open();
+        }
+    });
+    let router = async {
+        until(|| Counters::get(&engines[0].counters().steps) == 3).await;
+        probed.set(Some(prober.probe(addr, LIMIT).await));
+        prober.forget(addr);
+    };
+    let (events, ()) = tokio::join!(attempt, router);
+    assert_eq!(probed.get(), Some(true));
+    assert_eq!(tokens(&events), expected(&first)[..2]);
+    let end = Event::Failed {
+        hop: 1,
+        cause: Cause::Reset,
+        sent: true,
+        retry_after: None,
+    };
+    assert_eq!(events.last(), Some(&end));
+
+    let next = job(2, &engines, "bread", 16);
+    assert_eq!(tokens(&run(&pool, &next).await), expected(&next));
+}
+
+#[tokio::test]
+async fn an_open_that_is_swallowed_was_not_sent() {
+    // The kept connection is silent when the request comes: the open vanishes. The router cancels
+    // for lack of progress. No step left, so the request may be called "not run".
+    let engines = pipeline(&[0, 4, LAYERS], Config::default()).await;
+    let pool = Pool::default();
+    let first = job(1, &engines, "soup", 4);
+    assert_eq!(tokens(&run(&pool, &first).await), expected(&first));
+    until(|| engines.iter().all(|engine| engine.running() == 0)).await;
+    engines[1].silence_open();
+    let second = job(2, &engines, "bread", 4);
+    let events = run_with(&pool, &second, |event, cancel| {
+        if *event == (Event::Progress { hop: 0, step: 0 }) {
+            cancel.cancel();
+        }
+    })
+    .await;
+    assert!(!events.contains(&Event::Sent));
+    until(|| engines.iter().all(|engine| engine.running() == 0)).await;
+    assert_eq!(Counters::get(&engines[1].counters().opened), 1);
+    pool.forget(engines[1].addr);
+    assert_eq!(tokens(&run(&pool, &second).await), expected(&second));
+}
+
+#[tokio::test]
+async fn a_probe_tells_a_silent_endpoint_from_a_live_one() {
+    // Connections to the silent endpoint are accepted, and nothing is answered on any of them.
+    let engines = pipeline(&[0, LAYERS], Config::default()).await;
+    let pool = Pool::default();
+    assert!(pool.probe(engines[0].addr, LIMIT).await);
+    engines[0].silence(true);
+    assert!(!pool.probe(engines[0].addr, NEVER).await);
+    engines[0].silence(false);
+    assert!(pool.probe(engines[0].addr, LIMIT).await);
+    engines[0].die();
+    assert!(!pool.probe(engines[0].addr, LIMIT).await);
+}
+
+#[tokio::test]
+async fn a_late_stage_reports_that_it_works() {
+    // Each step takes longer than the time between two reports of work: the router sees progress
+    // and leaves the attempt alone, and the answer is whole.
+    let engines = pipeline(&[0, 4, LAYERS], Config::default()).await;
+    engines[1].late(Duration::from_millis(600));
+    let job = job(1, &engines, "soup", 2);
+    let events = run(&Pool::default(), &job).await;
+    assert_eq!(tokens(&events), expected(&job));
+    let progress = Event::Progress { hop: 1, step: 1 };
+    assert!(events.iter().filter(|event| **event == progress).count() > 1);
+}
