--- /dev/null
+++ b/crates/standin/tests/service.rs
@@ -0,0 +1,279 @@
+//! Calls of plain services, over real sockets on loopback.
+
+use bytes::Bytes;
+use engine::pool::Pool;
+use engine::service::{self, Body, Cause, Failure, Limit};
+use http::{Request, Response};
+use http_body_util::BodyExt;
+use standin::service::{Config, Handle, KEY, Moment, Service, answer};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+/// Generous: no test depends on how fast it is.
+const LIMIT: Limit = Limit {
+    head: Duration::from_secs(30),
+    fresh: false,
+};
+const FRESH: Limit = Limit {
+    fresh: true,
+    ..LIMIT
+};
+
+fn post(key: &str, body: &str) -> Request<Bytes> {
+    let request = Request::post("/locks/tower-4").header(KEY, key);
+    request
+        .body(Bytes::from(body.to_owned()))
+        .expect("a request")
+}
+
+async fn call(
+    pool: &Pool,
+    addr: SocketAddr,
+    key: &str,
+    limit: Limit,
+) -> service::Result<Response<Body>> {
+    let sent = AtomicBool::new(false);
+    let answer = service::call(pool, addr, post(key, "lock it"), limit, &sent).await;
+    let is_sent = answer
+        .as_ref()
+        .map_or_else(|failure| failure.sent, |_| true);
+    assert_eq!(sent.load(Ordering::SeqCst), is_sent);
+    answer
+}
+
+/// The whole body, or the failure that cut it off.
+async fn text(response: Response<Body>) -> Result<String, Failure> {
+    let bytes = response.into_body().collect().await?.to_bytes();
+    Ok(String::from_utf8(bytes.to_vec()).expect("text"))
+}
+
+fn whole(config: &Config) -> String {
+    answer(config, "/locks/tower-4", b"lock it").concat()
+}
+
+async fn start(pieces: usize) -> (Handle, Config) {
+    let config = Config {
+        pieces,
+        piece_time: Duration::from_millis(5),
+        ..Config::default()
+    };
+    (
+        Service::start(config.clone()).await.expect("starts"),
+        config,
+    )
+}
+
+#[tokio::test]
+async fn answers_come_whole_on_a_kept_connection() {
+    for pieces in [1, 4] {
+        let (service, config) = start(pieces).await;
+        let pool = Pool::default();
+        for call_number in 0..5 {
+            let key = call_number.to_string();
+            let response = call(&pool, service.addr, &key, LIMIT)
+                .await
+                .expect("answers");
+            assert_eq!(text(response).await, Ok(whole(&config)));
+            assert_eq!(service.effects(&key), 1);
+        }
+        assert_eq!(service.connections(), 1);
+        call(&pool, service.addr, "5", FRESH)
+            .await
+            .expect("answers");
+        assert_eq!(service.connections(), 2);
+    }
+}
+
+#[tokio::test]
+async fn a_service_that_cannot_be_reached_was_not_sent_the_call() {
+    let (service, _) = start(1).await;
+    service.die();
+    let failure = call(&Pool::default(), service.addr, "1", LIMIT)
+        .await
+        .expect_err("dead");
+    assert_eq!(
+        failure,
+        Failure {
+            cause: Cause::Connect,
+            sent: false
+        }
+    );
+}
+
+#[tokio::test]
+async fn a_service_that_dies_leaves_the_outcome_open() {
+    // It dies before or after its effect: the caller can't tell which, and is told so. The call is
+    // made once; the library doesn't repeat it on another connection.
+    for (moment, effects) in [(Moment::Before, 0), (Moment::After, 1)] {
+        let (service, _) = start(1).await;
+        let pool = Pool::default();
+        for limit in [LIMIT, FRESH] {
+            service.die_at(Some(moment));
+            let calls = service.calls();
+            let key = format!("{moment:?} {}", limit.fresh);
+            let failure = call(&pool, service.addr, &key, limit)
+                .await
+                .expect_err("died");
+            assert_eq!(
+                failure,
+                Failure {
+                    cause: Cause::Reset,
+                    sent: true
+                }
+            );
+            service.restart().await.expect("restarts");
+            assert_eq!(service.calls(), calls + 1);
+            assert_eq!(service.effects(&key), effects);
+            service.die_at(None);
+        }
+    }
+}
+
+#[tokio::test]
+async fn half_an_answer_never_ends_like_a_whole_one() {
+    // The service breaks off in the middle, of an answer with a length and of a chunked one.
+    for pieces in [1, 4] {
+        let (service, _) = start(pieces).await;
+        service.halve(true);
+        let response = call(&Pool::default(), service.addr, "1", LIMIT).await;
+        let failure = match response {
+            Ok(response) => text(response).await.expect_err("cut off"),
+            Err(failure) => failure,
+        };
+        assert_eq!(
+            failure,
+            Failure {
+                cause: Cause::Reset,
+                sent: true
+            }
+        );
+    }
+}
+
+#[tokio::test]
+async fn an_answer_without_an_end_mark_is_refused() {
+    // Its end is the connection's end, so that a cut would look like a whole answer.
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("listens");
+    let addr = listener.local_addr().expect("has an address");
+    let server = async {
+        let (mut socket, _) = listener.accept().await.expect("accepts");
+        let mut bytes = [0; 1024];
+        let _ = socket.read(&mut bytes).await;
+        let _ = socket.write_all(b"HTTP/1.1 200 OK\r\n\r\nhalf a sen").await;
+    };
+    let pool = Pool::default();
+    let (answer, ()) = tokio::join!(call(&pool, addr, "1", LIMIT), server);
+    let failure = answer.expect_err("refused");
+    assert_eq!(
+        failure,
+        Failure {
+            cause: Cause::Protocol,
+            sent: true
+        }
+    );
+}
+
+#[tokio::test]
+async fn a_silent_service_is_given_up_with_its_outcome_open() {
+    let (service, _) = start(1).await;
+    service.silence(true);
+    let limit = Limit {
+        head: Duration::from_millis(100),
+        fresh: true,
+    };
+    let failure = call(&Pool::default(), service.addr, "1", limit)
+        .await
+        .expect_err("silent");
+    assert_eq!(
+        failure,
+        Failure {
+            cause: Cause::Silent,
+            sent: true
+        }
+    );
+}
+
+#[tokio::test]
+async fn a_call_on_a_fresh_connection_is_not_lost_with_a_kept_one() {
+    // The kept connection went silent, or its service restarted. A call that may not be repeated
+    // uses a fresh one: it goes through, once.
+    let (service, config) = start(1).await;
+    let pool = Pool::default();
+    for round in 0..6 {
+        let kept = call(&pool, service.addr, "kept", FRESH)
+            .await
+            .expect("answers");
+        text(kept).await.expect("whole");
+        if round % 2 == 0 {
+            service.silence_open();
+        } else {
+            service.die();
+            service.restart().await.expect("restarts");
+        }
+        let key = round.to_string();
+        let response = call(&pool, service.addr, &key, FRESH)
+            .await
+            .expect("answers");
+        assert_eq!(text(response).await, Ok(whole(&config)));
+        assert_eq!(service.effects(&key), 1);
+    }
+}
+
+#[tokio::test]
+async fn a_call_on_a_lost_connection_is_never_sent_twice() {
+    // The service restarts while connections are kept. Whether a call fails, and with which
+    // outcome, depends on what this side has noticed; but "not sent" must be true, and no call may
+    // have two effects.
+    let (service, _) = start(1).await;
+    let pool = Pool::default();
+    for round in 0..40 {
+        let key = round.to_string();
+        let outcome = match call(&pool, service.addr, &key, LIMIT).await {
+            Ok(response) => text(response).await.map(|_| ()),
+            Err(failure) => Err(failure),
+        };
+        let effects = service.effects(&key);
+        match outcome {
+            Ok(()) => assert_eq!(effects, 1),
+            Err(Failure { sent: false, .. }) => assert_eq!(effects, 0),
+            Err(_) => assert!(effects <= 1),
+        }
+        service.die();
+        service.restart().await.expect("restarts");
+    }
+}
+
+#[tokio::test]
+async fn a_probe_reaches_a_service_and_a_forgotten_connection_is_gone() {
+    let (service, _) = start(1).await;
+    let pool = Pool::default();
+    assert!(pool.probe(service.addr, LIMIT.head).await);
+    let response = call(&pool, service.addr, "1", LIMIT)
+        .await
+        .expect("answers");
+    text(response).await.expect("whole");
+    service.silence_open();
+    assert!(pool.probe(service.addr, LIMIT.head).await);
+    pool.forget(service.addr);
+    let response = call(&pool, service.addr, "2", LIMIT)
+        .await
+        .expect("answers");
+    text(response).await.expect("whole");
+    service.die();
+    assert!(!pool.probe(service.addr, LIMIT.head).await);
+}
+
+#[tokio::test]
+async fn a_busy_service_answers_without_an_effect() {
+    let (service, _) = start(1).await;
+    service.busy(true);
+    let response = call(&Pool::default(), service.addr, "1", LIMIT)
+        .await
+        .expect("answers");
+    assert_eq!(response.status(), 503);
+    assert!(response.headers().contains_key("retry-after"));
+    assert_eq!(service.effects("1"), 0);
+}
