--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod engine;
 pub mod fault;
+mod life;
 pub mod list;
 pub mod log;
 pub mod oracle;
