Rig: a fleet on loopback in one process, and the whole path through it

Cause: nothing showed that the parts work together. Conclusion: a caller gets the right answer from a pipeline of two stages over three nodes.

--- /dev/null
+++ b/crates/rig/tests/path.rs
@@ -0,0 +1,42 @@
+//! The whole path over real sockets, with nothing failing.
+
+use rig::caller::{Ask, Caller, addresses};
+use rig::fleet::Fleet;
+use rig::plan::Plan;
+use rig::{expect, plan};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_asks_for_an_address_and_gets_the_whole_answer() {
+    let fleet = Fleet::start(Plan::default()).await.expect("fleet");
+    let named = addresses(fleet.node(0).callers).await.expect("addresses");
+    assert_eq!(named.addresses.len(), 3);
+    let addr = named.addresses[0].addr().expect("address");
+    let caller = Caller::new();
+    for stream in [true, false] {
+        let ask = Ask {
+            stream,
+            ..Ask::of("flag the sesame")
+        };
+        let answer = caller.chat(addr, &ask).await.expect("answer");
+        assert!(answer.complete(), "{answer:?}");
+        assert_eq!(answer.text, expect::text(&fleet.plan, &ask));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn adapter_changes_the_answer() {
+    let fleet = Fleet::start(Plan::default()).await.expect("fleet");
+    let addr = fleet.node(1).callers;
+    let plain = Ask::of("explain the swap");
+    let adapted = Ask {
+        model: format!("{}:{}", plan::MODEL, plan::ADAPTER),
+        ..plain.clone()
+    };
+    let caller = Caller::http2();
+    for ask in [&plain, &adapted] {
+        let answer = caller.chat(addr, ask).await.expect("answer");
+        assert!(answer.complete(), "{answer:?}");
+        assert_eq!(answer.text, expect::text(&fleet.plan, ask));
+    }
+    assert_ne!(expect::text(&fleet.plan, &plain), expect::text(&fleet.plan, &adapted));
+}
