--- a/crates/bundle/src/fold.rs
+++ b/crates/bundle/src/fold.rs
@@ -43,17 +43,16 @@
 mod counters;
 mod flaw;
 mod history;
+mod judge;
 mod known;
 mod standing;
 mod verdict;
 
 use crate::bundle::Bundle;
-use crate::delta::Misfit;
 use crate::id::Number;
 use crate::record::Record;
-use crate::signed::{Head, Version};
+use crate::signed::Version;
 use crate::signer::Signer;
-use crate::verify;
 use branch::Branch;
 use known::Known;
 use std::sync::Arc;
@@ -153,26 +152,6 @@
         self.gap.is_some()
     }
 
-    /// Tells the first offset that the log retains, before the records of a page are applied.
-    /// Returns whether there is a gap now.
-    pub fn gap(&mut self, first: u64) -> bool {
-        if first <= self.next {
-            return self.in_gap();
-        }
-        if !self.in_gap() {
-            self.counters.gaps += 1;
-            if let Some(base) = &mut self.base.known {
-                base.next = self.next;
-            }
-        }
-        self.gap = Some(first);
-        self.next = first;
-        self.rewound = None;
-        self.close_by_ahead();
-        self.settle();
-        self.in_gap()
-    }
-
     /// Applies a page of the log: its first retained offset, then its records in order.
     pub fn page<'a>(
         &mut self,
@@ -205,17 +184,6 @@
         verdict
     }
 
-    /// Judges `version` as if it came next, without effect.
-    pub fn judge(&self, version: &Version) -> Verdict {
-        if let Standing::Accepted(_) = self.standing(&version.seal.header) {
-            return Verdict::Repeated;
-        }
-        match self.bundle_of(self.shown(), version) {
-            Ok(bundle) => Verdict::Accepted(Arc::new(bundle)),
-            Err(verdict) => verdict,
-        }
-    }
-
     /// The state as a record for the log: a checkpoint. `None` if there is nothing yet, or a
     /// gap: only who read the log without one can vouch for it. `wall` is the time since the
     /// Unix epoch.
@@ -244,24 +212,6 @@
         Verdict::Accepted(bundle)
     }
 
-    /// The bundle that `version` makes of `head`, or why it makes none.
-    fn bundle_of(&self, head: Option<&Known>, version: &Version) -> Result<Bundle, Verdict> {
-        let header = &version.seal.header;
-        let none = Bundle::default();
-        let parent = head.map_or(&none, |k| &*k.bundle);
-        let trust = version.seal.check(&self.trusted, &parent.signers);
-        trust.map_err(|e| Verdict::Refused(Reason::Distrust(e)))?;
-        let follows =
-            header.parent == parent.digest && parent.number.checked_add(1) == Some(header.number);
-        if !follows {
-            return Err(Verdict::Lost {
-                head: head.map(|k| k.bundle.clone()),
-            });
-        }
-        let bundle = child(parent, version).map_err(Verdict::Refused)?;
-        Ok(bundle)
-    }
-
     /// The known state with the highest number.
     fn shown(&self) -> Option<&Known> {
         self.ahead.known.as_ref().or(self.base.known.as_ref())
@@ -300,26 +250,3 @@
         self.shown().map_or(0, |k| k.next)
     }
 }
-
-/// The checked bundle that `version`, whose signature was checked, makes of `parent`.
-fn child(parent: &Bundle, version: &Version) -> Result<Bundle, Reason> {
-    let header = &version.seal.header;
-    let sections = version.delta.apply(&parent.sections);
-    let sections = sections.map_err(|e: Misfit| Reason::Delta(e))?;
-    if sections.digest() != header.result {
-        return Err(Reason::Digest);
-    }
-    let bundle = known::checked(&sections, header)?;
-    let findings = verify::step(parent, &bundle);
-    if findings.failed() {
-        return Err(Reason::Bundle(findings));
-    }
-    Ok(bundle)
-}
-
-/// A head as a record.
-impl From<Head> for Record {
-    fn from(head: Head) -> Self {
-        Self::Checkpoint(head)
-    }
-}
--- a/crates/bundle/src/fold/adopt.rs
+++ b/crates/bundle/src/fold/adopt.rs
@@ -12,6 +12,26 @@
 use std::time::Duration;
 
 impl Fold {
+    /// Tells the first offset that the log retains, before the records of a page are applied.
+    /// Returns whether there is a gap now.
+    pub fn gap(&mut self, first: u64) -> bool {
+        if first <= self.next {
+            return self.in_gap();
+        }
+        if !self.in_gap() {
+            self.counters.gaps += 1;
+            if let Some(base) = &mut self.base.known {
+                base.next = self.next;
+            }
+        }
+        self.gap = Some(first);
+        self.next = first;
+        self.rewound = None;
+        self.close_by_ahead();
+        self.settle();
+        self.in_gap()
+    }
+
     /// Takes a record from a peer: a version that follows the head in force, or a full head.
     /// It is used only if it is higher than what is in force and signed by a trusted key.
     pub fn adopt(&mut self, body: &[u8]) -> Verdict {
@@ -38,8 +58,14 @@
         if let Some(versions) = self.versions(after, number) {
             return versions;
         }
-        let head = Record::Checkpoint(known.head(self.accounted(), Duration::ZERO));
-        vec![head.encode().into()]
+        self.full().into_iter().map(Arc::from).collect()
+    }
+
+    /// The head in force as a full record, for a peer or an operator's desk.
+    pub fn full(&self) -> Option<Vec<u8>> {
+        let known = self.shown()?;
+        let head = known.head(self.accounted(), Duration::ZERO);
+        Some(Record::Checkpoint(head).encode())
     }
 
     /// Records of the versions after `after` up to `to`, if all are kept.
--- /dev/null
+++ b/crates/bundle/src/fold/judge.rs
@@ -0,0 +1,60 @@
+//! Whether a version is a valid child of a head.
+
+use super::known::{self, Known};
+use super::verdict::{Reason, Verdict};
+use super::{Fold, Standing};
+use crate::bundle::Bundle;
+use crate::signed::Version;
+use crate::verify;
+use std::sync::Arc;
+
+impl Fold {
+    /// Judges `version` as if it came next, without effect.
+    pub fn judge(&self, version: &Version) -> Verdict {
+        if let Standing::Accepted(_) = self.standing(&version.seal.header) {
+            return Verdict::Repeated;
+        }
+        match self.bundle_of(self.shown(), version) {
+            Ok(bundle) => Verdict::Accepted(Arc::new(bundle)),
+            Err(verdict) => verdict,
+        }
+    }
+
+    /// The bundle that `version` makes of `head`, or why it makes none.
+    pub(super) fn bundle_of(
+        &self,
+        head: Option<&Known>,
+        version: &Version,
+    ) -> Result<Bundle, Verdict> {
+        let header = &version.seal.header;
+        let none = Bundle::default();
+        let parent = head.map_or(&none, |k| &*k.bundle);
+        let trust = version.seal.check(&self.trusted, &parent.signers);
+        trust.map_err(|e| Verdict::Refused(Reason::Distrust(e)))?;
+        let follows =
+            header.parent == parent.digest && parent.number.checked_add(1) == Some(header.number);
+        if !follows {
+            return Err(Verdict::Lost {
+                head: head.map(|k| k.bundle.clone()),
+            });
+        }
+        let bundle = child(parent, version).map_err(Verdict::Refused)?;
+        Ok(bundle)
+    }
+}
+
+/// The checked bundle that `version`, whose signature was checked, makes of `parent`.
+fn child(parent: &Bundle, version: &Version) -> Result<Bundle, Reason> {
+    let header = &version.seal.header;
+    let sections = version.delta.apply(&parent.sections);
+    let sections = sections.map_err(Reason::Delta)?;
+    if sections.digest() != header.result {
+        return Err(Reason::Digest);
+    }
+    let bundle = known::checked(&sections, header)?;
+    let findings = verify::step(parent, &bundle);
+    if findings.failed() {
+        return Err(Reason::Bundle(findings));
+    }
+    Ok(bundle)
+}
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod digest;
 pub mod endpoint;
 pub mod finding;
+pub mod fleet;
 pub mod fold;
 pub mod id;
 pub mod kind;
