--- a/crates/bundle/src/fold.rs
+++ b/crates/bundle/src/fold.rs
@@ -61,6 +61,7 @@
 pub use counters::Counters;
 pub use flaw::Flaw;
 pub use history::Entry;
+pub use known::checked;
 pub use standing::Standing;
 pub use verdict::{Reason, Verdict};
 
--- a/crates/bundle/src/fold/known.rs
+++ b/crates/bundle/src/fold/known.rs
@@ -52,7 +52,7 @@
 }
 
 /// The checked bundle of `sections`, whose digest is the one in `header`.
-pub(super) fn checked(sections: &Sections, header: &Header) -> Result<Bundle, Reason> {
+pub fn checked(sections: &Sections, header: &Header) -> Result<Bundle, Reason> {
     if sections.len() > sections::MOST {
         return Err(Reason::Size(sections.len()));
     }
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod finding;
 pub mod fleet;
 pub mod fold;
+pub mod history;
 pub mod id;
 pub mod kind;
 pub mod link;
--- /dev/null
+++ b/crates/ctl/src/diff.rs
@@ -0,0 +1,71 @@
+//! `wigeonctl diff`
+
+use crate::failure::{Result, input};
+use crate::files;
+use crate::output::Output;
+use bundle::delta::Delta;
+use bundle::record::Record;
+use bundle::section::Key;
+use bundle::sections::Sections;
+use clap::ArgMatches;
+use serde::Serialize;
+use std::fmt;
+use std::path::Path;
+
+/// Headers of the sections that differ.
+#[derive(Serialize)]
+struct Difference {
+    added: Vec<String>,
+    changed: Vec<String>,
+    removed: Vec<String>,
+}
+
+impl fmt::Display for Difference {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let rows = [
+            ('+', &self.added),
+            ('~', &self.changed),
+            ('-', &self.removed),
+        ];
+        for (sign, headers) in rows {
+            for header in headers {
+                writeln!(f, "{sign} [{header}]")?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Shows what turns one bundle into another.
+pub fn run(args: &ArgMatches, output: Output) -> Result {
+    let old = old(files::path(args, "old"))?;
+    let new = files::sections(files::path(args, "new"))?;
+    let delta = Delta::between(&old, &new);
+    let (changed, added): (Vec<&Key>, Vec<&Key>) =
+        delta.set.keys().partition(|key| old.get(key).is_some());
+    output.show(&Difference {
+        added: headers(added),
+        changed: headers(changed),
+        removed: headers(delta.removed.iter()),
+    });
+    Ok(())
+}
+
+/// The sections of a text, or of a record with a full bundle.
+fn old(path: &Path) -> Result<Sections> {
+    if !files::bytes(path)?.trim_ascii_start().starts_with(b"{") {
+        return files::sections(path);
+    }
+    match files::record(path)? {
+        Record::Checkpoint(head) => Ok(head.sections),
+        Record::Version(version) => {
+            let first = version.delta.apply(&Sections::default());
+            first.map_err(|e| input(eyre::eyre!("not a whole bundle: it {e}")))
+        }
+    }
+}
+
+/// Headers as text.
+fn headers<'a>(keys: impl IntoIterator<Item = &'a Key>) -> Vec<String> {
+    keys.into_iter().map(Key::to_string).collect()
+}
--- /dev/null
+++ b/crates/ctl/src/files.rs
@@ -0,0 +1,76 @@
+//! Files that operators give.
+
+use crate::failure::{Failure, Result, input};
+use bundle::Bundle;
+use bundle::record::{self, Record};
+use bundle::sections::Sections;
+use bundle::sign::{self, SigningKey};
+use bundle::signer::Signer;
+use clap::ArgMatches;
+use eyre::WrapErr;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+/// The path under argument `name`, which clap requires.
+pub fn path<'a>(args: &'a ArgMatches, name: &str) -> &'a Path {
+    args.get_one::<PathBuf>(name)
+        .map_or(Path::new(""), PathBuf::as_path)
+}
+
+/// A file's bytes; larger ones than any input can be are refused.
+pub fn bytes(path: &Path) -> Result<Vec<u8>> {
+    let at = || path.display().to_string();
+    let size = fs::metadata(path).wrap_err_with(at).map_err(input)?.len();
+    if size > bundle::text::MAX_TEXT as u64 {
+        return Err(input(eyre::eyre!("{}: {size} bytes are too many", at())));
+    }
+    fs::read(path).wrap_err_with(at).map_err(input)
+}
+
+/// A file's text.
+pub fn text(path: &Path) -> Result<String> {
+    let text = String::from_utf8(bytes(path)?);
+    text.wrap_err_with(|| path.display().to_string())
+        .map_err(input)
+}
+
+/// The sections of a bundle's text.
+pub fn sections(path: &Path) -> Result<Sections> {
+    bundle::text::parse(&text(path)?).map_err(Failure::Findings)
+}
+
+/// A checked bundle.
+pub fn bundle(path: &Path) -> Result<Bundle> {
+    text(path)?.parse().map_err(Failure::Findings)
+}
+
+/// A private key.
+pub fn key(path: &Path) -> Result<SigningKey> {
+    let key = sign::from_pem(&text(path)?);
+    key.wrap_err_with(|| path.display().to_string())
+        .map_err(input)
+}
+
+/// A record of the log.
+pub fn record(path: &Path) -> Result<Record> {
+    read_record(&bytes(path)?)
+        .wrap_err_with(|| path.display().to_string())
+        .map_err(input)
+}
+
+/// Reads a record.
+pub fn read_record(bytes: &[u8]) -> record::Result<Record> {
+    Record::decode(bytes.trim_ascii())
+}
+
+/// The trusted keys under `--trust`.
+pub fn trusted(args: &ArgMatches) -> Result<Vec<Signer>> {
+    let Some(path) = args.get_one::<PathBuf>("trust") else {
+        return Ok(Vec::new());
+    };
+    let signers = bundle::verify::signers(&sections(path)?).map_err(Failure::Findings)?;
+    if signers.is_empty() {
+        return Err(input(eyre::eyre!("{}: no [signer NAME]", path.display())));
+    }
+    Ok(signers)
+}
--- /dev/null
+++ b/crates/ctl/src/history.rs
@@ -0,0 +1,32 @@
+//! `wigeonctl history`
+
+use crate::admin::Admin;
+use crate::failure::{Result, failed};
+use crate::output::Output;
+use crate::source;
+use bundle::history::History;
+use clap::ArgMatches;
+use eyre::WrapErr;
+use std::net::SocketAddr;
+
+/// Path of the versions that a node remembers.
+const HISTORY: &str = "/admin/v1/history";
+
+/// Shows the versions that were in force, as a node or the log tells.
+pub async fn run(args: &ArgMatches, output: Output) -> Result {
+    let history: History = match args.get_one::<SocketAddr>("admin") {
+        Some(addr) => {
+            let body = Admin(*addr).get(HISTORY).await.map_err(failed)?;
+            serde_json::from_slice(&body)
+                .wrap_err("history")
+                .map_err(failed)?
+        }
+        None => {
+            let mut tail = source::tail(args)?;
+            tail.catch_up().await?;
+            History::from(&tail.fold)
+        }
+    };
+    output.show(&history);
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/keygen.rs
@@ -0,0 +1,64 @@
+//! `wigeonctl keygen`
+
+use crate::failure::{Result, failed, input};
+use crate::files;
+use crate::output::Output;
+use bundle::{section, sign};
+use clap::ArgMatches;
+use eyre::WrapErr;
+use rand::TryRng;
+use rand::rngs::SysRng;
+use serde::Serialize;
+use std::fmt;
+use std::fs::OpenOptions;
+use std::io::Write;
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::Path;
+
+/// Only its owner may read a private key.
+const MODE: u32 = 0o600;
+
+/// The new key's public half, as settings and bundles hold it.
+#[derive(Serialize)]
+struct Key<'a> {
+    name: &'a str,
+    public: String,
+}
+
+impl fmt::Display for Key<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "[signer {}]\nkey = {}", self.name, self.public)
+    }
+}
+
+/// Makes a key, writes its private half to a file and shows the public one.
+pub fn run(args: &ArgMatches, output: Output) -> Result {
+    let name = args.get_one::<String>("name").map_or("", String::as_str);
+    if !section::is_name(name) {
+        return Err(input(eyre::eyre!("`{name}` can't name a signer")));
+    }
+    let mut seed = [0; 32];
+    let drawn = SysRng.try_fill_bytes(&mut seed);
+    drawn.wrap_err("random numbers").map_err(failed)?;
+    let key = sign::key(seed);
+    let pem = sign::to_pem(&key).map_err(failed)?;
+    write_new(files::path(args, "key"), &pem)?;
+    let public = sign::public(&key);
+    output.show(&Key { name, public });
+    Ok(())
+}
+
+/// Writes a file that must not exist: overwriting a key would lose it for good.
+fn write_new(path: &Path, text: &str) -> Result {
+    let mut options = OpenOptions::new();
+    let file = options.write(true).create_new(true).mode(MODE).open(path);
+    let mut file = file
+        .wrap_err_with(|| path.display().to_string())
+        .map_err(input)?;
+    let written = file
+        .write_all(text.as_bytes())
+        .and_then(|()| file.sync_all());
+    written
+        .wrap_err_with(|| path.display().to_string())
+        .map_err(failed)
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,2 +1,54 @@
-//! The operator command line.
-fn main() {}
+//! `wigeonctl`: the operators' command line.
+//!
+//! Inputs are files, the log service and a node's admin listener; outputs are text or JSON on
+//! stdout, progress and errors on stderr, and an exit code: 0 done, 1 failed or lost a race,
+//! 2 bad input. It never asks a question, so scripts can run it.
+
+mod admin;
+mod check;
+mod cli;
+mod diff;
+mod failure;
+mod files;
+mod history;
+mod keygen;
+mod output;
+mod publish;
+mod show;
+mod sign;
+mod source;
+mod tail;
+mod wait;
+
+use clap::ArgMatches;
+use failure::Result;
+use output::Output;
+use std::process::ExitCode;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let matches = cli::command().get_matches();
+    let output = Output::of(&matches);
+    match run(&matches, output).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            output.failure(&failure);
+            failure.code()
+        }
+    }
+}
+
+/// Runs the subcommand.
+async fn run(matches: &ArgMatches, output: Output) -> Result {
+    match matches.subcommand() {
+        Some(("keygen", args)) => keygen::run(args, output),
+        Some(("check", args)) => check::run(args, output),
+        Some(("diff", args)) => diff::run(args, output),
+        Some(("sign", args)) => sign::run(args, output).await,
+        Some(("publish", args)) => publish::run(args, output).await,
+        Some(("status", args)) => show::status(args, output).await,
+        Some(("history", args)) => history::run(args, output).await,
+        Some(("dump", args)) => show::dump(args, output).await,
+        _ => unreachable!("clap requires a subcommand"),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/show.rs
@@ -0,0 +1,73 @@
+//! `wigeonctl status` and `wigeonctl dump`: what a node says, passed on as it is.
+
+use crate::admin::Admin;
+use crate::failure::{Result, failed, input};
+use crate::output::Output;
+use crate::source::HEAD;
+use clap::ArgMatches;
+use eyre::{WrapErr, eyre};
+use serde_json::Value;
+use std::io::Write;
+use std::net::SocketAddr;
+
+/// Path of a node's state in short.
+const STATUS: &str = "/admin/v1/status";
+
+/// Shows a node's state in short.
+pub async fn status(args: &ArgMatches, output: Output) -> Result {
+    let body = admin(args)?.get(STATUS).await.map_err(failed)?;
+    if output == Output::Json {
+        return write(&body);
+    }
+    let value: Value = serde_json::from_slice(&body)
+        .wrap_err("status")
+        .map_err(failed)?;
+    let mut text = String::new();
+    flatten("", &value, &mut text);
+    write(text.as_bytes())
+}
+
+/// Shows a node's whole state, or its head as a record.
+pub async fn dump(args: &ArgMatches, output: Output) -> Result {
+    let format = args.get_one::<String>("format").map(String::as_str);
+    let path = match (format, output) {
+        (Some("head"), _) => HEAD,
+        (Some("json"), _) | (None, Output::Json) => "/dump?format=json",
+        _ => "/dump?format=text",
+    };
+    let body = admin(args)?.get(path).await.map_err(failed)?;
+    write(&body)
+}
+
+/// The node under `--admin`.
+fn admin(args: &ArgMatches) -> Result<Admin> {
+    let addr = args.get_one::<SocketAddr>("admin");
+    addr.map(|a| Admin(*a))
+        .ok_or_else(|| input(eyre!("--admin is missing")))
+}
+
+/// Writes bytes as they are, with a last newline.
+fn write(bytes: &[u8]) -> Result {
+    let mut out = std::io::stdout();
+    let written = out
+        .write_all(bytes.trim_ascii_end())
+        .and_then(|()| writeln!(out));
+    written.wrap_err("stdout").map_err(failed)
+}
+
+/// Writes a JSON value as lines of `path value`.
+fn flatten(path: &str, value: &Value, text: &mut String) {
+    let below = |name: &str| match path {
+        "" => name.to_owned(),
+        _ => format!("{path}.{name}"),
+    };
+    match value {
+        Value::Object(map) => map.iter().for_each(|(k, v)| flatten(&below(k), v, text)),
+        Value::Array(rows) => {
+            let numbered = rows.iter().enumerate();
+            numbered.for_each(|(i, v)| flatten(&below(&i.to_string()), v, text));
+        }
+        Value::String(s) => *text += &format!("{path} {s}\n"),
+        other => *text += &format!("{path} {other}\n"),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/sign.rs
@@ -0,0 +1,85 @@
+//! `wigeonctl sign`
+
+use crate::failure::{Failure, Result, failed, input};
+use crate::files;
+use crate::output::Output;
+use crate::source;
+use bundle::record::Record;
+use bundle::sign::{self, Error};
+use clap::ArgMatches;
+use eyre::{WrapErr, eyre};
+use serde::Serialize;
+use std::fmt;
+use std::fs;
+use std::io::Write;
+use std::path::PathBuf;
+
+/// What was signed.
+#[derive(Serialize)]
+struct Signed {
+    number: u64,
+    parent: String,
+    digest: String,
+    signer: String,
+    set: usize,
+    removed: usize,
+}
+
+impl fmt::Display for Signed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            number,
+            digest,
+            signer,
+            set,
+            removed,
+            ..
+        } = self;
+        write!(
+            f,
+            "signed version {number} by {signer}: {set} sections set, {removed} removed\n\
+             digest {digest}"
+        )
+    }
+}
+
+/// Signs a bundle's text as the version after the head.
+pub async fn run(args: &ArgMatches, output: Output) -> Result {
+    let name = args.get_one::<String>("name").map_or("", String::as_str);
+    let key = files::key(files::path(args, "key"))?;
+    let child = files::bundle(files::path(args, "file"))?;
+    let parent = source::head(args).await?;
+    let version = sign::child_of(parent.as_ref(), &child, name, &key).map_err(failure)?;
+    let header = &version.seal.header;
+    let signed = Signed {
+        number: header.number,
+        parent: header.parent.to_string(),
+        digest: header.result.to_string(),
+        signer: header.signer.clone(),
+        set: version.delta.set.len(),
+        removed: version.delta.removed.len(),
+    };
+    let body = Record::Version(version).encode();
+    match args.get_one::<PathBuf>("out") {
+        Some(path) => {
+            let written = fs::write(path, &body);
+            written
+                .wrap_err_with(|| path.display().to_string())
+                .map_err(failed)?;
+            output.show(&signed);
+        }
+        None => {
+            let written = std::io::stdout().write_all(&body);
+            written.wrap_err("stdout").map_err(failed)?;
+        }
+    }
+    Ok(())
+}
+
+/// A failure to sign is always one of the input.
+fn failure(error: Error) -> Failure {
+    match error {
+        Error::Bundle(findings) => Failure::Findings(findings),
+        other => input(eyre!("{other}")),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/tail.rs
@@ -0,0 +1,64 @@
+//! Reading the log's stream of bundles.
+
+use crate::failure::{Result, failed};
+use bundle::fold::Fold;
+use bundle::signer::Signer;
+use eyre::WrapErr;
+use platform::backoff::Backoff;
+use platform::{Limits, Log, http};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The log's stream of bundles.
+pub const STREAM: &str = "bundles";
+
+/// Calls that may fail before a plain reader gives up.
+const MAX_FAILURES: u32 = 5;
+
+/// A fold with the log that it reads.
+pub struct Tail {
+    /// The log service.
+    pub log: http::Log,
+    /// What was read so far.
+    pub fold: Fold,
+}
+
+impl Tail {
+    /// A reader from the start of the log at `addr`.
+    pub fn new(addr: SocketAddr, trusted: Vec<Signer>) -> Self {
+        let log = http::Log::new(addr, Limits::default());
+        let fold = Fold::new(trusted);
+        Self { log, fold }
+    }
+
+    /// Reads one page, waiting up to `wait` for one; whether the log's end was reached.
+    pub async fn page(&mut self, wait: Duration) -> platform::Result<bool> {
+        let from = self.fold.next_offset();
+        let page = self.log.read(STREAM, from, wait).await?;
+        let records = page.records.iter().map(|r| (r.offset, &r.body[..]));
+        self.fold.page(page.first, records);
+        Ok(page.records.is_empty())
+    }
+
+    /// Reads to the log's end.
+    pub async fn catch_up(&mut self) -> Result {
+        let mut backoff = backoff();
+        loop {
+            match self.page(Duration::ZERO).await {
+                Ok(true) => return Ok(()),
+                Ok(false) => backoff.succeeded(),
+                Err(e) if backoff.failures() + 1 >= MAX_FAILURES => {
+                    return Err(failed(Err::<(), _>(e).wrap_err("log").unwrap_err()));
+                }
+                Err(e) => tokio::time::sleep(backoff.failed(e.retry_after())).await,
+            }
+        }
+    }
+}
+
+/// Waits between calls that fail.
+pub fn backoff() -> Backoff {
+    let least = Duration::from_millis(100);
+    let most = Duration::from_secs(5);
+    Backoff::new(least, most, rand::random())
+}
--- /dev/null
+++ b/crates/ctl/src/wait.rs
@@ -0,0 +1,127 @@
+//! Waiting until every listed node has a version in force.
+
+use crate::admin::Admin;
+use crate::failure::{Result, failed};
+use crate::output::Output;
+use bundle::fleet::Fleet;
+use eyre::{WrapErr, eyre};
+use serde::Serialize;
+use std::io::{self, IsTerminal, Write};
+use std::time::{Duration, Instant};
+
+/// Path of every listed node's version in force.
+const FLEET: &str = "/admin/v1/fleet";
+
+/// Time between two looks.
+const STEP: Duration = Duration::from_millis(200);
+
+/// Nodes that the progress line names.
+const MAX_NAMED: usize = 4;
+
+/// How far it is.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+struct Progress {
+    number: u64,
+    nodes: usize,
+    in_force: usize,
+    behind: Vec<String>,
+}
+
+impl Progress {
+    fn new(fleet: &Fleet, number: u64) -> Self {
+        let behind: Vec<String> = fleet.behind(number).map(|n| n.name.clone()).collect();
+        let nodes = fleet.nodes.len();
+        Self {
+            number,
+            nodes,
+            in_force: nodes - behind.len(),
+            behind,
+        }
+    }
+
+    /// Whether every listed node has it. A list without any node is not an answer yet.
+    fn done(&self) -> bool {
+        self.nodes > 0 && self.behind.is_empty()
+    }
+
+    /// As one line.
+    fn line(&self, passed: Duration) -> String {
+        let Self {
+            number,
+            nodes,
+            in_force,
+            behind,
+        } = self;
+        let seconds = passed.as_secs_f64();
+        let mut line = format!("version {number}: in force on {in_force} of {nodes} nodes");
+        if !behind.is_empty() {
+            let named: Vec<&str> = behind.iter().take(MAX_NAMED).map(String::as_str).collect();
+            let more = if behind.len() > MAX_NAMED {
+                ", ..."
+            } else {
+                ""
+            };
+            line += &format!(", waiting for {}{more}", named.join(", "));
+        }
+        line + &format!(" ({seconds:.1} s)")
+    }
+}
+
+/// Waits up to `limit`, with a progress line on stderr.
+pub async fn run(admin: Admin, number: u64, limit: Duration, output: Output) -> Result {
+    let start = Instant::now();
+    let mut last = None;
+    let mut error = None;
+    while start.elapsed() < limit {
+        match look(admin, number).await {
+            Ok(progress) => {
+                show(&progress, last.as_ref(), start.elapsed(), output);
+                if progress.done() {
+                    end_line(output);
+                    return Ok(());
+                }
+                last = Some(progress);
+            }
+            Err(e) => error = Some(e),
+        }
+        tokio::time::sleep(STEP).await;
+    }
+    end_line(output);
+    let told = match (last, error) {
+        (Some(progress), _) => eyre!("time limit passed: {}", progress.line(limit)),
+        (None, Some(e)) => e.wrap_err("time limit passed"),
+        (None, None) => eyre!("time limit passed"),
+    };
+    Err(failed(told))
+}
+
+/// One look at the fleet.
+async fn look(admin: Admin, number: u64) -> eyre::Result<Progress> {
+    let body = admin.get(FLEET).await?;
+    let fleet: Fleet = serde_json::from_slice(&body).wrap_err("the node's fleet")?;
+    Ok(Progress::new(&fleet, number))
+}
+
+/// Shows progress: in place on a terminal, else one line for each change.
+fn show(progress: &Progress, last: Option<&Progress>, passed: Duration, output: Output) {
+    let changed = last != Some(progress);
+    let mut err = io::stderr();
+    let _ = match output {
+        Output::Json if changed => {
+            let json = serde_json::to_string(progress).unwrap_or_default();
+            writeln!(err, "{json}")
+        }
+        Output::Text if err.is_terminal() => {
+            write!(err, "\r\x1b[K{}", progress.line(passed)).and_then(|()| err.flush())
+        }
+        Output::Text if changed => writeln!(err, "{}", progress.line(passed)),
+        _ => Ok(()),
+    };
+}
+
+/// Ends the line that was written in place.
+fn end_line(output: Output) {
+    if output == Output::Text && io::stderr().is_terminal() {
+        let _ = writeln!(io::stderr());
+    }
+}
