wigeonctl: tests against the stand-in log and a fake node

Cause: the tool's promises (exit codes, who won, read-back of lost answers, the wait for every node) need runs that show them. Change: nine tests of the binary; waits between failed calls are at most 2 s, so that an outage is reported sooner.

--- a/crates/ctl/src/tail.rs
+++ b/crates/ctl/src/tail.rs
@@ -59,6 +59,6 @@
 /// Waits between calls that fail.
 pub fn backoff() -> Backoff {
     let least = Duration::from_millis(100);
-    let most = Duration::from_secs(5);
+    let most = Duration::from_secs(2);
     Backoff::new(least, most, rand::random())
 }
--- /dev/null
+++ b/crates/ctl/tests/admin.rs
@@ -0,0 +1,238 @@
+//! The binary against a node's admin API, played by a small fake.
+
+mod common;
+
+use bundle::answer::Answer;
+use bundle::fleet::{Fleet, Node};
+use bundle::fold::Fold;
+use bundle::publish::{Action, Event, Publish};
+use bundle::signer::Signer;
+use common::{Desk, json, ok};
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Bytes, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use tokio::net::TcpListener;
+
+/// A node with a log of its own in memory.
+struct Fake {
+    fold: Fold,
+    log: Vec<Vec<u8>>,
+    /// Nodes of the fleet that are behind; one catches up with each look.
+    behind: usize,
+    /// Answers to publishing that get lost after the effect.
+    lose: usize,
+}
+
+const NODES: usize = 8;
+
+impl Fake {
+    /// Publishes as a node does.
+    fn publish(&mut self, body: Vec<u8>) -> Answer {
+        let mut publish = match Publish::new(body) {
+            Ok(publish) => publish,
+            Err(e) => return Answer::from(&e),
+        };
+        let mut action = publish.start();
+        loop {
+            let event = match action {
+                Action::Done(outcome) => return Answer::from(&outcome),
+                Action::Append => {
+                    self.log.push(publish.body().to_vec());
+                    Event::Appended(self.log.len() as u64 - 1)
+                }
+                Action::Read { .. } => {
+                    let from = self.fold.next_offset() as usize;
+                    for (i, body) in self.log.iter().enumerate().skip(from) {
+                        self.fold.apply(i as u64, body);
+                    }
+                    Event::Read { end: true }
+                }
+            };
+            action = publish.step(&self.fold, event);
+        }
+    }
+
+    fn fleet(&mut self) -> Fleet {
+        let number = self.fold.head().map_or(0, |b| b.number);
+        let node = |i: usize| Node {
+            name: format!("entry-{i}"),
+            number: (i >= self.behind).then_some(number),
+        };
+        let nodes = (0..NODES).map(node).collect();
+        self.behind = self.behind.saturating_sub(1);
+        Fleet { nodes }
+    }
+}
+
+/// Answers one request; an error closes the connection without an answer.
+async fn answer(
+    fake: Arc<Mutex<Fake>>,
+    request: Request<Incoming>,
+) -> std::io::Result<Response<Full<Bytes>>> {
+    let (parts, body) = request.into_parts();
+    let body = body
+        .collect()
+        .await
+        .map_err(std::io::Error::other)?
+        .to_bytes();
+    let mut fake = fake.lock().unwrap();
+    let json = |value: Value| Bytes::from(value.to_string());
+    let body = match parts.uri.path() {
+        "/admin/v1/bundles" => {
+            let answer = fake.publish(body.to_vec());
+            if fake.lose > 0 {
+                fake.lose -= 1;
+                return Err(std::io::ErrorKind::ConnectionReset.into());
+            }
+            json(serde_json::to_value(answer).unwrap())
+        }
+        "/admin/v1/fleet" => json(serde_json::to_value(fake.fleet()).unwrap()),
+        "/admin/v1/status" => json(serde_json::json!({"bundle": {"number": 1}, "ready": true})),
+        "/admin/v1/history" => {
+            let history = bundle::history::History::from(&fake.fold);
+            json(serde_json::to_value(history).unwrap())
+        }
+        "/admin/v1/head" => fake.fold.full().unwrap_or_default().into(),
+        "/dump" => Bytes::from(format!("dump {}", parts.uri.query().unwrap_or_default())),
+        _ => {
+            let mut response = Response::new(Full::new(Bytes::from("no such path")));
+            *response.status_mut() = StatusCode::NOT_FOUND;
+            return Ok(response);
+        }
+    };
+    Ok(Response::new(Full::new(body)))
+}
+
+/// Starts a fake that trusts what the desk's `trust.ini` names.
+async fn start(desk: &Desk, behind: usize, lose: usize) -> SocketAddr {
+    let sections = bundle::text::parse(&desk.read("trust.ini")).unwrap();
+    let trusted: Vec<Signer> = bundle::verify::signers(&sections).unwrap();
+    let fake = Fake {
+        fold: Fold::new(trusted),
+        log: Vec::new(),
+        behind,
+        lose,
+    };
+    let fake = Arc::new(Mutex::new(fake));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            let fake = fake.clone();
+            let service = service_fn(move |request| answer(fake.clone(), request));
+            let serve = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            tokio::spawn(async move {
+                let _ = serve.await;
+                Ok::<(), Infallible>(())
+            });
+        }
+    });
+    addr
+}
+
+/// A desk without any way to the log publishes through a node and waits until every listed node
+/// has the version in force; it sees how far that is, and the exit code says that it was reached.
+#[tokio::test(flavor = "multi_thread")]
+async fn publish_waits_for_every_node() {
+    let desk = Desk::new("wait");
+    desk.signers(&["mira"]);
+    desk.sign_first();
+    let addr = start(&desk, 2, 0).await.to_string();
+    let told = desk.run(&["publish", "1.json", "--admin", &addr, "--wait"]);
+    ok(&told);
+    let progress = String::from_utf8_lossy(&told.stderr).into_owned();
+    assert!(
+        progress.contains("6 of 8 nodes, waiting for entry-0, entry-1"),
+        "{progress}"
+    );
+    assert!(progress.contains("8 of 8 nodes"), "{progress}");
+}
+
+/// A node never gets there: the wait ends at its limit with exit code 1 and names it.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_wait_is_bounded() {
+    let desk = Desk::new("bounded");
+    desk.signers(&["mira"]);
+    desk.sign_first();
+    let addr = start(&desk, usize::MAX, 0).await.to_string();
+    let args = [
+        "publish",
+        "1.json",
+        "--admin",
+        &addr,
+        "--wait",
+        "--timeout",
+        "1",
+    ];
+    let told = desk.run(&args);
+    assert_eq!(told.status.code(), Some(1));
+    let error = String::from_utf8_lossy(&told.stderr).into_owned();
+    assert!(
+        error.contains("time limit passed") && error.contains("entry-0"),
+        "{error}"
+    );
+}
+
+/// The node publishes the version, but the connection dies before its answer. Asking again is
+/// answered with how that version's race ended, and there is one record in the log.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_answer_of_a_node_is_asked_again() {
+    let desk = Desk::new("node-lost");
+    desk.signers(&["mira"]);
+    desk.sign_first();
+    let addr = start(&desk, 0, 2).await.to_string();
+    let args = ["publish", "1.json", "--admin", &addr, "--output", "json"];
+    let told = json(&desk.run(&args));
+    assert_eq!(
+        (&told["outcome"], &told["number"]),
+        (&"accepted".into(), &1.into())
+    );
+    let args = ["history", "--admin", &addr, "--output", "json"];
+    assert_eq!(
+        json(&desk.run(&args))["versions"].as_array().unwrap().len(),
+        1
+    );
+}
+
+/// A later version is signed on the head that a node gives, and one on an old head loses.
+#[tokio::test(flavor = "multi_thread")]
+async fn versions_are_signed_on_the_nodes_head() {
+    let desk = Desk::new("node-head");
+    desk.signers(&["mira", "tuya"]);
+    desk.sign_first();
+    let addr = start(&desk, 0, 0).await.to_string();
+    ok(&desk.run(&["publish", "1.json", "--admin", &addr]));
+    let head = desk.run(&["dump", "--admin", &addr, "--format", "head"]);
+    ok(&head);
+    desk.write("head.json", &String::from_utf8(head.stdout).unwrap());
+    for (name, rate, from) in [
+        ("mira", 21, ["--admin", &addr]),
+        ("tuya", 22, ["--parent", "head.json"]),
+    ] {
+        let text = desk
+            .read("bundle.ini")
+            .replace("rate = 20", &format!("rate = {rate}"));
+        desk.write("next.ini", &text);
+        let (key, out) = (format!("{name}.pem"), format!("{name}.json"));
+        let sign = [
+            "sign", "next.ini", "--name", name, "--key", &key, "--out", &out,
+        ];
+        ok(&desk.run(&[&sign[..], &from].concat()));
+    }
+    ok(&desk.run(&["publish", "mira.json", "--admin", &addr]));
+    let lost = desk.run(&["publish", "tuya.json", "--admin", &addr]);
+    assert_eq!(lost.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&lost.stderr).contains("lost to version 2 by mira"));
+    let status = desk.run(&["status", "--admin", &addr]);
+    assert!(String::from_utf8_lossy(&status.stdout).contains("bundle.number 1"));
+    let dump = desk.run(&["dump", "--admin", &addr]);
+    assert_eq!(String::from_utf8_lossy(&dump.stdout), "dump format=text\n");
+}
--- /dev/null
+++ b/crates/ctl/tests/cli.rs
@@ -0,0 +1,193 @@
+//! The binary, from a new key to a version in force, against the stand-in log.
+
+mod common;
+
+use common::{Desk, json, ok};
+use serde_json::Value;
+use standin::fault::Mode;
+use standin::log::Log;
+
+/// An operator's first day: a key, a checked file, a signature, a version in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn from_keygen_to_history() {
+    let log = Log::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let addr = log.addr.to_string();
+    let desk = Desk::new("first-day");
+    desk.signers(&["mira"]);
+    ok(&desk.run(&["check", "bundle.ini"]));
+    ok(&desk.run(&[
+        "sign",
+        "bundle.ini",
+        "--name",
+        "mira",
+        "--key",
+        "mira.pem",
+        "--first",
+        "--out",
+        "1.json",
+    ]));
+    let publish = ["publish", "1.json", "--log", &addr, "--trust", "trust.ini"];
+    let told = json(&desk.run(&[&publish[..], &["--output", "json"]].concat()));
+    assert_eq!(
+        (&told["outcome"], &told["number"]),
+        (&"accepted".into(), &1.into())
+    );
+    // The same file again is no second version.
+    ok(&desk.run(&publish));
+    assert_eq!(log.records("bundles").len(), 1);
+
+    desk.write(
+        "next.ini",
+        &desk.read("bundle.ini").replace("rate = 20", "rate = 21"),
+    );
+    ok(&desk.run(&[
+        "sign",
+        "next.ini",
+        "--name",
+        "mira",
+        "--key",
+        "mira.pem",
+        "--log",
+        &addr,
+        "--trust",
+        "trust.ini",
+        "--out",
+        "2.json",
+    ]));
+    ok(&desk.run(&["publish", "2.json", "--log", &addr, "--trust", "trust.ini"]));
+    let args = [
+        "history",
+        "--log",
+        &addr,
+        "--trust",
+        "trust.ini",
+        "--output",
+        "json",
+    ];
+    let history = json(&desk.run(&args));
+    let numbers: Vec<&Value> = history["versions"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|v| &v["number"])
+        .collect();
+    assert_eq!(numbers, [1, 2]);
+    let diff = json(&desk.run(&["diff", "bundle.ini", "next.ini", "--output", "json"]));
+    assert_eq!(diff["changed"], serde_json::json!(["team kitchens"]));
+}
+
+/// Two operators sign a child of the same head. The second is told that it lost and to whom, by
+/// the exit code for scripts and by name for people; it signs anew on the head and wins.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_loser_is_told_who_won() {
+    let log = Log::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let addr = log.addr.to_string();
+    let desk = Desk::new("race");
+    desk.signers(&["mira", "tuya"]);
+    for (name, rate) in [("mira", 21), ("tuya", 22)] {
+        let text = desk.read("bundle.ini");
+        desk.write(
+            "own.ini",
+            &text.replace("rate = 20", &format!("rate = {rate}")),
+        );
+        let (key, out) = (format!("{name}.pem"), format!("{name}.json"));
+        let sign = [
+            "sign", "own.ini", "--name", name, "--key", &key, "--first", "--out", &out,
+        ];
+        ok(&desk.run(&sign));
+    }
+    let publish = |file| {
+        let args = [
+            "publish",
+            file,
+            "--log",
+            &addr,
+            "--trust",
+            "trust.ini",
+            "--output",
+            "json",
+        ];
+        desk.run(&args)
+    };
+    ok(&publish("tuya.json"));
+    let lost = publish("mira.json");
+    assert_eq!(lost.status.code(), Some(1));
+    let error: Value = serde_json::from_slice(&lost.stderr).unwrap();
+    assert_eq!(error["error"], "lost to version 1 by tuya");
+    assert_eq!(
+        log.records("bundles").len(),
+        1,
+        "a version that can't win isn't appended"
+    );
+}
+
+/// The log acts on the append, but its answer is lost on the way. The operator must not be told
+/// that it failed, nor may the version be in the log's order twice: the tool reads it back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_answer_is_read_back() {
+    let log = Log::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let addr = log.addr.to_string();
+    let desk = Desk::new("lost-answer");
+    desk.signers(&["mira"]);
+    desk.sign_first();
+    log.faults.lose(1);
+    ok(&desk.run(&["publish", "1.json", "--log", &addr, "--trust", "trust.ini"]));
+    assert_eq!(log.faults.lost(), 1);
+    assert_eq!(log.records("bundles").len(), 1);
+}
+
+/// The log is out: the tool gives up in bounded time and says that nothing was appended.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_is_reported() {
+    let log = Log::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let addr = log.addr.to_string();
+    let desk = Desk::new("outage");
+    desk.signers(&["mira"]);
+    desk.sign_first();
+    log.faults.set(Mode::Down);
+    let told = desk.run(&["publish", "1.json", "--log", &addr, "--trust", "trust.ini"]);
+    assert_eq!(told.status.code(), Some(1));
+    let error = String::from_utf8_lossy(&told.stderr).into_owned();
+    assert!(error.contains("nothing was appended"), "{error}");
+}
+
+/// Wrong input ends with exit code 2 and every finding with its line, and a key is never
+/// overwritten.
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_input_is_exit_code_2() {
+    let desk = Desk::new("bad-input");
+    desk.signers(&["mira"]);
+    desk.write("bad.ini", "[team x]\nwieght = 3\nrate = -1\n[zone z]\n");
+    let told = desk.run(&["check", "bad.ini", "--output", "json"]);
+    assert_eq!(told.status.code(), Some(2));
+    let error: Value = serde_json::from_slice(&told.stderr).unwrap();
+    assert_eq!(error["findings"][0]["line"], 2);
+    for args in [
+        &["check", "missing.ini"][..],
+        &["keygen", "--name", "mira", "--key", "mira.pem"],
+        &["keygen", "--name", "no name", "--key", "x.pem"],
+        &[
+            "publish",
+            "bundle.ini",
+            "--log",
+            "127.0.0.1:1",
+            "--trust",
+            "trust.ini",
+        ],
+        &[
+            "sign",
+            "bundle.ini",
+            "--name",
+            "mira",
+            "--key",
+            "trust.ini",
+            "--first",
+        ],
+        &["sign", "bundle.ini", "--name", "mira", "--key", "mira.pem"],
+        &["publish"],
+    ] {
+        let told = desk.run(args);
+        assert_eq!(told.status.code(), Some(2), "{args:?}");
+        assert!(!told.stderr.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/ctl/tests/common.rs
@@ -0,0 +1,82 @@
+//! What the tests share: an operator's desk.
+#![allow(dead_code, reason = "each test file uses some of it")]
+
+use serde_json::Value;
+use std::fs;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+/// A folder with an operator's files; removed in the end.
+pub struct Desk(PathBuf);
+
+impl Desk {
+    /// An empty desk with the example bundle.
+    pub fn new(name: &str) -> Self {
+        let folder = format!("wigeonctl-{name}-{}", std::process::id());
+        let desk = Self(std::env::temp_dir().join(folder));
+        fs::create_dir_all(&desk.0).unwrap();
+        desk.write("bundle.ini", include_str!("../../../etc/bundle.ini"));
+        desk
+    }
+
+    /// Runs the tool in the folder.
+    pub fn run(&self, args: &[&str]) -> Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_wigeonctl"));
+        command.current_dir(&self.0).args(args).output().unwrap()
+    }
+
+    /// Makes a key for each name, and `trust.ini` with all of them.
+    pub fn signers(&self, names: &[&str]) {
+        let mut trust = String::new();
+        for name in names {
+            let key = format!("{name}.pem");
+            let made = self.run(&["keygen", "--name", name, "--key", &key]);
+            ok(&made);
+            trust += &String::from_utf8(made.stdout).unwrap();
+        }
+        self.write("trust.ini", &trust);
+    }
+
+    /// Signs the example as the first version, `1.json`.
+    pub fn sign_first(&self) {
+        ok(&self.run(&[
+            "sign",
+            "bundle.ini",
+            "--name",
+            "mira",
+            "--key",
+            "mira.pem",
+            "--first",
+            "--out",
+            "1.json",
+        ]));
+    }
+
+    /// Writes a file.
+    pub fn write(&self, name: &str, text: &str) {
+        fs::write(self.0.join(name), text).unwrap();
+    }
+
+    /// Reads a file.
+    pub fn read(&self, name: &str) -> String {
+        fs::read_to_string(self.0.join(name)).unwrap()
+    }
+}
+
+impl Drop for Desk {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+/// The run did what it was asked to.
+pub fn ok(output: &Output) {
+    let told = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "{:?}: {told}", output.status);
+}
+
+/// JSON on stdout of a run that did what it was asked to.
+pub fn json(output: &Output) -> Value {
+    ok(output);
+    serde_json::from_slice(&output.stdout).unwrap()
+}
