--- a/crates/bundle/src/text.rs
+++ b/crates/bundle/src/text.rs
@@ -9,6 +9,7 @@
 use crate::section::{Key, Pair, Section};
 use crate::sections::{self, Sections};
 use ini::{Ini, ParseOption};
+use std::borrow::Cow;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -76,8 +77,9 @@
         }
     };
     let header = key.to_string();
-    let lines = key_lines(body);
-    let ini = match Ini::load_from_str_opt(body, PLAIN) {
+    let body = well_formed(body, line, &header, findings);
+    let lines = key_lines(&body);
+    let ini = match Ini::load_from_str_opt(&body, PLAIN) {
         Ok(ini) => ini,
         Err(e) => {
             let at = line + u32::try_from(e.line).unwrap_or(0);
@@ -138,6 +140,31 @@
     chunks
 }
 
+/// The lines below a header, those that are no INI blanked after a finding each: rust-ini would
+/// stop at the first and name the line after it.
+fn well_formed<'a>(
+    body: &'a str,
+    line: u32,
+    header: &str,
+    findings: &mut Findings,
+) -> Cow<'a, str> {
+    let odd = |l: &str| is_pair(l.trim()) && !l.contains(['=', ':']);
+    if !body.lines().any(odd) {
+        return body.into();
+    }
+    let mut good = String::new();
+    for (i, text) in (1..).zip(body.lines()) {
+        if odd(text) {
+            let message = format!("`{:.80}` is not `key = value`", text.trim());
+            findings.push(error(line + i, header, message));
+        } else {
+            good += text;
+        }
+        good.push('\n');
+    }
+    good.into()
+}
+
 /// Offsets (from 1) of the lines that hold a key.
 fn key_lines(body: &str) -> Vec<u32> {
     let numbered = (1..).zip(body.lines());
--- a/crates/bundle/src/verify/model.rs
+++ b/crates/bundle/src/verify/model.rs
@@ -48,8 +48,9 @@
             return;
         };
         let mut fields = Fields::new(section, findings);
-        if let Some(message) = gap(model, ranges) {
-            fields.error("layers", message);
+        match gap(model, ranges) {
+            Some(message) => fields.error("layers", message),
+            None => warn_idle(&mut fields, model, ranges),
         }
     }
 }
@@ -75,6 +76,26 @@
     })
 }
 
+/// Warns of spans that no whole chain can use: the accelerators behind them would stay idle.
+fn warn_idle(fields: &mut Fields<'_>, model: &Model, ranges: &BTreeSet<(Layer, Layer)>) {
+    let reached = reach(ranges);
+    let mut useful = BTreeSet::from([model.layers]);
+    let mut idle = Vec::new();
+    for (from, to) in ranges.iter().rev() {
+        if useful.contains(to) && reached.contains(from) {
+            useful.insert(*from);
+        } else {
+            idle.push((from, to));
+        }
+    }
+    for (from, to) in idle.into_iter().rev() {
+        fields.warn(
+            "layers",
+            format_args!("no whole chain can use the span {from}..{to}"),
+        );
+    }
+}
+
 /// Layers at which a chain of spans from layer 0 can end; spans come sorted by their start.
 fn reach(ranges: &BTreeSet<(Layer, Layer)>) -> BTreeSet<Layer> {
     let mut reached = BTreeSet::from([0]);
--- /dev/null
+++ b/crates/bundle/tests/publish.rs
@@ -0,0 +1,154 @@
+//! Publishing, step by step.
+
+mod common;
+
+use bundle::fold::Fold;
+use bundle::publish::{Action, Event, MAX_FAILURES, Outcome, Publish};
+use bundle::sign;
+use common::{mira, signers, text, tuya};
+
+/// A log that the tests drive by hand.
+#[derive(Default)]
+struct Log(Vec<Vec<u8>>);
+
+impl Log {
+    fn read(&self, fold: &mut Fold) -> Event {
+        let from = fold.next_offset() as usize;
+        for (i, body) in self.0.iter().enumerate().skip(from) {
+            fold.apply(i as u64, body);
+        }
+        Event::Read { end: true }
+    }
+
+    fn append(&mut self, body: &[u8]) -> Event {
+        self.0.push(body.to_vec());
+        Event::Appended(self.0.len() as u64 - 1)
+    }
+}
+
+/// A first version with a limit of its own.
+fn version(rate: u32) -> Vec<u8> {
+    let text = text().replace("rate = 20", &format!("rate = {rate}"));
+    sign::version(None, &text, "mira", &mira()).unwrap()
+}
+
+/// Runs to the first append.
+fn to_append(publish: &mut Publish, fold: &mut Fold, log: &Log) {
+    assert!(matches!(publish.start(), Action::Read { failures: 0 }));
+    let read = log.read(fold);
+    assert!(matches!(publish.step(fold, read), Action::Append));
+}
+
+/// The log was reached, took the append and its answer got lost. Reading the log to its end
+/// finds the version in force: it must be reported so, and not be appended again.
+#[test]
+fn a_lost_answer_is_settled_by_reading() {
+    let (mut fold, mut log) = (Fold::new(signers()), Log::default());
+    let mut publish = Publish::new(version(1)).unwrap();
+    to_append(&mut publish, &mut fold, &log);
+    log.append(publish.body());
+    let action = publish.step(&fold, Event::Failed { unsure: true });
+    assert!(matches!(action, Action::Read { failures: 1 }));
+    let read = log.read(&mut fold);
+    let Action::Done(Outcome::Accepted(entry)) = publish.step(&fold, read) else {
+        panic!("the version is in force");
+    };
+    assert_eq!((entry.number, entry.offset, log.0.len()), (1, Some(0), 1));
+}
+
+/// The answer is lost and the effect comes late: the log's end doesn't show the version, so it
+/// is appended again, and then the first copy turns up as well. One of them counts.
+#[test]
+fn a_late_effect_is_no_second_version() {
+    let (mut fold, mut log) = (Fold::new(signers()), Log::default());
+    let mut publish = Publish::new(version(1)).unwrap();
+    to_append(&mut publish, &mut fold, &log);
+    publish.step(&fold, Event::Failed { unsure: true });
+    let read = log.read(&mut fold);
+    assert!(matches!(publish.step(&fold, read), Action::Append));
+    log.append(&version(1));
+    let appended = log.append(publish.body());
+    publish.step(&fold, appended);
+    let read = log.read(&mut fold);
+    let Action::Done(Outcome::Accepted(entry)) = publish.step(&fold, read) else {
+        panic!("the version is in force");
+    };
+    assert_eq!((entry.offset, log.0.len()), (Some(0), 2));
+    assert_eq!(fold.counters().accepted, 1);
+    assert_eq!(fold.counters().repeated, 1);
+}
+
+/// Another desk's version comes between the look at the head and the append: the operator is
+/// told who won.
+#[test]
+fn a_race_names_the_winner() {
+    let (mut fold, mut log) = (Fold::new(signers()), Log::default());
+    let mut publish = Publish::new(version(1)).unwrap();
+    to_append(&mut publish, &mut fold, &log);
+    let other = sign::version(None, text(), "tuya", &tuya()).unwrap();
+    log.append(&other);
+    let appended = log.append(publish.body());
+    publish.step(&fold, appended);
+    let read = log.read(&mut fold);
+    let Action::Done(Outcome::Lost(winner)) = publish.step(&fold, read) else {
+        panic!("the other version was first");
+    };
+    assert_eq!((winner.signer.as_str(), winner.number), ("tuya", 1));
+}
+
+/// The log stays out. Before any append the end is "nothing was appended"; after one whose
+/// answer was lost it must not be, for the version may come into force later.
+#[test]
+fn an_outage_ends_honestly() {
+    let (mut fold, log) = (Fold::new(signers()), Log::default());
+    let mut publish = Publish::new(version(1)).unwrap();
+    publish.start();
+    assert!(matches!(fail(&mut publish, &fold), Outcome::Failed));
+
+    let mut publish = Publish::new(version(1)).unwrap();
+    to_append(&mut publish, &mut fold, &log);
+    publish.step(&fold, Event::Failed { unsure: true });
+    assert!(matches!(fail(&mut publish, &fold), Outcome::Unsure));
+}
+
+/// Fails every call until the end.
+fn fail(publish: &mut Publish, fold: &Fold) -> Outcome {
+    for _ in 0..MAX_FAILURES {
+        if let Action::Done(outcome) = publish.step(fold, Event::Failed { unsure: false }) {
+            return outcome;
+        }
+    }
+    panic!("calls may not be tried for ever");
+}
+
+/// What can't be accepted is not appended at all: an untrusted signer, an unknown parent, and
+/// any version while the log can't be judged for a gap.
+#[test]
+fn hopeless_versions_are_not_appended() {
+    let log = Log::default();
+    let refused = |fold: &mut Fold, body: Vec<u8>| {
+        let mut publish = Publish::new(body).unwrap();
+        publish.start();
+        let read = log.read(fold);
+        match publish.step(fold, read) {
+            Action::Done(outcome) => outcome,
+            other => panic!("{other:?}"),
+        }
+    };
+    let forged = sign::version(None, text(), "mira", &tuya()).unwrap();
+    let mut fold = Fold::new(signers());
+    assert!(matches!(refused(&mut fold, forged), Outcome::Refused(_)));
+
+    let mut ahead = Fold::new(signers());
+    ahead.apply(0, &version(1));
+    let child = sign::version(ahead.head().map(|b| &**b), text(), "mira", &mira()).unwrap();
+    assert!(matches!(refused(&mut fold, child), Outcome::Parent(0)));
+
+    fold.gap(10);
+    assert!(matches!(refused(&mut fold, version(1)), Outcome::Gap));
+    let checkpoint = ahead.full().unwrap();
+    assert!(
+        Publish::new(checkpoint).is_err(),
+        "a checkpoint is no version"
+    );
+}
