--- a/crates/rig/src/traffic.rs
+++ b/crates/rig/src/traffic.rs
@@ -84,9 +84,9 @@
         let Traffic { urgent, tokens, .. } = self.traffic;
         let mut ask = Ask::of(format!("caller {} asks {request}", self.number));
         ask.most = tokens;
-        ask.stream = (self.number + request) % 4 != 3;
+        ask.stream = !(self.number + request + 1).is_multiple_of(4);
         ask.team = KITCHENS;
-        if urgent > 0 && (self.number + request) % urgent == 0 {
+        if urgent > 0 && (self.number + request).is_multiple_of(urgent) {
             ask.team = DUTY;
             return ask.header("x-wigeonshelf-priority", "alarm");
         }
--- a/crates/rig/tests/path.rs
+++ b/crates/rig/tests/path.rs
@@ -38,5 +38,8 @@
         assert!(answer.complete(), "{answer:?}");
         assert_eq!(answer.text, expect::text(&fleet.plan, ask));
     }
-    assert_ne!(expect::text(&fleet.plan, &plain), expect::text(&fleet.plan, &adapted));
+    assert_ne!(
+        expect::text(&fleet.plan, &plain),
+        expect::text(&fleet.plan, &adapted)
+    );
 }
