Failures over real sockets: stages, outcomes, drain, services, crashing requests

Cause: the promises to callers were not shown to hold under failure. Change: tests that bring the failures about. Found and mended by them: a whole answer's streams were reset instead of closed, so that engines took it for given up (a finished attempt is no longer cancelled); a stream that ends before its first token got status 200 (now the error's own).

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -356,6 +356,9 @@
             } => {
                 session.end.stop = stop;
                 session.end.prompt_tokens = prompt_tokens;
+                // The driver still closes its streams: cancelled now, it would reset them, and the
+                // engines would take a whole answer for one that was given up.
+                session.running = None;
                 self.handle(Event::Finished(id, attempt));
             }
             chain::Event::Failed {
--- a/crates/entry/src/handler/complete.rs
+++ b/crates/entry/src/handler/complete.rs
@@ -186,6 +186,7 @@
         let first = answer.reply().await;
         return match first {
             Reply::Refused(refusal) => Err(refusal.into()),
+            Reply::Done(end) if end.outcome != Outcome::Complete => Err(Error::ended(end.outcome)),
             first => Ok(stream(answer, first)),
         };
     }
--- /dev/null
+++ b/crates/rig/tests/drain.rs
@@ -0,0 +1,94 @@
+//! Nodes and endpoints that leave.
+
+use rig::caller::{Ask, Caller, addresses};
+use rig::expect;
+use rig::fleet::{Fleet, wait};
+use rig::plan::{Plan, Stage};
+use standin::engine::Counters;
+use std::time::Duration;
+
+fn paced() -> Plan {
+    let stage = |from, to| Stage {
+        from,
+        to,
+        layer_time: Duration::from_millis(2),
+    };
+    Plan {
+        stages: vec![stage(0, 6), stage(6, 12)],
+        ..Plan::default()
+    }
+}
+
+// Callers see nothing of a node that leaves: answers under way go on to their end, HTTP/1 and
+// HTTP/2 alike, and a caller that still has its address is served until its answer is too old.
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_cuts_nothing_off() {
+    let mut fleet = Fleet::start(paced()).await.expect("fleet");
+    let addr = fleet.node(0).callers;
+    let mut running = tokio::task::JoinSet::new();
+    for n in 0..24 {
+        let plan = fleet.plan.clone();
+        running.spawn(async move {
+            let caller = if n % 2 == 0 {
+                Caller::new()
+            } else {
+                Caller::http2()
+            };
+            // Some begin before the node leaves, some while it drains.
+            tokio::time::sleep(Duration::from_millis(15 * n)).await;
+            let ask = Ask {
+                most: 48,
+                ..Ask::of(format!("menu {n}"))
+            };
+            let answer = caller.chat(addr, &ask).await.expect("answer");
+            assert!(answer.complete(), "{answer:?}");
+            assert_eq!(answer.text, expect::text(&plan, &ask));
+        });
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fleet.drain_node(0).await.expect("drained");
+    while let Some(done) = running.join_next().await {
+        done.expect("nothing was cut off");
+    }
+}
+
+// Callers who ask any other node are no longer told of a node that leaves.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_node_is_not_named() {
+    let mut plan = paced();
+    plan.drain = Duration::from_secs(3);
+    let fleet = Fleet::start(plan).await.expect("fleet");
+    let gone = fleet.node(2).callers.to_string();
+    let leaving = fleet.node(2).leave();
+    let unnamed = async {
+        wait("the node is not named", || async {
+            let named = addresses(fleet.node(0).callers).await;
+            named.is_ok_and(|n| n.addresses.iter().all(|l| !l.url.ends_with(&gone)))
+        })
+        .await
+        .expect("unnamed");
+    };
+    tokio::join!(leaving, unnamed);
+}
+
+// An endpoint that the instance list calls leaving gets no new work once the list was read; what
+// it runs goes on to its end.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_endpoint_gets_no_new_work() {
+    let fleet = Fleet::start(paced()).await.expect("fleet");
+    let mut instances = fleet.instances();
+    let leaving = &fleet.endpoints[0];
+    for instance in instances.iter_mut().filter(|i| i.name == leaving.name) {
+        instance.state = platform::instance::State::Leaving;
+    }
+    fleet.list.set(instances);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let before = Counters::get(&leaving.engine.counters().opened);
+    let caller = Caller::new();
+    for n in 0..30 {
+        let ask = Ask::of(format!("note {n}"));
+        let answer = caller.chat(fleet.node(n % 3).callers, &ask).await;
+        assert!(answer.expect("answer").complete());
+    }
+    assert_eq!(Counters::get(&leaving.engine.counters().opened), before);
+}
