Bundle and wigeonctl: restore of a log that lost its records, dump, bounds

Cause: if retention drops records that nobody has read and no checkpoint is left, every reader has a gap for good and publishing is refused. Change: wigeonctl restore writes a signed head as a checkpoint that only readers with a gap use. Fold has a text form; a delta is bounded in sections before its signature is known; versions share their section map. Conclusion: each way into a gap has a way out through the log.

--- a/crates/bundle/examples/fold_cost.rs
+++ b/crates/bundle/examples/fold_cost.rs
@@ -7,6 +7,7 @@
 
 use bundle::Bundle;
 use bundle::fold::{Fold, Verdict};
+use bundle::record::Record;
 use bundle::sign;
 use bundle::signer::Signer;
 use std::fmt::Write as _;
@@ -132,7 +133,7 @@
 }
 
 /// Median time of folding one more version onto a folded one, with the size of both records.
-fn fold(size: Size) -> (Duration, usize, usize, Duration) {
+fn fold(size: Size) -> (Duration, Vec<u8>, usize, Duration) {
     let key = sign::key([7; 32]);
     let public = *key.verifying_key().as_bytes();
     let trusted = Signer {
@@ -156,12 +157,64 @@
         assert!(matches!(fold.adopt(&checkpoint), Verdict::Adopted(_)));
         fold
     });
-    (delta, next.len(), checkpoint.len(), adopt)
+    (delta, next, checkpoint.len(), adopt)
+}
+
+/// Bytes that the process holds in memory.
+fn resident() -> usize {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm
+        .split_whitespace()
+        .nth(1)
+        .and_then(|p| p.parse::<usize>().ok());
+    pages.unwrap_or_default() * 4096
+}
+
+/// Kilobytes of a fold at its head, and of each further version that somebody still holds.
+/// What was built is kept in `held`: freed memory would be used again and not show.
+fn memory(size: Size, held: &mut Vec<Bundle>) -> (f64, f64) {
+    const FOLDS: usize = 8;
+    let sections = bundle::text::parse(&text(size, 30)).expect("sound");
+    let own = || bundle::text::parse(&sections.to_string()).expect("sound");
+    let start = resident();
+    let bundles: Vec<Bundle> = (0..FOLDS)
+        .map(|_| Bundle::try_from(&own()).expect("sound"))
+        .collect();
+    let whole = resident().saturating_sub(start);
+    let start = resident();
+    let more: Vec<Bundle> = (0..FOLDS)
+        .map(|_| Bundle::try_from(&bundles[0].sections).expect("sound"))
+        .collect();
+    let further = resident().saturating_sub(start);
+    held.extend(bundles);
+    held.extend(more);
+    let each = |bytes: usize| bytes as f64 / FOLDS as f64 / 1e3;
+    (each(whole), each(further))
+}
+
+/// Bytes of a delta record that any codec must carry: names, values, digests and signature.
+fn least(record: &[u8]) -> usize {
+    let Ok(Record::Version(version)) = Record::decode(record) else {
+        return 0;
+    };
+    let header = &version.seal.header;
+    let set = version.delta.set.values();
+    let sections: usize = set
+        .map(|s| s.key().to_string().len() + s.body().len())
+        .sum();
+    header.signer.len() + 8 + 3 * 32 + 64 + sections
 }
 
 fn main() {
+    // Memory first: what the runs below leave with the allocator would hide it.
+    println!("endpoints | KB of a head | KB of each further version held");
+    let mut held = Vec::new();
+    for size in SIZES {
+        let (head, further) = memory(size, &mut held);
+        println!("{:9} | {head:12.0} | {further:29.0}", size.endpoints);
+    }
     println!(
-        "endpoints teams models | text KB | parse ms verify ms digest ms | delta B | fold of a delta ms | % of a core at 16,000 a day | checkpoint KB | read one ms"
+        "endpoints teams models | text KB | parse ms verify ms digest ms | delta B (least) | fold of a delta ms | % of a core at 16,000 a day | checkpoint KB | read one ms"
     );
     for size in SIZES {
         let text = text(size, 30);
@@ -169,10 +222,10 @@
         let sections = bundle::text::parse(&text).expect("sound");
         let verify = median(|| Bundle::try_from(&sections));
         let digest = median(|| sections.digest());
-        let (delta, delta_len, full_len, adopt) = fold(size);
+        let (delta, record, full_len, adopt) = fold(size);
         let ms = |d: Duration| d.as_secs_f64() * 1e3;
         println!(
-            "{:9} {:5} {:6} | {:7.0} | {:8.2} {:9.2} {:9.3} | {:7} | {:18.2} | {:27.4} | {:13.0} | {:11.2}",
+            "{:9} {:5} {:6} | {:7.0} | {:8.2} {:9.2} {:9.3} | {:7} ({:5}) | {:18.2} | {:27.4} | {:13.0} | {:11.2}",
             size.endpoints,
             size.teams,
             size.models,
@@ -180,7 +233,8 @@
             ms(parse),
             ms(verify),
             ms(digest),
-            delta_len,
+            record.len(),
+            least(&record),
             ms(delta),
             100.0 * delta.as_secs_f64() * CHANGES / DAY,
             full_len as f64 / 1e3,
--- a/crates/bundle/src/fold.rs
+++ b/crates/bundle/src/fold.rs
@@ -41,6 +41,7 @@
 mod adopt;
 mod branch;
 mod counters;
+mod dump;
 mod flaw;
 mod history;
 mod judge;
--- a/crates/bundle/src/fold/adopt.rs
+++ b/crates/bundle/src/fold/adopt.rs
@@ -46,7 +46,7 @@
     }
 
     /// What to send to a peer whose head is version `after`: the versions since, or the full
-    /// head if these aren't kept any more (or are larger together). Nothing if it isn't behind.
+    /// head if these aren't kept any more. Nothing if it isn't behind.
     pub fn offer(&self, after: Number) -> Vec<Arc<[u8]>> {
         let Some(known) = self.shown() else {
             return Vec::new();
--- a/crates/bundle/src/fold/counters.rs
+++ b/crates/bundle/src/fold/counters.rs
@@ -35,6 +35,25 @@
 }
 
 impl Counters {
+    /// Each counter with its name, for metrics and dumps.
+    pub fn rows(&self) -> [(&'static str, u64); 13] {
+        [
+            ("accepted", self.accepted),
+            ("lost", self.lost),
+            ("repeated", self.repeated),
+            ("unknown_signer", self.unknown_signer),
+            ("revoked_signer", self.revoked_signer),
+            ("wrong_signature", self.wrong_signature),
+            ("unreadable", self.unreadable),
+            ("invalid", self.invalid),
+            ("unjudged", self.unjudged),
+            ("gaps", self.gaps),
+            ("adopted", self.adopted),
+            ("agreed", self.agreed),
+            ("conflicts", self.conflicts),
+        ]
+    }
+
     /// Counts a verdict.
     pub(super) fn count(&mut self, verdict: &Verdict) {
         let counter = match verdict {
--- a/crates/bundle/src/record.rs
+++ b/crates/bundle/src/record.rs
@@ -6,9 +6,11 @@
 //! JSON but [`crate::signed::Header::message`], so spaces and the order of keys don't matter.
 
 use crate::delta::Delta;
+use crate::delta::Misfit;
 use crate::digest::Digest;
 use crate::finding::Findings;
 use crate::section::{Key, Section};
+use crate::sections::{self, Sections};
 use crate::signed::{Head, Header, Seal, Version};
 use crate::text;
 use serde::{Deserialize, Serialize};
@@ -40,6 +42,8 @@
     Text(Findings),
     /// The delta or the sections are not those that the header names.
     Digest,
+    /// A delta of more than [`sections::MOST`] sections.
+    Sections,
     /// A checkpoint where a version is expected.
     Kind,
 }
@@ -54,6 +58,7 @@
             Self::Shape(e) => write!(f, "not a record: {e}"),
             Self::Text(findings) => write!(f, "sections can't be read: {findings}"),
             Self::Digest => f.write_str("content doesn't have the digest in the header"),
+            Self::Sections => write!(f, "over {} sections", sections::MOST),
             Self::Kind => f.write_str("a checkpoint, not a version"),
         }
     }
@@ -147,6 +152,14 @@
         serde_json::to_vec(&raw).unwrap_or_default()
     }
 
+    /// All sections, of a checkpoint or of a first version.
+    pub fn whole(&self) -> Result<Sections, Misfit> {
+        match self {
+            Self::Version(version) => version.delta.apply(&Sections::default()),
+            Self::Checkpoint(head) => Ok(head.sections.clone()),
+        }
+    }
+
     /// Header and signature.
     pub fn seal(&self) -> &Seal {
         match self {
@@ -201,6 +214,10 @@
     type Error = Error;
 
     fn try_from(raw: RawVersion) -> Result<Self> {
+        // A bound on memory that holds before anybody has checked a signature.
+        if raw.set.len() + raw.removed.len() > sections::MOST {
+            return Err(Error::Sections);
+        }
         let mut findings = Findings::default();
         let mut delta = Delta::default();
         for (header, body) in &raw.set {
--- a/crates/bundle/src/sections.rs
+++ b/crates/bundle/src/sections.rs
@@ -12,19 +12,20 @@
 /// Most sections of a bundle; a bound on memory, far above the size to design for.
 pub const MOST: usize = 65_536;
 
-/// The sections of one bundle, in canonical order. A clone shares the sections.
+/// The sections of one bundle, in canonical order. A clone shares the map until one of both is
+/// changed, and the sections also then.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Sections(BTreeMap<Key, Arc<Section>>);
+pub struct Sections(Arc<BTreeMap<Key, Arc<Section>>>);
 
 impl Sections {
     /// Adds or replaces a section; returns the one it replaced.
     pub fn set(&mut self, section: Arc<Section>) -> Option<Arc<Section>> {
-        self.0.insert(section.key().clone(), section)
+        Arc::make_mut(&mut self.0).insert(section.key().clone(), section)
     }
 
     /// Removes a section.
     pub fn remove(&mut self, key: &Key) -> Option<Arc<Section>> {
-        self.0.remove(key)
+        Arc::make_mut(&mut self.0).remove(key)
     }
 
     /// The section with header `key`.
--- a/crates/bundle/src/text.rs
+++ b/crates/bundle/src/text.rs
@@ -72,7 +72,8 @@
     let key: Key = match header.parse() {
         Ok(key) => key,
         Err(message) => {
-            findings.push(error(line, header.get(..80).unwrap_or(header), message));
+            let short: String = header.chars().take(80).collect();
+            findings.push(error(line, &short, message));
             return None;
         }
     };
--- a/crates/bundle/tests/checkpoint.rs
+++ b/crates/bundle/tests/checkpoint.rs
@@ -93,6 +93,7 @@
             .map_or(0, |r| r.0);
         oldest = oldest.max(now - last);
     }
+    println!("{NODES} nodes, 4 h of retention 1 h: {written} written, oldest {oldest} s");
     // Four retentions have 8 to 16 rounds; the window lets about 0.4 further nodes write in each.
     assert!((8..=32).contains(&written), "{written}");
     assert!(oldest <= RETENTION / 2 + 60, "{oldest}");
@@ -145,6 +146,7 @@
         now += 1;
         written += fleet.step(now, true);
     }
+    println!("{NODES} nodes, back from an outage of half the retention: {written} written");
     assert!((1..=20).contains(&written), "{written}");
     fleet.nodes = vec![fleet.node()];
     fleet.step(now + RETENTION - 200, true);
--- a/crates/bundle/tests/example.rs
+++ b/crates/bundle/tests/example.rs
@@ -48,4 +48,14 @@
         head.digest
     );
     assert!(fold.check_all().is_empty());
+    let dump = fold.to_string();
+    let expected = format!(
+        "version 2 by mira digest {}\nfolded to version 2, next",
+        head.digest
+    );
+    assert!(dump.starts_with(&expected), "{dump}");
+    assert!(
+        dump.contains("\naccepted 2\nlost 0\nrepeated 2\n"),
+        "{dump}"
+    );
 }
--- a/crates/bundle/tests/world.rs
+++ b/crates/bundle/tests/world.rs
@@ -361,6 +361,7 @@
         lost += count(|o| matches!(o, Outcome::Lost(_)));
         trimmed += world.log.first;
     }
+    println!("{accepted} accepted, {lost} lost, {trimmed} records trimmed");
     // The runs must reach what they are for.
     assert!(accepted > 500, "{accepted}");
     assert!(lost > 100, "{lost}");
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -21,6 +21,7 @@
         .subcommand(status())
         .subcommand(history())
         .subcommand(dump())
+        .subcommand(restore())
 }
 
 fn output() -> Arg {
@@ -135,6 +136,17 @@
         )
 }
 
+fn restore() -> Command {
+    Command::new("restore")
+        .about("Lets a log that lost its records go on from a saved head")
+        .arg(path(
+            "file",
+            "Record of the head, as `dump --format head` gives it",
+        ))
+        .arg(log().required(true))
+        .arg(trust())
+}
+
 fn name() -> Arg {
     Arg::new("name")
         .long("name")
--- a/crates/ctl/src/diff.rs
+++ b/crates/ctl/src/diff.rs
@@ -4,7 +4,6 @@
 use crate::files;
 use crate::output::Output;
 use bundle::delta::Delta;
-use bundle::record::Record;
 use bundle::section::Key;
 use bundle::sections::Sections;
 use clap::ArgMatches;
@@ -56,13 +55,8 @@
     if !files::bytes(path)?.trim_ascii_start().starts_with(b"{") {
         return files::sections(path);
     }
-    match files::record(path)? {
-        Record::Checkpoint(head) => Ok(head.sections),
-        Record::Version(version) => {
-            let first = version.delta.apply(&Sections::default());
-            first.map_err(|e| input(eyre::eyre!("not a whole bundle: it {e}")))
-        }
-    }
+    let whole = files::record(path)?.whole();
+    whole.map_err(|e| input(eyre::eyre!("not a whole bundle: it {e}")))
 }
 
 /// Headers as text.
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -14,6 +14,7 @@
 mod keygen;
 mod output;
 mod publish;
+mod restore;
 mod show;
 mod sign;
 mod source;
@@ -46,6 +47,7 @@
         Some(("diff", args)) => diff::run(args, output),
         Some(("sign", args)) => sign::run(args, output).await,
         Some(("publish", args)) => publish::run(args, output).await,
+        Some(("restore", args)) => restore::run(args, output).await,
         Some(("status", args)) => show::status(args, output).await,
         Some(("history", args)) => history::run(args, output).await,
         Some(("dump", args)) => show::dump(args, output).await,
--- a/crates/ctl/src/source.rs
+++ b/crates/ctl/src/source.rs
@@ -21,12 +21,13 @@
         return Ok(None);
     }
     if let Some(path) = args.get_one::<PathBuf>("parent") {
-        return of_record(files::record(path)?).map(Some);
+        return of_record(&files::record(path)?).map(Some);
     }
     if let Some(addr) = args.get_one::<SocketAddr>("admin") {
         let body = Admin(*addr).get(HEAD).await.map_err(failed)?;
         let record = files::read_record(&body);
-        return of_record(record.wrap_err("the node's head").map_err(failed)?).map(Some);
+        let record = record.wrap_err("the node's head").map_err(failed)?;
+        return of_record(&record).map(Some);
     }
     let mut tail = tail(args)?;
     tail.catch_up().await?;
@@ -47,15 +48,9 @@
 
 /// The bundle of a record. Its signature isn't checked: the new version is signed with the whole
 /// text that the operator gives, and a wrong parent only makes it lose.
-fn of_record(record: Record) -> Result<Bundle> {
-    let seal = record.seal().clone();
-    let sections = match record {
-        Record::Checkpoint(head) => head.sections,
-        Record::Version(version) => {
-            let first = version.delta.apply(&bundle::sections::Sections::default());
-            first.map_err(|e| input(eyre!("parent is not a whole bundle: it {e}")))?
-        }
-    };
-    let bundle = fold::checked(&sections, &seal.header);
+fn of_record(record: &Record) -> Result<Bundle> {
+    let whole = record.whole();
+    let sections = whole.map_err(|e| input(eyre!("parent is not a whole bundle: it {e}")))?;
+    let bundle = fold::checked(&sections, &record.seal().header);
     bundle.map_err(|e| input(eyre!("parent: {e}")))
 }
--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -151,6 +151,50 @@
     assert!(error.contains("nothing was appended"), "{error}");
 }
 
+/// Everything was dropped from the log before anybody wrote a checkpoint, so nothing in it can
+/// be judged and publishing is refused. The operator names the head to go on from; the next
+/// version then wins as usual, and restoring a sound log is refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_log_without_checkpoint_is_restored() {
+    let log = Log::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let addr = log.addr.to_string();
+    let way = ["--log", &addr, "--trust", "trust.ini"];
+    let desk = Desk::new("restore");
+    desk.signers(&["mira"]);
+    desk.sign_first();
+    let run = |args: &[&str]| desk.run(&[args, &way[..]].concat());
+    ok(&run(&["publish", "1.json"]));
+    desk.write(
+        "head.json",
+        &head(&desk.read("1.json"), &desk.read("trust.ini")),
+    );
+    let sound = run(&["restore", "head.json"]);
+    assert_eq!(sound.status.code(), Some(1));
+
+    desk.write(
+        "next.ini",
+        &desk.read("bundle.ini").replace("rate = 20", "rate = 21"),
+    );
+    let sign = [
+        "sign", "next.ini", "--name", "mira", "--key", "mira.pem", "--out", "2.json",
+    ];
+    ok(&desk.run(&[&sign[..], &["--parent", "head.json"]].concat()));
+    log.trim("bundles", 1);
+    let told = run(&["publish", "2.json"]);
+    assert_eq!(told.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&told.stderr).contains("gap"));
+    ok(&run(&["restore", "head.json"]));
+    ok(&run(&["publish", "2.json"]));
+}
+
+/// The head as a record, after the first version.
+fn head(version: &str, trust: &str) -> String {
+    let sections = bundle::text::parse(trust).unwrap();
+    let mut fold = bundle::fold::Fold::new(bundle::verify::signers(&sections).unwrap());
+    fold.apply(0, version.as_bytes());
+    String::from_utf8(fold.full().unwrap()).unwrap()
+}
+
 /// Wrong input ends with exit code 2 and every finding with its line, and a key is never
 /// overwritten.
 #[tokio::test(flavor = "multi_thread")]
