--- /dev/null
+++ b/crates/standin/src/engine/server.rs
@@ -0,0 +1,51 @@
+//! An engine's connections, and the way of each request.
+
+use super::state::{State, lock};
+use super::{stage, status};
+use crate::life::{Gate, Life, Serve};
+use bytes::Bytes;
+use h2::RecvStream;
+use h2::server::SendResponse;
+use http::{Method, Request, StatusCode};
+use std::sync::Arc;
+use tokio::task::JoinSet;
+
+const STREAM_WINDOW: u32 = 1 << 20;
+const CONNECTION_WINDOW: u32 = 16 << 20;
+
+impl Serve for State {
+    fn life(&self) -> &Life {
+        &self.life
+    }
+
+    fn begin(self: &Arc<Self>) {
+        lock(&self.cache).clear();
+        self.life.spawn(status::keep(self.clone()));
+    }
+
+    async fn serve(self: Arc<Self>, gate: Gate) {
+        let mut builder = h2::server::Builder::new();
+        builder.initial_window_size(STREAM_WINDOW);
+        builder.initial_connection_window_size(CONNECTION_WINDOW);
+        let Ok(mut connection) = builder.handshake::<_, Bytes>(gate).await else {
+            return;
+        };
+        // Dropped with the connection, which stops its requests.
+        let mut tasks = JoinSet::new();
+        while let Some(Ok((request, respond))) = connection.accept().await {
+            while tasks.try_join_next().is_some() {}
+            tasks.spawn(route(self.clone(), request, respond));
+        }
+    }
+}
+
+async fn route(state: Arc<State>, request: Request<RecvStream>, mut respond: SendResponse<Bytes>) {
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::POST, "/v1/stage") => stage::serve(state, request.into_body(), respond).await,
+        (&Method::POST, "/orders") => status::order(state, request.into_body(), respond).await,
+        (&Method::GET, "/load") => status::load(&state, respond),
+        (&Method::GET, "/health") => status::answer(&mut respond, StatusCode::OK, Bytes::new()),
+        _ => status::answer(&mut respond, StatusCode::NOT_FOUND, Bytes::new()),
+    }
+}
