Bundle: a node that starts from a peer's head knows the last checkpoint

Change: a peer's head names the last checkpoint; a peer's head that contradicts the one known under its number is refused and counted. Conclusion: restarts cost no checkpoints.

--- a/crates/bundle/src/checkpoint.rs
+++ b/crates/bundle/src/checkpoint.rs
@@ -12,7 +12,8 @@
 //! by the writer's wall clock: a node that was just started knows no other age of what it
 //! reads. A wrong clock moves a checkpoint in time or doubles it, it can't make one wrong.
 
-use crate::fold::{Fold, Mark};
+use crate::fold::Fold;
+use crate::signed::Mark;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
--- a/crates/bundle/src/fold.rs
+++ b/crates/bundle/src/fold.rs
@@ -52,7 +52,7 @@
 use crate::bundle::Bundle;
 use crate::id::Number;
 use crate::record::Record;
-use crate::signed::Version;
+use crate::signed::{Mark, Version};
 use crate::signer::Signer;
 use branch::Branch;
 use known::Known;
@@ -66,20 +66,6 @@
 pub use standing::Standing;
 pub use verdict::{Reason, Verdict};
 
-/// A checkpoint that the fold has read and agrees with.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Mark {
-    /// Offset of its record.
-    pub offset: u64,
-    /// It accounts for all records below this offset; useless once a later one is the first
-    /// retained.
-    pub next: u64,
-    /// When it was written, since the Unix epoch, by its writer's clock.
-    pub written: Duration,
-    /// Number of its version.
-    pub number: Number,
-}
-
 /// The fold of the log's stream of bundles.
 #[derive(Clone, Debug)]
 pub struct Fold {
@@ -139,7 +125,8 @@
         self.base.history.iter().chain(self.ahead.after(number))
     }
 
-    /// The last checkpoint that was read and agreed with.
+    /// The last checkpoint that was read and agreed with, or that a peer knew of when it gave its
+    /// head.
     pub fn mark(&self) -> Option<Mark> {
         self.mark
     }
@@ -194,7 +181,7 @@
             return None;
         }
         let base = self.base.known.as_ref()?;
-        Some(Record::Checkpoint(base.head(self.next, wall)).encode())
+        Some(Record::Checkpoint(base.head(self.next, wall, None)).encode())
     }
 
     /// Judges a version of the log.
--- a/crates/bundle/src/fold/adopt.rs
+++ b/crates/bundle/src/fold/adopt.rs
@@ -1,12 +1,12 @@
 //! States from checkpoints and peers.
 
+use super::Fold;
 use super::known::{Known, checked};
 use super::verdict::{Reason, Verdict};
-use super::{Fold, Mark};
 use crate::bundle::Bundle;
 use crate::id::Number;
 use crate::record::Record;
-use crate::signed::{Head, Version};
+use crate::signed::{Head, Mark, Version};
 use crate::verify;
 use std::sync::Arc;
 use std::time::Duration;
@@ -64,7 +64,7 @@
     /// The head in force as a full record, for a peer or an operator's desk.
     pub fn full(&self) -> Option<Vec<u8>> {
         let known = self.shown()?;
-        let head = known.head(self.accounted(), Duration::ZERO);
+        let head = known.head(self.accounted(), Duration::ZERO, self.mark);
         Some(Record::Checkpoint(head).encode())
     }
 
@@ -100,15 +100,21 @@
         if shown.is_some_and(|(_, id)| id == head.seal.header.id()) {
             return self.confirm(head.next);
         }
-        if shown.is_some_and(|(number, _)| number >= head.seal.header.number) {
+        let number = head.seal.header.number;
+        if shown.is_some_and(|(known, _)| known == number) {
+            return Verdict::Refused(Reason::Conflict(number));
+        }
+        if shown.is_some_and(|(known, _)| known > number) {
             return Verdict::Old;
         }
+        let mark = head.mark;
         let known = match self.known_of(head) {
             Ok(known) => known,
             Err(reason) => return Verdict::Refused(reason),
         };
         let bundle = known.bundle.clone();
         self.ahead.push(known, None, None);
+        self.mark = self.mark.or(mark);
         self.close_by_ahead();
         Verdict::Adopted(bundle)
     }
--- a/crates/bundle/src/fold/known.rs
+++ b/crates/bundle/src/fold/known.rs
@@ -4,7 +4,7 @@
 use super::verdict::Reason;
 use crate::bundle::Bundle;
 use crate::sections::{self, Sections};
-use crate::signed::{Head, Header, Seal};
+use crate::signed::{Head, Header, Mark, Seal};
 use crate::verify;
 use std::sync::Arc;
 use std::time::Duration;
@@ -41,11 +41,12 @@
     }
 
     /// As a record that accounts for the log below `next`, written at `written`.
-    pub fn head(&self, next: u64, written: Duration) -> Head {
+    pub fn head(&self, next: u64, written: Duration, mark: Option<Mark>) -> Head {
         Head {
             seal: (*self.seal).clone(),
             next,
             written,
+            mark,
             sections: self.bundle.sections.clone(),
         }
     }
--- a/crates/bundle/src/fold/verdict.rs
+++ b/crates/bundle/src/fold/verdict.rs
@@ -53,7 +53,8 @@
     Bundle(Findings),
     /// A checkpoint that accounts for records after itself.
     Future,
-    /// A checkpoint with a version that the log didn't come to.
+    /// A checkpoint with a version that the log didn't come to, or a peer's head that isn't the
+    /// one known under its number.
     Conflict(Number),
 }
 
@@ -68,7 +69,7 @@
             Self::Bundle(findings) => write!(f, "{findings}"),
             Self::Future => f.write_str("checkpoint accounts for records after itself"),
             Self::Conflict(number) => {
-                write!(f, "the log didn't come to this version {number}")
+                write!(f, "another version {number} is known")
             }
         }
     }
--- a/crates/bundle/src/record.rs
+++ b/crates/bundle/src/record.rs
@@ -11,7 +11,7 @@
 use crate::finding::Findings;
 use crate::section::{Key, Section};
 use crate::sections::{self, Sections};
-use crate::signed::{Head, Header, Seal, Version};
+use crate::signed::{Head, Header, Mark, Seal, Version};
 use crate::text;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -105,9 +105,21 @@
     next: u64,
     #[serde(default)]
     written: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    mark: Option<RawMark>,
     text: String,
 }
 
+/// Wire form of the place of a checkpoint; its time in seconds.
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawMark {
+    offset: u64,
+    next: u64,
+    written: u64,
+    number: u64,
+}
+
 /// Bytes that are written in hex.
 #[derive(Clone, Copy, Serialize, Deserialize)]
 #[serde(into = "String", try_from = "String")]
@@ -198,6 +210,28 @@
     }
 }
 
+impl From<RawMark> for Mark {
+    fn from(raw: RawMark) -> Self {
+        Self {
+            offset: raw.offset,
+            next: raw.next,
+            written: Duration::from_secs(raw.written),
+            number: raw.number,
+        }
+    }
+}
+
+impl From<Mark> for RawMark {
+    fn from(mark: Mark) -> Self {
+        Self {
+            offset: mark.offset,
+            next: mark.next,
+            written: mark.written.as_secs(),
+            number: mark.number,
+        }
+    }
+}
+
 impl From<&Version> for RawVersion {
     fn from(version: &Version) -> Self {
         let set = version.delta.set.values();
@@ -250,6 +284,7 @@
             seal: (&head.seal).into(),
             next: head.next,
             written: head.written.as_secs(),
+            mark: head.mark.map(RawMark::from),
             text: head.sections.to_string(),
         }
     }
@@ -268,6 +303,7 @@
             seal,
             next: raw.next,
             written: Duration::from_secs(raw.written),
+            mark: raw.mark.map(Mark::from),
             sections,
         })
     }
--- a/crates/bundle/src/signed.rs
+++ b/crates/bundle/src/signed.rs
@@ -122,6 +122,20 @@
     pub delta: Delta,
 }
 
+/// Where a checkpoint is in the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Mark {
+    /// Offset of its record.
+    pub offset: u64,
+    /// It accounts for all records below this offset; useless once a later one is the first
+    /// retained.
+    pub next: u64,
+    /// When it was written, since the Unix epoch, by its writer's clock.
+    pub written: Duration,
+    /// Number of its version.
+    pub number: Number,
+}
+
 /// A signed version as its full sections: a checkpoint in the log, or a peer's head.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Head {
@@ -132,6 +146,10 @@
     /// When it was written, since the Unix epoch; zero if it isn't known. Not signed, and used
     /// for nothing but to time the next checkpoint.
     pub written: Duration,
+    /// In a peer's head: the last checkpoint it knows of. Without this, a node that starts from a
+    /// peer's head skips the log's checkpoints, would miss one, and write it: one for each restart.
+    /// Not signed, and used as `written` is.
+    pub mark: Option<Mark>,
     /// All sections; their digest is the header's result.
     pub sections: Sections,
 }
--- a/crates/bundle/tests/checkpoint.rs
+++ b/crates/bundle/tests/checkpoint.rs
@@ -121,6 +121,26 @@
     assert!((12..=40).contains(&written), "{written}");
 }
 
+/// On an ordinary day nodes are replaced all the time, and a new one starts from a peer's head,
+/// beyond the checkpoints in the log. It must not write one because it hasn't seen any, or the
+/// log would carry a full bundle for each restart.
+#[test]
+fn restarts_from_peers_write_none() {
+    let mut fleet = Fleet::new(8);
+    let mut written = 0;
+    for now in 1..6 * RETENTION {
+        if now > RETENTION && now % 120 == 0 {
+            let old = now as usize / 120 % 8;
+            let head = fleet.nodes[(old + 1) % 8].0.full().unwrap();
+            fleet.nodes[old] = fleet.node();
+            fleet.nodes[old].0.adopt(&head);
+        }
+        written += fleet.step(now, true);
+    }
+    assert!((12..=40).contains(&written), "{written}");
+    assert!(fleet.nodes.iter().all(|n| !n.0.in_gap()));
+}
+
 /// The log goes out just when a checkpoint is due, for half of the retention. When it is back
 /// there is still one to start from, and a new one is written soon, by few of the many nodes
 /// that are overdue.
--- a/crates/bundle/tests/fold.rs
+++ b/crates/bundle/tests/fold.rs
@@ -297,8 +297,15 @@
     let loser = next(&fold, 8, "tuya", &tuya());
     assert!(matches!(fold.adopt(&loser), Verdict::Adopted(_)));
     assert_eq!(fold.head().unwrap().signer, "tuya");
+    let mut peer = fold.clone();
     assert!(matches!(fold.apply(1, &winner), Verdict::Accepted(_)));
     assert_eq!(fold.head().unwrap().signer, "mira");
+    let contradiction = peer.adopt(&fold.full().unwrap());
+    assert!(matches!(
+        contradiction,
+        Verdict::Refused(Reason::Conflict(2))
+    ));
+    assert_eq!(peer.counters().conflicts, 1);
     assert!(matches!(fold.apply(2, &loser), Verdict::Lost { .. }));
     assert_eq!(fold.counters().conflicts, 1);
 }
