--- a/crates/bundle/src/record.rs
+++ b/crates/bundle/src/record.rs
@@ -6,10 +6,12 @@
 //! JSON but [`crate::signed::Header::message`], so spaces and the order of keys don't matter.
 
 use crate::delta::Delta;
+use crate::delta::Misfit;
 use crate::digest::Digest;
 use crate::finding::Findings;
 use crate::section::{Key, Section};
-use crate::signed::{Head, Header, Seal, Version};
+use crate::sections::{self, Sections};
+use crate::signed::{Head, Header, Mark, Seal, Version};
 use crate::text;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -40,6 +42,8 @@
     Text(Findings),
     /// The delta or the sections are not those that the header names.
     Digest,
+    /// A delta of more than [`sections::MOST`] sections.
+    Sections,
     /// A checkpoint where a version is expected.
     Kind,
 }
@@ -54,6 +58,7 @@
             Self::Shape(e) => write!(f, "not a record: {e}"),
             Self::Text(findings) => write!(f, "sections can't be read: {findings}"),
             Self::Digest => f.write_str("content doesn't have the digest in the header"),
+            Self::Sections => write!(f, "over {} sections", sections::MOST),
             Self::Kind => f.write_str("a checkpoint, not a version"),
         }
     }
@@ -100,9 +105,21 @@
     next: u64,
     #[serde(default)]
     written: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    mark: Option<RawMark>,
     text: String,
 }
 
+/// Wire form of the place of a checkpoint; its time in seconds.
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawMark {
+    offset: u64,
+    next: u64,
+    written: u64,
+    number: u64,
+}
+
 /// Bytes that are written in hex.
 #[derive(Clone, Copy, Serialize, Deserialize)]
 #[serde(into = "String", try_from = "String")]
@@ -147,6 +164,14 @@
         serde_json::to_vec(&raw).unwrap_or_default()
     }
 
+    /// All sections, of a checkpoint or of a first version.
+    pub fn whole(&self) -> Result<Sections, Misfit> {
+        match self {
+            Self::Version(version) => version.delta.apply(&Sections::default()),
+            Self::Checkpoint(head) => Ok(head.sections.clone()),
+        }
+    }
+
     /// Header and signature.
     pub fn seal(&self) -> &Seal {
         match self {
@@ -185,6 +210,28 @@
     }
 }
 
+impl From<RawMark> for Mark {
+    fn from(raw: RawMark) -> Self {
+        Self {
+            offset: raw.offset,
+            next: raw.next,
+            written: Duration::from_secs(raw.written),
+            number: raw.number,
+        }
+    }
+}
+
+impl From<Mark> for RawMark {
+    fn from(mark: Mark) -> Self {
+        Self {
+            offset: mark.offset,
+            next: mark.next,
+            written: mark.written.as_secs(),
+            number: mark.number,
+        }
+    }
+}
+
 impl From<&Version> for RawVersion {
     fn from(version: &Version) -> Self {
         let set = version.delta.set.values();
@@ -201,6 +248,10 @@
     type Error = Error;
 
     fn try_from(raw: RawVersion) -> Result<Self> {
+        // A bound on memory that holds before anybody has checked a signature.
+        if raw.set.len() + raw.removed.len() > sections::MOST {
+            return Err(Error::Sections);
+        }
         let mut findings = Findings::default();
         let mut delta = Delta::default();
         for (header, body) in &raw.set {
@@ -233,6 +284,7 @@
             seal: (&head.seal).into(),
             next: head.next,
             written: head.written.as_secs(),
+            mark: head.mark.map(RawMark::from),
             text: head.sections.to_string(),
         }
     }
@@ -251,6 +303,7 @@
             seal,
             next: raw.next,
             written: Duration::from_secs(raw.written),
+            mark: raw.mark.map(Mark::from),
             sections,
         })
     }
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -21,6 +21,7 @@
         .subcommand(status())
         .subcommand(history())
         .subcommand(dump())
+        .subcommand(restore())
 }
 
 fn output() -> Arg {
@@ -135,6 +136,17 @@
         )
 }
 
+fn restore() -> Command {
+    Command::new("restore")
+        .about("Lets a log that lost its records go on from a saved head")
+        .arg(path(
+            "file",
+            "Record of the head, as `dump --format head` gives it",
+        ))
+        .arg(log().required(true))
+        .arg(trust())
+}
+
 fn name() -> Arg {
     Arg::new("name")
         .long("name")
@@ -163,7 +175,7 @@
 fn trust() -> Arg {
     path_option(
         "trust",
-        "File with a [signer NAME] section for each trusted key",
+        "File with a section [trust], such as a node's settings",
     )
 }
 
