Failures of membership on decision cores; refutation after a pause and after a parted region

Change: a peer that answers again is told that it was suspected, a node that notices its own pause refutes ahead, a parted peer whose zone is back is suspected anew before it can be judged dead. Suspicions, refutations, heads and urgent items leave in one bounded flush. An observation that a peer published already is not published again.

--- /dev/null
+++ b/crates/member/examples/spread.rs
@@ -0,0 +1,329 @@
+//! Detection, spread, false accusations and cost of membership at 8, 64 and 370 nodes.
+//!
+//! Decision cores in one process with passed-in time; bytes are those of the `wire` crate's
+//! frames, with what a connection costs taken from `cargo run --release -p wigeonshelf-wire
+//! --example cost`.
+
+#[path = "../tests/support/net.rs"]
+mod net;
+
+use member::demand::{Demand, Limit};
+use member::event::Event;
+use member::head::Head;
+use member::item::{Body, team};
+use member::message::Message;
+use member::peer::State;
+use member::settings::Settings;
+use member::team::{self, Teams};
+use net::{Faults, Net, QUIET, ms};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::time::{Duration, Instant};
+
+const SECOND: Duration = ms(1000);
+/// Nodes and availability zones.
+const SIZES: [(usize, usize); 3] = [(8, 3), (64, 6), (370, 18)];
+/// Length and MAC of a frame, and the header of an HTTP/2 DATA frame.
+const FRAME: usize = 4 + 16 + 9;
+/// Headers of IP and TCP with time stamps, for each 1,448 bytes.
+const PACKET: usize = 52;
+const SEGMENT: usize = 1_448;
+/// A ping and its pong, half of both for each side.
+const PONG: usize = 17;
+/// Teams at full size.
+const TEAMS: usize = 470;
+
+fn weigh(message: &Message) -> usize {
+    let frame = wire::frame::Frame::send(message.clone());
+    let bytes = frame.encode().expect("encodes").len() + FRAME + PONG;
+    bytes + PACKET * (1 + bytes.div_ceil(SEGMENT))
+}
+
+fn joined(size: (usize, usize), seed: u64) -> Net {
+    let mut net = Net::new(size.0, size.1, seed, Settings::default());
+    net.run(SECOND * 25);
+    assert!(net.whole(), "{} nodes join", size.0);
+    net.changes.clear();
+    net
+}
+
+fn quantile(times: &mut [Duration], q: f64) -> f64 {
+    times.sort();
+    let last = times.len().saturating_sub(1);
+    times
+        .get((last as f64 * q).round() as usize)
+        .map_or(f64::NAN, Duration::as_secs_f64)
+}
+
+/// Time from a death to the first suspicion, and to the judgement at all others.
+fn detection(size: (usize, usize)) {
+    let mut net = joined(size, 1);
+    let (mut first, mut all) = (Vec::new(), Vec::new());
+    for round in 0..10 {
+        let victim = round * 7 % size.0;
+        let (start, id) = (net.now, net.id(victim));
+        net.kill(victim);
+        net.run(net.now + SECOND * 25);
+        let of = |s: State| {
+            net.changes
+                .iter()
+                .filter(move |c| c.peer == id && c.state == s && c.at >= start)
+        };
+        first.extend(of(State::Suspect).map(|c| c.at - start).min());
+        all.extend(of(State::Dead).map(|c| c.at - start).max());
+        net.start(victim);
+        net.run(net.now + SECOND * 15);
+        assert!(net.whole(), "victim returns");
+    }
+    let (a, b) = (quantile(&mut first, 0.5), quantile(&mut first, 1.0));
+    let (c, d) = (quantile(&mut all, 0.5), quantile(&mut all, 1.0));
+    println!("| {} | {a:.1} | {b:.1} | {c:.1} | {d:.1} |", size.0);
+}
+
+/// Time from a publication to the last node, for a head, an urgent item and a demand.
+fn spread(size: (usize, usize), loss: f64) {
+    let mut net = joined(size, 2);
+    net.faults = Faults { loss, ..QUIET };
+    let (mut heads, mut urgent, mut plain) = (Vec::new(), Vec::new(), Vec::new());
+    for round in 0..10u64 {
+        let (start, origin) = (net.now, round as usize * 3 % size.0);
+        net.adopt(
+            origin,
+            Head {
+                number: round + 1,
+                digest: [1; 32],
+            },
+        );
+        let condemned = Body::Condemned {
+            fingerprint: round,
+            ttl: SECOND * 60,
+        };
+        net.event(origin, Event::Publish(vec![condemned]));
+        net.event(
+            origin,
+            Event::Publish(vec![Body::Load(member::level::Level(round as u8 + 1))]),
+        );
+        net.run(net.now + SECOND * 15);
+        let last = net
+            .heads
+            .iter()
+            .filter(|h| h.0 >= start)
+            .map(|h| h.0 - start)
+            .max();
+        assert!(
+            (0..size.0).all(|i| net.head(i) == round + 1),
+            "head everywhere"
+        );
+        heads.extend(last);
+        let of = |u: bool| {
+            let new = net
+                .learned
+                .iter()
+                .filter(move |l| l.0 >= start && l.2.body.urgent() == u);
+            (new.clone().count(), new.map(|l| l.0 - start).max())
+        };
+        assert_eq!(
+            (of(true).0, of(false).0),
+            (size.0 - 1, size.0 - 1),
+            "items everywhere"
+        );
+        urgent.extend(of(true).1);
+        plain.extend(of(false).1);
+    }
+    let row = [heads, urgent, plain].map(|mut v| (quantile(&mut v, 0.5), quantile(&mut v, 1.0)));
+    let row = row.map(|(m, w)| format!("{m:.2} / {w:.2}")).join(" | ");
+    println!("| {} | {:.0}% | {row} |", size.0, loss * 100.0);
+}
+
+/// Nodes that live and were judged dead although they answer.
+fn accusations(
+    size: (usize, usize),
+    name: &str,
+    minutes: u32,
+    mut fault: impl FnMut(&mut Net, u32),
+) {
+    let mut net = joined(size, 3);
+    for minute in 0..minutes {
+        fault(&mut net, minute);
+        net.run(net.now + SECOND * 60);
+    }
+    let of = |s: State| net.changes.iter().filter(|c| c.state == s).count();
+    let hours = size.0 as f64 * f64::from(minutes) / 60.0;
+    let (suspect, dead, parted) = (
+        of(State::Suspect),
+        net.reported(State::Dead, ms(0)).len(),
+        of(State::Parted),
+    );
+    println!(
+        "| {} | {name} | {hours:.0} | {suspect} | {dead} | {parted} |",
+        size.0
+    );
+}
+
+/// Teams' demand at a node: a few large teams everywhere, the others at some nodes, all changing.
+struct Load {
+    rng: ChaCha8Rng,
+    limits: Vec<Limit>,
+    demands: Vec<Vec<Demand>>,
+}
+
+impl Load {
+    fn new(nodes: usize) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(5);
+        let limit = |t: usize| {
+            let rate = if t < 20 { 300.0 } else { 15.0 };
+            Limit {
+                team: team(&format!("team-{t}")),
+                rate,
+                in_flight: rate * 4.0,
+            }
+        };
+        let limits: Vec<Limit> = (0..TEAMS).map(limit).collect();
+        let demand = |l: &Limit, rng: &mut ChaCha8Rng| {
+            let busy = rng.random_bool(0.3);
+            let rate = if busy {
+                l.rate / nodes as f64 * rng.random_range(0.2..3.0)
+            } else {
+                0.0
+            };
+            Demand {
+                rate,
+                in_flight: rate * 4.0,
+            }
+        };
+        let row = |rng: &mut ChaCha8Rng| limits.iter().map(|l| demand(l, rng)).collect();
+        let demands = (0..nodes).map(|_| row(&mut rng)).collect();
+        Self {
+            rng,
+            limits,
+            demands,
+        }
+    }
+
+    /// Changes the demand of some teams at a node.
+    fn drift(&mut self, node: usize) {
+        for _ in 0..10 {
+            let t = self.rng.random_range(0..TEAMS);
+            let nodes = self.demands.len() as f64;
+            let rate = self.limits[t].rate / nodes * self.rng.random_range(0.0..3.0);
+            self.demands[node][t] = Demand {
+                rate,
+                in_flight: rate * 4.0,
+            };
+        }
+    }
+}
+
+/// Bytes, messages and processor time per node and second, with the demand of 470 teams
+/// changing at every node all the time.
+fn cost(size: (usize, usize), seconds: u32) {
+    let mut net = joined(size, 4);
+    let mut load = Load::new(size.0);
+    let mut teams: Vec<Teams> = (0..size.0)
+        .map(|_| Teams::new(team::Settings::default()))
+        .collect();
+    let mut next = vec![net.now; size.0];
+    let mut spent = Duration::ZERO;
+    let mut run = |net: &mut Net, time: Duration| {
+        let to = net.now + time;
+        net.run_with(to, |net, index| {
+            if net.now < next[index] {
+                return;
+            }
+            next[index] = net.now + SECOND;
+            load.drift(index);
+            let now = net.now;
+            let begun = Instant::now();
+            let Some(group) = net.group(index) else {
+                return;
+            };
+            let step = teams[index].step(now, group, &load.limits, &load.demands[index]);
+            spent += begun.elapsed();
+            net.event(index, Event::Publish(step.publish));
+        });
+    };
+    run(&mut net, SECOND * 30);
+    net.weigh = Some(weigh);
+    let begun = Instant::now();
+    run(&mut net, SECOND * seconds);
+    let wall = begun.elapsed();
+    let per = 1.0 / (size.0 as f64 * f64::from(seconds));
+    let sum = |v: &[u64]| v.iter().sum::<u64>() as f64 * per;
+    let most = net.traffic.sent.iter().max().copied().unwrap_or(0) as f64 / f64::from(seconds);
+    let (messages, sent) = (sum(&net.traffic.messages), sum(&net.traffic.sent));
+    let core = wall.as_secs_f64() * per * 100.0;
+    let share = spent.as_secs_f64() / (size.0 as f64 * f64::from(seconds + 30)) * 100.0;
+    println!(
+        "| {} | {messages:.1} | {sent:.0} | {most:.0} | {:.0} | {core:.2}% | {share:.2}% |",
+        size.0,
+        sent * 2.0
+    );
+    for (kind, (count, bytes)) in &net.traffic.kinds {
+        println!(
+            "    {kind}: {:.2}/s {:.0} B/s",
+            *count as f64 * per,
+            *bytes as f64 * per
+        );
+    }
+    let items: usize = (0..size.0)
+        .map(|i| net.group(0).map_or(0, |g| g.store().of(net.id(i)).count()))
+        .sum();
+    println!("    items stored at a node: {items}");
+}
+
+fn main() {
+    println!("Detection of a killed node, seconds (10 deaths)\n");
+    println!(
+        "| nodes | first suspicion, median | worst | judged dead everywhere, median | worst |"
+    );
+    println!("|---|---|---|---|---|");
+    SIZES.iter().for_each(|s| detection(*s));
+    println!("\nSpread to the last node, seconds, median / worst of 10\n");
+    println!("| nodes | loss | head in force | urgent item | load or demand |");
+    println!("|---|---|---|---|---|");
+    for loss in [0.0, 0.01] {
+        SIZES.iter().for_each(|s| spread(*s, loss));
+    }
+    println!("\nFalse accusations\n");
+    println!(
+        "| nodes | fault | node hours | suspicions reported | nodes judged dead | parted reports |"
+    );
+    println!("|---|---|---|---|---|---|");
+    for size in SIZES {
+        let minutes = if size.0 > 100 { 3 } else { 30 };
+        accusations(size, "none", minutes, |_, _| {});
+        let lossy = Faults {
+            loss: 0.01,
+            ..QUIET
+        };
+        accusations(size, "1% loss", minutes, |net, _| net.faults = lossy);
+        accusations(
+            size,
+            "2 s pauses, a node in eight each minute",
+            minutes,
+            |net, minute| {
+                let paused = (0..net.nodes.len()).filter(|i| i % 8 == minute as usize % 8);
+                paused
+                    .collect::<Vec<_>>()
+                    .into_iter()
+                    .for_each(|i| net.pause(i, SECOND * 2));
+            },
+        );
+        let region = if size.0 == 8 { "z1" } else { "r1" };
+        accusations(
+            size,
+            "a region (8: a zone) parts, then joins",
+            minutes,
+            |net, minute| match minute {
+                0 => net.part(1, |i| i.region == region || i.zone == region),
+                _ => net.heal(),
+            },
+        );
+    }
+    println!("\nCost per node and second with 470 teams' demand changing\n");
+    println!(
+        "| nodes | messages sent | bytes sent | most at a node | sent and received | core, all | core, shares |"
+    );
+    println!("|---|---|---|---|---|---|---|");
+    SIZES.iter().for_each(|s| cost(*s, 30));
+}
--- a/crates/member/src/check.rs
+++ b/crates/member/src/check.rs
@@ -93,8 +93,8 @@
             if buried.is_some_and(|g| g.incarnation >= peer.identity.incarnation) {
                 errors.push(error("peer", peer.id, Fault::Buried));
             }
-            let silent = peer.since.saturating_sub(peer.heard);
-            if peer.state == State::Parted && silent < self.settings.suspicion {
+            let waited = peer.since.saturating_sub(peer.lost);
+            if peer.state > State::Suspect && waited < self.settings.suspicion {
                 errors.push(error("peer", peer.id, Fault::Hasty));
             }
         }
--- a/crates/member/src/group.rs
+++ b/crates/member/src/group.rs
@@ -7,16 +7,16 @@
 use crate::head::Head;
 use crate::identity::{Id, Identity, Incarnation};
 use crate::item::Version;
-use crate::message::{Body, Message, Row};
+use crate::message::{Body, Message, News, Row};
 use crate::peer::{Entry, Peer, State};
 use crate::probe::Probes;
 use crate::roster::{self, Roster};
 use crate::settings::Settings;
-use crate::spread::Piece;
+use crate::spread::{Piece, Urgent};
 use crate::store::Store;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
 use std::net::SocketAddr;
 
@@ -42,6 +42,11 @@
     pub(crate) asked: Option<(u64, Now)>,
     pub(crate) version: Version,
     pub(crate) news: Vec<Piece>,
+    /// Urgent items to send on.
+    pub(crate) urgent: VecDeque<Urgent>,
+    /// Whether there is news that should not wait for the next round.
+    pub(crate) hot: bool,
+    pub(crate) flushed: Option<Now>,
     pub(crate) probes: Probes,
     pub(crate) graves: BTreeMap<Id, Grave>,
     pub(crate) ticked: Option<Now>,
@@ -65,6 +70,9 @@
             asked: None,
             version: 0,
             news: Vec::new(),
+            urgent: VecDeque::new(),
+            hot: false,
+            flushed: None,
             probes: Probes::default(),
             graves: BTreeMap::new(),
             ticked: None,
@@ -78,11 +86,12 @@
             Event::Tick => self.tick(now, out),
             Event::Frame { from, message } => self.frame(now, from, message, out),
             Event::Listed(entries) => self.list(entries),
-            Event::Head(head) => self.adopt(head, out),
-            Event::Publish(bodies) => self.publish(now, bodies, out),
+            Event::Head(head) => self.adopt(head),
+            Event::Publish(bodies) => self.publish(now, bodies),
             Event::Unreached(peer) => self.unreached(peer, out),
-            Event::Quit => self.quit(out),
+            Event::Quit => self.quit(),
         }
+        self.flush(now, out);
         #[cfg(debug_assertions)]
         self.assert();
     }
@@ -94,9 +103,9 @@
             self.resume(now);
         }
         self.check_probes(now, out);
-        let due = self.due(now);
-        self.judge(now, due, out);
-        if due {
+        self.judge(now, out);
+        if self.due(now) {
+            self.judge_again(now, out);
             self.store.expire(now);
             self.bury(now, out);
             self.round(now, out);
@@ -113,6 +122,8 @@
                 peer.since = now;
             }
         }
+        // Peers that suspected this node meanwhile may already wait to judge it.
+        self.refute_ahead();
     }
 
     fn frame(&mut self, now: Now, from: SocketAddr, message: Message, out: &mut Vec<Action>) {
@@ -264,14 +275,32 @@
 
     /// Sends a message with the head and some news.
     pub(crate) fn send(&mut self, peer: Id, to: SocketAddr, body: Body, out: &mut Vec<Action>) {
-        let message = Message {
+        let news = self.pick_news(peer);
+        let message = self.message(news, body);
+        out.push(Action::Send { peer, to, message });
+    }
+
+    /// Sends nothing but `news`.
+    pub(crate) fn send_with(
+        &mut self,
+        peer: Id,
+        to: SocketAddr,
+        news: Vec<News>,
+        out: &mut Vec<Action>,
+    ) {
+        let message = self.message(news, Body::Note);
+        out.push(Action::Send { peer, to, message });
+    }
+
+    fn message(&self, news: Vec<News>, body: Body) -> Message {
+        let incarnation = self.incarnation();
+        Message {
             from: self.me,
-            incarnation: self.incarnation(),
+            incarnation,
             head: self.head,
-            news: self.pick_news(peer),
+            news,
             body,
-        };
-        out.push(Action::Send { peer, to, message });
+        }
     }
 
     pub(crate) fn incarnation(&self) -> Incarnation {
--- a/crates/member/src/judge.rs
+++ b/crates/member/src/judge.rs
@@ -10,6 +10,9 @@
 
 /// Peers that went silent within this time of each other are taken to have one cause.
 const TOGETHER: Duration = Duration::from_secs(20);
+/// How long a parted peer may stay away after most of its availability zone came back, before
+/// it is suspected by itself: news of many returns at once take their time.
+const REJOIN: Duration = Duration::from_secs(30);
 
 impl Group {
     /// Proof that the known run of a peer lives.
@@ -24,12 +27,23 @@
         let back = peer.state > State::Suspect;
         peer.state = State::Up;
         peer.since = now;
+        let run = crate::spread::run(peer);
         self.counters.returned += u64::from(back);
         out.push(Action::Changed {
             peer: id,
             state: State::Up,
             restarted: false,
         });
+        self.warn(id, run, out);
+    }
+
+    /// Tells a peer that it was suspected. It is up here, but the suspicion may still be on its
+    /// way to others, who would judge it dead unless it refutes.
+    fn warn(&mut self, id: Id, run: crate::message::Run, out: &mut Vec<Action>) {
+        let Some(to) = self.addr(id) else { return };
+        self.news
+            .retain(|p| p.news != crate::message::News::Suspect(run));
+        self.send_with(id, to, vec![crate::message::News::Suspect(run)], out);
     }
 
     /// A refutation, or a row that holds one.
@@ -41,7 +55,18 @@
             return;
         }
         peer.turn = turn;
-        self.up(now, id, out);
+        if peer.state == State::Up {
+            return;
+        }
+        let back = peer.state > State::Suspect;
+        peer.state = State::Up;
+        peer.since = now;
+        self.counters.returned += u64::from(back);
+        out.push(Action::Changed {
+            peer: id,
+            state: State::Up,
+            restarted: false,
+        });
     }
 
     /// This node's own probe of a peer had no answer, direct or by others.
@@ -66,8 +91,10 @@
         }
         peer.state = State::Suspect;
         peer.since = now;
+        peer.lost = now;
         let run = crate::spread::run(peer);
         self.tell(crate::message::News::Suspect(run));
+        self.hot = true;
         self.focus(id);
         out.push(Action::Changed {
             peer: id,
@@ -76,12 +103,10 @@
         });
     }
 
-    /// Judges suspects whose time is over; parted and dead peers too if `again` is set, since
-    /// what happened to their availability zone may show only later.
-    pub(crate) fn judge(&mut self, now: Now, again: bool, out: &mut Vec<Action>) {
+    /// Judges suspects whose time is over.
+    pub(crate) fn judge(&mut self, now: Now, out: &mut Vec<Action>) {
         let wait = self.settings.suspicion(self.roster.len());
-        let open = |s: State| s == State::Suspect || (again && s > State::Suspect);
-        let over = |p: &&Peer| open(p.state) && age(now, p.since) >= wait;
+        let over = |p: &&Peer| p.state == State::Suspect && age(now, p.since) >= wait;
         let over: Vec<Id> = self.roster.iter().filter(over).map(|p| p.id).collect();
         for id in over {
             let state = self.verdict(id);
@@ -89,19 +114,44 @@
         }
     }
 
+    /// Judges dead and parted peers anew: what happened to their availability zone may show
+    /// only later.
+    pub(crate) fn judge_again(&mut self, now: Now, out: &mut Vec<Action>) {
+        let gone = |p: &&Peer| p.state > State::Suspect;
+        let gone: Vec<(Id, State, Now)> = self
+            .roster
+            .iter()
+            .filter(gone)
+            .map(|p| (p.id, p.state, p.since))
+            .collect();
+        for (id, state, since) in gone {
+            match (state, self.verdict(id)) {
+                (State::Dead, State::Parted) => self.set(now, id, State::Parted, out),
+                (State::Parted, State::Parted) => self.renew(now, id),
+                (State::Parted, _) if age(now, since) >= REJOIN => {
+                    self.set(now, id, State::Suspect, out);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn renew(&mut self, now: Now, id: Id) {
+        if let Some(peer) = self.roster.get_mut(id) {
+            peer.since = now;
+        }
+    }
+
     fn set(&mut self, now: Now, id: Id, state: State, out: &mut Vec<Action>) {
         let Some(peer) = self.roster.get_mut(id) else {
             return;
         };
-        if peer.state == state {
-            return;
-        }
         peer.state = state;
-        if state == State::Dead {
-            self.counters.dead += 1;
-        } else {
-            peer.since = now;
-            self.counters.parted += 1;
+        peer.since = now;
+        match state {
+            State::Dead => self.counters.dead += 1,
+            State::Parted => self.counters.parted += 1,
+            _ => {}
         }
         out.push(Action::Changed {
             peer: id,
@@ -130,7 +180,7 @@
     /// Counts peers; those that died at another time than `peer` are left out.
     fn tally(&self, peer: &Peer, like: impl Fn(&&Peer) -> bool) -> Tally {
         let others = self.roster.iter().filter(|p| p.id != self.me).filter(like);
-        let apart = |p: &Peer| p.since.abs_diff(peer.since) > TOGETHER;
+        let apart = |p: &Peer| p.lost.abs_diff(peer.lost) > TOGETHER;
         let mut tally = Tally::default();
         for other in others.filter(|p| p.state != State::Dead || !apart(p)) {
             tally.all += 1;
@@ -152,7 +202,7 @@
             p.id != self.me
                 && p.state > State::Suspect
                 && p.standing.is_none()
-                && age(now, p.since) >= keep
+                && age(now, p.lost) >= keep
         };
         let gone: Vec<Id> = self.roster.iter().filter(gone).map(|p| p.id).collect();
         gone.into_iter()
--- a/crates/member/src/peer.rs
+++ b/crates/member/src/peer.rs
@@ -63,6 +63,9 @@
     pub state: State,
     /// Since when.
     pub since: Now,
+    /// When it was last no longer up; what followed has one cause with what other peers lost
+    /// then.
+    pub lost: Now,
     /// When something last came from it or proved that it lives.
     pub heard: Now,
     /// What the list says; nothing if it does not name the peer.
@@ -82,6 +85,7 @@
             turn: 0,
             state: State::Up,
             since: now,
+            lost: now,
             heard: now,
             standing: None,
             version: 0,
--- a/crates/member/src/spread.rs
+++ b/crates/member/src/spread.rs
@@ -17,6 +17,25 @@
 const FETCH: Duration = Duration::from_millis(400);
 /// News kept at most; the most often told go first.
 const NEWS: usize = 512;
+/// Shortest time between two flushes, so that a storm of observations costs a bounded rate.
+const FLUSH: Duration = Duration::from_millis(250);
+/// Time between the two times that a node sends an urgent item on. Once to a few leaves out one
+/// node in fifty; those of the second time are others.
+const AGAIN: Duration = Duration::from_secs(1);
+/// Times that a node sends an urgent item on.
+const TIMES: u8 = 2;
+/// Urgent items of one flush at most.
+const BATCH: usize = 16;
+/// Urgent items that wait at most; one more is left to the exchange of digests.
+const QUEUE: usize = 256;
+
+/// An urgent item that is still to be sent on.
+#[derive(Clone, Debug)]
+pub(crate) struct Urgent {
+    pub(crate) item: Item,
+    due: Now,
+    left: u8,
+}
 
 /// A piece of news and how often it is still to be told.
 #[derive(Clone, Debug)]
@@ -91,10 +110,20 @@
         if run.incarnation != own.identity.incarnation || run.turn < own.turn {
             return;
         }
-        own.turn = run.turn + 1;
-        let run = crate::spread::run(own);
+        own.turn = run.turn;
         self.counters.refuted += 1;
+        self.refute_ahead();
+    }
+
+    /// Raises the own turn.
+    pub(crate) fn refute_ahead(&mut self) {
+        let Some(own) = self.roster.get_mut(self.me) else {
+            return;
+        };
+        own.turn += 1;
+        let run = run(own);
         self.tell(News::Alive(run));
+        self.hot = true;
     }
 
     fn hear_suspect(&mut self, now: Now, run: Run, out: &mut Vec<Action>) {
@@ -117,8 +146,10 @@
         if !newer || run.id == self.me {
             return;
         }
+        let away = peer.state != State::Up;
         self.raise(now, run.id, run.turn, out);
         self.tell(News::Alive(run));
+        self.hot |= away;
     }
 
     fn hear_left(&mut self, now: Now, run: Run, out: &mut Vec<Action>) {
@@ -130,34 +161,69 @@
         }
         self.remove(now, run.id, true, out);
         self.tell(News::Left(run));
-        self.note(out);
+        self.hot = true;
     }
 
-    /// Sends the head and news to some peers at once.
-    fn note(&mut self, out: &mut Vec<Action>) {
-        let most = self.settings.fanout;
-        for peer in self.random(most, None) {
+    /// Sends what should not wait for the next round to some peers.
+    pub(crate) fn flush(&mut self, now: Now, out: &mut Vec<Action>) {
+        let due = self.urgent.iter().any(|u| u.due <= now);
+        let early = self.flushed.is_some_and(|f| roster::age(now, f) < FLUSH);
+        if early || !(self.hot || due) {
+            return;
+        }
+        self.flushed = Some(now);
+        self.hot = false;
+        let items = self.take_urgent(now);
+        for peer in self.random(self.settings.fanout, None) {
             let Some(to) = self.addr(peer) else { continue };
-            self.send(peer, to, Body::Note, out);
+            let body = match items.is_empty() {
+                true => Body::Note,
+                false => Body::Rumour(items.clone()),
+            };
+            self.send(peer, to, body, out);
+        }
+    }
+
+    fn take_urgent(&mut self, now: Now) -> Vec<Item> {
+        let mut items = Vec::new();
+        for urgent in self.urgent.iter_mut().filter(|u| u.due <= now).take(BATCH) {
+            urgent.due = now + AGAIN;
+            urgent.left -= 1;
+            items.push(urgent.item.clone());
         }
+        self.urgent.retain(|u| u.left > 0);
+        items
     }
 
-    pub(crate) fn quit(&mut self, out: &mut Vec<Action>) {
+    fn hurry(&mut self, now: Now, item: Item) {
+        if self.urgent.len() >= QUEUE {
+            self.counters.dropped += 1;
+            return;
+        }
+        self.urgent.push_back(Urgent {
+            item,
+            due: now,
+            left: TIMES,
+        });
+    }
+
+    pub(crate) fn quit(&mut self) {
         let Some(own) = self.roster.get(self.me) else {
             return;
         };
         let run = run(own);
         self.tell(News::Left(run));
-        self.note(out);
+        self.hot = true;
+        self.flushed = None;
     }
 
     /// This node has a head in force; it never goes back.
-    pub(crate) fn adopt(&mut self, head: Head, out: &mut Vec<Action>) {
+    pub(crate) fn adopt(&mut self, head: Head) {
         if self.head.is_some_and(|h| h.number >= head.number) {
             return;
         }
         self.head = Some(head);
-        self.note(out);
+        self.hot = true;
     }
 
     /// Names a peer with a newer head, and another one after a while if nothing came of it.
@@ -182,8 +248,10 @@
         out.push(Action::Newer { head, peer, addr });
     }
 
-    /// Takes this node's own observations.
-    pub(crate) fn publish(&mut self, now: Now, bodies: Vec<item::Body>, out: &mut Vec<Action>) {
+    /// Takes this node's own observations. One that a peer published already is left out: when
+    /// an endpoint dies, every node sees it, and one item tells it as well as hundreds.
+    pub(crate) fn publish(&mut self, now: Now, mut bodies: Vec<item::Body>) {
+        bodies.retain(|b| !self.told(now, b));
         if bodies.is_empty() {
             return;
         }
@@ -193,32 +261,34 @@
         if let Some(own) = self.roster.get_mut(me) {
             own.version = version;
         }
-        let mut urgent = Vec::new();
         for body in bodies {
             self.mark(me, &body);
             if body.urgent() {
-                urgent.push(Item {
-                    origin: me,
-                    incarnation,
-                    version,
-                    body: body.clone(),
-                });
+                self.hurry(
+                    now,
+                    Item {
+                        origin: me,
+                        incarnation,
+                        version,
+                        body: body.clone(),
+                    },
+                );
             }
             if self.store.put(me, version, body, now, self.settings.items) == Put::Full {
                 self.counters.dropped += 1;
             }
         }
-        self.rumour(urgent, out);
     }
 
-    fn rumour(&mut self, items: Vec<Item>, out: &mut Vec<Action>) {
-        if items.is_empty() {
-            return;
-        }
-        for peer in self.random(self.settings.fanout, None) {
-            let Some(to) = self.addr(peer) else { continue };
-            self.send(peer, to, Body::Rumour(items.clone()), out);
-        }
+    /// Whether another node's item says the same and counts for at least half as long.
+    fn told(&self, now: Now, body: &item::Body) -> bool {
+        let (Some(ttl), key) = (body.ttl(), body.key()) else {
+            return false;
+        };
+        let others = self.store.origins().filter(|o| *o != self.me);
+        let mut same = others.filter_map(|o| self.store.get(o, &key));
+        let lasts = |u: Now| u.saturating_sub(now) >= ttl / 2;
+        same.any(|s| s.until.is_some_and(lasts) && s.body.clone().with_ttl(ttl) == *body)
     }
 
     /// Takes an urgent item and sends it on when it is new. Its origin's version stays as it is:
@@ -229,9 +299,13 @@
             self.counters.stale += 1;
             return;
         }
-        let urgent = item.body.urgent();
-        if self.learn(now, item.clone(), out) && urgent {
-            self.rumour(vec![item], out);
+        if !item.body.urgent() {
+            self.counters.stale += 1;
+            return;
+        }
+        let told = self.told(now, &item.body);
+        if self.learn(now, item.clone(), out) && !told {
+            self.hurry(now, item);
         }
     }
 
--- /dev/null
+++ b/crates/member/tests/support/net.rs
@@ -0,0 +1,488 @@
+//! Decision cores of many nodes in one process, with time passed in and messages in a queue.
+#![allow(dead_code)]
+
+use member::Now;
+use member::action::Action;
+use member::event::{Event, TICK};
+use member::group::Group;
+use member::head::Head;
+use member::identity::{Id, Identity};
+use member::item::Item;
+use member::message::Message;
+use member::peer::{Entry, Standing, State};
+use member::settings::Settings;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Milliseconds.
+pub const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// One node of the run.
+pub struct Node {
+    /// Its core; nothing while it is down.
+    pub group: Option<Group>,
+    /// Who it is.
+    pub identity: Identity,
+    /// When its process started.
+    pub started: Now,
+    /// Until when it is paused.
+    pub paused: Now,
+    /// On which side of a parted network it is.
+    pub side: u8,
+    /// Whether the instance list names it.
+    pub listed: bool,
+    inbox: VecDeque<(SocketAddr, Message)>,
+}
+
+/// A change of state that a node reported.
+#[derive(Clone, Copy, Debug)]
+pub struct Change {
+    /// When.
+    pub at: Now,
+    /// Index of the node that reported it.
+    pub by: usize,
+    /// The peer.
+    pub peer: Id,
+    /// Its state.
+    pub state: State,
+}
+
+/// What a network does to messages.
+#[derive(Clone, Copy, Debug)]
+pub struct Faults {
+    /// Part of the messages that is lost.
+    pub loss: f64,
+    /// Part of the messages that comes twice, the second time late.
+    pub twice: f64,
+    /// The latest that a message comes.
+    pub delay: Duration,
+}
+
+/// A quiet network.
+pub const QUIET: Faults = Faults {
+    loss: 0.0,
+    twice: 0.0,
+    delay: ms(2),
+};
+
+struct Mail {
+    to: usize,
+    from: SocketAddr,
+    message: Message,
+}
+
+enum Due {
+    Tick(usize),
+    Mail(Box<Mail>),
+    Fetched(usize, Head),
+    List,
+}
+
+/// Counts of messages.
+#[derive(Clone, Debug, Default)]
+pub struct Traffic {
+    /// Messages sent by each node.
+    pub messages: Vec<u64>,
+    /// Bytes sent by each node, by the function given.
+    pub sent: Vec<u64>,
+    /// Bytes received by each node.
+    pub received: Vec<u64>,
+    /// Bytes by kind of message.
+    pub kinds: BTreeMap<&'static str, (u64, u64)>,
+}
+
+/// The run.
+pub struct Net {
+    /// The time.
+    pub now: Now,
+    /// The nodes.
+    pub nodes: Vec<Node>,
+    /// What the network does.
+    pub faults: Faults,
+    /// Changes reported.
+    pub changes: Vec<Change>,
+    /// Items learned, with when and by whom.
+    pub learned: Vec<(Now, usize, Item)>,
+    /// When each node had which head.
+    pub heads: Vec<(Now, usize, u64)>,
+    /// Traffic; counted if `weigh` is set.
+    pub traffic: Traffic,
+    /// Weight of a message in bytes.
+    pub weigh: Option<fn(&Message) -> usize>,
+    /// How long after its publication a list shows a change.
+    pub lag: Duration,
+    settings: Settings,
+    rng: ChaCha8Rng,
+    queue: BinaryHeap<Reverse<(Now, u64)>>,
+    due: BTreeMap<u64, Due>,
+    count: u64,
+    addrs: BTreeMap<SocketAddr, usize>,
+    past: VecDeque<(Now, Vec<Entry>)>,
+}
+
+fn addr(n: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (n >> 8) as u8, n as u8], 7000))
+}
+
+impl Net {
+    /// `n` nodes over `zones` availability zones, three to a region, all started within a second.
+    pub fn new(n: usize, zones: usize, seed: u64, settings: Settings) -> Self {
+        let rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut net = Self {
+            now: Now::ZERO,
+            nodes: Vec::new(),
+            faults: QUIET,
+            changes: Vec::new(),
+            learned: Vec::new(),
+            heads: Vec::new(),
+            traffic: Traffic::default(),
+            weigh: None,
+            lag: ms(5_000),
+            settings,
+            rng,
+            queue: BinaryHeap::new(),
+            due: BTreeMap::new(),
+            count: 0,
+            addrs: BTreeMap::new(),
+            past: VecDeque::new(),
+        };
+        for i in 0..n {
+            let zone = i % zones;
+            net.add(
+                &format!("node-{i}"),
+                &format!("z{zone}"),
+                &format!("r{}", zone / 3),
+            );
+        }
+        net.list();
+        net.at(ms(1000), Due::List);
+        net
+    }
+
+    /// Adds a node; it starts within a second.
+    pub fn add(&mut self, name: &str, zone: &str, region: &str) -> usize {
+        let index = self.nodes.len();
+        let identity = Identity {
+            name: name.into(),
+            addr: addr(index),
+            zone: zone.into(),
+            region: region.into(),
+            incarnation: 1,
+        };
+        self.addrs.insert(identity.addr, index);
+        let node = Node {
+            group: None,
+            identity,
+            started: self.now,
+            paused: Now::ZERO,
+            side: 0,
+            listed: true,
+            inbox: VecDeque::new(),
+        };
+        self.nodes.push(node);
+        self.traffic.messages.push(0);
+        self.traffic.sent.push(0);
+        self.traffic.received.push(0);
+        self.start(index);
+        let offset = ms(self.rng.random_range(0..100));
+        self.at(self.now + offset, Due::Tick(index));
+        index
+    }
+
+    /// Starts the process of a node, as its next run.
+    pub fn start(&mut self, index: usize) {
+        let seed = self.rng.random();
+        let node = &mut self.nodes[index];
+        node.identity.incarnation += 1;
+        node.started = self.now;
+        node.inbox.clear();
+        node.group = Some(Group::new(
+            node.identity.clone(),
+            seed,
+            self.settings.clone(),
+        ));
+        if !self.past.is_empty() {
+            let list = self
+                .past
+                .front()
+                .map(|(_, l)| l.clone())
+                .unwrap_or_default();
+            self.event(index, Event::Listed(list));
+        }
+    }
+
+    /// Ends the process of a node.
+    pub fn kill(&mut self, index: usize) {
+        self.nodes[index].group = None;
+    }
+
+    /// Stops a node's process for a while; messages wait in its sockets.
+    pub fn pause(&mut self, index: usize, time: Duration) {
+        self.nodes[index].paused = self.now + time;
+    }
+
+    /// Puts the nodes that `test` names on another side.
+    pub fn part(&mut self, side: u8, test: impl Fn(&Identity) -> bool) {
+        self.nodes
+            .iter_mut()
+            .filter(|n| test(&n.identity))
+            .for_each(|n| n.side = side);
+    }
+
+    /// Joins all sides.
+    pub fn heal(&mut self) {
+        self.nodes.iter_mut().for_each(|n| n.side = 0);
+    }
+
+    /// Gives a node an event.
+    pub fn event(&mut self, index: usize, event: Event) {
+        let mut out = Vec::new();
+        let node = &mut self.nodes[index];
+        let now = self.now.saturating_sub(node.started);
+        let Some(group) = node.group.as_mut() else {
+            return;
+        };
+        group.handle(now, event, &mut out);
+        out.into_iter().for_each(|a| self.act(index, a));
+    }
+
+    /// Runs until `to`.
+    pub fn run(&mut self, to: Now) {
+        self.run_with(to, |_, _| {});
+    }
+
+    /// Runs until `to`; `each` is called after every tick of a node.
+    pub fn run_with(&mut self, to: Now, mut each: impl FnMut(&mut Self, usize)) {
+        while let Some(Reverse((at, _))) = self.queue.peek().copied() {
+            if at > to {
+                break;
+            }
+            let Some(Reverse((at, number))) = self.queue.pop() else {
+                break;
+            };
+            self.now = at;
+            let Some(due) = self.due.remove(&number) else {
+                continue;
+            };
+            if let Some(index) = self.step(due) {
+                each(self, index);
+            }
+        }
+        self.now = to;
+    }
+
+    fn step(&mut self, due: Due) -> Option<usize> {
+        match due {
+            Due::Tick(index) => return self.tick(index),
+            Due::Mail(mail) => self.receive(*mail),
+            Due::Fetched(index, head) => self.adopt(index, head),
+            Due::List => self.list(),
+        }
+        None
+    }
+
+    /// Gives a node a head, as control does once it has the record.
+    pub fn adopt(&mut self, index: usize, head: Head) {
+        let before = self.head(index);
+        self.event(index, Event::Head(head));
+        if before < head.number {
+            self.heads.push((self.now, index, head.number));
+        }
+    }
+
+    /// Number of the head of a node.
+    pub fn head(&self, index: usize) -> u64 {
+        self.group(index)
+            .and_then(Group::head)
+            .map_or(0, |h| h.number)
+    }
+
+    /// The core of a node.
+    pub fn group(&self, index: usize) -> Option<&Group> {
+        self.nodes[index].group.as_ref()
+    }
+
+    /// The id of a node.
+    pub fn id(&self, index: usize) -> Id {
+        self.nodes[index].identity.id()
+    }
+
+    /// What node `by` thinks of node `of`.
+    pub fn state(&self, by: usize, of: usize) -> Option<State> {
+        self.group(by)?.roster().get(self.id(of)).map(|p| p.state)
+    }
+
+    /// Whether all nodes that run see each other up.
+    pub fn whole(&self) -> bool {
+        let live: Vec<usize> = (0..self.nodes.len())
+            .filter(|i| self.group(*i).is_some())
+            .collect();
+        live.iter().all(|by| {
+            live.iter()
+                .all(|of| self.state(*by, *of) == Some(State::Up))
+        })
+    }
+
+    fn tick(&mut self, index: usize) -> Option<usize> {
+        let paused = self.nodes[index].paused;
+        if paused > self.now {
+            self.at(paused, Due::Tick(index));
+            return None;
+        }
+        self.at(self.now + TICK, Due::Tick(index));
+        self.event(index, Event::Tick);
+        while let Some((from, message)) = self.nodes[index].inbox.pop_front() {
+            self.event(index, Event::Frame { from, message });
+        }
+        Some(index)
+    }
+
+    fn act(&mut self, index: usize, action: Action) {
+        match action {
+            Action::Send { to, message, .. } => self.send(index, to, message),
+            Action::Changed { peer, state, .. } => {
+                self.changes.push(Change {
+                    at: self.now,
+                    by: index,
+                    peer,
+                    state,
+                });
+            }
+            Action::Learned(item) => self.learned.push((self.now, index, item)),
+            Action::Newer { head, addr, .. } => {
+                let Some(from) = self.addrs.get(&addr).copied() else {
+                    return;
+                };
+                let reach = self.reaches(index, from) && self.head(from) >= head.number;
+                if reach {
+                    // A round trip for the record, and its check.
+                    self.at(self.now + ms(8), Due::Fetched(index, head));
+                }
+            }
+        }
+    }
+
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        self.nodes[from].side == self.nodes[to].side && self.nodes[to].group.is_some()
+    }
+
+    fn send(&mut self, index: usize, to: SocketAddr, message: Message) {
+        let Some(target) = self.addrs.get(&to).copied() else {
+            return;
+        };
+        self.weigh_message(index, target, &message);
+        if !self.reaches(index, target) || self.rng.random_bool(self.faults.loss) {
+            return;
+        }
+        let from = self.nodes[index].identity.addr;
+        let most = self.faults.delay.as_micros() as u64;
+        let twice = self.rng.random_bool(self.faults.twice);
+        for _ in 0..1 + usize::from(twice) {
+            let delay = Duration::from_micros(self.rng.random_range(500..most.max(501)));
+            let mail = Mail {
+                to: target,
+                from,
+                message: message.clone(),
+            };
+            self.at(self.now + delay, Due::Mail(Box::new(mail)));
+        }
+    }
+
+    fn weigh_message(&mut self, from: usize, to: usize, message: &Message) {
+        let Some(weigh) = self.weigh else { return };
+        let bytes = weigh(message) as u64;
+        self.traffic.messages[from] += 1;
+        self.traffic.sent[from] += bytes;
+        self.traffic.received[to] += bytes;
+        let kind = self.traffic.kinds.entry(kind(message)).or_default();
+        *kind = (kind.0 + 1, kind.1 + bytes);
+    }
+
+    fn receive(&mut self, mail: Mail) {
+        let Mail { to, from, message } = mail;
+        if self.nodes[to].paused > self.now {
+            self.nodes[to].inbox.push_back((from, message));
+            return;
+        }
+        self.event(to, Event::Frame { from, message });
+    }
+
+    fn list(&mut self) {
+        let entry = |n: &Node| Entry {
+            name: n.identity.name.clone(),
+            addr: n.identity.addr,
+            zone: n.identity.zone.clone(),
+            region: n.identity.region.clone(),
+            standing: Standing::Live,
+        };
+        let entries: Vec<Entry> = self.nodes.iter().filter(|n| n.listed).map(entry).collect();
+        self.past.push_back((self.now, entries));
+        while self.past.len() > 1 && self.past[1].0 + self.lag <= self.now {
+            self.past.pop_front();
+        }
+        let shown = self
+            .past
+            .front()
+            .map(|(_, l)| l.clone())
+            .unwrap_or_default();
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].paused <= self.now {
+                self.event(index, Event::Listed(shown.clone()));
+            }
+        }
+        self.at(self.now + ms(4_000), Due::List);
+    }
+
+    fn at(&mut self, at: Now, due: Due) {
+        self.count += 1;
+        self.queue.push(Reverse((at, self.count)));
+        self.due.insert(self.count, due);
+    }
+
+    /// Panics unless every core's invariants hold.
+    pub fn verify(&self) {
+        for node in &self.nodes {
+            let errors = node.group.as_ref().map(Group::verify).unwrap_or_default();
+            assert!(
+                errors.is_empty(),
+                "{} at {:?}: {errors:?}",
+                node.identity,
+                self.now
+            );
+        }
+    }
+
+    /// Peers reported in `state`, each with the number of nodes that reported it since `from`.
+    pub fn reported(&self, state: State, from: Now) -> BTreeMap<Id, BTreeSet<usize>> {
+        let mut by: BTreeMap<Id, BTreeSet<usize>> = BTreeMap::new();
+        for change in self
+            .changes
+            .iter()
+            .filter(|c| c.state == state && c.at >= from)
+        {
+            by.entry(change.peer).or_default().insert(change.by);
+        }
+        by
+    }
+}
+
+fn kind(message: &Message) -> &'static str {
+    use member::message::Body;
+    match message.body {
+        Body::Ping { .. } => "ping",
+        Body::Ack { .. } => "ack",
+        Body::Relay { .. } => "relay",
+        Body::Who => "who",
+        Body::Rows(_) => "rows",
+        Body::Note => "note",
+        Body::Rumour(_) => "rumour",
+        Body::Digest(_) => "digest",
+        Body::Delta(_) => "delta",
+    }
+}
