Keep one stalled stage, dead address or idle connection from costing others

Cause: streams whose next stage took nothing left their activations unread and filled the connection's window, so that well streams on the same connection stood still (seen: the new test fails at its 30 s limit with a window of 8 MiB). A burst of requests to an address that doesn't answer would have tried it one after the other. Connections were kept for ever. Change: the connection's window is that of all its streams together; those that waited for a connection share its failure; unused connections close after a minute. A service call whose bytes were handed back unwritten by a kept connection goes out on a fresh one. Display of a pool for the dump. Example `relay`.

--- a/crates/engine/src/chain.rs
+++ b/crates/engine/src/chain.rs
@@ -95,11 +95,13 @@
 pub enum Event {
     /// The first byte that can start the work leaves now.
     Sent,
-    /// A hop did something: accepted the stream (step 0), or works on or did a step.
+    /// The attempt moves. The last hop that did its part is named, again for as long as the next
+    /// one says that it works; if nothing more comes, the hop after it (after the last one, the
+    /// first) is the one to probe.
     Progress {
-        /// Index of the hop.
+        /// Index of the last hop that did its part.
         hop: u8,
-        /// The step.
+        /// The step it did; 0 is the opening of the streams.
         step: u32,
     },
     /// One more token.
--- a/crates/engine/src/chain/drive.rs
+++ b/crates/engine/src/chain/drive.rs
@@ -228,10 +228,7 @@
             if place != expected {
                 return Err(Failure::new(at, Cause::Protocol));
             }
-            out(Event::Progress {
-                hop: at as u8,
-                step: self.step,
-            });
+            out(self.progress(at, matches!(reply, Reply::Working(_))));
             match reply {
                 Reply::Working(_) => {}
                 Reply::Failed(_) => return Err(Failure::new(at, Cause::Internal)),
@@ -240,6 +237,19 @@
         }
     }
 
+    /// The progress that hop `at` makes: it did its part, or works and the one before it did.
+    fn progress(&self, at: usize, works: bool) -> Event {
+        let (hop, step) = match (works, at) {
+            (false, _) => (at, self.step),
+            (true, 0) => (self.job.hops.len() - 1, self.step - 1),
+            (true, _) => (at - 1, self.step),
+        };
+        Event::Progress {
+            hop: hop as u8,
+            step,
+        }
+    }
+
     /// Relays hop `at`'s activations to the next one, piece by piece as they come.
     async fn relay(&mut self, at: usize, length: u32, out: &mut impl FnMut(Event)) -> Result<()> {
         let mut missing = length as usize;
--- a/crates/engine/src/chain/open.rs
+++ b/crates/engine/src/chain/open.rs
@@ -20,13 +20,16 @@
         .map(|hop| stage(pool, job, &prefix, hop))
         .collect();
     let mut links: Vec<Option<Link>> = job.hops.iter().map(|_| None).collect();
+    // Reported in order, so that the hop after the last one reported is the one that is missing.
+    let mut next = 0;
     while let Some(opened) = pending.next().await {
         let (hop, link) = opened?;
         links[hop] = Some(link);
-        out(Event::Progress {
-            hop: hop as u8,
-            step: 0,
-        });
+        while links.get(next).is_some_and(Option::is_some) {
+            let hop = next as u8;
+            out(Event::Progress { hop, step: 0 });
+            next += 1;
+        }
     }
     Ok(links.into_iter().flatten().collect())
 }
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use connection::Connection;
 use http::{Method, Request, Response, StatusCode, Uri, Version};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -28,6 +28,8 @@
     pub window: u32,
     /// Longest time for an answer to a load question or an order.
     pub answer: Duration,
+    /// A connection without streams is closed after one to two times this.
+    pub idle: Duration,
 }
 
 impl Default for Limits {
@@ -38,6 +40,7 @@
             connections: 8,
             window: 256 << 10,
             answer: Duration::from_secs(2),
+            idle: Duration::from_secs(60),
         }
     }
 }
@@ -122,6 +125,8 @@
     connections: Mutex<Vec<Connection>>,
     /// Held while a connection is made, so that a burst of requests makes one and not one each.
     dial: tokio::sync::Mutex<()>,
+    /// Connections that could not be made.
+    failures: AtomicU64,
 }
 
 impl Host {
@@ -138,6 +143,34 @@
     }
 }
 
+impl fmt::Display for Counters {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let get = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        writeln!(f, "connects {}", get(&self.connects))?;
+        writeln!(f, "connect_failures {}", get(&self.connect_failures))?;
+        writeln!(f, "streams {}", get(&self.streams))?;
+        writeln!(f, "reopens {}", get(&self.reopens))?;
+        writeln!(f, "stale_frames {}", get(&self.stale_frames))?;
+        writeln!(f, "steps {}", get(&self.steps))?;
+        writeln!(f, "relayed {}", get(&self.relayed))
+    }
+}
+
+/// The text for the dump: counts, then a line for each endpoint, by address.
+impl fmt::Display for Pool {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.inner.counters)?;
+        let hosts: BTreeMap<_, _> = self.hosts().iter().map(|(a, h)| (*a, h.clone())).collect();
+        for (addr, host) in hosts {
+            let connections = host.lock();
+            let running = connections.iter().map(|c| c.running(&self.inner.limits));
+            let (open, streams) = (connections.len(), running.sum::<usize>());
+            writeln!(f, "endpoint {addr} connections {open} streams {streams}")?;
+        }
+        Ok(())
+    }
+}
+
 /// A request on a connection of a pool.
 pub(crate) struct Opened {
     pub(crate) stream: Stream,
@@ -223,7 +256,13 @@
         if !fresh && let Some(found) = host.find() {
             return Ok((found, true));
         }
+        let failures = host.failures.load(Ordering::Relaxed);
         let _dial = host.dial.lock().await;
+        // Those that waited for a connection share its failure; each trying in turn would make the
+        // last one wait for all their time limits.
+        if host.failures.load(Ordering::Relaxed) != failures {
+            return Err(Error::Connect);
+        }
         if !fresh && let Some(found) = host.find() {
             return Ok((found, true));
         }
@@ -238,6 +277,9 @@
             &counters.connect_failures
         };
         Counters::add(count, 1);
+        if made.is_err() {
+            Counters::add(&host.failures, 1);
+        }
         let made = made?;
         let taken = made.reserve().ok_or(Error::Full)?;
         host.lock().push(made);
--- a/crates/engine/src/pool/connection.rs
+++ b/crates/engine/src/pool/connection.rs
@@ -9,19 +9,21 @@
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinHandle;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
-/// Bytes that all streams of one connection may have under way to this node.
-const CONNECTION_WINDOW: u32 = 8 << 20;
+/// Largest window that HTTP/2 allows.
+const WINDOW_LIMIT: u32 = (1 << 31) - 1;
 
 /// A connection; clones share it. One with a permit may start one stream.
 #[derive(Debug)]
 pub(crate) struct Connection {
     sender: SendRequest<Bytes>,
     free: Arc<Semaphore>,
+    used: Arc<AtomicBool>,
     permit: Option<OwnedSemaphorePermit>,
     /// Ends the connection when the pool drops it.
     task: Option<Task>,
@@ -45,18 +47,33 @@
             .map_err(|_| Error::Connect)?
             .map_err(|_| Error::Connect)?;
         socket.set_nodelay(true).map_err(|_| Error::Connect)?;
+        // As large as those of all streams together: streams whose next stage doesn't take their
+        // activations leave theirs unread, and would otherwise hold up the others.
+        let window = limits
+            .window
+            .saturating_mul(limits.streams)
+            .min(WINDOW_LIMIT);
         let (sender, connection) = h2::client::Builder::new()
             .initial_window_size(limits.window)
-            .initial_connection_window_size(CONNECTION_WINDOW)
+            .initial_connection_window_size(window)
+            .max_send_buffer_size(limits.window as usize)
             .enable_push(false)
             .handshake(socket)
             .await
             .map_err(|_| Error::Connect)?;
-        let task = tokio::spawn(connection.map(|_| ()));
         let free = Arc::new(Semaphore::new(limits.streams as usize));
+        let used = Arc::new(AtomicBool::new(true));
+        let unused = unused(free.clone(), used.clone(), *limits);
+        let task = tokio::spawn(async move {
+            tokio::select! {
+                _ = connection => {}
+                () = unused => {}
+            }
+        });
         Ok(Self {
             sender,
             free,
+            used,
             permit: None,
             task: Some(Task(task)),
         })
@@ -68,15 +85,21 @@
             return None;
         }
         let permit = self.free.clone().try_acquire_owned().ok()?;
-        let sender = self.sender.clone();
+        self.used.store(true, Ordering::Relaxed);
         Some(Self {
-            sender,
+            sender: self.sender.clone(),
             free: self.free.clone(),
+            used: self.used.clone(),
             permit: Some(permit),
             task: None,
         })
     }
 
+    /// Streams that run.
+    pub(super) fn running(&self, limits: &Limits) -> usize {
+        (limits.streams as usize).saturating_sub(self.free.available_permits())
+    }
+
     /// Whether new streams can start.
     pub(crate) fn is_open(&self) -> bool {
         let ready = poll_fn(|cx| self.sender.clone().poll_ready(cx)).now_or_never();
@@ -98,3 +121,18 @@
         Ok(Stream::new(response, sender, permit))
     }
 }
+
+/// Waits until no stream ran for a while. All permits are taken then, so that none can start while
+/// the connection closes.
+async fn unused(free: Arc<Semaphore>, used: Arc<AtomicBool>, limits: Limits) {
+    loop {
+        sleep(limits.idle).await;
+        if used.swap(false, Ordering::Relaxed) {
+            continue;
+        }
+        if let Ok(all) = free.try_acquire_many(limits.streams) {
+            all.forget();
+            return;
+        }
+    }
+}
--- a/crates/engine/src/service.rs
+++ b/crates/engine/src/service.rs
@@ -96,34 +96,70 @@
     } else {
         pool.idle().take(addr)
     };
-    let mut connection = match kept {
-        Some(kept) => kept,
-        None => connect(addr, pool.limits()).await?,
+    let Some(kept) = kept else {
+        let fresh = connect(addr, pool.limits()).await?;
+        return attempt(pool, fresh, request, limit, sent)
+            .await
+            .map_err(|lost| lost.failure);
     };
+    let lost = match attempt(pool, kept, request, limit, sent).await {
+        Ok(response) => return Ok(response),
+        Err(lost) => lost,
+    };
+    // Handed back: not a byte of it was written, so that this is no second call.
+    let Some(request) = lost.request else {
+        return Err(lost.failure);
+    };
+    let fresh = connect(addr, pool.limits()).await?;
+    attempt(pool, fresh, *request, limit, sent)
+        .await
+        .map_err(|lost| lost.failure)
+}
+
+/// A call that failed, with its request if none of it was written.
+struct Lost {
+    failure: Failure,
+    request: Option<Box<Request<Full<Bytes>>>>,
+}
+
+async fn attempt(
+    pool: &Pool,
+    mut connection: Connection,
+    request: Request<Full<Bytes>>,
+    limit: Limit,
+    sent: &AtomicBool,
+) -> std::result::Result<Response<Body>, Lost> {
     sent.store(true, Ordering::SeqCst);
     let answer = timeout(limit.head, connection.sender.try_send_request(request)).await;
-    match answer {
-        Ok(Ok(response)) => accept(pool, connection, response),
-        // The message is handed back only if none of it was written.
-        Ok(Err(error)) if error.message().is_some() => {
-            sent.store(false, Ordering::SeqCst);
-            Err(Failure {
-                cause: Cause::Reset,
-                sent: false,
-            })
+    let cause = match answer {
+        Ok(Ok(response)) => {
+            let accepted = accept(pool, connection, response);
+            return accepted.map_err(|failure| Lost {
+                failure,
+                request: None,
+            });
         }
-        Ok(Err(_)) => Err(Failure {
-            cause: Cause::Reset,
-            sent: true,
-        }),
-        Err(_) => {
-            connection.task.abort();
-            Err(Failure {
-                cause: Cause::Silent,
-                sent: true,
-            })
+        Ok(Err(mut error)) => {
+            if let Some(request) = error.take_message() {
+                sent.store(false, Ordering::SeqCst);
+                let failure = Failure {
+                    cause: Cause::Reset,
+                    sent: false,
+                };
+                return Err(Lost {
+                    failure,
+                    request: Some(Box::new(request)),
+                });
+            }
+            Cause::Reset
         }
-    }
+        Err(_) => Cause::Silent,
+    };
+    connection.task.abort();
+    Err(Lost {
+        failure: Failure { cause, sent: true },
+        request: None,
+    })
 }
 
 /// Whether the service answers `GET /health` with success on a new connection.
--- /dev/null
+++ b/crates/standin/examples/relay.rs
@@ -0,0 +1,277 @@
+//! Measures the relay of a pipeline: time and processor time that the driver adds to each step,
+//! against asking the stages directly; bytes relayed; memory of a stream in flight.
+//!
+//! `cargo run --release -p wigeonshelf-standin --example relay`
+//!
+//! The engines run in a second process, so that the figures are of the driver's side only. The
+//! driver's side is one thread.
+
+#[path = "relay/direct.rs"]
+mod direct;
+#[path = "relay/engines.rs"]
+mod engines;
+#[path = "relay/process.rs"]
+mod process;
+
+use engine::chain::{self, Event, Hop, Job};
+use engine::frame::{self, Call, Head, Input, Place, Reply, Step};
+use engine::pool::{Limits, Pool};
+use engines::{Engines, MODEL, VERSION};
+use futures::future::join_all;
+use std::cell::RefCell;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+use tokio_util::sync::CancellationToken;
+
+/// Tokens of the answers whose steps are timed one by one.
+const TIMED: u32 = 3000;
+/// Time that a throughput is measured for.
+const SPAN: Duration = Duration::from_secs(3);
+/// Streams in flight when throughput is measured.
+const STREAMS: usize = 128;
+
+type Error = Box<dyn std::error::Error>;
+
+fn main() -> Result<(), Error> {
+    if std::env::args().any(|argument| argument == engines::ROLE) {
+        return engines::serve();
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(measure())
+}
+
+async fn measure() -> Result<(), Error> {
+    let engines = Engines::start()?;
+    println!("one stream, per step (three stages), microseconds");
+    println!(
+        "{:>12} {:>10} {:>10} {:>10} {:>10}",
+        "activation", "direct50", "driver50", "direct99", "driver99"
+    );
+    for line in &engines.lines {
+        latency(line.activation, &line.hops).await;
+    }
+    println!();
+    println!("{STREAMS} streams, processor time of the driver's thread per step (three stages)");
+    println!(
+        "{:>12} {:>8} {:>12} {:>14} {:>14}",
+        "activation", "way", "steps/s", "us/step", "steps/s/core"
+    );
+    for line in &engines.lines {
+        throughput(line.activation, &line.hops).await;
+    }
+    println!();
+    wire(&engines).await;
+    println!();
+    memory(&engines.slow).await;
+    Ok(())
+}
+
+fn job(request: u128, hops: &[Hop], most: u32) -> Job {
+    Job {
+        request,
+        attempt: 1,
+        model: MODEL.into(),
+        version: VERSION.into(),
+        adapter: None,
+        prompt: format!("menu of week {request}").into(),
+        tokens: Vec::new(),
+        most,
+        seed: request as u64,
+        priority_rank: 0,
+        hops: hops.to_vec(),
+    }
+}
+
+/// Times each step of one stream at a time, both ways in turn.
+async fn latency(activation: usize, hops: &[Hop]) {
+    let pool = Pool::default();
+    let (mut direct, mut driver) = (Vec::new(), Vec::new());
+    let mut request = 0;
+    while driver.len() < TIMED as usize {
+        request += 1;
+        direct.extend(direct::run(&job(request, hops, 400)).await);
+        driver.extend(driven(&pool, job(request, hops, 400)).await);
+    }
+    let [a, b] = [&mut direct, &mut driver].map(|times| quantiles(times));
+    println!(
+        "{activation:>12} {:>10.1} {:>10.1} {:>10.1} {:>10.1}",
+        a.0, b.0, a.1, b.1
+    );
+}
+
+/// Times between the tokens of a job run by the driver.
+async fn driven(pool: &Pool, job: Job) -> Vec<Duration> {
+    let mut times = Vec::new();
+    let mut last = None;
+    let mut out = |event: Event| match event {
+        Event::Token(_) => {
+            let now = Instant::now();
+            times.extend(last.replace(now).map(|before| now - before));
+        }
+        Event::Failed { .. } => panic!("{event:?}"),
+        _ => {}
+    };
+    chain::run(pool, job, &mut out, CancellationToken::new()).await;
+    times
+}
+
+/// Median and 99th percentile in microseconds.
+fn quantiles(times: &mut [Duration]) -> (f64, f64) {
+    times.sort_unstable();
+    let at = |part: usize| times[(times.len() - 1) * part / 100].as_secs_f64() * 1e6;
+    (at(50), at(99))
+}
+
+async fn throughput(activation: usize, hops: &[Hop]) {
+    let pool = Pool::default();
+    let end = Instant::now() + SPAN;
+    let (cpu, start) = (process::cpu(), Instant::now());
+    let streams = (0..STREAMS).map(|stream| driver_stream(&pool, stream, hops, end));
+    join_all(streams).await;
+    let steps = pool.counters().steps.load(Ordering::Relaxed);
+    report(
+        activation,
+        "driver",
+        steps,
+        start.elapsed(),
+        process::cpu() - cpu,
+    );
+
+    let end = Instant::now() + SPAN;
+    let (cpu, start) = (process::cpu(), Instant::now());
+    let steps = direct::all(STREAMS, end, |number| job(number, hops, 400)).await;
+    report(
+        activation,
+        "direct",
+        steps,
+        start.elapsed(),
+        process::cpu() - cpu,
+    );
+}
+
+async fn driver_stream(pool: &Pool, stream: usize, hops: &[Hop], end: Instant) {
+    let mut request = stream as u128 + 1;
+    while Instant::now() < end {
+        driven(pool, job(request, hops, 400)).await;
+        request += STREAMS as u128;
+    }
+}
+
+fn report(activation: usize, way: &str, steps: u64, time: Duration, cpu: Duration) {
+    let rate = steps as f64 / time.as_secs_f64();
+    let cost = cpu.as_secs_f64() * 1e6 / steps as f64;
+    println!(
+        "{activation:>12} {way:>8} {rate:>12.0} {cost:>14.1} {:>14.0}",
+        1e6 / cost
+    );
+}
+
+/// Bytes that pass the node for a token, and how many of them are the protocol's own.
+async fn wire(engines: &Engines) {
+    println!("bytes per token and link between stages");
+    println!("{:>12} {:>12} {:>12}", "activation", "payload", "step+done");
+    for line in &engines.lines {
+        let pool = Pool::default();
+        let steps = RefCell::new(0_u64);
+        let mut out = |event: Event| {
+            *steps.borrow_mut() += u64::from(matches!(event, Event::Token(_)));
+        };
+        // The prompt's positions are taken off: they pass in the first step.
+        chain::run(
+            &pool,
+            job(1, &line.hops, 1),
+            &mut out,
+            CancellationToken::new(),
+        )
+        .await;
+        let prefill = pool.counters().relayed.load(Ordering::Relaxed);
+        let pool = Pool::default();
+        chain::run(
+            &pool,
+            job(1, &line.hops, 101),
+            &mut out,
+            CancellationToken::new(),
+        )
+        .await;
+        let relayed = pool.counters().relayed.load(Ordering::Relaxed) - prefill;
+        let links = (line.hops.len() as u64 - 1) * (*steps.borrow() - 2);
+        let heads = heads(line.activation as u32);
+        println!(
+            "{:>12} {:>12} {:>12}",
+            line.activation,
+            relayed / links,
+            heads
+        );
+    }
+}
+
+fn heads(payload: u32) -> usize {
+    let place = Place {
+        request: u128::MAX / 3,
+        attempt: 1,
+        step: 500,
+        from: 4,
+        to: 8,
+    };
+    let step = Call::Step(Step {
+        place,
+        input: Input::Activations,
+        payload,
+    });
+    length(&step)
+        + length(&Reply::Done {
+            place,
+            prompt_tokens: 0,
+            payload,
+        })
+}
+
+fn length<H: Head>(head: &H) -> usize {
+    let mut buf = bytes::BytesMut::new();
+    frame::encode(head, &mut buf).map_or(0, |()| buf.len())
+}
+
+/// Memory of streams that wait in their first step.
+async fn memory(hops: &[Hop]) {
+    println!("memory of the driver's process, streams that wait for a stage (three stages each)");
+    println!("{:>12} {:>12} {:>14}", "streams", "KiB", "bytes/stream");
+    let limits = Limits {
+        streams: 4096,
+        ..Limits::default()
+    };
+    let pool = Pool::new(limits);
+    let cancel = CancellationToken::new();
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            let (mut count, mut first) = (0, None);
+            for goal in [500, 1000, 2000, 4000] {
+                let waiting = std::rc::Rc::new(std::cell::Cell::new(0));
+                let more = goal - count;
+                for _ in 0..more {
+                    count += 1;
+                    let job = job(count as u128, hops, 400);
+                    let (pool, cancel, waiting) = (pool.clone(), cancel.clone(), waiting.clone());
+                    tokio::task::spawn_local(async move {
+                        let mut out = |event: Event| {
+                            let is_first = event == Event::Sent;
+                            waiting.set(waiting.get() + usize::from(is_first));
+                        };
+                        chain::run(&pool, job, &mut out, cancel).await;
+                    });
+                }
+                while waiting.get() < more {
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+                tokio::time::sleep(Duration::from_millis(300)).await;
+                let memory = process::memory();
+                let base = *first.get_or_insert((count, memory));
+                let slope = (memory - base.1) as f64 / (count - base.0).max(1) as f64;
+                println!("{count:>12} {:>12} {slope:>14.0}", memory >> 10);
+            }
+            cancel.cancel();
+        })
+        .await;
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -174,6 +174,11 @@
         self.state.fault.set_late(by);
     }
 
+    /// Holds all steps back until this is switched off.
+    pub fn hold(&self, on: bool) {
+        self.state.fault.hold.send_replace(on);
+    }
+
     /// Computes slower by a factor; 1 is its usual speed.
     pub fn slow(&self, factor: f64) {
         self.state.fault.set_slow(factor);
--- a/crates/standin/src/engine/fault.rs
+++ b/crates/standin/src/engine/fault.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// Frames that belong elsewhere.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,6 +42,7 @@
     pub(super) busy: AtomicBool,
     pub(super) leaving: AtomicBool,
     pub(super) fail: AtomicBool,
+    pub(super) hold: watch::Sender<bool>,
     settings: Mutex<Settings>,
 }
 
@@ -58,6 +60,7 @@
             busy: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             fail: AtomicBool::new(false),
+            hold: watch::Sender::new(false),
             settings: Mutex::new(settings),
         }
     }
--- a/crates/standin/src/engine/stage.rs
+++ b/crates/standin/src/engine/stage.rs
@@ -255,6 +255,8 @@
         let cost = self.cost(positions);
         let late = self.state.fault.late();
         let lanes = self.state.lanes.clone();
+        let mut hold = self.state.fault.hold.subscribe();
+        let is_held = *hold.borrow();
         let rank = self.open.rank;
         let work = async move {
             if !cost.is_zero() {
@@ -263,8 +265,9 @@
             if !late.is_zero() {
                 sleep(late).await;
             }
+            let _ = hold.wait_for(|on| !on).await;
         };
-        if cost.is_zero() && late.is_zero() {
+        if cost.is_zero() && late.is_zero() && !is_held {
             return Ok(());
         }
         tokio::pin!(work);
--- a/crates/standin/tests/driver/crossed.rs
+++ b/crates/standin/tests/driver/crossed.rs
@@ -1,11 +1,12 @@
 //! Answers that belong elsewhere, computations that go wrong, and many requests at once.
 
-use crate::common::{LAYERS, expected, job, pipeline, run, tokens, until};
+use crate::common::{LAYERS, expected, job, pipeline, run, run_with, tokens, until};
 use engine::chain::{Cause, Event};
-use engine::pool::{Counters as PoolCounters, Pool};
+use engine::pool::{Counters as PoolCounters, Limits, Pool};
 use futures::future::join_all;
-use standin::engine::{Broken, Config, Crossed};
+use standin::engine::{Broken, Config, Counters, Crossed};
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 fn stale(counters: &PoolCounters) -> u64 {
     counters.stale_frames.load(Ordering::Relaxed)
@@ -122,3 +123,83 @@
     let progress = |event: &&Event| matches!(event, Event::Progress { hop: 0, step: 1 });
     assert!(events.iter().filter(progress).count() > 3);
 }
+
+#[tokio::test]
+async fn stalled_streams_do_not_hold_up_others_on_their_connection() {
+    // Sixty prefills come from the first stage; their next one takes nothing, so that their
+    // activations stay unread on the connection to the first. A request whose next stage is well
+    // uses the same connection, and must get its answer.
+    let config = Config {
+        activation: 8 << 10,
+        slots: 128,
+        ..Config::default()
+    };
+    let engines = pipeline(&[0, 4, LAYERS], config.clone()).await;
+    let other = pipeline(&[0, 4, LAYERS], config).await.remove(1);
+    let pool = Pool::default();
+    let prompt = "oat milk ".repeat(120);
+    let jobs: Vec<_> = (1..=60)
+        .map(|request| job(request, &engines, &prompt, 4))
+        .collect();
+    let sent = std::cell::Cell::new(0);
+    engines[0].hold(true);
+    let stalled = jobs.iter().map(|job| {
+        run_with(&pool, job, |event, _| {
+            sent.set(sent.get() + usize::from(*event == Event::Sent));
+            if sent.get() == 60 {
+                engines[1].silence(true);
+                engines[0].hold(false);
+            }
+        })
+    });
+    let stalled = join_all(stalled);
+    let well = async {
+        until(|| Counters::get(&engines[0].counters().steps) == 60).await;
+        let job = job(100, &[engines[0].clone(), other], &prompt, 4);
+        assert_eq!(tokens(&run(&pool, &job).await), expected(&job));
+        assert_eq!(engines[0].connections(), 1);
+        pool.forget(engines[1].addr);
+    };
+    let (ends, ()) = tokio::join!(stalled, well);
+    for events in ends {
+        assert!(matches!(
+            events.last(),
+            Some(Event::Failed {
+                hop: 1,
+                sent: true,
+                ..
+            })
+        ));
+    }
+}
+
+#[tokio::test]
+async fn a_pool_shows_its_connections_and_closes_the_unused() {
+    let engines = pipeline(&[0, 4, LAYERS], Config::default()).await;
+    let limits = Limits {
+        idle: Duration::from_millis(20),
+        ..Limits::default()
+    };
+    let pool = Pool::new(limits);
+    let job = job(1, &engines, "soup", 4);
+    assert_eq!(tokens(&run(&pool, &job).await), expected(&job));
+    let text = pool.to_string();
+    assert!(
+        text.starts_with("connects 2\nconnect_failures 0\nstreams 2\n"),
+        "{text}"
+    );
+    for engine in &engines {
+        assert!(
+            text.contains(&format!("endpoint {} connections", engine.addr)),
+            "{text}"
+        );
+    }
+    until(|| {
+        engines
+            .iter()
+            .all(|engine| pool.connections(engine.addr) == 0)
+    })
+    .await;
+    assert_eq!(tokens(&run(&pool, &job).await), expected(&job));
+    assert!(engines.iter().all(|engine| engine.connections() == 2));
+}
