lease: leases with fencing numbers through the log

Cause: one holder at a time may give orders to a group of endpoints, also when a holder is paused unaware, an append's answer is lost or records are dropped. Change: hold::Table. A record takes a group if no other that counts lies between how far its owner had read and itself; the fencing number is the offset that began the tenure; the permit is asked right before sending; a successor waits out the term and the longest order from its own reading; a leaving holder gives the group back once its last order must have ended.

--- /dev/null
+++ b/crates/lease/src/hold/table/read.rs
@@ -0,0 +1,134 @@
+//! Records read by a lease table.
+
+use super::Table;
+use crate::hold::record::{Item, Record};
+use crate::hold::seat::Verdict;
+use crate::hold::{Action, Group, Number};
+use crate::{Now, Offset, Owner, Page};
+
+impl Table {
+    pub(super) fn page(&mut self, now: Now, page: &Page, actions: &mut Vec<Action>) {
+        self.reading = false;
+        self.reads.succeeded(now);
+        let next = self.next;
+        let fresh = page.records.iter().filter(|r| r.offset >= next);
+        let reached = next.max(page.first);
+        let follows = fresh
+            .clone()
+            .next()
+            .map_or(page.next == reached, |r| r.offset == reached);
+        if !follows {
+            return;
+        }
+        self.begin(now, page.first);
+        for record in fresh {
+            self.next = record.offset + 1;
+            match Record::decode(&record.body) {
+                Ok(body) => self.record(now, record.offset, &body, actions),
+                Err(_) => self.counters.bad += 1,
+            }
+        }
+        self.caught_up |= page.records.is_empty();
+    }
+
+    /// Starts at the first record held, or starts over when retention was faster than this reader.
+    fn begin(&mut self, now: Now, first: Offset) {
+        let begun = self.start.is_some();
+        if begun && first <= self.next {
+            return;
+        }
+        self.counters.gaps += u64::from(begun);
+        self.caught_up = false;
+        self.start = Some(first);
+        self.next = first;
+        if first > 0 {
+            // A lease taken by a record that is gone may still run.
+            self.begun = Some(now);
+            self.seats.values_mut().for_each(|seat| seat.lose(now));
+        }
+    }
+
+    fn record(&mut self, now: Now, offset: Offset, record: &Record, actions: &mut Vec<Action>) {
+        for item in &record.items {
+            match *item {
+                Item::Take {
+                    group,
+                    number,
+                    upto,
+                    stop,
+                } => {
+                    let seat = self.seats.entry(group).or_default();
+                    seat.stop = seat.stop.max(stop);
+                    let verdict = seat.judge(offset, upto, self.start.unwrap_or_default());
+                    self.judged(now, offset, record.owner, group, number, verdict, actions);
+                }
+                Item::Give { group, number } => {
+                    if let Some(seat) = self.seats.get_mut(&group) {
+                        seat.vacate(record.owner, number);
+                    }
+                }
+            }
+        }
+    }
+
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "one record's parts, used in one place"
+    )]
+    fn judged(
+        &mut self,
+        now: Now,
+        offset: Offset,
+        owner: Owner,
+        group: Group,
+        number: Number,
+        verdict: Verdict,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(seat) = self.seats.get_mut(&group) else {
+            return;
+        };
+        if owner == self.me {
+            return self.own(now, offset, group, number, verdict, actions);
+        }
+        if verdict == Verdict::Fails {
+            return;
+        }
+        seat.occupy(now, owner, number);
+        if verdict == Verdict::Counts && seat.mine.take().is_some() {
+            self.counters.lost += 1;
+            actions.push(Action::Lost(group));
+        }
+    }
+
+    /// A record of this node was read back.
+    fn own(
+        &mut self,
+        now: Now,
+        offset: Offset,
+        group: Group,
+        number: Number,
+        verdict: Verdict,
+        actions: &mut Vec<Action>,
+    ) {
+        let found = self.sent.iter().find(|sent| sent.number == number).copied();
+        let (Some(sent), Some(seat)) = (found, self.seats.get_mut(&group)) else {
+            return;
+        };
+        seat.tried = None;
+        if verdict != Verdict::Counts {
+            self.counters.beaten += 1;
+            return;
+        }
+        let held = seat.held(now).is_some();
+        // Read back after its own term, or no longer wanted: others wait it out.
+        if now >= sent.at + self.settings.term || seat.rank.is_none() {
+            return;
+        }
+        seat.win(now, offset, self.me, sent.at, &self.settings);
+        if let (false, Some(mine)) = (held, seat.mine) {
+            self.counters.gained += 1;
+            actions.push(Action::Gained(group, mine.fence));
+        }
+    }
+}
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -1,6 +1,7 @@
-//! Claims of idempotency keys, without I/O.
+//! Claims of idempotency keys and leases with fencing numbers, without I/O.
 //!
 //! - [`claim`]: a request that may not be repeated runs at most once over all nodes.
+//! - [`hold`]: one holder at a time gives orders to a group of endpoints.
 //!
 //! Inputs are events with the time they came at; outputs are actions that the node carries out.
 //! The log service is the only thing agreed upon: its order decides, and every table judges only
@@ -10,6 +11,7 @@
 use std::time::Duration;
 
 pub mod claim;
+pub mod hold;
 
 pub mod outcome;
 pub mod owner;
--- a/crates/lease/tests/decode.rs
+++ b/crates/lease/tests/decode.rs
@@ -3,6 +3,7 @@
 use lease::claim::key::{Error, Form, MAX_LEN};
 use lease::claim::record::{Batch, Item, MAX_BYTES};
 use lease::claim::{Ticket, ticket};
+use lease::hold::record;
 use lease::{Outcome, Owner};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -156,3 +157,42 @@
         }
     }
 }
+
+fn lease_record() -> record::Record {
+    let owner = Owner {
+        node: 300,
+        incarnation: 9,
+    };
+    let take = record::Item::Take {
+        group: u64::MAX,
+        number: 1,
+        upto: 70_000,
+        stop: 4,
+    };
+    let give = record::Item::Give {
+        group: 3,
+        number: 2,
+    };
+    record::Record {
+        owner,
+        items: vec![take, give],
+    }
+}
+
+#[test]
+fn bad_lease_records_are_errors_and_never_panics() {
+    let good = lease_record().encode();
+    assert_eq!(record::Record::decode(&good), Ok(lease_record()));
+    let mut random = ChaCha8Rng::seed_from_u64(23);
+    for round in 0..ROUNDS {
+        let bytes = if round % 2 == 0 {
+            mutate(&good, &mut random)
+        } else {
+            garbage(&mut random)
+        };
+        if let Ok(record) = record::Record::decode(&bytes) {
+            assert!(record.items.len() <= record::MAX_ITEMS);
+        }
+    }
+    assert!(record::Record::decode(&vec![1; record::MAX_BYTES + 1]).is_err());
+}
--- /dev/null
+++ b/crates/lease/tests/holds/world.rs
@@ -0,0 +1,371 @@
+//! Six lease tables and a log service with faults, in passed-in time.
+
+use bytes::Bytes;
+use lease::hold::{Action, Event, Fence, Group, Settings, Table, Want};
+use lease::{Now, Owner, Page, Record};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+pub const NODES: usize = 6;
+pub const GROUPS: [Group; 2] = [11, 22];
+const TICK: Duration = Duration::from_millis(50);
+
+/// What is broken on purpose, to show that the invariants bite.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Break {
+    /// Nothing.
+    None,
+    /// Holders ask for the permit some time before they send.
+    EarlyPermit,
+    /// One node holds on for three terms.
+    LongTerm,
+    /// Successors wait for a fifth of the term.
+    ShortWait,
+    /// A node takes the append's answer for its record being the first.
+    TrustAppend,
+}
+
+/// How many times each fault comes.
+#[derive(Clone, Copy, Debug)]
+pub struct Faults {
+    pub outages: usize,
+    pub deaths: usize,
+    pub pauses: usize,
+    pub trims: usize,
+    pub leaves: usize,
+    /// Appends in a hundred whose answer is lost, or that fail, or that arrive late.
+    pub lost: u32,
+}
+
+#[derive(Debug)]
+enum Happening {
+    Tick(usize, u64),
+    Deliver(usize, u64, Event),
+    Effect(Bytes),
+    Read(usize, u64, u64, bool, u32),
+    Order(usize, u64, Group, Option<Fence>),
+    Outage(Duration),
+    Death(usize),
+    Pause(usize, Duration),
+    Leave(usize),
+    Trim,
+}
+
+#[derive(Debug)]
+struct Node {
+    table: Table,
+    owner: Owner,
+    life: u64,
+    paused: Now,
+    born: Now,
+}
+
+/// An order that left.
+#[derive(Clone, Copy, Debug)]
+struct Order {
+    at: Now,
+    owner: Owner,
+    fence: Fence,
+}
+
+pub struct World {
+    now: Now,
+    seq: u64,
+    random: ChaCha8Rng,
+    broken: Break,
+    lost: u32,
+    out_until: Now,
+    agenda: BTreeMap<(Now, u64), Happening>,
+    first: u64,
+    records: Vec<Bytes>,
+    nodes: Vec<Node>,
+    last: BTreeMap<Group, Order>,
+    /// Orders sent, and how many times the holder changed.
+    pub orders: u32,
+    pub changes: u32,
+    /// What does not hold, with its time.
+    pub findings: Vec<String>,
+}
+
+impl World {
+    pub fn new(seed: u64, broken: Break) -> Self {
+        let mut world = Self {
+            now: Duration::ZERO,
+            seq: 0,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            broken,
+            lost: 0,
+            out_until: Duration::ZERO,
+            agenda: BTreeMap::new(),
+            first: 0,
+            records: Vec::new(),
+            nodes: Vec::new(),
+            last: BTreeMap::new(),
+            orders: 0,
+            changes: 0,
+            findings: Vec::new(),
+        };
+        for n in 0..NODES {
+            let node = world.node(n, 1);
+            world.nodes.push(node);
+        }
+        (0..NODES).for_each(|n| world.begin(n));
+        world
+    }
+
+    pub fn run(&mut self, length: Duration, faults: Faults) {
+        self.lost = faults.lost;
+        for _ in 0..faults.outages {
+            let time = self.millis(1000, 40_000);
+            self.plan_within(length, Happening::Outage(time));
+        }
+        for _ in 0..faults.pauses {
+            let (n, time) = (self.random.random_range(0..NODES), self.millis(500, 60_000));
+            self.plan_within(length, Happening::Pause(n, time));
+        }
+        for _ in 0..faults.deaths {
+            let n = self.random.random_range(0..NODES);
+            self.plan_within(length, Happening::Death(n));
+        }
+        for _ in 0..faults.leaves {
+            let n = self.random.random_range(0..NODES);
+            self.plan_within(length, Happening::Leave(n));
+        }
+        (0..faults.trims).for_each(|_| self.plan_within(length, Happening::Trim));
+        while let Some(((at, _), happening)) = self.agenda.pop_first() {
+            if at > length {
+                break;
+            }
+            self.now = at;
+            self.happen(happening);
+        }
+    }
+
+    fn settings(&self, n: usize) -> Settings {
+        let usual = Settings::default();
+        match self.broken {
+            Break::LongTerm if n == 0 => Settings {
+                term: usual.term * 3,
+                ..usual
+            },
+            Break::ShortWait => {
+                let short = usual.term / 5;
+                // The holder's own term stays: only what successors wait is cut.
+                let (term, longest) = if n == 0 {
+                    (usual.term, short)
+                } else {
+                    (short, short)
+                };
+                Settings {
+                    term,
+                    longest,
+                    renew: term / 3,
+                    ..usual
+                }
+            }
+            _ => usual,
+        }
+    }
+
+    fn node(&mut self, n: usize, life: u64) -> Node {
+        let owner = Owner {
+            node: n as u64,
+            incarnation: life,
+        };
+        let table = Table::new(owner, self.random.random(), self.settings(n));
+        Node {
+            table,
+            owner,
+            life,
+            paused: self.now,
+            born: self.now,
+        }
+    }
+
+    fn begin(&mut self, n: usize) {
+        let want = |(g, group): (usize, &Group)| Want {
+            group: *group,
+            rank: ((n + 3 * g) % NODES) as u32,
+        };
+        self.give(
+            n,
+            Event::Want(GROUPS.iter().enumerate().map(want).collect()),
+        );
+        let (at, life) = (self.now + self.millis(0, 50), self.nodes[n].life);
+        self.plan(at, Happening::Tick(n, life));
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Tick(n, life) if self.nodes[n].life == life => self.tick(n),
+            Happening::Tick(..) => {}
+            Happening::Deliver(n, life, event) if self.nodes[n].life == life => {
+                self.give(n, event);
+            }
+            Happening::Deliver(..) => {}
+            Happening::Effect(body) => self.records.push(body),
+            Happening::Read(n, life, from, wait, polls) => self.read(n, life, from, wait, polls),
+            Happening::Order(n, life, group, early) => self.order(n, life, group, early),
+            Happening::Outage(time) => self.out_until = self.now + time,
+            Happening::Death(n) => {
+                let life = self.nodes[n].life + 1;
+                self.nodes[n] = self.node(n, life);
+                self.begin(n);
+            }
+            Happening::Pause(n, time) => self.nodes[n].paused = self.now + time,
+            Happening::Leave(n) => self.give(n, Event::Want(Vec::new())),
+            Happening::Trim => {
+                let drop = self.random.random_range(0..=self.records.len());
+                self.records.drain(..drop);
+                self.first += drop as u64;
+            }
+        }
+    }
+
+    fn tick(&mut self, n: usize) {
+        let (life, paused) = (self.nodes[n].life, self.nodes[n].paused);
+        if paused > self.now {
+            return self.plan(paused, Happening::Tick(n, life));
+        }
+        self.plan(self.now + TICK, Happening::Tick(n, life));
+        self.give(n, Event::Tick);
+        for group in GROUPS {
+            if self.random.random_range(0..6) > 0 {
+                continue;
+            }
+            let early = self.nodes[n].table.permit(self.local(n), group);
+            let at = self.now + self.millis(1, 40);
+            self.plan(at, Happening::Order(n, life, group, early));
+        }
+    }
+
+    /// The node sends an order, now or, when it is paused, on waking.
+    fn order(&mut self, n: usize, life: u64, group: Group, early: Option<Fence>) {
+        if self.nodes[n].paused > self.now {
+            let until = self.nodes[n].paused;
+            return self.plan(until, Happening::Order(n, life, group, early));
+        }
+        if self.nodes[n].life != life {
+            return;
+        }
+        let permit = self.nodes[n].table.permit(self.local(n), group);
+        let permit = if self.broken == Break::EarlyPermit {
+            early
+        } else {
+            permit
+        };
+        let Some(fence) = permit else { return };
+        let order = Order {
+            at: self.now,
+            owner: self.nodes[n].owner,
+            fence,
+        };
+        self.orders += 1;
+        let Some(last) = self.last.insert(group, order) else {
+            return;
+        };
+        let longest = Settings::default().longest;
+        let same = last.owner == order.owner;
+        self.changes += u32::from(!same);
+        if !same && order.at < last.at + longest {
+            self.findings
+                .push(format!("group {group}: {order:?} beside {last:?}"));
+        }
+        if order.fence < last.fence || !same && order.fence == last.fence {
+            self.findings
+                .push(format!("group {group}: {order:?} not above {last:?}"));
+        }
+    }
+
+    fn local(&self, n: usize) -> Now {
+        self.now - self.nodes[n].born
+    }
+
+    fn give(&mut self, n: usize, event: Event) {
+        let (life, paused) = (self.nodes[n].life, self.nodes[n].paused);
+        if paused > self.now {
+            return self.plan(paused, Happening::Deliver(n, life, event));
+        }
+        let now = self.local(n);
+        let mut actions = Vec::new();
+        self.nodes[n].table.handle(now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Append { batch, body } => self.append(n, batch, body),
+                Action::Read { from, wait } => {
+                    let at = self.now + self.millis(1, 10);
+                    self.plan(at, Happening::Read(n, life, from, wait, 0));
+                }
+                Action::Gained(..) | Action::Lost(_) => {}
+            }
+        }
+    }
+
+    fn append(&mut self, n: usize, batch: u64, body: Bytes) {
+        let life = self.nodes[n].life;
+        let (there, back) = (self.now + self.millis(1, 8), self.now + self.millis(9, 20));
+        let bad = self.now < self.out_until || self.random.random_range(0..100) < self.lost;
+        let late = self.millis(0, 20_000);
+        let (answer, effect) = match (bad, self.random.random_range(0..3)) {
+            (false, _) => (Event::Appended(batch), Some(there)),
+            (true, 0) => (Event::AppendFailed(batch), None),
+            (true, 1) => (Event::AppendUnsure(batch), None),
+            (true, _) => (Event::AppendUnsure(batch), Some(there + late)),
+        };
+        if let Some(at) = effect {
+            self.plan(at, Happening::Effect(body.clone()));
+        }
+        if self.broken == Break::TrustAppend && matches!(answer, Event::Appended(_)) {
+            let offset = self.first + self.records.len() as u64;
+            let records = vec![Record { offset, body }];
+            let page = Page {
+                first: self.first,
+                next: offset + 1,
+                records,
+            };
+            self.plan(there, Happening::Deliver(n, life, Event::Page(page)));
+        }
+        self.plan(back, Happening::Deliver(n, life, answer));
+    }
+
+    fn read(&mut self, n: usize, life: u64, from: u64, wait: bool, polls: u32) {
+        let back = self.now + self.millis(1, 10);
+        if self.now < self.out_until || self.random.random_range(0..100) < self.lost / 4 {
+            return self.plan(back, Happening::Deliver(n, life, Event::ReadFailed));
+        }
+        let start = from.max(self.first);
+        let skip = (start - self.first) as usize;
+        let bodies = self.records.iter().skip(skip).take(20).cloned();
+        let records: Vec<_> = (start..)
+            .zip(bodies)
+            .map(|(offset, body)| Record { offset, body })
+            .collect();
+        if wait && polls < 30 && records.is_empty() && self.first <= from {
+            let later = self.now + Duration::from_millis(30);
+            return self.plan(later, Happening::Read(n, life, from, wait, polls + 1));
+        }
+        let next = start + records.len() as u64;
+        let page = Page {
+            first: self.first,
+            next,
+            records,
+        };
+        self.plan(back, Happening::Deliver(n, life, Event::Page(page)));
+    }
+
+    fn plan(&mut self, at: Now, happening: Happening) {
+        self.seq += 1;
+        self.agenda.insert((at.max(self.now), self.seq), happening);
+    }
+
+    fn plan_within(&mut self, length: Duration, happening: Happening) {
+        let at = self.millis(1000, length.as_millis() as u64);
+        self.plan(at, happening);
+    }
+
+    fn millis(&mut self, from: u64, to: u64) -> Duration {
+        Duration::from_millis(self.random.random_range(from..to))
+    }
+}
