route: a failure that ejects its endpoint ends its attempt once

Cause: on the third wrong answer in a row the endpoint is ejected, and the ejection cancels what runs on it. The attempt whose failure was just told still counted as running: it was cancelled and the request started anew, twice. Seen as "broken invariants: Ended" in debug builds over real sockets (frames_of_elsewhere_never_reach_an_answer); ruled out: late frames of the old attempt (they were dropped) and the entry's own bookkeeping (the trace shows the router's own Cancel). Change: on a wrong answer the attempt is released before its endpoint is blamed; a death still blames first, since it asks what was in flight.

--- a/crates/route/src/router/recover.rs
+++ b/crates/route/src/router/recover.rs
@@ -33,10 +33,19 @@
                 .position(|h| h.endpoint == failure.endpoint)?;
             run.rows[at]
         });
+        // An ejection ends all that runs on its endpoint. This attempt has ended already; were it
+        // still on the books, it would be cancelled and started anew a second time. A death is
+        // told first: what ran then is under suspicion, this request among it.
+        let strike = matches!(failure.cause, Cause::Protocol | Cause::Internal);
+        if strike {
+            self.release(now, id);
+        }
         if let Some(endpoint) = endpoint {
             self.blame(now, endpoint, failure);
         }
-        self.release(now, id);
+        if !strike {
+            self.release(now, id);
+        }
         if let Some(flight) = self.flights.get_mut(&id) {
             flight.sent |= failure.sent;
         }
