Requests that may not be repeated are claimed under their key

Cause: a caller that sent a lock call or newsletter again, to another node or in parallel, got it run again; only retries within one node were held back. Change: control holds the claim table (dated keys in the log, tickets without it), workers ask it before such a request goes to the router, ended answers are kept for resends, and a node that does not own a key hands the request to the node that does, in one hop.

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -146,6 +146,7 @@
             Reply::Token(token) => self.token(&token.text),
             Reply::Done(end) => Part::End(self.cutter.finish(), end),
             Reply::Refused(refusal) => Part::Refused(refusal.into()),
+            Reply::Error(error) => Part::Refused(*error),
             // The head of a plain service's answer never comes for a completion.
             Reply::Head(_) => Part::Text(String::new()),
         }
--- a/crates/entry/src/api/error.rs
+++ b/crates/entry/src/api/error.rs
@@ -26,6 +26,8 @@
     pub outcome: Outcome,
     /// When to come back.
     pub retry_after: Option<Duration>,
+    /// Base URL of the node that has the request's key; it alone can answer.
+    pub node: Option<String>,
 }
 
 #[derive(Serialize)]
@@ -52,6 +54,7 @@
             param: None,
             outcome: Outcome::NotRun,
             retry_after: None,
+            node: None,
         }
     }
 
@@ -161,6 +164,9 @@
                 HeaderValue::from_static("false"),
             );
         }
+        if let Some(node) = self.node.and_then(|n| HeaderValue::from_str(&n).ok()) {
+            headers.insert(super::header::NODE, node);
+        }
         if let Some(after) = self.retry_after {
             headers.insert(RETRY_AFTER, HeaderValue::from(whole_seconds(after)));
         }
--- a/crates/entry/src/api/header.rs
+++ b/crates/entry/src/api/header.rs
@@ -21,6 +21,10 @@
 pub const REQUEST: HeaderName = HeaderName::from_static("x-request-id");
 /// Names a request so that sending it again gives the first run's answer.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Base URL of the node that has the request's key.
+pub const NODE: HeaderName = HeaderName::from_static("x-wigeonshelf-node");
+/// Set by a node that hands a request to another one.
+pub const HOP: HeaderName = HeaderName::from_static("x-wigeonshelf-hop");
 /// Read by client libraries: whether to repeat the request by themselves.
 pub const SHOULD_RETRY: HeaderName = HeaderName::from_static("x-should-retry");
 
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -1,7 +1,8 @@
 //! Runs one attempt of a request on its endpoints and tells the core what happens.
 
+use crate::claim::MOST_KEPT;
 use crate::core::{Command, Tx};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use engine::chain::{self, Job, Token};
 use engine::pool::Pool;
 use engine::service;
@@ -70,8 +71,8 @@
 pub enum CallEvent {
     /// The head of the answer came.
     Head(Box<http::response::Parts>),
-    /// The answer is whole.
-    Finished,
+    /// The answer is whole; with its body if it is short enough to be kept for resends.
+    Finished(Option<Bytes>),
     /// The attempt failed.
     Failed(service::Failure),
 }
@@ -161,14 +162,37 @@
     let (parts, body) = response.into_parts();
     cx.call_event(CallEvent::Head(Box::new(parts)));
     let mut body = body.into_data_stream();
+    let mut copy = Copy::default();
     while let Some(chunk) = body.next().await {
         let Ok(chunk) = chunk else {
             return CallEvent::Failed(CUT);
         };
-        // The receiver is gone only when the caller left; the core cancels this attempt then.
-        if call.chunks.send(chunk).await.is_err() {
-            break;
+        copy.push(&chunk);
+        // A caller who left has no receiver any more. The core cancels this attempt, unless it may
+        // not be repeated: then the rest is read, for a resend.
+        let _ = call.chunks.send(chunk).await;
+    }
+    CallEvent::Finished(copy.finish())
+}
+
+/// A copy of a body, given up when it gets too long.
+#[derive(Default)]
+struct Copy {
+    bytes: BytesMut,
+    long: bool,
+}
+
+impl Copy {
+    fn push(&mut self, chunk: &[u8]) {
+        self.long |= self.bytes.len() + chunk.len() > MOST_KEPT;
+        if self.long {
+            self.bytes.clear();
+        } else {
+            self.bytes.extend_from_slice(chunk);
         }
     }
-    CallEvent::Finished
+
+    fn finish(self) -> Option<Bytes> {
+        (!self.long).then(|| self.bytes.freeze())
+    }
 }
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -8,26 +8,30 @@
 //! Endpoint ids belong to one bundle. A failure names the id that its attempt was started with, as
 //! the router expects. What outlives a bundle otherwise (probes, loads, notes) goes by name.
 
+use crate::api::error::Error;
 use crate::attempt::{self, Call, CallEvent, Context, Prompt, Stage, Work};
 use crate::cause;
+use crate::claim::{self, Claim, Kept, Verdict};
 use crate::metrics::Metrics;
 use crate::ring;
 use crate::snapshot::{Board, Snapshot};
 use arc_swap::ArcSwap;
 use bundle::digest::Digest;
 use bundle::id::EndpointId;
+use bytes::Bytes;
 use engine::chain::{self, Stop, Token};
 use engine::pool::Pool;
+use lease::claim::Hash;
 use route::action::{Action, Hop, Observation};
 use route::event::{Event, TICK};
 use route::failure::{Cause, Failure};
 use route::load::Report;
 use route::outcome::Outcome;
-use route::refusal::Refusal;
+use route::refusal::{Reason, Refusal};
 use route::request::{Id, Request};
 use route::router::Router;
 use route::{Attempt, Now};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -44,6 +48,18 @@
 /// How often counters and demand are given out.
 const TELL_PERIOD: Duration = Duration::from_millis(500);
 
+/// The refusal when control can't take one more question.
+const OVERFULL: Refusal = Refusal {
+    reason: Reason::Overload,
+    retry_after: Some(Duration::from_secs(1)),
+};
+/// The end of a plain service's whole answer.
+const WHOLE_CALL: End = End {
+    outcome: Outcome::Complete,
+    stop: Stop::End,
+    prompt_tokens: 0,
+};
+
 /// Something a core is told.
 #[derive(Debug)]
 pub enum Command {
@@ -57,6 +73,8 @@
     Left(Id),
     /// A probe ended; whether the named endpoint answered.
     Probed(Arc<str>, bool),
+    /// Asks for a ticket.
+    Ticket(oneshot::Sender<String>),
     /// Asks for the state in text.
     Dump(oneshot::Sender<String>),
 }
@@ -68,6 +86,8 @@
     pub request: Request,
     /// What is to be done.
     pub work: Work,
+    /// The key under which it must run at most once, if any.
+    pub claim: Option<Claim>,
     /// Where the answer goes.
     pub reply: mpsc::UnboundedSender<Reply>,
 }
@@ -77,6 +97,8 @@
 pub enum Reply {
     /// The request was not run.
     Refused(Refusal),
+    /// Another answer than the one asked for.
+    Error(Box<Error>),
     /// One more token.
     Token(Token),
     /// The head of a plain service's answer.
@@ -97,7 +119,7 @@
 }
 
 /// Something a core tells control.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Debug)]
 pub enum Note {
     /// A named endpoint was taken out of use.
     Ejected(Arc<str>),
@@ -109,6 +131,14 @@
     Condemned(u64),
     /// What teams ask of this worker, by team of the bundle with this digest.
     Demand(Digest, Vec<Demand>),
+    /// A request asks for its key.
+    Claim(claim::Ask),
+    /// The caller of a request that waits for its key went away.
+    Unclaim(Id),
+    /// A run under a key ended.
+    Ended(claim::Ended),
+    /// A caller asks for a ticket.
+    Ticket(oneshot::Sender<String>),
 }
 
 /// What one team asks of one worker.
@@ -121,10 +151,12 @@
 }
 
 /// Something control tells a core.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug)]
 pub enum Notice {
     /// Load of a named endpoint.
     Load(Arc<str>, Report),
+    /// What becomes of a request that asked for its key.
+    Claim(Id, Verdict),
 }
 
 /// A request in the table.
@@ -134,11 +166,35 @@
     had: Vec<Token>,
     end: End,
     repeatable: bool,
+    /// The key's hash, if it runs under a key.
+    hash: Option<Hash>,
+    /// The request, while it waits for its key.
+    unclaimed: Option<Request>,
+    /// Head of a plain service's answer, to be kept for resends.
+    head: Option<Box<http::response::Parts>>,
+    /// Its body, if it is short enough to be kept.
+    body: Option<Bytes>,
     /// Whether a part of a plain service's answer went to the caller: it can't be started anew.
     committed: bool,
     running: Option<Running>,
 }
 
+impl Session {
+    /// The whole answer, for resends.
+    fn kept(&self) -> Option<Kept> {
+        match &self.work {
+            Work::Tokens(_) => {
+                let end = End {
+                    outcome: Outcome::Complete,
+                    ..self.end
+                };
+                Some(Kept::Tokens(self.had.clone(), end))
+            }
+            Work::Call(_) => Some(Kept::Call(self.head.clone()?, self.body.clone()?)),
+        }
+    }
+}
+
 /// The current attempt of a session.
 struct Running {
     attempt: Attempt,
@@ -160,6 +216,8 @@
     reports: Reports,
     told: Instant,
     actions: Vec<Action>,
+    /// Notes that must reach control and found the ring full.
+    outbox: VecDeque<Note>,
 }
 
 /// The newest counters and gauges of a router, for the metrics page.
@@ -202,6 +260,7 @@
             reports: parts.reports,
             told: parts.start,
             actions: Vec::new(),
+            outbox: VecDeque::new(),
         }
     }
 
@@ -230,6 +289,7 @@
     }
 
     fn tick(&mut self) {
+        self.post();
         self.refresh();
         self.handle(Event::Tick);
         if self.told.elapsed() >= TELL_PERIOD {
@@ -269,6 +329,7 @@
 
     fn notice(&mut self, notice: Notice) {
         match notice {
+            Notice::Claim(id, verdict) => self.claimed(id, verdict),
             Notice::Load(name, report) => {
                 if let Some(endpoint) = self.endpoint(&name) {
                     self.handle(Event::Load(endpoint, report));
@@ -288,6 +349,10 @@
                     self.handle(Event::Probed(endpoint, alive));
                 }
             }
+            Command::Ticket(reply) => {
+                // When the ring is full the caller's channel closes, and it is told to come back.
+                let _ = self.notes.push(Note::Ticket(reply));
+            }
             Command::Dump(reply) => {
                 let _ = reply.send(self.dump());
             }
@@ -307,11 +372,117 @@
                 prompt_tokens: 0,
             },
             repeatable: arrival.request.repeatable,
+            hash: None,
+            unclaimed: None,
+            head: None,
+            body: None,
             committed: false,
             running: None,
         };
-        self.sessions.insert(arrival.request.id, session);
-        self.handle(Event::Arrive(arrival.request));
+        let id = arrival.request.id;
+        let Some(claim) = arrival.claim else {
+            self.sessions.insert(id, session);
+            return self.handle(Event::Arrive(arrival.request));
+        };
+        let ask = claim::Ask {
+            id,
+            claim,
+            left: arrival.request.deadline.saturating_sub(self.now()),
+        };
+        self.sessions.insert(
+            id,
+            Session {
+                hash: Some(claim.form.hash()),
+                unclaimed: Some(arrival.request),
+                ..session
+            },
+        );
+        if self.notes.push(Note::Claim(ask)).is_err() {
+            self.sessions
+                .get_mut(&id)
+                .into_iter()
+                .for_each(|s| s.hash = None);
+            self.refuse(id, OVERFULL);
+        }
+    }
+
+    /// What becomes of a request that asked for its key.
+    fn claimed(&mut self, id: Id, verdict: Verdict) {
+        match verdict {
+            Verdict::Run => self.run_claimed(id),
+            Verdict::Replay(kept) => self.replay(id, &kept),
+            Verdict::Error(error) => {
+                if let Some(session) = self.sessions.remove(&id) {
+                    self.metrics.ended(error.outcome);
+                    let _ = session.reply.send(Reply::Error(error));
+                }
+            }
+        }
+    }
+
+    /// Runs a request whose key it now holds. If its caller has left, control has been told so
+    /// and releases the key.
+    fn run_claimed(&mut self, id: Id) {
+        let session = self.sessions.get_mut(&id);
+        if let Some(request) = session.and_then(|s| s.unclaimed.take()) {
+            self.refresh();
+            self.handle(Event::Arrive(request));
+        }
+    }
+
+    /// Gives a resend the answer of its key's run.
+    fn replay(&mut self, id: Id, kept: &Kept) {
+        let Some(session) = self.sessions.remove(&id) else {
+            return;
+        };
+        self.metrics.replayed.add(1, &[]);
+        let reply = |reply| {
+            let _ = session.reply.send(reply);
+        };
+        match (kept, &session.work) {
+            (Kept::Tokens(tokens, end), _) => {
+                tokens.iter().for_each(|t| reply(Reply::Token(t.clone())));
+                reply(Reply::Done(*end));
+            }
+            (Kept::Call(head, body), Work::Call(call)) => {
+                reply(Reply::Head(head.clone()));
+                let _ = call.chunks.try_send(body.clone());
+                reply(Reply::Done(WHOLE_CALL));
+            }
+            (Kept::Call(..), Work::Tokens(_)) => {}
+        }
+    }
+
+    /// Tells control that a run under a key ended. Lost, the key would stay taken.
+    fn ended(&mut self, id: Id, session: &Session, outcome: Outcome) {
+        let Some(hash) = session.hash else {
+            return;
+        };
+        if session.unclaimed.is_some() {
+            self.outbox.push_back(Note::Unclaim(id));
+        } else {
+            let kept = (outcome == Outcome::Complete)
+                .then(|| session.kept())
+                .flatten();
+            let ended = claim::Ended {
+                id,
+                hash,
+                outcome,
+                kept: kept.map(Arc::new),
+            };
+            self.outbox.push_back(Note::Ended(ended));
+        }
+        self.post();
+    }
+
+    /// Sends notes that must reach control, in order.
+    fn post(&mut self) {
+        while let Some(note) = self.outbox.pop_front() {
+            if let Err(note) = self.notes.push(note) {
+                self.outbox.push_front(note);
+                return;
+            }
+        }
     }
 
     /// Work that may be repeated is cancelled down to the engines. Work that may not goes on once
@@ -323,8 +494,12 @@
         if !session.repeatable && session.running.is_some() {
             return;
         }
-        self.handle(Event::Left(id));
-        self.remove(id);
+        if session.unclaimed.is_none() {
+            self.handle(Event::Left(id));
+        }
+        if let Some(session) = self.remove(id) {
+            self.ended(id, &session, Outcome::NotRun);
+        }
     }
 
     /// The session, if `attempt` is its current one. What an ended attempt still sends stops here.
@@ -381,10 +556,14 @@
         match event {
             CallEvent::Head(parts) => {
                 session.committed = true;
+                session.head = session.hash.map(|_| parts.clone());
                 let _ = session.reply.send(Reply::Head(parts));
                 self.handle(Event::Progress(id, attempt, 0));
             }
-            CallEvent::Finished => self.handle(Event::Finished(id, attempt)),
+            CallEvent::Finished(body) => {
+                session.body = body;
+                self.handle(Event::Finished(id, attempt));
+            }
             CallEvent::Failed(failure) => {
                 let committed = session.committed;
                 let failure =
@@ -506,6 +685,7 @@
             return;
         };
         self.metrics.refused(refusal.reason);
+        self.ended(id, &session, Outcome::NotRun);
         let _ = session.reply.send(Reply::Refused(refusal));
     }
 
@@ -519,6 +699,7 @@
             ..session.end
         };
         let _ = session.reply.send(Reply::Done(end));
+        self.ended(id, &session, outcome);
     }
 
     /// Takes a session out of the table and ends its attempt.
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -2,6 +2,8 @@
 
 pub mod call;
 pub mod complete;
+pub mod forward;
+pub mod key;
 pub mod place;
 
 use crate::api::error::Error;
@@ -10,6 +12,7 @@
 use crate::limits::{Ask, Limits};
 use crate::metrics::Metrics;
 use crate::snapshot::{Board, Snapshot};
+use engine::pool::Pool;
 use http::header::HeaderValue;
 use http::{Method, StatusCode};
 use rand::rngs::StdRng;
@@ -29,6 +32,8 @@
     pub tx: Tx,
     /// Where control publishes.
     pub board: Board,
+    /// Connections of this worker.
+    pub pool: Pool,
     /// Bounds of the listener.
     pub limits: Limits,
     /// Bounds of what a caller may ask for.
@@ -97,6 +102,11 @@
         async move { answer(&s, place::addresses(&s, &req)) }
     });
     let s = state.clone();
+    router = router.post("/v1/tickets", move |req: Request| {
+        let s = s.clone();
+        async move { answer(&s, key::ticket(&s, &req).await) }
+    });
+    let s = state.clone();
     router = router.any("/services/:service/*", move |req: Request| {
         let s = s.clone();
         async move { answer(&s, call::service(&s, req).await) }
@@ -120,7 +130,7 @@
 fn unknown(req: &Request) -> Error {
     let path = req.uri().path();
     let known = match path {
-        "/v1/chat/completions" | "/v1/completions" => Some(Method::POST),
+        "/v1/chat/completions" | "/v1/completions" | "/v1/tickets" => Some(Method::POST),
         "/v1/models" | "/v1/addresses" => Some(Method::GET),
         _ => None,
     };
--- a/crates/entry/src/handler/call.rs
+++ b/crates/entry/src/handler/call.rs
@@ -1,11 +1,13 @@
 //! Calls of plain services: `/services/NAME/...`.
 
 use super::complete::fingerprint;
+use super::forward::Original;
 use super::{Shared, caller, with_id};
 use crate::answer::Ticket;
 use crate::api::error::{Error, Result};
 use crate::api::header::{DEADLINE, Header, OUTCOME, PRIORITY, REPEATABLE, WHOLE};
 use crate::attempt::{CHUNKS, Call, Work};
+use crate::claim::Claim;
 use crate::core::{Arrival, Command, End, Reply};
 use crate::reading;
 use bytes::Bytes;
@@ -58,6 +60,7 @@
     let repeatable = usual && header.repeatable.unwrap_or(true);
     let head = forwarded(&req, rest)?;
     let fingerprint_path = path.to_owned();
+    let original = Original::of(&req);
     let body = reading::body(&mut req, &state.limits).await?;
     let (chunks, pieces) = mpsc::channel(CHUNKS);
     let request = Routed {
@@ -72,6 +75,7 @@
         prefix: Vec::new(),
         fingerprint: fingerprint(header.team, &fingerprint_path, &body),
     };
+    let claim = super::key::claim(&header, bundle, &request)?;
     let id = request.id;
     let limit = engine::service::Limit {
         head: request.deadline.saturating_sub(state.start.elapsed()),
@@ -79,11 +83,13 @@
     };
     let work = Call {
         head: Arc::new(head),
-        body,
+        body: body.clone(),
         chunks,
         limit,
     };
-    let answer = run(state, request, work, pieces).await;
+    let left = limit.head;
+    let answer = run(state, request, work, claim, pieces).await;
+    let answer = original.or_forward(state, answer, body, left).await;
     answer.map(|r| with_id(r, id))
 }
 
@@ -133,6 +139,7 @@
     state: &Shared,
     request: Routed,
     call: Call,
+    claim: Option<Claim>,
     pieces: mpsc::Receiver<Bytes>,
 ) -> Result<Response> {
     let (reply, replies) = mpsc::unbounded_channel();
@@ -145,12 +152,14 @@
     let arrival = Arrival {
         request,
         work: Work::Call(call),
+        claim,
         reply,
     };
     let _ = state.tx.send(Command::Arrive(arrival));
     match flow.replies.recv().await {
         Some(Reply::Head(parts)) => Ok(streamed(*parts, flow)),
         Some(Reply::Refused(refusal)) => Err(refusal.into()),
+        Some(Reply::Error(error)) => Err(*error),
         Some(Reply::Done(End { outcome, .. })) => Err(Error::ended(outcome)),
         Some(Reply::Token(_)) | None => Err(Error::unknown()),
     }
--- a/crates/entry/src/handler/complete.rs
+++ b/crates/entry/src/handler/complete.rs
@@ -1,5 +1,6 @@
 //! Chat and text completions.
 
+use super::forward::Original;
 use super::{Shared, with_id};
 use crate::answer::{Answer, Part, Ticket};
 use crate::api::ask::{Ask, Kind};
@@ -48,14 +49,21 @@
     let snapshot = state.snapshot()?;
     let bundle = &snapshot.view.bundle;
     let header = Header::check(req.headers(), bundle)?;
+    let original = Original::of(&req);
     let body = reading::body(&mut req, &state.limits).await?;
     let ask = read(&body)?;
     let target = target(bundle, &header, &ask)?;
     let most = most(state, bundle, target.model, &ask)?;
-    let (arrival, answer) = arrive(state, bundle, &header, ask, &target, most, &body);
+    let (mut arrival, answer) = arrive(state, bundle, &header, ask, &target, most, &body);
+    arrival.claim = super::key::claim(&header, bundle, &arrival.request)?;
     let id = arrival.request.id;
+    let left = arrival
+        .request
+        .deadline
+        .saturating_sub(state.start.elapsed());
     let _ = state.tx.send(Command::Arrive(arrival));
-    let response = respond(answer, header.whole).await?;
+    let result = respond(answer, header.whole).await;
+    let response = original.or_forward(state, result, body, left).await?;
     Ok(with_id(response, id))
 }
 
@@ -153,6 +161,7 @@
     let arrival = Arrival {
         request,
         work: Work::Tokens(Arc::new(prompt)),
+        claim: None,
         reply,
     };
     let answer = Answer::new(ask, ticket, replies, state.metrics.clone());
@@ -186,6 +195,7 @@
         let first = answer.reply().await;
         return match first {
             Reply::Refused(refusal) => Err(refusal.into()),
+            Reply::Error(error) => Err(*error),
             Reply::Done(end) if end.outcome != Outcome::Complete => Err(Error::ended(end.outcome)),
             first => Ok(stream(answer, first)),
         };
--- /dev/null
+++ b/crates/entry/src/handler/forward.rs
@@ -0,0 +1,94 @@
+//! Hands a request to the node that has its key, in one hop.
+//!
+//! A caller may send a request again to any node, but only the node that ran it has its answer.
+//! The request is passed on once: a node that was handed it answers by itself, so that two nodes
+//! that disagree can't pass it back and forth.
+
+use super::Shared;
+use crate::api::error::Result;
+use crate::api::header::HOP;
+use bytes::Bytes;
+use engine::service::{Limit, call};
+use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use http::{HeaderMap, Method, Uri};
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+use viz::{Body, Request, Response};
+
+/// What a node that is handed the request needs of it.
+pub struct Original {
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    handed: bool,
+}
+
+impl Original {
+    /// Keeps what is needed of `req`.
+    pub fn of(req: &Request) -> Self {
+        let mut headers = req.headers().clone();
+        let handed = headers.insert(HOP, HeaderValue::from_static("1")).is_some();
+        headers.remove(CONNECTION);
+        headers.remove(CONTENT_LENGTH);
+        headers.remove(TRANSFER_ENCODING);
+        Self {
+            method: req.method().clone(),
+            uri: req.uri().clone(),
+            headers,
+            handed,
+        }
+    }
+
+    /// The answer of the node that `error` names, or the error itself if there is none or it can't
+    /// be reached.
+    pub async fn or_forward(
+        self,
+        state: &Shared,
+        result: Result<Response>,
+        body: Bytes,
+        left: Duration,
+    ) -> Result<Response> {
+        let error = match result {
+            Err(error) if error.node.is_some() && !self.handed => error,
+            other => return other,
+        };
+        let Some(addr) = error.node.as_deref().and_then(plain) else {
+            return Err(error);
+        };
+        match self.forward(state, addr, body, left).await {
+            Some(response) => Ok(response),
+            None => Err(error),
+        }
+    }
+
+    async fn forward(
+        self,
+        state: &Shared,
+        addr: SocketAddr,
+        body: Bytes,
+        left: Duration,
+    ) -> Option<Response> {
+        let mut request = http::Request::new(body);
+        *request.method_mut() = self.method;
+        *request.uri_mut() = self.uri;
+        *request.headers_mut() = self.headers;
+        let limit = Limit {
+            head: left,
+            fresh: false,
+        };
+        let sent = AtomicBool::new(false);
+        let response = call(&state.pool, addr, request, limit, &sent).await.ok()?;
+        state.metrics.forwarded.add(1, &[]);
+        let (mut parts, body) = response.into_parts();
+        parts.headers.remove(CONNECTION);
+        parts.headers.remove(TRANSFER_ENCODING);
+        Some(Response::from_parts(parts, Body::wrap(body)))
+    }
+}
+
+/// The address of a node that speaks HTTP without TLS. One that speaks TLS is named to the caller
+/// instead: this node can't vouch for its certificate.
+fn plain(url: &str) -> Option<SocketAddr> {
+    url.strip_prefix("http://")?.parse().ok()
+}
--- /dev/null
+++ b/crates/entry/src/handler/key.rs
@@ -0,0 +1,60 @@
+//! Idempotency keys and tickets.
+
+use super::Shared;
+use crate::api::error::{Error, Result};
+use crate::api::header::{self, Header, IDEMPOTENCY_KEY};
+use crate::claim::Claim;
+use crate::core::Command;
+use bundle::Bundle;
+use bytes::Bytes;
+use http::StatusCode;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http_body_util::Full;
+use lease::claim::Form;
+use route::request::Request as Routed;
+use serde::Serialize;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+use viz::{Body, Request, Response};
+
+/// Longest time for a ticket.
+const TICKET_TIME: Duration = Duration::from_secs(1);
+
+/// The claim of a request that may not be repeated and has a key. A request that may be repeated
+/// needs none: its second run does no harm.
+pub fn claim(header: &Header, bundle: &Bundle, request: &Routed) -> Result<Option<Claim>> {
+    let Some(key) = header.key.as_deref().filter(|_| !request.repeatable) else {
+        return Ok(None);
+    };
+    let team = &bundle.teams[usize::from(header.team)].name;
+    let form = Form::parse(team, key)
+        .map_err(|e| Error::value(IDEMPOTENCY_KEY.as_str(), e.to_string()))?;
+    Ok(Some(Claim {
+        form,
+        fingerprint: request.fingerprint,
+    }))
+}
+
+#[derive(Serialize)]
+struct Ticket {
+    ticket: String,
+}
+
+/// `POST /v1/tickets`: a key that only this node runs, also while the log is out.
+pub async fn ticket(state: &Shared, req: &Request) -> Result<Response> {
+    let snapshot = state.snapshot()?;
+    header::team(req.headers(), &snapshot.view.bundle)?;
+    let (tx, rx) = oneshot::channel();
+    let _ = state.tx.send(Command::Ticket(tx));
+    let ticket = timeout(TICKET_TIME, rx).await.ok().and_then(|t| t.ok());
+    let ticket = ticket.ok_or_else(|| {
+        let message = "no ticket could be issued in time";
+        Error::new(StatusCode::SERVICE_UNAVAILABLE, "no_ticket", message).retry_after(TICKET_TIME)
+    })?;
+    let body = serde_json::to_vec(&Ticket { ticket }).unwrap_or_default();
+    let mut response = Response::new(Body::from(Full::from(Bytes::from(body))));
+    let kind = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    Ok(response)
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod api;
 pub mod attempt;
 pub mod cause;
+pub mod claim;
 pub mod core;
 pub mod handler;
 pub mod limits;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -23,6 +23,10 @@
     pub attempts: Counter<u64>,
     /// Tokens given to callers.
     pub tokens: Counter<u64>,
+    /// Requests given the answer of an earlier run under the same key.
+    pub replayed: Counter<u64>,
+    /// Requests handed to the node that has their key.
+    pub forwarded: Counter<u64>,
     /// Events of ended attempts that were dropped.
     pub stale: Counter<u64>,
     /// Connections closed at once because the listener was full.
@@ -47,6 +51,8 @@
             rejects: counter("wigeonshelf_rejects"),
             attempts: counter("wigeonshelf_attempts"),
             tokens: counter("wigeonshelf_tokens"),
+            replayed: counter("wigeonshelf_replayed"),
+            forwarded: counter("wigeonshelf_forwarded"),
             stale: counter("wigeonshelf_stale_events"),
             overfull: counter("wigeonshelf_connections_refused"),
             first_token: time("wigeonshelf_first_token"),
--- a/crates/entry/src/worker.rs
+++ b/crates/entry/src/worker.rs
@@ -83,10 +83,11 @@
     async fn serve(self, tx: Tx, rx: Rx) -> io::Result<()> {
         let start = Instant::now();
         let listener = TcpListener::from_std(self.listener)?;
+        let pool = Pool::default();
         let core = Core::new(core::Parts {
             router: Router::new(self.seed, self.route),
             board: self.board.clone(),
-            pool: Pool::default(),
+            pool: pool.clone(),
             tx: tx.clone(),
             notes: self.notes,
             metrics: self.metrics.clone(),
@@ -99,6 +100,7 @@
         let shared = Shared {
             tx,
             board: self.board,
+            pool,
             limits: self.limits.clone(),
             ask: self.ask,
             address_ttl: self.address_ttl,
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -4,6 +4,7 @@
 //! the workers observed. Tasks around it read the platform and the peers and send it
 //! [`input::Input`]s; it answers by publishing a snapshot. Only its own thread touches it.
 
+pub mod claims;
 pub mod demand;
 pub mod input;
 pub mod listed;
@@ -36,6 +37,8 @@
 
 /// Messages of peers that may wait for control.
 const INBOUND: usize = 1024;
+/// Longest time between two ticks of the claims.
+const CLAIM_TICK: Duration = Duration::from_millis(20);
 /// How often certificates are looked at.
 const TLS_PERIOD: Duration = Duration::from_secs(5);
 
@@ -137,11 +140,14 @@
 ) {
     let mut tick = tokio::time::interval(member::event::TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut beat = tokio::time::interval(CLAIM_TICK);
+    beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             biased;
             () = cancel.cancelled() => break,
             _ = tick.tick() => state.tick(),
+            _ = beat.tick() => state.claim(lease::claim::Event::Tick),
             Some(input) = inputs.recv() => state.input(input),
             Some(question) = asked.recv() => state.question(question),
         }
--- /dev/null
+++ b/crates/node/src/control/claims.rs
@@ -0,0 +1,313 @@
+//! Claims of idempotency keys: the table, its reads and appends, and the answers kept for resends.
+
+use super::input::{Input, Inputs};
+use crate::settings::Platform;
+use bytes::Bytes;
+use entry::api::error::Error;
+use entry::claim::{Ask, Ended, Kept, Verdict};
+use http::StatusCode;
+use lease::claim::{self, Action, Event, Settings, Table, Why, home, stream};
+use lease::{Owner, Page, Record};
+use platform::Log;
+use platform::http::Log as Client;
+use route::outcome::Outcome;
+use route::request::Id;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long a read waits for a record.
+const WAIT: Duration = Duration::from_secs(2);
+/// When to come back while the log is out.
+const LATER: Duration = Duration::from_secs(2);
+
+/// Where an owner of keys serves callers.
+pub trait Owners {
+    /// Base URL of the owner, if that incarnation lives.
+    fn url(&self, owner: Owner) -> Option<String>;
+}
+
+/// A verdict for a request of one worker.
+pub struct Told {
+    /// The worker.
+    pub worker: usize,
+    /// The request.
+    pub id: Id,
+    /// The verdict.
+    pub verdict: Verdict,
+}
+
+/// Claims of this node.
+pub struct Claims {
+    table: Table,
+    client: Arc<Client>,
+    inputs: Inputs,
+    /// By request: the worker that asked.
+    asked: BTreeMap<Id, usize>,
+    /// By request that runs: those that wait for its answer.
+    followers: BTreeMap<Id, Vec<Id>>,
+    /// By request that ended: its answer.
+    kept: BTreeMap<Id, Arc<Kept>>,
+    actions: Vec<Action>,
+    told: Vec<Told>,
+}
+
+impl Claims {
+    /// No claims yet. `start` is the wall clock at the zero of the times passed in.
+    pub fn new(me: Owner, seed: u64, start: Duration, platform: &Platform, inputs: Inputs) -> Self {
+        let settings = Settings {
+            start,
+            ..Settings::default()
+        };
+        Self {
+            table: Table::new(me, seed, settings),
+            client: Arc::new(Client::new(platform.log, platform.limits)),
+            inputs,
+            asked: BTreeMap::new(),
+            followers: BTreeMap::new(),
+            kept: BTreeMap::new(),
+            actions: Vec::new(),
+            told: Vec::new(),
+        }
+    }
+
+    /// Verdicts since the last call.
+    pub fn told(&mut self) -> Vec<Told> {
+        std::mem::take(&mut self.told)
+    }
+
+    /// Takes an event of the table.
+    pub fn handle(&mut self, now: Duration, event: Event, owners: &impl Owners) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.table.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            self.act(action, owners);
+        }
+        self.actions = actions;
+    }
+
+    /// A worker asks for the key of a request.
+    pub fn ask(&mut self, now: Duration, worker: usize, ask: Ask, owners: &impl Owners) {
+        self.asked.insert(ask.id, worker);
+        let event = Event::Ask(claim::Ask {
+            request: ask.id,
+            form: ask.claim.form,
+            fingerprint: ask.claim.fingerprint,
+            deadline: now + ask.left,
+        });
+        self.handle(now, event, owners);
+    }
+
+    /// The caller of a request that waits went away.
+    pub fn left(&mut self, now: Duration, id: Id, owners: &impl Owners) {
+        self.asked.remove(&id);
+        for followers in self.followers.values_mut() {
+            followers.retain(|f| *f != id);
+        }
+        self.handle(now, Event::Left(id), owners);
+    }
+
+    /// A run ended: its answer is kept, and given to those that wait for it.
+    pub fn ended(&mut self, now: Duration, ended: Ended, owners: &impl Owners) {
+        let size = ended.kept.as_ref().map_or(0, |k| k.size());
+        let followers = self.followers.remove(&ended.id).unwrap_or_default();
+        for follower in followers {
+            let verdict = match &ended.kept {
+                Some(kept) => Verdict::Replay(kept.clone()),
+                None => Verdict::Error(Box::new(gone(ended.outcome))),
+            };
+            self.tell(follower, verdict);
+        }
+        if let Some(kept) = ended.kept {
+            self.kept.insert(ended.id, kept);
+        }
+        let event = Event::Ended(ended.hash, to_lease(ended.outcome), size);
+        self.handle(now, event, owners);
+    }
+
+    /// A ticket that only this process runs.
+    pub fn ticket(&mut self, now: Duration) -> String {
+        self.table.issue(now).to_string()
+    }
+
+    /// Follows the shards that this node is the home of among `nodes`.
+    pub fn follow(&mut self, now: Duration, me: Owner, nodes: &[u64], owners: &impl Owners) {
+        let shards = home::shards(me.node, nodes, Settings::default().shards);
+        self.handle(now, Event::Follow(shards), owners);
+    }
+
+    fn act(&mut self, action: Action, owners: &impl Owners) {
+        match action {
+            Action::Append { batch, shard, body } => self.append(batch, shard, body),
+            Action::Read { shard, from, wait } => self.read(shard, from, wait),
+            Action::Run { request, .. } => self.tell(request, Verdict::Run),
+            Action::Follow { request, of } => {
+                self.followers.entry(of).or_default().push(request);
+            }
+            Action::Answer {
+                request,
+                outcome,
+                of,
+            } => self.answer(request, outcome, of),
+            Action::Point {
+                request,
+                owner,
+                outcome,
+            } => {
+                let error = pointed(owners.url(owner), outcome);
+                self.tell(request, Verdict::Error(Box::new(error)));
+            }
+            Action::Refuse {
+                request,
+                why,
+                outcome,
+            } => {
+                let error = refused(why, from_lease(outcome));
+                self.tell(request, Verdict::Error(Box::new(error)));
+            }
+            Action::Forget(request) => {
+                self.kept.remove(&request);
+            }
+        }
+    }
+
+    fn answer(&mut self, request: Id, outcome: lease::Outcome, of: Option<Id>) {
+        let kept = of.and_then(|of| self.kept.get(&of));
+        let verdict = match kept {
+            Some(kept) => Verdict::Replay(kept.clone()),
+            None => Verdict::Error(Box::new(gone(from_lease(outcome)))),
+        };
+        self.tell(request, verdict);
+    }
+
+    fn tell(&mut self, id: Id, verdict: Verdict) {
+        if let Some(worker) = self.asked.remove(&id) {
+            self.told.push(Told {
+                worker,
+                id,
+                verdict,
+            });
+        }
+    }
+
+    fn append(&self, batch: claim::Batch, shard: claim::Shard, body: Bytes) {
+        let client = self.client.clone();
+        let inputs = self.inputs.clone();
+        tokio::spawn(async move {
+            let event = match client.append(&stream(shard), body).await {
+                Ok(_) => Event::Appended(batch),
+                Err(error) if error.unsure() => Event::AppendUnsure(batch),
+                Err(_) => Event::AppendFailed(batch),
+            };
+            let _ = inputs.send(Input::Claim(event)).await;
+        });
+    }
+
+    fn read(&self, shard: claim::Shard, from: u64, wait: bool) {
+        let client = self.client.clone();
+        let inputs = self.inputs.clone();
+        let wait = if wait { WAIT } else { Duration::ZERO };
+        tokio::spawn(async move {
+            let event = match client.read(&stream(shard), from, wait).await {
+                Ok(page) => Event::Page(shard, to_page(page)),
+                Err(_) => Event::ReadFailed(shard),
+            };
+            let _ = inputs.send(Input::Claim(event)).await;
+        });
+    }
+}
+
+impl std::fmt::Display for Claims {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        writeln!(
+            f,
+            "asked {}, answers kept {}",
+            self.asked.len(),
+            self.kept.len()
+        )?;
+        write!(f, "{}", self.table)
+    }
+}
+
+fn to_page(page: platform::Page) -> Page {
+    let records = page.records.into_iter().map(|r| Record {
+        offset: r.offset,
+        body: r.body,
+    });
+    Page {
+        first: page.first,
+        next: page.next,
+        records: records.collect(),
+    }
+}
+
+/// The error for a resend whose run ended and whose answer is not to be had.
+fn gone(outcome: Outcome) -> Error {
+    match outcome {
+        Outcome::Complete => {
+            let message = "the request ran to its end; its answer is kept no longer";
+            let mut error = Error::new(StatusCode::CONFLICT, "answer_gone", message);
+            error.outcome = Outcome::Complete;
+            error
+        }
+        Outcome::NotRun => Error::ended(Outcome::NotRun).retry_after(LATER),
+        Outcome::Unknown => Error::unknown(),
+    }
+}
+
+/// The error for a key of another node; with that node's URL if it lives.
+fn pointed(url: Option<String>, outcome: Option<lease::Outcome>) -> Error {
+    let outcome = outcome.map_or(Outcome::Unknown, from_lease);
+    let mut error = match url {
+        Some(_) => {
+            let message = "the request's key belongs to another node";
+            Error::new(StatusCode::CONFLICT, "key_on_another_node", message)
+        }
+        None => gone(outcome),
+    };
+    error.outcome = outcome;
+    error.node = url;
+    error
+}
+
+fn refused(why: Why, outcome: Outcome) -> Error {
+    let status = StatusCode::from_u16(why.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+    let (code, message) = match why {
+        Why::Log => (
+            "claim_unsettled",
+            "the log could not settle the request's key in time",
+        ),
+        Why::Mismatch => ("key_reused", "the key stands for another request"),
+        Why::Expired => (
+            "key_expired",
+            "the key is too old to tell whether it has run",
+        ),
+        Why::Future => (
+            "key_in_future",
+            "the key's date is ahead of this node's clock",
+        ),
+        Why::Unissued => ("ticket_unknown", "this node has not issued the ticket"),
+    };
+    let mut error = Error::new(status, code, message);
+    error.outcome = outcome;
+    if why == Why::Log {
+        error.retry_after = Some(LATER);
+    }
+    error
+}
+
+fn to_lease(outcome: Outcome) -> lease::Outcome {
+    match outcome {
+        Outcome::Complete => lease::Outcome::Complete,
+        Outcome::NotRun => lease::Outcome::NotRun,
+        Outcome::Unknown => lease::Outcome::Unknown,
+    }
+}
+
+fn from_lease(outcome: lease::Outcome) -> Outcome {
+    match outcome {
+        lease::Outcome::Complete => Outcome::Complete,
+        lease::Outcome::NotRun => Outcome::NotRun,
+        lease::Outcome::Unknown => Outcome::Unknown,
+    }
+}
--- a/crates/node/src/control/input.rs
+++ b/crates/node/src/control/input.rs
@@ -29,6 +29,8 @@
     Records(Option<Vec<u8>>),
     /// A worker observed something.
     Note(usize, Note),
+    /// Something happened to the claims' streams.
+    Claim(lease::claim::Event),
     /// An endpoint reported its load.
     Load(Arc<str>, Report),
 }
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -2,8 +2,10 @@
 
 mod answer;
 mod bundles;
+mod keys;
 mod peers;
 
+use super::claims::{Claims, Told};
 use super::demand::{self, Table};
 use super::input::{Input, Inputs};
 use super::listed::Listed;
@@ -15,6 +17,7 @@
 use entry::core::{Note, Notice};
 use entry::ring;
 use entry::snapshot::Board;
+use lease::Owner;
 use member::action::Action;
 use member::event::Event;
 use member::group::Group;
@@ -24,9 +27,10 @@
 use member::team::Teams;
 use platform::Offset;
 use platform::instance::Instance;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use wire::peer::Link;
@@ -87,6 +91,9 @@
     /// The list's newest answer, read again when a bundle tells which instances are endpoints'.
     instances: Vec<Instance>,
     demand: Table,
+    claims: Claims,
+    /// Verdicts on claims that workers have not been told yet.
+    verdicts: VecDeque<Told>,
     actions: Vec<Action>,
     /// Whether this node has told its peers that it leaves.
     leaving: bool,
@@ -110,7 +117,20 @@
             region: node.region.clone(),
             incarnation: parts.incarnation,
         };
+        let owner = Owner {
+            node: me.id(),
+            incarnation: parts.incarnation,
+        };
+        let claims = Claims::new(
+            owner,
+            parts.seed,
+            wall(),
+            &parts.settings.platform,
+            parts.inputs.clone(),
+        );
         let mut state = Self {
+            claims,
+            verdicts: VecDeque::new(),
             fold: Fold::new(parts.settings.trust.clone()),
             policy: Policy::new(checkpoints(&parts.settings), parts.seed),
             first: 0,
@@ -157,6 +177,7 @@
             Input::Peer(inbound) => self.inbound(inbound),
             Input::Records(body) => self.records(body),
             Input::Note(worker, note) => self.note(worker, note),
+            Input::Claim(event) => self.claim(event),
             Input::Load(name, report) => {
                 for ring in &mut self.notices {
                     let _ = ring.push(Notice::Load(name.clone(), report));
@@ -192,6 +213,7 @@
         if self.stepped.elapsed() >= STEP_PERIOD {
             self.stepped = Instant::now();
             self.step();
+            self.follow_claims();
             self.checkpoint();
         }
         self.publish();
@@ -245,6 +267,14 @@
                 let now = self.now();
                 return self.demand.take(now, worker, bundle, &teams);
             }
+            Note::Claim(ask) => return self.ask_claim(worker, ask),
+            Note::Unclaim(id) => return self.unclaim(id),
+            Note::Ended(ended) => return self.end_claim(ended),
+            Note::Ticket(reply) => {
+                let now = self.now();
+                let _ = reply.send(self.claims.ticket(now));
+                return;
+            }
             Note::Ejected(name) => ejection(&name, true),
             Note::Restored(name) => ejection(&name, false),
             Note::Suspect(fingerprint) => Body::Suspect {
@@ -295,6 +325,12 @@
     }
 }
 
+/// Time since the Unix epoch.
+fn wall() -> Duration {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default()
+}
+
 fn checkpoints(settings: &Settings) -> checkpoint::Settings {
     checkpoint::Settings {
         retention: settings.platform.retention,
--- a/crates/node/src/control/state/answer.rs
+++ b/crates/node/src/control/state/answer.rs
@@ -99,6 +99,7 @@
             part("bundles", self.bundles_text()),
             part("members", format!("{}", self.group)),
             part("team limits", format!("{}", self.teams)),
+            part("claims", format!("{}", self.claims)),
             part("instance list", format!("{}", self.listed)),
         ]
     }
--- a/crates/rig/examples/demo.rs
+++ b/crates/rig/examples/demo.rs
@@ -10,7 +10,7 @@
 use rig::traffic::{self, Targets, Traffic};
 use std::process::ExitCode;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::{Instant, sleep};
 
 /// Steps that an endpoint computes at once.
@@ -178,13 +178,14 @@
     let addr = fleet.node(0).callers;
     let mail = fleet.services.iter().filter(|s| s.service == NEWSLETTER);
     let mail: Vec<_> = mail.collect();
+    let now = SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs();
     for number in 0..20 {
         if number == 10 {
             mail[0].handle.die();
         }
         let headers = [
             ("authorization", format!("Bearer {}", KITCHENS.key)),
-            ("idempotency-key", format!("newsletter-{number}")),
+            ("idempotency-key", format!("{now}-newsletter-{number}")),
         ];
         let path = format!("/services/{NEWSLETTER}/send");
         let body = format!("newsletter {number}");
