--- a/crates/bundle/examples/fold_cost.rs
+++ b/crates/bundle/examples/fold_cost.rs
@@ -197,7 +197,7 @@
     let Ok(Record::Version(version)) = Record::decode(record) else {
         return 0;
     };
-    let header = &version.seal.header;
+    let header = &version.envelope.header;
     let set = version.delta.set.values();
     let sections: usize = set
         .map(|s| s.key().to_string().len() + s.body().len())
--- a/crates/bundle/src/checkpoint.rs
+++ b/crates/bundle/src/checkpoint.rs
@@ -13,7 +13,7 @@
 //! reads. A wrong clock moves a checkpoint in time or doubles it, it can't make one wrong.
 
 use crate::fold::Fold;
-use crate::signed::Mark;
+use crate::signed::Location;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
@@ -49,7 +49,7 @@
 /// What the drawn moment is based on; it is drawn again when this changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Basis {
-    mark: Option<Mark>,
+    last: Option<Location>,
     need: Need,
 }
 
@@ -81,7 +81,7 @@
             return false;
         }
         let basis = Basis {
-            mark: fold.mark(),
+            last: fold.last_checkpoint(),
             need: self.need(first, fold),
         };
         if self.basis != Some(basis) {
@@ -98,12 +98,12 @@
 
     /// Why the next checkpoint is needed.
     fn need(&self, first: u64, fold: &Fold) -> Need {
-        let Some(mark) = fold.mark() else {
+        let Some(last) = fold.last_checkpoint() else {
             return Need::Soon;
         };
         let number = fold.logged().map_or(0, |b| b.number);
-        let many = number.saturating_sub(mark.number) >= self.settings.versions;
-        if mark.next < first || many {
+        let many = number.saturating_sub(last.number) >= self.settings.versions;
+        if last.next < first || many {
             Need::Soon
         } else {
             Need::Age
@@ -112,10 +112,10 @@
 
     /// Time until the drawn moment.
     fn draw(&mut self, wall: Duration, basis: Basis) -> Duration {
-        match basis.mark {
-            Some(mark) if basis.need == Need::Age => {
+        match basis.last {
+            Some(last) if basis.need == Need::Age => {
                 let window = self.settings.retention / 4;
-                window.saturating_sub(age(mark, wall, window)) + self.jitter(window)
+                window.saturating_sub(age(last, wall, window)) + self.jitter(window)
             }
             _ => {
                 let window = self.soon();
@@ -136,9 +136,9 @@
 }
 
 /// Age of a checkpoint; `window` if its stamp can't be right, so that the window is open.
-fn age(mark: Mark, wall: Duration, window: Duration) -> Duration {
-    if mark.written > wall + MAX_AHEAD {
+fn age(last: Location, wall: Duration, window: Duration) -> Duration {
+    if last.written > wall + MAX_AHEAD {
         return window;
     }
-    wall.saturating_sub(mark.written)
+    wall.saturating_sub(last.written)
 }
--- a/crates/bundle/src/delta.rs
+++ b/crates/bundle/src/delta.rs
@@ -21,14 +21,14 @@
 
 /// Why a delta doesn't fit its parent.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Misfit {
+pub enum Mismatch {
     /// It removes a section that the parent hasn't.
     Missing(Key),
     /// It both sets and removes a section.
     Both(Key),
 }
 
-impl fmt::Display for Misfit {
+impl fmt::Display for Mismatch {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Missing(key) => write!(f, "removes [{key}], which the parent hasn't"),
@@ -51,14 +51,14 @@
     }
 
     /// The sections that `parent` becomes.
-    pub fn apply(&self, parent: &Sections) -> Result<Sections, Misfit> {
+    pub fn apply(&self, parent: &Sections) -> Result<Sections, Mismatch> {
         let mut sections = parent.clone();
         for key in &self.removed {
             if self.set.contains_key(key) {
-                return Err(Misfit::Both(key.clone()));
+                return Err(Mismatch::Both(key.clone()));
             }
             let gone = sections.remove(key);
-            gone.ok_or_else(|| Misfit::Missing(key.clone()))?;
+            gone.ok_or_else(|| Mismatch::Missing(key.clone()))?;
         }
         for section in self.set.values() {
             sections.set(section.clone());
--- a/crates/bundle/src/fold.rs
+++ b/crates/bundle/src/fold.rs
@@ -52,7 +52,7 @@
 use crate::bundle::Bundle;
 use crate::id::Number;
 use crate::record::Record;
-use crate::signed::{Mark, Version};
+use crate::signed::{Location, Version};
 use crate::signer::Signer;
 use branch::Branch;
 use known::Known;
@@ -84,7 +84,7 @@
     rewound: Option<u64>,
     /// Highest number ever in force.
     highest: Number,
-    mark: Option<Mark>,
+    last: Option<Location>,
     counters: Counters,
 }
 
@@ -99,7 +99,7 @@
             gap: None,
             rewound: None,
             highest: 0,
-            mark: None,
+            last: None,
             counters: Counters::default(),
         }
     }
@@ -127,8 +127,8 @@
 
     /// The last checkpoint that was read and agreed with, or that a peer knew of when it gave its
     /// head.
-    pub fn mark(&self) -> Option<Mark> {
-        self.mark
+    pub fn last_checkpoint(&self) -> Option<Location> {
+        self.last
     }
 
     /// What was counted.
@@ -189,14 +189,14 @@
         if self.in_gap() {
             return Verdict::Unjudged;
         }
-        if self.base.history.has(&version.seal.header.id()) {
+        if self.base.history.has(&version.envelope.header.id()) {
             return Verdict::Repeated;
         }
         let bundle = match self.bundle_of(self.base.known.as_ref(), &version) {
             Ok(bundle) => Arc::new(bundle),
             Err(verdict) => return verdict,
         };
-        let known = Known::new(bundle.clone(), version.seal, self.next);
+        let known = Known::new(bundle.clone(), version.envelope, self.next);
         self.base.push(known, Some(offset), Some(body));
         Verdict::Accepted(bundle)
     }
--- a/crates/bundle/src/fold/adopt.rs
+++ b/crates/bundle/src/fold/adopt.rs
@@ -6,7 +6,7 @@
 use crate::bundle::Bundle;
 use crate::id::Number;
 use crate::record::Record;
-use crate::signed::{Head, Mark, Version};
+use crate::signed::{Head, Location, Version};
 use crate::verify;
 use std::sync::Arc;
 use std::time::Duration;
@@ -61,10 +61,10 @@
         self.full().into_iter().map(Arc::from).collect()
     }
 
-    /// The head in force as a full record, for a peer or an operator's desk.
+    /// The head in force as a full record, for a peer or an operator.
     pub fn full(&self) -> Option<Vec<u8>> {
         let known = self.shown()?;
-        let head = known.head(self.accounted(), Duration::ZERO, self.mark);
+        let head = known.head(self.accounted(), Duration::ZERO, self.last);
         Some(Record::Checkpoint(head).encode())
     }
 
@@ -82,39 +82,41 @@
     /// Takes a version from a peer.
     fn adopt_version(&mut self, version: Version, body: &[u8]) -> Verdict {
         let shown = self.shown();
-        if shown.is_some_and(|k| k.bundle.number >= version.seal.header.number) {
+        if shown.is_some_and(|k| k.bundle.number >= version.envelope.header.number) {
             return Verdict::Old;
         }
         let bundle = match self.bundle_of(shown, &version) {
             Ok(bundle) => Arc::new(bundle),
             Err(verdict) => return verdict,
         };
-        let known = Known::new(bundle.clone(), version.seal, self.accounted());
+        let known = Known::new(bundle.clone(), version.envelope, self.accounted());
         self.ahead.push(known, None, Some(body));
         Verdict::Adopted(bundle)
     }
 
     /// Takes a full head from a peer.
     fn adopt_head(&mut self, head: Head) -> Verdict {
-        let shown = self.shown().map(|k| (k.bundle.number, k.seal.header.id()));
-        if shown.is_some_and(|(_, id)| id == head.seal.header.id()) {
+        let shown = self
+            .shown()
+            .map(|k| (k.bundle.number, k.envelope.header.id()));
+        if shown.is_some_and(|(_, id)| id == head.envelope.header.id()) {
             return self.confirm(head.next);
         }
-        let number = head.seal.header.number;
+        let number = head.envelope.header.number;
         if shown.is_some_and(|(known, _)| known == number) {
             return Verdict::Refused(Reason::Conflict(number));
         }
         if shown.is_some_and(|(known, _)| known > number) {
             return Verdict::Old;
         }
-        let mark = head.mark;
+        let checkpoint = head.checkpoint;
         let known = match self.known_of(head) {
             Ok(known) => known,
             Err(reason) => return Verdict::Refused(reason),
         };
         let bundle = known.bundle.clone();
         self.ahead.push(known, None, None);
-        self.mark = self.mark.or(mark);
+        self.last = self.last.or(checkpoint);
         self.close_by_ahead();
         Verdict::Adopted(bundle)
     }
@@ -178,11 +180,11 @@
         if head.next < gap {
             return Verdict::Unjudged;
         }
-        let number = head.seal.header.number;
+        let number = head.envelope.header.number;
         if self.contradicts(&head) {
             return Verdict::Refused(Reason::Conflict(number));
         }
-        let mark = mark(offset, &head);
+        let location = location(offset, &head);
         let known = match self.known_of(head) {
             Ok(known) => known,
             Err(reason) => return Verdict::Refused(reason),
@@ -194,7 +196,7 @@
         } else {
             known.next
         };
-        self.mark = Some(mark);
+        self.last = Some(location);
         self.base.push(known, None, None);
         self.restart(next);
         Verdict::Adopted(bundle)
@@ -205,22 +207,22 @@
         let Some(base) = &self.base.known else {
             return false;
         };
-        let header = &head.seal.header;
+        let header = &head.envelope.header;
         let number = base.bundle.number;
-        header.number < number || (header.number == number && base.seal.header != *header)
+        header.number < number || (header.number == number && base.envelope.header != *header)
     }
 
     /// Compares a checkpoint with what was folded without a gap. It needs no signature check:
     /// only one whose header the fold has accepted itself agrees.
     fn compare(&mut self, offset: u64, head: Head) -> Verdict {
-        let header = &head.seal.header;
+        let header = &head.envelope.header;
         let number = header.number;
         if number > self.base.number() {
             return Verdict::Refused(Reason::Conflict(number));
         }
         match self.base.history.get(number) {
             Some(entry) if entry.id == header.id() => {
-                self.mark = Some(mark(offset, &head));
+                self.last = Some(location(offset, &head));
                 Verdict::Agreed
             }
             Some(_) => Verdict::Refused(Reason::Conflict(number)),
@@ -232,25 +234,25 @@
     fn known_of(&self, head: Head) -> Result<Known, Reason> {
         let none = Bundle::default();
         let shown = self.shown().map_or(&none, |k| &*k.bundle);
-        let trust = head.seal.check(&self.trusted, &shown.signers);
+        let trust = head.envelope.check(&self.trusted, &shown.signers);
         trust.map_err(Reason::Distrust)?;
-        let bundle = checked(&head.sections, &head.seal.header)?;
+        let bundle = checked(&head.sections, &head.envelope.header)?;
         if bundle.number >= shown.number {
             let findings = verify::step(shown, &bundle);
             if findings.failed() {
                 return Err(Reason::Bundle(findings));
             }
         }
-        Ok(Known::new(Arc::new(bundle), head.seal, head.next))
+        Ok(Known::new(Arc::new(bundle), head.envelope, head.next))
     }
 }
 
 /// What is kept of a checkpoint.
-fn mark(offset: u64, head: &Head) -> Mark {
-    Mark {
+fn location(offset: u64, head: &Head) -> Location {
+    Location {
         offset,
         next: head.next,
         written: head.written,
-        number: head.seal.header.number,
+        number: head.envelope.header.number,
     }
 }
--- a/crates/bundle/src/fold/dump.rs
+++ b/crates/bundle/src/fold/dump.rs
@@ -18,8 +18,8 @@
         if let Some(first) = self.gap {
             writeln!(f, "gap: the log starts at offset {first}")?;
         }
-        if let Some(mark) = self.mark {
-            let (offset, number) = (mark.offset, mark.number);
+        if let Some(last) = self.last {
+            let (offset, number) = (last.offset, last.number);
             writeln!(f, "checkpoint of version {number} at offset {offset}")?;
         }
         write!(f, "{}", self.counters)
--- a/crates/bundle/src/fold/judge.rs
+++ b/crates/bundle/src/fold/judge.rs
@@ -11,7 +11,7 @@
 impl Fold {
     /// Judges `version` as if it came next, without effect.
     pub fn judge(&self, version: &Version) -> Verdict {
-        if let Standing::Accepted(_) = self.standing(&version.seal.header) {
+        if let Standing::Accepted(_) = self.standing(&version.envelope.header) {
             return Verdict::Repeated;
         }
         match self.bundle_of(self.shown(), version) {
@@ -26,10 +26,10 @@
         head: Option<&Known>,
         version: &Version,
     ) -> Result<Bundle, Verdict> {
-        let header = &version.seal.header;
+        let header = &version.envelope.header;
         let none = Bundle::default();
         let parent = head.map_or(&none, |k| &*k.bundle);
-        let trust = version.seal.check(&self.trusted, &parent.signers);
+        let trust = version.envelope.check(&self.trusted, &parent.signers);
         trust.map_err(|e| Verdict::Refused(Reason::Distrust(e)))?;
         let follows =
             header.parent == parent.digest && parent.number.checked_add(1) == Some(header.number);
@@ -45,7 +45,7 @@
 
 /// The checked bundle that `version`, whose signature was checked, makes of `parent`.
 fn child(parent: &Bundle, version: &Version) -> Result<Bundle, Reason> {
-    let header = &version.seal.header;
+    let header = &version.envelope.header;
     let sections = version.delta.apply(&parent.sections);
     let sections = sections.map_err(Reason::Delta)?;
     if sections.digest() != header.result {
--- a/crates/bundle/src/fold/known.rs
+++ b/crates/bundle/src/fold/known.rs
@@ -1,10 +1,10 @@
-//! A bundle with the seal that vouches for it.
+//! A bundle with the envelope that vouches for it.
 
 use super::history::Entry;
 use super::verdict::Reason;
 use crate::bundle::Bundle;
 use crate::sections::{self, Sections};
-use crate::signed::{Head, Header, Mark, Seal};
+use crate::signed::{Envelope, Head, Header, Location};
 use crate::verify;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,21 +15,25 @@
     /// The bundle.
     pub bundle: Arc<Bundle>,
     /// Header and signature.
-    pub seal: Arc<Seal>,
+    pub envelope: Arc<Envelope>,
     /// All records of the log below this offset are accounted for.
     pub next: u64,
 }
 
 impl Known {
     /// A state whose signature was checked.
-    pub fn new(bundle: Arc<Bundle>, seal: Seal, next: u64) -> Self {
-        let seal = Arc::new(seal);
-        Self { bundle, seal, next }
+    pub fn new(bundle: Arc<Bundle>, envelope: Envelope, next: u64) -> Self {
+        let envelope = Arc::new(envelope);
+        Self {
+            bundle,
+            envelope,
+            next,
+        }
     }
 
     /// Its line in the history.
     pub fn entry(&self, offset: Option<u64>) -> Entry {
-        let header = &self.seal.header;
+        let header = &self.envelope.header;
         Entry {
             number: header.number,
             signer: header.signer.clone(),
@@ -41,12 +45,12 @@
     }
 
     /// As a record that accounts for the log below `next`, written at `written`.
-    pub fn head(&self, next: u64, written: Duration, mark: Option<Mark>) -> Head {
+    pub fn head(&self, next: u64, written: Duration, checkpoint: Option<Location>) -> Head {
         Head {
-            seal: (*self.seal).clone(),
+            envelope: (*self.envelope).clone(),
             next,
             written,
-            mark,
+            checkpoint,
             sections: self.bundle.sections.clone(),
         }
     }
--- a/crates/bundle/src/fold/verdict.rs
+++ b/crates/bundle/src/fold/verdict.rs
@@ -1,7 +1,7 @@
 //! What the fold says to a record.
 
 use crate::bundle::Bundle;
-use crate::delta::Misfit;
+use crate::delta::Mismatch;
 use crate::finding::Findings;
 use crate::id::Number;
 use crate::record;
@@ -44,7 +44,7 @@
     /// The signer isn't trusted.
     Distrust(Distrust),
     /// The delta doesn't fit the parent.
-    Delta(Misfit),
+    Delta(Mismatch),
     /// The result doesn't have the digest that was signed.
     Digest,
     /// So many sections that it is over the bound.
--- a/crates/bundle/src/publish.rs
+++ b/crates/bundle/src/publish.rs
@@ -1,4 +1,4 @@
-//! Publishing: a signed version from a desk into the log, with an honest end.
+//! Publishing: a signed version into the log, with an honest end.
 //!
 //! The machine says what to do and is told how it went; its driver appends, reads, waits and
 //! keeps the [`Fold`]. Used by `wigeonctl` and by the admin API of a node.
@@ -185,7 +185,7 @@
 
     /// The outcome, if the race is over.
     fn settled(&self, fold: &Fold) -> Option<Outcome> {
-        match fold.standing(&self.version.seal.header) {
+        match fold.standing(&self.version.envelope.header) {
             Standing::Accepted(entry) => Some(Outcome::Accepted(entry)),
             Standing::Lost(entry) => Some(Outcome::Lost(entry)),
             Standing::Past => {
--- a/crates/bundle/src/record.rs
+++ b/crates/bundle/src/record.rs
@@ -6,12 +6,12 @@
 //! JSON but [`crate::signed::Header::message`], so spaces and the order of keys don't matter.
 
 use crate::delta::Delta;
-use crate::delta::Misfit;
+use crate::delta::Mismatch;
 use crate::digest::Digest;
 use crate::finding::Findings;
 use crate::section::{Key, Section};
 use crate::sections::{self, Sections};
-use crate::signed::{Head, Header, Mark, Seal, Version};
+use crate::signed::{Envelope, Head, Header, Location, Version};
 use crate::text;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -77,7 +77,7 @@
 /// Wire form of a header with its signature; digests and keys in hex.
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-struct RawSeal {
+struct RawEnvelope {
     signer: String,
     number: u64,
     parent: Hex<32>,
@@ -90,7 +90,7 @@
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct RawVersion {
-    seal: RawSeal,
+    envelope: RawEnvelope,
     #[serde(default)]
     set: BTreeMap<String, String>,
     #[serde(default)]
@@ -101,19 +101,19 @@
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct RawHead {
-    seal: RawSeal,
+    envelope: RawEnvelope,
     next: u64,
     #[serde(default)]
     written: u64,
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    mark: Option<RawMark>,
+    checkpoint: Option<RawLocation>,
     text: String,
 }
 
 /// Wire form of the place of a checkpoint; its time in seconds.
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-struct RawMark {
+struct RawLocation {
     offset: u64,
     next: u64,
     written: u64,
@@ -165,7 +165,7 @@
     }
 
     /// All sections, of a checkpoint or of a first version.
-    pub fn whole(&self) -> Result<Sections, Misfit> {
+    pub fn whole(&self) -> Result<Sections, Mismatch> {
         match self {
             Self::Version(version) => version.delta.apply(&Sections::default()),
             Self::Checkpoint(head) => Ok(head.sections.clone()),
@@ -173,16 +173,16 @@
     }
 
     /// Header and signature.
-    pub fn seal(&self) -> &Seal {
+    pub fn envelope(&self) -> &Envelope {
         match self {
-            Self::Version(version) => &version.seal,
-            Self::Checkpoint(head) => &head.seal,
+            Self::Version(version) => &version.envelope,
+            Self::Checkpoint(head) => &head.envelope,
         }
     }
 }
 
-impl From<RawSeal> for Seal {
-    fn from(raw: RawSeal) -> Self {
+impl From<RawEnvelope> for Envelope {
+    fn from(raw: RawEnvelope) -> Self {
         Self {
             header: Header {
                 signer: raw.signer,
@@ -196,22 +196,22 @@
     }
 }
 
-impl From<&Seal> for RawSeal {
-    fn from(seal: &Seal) -> Self {
-        let header = &seal.header;
+impl From<&Envelope> for RawEnvelope {
+    fn from(envelope: &Envelope) -> Self {
+        let header = &envelope.header;
         Self {
             signer: header.signer.clone(),
             number: header.number,
             parent: Hex(header.parent.0),
             result: Hex(header.result.0),
             delta: Hex(header.delta.0),
-            signature: Hex(seal.signature),
+            signature: Hex(envelope.signature),
         }
     }
 }
 
-impl From<RawMark> for Mark {
-    fn from(raw: RawMark) -> Self {
+impl From<RawLocation> for Location {
+    fn from(raw: RawLocation) -> Self {
         Self {
             offset: raw.offset,
             next: raw.next,
@@ -221,13 +221,13 @@
     }
 }
 
-impl From<Mark> for RawMark {
-    fn from(mark: Mark) -> Self {
+impl From<Location> for RawLocation {
+    fn from(location: Location) -> Self {
         Self {
-            offset: mark.offset,
-            next: mark.next,
-            written: mark.written.as_secs(),
-            number: mark.number,
+            offset: location.offset,
+            next: location.next,
+            written: location.written.as_secs(),
+            number: location.number,
         }
     }
 }
@@ -237,7 +237,7 @@
         let set = version.delta.set.values();
         let removed = version.delta.removed.iter();
         Self {
-            seal: (&version.seal).into(),
+            envelope: (&version.envelope).into(),
             set: set.map(|s| (s.key().to_string(), s.body())).collect(),
             removed: removed.map(Key::to_string).collect(),
         }
@@ -270,21 +270,21 @@
         if findings.failed() {
             return Err(Error::Text(findings));
         }
-        let seal = Seal::from(raw.seal);
-        if delta.digest() != seal.header.delta {
+        let envelope = Envelope::from(raw.envelope);
+        if delta.digest() != envelope.header.delta {
             return Err(Error::Digest);
         }
-        Ok(Self { seal, delta })
+        Ok(Self { envelope, delta })
     }
 }
 
 impl From<&Head> for RawHead {
     fn from(head: &Head) -> Self {
         Self {
-            seal: (&head.seal).into(),
+            envelope: (&head.envelope).into(),
             next: head.next,
             written: head.written.as_secs(),
-            mark: head.mark.map(RawMark::from),
+            checkpoint: head.checkpoint.map(RawLocation::from),
             text: head.sections.to_string(),
         }
     }
@@ -295,15 +295,15 @@
 
     fn try_from(raw: RawHead) -> Result<Self> {
         let sections = text::parse(&raw.text).map_err(Error::Text)?;
-        let seal = Seal::from(raw.seal);
-        if sections.digest() != seal.header.result {
+        let envelope = Envelope::from(raw.envelope);
+        if sections.digest() != envelope.header.result {
             return Err(Error::Digest);
         }
         Ok(Self {
-            seal,
+            envelope,
             next: raw.next,
             written: Duration::from_secs(raw.written),
-            mark: raw.mark.map(Mark::from),
+            checkpoint: raw.checkpoint.map(Location::from),
             sections,
         })
     }
--- a/crates/bundle/src/sign.rs
+++ b/crates/bundle/src/sign.rs
@@ -6,7 +6,7 @@
 use crate::finding::Findings;
 use crate::record::Record;
 use crate::section::is_name;
-use crate::signed::{Header, Seal, Version};
+use crate::signed::{Envelope, Header, Version};
 use crate::verify;
 use ed25519_dalek::Signer as _;
 use ed25519_dalek::pkcs8::spki::der::pem::LineEnding;
@@ -105,14 +105,14 @@
         result: child.digest,
         delta: delta.digest(),
     };
-    let seal = seal(header, key);
-    Ok(Version { seal, delta })
+    let envelope = envelope(header, key);
+    Ok(Version { envelope, delta })
 }
 
 /// Signs a header.
-pub fn seal(header: Header, key: &SigningKey) -> Seal {
+pub fn envelope(header: Header, key: &SigningKey) -> Envelope {
     let signature = key.sign(&header.message()).to_bytes();
-    Seal { header, signature }
+    Envelope { header, signature }
 }
 
 /// Digest of a caller's bearer key, as `[team NAME]` holds it.
--- a/crates/bundle/src/signed.rs
+++ b/crates/bundle/src/signed.rs
@@ -75,14 +75,14 @@
 
 /// A header with its signature.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Seal {
+pub struct Envelope {
     /// What is signed.
     pub header: Header,
     /// The ed25519 signature.
     pub signature: [u8; 64],
 }
 
-impl Seal {
+impl Envelope {
     /// Checks the signature against the `trusted` keys of the settings; `revoked` are the
     /// signers of the bundle in force, of which only revocations count.
     pub fn check(&self, trusted: &[Signer], revoked: &[Signer]) -> Result<(), Distrust> {
@@ -117,14 +117,14 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Version {
     /// Header and signature.
-    pub seal: Seal,
+    pub envelope: Envelope,
     /// What it changes; its digest is the header's.
     pub delta: Delta,
 }
 
 /// Where a checkpoint is in the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Mark {
+pub struct Location {
     /// Offset of its record.
     pub offset: u64,
     /// It accounts for all records below this offset; useless once a later one is the first
@@ -140,7 +140,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Head {
     /// Header and signature.
-    pub seal: Seal,
+    pub envelope: Envelope,
     /// All records below this offset of the log are accounted for in it.
     pub next: u64,
     /// When it was written, since the Unix epoch; zero if it isn't known. Not signed, and used
@@ -149,7 +149,7 @@
     /// In a peer's head: the last checkpoint it knows of. Without this, a node that starts from a
     /// peer's head skips the log's checkpoints, would miss one, and write it: one for each restart.
     /// Not signed, and used as `written` is.
-    pub mark: Option<Mark>,
+    pub checkpoint: Option<Location>,
     /// All sections; their digest is the header's result.
     pub sections: Sections,
 }
--- a/crates/bundle/tests/fold.rs
+++ b/crates/bundle/tests/fold.rs
@@ -49,7 +49,7 @@
     numbered.map(|(i, b)| (i as u64, b.as_slice()))
 }
 
-/// Two operators sign a child of the same head at two desks; both are sound. The first in the
+/// Two operators sign a child of the same head; both are sound. The first in the
 /// log wins on every node. The other's publisher learns who won, to look at that version first.
 #[test]
 fn the_first_child_wins() {
@@ -61,7 +61,7 @@
         panic!("two children of one head");
     };
     assert_eq!((head.number, head.signer.as_str()), (2, "tuya"));
-    let header = Record::decode(&a).unwrap().seal().header.clone();
+    let header = Record::decode(&a).unwrap().envelope().header.clone();
     let Standing::Lost(winner) = fold.standing(&header) else {
         panic!("a lost version doesn't stand");
     };
@@ -77,7 +77,7 @@
     fold.apply(1, &change);
     let undo = next(&fold, 100, "mira", &mira());
     fold.apply(2, &undo);
-    let parent = Record::decode(&change).unwrap().seal().header.parent;
+    let parent = Record::decode(&change).unwrap().envelope().header.parent;
     assert_eq!(fold.head().unwrap().digest, parent);
     assert!(matches!(fold.apply(3, &change), Verdict::Repeated));
     let mut late = Fold::new(signers());
@@ -119,8 +119,8 @@
     let (mut fold, log) = folded(1);
     for missing in ["signature", "signer", "parent", "result"] {
         let mut json: serde_json::Value = serde_json::from_slice(&log[0]).unwrap();
-        let seal = json["version"]["seal"].as_object_mut().unwrap();
-        seal.remove(missing).unwrap();
+        let envelope = json["version"]["envelope"].as_object_mut().unwrap();
+        envelope.remove(missing).unwrap();
         let verdict = fold.apply(fold.next_offset(), &serde_json::to_vec(&json).unwrap());
         assert!(
             matches!(verdict, Verdict::Refused(Reason::Record(_))),
@@ -347,9 +347,9 @@
         matches!(verdict, Verdict::Refused(Reason::Conflict(3))),
         "{verdict}"
     );
-    assert_eq!(fold.mark(), None);
+    assert_eq!(fold.last_checkpoint(), None);
     assert!(matches!(fold.apply(4, &checkpoint(&fold)), Verdict::Agreed));
-    assert_eq!(fold.mark().unwrap().offset, 4);
+    assert_eq!(fold.last_checkpoint().unwrap().offset, 4);
 }
 
 /// The log was trimmed to nothing but what peers have read: a node with the same head as a peer
--- a/crates/bundle/tests/publish.rs
+++ b/crates/bundle/tests/publish.rs
@@ -78,7 +78,7 @@
     assert_eq!(fold.counters().repeated, 1);
 }
 
-/// Another desk's version comes between the look at the head and the append: the operator is
+/// Another operator's version comes between the look at the head and the append: the operator is
 /// told who won.
 #[test]
 fn a_race_names_the_winner() {
--- a/crates/bundle/tests/world.rs
+++ b/crates/bundle/tests/world.rs
@@ -242,7 +242,7 @@
             }
             Action::Append => self.append(publish.body()),
             Action::Done(outcome) => {
-                let id = publish.version().seal.header.id();
+                let id = publish.version().envelope.header.id();
                 self.outcomes.push((id, outcome));
                 return;
             }
--- a/crates/ctl/src/restore.rs
+++ b/crates/ctl/src/restore.rs
@@ -56,7 +56,7 @@
         )));
     }
     let trusted = files::trusted(args)?;
-    let trust = head.seal.check(&trusted, &[]);
+    let trust = head.envelope.check(&trusted, &[]);
     trust.map_err(|e| input(eyre!("{e}")))?;
     let written = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     let written = written.unwrap_or(Duration::ZERO);
@@ -65,7 +65,7 @@
         written,
         ..head
     };
-    let header = head.seal.header.clone();
+    let header = head.envelope.header.clone();
     let body = Record::Checkpoint(head).encode();
     let appended = tail.log.append(STREAM, Bytes::from(body)).await;
     appended
--- a/crates/ctl/src/sign.rs
+++ b/crates/ctl/src/sign.rs
@@ -50,7 +50,7 @@
     let child = files::bundle(files::path(args, "file"))?;
     let parent = source::head(args).await?;
     let version = sign::child_of(parent.as_ref(), &child, name, &key).map_err(failure)?;
-    let header = &version.seal.header;
+    let header = &version.envelope.header;
     let signed = Signed {
         number: header.number,
         parent: header.parent.to_string(),
--- a/crates/ctl/src/source.rs
+++ b/crates/ctl/src/source.rs
@@ -51,6 +51,6 @@
 fn of_record(record: &Record) -> Result<Bundle> {
     let whole = record.whole();
     let sections = whole.map_err(|e| input(eyre!("parent is not a whole bundle: it {e}")))?;
-    let bundle = fold::checked(&sections, &record.seal().header);
+    let bundle = fold::checked(&sections, &record.envelope().header);
     bundle.map_err(|e| input(eyre!("parent: {e}")))
 }
--- a/crates/ctl/tests/admin.rs
+++ b/crates/ctl/tests/admin.rs
@@ -6,7 +6,7 @@
 use bundle::fleet::{Fleet, Node};
 use bundle::fold::Fold;
 use bundle::publish::{Action, Event, Publish};
-use common::{Desk, json, ok};
+use common::{Workdir, json, ok};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
@@ -115,9 +115,9 @@
     Ok(Response::new(Full::new(body)))
 }
 
-/// Starts a fake that trusts what the desk's `trust.ini` names.
-async fn start(desk: &Desk, behind: usize, lose: usize) -> SocketAddr {
-    let trusted = common::trusted(&desk.read("trust.ini"));
+/// Starts a fake that trusts what `trust.ini` names.
+async fn start(dir: &Workdir, behind: usize, lose: usize) -> SocketAddr {
+    let trusted = common::trusted(&dir.read("trust.ini"));
     let fake = Fake {
         fold: Fold::new(trusted),
         log: Vec::new(),
@@ -142,15 +142,15 @@
     addr
 }
 
-/// A desk without any way to the log publishes through a node and waits until every listed node
+/// An operator without any way to the log publishes through a node and waits until every listed node
 /// has the version in force; it sees how far that is, and the exit code says that it was reached.
 #[tokio::test(flavor = "multi_thread")]
 async fn publish_waits_for_every_node() {
-    let desk = Desk::new("wait");
-    desk.signers(&["mira"]);
-    desk.sign_first();
-    let addr = start(&desk, 2, 0).await.to_string();
-    let told = desk.run(&["publish", "1.json", "--admin", &addr, "--wait"]);
+    let dir = Workdir::new("wait");
+    dir.signers(&["mira"]);
+    dir.sign_first();
+    let addr = start(&dir, 2, 0).await.to_string();
+    let told = dir.run(&["publish", "1.json", "--admin", &addr, "--wait"]);
     ok(&told);
     let progress = String::from_utf8_lossy(&told.stderr).into_owned();
     assert!(
@@ -163,10 +163,10 @@
 /// A node never gets there: the wait ends at its limit with exit code 1 and names it.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_wait_is_bounded() {
-    let desk = Desk::new("bounded");
-    desk.signers(&["mira"]);
-    desk.sign_first();
-    let addr = start(&desk, usize::MAX, 0).await.to_string();
+    let dir = Workdir::new("bounded");
+    dir.signers(&["mira"]);
+    dir.sign_first();
+    let addr = start(&dir, usize::MAX, 0).await.to_string();
     let args = [
         "publish",
         "1.json",
@@ -176,7 +176,7 @@
         "--timeout",
         "1",
     ];
-    let told = desk.run(&args);
+    let told = dir.run(&args);
     assert_eq!(told.status.code(), Some(1));
     let error = String::from_utf8_lossy(&told.stderr).into_owned();
     assert!(
@@ -189,51 +189,51 @@
 /// answered with how that version's race ended, and there is one record in the log.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lost_answer_of_a_node_is_asked_again() {
-    let desk = Desk::new("node-lost");
-    desk.signers(&["mira"]);
-    desk.sign_first();
-    let addr = start(&desk, 0, 2).await.to_string();
+    let dir = Workdir::new("node-lost");
+    dir.signers(&["mira"]);
+    dir.sign_first();
+    let addr = start(&dir, 0, 2).await.to_string();
     let args = ["publish", "1.json", "--admin", &addr, "--output", "json"];
-    let told = json(&desk.run(&args));
+    let told = json(&dir.run(&args));
     assert_eq!(
         (&told["outcome"], &told["number"]),
         (&"accepted".into(), &1.into())
     );
     let args = ["history", "--admin", &addr, "--output", "json"];
-    assert_eq!(json(&desk.run(&args)).as_array().unwrap().len(), 1);
+    assert_eq!(json(&dir.run(&args)).as_array().unwrap().len(), 1);
 }
 
 /// A later version is signed on the head that a node gives, and one on an old head loses.
 #[tokio::test(flavor = "multi_thread")]
 async fn versions_are_signed_on_the_nodes_head() {
-    let desk = Desk::new("node-head");
-    desk.signers(&["mira", "tuya"]);
-    desk.sign_first();
-    let addr = start(&desk, 0, 0).await.to_string();
-    ok(&desk.run(&["publish", "1.json", "--admin", &addr]));
-    let head = desk.run(&["dump", "--admin", &addr, "--format", "head"]);
+    let dir = Workdir::new("node-head");
+    dir.signers(&["mira", "tuya"]);
+    dir.sign_first();
+    let addr = start(&dir, 0, 0).await.to_string();
+    ok(&dir.run(&["publish", "1.json", "--admin", &addr]));
+    let head = dir.run(&["dump", "--admin", &addr, "--format", "head"]);
     ok(&head);
-    desk.write("head.json", &String::from_utf8(head.stdout).unwrap());
+    dir.write("head.json", &String::from_utf8(head.stdout).unwrap());
     for (name, rate, from) in [
         ("mira", 21, ["--admin", &addr]),
         ("tuya", 22, ["--parent", "head.json"]),
     ] {
-        let text = desk
+        let text = dir
             .read("bundle.ini")
             .replace("rate = 20", &format!("rate = {rate}"));
-        desk.write("next.ini", &text);
+        dir.write("next.ini", &text);
         let (key, out) = (format!("{name}.pem"), format!("{name}.json"));
         let sign = [
             "sign", "next.ini", "--name", name, "--key", &key, "--out", &out,
         ];
-        ok(&desk.run(&[&sign[..], &from].concat()));
+        ok(&dir.run(&[&sign[..], &from].concat()));
     }
-    ok(&desk.run(&["publish", "mira.json", "--admin", &addr]));
-    let lost = desk.run(&["publish", "tuya.json", "--admin", &addr]);
+    ok(&dir.run(&["publish", "mira.json", "--admin", &addr]));
+    let lost = dir.run(&["publish", "tuya.json", "--admin", &addr]);
     assert_eq!(lost.status.code(), Some(1));
     assert!(String::from_utf8_lossy(&lost.stderr).contains("lost to version 2 by mira"));
-    let status = desk.run(&["status", "--admin", &addr]);
+    let status = dir.run(&["status", "--admin", &addr]);
     assert!(String::from_utf8_lossy(&status.stdout).contains("bundle.number 1"));
-    let dump = desk.run(&["dump", "--admin", &addr]);
+    let dump = dir.run(&["dump", "--admin", &addr]);
     assert_eq!(String::from_utf8_lossy(&dump.stdout), "dump format=text\n");
 }
--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Desk, json, ok};
+use common::{Workdir, json, ok};
 use serde_json::Value;
 use standin::fault::Mode;
 use standin::log::Log;
@@ -12,10 +12,10 @@
 async fn from_keygen_to_history() {
     let log = Log::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
     let addr = log.addr.to_string();
-    let desk = Desk::new("first-day");
-    desk.signers(&["mira"]);
-    ok(&desk.run(&["check", "bundle.ini"]));
-    ok(&desk.run(&[
+    let dir = Workdir::new("first-day");
+    dir.signers(&["mira"]);
+    ok(&dir.run(&["check", "bundle.ini"]));
+    ok(&dir.run(&[
         "sign",
         "bundle.ini",
         "--name",
@@ -27,20 +27,20 @@
         "1.json",
     ]));
     let publish = ["publish", "1.json", "--log", &addr, "--trust", "trust.ini"];
-    let told = json(&desk.run(&[&publish[..], &["--output", "json"]].concat()));
+    let told = json(&dir.run(&[&publish[..], &["--output", "json"]].concat()));
     assert_eq!(
         (&told["outcome"], &told["number"]),
         (&"accepted".into(), &1.into())
     );
     // The same file again is no second version.
-    ok(&desk.run(&publish));
+    ok(&dir.run(&publish));
     assert_eq!(log.records("bundles").len(), 1);
 
-    desk.write(
+    dir.write(
         "next.ini",
-        &desk.read("bundle.ini").replace("rate = 20", "rate = 21"),
+        &dir.read("bundle.ini").replace("rate = 20", "rate = 21"),
     );
-    ok(&desk.run(&[
+    ok(&dir.run(&[
         "sign",
         "next.ini",
         "--name",
@@ -54,7 +54,7 @@
         "--out",
         "2.json",
     ]));
-    ok(&desk.run(&["publish", "2.json", "--log", &addr, "--trust", "trust.ini"]));
+    ok(&dir.run(&["publish", "2.json", "--log", &addr, "--trust", "trust.ini"]));
     let args = [
         "history",
         "--log",
@@ -64,7 +64,7 @@
         "--output",
         "json",
     ];
-    let history = json(&desk.run(&args));
+    let history = json(&dir.run(&args));
     let numbers: Vec<&Value> = history
         .as_array()
         .unwrap()
@@ -72,12 +72,12 @@
         .map(|v| &v["number"])
         .collect();
     assert_eq!(numbers, [1, 2]);
-    desk.write(
+    dir.write(
         "head.json",
-        &head(&desk.read("1.json"), &desk.read("trust.ini")),
+        &head(&dir.read("1.json"), &dir.read("trust.ini")),
     );
     for old in ["bundle.ini", "1.json", "head.json"] {
-        let diff = json(&desk.run(&["diff", old, "next.ini", "--output", "json"]));
+        let diff = json(&dir.run(&["diff", old, "next.ini", "--output", "json"]));
         assert_eq!(diff["changed"], serde_json::json!(["team kitchens"]));
     }
 }
@@ -88,11 +88,11 @@
 async fn the_loser_is_told_who_won() {
     let log = Log::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
     let addr = log.addr.to_string();
-    let desk = Desk::new("race");
-    desk.signers(&["mira", "tuya"]);
+    let dir = Workdir::new("race");
+    dir.signers(&["mira", "tuya"]);
     for (name, rate) in [("mira", 21), ("tuya", 22)] {
-        let text = desk.read("bundle.ini");
-        desk.write(
+        let text = dir.read("bundle.ini");
+        dir.write(
             "own.ini",
             &text.replace("rate = 20", &format!("rate = {rate}")),
         );
@@ -100,7 +100,7 @@
         let sign = [
             "sign", "own.ini", "--name", name, "--key", &key, "--first", "--out", &out,
         ];
-        ok(&desk.run(&sign));
+        ok(&dir.run(&sign));
     }
     let publish = |file| {
         let args = [
@@ -113,7 +113,7 @@
             "--output",
             "json",
         ];
-        desk.run(&args)
+        dir.run(&args)
     };
     ok(&publish("tuya.json"));
     let lost = publish("mira.json");
@@ -133,11 +133,11 @@
 async fn a_lost_answer_is_read_back() {
     let log = Log::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
     let addr = log.addr.to_string();
-    let desk = Desk::new("lost-answer");
-    desk.signers(&["mira"]);
-    desk.sign_first();
+    let dir = Workdir::new("lost-answer");
+    dir.signers(&["mira"]);
+    dir.sign_first();
     log.faults.lose(1);
-    ok(&desk.run(&["publish", "1.json", "--log", &addr, "--trust", "trust.ini"]));
+    ok(&dir.run(&["publish", "1.json", "--log", &addr, "--trust", "trust.ini"]));
     assert_eq!(log.faults.lost(), 1);
     assert_eq!(log.records("bundles").len(), 1);
 }
@@ -147,11 +147,11 @@
 async fn an_outage_is_reported() {
     let log = Log::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
     let addr = log.addr.to_string();
-    let desk = Desk::new("outage");
-    desk.signers(&["mira"]);
-    desk.sign_first();
+    let dir = Workdir::new("outage");
+    dir.signers(&["mira"]);
+    dir.sign_first();
     log.faults.set(Mode::Down);
-    let told = desk.run(&["publish", "1.json", "--log", &addr, "--trust", "trust.ini"]);
+    let told = dir.run(&["publish", "1.json", "--log", &addr, "--trust", "trust.ini"]);
     assert_eq!(told.status.code(), Some(1));
     let error = String::from_utf8_lossy(&told.stderr).into_owned();
     assert!(error.contains("nothing was appended"), "{error}");
@@ -165,26 +165,26 @@
     let log = Log::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
     let addr = log.addr.to_string();
     let way = ["--log", &addr, "--trust", "trust.ini"];
-    let desk = Desk::new("restore");
-    desk.signers(&["mira"]);
-    desk.sign_first();
-    let run = |args: &[&str]| desk.run(&[args, &way[..]].concat());
+    let dir = Workdir::new("restore");
+    dir.signers(&["mira"]);
+    dir.sign_first();
+    let run = |args: &[&str]| dir.run(&[args, &way[..]].concat());
     ok(&run(&["publish", "1.json"]));
-    desk.write(
+    dir.write(
         "head.json",
-        &head(&desk.read("1.json"), &desk.read("trust.ini")),
+        &head(&dir.read("1.json"), &dir.read("trust.ini")),
     );
     let sound = run(&["restore", "head.json"]);
     assert_eq!(sound.status.code(), Some(1));
 
-    desk.write(
+    dir.write(
         "next.ini",
-        &desk.read("bundle.ini").replace("rate = 20", "rate = 21"),
+        &dir.read("bundle.ini").replace("rate = 20", "rate = 21"),
     );
     let sign = [
         "sign", "next.ini", "--name", "mira", "--key", "mira.pem", "--out", "2.json",
     ];
-    ok(&desk.run(&[&sign[..], &["--parent", "head.json"]].concat()));
+    ok(&dir.run(&[&sign[..], &["--parent", "head.json"]].concat()));
     log.trim("bundles", 1);
     let told = run(&["publish", "2.json"]);
     assert_eq!(told.status.code(), Some(1));
@@ -204,10 +204,10 @@
 /// overwritten.
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_input_is_exit_code_2() {
-    let desk = Desk::new("bad-input");
-    desk.signers(&["mira"]);
-    desk.write("bad.ini", "[team x]\nwieght = 3\nrate = -1\n[zone z]\n");
-    let told = desk.run(&["check", "bad.ini", "--output", "json"]);
+    let dir = Workdir::new("bad-input");
+    dir.signers(&["mira"]);
+    dir.write("bad.ini", "[team x]\nwieght = 3\nrate = -1\n[zone z]\n");
+    let told = dir.run(&["check", "bad.ini", "--output", "json"]);
     assert_eq!(told.status.code(), Some(2));
     let error: Value = serde_json::from_slice(&told.stderr).unwrap();
     assert_eq!(error["findings"][0]["line"], 2);
@@ -235,7 +235,7 @@
         &["sign", "bundle.ini", "--name", "mira", "--key", "mira.pem"],
         &["publish"],
     ] {
-        let told = desk.run(args);
+        let told = dir.run(args);
         assert_eq!(told.status.code(), Some(2), "{args:?}");
         assert!(!told.stderr.is_empty());
     }
--- a/crates/ctl/tests/common.rs
+++ b/crates/ctl/tests/common.rs
@@ -1,4 +1,4 @@
-//! What the tests share: an operator's desk.
+//! What the tests share: a folder with an operator's files.
 #![allow(dead_code, reason = "each test file uses some of it")]
 
 use bundle::signer::Signer;
@@ -8,16 +8,16 @@
 use std::process::{Command, Output};
 
 /// A folder with an operator's files; removed in the end.
-pub struct Desk(PathBuf);
+pub struct Workdir(PathBuf);
 
-impl Desk {
-    /// An empty desk with the example bundle.
+impl Workdir {
+    /// A folder with the example bundle.
     pub fn new(name: &str) -> Self {
         let folder = format!("wigeonctl-{name}-{}", std::process::id());
-        let desk = Self(std::env::temp_dir().join(folder));
-        fs::create_dir_all(&desk.0).unwrap();
-        desk.write("bundle.ini", include_str!("../../../etc/bundle.ini"));
-        desk
+        let dir = Self(std::env::temp_dir().join(folder));
+        fs::create_dir_all(&dir.0).unwrap();
+        dir.write("bundle.ini", include_str!("../../../etc/bundle.ini"));
+        dir
     }
 
     /// Runs the tool in the folder.
@@ -64,7 +64,7 @@
     }
 }
 
-impl Drop for Desk {
+impl Drop for Workdir {
     fn drop(&mut self) {
         let _ = fs::remove_dir_all(&self.0);
     }
--- a/crates/ctl/tests/nodes.rs
+++ b/crates/ctl/tests/nodes.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use bundle::sign;
-use common::{Desk, json, ok};
+use common::{Workdir, json, ok};
 use rig::fleet::Fleet;
 use rig::plan::{Plan, SIGNER, SIGNER_SEED};
 use serde_json::Value;
@@ -11,8 +11,8 @@
 
 const NODES: usize = 8;
 
-/// Running nodes without a bundle, and the desk of the person they trust.
-async fn start(name: &str) -> (Fleet, Desk) {
+/// Running nodes without a bundle, and the files of the person they trust.
+async fn start(name: &str) -> (Fleet, Workdir) {
     let plan = Plan {
         nodes: NODES,
         ..Plan::default()
@@ -22,52 +22,52 @@
         fleet.start_node(index).unwrap();
     }
     fleet.relist();
-    let desk = Desk::new(name);
+    let dir = Workdir::new(name);
     let key = sign::key(SIGNER_SEED);
-    desk.write("key.pem", &sign::to_pem(&key).unwrap());
+    dir.write("key.pem", &sign::to_pem(&key).unwrap());
     let trust = format!("[trust]\n{SIGNER} = {}\n", sign::public(&key));
-    desk.write("trust.ini", &trust);
-    desk.write("bundle.ini", &fleet.text());
-    (fleet, desk)
+    dir.write("trust.ini", &trust);
+    dir.write("bundle.ini", &fleet.text());
+    (fleet, dir)
 }
 
 /// Signs `file` on the head in the log, or as the first version.
-fn sign(desk: &Desk, file: &str, out: &str, head: &[&str]) {
+fn sign(dir: &Workdir, file: &str, out: &str, head: &[&str]) {
     let args = [
         "sign", file, "--name", SIGNER, "--key", "key.pem", "--out", out,
     ];
-    ok(&desk.run(&[&args[..], head].concat()));
+    ok(&dir.run(&[&args[..], head].concat()));
 }
 
 /// What a node says of itself.
-fn status(fleet: &Fleet, desk: &Desk, index: usize) -> Value {
+fn status(fleet: &Fleet, dir: &Workdir, index: usize) -> Value {
     let admin = fleet.node(index).admin.to_string();
-    json(&desk.run(&["status", "--admin", &admin, "--output", "json"]))
+    json(&dir.run(&["status", "--admin", &admin, "--output", "json"]))
 }
 
 /// From the first bundle of all to one in force on every node, through different nodes, and with
 /// the answer of an append lost: `publish --wait` ends well exactly when all nodes have it.
 #[tokio::test(flavor = "multi_thread")]
 async fn versions_come_into_force_everywhere() {
-    let (fleet, desk) = start("nodes").await;
+    let (fleet, dir) = start("nodes").await;
     let admin = |index: usize| fleet.node(index).admin.to_string();
-    sign(&desk, "bundle.ini", "1.json", &["--first"]);
-    ok(&desk.run(&["publish", "1.json", "--admin", &admin(0), "--wait"]));
+    sign(&dir, "bundle.ini", "1.json", &["--first"]);
+    ok(&dir.run(&["publish", "1.json", "--admin", &admin(0), "--wait"]));
     let log = fleet.log.addr.to_string();
     let way = ["--log", &log, "--trust", "trust.ini"];
-    desk.write(
+    dir.write(
         "next.ini",
-        &desk.read("bundle.ini").replace("slots = 64", "slots = 63"),
+        &dir.read("bundle.ini").replace("slots = 64", "slots = 63"),
     );
-    sign(&desk, "next.ini", "2.json", &way);
+    sign(&dir, "next.ini", "2.json", &way);
     fleet.log.faults.lose(1);
-    ok(&desk.run(&["publish", "2.json", "--admin", &admin(3), "--wait"]));
+    ok(&dir.run(&["publish", "2.json", "--admin", &admin(3), "--wait"]));
     for index in 0..NODES {
-        assert_eq!(status(&fleet, &desk, index)["number"], 2);
+        assert_eq!(status(&fleet, &dir, index)["number"], 2);
     }
     let args = ["history", "--admin", &admin(5), "--output", "json"];
-    assert_eq!(json(&desk.run(&args)).as_array().unwrap().len(), 2);
-    let dump = desk.run(&["dump", "--admin", &admin(6)]);
+    assert_eq!(json(&dir.run(&args)).as_array().unwrap().len(), 2);
+    let dump = dir.run(&["dump", "--admin", &admin(6)]);
     assert!(String::from_utf8_lossy(&dump.stdout).contains("accepted"));
 }
 
@@ -75,24 +75,24 @@
 /// go on with the version before, and publishing the same file works once the log is back.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_outage_leaves_the_version_in_force() {
-    let (fleet, desk) = start("nodes-outage").await;
+    let (fleet, dir) = start("nodes-outage").await;
     let admin = fleet.node(1).admin.to_string();
-    sign(&desk, "bundle.ini", "1.json", &["--first"]);
-    ok(&desk.run(&["publish", "1.json", "--admin", &admin, "--wait"]));
+    sign(&dir, "bundle.ini", "1.json", &["--first"]);
+    ok(&dir.run(&["publish", "1.json", "--admin", &admin, "--wait"]));
     let log = fleet.log.addr.to_string();
-    desk.write(
+    dir.write(
         "next.ini",
-        &desk.read("bundle.ini").replace("slots = 64", "slots = 63"),
+        &dir.read("bundle.ini").replace("slots = 64", "slots = 63"),
     );
     let way = ["--log", &log, "--trust", "trust.ini"];
-    sign(&desk, "next.ini", "2.json", &way);
+    sign(&dir, "next.ini", "2.json", &way);
     fleet.log.faults.set(Mode::Down);
-    let told = desk.run(&["publish", "2.json", "--admin", &admin]);
+    let told = dir.run(&["publish", "2.json", "--admin", &admin]);
     assert_eq!(told.status.code(), Some(1));
     let error = String::from_utf8_lossy(&told.stderr).into_owned();
     assert!(error.contains("nothing was appended"), "{error}");
-    assert_eq!(status(&fleet, &desk, 4)["number"], 1);
+    assert_eq!(status(&fleet, &dir, 4)["number"], 1);
     fleet.log.faults.set(Mode::Up);
-    ok(&desk.run(&["publish", "2.json", "--admin", &admin, "--wait"]));
-    assert_eq!(status(&fleet, &desk, 4)["number"], 2);
+    ok(&dir.run(&["publish", "2.json", "--admin", &admin, "--wait"]));
+    assert_eq!(status(&fleet, &dir, 4)["number"], 2);
 }
