lease: the roll towards the bundle's desired state

Cause: models, versions and adapters are ordered while requests run, at the weight store's rate, by a holder that may change, to endpoints that may ignore fencing numbers. Change: roll::Roll. One availability zone at a time with a watch after each, never a model's last ready replica (layers counted per version), fetches spaced and bounded, orders idempotent and given again until the report shows them, stop after two failures in an hour until a newer bundle, a newer bundle taken up mid-roll, old versions dropped after the longest request. cargo example roll measures it.

--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -1,7 +1,8 @@
-//! Claims of idempotency keys and leases with fencing numbers, without I/O.
+//! Claims of idempotency keys, leases with fencing numbers and the order of a roll, without I/O.
 //!
 //! - [`claim`]: a request that may not be repeated runs at most once over all nodes.
 //! - [`hold`]: one holder at a time gives orders to a group of endpoints.
+//! - [`roll`]: which order to which endpoint comes next on the way to the bundle's desired state.
 //!
 //! Inputs are events with the time they came at; outputs are actions that the node carries out.
 //! The log service is the only thing agreed upon: its order decides, and every table judges only
@@ -12,11 +13,11 @@
 
 pub mod claim;
 pub mod hold;
-
 pub mod outcome;
 pub mod owner;
 pub mod page;
 pub mod retry;
+pub mod roll;
 
 pub use outcome::Outcome;
 pub use owner::Owner;
--- /dev/null
+++ b/crates/lease/src/roll/cover.rs
@@ -0,0 +1,93 @@
+//! Which layers of each model are held by endpoints that are ready.
+
+use crate::roll::report::Held;
+use crate::roll::view::View;
+use bundle::id::EndpointId;
+use std::collections::BTreeMap;
+use std::ops::Range;
+
+/// By model and version: how many endpoints hold each layer ready.
+///
+/// Versions are never added up: a token whose layers ran on two versions is wrong.
+#[derive(Clone, Debug, Default)]
+pub struct Cover<'a> {
+    models: BTreeMap<&'a str, BTreeMap<&'a str, Vec<u32>>>,
+}
+
+impl<'a> Cover<'a> {
+    /// Counts the group's endpoints that are up, but for those that `skip` names.
+    pub fn new(view: &View<'a>, skip: impl Fn(EndpointId) -> bool) -> Self {
+        let mut cover = Self::default();
+        let endpoints = view.up().filter(|id| !skip(*id));
+        for held in endpoints
+            .flat_map(|id| view.held(id))
+            .filter(|held| held.ready)
+        {
+            let Some(model) = view.bundle.model(&held.model) else {
+                continue;
+            };
+            let layers = usize::from(view.bundle.models[usize::from(model)].layers);
+            let versions = cover.models.entry(&held.model).or_default();
+            let counts = versions
+                .entry(&held.version)
+                .or_insert_with(|| vec![0; layers]);
+            counts[range(held, layers)]
+                .iter_mut()
+                .for_each(|count| *count += 1);
+        }
+        cover
+    }
+
+    /// Takes out what an endpoint holds.
+    pub fn remove(&mut self, held: impl Iterator<Item = &'a Held>) {
+        for held in held.filter(|held| held.ready) {
+            let versions = self.models.get_mut(held.model.as_str());
+            let Some(counts) = versions.and_then(|v| v.get_mut(held.version.as_str())) else {
+                continue;
+            };
+            let range = range(held, counts.len());
+            counts[range]
+                .iter_mut()
+                .for_each(|count| *count = count.saturating_sub(1));
+        }
+    }
+
+    /// Whether the model is whole in any version.
+    pub fn whole(&self, model: &str) -> bool {
+        let versions = self.models.get(model);
+        versions.is_some_and(|versions| versions.values().any(|counts| all(counts)))
+    }
+
+    /// Whether the model is whole in this version.
+    pub fn whole_in(&self, model: &str, version: &str) -> bool {
+        let counts = self
+            .models
+            .get(model)
+            .and_then(|versions| versions.get(version));
+        counts.is_some_and(|counts| all(counts))
+    }
+
+    /// Whether the model would be whole in any version without an endpoint that holds this.
+    pub fn whole_without(&self, model: &str, held: &[&Held]) -> bool {
+        let Some(versions) = self.models.get(model) else {
+            return false;
+        };
+        versions.iter().any(|(version, counts)| {
+            let mine = held
+                .iter()
+                .filter(|h| h.model == model && h.version == *version);
+            let alone = |h: &&&Held| counts[range(h, counts.len())].contains(&1);
+            all(counts) && !mine.into_iter().any(|h| alone(&h))
+        })
+    }
+}
+
+fn all(counts: &[u32]) -> bool {
+    !counts.is_empty() && counts.iter().all(|count| *count > 0)
+}
+
+/// The layers held, within the model's.
+fn range(held: &Held, layers: usize) -> Range<usize> {
+    let to = usize::from(held.to).min(layers);
+    usize::from(held.from).min(to)..to
+}
--- /dev/null
+++ b/crates/lease/src/roll/plan/settle.rs
@@ -0,0 +1,95 @@
+//! What became of orders given and replicas watched.
+
+use super::{Covered, Pending, Roll};
+use crate::Now;
+use crate::roll::action::Cause;
+use crate::roll::cover::Cover;
+use crate::roll::plan::next::begun;
+use crate::roll::view::{Health, View};
+use std::collections::BTreeMap;
+
+/// How an order ended.
+enum End {
+    Ready,
+    Gone,
+    Failed(Cause),
+}
+
+impl Roll {
+    pub(super) fn settle(&mut self, now: Now, view: &View) {
+        let pending = std::mem::take(&mut self.pending);
+        for (name, pending) in pending {
+            match self.end(now, view, &name, &pending) {
+                None => drop(self.pending.insert(name, pending)),
+                Some(End::Ready) if pending.order.fetches() => {
+                    self.fresh.insert(name, now);
+                }
+                Some(End::Failed(cause)) if self.counts(&pending) => self.fail(now, &name, cause),
+                Some(End::Ready | End::Gone | End::Failed(_)) => {}
+            }
+        }
+        self.watch(now, view);
+    }
+
+    /// Since when each model's desired version is covered: from then on nodes start no request on
+    /// another one.
+    pub(super) fn cover(&mut self, now: Now, view: &View) {
+        let mut covered = BTreeMap::new();
+        let cover = Cover::new(view, |_| false);
+        for model in &view.bundle.models {
+            if !cover.whole_in(&model.name, &model.version) {
+                continue;
+            }
+            let before = self
+                .covered
+                .get(&model.name)
+                .filter(|c| c.version == model.version);
+            let since = before.map_or(now, |c| c.since);
+            let version = model.version.clone();
+            covered.insert(model.name.clone(), Covered { version, since });
+        }
+        self.covered = covered;
+    }
+
+    fn end(&self, now: Now, view: &View, name: &str, pending: &Pending) -> Option<End> {
+        let Some(endpoint) = view.bundle.endpoint(name) else {
+            return Some(End::Gone);
+        };
+        match view.health(endpoint) {
+            Health::Leaving => return Some(End::Gone),
+            Health::Down => return Some(End::Failed(Cause::Died)),
+            Health::Up => {}
+        }
+        if view
+            .report(endpoint)
+            .is_some_and(|report| pending.order.done(report))
+        {
+            return Some(End::Ready);
+        }
+        let late = now >= pending.since + self.settings.limit;
+        // An older bundle's order counts for as long as its load may still be under way.
+        let lost = pending.number != self.number
+            && now >= pending.given + self.settings.again
+            && !begun(view, endpoint, &pending.order);
+        (late || lost).then_some(End::Failed(Cause::Late))
+    }
+
+    /// Only loads of the present bundle are its new replicas.
+    fn counts(&self, pending: &Pending) -> bool {
+        pending.number == self.number && pending.order.fetches()
+    }
+
+    /// New replicas that go down soon after they were ready have failed.
+    fn watch(&mut self, now: Now, view: &View) {
+        let soak = self.settings.soak;
+        let fresh = std::mem::take(&mut self.fresh);
+        for (name, since) in fresh {
+            let health = view.bundle.endpoint(&name).map(|id| view.health(id));
+            match health {
+                Some(Health::Down) => self.fail(now, &name, Cause::Unstable),
+                Some(Health::Up) if now < since + soak => drop(self.fresh.insert(name, since)),
+                _ => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lease/tests/rolls/fleet.rs
@@ -0,0 +1,327 @@
+//! Endpoints that carry out orders, in passed-in time.
+
+use bundle::Bundle;
+use bundle::endpoint::{Endpoint, Span};
+use bundle::id::{EndpointId, Layer, Number, ZoneId};
+use bundle::model::Model;
+use bundle::zone::Zone;
+use lease::Now;
+use lease::roll::{Action, Cover, Health, Held, Order, Phase, Rate, Report, Roll, Settings, View};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+pub const LAYERS: Layer = 40;
+pub const SECOND: Duration = Duration::from_secs(1);
+pub const LOAD: Duration = Duration::from_secs(20);
+
+pub fn settings() -> Settings {
+    Settings {
+        limit: Duration::from_secs(60),
+        again: Duration::from_secs(10),
+        soak: Duration::from_secs(15),
+        drain: Duration::from_secs(30),
+        ..Settings::default()
+    }
+}
+
+/// `replicas` pairs of endpoints per zone, each pair holding the whole model.
+pub fn bundle(number: Number, zones: ZoneId, replicas: usize, version: &str) -> Bundle {
+    let zone = |z| Zone {
+        name: format!("z{z}"),
+        region: "south".into(),
+    };
+    let model = Model {
+        name: "m".into(),
+        version: version.into(),
+        layers: LAYERS,
+        context: 4096,
+        adapters: vec!["plain".into()],
+    };
+    let mut endpoints = Vec::new();
+    for zone in 0..zones {
+        for replica in 0..replicas {
+            for (half, from) in [("a", 0), ("b", LAYERS / 2)] {
+                let name = format!("z{zone}-{replica}{half}");
+                let span = Span {
+                    model: 0,
+                    from,
+                    to: from + LAYERS / 2,
+                };
+                endpoints.push(endpoint(name, zone, span));
+            }
+        }
+    }
+    let zones = (0..zones).map(zone).collect();
+    Bundle {
+        number,
+        zones,
+        models: vec![model],
+        endpoints,
+        ..Bundle::default()
+    }
+}
+
+fn endpoint(name: String, zone: ZoneId, span: Span) -> Endpoint {
+    Endpoint {
+        instance: name.clone(),
+        name,
+        addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+        zone,
+        kind: None,
+        spans: vec![span],
+        services: Vec::new(),
+        slots: 4,
+        fenced: false,
+    }
+}
+
+/// What an engine does when it loads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Engine {
+    /// It goes on with what it held.
+    Beside,
+    /// It drops what it held of the model first.
+    InPlace,
+}
+
+/// What is broken on purpose, to show that the invariants bite.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Break {
+    /// Nothing.
+    None,
+    /// Reports say that what is being loaded is ready.
+    FalseReady,
+    /// The roll takes the weight store to allow more than it does.
+    OtherRate,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Load {
+    held: Option<Held>,
+    due: Now,
+}
+
+pub struct Fleet {
+    pub now: Now,
+    pub bundle: Bundle,
+    pub zones: Vec<ZoneId>,
+    pub rate: Rate,
+    pub stopped: Number,
+    pub roll: Roll,
+    pub reports: Vec<Option<Report>>,
+    pub health: Vec<Health>,
+    pub engine: Engine,
+    pub broken: Break,
+    /// A version whose loads never get ready.
+    pub bad: Option<String>,
+    /// Orders lost on their way: the next so many.
+    pub lose: u32,
+    loads: Vec<Load>,
+    pub phases: Vec<Phase>,
+    pub orders: Vec<(Now, EndpointId, Order)>,
+    pub stops: u32,
+    /// What does not hold, with its time.
+    pub findings: Vec<String>,
+}
+
+impl Fleet {
+    /// A fleet that holds nothing.
+    pub fn new(bundle: Bundle) -> Self {
+        let count = bundle.endpoints.len();
+        Self {
+            now: Duration::ZERO,
+            zones: (0..bundle.zones.len() as ZoneId).collect(),
+            rate: Rate {
+                per_minute: 30,
+                at_once: 2,
+            },
+            stopped: 0,
+            roll: Roll::new(settings()),
+            reports: vec![Some(Report::default()); count],
+            health: vec![Health::Up; count],
+            engine: Engine::InPlace,
+            broken: Break::None,
+            bad: None,
+            lose: 0,
+            loads: vec![Load::default(); count],
+            phases: Vec::new(),
+            orders: Vec::new(),
+            stops: 0,
+            findings: Vec::new(),
+            bundle,
+        }
+    }
+
+    /// A fleet that holds all of its bundle.
+    pub fn full(bundle: Bundle) -> Self {
+        let mut fleet = Self::new(bundle);
+        for id in 0..fleet.reports.len() {
+            let span = fleet.bundle.endpoints[id].spans[0];
+            let order = Order::load(&fleet.bundle, &span).unwrap();
+            let report = Report {
+                held: vec![held(&order, true).unwrap()],
+            };
+            fleet.reports[id] = Some(report);
+        }
+        fleet
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += SECOND;
+            self.finish();
+            let before = self.covered();
+            self.step();
+            if before && !self.covered() {
+                self.findings
+                    .push(format!("{:?}: no whole replica is left", self.now));
+            }
+            let up = self
+                .loads
+                .iter()
+                .zip(&self.health)
+                .filter(|(_, h)| **h == Health::Up);
+            let loading = up.filter(|(load, _)| load.held.is_some()).count();
+            if loading > self.rate.at_once as usize {
+                self.findings
+                    .push(format!("{:?}: {loading} fetches at once", self.now));
+            }
+        }
+    }
+
+    /// Endpoints that hold the bundle's version ready.
+    pub fn done(&self) -> usize {
+        let version = &self.bundle.models[0].version;
+        let ready = |r: &&Option<Report>| {
+            let held = r.iter().flat_map(|report| &report.held);
+            held.into_iter().any(|h| h.ready && h.version == *version)
+        };
+        self.reports.iter().filter(ready).count()
+    }
+
+    /// Whether endpoints that are up hold all layers ready in one version.
+    pub fn covered(&self) -> bool {
+        Cover::new(&self.view(), |_| false).whole("m")
+    }
+
+    fn view(&self) -> View<'_> {
+        View {
+            bundle: &self.bundle,
+            zones: &self.zones,
+            reports: &self.reports,
+            health: &self.health,
+            rate: self.rate,
+            stopped: self.stopped,
+        }
+    }
+
+    /// The endpoint restarts with nothing.
+    pub fn restart(&mut self, id: usize) {
+        self.reports[id] = Some(Report::default());
+        self.loads[id] = Load::default();
+    }
+
+    /// An order that some earlier holder sent arrives now.
+    pub fn obey(&mut self, id: usize, order: &Order) {
+        let report = self.reports[id].get_or_insert_default();
+        let Order::Load { model, version, .. } = order else {
+            let Order::Unload { model, version } = order else {
+                return;
+            };
+            return report
+                .held
+                .retain(|h| h.model != *model || h.version != *version);
+        };
+        if report.held.iter().any(|h| order.names(h)) {
+            return;
+        }
+        let bad = self.bad.as_ref() == Some(version);
+        let gentle = order.gentle(report);
+        report
+            .held
+            .retain(|h| h.ready && (gentle || h.version != *version));
+        if self.engine == Engine::InPlace && !gentle {
+            report.held.retain(|h| h.model != *model);
+        }
+        report.held.extend(held(order, false));
+        let time = if bad { LOAD * 1000 } else { LOAD };
+        self.loads[id] = Load {
+            held: held(order, true),
+            due: self.now + time,
+        };
+    }
+
+    fn finish(&mut self) {
+        for (report, load) in self.reports.iter_mut().zip(&mut self.loads) {
+            if load.due > self.now {
+                continue;
+            }
+            let (Some(done), Some(report)) = (load.held.take(), report) else {
+                continue;
+            };
+            report.held.retain(|h| h.version != done.version);
+            report.held.push(done);
+        }
+    }
+
+    fn step(&mut self) {
+        let mut roll = self.roll.clone();
+        let mut actions = Vec::new();
+        let mut view = self.view();
+        let mut reports = self.reports.clone();
+        if self.broken == Break::FalseReady {
+            let held = reports
+                .iter_mut()
+                .flatten()
+                .flat_map(|report| &mut report.held);
+            held.for_each(|held| held.ready = true);
+            view.reports = &reports;
+        }
+        if self.broken == Break::OtherRate {
+            view.rate.at_once += 2;
+        }
+        roll.step(self.now, &view, &mut actions);
+        let findings = roll.check(&view);
+        self.findings.extend(findings);
+        self.roll = roll;
+        for action in actions {
+            match action {
+                Action::Order(id, order) => {
+                    self.orders.push((self.now, id, order.clone()));
+                    match self.lose.checked_sub(1) {
+                        Some(left) => self.lose = left,
+                        None => self.obey(id as usize, &order),
+                    }
+                }
+                Action::Stop(number, _) => {
+                    self.stops += 1;
+                    self.stopped = number;
+                }
+                Action::Phase(phase) => self.phases.push(phase),
+            }
+        }
+    }
+}
+
+fn held(order: &Order, ready: bool) -> Option<Held> {
+    let Order::Load {
+        model,
+        version,
+        adapters,
+        from,
+        to,
+        ..
+    } = order.clone()
+    else {
+        return None;
+    };
+    Some(Held {
+        model,
+        version,
+        adapters,
+        from,
+        to,
+        ready,
+    })
+}
--- /dev/null
+++ b/crates/lease/tests/rolls/main.rs
@@ -0,0 +1,5 @@
+//! Rolls over a small fleet of endpoints that load, fail, leave and restart.
+
+mod cases;
+mod fleet;
+mod random;
