--- a/crates/lease/src/claim/settings.rs
+++ b/crates/lease/src/claim/settings.rs
@@ -42,7 +42,7 @@
             window: Duration::from_secs(3600),
             keys: 65_536,
             answers: 8 << 20,
-            pace: Duration::from_millis(20),
+            pace: Duration::from_millis(100),
             linger: Duration::from_millis(500),
             retry: Duration::from_millis(50),
             retry_most: Duration::from_secs(2),
--- a/crates/lease/tests/claims/cases.rs
+++ b/crates/lease/tests/claims/cases.rs
@@ -11,10 +11,12 @@
 const BODY: u64 = 7;
 
 fn settings() -> Settings {
+    let pace = Duration::from_millis(20);
     Settings {
         shards: 1,
         start: START,
         answers: 1000,
+        pace,
         ..Settings::default()
     }
 }
--- a/crates/lease/tests/decode.rs
+++ b/crates/lease/tests/decode.rs
@@ -1,5 +1,6 @@
 //! Decoders and parsers fed with seeded garbage and mutated good input.
 
+use arbtest::arbtest;
 use lease::claim::key::{Error, Form, MAX_LEN};
 use lease::claim::record::{Batch, Item, MAX_BYTES};
 use lease::claim::{Ticket, ticket};
@@ -196,3 +197,19 @@
     }
     assert!(record::Record::decode(&vec![1; record::MAX_BYTES + 1]).is_err());
 }
+
+/// Bytes of any kind, as the library draws them from fixed seeds.
+#[test]
+fn any_bytes_are_taken_or_refused_without_a_panic() {
+    for seed in 0..500 {
+        arbtest(|u| {
+            let bytes: Vec<u8> = u.arbitrary()?;
+            let text: String = u.arbitrary()?;
+            let _ = Batch::decode(&bytes);
+            let _ = record::Record::decode(&bytes);
+            let _ = Form::parse("desk", &text);
+            Ok(())
+        })
+        .seed(seed);
+    }
+}
