route: prefix locality by rendezvous hash, delay scheduling in the queue, mixes measured

Change: the prefix names its endpoints by a weighted rendezvous hash on which all routers agree; a freed slot goes to the first of a window whose prefix is cached there; links count activations only. examples/mixes.rs with three baselines in the same run.

--- /dev/null
+++ b/crates/route/examples/mixes.rs
@@ -0,0 +1,216 @@
+//! Achieved throughput over the bound of the hardware, for mixes of endpoints and links, with 1,
+//! 3 and 8 routers that choose on load reports 500 ms old, beside three baselines.
+
+#[path = "../tests/support/baseline.rs"]
+mod baseline;
+#[path = "../tests/support/fixture.rs"]
+mod fixture;
+#[path = "../tests/support/host.rs"]
+mod host;
+#[path = "../tests/support/world.rs"]
+mod world;
+
+use baseline::{Baseline, Policy};
+use bundle::Bundle;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use route::request::Request;
+use route::router::Router;
+use route::settings::Settings;
+use std::time::Duration;
+use world::{Brain, Fault, World};
+
+const SLOTS: u32 = 24;
+const WARM: Duration = Duration::from_secs(10);
+const END: Duration = Duration::from_secs(20);
+/// Offered load over the bound: something always waits.
+const OFFERED: f64 = 1.25;
+
+/// A mix: a fleet, a load and the bound in generated tokens per second.
+struct Mix {
+    name: &'static str,
+    bundle: Bundle,
+    lost: Option<usize>,
+    bound: f64,
+    menus: u64,
+    prompt: u32,
+    most: u32,
+}
+
+fn mix(name: &'static str, bundle: Bundle) -> Mix {
+    let bound = route::plan::bound(&bundle, 0);
+    let mix = Mix {
+        name,
+        bundle,
+        lost: None,
+        bound,
+        menus: 0,
+        prompt: 16,
+        most: 32,
+    };
+    Mix {
+        bound: generated(bound, mix.most, mix.prompt),
+        ..mix
+    }
+}
+
+/// Tokens generated per second when each request also computes `prompt` tokens that no cache
+/// holds.
+fn generated(bound: f64, most: u32, prompt: u32) -> f64 {
+    let work = f64::from(most) + f64::from(prompt) / host::PROMPT_PART;
+    bound * f64::from(most) / work
+}
+
+fn mixes() -> Vec<Mix> {
+    let equal = || fixture::fleet(4, SLOTS, 10);
+    vec![
+        mix("equal", equal()),
+        mix("one slow kind", slow_kind()),
+        mix("one slow link", slow_link()),
+        lost(equal()),
+        waves(equal()),
+    ]
+}
+
+/// The second stage of each zone on one fast and four slow accelerators.
+fn slow_kind() -> Bundle {
+    let mut bundle = fixture::bundle(10);
+    for zone in 0..3 {
+        for kind in [0, 0] {
+            fixture::stage(&mut bundle, zone, kind, 0, 16, SLOTS);
+        }
+        for kind in [0, 1, 1, 1, 1] {
+            fixture::stage(&mut bundle, zone, kind, 16, 32, SLOTS);
+        }
+    }
+    bundle
+}
+
+/// First stages in zone a, second stages in zone b behind a slow link, some of both in c.
+fn slow_link() -> Bundle {
+    let mut bundle = fixture::bundle(10);
+    for _ in 0..4 {
+        fixture::stage(&mut bundle, 0, 0, 0, 16, SLOTS);
+        fixture::stage(&mut bundle, 1, 0, 16, 32, SLOTS);
+    }
+    for _ in 0..2 {
+        fixture::stage(&mut bundle, 0, 0, 16, 32, SLOTS);
+        fixture::stage(&mut bundle, 2, 0, 0, 16, SLOTS);
+        fixture::stage(&mut bundle, 2, 0, 16, 32, SLOTS);
+    }
+    fixture::link(&mut bundle, 0, 1, 400.0);
+    bundle
+}
+
+/// Two second stages die before the measurement.
+fn lost(bundle: Bundle) -> Mix {
+    let mut less = bundle.clone();
+    less.endpoints[1].spans.clear();
+    Mix {
+        bound: mix("", less).bound,
+        lost: Some(1),
+        ..mix("a stage lost", bundle)
+    }
+}
+
+/// Requests over 60 menus of 8 blocks each; the bound counts each menu as cached.
+fn waves(bundle: Bundle) -> Mix {
+    let bound = generated(route::plan::bound(&bundle, 0), 32, host::BLOCK);
+    Mix {
+        menus: 60,
+        prompt: 9 * host::BLOCK,
+        bound,
+        ..mix("menu waves", bundle)
+    }
+}
+
+/// Runs a mix; returns throughput over the bound and the 95th percentile of the mean gap in ms.
+fn run<B: Brain>(mix: &Mix, nodes: usize, brain: impl Fn(u64) -> B) -> (f64, f64) {
+    let mut world = World::new(mix.bundle.clone(), nodes, 11, brain);
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let per_second = mix.bound * OFFERED / f64::from(mix.most);
+    let count = (per_second * END.as_secs_f64()) as u64;
+    for i in 0..count {
+        let base = fixture::request(i.into(), Duration::from_secs(3600));
+        let menu = if mix.menus > 0 {
+            rng.random_range(0..mix.menus)
+        } else {
+            0
+        };
+        let blocks = if mix.menus > 0 { 8 } else { 0 };
+        let prefix = (0..blocks).map(|b| menu * 100 + b).collect();
+        let team = rng.random_range(0..10);
+        let request = Request {
+            team,
+            prefix,
+            prompt: mix.prompt,
+            most: mix.most,
+            ..base
+        };
+        let at = Duration::from_secs_f64(i as f64 / per_second);
+        world.arrive(at, rng.random_range(0..nodes), request);
+    }
+    mix.lost
+        .into_iter()
+        .for_each(|h| world.fault(Duration::from_secs(2), Fault::Die(h)));
+    world.run(WARM);
+    let before = world.made;
+    world.run(END);
+    let rate = (world.made - before) as f64 / (END - WARM).as_secs_f64();
+    if std::env::var("DEBUG").is_ok() {
+        let hits: u64 = world.hosts.iter().map(|h| h.hits).sum();
+        let misses: u64 = world.hosts.iter().map(|h| h.misses).sum();
+        eprintln!("hit {:.3}", hits as f64 / (hits + misses) as f64);
+        for h in &world.hosts {
+            eprint!("{:.2}/{} ", h.worked.as_secs_f64() / 19.0, h.running.len());
+        }
+        eprintln!();
+        let waits: u64 = world.open_calls() as u64;
+        eprintln!("open {waits}");
+    }
+    assert_eq!(world.faults(), Vec::<String>::new());
+    (rate / mix.bound, gap(&world))
+}
+
+fn gap<B: Brain>(world: &World<B>) -> f64 {
+    let whole = world
+        .calls
+        .values()
+        .filter(|c| c.ended.is_some_and(|e| e > WARM));
+    let gaps = whole.filter_map(|c| {
+        let time = c.ended?.checked_sub(c.first?)?;
+        (c.tokens > 1).then(|| time.as_secs_f64() * 1e3 / f64::from(c.tokens - 1))
+    });
+    let mut gaps: Vec<f64> = gaps.collect();
+    gaps.sort_by(f64::total_cmp);
+    gaps.get(gaps.len() * 95 / 100).copied().unwrap_or(0.0)
+}
+
+fn main() {
+    println!("throughput over the bound (p95 of the mean gap between tokens, ms)");
+    println!(
+        "{:15} {:>7} {:>8}  {:>14} {:>14} {:>14} {:>14}",
+        "mix", "routers", "bound", "wigeonshelf", "round robin", "least", "two random"
+    );
+    let only = std::env::args().nth(1);
+    for mix in mixes()
+        .into_iter()
+        .filter(|m| only.as_ref().is_none_or(|o| o == m.name))
+    {
+        for nodes in std::env::var("N").map_or(vec![1, 3, 8], |n| vec![n.parse().unwrap()]) {
+            let ours = run(&mix, nodes, |seed| Router::new(seed, Settings::default()));
+            let base = |policy| run(&mix, nodes, |seed| Baseline::new(policy, seed));
+            let all = [
+                ours,
+                base(Policy::Turn),
+                base(Policy::Least),
+                base(Policy::Two),
+            ];
+            let cells = all.map(|(rate, gap)| format!("{rate:.3} ({gap:.0})"));
+            println!(
+                "{:15} {nodes:>7} {:>8.0}  {:>14} {:>14} {:>14} {:>14}",
+                mix.name, mix.bound, cells[0], cells[1], cells[2], cells[3]
+            );
+        }
+    }
+}
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -20,7 +20,7 @@
     fn link(&self, pair: usize) -> Option<f64>;
 }
 
-/// Factor on the cost of a stage that has the whole prefix in its cache.
+/// Factor on the cost of a stage that is likely to have the prefix in its cache.
 const CACHED: f64 = 0.5;
 /// Latency weighs as this many times itself, since each token pays it.
 const ROUND_TRIP: f64 = 2.0;
@@ -37,10 +37,8 @@
     pub load: &'a L,
     /// Stages drawn for each hop.
     pub draws: usize,
-    /// Endpoints that have a part of the prompt in their cache, and which part (0..=1).
+    /// Endpoints that are likely to have a part of the prompt in their cache.
     pub cached: &'a [EndpointId],
-    /// Part of the prompt that is cached there.
-    pub depth: f64,
 }
 
 impl<L: Load> Choice<'_, L> {
@@ -79,13 +77,22 @@
         let rate = if flow > 0.0 { flow } else { row.rate };
         let mut cost = (self.load.endpoint(row.endpoint)? + 1.0) / rate;
         if self.cached.contains(&row.endpoint) {
-            cost *= 1.0 - CACHED * self.depth;
+            cost *= CACHED;
         }
-        let crossing = self.load.link(self.wires.at(zone, row.zone))? + 1.0;
-        let link = crossing / self.wires.rate(zone, row.zone);
+        // Only activations load a link; the token itself, sent to the first hop, does not.
+        let link = if row.from == 0 {
+            0.0
+        } else {
+            self.crossing(zone, row.zone)?
+        };
         let away = self.wires.latency(self.zone, row.zone).as_secs_f64() * ROUND_TRIP;
         Some(cost + link + away)
     }
+
+    fn crossing(&self, from: ZoneId, to: ZoneId) -> Option<f64> {
+        let streams = self.load.link(self.wires.at(from, to))?;
+        Some((streams + 1.0) / self.wires.rate(from, to))
+    }
 }
 
 /// Draws one of `nexts` by flow; their `sum` grows.
--- a/crates/route/src/choose/locality.rs
+++ b/crates/route/src/choose/locality.rs
@@ -1,16 +1,31 @@
-//! Prefix locality: which endpoints served a prompt's prefix lately.
+//! Prefix locality: where the cache of a prompt's prefix is likely to be.
+//!
+//! A rendezvous hash of the prefix over the stages, weighted by flow, names a few endpoints, and
+//! all routers name the same ones without a word. The key is the first block of the prompt;
+//! where a large part of all requests begin with that block, it is the first block at which they
+//! part, so that a common preamble does not send everything to a few endpoints.
 
+use crate::plan::graph::Graph;
 use bundle::id::EndpointId;
 use std::collections::BTreeMap;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Endpoints remembered for one prefix at most; the oldest goes first.
-const ENDPOINTS: usize = 12;
+/// One in this many requests that begin with a block make it hot.
+const HOT: u64 = 6;
+/// Requests with a block below which it is not hot.
+const FEW: u32 = 32;
+/// First stages, and later ones after each of these, that a prefix is sent to.
+const HOME: (usize, usize) = (2, 2);
+/// As many when those are full and these are not.
+const SPARE: (usize, usize) = (4, 2);
 
 /// Memory of prefixes, bounded; the least lately used ones are forgotten.
 #[derive(Clone, Debug)]
 pub struct Locality {
     most: usize,
     clock: u64,
+    /// Requests counted.
+    noted: u64,
     seen: BTreeMap<u64, Seen>,
     ages: BTreeMap<u64, u64>,
 }
@@ -18,7 +33,16 @@
 #[derive(Clone, Debug)]
 struct Seen {
     age: u64,
-    endpoints: Vec<EndpointId>,
+    count: u32,
+}
+
+/// Where a prompt's prefix is likely to be cached.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Preference {
+    /// Endpoints that it is sent to.
+    pub home: Vec<EndpointId>,
+    /// These, and the next ones.
+    pub spare: Vec<EndpointId>,
 }
 
 impl Locality {
@@ -27,40 +51,26 @@
         Self {
             most,
             clock: 0,
+            noted: 0,
             seen: BTreeMap::new(),
             ages: BTreeMap::new(),
         }
     }
 
-    /// Endpoints that served the longest known prefix, and which part of the prompt it is.
-    pub fn find(&self, prefix: &[u64]) -> (&[EndpointId], f64) {
-        let known = prefix.iter().enumerate().rev();
-        let found = known
-            .filter_map(|(i, h)| self.seen.get(h).map(|s| (i, s)))
-            .next();
-        found.map_or((&[], 0.0), |(i, s)| {
-            (s.endpoints.as_slice(), (i + 1) as f64 / prefix.len() as f64)
-        })
-    }
-
-    /// Remembers that `chain` serves `prefix`.
-    pub fn learn(&mut self, prefix: &[u64], chain: impl Iterator<Item = EndpointId> + Clone) {
+    /// Counts a request with this prefix.
+    pub fn note(&mut self, prefix: &[u64]) {
+        self.noted += 1;
         for &hash in prefix {
             self.clock += 1;
             let fresh = Seen {
                 age: self.clock,
-                endpoints: Vec::new(),
+                count: 0,
             };
             let seen = self.seen.entry(hash).or_insert(fresh);
             self.ages.remove(&seen.age);
             seen.age = self.clock;
+            seen.count = seen.count.saturating_add(1);
             self.ages.insert(self.clock, hash);
-            for endpoint in chain.clone() {
-                seen.endpoints.retain(|&e| e != endpoint);
-                seen.endpoints.push(endpoint);
-            }
-            let over = seen.endpoints.len().saturating_sub(ENDPOINTS);
-            seen.endpoints.drain(..over);
         }
         while self.seen.len() > self.most {
             let Some((_, hash)) = self.ages.pop_first() else {
@@ -70,22 +80,22 @@
         }
     }
 
-    /// Renames endpoints after a new bundle, and forgets those that are gone.
-    pub fn follow(&mut self, moved: &[Option<EndpointId>]) {
-        for seen in self.seen.values_mut() {
-            let kept = seen
-                .endpoints
-                .iter()
-                .filter_map(|&e| moved.get(e as usize).copied()?);
-            seen.endpoints = kept.collect();
+    /// Where the shared part of `prefix` is likely to be cached.
+    pub fn find(&self, prefix: &[u64], graph: &Graph) -> Preference {
+        let cool = prefix.iter().find(|h| !self.hot(**h));
+        let Some(&key) = cool.or(prefix.last()) else {
+            return Preference::default();
+        };
+        Preference {
+            home: rendezvous(graph, key, HOME),
+            spare: rendezvous(graph, key, SPARE),
         }
     }
 
-    /// Forgets an endpoint that restarted or died: its cache is gone.
-    pub fn forget(&mut self, endpoint: EndpointId) {
-        self.seen
-            .values_mut()
-            .for_each(|s| s.endpoints.retain(|&e| e != endpoint));
+    /// Whether so many requests begin with this that a few endpoints could not serve them.
+    fn hot(&self, hash: u64) -> bool {
+        let count = self.seen.get(&hash).map_or(0, |s| s.count);
+        count > FEW && u64::from(count) * HOT > self.noted
     }
 
     /// Prefixes remembered.
@@ -98,3 +108,39 @@
         self.seen.is_empty()
     }
 }
+
+/// The endpoints of the first chains in the order of a weighted rendezvous hash of `key`: so many
+/// first stages, and so many later ones after each of these.
+fn rendezvous(graph: &Graph, key: u64, (first, later): (usize, usize)) -> Vec<EndpointId> {
+    let mut found = Vec::new();
+    let mut ports = vec![(Graph::START, first)];
+    while let Some((port, most)) = ports.pop() {
+        for stage in leading(graph, port, key, most) {
+            let row = &graph.stages[stage];
+            found.push(row.endpoint);
+            if row.to < graph.layers {
+                ports.push((graph.port(row), later));
+            }
+        }
+    }
+    found
+}
+
+/// The `most` stages after `port` with the least weighted hash.
+fn leading(graph: &Graph, port: usize, key: u64, most: usize) -> Vec<usize> {
+    let mut before = 0.0;
+    let ranked = graph.nexts(port).iter().map(|next| {
+        let flow = next.sum - before;
+        before = next.sum;
+        let hash = xxh3_64_with_seed(&graph.stages[next.stage].salt.to_le_bytes(), key);
+        let unit = (hash >> 11) as f64 / (1_u64 << 53) as f64;
+        (-unit.max(f64::MIN_POSITIVE).ln() / flow, next.stage)
+    });
+    let mut ranked: Vec<_> = ranked.collect();
+    ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+    ranked
+        .into_iter()
+        .take(most)
+        .map(|(_, stage)| stage)
+        .collect()
+}
--- a/crates/route/src/flight.rs
+++ b/crates/route/src/flight.rs
@@ -1,6 +1,7 @@
 //! One request on its way through the router.
 
 use crate::action::Hop;
+use crate::choose::locality::Preference;
 use crate::queue::Entry;
 use crate::request::{Id, Request};
 use crate::{Attempt, Now};
@@ -49,6 +50,10 @@
     pub waits: Option<EndpointId>,
     /// How it waits in the queue, while it does.
     pub entry: Option<Entry>,
+    /// Where its prefix is likely to be cached, with the plan's number that this is for.
+    pub preference: Option<(u64, Preference)>,
+    /// Since when it waits for a place there.
+    pub lingers: Option<Now>,
     /// Its latest attempt, while it runs.
     pub run: Option<Run>,
 }
@@ -60,7 +65,7 @@
     pub hops: Vec<Hop>,
     /// By hop: the endpoint's id in the bundle in force.
     pub rows: Vec<Option<EndpointId>>,
-    /// By hop: the zone that is left and the zone that is reached.
+    /// Between hops: the zone that is left and the zone that is reached.
     pub pairs: Vec<(ZoneId, ZoneId)>,
     /// By hop: the time for it that the concurrency limits aim at.
     pub allowed: Vec<Duration>,
@@ -96,6 +101,8 @@
             paused: false,
             waits: None,
             entry: None,
+            preference: None,
+            lingers: None,
             run: None,
         }
     }
--- a/crates/route/src/plan.rs
+++ b/crates/route/src/plan.rs
@@ -11,7 +11,6 @@
 use bundle::id::{EndpointId, Layer, ModelId, ZoneId};
 use bundle::link::Link;
 use std::collections::BTreeMap;
-use std::hash::Hasher;
 use std::time::Duration;
 
 pub mod flow;
@@ -91,6 +90,7 @@
                 from: span.from,
                 to: span.to,
                 rate: speed / f64::from(span.to - span.from),
+                salt: xxhash_rust::xxh3::xxh3_64(row.name.as_bytes()),
             });
         }
     }
@@ -110,12 +110,7 @@
     let mut near = Vec::new();
     for mut range in ranges.into_values() {
         let keep = (range.len() * most).div_ceil(all.len()).max(MIN_RANGE);
-        range.sort_by_key(|s| {
-            (
-                distance(&view.bundle, view.zone, s.zone),
-                rank(view, seed, s),
-            )
-        });
+        range.sort_by_key(|s| (distance(&view.bundle, view.zone, s.zone), rank(seed, s)));
         near.extend(range.into_iter().take(keep));
     }
     near
@@ -134,14 +129,8 @@
     }
 }
 
-fn rank(view: &View, seed: u64, stage: &Stage) -> u64 {
-    let mut hash = xxhash_rust::xxh3::Xxh3::with_seed(seed);
-    hash.write(
-        view.bundle.endpoints[stage.endpoint as usize]
-            .name
-            .as_bytes(),
-    );
-    hash.finish()
+fn rank(seed: u64, stage: &Stage) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(&stage.salt.to_le_bytes(), seed)
 }
 
 /// Links by pair of zones; a pair that the bundle does not name is unbounded and has no latency.
--- a/crates/route/src/plan/graph.rs
+++ b/crates/route/src/plan/graph.rs
@@ -19,6 +19,8 @@
     pub to: Layer,
     /// Tokens per second through these layers.
     pub rate: f64,
+    /// Hash of the endpoint's name, alike on all nodes.
+    pub salt: u64,
 }
 
 /// A stage that a chain can go on with.
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -49,6 +49,9 @@
     }
 }
 
+/// Requests of one lane in a window.
+const LANE: usize = 8;
+
 /// One line.
 #[derive(Clone, Debug, Default)]
 pub struct Line {
@@ -196,19 +199,22 @@
         self.suspects.values().copied()
     }
 
-    /// The request that is next by fair shares.
-    pub fn fair(&self) -> Option<Id> {
-        let busy = self.classes.values().filter(|c| c.len > 0);
-        let class = busy.min_by(|a, b| a.pass.total_cmp(&b.pass))?;
-        let busy = class.lanes.values().filter(|l| !l.ids.is_empty());
-        let lane = busy.min_by(|a, b| a.pass.total_cmp(&b.pass))?;
-        lane.ids.first_key_value().map(|(_, &id)| id)
-    }
-
-    /// The request that arrived last and is not urgent, the first to go when the queue is full.
-    pub fn newest(&self, team: TeamId, priority: PriorityId) -> Option<Id> {
-        let lane = self.classes.get(&priority)?.lanes.get(&team)?;
-        lane.ids.last_key_value().map(|(_, &id)| id)
+    /// The first `most` requests that are next by fair shares, each lane's first ones together.
+    pub fn window(&self, most: usize) -> Vec<Id> {
+        let mut classes: Vec<_> = self.classes.values().filter(|c| c.len > 0).collect();
+        classes.sort_by(|a, b| a.pass.total_cmp(&b.pass));
+        let mut ids = Vec::new();
+        for class in classes {
+            let mut lanes: Vec<_> = class.lanes.values().filter(|l| !l.ids.is_empty()).collect();
+            lanes.sort_by(|a, b| a.pass.total_cmp(&b.pass));
+            for lane in lanes {
+                ids.extend(lane.ids.values().take((most - ids.len()).min(LANE)));
+                if ids.len() == most {
+                    return ids;
+                }
+            }
+        }
+        ids
     }
 
     /// Requests expected to start before a new one of `team` at `priority`, by fair shares.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -50,6 +50,8 @@
     view: Option<Arc<View>>,
     fleet: Fleet,
     plan: Plan,
+    /// Number of the plan.
+    epoch: u64,
     hoped: follow::Hope,
     locality: Locality,
     queue: Queue,
@@ -88,6 +90,7 @@
             view: None,
             fleet: Fleet::default(),
             plan: Plan::default(),
+            epoch: 0,
             hoped: follow::Hope::default(),
             locality: Locality::new(limits.prefixes),
             queue: Queue::default(),
--- a/crates/route/src/router/admit.rs
+++ b/crates/route/src/router/admit.rs
@@ -1,6 +1,7 @@
 //! Admission: limits first, then whether the deadline can be met.
 
 use super::Router;
+use super::launch::keyed;
 use crate::Now;
 use crate::flight::{Flight, Phase};
 use crate::queue::{self, Entry, Rank};
@@ -31,6 +32,9 @@
         let urgent = self.urgent(&request);
         self.seq += 1;
         self.deadlines.insert((request.deadline, id));
+        if let Target::Model(model, adapter) = request.target {
+            self.locality.note(&keyed(&request.prefix, model, adapter));
+        }
         self.flights
             .insert(id, Flight::new(request, self.seq, now, urgent));
         self.enqueue(now, id);
--- a/crates/route/src/router/check.rs
+++ b/crates/route/src/router/check.rs
@@ -214,7 +214,6 @@
                 load: &eyes,
                 draws: 0,
                 cached: &[],
-                depth: 0.0,
             };
             !suspect && choice.search().is_some()
         };
--- a/crates/route/src/router/dispatch.rs
+++ b/crates/route/src/router/dispatch.rs
@@ -103,16 +103,31 @@
     }
 
     fn dispatch_fair(&mut self, now: Now, line: Target, held: &BTreeSet<EndpointId>) {
-        while let Some(id) = self.queue.line(line).and_then(|l| l.fair()) {
-            let flight = self.flights.get(&id);
-            if flight.is_some_and(|f| self.hopeless(now, f)) {
-                self.give_up(now, id, Reason::Overload, Some(LATER));
-                continue;
-            }
-            if !self.launch(now, id, Mode::Fair, held) {
-                return;
+        while self.start_one(now, line, held) {}
+    }
+
+    /// Starts or gives up one request of a line; whether it did. First looks for one whose
+    /// prefix is cached where there is a place: without this, a freed slot goes to whatever
+    /// comes next, and each endpoint's cache is filled with everything.
+    fn start_one(&mut self, now: Now, line: Target, held: &BTreeSet<EndpointId>) -> bool {
+        let window = self.queue.line(line).map(|l| l.window(self.limits.window));
+        let window = window.unwrap_or_default();
+        let flight = |id: &&Id| self.flights.get(*id).is_some_and(|f| self.hopeless(now, f));
+        if let Some(&id) = window.iter().find(flight) {
+            self.give_up(now, id, Reason::Overload, Some(LATER));
+            return true;
+        }
+        let lingers: Vec<bool> = window.iter().map(|&id| self.lingers(now, id)).collect();
+        for mode in [Mode::Fair, Mode::Spare] {
+            if window
+                .iter()
+                .any(|&id| self.launch_cached(now, id, mode, held))
+            {
+                return true;
             }
         }
+        let next = window.iter().zip(lingers).find(|(_, lingers)| !lingers);
+        next.is_some_and(|(&id, _)| self.launch(now, id, Mode::Fair, held))
     }
 
     /// Pauses work that yields on each full endpoint of a chain and starts an urgent request
--- a/crates/route/src/router/eyes.rs
+++ b/crates/route/src/router/eyes.rs
@@ -13,6 +13,8 @@
 pub enum Mode {
     /// Fair work: leaves alone what urgent work waits for.
     Fair,
+    /// Fair work where its prefix is not cached yet: endpoints with much room.
+    Spare,
     /// Urgent work: within the concurrency limits, whatever others run.
     Urgent,
     /// Urgent work that may pause what yields.
@@ -43,6 +45,8 @@
     pub yields: &'a BTreeMap<EndpointId, u32>,
 }
 
+/// Part of its slots below which an endpoint has much room.
+const SPARE: f64 = 0.06;
 /// Streams a link may carry, as a multiple of those that fill it at the aimed time per token.
 const LINK_HEADROOM: f64 = 2.0;
 
@@ -63,9 +67,10 @@
                 let yields = self.yields.get(&endpoint).copied().unwrap_or(0);
                 row.flying.saturating_sub(yields) < row.limit()
             }
-            Mode::Fair => {
+            Mode::Fair | Mode::Spare => {
                 let held = self.held.contains(&endpoint);
-                !held && row.flying < row.limit() && all < f64::from(row.slots)
+                let room = if self.mode == Mode::Spare { SPARE } else { 1.0 };
+                !held && row.flying < row.limit() && all < f64::from(row.slots) * room
             }
         };
         free.then(|| all * row.pace.slow.max(1.0))
@@ -74,7 +79,7 @@
     fn link(&self, pair: usize) -> Option<f64> {
         let streams = f64::from(self.fleet.links.get(pair).copied().unwrap_or(0));
         let most = self.wires.rate_at(pair) * self.limits.gap.as_secs_f64() * LINK_HEADROOM;
-        let free = self.mode != Mode::Fair || streams < most.max(1.0);
+        let free = !matches!(self.mode, Mode::Fair | Mode::Spare) || streams < most.max(1.0);
         free.then_some(streams)
     }
 }
--- a/crates/route/src/router/follow.rs
+++ b/crates/route/src/router/follow.rs
@@ -59,6 +59,7 @@
         let row = |e: EndpointId| rows.get(e as usize);
         let usable = |e| row(e).is_some_and(|r| r.open && !r.health.out());
         self.plan = Plan::new(&view, usable, self.seed, self.limits.subset);
+        self.epoch += 1;
         self.hoped = Hope::default();
         if rows.iter().any(|r| r.open && r.health.out()) {
             let all = Plan::new(
@@ -115,7 +116,6 @@
             .iter()
             .filter_map(|&e| moved.get(e as usize).copied()?)
             .collect();
-        self.locality.follow(moved);
         self.crash.rename(moved);
         let ids: Vec<Id> = self.flights.keys().copied().collect();
         for id in ids {
--- a/crates/route/src/router/launch.rs
+++ b/crates/route/src/router/launch.rs
@@ -10,8 +10,9 @@
 use crate::plan::graph::Graph;
 use crate::queue;
 use crate::request::{Id, Target};
-use bundle::id::{EndpointId, ZoneId};
+use bundle::id::{EndpointId, ModelId, ZoneId};
 use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -36,70 +37,183 @@
         true
     }
 
-    /// Chooses a chain; without the endpoints that failed the request if there is such a one.
-    pub(super) fn pick(
+    /// Starts a request if a chain takes it where its prefix is likely to be cached.
+    pub(super) fn launch_cached(
         &mut self,
         now: Now,
         id: Id,
         mode: Mode,
         held: &BTreeSet<EndpointId>,
-        yields: &BTreeMap<EndpointId, u32>,
+    ) -> bool {
+        let Some(hops) = self.pick_cached(now, id, mode, held) else {
+            return false;
+        };
+        self.start(now, id, hops, mode);
+        true
+    }
+
+    fn pick_cached(
+        &self,
+        now: Now,
+        id: Id,
+        mode: Mode,
+        held: &BTreeSet<EndpointId>,
     ) -> Option<Vec<Hop>> {
         let flight = self.flights.get(&id)?;
-        let mut eyes = Eyes {
-            fleet: &self.fleet,
-            wires: &self.plan.wires,
-            limits: &self.limits,
+        let Target::Model(model, _) = flight.request.target else {
+            return None;
+        };
+        let (_, preference) = flight.preference.as_ref()?;
+        let wide = mode == Mode::Spare;
+        let none = BTreeMap::new();
+        let eyes = self.eyes(now, mode, &flight.avoid, held, &none);
+        let graph = self.graph(model)?;
+        let choice = Choice {
+            cached: if wide {
+                &preference.spare
+            } else {
+                &preference.home
+            },
+            ..self.choice(graph, &eyes, flight, 0)?
+        };
+        let chain = choice.draw(&mut self.rng.clone())?;
+        Some(hops(graph, &chain))
+    }
+
+    /// Whether a request should rather wait for a place where its prefix is cached.
+    pub(super) fn lingers(&mut self, now: Now, id: Id) -> bool {
+        self.prefer(id);
+        let longest = self.limits.linger;
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return false;
+        };
+        flight.lingers.get_or_insert(now);
+        let preference = flight.preference.as_ref();
+        preference.is_some_and(|(_, p)| !p.home.is_empty()) && lingered(now, flight) < longest
+    }
+
+    /// Finds where a request's prefix is likely to be cached, once for each plan.
+    fn prefer(&mut self, id: Id) {
+        let Some(flight) = self.flights.get(&id) else {
+            return;
+        };
+        let Target::Model(model, adapter) = flight.request.target else {
+            return;
+        };
+        if flight
+            .preference
+            .as_ref()
+            .is_some_and(|(epoch, _)| *epoch == self.epoch)
+        {
+            return;
+        }
+        let prefix = keyed(&flight.request.prefix, model, adapter);
+        let found = self
+            .graph(model)
+            .map(|g| self.locality.find(&prefix, g))
+            .unwrap_or_default();
+        let epoch = self.epoch;
+        self.flights.get_mut(&id).into_iter().for_each(|f| {
+            f.preference = Some((epoch, found.clone()));
+        });
+    }
+
+    /// The preferred graph of a model.
+    fn graph(&self, model: ModelId) -> Option<&Graph> {
+        let near = self.plan.near.get(model as usize)?.as_ref();
+        near.or(self.plan.whole.get(model as usize))
+    }
+
+    fn eyes<'a>(
+        &'a self,
+        now: Now,
+        mode: Mode,
+        avoid: &'a [EndpointId],
+        held: &'a BTreeSet<EndpointId>,
+        yields: &'a BTreeMap<EndpointId, u32>,
+    ) -> Eyes<'a> {
+        let (fleet, wires, limits) = (&self.fleet, &self.plan.wires, &self.limits);
+        Eyes {
+            fleet,
+            wires,
+            limits,
             now,
             mode,
-            avoid: &flight.avoid,
+            avoid,
             held,
             yields,
-        };
+        }
+    }
+
+    fn choice<'a>(
+        &'a self,
+        graph: &'a Graph,
+        load: &'a Eyes<'a>,
+        flight: &'a Flight,
+        draws: usize,
+    ) -> Option<Choice<'a, Eyes<'a>>> {
         let zone = self.view.as_ref()?.zone;
-        let rng = &mut self.rng;
-        let plan = &self.plan;
-        let searched = &mut self.report.searched;
-        let mut choose = |eyes: &Eyes| match flight.request.target {
+        let preference = flight.preference.as_ref().map(|(_, p)| p);
+        let cached = preference.map_or(&[][..], |p| &p.home);
+        Some(Choice {
+            graph,
+            wires: &self.plan.wires,
+            zone,
+            load,
+            draws,
+            cached,
+        })
+    }
+
+    /// Chooses a chain; without the endpoints that failed the request if there is such a one.
+    pub(super) fn pick(
+        &mut self,
+        now: Now,
+        id: Id,
+        mode: Mode,
+        held: &BTreeSet<EndpointId>,
+        yields: &BTreeMap<EndpointId, u32>,
+    ) -> Option<Vec<Hop>> {
+        self.prefer(id);
+        // The generator is moved out so that the choice can borrow the rest.
+        let mut rng = self.rng.clone();
+        let flight = self.flights.get(&id)?;
+        let eyes = self.eyes(now, mode, &flight.avoid, held, yields);
+        let mut found = self.choose(flight, &eyes, &mut rng);
+        if found.is_none() && !flight.avoid.is_empty() {
+            let eyes = self.eyes(now, mode, &[], held, yields);
+            found = self.choose(flight, &eyes, &mut rng);
+        }
+        self.rng = rng;
+        let (hops, searched) = found?;
+        self.report.searched += u64::from(searched);
+        Some(hops)
+    }
+
+    /// A chain that takes the request, and whether it had to be searched.
+    fn choose(
+        &self,
+        flight: &Flight,
+        eyes: &Eyes,
+        rng: &mut ChaCha8Rng,
+    ) -> Option<(Vec<Hop>, bool)> {
+        let draws = self.limits.candidates;
+        match flight.request.target {
             Target::Service(service) => {
-                let endpoints = plan.services.get(service as usize)?;
-                serve(eyes, endpoints, zone, self.limits.candidates, rng)
+                let endpoints = self.plan.services.get(service as usize)?;
+                let zone = self.view.as_ref()?.zone;
+                serve(eyes, endpoints, zone, draws, rng).map(|hops| (hops, false))
             }
-            Target::Model(model, adapter) => {
-                let prefix = keyed(&flight.request.prefix, model, adapter);
-                let (cached, depth) = self.locality.find(&prefix);
-                let whole = plan.whole.get(model as usize)?;
-                let near = plan.near.get(model as usize)?.as_ref().unwrap_or(whole);
-                let draws = self.limits.candidates;
-                let wires = &plan.wires;
-                let choice = Choice {
-                    graph: near,
-                    wires,
-                    zone,
-                    load: eyes,
-                    draws,
-                    cached,
-                    depth,
-                };
-                if let Some(chain) = choice.draw(rng) {
-                    return Some(hops(near, &chain));
+            Target::Model(model, _) => {
+                let near = self.graph(model)?;
+                if let Some(chain) = self.choice(near, eyes, flight, draws)?.draw(rng) {
+                    return Some((hops(near, &chain), false));
                 }
-                *searched += 1;
-                let choice = Choice {
-                    graph: whole,
-                    ..choice
-                };
-                choice.search().map(|chain| hops(whole, &chain))
+                let whole = self.plan.whole.get(model as usize)?;
+                let chain = self.choice(whole, eyes, flight, draws)?.search()?;
+                Some((hops(whole, &chain), true))
             }
-        };
-        if let Some(hops) = choose(&eyes) {
-            return Some(hops);
-        }
-        if flight.avoid.is_empty() {
-            return None;
         }
-        eyes.avoid = &[];
-        choose(&eyes)
     }
 
     /// Starts an attempt on `hops`.
@@ -120,7 +234,6 @@
         let alone = matches!(mode, Mode::Alone(_));
         let run = self.run(now, &flight, &hops, alone);
         self.occupy(now, id, &run, alone);
-        self.learn(&flight, &hops);
         flight.attempt += 1;
         flight.phase = Phase::Running;
         flight.run = Some(run);
@@ -140,21 +253,11 @@
         }
     }
 
-    fn learn(&mut self, flight: &Flight, hops: &[Hop]) {
-        if let Target::Model(model, adapter) = flight.request.target {
-            let prefix = keyed(&flight.request.prefix, model, adapter);
-            self.locality
-                .learn(&prefix, hops.iter().map(|h| h.endpoint));
-        }
-    }
-
     fn run(&self, now: Now, flight: &Flight, hops: &[Hop], alone: bool) -> Run {
-        let zones = hops.iter().map(|h| self.zone(h.endpoint));
-        let first = self.view.as_ref().map_or(0, |v| v.zone);
-        let froms = std::iter::once(first).chain(zones.clone());
+        let zones: Vec<_> = hops.iter().map(|h| self.zone(h.endpoint)).collect();
         Run {
             rows: hops.iter().map(|h| Some(h.endpoint)).collect(),
-            pairs: froms.zip(zones).collect(),
+            pairs: zones.windows(2).map(|w| (w[0], w[1])).collect(),
             allowed: hops.iter().map(|h| self.allowed(flight, h)).collect(),
             hops: hops.to_vec(),
             started: now,
@@ -228,6 +331,13 @@
     }
 }
 
+/// How long a request has waited for a place where its prefix is cached.
+fn lingered(now: Now, flight: &Flight) -> Duration {
+    flight
+        .lingers
+        .map_or(Duration::ZERO, |since| now.saturating_sub(since))
+}
+
 /// Work that a request is charged with, in tokens.
 pub(super) fn cost(flight: &Flight) -> f64 {
     let left = flight.request.most.saturating_sub(flight.tokens);
@@ -235,7 +345,7 @@
 }
 
 /// Prefix hashes told apart by model and adapter.
-fn keyed(prefix: &[u64], model: u16, adapter: Option<u16>) -> Vec<u64> {
+pub(super) fn keyed(prefix: &[u64], model: u16, adapter: Option<u16>) -> Vec<u64> {
     let key = (u64::from(model) << 32) | adapter.map_or(0, |a| u64::from(a) + 1);
     prefix
         .iter()
--- a/crates/route/src/router/verdict.rs
+++ b/crates/route/src/router/verdict.rs
@@ -130,7 +130,6 @@
         if first {
             self.observe(Observation::Ejected(endpoint));
         }
-        self.locality.forget(endpoint);
         self.stale = true;
         let on = self.flights.values().filter(|f| f.on(endpoint));
         let ids: Vec<Id> = on.map(|f| f.id()).collect();
--- a/crates/route/src/settings.rs
+++ b/crates/route/src/settings.rs
@@ -15,6 +15,10 @@
     pub subset: usize,
     /// Prefixes whose endpoints are remembered.
     pub prefixes: usize,
+    /// Time a request waits for a place where its prefix is cached before it goes elsewhere.
+    pub linger: Duration,
+    /// Requests looked at for one that is cached where there is a place.
+    pub window: usize,
     /// Time between two tokens that the concurrency limits aim at.
     pub gap: Duration,
     /// Age of a load report at which it counts half.
@@ -55,8 +59,10 @@
             candidates: 3,
             subset: 96,
             prefixes: 4096,
+            linger: Duration::from_millis(8000),
+            window: 64,
             gap: Duration::from_millis(45),
-            half_life: Duration::from_secs(1),
+            half_life: Duration::from_secs(3),
             tries: 6,
             retry_ratio: 0.1,
             retry_burst: 16.0,
--- a/crates/route/tests/support/host.rs
+++ b/crates/route/tests/support/host.rs
@@ -35,6 +35,11 @@
     /// Prefix blocks that fit in the cache.
     pub room: usize,
     pub running: BTreeSet<(usize, Id, Attempt)>,
+    /// Prefix blocks found in the cache, and not found.
+    pub hits: u64,
+    pub misses: u64,
+    /// Time spent computing.
+    pub worked: Duration,
     speed: f64,
     busy: Now,
     cache: VecDeque<u64>,
@@ -52,6 +57,9 @@
             slow: 1.0,
             room: 128,
             running: BTreeSet::new(),
+            hits: 0,
+            misses: 0,
+            worked: Duration::ZERO,
             speed: endpoint
                 .kind
                 .map_or(0.0, |k| bundle.kinds[k as usize].layers_per_second),
@@ -79,6 +87,8 @@
             .iter()
             .take_while(|h| self.cache.contains(h))
             .count() as u32;
+        self.hits += u64::from(known);
+        self.misses += cost.prefix.len() as u64 - u64::from(known);
         for &hash in cost.prefix.iter().rev() {
             self.cache.retain(|&h| h != hash);
             self.cache.push_back(hash);
@@ -89,6 +99,7 @@
         let prompt = cost.prompt.saturating_sub(known * BLOCK);
         let tokens = 1.0 + f64::from(prompt) / PROMPT_PART;
         let time = tokens * f64::from(cost.layers) / self.speed * self.slow;
+        self.worked += Duration::from_secs_f64(time);
         let done = ready.max(self.busy) + Duration::from_secs_f64(time);
         self.pace += 0.05 * ((done - ready).as_secs_f64() - self.pace);
         self.busy = done;
--- a/crates/route/tests/support/world.rs
+++ b/crates/route/tests/support/world.rs
@@ -313,10 +313,9 @@
             Event::Token(id, attempt) | Event::Finished(id, attempt) => Some((node, *id, *attempt)),
             _ => None,
         };
-        if let (Some(key), Event::Token(..)) = (key, &event) {
-            if self.streams.contains_key(&key) {
-                self.token(key.1);
-            }
+        let live = key.filter(|k| self.streams.contains_key(k));
+        if let (Some(key), Event::Token(..)) = (live, &event) {
+            self.token(key.1);
         }
         if let (Some(key), Event::Finished(..)) = (key, &event) {
             self.streams.remove(&key);
@@ -520,7 +519,11 @@
             .hop
             .checked_sub(1)
             .map(|h| self.hosts[stream.hosts[h]].zone);
-        let ready = self.cross(before.unwrap_or(self.nodes[key.0].view.zone), zone);
+        // Only activations load a link; the token itself, sent to the first hop, does not.
+        let ready = match before {
+            Some(before) => self.cross(before, zone),
+            None => self.now + ROUND_TRIP / 2,
+        };
         let call = &self.calls[&key.1];
         let cost = Cost {
             layers: hop.to - hop.from,
