--- a/crates/route/src/settings.rs
+++ b/crates/route/src/settings.rs
@@ -56,7 +56,7 @@
         Self {
             queue: 4096,
             urgent: 1024,
-            candidates: 3,
+            candidates: 4,
             subset: 96,
             prefixes: 4096,
             linger: Duration::from_millis(8000),
--- a/crates/route/tests/support/world.rs
+++ b/crates/route/tests/support/world.rs
@@ -81,6 +81,8 @@
     pub request: Request,
     pub node: usize,
     pub arrived: Now,
+    /// When its first attempt was sent.
+    pub started: Option<Now>,
     pub first: Option<Now>,
     pub ended: Option<Now>,
     pub outcome: Option<Outcome>,
@@ -281,6 +283,7 @@
         let call = Call {
             node,
             arrived: self.now,
+            started: None,
             first: None,
             ended: None,
             outcome: None,
@@ -433,6 +436,7 @@
             .collect();
         let call = self.calls.get_mut(&id).expect("known");
         call.sent += 1;
+        call.started.get_or_insert(self.now);
         if call.ended.is_some() {
             self.wrong.push(format!("{id:x}: started after its end"));
         }
