--- a/crates/route/src/router/admit.rs
+++ b/crates/route/src/router/admit.rs
@@ -1,6 +1,7 @@
 //! Admission: limits first, then whether the deadline can be met.
 
 use super::Router;
+use super::launch::keyed;
 use crate::Now;
 use crate::flight::{Flight, Phase};
 use crate::queue::{self, Entry, Rank};
@@ -32,6 +33,9 @@
         self.seq += 1;
         self.deadlines.insert((request.deadline, id));
         let pending = self.crash.pending(request.fingerprint);
+        if let Target::Model(model, adapter) = request.target {
+            self.locality.note(&keyed(&request.prefix, model, adapter));
+        }
         self.flights
             .insert(id, Flight::new(request, self.seq, now, urgent));
         if pending {
--- a/crates/route/tests/support/world.rs
+++ b/crates/route/tests/support/world.rs
@@ -81,6 +81,8 @@
     pub request: Request,
     pub node: usize,
     pub arrived: Now,
+    /// When its first attempt was sent.
+    pub started: Option<Now>,
     pub first: Option<Now>,
     pub ended: Option<Now>,
     pub outcome: Option<Outcome>,
@@ -286,6 +288,7 @@
         let call = Call {
             node,
             arrived: self.now,
+            started: None,
             first: None,
             ended: None,
             outcome: None,
@@ -318,9 +321,8 @@
             Event::Token(id, attempt) | Event::Finished(id, attempt) => Some((node, *id, *attempt)),
             _ => None,
         };
-        if let (Some(key), Event::Token(..)) = (key, &event)
-            && self.streams.contains_key(&key)
-        {
+        let live = key.filter(|k| self.streams.contains_key(k));
+        if let (Some(key), Event::Token(..)) = (live, &event) {
             self.token(key.1);
         }
         if let (Some(key), Event::Finished(..)) = (key, &event) {
@@ -445,6 +447,7 @@
             .collect();
         let call = self.calls.get_mut(&id).expect("known");
         call.sent += 1;
+        call.started.get_or_insert(self.now);
         if call.ended.is_some() {
             self.wrong.push(format!("{id:x}: started after its end"));
         }
@@ -531,7 +534,11 @@
             .hop
             .checked_sub(1)
             .map(|h| self.hosts[stream.hosts[h]].zone);
-        let ready = self.cross(before.unwrap_or(self.nodes[key.0].view.zone), zone);
+        // Only activations load a link; the token itself, sent to the first hop, does not.
+        let ready = match before {
+            Some(before) => self.cross(before, zone),
+            None => self.now + ROUND_TRIP / 2,
+        };
         let call = &self.calls[&key.1];
         let cost = Cost {
             layers: hop.to - hop.from,
