Dead only by a node's own probe and with its zone heard; smaller windows in small groups

Change: a node calls a peer dead only if its own probe failed and a peer of the same zone was heard since; whoever hears a refuted suspicion answers it with the refutation. Groups up to 32 nodes run two rounds a second. A side of a parted group counts the least of its demand of late.

--- /dev/null
+++ b/crates/member/examples/limits.rs
@@ -0,0 +1,102 @@
+//! Overshoot of team limits at 8 and 370 nodes: quiet, parted, restarted, paused, late.
+//!
+//! Decision cores in one process with passed-in time. Every node's share is taken for used in
+//! full, so that the figures are the worst that callers can make of the shares.
+
+#[path = "../tests/support/fleet.rs"]
+mod fleet;
+#[path = "../tests/support/net.rs"]
+mod net;
+
+use fleet::{Fleet, Way};
+use member::settings::Settings;
+use net::{Faults, Net, QUIET, ms};
+use std::time::Duration;
+
+const SECOND: Duration = ms(1000);
+const SIZES: [(usize, usize, usize); 2] = [(8, 3, 10), (370, 18, 40)];
+
+/// What happens in a run.
+#[derive(Clone, Copy, Debug)]
+enum Case {
+    Quiet,
+    Parted,
+    Restarted,
+    Paused,
+    Lossy,
+    Late,
+    Killed,
+}
+
+fn run(size: (usize, usize, usize), case: Case, way: Way) {
+    let (nodes, zones, teams) = size;
+    let mut net = Net::new(nodes, zones, 11, Settings::default());
+    let mut fleet = Fleet::new(nodes, teams, 21, way);
+    fleet.run(&mut net, SECOND * 40);
+    fleet.clear();
+    let start = net.now;
+    let region = if nodes == 8 { "z1" } else { "r1" };
+    for step in 0..6u32 {
+        fleet.shift();
+        match (case, step) {
+            (Case::Parted, 1) => net.part(1, |i| i.zone == region || i.region == region),
+            (Case::Parted, 4) => net.heal(),
+            (Case::Restarted, _) => {
+                let restarted: Vec<usize> = (0..nodes).filter(|i| i % 8 == step as usize).collect();
+                for index in restarted {
+                    net.kill(index);
+                    net.start(index);
+                    fleet.restart(index);
+                }
+            }
+            (Case::Paused, _) => {
+                let paused: Vec<usize> = (0..nodes).filter(|i| i % 8 == step as usize).collect();
+                paused.into_iter().for_each(|i| net.pause(i, SECOND * 5));
+            }
+            (Case::Lossy, _) => {
+                net.faults = Faults {
+                    loss: 0.01,
+                    ..QUIET
+                }
+            }
+            (Case::Late, _) => {
+                net.faults = Faults {
+                    loss: 0.3,
+                    twice: 0.0,
+                    delay: ms(250),
+                }
+            }
+            (Case::Killed, 1) => (0..nodes / 8).for_each(|i| net.kill(i * 8)),
+            _ => net.faults = QUIET,
+        }
+        let to = start + SECOND * 30 * (step + 1);
+        fleet.run(&mut net, to);
+    }
+    let sum = fleet.sum();
+    println!(
+        "| {nodes} | {way:?} | {case:?} | {:.1}% | {:.2}% | {:.1}% | {:.1}% |",
+        sum.worst * 100.0,
+        sum.above * 100.0,
+        sum.mean * 100.0,
+        sum.used * 100.0,
+    );
+}
+
+fn main() {
+    println!("Shares of all nodes over the limit, demand moving every 30 s, 180 s a row\n");
+    println!(
+        "| nodes | way | case | worst overshoot | time above the limit | mean sum of shares | served of what could be |"
+    );
+    println!("|---|---|---|---|---|---|---|");
+    use Case::*;
+    for size in SIZES {
+        for case in [Quiet, Parted, Restarted, Paused, Lossy, Late, Killed] {
+            run(size, case, Way::Window);
+        }
+        for way in [Way::Equal, Way::Now] {
+            for case in [Quiet, Parted] {
+                run(size, case, way);
+            }
+        }
+    }
+}
--- a/crates/member/src/check.rs
+++ b/crates/member/src/check.rs
@@ -126,11 +126,8 @@
             errors.push(error("roster", self.roster.len(), Fault::Bound));
         }
         let probes = self.probes.open.len();
-        let rounds = self
-            .settings
-            .probe
-            .div_duration_f64(self.settings.round)
-            .ceil() as usize;
+        let round = self.settings.round / 2;
+        let rounds = self.settings.probe.div_duration_f64(round).ceil() as usize;
         if probes > rounds * 2 + 1 {
             errors.push(error("probes", probes, Fault::Bound));
         }
--- a/crates/member/src/demand.rs
+++ b/crates/member/src/demand.rs
@@ -8,6 +8,8 @@
 
 /// Steps of 19% by which a demand must differ before it is announced again.
 const SLACK: u8 = 2;
+/// Steps that are remembered: as long as a parted group may take to notice.
+const LONG: usize = 30;
 
 /// Requests of one team at one node.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -41,24 +43,30 @@
     fn note(&mut self, levels: (Level, Level), window: usize) {
         self.last = levels;
         self.past.push_back(levels);
-        while self.past.len() > window {
+        while self.past.len() > window.max(LONG) {
             self.past.pop_front();
         }
     }
 
-    /// The least demand announced within the window; zero until the window is full.
+    /// The least demand announced within the last `window` steps; zero until there were so many.
     pub fn least(&self, window: usize) -> Demand {
         if self.past.len() < window {
             return Demand::default();
         }
-        let rate = self.past.iter().map(|l| l.0).min().unwrap_or_default();
-        let in_flight = self.past.iter().map(|l| l.1).min().unwrap_or_default();
+        let recent = || self.past.iter().rev().take(window);
+        let rate = recent().map(|l| l.0).min().unwrap_or_default();
+        let in_flight = recent().map(|l| l.1).min().unwrap_or_default();
         Demand {
             rate: rate.amount(),
             in_flight: in_flight.amount(),
         }
     }
 
+    /// The least demand announced as far as is remembered.
+    pub fn lowest(&self) -> Demand {
+        self.least(LONG.min(self.past.len()))
+    }
+
     /// What was announced last.
     pub fn last(&self) -> Demand {
         Demand {
--- a/crates/member/src/group.rs
+++ b/crates/member/src/group.rs
@@ -103,8 +103,8 @@
             self.resume(now);
         }
         self.check_probes(now, out);
-        self.judge(now, out);
         if self.due(now) {
+            self.judge(now, out);
             self.judge_again(now, out);
             self.store.expire(now);
             self.bury(now, out);
--- a/crates/member/src/judge.rs
+++ b/crates/member/src/judge.rs
@@ -71,9 +71,10 @@
 
     /// This node's own probe of a peer had no answer, direct or by others.
     pub(crate) fn accuse(&mut self, now: Now, id: Id, out: &mut Vec<Action>) {
-        let Some(peer) = self.roster.get(id) else {
+        let Some(peer) = self.roster.get_mut(id) else {
             return;
         };
+        peer.failed = Some(now);
         if peer.state != State::Up {
             return;
         }
@@ -109,8 +110,10 @@
         let over = |p: &&Peer| p.state == State::Suspect && age(now, p.since) >= wait;
         let over: Vec<Id> = self.roster.iter().filter(over).map(|p| p.id).collect();
         for id in over {
-            let state = self.verdict(id);
-            self.set(now, id, state, out);
+            match self.verdict(id) {
+                Some(state) => self.set(now, id, state, out),
+                None => self.focus(id),
+            }
         }
     }
 
@@ -126,8 +129,8 @@
             .collect();
         for (id, state, since) in gone {
             match (state, self.verdict(id)) {
-                (State::Dead, State::Parted) => self.set(now, id, State::Parted, out),
-                (State::Parted, State::Parted) => self.renew(now, id),
+                (State::Dead, Some(State::Parted)) => self.set(now, id, State::Parted, out),
+                (State::Parted, Some(State::Parted)) => self.renew(now, id),
                 (State::Parted, _) if age(now, since) >= REJOIN => {
                     self.set(now, id, State::Suspect, out);
                 }
@@ -161,19 +164,21 @@
     }
 
     /// Silent together with most of its availability zone, or of the group: parted. That keeps
-    /// its share and its row, since it most likely lives on the other side. Alone: dead.
-    fn verdict(&self, id: Id) -> State {
-        let Some(peer) = self.roster.get(id) else {
-            return State::Dead;
-        };
+    /// its share and its row, since it most likely lives on the other side. Dead only if this
+    /// node's own probe failed too, and a peer of the same zone was heard since: no node is
+    /// called dead on a rumour, or while nobody knows how its zone does. Else not yet known.
+    fn verdict(&self, id: Id) -> Option<State> {
+        let peer = self.roster.get(id)?;
         let zone = |p: &&Peer| {
             p.identity.zone == peer.identity.zone && p.identity.region == peer.identity.region
         };
         let near = self.tally(peer, zone);
         let all = self.tally(peer, |_| true);
-        match near.most() || all.most() {
-            true => State::Parted,
-            false => State::Dead,
+        let tried = peer.failed.is_some_and(|f| f >= peer.lost);
+        match (near.most() || all.most(), tried && near.alive()) {
+            (true, _) => Some(State::Parted),
+            (false, true) => Some(State::Dead),
+            (false, false) => None,
         }
     }
 
@@ -185,6 +190,7 @@
         for other in others.filter(|p| p.state != State::Dead || !apart(p)) {
             tally.all += 1;
             tally.away += usize::from(other.state != State::Up);
+            tally.heard += usize::from(other.heard > peer.lost);
         }
         tally
     }
@@ -215,6 +221,8 @@
 struct Tally {
     all: usize,
     away: usize,
+    /// Those that were heard since the peer in question was lost.
+    heard: usize,
 }
 
 impl Tally {
@@ -222,4 +230,9 @@
     fn most(self) -> bool {
         self.all >= 2 && self.away * 2 > self.all
     }
+
+    /// Whether one is known to live, or the peer in question is the only one.
+    fn alive(self) -> bool {
+        self.all <= 1 || self.heard > 0
+    }
 }
--- a/crates/member/src/peer.rs
+++ b/crates/member/src/peer.rs
@@ -68,6 +68,8 @@
     pub lost: Now,
     /// When something last came from it or proved that it lives.
     pub heard: Now,
+    /// When this node's own probe of it last failed.
+    pub failed: Option<Now>,
     /// What the list says; nothing if it does not name the peer.
     pub standing: Option<Standing>,
     /// All its publications up to this one are stored.
@@ -87,6 +89,7 @@
             since: now,
             lost: now,
             heard: now,
+            failed: None,
             standing: None,
             version: 0,
             leaving: false,
--- a/crates/member/src/probe.rs
+++ b/crates/member/src/probe.rs
@@ -9,10 +9,11 @@
 use crate::roster::age;
 use rand::RngExt;
 use rand::seq::{IndexedRandom, SliceRandom};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-/// Peers of a suspect's availability zone that are probed out of turn at most.
-const FOCUS: usize = 2;
+/// Peers that wait to be probed out of turn at most.
+const FOCUS: usize = 4;
 /// Probes for others that are open at most; more are not taken.
 const RELAYS: usize = 64;
 /// Listed but unknown nodes that are probed per round while this node knows nobody.
@@ -43,7 +44,7 @@
     pub(crate) open: Vec<Probe>,
     relays: Vec<Relay>,
     order: Vec<Id>,
-    focus: Vec<Id>,
+    focus: VecDeque<Id>,
     seq: Seq,
     next: Now,
 }
@@ -75,7 +76,8 @@
     /// needs one connection instead of two.
     pub(crate) fn round(&mut self, now: Now, out: &mut Vec<Action>) {
         let jitter = self.rng.random_range(0.9..1.1);
-        self.probes.next = now + self.settings.round.mul_f64(jitter);
+        let round = self.settings.round(self.roster.len());
+        self.probes.next = now + round.mul_f64(jitter);
         self.contact(out);
         let Some(target) = self.target() else { return };
         self.probe(now, target, out);
@@ -114,8 +116,12 @@
     /// The next peer in a shuffled order that has each once, so that every peer is probed
     /// within a bounded time.
     fn target(&mut self) -> Option<Id> {
-        while let Some(id) = self.probes.focus.pop() {
-            if self.roster.get(id).is_some_and(|p| p.state == State::Up) {
+        while let Some(id) = self.probes.focus.pop_front() {
+            if self
+                .roster
+                .get(id)
+                .is_some_and(|p| p.state <= State::Suspect)
+            {
                 return Some(id);
             }
         }
@@ -269,21 +275,28 @@
         }
     }
 
-    /// Puts peers of the suspect's availability zone next in the order: whether they answer
-    /// tells a dead node from a parted zone.
+    /// Puts the suspect and a peer of its availability zone next in the order: this node judges
+    /// by its own probes, and whether the zone answers tells a dead node from a parted zone.
     pub(crate) fn focus(&mut self, suspect: Id) {
-        let Some(zone) = self.roster.get(suspect).map(|p| p.identity.zone.clone()) else {
+        let Some(row) = self.roster.get(suspect) else {
             return;
         };
+        let zone = row.identity.zone.clone();
+        let tried = row.failed.is_some_and(|f| f >= row.lost);
         let mates = self
             .roster
             .iter()
             .filter(|p| p.identity.zone == zone && p.state == State::Up);
         let mates: Vec<Id> = mates.map(|p| p.id).filter(|id| *id != self.me).collect();
-        let open = FOCUS.saturating_sub(self.probes.focus.len());
-        self.probes
-            .focus
-            .extend(mates.sample(&mut self.rng, open).copied());
+        let mate = mates.choose(&mut self.rng).copied();
+        let next = [(!tried).then_some(suspect), mate];
+        for id in next.into_iter().flatten() {
+            let open = self.probes.open.iter().any(|p| p.to == id);
+            let focus = &mut self.probes.focus;
+            if focus.len() < FOCUS && !open && !focus.contains(&id) {
+                focus.push_back(id);
+            }
+        }
     }
 
     /// News that concern the receiver: that it is suspected, so that it can refute.
--- a/crates/member/src/settings.rs
+++ b/crates/member/src/settings.rs
@@ -2,10 +2,14 @@
 
 use std::time::Duration;
 
+/// Nodes up to which a group is small.
+pub const SMALL: usize = 32;
+
 /// Times and bounds. The defaults are those that the figures in the docs were measured with.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
-    /// One peer is probed, and digests are exchanged with it, per round.
+    /// One peer is probed, and digests are exchanged with it, per round; half of it in a small
+    /// group.
     pub round: Duration,
     /// How long a probe may take before others are asked to probe.
     pub direct: Duration,
@@ -64,6 +68,15 @@
         self.suspicion.mul_f64(scale)
     }
 
+    /// Time between two rounds among `peers`: small groups can afford twice as many, which halves
+    /// the time until a demand counts everywhere.
+    pub fn round(&self, peers: usize) -> Duration {
+        match peers <= SMALL {
+            true => self.round / 2,
+            false => self.round,
+        }
+    }
+
     /// How often a piece of news is passed on by a node.
     pub fn repeats(&self, peers: usize) -> u32 {
         3 * (usize::BITS - peers.leading_zeros()).max(1)
--- a/crates/member/src/spread.rs
+++ b/crates/member/src/spread.rs
@@ -130,12 +130,20 @@
         let Some(peer) = self.roster.get(run.id) else {
             return;
         };
-        let same = peer.identity.incarnation == run.incarnation && peer.turn <= run.turn;
-        let fresh = roster::age(now, peer.heard) < self.settings.probe;
-        if !same || fresh || peer.state != State::Up {
+        if peer.identity.incarnation != run.incarnation || peer.state != State::Up {
             return;
         }
-        self.suspect(now, run.id, out);
+        if peer.turn > run.turn {
+            // The sender missed the refutation; others may have too.
+            let alive = News::Alive(crate::spread::run(peer));
+            if !self.news.iter().any(|p| p.news == alive) {
+                self.tell(alive);
+            }
+            return;
+        }
+        if roster::age(now, peer.heard) >= self.settings.probe {
+            self.suspect(now, run.id, out);
+        }
     }
 
     fn hear_alive(&mut self, now: Now, run: Run, out: &mut Vec<Action>) {
--- a/crates/member/src/store.rs
+++ b/crates/member/src/store.rs
@@ -3,6 +3,7 @@
 use crate::Now;
 use crate::identity::Id;
 use crate::item::{Body, Key, Version};
+use crate::level::Level;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -15,9 +16,56 @@
     pub until: Option<Now>,
     /// The observation.
     pub body: Body,
+    /// What a demand was before, if that was less, and when it last changed.
+    pub low: Option<Low>,
+}
+
+/// The least of a demand before its last change.
+#[derive(Clone, Copy, Debug)]
+pub struct Low {
+    rate: Level,
+    in_flight: Level,
+    changed: Now,
 }
 
 impl Slot {
+    /// The least that this demand was within `time`, or less: changes that follow each other
+    /// within that time are taken as one.
+    pub fn least(&self, now: Now, time: Duration) -> (Level, Level) {
+        let Body::Demand {
+            rate, in_flight, ..
+        } = &self.body
+        else {
+            return Default::default();
+        };
+        match self.low {
+            Some(low) if now.saturating_sub(low.changed) < time => {
+                (low.rate.min(*rate), low.in_flight.min(*in_flight))
+            }
+            _ => (*rate, *in_flight),
+        }
+    }
+
+    fn begin(&mut self, now: Now) {
+        let none = Level::default();
+        self.low = matches!(self.body, Body::Demand { .. }).then_some(Low {
+            rate: none,
+            in_flight: none,
+            changed: now,
+        });
+    }
+
+    fn follow(&mut self, old: &Slot, now: Now) {
+        if matches!(old.body, Body::Demand { .. }) {
+            let (rate, in_flight) = old.least(now, LOW);
+            self.low = Some(Low {
+                rate,
+                in_flight,
+                changed: now,
+            });
+        }
+    }
+
     /// The observation with the time that it still counts.
     pub fn rest(&self, now: Now) -> Body {
         let left = self.until.map(|u| u.saturating_sub(now));
@@ -34,6 +82,8 @@
     origins: BTreeMap<Id, BTreeMap<Key, Slot>>,
 }
 
+/// How long the least of a demand is remembered.
+pub const LOW: Duration = Duration::from_secs(30);
 /// The longest an item may count; a peer's larger value is cut.
 pub const MAX_TTL: Duration = Duration::from_secs(24 * 3600);
 
@@ -50,17 +100,23 @@
         let slots = self.origins.entry(origin).or_default();
         let key = body.key();
         let until = body.ttl().map(|ttl| now + ttl.min(MAX_TTL));
-        let slot = Slot {
+        let mut slot = Slot {
             version,
             until,
             body,
+            low: None,
         };
         let full = slots.len() >= most;
         match slots.get_mut(&key) {
             Some(old) if old.version >= version => return Put::Known,
-            Some(old) => *old = slot,
+            Some(old) => {
+                slot.follow(old, now);
+                *old = slot;
+            }
             None if full => return Put::Full,
             None => {
+                // Nothing announced counts as none.
+                slot.begin(now);
                 slots.insert(key, slot);
             }
         }
--- a/crates/member/src/team.rs
+++ b/crates/member/src/team.rs
@@ -5,8 +5,11 @@
 use crate::group::Group;
 use crate::identity::Id;
 use crate::item::{Body, Team};
+use crate::level::Level;
 use crate::peer::{Peer, State};
+use crate::settings::SMALL;
 use crate::share::{self, Input};
+use crate::store::LOW;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::time::Duration;
@@ -16,8 +19,13 @@
 pub struct Settings {
     /// Shares are computed and demand is announced once per step.
     pub step: Duration,
-    /// Steps of the window in which a report must reach every node, in a group of ten.
+    /// Steps of the window of a small group.
+    pub small: usize,
+    /// Steps of the window in which a report must reach every node and be counted there, without
+    /// those that grow with the group.
     pub window: usize,
+    /// Steps of the window per factor of ten in the number of nodes.
+    pub grow: f64,
     /// Demand items per second that all nodes together may publish.
     pub items: f64,
     /// Demand items per second that one node may publish.
@@ -37,12 +45,14 @@
     fn default() -> Self {
         Self {
             step: Duration::from_secs(1),
+            small: 5,
             window: 4,
+            grow: 3.0,
             items: 500.0,
             own: 50.0,
             hold: Duration::from_secs(10),
             settle: 3,
-            pause: Duration::from_secs(3),
+            pause: Duration::from_secs(2),
             expected: 8,
         }
     }
@@ -52,8 +62,11 @@
     /// Steps of the window among `nodes`: exchanges spread in a time that grows with the
     /// logarithm of the group.
     pub fn window(&self, nodes: usize) -> usize {
-        let scale = (nodes.max(10) as f64).log10();
-        (self.window as f64 * scale).ceil() as usize
+        if nodes <= SMALL {
+            return self.small;
+        }
+        let scale = (nodes as f64).log10();
+        self.window + (self.grow * scale).ceil() as usize
     }
 }
 
@@ -80,6 +93,8 @@
 struct Sum {
     near: Demand,
     far: Demand,
+    /// The least that the near ones announced of late.
+    low: Demand,
 }
 
 /// Part of a team's pools that belongs to this side.
@@ -226,29 +241,31 @@
         }
     }
 
+    /// The other side goes by what it knew of this one before they parted. Demand that grew here
+    /// about then may not have got across, so this side counts only the least of it of late: the
+    /// parts of both sides then add up to no more than the whole.
     fn depart(&mut self, now: Now, group: &Group, limits: &[Limit], nodes: usize, gone: &[Id]) {
         let before = self.sums(now, group);
         let near = self.near(group);
         gone.iter().for_each(|id| _ = self.far.insert(*id, now));
         let after = self.sums(now, group);
+        let left = near.saturating_sub(gone.len()) as f64;
+        let gone = gone.len() as f64;
         for (row, limit) in limits.iter().enumerate() {
             let own = self
                 .announcer
                 .row(row)
-                .map(|r| r.last())
+                .map(|r| r.lowest())
                 .unwrap_or_default();
-            let left = near.saturating_sub(gone.len()) as f64;
+            let (before, after) = (&before[row], &after[row]);
             let side = &mut self.sides[row];
-            let weigh = |own: f64, after: f64, before: f64, base: f64| {
-                let stay = own + after + base * left;
-                (stay, before - after + base * gone.len() as f64)
-            };
             let base = share::base(limit.rate, nodes);
-            let (stay, go) = weigh(own.rate, after[row].near.rate, before[row].near.rate, base);
+            let stay = own.rate + after.low.rate + base * left;
+            let go = before.near.rate - after.near.rate + base * gone;
             side.rate = share::part(side.rate, stay, go);
             let base = share::base(limit.in_flight, nodes);
-            let (a, b) = (after[row].near.in_flight, before[row].near.in_flight);
-            let (stay, go) = weigh(own.in_flight, a, b, base);
+            let stay = own.in_flight + after.low.in_flight + base * left;
+            let go = before.near.in_flight - after.near.in_flight + base * gone;
             side.in_flight = share::part(side.in_flight, stay, go);
         }
     }
@@ -309,12 +326,13 @@
                 let Some(row) = self.index.get(team) else {
                     continue;
                 };
-                let sum = match far {
-                    true => &mut sums[*row].far,
-                    false => &mut sums[*row].near,
-                };
-                sum.rate += rate.amount();
-                sum.in_flight += in_flight.amount();
+                if far {
+                    add(&mut sums[*row].far, *rate, *in_flight);
+                    continue;
+                }
+                add(&mut sums[*row].near, *rate, *in_flight);
+                let (rate, in_flight) = slot.least(now, LOW);
+                add(&mut sums[*row].low, rate, in_flight);
             }
         }
         sums
@@ -374,6 +392,11 @@
     }
 }
 
+fn add(sum: &mut Demand, rate: Level, in_flight: Level) {
+    sum.rate += rate.amount();
+    sum.in_flight += in_flight.amount();
+}
+
 fn parted(group: &Group) -> impl Iterator<Item = Id> {
     group
         .roster()
--- /dev/null
+++ b/crates/member/tests/support/fleet.rs
@@ -0,0 +1,225 @@
+//! Shares of team limits over the nodes of a run, and what they add up to.
+#![allow(dead_code)]
+
+use crate::net::{Net, ms};
+use member::Now;
+use member::demand::{Demand, Limit};
+use member::event::Event;
+use member::item::{Body, team};
+use member::share::{self, Input};
+use member::team::{Settings, Share, Teams};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// How shares are computed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// As the crate does.
+    Window,
+    /// The limit over the number of nodes, whatever the demand.
+    Equal,
+    /// By demand, but the own one counts at once: what the window is there to avoid.
+    Now,
+}
+
+/// What a run came to. Parts of the limits.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sum {
+    /// Largest sum of shares above a limit.
+    pub worst: f64,
+    /// Part of the samples above the limit.
+    pub above: f64,
+    /// Mean sum of shares.
+    pub mean: f64,
+    /// What the shares let through of what the limits allow of the demand.
+    pub used: f64,
+}
+
+/// Teams on all nodes.
+pub struct Fleet {
+    /// Limits of the teams.
+    pub limits: Vec<Limit>,
+    /// Demand by node and team.
+    pub demands: Vec<Vec<Demand>>,
+    way: Way,
+    teams: Vec<Teams>,
+    shares: Vec<Vec<Share>>,
+    next: Vec<Now>,
+    rng: ChaCha8Rng,
+    samples: Vec<(f64, f64, f64)>,
+}
+
+impl Fleet {
+    /// `teams` teams, with a demand that is moved by [`Fleet::shift`].
+    pub fn new(nodes: usize, teams: usize, seed: u64, way: Way) -> Self {
+        let limit = |t: usize| {
+            let rate = 100.0 * (1 + t % 5) as f64;
+            Limit {
+                team: team(&format!("team-{t}")),
+                rate,
+                in_flight: rate * 2.0,
+            }
+        };
+        let mut fleet = Self {
+            limits: (0..teams).map(limit).collect(),
+            demands: vec![vec![Demand::default(); teams]; nodes],
+            way,
+            teams: (0..nodes)
+                .map(|_| Teams::new(Settings::default()))
+                .collect(),
+            shares: vec![vec![Share::default(); teams]; nodes],
+            next: vec![Now::ZERO; nodes],
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            samples: Vec::new(),
+        };
+        fleet.shift();
+        fleet
+    }
+
+    /// Moves the demand: each team asks for 0.3 to 3 times its limit, at a random part of the
+    /// nodes, sometimes at a single one.
+    pub fn shift(&mut self) {
+        let nodes = self.demands.len();
+        for (row, limit) in self.limits.iter().enumerate() {
+            let total = limit.rate * self.rng.random_range(0.3..3.0);
+            let some: f64 = [0.0, 0.2, 0.6, 1.0][self.rng.random_range(0..4)];
+            let mut weights: Vec<f64> = (0..nodes)
+                .map(|_| {
+                    if self.rng.random_bool(some) {
+                        self.rng.random_range(0.1..1.0)
+                    } else {
+                        0.0
+                    }
+                })
+                .collect();
+            weights[self.rng.random_range(0..nodes)] += 1.0;
+            let sum: f64 = weights.iter().sum();
+            for (node, weight) in weights.iter().enumerate() {
+                let rate = total * weight / sum;
+                self.demands[node][row] = Demand {
+                    rate,
+                    in_flight: rate * 2.0,
+                };
+            }
+        }
+    }
+
+    /// A node's process starts again.
+    pub fn restart(&mut self, node: usize) {
+        self.teams[node] = Teams::new(Settings::default());
+        self.shares[node] = vec![Share::default(); self.limits.len()];
+    }
+
+    /// Forgets the samples.
+    pub fn clear(&mut self) {
+        self.samples.clear();
+    }
+
+    /// Runs until `to`, and samples all shares every 250 ms.
+    pub fn run(&mut self, net: &mut Net, to: Now) {
+        while net.now < to {
+            let at = (net.now + ms(250)).min(to);
+            net.run_with(at, |net, index| self.step(net, index));
+            self.sample(net);
+        }
+        net.verify();
+    }
+
+    fn step(&mut self, net: &mut Net, index: usize) {
+        if net.now < self.next[index] {
+            return;
+        }
+        self.next[index] = net.now + ms(1000);
+        let now = net.now.saturating_sub(net.nodes[index].started);
+        let Some(group) = net.group(index) else {
+            return;
+        };
+        let step = self.teams[index].step(now, group, &self.limits, &self.demands[index]);
+        let shares = match self.way {
+            Way::Window => step.shares,
+            Way::Equal => self.equal(group.size()),
+            Way::Now => self.at_once(group, index),
+        };
+        self.shares[index] = shares;
+        net.event(index, Event::Publish(step.publish));
+    }
+
+    fn equal(&self, nodes: usize) -> Vec<Share> {
+        let part = |l: &Limit| Share {
+            rate: l.rate / nodes as f64,
+            in_flight: l.in_flight / nodes as f64,
+        };
+        self.limits.iter().map(part).collect()
+    }
+
+    fn at_once(&self, group: &member::group::Group, index: usize) -> Vec<Share> {
+        let nodes = group.size();
+        let row = |(row, limit): (usize, &Limit)| {
+            let others = group.roster().iter().filter(|p| p.id != group.me());
+            let items = others
+                .flat_map(|p| group.store().of(p.id))
+                .map(|(_, s)| &s.body);
+            let rate = |b: &Body| match b {
+                Body::Demand { team, rate, .. } if *team == limit.team => rate.amount(),
+                _ => 0.0,
+            };
+            let others = items.map(rate).sum();
+            let own = self.demands[index][row].rate;
+            let input = Input {
+                limit: limit.rate,
+                nodes,
+                near: nodes,
+                side: 1.0,
+                own,
+                others,
+            };
+            let rate = share::split(&input);
+            Share {
+                rate,
+                in_flight: rate * 2.0,
+            }
+        };
+        self.limits.iter().enumerate().map(row).collect()
+    }
+
+    fn sample(&mut self, net: &Net) {
+        for (row, limit) in self.limits.iter().enumerate() {
+            // A paused process admits nothing.
+            let runs = |i: &usize| net.group(*i).is_some() && net.nodes[*i].paused <= net.now;
+            let live = (0..self.shares.len()).filter(runs);
+            let (mut sum, mut slots, mut used, mut wanted) = (0.0, 0.0, 0.0, 0.0);
+            for node in live {
+                let (share, demand) = (self.shares[node][row], self.demands[node][row]);
+                sum += share.rate;
+                slots += share.in_flight;
+                used += share.rate.min(demand.rate);
+                wanted += demand.rate;
+            }
+            let could = wanted.min(limit.rate);
+            let served = if could > 0.0 {
+                (used / could).min(1.0)
+            } else {
+                1.0
+            };
+            let whole = (sum / limit.rate).max(slots / limit.in_flight);
+            self.samples.push((whole, served, wanted));
+        }
+    }
+
+    /// The largest sum of shares of any team, as a part of its limit.
+    pub fn worst(&self) -> f64 {
+        self.samples.iter().map(|s| s.0).fold(0.0, f64::max)
+    }
+
+    /// What the samples come to.
+    pub fn sum(&self) -> Sum {
+        let n = self.samples.len().max(1) as f64;
+        let above = self.samples.iter().filter(|s| s.0 > 1.0 + 1e-9).count() as f64;
+        Sum {
+            worst: (self.worst() - 1.0).max(0.0),
+            above: above / n,
+            mean: self.samples.iter().map(|s| s.0).sum::<f64>() / n,
+            used: self.samples.iter().map(|s| s.1).sum::<f64>() / n,
+        }
+    }
+}
--- a/crates/member/tests/support/net.rs
+++ b/crates/member/tests/support/net.rs
@@ -486,3 +486,16 @@
         Body::Delta(_) => "delta",
     }
 }
+
+/// Runs jobs on a few threads and prints what each gives, in their order.
+pub fn print_all(jobs: Vec<Box<dyn FnOnce() -> String + Send>>) {
+    const THREADS: usize = 3;
+    let mut jobs: VecDeque<_> = jobs.into();
+    while !jobs.is_empty() {
+        let batch: Vec<_> = jobs.drain(..THREADS.min(jobs.len())).collect();
+        let threads: Vec<_> = batch.into_iter().map(std::thread::spawn).collect();
+        threads
+            .into_iter()
+            .for_each(|t| println!("{}", t.join().expect("row")));
+    }
+}
