Frame codec and link under failures

Cause: the link's behaviour with silent connections, wrong keys, strangers, long frames and full bounds was not shown.

Change: tests of each, a relay in the tests that loses track of connections, seeded garbage and mutations for the codec; own demand does not grow while a peer is suspected.

Conclusion: a silent connection costs one resend over a new one and no peer is called unreachable.

--- a/crates/member/src/demand.rs
+++ b/crates/member/src/demand.rs
@@ -50,6 +50,7 @@
 
     /// The least demand announced within the last `window` steps; zero until there were so many.
     pub fn least(&self, window: usize) -> Demand {
+        let window = window.min(LONG);
         if self.past.len() < window {
             return Demand::default();
         }
--- a/crates/member/src/team.rs
+++ b/crates/member/src/team.rs
@@ -165,7 +165,7 @@
         let publish = self.announcer.step(now, budget, limits, demands);
         self.part(now, group, limits, nodes);
         let sums = self.sums(now, group);
-        self.shares = self.compute(group, limits, &sums, nodes);
+        self.shares = self.compute(now, group, limits, &sums, nodes);
         self.check(limits);
         Step {
             publish,
@@ -338,12 +338,30 @@
         sums
     }
 
-    fn compute(&self, group: &Group, limits: &[Limit], sums: &[Sum], nodes: usize) -> Vec<Share> {
+    /// Steps since a peer that is suspected was lost. Until it is known whether it parted, the
+    /// own demand of before then counts: what grew since may not have reached the other side.
+    fn doubt(&self, now: Now, group: &Group) -> usize {
+        let suspects = group.roster().iter().filter(|p| p.state == State::Suspect);
+        let age = suspects
+            .map(|p| now.saturating_sub(p.lost))
+            .max()
+            .unwrap_or_default();
+        age.div_duration_f64(self.settings.step).ceil() as usize
+    }
+
+    fn compute(
+        &self,
+        now: Now,
+        group: &Group,
+        limits: &[Limit],
+        sums: &[Sum],
+        nodes: usize,
+    ) -> Vec<Share> {
         let near = match self.far.is_empty() {
             true => nodes,
             false => self.near(group).max(1),
         };
-        let window = self.settings.window(nodes);
+        let window = self.settings.window(nodes) + self.doubt(now, group);
         let settled = self.steps > self.settings.settle;
         let share = |(row, limit): (usize, &Limit)| {
             if !settled {
--- /dev/null
+++ b/crates/wire/tests/frame.rs
@@ -0,0 +1,330 @@
+//! The frame codec: good frames survive, bad ones give an error, none a panic.
+
+use member::head::Head;
+use member::identity::Identity;
+use member::item::{Body as Observation, Item};
+use member::level::Level;
+use member::message::{
+    Batch, Body, Delta, Gap, Group, Message, News, Print, Row, Run, Summary, Want,
+};
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{Rng, SeedableRng};
+use std::time::Duration;
+use wire::auth::{Hello, Key, Session, Side};
+use wire::error::Error;
+use wire::frame::{Body as Matter, Frame, HeadAsk, Kind, Status};
+
+const KEY: &str = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
+
+fn row() -> Row {
+    let identity = Identity {
+        name: "node-1".into(),
+        addr: "10.0.0.1:7000".parse().expect("address"),
+        zone: "z1".into(),
+        region: "r1".into(),
+        incarnation: 1 << 40,
+    };
+    Row { identity, turn: 3 }
+}
+
+fn observations() -> Vec<Observation> {
+    let ttl = Duration::from_secs(30);
+    vec![
+        Observation::Leaving,
+        Observation::Load(Level(9)),
+        Observation::Endpoint {
+            name: "e-1".into(),
+            ejected: true,
+            ttl,
+        },
+        Observation::Suspect {
+            fingerprint: 7,
+            ttl,
+        },
+        Observation::Condemned {
+            fingerprint: 8,
+            ttl,
+        },
+        Observation::Demand {
+            team: 5,
+            rate: Level(40),
+            in_flight: Level(50),
+        },
+    ]
+}
+
+fn delta() -> Delta {
+    let print = Print {
+        version: 4,
+        bodies: observations(),
+    };
+    let batch = Batch {
+        place: 2,
+        upto: 5,
+        prints: vec![print],
+    };
+    Delta {
+        groups: vec![Group {
+            bucket: 3,
+            hash: 99,
+            batches: vec![batch],
+        }],
+        rows: vec![row()],
+        whole: vec![4],
+        wants: vec![Want {
+            bucket: 1,
+            hash: 5,
+            gaps: vec![Gap {
+                place: 0,
+                version: 70_000,
+            }],
+        }],
+    }
+}
+
+fn bodies() -> Vec<Body> {
+    let item = |body| Item {
+        origin: 1,
+        incarnation: 2,
+        version: 3,
+        body,
+    };
+    vec![
+        Body::Ping { seq: 1, to: 2 },
+        Body::Ack { seq: 1, of: 2 },
+        Body::Relay {
+            seq: 1,
+            to: 2,
+            addr: "[::1]:80".parse().expect("address"),
+        },
+        Body::Who,
+        Body::Rows(vec![row()]),
+        Body::Note,
+        Body::Rumour(observations().into_iter().map(item).collect()),
+        Body::Digest(vec![
+            Summary {
+                hash: 1,
+                versions: vec![1, 300, 70_000]
+            };
+            16
+        ]),
+        Body::Delta(delta()),
+    ]
+}
+
+fn frames() -> Vec<Frame> {
+    let run = Run {
+        id: 1,
+        incarnation: 2,
+        turn: 3,
+    };
+    let news = vec![
+        News::Join(row()),
+        News::Suspect(run),
+        News::Alive(run),
+        News::Left(run),
+    ];
+    let head = Some(Head {
+        number: 5,
+        digest: [5; 32],
+    });
+    let message = |body| Message {
+        from: 1,
+        incarnation: 2,
+        head,
+        news: news.clone(),
+        body,
+    };
+    let mut frames: Vec<Frame> = bodies()
+        .into_iter()
+        .map(|b| Frame::send(message(b)))
+        .collect();
+    let status = Status {
+        number: 3,
+        digest: [1; 32],
+        incarnation: 9,
+        leaving: true,
+    };
+    frames.push(Frame {
+        kind: Kind::Ask(1),
+        body: Matter::StatusAsk,
+    });
+    frames.push(Frame {
+        kind: Kind::Answer(1),
+        body: Matter::StatusGive(status),
+    });
+    frames.push(Frame {
+        kind: Kind::Ask(2),
+        body: Matter::HeadAsk(HeadAsk { number: 2, have: 1 }),
+    });
+    frames.push(Frame {
+        kind: Kind::Answer(2),
+        body: Matter::HeadGive(Some(vec![7; 1000])),
+    });
+    frames.push(Frame {
+        kind: Kind::Answer(3),
+        body: Matter::HeadGive(None),
+    });
+    frames
+}
+
+#[test]
+fn frames_survive_the_wire() {
+    for frame in frames() {
+        let bytes = frame.encode().expect("encodes");
+        assert_eq!(Frame::decode(&bytes).expect("decodes"), frame);
+    }
+}
+
+#[test]
+fn a_kind_fits_its_body() {
+    let frame = Frame {
+        kind: Kind::Send,
+        body: Matter::StatusAsk,
+    };
+    let bytes = frame.encode().expect("encodes");
+    assert!(matches!(Frame::decode(&bytes), Err(Error::Field("kind"))));
+}
+
+#[test]
+fn fields_out_of_bounds_are_refused() {
+    let message = |body| {
+        Frame::send(Message {
+            from: 1,
+            incarnation: 1,
+            head: None,
+            news: vec![],
+            body,
+        })
+    };
+    let mut long = row();
+    long.identity.name = "n".repeat(256);
+    let mut control = row();
+    control.identity.zone = "z\n1".into();
+    let mut unordered = delta();
+    unordered.groups[0].batches[0].upto = 1;
+    let mut bucket = delta();
+    bucket.whole = vec![16];
+    let digest = vec![Summary {
+        hash: 0,
+        versions: vec![0; 257],
+    }];
+    let forever = Observation::Condemned {
+        fingerprint: 1,
+        ttl: Duration::from_secs(1 << 30),
+    };
+    let item = Item {
+        origin: 1,
+        incarnation: 1,
+        version: 1,
+        body: forever,
+    };
+    let bad = [
+        Body::Rows(vec![long]),
+        Body::Rows(vec![control]),
+        Body::Delta(unordered),
+        Body::Delta(bucket),
+        Body::Digest(digest),
+        Body::Rumour(vec![item]),
+    ];
+    for body in bad {
+        let bytes = message(body.clone()).encode().expect("encodes");
+        assert!(
+            matches!(Frame::decode(&bytes), Err(Error::Field(_))),
+            "{body:?}"
+        );
+    }
+}
+
+/// A peer sends rubbish, by a fault or on purpose: every byte string is an error or a frame, and
+/// a length that promises more than there is allocates nothing for it.
+#[test]
+fn garbage_and_mutated_frames_never_panic() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let good: Vec<Vec<u8>> = frames()
+        .iter()
+        .map(|f| f.encode().expect("encodes"))
+        .collect();
+    let mut read = 0;
+    for step in 0..40_000usize {
+        let mut bytes = good[step % good.len()].clone();
+        match step % 4 {
+            0 => {
+                bytes = vec![0; rng.next_u32() as usize % 200];
+                rng.fill_bytes(&mut bytes);
+            }
+            1 => bytes.truncate(rng.next_u32() as usize % bytes.len()),
+            2 => bytes.push(0),
+            _ => {
+                for _ in 0..1 + rng.next_u32() % 4 {
+                    let at = rng.next_u32() as usize % bytes.len();
+                    bytes[at] = rng.next_u32() as u8;
+                }
+            }
+        }
+        let frame = Frame::decode(&bytes);
+        assert!(
+            step % 4 != 2 || frame.is_err(),
+            "trailing bytes are refused"
+        );
+        read += usize::from(frame.is_ok());
+    }
+    assert!(read > 0, "some mutations stay frames");
+}
+
+#[test]
+fn promised_lengths_allocate_nothing() {
+    // A record of 2^62 bytes in a frame of a few.
+    let mut bytes = vec![2, 1, 2, 1, 253];
+    bytes.extend_from_slice(&(1u64 << 62).to_le_bytes());
+    assert!(Frame::decode(&bytes).is_err());
+    assert!(matches!(
+        Frame::decode(&vec![0; wire::limits::MAX_FRAME + 1]),
+        Err(Error::Long(_))
+    ));
+}
+
+fn sessions() -> (Session, Session) {
+    let key = Key::try_from(KEY).expect("key");
+    let hello = || {
+        Hello::new("127.0.0.1:1".parse().expect("address"))
+            .encode()
+            .expect("encodes")
+    };
+    let (client, server) = (hello(), hello());
+    let of = |side| Session::new(&key, side, &client, &server).expect("session");
+    (of(Side::Client), of(Side::Server))
+}
+
+fn sealed(session: &mut Session, payload: &[u8]) -> Vec<u8> {
+    let tag = session.send.seal(payload);
+    [payload, &tag].concat()
+}
+
+/// Somebody on the way records frames and plays them again, on the same connection or another,
+/// back to the sender, in another order or with a changed byte. None of these verifies.
+#[test]
+fn replayed_reflected_and_changed_frames_are_refused() {
+    let (mut client, mut server) = sessions();
+    let first = sealed(&mut client, b"one");
+    let second = sealed(&mut client, b"two");
+    assert!(client.recv.clone().open(&first).is_err(), "reflected");
+    assert!(server.recv.clone().open(&second).is_err(), "out of order");
+    let mut changed = first.clone();
+    changed[0] ^= 1;
+    assert!(server.recv.clone().open(&changed).is_err(), "changed");
+    assert_eq!(server.recv.open(&first).expect("first"), b"one");
+    assert!(server.recv.clone().open(&first).is_err(), "again");
+    assert_eq!(server.recv.open(&second).expect("second"), b"two");
+    let (_, mut other) = sessions();
+    assert!(other.recv.open(&first).is_err(), "another connection");
+    assert!(server.recv.open(b"short").is_err());
+}
+
+#[test]
+fn keys_are_long_and_hidden() {
+    assert!(Key::try_from("00ff").is_err());
+    assert!(Key::try_from("not hexadecimal").is_err());
+    let key = Key::try_from(KEY).expect("key");
+    assert_eq!(format!("{key:?}"), "Key(hidden)");
+}
--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -1,14 +1,26 @@
 //! Groups over real links on loopback.
 
+#[path = "support/bare.rs"]
+mod bare;
 #[path = "support/node.rs"]
 mod node;
+#[path = "support/proxy.rs"]
+mod proxy;
+
+use bare::{Bare, note, until};
 
 use member::event::Event;
 use member::head::Head;
 use member::item::Body;
-use node::{KEY, Node};
+use member::message::{Body as MessageBody, Message, Summary};
+use node::{KEY, Node, PATIENCE};
+use proxy::Proxy;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use wire::frame::HeadAsk;
 use wire::limits::Limits;
+use wire::peer::Inbound;
 
 async fn pair() -> (Node, Node) {
     let a = Node::start("a", KEY, Limits::default()).await;
@@ -51,3 +63,186 @@
     })
     .await;
 }
+
+/// Something between two nodes loses track of their open connection: it stays open and nothing
+/// gets through, while new ones work. The sender sees no pong, sends the frame again over a new
+/// connection, and nobody is called unreachable.
+#[tokio::test]
+async fn silent_connection_is_not_a_dead_peer() {
+    let far = Bare::start(KEY, Limits::default()).await;
+    let (_target, watch) = tokio::sync::watch::channel(far.link.addr());
+    let proxy = Proxy::start(watch).await;
+    let mut near = Bare::start(KEY, Limits::default()).await;
+    let mut far = far;
+    near.link.send(proxy.addr, note(1)).expect("queued");
+    assert_eq!(far.next().await, 1);
+    proxy.forget();
+    near.link.send(proxy.addr, note(2)).expect("queued");
+    // The first one may come again: whether it had arrived was not known when the pong was lost.
+    while far.next().await != 2 {}
+    assert_eq!(near.link.counters().silent.get(), 1);
+    assert_eq!(near.link.counters().unreached.get(), 0);
+    assert!(near.inbound.try_recv().is_err());
+}
+
+/// A peer's process is gone: a new connection fails, and that is reported.
+#[tokio::test]
+async fn dead_peer_is_unreached() {
+    let mut near = Bare::start(KEY, Limits::default()).await;
+    let gone = Bare::start(KEY, Limits::default()).await;
+    let addr = gone.link.addr();
+    gone.cancel.cancel();
+    drop(gone);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    near.link.send(addr, note(1)).expect("queued");
+    let inbound = tokio::time::timeout(PATIENCE, near.inbound.recv())
+        .await
+        .expect("in time");
+    assert!(
+        matches!(inbound, Some(Inbound::Unreached(a)) if a == addr),
+        "{inbound:?}"
+    );
+    assert_eq!(near.link.routes(), 0);
+}
+
+/// A node with another key, by an operator's mistake or an attacker's guess, connects. Its first
+/// frame does not verify, so its connection is closed and counted, and nothing is delivered.
+#[tokio::test]
+async fn wrong_key_is_refused() {
+    let mut far = Bare::start(KEY, Limits::default()).await;
+    let near = Bare::start(&KEY.replace('0', "f"), Limits::default()).await;
+    near.link.send(far.link.addr(), note(1)).expect("queued");
+    until("counted", || far.link.counters().bad_mac.get() > 0).await;
+    assert!(far.inbound.try_recv().is_err());
+    assert_eq!(far.link.counters().received.get(), 0);
+}
+
+/// Strangers connect and say nothing, or speak something else. They hold a place for a short
+/// time only, and those over the bound are refused, while a peer that has a place is served.
+#[tokio::test]
+async fn strangers_are_bounded() {
+    let limits = Limits {
+        inbound: 4,
+        ..Limits::default()
+    };
+    let mut far = Bare::start(KEY, limits).await;
+    let near = Bare::start(KEY, Limits::default()).await;
+    near.link.send(far.link.addr(), note(1)).expect("queued");
+    assert_eq!(far.next().await, 1);
+    let mut strangers = Vec::new();
+    for number in 0..8 {
+        let mut stranger = TcpStream::connect(far.link.addr()).await.expect("connects");
+        if number == 0 {
+            let _ = stranger.write_all(b"GET / HTTP/1.1\r\n\r\n").await;
+        }
+        strangers.push(stranger);
+    }
+    until("refused", || far.link.counters().refused.get() > 0).await;
+    near.link.send(far.link.addr(), note(2)).expect("queued");
+    assert_eq!(far.next().await, 2);
+    until("strangers are let go", || {
+        far.link.counters().slow_hello.get() >= 3
+    })
+    .await;
+}
+
+/// An ask that nobody answers ends by its time limit, and leaves nothing behind.
+#[tokio::test]
+async fn unanswered_ask_times_out() {
+    let limits = Limits {
+        ask: Duration::from_millis(200),
+        ..Limits::default()
+    };
+    let near = Bare::start(KEY, limits).await;
+    let far = Bare::start(KEY, Limits::default()).await;
+    let answer = near.link.status(far.link.addr()).await;
+    assert!(matches!(answer, Err(wire::Error::Timeout(_))), "{answer:?}");
+}
+
+/// A record as large as a bundle of the full size crosses in one answer.
+#[tokio::test]
+async fn large_record_crosses() {
+    let near = Bare::start(KEY, Limits::default()).await;
+    let mut far = Bare::start(KEY, Limits::default()).await;
+    let record: Vec<u8> = (0..2_000_000u32).map(|i| i as u8).collect();
+    let sent = record.clone();
+    let addr = far.link.addr();
+    tokio::spawn(async move {
+        let inbound = far.inbound.recv().await;
+        let Some(Inbound::Head { reply, .. }) = inbound else {
+            panic!("{inbound:?}")
+        };
+        reply.send(Some(sent)).expect("queued");
+        far.cancel.cancelled().await;
+    });
+    let got = near
+        .link
+        .head(addr, HeadAsk { number: 1, have: 0 })
+        .await
+        .expect("answer");
+    assert!(got == Some(record));
+}
+
+/// More peers are sent to than a node may have routes: the least used close, all are reached.
+#[tokio::test]
+async fn routes_are_bounded() {
+    let limits = Limits {
+        routes: 3,
+        ..Limits::default()
+    };
+    let near = Bare::start(KEY, limits).await;
+    for round in 0..8 {
+        let mut far = Bare::start(KEY, Limits::default()).await;
+        near.link
+            .send(far.link.addr(), note(round))
+            .expect("queued");
+        assert_eq!(far.next().await, round);
+        assert!(near.link.routes() <= 3);
+    }
+}
+
+/// A frame over the bound of the receiver: the connection is closed and counted.
+#[tokio::test]
+async fn long_frame_is_refused() {
+    let near = Bare::start(KEY, Limits::default()).await;
+    let far = Bare::start(
+        KEY,
+        Limits {
+            frame: 100,
+            ..Limits::default()
+        },
+    )
+    .await;
+    let body = Message {
+        body: MessageBody::Digest(vec![
+            Summary {
+                hash: 1,
+                versions: vec![7; 200]
+            };
+            16
+        ]),
+        ..note(1)
+    };
+    near.link.send(far.link.addr(), body).expect("queued");
+    until("counted", || far.link.counters().bad_frame.get() > 0).await;
+}
+
+/// An unused connection is closed by both sides, and the next frame opens another.
+#[tokio::test]
+async fn idle_connection_closes() {
+    let limits = Limits {
+        idle: Duration::from_millis(100),
+        ..Limits::default()
+    };
+    let near = Bare::start(KEY, limits.clone()).await;
+    let mut far = Bare::start(KEY, limits).await;
+    near.link.send(far.link.addr(), note(1)).expect("queued");
+    assert_eq!(far.next().await, 1);
+    until("closed", || {
+        near.link.routes() == 0 && far.link.routes() == 0
+    })
+    .await;
+    near.link.send(far.link.addr(), note(2)).expect("queued");
+    assert_eq!(far.next().await, 2);
+    assert_eq!(near.link.counters().dialed.get(), 2);
+}
--- /dev/null
+++ b/crates/wire/tests/support/bare.rs
@@ -0,0 +1,77 @@
+//! A link without a group.
+#![allow(dead_code)]
+
+use crate::node::PATIENCE;
+use member::message::{Body, Message};
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+use wire::auth::Key;
+use wire::limits::Limits;
+use wire::peer::{Inbound, Link, Setup};
+
+/// A link and what comes from it.
+pub struct Bare {
+    /// The link.
+    pub link: Link,
+    /// What comes.
+    pub inbound: mpsc::Receiver<Inbound>,
+    /// Ends it.
+    pub cancel: CancellationToken,
+}
+
+impl Bare {
+    /// Starts a link on a free port.
+    pub async fn start(key: &str, limits: Limits) -> Self {
+        let (inbound, frames) = mpsc::channel(64);
+        let cancel = CancellationToken::new();
+        let listen = "127.0.0.1:0".parse().expect("address");
+        let key = Key::try_from(key).expect("key");
+        let setup = Setup {
+            listen,
+            advertise: None,
+            key,
+            limits,
+        };
+        let link = Link::start(setup, inbound, cancel.clone())
+            .await
+            .expect("listens");
+        Self {
+            link,
+            inbound: frames,
+            cancel,
+        }
+    }
+
+    /// The sender's number in the next message.
+    pub async fn next(&mut self) -> u64 {
+        let inbound = tokio::time::timeout(PATIENCE, self.inbound.recv()).await;
+        match inbound.expect("in time") {
+            Some(Inbound::Member { message, .. }) => message.from,
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+/// A message with a number in it.
+pub fn note(number: u64) -> Message {
+    Message {
+        from: number,
+        incarnation: 1,
+        head: None,
+        news: Vec::new(),
+        body: Body::Note,
+    }
+}
+
+/// Waits until `test` holds.
+pub async fn until(what: &str, test: impl Fn() -> bool) {
+    let wait = async {
+        while !test() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, wait)
+        .await
+        .unwrap_or_else(|_| panic!("{what}"));
+}
