lease: claim and lease tables over real sockets against the log's stand-in

Cause: decisions and clients were tested apart only. Change: tests/sockets.rs drives three claim tables and two lease tables through platform::http::Log. Conclusion: the actions and events map onto the clients one to one.

--- /dev/null
+++ b/crates/lease/tests/sockets.rs
@@ -0,0 +1,285 @@
+//! Claim and lease tables against the log service's stand-in, over loopback sockets: the way a node
+//! drives them.
+
+use lease::claim::event::Ask;
+use lease::claim::{self, Form};
+use lease::hold::{self, Group, Want};
+use lease::{Now, Outcome, Owner, Page, Record, Request};
+use platform::{Limits, Log as _, http};
+use standin::fault::Mode;
+use standin::log::Log;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::task::JoinHandle;
+
+const NODES: u64 = 3;
+const KEYS: u64 = 30;
+const WAIT: Duration = Duration::from_millis(500);
+const PATIENCE: Duration = Duration::from_secs(20);
+const TICK: Duration = Duration::from_millis(20);
+
+/// What became of requests: runs by key, and what each request was told.
+#[derive(Debug, Default)]
+struct Book {
+    runs: BTreeMap<claim::Hash, u32>,
+    told: BTreeMap<Request, Told>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Told {
+    Ran,
+    Joined,
+    Pointed,
+    Refused,
+}
+
+type Shared = Arc<Mutex<Book>>;
+
+struct Node {
+    events: UnboundedSender<claim::Event>,
+    task: JoinHandle<()>,
+}
+
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn wall() -> Duration {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+}
+
+fn page(page: platform::Page) -> Page {
+    let record = |r: platform::Record| Record {
+        offset: r.offset,
+        body: r.body,
+    };
+    let records = page.records.into_iter().map(record).collect();
+    Page {
+        first: page.first,
+        next: page.next,
+        records,
+    }
+}
+
+fn start(n: u64, log: SocketAddr, book: Shared) -> Node {
+    let (events, queue) = unbounded_channel();
+    let settings = claim::Settings {
+        shards: 2,
+        start: wall(),
+        pace: Duration::from_millis(50),
+        ..claim::Settings::default()
+    };
+    let table = claim::Table::new(
+        Owner {
+            node: n,
+            incarnation: 1,
+        },
+        n,
+        settings,
+    );
+    let client = Arc::new(http::Log::new(log, Limits::default()));
+    let task = tokio::spawn(drive(table, client, events.clone(), queue, book));
+    events.send(claim::Event::Follow(vec![0, 1])).unwrap();
+    Node { events, task }
+}
+
+async fn drive(
+    mut table: claim::Table,
+    client: Arc<http::Log>,
+    events: UnboundedSender<claim::Event>,
+    mut queue: UnboundedReceiver<claim::Event>,
+    book: Shared,
+) {
+    let begun = Instant::now();
+    let mut ticks = tokio::time::interval(TICK);
+    loop {
+        let event = tokio::select! {
+            event = queue.recv() => event.unwrap_or(claim::Event::Tick),
+            _ = ticks.tick() => claim::Event::Tick,
+        };
+        let mut actions = Vec::new();
+        table.handle(begun.elapsed(), event, &mut actions);
+        for action in actions {
+            act(action, &client, &events, &book);
+        }
+    }
+}
+
+fn act(
+    action: claim::Action,
+    client: &Arc<http::Log>,
+    events: &UnboundedSender<claim::Event>,
+    book: &Shared,
+) {
+    use claim::Action;
+    let (client, events) = (client.clone(), events.clone());
+    let told = |request, told| {
+        book.lock().unwrap().told.insert(request, told);
+    };
+    match action {
+        Action::Append { batch, shard, body } => {
+            tokio::spawn(async move {
+                let event = match client.append(&claim::stream(shard), body).await {
+                    Ok(_) => claim::Event::Appended(batch),
+                    Err(e) if e.unsure() => claim::Event::AppendUnsure(batch),
+                    Err(_) => claim::Event::AppendFailed(batch),
+                };
+                events.send(event).ok();
+            });
+        }
+        Action::Read { shard, from, wait } => {
+            tokio::spawn(async move {
+                let wait = if wait { WAIT } else { Duration::ZERO };
+                let event = match client.read(&claim::stream(shard), from, wait).await {
+                    Ok(read) => claim::Event::Page(shard, page(read)),
+                    Err(_) => claim::Event::ReadFailed(shard),
+                };
+                events.send(event).ok();
+            });
+        }
+        Action::Run { request, hash } => {
+            *book.lock().unwrap().runs.entry(hash).or_default() += 1;
+            told(request, Told::Ran);
+            events
+                .send(claim::Event::Ended(hash, Outcome::Complete, 10))
+                .ok();
+        }
+        Action::Follow { request, .. } | Action::Answer { request, .. } => {
+            told(request, Told::Joined);
+        }
+        Action::Point { request, .. } => told(request, Told::Pointed),
+        Action::Refuse { request, .. } => told(request, Told::Refused),
+        Action::Forget(_) => {}
+    }
+}
+
+/// Sends each key to all nodes in parallel and waits until all are told something.
+async fn send_all(nodes: &[Node], book: &Shared, round: u64) {
+    for key in 0..KEYS {
+        let text = format!("{}-{round}-{key}", wall().as_secs());
+        let form = Form::parse("desk", &text).unwrap();
+        for (n, node) in (0..).zip(nodes) {
+            let request = Request::from((round * KEYS + key) * NODES + n);
+            let ask = Ask {
+                request,
+                form,
+                fingerprint: 1,
+                deadline: Now::MAX,
+            };
+            node.events.send(claim::Event::Ask(ask)).unwrap();
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let wanted = ((round + 1) * KEYS * NODES) as usize;
+    let end = Instant::now() + PATIENCE;
+    while book.lock().unwrap().told.len() < wanted && Instant::now() < end {
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+/// Three nodes get every key at once, while the log loses answers, refuses appends over its rate and
+/// is down for a while. Each key runs once, and every send is told so or is pointed to the node
+/// that ran it.
+#[tokio::test]
+async fn each_key_sent_to_three_nodes_runs_once() {
+    let log = Log::start(any()).await.unwrap();
+    log.limit(100);
+    let book = Shared::default();
+    let nodes: Vec<Node> = (0..NODES)
+        .map(|n| start(n, log.addr, book.clone()))
+        .collect();
+    send_all(&nodes, &book, 0).await;
+    log.faults.lose(10);
+    send_all(&nodes, &book, 1).await;
+    log.faults.set(Mode::Down);
+    let later = async {
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        log.faults.set(Mode::Up);
+    };
+    tokio::join!(send_all(&nodes, &book, 2), later);
+    let book = book.lock().unwrap();
+    assert_eq!(book.runs.len() as u64, 3 * KEYS);
+    assert!(book.runs.values().all(|runs| *runs == 1), "{:?}", book.runs);
+    assert_eq!(book.told.len() as u64, 3 * KEYS * NODES);
+    assert!(!book.told.values().any(|told| *told == Told::Refused));
+    assert!(log.faults.lost() > 0);
+    nodes.iter().for_each(|node| node.task.abort());
+}
+
+/// Two nodes contend for a group through the stand-in, whose first answers are lost: one gains it.
+#[tokio::test]
+async fn one_of_two_nodes_holds_the_group() {
+    const GROUP: Group = 7;
+    let log = Log::start(any()).await.unwrap();
+    log.faults.lose(2);
+    let settings = hold::Settings {
+        retry: TICK,
+        ..hold::Settings::default()
+    };
+    let client = http::Log::new(log.addr, Limits::default());
+    let table = |n| {
+        hold::Table::new(
+            Owner {
+                node: n,
+                incarnation: 1,
+            },
+            n,
+            settings,
+        )
+    };
+    let mut tables = [table(1), table(2)];
+    let mut queues: [Vec<hold::Event>; 2] = Default::default();
+    let begun = Instant::now();
+    for queue in &mut queues {
+        queue.push(hold::Event::Want(vec![Want {
+            group: GROUP,
+            rank: 0,
+        }]));
+    }
+    let end = begun + PATIENCE;
+    let held = |tables: &[hold::Table], now| {
+        tables
+            .iter()
+            .filter(|table| table.permit(now, GROUP).is_some())
+            .count()
+    };
+    while held(&tables, begun.elapsed()) == 0 && Instant::now() < end {
+        for (table, queue) in tables.iter_mut().zip(&mut queues) {
+            let mut actions = Vec::new();
+            let events = std::mem::take(queue);
+            for event in events.into_iter().chain([hold::Event::Tick]) {
+                table.handle(begun.elapsed(), event, &mut actions);
+            }
+            for action in actions {
+                queue.extend(carry_out(action, &client).await);
+            }
+        }
+        tokio::time::sleep(TICK).await;
+    }
+    assert_eq!(held(&tables, begun.elapsed()), 1);
+    assert!(log.faults.lost() > 0);
+}
+
+async fn carry_out(action: hold::Action, client: &http::Log) -> Option<hold::Event> {
+    match action {
+        hold::Action::Append { batch, body } => {
+            Some(match client.append(hold::STREAM, body).await {
+                Ok(_) => hold::Event::Appended(batch),
+                Err(e) if e.unsure() => hold::Event::AppendUnsure(batch),
+                Err(_) => hold::Event::AppendFailed(batch),
+            })
+        }
+        hold::Action::Read { from, .. } => Some(
+            match client.read(hold::STREAM, from, Duration::ZERO).await {
+                Ok(read) => hold::Event::Page(page(read)),
+                Err(_) => hold::Event::ReadFailed,
+            },
+        ),
+        hold::Action::Gained(..) | hold::Action::Lost(_) => None,
+    }
+}
