--- a/crates/lease/src/hold/seat.rs
+++ b/crates/lease/src/hold/seat.rs
@@ -39,8 +39,8 @@
     pub owner: Option<Owner>,
     /// Number of its last record.
     number: Number,
-    /// When another's record that may count was last read.
-    seen: Option<Now>,
+    /// When the group is free to take, as far as this node knows.
+    free: Now,
     /// The lease that this node holds.
     pub mine: Option<Mine>,
     /// Highest number of a bundle whose roll was stopped.
@@ -74,32 +74,32 @@
         verdict
     }
 
-    /// Another's record that may count was read.
-    pub fn occupy(&mut self, now: Now, owner: Owner, number: Number) {
+    /// Another's record that may count was read. Its lease can't outlast the wait, since it runs from
+    /// when the record was sent.
+    pub fn occupy(&mut self, now: Now, owner: Owner, number: Number, settings: &Settings) {
         self.owner = Some(owner);
         self.number = number;
-        self.seen = Some(now);
+        self.free = now + settings.wait();
     }
 
     /// The owner let go of the group. A record of this that arrives after the owner took the group
     /// anew must not free it: its number is lower then.
-    pub fn vacate(&mut self, owner: Owner, number: Number) {
+    pub fn vacate(&mut self, now: Now, owner: Owner, number: Number) {
         if self.owner == Some(owner) && self.number <= number {
             self.owner = None;
-            self.seen = None;
+            self.free = now;
         }
     }
 
-    /// Records were lost to retention: a tenure that goes on can't be told from a new one.
-    pub fn lose(&mut self, now: Now) {
+    /// This node's view begins anew, and the group is free at `free` unless a record says otherwise.
+    pub fn begin(&mut self, free: Now) {
         self.sure = None;
         self.maybe = None;
-        self.seen = Some(now);
+        self.free = free;
     }
 
-    /// Whether a record may be sent to take or renew the group. `begun` is when this node's view
-    /// began without knowing all that came before.
-    pub fn due(&self, now: Now, begun: Option<Now>, settings: &Settings) -> bool {
+    /// Whether a record may be sent to take or renew the group.
+    pub fn due(&self, now: Now, settings: &Settings) -> bool {
         let Some(rank) = self.rank else { return false };
         if self.tried.is_some_and(|at| now < at + settings.retry_most) {
             return false;
@@ -107,9 +107,7 @@
         if let Some(mine) = self.held(now) {
             return self.urgent || now >= mine.sent + settings.renew;
         }
-        let since = self.seen.max(begun);
-        let rank = settings.step * rank;
-        since.is_none_or(|since| now >= since + settings.wait() + rank)
+        now >= self.free + settings.step * rank
     }
 
     /// The lease that this node holds and that has not lapsed.
@@ -123,7 +121,6 @@
         let expiry = sent + settings.term;
         let later = self.held(now).is_none_or(|mine| expiry > mine.expiry);
         self.owner = Some(me);
-        self.seen = None;
         if later {
             self.mine = Some(Mine {
                 fence,
--- a/crates/lease/src/hold/table.rs
+++ b/crates/lease/src/hold/table.rs
@@ -21,8 +21,8 @@
     pub(super) seats: BTreeMap<Group, Seat>,
     pub(super) next: Offset,
     pub(super) start: Option<Offset>,
-    /// When this node's view began, if records before it are unknown.
-    begun: Option<Now>,
+    /// When a group of which nothing was read is free to take.
+    free: Now,
     caught_up: bool,
     reading: bool,
     flight: Option<Batch>,
@@ -46,7 +46,7 @@
             seats: BTreeMap::new(),
             next: 0,
             start: None,
-            begun: None,
+            free: Now::ZERO,
             caught_up: false,
             reading: false,
             flight: None,
@@ -121,10 +121,20 @@
             }
         }
         for want in wants {
-            self.seats.entry(want.group).or_default().rank = Some(want.rank);
+            self.seat(want.group).rank = Some(want.rank);
         }
     }
 
+    fn seat(&mut self, group: Group) -> &mut Seat {
+        let free = self.free;
+        let fresh = || {
+            let mut seat = Seat::default();
+            seat.begin(free);
+            seat
+        };
+        self.seats.entry(group).or_insert_with(fresh)
+    }
+
     fn stop(&mut self, now: Now, group: Group, number: id::Number) {
         let Some(seat) = self.seats.get_mut(&group) else {
             return;
@@ -201,7 +211,7 @@
     fn append(&mut self, now: Now, actions: &mut Vec<Action>) {
         let mut items = self.give(now);
         for (group, seat) in &mut self.seats {
-            if items.len() >= MAX_ITEMS || !seat.due(now, self.begun, &self.settings) {
+            if items.len() >= MAX_ITEMS || !seat.due(now, &self.settings) {
                 continue;
             }
             self.number += 1;
--- a/crates/lease/src/hold/table/read.rs
+++ b/crates/lease/src/hold/table/read.rs
@@ -41,11 +41,16 @@
         self.caught_up = false;
         self.start = Some(first);
         self.next = first;
-        if first > 0 {
-            // A lease taken by a record that is gone may still run.
-            self.begun = Some(now);
-            self.seats.values_mut().for_each(|seat| seat.lose(now));
-        }
+        // A lease taken by a record that is gone may still run.
+        let wait = if first > 0 {
+            self.settings.wait()
+        } else {
+            Now::ZERO
+        };
+        self.free = now + wait;
+        self.seats
+            .values_mut()
+            .for_each(|seat| seat.begin(now + wait));
     }
 
     fn record(&mut self, now: Now, offset: Offset, record: &Record, actions: &mut Vec<Action>) {
@@ -57,14 +62,15 @@
                     upto,
                     stop,
                 } => {
-                    let seat = self.seats.entry(group).or_default();
+                    let start = self.start.unwrap_or_default();
+                    let seat = self.seat(group);
                     seat.stop = seat.stop.max(stop);
-                    let verdict = seat.judge(offset, upto, self.start.unwrap_or_default());
+                    let verdict = seat.judge(offset, upto, start);
                     self.judged(now, offset, record.owner, group, number, verdict, actions);
                 }
                 Item::Give { group, number } => {
                     if let Some(seat) = self.seats.get_mut(&group) {
-                        seat.vacate(record.owner, number);
+                        seat.vacate(now, record.owner, number);
                     }
                 }
             }
@@ -94,7 +100,7 @@
         if verdict == Verdict::Fails {
             return;
         }
-        seat.occupy(now, owner, number);
+        seat.occupy(now, owner, number, &self.settings);
         if verdict == Verdict::Counts && seat.mine.take().is_some() {
             self.counters.lost += 1;
             actions.push(Action::Lost(group));
