lease: the wall clock is given again while a node runs; text forms have tests

Figures: 5 tests. Conclusion: a clock that was ahead only refuses too much; it never runs a key twice.

--- a/crates/lease/src/claim/action.rs
+++ b/crates/lease/src/claim/action.rs
@@ -3,6 +3,7 @@
 use crate::claim::{Batch, Hash, Shard};
 use crate::{Offset, Outcome, Owner, Request};
 use bytes::Bytes;
+use std::fmt;
 
 /// Why a request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -31,6 +32,18 @@
     }
 }
 
+impl fmt::Display for Why {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Log => "the log service did not settle the claim in time",
+            Self::Mismatch => "the key stands for another request body",
+            Self::Expired => "the key is too old to tell whether it has run",
+            Self::Future => "the key is dated in the future",
+            Self::Unissued => "the ticket was not issued",
+        })
+    }
+}
+
 /// An action.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
--- a/crates/lease/src/claim/counters.rs
+++ b/crates/lease/src/claim/counters.rs
@@ -39,6 +39,8 @@
     pub bad: u64,
     /// Records dated ahead of this node's clock by more than clocks may err.
     pub skewed: u64,
+    /// Times that this node's wall clock was found off by more than clocks may err.
+    pub stepped: u64,
     /// Times that records were dropped before this node had read them.
     pub gaps: u64,
 }
@@ -67,10 +69,7 @@
             " unsure {} failed {} records {}",
             self.unsure, self.failed, self.records
         )?;
-        write!(
-            f,
-            " bad {} skewed {} gaps {}",
-            self.bad, self.skewed, self.gaps
-        )
+        write!(f, " bad {} skewed {}", self.bad, self.skewed)?;
+        write!(f, " stepped {} gaps {}", self.stepped, self.gaps)
     }
 }
--- a/crates/lease/src/claim/event.rs
+++ b/crates/lease/src/claim/event.rs
@@ -1,7 +1,7 @@
 //! What happens to a claim table.
 
 use crate::claim::{Batch, Fingerprint, Form, Hash, Shard};
-use crate::{Now, Outcome, Page, Request};
+use crate::{Now, Outcome, Page, Request, Wall};
 
 /// A request that may not be repeated arrived.
 #[derive(Clone, Copy, Debug)]
@@ -37,6 +37,9 @@
     AppendUnsure(Batch),
     /// A run ended; with the size of its answer, in bytes.
     Ended(Hash, Outcome, usize),
+    /// The wall clock, read now. To be given about once a minute: over days the monotonic clock
+    /// and the wall clock part.
+    Clock(Wall),
     /// Time passed; comes at least every 20 ms.
     Tick,
 }
--- a/crates/lease/src/claim/table.rs
+++ b/crates/lease/src/claim/table.rs
@@ -86,6 +86,7 @@
                 self.append_failed(now, batch);
             }
             Event::Ended(hash, outcome, bytes) => self.ended(now, hash, outcome, bytes, actions),
+            Event::Clock(wall) => self.clock(now, wall),
             Event::Tick => self.tick(now, actions),
         }
         self.flush(now, actions);
@@ -142,6 +143,12 @@
         }
     }
 
+    fn clock(&mut self, now: Now, wall: Wall) {
+        let off = wall.abs_diff(self.wall(now));
+        self.counters.stepped += u64::from(off > self.settings.skew);
+        self.settings.start = wall.saturating_sub(now);
+    }
+
     fn read_failed(&mut self, now: Now, shard: Shard) {
         self.counters.failed += 1;
         let Some(part) = self.shards.get_mut(&shard) else {
--- /dev/null
+++ b/crates/lease/tests/text.rs
@@ -0,0 +1,159 @@
+//! Text forms, as the dump shows them.
+
+use bundle::Bundle;
+use lease::claim::event::Ask;
+use lease::claim::{self, Form, Why};
+use lease::hold::{self, Want};
+use lease::roll::{Health, Phase, Rate, Roll, View};
+use lease::{Owner, Page, Record};
+use std::time::Duration;
+
+const START: Duration = Duration::from_secs(1_764_700_000);
+const SECOND: Duration = Duration::from_secs(1);
+
+fn owner() -> Owner {
+    Owner {
+        node: 0xa1,
+        incarnation: 0xbeef,
+    }
+}
+
+fn empty() -> Page {
+    Page::default()
+}
+
+/// A table with one claim in flight.
+fn claims() -> claim::Table {
+    let settings = claim::Settings {
+        shards: 1,
+        start: START,
+        ..claim::Settings::default()
+    };
+    let mut table = claim::Table::new(owner(), 1, settings);
+    let mut actions = Vec::new();
+    table.handle(SECOND, claim::Event::Follow(vec![0]), &mut actions);
+    table.handle(SECOND, claim::Event::Page(0, empty()), &mut actions);
+    let form = Form::parse("desk", "1764700000-a").unwrap();
+    let ask = Ask {
+        request: 1,
+        form,
+        fingerprint: 1,
+        deadline: SECOND * 9,
+    };
+    table.handle(SECOND, claim::Event::Ask(ask), &mut actions);
+    table
+}
+
+#[test]
+fn claims_read_as_text() {
+    let wanted = "\
+claims of a1/beef: asks 1 claims 1 lost 0 runs 0 joined 0 pointed 0 refused 0 (log 0 expired 0) \
+released 0 tickets 0 appends 1 unsure 0 failed 0 records 0 bad 0 skewed 0 stepped 0 gaps 0
+own keys 1 waiting 1 answers 0 bytes
+shard 0 home next 0 keys 0 floor 1764696401 queue 0 pending 0 failures 0
+";
+    assert_eq!(claims().to_string(), wanted);
+}
+
+#[test]
+fn a_wall_clock_that_was_off_is_counted_and_set() {
+    let mut table = claims();
+    let mut actions = Vec::new();
+    table.handle(
+        SECOND * 2,
+        claim::Event::Clock(START + SECOND * 3),
+        &mut actions,
+    );
+    assert_eq!(table.counters().stepped, 0);
+    table.handle(
+        SECOND * 2,
+        claim::Event::Clock(START + SECOND * 60),
+        &mut actions,
+    );
+    assert_eq!(table.counters().stepped, 1);
+    let form = Form::parse("desk", "1764700050-b").unwrap();
+    let ask = Ask {
+        request: 2,
+        form,
+        fingerprint: 1,
+        deadline: SECOND * 9,
+    };
+    table.handle(SECOND * 2, claim::Event::Ask(ask), &mut actions);
+    assert_eq!(table.counters().refused, 0);
+}
+
+#[test]
+fn leases_read_as_text() {
+    let mut table = hold::Table::new(owner(), 1, hold::Settings::default());
+    let mut actions = Vec::new();
+    let want = vec![Want {
+        group: 0x5,
+        rank: 0,
+    }];
+    table.handle(SECOND, hold::Event::Want(want), &mut actions);
+    table.handle(SECOND, hold::Event::Page(empty()), &mut actions);
+    let body = actions.iter().find_map(|action| match action {
+        hold::Action::Append { body, .. } => Some(body.clone()),
+        _ => None,
+    });
+    let records = vec![Record {
+        offset: 0,
+        body: body.unwrap(),
+    }];
+    let page = Page {
+        first: 0,
+        next: 1,
+        records,
+    };
+    table.handle(SECOND, hold::Event::Page(page), &mut actions);
+    let wanted = "\
+leases of a1/beef: gained 1 lost 0 beaten 0 appends 1 unsure 0 failed 0 bad 0 gaps 0
+group 5 holder a1/beef held fence 0 until 16s
+";
+    assert_eq!(table.to_string(), wanted);
+}
+
+#[test]
+fn a_roll_reads_as_text() {
+    let bundle = Bundle {
+        number: 3,
+        ..Bundle::default()
+    };
+    let mut roll = Roll::new(lease::roll::Settings::default());
+    let rate = Rate {
+        per_minute: 1,
+        at_once: 1,
+    };
+    let health: [Health; 0] = [];
+    let view = View {
+        bundle: &bundle,
+        zones: &[],
+        reports: &[],
+        health: &health,
+        rate,
+        stopped: 3,
+    };
+    roll.step(SECOND, &view, &mut Vec::new());
+    let wanted = "roll of bundle 3: stopped: new replicas of bundle 3 failed orders 0 failed 0\n";
+    assert_eq!(roll.to_string(), wanted);
+    assert_eq!(
+        Phase::Blocked("e1".into()).to_string(),
+        "blocked at e1: last ready replica"
+    );
+}
+
+#[test]
+fn refusals_read_as_text_and_have_a_status() {
+    assert_eq!(
+        Why::Log.to_string(),
+        "the log service did not settle the claim in time"
+    );
+    let statuses = [
+        Why::Log,
+        Why::Mismatch,
+        Why::Expired,
+        Why::Future,
+        Why::Unissued,
+    ];
+    assert_eq!(statuses.map(Why::status), [503, 422, 409, 400, 400]);
+}
