--- a/crates/engine/src/pool/connection.rs
+++ b/crates/engine/src/pool/connection.rs
@@ -15,6 +15,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
+/// Longest DATA frame taken: one token's activations and their head fit into one.
+const FRAME: u32 = 64 << 10;
 /// Largest window that HTTP/2 allows.
 const WINDOW_LIMIT: u32 = (1 << 31) - 1;
 
@@ -57,6 +59,7 @@
             .initial_window_size(limits.window)
             .initial_connection_window_size(window)
             .max_send_buffer_size(limits.window as usize)
+            .max_frame_size(FRAME)
             .enable_push(false)
             .handshake(socket)
             .await
--- a/crates/standin/src/engine/server.rs
+++ b/crates/standin/src/engine/server.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use tokio::task::JoinSet;
 
+const FRAME: u32 = 64 << 10;
 const STREAM_WINDOW: u32 = 1 << 20;
 const CONNECTION_WINDOW: u32 = 16 << 20;
 
@@ -27,6 +28,7 @@
         let mut builder = h2::server::Builder::new();
         builder.initial_window_size(STREAM_WINDOW);
         builder.initial_connection_window_size(CONNECTION_WINDOW);
+        builder.max_frame_size(FRAME);
         let Ok(mut connection) = builder.handshake::<_, Bytes>(gate).await else {
             return;
         };
