The roll runs in the node: leases by region, orders, versions served

Cause: a new bundle's model versions were only wanted; nothing ordered endpoints to load them, and nodes sent requests to a version that no endpoint held yet. Change: control takes the lease of its region, steps the roll once a second and sends orders under the permit's fencing number; endpoints' reports decide which version new requests go to (the bundle's once it is whole, else the old one), and endpoints on another version get no new work; a request without a token yet moves on to the served version, one with tokens stays on its own. `[roll]` settings; the weight store's rate.

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -666,6 +666,9 @@
             cancel,
         };
         self.metrics.attempts.add(1, &[]);
+        if session.had.is_empty() {
+            renew(&mut session.work, self.snapshot.as_deref());
+        }
         match &session.work {
             Work::Tokens(prompt) => spawn_tokens(cx, prompt, &session.had, stages),
             Work::Call(call) => spawn_call(cx, call, stages),
@@ -752,6 +755,19 @@
     }
 }
 
+/// A request without a token yet may run on the version that is served now; one that has tokens
+/// goes on with its own, since an answer of two versions would be wrong.
+fn renew(work: &mut Work, snapshot: Option<&Snapshot>) {
+    let (Work::Tokens(prompt), Some(snapshot)) = (work, snapshot) else {
+        return;
+    };
+    let model = snapshot.view.bundle.model(&prompt.model);
+    let version = model.and_then(|m| snapshot.versions.get(usize::from(m)));
+    if let Some(version) = version.filter(|v| **v != prompt.version) {
+        Arc::make_mut(prompt).version.clone_from(version);
+    }
+}
+
 fn spawn_tokens(cx: Context, prompt: &Arc<Prompt>, had: &[Token], stages: Vec<Stage>) {
     tokio::spawn(attempt::tokens(cx, prompt.clone(), had.to_vec(), stages));
 }
--- a/crates/entry/src/handler/complete.rs
+++ b/crates/entry/src/handler/complete.rs
@@ -9,6 +9,7 @@
 use crate::api::{chat, completion, models};
 use crate::attempt::{Prompt, Work};
 use crate::core::{Arrival, Command, End, Reply};
+use crate::snapshot::Snapshot;
 use crate::{reading, sse};
 use bundle::Bundle;
 use bundle::id::{AdapterId, ModelId};
@@ -54,7 +55,7 @@
     let ask = read(&body)?;
     let target = target(bundle, &header, &ask)?;
     let most = most(state, bundle, target.model, &ask)?;
-    let (mut arrival, answer) = arrive(state, bundle, &header, ask, &target, most, &body);
+    let (mut arrival, answer) = arrive(state, &snapshot, &header, ask, &target, most, &body);
     arrival.claim = super::key::claim(&header, bundle, &arrival.request)?;
     let id = arrival.request.id;
     let left = arrival
@@ -126,13 +127,14 @@
 
 fn arrive(
     state: &Shared,
-    bundle: &Bundle,
+    snapshot: &Snapshot,
     header: &Header,
     ask: Ask,
     named: &Named,
     most: u32,
     body: &[u8],
 ) -> (Arrival, Answer) {
+    let bundle = &snapshot.view.bundle;
     let model = &bundle.models[usize::from(named.model)];
     let adapter = named.adapter.as_ref();
     let request = Routed {
@@ -149,7 +151,7 @@
     };
     let prompt = Prompt {
         model: model.name.clone(),
-        version: model.version.clone(),
+        version: snapshot.versions[usize::from(named.model)].clone(),
         adapter: adapter.map(|(_, name)| name.clone()),
         text: ask.prompt.clone(),
         most,
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -10,6 +10,8 @@
 pub struct Snapshot {
     /// The router's part.
     pub view: Arc<View>,
+    /// By model of the bundle: the version that new requests are sent to.
+    pub versions: Vec<String>,
     /// Entry nodes that take new callers, this one included unless it leaves.
     pub addresses: Vec<Address>,
 }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -6,12 +6,14 @@
 
 pub mod claims;
 pub mod demand;
+pub mod endpoints;
 pub mod input;
 pub mod listed;
 pub mod loads;
 pub mod observed;
 pub mod publish;
 pub mod records;
+pub mod rolls;
 pub mod state;
 pub mod tail;
 pub mod view;
@@ -109,6 +111,7 @@
             tokio::spawn(notes(number, worker.noted, inputs.clone()));
         }
         let platform = self.settings.platform.clone();
+        tokio::spawn(tail::rate(platform.clone(), inputs.clone()));
         tokio::spawn(tail::bundles(platform.clone(), inputs.clone(), self.seed));
         tokio::spawn(tail::instances(platform, inputs.clone(), self.seed));
         tokio::spawn(from_peers(peers, inputs.clone()));
--- a/crates/node/src/control/claims.rs
+++ b/crates/node/src/control/claims.rs
@@ -1,13 +1,14 @@
 //! Claims of idempotency keys: the table, its reads and appends, and the answers kept for resends.
 
 use super::input::{Input, Inputs};
+use super::rolls::to_page;
 use crate::settings::Platform;
 use bytes::Bytes;
 use entry::api::error::Error;
 use entry::claim::{Ask, Ended, Kept, Verdict};
 use http::StatusCode;
+use lease::Owner;
 use lease::claim::{self, Action, Event, Settings, Table, Why, home, stream};
-use lease::{Owner, Page, Record};
 use platform::Log;
 use platform::http::Log as Client;
 use route::outcome::Outcome;
@@ -229,18 +230,6 @@
     }
 }
 
-fn to_page(page: platform::Page) -> Page {
-    let records = page.records.into_iter().map(|r| Record {
-        offset: r.offset,
-        body: r.body,
-    });
-    Page {
-        first: page.first,
-        next: page.next,
-        records: records.collect(),
-    }
-}
-
 /// The error for a resend whose run ended and whose answer is not to be had.
 fn gone(outcome: Outcome) -> Error {
     match outcome {
--- a/crates/node/src/control/input.rs
+++ b/crates/node/src/control/input.rs
@@ -1,9 +1,10 @@
 //! What happens to control.
 
+use super::rolls::Ordered;
+use engine::load::Report;
 use entry::core::Note;
 use platform::instance::Instance;
 use platform::{Offset, Page};
-use route::load::Report;
 use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
 use wire::peer::Inbound;
@@ -31,6 +32,12 @@
     Note(usize, Note),
     /// Something happened to the claims' streams.
     Claim(lease::claim::Event),
-    /// An endpoint reported its load.
-    Load(Arc<str>, Report),
+    /// Something happened to the leases' stream.
+    Lease(lease::hold::Event),
+    /// An order to an endpoint ended.
+    Ordered(Ordered),
+    /// What the weight store allows.
+    Rate(platform::weights::Rate),
+    /// An endpoint reported its load and what it holds; none if it did not answer.
+    Load(Arc<str>, Option<Report>),
 }
--- a/crates/node/src/control/loads.rs
+++ b/crates/node/src/control/loads.rs
@@ -1,11 +1,11 @@
 //! Asks endpoints for their load.
 
 use super::input::{Input, Inputs};
+use engine::load::Report;
 use engine::pool::Pool;
 use entry::snapshot::Board;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use route::load::Report;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,7 +20,7 @@
 /// Most endpoints that a node asks in a period; of more, each is asked less often.
 const MOST: usize = 128;
 
-/// Asks the open endpoints in turn until control is gone.
+/// Asks the endpoints in turn until control is gone.
 pub async fn poll(board: Board, inputs: Inputs) {
     let pool = Pool::default();
     let mut period = tokio::time::interval(PERIOD);
@@ -40,15 +40,13 @@
     addr: SocketAddr,
 }
 
-/// The next endpoints that run model stages and are open.
+/// The next endpoints that run model stages.
 fn targets(board: &Board, from: &mut usize) -> Vec<Target> {
     let Some(snapshot) = board.load_full() else {
         return Vec::new();
     };
-    let view = &snapshot.view;
-    let rows = view.bundle.endpoints.iter().zip(&view.open);
-    let open = rows.filter(|(e, open)| **open && !e.spans.is_empty());
-    let all: Vec<_> = open.map(|(e, _)| e).collect();
+    let rows = snapshot.view.bundle.endpoints.iter();
+    let all: Vec<_> = rows.filter(|e| !e.spans.is_empty()).collect();
     let taken = all.iter().cycle().skip(*from).take(all.len().min(MOST));
     let targets = taken.map(|e| Target {
         name: e.name.as_str().into(),
@@ -72,23 +70,26 @@
         let Some(answer) = asking.next().await else {
             return true;
         };
-        let Some((name, report)) = answer else {
-            continue;
-        };
-        if inputs.send(Input::Load(name, report)).await.is_err() {
+        if inputs
+            .send(Input::Load(answer.name, answer.report))
+            .await
+            .is_err()
+        {
             return false;
         }
     }
 }
 
-async fn fetch(pool: &Pool, target: Target) -> Option<(Arc<str>, Report)> {
+/// An endpoint's answer, if there was one.
+struct Answer {
+    name: Arc<str>,
+    report: Option<Report>,
+}
+
+async fn fetch(pool: &Pool, target: Target) -> Answer {
     let answer = timeout(ANSWER_TIME, engine::load::fetch(pool, target.addr));
-    let load = answer.await.ok()?.ok()?;
-    let report = Report {
-        running: load.running,
-        waiting: load.waiting,
-        inter_token: load.inter_token,
-        age: Duration::ZERO,
-    };
-    Some((target.name, report))
+    Answer {
+        name: target.name,
+        report: answer.await.ok().and_then(|load| load.ok()),
+    }
 }
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -3,12 +3,15 @@
 mod answer;
 mod bundles;
 mod keys;
+mod orders;
 mod peers;
 
 use super::claims::{Claims, Told};
 use super::demand::{self, Table};
+use super::endpoints;
 use super::input::{Input, Inputs};
 use super::listed::Listed;
+use super::rolls::Rolls;
 use super::view::Source;
 use crate::settings::Settings;
 use bundle::checkpoint::{self, Policy};
@@ -93,6 +96,8 @@
     /// The list's newest answer, read again when a bundle tells which instances are endpoints'.
     instances: Vec<Instance>,
     demand: Table,
+    endpoints: endpoints::Table,
+    rolls: Rolls,
     claims: Claims,
     /// Verdicts on claims that workers have not been told yet.
     verdicts: VecDeque<Told>,
@@ -130,7 +135,10 @@
             &parts.settings.platform,
             parts.inputs.clone(),
         );
+        let rolls = Rolls::new(owner, parts.seed, &parts.settings, parts.inputs.clone());
         let mut state = Self {
+            endpoints: endpoints::Table::default(),
+            rolls,
             claims,
             verdicts: VecDeque::new(),
             fold: Fold::new(parts.settings.trust.clone()),
@@ -180,11 +188,16 @@
             Input::Records(body) => self.records(body),
             Input::Note(worker, note) => self.note(worker, note),
             Input::Claim(event) => self.claim(event),
-            Input::Load(name, report) => {
-                for ring in &mut self.notices {
-                    let _ = ring.push(Notice::Load(name.clone(), report));
-                }
+            Input::Lease(event) => self.lease(event),
+            Input::Ordered(ordered) => {
+                let now = self.now();
+                self.rolls.ordered(now, &ordered);
             }
+            Input::Rate(rate) => self.rolls.allow(lease::roll::Rate {
+                per_minute: rate.per_minute,
+                at_once: rate.at_once,
+            }),
+            Input::Load(name, report) => self.load(&name, report),
         }
         self.publish();
     }
@@ -215,10 +228,12 @@
             self.begin_to_leave();
         }
         self.handle(Event::Tick);
+        self.lease(lease::hold::Event::Tick);
         if self.stepped.elapsed() >= STEP_PERIOD {
             self.stepped = Instant::now();
             self.step();
             self.follow_claims();
+            self.roll();
             self.checkpoint();
         }
         self.publish();
@@ -326,6 +341,7 @@
             group: &self.group,
             shares: self.teams.shares(),
             demand: &self.demand,
+            endpoints: &self.endpoints,
             leaving: self.leaving,
         };
         for (worker, board) in self.boards.iter().enumerate() {
--- a/crates/node/src/control/state/answer.rs
+++ b/crates/node/src/control/state/answer.rs
@@ -96,6 +96,8 @@
             part("bundles", format!("{}", self.fold)),
             part("members", format!("{}", self.group)),
             part("team limits", format!("{}", self.teams)),
+            part("endpoints", format!("{}", self.endpoints)),
+            part("leases and rolls", format!("{}", self.rolls)),
             part("claims", format!("{}", self.claims)),
             part("instance list", format!("{}", self.listed)),
         ]
--- a/crates/node/src/control/state/bundles.rs
+++ b/crates/node/src/control/state/bundles.rs
@@ -78,6 +78,7 @@
         self.dirty = true;
         self.listed
             .keep(bundle.endpoints.iter().map(|e| e.instance.as_str()));
+        self.endpoints.keep(&bundle);
         self.handle(Event::Head(head));
         self.list_nodes();
         self.step();
--- a/crates/node/src/control/state/keys.rs
+++ b/crates/node/src/control/state/keys.rs
@@ -64,6 +64,9 @@
             incarnation: self.incarnation,
         };
         let now = self.now();
+        // Keys carry dates by their makers' wall clocks; this node's may be set while it runs.
+        let clock = Event::Clock(super::wall());
+        self.claims.handle(now, clock, &Known(&self.group));
         self.claims.follow(now, me, &nodes, &Known(&self.group));
         self.tell_claims();
     }
--- /dev/null
+++ b/crates/node/src/control/state/orders.rs
@@ -0,0 +1,62 @@
+//! Loads of endpoints, leases and rolls.
+
+use super::State;
+use crate::control::rolls::Source;
+use engine::load::Report;
+use entry::core::Notice;
+use lease::hold::Event;
+use std::sync::Arc;
+
+impl State {
+    /// An endpoint reported, or did not answer.
+    pub(super) fn load(&mut self, name: &Arc<str>, report: Option<Report>) {
+        let Some(report) = report else {
+            self.endpoints.silent(name);
+            return;
+        };
+        let load = route::load::Report {
+            running: report.running,
+            waiting: report.waiting,
+            inter_token: report.inter_token,
+            age: report.age,
+        };
+        for ring in &mut self.notices {
+            let _ = ring.push(Notice::Load(name.clone(), load));
+        }
+        if self.endpoints.take(name, report) {
+            self.dirty = true;
+        }
+    }
+
+    /// Takes an event of the leases' stream, or time that passed.
+    pub(super) fn lease(&mut self, event: Event) {
+        let now = self.now();
+        self.rolls.handle(now, event);
+    }
+
+    /// Takes a step of the rolls whose leases this node holds.
+    pub(super) fn roll(&mut self) {
+        let now = self.now();
+        let Some(bundle) = self.fold.head().cloned() else {
+            return;
+        };
+        if self.leaving {
+            return self.rolls.give_back(now);
+        }
+        let roster = self.group.roster();
+        self.rolls.want(now, self.group.me(), &bundle, roster);
+        let rows = bundle.endpoints.iter();
+        let health = rows.map(|e| {
+            let takes = self.listed.takes_work(&e.instance);
+            self.endpoints.health(&e.name, takes)
+        });
+        let health: Vec<_> = health.collect();
+        let reports = self.endpoints.reports(&bundle);
+        let source = Source {
+            bundle: &bundle,
+            reports: &reports,
+            health: &health,
+        };
+        self.rolls.step(now, &source);
+    }
+}
--- a/crates/node/src/control/tail.rs
+++ b/crates/node/src/control/tail.rs
@@ -3,7 +3,7 @@
 use super::input::{Input, Inputs};
 use crate::settings::Platform;
 use platform::backoff::Backoff;
-use platform::{List, Log, Offset};
+use platform::{List, Log, Offset, Weights};
 use std::time::Duration;
 use tokio::sync::oneshot;
 
@@ -15,6 +15,8 @@
 const LEAST_BACKOFF: Duration = Duration::from_millis(100);
 /// Longest wait after failures: the log is in use again within this after an outage.
 const MOST_BACKOFF: Duration = Duration::from_secs(2);
+/// How often the weight store is asked.
+const RATE_PERIOD: Duration = Duration::from_secs(10);
 /// How often the instance list is read.
 const LIST_PERIOD: Duration = Duration::from_secs(1);
 
@@ -45,6 +47,22 @@
     }
 }
 
+/// Asks the weight store what it allows, until control is gone.
+pub async fn rate(settings: Platform, inputs: Inputs) {
+    let Some(addr) = settings.weights else {
+        return;
+    };
+    let weights = platform::http::Weights::new(addr, settings.limits);
+    loop {
+        if let Ok(rate) = weights.rate().await
+            && inputs.send(Input::Rate(rate)).await.is_err()
+        {
+            return;
+        }
+        tokio::time::sleep(RATE_PERIOD).await;
+    }
+}
+
 /// Reads the instance list until control is gone.
 pub async fn instances(settings: Platform, inputs: Inputs, seed: u64) {
     let list = platform::http::List::new(settings.list, settings.limits);
--- a/crates/node/src/control/view.rs
+++ b/crates/node/src/control/view.rs
@@ -1,10 +1,13 @@
 //! Builds what the workers and handlers read.
 
 use super::demand::Table;
+use super::endpoints;
 use super::listed::Listed;
 use super::observed;
 use crate::settings::Settings;
 use bundle::Bundle;
+use bundle::endpoint::Endpoint;
+use bundle::id::EndpointId;
 use entry::address::Address;
 use entry::snapshot::Snapshot;
 use member::group::Group;
@@ -33,6 +36,8 @@
     pub group: &'a Group,
     /// The node's shares of the teams' limits.
     pub shares: &'a [Share],
+    /// What endpoints report.
+    pub endpoints: &'a endpoints::Table,
     /// Demand by worker.
     pub demand: &'a Table,
     /// Whether the node leaves.
@@ -44,6 +49,7 @@
     pub fn snapshot(&self, worker: usize) -> Snapshot {
         Snapshot {
             view: Arc::new(self.view(worker)),
+            versions: self.endpoints.versions(self.bundle),
             addresses: self.addresses(),
         }
     }
@@ -68,8 +74,20 @@
     }
 
     fn open(&self) -> Vec<bool> {
-        let rows = self.bundle.endpoints.iter();
-        rows.map(|e| self.listed.takes_work(&e.instance)).collect()
+        let versions = self.endpoints.versions(self.bundle);
+        let rows = (0..).zip(&self.bundle.endpoints);
+        rows.map(|(id, e)| self.listed.takes_work(&e.instance) && self.ready(id, e, &versions))
+            .collect()
+    }
+
+    /// Whether an endpoint holds what new requests are sent to. In the middle of a roll those on
+    /// another version get no new work: a chain must not mix versions.
+    fn ready(&self, id: EndpointId, endpoint: &Endpoint, versions: &[String]) -> bool {
+        let mut spans = endpoint.spans.iter();
+        spans.all(|s| {
+            let version = &versions[usize::from(s.model)];
+            self.endpoints.serves(self.bundle, id, s.model, version)
+        })
     }
 
     /// Nodes that take new callers: this one unless it leaves, and peers that are up.
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -39,6 +39,8 @@
     pub ask: Ask,
     /// Settings of the routers.
     pub route: route::settings::Settings,
+    /// Settings of the rolls.
+    pub roll: lease::roll::Settings,
     /// Logs.
     pub logging: Logging,
 }
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -18,9 +18,10 @@
 const PLATFORM: &str = "platform";
 const TRUST: &str = "trust";
 const LIMITS: &str = "limits";
+const ROLL: &str = "roll";
 const LOGGING: &str = "logging";
-const SECTIONS: [&str; 8] = [
-    NODE, CALLERS, PEERS, ADMIN, PLATFORM, TRUST, LIMITS, LOGGING,
+const SECTIONS: [&str; 9] = [
+    NODE, CALLERS, PEERS, ADMIN, PLATFORM, TRUST, LIMITS, ROLL, LOGGING,
 ];
 
 /// Request workers, unless set.
@@ -44,6 +45,7 @@
     let platform = platform(text, &mut findings);
     let trust = trust(text, &mut findings);
     let ask = ask(text, &mut findings);
+    let roll = roll(text, &mut findings);
     let logging = logging(text, &mut findings);
     clashes(text, [&callers, &admin], &peers, &mut findings);
     if !findings.is_empty() {
@@ -66,6 +68,7 @@
         trust,
         ask,
         route: route::settings::Settings::default(),
+        roll,
         logging,
     })
 }
@@ -220,6 +223,20 @@
     ask
 }
 
+fn roll(text: &Text, findings: &mut Vec<Finding>) -> lease::roll::Settings {
+    let mut section = Section::new(text, ROLL);
+    let usual = lease::roll::Settings::default();
+    let roll = lease::roll::Settings {
+        limit: section.or("load_time", usual.limit, time, findings),
+        soak: section.or("watch", usual.soak, time, findings),
+        drain: section.or("longest_request", usual.drain, time, findings),
+        failures: section.or("failures", usual.failures, count, findings),
+        ..usual
+    };
+    section.finish(findings);
+    roll
+}
+
 fn logging(text: &Text, findings: &mut Vec<Finding>) -> Logging {
     let mut section = Section::new(text, LOGGING);
     let logging = Logging {
--- a/crates/rig/src/expect.rs
+++ b/crates/rig/src/expect.rs
@@ -7,6 +7,11 @@
 /// Text that a whole answer to `ask` must have. The prompt is the one that the callers' API
 /// documents for chat messages.
 pub fn text(plan: &Plan, ask: &Ask) -> String {
+    text_of(plan, ask, VERSION)
+}
+
+/// The same for another version of the model.
+pub fn text_of(plan: &Plan, ask: &Ask, version: &str) -> String {
     let prompt = format!("<|user|>\n{}\n<|assistant|>\n", ask.message);
     let (model, adapter) = match ask.model.split_once(':') {
         Some((model, adapter)) => (model, Some(adapter)),
@@ -14,7 +19,7 @@
     };
     let tokens = answer(&Question {
         model,
-        version: VERSION,
+        version,
         adapter,
         layers: plan.layers,
         prompt: prompt.as_bytes(),
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -12,6 +12,11 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+/// What the weight store allows.
+const RATE: platform::weights::Rate = platform::weights::Rate {
+    per_minute: 6000,
+    at_once: 4,
+};
 /// Longest time to wait for something that must come.
 const PATIENCE: Duration = Duration::from_secs(20);
 /// How often it is looked for.
@@ -51,6 +56,8 @@
     pub log: standin::log::Log,
     /// The instance list.
     pub list: standin::list::List,
+    /// The weight store.
+    pub weights: standin::weights::Weights,
     /// Endpoints that run stages.
     pub endpoints: Vec<Endpoint>,
     /// Endpoints of plain services.
@@ -80,6 +87,7 @@
         let mut fleet = Self {
             log: standin::log::Log::start(ANY).await?,
             list: standin::list::List::start(ANY, Vec::new()).await?,
+            weights: standin::weights::Weights::start(ANY, RATE).await?,
             endpoints: Vec::new(),
             services: Vec::new(),
             nodes: Vec::new(),
@@ -111,6 +119,7 @@
                 slots: plan.slots,
                 batch: plan.batch,
                 layer_time: part.layer_time,
+                load_time: plan.load_time,
                 ..standin::engine::Config::default()
             };
             let engine = standin::engine::Engine::start(config).await?;
@@ -137,7 +146,7 @@
 
     /// Starts node `index` (again).
     pub fn start_node(&mut self, index: usize) -> Result<()> {
-        let text = self.plan.settings(index, self.log.addr, self.list.addr);
+        let text = self.plan.settings(index, &self.platform());
         let name = format!("{}.ini", plan::node_name(index));
         let settings = settings::read(&name, &text)
             .map_err(|f| eyre!("settings of the rig are wrong: {f:?}"))?;
@@ -149,6 +158,15 @@
         Ok(())
     }
 
+    /// Where the platform's stand-ins listen.
+    pub fn platform(&self) -> plan::Platform {
+        plan::Platform {
+            log: self.log.addr,
+            list: self.list.addr,
+            weights: self.weights.addr,
+        }
+    }
+
     /// Node `index`, which must run.
     pub fn node(&self, index: usize) -> &Process {
         self.nodes[index].as_ref().expect("the node runs")
@@ -196,7 +214,12 @@
 
     /// The bundle's text.
     pub fn text(&self) -> String {
-        let mut text = self.plan.bundle();
+        self.text_of(plan::VERSION)
+    }
+
+    /// The bundle's text with this version of the model.
+    pub fn text_of(&self, version: &str) -> String {
+        let mut text = self.plan.bundle(version);
         for endpoint in &self.endpoints {
             let stage = self.plan.stages[endpoint.stage];
             let _ = writeln!(
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -77,8 +77,12 @@
     pub drain: Duration,
     /// How long callers may keep an address answer.
     pub address_ttl: Duration,
+    /// Time to load a range of layers.
+    pub load_time: Duration,
     /// Lines added to `[callers]` of every node's settings.
     pub callers: String,
+    /// Lines of `[roll]` in every node's settings.
+    pub roll: String,
 }
 
 /// The team of everyday work.
@@ -127,19 +131,32 @@
             services: 2,
             drain: Duration::from_millis(500),
             address_ttl: Duration::from_millis(500),
+            load_time: Duration::ZERO,
             callers: String::new(),
+            roll: String::new(),
         }
     }
 }
 
+/// Where the platform's stand-ins listen.
+#[derive(Clone, Copy, Debug)]
+pub struct Platform {
+    /// Log service.
+    pub log: SocketAddr,
+    /// Instance list.
+    pub list: SocketAddr,
+    /// Weight store.
+    pub weights: SocketAddr,
+}
+
 impl Plan {
     /// Name of an availability zone.
     pub fn zone(&self, index: usize) -> String {
         format!("zone-{}", index % self.zones.max(1))
     }
 
-    /// The bundle's text, without endpoints.
-    pub fn bundle(&self) -> String {
+    /// The bundle's text, without endpoints, with this version of the model.
+    pub fn bundle(&self, version: &str) -> String {
         let mut text = String::new();
         for zone in 0..self.zones {
             let _ = writeln!(text, "[zone zone-{zone}]\nregion = south\n");
@@ -150,7 +167,7 @@
         }
         let _ = writeln!(
             text,
-            "[model {MODEL}]\nversion = {VERSION}\nlayers = {}\ncontext = 8192\nadapters = {ADAPTER}\n",
+            "[model {MODEL}]\nversion = {version}\nlayers = {}\ncontext = 8192\nadapters = {ADAPTER}\n",
             self.layers
         );
         if self.services > 0 {
@@ -185,20 +202,22 @@
     }
 
     /// The settings of node `index`.
-    pub fn settings(&self, index: usize, log: SocketAddr, list: SocketAddr) -> String {
+    pub fn settings(&self, index: usize, platform: &Platform) -> String {
         let zone = self.zone(index);
         let workers = self.workers;
         let (drain, ttl) = (self.drain.as_millis(), self.address_ttl.as_millis());
         let public = sign::public(&sign::key(SIGNER_SEED));
-        let callers = &self.callers;
+        let (callers, roll) = (&self.callers, &self.roll);
+        let Platform { log, list, weights } = platform;
         format!(
             "[node]\nname = {}\nzone = {zone}\nregion = south\nworkers = {workers}\n\
              drain = {drain}ms\naddress_ttl = {ttl}ms\n\
              [callers]\nlisten = 127.0.0.1:0\n{callers}\n\
              [peers]\nlisten = 127.0.0.1:0\nkey = {PEER_KEY}\n\
              [admin]\nlisten = 127.0.0.1:0\n\
-             [platform]\nlog = {log}\nlist = {list}\n\
-             [trust]\n{SIGNER} = {public}\n",
+             [platform]\nlog = {log}\nlist = {list}\nweights = {weights}\n\
+             [trust]\n{SIGNER} = {public}\n\
+             [roll]\n{roll}\n",
             node_name(index)
         )
     }
