route: slow stages are left, broken variants, shrunk cases, tests of the parts

Cause: a stage that grows many times slower neither dies nor goes silent and held its streams for good; the invariants had not been shown to bite; sums of retry fractions were inexact.

--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -14,7 +14,8 @@
 
 /// What the choice asks of endpoints and links.
 pub trait Load {
-    /// Streams on an endpoint, in units of its slots' usual speed; `None` if it takes no work.
+    /// Streams on an endpoint with one more, times how much slower than aimed it is; `None` if it
+    /// takes no work.
     fn endpoint(&self, endpoint: EndpointId) -> Option<f64>;
     /// Streams over a pair of zones, see [`Wires::at`]; `None` if it takes no more.
     fn link(&self, pair: usize) -> Option<f64>;
@@ -75,7 +76,7 @@
         let row: &Stage = &self.graph.stages[stage];
         let flow = self.graph.flows[stage];
         let rate = if flow > 0.0 { flow } else { row.rate };
-        let mut cost = (self.load.endpoint(row.endpoint)? + 1.0) / rate;
+        let mut cost = self.load.endpoint(row.endpoint)? / rate;
         if self.cached.contains(&row.endpoint) {
             cost *= CACHED;
         }
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -12,6 +12,8 @@
 
 /// How long changes of the own work in flight are remembered, to compare with late reports.
 const TRAIL: Duration = Duration::from_secs(3);
+/// Time without progress in which the memory of slowness fades to half.
+const FADE: Duration = Duration::from_secs(5);
 /// Reports older than this say nothing.
 const STALE: Duration = Duration::from_secs(10);
 
@@ -96,6 +98,13 @@
         }
     }
 
+    /// How many times slower than aimed it is, at least 1. Fades while nothing runs here, so that
+    /// an endpoint which was slow is tried again.
+    pub fn slowness(&self, now: Now) -> f64 {
+        let idle = now.saturating_sub(self.progress).as_secs_f64();
+        (self.pace.slow / (1.0 + idle / FADE.as_secs_f64())).max(1.0)
+    }
+
     /// Whether it takes new work at all.
     pub fn takes(&self, now: Now) -> bool {
         self.open && self.health.takes() && self.hold <= now
--- a/crates/route/src/report.rs
+++ b/crates/route/src/report.rs
@@ -51,6 +51,8 @@
     paused,
     /// Counter: attempts moved so that a suspect runs alone.
     moved,
+    /// Counter: attempts moved away from endpoints that became slow.
+    slow,
     /// Counter: attempts that failed.
     failed,
     /// Counter: answers that an endpoint is full.
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -9,13 +9,15 @@
 /// Part of the running requests that the bucket can hold.
 const RUNNING_PART: f64 = 0.5;
 
+/// One retry, in the units that are counted: sums of fractions stay exact.
+const UNIT: f64 = 1e6;
+
 /// The budget.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Budget {
-    level: f64,
+    level: u64,
+    earned: u64,
     filled: Now,
-    /// Retries put in so far, with the first filling.
-    pub earned: f64,
     /// Retries granted so far.
     pub granted: u64,
 }
@@ -23,17 +25,23 @@
 impl Budget {
     /// A budget with `burst` retries saved up.
     pub fn new(burst: f64) -> Self {
+        let level = units(burst);
         Self {
-            level: burst,
+            level,
+            earned: level,
             filled: Now::ZERO,
-            earned: burst,
             granted: 0,
         }
     }
 
-    /// Retries saved up.
-    pub fn level(&self) -> f64 {
-        self.level
+    /// Whole retries saved up.
+    pub fn level(&self) -> u64 {
+        self.level / units(1.0)
+    }
+
+    /// Whole retries put in so far, with the first filling.
+    pub fn earned(&self) -> u64 {
+        self.earned / units(1.0)
     }
 
     /// Adds the fleet's `rate` per second since the last call.
@@ -49,19 +57,23 @@
     }
 
     fn add(&mut self, amount: f64, burst: f64, running: usize) {
-        let size = burst.max(running as f64 * RUNNING_PART);
-        let added = amount.min((size - self.level).max(0.0));
+        let size = units(burst.max(running as f64 * RUNNING_PART));
+        let added = units(amount).min(size.saturating_sub(self.level));
         self.level += added;
         self.earned += added;
     }
 
     /// Takes one retry; whether there was one.
     pub fn take(&mut self) -> bool {
-        if self.level < 1.0 {
+        let Some(level) = self.level.checked_sub(units(1.0)) else {
             return false;
-        }
-        self.level -= 1.0;
+        };
+        self.level = level;
         self.granted += 1;
         true
     }
 }
+
+fn units(retries: f64) -> u64 {
+    (retries * UNIT) as u64
+}
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -174,7 +174,7 @@
         report.parked = self.parked.len() as u64;
         report.running = self.running() as u64;
         report.out = self.fleet.rows.iter().filter(|r| !r.health.takes()).count() as u64;
-        report.budget = self.budget.level().max(0.0) as u64;
+        report.budget = self.budget.level();
         report.suspects = self.crash.counts().0 as u64;
         report.prefixes = self.locality.len() as u64;
         report
--- a/crates/route/src/router/check.rs
+++ b/crates/route/src/router/check.rs
@@ -11,9 +11,6 @@
 use bundle::id::{EndpointId, TeamId};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Rounding error allowed in sums of fractions.
-const ROUNDING: f64 = 1e-6;
-
 impl Router {
     /// Everything that is wrong: what was found on the way, and a recount of all tables.
     pub fn verify(&self) -> Vec<Finding> {
@@ -138,7 +135,7 @@
     }
 
     fn check_budget(&self, found: &mut Vec<Finding>) {
-        let (granted, earned) = (self.budget.granted, (self.budget.earned + ROUNDING) as u64);
+        let (granted, earned) = (self.budget.granted, self.budget.earned());
         if granted > earned || self.report.retries > granted {
             let fault = Fault::Bound(granted, earned);
             found.push(Finding {
--- a/crates/route/src/router/eyes.rs
+++ b/crates/route/src/router/eyes.rs
@@ -73,7 +73,7 @@
                 !held && row.flying < row.limit() && all < f64::from(row.slots) * room
             }
         };
-        free.then(|| all * row.pace.slow.max(1.0))
+        free.then(|| (all + 1.0) * row.slowness(self.now))
     }
 
     fn link(&self, pair: usize) -> Option<f64> {
--- a/crates/route/src/router/launch.rs
+++ b/crates/route/src/router/launch.rs
@@ -374,7 +374,7 @@
 ) -> Option<Vec<Hop>> {
     let cost = |e: EndpointId| {
         let row = eyes.fleet.get(e)?;
-        let load = (eyes.endpoint(e)? + 1.0) / f64::from(row.slots.max(1));
+        let load = eyes.endpoint(e)? / f64::from(row.slots.max(1));
         Some((load + eyes.wires.latency(zone, row.zone).as_secs_f64(), e))
     };
     if endpoints.is_empty() {
--- a/crates/route/src/router/tick.rs
+++ b/crates/route/src/router/tick.rs
@@ -4,6 +4,7 @@
 use crate::Now;
 use crate::action::Action;
 use crate::failure::Cause;
+use crate::fleet::Row;
 use crate::flight::{Flight, Phase};
 use crate::health::State;
 use crate::queue;
@@ -20,6 +21,11 @@
 /// by giving it up early.
 const ONCE: u32 = 2;
 
+/// Ticks between two looks for slow endpoints.
+const LEAVE_SLOW: u64 = 5;
+/// Factor above the aimed time, and above the middle endpoint, from which one counts as slow.
+const SLOW: f64 = 5.0;
+
 impl Router {
     pub(super) fn tick(&mut self, now: Now) {
         self.ticks += 1;
@@ -33,6 +39,46 @@
         self.revive(now);
         self.listen(now);
         self.unpark(now);
+        if self.ticks.is_multiple_of(LEAVE_SLOW) {
+            self.leave_slow(now);
+        }
+    }
+
+    /// Moves one repeatable request away from each endpoint that has become many times slower
+    /// than the others, within the retry budget: such a stage holds each of its streams back,
+    /// but neither dies nor goes silent.
+    fn leave_slow(&mut self, now: Now) {
+        let rows = || {
+            self.fleet
+                .rows
+                .iter()
+                .filter(|r| r.health.takes() && r.pace.slow > 0.0)
+        };
+        let mut usual: Vec<f64> = rows().map(|r| r.pace.slow).collect();
+        usual.sort_by(f64::total_cmp);
+        let middle = usual.get(usual.len() / 2).copied().unwrap_or(0.0);
+        let slow = |r: &Row| r.flying > 0 && r.slowness(now) > (middle * SLOW).max(SLOW);
+        let rows = self.fleet.rows.iter().zip(0..).filter(|(r, _)| slow(r));
+        let endpoints: Vec<EndpointId> = rows.map(|(_, id)| id).collect();
+        for endpoint in endpoints {
+            let here = self
+                .flights
+                .values()
+                .filter(|f| f.request.repeatable && f.on(endpoint));
+            let alone = |f: &&Flight| f.run.as_ref().is_some_and(|r| r.alone);
+            let Some(id) = here.filter(|f| !alone(f)).map(|f| f.id()).next() else {
+                continue;
+            };
+            if !self.budget.take() {
+                return;
+            }
+            self.report.slow += 1;
+            self.flights
+                .get_mut(&id)
+                .into_iter()
+                .for_each(|f| f.avoid.push(endpoint));
+            self.pause(now, id);
+        }
     }
 
     /// Gives up what waits past its deadline; a running answer goes on.
--- a/crates/route/src/settings.rs
+++ b/crates/route/src/settings.rs
@@ -69,7 +69,7 @@
             burst: 1.0,
             silence: Duration::from_millis(600),
             first: Duration::from_secs(5),
-            probe: Duration::from_secs(1),
+            probe: Duration::from_millis(500),
             backoff: Duration::from_secs(1),
             backoff_most: Duration::from_secs(60),
             trials: 3,
--- /dev/null
+++ b/crates/route/tests/broken.rs
@@ -0,0 +1,207 @@
+//! The invariants bite: deliberately broken variants of the router, each caught by a run.
+//!
+//! A variant passes events to a sound router and spoils what it says; an audit of its own, as
+//! the router runs one over itself, looks at the result.
+
+#[path = "support/case.rs"]
+mod case;
+#[path = "support/fixture.rs"]
+mod fixture;
+#[path = "support/host.rs"]
+mod host;
+#[path = "support/world.rs"]
+mod world;
+
+use case::Case;
+use route::Now;
+use route::action::Action;
+use route::audit::Audit;
+use route::event::Event;
+use route::finding::{Fault, Finding};
+use route::outcome::Outcome;
+use route::refusal::{Reason, Refusal};
+use route::request::Id;
+use route::router::Router;
+use route::settings::Settings;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use world::Brain;
+
+/// How a variant is broken.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Defect {
+    /// Runs the hops of a chain in the wrong order.
+    Swapped,
+    /// Leaves out the last layer of the first hop.
+    Skipped,
+    /// Starts work that must not be repeated again instead of calling it unknown.
+    Repeats,
+    /// Calls work not run that may have run.
+    Denies,
+    /// Calls an answer whole at its first token.
+    Early,
+    /// Ends a request twice.
+    Twice,
+    /// Starts a second attempt while one runs.
+    Doubles,
+    /// Does not look at which endpoints leave.
+    Blind,
+    /// Does not look at which requests are condemned.
+    Deaf,
+}
+
+struct Variant {
+    router: Router,
+    audit: Audit,
+    defect: Defect,
+    chains: BTreeMap<Id, (u32, Vec<route::action::Hop>)>,
+    found: Vec<Finding>,
+}
+
+impl Variant {
+    fn new(seed: u64, defect: Defect) -> Self {
+        let router = Router::new(seed, Settings::default());
+        let (audit, chains, found) = (Audit::default(), BTreeMap::new(), Vec::new());
+        Self {
+            router,
+            audit,
+            defect,
+            chains,
+            found,
+        }
+    }
+
+    /// What the router is told.
+    fn told(&self, event: &Event) -> Event {
+        let Event::View(view) = event else {
+            return event.clone();
+        };
+        let mut view = (**view).clone();
+        match self.defect {
+            Defect::Blind => view.open.fill(true),
+            Defect::Deaf => view.condemned.clear(),
+            _ => {}
+        }
+        Event::View(Arc::new(view))
+    }
+
+    /// What is said in place of an action.
+    fn said(&mut self, action: Action) -> Vec<Action> {
+        if let Action::Start(id, attempt, hops) = &action {
+            self.chains.insert(*id, (*attempt, hops.clone()));
+        }
+        match (self.defect, action) {
+            (Defect::Swapped, Action::Start(id, attempt, mut hops)) => {
+                hops.reverse();
+                vec![Action::Start(id, attempt, hops)]
+            }
+            (Defect::Skipped, Action::Start(id, attempt, mut hops)) => {
+                hops[0].to = hops[0].to.saturating_sub(1);
+                vec![Action::Start(id, attempt, hops)]
+            }
+            (Defect::Repeats, Action::Finish(id, Outcome::Unknown)) => {
+                let (attempt, hops) = self.chains[&id].clone();
+                vec![Action::Start(id, attempt + 1, hops)]
+            }
+            (Defect::Denies, Action::Finish(id, Outcome::Unknown)) => {
+                let refusal = Refusal {
+                    reason: Reason::Overload,
+                    retry_after: None,
+                };
+                vec![Action::Refuse(id, refusal)]
+            }
+            (Defect::Twice, Action::Finish(id, outcome)) => {
+                vec![Action::Finish(id, outcome), Action::Finish(id, outcome)]
+            }
+            (Defect::Doubles, Action::Start(id, attempt, hops)) => {
+                let again = Action::Start(id, attempt + 1, hops.clone());
+                vec![Action::Start(id, attempt, hops), again]
+            }
+            (_, action) => vec![action],
+        }
+    }
+}
+
+impl Brain for Variant {
+    fn handle(&mut self, now: Now, event: Event, out: &mut Vec<Action>) {
+        self.audit.event(&event);
+        let mut actions = Vec::new();
+        self.router.handle(now, self.told(&event), &mut actions);
+        if let (Defect::Early, Event::Token(id, _)) = (self.defect, &event) {
+            actions.push(Action::Finish(*id, Outcome::Complete));
+        }
+        for action in actions {
+            for said in self.said(action) {
+                self.found.extend(self.audit.action(&said));
+            }
+        }
+        self.found.extend(self.audit.settle(&event));
+        let _ = out;
+    }
+}
+
+/// A sound router whose actions are carried out, beside a variant that only speaks to its audit.
+struct Beside {
+    sound: Router,
+    variant: Variant,
+}
+
+impl Brain for Beside {
+    fn handle(&mut self, now: Now, event: Event, out: &mut Vec<Action>) {
+        self.variant.handle(now, event.clone(), &mut Vec::new());
+        self.sound.handle(now, event, out);
+    }
+}
+
+/// Faults that the audit of a variant finds in one case.
+fn found(defect: Defect, seed: u64) -> Vec<Fault> {
+    let case = Case {
+        crashers: 30,
+        ..Case::draw(seed)
+    };
+    let mut world = case.world(|seed| Beside {
+        sound: Router::new(seed, Settings::default()),
+        variant: Variant::new(seed, defect),
+    });
+    world.run(case.end());
+    assert_eq!(
+        world.faults(),
+        Vec::<String>::new(),
+        "the sound router, seed {seed}"
+    );
+    let variants = world.nodes.iter().map(|n| &n.brain.variant);
+    variants.flat_map(|v| &v.found).map(|f| f.fault).collect()
+}
+
+/// Whether a fault is the one that a defect must lead to.
+fn expected(defect: Defect, fault: &Fault) -> bool {
+    match defect {
+        Defect::Swapped | Defect::Skipped => matches!(fault, Fault::Gap(..)),
+        Defect::Repeats => matches!(fault, Fault::Repeated),
+        Defect::Denies => matches!(fault, Fault::Sent),
+        Defect::Early => matches!(fault, Fault::Partial),
+        Defect::Twice => matches!(fault, Fault::Ended),
+        Defect::Doubles => matches!(fault, Fault::Twice),
+        Defect::Blind => matches!(fault, Fault::Closed(_)),
+        Defect::Deaf => matches!(fault, Fault::Condemned),
+    }
+}
+
+#[test]
+fn each_defect_is_caught() {
+    let defects = [
+        Defect::Swapped,
+        Defect::Skipped,
+        Defect::Repeats,
+        Defect::Denies,
+        Defect::Early,
+        Defect::Twice,
+        Defect::Doubles,
+        Defect::Blind,
+        Defect::Deaf,
+    ];
+    for defect in defects {
+        let caught = (0..12).any(|seed| found(defect, seed).iter().any(|f| expected(defect, f)));
+        assert!(caught, "{defect:?} was not caught");
+    }
+}
--- /dev/null
+++ b/crates/route/tests/parts.rs
@@ -0,0 +1,293 @@
+//! The parts by themselves: flows, queues, shares, pace, health, budget, crash table.
+
+#[path = "support/fixture.rs"]
+mod fixture;
+
+use route::crash;
+use route::health::{Health, STRIKES, State};
+use route::pace::Pace;
+use route::plan::{self, Plan};
+use route::queue::{Entry, Queue, Rank};
+use route::request::Target;
+use route::retry::Budget;
+use route::share::Table;
+use route::view::Share;
+use std::sync::Arc;
+use std::time::Duration;
+
+const MODEL: Target = Target::Model(0, None);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[test]
+fn the_bound_is_the_narrowest_cut() {
+    // Two replicas in each of three zones: 6400 layers/s over 16 layers, six times.
+    let equal = fixture::fleet(2, 4, 1);
+    assert!((plan::bound(&equal, 0) - 2400.0).abs() < 1e-3);
+    // Stages in two zones only meet over a link of 100 tokens/s.
+    let mut split = fixture::bundle(1);
+    fixture::stage(&mut split, 0, 0, 0, 16, 4);
+    fixture::stage(&mut split, 1, 0, 16, 32, 4);
+    assert!((plan::bound(&split, 0) - 400.0).abs() < 1e-3);
+    fixture::link(&mut split, 0, 1, 100.0);
+    assert!((plan::bound(&split, 0) - 100.0).abs() < 1e-3);
+    // Without a second stage nothing flows.
+    split.endpoints.pop();
+    assert_eq!(plan::bound(&split, 0), 0.0);
+}
+
+#[test]
+fn flow_is_split_by_capacity_and_never_exceeds_it() {
+    let mut bundle = fixture::bundle(1);
+    fixture::stage(&mut bundle, 0, 0, 0, 16, 4);
+    fixture::stage(&mut bundle, 0, 0, 16, 32, 4);
+    fixture::stage(&mut bundle, 0, 1, 16, 32, 4);
+    let plan = Plan::new(&fixture::view(&Arc::new(bundle), 0), |_| true, 1, 96);
+    let graph = &plan.whole[0];
+    let flows: Vec<f64> = graph.flows.iter().map(|f| f.round()).collect();
+    assert_eq!(flows, [400.0, 320.0, 80.0]);
+}
+
+#[test]
+fn overlapping_stages_cover_where_whole_ones_cannot() {
+    // A holds 0..20 and B 12..32: a chain enters B at 20.
+    let mut bundle = fixture::bundle(1);
+    fixture::stage(&mut bundle, 0, 0, 0, 20, 4);
+    fixture::stage(&mut bundle, 0, 0, 12, 32, 4);
+    assert!(plan::bound(&bundle, 0) > 300.0);
+}
+
+fn entry(id: u128, team: u16, weight: u32) -> Entry {
+    let (priority, rank, class) = (1, Rank::Fair, 1);
+    Entry {
+        id,
+        seq: id as u64,
+        line: MODEL,
+        priority,
+        team,
+        rank,
+        class,
+        weight,
+    }
+}
+
+#[test]
+fn teams_get_their_weights_of_a_full_line() {
+    let mut queue = Queue::default();
+    let mut waiting = std::collections::BTreeMap::new();
+    for id in 0..4000 {
+        // Team 0 sends half of all, team 1 has weight 3.
+        let team = if id % 2 == 0 {
+            0
+        } else {
+            1 + (id / 2 % 2) as u16
+        };
+        let entry = entry(id, team, if team == 1 { 3 } else { 1 });
+        queue.push(&entry);
+        waiting.insert(id, entry);
+    }
+    let mut served = [0_u32; 3];
+    for _ in 0..1000 {
+        let id = queue
+            .line(MODEL)
+            .and_then(|l| l.window(1).first().copied())
+            .expect("something waits");
+        let entry = waiting[&id];
+        queue.remove(&entry);
+        queue.charge(&entry, 10.0);
+        served[usize::from(entry.team)] += 1;
+    }
+    assert_eq!(served, [200, 600, 200]);
+    let (urgent, fair) = queue.recount();
+    assert_eq!((queue.urgent, queue.fair), (urgent, fair));
+}
+
+#[test]
+fn idle_time_earns_no_credit() {
+    let mut queue = Queue::default();
+    let early = entry(0, 0, 1);
+    queue.push(&early);
+    for id in 1..100 {
+        queue.push(&entry(id, 1, 1));
+    }
+    for id in 1..50 {
+        let entry = entry(id, 1, 1);
+        queue.remove(&entry);
+        queue.charge(&entry, 10.0);
+    }
+    // Team 2 comes after team 1 was served for long: the two take turns from now on.
+    for id in 100..200 {
+        queue.push(&entry(id, 2, 1));
+    }
+    queue.remove(&early);
+    let mut served = [0; 3];
+    for _ in 0..40 {
+        let id = queue
+            .line(MODEL)
+            .and_then(|l| l.window(1).first().copied())
+            .expect("something waits");
+        let entry = entry(id, if id < 100 { 1 } else { 2 }, 1);
+        queue.remove(&entry);
+        queue.charge(&entry, 10.0);
+        served[usize::from(entry.team)] += 1;
+    }
+    assert!(served[1] >= 19 && served[2] >= 19, "{served:?}");
+}
+
+#[test]
+fn a_team_is_held_to_its_share() {
+    // Eight workers with an eighth of 40 requests/s and of 12 in flight each.
+    let bundle = fixture::bundle(1);
+    let share = Share {
+        rate: 5.0,
+        in_flight: 1.5,
+    };
+    let mut workers: Vec<Table> = (0..8).map(|_| Table::default()).collect();
+    for table in &mut workers {
+        table.follow(ms(0), &bundle, &[share]);
+    }
+    let mut taken = 0;
+    for at in (0..10_000).step_by(5) {
+        for table in &mut workers {
+            if table.take(ms(at), 0, false, 1.0).is_ok() {
+                taken += 1;
+                table.end(0);
+            }
+        }
+    }
+    // Ten seconds at 40/s, and one bucket of a second at the start.
+    assert!((400..=440).contains(&taken), "{taken}");
+    let mut held = 0;
+    for table in &mut workers {
+        table.follow(ms(20_000), &bundle, &[share]);
+        while table.take(ms(30_000), 0, false, 1.0).is_ok() {
+            held += 1;
+        }
+    }
+    // A share of 1.5 admits 2: the overshoot of a worker is less than one request.
+    assert_eq!(held, 16);
+}
+
+#[test]
+fn urgent_work_may_overdraw_one_bucket() {
+    let bundle = fixture::bundle(1);
+    let mut table = Table::default();
+    table.follow(
+        ms(0),
+        &bundle,
+        &[Share {
+            rate: 10.0,
+            in_flight: 100.0,
+        }],
+    );
+    let take = |table: &mut Table, urgent| {
+        (0..50)
+            .filter(|_| table.take(ms(10_000), 0, urgent, 1.0).is_ok())
+            .count()
+    };
+    assert_eq!(take(&mut table, false), 10);
+    assert_eq!(take(&mut table, true), 10);
+    assert!(table.rows[0].sound(1.0));
+}
+
+#[test]
+fn concurrency_follows_the_time_of_a_hop() {
+    let mut pace = Pace::new(16);
+    let mut now = ms(0);
+    for _ in 0..200 {
+        now += ms(50);
+        let running = pace.limit as u32;
+        pace.hop(now, ms(u64::from(running) * 10), ms(60), running);
+    }
+    assert!((4.0..=8.0).contains(&pace.limit), "{pace:?}");
+    for _ in 0..200 {
+        now += ms(50);
+        pace.hop(now, ms(10), ms(60), pace.limit as u32);
+    }
+    assert_eq!(pace.limit, 16.0);
+}
+
+#[test]
+fn the_time_that_counts_as_silence_is_bounded() {
+    let mut pace = Pace::new(16);
+    (0..1000).for_each(|i| pace.hop(ms(i * 300), ms(200), ms(22), 1));
+    (0..20).for_each(|_| pace.mistaken());
+    assert_eq!(pace.silence(ms(600), ms(5000)), ms(5000));
+}
+
+#[test]
+fn an_ejected_endpoint_returns_on_trial_and_backs_off_longer() {
+    let mut health = Health::default();
+    assert!(health.ask(ms(0)) && !health.takes());
+    health.eject(ms(10), ms(1000), ms(60_000), 0.0);
+    assert_eq!(health.state, State::Ejected(ms(1010)));
+    assert!(!health.due(ms(1000)) && health.due(ms(1010)));
+    health.answered();
+    assert_eq!((health.takes(), health.trial()), (true, Some(1)));
+    health.eject(ms(2000), ms(1000), ms(60_000), 0.0);
+    assert_eq!(health.state, State::Ejected(ms(4000)));
+    assert!(health.due(ms(4000)));
+    health.answered();
+    assert!(!health.good(3) && !health.good(3) && health.good(3));
+    assert_eq!(health.state, State::Up);
+    let struck = (0..STRIKES)
+        .filter(|&i| health.strike(ms(5000 + u64::from(i))))
+        .count();
+    assert_eq!(struck, 1, "only the last strike is one too many");
+}
+
+#[test]
+fn the_budget_grants_a_burst_and_then_a_fraction() {
+    let mut budget = Budget::new(4.0);
+    assert_eq!((0..10).filter(|_| budget.take()).count(), 4);
+    (0..100).for_each(|_| budget.earn(0.1, 4.0, 0));
+    assert_eq!(
+        (0..10).filter(|_| budget.take()).count(),
+        4,
+        "no more than the bucket holds"
+    );
+    budget.fill(ms(1000), 2.0, 4.0, 0);
+    assert_eq!((0..10).filter(|_| budget.take()).count(), 2);
+    assert!(budget.granted <= budget.earned());
+}
+
+#[test]
+fn a_request_that_kills_twice_is_condemned_and_its_neighbours_are_not() {
+    // Requests 1, 2, 3 are in flight when an endpoint dies. 2 and 3 complete elsewhere; 1 runs
+    // alone and takes the next endpoint down: two endpoints are lost, and 1 is condemned.
+    let mut table = crash::Table::new(64);
+    table.scene(ms(0), 0, vec![1, 2, 3]);
+    assert_eq!(table.dead(ms(1), 0), [1, 2, 3]);
+    table.clear(2);
+    table.clear(3);
+    assert!(table.suspect(1) && !table.suspect(2));
+    table.scene(ms(5000), 7, vec![1]);
+    assert!(table.dead(ms(5001), 7).is_empty());
+    assert!(table.pending(1));
+    assert!(
+        table.settle(ms(5002)).is_empty(),
+        "the verdict waits out the window"
+    );
+    assert_eq!(table.settle(ms(5001) + crash::WINDOW), [1]);
+    assert!(table.condemned(1) && !table.condemned(2));
+}
+
+#[test]
+fn a_lost_zone_condemns_nobody() {
+    // Request 1 is suspect after a death and runs alone when a whole zone dies under it: several
+    // endpoints died together, so none of these deaths speaks against what each one ran.
+    let mut table = crash::Table::new(64);
+    table.scene(ms(0), 0, vec![1, 2]);
+    table.dead(ms(1), 0);
+    let prints = [vec![1], vec![4], vec![5]];
+    for (endpoint, prints) in (10..).zip(prints) {
+        table.scene(ms(9000), endpoint, prints);
+    }
+    for endpoint in 10..13 {
+        table.dead(ms(9001 + u64::from(endpoint)), endpoint);
+    }
+    assert!(table.settle(ms(20_000)).is_empty());
+    assert!(!table.suspect(4) && !table.suspect(5));
+}
--- a/crates/route/tests/runs.rs
+++ b/crates/route/tests/runs.rs
@@ -78,6 +78,7 @@
         "resumed",
         "paused",
         "moved",
+        "slow",
         "failed",
         "busy",
         "stale",
@@ -93,6 +94,23 @@
     assert!(missed.is_empty(), "never reached: {missed:?} in {sums:?}");
 }
 
+/// Cases that once failed, each told in its file.
+#[test]
+fn shrunk_cases_stay_mended() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/cases");
+    let mut paths: Vec<_> = std::fs::read_dir(folder)
+        .expect("the folder")
+        .map(|entry| entry.expect("an entry").path())
+        .collect();
+    paths.sort();
+    assert!(!paths.is_empty());
+    for path in paths {
+        let text = std::fs::read_to_string(&path).expect("a case file");
+        let case: Case = text.parse().expect("a case");
+        assert_eq!(wrong(&case), Vec::<String>::new(), "{}", path.display());
+    }
+}
+
 /// Replays the case in the file that CASE names, and prints its trace.
 #[test]
 fn replay() {
