--- a/crates/route/src/plan.rs
+++ b/crates/route/src/plan.rs
@@ -62,6 +62,14 @@
     }
 }
 
+impl Plan {
+    /// Whether some model or service is not served.
+    pub fn lacks(&self) -> bool {
+        let model = self.whole.iter().any(|g| g.bound <= 0.0);
+        model || self.services.iter().any(Vec::is_empty)
+    }
+}
+
 fn serves(bundle: &Bundle, endpoint: EndpointId, service: u16) -> bool {
     bundle.endpoints[endpoint as usize]
         .services
--- a/crates/route/src/router/follow.rs
+++ b/crates/route/src/router/follow.rs
@@ -33,13 +33,18 @@
         if let Some(old) = old.filter(|_| changed) {
             self.rename(now, &old.bundle, &view.bundle, &moved, &teams);
         }
+        let mut turned = false;
         for (id, row) in self.fleet.rows.iter_mut().enumerate() {
-            row.open = view.open.get(id).copied().unwrap_or(false);
+            let open = view.open.get(id).copied().unwrap_or(false);
+            turned |= row.open != open;
+            row.open = open;
         }
+        self.stale |= changed || turned;
         self.crash.follow(&view.suspects, &view.condemned);
-        self.stale = true;
         self.replan();
-        self.recross();
+        if changed {
+            self.recross();
+        }
         self.doubt(now, &view);
         self.rerank();
         self.stop_condemned(now);
@@ -61,7 +66,7 @@
         self.plan = Plan::new(&view, usable, self.seed, self.limits.subset);
         self.epoch += 1;
         self.hoped = Hope::default();
-        if rows.iter().any(|r| r.open && r.health.out()) {
+        if self.plan.lacks() {
             let all = Plan::new(
                 &view,
                 |e| row(e).is_some_and(|r| r.open),
--- a/crates/route/src/router/recover.rs
+++ b/crates/route/src/router/recover.rs
@@ -33,9 +33,7 @@
                 .position(|h| h.endpoint == failure.endpoint)?;
             run.rows[at]
         });
-        if let Some(endpoint) = endpoint {
-            self.blame(now, endpoint, failure);
-        }
+        let out = endpoint.filter(|&e| self.blame(now, e, failure));
         self.release(now, id);
         if let Some(flight) = self.flights.get_mut(&id) {
             flight.sent |= failure.sent;
@@ -48,17 +46,19 @@
             Cause::Leaving | Cause::Unfit => self.elsewhere(now, id),
             cause => self.recover(now, id, endpoint, cause),
         }
+        // Only now: an ejection takes all that runs there, and this attempt has ended already.
+        out.into_iter().for_each(|e| self.eject(now, e));
     }
 
-    /// What a failure says of its endpoint.
-    fn blame(&mut self, now: Now, endpoint: EndpointId, failure: &Failure) {
+    /// What a failure says of its endpoint; whether it is to be ejected.
+    fn blame(&mut self, now: Now, endpoint: EndpointId, failure: &Failure) -> bool {
         let jitter: f64 = self.rng.random_range(0.5..1.5);
         let busy = failure
             .retry_after
             .unwrap_or(self.limits.busy)
             .mul_f64(jitter);
         let Some(row) = self.fleet.get_mut(endpoint) else {
-            return;
+            return false;
         };
         match failure.cause {
             Cause::Busy => {
@@ -74,11 +74,10 @@
             }
             Cause::Silent => self.suspect_death(now, endpoint),
             Cause::Protocol | Cause::Internal => {
-                if row.health.takes() && row.health.strike(now) {
-                    self.eject(now, endpoint);
-                }
+                return row.health.takes() && row.health.strike(now);
             }
         }
+        false
     }
 
     /// The endpoint refused before anything ran: another try costs nothing but a round trip.
--- a/crates/route/src/router/verdict.rs
+++ b/crates/route/src/router/verdict.rs
@@ -8,7 +8,7 @@
 use crate::health::State;
 use crate::outcome::Outcome;
 use crate::refusal::Reason;
-use crate::request::Id;
+use crate::request::{Id, Target};
 use bundle::id::EndpointId;
 use rand::RngExt;
 
@@ -68,6 +68,7 @@
         let broke = self.broke.remove(&endpoint);
         let fresh = self.crash.alive(now, endpoint, broke);
         self.accuse(&fresh);
+        self.keep_waiting(now, endpoint);
         let silent = self.silent(endpoint);
         if broke || !silent.is_empty() {
             let row = self.fleet.get_mut(endpoint);
@@ -89,6 +90,21 @@
         }
     }
 
+    /// A plain service makes no progress that could be seen: while it lives, its call is waited
+    /// for until the deadline.
+    fn keep_waiting(&mut self, now: Now, endpoint: EndpointId) {
+        for flight in self.flights.values_mut().filter(|f| f.on(endpoint)) {
+            let service = matches!(flight.request.target, Target::Service(_));
+            let Some(run) = flight.run.as_mut().filter(|r| r.silent) else {
+                continue;
+            };
+            if service && now < flight.request.deadline {
+                run.silent = false;
+                run.since = now;
+            }
+        }
+    }
+
     fn silent(&self, endpoint: EndpointId) -> Vec<Id> {
         let quiet = |f: &&Flight| f.run.as_ref().is_some_and(|r| r.silent);
         let due = self
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -1,86 +1,19 @@
 //! The router at its interface: one event at a time.
 
+#[path = "support/bench.rs"]
+mod bench;
 #[path = "support/fixture.rs"]
 mod fixture;
 
-use bundle::id::EndpointId;
+use bench::{Bench, LATE, started};
 use route::action::{Action, Hop};
 use route::event::Event;
-use route::failure::{Cause, Failure};
+use route::failure::Cause;
 use route::outcome::Outcome;
 use route::refusal::Reason;
 use route::request::{Id, Request, Target};
-use route::router::Router;
-use route::settings::Settings;
-use std::sync::Arc;
 use std::time::Duration;
 
-/// A router with a view, and the time.
-struct Bench {
-    router: Router,
-    now: Duration,
-}
-
-const LATE: Duration = Duration::from_secs(60);
-
-impl Bench {
-    fn new(bundle: bundle::Bundle) -> Self {
-        let mut bench = Self {
-            router: Router::new(7, Settings::default()),
-            now: Duration::from_secs(1),
-        };
-        let view = fixture::view(&Arc::new(bundle), 0);
-        bench.on(Event::View(Arc::new(view)));
-        bench
-    }
-
-    fn on(&mut self, event: Event) -> Vec<Action> {
-        let mut out = Vec::new();
-        self.now += Duration::from_millis(1);
-        self.router.handle(self.now, event, &mut out);
-        assert!(
-            self.router.verify().is_empty(),
-            "{:?}",
-            self.router.verify()
-        );
-        out
-    }
-
-    fn pass(&mut self, time: Duration) -> Vec<Action> {
-        let end = self.now + time;
-        let mut out = Vec::new();
-        while self.now < end {
-            self.now += route::event::TICK;
-            self.router.handle(self.now, Event::Tick, &mut out);
-        }
-        out
-    }
-
-    fn fail(
-        &mut self,
-        id: Id,
-        attempt: u32,
-        endpoint: EndpointId,
-        cause: Cause,
-        sent: bool,
-    ) -> Vec<Action> {
-        let failure = Failure {
-            endpoint,
-            cause,
-            sent,
-            retry_after: None,
-        };
-        self.on(Event::Failed(id, attempt, failure))
-    }
-}
-
-fn started(out: &[Action], id: Id) -> Option<(u32, Vec<Hop>)> {
-    out.iter().find_map(|a| match a {
-        Action::Start(i, attempt, hops) if *i == id => Some((*attempt, hops.clone())),
-        _ => None,
-    })
-}
-
 fn once(id: Id) -> Request {
     Request {
         repeatable: false,
--- a/crates/route/tests/support/case.rs
+++ b/crates/route/tests/support/case.rs
@@ -221,7 +221,7 @@
     let host = rng.random_range(0..hosts);
     let zone = rng.random_range(0..3);
     let end = at + rng.random_range(200..8000);
-    match rng.random_range(0..9) {
+    match rng.random_range(0..10) {
         0 => vec![(at, Fault::Die(host)), (end, Fault::Back(host))],
         1 => vec![(at, Fault::Mute(host)), (end, Fault::Back(host))],
         2 => vec![(at, Fault::Hush(host))],
@@ -229,7 +229,8 @@
         4 => vec![(at, Fault::Leave(host))],
         5 => vec![(at, Fault::Lose(zone)), (end, Fault::Regain(zone))],
         6 => vec![(at, Fault::Publish)],
-        7 => {
+        7 => vec![(at, Fault::Sick(host)), (end, Fault::Back(host))],
+        8 => {
             let other = rng.random_range(0..hosts);
             let both = [(at, Fault::Die(host)), (at, Fault::Hush(other))];
             [&both[..], &[(end, Fault::Back(host))]].concat()
@@ -257,6 +258,7 @@
             Fault::Die(h) => writeln!(f, "at {at} die {h}"),
             Fault::Back(h) => writeln!(f, "at {at} back {h}"),
             Fault::Mute(h) => writeln!(f, "at {at} mute {h}"),
+            Fault::Sick(h) => writeln!(f, "at {at} sick {h}"),
             Fault::Hush(h) => writeln!(f, "at {at} hush {h}"),
             Fault::Slow(h, by) => writeln!(f, "at {at} slow {h} {by}"),
             Fault::Leave(h) => writeln!(f, "at {at} leave {h}"),
@@ -311,6 +313,7 @@
                     "die" => Fault::Die(which()?),
                     "back" => Fault::Back(which()?),
                     "mute" => Fault::Mute(which()?),
+                    "sick" => Fault::Sick(which()?),
                     "hush" => Fault::Hush(which()?),
                     "slow" => Fault::Slow(which()?, words.get(4)?.parse().ok()?),
                     "leave" => Fault::Leave(which()?),
--- a/crates/route/tests/support/host.rs
+++ b/crates/route/tests/support/host.rs
@@ -31,6 +31,8 @@
     pub alive: bool,
     pub mute: bool,
     pub leaving: bool,
+    /// Whether it answers that it cannot compute.
+    pub sick: bool,
     pub slow: f64,
     /// Prefix blocks that fit in the cache.
     pub room: usize,
@@ -54,6 +56,7 @@
             alive: true,
             mute: false,
             leaving: false,
+            sick: false,
             slow: 1.0,
             room: 128,
             running: BTreeSet::new(),
@@ -72,6 +75,7 @@
     pub fn restart(&mut self, now: Now) {
         self.alive = true;
         self.mute = false;
+        self.sick = false;
         self.slow = 1.0;
         self.busy = now;
         self.cache.clear();
--- a/crates/route/tests/support/world.rs
+++ b/crates/route/tests/support/world.rs
@@ -63,6 +63,8 @@
     Mute(usize),
     /// Open connections to it go silent for good; new ones work.
     Hush(usize),
+    /// It answers that it cannot compute.
+    Sick(usize),
     /// It computes this many times slower.
     Slow(usize, f64),
     /// It leaves: refuses new work; the list tells it a second later.
@@ -562,6 +564,10 @@
         if !self.hosts[at].alive || self.hosts[at].mute {
             return;
         }
+        if self.hosts[at].sick {
+            let endpoint = stream.hops[hop].endpoint;
+            return self.fail(ROUND_TRIP, key, endpoint, Cause::Internal, true);
+        }
         let print = self.calls[&key.1].request.fingerprint;
         if self.crashers.contains(&print) && hop + 1 == stream.hops.len() {
             self.crashes += 1;
@@ -635,6 +641,7 @@
             Fault::Die(host) => self.die(host),
             Fault::Back(host) => self.hosts[host].restart(self.now),
             Fault::Mute(host) => self.hosts[host].mute = true,
+            Fault::Sick(host) => self.hosts[host].sick = true,
             Fault::Hush(host) => {
                 let keys: Vec<_> = self.hosts[host].running.iter().copied().collect();
                 for key in keys {
