--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -34,6 +34,7 @@
 mod follow;
 mod isolate;
 mod launch;
+mod pick;
 mod progress;
 mod recover;
 mod tick;
--- a/crates/route/src/router/admit.rs
+++ b/crates/route/src/router/admit.rs
@@ -1,7 +1,7 @@
 //! Admission: limits first, then whether the deadline can be met.
 
 use super::Router;
-use super::launch::keyed;
+use super::pick::keyed;
 use crate::Now;
 use crate::flight::{Flight, Phase};
 use crate::queue::{self, Entry, Rank};
