--- a/crates/member/src/judge.rs
+++ b/crates/member/src/judge.rs
@@ -93,6 +93,7 @@
         peer.state = State::Suspect;
         peer.since = now;
         peer.lost = now;
+        peer.zoned = None;
         let run = crate::spread::run(peer);
         self.tell(crate::message::News::Suspect(run));
         self.hot = true;
@@ -110,6 +111,7 @@
         let over = |p: &&Peer| p.state == State::Suspect && age(now, p.since) >= wait;
         let over: Vec<Id> = self.roster.iter().filter(over).map(|p| p.id).collect();
         for id in over {
+            self.look(now, id);
             match self.verdict(id) {
                 Some(state) => self.set(now, id, state, out),
                 None => self.focus(id),
@@ -117,6 +119,26 @@
         }
     }
 
+    /// Notes when a suspect's availability zone was first known to answer.
+    fn look(&mut self, now: Now, id: Id) {
+        let Some(peer) = self.roster.get(id) else {
+            return;
+        };
+        let alive = self.tally(peer, |p| together(p, peer)).alive();
+        let Some(peer) = self.roster.get_mut(id) else {
+            return;
+        };
+        if alive && peer.zoned.is_none() {
+            peer.zoned = Some(now);
+        }
+    }
+
+    /// Whether this node's own probe failed that began when the zone was known to answer.
+    pub(crate) fn tried(&self, peer: &Peer) -> bool {
+        let begun = peer.zoned.map(|z| z + self.settings.probe);
+        begun.is_some_and(|b| peer.failed.is_some_and(|f| f >= b))
+    }
+
     /// Judges dead and parted peers anew: what happened to their availability zone may show
     /// only later.
     pub(crate) fn judge_again(&mut self, now: Now, out: &mut Vec<Action>) {
@@ -132,6 +154,7 @@
                 (State::Dead, Some(State::Parted)) => self.set(now, id, State::Parted, out),
                 (State::Parted, Some(State::Parted)) => self.renew(now, id),
                 (State::Parted, _) if age(now, since) >= REJOIN => {
+                    self.look_anew(id);
                     self.set(now, id, State::Suspect, out);
                 }
                 _ => {}
@@ -139,6 +162,13 @@
         }
     }
 
+    /// What was known of its zone before it parted says nothing now.
+    fn look_anew(&mut self, id: Id) {
+        if let Some(peer) = self.roster.get_mut(id) {
+            peer.zoned = None;
+        }
+    }
+
     fn renew(&mut self, now: Now, id: Id) {
         if let Some(peer) = self.roster.get_mut(id) {
             peer.since = now;
@@ -165,17 +195,13 @@
 
     /// Silent together with most of its availability zone, or of the group: parted. That keeps
     /// its share and its row, since it most likely lives on the other side. Dead only if this
-    /// node's own probe failed too, and a peer of the same zone was heard since: no node is
-    /// called dead on a rumour, or while nobody knows how its zone does. Else not yet known.
+    /// node's own probe failed while the zone answered: no node is called dead on a rumour, or by
+    /// a probe from before a parted zone came back. Else not yet known.
     fn verdict(&self, id: Id) -> Option<State> {
         let peer = self.roster.get(id)?;
-        let zone = |p: &&Peer| {
-            p.identity.zone == peer.identity.zone && p.identity.region == peer.identity.region
-        };
-        let near = self.tally(peer, zone);
+        let near = self.tally(peer, |p| together(p, peer));
         let all = self.tally(peer, |_| true);
-        let tried = peer.failed.is_some_and(|f| f >= peer.lost);
-        match (near.most() || all.most(), tried && near.alive()) {
+        match (near.most() || all.most(), self.tried(peer)) {
             (true, _) => Some(State::Parted),
             (false, true) => Some(State::Dead),
             (false, false) => None,
@@ -183,8 +209,8 @@
     }
 
     /// Counts peers; those that died at another time than `peer` are left out.
-    fn tally(&self, peer: &Peer, like: impl Fn(&&Peer) -> bool) -> Tally {
-        let others = self.roster.iter().filter(|p| p.id != self.me).filter(like);
+    fn tally(&self, peer: &Peer, like: impl Fn(&Peer) -> bool) -> Tally {
+        let others = self.roster.iter().filter(|p| p.id != self.me && like(p));
         let apart = |p: &Peer| p.lost.abs_diff(peer.lost) > TOGETHER;
         let mut tally = Tally::default();
         for other in others.filter(|p| p.state != State::Dead || !apart(p)) {
@@ -216,6 +242,11 @@
     }
 }
 
+/// Whether two peers are in one availability zone.
+fn together(a: &Peer, b: &Peer) -> bool {
+    a.identity.zone == b.identity.zone && a.identity.region == b.identity.region
+}
+
 /// Peers of one kind.
 #[derive(Clone, Copy, Debug, Default)]
 struct Tally {
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod roster;
 pub mod settings;
 pub mod share;
+mod side;
 mod spread;
 pub mod store;
 pub mod team;
--- a/crates/member/src/peer.rs
+++ b/crates/member/src/peer.rs
@@ -70,6 +70,8 @@
     pub heard: Now,
     /// When this node's own probe of it last failed.
     pub failed: Option<Now>,
+    /// Since when, after it was lost, its availability zone is known to answer.
+    pub zoned: Option<Now>,
     /// What the list says; nothing if it does not name the peer.
     pub standing: Option<Standing>,
     /// All its publications up to this one are stored.
@@ -90,6 +92,7 @@
             lost: now,
             heard: now,
             failed: None,
+            zoned: None,
             standing: None,
             version: 0,
             leaving: false,
--- a/crates/member/src/probe.rs
+++ b/crates/member/src/probe.rs
@@ -282,7 +282,7 @@
             return;
         };
         let zone = row.identity.zone.clone();
-        let tried = row.failed.is_some_and(|f| f >= row.lost);
+        let tried = self.tried(row);
         let mates = self
             .roster
             .iter()
--- a/crates/member/src/settings.rs
+++ b/crates/member/src/settings.rs
@@ -51,7 +51,7 @@
             bury: Duration::from_secs(600),
             helpers: 3,
             fanout: 4,
-            news: 8,
+            news: 24,
             delta: 12_000,
             rows: 128,
             items: 2_048,
--- a/crates/member/src/team.rs
+++ b/crates/member/src/team.rs
@@ -3,14 +3,12 @@
 use crate::Now;
 use crate::demand::{Announcer, Budget, Demand, Limit};
 use crate::group::Group;
-use crate::identity::Id;
 use crate::item::{Body, Team};
-use crate::level::Level;
-use crate::peer::{Peer, State};
+use crate::peer::State;
 use crate::settings::SMALL;
 use crate::share::{self, Input};
-use crate::store::LOW;
-use std::collections::{BTreeMap, HashMap};
+use crate::side::{Context, Sides, Sum};
+use std::collections::HashMap;
 use std::fmt;
 use std::time::Duration;
 
@@ -88,26 +86,11 @@
     pub shares: Vec<Share>,
 }
 
-/// Demand announced by peers of one team.
-#[derive(Clone, Copy, Debug, Default)]
-struct Sum {
-    near: Demand,
-    far: Demand,
-    /// The least that the near ones announced of late.
-    low: Demand,
-}
-
-/// Part of a team's pools that belongs to this side.
-#[derive(Clone, Copy, Debug)]
-struct Side {
-    rate: f64,
-    in_flight: f64,
-}
-
-const WHOLE: Side = Side {
-    rate: 1.0,
-    in_flight: 1.0,
-};
+/// Windows that a peer which came back counts as far, in the two ways to see it. For a window
+/// the peers' reports are on their way. For one more the smaller of both shares is taken, since
+/// the nodes do not change over all at once: a node that already counts with the others must not
+/// meet one that still has its side's old part.
+const LINGER: [u32; 2] = [1, 2];
 
 /// The state of a node's shares.
 #[derive(Clone, Debug)]
@@ -116,9 +99,7 @@
     teams: Vec<Team>,
     index: HashMap<Team, usize>,
     announcer: Announcer,
-    sides: Vec<Side>,
-    /// Parted peers, and those back for less than a window, with when they were last parted.
-    far: BTreeMap<Id, Now>,
+    sides: [Sides; 2],
     stepped: Option<Now>,
     steps: usize,
     shares: Vec<Share>,
@@ -132,8 +113,7 @@
             teams: Vec::new(),
             index: HashMap::new(),
             announcer: Announcer::default(),
-            sides: Vec::new(),
-            far: BTreeMap::new(),
+            sides: LINGER.map(Sides::new),
             stepped: None,
             steps: 0,
             shares: Vec::new(),
@@ -142,6 +122,9 @@
 
     /// Announces `demands` and computes the shares, unless the last step was less than a step
     /// ago; then the shares are those of the last step. Both slices go by the same teams.
+    ///
+    /// Shares hold for a step. Whoever enforces them must take only the floor if the next ones
+    /// are more than [`Settings::pause`] late, since peers may have grown meanwhile.
     pub fn step(&mut self, now: Now, group: &Group, limits: &[Limit], demands: &[Demand]) -> Step {
         assert_eq!(limits.len(), demands.len(), "one demand per limit");
         let gap = self.stepped.map(|s| now.saturating_sub(s));
@@ -161,11 +144,10 @@
         self.stepped = Some(now);
         self.steps += 1;
         let nodes = self.nodes(group);
-        let budget = self.budget(nodes);
-        let publish = self.announcer.step(now, budget, limits, demands);
-        self.part(now, group, limits, nodes);
-        let sums = self.sums(now, group);
-        self.shares = self.compute(now, group, limits, &sums, nodes);
+        let publish = self
+            .announcer
+            .step(now, self.budget(nodes), limits, demands);
+        self.shares = self.share(now, group, limits, nodes);
         self.check(limits);
         Step {
             publish,
@@ -203,8 +185,7 @@
             .map(|l| self.index.get(&l.team).copied())
             .collect();
         self.announcer.remap(&old);
-        let side = |o: &Option<usize>| o.and_then(|i| self.sides.get(i).copied()).unwrap_or(WHOLE);
-        self.sides = old.iter().map(side).collect();
+        self.sides.iter_mut().for_each(|s| s.remap(&old));
         self.teams = limits.iter().map(|l| l.team).collect();
         self.index = self
             .teams
@@ -215,127 +196,34 @@
         true
     }
 
-    /// Follows the group as it parts and joins again. The split between the sides stays as it
-    /// was when they parted, since neither side sees how the demand of the other one changes.
-    fn part(&mut self, now: Now, group: &Group, limits: &[Limit], nodes: usize) {
-        let window = self.settings.step * self.settings.window(nodes) as u32;
-        let gone: Vec<Id> = parted(group)
-            .filter(|id| !self.far.contains_key(id))
-            .collect();
-        if !gone.is_empty() {
-            self.depart(now, group, limits, nodes, &gone);
-        }
-        for id in parted(group) {
-            self.far.insert(id, now);
+    fn share(&mut self, now: Now, group: &Group, limits: &[Limit], nodes: usize) -> Vec<Share> {
+        if self.steps <= self.settings.settle {
+            return limits.iter().map(|l| floor(l, nodes)).collect();
         }
-        let back = |(id, last): (&Id, &Now)| {
-            let over = now.saturating_sub(*last) > window;
-            (over || group.roster().get(*id).is_none()).then_some(*id)
+        let window = self.settings.step * self.settings.window(nodes) as u32;
+        let cx = Context {
+            now,
+            group,
+            limits,
+            index: &self.index,
+            announcer: &self.announcer,
+            nodes,
+            window,
+            hold: self.settings.hold,
         };
-        let back: Vec<Id> = self.far.iter().filter_map(back).collect();
-        if !back.is_empty() {
-            self.rejoin(now, group, limits, nodes, &back);
-        }
-        if self.far.is_empty() {
-            self.sides.iter_mut().for_each(|s| *s = WHOLE);
-        }
-    }
-
-    /// The other side goes by what it knew of this one before they parted. Demand that grew here
-    /// about then may not have got across, so this side counts only the least of it of late: the
-    /// parts of both sides then add up to no more than the whole.
-    fn depart(&mut self, now: Now, group: &Group, limits: &[Limit], nodes: usize, gone: &[Id]) {
-        let before = self.sums(now, group);
-        let near = self.near(group);
-        gone.iter().for_each(|id| _ = self.far.insert(*id, now));
-        let after = self.sums(now, group);
-        let left = near.saturating_sub(gone.len()) as f64;
-        let gone = gone.len() as f64;
-        for (row, limit) in limits.iter().enumerate() {
-            let own = self
-                .announcer
-                .row(row)
-                .map(|r| r.lowest())
-                .unwrap_or_default();
-            let (before, after) = (&before[row], &after[row]);
-            let side = &mut self.sides[row];
-            let base = share::base(limit.rate, nodes);
-            let stay = own.rate + after.low.rate + base * left;
-            let go = before.near.rate - after.near.rate + base * gone;
-            side.rate = share::part(side.rate, stay, go);
-            let base = share::base(limit.in_flight, nodes);
-            let stay = own.in_flight + after.low.in_flight + base * left;
-            let go = before.near.in_flight - after.near.in_flight + base * gone;
-            side.in_flight = share::part(side.in_flight, stay, go);
-        }
-    }
-
-    fn rejoin(&mut self, now: Now, group: &Group, limits: &[Limit], nodes: usize, back: &[Id]) {
-        let before = self.sums(now, group);
-        let far = self.far.len();
-        back.iter().for_each(|id| _ = self.far.remove(id));
-        let after = self.sums(now, group);
-        for (row, limit) in limits.iter().enumerate() {
-            let side = &mut self.sides[row];
-            let weigh = |before: f64, after: f64, base: f64| {
-                (
-                    before + base * far as f64,
-                    before - after + base * back.len() as f64,
-                )
-            };
-            let base = share::base(limit.rate, nodes);
-            let (all, some) = weigh(before[row].far.rate, after[row].far.rate, base);
-            side.rate = share::rejoin(side.rate, all, some);
-            let base = share::base(limit.in_flight, nodes);
-            let (b, a) = (before[row].far.in_flight, after[row].far.in_flight);
-            let (all, some) = weigh(b, a, base);
-            side.in_flight = share::rejoin(side.in_flight, all, some);
-        }
-    }
-
-    /// Nodes on this side, this one among them.
-    fn near(&self, group: &Group) -> usize {
-        group
-            .roster()
-            .iter()
-            .filter(|p| !self.far.contains_key(&p.id))
-            .count()
-    }
-
-    /// Adds up what peers announced. A dead peer counts for a while: it may only be cut off, and
-    /// its requests in flight may still run.
-    fn sums(&self, now: Now, group: &Group) -> Vec<Sum> {
-        let mut sums = vec![Sum::default(); self.teams.len()];
-        let hold = self.settings.hold;
-        let over = |p: &&Peer| p.state == State::Dead && now.saturating_sub(p.since) >= hold;
-        let peers = group
-            .roster()
-            .iter()
-            .filter(|p| p.id != group.me() && !over(p));
-        for peer in peers {
-            let far = self.far.contains_key(&peer.id);
-            for (_, slot) in group.store().of(peer.id) {
-                let Body::Demand {
-                    team,
-                    rate,
-                    in_flight,
-                } = &slot.body
-                else {
-                    continue;
-                };
-                let Some(row) = self.index.get(team) else {
-                    continue;
-                };
-                if far {
-                    add(&mut sums[*row].far, *rate, *in_flight);
-                    continue;
-                }
-                add(&mut sums[*row].near, *rate, *in_flight);
-                let (rate, in_flight) = slot.least(now, LOW);
-                add(&mut sums[*row].low, rate, in_flight);
-            }
+        self.sides.iter_mut().for_each(|s| s.follow(&cx));
+        let steps = self.settings.window(nodes) + self.doubt(now, group);
+        let [early, late] = &self.sides;
+        let shares = compute(&cx, early, steps);
+        if late.whole() {
+            return shares;
         }
-        sums
+        let others = compute(&cx, late, steps);
+        shares
+            .into_iter()
+            .zip(others)
+            .map(|(a, b)| a.min(b))
+            .collect()
     }
 
     /// Steps since a peer that is suspected was lost. Until it is known whether it parted, the
@@ -349,57 +237,6 @@
         age.div_duration_f64(self.settings.step).ceil() as usize
     }
 
-    fn compute(
-        &self,
-        now: Now,
-        group: &Group,
-        limits: &[Limit],
-        sums: &[Sum],
-        nodes: usize,
-    ) -> Vec<Share> {
-        let near = match self.far.is_empty() {
-            true => nodes,
-            false => self.near(group).max(1),
-        };
-        let window = self.settings.window(nodes) + self.doubt(now, group);
-        let settled = self.steps > self.settings.settle;
-        let share = |(row, limit): (usize, &Limit)| {
-            if !settled {
-                let rate = share::floor(limit.rate, nodes);
-                return Share {
-                    rate,
-                    in_flight: share::floor(limit.in_flight, nodes),
-                };
-            }
-            let own = self
-                .announcer
-                .row(row)
-                .map(|r| r.least(window))
-                .unwrap_or_default();
-            let (sum, side) = (sums[row].near, self.sides[row]);
-            let input = |limit, side, own, others| Input {
-                limit,
-                nodes,
-                near,
-                side,
-                own,
-                others,
-            };
-            let rate = input(limit.rate, side.rate, own.rate, sum.rate);
-            let slots = input(
-                limit.in_flight,
-                side.in_flight,
-                own.in_flight,
-                sum.in_flight,
-            );
-            Share {
-                rate: share::split(&rate),
-                in_flight: share::split(&slots),
-            }
-        };
-        limits.iter().enumerate().map(share).collect()
-    }
-
     /// A share is never negative and never above the limit.
     fn check(&self, limits: &[Limit]) {
         for (share, limit) in self.shares.iter().zip(limits) {
@@ -410,22 +247,70 @@
     }
 }
 
-fn add(sum: &mut Demand, rate: Level, in_flight: Level) {
-    sum.rate += rate.amount();
-    sum.in_flight += in_flight.amount();
+fn floor(limit: &Limit, nodes: usize) -> Share {
+    let rate = share::floor(limit.rate, nodes);
+    Share {
+        rate,
+        in_flight: share::floor(limit.in_flight, nodes),
+    }
+}
+
+fn compute(cx: &Context, sides: &Sides, steps: usize) -> Vec<Share> {
+    let sums = sides.sums(cx);
+    let near = sides.near(cx);
+    let rows = cx.limits.iter().enumerate();
+    rows.map(|(row, limit)| one(cx, sides, near, steps, (row, limit, &sums[row])))
+        .collect()
+}
+
+fn one(
+    cx: &Context,
+    sides: &Sides,
+    near: usize,
+    steps: usize,
+    team: (usize, &Limit, &Sum),
+) -> Share {
+    let (row, limit, sum) = team;
+    let own = cx
+        .announcer
+        .row(row)
+        .map(|r| r.least(steps))
+        .unwrap_or_default();
+    let (side, others) = (sides.row(row), sum.near);
+    let input = |limit, side, own, others| Input {
+        limit,
+        nodes: cx.nodes,
+        near,
+        side,
+        own,
+        others,
+    };
+    let rate = input(limit.rate, side.rate, own.rate, others.rate);
+    let slots = input(
+        limit.in_flight,
+        side.in_flight,
+        own.in_flight,
+        others.in_flight,
+    );
+    Share {
+        rate: share::split(&rate),
+        in_flight: share::split(&slots),
+    }
 }
 
-fn parted(group: &Group) -> impl Iterator<Item = Id> {
-    group
-        .roster()
-        .iter()
-        .filter(|p| p.state == State::Parted)
-        .map(|p| p.id)
+impl Share {
+    fn min(self, other: Self) -> Self {
+        let rate = self.rate.min(other.rate);
+        Self {
+            rate,
+            in_flight: self.in_flight.min(other.in_flight),
+        }
+    }
 }
 
 impl fmt::Display for Teams {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(f, "steps {} parted {}", self.steps, self.far.len())?;
+        writeln!(f, "steps {} parted {}", self.steps, self.sides[0].len())?;
         for (team, share) in self.teams.iter().zip(&self.shares) {
             writeln!(
                 f,
--- a/crates/member/tests/support/fleet.rs
+++ b/crates/member/tests/support/fleet.rs
@@ -42,6 +42,7 @@
     /// Demand by node and team.
     pub demands: Vec<Vec<Demand>>,
     way: Way,
+    settings: Settings,
     teams: Vec<Teams>,
     shares: Vec<Vec<Share>>,
     next: Vec<Now>,
@@ -64,6 +65,7 @@
             limits: (0..teams).map(limit).collect(),
             demands: vec![vec![Demand::default(); teams]; nodes],
             way,
+            settings: Settings::default(),
             teams: (0..nodes)
                 .map(|_| Teams::new(Settings::default()))
                 .collect(),
@@ -104,9 +106,17 @@
         }
     }
 
+    /// Starts all shares anew with other settings.
+    pub fn set(&mut self, settings: &Settings) {
+        self.settings = settings.clone();
+        self.teams
+            .iter_mut()
+            .for_each(|t| *t = Teams::new(settings.clone()));
+    }
+
     /// A node's process starts again.
     pub fn restart(&mut self, node: usize) {
-        self.teams[node] = Teams::new(Settings::default());
+        self.teams[node] = Teams::new(self.settings.clone());
         self.shares[node] = vec![Share::default(); self.limits.len()];
     }
 
