Views of what the nodes observed

Cause: control needs the ejected endpoints, the condemned requests and the open nodes, not items.

Change: Group::{ejected, suspects, condemned, load, open, at}, with a test that one observation is told by one node only and expires.

--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -35,6 +35,7 @@
 mod spread;
 pub mod store;
 pub mod team;
+mod view;
 
 pub use crate::message::Message;
 
--- /dev/null
+++ b/crates/member/src/view.rs
@@ -0,0 +1,77 @@
+//! What the nodes observed, put together for the rest of the program.
+
+use crate::Now;
+use crate::group::Group;
+use crate::identity::Id;
+use crate::item::{Body, Fingerprint, Key};
+use crate::level::Level;
+use crate::peer::Peer;
+use crate::store::Slot;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+impl Group {
+    /// Endpoints that some node has ejected.
+    pub fn ejected(&self, now: Now) -> BTreeSet<&str> {
+        let name = |body| match body {
+            &Body::Endpoint {
+                ref name,
+                ejected: true,
+                ..
+            } => Some(name.as_str()),
+            _ => None,
+        };
+        self.observed(now).filter_map(name).collect()
+    }
+
+    /// Fingerprints in flight at the death of an endpoint.
+    pub fn suspects(&self, now: Now) -> BTreeSet<Fingerprint> {
+        let print = |body: &Body| match body {
+            Body::Suspect { fingerprint, .. } => Some(*fingerprint),
+            _ => None,
+        };
+        self.observed(now).filter_map(print).collect()
+    }
+
+    /// Fingerprints of requests that every node refuses.
+    pub fn condemned(&self, now: Now) -> BTreeSet<Fingerprint> {
+        let print = |body: &Body| match body {
+            Body::Condemned { fingerprint, .. } => Some(*fingerprint),
+            _ => None,
+        };
+        self.observed(now).filter_map(print).collect()
+    }
+
+    /// The load that a node announced.
+    pub fn load(&self, node: Id) -> Option<Level> {
+        match self.store().get(node, &Key::Load)?.body {
+            Body::Load(level) => Some(level),
+            _ => None,
+        }
+    }
+
+    /// Nodes that may be named to callers, this one among them.
+    pub fn open(&self) -> impl Iterator<Item = &Peer> {
+        self.roster().iter().filter(|p| p.open())
+    }
+
+    /// The node that listens on `addr`.
+    pub fn at(&self, addr: SocketAddr) -> Option<Id> {
+        self.roster()
+            .iter()
+            .find(|p| p.identity.addr == addr)
+            .map(|p| p.id)
+    }
+
+    /// All observations but demand, which comes last in the order of keys and is by far the most.
+    fn observed(&self, now: Now) -> impl Iterator<Item = &Body> {
+        let counts = move |slot: &Slot| slot.until.is_none_or(|u| u > now);
+        let origins = self.store().origins().flat_map(|o| {
+            self.store()
+                .of(o)
+                .take_while(|(key, _)| **key < Key::Demand(0))
+                .map(|(_, slot)| slot)
+        });
+        origins.filter(move |s| counts(s)).map(|s| &s.body)
+    }
+}
--- a/crates/member/tests/failure.rs
+++ b/crates/member/tests/failure.rs
@@ -315,3 +315,34 @@
     assert!((0..8).all(|by| !knows(by)));
     assert!(net.whole());
 }
+
+/// An endpoint dies, and each node that had work there sees it. One item tells all the others;
+/// those that see it later publish none. It stops to count by itself if nobody renews it.
+#[test]
+fn one_observation_is_told_once_and_expires() {
+    let mut net = joined(8, 3, 16);
+    let body = Body::Endpoint {
+        name: "e-1".into(),
+        ejected: true,
+        ttl: SECOND * 20,
+    };
+    for by in 0..8 {
+        net.event(by, Event::Publish(vec![body.clone()]));
+        net.run(net.now + SECOND);
+    }
+    let published = |by: usize| {
+        let group = net.group(by).expect("runs");
+        group.store().get(net.id(by), &body.key()).is_some()
+    };
+    assert_eq!((0..8).filter(|by| published(*by)).count(), 1);
+    let known = |net: &Net, by: usize| {
+        let node = &net.nodes[by];
+        let now = net.now - node.started;
+        node.group
+            .as_ref()
+            .is_some_and(|g| g.ejected(now).contains("e-1"))
+    };
+    assert!((0..8).all(|by| known(&net, by)));
+    net.run(net.now + SECOND * 14);
+    assert!(!(0..8).any(|by| known(&net, by)));
+}
