--- a/crates/member/src/check.rs
+++ b/crates/member/src/check.rs
@@ -5,7 +5,6 @@
 use crate::message::Bucket;
 use crate::peer::State;
 use crate::roster::{self, BUCKETS};
-use crate::spread::subject;
 use std::collections::BTreeSet;
 use std::fmt;
 
@@ -118,7 +117,7 @@
     }
 
     fn verify_bounds(&self, errors: &mut Vec<Error>) {
-        let subjects: BTreeSet<Id> = self.news.iter().map(|p| subject(&p.news)).collect();
+        let subjects: BTreeSet<Id> = self.news.iter().map(|p| p.about).collect();
         if subjects.len() != self.news.len() {
             errors.push(error("news", self.news.len(), Fault::Twice));
         }
--- a/crates/member/src/group.rs
+++ b/crates/member/src/group.rs
@@ -8,7 +8,7 @@
 use crate::identity::{Id, Identity, Incarnation};
 use crate::item::Version;
 use crate::message::{Body, Message, News, Row};
-use crate::peer::{Entry, Peer, State};
+use crate::peer::{Entry, Peer, Standing, State};
 use crate::probe::Probes;
 use crate::roster::{self, Roster};
 use crate::settings::Settings;
@@ -269,7 +269,7 @@
         self.listed = Some(table);
     }
 
-    fn standing(&self, id: Id) -> Option<crate::peer::Standing> {
+    fn standing(&self, id: Id) -> Option<Standing> {
         self.listed.as_ref()?.get(&id).map(|e| e.standing)
     }
 
@@ -341,10 +341,10 @@
 
     /// Nodes that count as existing: heard of, or listed as live.
     pub fn size(&self) -> usize {
-        let live = |e: &&Entry| e.standing == crate::peer::Standing::Live;
-        let unknown = self.listed().filter(live);
-        let unknown = unknown.filter(|e| self.roster.get(crate::identity::id(&e.name)).is_none());
-        self.roster.len() + unknown.count()
+        let live = |e: &Entry| e.standing == Standing::Live;
+        let unknown = |(id, e): &(&Id, &Entry)| live(e) && self.roster.get(**id).is_none();
+        let listed = self.listed.iter().flatten();
+        self.roster.len() + listed.filter(unknown).count()
     }
 }
 
--- a/crates/member/src/probe.rs
+++ b/crates/member/src/probe.rs
@@ -3,7 +3,7 @@
 use crate::Now;
 use crate::action::Action;
 use crate::group::Group;
-use crate::identity::{Id, id};
+use crate::identity::Id;
 use crate::message::{Body, News, Seq};
 use crate::peer::State;
 use crate::roster::age;
@@ -95,14 +95,17 @@
         }
     }
 
-    /// Probes listed nodes that were never heard of: that is how a new node finds the others.
+    /// Probes listed nodes that are not known here: that is how a new node finds the others, and
+    /// how sides that were parted for longer than the list named them find each other. One that
+    /// left is not asked; a new run of it comes by itself.
     fn contact(&mut self, out: &mut Vec<Action>) {
-        let known = |name: &str| self.roster.get(id(name)).is_some();
-        let mut unknown: Vec<(Id, SocketAddr)> = self
-            .listed()
-            .filter(|e| !known(&e.name))
-            .map(|e| (id(&e.name), e.addr))
-            .collect();
+        let left = |id: &Id| self.graves.get(id).is_some_and(|g| g.left);
+        let known = |id: &Id| self.roster.get(*id).is_some() || left(id);
+        let listed = self.listed.iter().flatten();
+        let unknown = listed
+            .filter(|(id, _)| !known(id))
+            .map(|(id, e)| (*id, e.addr));
+        let mut unknown: Vec<(Id, SocketAddr)> = unknown.collect();
         unknown.shuffle(&mut self.rng);
         let most = if self.roster.len() == 1 { CONTACTS } else { 1 };
         for (to, addr) in unknown.into_iter().take(most) {
--- a/crates/member/src/spread.rs
+++ b/crates/member/src/spread.rs
@@ -40,6 +40,7 @@
 /// A piece of news and how often it is still to be told.
 #[derive(Clone, Debug)]
 pub(crate) struct Piece {
+    pub(crate) about: Id,
     pub(crate) news: News,
     pub(crate) left: u32,
 }
@@ -65,9 +66,9 @@
     /// Takes a piece of news to tell; one about the same node gives way.
     pub(crate) fn tell(&mut self, news: News) {
         let about = subject(&news);
-        self.news.retain(|p| subject(&p.news) != about);
+        self.news.retain(|p| p.about != about);
         let left = self.settings.repeats(self.roster.len());
-        self.news.push(Piece { news, left });
+        self.news.push(Piece { about, news, left });
         if self.news.len() > NEWS {
             self.news.sort_by_key(|p| p.left);
             self.news.remove(0);
--- a/crates/member/tests/failure.rs
+++ b/crates/member/tests/failure.rs
@@ -346,3 +346,20 @@
     net.run(net.now + SECOND * 14);
     assert!(!(0..8).any(|by| known(&net, by)));
 }
+
+/// Two zones part for so long that the list of each side drops the other one, and both sides
+/// remove it. When the list names all again they find each other, as the same runs.
+#[test]
+fn removed_while_parted_finds_back() {
+    let mut net = joined(8, 3, 17);
+    net.part(1, |i| i.zone == "z1");
+    let far: Vec<usize> = (0..8).filter(|i| net.nodes[*i].side == 1).collect();
+    far.iter().for_each(|i| net.nodes[*i].listed = false);
+    net.run(net.now + SECOND * 120);
+    assert!(far.iter().all(|i| net.state(0, *i).is_none()));
+    far.iter().for_each(|i| net.nodes[*i].listed = true);
+    net.heal();
+    net.run(net.now + SECOND * 40);
+    net.verify();
+    assert!(net.whole());
+}
