--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -31,9 +31,11 @@
 pub mod roster;
 pub mod settings;
 pub mod share;
+mod side;
 mod spread;
 pub mod store;
 pub mod team;
+mod view;
 
 pub use crate::message::Message;
 
