Engine and stand-in: smaller files, named fields

Change: frame::reader, wire::{call, reply}, pool::counters, the stand-in's stage::{io, work}; Refusal and Shake in place of tuples. Paths of public items stay.

--- a/crates/engine/src/chain/open.rs
+++ b/crates/engine/src/chain/open.rs
@@ -37,33 +37,38 @@
 /// Opens one stage. A kept connection may be gone without a sign; as an open runs nothing, it is
 /// safe to send it once more on a fresh one.
 async fn stage(pool: &Pool, job: &Job, prefix: &[u64], hop: usize) -> Result<(usize, Link)> {
-    let (reused, first) = shake(pool, job, prefix, hop, false).await;
-    let is_gone = matches!(&first, Err(failure) if failure.cause == Cause::Reset);
-    if !(reused && is_gone) {
-        return first.map(|link| (hop, link));
+    let first = shake(pool, job, prefix, hop, false).await;
+    let is_gone = matches!(&first.link, Err(failure) if failure.cause == Cause::Reset);
+    if !(first.reused && is_gone) {
+        return first.link.map(|link| (hop, link));
     }
     Counters::add(&pool.counters().reopens, 1);
-    let (_, second) = shake(pool, job, prefix, hop, true).await;
-    second.map(|link| (hop, link))
+    let second = shake(pool, job, prefix, hop, true).await;
+    second.link.map(|link| (hop, link))
 }
 
-async fn shake(
-    pool: &Pool,
-    job: &Job,
-    prefix: &[u64],
-    hop: usize,
-    fresh: bool,
-) -> (bool, Result<Link>) {
+/// A try to open a stage, and whether it was made on a kept connection.
+struct Shake {
+    reused: bool,
+    link: Result<Link>,
+}
+
+async fn shake(pool: &Pool, job: &Job, prefix: &[u64], hop: usize, fresh: bool) -> Shake {
     let opened = match pool.open(job.hops[hop].addr, PATH, fresh).await {
         Ok(opened) => opened,
-        Err(error) => return (false, Err(Failure::new(hop, cause(error)))),
+        Err(error) => {
+            let link = Err(Failure::new(hop, cause(error)));
+            return Shake {
+                reused: false,
+                link,
+            };
+        }
     };
+    let reused = opened.reused;
     let mut link = Link::new(opened.stream, job.request, job.attempt);
     let accepted = accept(pool, &mut link, &call(job, prefix, hop)).await;
-    (
-        opened.reused,
-        accepted.map(|()| link).map_err(|fault| fault.at(hop)),
-    )
+    let link = accepted.map(|()| link).map_err(|fault| fault.at(hop));
+    Shake { reused, link }
 }
 
 async fn accept(pool: &Pool, link: &mut Link, open: &Open) -> std::result::Result<(), Fault> {
--- /dev/null
+++ b/crates/engine/src/wire/reply.rs
@@ -0,0 +1,116 @@
+//! Heads from a stage.
+
+use super::{Place, check};
+use crate::frame::{self, Error, PAYLOAD_LIMIT, TEXT_LIMIT};
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Longest wait a refusal can ask for.
+const WAIT_LIMIT: Duration = Duration::from_secs(3600);
+
+/// See [`frame::Reason`].
+#[derive(Debug, Serialize, Deserialize)]
+pub enum Reason {
+    /// Full.
+    Busy,
+    /// Leaving.
+    Leaving,
+    /// Doesn't hold it.
+    Unfit,
+}
+
+/// See [`frame::Reply`]; waits are in milliseconds.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum Reply {
+    /// Slot reserved.
+    Opened(u128, u32),
+    /// Slot refused.
+    Refused(Reason, Option<u64>),
+    /// Step runs.
+    Working(Place),
+    /// Step ran: prompt tokens, payload bytes.
+    Done(Place, u32, u32),
+    /// Step ran: prompt tokens, token, text, end.
+    Token(Place, u32, u32, String, bool),
+    /// Step failed.
+    Failed(Place),
+}
+
+impl From<frame::Reason> for Reason {
+    fn from(reason: frame::Reason) -> Self {
+        match reason {
+            frame::Reason::Busy => Self::Busy,
+            frame::Reason::Leaving => Self::Leaving,
+            frame::Reason::Unfit => Self::Unfit,
+        }
+    }
+}
+
+impl From<Reason> for frame::Reason {
+    fn from(reason: Reason) -> Self {
+        match reason {
+            Reason::Busy => Self::Busy,
+            Reason::Leaving => Self::Leaving,
+            Reason::Unfit => Self::Unfit,
+        }
+    }
+}
+
+impl From<&frame::Reply> for Reply {
+    fn from(reply: &frame::Reply) -> Self {
+        match reply {
+            frame::Reply::Opened(request, attempt) => Self::Opened(*request, *attempt),
+            frame::Reply::Refused(reason, wait) => {
+                Self::Refused((*reason).into(), wait.map(|w| w.as_millis() as u64))
+            }
+            frame::Reply::Working(place) => Self::Working((*place).into()),
+            frame::Reply::Done {
+                place,
+                prompt_tokens,
+                payload,
+            } => Self::Done((*place).into(), *prompt_tokens, *payload),
+            frame::Reply::Token {
+                place,
+                prompt_tokens,
+                id,
+                text,
+                end,
+            } => Self::Token((*place).into(), *prompt_tokens, *id, text.clone(), *end),
+            frame::Reply::Failed(place) => Self::Failed((*place).into()),
+        }
+    }
+}
+
+impl TryFrom<Reply> for frame::Reply {
+    type Error = Error;
+
+    fn try_from(reply: Reply) -> Result<Self, Error> {
+        Ok(match reply {
+            Reply::Opened(request, attempt) => Self::Opened(request, attempt),
+            Reply::Refused(reason, wait) => {
+                let wait = wait.map(|w| Duration::from_millis(w).min(WAIT_LIMIT));
+                Self::Refused(reason.into(), wait)
+            }
+            Reply::Working(place) => Self::Working(place.try_into()?),
+            Reply::Done(place, prompt_tokens, payload) => {
+                check((1..=PAYLOAD_LIMIT).contains(&payload), "payload")?;
+                Self::Done {
+                    place: place.try_into()?,
+                    prompt_tokens,
+                    payload,
+                }
+            }
+            Reply::Token(place, prompt_tokens, id, text, end) => {
+                check(text.len() <= TEXT_LIMIT, "text")?;
+                Self::Token {
+                    place: place.try_into()?,
+                    prompt_tokens,
+                    id,
+                    text,
+                    end,
+                }
+            }
+            Reply::Failed(place) => Self::Failed(place.try_into()?),
+        })
+    }
+}
--- a/crates/standin/examples/relay.rs
+++ b/crates/standin/examples/relay.rs
@@ -12,13 +12,13 @@
 mod engines;
 #[path = "relay/process.rs"]
 mod process;
+#[path = "relay/bytes.rs"]
+mod relayed;
 
 use engine::chain::{self, Event, Hop, Job};
-use engine::frame::{self, Call, Head, Input, Place, Reply, Step};
 use engine::pool::{Limits, Pool};
 use engines::{Engines, Line, MODEL, VERSION};
 use futures::future::join_all;
-use std::cell::RefCell;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 use tokio_util::sync::CancellationToken;
@@ -77,7 +77,7 @@
         throughput(line.activation, &line.hops).await;
     }
     println!();
-    wire(&engines).await;
+    relayed::print(&engines).await;
     Ok(())
 }
 
@@ -192,71 +192,6 @@
     }
 }
 
-/// Bytes that pass the node for a token, and how many of them are the protocol's own.
-async fn wire(engines: &Engines) {
-    println!("bytes per token and link between stages");
-    println!("{:>12} {:>12} {:>12}", "activation", "payload", "step+done");
-    for line in &engines.lines {
-        let pool = Pool::default();
-        let steps = RefCell::new(0_u64);
-        let mut out = |event: Event| {
-            *steps.borrow_mut() += u64::from(matches!(event, Event::Token(_)));
-        };
-        // The prompt's positions are taken off: they pass in the first step.
-        chain::run(
-            &pool,
-            job(1, &line.hops, 1),
-            &mut out,
-            CancellationToken::new(),
-        )
-        .await;
-        let prefill = pool.counters().relayed.load(Ordering::Relaxed);
-        let pool = Pool::default();
-        chain::run(
-            &pool,
-            job(1, &line.hops, 101),
-            &mut out,
-            CancellationToken::new(),
-        )
-        .await;
-        let relayed = pool.counters().relayed.load(Ordering::Relaxed) - prefill;
-        let links = (line.hops.len() as u64 - 1) * (*steps.borrow() - 2);
-        let heads = heads(line.activation as u32);
-        println!(
-            "{:>12} {:>12} {:>12}",
-            line.activation,
-            relayed / links,
-            heads
-        );
-    }
-}
-
-fn heads(payload: u32) -> usize {
-    let place = Place {
-        request: u128::MAX / 3,
-        attempt: 1,
-        step: 500,
-        from: 4,
-        to: 8,
-    };
-    let step = Call::Step(Step {
-        place,
-        input: Input::Activations,
-        payload,
-    });
-    length(&step)
-        + length(&Reply::Done {
-            place,
-            prompt_tokens: 0,
-            payload,
-        })
-}
-
-fn length<H: Head>(head: &H) -> usize {
-    let mut buf = bytes::BytesMut::new();
-    frame::encode(head, &mut buf).map_or(0, |()| buf.len())
-}
-
 /// Memory of streams that wait in their first step.
 async fn memory(hops: &[Hop]) {
     println!("memory of the driver's process, streams that wait for a stage (three stages each)");
--- a/crates/standin/src/engine/stage.rs
+++ b/crates/standin/src/engine/stage.rs
@@ -1,30 +1,18 @@
 //! One request's stream at a stage.
 
-use super::Span;
+mod io;
+mod work;
+
 use super::counts::Counters;
-use super::fault::Crossed;
-use super::hash;
-use super::kv::{self, Broken, Kv};
-use super::state::{Slot, State, lock};
-use super::vocabulary;
-use crate::life;
-use bytes::{Bytes, BytesMut};
-use engine::frame::{self, Call, Input, Item, Open, Place, Reader, Reply, Step};
-use engine::prefix;
-use futures::future;
+use super::state::{Refusal, State};
+use bytes::Bytes;
+use engine::frame::{Call, Reply};
 use h2::server::SendResponse;
-use h2::{Reason, RecvStream, SendStream};
+use h2::{Reason, RecvStream};
 use http::Response;
-use std::future::poll_fn;
+use io::Io;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
-use std::time::Duration;
-use tokio::time::{Instant, sleep};
-
-/// A step that runs longer says so as often as this.
-const WORKING: Duration = Duration::from_millis(250);
-/// Weight of a new sample in the mean time between tokens, as one part in so many.
-const SMOOTHING: u64 = 8;
+use work::Stage;
 
 /// The caller reset the stream, or broke the protocol.
 struct Gone;
@@ -37,18 +25,14 @@
     let Ok(sender) = respond.send_response(Response::new(()), false) else {
         return;
     };
-    let mut io = Io {
-        sender,
-        body,
-        reader: Reader::default(),
-    };
+    let mut io = Io::new(sender, body);
     let Ok(Some(Call::Open(open))) = io.call().await else {
-        io.sender.send_reset(Reason::PROTOCOL_ERROR);
+        io.abort(Reason::PROTOCOL_ERROR);
         return;
     };
     let (slot, span) = match state.admit(&open) {
         Ok(admitted) => admitted,
-        Err((reason, wait)) => {
+        Err(Refusal { reason, wait }) => {
             Counters::add(&state.counters.refused);
             let _ = io.reply(&Reply::Refused(reason, wait), Bytes::new(), true);
             return;
@@ -63,7 +47,7 @@
     };
     match stage.run(&mut io).await {
         Ok(()) => end.is_whole = true,
-        Err(Gone) => io.sender.send_reset(Reason::CANCEL),
+        Err(Gone) => io.abort(Reason::CANCEL),
     }
 }
 
@@ -83,340 +67,3 @@
         Counters::add(counter);
     }
 }
-
-/// Both directions of a stream.
-struct Io {
-    sender: SendStream<Bytes>,
-    body: RecvStream,
-    reader: Reader<Call>,
-}
-
-impl Io {
-    /// The next call; `None` when the caller ended its side.
-    async fn call(&mut self) -> Result<Option<Call>> {
-        match self.item().await? {
-            None => Ok(None),
-            Some(Item::Head(call)) => Ok(Some(call)),
-            Some(Item::Payload(_)) => Err(Gone),
-        }
-    }
-
-    async fn payload(&mut self, length: u32) -> Result<Bytes> {
-        let length = length as usize;
-        let mut bytes = BytesMut::new();
-        while bytes.len() < length {
-            match self.item().await? {
-                Some(Item::Payload(piece)) if piece.len() == length => return Ok(piece),
-                Some(Item::Payload(piece)) => bytes.extend_from_slice(&piece),
-                _ => return Err(Gone),
-            }
-        }
-        Ok(bytes.freeze())
-    }
-
-    async fn item(&mut self) -> Result<Option<Item<Call>>> {
-        loop {
-            if let Some(item) = self.reader.read().map_err(|_| Gone)? {
-                return Ok(Some(item));
-            }
-            let Some(chunk) = self.body.data().await else {
-                return if self.reader.is_between() {
-                    Ok(None)
-                } else {
-                    Err(Gone)
-                };
-            };
-            let chunk = chunk.map_err(|_| Gone)?;
-            let _ = self.body.flow_control().release_capacity(chunk.len());
-            self.reader.push(chunk);
-        }
-    }
-
-    /// Queues a reply; the connection sends it as the caller's window allows.
-    fn reply(&mut self, reply: &Reply, payload: Bytes, end: bool) -> Result<()> {
-        let mut buf = BytesMut::new();
-        frame::encode(reply, &mut buf).map_err(|_| Gone)?;
-        buf.extend_from_slice(&payload);
-        self.sender.send_data(buf.freeze(), end).map_err(|_| Gone)
-    }
-
-    /// Waits until the caller resets the stream.
-    async fn reset(&mut self) {
-        let _ = poll_fn(|cx| self.sender.poll_reset(cx)).await;
-    }
-
-    /// Runs work until it is done or the caller resets the stream.
-    async fn until_reset<T>(&mut self, work: impl Future<Output = T>) -> Result<T> {
-        tokio::select! {
-            biased;
-            () = self.reset() => Err(Gone),
-            done = work => Ok(done),
-        }
-    }
-}
-
-/// A request at this stage.
-struct Stage {
-    state: Arc<State>,
-    open: Open,
-    span: Span,
-    kv: Kv,
-    last: Option<Instant>,
-    _slot: Slot,
-}
-
-/// What a step made.
-struct Made {
-    reply: Reply,
-    payload: Bytes,
-}
-
-impl Stage {
-    fn new(state: Arc<State>, open: Open, span: Span, slot: Slot) -> Self {
-        let salt = hash::name(&open.model, &open.version, open.adapter.as_deref());
-        let kv = Kv::new(open.from, open.to, salt, state.fault.broken());
-        Self {
-            state,
-            open,
-            span,
-            kv,
-            last: None,
-            _slot: slot,
-        }
-    }
-
-    async fn run(mut self, io: &mut Io) -> Result<()> {
-        let Open {
-            request, attempt, ..
-        } = self.open;
-        io.reply(&Reply::Opened(request, attempt), Bytes::new(), false)?;
-        while let Some(call) = io.call().await? {
-            let Call::Step(step) = call else {
-                return Err(Gone);
-            };
-            let payload = io.payload(step.payload).await?;
-            self.step(io, step, payload).await?;
-        }
-        io.sender.send_data(Bytes::new(), true).map_err(|_| Gone)
-    }
-
-    async fn step(&mut self, io: &mut Io, step: Step, payload: Bytes) -> Result<()> {
-        let Open {
-            request,
-            attempt,
-            from,
-            to,
-            ..
-        } = self.open;
-        let place = Place {
-            request,
-            attempt,
-            step: step.place.step,
-            from,
-            to,
-        };
-        if step.place != place {
-            return Err(Gone);
-        }
-        self.crash(&step, &payload).await;
-        let Some(inputs) = self.inputs(&step.input, &payload) else {
-            return io.reply(&Reply::Failed(place), Bytes::new(), false);
-        };
-        self.pace(io, place, inputs.len()).await?;
-        if self.state.fault.fail.load(Ordering::SeqCst) {
-            return io.reply(&Reply::Failed(place), Bytes::new(), false);
-        }
-        let made = self.compute(place, &step.input, inputs);
-        Counters::add(&self.state.counters.steps);
-        self.respond(io, made)
-    }
-
-    /// Dies if this is the step or the prompt to die at.
-    async fn crash(&self, step: &Step, payload: &[u8]) {
-        let is_prompt = matches!(step.input, Input::Prompt(_));
-        let is_poison = is_prompt && self.state.fault.is_poison(payload);
-        if is_poison || self.state.fault.is_last_step() {
-            life::die(&self.state);
-            future::pending::<()>().await;
-        }
-    }
-
-    /// The activations that a step starts from, by position.
-    fn inputs(&self, input: &Input, payload: &[u8]) -> Option<Vec<u64>> {
-        match input {
-            Input::Prompt(tokens) => Some(kv::embed(payload, tokens)),
-            Input::Token(id) => Some(vec![kv::token(*id)]),
-            Input::Activations => kv::unpack(payload, self.state.config.activation),
-        }
-    }
-
-    /// Waits as long as the step takes, and says so if that is long.
-    async fn pace(&mut self, io: &mut Io, place: Place, positions: usize) -> Result<()> {
-        let cost = self.cost(positions);
-        let late = self.state.fault.late();
-        let lanes = self.state.lanes.clone();
-        let mut hold = self.state.fault.hold.subscribe();
-        let is_held = *hold.borrow();
-        let rank = self.open.rank;
-        let work = async move {
-            if !cost.is_zero() {
-                lanes.run(rank, cost).await;
-            }
-            if !late.is_zero() {
-                sleep(late).await;
-            }
-            let _ = hold.wait_for(|on| !on).await;
-        };
-        if cost.is_zero() && late.is_zero() && !is_held {
-            return Ok(());
-        }
-        tokio::pin!(work);
-        while io
-            .until_reset(tokio::time::timeout(WORKING, &mut work))
-            .await?
-            .is_err()
-        {
-            io.reply(&Reply::Working(place), Bytes::new(), false)?;
-        }
-        Ok(())
-    }
-
-    /// Time that the step takes: a prefill counts the positions that the prefix cache lacks.
-    fn cost(&mut self, positions: usize) -> Duration {
-        let state = self.state.clone();
-        let config = &state.config;
-        let layers = u32::from(self.open.to - self.open.from);
-        let slow = state.fault.slow();
-        if self.kv.position() > 0 {
-            self.sample();
-            return (config.layer_time * layers).mul_f64(slow);
-        }
-        self.last = Some(Instant::now());
-        let hits = lock(&state.cache).touch(&self.open.prefix);
-        let cached = hits * prefix::BLOCK / 4;
-        let fresh = positions.saturating_sub(cached).max(1) as u32;
-        (config.prefill_time * layers * fresh).mul_f64(slow)
-    }
-
-    /// Enters the time since the step before into the mean.
-    fn sample(&mut self) {
-        let now = Instant::now();
-        let Some(last) = self.last.replace(now) else {
-            return;
-        };
-        let nanos = (now - last).as_nanos() as u64;
-        let mean = self.state.inter_token.load(Ordering::Relaxed);
-        let next = if mean == 0 {
-            nanos
-        } else {
-            mean - mean / SMOOTHING + nanos / SMOOTHING
-        };
-        self.state.inter_token.store(next, Ordering::Relaxed);
-    }
-
-    fn compute(&mut self, place: Place, input: &Input, inputs: Vec<u64>) -> Made {
-        let is_prompt = matches!(input, Input::Prompt(_));
-        let had = if let Input::Prompt(tokens) = input {
-            tokens.len()
-        } else {
-            0
-        };
-        let prompt_tokens = if is_prompt {
-            (inputs.len() - had) as u32
-        } else {
-            0
-        };
-        let outputs: Vec<u64> = inputs
-            .into_iter()
-            .map(|input| self.position(input))
-            .collect();
-        if self.open.to < self.span.layers {
-            let payload = kv::pack(&outputs, self.state.config.activation);
-            let length = payload.len() as u32;
-            return Made {
-                reply: Reply::Done {
-                    place,
-                    prompt_tokens,
-                    payload: length,
-                },
-                payload,
-            };
-        }
-        let last = outputs.last().copied().unwrap_or_default();
-        let (token, end) = vocabulary::pick(self.kv.draw(last, self.open.seed));
-        let (id, text) = (token.id, token.text);
-        Made {
-            reply: Reply::Token {
-                place,
-                prompt_tokens,
-                id,
-                text,
-                end,
-            },
-            payload: Bytes::new(),
-        }
-    }
-
-    /// Runs one position, and enters the layers that ran.
-    fn position(&mut self, input: u64) -> u64 {
-        Counters::add(&self.state.counters.positions);
-        let input = match self.kv.broken() {
-            Some(Broken::Cross) => self.state.crossed.swap(input, Ordering::SeqCst),
-            _ => input,
-        };
-        let position = self.kv.position();
-        if !self.state.ledger.is_on() {
-            return self.kv.run(input, |_| {});
-        }
-        let mut ran = Vec::new();
-        let output = self.kv.run(input, |layer| ran.push(layer));
-        let Open {
-            request,
-            attempt,
-            from,
-            to,
-            ..
-        } = self.open;
-        self.state
-            .ledger
-            .enter(request, attempt, from..to, &ran, position);
-        output
-    }
-
-    /// Sends the reply, or what a fault makes of it.
-    fn respond(&self, io: &mut Io, made: Made) -> Result<()> {
-        let Made { reply, payload } = made;
-        let Some(crossed) = self.state.fault.crossed() else {
-            return io.reply(&reply, payload, false);
-        };
-        let other = elsewhere(&reply, crossed);
-        match crossed {
-            Crossed::OldAttempt | Crossed::Twice => {
-                io.reply(&other, payload.clone(), false)?;
-                io.reply(&reply, payload, false)
-            }
-            Crossed::Garbled => {
-                let garbage = Bytes::from_static(&[0, 0, 0, 3, 255, 255, 255]);
-                io.sender.send_data(garbage, false).map_err(|_| Gone)
-            }
-            Crossed::Ended => io.sender.send_data(Bytes::new(), true).map_err(|_| Gone),
-            _ => io.reply(&other, payload, false),
-        }
-    }
-}
-
-/// The reply with the place that a fault gives it.
-fn elsewhere(reply: &Reply, crossed: Crossed) -> Reply {
-    let mut reply = reply.clone();
-    let (Reply::Done { place, .. } | Reply::Token { place, .. }) = &mut reply else {
-        return reply;
-    };
-    match crossed {
-        Crossed::OldAttempt => place.attempt = place.attempt.saturating_sub(1).max(1),
-        Crossed::OtherRequest => place.request ^= 1,
-        Crossed::OldStep => place.step = place.step.saturating_sub(1).max(1),
-        Crossed::OtherLayers => place.to += 1,
-        Crossed::Twice | Crossed::Garbled | Crossed::Ended => {}
-    }
-    reply
-}
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -15,6 +15,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Wait that a full engine asks for.
+const BUSY_WAIT: Duration = Duration::from_millis(50);
+
 /// A load report and when it was made.
 #[derive(Clone, Debug)]
 pub(super) struct Snapshot {
@@ -49,6 +52,19 @@
     running: AtomicUsize,
 }
 
+/// Why a request gets no slot.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Refusal {
+    pub(super) reason: Reason,
+    pub(super) wait: Option<Duration>,
+}
+
+impl Refusal {
+    fn new(reason: Reason) -> Self {
+        Self { reason, wait: None }
+    }
+}
+
 /// A request's hold on the engine.
 #[derive(Debug)]
 pub(super) struct Slot(Arc<State>);
@@ -90,15 +106,15 @@
     }
 
     /// Reserves a slot, or says why not.
-    pub(super) fn admit(
-        self: &Arc<Self>,
-        open: &Open,
-    ) -> Result<(Slot, Span), (Reason, Option<Duration>)> {
+    pub(super) fn admit(self: &Arc<Self>, open: &Open) -> Result<(Slot, Span), Refusal> {
         if self.fault.leaving.load(Ordering::SeqCst) {
-            return Err((Reason::Leaving, None));
+            return Err(Refusal::new(Reason::Leaving));
         }
-        let span = self.find(open).ok_or((Reason::Unfit, None))?;
-        let busy = (Reason::Busy, Some(Duration::from_millis(50)));
+        let span = self.find(open).ok_or(Refusal::new(Reason::Unfit))?;
+        let busy = Refusal {
+            reason: Reason::Busy,
+            wait: Some(BUSY_WAIT),
+        };
         if self.fault.busy.load(Ordering::SeqCst) {
             return Err(busy);
         }
