--- /dev/null
+++ b/crates/entry/src/core.rs
@@ -0,0 +1,763 @@
+//! The core of a request worker: the only owner of its router and of the table of sessions.
+//!
+//! Commands come in through one unbounded channel. It needs no bound of its own: an arrival takes a
+//! stream that the listener has already bounded, and an attempt sends a few events for each
+//! token that its endpoints make. The answer channel of a session is bounded by the request's own
+//! number of tokens; tokens have to be kept until the end anyway, to continue elsewhere.
+//!
+//! Endpoint ids belong to one bundle. A failure names the id that its attempt was started with, as
+//! the router expects. What outlives a bundle otherwise (probes, loads, notes) goes by name.
+
+use crate::api::error::Error;
+use crate::attempt::{self, Call, CallEvent, Context, Prompt, Stage, Work};
+use crate::cause;
+use crate::claim::{self, Claim, Kept, Verdict};
+use crate::metrics::Metrics;
+use crate::ring;
+use crate::snapshot::{Board, Snapshot};
+use arc_swap::ArcSwap;
+use bundle::digest::Digest;
+use bundle::id::EndpointId;
+use bytes::Bytes;
+use engine::chain::{self, Stop, Token};
+use engine::pool::Pool;
+use lease::claim::Hash;
+use route::action::{Action, Hop, Observation};
+use route::event::{Event, TICK};
+use route::failure::{Cause, Failure};
+use route::load::Report;
+use route::outcome::Outcome;
+use route::refusal::{Reason, Refusal};
+use route::request::{Id, Request};
+use route::router::Router;
+use route::{Attempt, Now};
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+/// Sends commands to a core.
+pub type Tx = mpsc::UnboundedSender<Command>;
+/// Receives the commands of a core.
+pub type Rx = mpsc::UnboundedReceiver<Command>;
+
+/// Longest time that a probe on a new connection may take.
+const PROBE_TIME: Duration = Duration::from_millis(500);
+/// How often counters and demand are given out.
+const TELL_PERIOD: Duration = Duration::from_millis(500);
+
+/// The refusal when control can't take one more question.
+const OVERFULL: Refusal = Refusal {
+    reason: Reason::Overload,
+    retry_after: Some(Duration::from_secs(1)),
+};
+/// The end of a plain service's whole answer.
+const WHOLE_CALL: End = End {
+    outcome: Outcome::Complete,
+    stop: Stop::End,
+    prompt_tokens: 0,
+};
+
+/// Something a core is told.
+#[derive(Debug)]
+pub enum Command {
+    /// A request arrived.
+    Arrive(Arrival),
+    /// Something happened in an attempt on a pipeline.
+    Chain(Id, Attempt, chain::Event),
+    /// Something happened in a call of a plain service.
+    Call(Id, Attempt, CallEvent),
+    /// The caller went away, or has all it wants.
+    Left(Id),
+    /// A probe ended; whether the named endpoint answered.
+    Probed(Arc<str>, bool),
+    /// Asks for a ticket.
+    Ticket(oneshot::Sender<String>),
+    /// Asks for the state in text.
+    Dump(oneshot::Sender<String>),
+}
+
+/// A request and where its answer goes.
+#[derive(Debug)]
+pub struct Arrival {
+    /// What the router decides on.
+    pub request: Request,
+    /// What is to be done.
+    pub work: Work,
+    /// The key under which it must run at most once, if any.
+    pub claim: Option<Claim>,
+    /// Where the answer goes.
+    pub reply: mpsc::UnboundedSender<Reply>,
+}
+
+/// A part of an answer.
+#[derive(Debug)]
+pub enum Reply {
+    /// The request was not run.
+    Refused(Refusal),
+    /// Another answer than the one asked for.
+    Error(Box<Error>),
+    /// One more token.
+    Token(Token),
+    /// The head of a plain service's answer.
+    Head(Box<http::response::Parts>),
+    /// The answer ended.
+    Done(End),
+}
+
+/// How an answer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct End {
+    /// Outcome.
+    pub outcome: Outcome,
+    /// Why the last token was the last.
+    pub stop: Stop,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+}
+
+/// Something a core tells control.
+#[derive(Debug)]
+pub enum Note {
+    /// A named endpoint was taken out of use.
+    Ejected(Arc<str>),
+    /// A named endpoint is back in use.
+    Restored(Arc<str>),
+    /// A request with this fingerprint was in flight when an endpoint died.
+    Suspect(u64),
+    /// A verdict on this fingerprint is awaited.
+    Pending(u64),
+    /// Requests with this fingerprint crash endpoints.
+    Condemned(u64),
+    /// What teams ask of this worker, by team of the bundle with this digest.
+    Demand(Digest, Vec<Demand>),
+    /// A request asks for its key.
+    Claim(claim::Ask),
+    /// The caller of a request that waits for its key went away.
+    Unclaim(Id),
+    /// A run under a key ended.
+    Ended(claim::Ended),
+    /// A caller asks for a ticket.
+    Ticket(oneshot::Sender<String>),
+}
+
+/// What one team asks of one worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Demand {
+    /// Requests that came since the start, refused ones included.
+    pub asked: u64,
+    /// Requests in flight.
+    pub in_flight: u32,
+}
+
+/// Something control tells a core.
+#[derive(Clone, Debug)]
+pub enum Notice {
+    /// Load of a named endpoint.
+    Load(Arc<str>, Report),
+    /// What becomes of a request that asked for its key.
+    Claim(Id, Verdict),
+}
+
+/// A request in the table.
+struct Session {
+    work: Work,
+    reply: mpsc::UnboundedSender<Reply>,
+    had: Vec<Token>,
+    end: End,
+    repeatable: bool,
+    /// The key's hash, if it runs under a key.
+    hash: Option<Hash>,
+    /// The request, while it waits for its key.
+    unclaimed: Option<Request>,
+    /// Head of a plain service's answer, to be kept for resends.
+    head: Option<Box<http::response::Parts>>,
+    /// Its body, if it is short enough to be kept.
+    body: Option<Bytes>,
+    /// Whether a part of a plain service's answer went to the caller: it can't be started anew.
+    committed: bool,
+    running: Option<Running>,
+}
+
+impl Session {
+    /// The whole answer, for resends.
+    fn kept(&self) -> Option<Kept> {
+        match &self.work {
+            Work::Tokens(_) => {
+                let end = End {
+                    outcome: Outcome::Complete,
+                    ..self.end
+                };
+                Some(Kept::Tokens(self.had.clone(), end))
+            }
+            Work::Call(_) => Some(Kept::Call(self.head.clone()?, self.body.clone()?)),
+        }
+    }
+}
+
+/// The current attempt of a session.
+struct Running {
+    attempt: Attempt,
+    stages: Vec<Stage>,
+    cancel: CancellationToken,
+}
+
+/// The core.
+pub struct Core {
+    router: Router,
+    sessions: HashMap<Id, Session>,
+    snapshot: Option<Arc<Snapshot>>,
+    board: Board,
+    pool: Pool,
+    tx: Tx,
+    notes: ring::Sender<Note>,
+    metrics: Metrics,
+    start: Instant,
+    reports: Reports,
+    told: Instant,
+    actions: Vec<Action>,
+    /// Notes that must reach control and found the ring full.
+    outbox: VecDeque<Note>,
+}
+
+/// The newest counters and gauges of a router, for the metrics page.
+pub type Reports = Arc<ArcSwap<route::report::Report>>;
+
+/// What a core is made of.
+pub struct Parts {
+    /// The router.
+    pub router: Router,
+    /// Where control publishes.
+    pub board: Board,
+    /// Connections of this worker.
+    pub pool: Pool,
+    /// Where commands go.
+    pub tx: Tx,
+    /// Where notes to control go. When the ring is full the newest is dropped and counted: what
+    /// it told is told again by the next failure.
+    pub notes: ring::Sender<Note>,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Zero of the router's time.
+    pub start: Instant,
+    /// Where the router's counters are put.
+    pub reports: Reports,
+}
+
+impl Core {
+    /// A core with no session.
+    pub fn new(parts: Parts) -> Self {
+        Self {
+            router: parts.router,
+            sessions: HashMap::new(),
+            snapshot: None,
+            board: parts.board,
+            pool: parts.pool,
+            tx: parts.tx,
+            notes: parts.notes,
+            metrics: parts.metrics,
+            start: parts.start,
+            reports: parts.reports,
+            told: parts.start,
+            actions: Vec::new(),
+            outbox: VecDeque::new(),
+        }
+    }
+
+    /// Serves commands and notices until `stop`.
+    pub async fn run(
+        mut self,
+        mut rx: Rx,
+        mut notices: ring::Receiver<Notice>,
+        stop: CancellationToken,
+    ) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                biased;
+                () = stop.cancelled() => return,
+                _ = tick.tick() => self.tick(),
+                Some(notice) = notices.pop() => self.notice(notice),
+                Some(command) = rx.recv() => self.command(command),
+            }
+        }
+    }
+
+    fn now(&self) -> Now {
+        self.start.elapsed()
+    }
+
+    fn tick(&mut self) {
+        self.post();
+        self.refresh();
+        self.handle(Event::Tick);
+        if self.told.elapsed() >= TELL_PERIOD {
+            self.told = Instant::now();
+            self.tell();
+        }
+    }
+
+    /// Gives out the router's counters, and tells control what teams ask for.
+    fn tell(&mut self) {
+        self.reports.store(Arc::new(self.router.report()));
+        let Some(snapshot) = &self.snapshot else {
+            return;
+        };
+        let accounts = self.router.accounts().iter();
+        let demands = accounts.map(|a| Demand {
+            asked: a.taken + a.refused,
+            in_flight: a.in_flight,
+        });
+        let note = Note::Demand(snapshot.view.bundle.digest, demands.collect());
+        let _ = self.notes.push(note);
+    }
+
+    /// Takes the newest snapshot, if there is a new one.
+    fn refresh(&mut self) {
+        let newest = self.board.load();
+        let Some(newest) = newest.as_ref() else {
+            return;
+        };
+        let known = self.snapshot.as_ref();
+        if known.is_some_and(|known| Arc::ptr_eq(known, newest)) {
+            return;
+        }
+        self.snapshot = Some(newest.clone());
+        self.handle(Event::View(newest.view.clone()));
+    }
+
+    fn notice(&mut self, notice: Notice) {
+        match notice {
+            Notice::Claim(id, verdict) => self.claimed(id, verdict),
+            Notice::Load(name, report) => {
+                if let Some(endpoint) = self.endpoint(&name) {
+                    self.handle(Event::Load(endpoint, report));
+                }
+            }
+        }
+    }
+
+    fn command(&mut self, command: Command) {
+        match command {
+            Command::Arrive(arrival) => self.arrive(arrival),
+            Command::Chain(id, attempt, event) => self.chain(id, attempt, event),
+            Command::Call(id, attempt, event) => self.call(id, attempt, event),
+            Command::Left(id) => self.left(id),
+            Command::Probed(name, alive) => {
+                if let Some(endpoint) = self.endpoint(&name) {
+                    self.handle(Event::Probed(endpoint, alive));
+                }
+            }
+            Command::Ticket(reply) => {
+                // When the ring is full the caller's channel closes, and it is told to come back.
+                let _ = self.notes.push(Note::Ticket(reply));
+            }
+            Command::Dump(reply) => {
+                let _ = reply.send(self.dump());
+            }
+        }
+    }
+
+    fn arrive(&mut self, arrival: Arrival) {
+        // The handler read a snapshot that may be newer than the router's: ids must agree.
+        self.refresh();
+        let session = Session {
+            work: arrival.work,
+            reply: arrival.reply,
+            had: Vec::new(),
+            end: End {
+                outcome: Outcome::Unknown,
+                stop: Stop::End,
+                prompt_tokens: 0,
+            },
+            repeatable: arrival.request.repeatable,
+            hash: None,
+            unclaimed: None,
+            head: None,
+            body: None,
+            committed: false,
+            running: None,
+        };
+        let id = arrival.request.id;
+        let Some(claim) = arrival.claim else {
+            self.sessions.insert(id, session);
+            return self.handle(Event::Arrive(arrival.request));
+        };
+        let ask = claim::Ask {
+            id,
+            claim,
+            left: arrival.request.deadline.saturating_sub(self.now()),
+        };
+        self.sessions.insert(
+            id,
+            Session {
+                hash: Some(claim.form.hash()),
+                unclaimed: Some(arrival.request),
+                ..session
+            },
+        );
+        if self.notes.push(Note::Claim(ask)).is_err() {
+            self.sessions
+                .get_mut(&id)
+                .into_iter()
+                .for_each(|s| s.hash = None);
+            self.refuse(id, OVERFULL);
+        }
+    }
+
+    /// What becomes of a request that asked for its key.
+    fn claimed(&mut self, id: Id, verdict: Verdict) {
+        match verdict {
+            Verdict::Run => self.run_claimed(id),
+            Verdict::Replay(kept) => self.replay(id, &kept),
+            Verdict::Error(error) => {
+                if let Some(session) = self.sessions.remove(&id) {
+                    self.metrics.ended(error.outcome);
+                    let _ = session.reply.send(Reply::Error(error));
+                }
+            }
+        }
+    }
+
+    /// Runs a request whose key it now holds. If its caller has left, control has been told so
+    /// and releases the key.
+    fn run_claimed(&mut self, id: Id) {
+        let session = self.sessions.get_mut(&id);
+        if let Some(request) = session.and_then(|s| s.unclaimed.take()) {
+            self.refresh();
+            self.handle(Event::Arrive(request));
+        }
+    }
+
+    /// Gives a resend the answer of its key's run.
+    fn replay(&mut self, id: Id, kept: &Kept) {
+        let Some(session) = self.sessions.remove(&id) else {
+            return;
+        };
+        self.metrics.replayed.add(1, &[]);
+        let reply = |reply| {
+            let _ = session.reply.send(reply);
+        };
+        match (kept, &session.work) {
+            (Kept::Tokens(tokens, end), _) => {
+                tokens.iter().for_each(|t| reply(Reply::Token(t.clone())));
+                reply(Reply::Done(*end));
+            }
+            (Kept::Call(head, body), Work::Call(call)) => {
+                reply(Reply::Head(head.clone()));
+                let _ = call.chunks.try_send(body.clone());
+                reply(Reply::Done(WHOLE_CALL));
+            }
+            (Kept::Call(..), Work::Tokens(_)) => {}
+        }
+    }
+
+    /// Tells control that a run under a key ended. Lost, the key would stay taken.
+    fn ended(&mut self, id: Id, session: &Session, outcome: Outcome) {
+        let Some(hash) = session.hash else {
+            return;
+        };
+        if session.unclaimed.is_some() {
+            self.outbox.push_back(Note::Unclaim(id));
+        } else {
+            let kept = (outcome == Outcome::Complete)
+                .then(|| session.kept())
+                .flatten();
+            let ended = claim::Ended {
+                id,
+                hash,
+                outcome,
+                kept: kept.map(Arc::new),
+            };
+            self.outbox.push_back(Note::Ended(ended));
+        }
+        self.post();
+    }
+
+    /// Sends notes that must reach control, in order.
+    fn post(&mut self) {
+        while let Some(note) = self.outbox.pop_front() {
+            if let Err(note) = self.notes.push(note) {
+                self.outbox.push_front(note);
+                return;
+            }
+        }
+    }
+
+    /// Work that may be repeated is cancelled down to the engines. Work that may not goes on once
+    /// it is under way: cut off halfway, its effect would be neither there nor safely absent.
+    fn left(&mut self, id: Id) {
+        let Some(session) = self.sessions.get(&id) else {
+            return;
+        };
+        if !session.repeatable && session.running.is_some() {
+            return;
+        }
+        if session.unclaimed.is_none() {
+            self.handle(Event::Left(id));
+        }
+        if let Some(session) = self.remove(id) {
+            self.ended(id, &session, Outcome::NotRun);
+        }
+    }
+
+    /// The session, if `attempt` is its current one. What an ended attempt still sends stops here.
+    fn current(&mut self, id: Id, attempt: Attempt) -> Option<&mut Session> {
+        let session = self.sessions.get_mut(&id);
+        let session = session.filter(|s| s.running.as_ref().is_some_and(|r| r.attempt == attempt));
+        if session.is_none() {
+            self.metrics.stale.add(1, &[]);
+        }
+        session
+    }
+
+    fn chain(&mut self, id: Id, attempt: Attempt, event: chain::Event) {
+        let Some(session) = self.current(id, attempt) else {
+            return;
+        };
+        match event {
+            chain::Event::Sent => {}
+            chain::Event::Progress { hop, .. } => self.handle(Event::Progress(id, attempt, hop)),
+            chain::Event::Token(token) => {
+                session.had.push(token.clone());
+                let _ = session.reply.send(Reply::Token(token));
+                self.metrics.tokens.add(1, &[]);
+                self.handle(Event::Token(id, attempt));
+            }
+            chain::Event::Finished {
+                stop,
+                prompt_tokens,
+            } => {
+                session.end.stop = stop;
+                session.end.prompt_tokens = prompt_tokens;
+                // The driver still closes its streams: cancelled now, it would reset them, and the
+                // engines would take a whole answer for one that was given up.
+                session.running = None;
+                self.handle(Event::Finished(id, attempt));
+            }
+            chain::Event::Failed {
+                hop,
+                cause,
+                sent,
+                retry_after,
+            } => {
+                let place = usize::from(hop);
+                let failure = self.failure(id, place, cause::chain(cause), sent, retry_after);
+                self.handle(Event::Failed(id, attempt, failure));
+            }
+        }
+    }
+
+    fn call(&mut self, id: Id, attempt: Attempt, event: CallEvent) {
+        let Some(session) = self.current(id, attempt) else {
+            return;
+        };
+        match event {
+            CallEvent::Head(parts) => {
+                session.committed = true;
+                session.head = session.hash.map(|_| parts.clone());
+                let _ = session.reply.send(Reply::Head(parts));
+                self.handle(Event::Progress(id, attempt, 0));
+            }
+            CallEvent::Finished(body) => {
+                session.body = body;
+                self.handle(Event::Finished(id, attempt));
+            }
+            CallEvent::Failed(failure) => {
+                let committed = session.committed;
+                let failure =
+                    self.failure(id, 0, cause::service(failure.cause), failure.sent, None);
+                if committed {
+                    // Part of the answer is with the caller: a second run would be appended to it.
+                    self.finish(id, Outcome::Unknown);
+                }
+                self.handle(Event::Failed(id, attempt, failure));
+                if committed {
+                    self.handle(Event::Left(id));
+                    self.remove(id);
+                }
+            }
+        }
+    }
+
+    fn failure(
+        &self,
+        id: Id,
+        hop: usize,
+        cause: Cause,
+        sent: bool,
+        retry_after: Option<Duration>,
+    ) -> Failure {
+        let session = self.sessions.get(&id);
+        let running = session.and_then(|s| s.running.as_ref());
+        let stage = running.and_then(|r| r.stages.get(hop));
+        Failure {
+            endpoint: stage.map_or(EndpointId::MAX, |s| s.endpoint),
+            cause,
+            sent,
+            retry_after,
+        }
+    }
+
+    /// Id of a named endpoint in the bundle that the router knows.
+    fn endpoint(&self, name: &str) -> Option<EndpointId> {
+        let snapshot = self.snapshot.as_ref()?;
+        snapshot.view.bundle.endpoint(name)
+    }
+
+    /// Name and address of an endpoint.
+    fn stage(&self, hop: &Hop) -> Option<Stage> {
+        let snapshot = self.snapshot.as_ref()?;
+        let row = snapshot.view.bundle.endpoints.get(hop.endpoint as usize)?;
+        Some(Stage {
+            endpoint: hop.endpoint,
+            name: row.name.as_str().into(),
+            addr: row.addr,
+            from: hop.from,
+            to: hop.to,
+        })
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.now();
+        let mut actions = std::mem::take(&mut self.actions);
+        self.router.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            self.act(action);
+        }
+        self.actions = actions;
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Start(id, attempt, hops) => self.start_attempt(id, attempt, &hops),
+            Action::Cancel(id, attempt) => self.cancel(id, attempt),
+            Action::Refuse(id, refusal) => self.refuse(id, refusal),
+            Action::Finish(id, outcome) => self.finish(id, outcome),
+            Action::Probe(endpoint) => self.probe(endpoint),
+            Action::Disconnect(endpoint) => {
+                if let Some(stage) = self.stage(&whole(endpoint)) {
+                    self.pool.forget(stage.addr);
+                }
+            }
+            Action::Observe(observation) => self.observe(observation),
+        }
+    }
+
+    fn start_attempt(&mut self, id: Id, attempt: Attempt, hops: &[Hop]) {
+        let stages: Vec<Stage> = hops.iter().filter_map(|h| self.stage(h)).collect();
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let cancel = CancellationToken::new();
+        session.running = Some(Running {
+            attempt,
+            stages: stages.clone(),
+            cancel: cancel.clone(),
+        });
+        let cx = Context {
+            id,
+            attempt,
+            tx: self.tx.clone(),
+            pool: self.pool.clone(),
+            cancel,
+        };
+        self.metrics.attempts.add(1, &[]);
+        match &session.work {
+            Work::Tokens(prompt) => spawn_tokens(cx, prompt, &session.had, stages),
+            Work::Call(call) => spawn_call(cx, call, stages),
+        }
+    }
+
+    fn cancel(&mut self, id: Id, attempt: Attempt) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let running = session.running.take_if(|r| r.attempt == attempt);
+        if let Some(running) = running {
+            running.cancel.cancel();
+        }
+    }
+
+    fn refuse(&mut self, id: Id, refusal: Refusal) {
+        let Some(session) = self.remove(id) else {
+            return;
+        };
+        self.metrics.refused(refusal.reason);
+        self.ended(id, &session, Outcome::NotRun);
+        let _ = session.reply.send(Reply::Refused(refusal));
+    }
+
+    fn finish(&mut self, id: Id, outcome: Outcome) {
+        let Some(session) = self.remove(id) else {
+            return;
+        };
+        self.metrics.ended(outcome);
+        let end = End {
+            outcome,
+            ..session.end
+        };
+        let _ = session.reply.send(Reply::Done(end));
+        self.ended(id, &session, outcome);
+    }
+
+    /// Takes a session out of the table and ends its attempt.
+    fn remove(&mut self, id: Id) -> Option<Session> {
+        let session = self.sessions.remove(&id)?;
+        if let Some(running) = &session.running {
+            running.cancel.cancel();
+        }
+        Some(session)
+    }
+
+    fn probe(&mut self, endpoint: EndpointId) {
+        let Some(stage) = self.stage(&whole(endpoint)) else {
+            return;
+        };
+        let pool = self.pool.clone();
+        let tx = self.tx.clone();
+        tokio::spawn(async move {
+            let alive = pool.probe(stage.addr, PROBE_TIME).await;
+            let _ = tx.send(Command::Probed(stage.name, alive));
+        });
+    }
+
+    fn observe(&mut self, observation: Observation) {
+        let note = match observation {
+            Observation::Ejected(e) => self.stage(&whole(e)).map(|s| Note::Ejected(s.name)),
+            Observation::Restored(e) => self.stage(&whole(e)).map(|s| Note::Restored(s.name)),
+            Observation::Suspect(fingerprint) => Some(Note::Suspect(fingerprint)),
+            Observation::Pending(fingerprint) => Some(Note::Pending(fingerprint)),
+            Observation::Condemned(fingerprint) => Some(Note::Condemned(fingerprint)),
+        };
+        if let Some(note) = note {
+            let _ = self.notes.push(note);
+        }
+    }
+
+    fn dump(&self) -> String {
+        format!("sessions: {}\n{}", self.sessions.len(), self.router)
+    }
+}
+
+/// A hop that only names its endpoint.
+fn whole(endpoint: EndpointId) -> Hop {
+    Hop {
+        endpoint,
+        from: 0,
+        to: 0,
+    }
+}
+
+fn spawn_tokens(cx: Context, prompt: &Arc<Prompt>, had: &[Token], stages: Vec<Stage>) {
+    tokio::spawn(attempt::tokens(cx, prompt.clone(), had.to_vec(), stages));
+}
+
+fn spawn_call(cx: Context, call: &Call, mut stages: Vec<Stage>) {
+    if let Some(stage) = stages.pop() {
+        tokio::spawn(attempt::call(cx, call.clone(), stage));
+    }
+}
--- /dev/null
+++ b/crates/member/src/judge.rs
@@ -0,0 +1,238 @@
+//! States of peers: suspicion, refutation, and whether a silent peer is dead or parted.
+
+use crate::Now;
+use crate::action::Action;
+use crate::group::Group;
+use crate::identity::Id;
+use crate::peer::{Peer, State, Turn};
+use crate::roster::age;
+use std::time::Duration;
+
+/// Peers that went silent within this time of each other are taken to have one cause.
+const TOGETHER: Duration = Duration::from_secs(20);
+/// How long a parted peer may stay away after most of its availability zone came back, before
+/// it is suspected by itself: news of many returns at once take their time.
+const REJOIN: Duration = Duration::from_secs(30);
+
+impl Group {
+    /// Proof that the known run of a peer lives.
+    pub(crate) fn up(&mut self, now: Now, id: Id, out: &mut Vec<Action>) {
+        let Some(peer) = self.roster.get_mut(id) else {
+            return;
+        };
+        peer.heard = now;
+        if peer.state == State::Up || id == self.me {
+            return;
+        }
+        let back = peer.state > State::Suspect;
+        peer.state = State::Up;
+        peer.since = now;
+        let run = crate::spread::run(peer);
+        self.counters.returned += u64::from(back);
+        out.push(Action::Changed {
+            peer: id,
+            state: State::Up,
+            restarted: false,
+        });
+        self.warn(id, run, out);
+    }
+
+    /// Tells a peer that it was suspected. It is up here, but the suspicion may still be on its
+    /// way to others, who would judge it dead unless it refutes.
+    fn warn(&mut self, id: Id, run: crate::message::Run, out: &mut Vec<Action>) {
+        let Some(to) = self.addr(id) else { return };
+        self.news
+            .retain(|p| p.news != crate::message::News::Suspect(run));
+        self.send_with(id, to, vec![crate::message::News::Suspect(run)], out);
+    }
+
+    /// A refutation, or a row that holds one.
+    pub(crate) fn raise(&mut self, now: Now, id: Id, turn: Turn, out: &mut Vec<Action>) {
+        let Some(peer) = self.roster.get_mut(id) else {
+            return;
+        };
+        if turn <= peer.turn {
+            return;
+        }
+        peer.turn = turn;
+        if peer.state == State::Up {
+            return;
+        }
+        let back = peer.state > State::Suspect;
+        peer.state = State::Up;
+        peer.since = now;
+        self.counters.returned += u64::from(back);
+        out.push(Action::Changed {
+            peer: id,
+            state: State::Up,
+            restarted: false,
+        });
+    }
+
+    /// This node's own probe of a peer had no answer, direct or by others.
+    pub(crate) fn accuse(&mut self, now: Now, id: Id, out: &mut Vec<Action>) {
+        let Some(peer) = self.roster.get_mut(id) else {
+            return;
+        };
+        peer.failed = Some(now);
+        if peer.state != State::Up {
+            return;
+        }
+        self.counters.suspected += 1;
+        self.suspect(now, id, out);
+    }
+
+    /// Starts the time in which a peer may refute.
+    pub(crate) fn suspect(&mut self, now: Now, id: Id, out: &mut Vec<Action>) {
+        let Some(peer) = self.roster.get_mut(id) else {
+            return;
+        };
+        if peer.state != State::Up || id == self.me {
+            return;
+        }
+        peer.state = State::Suspect;
+        peer.since = now;
+        peer.lost = now;
+        let run = crate::spread::run(peer);
+        self.tell(crate::message::News::Suspect(run));
+        self.hot = true;
+        self.focus(id);
+        out.push(Action::Changed {
+            peer: id,
+            state: State::Suspect,
+            restarted: false,
+        });
+    }
+
+    /// Judges suspects whose time is over.
+    pub(crate) fn judge(&mut self, now: Now, out: &mut Vec<Action>) {
+        let wait = self.settings.suspicion(self.roster.len());
+        let over = |p: &&Peer| p.state == State::Suspect && age(now, p.since) >= wait;
+        let over: Vec<Id> = self.roster.iter().filter(over).map(|p| p.id).collect();
+        for id in over {
+            match self.verdict(id) {
+                Some(state) => self.set(now, id, state, out),
+                None => self.focus(id),
+            }
+        }
+    }
+
+    /// Judges dead and parted peers anew: what happened to their availability zone may show
+    /// only later.
+    pub(crate) fn judge_again(&mut self, now: Now, out: &mut Vec<Action>) {
+        let gone = |p: &&Peer| p.state > State::Suspect;
+        let gone: Vec<(Id, State, Now)> = self
+            .roster
+            .iter()
+            .filter(gone)
+            .map(|p| (p.id, p.state, p.since))
+            .collect();
+        for (id, state, since) in gone {
+            match (state, self.verdict(id)) {
+                (State::Dead, Some(State::Parted)) => self.set(now, id, State::Parted, out),
+                (State::Parted, Some(State::Parted)) => self.renew(now, id),
+                (State::Parted, _) if age(now, since) >= REJOIN => {
+                    self.set(now, id, State::Suspect, out);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn renew(&mut self, now: Now, id: Id) {
+        if let Some(peer) = self.roster.get_mut(id) {
+            peer.since = now;
+        }
+    }
+
+    fn set(&mut self, now: Now, id: Id, state: State, out: &mut Vec<Action>) {
+        let Some(peer) = self.roster.get_mut(id) else {
+            return;
+        };
+        peer.state = state;
+        peer.since = now;
+        match state {
+            State::Dead => self.counters.dead += 1,
+            State::Parted => self.counters.parted += 1,
+            _ => {}
+        }
+        out.push(Action::Changed {
+            peer: id,
+            state,
+            restarted: false,
+        });
+    }
+
+    /// Silent together with most of its availability zone, or of the group: parted. That keeps
+    /// its share and its row, since it most likely lives on the other side. Dead only if this
+    /// node's own probe failed too, and a peer of the same zone was heard since: no node is
+    /// called dead on a rumour, or while nobody knows how its zone does. Else not yet known.
+    fn verdict(&self, id: Id) -> Option<State> {
+        let peer = self.roster.get(id)?;
+        let zone = |p: &&Peer| {
+            p.identity.zone == peer.identity.zone && p.identity.region == peer.identity.region
+        };
+        let near = self.tally(peer, zone);
+        let all = self.tally(peer, |_| true);
+        let tried = peer.failed.is_some_and(|f| f >= peer.lost);
+        match (near.most() || all.most(), tried && near.alive()) {
+            (true, _) => Some(State::Parted),
+            (false, true) => Some(State::Dead),
+            (false, false) => None,
+        }
+    }
+
+    /// Counts peers; those that died at another time than `peer` are left out.
+    fn tally(&self, peer: &Peer, like: impl Fn(&&Peer) -> bool) -> Tally {
+        let others = self.roster.iter().filter(|p| p.id != self.me).filter(like);
+        let apart = |p: &Peer| p.lost.abs_diff(peer.lost) > TOGETHER;
+        let mut tally = Tally::default();
+        for other in others.filter(|p| p.state != State::Dead || !apart(p)) {
+            tally.all += 1;
+            tally.away += usize::from(other.state != State::Up);
+            tally.heard += usize::from(other.heard > peer.lost);
+        }
+        tally
+    }
+
+    /// Removes peers that nobody lists and nobody reaches. The list alone removes nobody: it
+    /// lags, and a node that is up may not be in it yet.
+    pub(crate) fn bury(&mut self, now: Now, out: &mut Vec<Action>) {
+        let bury = self.settings.bury;
+        self.graves.retain(|_, g| age(now, g.since) < bury);
+        if self.listed.is_none() {
+            return;
+        }
+        let keep = self.settings.keep;
+        let gone = |p: &&Peer| {
+            p.id != self.me
+                && p.state > State::Suspect
+                && p.standing.is_none()
+                && age(now, p.lost) >= keep
+        };
+        let gone: Vec<Id> = self.roster.iter().filter(gone).map(|p| p.id).collect();
+        gone.into_iter()
+            .for_each(|id| self.remove(now, id, false, out));
+    }
+}
+
+/// Peers of one kind.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    all: usize,
+    away: usize,
+    /// Those that were heard since the peer in question was lost.
+    heard: usize,
+}
+
+impl Tally {
+    /// Whether more than half of two or more are away.
+    fn most(self) -> bool {
+        self.all >= 2 && self.away * 2 > self.all
+    }
+
+    /// Whether one is known to live, or the peer in question is the only one.
+    fn alive(self) -> bool {
+        self.all <= 1 || self.heard > 0
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,8 +1,15 @@
-//! Small fakes of the platform and the endpoints, for tests, measurements and the demo.
+//! Small stand-ins of what surrounds the system, over loopback sockets, for tests, measurements
+//! and the demo.
 //!
-//! They listen on loopback, many in one process, and can be made to fail while they run.
+//! Each listens on an address of its own, answers in the formats of `docs/PLATFORM.md` and
+//! `docs/ENGINE.md`, and has faults that are switched at run time. They keep everything in memory,
+//! run many in one process, and simulate no cluster.
 
 pub mod engine;
+pub mod fault;
 mod life;
+pub mod list;
+pub mod log;
 pub mod oracle;
 pub mod service;
+pub mod weights;
