Probe over both protocols at once

Cause: a plain service that speaks HTTP/1.1 only and waits for more after HTTP/2's opening would have used up the probe's time limit, and been taken for dead. Change: both questions are asked at once, each on its own connection; the first yes counts. Tests of such a service, and of a caller that drops an answer half read.

--- a/crates/engine/src/pool/unary.rs
+++ b/crates/engine/src/pool/unary.rs
@@ -4,8 +4,10 @@
 use super::{Error, Limits, Result, request};
 use crate::service;
 use bytes::Bytes;
+use futures::future::{Either, select};
 use http::{Method, Request, Response};
 use std::net::SocketAddr;
+use std::pin::pin;
 
 /// Longest body of such an answer.
 const ANSWER_LIMIT: usize = 1 << 20;
@@ -23,13 +25,16 @@
     stream.collect(ANSWER_LIMIT).await
 }
 
-/// Asks for the endpoint's health on a connection of its own. A plain service may speak HTTP/1.1
-/// only, and then gets the question again in that form.
+/// Asks for the endpoint's health on connections of its own, over HTTP/2 and HTTP/1.1 at once: a
+/// plain service may speak only the latter, and not all such servers answer the former with an error.
 pub(super) async fn probe(addr: SocketAddr, limits: &Limits) -> bool {
-    if let Ok(status) = health(addr, limits).await {
-        return status;
+    let newer = pin!(async { health(addr, limits).await.unwrap_or(false) });
+    let older = pin!(service::health(addr));
+    match select(newer, older).await {
+        Either::Left((true, _)) | Either::Right((true, _)) => true,
+        Either::Left((false, older)) => older.await,
+        Either::Right((false, newer)) => newer.await,
     }
-    service::health(addr).await
 }
 
 async fn health(addr: SocketAddr, limits: &Limits) -> Result<bool> {
--- a/crates/standin/tests/service.rs
+++ b/crates/standin/tests/service.rs
@@ -277,3 +277,45 @@
     assert!(response.headers().contains_key("retry-after"));
     assert_eq!(service.effects("1"), 0);
 }
+
+#[tokio::test]
+async fn a_probe_reaches_a_service_that_never_answers_http_2() {
+    // A server of HTTP/1.1 only, which takes the other protocol's opening for a request that goes
+    // on: it waits for the rest. It lives, and must not be taken for dead.
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("listens");
+    let addr = listener.local_addr().expect("has an address");
+    let server = async {
+        let mut waiting = Vec::new();
+        while let Ok((mut socket, _)) = listener.accept().await {
+            let mut bytes = [0; 1024];
+            let count = socket.read(&mut bytes).await.unwrap_or_default();
+            if bytes[..count].starts_with(b"GET /health HTTP/1.1") {
+                let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+                let _ = socket.write_all(answer).await;
+            }
+            waiting.push(socket);
+        }
+    };
+    let pool = Pool::default();
+    tokio::select! {
+        lives = pool.probe(addr, LIMIT.head) => assert!(lives),
+        () = server => {}
+    }
+}
+
+#[tokio::test]
+async fn a_caller_that_goes_away_ends_the_connection() {
+    // The answer's body is dropped in the middle. What is left of it must not be read as the answer
+    // to the next call, so that the connection isn't kept.
+    let (service, config) = start(4).await;
+    let pool = Pool::default();
+    let first = call(&pool, service.addr, "1", LIMIT)
+        .await
+        .expect("answers");
+    drop(first);
+    let second = call(&pool, service.addr, "2", LIMIT)
+        .await
+        .expect("answers");
+    assert_eq!(text(second).await, Ok(whole(&config)));
+    assert_eq!(service.connections(), 2);
+}
