lease: a caller that leaves before its run begins frees the key

Cause: a caller may leave while the word to run is on its way to the worker. The node never began, no end came, the key ran for ever, and its resends waited for a run that never took place. Change: Event::Left after Action::Run is an end with not-run. A late claim never displaces a run.

--- a/crates/lease/src/claim/check.rs
+++ b/crates/lease/src/claim/check.rs
@@ -84,6 +84,14 @@
         if waiters != self.waiting.len() {
             texts.push("deadlines without a request that waits");
         }
+        let runs = self
+            .runs
+            .keys
+            .values()
+            .filter(|r| matches!(r.state, State::Running(..)));
+        if runs.count() != self.runs.running.len() {
+            texts.push("running requests do not match running keys");
+        }
         if self
             .runs
             .answers
--- a/crates/lease/src/claim/event.rs
+++ b/crates/lease/src/claim/event.rs
@@ -23,7 +23,9 @@
     Follow(Vec<Shard>),
     /// A request arrived.
     Ask(Ask),
-    /// The caller went away.
+    /// The request will never be run: its caller went away before the node began to run it. After
+    /// [`crate::claim::Action::Run`] this says the same as an end with [`Outcome::NotRun`], for a
+    /// caller that leaves while that action is on its way.
     Left(Request),
     /// A read gave a page.
     Page(Shard, Page),
--- a/crates/lease/src/claim/run.rs
+++ b/crates/lease/src/claim/run.rs
@@ -66,6 +66,8 @@
     pub bytes: usize,
     /// Tickets in the order of their runs.
     pub tickets: VecDeque<Hash>,
+    /// Requests that run, with their keys.
+    pub running: BTreeMap<Request, Hash>,
 }
 
 impl Runs {
--- a/crates/lease/src/claim/table.rs
+++ b/crates/lease/src/claim/table.rs
@@ -76,7 +76,7 @@
         match event {
             Event::Follow(shards) => self.follow(now, &shards),
             Event::Ask(ask) => self.ask(now, ask, actions),
-            Event::Left(request) => self.left(now, request),
+            Event::Left(request) => self.left(now, request, actions),
             Event::Page(shard, page) => self.page(now, shard, &page, actions),
             Event::ReadFailed(shard) => self.read_failed(now, shard),
             Event::Appended(batch) => self.appended(batch),
--- a/crates/lease/src/claim/table/ask.rs
+++ b/crates/lease/src/claim/table/ask.rs
@@ -41,8 +41,12 @@
         });
     }
 
-    /// The caller is gone: nobody waits for the claim on its behalf.
-    pub(super) fn left(&mut self, now: Now, request: Request) {
+    /// The caller is gone: nobody waits for the claim on its behalf, and a run that was asked for
+    /// does not take place. Left unsaid, the key would run for ever and its resends wait for it.
+    pub(super) fn left(&mut self, now: Now, request: Request, actions: &mut Vec<Action>) {
+        if let Some(hash) = self.runs.running.get(&request).copied() {
+            return self.ended(now, hash, Outcome::NotRun, 0, actions);
+        }
         for part in self.shards.values_mut() {
             part.pending.retain(|ask| ask.request != request);
         }
@@ -253,6 +257,7 @@
             },
         );
         self.runs.tickets.push_back(hash);
+        self.runs.running.insert(request, hash);
         actions.push(Action::Run { request, hash });
     }
 }
--- a/crates/lease/src/claim/table/end.rs
+++ b/crates/lease/src/claim/table/end.rs
@@ -21,6 +21,7 @@
         let State::Running(number, request) = run.state else {
             return;
         };
+        self.runs.running.remove(&request);
         let way = run.way;
         match (outcome, way) {
             (Outcome::NotRun, Way::Ticket(_)) => {
--- a/crates/lease/src/claim/table/settle.rs
+++ b/crates/lease/src/claim/table/settle.rs
@@ -103,6 +103,10 @@
     /// A claim that was given up arrived late. Unless it is released nobody could ever run the
     /// key. Requests that wait for a newer claim of this node wait for the release instead.
     fn stray(&mut self, now: Now, shard: Shard, hash: Hash, entry: Entry) {
+        let busy = |run: &Run| matches!(run.state, State::Running(..) | State::Ended(..));
+        if self.runs.keys.get(&hash).is_some_and(busy) {
+            return;
+        }
         let run = self.runs.keys.remove(&hash);
         // What waits keeps its own body's fingerprint, which need not be the old claim's.
         let fingerprint = run
@@ -114,7 +118,7 @@
                 waiters
             }
             Some(State::Releasing(_, waiters)) => waiters,
-            Some(State::Running(..) | State::Ended(..)) | None => Vec::new(),
+            _ => Vec::new(),
         };
         let way = Way::Log(shard, entry.date);
         let state = State::Releasing(entry.number, waiters);
@@ -152,6 +156,7 @@
         };
         let of = first.request;
         self.set(hash, State::Running(number, of));
+        self.runs.running.insert(of, hash);
         self.counters.runs += 1;
         actions.push(Action::Run { request: of, hash });
         actions.extend(rest.iter().map(|w| Action::Follow {
--- a/crates/lease/tests/claims/cases.rs
+++ b/crates/lease/tests/claims/cases.rs
@@ -459,6 +459,35 @@
     assert_eq!(node.took(), [run(1, form), run(2, form)]);
 }
 
+/// The caller leaves while the word that its request may run is on its way, so the node never
+/// begins. The key is released, and a resend runs; without that it would wait for a run that never
+/// takes place.
+#[test]
+fn a_caller_that_leaves_before_its_run_begins_frees_the_key() {
+    let mut log = Log::default();
+    let mut node = Node::ready(1, at(0), &log);
+    let form = key(0, "a");
+    node.ask(at(10), 1, form);
+    node.append(at(12), &mut log);
+    node.read(at(14), &log);
+    node.give(at(15), Event::Left(1));
+    node.ask(at(30), 2, form);
+    for now in (40..200).step_by(20).map(at) {
+        node.give(now, Event::Tick);
+        node.append(now, &mut log);
+        node.read(now, &log);
+    }
+    let text = node.table.issue(at(200)).to_string();
+    let ticket = Form::parse("desk", &text).unwrap();
+    node.ask(at(201), 3, ticket);
+    node.give(at(202), Event::Left(3));
+    node.ask(at(203), 4, ticket);
+    assert_eq!(
+        node.took(),
+        [run(1, form), run(2, form), run(3, ticket), run(4, ticket)]
+    );
+}
+
 #[test]
 fn tickets_are_run_by_their_issuer_only_and_within_the_window() {
     let log = Log::default();
--- a/crates/lease/tests/claims/world.rs
+++ b/crates/lease/tests/claims/world.rs
@@ -487,7 +487,14 @@
     /// The router refuses some requests unrun; the others leave for an endpoint at once.
     fn start(&mut self, n: usize, request: Request, hash: Hash) {
         self.tally.runs += 1;
-        let refused = self.random.random_range(0..4) == 0;
+        let fate = self.random.random_range(0..16);
+        if fate == 0 {
+            // The caller left while the word to run was on its way.
+            let at = self.now + self.millis(0, 20);
+            let life = self.nodes[n].life;
+            return self.plan(at, Happening::Deliver(n, life, Event::Left(request)));
+        }
+        let refused = fate < 5;
         let life = self.nodes[n].life;
         let end = self.now + self.millis(1, 2000);
         if refused {
