lease: invariants are checked while the program serves, and counted

Cause: the checks ran in debug builds only. Change: the counter broken; claims are checked 1,000 keys every 5 s, leases and the roll at each look. Conclusion: a defect shows in the dump of a running node.

--- a/crates/lease/src/claim/check.rs
+++ b/crates/lease/src/claim/check.rs
@@ -5,6 +5,9 @@
 use crate::claim::table::Table;
 use std::fmt;
 
+/// Keys checked in one go while the program serves.
+const SLICE: usize = 1000;
+
 /// An invariant that does not hold, and where.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Finding {
@@ -39,6 +42,28 @@
         findings
     }
 
+    /// Invariants that do not hold for the next keys in turn: few enough to be checked while the
+    /// program serves.
+    pub(super) fn check_next(&mut self) -> Vec<Finding> {
+        let keys = self.runs.keys.range(self.checked..).take(SLICE);
+        let mut findings = Vec::new();
+        let mut next = 0;
+        for (count, (hash, run)) in keys.enumerate() {
+            let texts = self.check_run(*hash, run);
+            findings.extend(texts.into_iter().map(|text| Finding {
+                hash: Some(*hash),
+                text,
+            }));
+            next = if count + 1 == SLICE {
+                hash.wrapping_add(1)
+            } else {
+                0
+            };
+        }
+        self.checked = next;
+        findings
+    }
+
     fn check_run(&self, hash: Hash, run: &Run) -> Vec<&'static str> {
         let mut texts = Vec::new();
         let number = run.state.number();
--- a/crates/lease/src/claim/counters.rs
+++ b/crates/lease/src/claim/counters.rs
@@ -43,6 +43,8 @@
     pub stepped: u64,
     /// Times that records were dropped before this node had read them.
     pub gaps: u64,
+    /// Invariants found broken; anything but 0 is a defect of the program.
+    pub broken: u64,
 }
 
 impl fmt::Display for Counters {
@@ -70,6 +72,10 @@
             self.unsure, self.failed, self.records
         )?;
         write!(f, " bad {} skewed {}", self.bad, self.skewed)?;
-        write!(f, " stepped {} gaps {}", self.stepped, self.gaps)
+        write!(
+            f,
+            " stepped {} gaps {} broken {}",
+            self.stepped, self.gaps, self.broken
+        )
     }
 }
--- a/crates/lease/src/claim/table.rs
+++ b/crates/lease/src/claim/table.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 
 /// Time between two passes over all keys and shards.
-const SWEEP: Duration = Duration::from_secs(1);
+const SWEEP: Duration = Duration::from_secs(5);
 
 /// A node's state of claims and tickets.
 #[derive(Debug)]
@@ -33,6 +33,8 @@
     pub(super) issued: u64,
     batch: Batch,
     swept: Now,
+    /// Key up to which the invariants were last checked.
+    pub(super) checked: Hash,
     random: ChaCha8Rng,
     pub(super) counters: Counters,
 }
@@ -66,6 +68,7 @@
             issued: 0,
             batch: 0,
             swept: Now::ZERO,
+            checked: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
             counters: Counters::default(),
         }
@@ -201,6 +204,7 @@
         }
         self.swept = now;
         self.sweep(now);
+        self.counters.broken += self.check_next().len() as u64;
         let idle = self.settings.idle;
         let runs = &self.runs;
         self.shards.retain(|shard, part| {
--- a/crates/lease/src/hold/counters.rs
+++ b/crates/lease/src/hold/counters.rs
@@ -21,6 +21,8 @@
     pub bad: u64,
     /// Times that records were dropped before this node had read them.
     pub gaps: u64,
+    /// Invariants found broken; anything but 0 is a defect of the program.
+    pub broken: u64,
 }
 
 impl fmt::Display for Counters {
@@ -35,6 +37,7 @@
             f,
             " failed {} bad {} gaps {}",
             self.failed, self.bad, self.gaps
-        )
+        )?;
+        write!(f, " broken {}", self.broken)
     }
 }
--- a/crates/lease/src/hold/table.rs
+++ b/crates/lease/src/hold/table.rs
@@ -78,7 +78,9 @@
             Event::Tick => {}
         }
         self.flush(now, actions);
-        debug_assert!(self.check(now).is_empty(), "{:?}", self.check(now));
+        let findings = self.check(now);
+        self.counters.broken += findings.len() as u64;
+        debug_assert!(findings.is_empty(), "{findings:?}");
     }
 
     /// The fencing number for an order to the group, if it may be sent at this very moment.
--- a/crates/lease/src/roll/plan.rs
+++ b/crates/lease/src/roll/plan.rs
@@ -59,6 +59,8 @@
     /// Orders given, and new replicas that failed, since the start.
     orders: u64,
     failed: u64,
+    /// Invariants found broken; anything but 0 is a defect of the program.
+    broken: u64,
 }
 
 impl Roll {
@@ -76,6 +78,7 @@
             phase: Phase::Settled,
             orders: 0,
             failed: 0,
+            broken: 0,
         }
     }
 
@@ -99,7 +102,9 @@
             .iter()
             .filter(|action| matches!(action, Action::Order(..)));
         self.orders += given.count() as u64;
-        debug_assert!(self.check(view).is_empty(), "{:?}", self.check(view));
+        let findings = self.check(view);
+        self.broken += findings.len() as u64;
+        debug_assert!(findings.is_empty(), "{findings:?}");
     }
 
     /// The endpoint refused its order for good, not for an old fencing number.
@@ -149,7 +154,11 @@
 impl fmt::Display for Roll {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "roll of bundle {}: {}", self.number, self.phase)?;
-        writeln!(f, " orders {} failed {}", self.orders, self.failed)?;
+        writeln!(
+            f,
+            " orders {} failed {} broken {}",
+            self.orders, self.failed, self.broken
+        )?;
         for (name, pending) in &self.pending {
             writeln!(f, "{name}: {} since {:?}", pending.order, pending.since)?;
         }
--- a/crates/lease/tests/text.rs
+++ b/crates/lease/tests/text.rs
@@ -48,7 +48,7 @@
 fn claims_read_as_text() {
     let wanted = "\
 claims of a1/beef: asks 1 claims 1 lost 0 runs 0 joined 0 pointed 0 refused 0 (log 0 expired 0) \
-released 0 tickets 0 appends 1 unsure 0 failed 0 records 0 bad 0 skewed 0 stepped 0 gaps 0
+released 0 tickets 0 appends 1 unsure 0 failed 0 records 0 bad 0 skewed 0 stepped 0 gaps 0 broken 0
 own keys 1 waiting 1 answers 0 bytes
 shard 0 home next 0 keys 0 floor 1764696401 queue 0 pending 0 failures 0
 ";
@@ -107,7 +107,7 @@
     };
     table.handle(SECOND, hold::Event::Page(page), &mut actions);
     let wanted = "\
-leases of a1/beef: gained 1 lost 0 beaten 0 appends 1 unsure 0 failed 0 bad 0 gaps 0
+leases of a1/beef: gained 1 lost 0 beaten 0 appends 1 unsure 0 failed 0 bad 0 gaps 0 broken 0
 group 5 holder a1/beef held fence 0 until 16s
 ";
     assert_eq!(table.to_string(), wanted);
@@ -134,7 +134,8 @@
         stopped: 3,
     };
     roll.step(SECOND, &view, &mut Vec::new());
-    let wanted = "roll of bundle 3: stopped: new replicas of bundle 3 failed orders 0 failed 0\n";
+    let wanted =
+        "roll of bundle 3: stopped: new replicas of bundle 3 failed orders 0 failed 0 broken 0\n";
     assert_eq!(roll.to_string(), wanted);
     assert_eq!(
         Phase::Blocked("e1".into()).to_string(),
