lease: a lease record of an unknown number counts as another's

Cause: two processes under one incarnation would each pass over the other's records as its own. Change: a number that was never given out is another owner's; one type for a judged record. Conclusion: as for claims, an incarnation used twice is treated as two owners where it shows.

--- a/crates/lease/src/hold/table/read.rs
+++ b/crates/lease/src/hold/table/read.rs
@@ -54,6 +54,7 @@
     }
 
     fn record(&mut self, now: Now, offset: Offset, record: &Record, actions: &mut Vec<Action>) {
+        let owner = record.owner;
         for item in &record.items {
             match *item {
                 Item::Take {
@@ -66,37 +67,38 @@
                     let seat = self.seat(group);
                     seat.stop = seat.stop.max(stop);
                     let verdict = seat.judge(offset, upto, start);
-                    self.judged(now, offset, record.owner, group, number, verdict, actions);
-                }
-                Item::Give { group, number } => {
-                    if let Some(seat) = self.seats.get_mut(&group) {
-                        seat.vacate(now, record.owner, number);
-                    }
+                    self.judged(
+                        now,
+                        Taken {
+                            offset,
+                            owner,
+                            group,
+                            number,
+                            verdict,
+                        },
+                        actions,
+                    );
                 }
+                Item::Give { group, number } => self.seat(group).vacate(now, owner, number),
             }
         }
     }
 
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "one record's parts, used in one place"
-    )]
-    fn judged(
-        &mut self,
-        now: Now,
-        offset: Offset,
-        owner: Owner,
-        group: Group,
-        number: Number,
-        verdict: Verdict,
-        actions: &mut Vec<Action>,
-    ) {
+    fn judged(&mut self, now: Now, taken: Taken, actions: &mut Vec<Action>) {
+        let Taken {
+            owner,
+            group,
+            number,
+            verdict,
+            ..
+        } = taken;
+        // A number that was never given out is another process's that passes for this one.
+        if owner == self.me && number <= self.number {
+            return self.own(now, taken, actions);
+        }
         let Some(seat) = self.seats.get_mut(&group) else {
             return;
         };
-        if owner == self.me {
-            return self.own(now, offset, group, number, verdict, actions);
-        }
         if verdict == Verdict::Fails {
             return;
         }
@@ -108,15 +110,14 @@
     }
 
     /// A record of this node was read back.
-    fn own(
-        &mut self,
-        now: Now,
-        offset: Offset,
-        group: Group,
-        number: Number,
-        verdict: Verdict,
-        actions: &mut Vec<Action>,
-    ) {
+    fn own(&mut self, now: Now, taken: Taken, actions: &mut Vec<Action>) {
+        let Taken {
+            offset,
+            group,
+            number,
+            verdict,
+            ..
+        } = taken;
         let found = self.sent.iter().find(|sent| sent.number == number).copied();
         let (Some(sent), Some(seat)) = (found, self.seats.get_mut(&group)) else {
             return;
@@ -138,3 +139,13 @@
         }
     }
 }
+
+/// A judged record that takes a group.
+#[derive(Clone, Copy)]
+struct Taken {
+    offset: Offset,
+    owner: Owner,
+    group: Group,
+    number: Number,
+    verdict: Verdict,
+}
