--- /dev/null
+++ b/crates/ctl/tests/cli.rs
@@ -0,0 +1,242 @@
+//! The binary, from a new key to a version in force, against the stand-in log.
+
+mod common;
+
+use common::{Workdir, json, ok};
+use serde_json::Value;
+use standin::fault::Mode;
+use standin::log::Log;
+
+/// An operator's first day: a key, a checked file, a signature, a version in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn from_keygen_to_history() {
+    let log = Log::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let addr = log.addr.to_string();
+    let dir = Workdir::new("first-day");
+    dir.signers(&["mira"]);
+    ok(&dir.run(&["check", "bundle.ini"]));
+    ok(&dir.run(&[
+        "sign",
+        "bundle.ini",
+        "--name",
+        "mira",
+        "--key",
+        "mira.pem",
+        "--first",
+        "--out",
+        "1.json",
+    ]));
+    let publish = ["publish", "1.json", "--log", &addr, "--trust", "trust.ini"];
+    let told = json(&dir.run(&[&publish[..], &["--output", "json"]].concat()));
+    assert_eq!(
+        (&told["outcome"], &told["number"]),
+        (&"accepted".into(), &1.into())
+    );
+    // The same file again is no second version.
+    ok(&dir.run(&publish));
+    assert_eq!(log.records("bundles").len(), 1);
+
+    dir.write(
+        "next.ini",
+        &dir.read("bundle.ini").replace("rate = 20", "rate = 21"),
+    );
+    ok(&dir.run(&[
+        "sign",
+        "next.ini",
+        "--name",
+        "mira",
+        "--key",
+        "mira.pem",
+        "--log",
+        &addr,
+        "--trust",
+        "trust.ini",
+        "--out",
+        "2.json",
+    ]));
+    ok(&dir.run(&["publish", "2.json", "--log", &addr, "--trust", "trust.ini"]));
+    let args = [
+        "history",
+        "--log",
+        &addr,
+        "--trust",
+        "trust.ini",
+        "--output",
+        "json",
+    ];
+    let history = json(&dir.run(&args));
+    let numbers: Vec<&Value> = history
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|v| &v["number"])
+        .collect();
+    assert_eq!(numbers, [1, 2]);
+    dir.write(
+        "head.json",
+        &head(&dir.read("1.json"), &dir.read("trust.ini")),
+    );
+    for old in ["bundle.ini", "1.json", "head.json"] {
+        let diff = json(&dir.run(&["diff", old, "next.ini", "--output", "json"]));
+        assert_eq!(diff["changed"], serde_json::json!(["team kitchens"]));
+    }
+}
+
+/// Two operators sign a child of the same head. The second is told that it lost and to whom, by
+/// the exit code for scripts and by name for people; it signs anew on the head and wins.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_loser_is_told_who_won() {
+    let log = Log::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let addr = log.addr.to_string();
+    let dir = Workdir::new("race");
+    dir.signers(&["mira", "tuya"]);
+    for (name, rate) in [("mira", 21), ("tuya", 22)] {
+        let text = dir.read("bundle.ini");
+        dir.write(
+            "own.ini",
+            &text.replace("rate = 20", &format!("rate = {rate}")),
+        );
+        let (key, out) = (format!("{name}.pem"), format!("{name}.json"));
+        let sign = [
+            "sign", "own.ini", "--name", name, "--key", &key, "--first", "--out", &out,
+        ];
+        ok(&dir.run(&sign));
+    }
+    let publish = |file| {
+        let args = [
+            "publish",
+            file,
+            "--log",
+            &addr,
+            "--trust",
+            "trust.ini",
+            "--output",
+            "json",
+        ];
+        dir.run(&args)
+    };
+    ok(&publish("tuya.json"));
+    let lost = publish("mira.json");
+    assert_eq!(lost.status.code(), Some(1));
+    let error: Value = serde_json::from_slice(&lost.stderr).unwrap();
+    assert_eq!(error["error"], "lost to version 1 by tuya");
+    assert_eq!(
+        log.records("bundles").len(),
+        1,
+        "a version that can't win isn't appended"
+    );
+}
+
+/// The log acts on the append, but its answer is lost on the way. The operator must not be told
+/// that it failed, nor may the version be in the log's order twice: the tool reads it back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_answer_is_read_back() {
+    let log = Log::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let addr = log.addr.to_string();
+    let dir = Workdir::new("lost-answer");
+    dir.signers(&["mira"]);
+    dir.sign_first();
+    log.faults.lose(1);
+    ok(&dir.run(&["publish", "1.json", "--log", &addr, "--trust", "trust.ini"]));
+    assert_eq!(log.faults.lost(), 1);
+    assert_eq!(log.records("bundles").len(), 1);
+}
+
+/// The log is out: the tool gives up in bounded time and says that nothing was appended.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_is_reported() {
+    let log = Log::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let addr = log.addr.to_string();
+    let dir = Workdir::new("outage");
+    dir.signers(&["mira"]);
+    dir.sign_first();
+    log.faults.set(Mode::Down);
+    let told = dir.run(&["publish", "1.json", "--log", &addr, "--trust", "trust.ini"]);
+    assert_eq!(told.status.code(), Some(1));
+    let error = String::from_utf8_lossy(&told.stderr).into_owned();
+    assert!(error.contains("nothing was appended"), "{error}");
+}
+
+/// Everything was dropped from the log before anybody wrote a checkpoint, so nothing in it can
+/// be judged and publishing is refused. The operator names the head to go on from; the next
+/// version then wins as usual, and restoring a sound log is refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_log_without_checkpoint_is_restored() {
+    let log = Log::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let addr = log.addr.to_string();
+    let way = ["--log", &addr, "--trust", "trust.ini"];
+    let dir = Workdir::new("restore");
+    dir.signers(&["mira"]);
+    dir.sign_first();
+    let run = |args: &[&str]| dir.run(&[args, &way[..]].concat());
+    ok(&run(&["publish", "1.json"]));
+    dir.write(
+        "head.json",
+        &head(&dir.read("1.json"), &dir.read("trust.ini")),
+    );
+    let sound = run(&["restore", "head.json"]);
+    assert_eq!(sound.status.code(), Some(1));
+
+    dir.write(
+        "next.ini",
+        &dir.read("bundle.ini").replace("rate = 20", "rate = 21"),
+    );
+    let sign = [
+        "sign", "next.ini", "--name", "mira", "--key", "mira.pem", "--out", "2.json",
+    ];
+    ok(&dir.run(&[&sign[..], &["--parent", "head.json"]].concat()));
+    log.trim("bundles", 1);
+    let told = run(&["publish", "2.json"]);
+    assert_eq!(told.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&told.stderr).contains("gap"));
+    ok(&run(&["restore", "head.json"]));
+    ok(&run(&["publish", "2.json"]));
+}
+
+/// The head as a record, after the first version.
+fn head(version: &str, trust: &str) -> String {
+    let mut fold = bundle::fold::Fold::new(common::trusted(trust));
+    fold.apply(0, version.as_bytes());
+    String::from_utf8(fold.full().unwrap()).unwrap()
+}
+
+/// Wrong input ends with exit code 2 and every finding with its line, and a key is never
+/// overwritten.
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_input_is_exit_code_2() {
+    let dir = Workdir::new("bad-input");
+    dir.signers(&["mira"]);
+    dir.write("bad.ini", "[team x]\nwieght = 3\nrate = -1\n[zone z]\n");
+    let told = dir.run(&["check", "bad.ini", "--output", "json"]);
+    assert_eq!(told.status.code(), Some(2));
+    let error: Value = serde_json::from_slice(&told.stderr).unwrap();
+    assert_eq!(error["findings"][0]["line"], 2);
+    for args in [
+        &["check", "missing.ini"][..],
+        &["keygen", "--name", "mira", "--key", "mira.pem"],
+        &["keygen", "--name", "no name", "--key", "x.pem"],
+        &[
+            "publish",
+            "bundle.ini",
+            "--log",
+            "127.0.0.1:1",
+            "--trust",
+            "trust.ini",
+        ],
+        &[
+            "sign",
+            "bundle.ini",
+            "--name",
+            "mira",
+            "--key",
+            "trust.ini",
+            "--first",
+        ],
+        &["sign", "bundle.ini", "--name", "mira", "--key", "mira.pem"],
+        &["publish"],
+    ] {
+        let told = dir.run(args);
+        assert_eq!(told.status.code(), Some(2), "{args:?}");
+        assert!(!told.stderr.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/ctl/tests/common.rs
@@ -0,0 +1,94 @@
+//! What the tests share: a folder with an operator's files.
+#![allow(dead_code, reason = "each test file uses some of it")]
+
+use bundle::signer::Signer;
+use serde_json::Value;
+use std::fs;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+/// A folder with an operator's files; removed in the end.
+pub struct Workdir(PathBuf);
+
+impl Workdir {
+    /// A folder with the example bundle.
+    pub fn new(name: &str) -> Self {
+        let folder = format!("wigeonctl-{name}-{}", std::process::id());
+        let dir = Self(std::env::temp_dir().join(folder));
+        fs::create_dir_all(&dir.0).unwrap();
+        dir.write("bundle.ini", include_str!("../../../etc/bundle.ini"));
+        dir
+    }
+
+    /// Runs the tool in the folder.
+    pub fn run(&self, args: &[&str]) -> Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_wigeonctl"));
+        command.current_dir(&self.0).args(args).output().unwrap()
+    }
+
+    /// Makes a key for each name, and `trust.ini` with all of them.
+    pub fn signers(&self, names: &[&str]) {
+        let mut trust = String::new();
+        for name in names {
+            let key = format!("{name}.pem");
+            let made = self.run(&["keygen", "--name", name, "--key", &key]);
+            ok(&made);
+            trust += &String::from_utf8(made.stdout).unwrap();
+        }
+        self.write("trust.ini", &trust);
+    }
+
+    /// Signs the example as the first version, `1.json`.
+    pub fn sign_first(&self) {
+        ok(&self.run(&[
+            "sign",
+            "bundle.ini",
+            "--name",
+            "mira",
+            "--key",
+            "mira.pem",
+            "--first",
+            "--out",
+            "1.json",
+        ]));
+    }
+
+    /// Writes a file.
+    pub fn write(&self, name: &str, text: &str) {
+        fs::write(self.0.join(name), text).unwrap();
+    }
+
+    /// Reads a file.
+    pub fn read(&self, name: &str) -> String {
+        fs::read_to_string(self.0.join(name)).unwrap()
+    }
+}
+
+impl Drop for Workdir {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+/// The run did what it was asked to.
+pub fn ok(output: &Output) {
+    let told = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "{:?}: {told}", output.status);
+}
+
+/// JSON on stdout of a run that did what it was asked to.
+pub fn json(output: &Output) -> Value {
+    ok(output);
+    serde_json::from_slice(&output.stdout).unwrap()
+}
+
+/// The keys of a section `[trust]`, read apart from the tool.
+pub fn trusted(text: &str) -> Vec<Signer> {
+    let lines = text.lines().filter_map(|l| l.split_once(" = "));
+    let signers = lines.map(|(name, key)| Signer {
+        name: name.into(),
+        key: bundle::signer::key(key).unwrap(),
+        revoked: false,
+    });
+    signers.collect()
+}
--- /dev/null
+++ b/crates/engine/src/pool/connection.rs
@@ -0,0 +1,141 @@
+//! One HTTP/2 connection and the streams it may carry.
+
+use super::{Error, Limits, Result};
+use crate::stream::Stream;
+use bytes::Bytes;
+use futures::FutureExt;
+use h2::client::SendRequest;
+use http::Request;
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+
+/// Longest DATA frame taken: one token's activations and their head fit into one.
+const FRAME: u32 = 64 << 10;
+/// Largest window that HTTP/2 allows.
+const WINDOW_LIMIT: u32 = (1 << 31) - 1;
+
+/// A connection; clones share it. One with a permit may start one stream.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    sender: SendRequest<Bytes>,
+    free: Arc<Semaphore>,
+    used: Arc<AtomicBool>,
+    permit: Option<OwnedSemaphorePermit>,
+    /// Ends the connection when the pool drops it.
+    task: Option<Task>,
+}
+
+/// Aborts the connection's task when dropped.
+#[derive(Debug)]
+struct Task(JoinHandle<()>);
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl Connection {
+    /// Connects within the time limit.
+    pub(crate) async fn make(addr: SocketAddr, limits: &Limits) -> Result<Self> {
+        let socket = timeout(limits.connect, TcpStream::connect(addr))
+            .await
+            .map_err(|_| Error::Connect)?
+            .map_err(|_| Error::Connect)?;
+        socket.set_nodelay(true).map_err(|_| Error::Connect)?;
+        // As large as those of all streams together: streams whose next stage doesn't take their
+        // activations leave theirs unread, and would otherwise hold up the others.
+        let window = limits
+            .window
+            .saturating_mul(limits.streams)
+            .min(WINDOW_LIMIT);
+        let (sender, connection) = h2::client::Builder::new()
+            .initial_window_size(limits.window)
+            .initial_connection_window_size(window)
+            .max_send_buffer_size(limits.window as usize)
+            .max_frame_size(FRAME)
+            .enable_push(false)
+            .handshake(socket)
+            .await
+            .map_err(|_| Error::Connect)?;
+        let free = Arc::new(Semaphore::new(limits.streams as usize));
+        let used = Arc::new(AtomicBool::new(true));
+        let unused = unused(free.clone(), used.clone(), *limits);
+        let task = tokio::spawn(async move {
+            tokio::select! {
+                _ = connection => {}
+                () = unused => {}
+            }
+        });
+        Ok(Self {
+            sender,
+            free,
+            used,
+            permit: None,
+            task: Some(Task(task)),
+        })
+    }
+
+    /// A handle that may start one stream, if the connection is open and has one free.
+    pub(crate) fn reserve(&self) -> Option<Self> {
+        if !self.is_open() {
+            return None;
+        }
+        let permit = self.free.clone().try_acquire_owned().ok()?;
+        self.used.store(true, Ordering::Relaxed);
+        Some(Self {
+            sender: self.sender.clone(),
+            free: self.free.clone(),
+            used: self.used.clone(),
+            permit: Some(permit),
+            task: None,
+        })
+    }
+
+    /// Streams that run.
+    pub(super) fn running(&self, limits: &Limits) -> usize {
+        (limits.streams as usize).saturating_sub(self.free.available_permits())
+    }
+
+    /// Whether new streams can start.
+    pub(crate) fn is_open(&self) -> bool {
+        let ready = poll_fn(|cx| self.sender.clone().poll_ready(cx)).now_or_never();
+        !self.is_finished() && !matches!(ready, Some(Err(_)))
+    }
+
+    /// Whether no stream runs any more and none can start.
+    pub(crate) fn is_finished(&self) -> bool {
+        self.task.as_ref().is_some_and(|task| task.0.is_finished())
+    }
+
+    /// Starts a stream; `end` says that the request has no body.
+    pub(crate) fn start(mut self, request: Request<()>, end: bool) -> Result<Stream> {
+        let permit = self.permit.take().ok_or(Error::Full)?;
+        let (response, sender) = self
+            .sender
+            .send_request(request, end)
+            .map_err(|_| Error::Reset)?;
+        Ok(Stream::new(response, sender, permit))
+    }
+}
+
+/// Waits until no stream ran for a while. All permits are taken then, so that none can start while
+/// the connection closes.
+async fn unused(free: Arc<Semaphore>, used: Arc<AtomicBool>, limits: Limits) {
+    loop {
+        sleep(limits.idle).await;
+        if used.swap(false, Ordering::Relaxed) {
+            continue;
+        }
+        if let Ok(all) = free.try_acquire_many(limits.streams) {
+            all.forget();
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/member/src/spread.rs
@@ -0,0 +1,361 @@
+//! News of the group, heads and urgent items: sent on at once or with other messages.
+
+use crate::Now;
+use crate::action::Action;
+use crate::group::Group;
+use crate::head::Head;
+use crate::identity::Id;
+use crate::item::{self, Item};
+use crate::message::{Body, News, Row, Run};
+use crate::peer::{Peer, State};
+use crate::roster;
+use crate::store::Put;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How long a peer that was named for a newer head gets before another one is named.
+const FETCH: Duration = Duration::from_millis(400);
+/// News kept at most; the most often told go first.
+const NEWS: usize = 512;
+/// Shortest time between two flushes, so that a storm of observations costs a bounded rate.
+const FLUSH: Duration = Duration::from_millis(250);
+/// Time between the two times that a node sends an urgent item on. Once to a few leaves out one
+/// node in fifty; those of the second time are others.
+const AGAIN: Duration = Duration::from_secs(1);
+/// Times that a node sends an urgent item on.
+const TIMES: u8 = 2;
+/// Urgent items of one flush at most.
+const BATCH: usize = 16;
+/// Urgent items that wait at most; one more is left to the exchange of digests.
+const QUEUE: usize = 256;
+
+/// An urgent item that is still to be sent on.
+#[derive(Clone, Debug)]
+pub(crate) struct Urgent {
+    pub(crate) item: Item,
+    due: Now,
+    left: u8,
+}
+
+/// A piece of news and how often it is still to be told.
+#[derive(Clone, Debug)]
+pub(crate) struct Piece {
+    pub(crate) news: News,
+    pub(crate) left: u32,
+}
+
+/// The run of a row.
+pub(crate) fn run(peer: &Peer) -> Run {
+    Run {
+        id: peer.id,
+        incarnation: peer.identity.incarnation,
+        turn: peer.turn,
+    }
+}
+
+/// Whom a piece of news is about.
+pub(crate) fn subject(news: &News) -> Id {
+    match news {
+        News::Join(row) => row.identity.id(),
+        News::Suspect(run) | News::Alive(run) | News::Left(run) => run.id,
+    }
+}
+
+impl Group {
+    /// Takes a piece of news to tell; one about the same node gives way.
+    pub(crate) fn tell(&mut self, news: News) {
+        let about = subject(&news);
+        self.news.retain(|p| subject(&p.news) != about);
+        let left = self.settings.repeats(self.roster.len());
+        self.news.push(Piece { news, left });
+        if self.news.len() > NEWS {
+            self.news.sort_by_key(|p| p.left);
+            self.news.remove(0);
+        }
+    }
+
+    pub(crate) fn tell_join(&mut self, row: Row) {
+        self.tell(News::Join(row));
+    }
+
+    /// The least told news, and what the receiver needs to know of itself.
+    pub(crate) fn pick_news(&mut self, peer: Id) -> Vec<News> {
+        self.news.sort_by_key(|p| std::cmp::Reverse(p.left));
+        let most = self.settings.news;
+        let charge = self.charge(peer);
+        let mut picked: Vec<News> = charge.into_iter().collect();
+        for piece in self.news.iter_mut().take(most) {
+            piece.left -= 1;
+            picked.push(piece.news.clone());
+        }
+        self.news.retain(|p| p.left > 0);
+        picked
+    }
+
+    pub(crate) fn hear_news(&mut self, now: Now, news: News, out: &mut Vec<Action>) {
+        match news {
+            News::Join(row) => self.merge(now, row, out),
+            News::Suspect(run) if run.id == self.me => self.refute(run),
+            News::Suspect(run) => self.hear_suspect(now, run, out),
+            News::Alive(run) => self.hear_alive(now, run, out),
+            News::Left(run) => self.hear_left(now, run, out),
+        }
+    }
+
+    /// Somebody suspects this node: a higher turn outdoes the suspicion everywhere.
+    fn refute(&mut self, run: Run) {
+        let Some(own) = self.roster.get_mut(self.me) else {
+            return;
+        };
+        if run.incarnation != own.identity.incarnation || run.turn < own.turn {
+            return;
+        }
+        own.turn = run.turn;
+        self.counters.refuted += 1;
+        self.refute_ahead();
+    }
+
+    /// Raises the own turn.
+    pub(crate) fn refute_ahead(&mut self) {
+        let Some(own) = self.roster.get_mut(self.me) else {
+            return;
+        };
+        own.turn += 1;
+        let run = run(own);
+        self.tell(News::Alive(run));
+        self.hot = true;
+    }
+
+    fn hear_suspect(&mut self, now: Now, run: Run, out: &mut Vec<Action>) {
+        let Some(peer) = self.roster.get(run.id) else {
+            return;
+        };
+        if peer.identity.incarnation != run.incarnation || peer.state != State::Up {
+            return;
+        }
+        if peer.turn > run.turn {
+            // The sender missed the refutation; others may have too.
+            let alive = News::Alive(crate::spread::run(peer));
+            if !self.news.iter().any(|p| p.news == alive) {
+                self.tell(alive);
+            }
+            return;
+        }
+        if roster::age(now, peer.heard) >= self.settings.probe {
+            self.suspect(now, run.id, out);
+        }
+    }
+
+    fn hear_alive(&mut self, now: Now, run: Run, out: &mut Vec<Action>) {
+        let Some(peer) = self.roster.get(run.id) else {
+            return;
+        };
+        let newer = peer.identity.incarnation == run.incarnation && peer.turn < run.turn;
+        if !newer || run.id == self.me {
+            return;
+        }
+        let away = peer.state != State::Up;
+        self.raise(now, run.id, run.turn, out);
+        self.tell(News::Alive(run));
+        self.hot |= away;
+    }
+
+    fn hear_left(&mut self, now: Now, run: Run, out: &mut Vec<Action>) {
+        let Some(peer) = self.roster.get(run.id) else {
+            return;
+        };
+        if peer.identity.incarnation > run.incarnation || run.id == self.me {
+            return;
+        }
+        self.remove(now, run.id, true, out);
+        self.tell(News::Left(run));
+        self.hot = true;
+    }
+
+    /// Sends what should not wait for the next round to some peers.
+    pub(crate) fn flush(&mut self, now: Now, out: &mut Vec<Action>) {
+        let due = self.urgent.iter().any(|u| u.due <= now);
+        let early = self.flushed.is_some_and(|f| roster::age(now, f) < FLUSH);
+        if early || !(self.hot || due) {
+            return;
+        }
+        self.flushed = Some(now);
+        self.hot = false;
+        let items = self.take_urgent(now);
+        for peer in self.random(self.settings.fanout, None) {
+            let Some(to) = self.addr(peer) else { continue };
+            let body = match items.is_empty() {
+                true => Body::Note,
+                false => Body::Rumour(items.clone()),
+            };
+            self.send(peer, to, body, out);
+        }
+    }
+
+    fn take_urgent(&mut self, now: Now) -> Vec<Item> {
+        let mut items = Vec::new();
+        for urgent in self.urgent.iter_mut().filter(|u| u.due <= now).take(BATCH) {
+            urgent.due = now + AGAIN;
+            urgent.left -= 1;
+            items.push(urgent.item.clone());
+        }
+        self.urgent.retain(|u| u.left > 0);
+        items
+    }
+
+    fn hurry(&mut self, now: Now, item: Item) {
+        if self.urgent.len() >= QUEUE {
+            self.counters.dropped += 1;
+            return;
+        }
+        self.urgent.push_back(Urgent {
+            item,
+            due: now,
+            left: TIMES,
+        });
+    }
+
+    pub(crate) fn quit(&mut self) {
+        let Some(own) = self.roster.get(self.me) else {
+            return;
+        };
+        let run = run(own);
+        self.tell(News::Left(run));
+        self.hot = true;
+        self.flushed = None;
+    }
+
+    /// This node has a head in force; it never goes back.
+    pub(crate) fn adopt(&mut self, head: Head) {
+        if self.head.is_some_and(|h| h.number >= head.number) {
+            return;
+        }
+        self.head = Some(head);
+        self.hot = true;
+    }
+
+    /// Names a peer with a newer head, and another one after a while if nothing came of it.
+    pub(crate) fn compare(
+        &mut self,
+        now: Now,
+        head: Head,
+        peer: Id,
+        addr: SocketAddr,
+        out: &mut Vec<Action>,
+    ) {
+        let own = self.head.map_or(0, |h| h.number);
+        if head.number <= own {
+            return;
+        }
+        let waits =
+            |(number, since): (u64, Now)| number >= head.number && roster::age(now, since) < FETCH;
+        if self.asked.is_some_and(waits) {
+            return;
+        }
+        self.asked = Some((head.number, now));
+        out.push(Action::Newer { head, peer, addr });
+    }
+
+    /// Takes this node's own observations. One that a peer published already is left out: when
+    /// an endpoint dies, every node sees it, and one item tells it as well as hundreds.
+    pub(crate) fn publish(&mut self, now: Now, mut bodies: Vec<item::Body>) {
+        bodies.retain(|b| !self.told(now, b));
+        if bodies.is_empty() {
+            return;
+        }
+        self.version += 1;
+        let (me, version) = (self.me, self.version);
+        let incarnation = self.incarnation();
+        if let Some(own) = self.roster.get_mut(me) {
+            own.version = version;
+        }
+        for body in bodies {
+            self.mark(me, &body);
+            if body.urgent() {
+                self.hurry(
+                    now,
+                    Item {
+                        origin: me,
+                        incarnation,
+                        version,
+                        body: body.clone(),
+                    },
+                );
+            }
+            if self.store.put(me, version, body, now, self.settings.items) == Put::Full {
+                self.counters.dropped += 1;
+            }
+        }
+    }
+
+    /// Whether another node's item says the same and counts for at least half as long.
+    fn told(&self, now: Now, body: &item::Body) -> bool {
+        let (Some(ttl), key) = (body.ttl(), body.key()) else {
+            return false;
+        };
+        let others = self.store.origins().filter(|o| *o != self.me);
+        let mut same = others.filter_map(|o| self.store.get(o, &key));
+        let lasts = |u: Now| u.saturating_sub(now) >= ttl / 2;
+        same.any(|s| s.until.is_some_and(lasts) && s.body.clone().with_ttl(ttl) == *body)
+    }
+
+    /// Takes an urgent item and sends it on when it is new. Its origin's version stays as it is:
+    /// earlier publications may still be missing, and the exchange must ask for them.
+    pub(crate) fn hear_item(&mut self, now: Now, item: Item, out: &mut Vec<Action>) {
+        let known = self.roster.get(item.origin).map(|p| p.identity.incarnation);
+        if known != Some(item.incarnation) || item.origin == self.me {
+            self.counters.stale += 1;
+            return;
+        }
+        if !item.body.urgent() {
+            self.counters.stale += 1;
+            return;
+        }
+        let told = self.told(now, &item.body);
+        if self.learn(now, item.clone(), out) && !told {
+            self.hurry(now, item);
+        }
+    }
+
+    /// Stores an item; whether it is new.
+    pub(crate) fn learn(&mut self, now: Now, item: Item, out: &mut Vec<Action>) -> bool {
+        let most = self.settings.items;
+        let put = self
+            .store
+            .put(item.origin, item.version, item.body.clone(), now, most);
+        match put {
+            Put::Known => return false,
+            Put::Full => {
+                self.counters.dropped += 1;
+                return false;
+            }
+            Put::New => {}
+        }
+        self.counters.learned += 1;
+        self.mark(item.origin, &item.body);
+        out.push(Action::Learned(item));
+        true
+    }
+
+    fn mark(&mut self, origin: Id, body: &item::Body) {
+        if *body != item::Body::Leaving {
+            return;
+        }
+        if let Some(peer) = self.roster.get_mut(origin) {
+            peer.leaving = true;
+        }
+    }
+
+    pub(crate) fn addr(&self, id: Id) -> Option<SocketAddr> {
+        self.roster.get(id).map(|p| p.identity.addr)
+    }
+
+    /// Tells `to` who is here.
+    pub(crate) fn introduce(&mut self, to: Id, addr: SocketAddr, out: &mut Vec<Action>) {
+        let Some(own) = self.roster.get(self.me) else {
+            return;
+        };
+        let row = roster::row(own);
+        self.send(to, addr, Body::Rows(vec![row]), out);
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/driver.rs
@@ -0,0 +1,16 @@
+//! The driver of a pipeline against stand-in engines, over real sockets on loopback.
+
+#[path = "driver/common.rs"]
+mod common;
+#[path = "driver/crossed.rs"]
+mod crossed;
+#[path = "driver/died.rs"]
+mod died;
+#[path = "driver/random.rs"]
+mod random;
+#[path = "driver/refused.rs"]
+mod refused;
+#[path = "driver/silent.rs"]
+mod silent;
+#[path = "driver/whole.rs"]
+mod whole;
