--- a/crates/entry/src/api/ask.rs
+++ b/crates/entry/src/api/ask.rs
@@ -125,7 +125,7 @@
             Ok(most) if most > 0 => Ok(Some(most)),
             _ => Err(Error::value(
                 param,
-                "the number of tokens must be 1 or more",
+                format!("the number of tokens must be from 1 to {}", u32::MAX),
             )),
         }
     }
--- a/crates/entry/src/api/completion.rs
+++ b/crates/entry/src/api/completion.rs
@@ -28,12 +28,16 @@
 }
 
 fn prompt(raw: Option<RawPrompt>) -> Result<String> {
-    match raw {
-        Some(RawPrompt::One(prompt)) if !prompt.is_empty() => Ok(prompt),
-        Some(RawPrompt::Many(mut prompts)) if prompts.len() == 1 => Ok(prompts.remove(0)),
-        Some(RawPrompt::Many(_)) => Err(Error::value("prompt", "only one prompt is supported")),
-        _ => Err(Error::value("prompt", "there is no prompt")),
+    let mut prompts = match raw {
+        None => Vec::new(),
+        Some(RawPrompt::One(prompt)) => vec![prompt],
+        Some(RawPrompt::Many(prompts)) => prompts,
+    };
+    if prompts.len() > 1 {
+        return Err(Error::value("prompt", "only one prompt is supported"));
     }
+    let prompt = prompts.pop().filter(|p| !p.is_empty());
+    prompt.ok_or_else(|| Error::value("prompt", "there is no prompt"))
 }
 
 /// A whole answer, or one event of a streamed one.
--- a/crates/entry/src/api/header.rs
+++ b/crates/entry/src/api/header.rs
@@ -28,6 +28,8 @@
 /// Read by client libraries: whether to repeat the request by themselves.
 pub const SHOULD_RETRY: HeaderName = HeaderName::from_static("x-should-retry");
 
+/// Scheme of the `authorization` header; schemes have no case.
+const BEARER: &str = "Bearer";
 /// Longest idempotency key, in bytes.
 const KEY_BYTES: usize = 256;
 
@@ -67,13 +69,13 @@
 pub fn team(headers: &HeaderMap, bundle: &Bundle) -> Result<TeamId> {
     let unauthorized =
         |message: &str| Error::new(StatusCode::UNAUTHORIZED, "invalid_api_key", message);
-    let value = headers
-        .get(AUTHORIZATION)
+    let value = text(headers, &AUTHORIZATION)
+        .map_err(|error| unauthorized(&error.message))?
         .ok_or_else(|| unauthorized("no bearer key was given"))?;
-    let text = value.to_str().unwrap_or_default();
-    let key = text
-        .strip_prefix("Bearer ")
-        .ok_or_else(|| unauthorized("the authorization header is not a bearer key"))?;
+    let (scheme, key) = value.split_once(' ').unwrap_or((value, ""));
+    if !scheme.eq_ignore_ascii_case(BEARER) {
+        return Err(unauthorized("the authorization header is not a bearer key"));
+    }
     let digest = bundle::digest::Digest::of(key.trim().as_bytes());
     bundle
         .holder(&digest)
--- a/crates/entry/src/api/stop.rs
+++ b/crates/entry/src/api/stop.rs
@@ -49,9 +49,13 @@
         std::mem::take(&mut self.held)
     }
 
+    /// Where the sequence begins that is complete first; of those complete together, the longest.
+    /// Taking the one that begins first instead would make the answer depend on where tokens end:
+    /// with the sequences `abc` and `b`, the text `abc` has met `b` before `c` comes.
     fn first_stop(&self) -> Option<usize> {
         let stops = self.stops.iter();
-        stops.filter_map(|s| self.held.find(s.as_str())).min()
+        let met = stops.filter_map(|s| self.held.find(s.as_str()).map(|at| (at + s.len(), at)));
+        met.min().map(|(_, at)| at)
     }
 
     /// Bytes at the end of the held text that begin some stop sequence.
--- a/crates/entry/src/tls.rs
+++ b/crates/entry/src/tls.rs
@@ -61,13 +61,24 @@
         Ok(Arc::new(config))
     }
 
-    /// When the younger of the two was written.
-    fn written(&self) -> Option<SystemTime> {
+    /// When each of the two was written. The younger time alone would hide a certificate that is
+    /// new here and was made before the key's file was written.
+    fn written(&self) -> Written {
         let time = |path: &Path| fs::metadata(path).and_then(|m| m.modified()).ok();
-        time(&self.certificate).max(time(&self.key))
+        Written {
+            certificate: time(&self.certificate),
+            key: time(&self.key),
+        }
     }
 }
 
+/// When the files were written, as far as the file system tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Written {
+    certificate: Option<SystemTime>,
+    key: Option<SystemTime>,
+}
+
 fn certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>> {
     let bytes = read(path)?;
     let chain: std::result::Result<Vec<_>, _> = CertificateDer::pem_slice_iter(&bytes).collect();
@@ -92,7 +103,7 @@
 pub struct Store {
     files: Files,
     config: ArcSwap<ServerConfig>,
-    written: std::sync::Mutex<Option<SystemTime>>,
+    written: std::sync::Mutex<Written>,
 }
 
 impl Store {
--- /dev/null
+++ b/crates/entry/tests/stop.rs
@@ -0,0 +1,84 @@
+//! Stop sequences over the bounds of tokens.
+
+use entry::api::stop::Cutter;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// What is given for `tokens`, and whether a sequence was met.
+fn cut(stops: &[&str], tokens: &[&str]) -> (String, bool) {
+    let mut cutter = Cutter::new(stops.iter().map(|s| (*s).to_owned()).collect());
+    let mut given: String = tokens.iter().map(|t| cutter.push(t)).collect();
+    given.push_str(&cutter.finish());
+    (given, cutter.done())
+}
+
+#[test]
+fn cuts_where_a_sequence_begins() {
+    assert_eq!(cut(&[], &["a", "b"]), ("ab".to_owned(), false));
+    assert_eq!(
+        cut(&["\n\n"], &["a", "\n", "\n", "b"]),
+        ("a".to_owned(), true)
+    );
+    assert_eq!(
+        cut(&["END"], &["theE", "N", "Dmore"]),
+        ("the".to_owned(), true)
+    );
+    assert_eq!(
+        cut(&["END"], &["theE", "N", "d"]),
+        ("theENd".to_owned(), false)
+    );
+    assert_eq!(cut(&["END"], &["the E"]), ("the E".to_owned(), false));
+    assert_eq!(cut(&["aab"], &["a", "a", "a", "b"]), ("a".to_owned(), true));
+}
+
+#[test]
+fn text_that_can_begin_no_sequence_is_given_at_once() {
+    let mut cutter = Cutter::new(vec!["END".to_owned()]);
+    assert_eq!(cutter.push("some E"), "some ");
+    assert_eq!(cutter.push("x"), "Ex");
+}
+
+#[test]
+fn text_of_several_bytes_is_not_split() {
+    assert_eq!(
+        cut(&["ö!"], &["sch", "ö", "n ö", "!"]),
+        ("schön ".to_owned(), true)
+    );
+    assert_eq!(cut(&["é"], &["e", "è", "ê"]), ("eèê".to_owned(), false));
+    assert_eq!(cut(&["日本"], &["日", "日", "本"]), ("日".to_owned(), true));
+}
+
+// Two callers who ask the same get the same answer, however the model cut the text into tokens: the
+// sequence that is complete first ends the answer.
+#[test]
+fn answer_does_not_depend_on_where_tokens_end() {
+    const LETTERS: [char; 4] = ['a', 'b', 'c', 'ö'];
+    for seed in 0..2000 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut word = |most: usize| -> String {
+            let length = rng.random_range(1..=most);
+            (0..length)
+                .map(|_| LETTERS[rng.random_range(0..LETTERS.len())])
+                .collect()
+        };
+        let stops = [word(3), word(4)];
+        let stops: Vec<&str> = stops.iter().map(String::as_str).collect();
+        let pieces: Vec<String> = (0..8).map(|_| word(4)).collect();
+        let text = pieces.concat();
+        let pieces: Vec<&str> = pieces.iter().map(String::as_str).collect();
+        let letters: Vec<String> = text.chars().map(String::from).collect();
+        let letters: Vec<&str> = letters.iter().map(String::as_str).collect();
+        let whole = cut(&stops, &[&text]);
+        assert_eq!(
+            cut(&stops, &pieces),
+            whole,
+            "seed {seed}: {stops:?} in {pieces:?}"
+        );
+        assert_eq!(
+            cut(&stops, &letters),
+            whole,
+            "seed {seed}: {stops:?} in {text}"
+        );
+        assert!(stops.iter().all(|s| !whole.0.contains(s)), "seed {seed}");
+    }
+}
