--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -159,14 +159,16 @@
         if !self.cutter.done() {
             return Part::Text(given);
         }
-        // The answer is whole for the caller; the rest of the work is cancelled.
+        // The answer is whole for the caller; the rest of the work is cancelled. The engines' count
+        // of the prompt would come with the end that is not waited for.
         self.ticket = None;
+        let prompt_tokens = self.ask.prompt_tokens();
         Part::End(
             given,
             End {
                 outcome: Outcome::Complete,
                 stop: Stop::End,
-                prompt_tokens: 0,
+                prompt_tokens,
             },
         )
     }
--- a/crates/entry/src/api/ask.rs
+++ b/crates/entry/src/api/ask.rs
@@ -4,6 +4,8 @@
 use bytes::Bytes;
 use http::StatusCode;
 
+/// Bytes of a prompt that make a token, for the estimate.
+const BYTES_PER_TOKEN: usize = 4;
 /// Most stop sequences in one request.
 const STOPS: usize = 4;
 /// Longest stop sequence, in bytes.
@@ -18,6 +20,16 @@
     Text,
 }
 
+impl Kind {
+    /// The field that the prompt is made of.
+    pub fn field(self) -> &'static str {
+        match self {
+            Self::Chat => "messages",
+            Self::Text => "prompt",
+        }
+    }
+}
+
 /// A checked completion request, before the bundle is looked at.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Ask {
@@ -39,6 +51,13 @@
     pub stops: Vec<String>,
 }
 
+impl Ask {
+    /// An estimate of the prompt's tokens; the engines' own count comes with the answer's end.
+    pub fn prompt_tokens(&self) -> u32 {
+        u32::try_from(self.prompt.len().div_ceil(BYTES_PER_TOKEN)).unwrap_or(u32::MAX)
+    }
+}
+
 /// Fields that both APIs share, as they come.
 #[derive(Clone, Debug, Default, serde::Deserialize)]
 pub struct Raw {
--- a/crates/entry/src/api/error.rs
+++ b/crates/entry/src/api/error.rs
@@ -1,9 +1,10 @@
 //! Errors in the shape that chat-completion clients read, with the outcome added.
 
 use http::StatusCode;
-use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use http::header::{ALLOW, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use route::outcome::Outcome;
 use route::refusal::{Reason, Refusal};
+use route::request::Id;
 use serde::Serialize;
 use std::time::Duration;
 use viz::{Body, IntoResponse, Response};
@@ -28,6 +29,10 @@
     pub retry_after: Option<Duration>,
     /// Base URL of the node that has the request's key; it alone can answer.
     pub node: Option<String>,
+    /// Id of the request, once it has one.
+    pub request: Option<Id>,
+    /// The method that the path takes, for a request with another one.
+    pub allow: Option<&'static str>,
 }
 
 #[derive(Serialize)]
@@ -55,6 +60,8 @@
             outcome: Outcome::NotRun,
             retry_after: None,
             node: None,
+            request: None,
+            allow: None,
         }
     }
 
@@ -95,6 +102,12 @@
         self
     }
 
+    /// The same error, of the request with this id.
+    pub fn of(mut self, request: Id) -> Self {
+        self.request = Some(request);
+        self
+    }
+
     /// Its JSON text, as a body or as a stream's last event.
     pub fn json(&self) -> String {
         let detail = Detail {
@@ -154,8 +167,14 @@
         let mut response = Response::new(Body::from(http_body_util::Full::from(self.json())));
         *response.status_mut() = self.status;
         let headers = response.headers_mut();
+        if let Some(id) = self.request {
+            super::header::put_request(headers, id);
+        }
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         headers.insert(super::header::OUTCOME, outcome(self.outcome));
+        if let Some(method) = self.allow {
+            headers.insert(ALLOW, HeaderValue::from_static(method));
+        }
         // Clients of this API repeat a request on any 5xx by themselves; this header stops them.
         // A request that may have run must not be doubled by its own client's library.
         if self.outcome == Outcome::Unknown {
--- a/crates/entry/src/api/header.rs
+++ b/crates/entry/src/api/header.rs
@@ -4,7 +4,8 @@
 use bundle::Bundle;
 use bundle::id::{PriorityId, TeamId};
 use http::header::AUTHORIZATION;
-use http::{HeaderMap, HeaderName, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use route::request::Id;
 use std::time::Duration;
 
 /// Outcome of the request, in every answer whose outcome is known when its head is sent.
@@ -33,6 +34,13 @@
 /// Longest idempotency key, in bytes.
 const KEY_BYTES: usize = 256;
 
+/// Puts a request's id into the headers of its answer, as 32 hexadecimal digits.
+pub fn put_request(headers: &mut HeaderMap, id: Id) {
+    if let Ok(value) = HeaderValue::try_from(format!("{id:032x}")) {
+        headers.insert(REQUEST, value);
+    }
+}
+
 /// What the headers of a request say, checked against the bundle.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Header {
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -7,14 +7,13 @@
 pub mod place;
 
 use crate::api::error::Error;
-use crate::api::header::REQUEST;
+use crate::api::header::{REQUEST, put_request};
 use crate::core::Tx;
 use crate::limits::{Ask, Limits};
 use crate::metrics::Metrics;
 use crate::snapshot::{Board, Snapshot};
 use engine::pool::Pool;
-use http::header::HeaderValue;
-use http::{Method, StatusCode};
+use http::StatusCode;
 use rand::rngs::StdRng;
 use route::request::Id;
 use std::net::SocketAddr;
@@ -118,30 +117,34 @@
     })
 }
 
-/// Counts an error and turns either into an answer of the listener.
+/// Counts an error and turns either into an answer of the listener. Every answer has an id, also
+/// the one to a request that never got as far as a router: a caller can name it to the operators.
 fn answer(state: &Shared, result: Result<Response, Error>) -> viz::Result<Response> {
-    Ok(result.unwrap_or_else(|error| {
+    let mut response = result.unwrap_or_else(|error| {
         state.metrics.rejected(error.code);
         error.into_response()
-    }))
+    });
+    if !response.headers().contains_key(REQUEST) {
+        put_request(response.headers_mut(), state.draw_id());
+    }
+    Ok(response)
 }
 
 /// The error for a path or method that nothing serves.
 fn unknown(req: &Request) -> Error {
     let path = req.uri().path();
     let known = match path {
-        "/v1/chat/completions" | "/v1/completions" | "/v1/tickets" => Some(Method::POST),
-        "/v1/models" | "/v1/addresses" => Some(Method::GET),
+        "/v1/chat/completions" | "/v1/completions" | "/v1/tickets" => Some("POST"),
+        "/v1/models" | "/v1/addresses" => Some("GET"),
         _ => None,
     };
     match known {
         Some(method) => {
             let message = format!("{path} takes {method} only");
-            Error::new(
-                StatusCode::METHOD_NOT_ALLOWED,
-                "method_not_allowed",
-                message,
-            )
+            let status = StatusCode::METHOD_NOT_ALLOWED;
+            let mut error = Error::new(status, "method_not_allowed", message);
+            error.allow = Some(method);
+            error
         }
         None => Error::new(
             StatusCode::NOT_FOUND,
@@ -151,12 +154,11 @@
     }
 }
 
-/// Adds the request's id to an answer.
-fn with_id(mut response: Response, id: Id) -> Response {
-    if let Ok(value) = HeaderValue::from_str(&format!("{id:032x}")) {
-        response.headers_mut().insert(REQUEST, value);
-    }
-    response
+/// The same answer or error, with the request's id.
+fn with_id(result: Result<Response, Error>, id: Id) -> Result<Response, Error> {
+    let mut response = result.map_err(|error| error.of(id))?;
+    put_request(response.headers_mut(), id);
+    Ok(response)
 }
 
 /// The caller's address, if the listener knows it.
--- a/crates/entry/src/handler/call.rs
+++ b/crates/entry/src/handler/call.rs
@@ -90,7 +90,7 @@
     let left = limit.head;
     let answer = run(state, request, work, claim, pieces).await;
     let answer = original.or_forward(state, answer, body, left).await;
-    answer.map(|r| with_id(r, id))
+    with_id(answer, id)
 }
 
 /// Splits `/services/NAME/rest?query` into the name and `/rest?query`.
--- a/crates/entry/src/handler/complete.rs
+++ b/crates/entry/src/handler/complete.rs
@@ -27,8 +27,6 @@
 const BLOCK: usize = 256;
 /// Most blocks that are hashed: longer common prefixes count as equal.
 const BLOCKS: usize = 64;
-/// Bytes of a prompt that make a token, for the router's estimate.
-const BYTES_PER_TOKEN: usize = 4;
 
 /// `POST /v1/chat/completions`.
 pub async fn chat(state: &Shared, req: Request) -> Result<Response> {
@@ -63,8 +61,8 @@
         .saturating_sub(state.start.elapsed());
     let _ = state.tx.send(Command::Arrive(arrival));
     let result = respond(answer, header.whole).await;
-    let response = original.or_forward(state, result, body, left).await?;
-    Ok(with_id(response, id))
+    let response = original.or_forward(state, result, body, left).await;
+    with_id(response, id)
 }
 
 /// The model and adapter that a request names.
@@ -106,7 +104,7 @@
 /// Most tokens to generate, within what the model's context leaves.
 fn most(state: &Shared, bundle: &Bundle, model: ModelId, ask: &Ask) -> Result<u32> {
     let context = bundle.models[usize::from(model)].context;
-    let prompt = estimate(&ask.prompt);
+    let prompt = ask.prompt_tokens();
     let room = context.saturating_sub(prompt);
     let most = ask.most.unwrap_or(state.ask.usual_tokens.min(room));
     if most == 0 || most > room {
@@ -114,16 +112,12 @@
             "about {prompt} tokens of prompt and {most} of answer exceed the context of {context}"
         );
         let mut error = Error::new(StatusCode::BAD_REQUEST, "context_length_exceeded", message);
-        error.param = Some("messages".to_owned());
+        error.param = Some(ask.kind.field().to_owned());
         return Err(error);
     }
     Ok(most)
 }
 
-fn estimate(prompt: &[u8]) -> u32 {
-    u32::try_from(prompt.len().div_ceil(BYTES_PER_TOKEN)).unwrap_or(u32::MAX)
-}
-
 fn arrive(
     state: &Shared,
     bundle: &Bundle,
@@ -142,7 +136,7 @@
         priority: header.priority,
         repeatable: header.repeatable.unwrap_or(true),
         deadline: state.deadline(header.deadline),
-        prompt: estimate(&ask.prompt),
+        prompt: ask.prompt_tokens(),
         most,
         prefix: prefix(&ask.model, &ask.prompt),
         fingerprint: fingerprint(header.team, "", body),
