--- a/crates/entry/src/api/header.rs
+++ b/crates/entry/src/api/header.rs
@@ -4,7 +4,8 @@
 use bundle::Bundle;
 use bundle::id::{PriorityId, TeamId};
 use http::header::AUTHORIZATION;
-use http::{HeaderMap, HeaderName, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use route::request::Id;
 use std::time::Duration;
 
 /// Outcome of the request, in every answer whose outcome is known when its head is sent.
@@ -28,9 +29,18 @@
 /// Read by client libraries: whether to repeat the request by themselves.
 pub const SHOULD_RETRY: HeaderName = HeaderName::from_static("x-should-retry");
 
+/// Scheme of the `authorization` header; schemes have no case.
+const BEARER: &str = "Bearer";
 /// Longest idempotency key, in bytes.
 const KEY_BYTES: usize = 256;
 
+/// Puts a request's id into the headers of its answer, as 32 hexadecimal digits.
+pub fn put_request(headers: &mut HeaderMap, id: Id) {
+    if let Ok(value) = HeaderValue::try_from(format!("{id:032x}")) {
+        headers.insert(REQUEST, value);
+    }
+}
+
 /// What the headers of a request say, checked against the bundle.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Header {
@@ -67,13 +77,13 @@
 pub fn team(headers: &HeaderMap, bundle: &Bundle) -> Result<TeamId> {
     let unauthorized =
         |message: &str| Error::new(StatusCode::UNAUTHORIZED, "invalid_api_key", message);
-    let value = headers
-        .get(AUTHORIZATION)
+    let value = text(headers, &AUTHORIZATION)
+        .map_err(|error| unauthorized(&error.message))?
         .ok_or_else(|| unauthorized("no bearer key was given"))?;
-    let text = value.to_str().unwrap_or_default();
-    let key = text
-        .strip_prefix("Bearer ")
-        .ok_or_else(|| unauthorized("the authorization header is not a bearer key"))?;
+    let (scheme, key) = value.split_once(' ').unwrap_or((value, ""));
+    if !scheme.eq_ignore_ascii_case(BEARER) {
+        return Err(unauthorized("the authorization header is not a bearer key"));
+    }
     let digest = bundle::digest::Digest::of(key.trim().as_bytes());
     bundle
         .holder(&digest)
