A key stands for the team's name; followers of a request that never began are told

Cause: (1) the fingerprint of a request hashed the team's id, which a new bundle may change, so a resend got a false "key reused"; (2) a request that waited for the answer of another one waited for ever if that one's caller left before its run began. Change: the name is hashed; control tells the followers "not run".

--- a/crates/entry/src/handler/call.rs
+++ b/crates/entry/src/handler/call.rs
@@ -62,6 +62,7 @@
     let fingerprint_path = path.to_owned();
     let original = Original::of(&req);
     let body = reading::body(&mut req, &state.limits).await?;
+    let team = &bundle.teams[usize::from(header.team)].name;
     let (chunks, pieces) = mpsc::channel(CHUNKS);
     let request = Routed {
         id: state.draw_id(),
@@ -73,7 +74,7 @@
         prompt: 0,
         most: 1,
         prefix: Vec::new(),
-        fingerprint: fingerprint(header.team, &fingerprint_path, &body),
+        fingerprint: fingerprint(team, &fingerprint_path, &body),
     };
     let claim = super::key::claim(&header, bundle, &request)?;
     let id = request.id;
--- a/crates/entry/src/handler/complete.rs
+++ b/crates/entry/src/handler/complete.rs
@@ -141,7 +141,7 @@
         prompt: ask.prompt_tokens(),
         most,
         prefix: prefix(&ask.model, &ask.prompt),
-        fingerprint: fingerprint(header.team, "", body),
+        fingerprint: fingerprint(&bundle.teams[usize::from(header.team)].name, "", body),
     };
     let prompt = Prompt {
         model: model.name.clone(),
@@ -176,10 +176,12 @@
         .collect()
 }
 
-/// Hash that a resend of the same body by the same team shares.
-pub fn fingerprint(team: bundle::id::TeamId, path: &str, body: &[u8]) -> u64 {
+/// Hash that a resend of the same body by the same team shares, also under another bundle: a team's
+/// id may change with the bundle, its name does not.
+pub fn fingerprint(team: &str, path: &str, body: &[u8]) -> u64 {
     let mut hash = Xxh3::new();
-    hash.update(&team.to_le_bytes());
+    hash.update(&(team.len() as u64).to_le_bytes());
+    hash.update(team.as_bytes());
     hash.update(path.as_bytes());
     hash.update(body);
     hash.digest()
--- a/crates/node/src/control/claims.rs
+++ b/crates/node/src/control/claims.rs
@@ -105,6 +105,11 @@
         for followers in self.followers.values_mut() {
             followers.retain(|f| *f != id);
         }
+        // It may have been given the key already without having begun: those that wait for its
+        // answer would wait for ever.
+        for follower in self.followers.remove(&id).unwrap_or_default() {
+            self.tell(follower, Verdict::Error(Box::new(gone(Outcome::NotRun))));
+        }
         self.handle(now, Event::Left(id), owners);
     }
 
--- a/crates/rig/tests/once.rs
+++ b/crates/rig/tests/once.rs
@@ -159,3 +159,24 @@
         .expect("status");
     assert_eq!(status["ready"], true);
 }
+
+// The caller sees the first answer though a bundle came in force in between that gave its team another
+// place in the table of teams: a key stands for the team's name and the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn resend_after_a_bundle_that_renumbers_teams() {
+    let mut fleet = Fleet::start(Plan::default()).await.expect("fleet");
+    let key = key("week-14");
+    let first = send(fleet.node(0).callers, &key, "week 14").await;
+    assert_eq!(first.status, StatusCode::OK, "{first:?}");
+    let mut text = fleet.text();
+    text.push_str(
+        "[team aaa]\nkeys = 0000000000000000000000000000000000000000000000000000000000000001\n\
+         weight = 1\nrate = 1\nin_flight = 1\ntop = normal\nusual = normal\n",
+    );
+    fleet.publish(&text).await.expect("published");
+    fleet.settled().await.expect("in force");
+    let again = send(fleet.node(0).callers, &key, "week 14").await;
+    assert_eq!(again.status, StatusCode::OK, "{again:?}");
+    assert_eq!(again.body, expected("week 14"));
+    assert_eq!(effects(&fleet, &key), 1);
+}
