Shares go on growing after many deaths whose zones answer

Change: only a suspect whose zone was not heard since holds growth back. Demand items 500 to 400 a second for all nodes, and rows of joining nodes a third as often, for the byte budget.

--- a/crates/member/src/spread.rs
+++ b/crates/member/src/spread.rs
@@ -67,7 +67,7 @@
     pub(crate) fn tell(&mut self, news: News) {
         let about = subject(&news);
         self.news.retain(|p| p.about != about);
-        let left = self.settings.repeats(self.roster.len());
+        let left = self.repeats(&news);
         self.news.push(Piece { about, news, left });
         if self.news.len() > NEWS {
             self.news.sort_by_key(|p| p.left);
@@ -75,6 +75,15 @@
         }
     }
 
+    /// A row is long, and the exchange of rosters brings it anyway.
+    fn repeats(&self, news: &News) -> u32 {
+        let most = self.settings.repeats(self.roster.len());
+        match news {
+            News::Join(_) => most / 3,
+            _ => most,
+        }
+    }
+
     pub(crate) fn tell_join(&mut self, row: Row) {
         self.tell(News::Join(row));
     }
--- a/crates/member/src/team.rs
+++ b/crates/member/src/team.rs
@@ -4,7 +4,7 @@
 use crate::demand::{Announcer, Budget, Demand, Limit};
 use crate::group::Group;
 use crate::item::{Body, Team};
-use crate::peer::State;
+use crate::peer::{Peer, State};
 use crate::settings::SMALL;
 use crate::share::{self, Input};
 use crate::side::{Context, Sides, Sum};
@@ -46,7 +46,7 @@
             small: 5,
             window: 4,
             grow: 3.0,
-            items: 500.0,
+            items: 400.0,
             own: 50.0,
             hold: Duration::from_secs(10),
             settle: 3,
@@ -226,10 +226,11 @@
             .collect()
     }
 
-    /// Steps since a peer that is suspected was lost. Until it is known whether it parted, the
-    /// own demand of before then counts: what grew since may not have reached the other side.
+    /// Steps since a suspect was lost whose zone was not heard since. Until it is known whether the
+    /// zone parted, the own demand of before then counts: what grew since may not have reached the other side.
     fn doubt(&self, now: Now, group: &Group) -> usize {
-        let suspects = group.roster().iter().filter(|p| p.state == State::Suspect);
+        let parting = |p: &&Peer| p.state == State::Suspect && p.zoned.is_none();
+        let suspects = group.roster().iter().filter(parting);
         let age = suspects
             .map(|p| now.saturating_sub(p.lost))
             .max()
