route: callers leave early in the random cases

Cause: no random case had a caller go away, so nothing showed that a request is silent after that. Change: one caller in thirteen leaves; the coverage test counts it.

--- a/crates/route/tests/runs.rs
+++ b/crates/route/tests/runs.rs
@@ -74,6 +74,7 @@
         "refused_overload",
         "refused_deadline",
         "refused_condemned",
+        "left",
         "attempts",
         "retries",
         "resumed",
--- a/crates/route/tests/support/case.rs
+++ b/crates/route/tests/support/case.rs
@@ -38,6 +38,8 @@
 /// Time after which the caller of a crashing request sends it again, and how often.
 const RESEND: Duration = Duration::from_secs(4);
 const RESENDS: u32 = 4;
+/// One caller in this many goes away early.
+const LEAVES: u64 = 13;
 /// Plain services in the fleet.
 const PLAIN: usize = 3;
 
@@ -96,7 +98,12 @@
                 world.crashers.push(request.fingerprint);
                 self.resend(&mut world, i, &request, &mut rng);
             }
-            world.arrive(Duration::from_millis(i * self.every), node, request);
+            let at = Duration::from_millis(i * self.every);
+            if i % LEAVES == 0 {
+                let stay = Duration::from_millis(i * 37 % 900);
+                world.depart(at + stay, request.id);
+            }
+            world.arrive(at, node, request);
         }
         self.faults
             .iter()
--- a/crates/route/tests/support/world.rs
+++ b/crates/route/tests/support/world.rs
@@ -123,6 +123,7 @@
     Tick(usize),
     Report,
     Arrive(usize, Box<Request>),
+    Depart(Id),
     Fault(Fault),
     Listed(usize, bool),
     Tell(usize, Told),
@@ -224,6 +225,11 @@
         self.after(time, What::Arrive(node, Box::new(request)));
     }
 
+    /// Lets the caller of a request go away after a time.
+    pub fn depart(&mut self, time: Duration, id: Id) {
+        self.after(time, What::Depart(id));
+    }
+
     /// Lets a fault happen after a time.
     pub fn fault(&mut self, time: Duration, fault: Fault) {
         self.after(time, What::Fault(fault));
@@ -270,6 +276,7 @@
             }
             What::Report => self.report(),
             What::Arrive(node, request) => self.arrived(node, *request),
+            What::Depart(id) => self.leave(id),
             What::Fault(fault) => self.strike(fault),
             What::Listed(host, open) => self.listed(host, open),
             What::Tell(node, told) => self.told(node, told),
@@ -302,7 +309,7 @@
     }
 
     /// The caller of `id` goes away.
-    pub fn leave(&mut self, id: Id) {
+    fn leave(&mut self, id: Id) {
         let Some(call) = self.calls.get_mut(&id).filter(|c| c.ended.is_none()) else {
             return;
         };
