route: a paused node accuses nobody

Cause: after a pause of its own a node saw silence everywhere, probed all and, past the probe's timeout, would eject endpoints that answer and tell the other nodes so. Change: time without ticks for 200 ms counts neither as silence nor against a probe.

--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -74,6 +74,8 @@
     told: Vec<EndpointId>,
     seq: u64,
     ticks: u64,
+    /// When the last tick came.
+    ticked: Now,
     /// Whether work that waits may now find a place.
     stirred: bool,
     /// Whether the plan is out of date.
@@ -110,6 +112,7 @@
             told: Vec::new(),
             seq: 0,
             ticks: 0,
+            ticked: Now::ZERO,
             stirred: false,
             stale: false,
             audit: Audit::default(),
--- a/crates/route/src/router/tick.rs
+++ b/crates/route/src/router/tick.rs
@@ -21,6 +21,8 @@
 /// by giving it up early.
 const ONCE: u32 = 2;
 
+/// Time between two ticks from which on this node stood still.
+const PAUSE: Duration = Duration::from_millis(200);
 /// Ticks between two looks for slow endpoints.
 const LEAVE_SLOW: u64 = 5;
 /// Factor above the aimed time, and above the middle endpoint, from which one counts as slow.
@@ -29,6 +31,7 @@
 impl Router {
     pub(super) fn tick(&mut self, now: Now) {
         self.ticks += 1;
+        self.excuse(now);
         self.stirred |= self.ticks.is_multiple_of(STIR);
         let rate = self.view.as_ref().map_or(0.0, |v| v.retries);
         let running = self.running();
@@ -81,6 +84,24 @@
         }
     }
 
+    /// Does not count time in which this node itself stood still: progress and answers to probes
+    /// may have come meanwhile and wait to be read. Without this, a paused node takes every
+    /// endpoint for dead and tells the others.
+    fn excuse(&mut self, now: Now) {
+        let last = std::mem::replace(&mut self.ticked, now);
+        let gap = now.saturating_sub(last);
+        if gap <= PAUSE {
+            return;
+        }
+        for row in &mut self.fleet.rows {
+            if let State::Probing(since) = &mut row.health.state {
+                *since = (*since + gap).min(now);
+            }
+        }
+        let runs = self.flights.values_mut().filter_map(|f| f.run.as_mut());
+        runs.for_each(|run| run.since = (run.since + gap).min(now));
+    }
+
     /// Gives up what waits past its deadline; a running answer goes on.
     fn expire(&mut self, now: Now) {
         while let Some(&(deadline, id)) = self.deadlines.first() {
--- a/crates/route/tests/recover.rs
+++ b/crates/route/tests/recover.rs
@@ -50,6 +50,27 @@
     assert_eq!(bench.router.report().ejected, 0);
 }
 
+#[test]
+fn a_paused_node_accuses_nobody() {
+    // Callers see only the node's own pause. The node stands still for five seconds, once while
+    // an answer runs and once while a probe is out: neither is held against the endpoint.
+    let mut bench = Bench::new(fixture::fleet(1, 4, 1));
+    bench.on(Event::Tick);
+    let out = bench.on(Event::Arrive(fixture::request(1, LATE)));
+    let (_, hops) = started(&out, 1).expect("starts");
+    bench.on(Event::Token(1, 1));
+    bench.now += Duration::from_secs(5);
+    assert_eq!(bench.on(Event::Tick), []);
+    bench.on(Event::Progress(1, 1, 0));
+    let out = bench.pass(Duration::from_millis(700));
+    let probed = hops[1].endpoint;
+    assert!(out.contains(&Action::Probe(probed)), "{out:?}");
+    bench.now += Duration::from_secs(5);
+    assert_eq!(bench.on(Event::Tick), []);
+    bench.on(Event::Probed(probed, true));
+    assert_eq!(bench.router.report().ejected, 0);
+}
+
 #[test]
 fn an_unanswered_probe_ejects_and_a_trial_brings_back() {
     // The caller sees one pause. The endpoint answers nothing; it is ejected and told to the other
