--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -66,12 +66,16 @@
     parked: BTreeSet<(bool, u64, Id)>,
     meters: BTreeMap<Target, Meter>,
     wards: BTreeMap<Target, isolate::Ward>,
+    /// Whether any endpoint may be kept for a suspect.
+    guarded: bool,
     /// Endpoints under probe because a connection broke.
     broke: BTreeSet<EndpointId>,
     /// Endpoints that other nodes have ejected, as last told.
     told: Vec<EndpointId>,
     seq: u64,
     ticks: u64,
+    /// When the last tick came.
+    ticked: Now,
     /// Whether work that waits may now find a place.
     stirred: bool,
     /// Whether the plan is out of date.
@@ -103,10 +107,12 @@
             parked: BTreeSet::new(),
             meters: BTreeMap::new(),
             wards: BTreeMap::new(),
+            guarded: false,
             broke: BTreeSet::new(),
             told: Vec::new(),
             seq: 0,
             ticks: 0,
+            ticked: Now::ZERO,
             stirred: false,
             stale: false,
             audit: Audit::default(),
--- a/crates/route/tests/support/world.rs
+++ b/crates/route/tests/support/world.rs
@@ -123,6 +123,7 @@
     Tick(usize),
     Report,
     Arrive(usize, Box<Request>),
+    Depart(Id),
     Fault(Fault),
     Listed(usize, bool),
     Tell(usize, Told),
@@ -229,6 +230,11 @@
         self.after(time, What::Arrive(node, Box::new(request)));
     }
 
+    /// Lets the caller of a request go away after a time.
+    pub fn depart(&mut self, time: Duration, id: Id) {
+        self.after(time, What::Depart(id));
+    }
+
     /// Lets a fault happen after a time.
     pub fn fault(&mut self, time: Duration, fault: Fault) {
         self.after(time, What::Fault(fault));
@@ -275,6 +281,7 @@
             }
             What::Report => self.report(),
             What::Arrive(node, request) => self.arrived(node, *request),
+            What::Depart(id) => self.leave(id),
             What::Fault(fault) => self.strike(fault),
             What::Listed(host, open) => self.listed(host, open),
             What::Tell(node, told) => self.told(node, told),
@@ -307,7 +314,7 @@
     }
 
     /// The caller of `id` goes away.
-    pub fn leave(&mut self, id: Id) {
+    fn leave(&mut self, id: Id) {
         let Some(call) = self.calls.get_mut(&id).filter(|c| c.ended.is_none()) else {
             return;
         };
