--- a/crates/route/tests/parts.rs
+++ b/crates/route/tests/parts.rs
@@ -209,6 +209,56 @@
     assert_eq!(pace.limit, 16.0);
 }
 
+/// An endpoint that computes `batch` steps at once, each in `step`; a hop at `running` takes this.
+fn batched(running: u32, batch: u32, step: Duration) -> Duration {
+    step.mul_f64(f64::from(running.max(batch)) / f64::from(batch))
+}
+
+/// Runs hops one after another as they end, and returns the limits at the end of each second.
+fn paced(
+    pace: &mut Pace,
+    allowed: Duration,
+    seconds: u64,
+    hop: impl Fn(u32) -> Duration,
+) -> Vec<f64> {
+    let mut now = Duration::ZERO;
+    let mut limits = Vec::new();
+    for second in 1..=seconds {
+        while now < Duration::from_secs(second) {
+            let running = (pace.limit as u32).max(1);
+            let took = hop(running);
+            now += took / running;
+            pace.hop(now, took, allowed, running);
+        }
+        limits.push(pace.limit);
+    }
+    limits
+}
+
+// Callers see low throughput beside idle accelerators. An endpoint whose single step takes longer than
+// the time aimed at can't be made fast enough by lowering its concurrency; the limit must stay at
+// what its batch computes at once, and must not fall to one.
+#[test]
+fn limit_does_not_fall_where_that_makes_nothing_faster() {
+    let mut pace = Pace::new(40);
+    let limits = paced(&mut pace, ms(15), 30, |running| batched(running, 8, ms(20)));
+    let settled = &limits[5..];
+    assert!(
+        settled.iter().all(|l| (7.0..=16.0).contains(l)),
+        "{limits:?}"
+    );
+}
+
+// Callers see throughput that swings. From far above, the limit must come down to the aimed time and
+// stay near it: averages that lag behind the limit made it fall on to one.
+#[test]
+fn limit_does_not_undershoot() {
+    let mut pace = Pace::new(40);
+    let limits = paced(&mut pace, ms(22), 30, |running| batched(running, 8, ms(17)));
+    assert!(limits.iter().all(|l| *l >= 7.0), "{limits:?}");
+    assert!(limits[10..].iter().all(|l| *l <= 16.0), "{limits:?}");
+}
+
 #[test]
 fn the_time_that_counts_as_silence_is_bounded() {
     let mut pace = Pace::new(16);
