--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -4,20 +4,21 @@
 //! the last one of the connection (`connection: close`). A connection without a request yet is
 //! left alone, and new ones are still served: a caller may keep an address answer for a while, and
 //! closing on it would be a failed request. Only at the close are the idle ones ended.
+//!
+//! A connection is idle when nothing goes on that the node has to do. One whose answer is there and
+//! is not read is idle too: its caller may never read it, and the connection, the request and the
+//! endpoint that serves it would be taken for good.
+
+mod watch;
 
 use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::tls::Store;
-use http::header::{CONNECTION, HeaderValue};
-use hyper::body::Incoming;
-use hyper::service::Service;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
@@ -25,7 +26,8 @@
 use tokio::time::{Instant, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
-use viz::{Request, Responder, Response, Tree};
+use viz::{Responder, Tree};
+use watch::{Busy, Watched};
 
 /// Pause after a failed accept, so that a lack of file descriptors does not spin the thread.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -115,11 +117,8 @@
         I: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
         let busy = Arc::new(Busy::default());
-        let service = Counted {
-            inner: Responder::new(self.tree.clone(), Some(addr)),
-            busy: busy.clone(),
-            drain: stop.drain.clone(),
-        };
+        let inner = Responder::new(self.tree.clone(), Some(addr));
+        let service = Watched::new(inner, busy.clone(), stop.drain.clone());
         let builder = self.builder();
         let mut conn = pin!(builder.serve_connection(TokioIo::new(io), service));
         let mut idle_since = Instant::now();
@@ -135,11 +134,11 @@
                 }
                 _ = check.tick() => {}
             }
-            if stop.drain.is_cancelled() && busy.http2.load(Ordering::Relaxed) && !told {
+            if stop.drain.is_cancelled() && busy.http2() && !told {
                 told = true;
                 conn.as_mut().graceful_shutdown();
             }
-            if busy.now.load(Ordering::Relaxed) > 0 {
+            if busy.moved() {
                 idle_since = Instant::now();
             }
             if idle_since.elapsed() > self.idle_bound(&busy) {
@@ -151,9 +150,9 @@
     /// A connection that has not brought its first request yet has the time of a head; without
     /// this bound, callers that connect and say nothing would use up the connections.
     fn idle_bound(&self, busy: &Busy) -> Duration {
-        match busy.served.load(Ordering::Relaxed) {
-            0 => self.limits.head_time,
-            _ => self.limits.idle_time,
+        match busy.begun() {
+            false => self.limits.head_time,
+            true => self.limits.idle_time,
         }
     }
 
@@ -168,7 +167,7 @@
             .http2()
             .timer(TokioTimer::new())
             .max_concurrent_streams(self.limits.streams)
-            .max_header_list_size(self.limits.head_bytes as u32)
+            .max_header_list_size(u32::try_from(self.limits.head_bytes).unwrap_or(u32::MAX))
             .max_pending_accept_reset_streams(RESETS)
             .max_send_buf_size(SEND_BUFFER)
             .keep_alive_interval(self.limits.idle_time / 4)
@@ -176,70 +175,3 @@
         builder
     }
 }
-
-/// Requests of one connection.
-#[derive(Default)]
-struct Busy {
-    now: AtomicUsize,
-    served: AtomicUsize,
-    http2: AtomicBool,
-}
-
-/// Counts the requests of one connection that are under way, bodies of answers included.
-struct Counted {
-    inner: Responder<SocketAddr>,
-    busy: Arc<Busy>,
-    drain: CancellationToken,
-}
-
-impl Service<Request<Incoming>> for Counted {
-    type Response = Response;
-    type Error = Infallible;
-    type Future = futures::future::BoxFuture<'static, Result<Response, Infallible>>;
-
-    fn call(&self, req: Request<Incoming>) -> Self::Future {
-        let guard = Guard::new(self.busy.clone());
-        let http2 = req.version() == http::Version::HTTP_2;
-        self.busy.http2.store(http2, Ordering::Relaxed);
-        let drain = self.drain.clone();
-        let answer = self.inner.call(req);
-        Box::pin(async move {
-            let mut response = answer.await?;
-            if drain.is_cancelled() && !http2 {
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(CONNECTION, close);
-            }
-            Ok(response.map(|body| guarded(body, guard)))
-        })
-    }
-}
-
-/// One request under way.
-struct Guard(Arc<Busy>);
-
-impl Guard {
-    fn new(busy: Arc<Busy>) -> Self {
-        busy.now.fetch_add(1, Ordering::Relaxed);
-        busy.served.fetch_add(1, Ordering::Relaxed);
-        Self(busy)
-    }
-}
-
-impl Drop for Guard {
-    fn drop(&mut self) {
-        self.0.now.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// The same body, holding the guard until it has been sent or dropped.
-fn guarded(body: viz::Body, guard: Guard) -> viz::Body {
-    use http_body_util::BodyExt;
-    use hyper::body::Body;
-    if body.is_end_stream() {
-        return body;
-    }
-    viz::Body::wrap(body.map_frame(move |frame| {
-        let _ = &guard;
-        frame
-    }))
-}
