node: settings that would stop a node later are findings; the binary, its findings and signals are tested

Cause: no test ran the binary or the check of settings. Text cases and runs showed: a line without a separator was taken for the beginning of the next line's key, without a line number; a key before every section was told as 'unknown section' without a place; what stands twice hid all other findings; listen = 0.0.0.0 without advertise would tell callers that address; numbers and times that overflow a semaphore's bound or a clock, and times of 0 in which nothing can happen, were taken. And a second process on the same callers' port started and shared it with the first in silence.

Change: each is a finding with its place. Times are bound to a year, counts each to a stated number.

Conclusion: a node that starts has settings that it can keep; every finding is told in one run with file, line, section and key; SIGTERM and SIGINT drain and end with 0, a second signal ends at once.

--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -1,13 +1,14 @@
 //! Checks settings and collects every finding.
 
 use super::finding::Finding;
-use super::section::{Section, unknown_sections};
+use super::section::{Section, stray_keys, unknown_sections};
 use super::text::Text;
-use super::value::{self, addr, addrs, count, key, level, name, peer_key, time};
+use super::value::{self, addr, addrs, key, level, limit, name, peer_key, time, up_to};
 use super::{Format, Listener, Logging, Node, Peers, Platform, Result, Settings};
 use bundle::signer::Signer;
 use entry::limits::{Ask, Limits};
 use entry::tls::Files;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -27,6 +28,13 @@
 const WORKERS: usize = 2;
 /// Most request workers: more than any instance has cores.
 const MOST_WORKERS: usize = 256;
+/// Most connections of a worker: more than a process has file descriptors.
+const MOST_CONNECTIONS: usize = 1 << 20;
+/// Most streams of a connection.
+const MOST_STREAMS: usize = 1 << 16;
+/// Longest head and body of a request. Each is held in memory, for as many callers as connect.
+const MOST_HEAD: usize = 1 << 20;
+const MOST_BODY: usize = 1 << 30;
 /// How long the log keeps a record, unless set.
 const RETENTION: Duration = Duration::from_secs(24 * 3600);
 const DRAIN: Duration = Duration::from_secs(10);
@@ -35,8 +43,9 @@
 
 /// Checks `text`.
 pub fn check(text: &Text) -> Result<Settings> {
-    let mut findings = Vec::new();
+    let mut findings = text.findings.clone();
     unknown_sections(text, &SECTIONS, &mut findings);
+    stray_keys(text, &mut findings);
     let node = node(text, &mut findings);
     let callers = listener(text, CALLERS, &mut findings);
     let peers = peers(text, &mut findings);
@@ -75,10 +84,7 @@
     let own_name = section.required("name", name, findings);
     let zone = section.required("zone", name, findings);
     let region = section.required("region", name, findings);
-    let workers = section.or("workers", WORKERS, count, findings);
-    if workers > MOST_WORKERS {
-        findings.push(section.about("workers", format!("more than {MOST_WORKERS}")));
-    }
+    let workers = section.or("workers", WORKERS, up_to(MOST_WORKERS), findings);
     let drain = section.or("drain", DRAIN, time, findings);
     let finish = section.or("finish", FINISH, time, findings);
     let address_ttl = section.or("address_ttl", ADDRESS_TTL, time, findings);
@@ -105,14 +111,20 @@
     let listen = section.required("listen", addr, findings);
     let advertise = section.optional("advertise", addr, findings);
     let limits = Limits {
-        connections: section.or("connections", usual.connections, count, findings),
-        streams: section.or("streams", usual.streams, count32, findings),
-        head_bytes: section.or("head_bytes", usual.head_bytes, count, findings),
-        body_bytes: section.or("body_bytes", usual.body_bytes, count, findings),
-        head_time: section.or("head_time", usual.head_time, time, findings),
-        body_time: section.or("body_time", usual.body_time, time, findings),
-        idle_time: section.or("idle_time", usual.idle_time, time, findings),
+        connections: section.or(
+            "connections",
+            usual.connections,
+            up_to(MOST_CONNECTIONS),
+            findings,
+        ),
+        streams: section.or("streams", usual.streams, streams, findings),
+        head_bytes: section.or("head_bytes", usual.head_bytes, up_to(MOST_HEAD), findings),
+        body_bytes: section.or("body_bytes", usual.body_bytes, up_to(MOST_BODY), findings),
+        head_time: section.or("head_time", usual.head_time, limit, findings),
+        body_time: section.or("body_time", usual.body_time, limit, findings),
+        idle_time: section.or("idle_time", usual.idle_time, limit, findings),
     };
+    told(&section, listen, advertise, findings);
     let tls = tls(&mut section, findings);
     section.finish(findings);
     let listen = listen?;
@@ -124,6 +136,26 @@
     })
 }
 
+/// The address that others are told must be one that they can connect to: `listen` may be any
+/// address of the machine, and then `advertise` has to say which.
+fn told(
+    section: &Section<'_>,
+    listen: Option<SocketAddr>,
+    advertise: Option<SocketAddr>,
+    findings: &mut Vec<Finding>,
+) {
+    match (listen, advertise) {
+        (_, Some(addr)) if addr.ip().is_unspecified() || addr.port() == 0 => {
+            findings.push(section.about("advertise", "nobody can connect to this address"));
+        }
+        (Some(addr), None) if addr.ip().is_unspecified() => {
+            let message = "is missing, and nobody can connect to the address of listen";
+            findings.push(section.about("advertise", message));
+        }
+        _ => {}
+    }
+}
+
 fn tls(section: &mut Section<'_>, findings: &mut Vec<Finding>) -> Option<Files> {
     let certificate = section.optional("certificate", path, findings);
     let key = section.optional("key", path, findings);
@@ -153,6 +185,7 @@
     let advertise = section.optional("advertise", addr, findings);
     let shared = section.required("key", peer_key, findings);
     let seeds = section.or("seeds", Vec::new(), addrs, findings);
+    told(&section, listen, advertise, findings);
     section.finish(findings);
     let listen = listen?;
     Some(Peers {
@@ -169,10 +202,10 @@
     let log = section.required("log", addr, findings);
     let list = section.required("list", addr, findings);
     let weights = section.optional("weights", addr, findings);
-    let retention = section.or("retention", RETENTION, time, findings);
+    let retention = section.or("retention", RETENTION, limit, findings);
     let limits = platform::Limits {
-        connect: section.or("connect_time", usual.connect, time, findings),
-        call: section.or("call_time", usual.call, time, findings),
+        connect: section.or("connect_time", usual.connect, limit, findings),
+        call: section.or("call_time", usual.call, limit, findings),
         ..usual
     };
     section.finish(findings);
@@ -209,9 +242,9 @@
     let mut section = Section::new(text, LIMITS);
     let usual = Ask::default();
     let ask = Ask {
-        usual_deadline: section.or("usual_deadline", usual.usual_deadline, time, findings),
-        longest_deadline: section.or("longest_deadline", usual.longest_deadline, time, findings),
-        usual_tokens: section.or("usual_tokens", usual.usual_tokens, count32, findings),
+        usual_deadline: section.or("usual_deadline", usual.usual_deadline, limit, findings),
+        longest_deadline: section.or("longest_deadline", usual.longest_deadline, limit, findings),
+        usual_tokens: section.or("usual_tokens", usual.usual_tokens, tokens, findings),
     };
     if ask.usual_deadline > ask.longest_deadline {
         findings.push(section.about("usual_deadline", "longer than longest_deadline"));
@@ -261,8 +294,16 @@
     Ok(PathBuf::from(text))
 }
 
-fn count32(text: &str) -> value::Result<u32> {
-    let number = count(text)?;
+fn streams(text: &str) -> value::Result<u32> {
+    count32(text, MOST_STREAMS)
+}
+
+fn tokens(text: &str) -> value::Result<u32> {
+    count32(text, u32::MAX as usize)
+}
+
+fn count32(text: &str, most: usize) -> value::Result<u32> {
+    let number = up_to(most)(text)?;
     u32::try_from(number).map_err(|_| format!("{text:?} is too large"))
 }
 
--- a/crates/node/src/settings/section.rs
+++ b/crates/node/src/settings/section.rs
@@ -24,11 +24,6 @@
         }
     }
 
-    /// Whether the text has the section.
-    pub fn present(&self) -> bool {
-        self.text.sections.iter().any(|(name, _)| name == self.name)
-    }
-
     /// Its entries.
     pub fn entries(&self) -> impl Iterator<Item = &'a Entry> {
         let name = self.name;
@@ -124,8 +119,8 @@
         .iter()
         .filter(|(name, _)| !known.contains(&name.as_str()));
     for (name, line) in unread {
-        // The parser always has a section without a name; it matters only when it has keys.
-        if name.is_empty() && !text.entries.iter().any(|e| e.section.is_empty()) {
+        // The parser always has a section without a name; its keys are findings of their own.
+        if name.is_empty() {
             continue;
         }
         findings.push(Finding {
@@ -136,6 +131,16 @@
     }
 }
 
+/// Findings for keys that stand before every section.
+pub fn stray_keys(text: &Text, findings: &mut Vec<Finding>) {
+    let stray = text.entries.iter().filter(|e| e.section.is_empty());
+    findings.extend(stray.map(|entry| Finding {
+        line: entry.line,
+        key: entry.key.clone(),
+        ..Finding::of_file(&text.file, "stands before any section")
+    }));
+}
+
 fn unknown(what: &str, name: &str, known: &[&str]) -> String {
     let near = known
         .iter()
--- a/crates/node/src/settings/text.rs
+++ b/crates/node/src/settings/text.rs
@@ -28,22 +28,31 @@
     pub sections: Vec<(String, usize)>,
     /// Entries, in order.
     pub entries: Vec<Entry>,
+    /// Sections and keys that stand twice.
+    pub findings: Vec<Finding>,
 }
 
 impl Text {
-    /// Parses `content`; a section or key that stands twice is a finding.
+    /// Parses `content`; it fails only where the text can't be read on.
     pub fn read(file: &str, content: &str) -> Result<Self> {
+        let lines = lines(content);
+        // The library takes a line without a separator for the beginning of the next line's key,
+        // or tells the end of the file as its place.
+        let odd = odd(file, &lines);
+        if !odd.is_empty() {
+            return Err(odd);
+        }
         // A backslash in a path is a backslash.
         let option = ParseOption {
             enabled_escape: false,
             ..ParseOption::default()
         };
         let ini = Ini::load_from_str_opt(content, option).map_err(|e| vec![broken(file, &e)])?;
-        let lines = lines(content);
         let mut text = Self {
             file: file.to_owned(),
             sections: Vec::new(),
             entries: Vec::new(),
+            findings: twice(file, &lines),
         };
         for (section, properties) in &ini {
             let section = section.unwrap_or_default();
@@ -58,12 +67,7 @@
             let line = line_of(&lines, section, None);
             text.sections.push((section.to_owned(), line));
         }
-        let twice = twice(file, &lines);
-        if twice.is_empty() {
-            Ok(text)
-        } else {
-            Err(twice)
-        }
+        Ok(text)
     }
 }
 
@@ -72,6 +76,8 @@
     number: usize,
     section: String,
     key: Option<String>,
+    /// Whether it is a section, or a key with a separator.
+    whole: bool,
 }
 
 fn lines(content: &str) -> Vec<Line> {
@@ -82,17 +88,21 @@
         if text.is_empty() || text.starts_with(['#', ';']) {
             continue;
         }
-        let key = match text.strip_prefix('[').and_then(|t| t.split_once(']')) {
+        let (key, whole) = match text.strip_prefix('[').and_then(|t| t.split_once(']')) {
             Some((name, _)) => {
                 section = name.trim().to_owned();
-                None
+                (None, true)
+            }
+            None => {
+                let key = text.split(['=', ':']).next().map(|k| k.trim().to_owned());
+                (key, text.contains(['=', ':']))
             }
-            None => text.split(['=', ':']).next().map(|k| k.trim().to_owned()),
         };
         lines.push(Line {
             number: i + 1,
             section: section.clone(),
             key,
+            whole,
         });
     }
     lines
@@ -105,6 +115,16 @@
     found.map_or(0, |l| l.number)
 }
 
+fn odd(file: &str, lines: &[Line]) -> Vec<Finding> {
+    let odd = lines.iter().filter(|line| !line.whole);
+    odd.map(|line| Finding {
+        line: line.number,
+        section: line.section.clone(),
+        ..Finding::of_file(file, "a line that is neither a section nor KEY = VALUE")
+    })
+    .collect()
+}
+
 fn twice(file: &str, lines: &[Line]) -> Vec<Finding> {
     let repeated = lines.iter().enumerate().filter(|(i, line)| {
         let before = &lines[..*i];
--- a/crates/node/src/settings/value.rs
+++ b/crates/node/src/settings/value.rs
@@ -19,7 +19,10 @@
     parts.map(addr).collect()
 }
 
-/// A time with its unit: `250ms`, `10s`, `5m` or `24h`.
+/// Longest time that a setting may have. A far longer one, added to a clock, would overflow it.
+const LONGEST: Duration = Duration::from_secs(365 * 24 * 3600);
+
+/// A time with its unit, up to a year: `250ms`, `10s`, `5m` or `24h`.
 pub fn time(text: &str) -> Result<Duration> {
     let unit = text.trim_start_matches(|c: char| c.is_ascii_digit());
     let digits = &text[..text.len() - unit.len()];
@@ -32,7 +35,20 @@
         "h" => number.checked_mul(3_600_000),
         _ => None,
     };
-    millis.map(Duration::from_millis).ok_or_else(wrong)
+    let time = millis.map(Duration::from_millis).ok_or_else(wrong)?;
+    if time > LONGEST {
+        return Err(format!("{text:?} is longer than a year"));
+    }
+    Ok(time)
+}
+
+/// A time in which something is to happen, so not 0: see [`time`].
+pub fn limit(text: &str) -> Result<Duration> {
+    let time = time(text)?;
+    if time.is_zero() {
+        return Err("must be longer than 0".to_owned());
+    }
+    Ok(time)
 }
 
 /// A number of at least 1.
@@ -43,11 +59,11 @@
     }
 }
 
-/// A share: a number above 0 and at most 1.
-pub fn share(text: &str) -> Result<f64> {
-    match text.parse::<f64>() {
-        Ok(share) if share > 0.0 && share <= 1.0 => Ok(share),
-        _ => Err(format!("{text:?} is not a number above 0 and at most 1")),
+/// A number of at least 1 and at most `most`.
+pub fn up_to(most: usize) -> impl Fn(&str) -> Result<usize> {
+    move |text| match count(text)? {
+        number if number > most => Err(format!("{text:?} is more than {most}")),
+        number => Ok(number),
     }
 }
 
--- /dev/null
+++ b/crates/node/tests/binary.rs
@@ -0,0 +1,273 @@
+//! The binary: its command line, its findings, its signals.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Output, Stdio};
+use std::time::{Duration, Instant};
+
+/// Longest time for something that must come.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// How often it is looked for.
+const LOOK: Duration = Duration::from_millis(20);
+
+fn wigeonshelf(args: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_wigeonshelf"));
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/cases");
+    command
+        .args(args)
+        .current_dir(folder)
+        .output()
+        .expect("it runs")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+#[test]
+fn help_and_version_go_to_standard_output() {
+    let help = wigeonshelf(&["--help"]);
+    assert!(help.status.success() && help.stderr.is_empty());
+    for word in ["--config", "check", "--version"] {
+        assert!(text(&help.stdout).contains(word), "{word}");
+    }
+    let version = wigeonshelf(&["--version"]);
+    assert!(version.status.success());
+    assert_eq!(
+        text(&version.stdout),
+        format!("wigeonshelf {}\n", env!("CARGO_PKG_VERSION"))
+    );
+}
+
+#[test]
+fn wrong_command_lines_are_told_with_code_2() {
+    let lines: [&[&str]; 5] = [
+        &[],
+        &["check"],
+        &["--none-such"],
+        &["check", "--config", "none-such.ini"],
+        &["--config", "none-such.ini"],
+    ];
+    for args in lines {
+        let output = wigeonshelf(args);
+        assert_eq!(output.status.code(), Some(2), "{args:?}");
+        assert!(
+            !output.stderr.is_empty() && output.stdout.is_empty(),
+            "{args:?}"
+        );
+    }
+}
+
+#[test]
+fn good_settings_are_told_so() {
+    let output = wigeonshelf(&["check", "--config", "good.ini"]);
+    assert!(output.status.success(), "{output:?}");
+    assert!(text(&output.stdout).contains("entry-1") && output.stderr.is_empty());
+}
+
+// An operator sees every finding in one run, with its place, and nothing was started: with the
+// same faults `check` and a start say the same.
+#[test]
+fn every_finding_is_told_and_nothing_is_started() {
+    let case = include_str!("cases/faults.ini");
+    let expected: Vec<&str> = case
+        .lines()
+        .filter_map(|l| l.strip_prefix("; expect "))
+        .collect();
+    for args in [
+        &["check", "--config", "faults.ini"][..],
+        &["--config", "faults.ini"],
+    ] {
+        let output = wigeonshelf(args);
+        assert_eq!(output.status.code(), Some(2));
+        assert!(output.stdout.is_empty());
+        assert_eq!(text(&output.stderr).lines().collect::<Vec<_>>(), expected);
+    }
+}
+
+/// A node that runs on its own; the platform's services are not there.
+struct Node {
+    child: Child,
+    admin: SocketAddr,
+    callers: SocketAddr,
+    file: PathBuf,
+}
+
+fn settings(name: &str, drain: &str, callers: u16) -> String {
+    format!(
+        "[node]\nname = {name}\nzone = a\nregion = south\nworkers = 1\n\
+         drain = {drain}\naddress_ttl = 0s\n\
+         [callers]\nlisten = 127.0.0.1:{callers}\n\
+         [peers]\nlisten = 127.0.0.1:0\nkey = {}\n\
+         [admin]\nlisten = 127.0.0.1:0\n\
+         [platform]\nlog = 127.0.0.1:9\nlist = 127.0.0.1:9\n\
+         [trust]\nalice = d75a980182b10ab7d54bfed3c964073a0ee172f3daa62325af021a68f707511a\n\
+         [logging]\nlevel = info\n",
+        "01".repeat(32)
+    )
+}
+
+/// Writes settings into a file of the test's own.
+fn write(name: &str, settings: &str) -> PathBuf {
+    let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.ini"));
+    std::fs::write(&file, settings).expect("written");
+    file
+}
+
+/// The address that follows `word` in a line.
+fn after(line: &str, word: &str) -> SocketAddr {
+    let rest = line.split(word).nth(1).expect("the word");
+    let addr = rest.trim().split(',').next().expect("an address");
+    addr.parse().expect("an address")
+}
+
+impl Node {
+    /// Starts a node on ports of the kernel's choice, which it logs.
+    fn start(name: &str, drain: &str) -> Self {
+        let file = write(name, &settings(name, drain, 0));
+        let mut command = Command::new(env!("CARGO_BIN_EXE_wigeonshelf"));
+        command.arg("--config").arg(&file).stderr(Stdio::piped());
+        let mut child = command.spawn().expect("it starts");
+        let mut lines = BufReader::new(child.stderr.take().expect("stderr")).lines();
+        let line = lines.find(|l| l.as_ref().is_ok_and(|l| l.contains("serves callers on ")));
+        let line = line.expect("it says where it serves").expect("a line");
+        // What else it logs is read away, so that it never waits for a reader.
+        std::thread::spawn(move || lines.count());
+        let node = Self {
+            child,
+            admin: after(&line, "admin on "),
+            callers: after(&line, "callers on "),
+            file,
+        };
+        wait("healthz answers", || {
+            node.get(node.admin, "/healthz")
+                .starts_with("HTTP/1.1 200 ")
+        });
+        node
+    }
+
+    /// The answer to a GET, or nothing.
+    fn get(&self, addr: SocketAddr, path: &str) -> String {
+        let mut answer = Vec::new();
+        if let Ok(mut stream) = TcpStream::connect(addr) {
+            let _ = stream.set_read_timeout(Some(PATIENCE));
+            let _ = write!(
+                stream,
+                "GET {path} HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\r\n"
+            );
+            let _ = stream.read_to_end(&mut answer);
+        }
+        text(&answer)
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", name, &pid]).status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("a status")
+    }
+
+    /// Waits for its end; the exit code.
+    fn end(&mut self) -> Option<i32> {
+        wait("the node ends", || self.ended().is_some());
+        self.ended().and_then(|s| s.code())
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        // Does nothing to a process that has been waited for.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+fn wait(what: &str, mut test: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !test() {
+        assert!(Instant::now() < end, "it did not come: {what}");
+        std::thread::sleep(LOOK);
+    }
+}
+
+// A node without its platform answers on both listeners, and says that it is not ready.
+#[test]
+fn started_node_answers() {
+    let mut node = Node::start("answers", "0s");
+    assert!(node.get(node.admin, "/readyz").starts_with("HTTP/1.1 503 "));
+    assert!(
+        node.get(node.admin, "/metrics")
+            .starts_with("HTTP/1.1 200 ")
+    );
+    let refused = node.get(node.callers, "/v1/addresses");
+    assert!(
+        refused.starts_with("HTTP/1.1 503 ") && refused.contains("\"starting\""),
+        "{refused}"
+    );
+    node.signal("TERM");
+    assert_eq!(node.end(), Some(0));
+}
+
+// A caller with an old address answer is still served while the node drains; then it ends with 0.
+#[test]
+fn signal_drains_and_ends() {
+    for signal in ["TERM", "INT"] {
+        let mut node = Node::start(&format!("drains-{signal}"), "2s");
+        node.signal(signal);
+        let told = |node: &Node| {
+            node.get(node.admin, "/admin/v1/status")
+                .contains("\"leaving\":true")
+        };
+        wait("the node says that it leaves", || told(&node));
+        assert!(
+            node.get(node.callers, "/v1/addresses")
+                .starts_with("HTTP/1.1 503 ")
+        );
+        assert_eq!(node.end(), Some(0));
+    }
+}
+
+// The operator has no time for the drain, which would take an hour: a second signal ends it.
+#[test]
+fn second_signal_ends_at_once() {
+    let mut node = Node::start("at-once", "1h");
+    node.signal("TERM");
+    let told = |node: &Node| {
+        node.get(node.admin, "/admin/v1/status")
+            .contains("\"leaving\":true")
+    };
+    wait("the node says that it leaves", || told(&node));
+    assert!(node.ended().is_none());
+    node.signal("TERM");
+    assert_eq!(node.end(), Some(0));
+}
+
+// A second process with the same port ends with code 1 and tells the listener. If the kernel let both
+// listen, each would get half of the callers' connections, and nobody would be told.
+#[test]
+fn taken_port_is_told() {
+    let node = Node::start("first", "0s");
+    let file = write("second", &settings("second", "0s", node.callers.port()));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_wigeonshelf"));
+    command.arg("--config").arg(&file).stderr(Stdio::piped());
+    let mut second = command.spawn().expect("it starts");
+    let end = Instant::now() + PATIENCE / 3;
+    while second.try_wait().expect("a status").is_none() {
+        if Instant::now() > end {
+            let _ = second.kill();
+        }
+        std::thread::sleep(LOOK);
+    }
+    let output = second.wait_with_output().expect("it ended");
+    assert_eq!(output.status.code(), Some(1), "{output:?}");
+    let told = text(&output.stderr);
+    assert!(
+        told.contains(&format!("callers' listener {}", node.callers)),
+        "{told}"
+    );
+}
