entry: one place for answers with a body and for events; the core's messages and sessions have files

Cause: JSON answers were put together in four places, the events of chat and text in two types and two functions of the same shape. answer::Ticket, which tells the core that a caller left, had the name of the tickets that callers ask for. core.rs had 763 lines.

Change: response.rs makes answers with a body; api/chunk.rs is the one event, generic over its choices; the guard is called Guard; handler/place.rs is handler/discover.rs; core/message.rs and core/session.rs hold the types. No behaviour changes.

Conclusion: a new kind of event or answer is written once.

--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -6,18 +6,17 @@
 use crate::core::{Command, Tx};
 use crate::limits::Limits;
 use crate::reading;
+use crate::response::{json, typed};
 use bundle::answer::{Answer, Word};
 use bytes::Bytes;
 use http::StatusCode;
-use http::header::{CONTENT_TYPE, HeaderValue};
-use http_body_util::Full;
 use prometheus::{Encoder, Registry, TextEncoder};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
-use viz::{Body, IntoResponse, Request, Response, Router};
+use viz::{IntoResponse, Request, Response, Router};
 
 /// Questions that may wait for control; one more is answered with an error at once.
 pub const QUESTIONS: usize = 64;
@@ -226,7 +225,7 @@
         let message = "no bundle is in force on this node yet";
         Error::new(StatusCode::NOT_FOUND, "no_bundle", message)
     })?;
-    Ok(typed(Bytes::from(head), "application/json"))
+    Ok(typed(head, "application/json"))
 }
 
 fn metrics(state: &Shared) -> Result<Response> {
@@ -234,7 +233,7 @@
     let mut text = Vec::new();
     let encoded = encoder.encode(&state.registry.gather(), &mut text);
     encoded.map_err(|e| Error::new(StatusCode::INTERNAL_SERVER_ERROR, "metrics", e.to_string()))?;
-    Ok(typed(Bytes::from(text), "text/plain; version=0.0.4"))
+    Ok(typed(text, "text/plain; version=0.0.4"))
 }
 
 async fn dump(state: &Shared, req: &Request) -> Result<Response> {
@@ -250,7 +249,7 @@
         .iter()
         .map(|p| format!("== {} ==\n{}\n", p.part, p.text));
     let text: String = sections.collect();
-    Ok(typed(Bytes::from(text), "text/plain; charset=utf-8"))
+    Ok(typed(text, "text/plain; charset=utf-8"))
 }
 
 async fn worker_dump(number: usize, worker: &Tx) -> Part {
@@ -277,15 +276,3 @@
     };
     Ok(response)
 }
-
-fn json<T: Serialize>(value: &T) -> Response {
-    let body = serde_json::to_vec(value).unwrap_or_default();
-    typed(Bytes::from(body), "application/json")
-}
-
-fn typed(body: Bytes, kind: &'static str) -> Response {
-    let mut response = Response::new(Body::from(Full::from(body)));
-    let headers = response.headers_mut();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static(kind));
-    response
-}
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -14,19 +14,19 @@
 use tokio::time::Instant;
 
 /// Tells the core that the caller is gone, when dropped.
-pub struct Ticket {
+pub struct Guard {
     id: Id,
     tx: Tx,
 }
 
-impl Ticket {
-    /// A ticket for request `id`.
+impl Guard {
+    /// The guard of request `id`.
     pub fn new(id: Id, tx: Tx) -> Self {
         Self { id, tx }
     }
 }
 
-impl Drop for Ticket {
+impl Drop for Guard {
     fn drop(&mut self) {
         // After the answer's end the core knows the id no more, and this says nothing.
         let _ = self.tx.send(Command::Left(self.id));
@@ -50,7 +50,7 @@
     id: String,
     created: u64,
     replies: mpsc::UnboundedReceiver<Reply>,
-    ticket: Option<Ticket>,
+    guard: Option<Guard>,
     cutter: Cutter,
     tokens: u32,
     last: Instant,
@@ -61,7 +61,7 @@
     /// The answer to `ask`, whose parts come from `replies`.
     pub fn new(
         ask: Ask,
-        ticket: Ticket,
+        guard: Guard,
         replies: mpsc::UnboundedReceiver<Reply>,
         metrics: Metrics,
     ) -> Self {
@@ -70,12 +70,12 @@
             Kind::Text => "cmpl",
         };
         Self {
-            id: format!("{prefix}-{:032x}", ticket.id),
+            id: format!("{prefix}-{:032x}", guard.id),
             created: unix_time(),
             cutter: Cutter::new(ask.stops.clone()),
             ask,
             replies,
-            ticket: Some(ticket),
+            guard: Some(guard),
             tokens: 0,
             last: Instant::now(),
             metrics,
@@ -161,7 +161,7 @@
         }
         // The answer is whole for the caller; the rest of the work is cancelled. The engines' count
         // of the prompt would come with the end that is not waited for.
-        self.ticket = None;
+        self.guard = None;
         let prompt_tokens = self.ask.prompt_tokens();
         Part::End(
             given,
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -2,6 +2,7 @@
 
 pub mod ask;
 pub mod chat;
+pub mod chunk;
 pub mod completion;
 pub mod error;
 pub mod header;
--- a/crates/entry/src/api/chat.rs
+++ b/crates/entry/src/api/chat.rs
@@ -158,27 +158,6 @@
     }
 }
 
-/// One event of a streamed answer.
-#[derive(Debug, Serialize)]
-pub struct Chunk<'a> {
-    /// Id of the answer.
-    pub id: &'a str,
-    /// Kind of object.
-    pub object: &'static str,
-    /// Unix time of its making.
-    pub created: u64,
-    /// Model, as named by the caller.
-    pub model: &'a str,
-    /// The one choice; none in the event that only carries usage.
-    pub choices: Vec<ChunkChoice<'a>>,
-    /// Tokens used, in the last event if asked for.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub usage: Option<Usage>,
-    /// Outcome, in the last event.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub outcome: Option<&'static str>,
-}
-
 /// The choice of an event.
 #[derive(Debug, Serialize)]
 pub struct ChunkChoice<'a> {
--- a/crates/entry/src/api/completion.rs
+++ b/crates/entry/src/api/completion.rs
@@ -1,7 +1,6 @@
 //! Bodies and answers of `POST /v1/completions`.
 
 use super::ask::{Ask, Kind, Raw, parse};
-use super::chat::Usage;
 use super::error::{Error, Result};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -40,27 +39,6 @@
     prompt.ok_or_else(|| Error::value("prompt", "there is no prompt"))
 }
 
-/// A whole answer, or one event of a streamed one.
-#[derive(Debug, Serialize)]
-pub struct Answer<'a> {
-    /// Id of the answer.
-    pub id: &'a str,
-    /// Kind of object.
-    pub object: &'static str,
-    /// Unix time of its making.
-    pub created: u64,
-    /// Model, as named by the caller.
-    pub model: &'a str,
-    /// The one choice; none in the event that only carries usage.
-    pub choices: Vec<Choice<'a>>,
-    /// Tokens used.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub usage: Option<Usage>,
-    /// Outcome, in the last event of a stream.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub outcome: Option<&'static str>,
-}
-
 /// The choice.
 #[derive(Debug, Serialize)]
 pub struct Choice<'a> {
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -8,36 +8,37 @@
 //! Endpoint ids belong to one bundle. A failure names the id that its attempt was started with, as
 //! the router expects. What outlives a bundle otherwise (probes, loads, notes) goes by name.
 
-use crate::api::error::Error;
+mod message;
+mod session;
+
 use crate::attempt::{self, Call, CallEvent, Context, Prompt, Stage, Work};
 use crate::cause;
-use crate::claim::{self, Claim, Kept, Verdict};
+use crate::claim::{self, Kept, Verdict};
 use crate::metrics::Metrics;
 use crate::ring;
 use crate::snapshot::{Board, Snapshot};
 use arc_swap::ArcSwap;
-use bundle::digest::Digest;
 use bundle::id::EndpointId;
-use bytes::Bytes;
 use engine::chain::{self, Stop, Token};
 use engine::pool::Pool;
-use lease::claim::Hash;
 use route::action::{Action, Hop, Observation};
 use route::event::{Event, TICK};
 use route::failure::{Cause, Failure};
-use route::load::Report;
 use route::outcome::Outcome;
 use route::refusal::{Reason, Refusal};
-use route::request::{Id, Request};
+use route::request::Id;
 use route::router::Router;
 use route::{Attempt, Now};
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+pub use message::{Arrival, Command, Demand, End, Note, Notice, Reply};
+use session::{Running, Session};
+
 /// Sends commands to a core.
 pub type Tx = mpsc::UnboundedSender<Command>;
 /// Receives the commands of a core.
@@ -60,150 +61,6 @@
     prompt_tokens: 0,
 };
 
-/// Something a core is told.
-#[derive(Debug)]
-pub enum Command {
-    /// A request arrived.
-    Arrive(Arrival),
-    /// Something happened in an attempt on a pipeline.
-    Chain(Id, Attempt, chain::Event),
-    /// Something happened in a call of a plain service.
-    Call(Id, Attempt, CallEvent),
-    /// The caller went away, or has all it wants.
-    Left(Id),
-    /// A probe ended; whether the named endpoint answered.
-    Probed(Arc<str>, bool),
-    /// Asks for a ticket.
-    Ticket(oneshot::Sender<String>),
-    /// Asks for the state in text.
-    Dump(oneshot::Sender<String>),
-}
-
-/// A request and where its answer goes.
-#[derive(Debug)]
-pub struct Arrival {
-    /// What the router decides on.
-    pub request: Request,
-    /// What is to be done.
-    pub work: Work,
-    /// The key under which it must run at most once, if any.
-    pub claim: Option<Claim>,
-    /// Where the answer goes.
-    pub reply: mpsc::UnboundedSender<Reply>,
-}
-
-/// A part of an answer.
-#[derive(Debug)]
-pub enum Reply {
-    /// The request was not run.
-    Refused(Refusal),
-    /// Another answer than the one asked for.
-    Error(Box<Error>),
-    /// One more token.
-    Token(Token),
-    /// The head of a plain service's answer.
-    Head(Box<http::response::Parts>),
-    /// The answer ended.
-    Done(End),
-}
-
-/// How an answer ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct End {
-    /// Outcome.
-    pub outcome: Outcome,
-    /// Why the last token was the last.
-    pub stop: Stop,
-    /// Tokens of the prompt.
-    pub prompt_tokens: u32,
-}
-
-/// Something a core tells control.
-#[derive(Debug)]
-pub enum Note {
-    /// A named endpoint was taken out of use.
-    Ejected(Arc<str>),
-    /// A named endpoint is back in use.
-    Restored(Arc<str>),
-    /// A request with this fingerprint was in flight when an endpoint died.
-    Suspect(u64),
-    /// A verdict on this fingerprint is awaited.
-    Pending(u64),
-    /// Requests with this fingerprint crash endpoints.
-    Condemned(u64),
-    /// What teams ask of this worker, by team of the bundle with this digest.
-    Demand(Digest, Vec<Demand>),
-    /// A request asks for its key.
-    Claim(claim::Ask),
-    /// The caller of a request that waits for its key went away.
-    Unclaim(Id),
-    /// A run under a key ended.
-    Ended(claim::Ended),
-    /// A caller asks for a ticket.
-    Ticket(oneshot::Sender<String>),
-}
-
-/// What one team asks of one worker.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Demand {
-    /// Requests that came since the start, refused ones included.
-    pub asked: u64,
-    /// Requests in flight.
-    pub in_flight: u32,
-}
-
-/// Something control tells a core.
-#[derive(Clone, Debug)]
-pub enum Notice {
-    /// Load of a named endpoint.
-    Load(Arc<str>, Report),
-    /// What becomes of a request that asked for its key.
-    Claim(Id, Verdict),
-}
-
-/// A request in the table.
-struct Session {
-    work: Work,
-    reply: mpsc::UnboundedSender<Reply>,
-    had: Vec<Token>,
-    end: End,
-    repeatable: bool,
-    /// The key's hash, if it runs under a key.
-    hash: Option<Hash>,
-    /// The request, while it waits for its key.
-    unclaimed: Option<Request>,
-    /// Head of a plain service's answer, to be kept for resends.
-    head: Option<Box<http::response::Parts>>,
-    /// Its body, if it is short enough to be kept.
-    body: Option<Bytes>,
-    /// Whether a part of a plain service's answer went to the caller: it can't be started anew.
-    committed: bool,
-    running: Option<Running>,
-}
-
-impl Session {
-    /// The whole answer, for resends.
-    fn kept(&self) -> Option<Kept> {
-        match &self.work {
-            Work::Tokens(_) => {
-                let end = End {
-                    outcome: Outcome::Complete,
-                    ..self.end
-                };
-                Some(Kept::Tokens(self.had.clone(), end))
-            }
-            Work::Call(_) => Some(Kept::Call(self.head.clone()?, self.body.clone()?)),
-        }
-    }
-}
-
-/// The current attempt of a session.
-struct Running {
-    attempt: Attempt,
-    stages: Vec<Stage>,
-    cancel: CancellationToken,
-}
-
 /// The core.
 pub struct Core {
     router: Router,
@@ -639,7 +496,7 @@
             Action::Finish(id, outcome) => self.finish(id, outcome),
             Action::Probe(endpoint) => self.probe(endpoint),
             Action::Disconnect(endpoint) => {
-                if let Some(stage) = self.stage(&whole(endpoint)) {
+                if let Some(stage) = self.stage(&sole_hop(endpoint)) {
                     self.pool.forget(stage.addr);
                 }
             }
@@ -714,7 +571,7 @@
     }
 
     fn probe(&mut self, endpoint: EndpointId) {
-        let Some(stage) = self.stage(&whole(endpoint)) else {
+        let Some(stage) = self.stage(&sole_hop(endpoint)) else {
             return;
         };
         let pool = self.pool.clone();
@@ -727,8 +584,8 @@
 
     fn observe(&mut self, observation: Observation) {
         let note = match observation {
-            Observation::Ejected(e) => self.stage(&whole(e)).map(|s| Note::Ejected(s.name)),
-            Observation::Restored(e) => self.stage(&whole(e)).map(|s| Note::Restored(s.name)),
+            Observation::Ejected(e) => self.stage(&sole_hop(e)).map(|s| Note::Ejected(s.name)),
+            Observation::Restored(e) => self.stage(&sole_hop(e)).map(|s| Note::Restored(s.name)),
             Observation::Suspect(fingerprint) => Some(Note::Suspect(fingerprint)),
             Observation::Pending(fingerprint) => Some(Note::Pending(fingerprint)),
             Observation::Condemned(fingerprint) => Some(Note::Condemned(fingerprint)),
@@ -744,7 +601,7 @@
 }
 
 /// A hop that only names its endpoint.
-fn whole(endpoint: EndpointId) -> Hop {
+fn sole_hop(endpoint: EndpointId) -> Hop {
     Hop {
         endpoint,
         from: 0,
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -2,9 +2,9 @@
 
 pub mod call;
 pub mod complete;
+pub mod discover;
 pub mod forward;
 pub mod key;
-pub mod place;
 
 use crate::api::error::Error;
 use crate::api::header::{REQUEST, put_request};
@@ -93,12 +93,12 @@
     let s = state.clone();
     router = router.get("/v1/models", move |req: Request| {
         let s = s.clone();
-        async move { answer(&s, place::models(&s, &req)) }
+        async move { answer(&s, discover::models(&s, &req)) }
     });
     let s = state.clone();
     router = router.get("/v1/addresses", move |req: Request| {
         let s = s.clone();
-        async move { answer(&s, place::addresses(&s, &req)) }
+        async move { answer(&s, discover::addresses(&s, &req)) }
     });
     let s = state.clone();
     router = router.post("/v1/tickets", move |req: Request| {
--- a/crates/entry/src/handler/call.rs
+++ b/crates/entry/src/handler/call.rs
@@ -3,7 +3,7 @@
 use super::complete::fingerprint;
 use super::forward::Original;
 use super::{Shared, caller, with_id};
-use crate::answer::Ticket;
+use crate::answer::Guard;
 use crate::api::error::{Error, Result};
 use crate::api::header::{DEADLINE, Header, OUTCOME, PRIORITY, REPEATABLE, WHOLE};
 use crate::attempt::{CHUNKS, Call, Work};
@@ -144,7 +144,7 @@
 ) -> Result<Response> {
     let (reply, replies) = mpsc::unbounded_channel();
     let mut flow = Flow {
-        ticket: Ticket::new(request.id, state.tx.clone()),
+        guard: Guard::new(request.id, state.tx.clone()),
         replies,
         pieces,
         ended: false,
@@ -168,7 +168,7 @@
 /// An answer of a plain service on its way to the caller.
 struct Flow {
     #[expect(dead_code, reason = "tells the core when it is dropped")]
-    ticket: Ticket,
+    guard: Guard,
     replies: mpsc::UnboundedReceiver<Reply>,
     pieces: mpsc::Receiver<Bytes>,
     ended: bool,
--- a/crates/entry/src/handler/complete.rs
+++ b/crates/entry/src/handler/complete.rs
@@ -2,20 +2,20 @@
 
 use super::forward::Original;
 use super::{Shared, with_id};
-use crate::answer::{Answer, Part, Ticket};
+use crate::answer::{Answer, Guard, Part};
 use crate::api::ask::{Ask, Kind};
+use crate::api::chunk::Chunk;
 use crate::api::error::{Error, Result, outcome};
 use crate::api::header::{Header, OUTCOME};
 use crate::api::{chat, completion, models};
 use crate::attempt::{Prompt, Work};
 use crate::core::{Arrival, Command, End, Reply};
+use crate::response::json;
 use crate::{reading, sse};
 use bundle::Bundle;
 use bundle::id::{AdapterId, ModelId};
-use bytes::Bytes;
 use http::StatusCode;
 use http::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
-use http_body_util::Full;
 use route::outcome::Outcome;
 use route::request::{Request as Routed, Target};
 use std::sync::Arc;
@@ -151,14 +151,14 @@
         rank: bundle.priorities[usize::from(header.priority)].rank,
     };
     let (reply, replies) = mpsc::unbounded_channel();
-    let ticket = Ticket::new(request.id, state.tx.clone());
+    let guard = Guard::new(request.id, state.tx.clone());
     let arrival = Arrival {
         request,
         work: Work::Tokens(Arc::new(prompt)),
         claim: None,
         reply,
     };
-    let answer = Answer::new(ask, ticket, replies, state.metrics.clone());
+    let answer = Answer::new(ask, guard, replies, state.metrics.clone());
     (arrival, answer)
 }
 
@@ -198,7 +198,7 @@
     if answer.wants_stream() {
         return Ok(stream_whole(answer, text, end));
     }
-    json(&answer, &text, end)
+    Ok(unstreamed(&answer, &text, end))
 }
 
 /// The whole text, or an error: a part of an answer is never given as JSON.
@@ -236,18 +236,13 @@
     response
 }
 
-fn json(answer: &Answer, text: &str, end: End) -> Result<Response> {
-    let body = match answer.kind() {
-        Kind::Chat => serde_json::to_vec(&chat_answer(answer, text, end)),
-        Kind::Text => serde_json::to_vec(&text_answer(answer, text, end)),
+fn unstreamed(answer: &Answer, text: &str, end: End) -> Response {
+    let mut response = match answer.kind() {
+        Kind::Chat => json(&chat_answer(answer, text, end)),
+        Kind::Text => json(&text_answer(answer, text, end)),
     };
-    let mut response = Response::new(Body::from(Full::from(Bytes::from(
-        body.unwrap_or_default(),
-    ))));
-    let headers = response.headers_mut();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    headers.insert(OUTCOME, outcome(end.outcome));
-    Ok(response)
+    response.headers_mut().insert(OUTCOME, outcome(end.outcome));
+    response
 }
 
 fn chat_answer<'a>(answer: &'a Answer, text: &'a str, end: End) -> chat::Answer<'a> {
@@ -268,8 +263,12 @@
     }
 }
 
-fn text_answer<'a>(answer: &'a Answer, text: &'a str, end: End) -> completion::Answer<'a> {
-    completion::Answer {
+fn text_answer<'a>(
+    answer: &'a Answer,
+    text: &'a str,
+    end: End,
+) -> Chunk<'a, completion::Choice<'a>> {
+    Chunk {
         id: answer.id(),
         object: "text_completion",
         created: answer.created(),
--- a/crates/entry/src/handler/place.rs
+++ b/crates/entry/src/handler/discover.rs
@@ -1,14 +1,11 @@
-//! Models and addresses.
+//! What callers ask before they send work: models and addresses.
 
 use super::Shared;
 use crate::address::{self, Place};
 use crate::api::error::Result;
 use crate::api::{header, models};
-use bytes::Bytes;
-use http::header::{CONTENT_TYPE, HeaderValue};
-use http_body_util::Full;
-use serde::Serialize;
-use viz::{Body, Request, RequestExt, Response};
+use crate::response::json;
+use viz::{Request, RequestExt, Response};
 
 /// Most addresses in one answer: a caller needs a few, and at full size the list is long.
 const MOST_ADDRESSES: usize = 16;
@@ -48,11 +45,3 @@
     );
     Ok(json(&answer))
 }
-
-fn json<T: Serialize>(value: &T) -> Response {
-    let body = serde_json::to_vec(value).unwrap_or_default();
-    let mut response = Response::new(Body::from(Full::from(Bytes::from(body))));
-    let kind = HeaderValue::from_static("application/json");
-    response.headers_mut().insert(CONTENT_TYPE, kind);
-    response
-}
--- a/crates/entry/src/handler/key.rs
+++ b/crates/entry/src/handler/key.rs
@@ -5,18 +5,16 @@
 use crate::api::header::{self, Header, IDEMPOTENCY_KEY};
 use crate::claim::Claim;
 use crate::core::Command;
+use crate::response::json;
 use bundle::Bundle;
-use bytes::Bytes;
 use http::StatusCode;
-use http::header::{CONTENT_TYPE, HeaderValue};
-use http_body_util::Full;
 use lease::claim::Form;
 use route::request::Request as Routed;
 use serde::Serialize;
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
-use viz::{Body, Request, Response};
+use viz::{Request, Response};
 
 /// Longest time for a ticket.
 const TICKET_TIME: Duration = Duration::from_secs(1);
@@ -52,9 +50,5 @@
         let message = "no ticket could be issued in time";
         Error::new(StatusCode::SERVICE_UNAVAILABLE, "no_ticket", message).retry_after(TICKET_TIME)
     })?;
-    let body = serde_json::to_vec(&Ticket { ticket }).unwrap_or_default();
-    let mut response = Response::new(Body::from(Full::from(Bytes::from(body))));
-    let kind = HeaderValue::from_static("application/json");
-    response.headers_mut().insert(CONTENT_TYPE, kind);
-    Ok(response)
+    Ok(json(&Ticket { ticket }))
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod listener;
 pub mod metrics;
 pub mod reading;
+pub mod response;
 pub mod ring;
 pub mod server;
 pub mod snapshot;
--- /dev/null
+++ b/crates/entry/src/response.rs
@@ -0,0 +1,21 @@
+//! Answers with a whole body.
+
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http_body_util::Full;
+use serde::Serialize;
+use viz::{Body, Response};
+
+/// An answer with `value` as JSON.
+pub fn json<T: Serialize>(value: &T) -> Response {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    typed(body, "application/json")
+}
+
+/// An answer with a body of the media type `kind`.
+pub fn typed(body: impl Into<Bytes>, kind: &'static str) -> Response {
+    let mut response = Response::new(Body::from(Full::from(body.into())));
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+    response
+}
--- a/crates/entry/src/sse.rs
+++ b/crates/entry/src/sse.rs
@@ -6,7 +6,8 @@
 
 use crate::answer::{Answer, Part};
 use crate::api::ask::Kind;
-use crate::api::chat::{Chunk, ChunkChoice, Delta, Usage};
+use crate::api::chat::{ChunkChoice, Delta, Usage};
+use crate::api::chunk::Chunk;
 use crate::api::completion;
 use crate::api::error::Error;
 use crate::core::{End, Reply};
@@ -14,9 +15,16 @@
 use futures::Stream;
 use futures::stream;
 use route::outcome::Outcome;
+use serde::Serialize;
 use std::collections::VecDeque;
 use std::io;
 
+/// Kind of object of a chat's event.
+const CHAT: &str = "chat.completion.chunk";
+/// Kind of object of a text completion's event.
+const TEXT: &str = "text_completion";
+/// Choices of the event that only carries usage.
+const NO_CHOICE: Vec<()> = Vec::new();
 /// End mark of a whole stream.
 const DONE: &str = "[DONE]";
 
@@ -160,25 +168,26 @@
             delta,
             finish_reason,
         };
-        let chunk = self.chunk(vec![choice], None, outcome);
-        self.ready.push_back(chunk);
+        self.chunk(CHAT, vec![choice], None, outcome);
     }
 
-    fn chunk(
-        &self,
-        choices: Vec<ChunkChoice<'_>>,
+    fn chunk<C: Serialize>(
+        &mut self,
+        object: &'static str,
+        choices: Vec<C>,
         usage: Option<Usage>,
         outcome: Option<&'static str>,
-    ) -> Bytes {
-        json(&Chunk {
+    ) {
+        let chunk = json(&Chunk {
             id: self.answer.id(),
-            object: "chat.completion.chunk",
+            object,
             created: self.answer.created(),
             model: self.answer.model(),
             choices,
             usage,
             outcome,
-        })
+        });
+        self.ready.push_back(chunk);
     }
 
     fn completion(
@@ -192,37 +201,19 @@
             text,
             finish_reason,
         };
-        let chunk = self.text_chunk(vec![choice], None, outcome);
-        self.ready.push_back(chunk);
-    }
-
-    fn text_chunk(
-        &self,
-        choices: Vec<completion::Choice<'_>>,
-        usage: Option<Usage>,
-        outcome: Option<&'static str>,
-    ) -> Bytes {
-        json(&completion::Answer {
-            id: self.answer.id(),
-            object: "text_completion",
-            created: self.answer.created(),
-            model: self.answer.model(),
-            choices,
-            usage,
-            outcome,
-        })
+        self.chunk(TEXT, vec![choice], None, outcome);
     }
 
     fn usage(&mut self, usage: Usage) {
-        let chunk = match self.answer.kind() {
-            Kind::Chat => self.chunk(Vec::new(), Some(usage), None),
-            Kind::Text => self.text_chunk(Vec::new(), Some(usage), None),
+        let object = match self.answer.kind() {
+            Kind::Chat => CHAT,
+            Kind::Text => TEXT,
         };
-        self.ready.push_back(chunk);
+        self.chunk(object, NO_CHOICE, Some(usage), None);
     }
 }
 
-fn json<T: serde::Serialize>(value: &T) -> Bytes {
+fn json<T: Serialize>(value: &T) -> Bytes {
     event(&serde_json::to_string(value).unwrap_or_default())
 }
 
