--- a/crates/entry/tests/garbage.rs
+++ b/crates/entry/tests/garbage.rs
@@ -118,8 +118,6 @@
     assert!(read > 0);
 }
 
-/// Any bytes as an address question's query are told apart from good ones without a panic; the
-/// text of a service's path is split in the handler, so it is brought over sockets elsewhere.
 #[test]
 fn keys_never_panic() {
     for seed in 0..SEEDS {
