slopes: a command that prints what each role of a node costs, by size

Cause: the page of capacity has to stand on measured slopes that any reader can print again.

Change: a library with a module for each role and an example that runs them all. It drives the public functions of the crates with passed-in time at three to four sizes each and fits a line.

Conclusion: one command, no logic of its own beside small drivers.

--- /dev/null
+++ b/crates/slopes/src/snapshot.rs
@@ -0,0 +1,134 @@
+//! What control builds for the workers, and the tables it walks each second for rolls; dumps.
+
+use crate::size::{ENDPOINTS, NODES, SIZES, TEAMS};
+use crate::slope::Slope;
+use crate::{clock, fleet, membership};
+use bundle::Bundle;
+use lease::roll::Health;
+use member::group::Group;
+use member::team::Share;
+use node::control::demand;
+use node::control::endpoints::Table;
+use node::control::listed::Listed;
+use node::control::view::Source;
+use node::settings::Settings;
+use std::sync::Arc;
+
+/// Request workers of a node.
+const WORKERS: usize = 2;
+/// Settings of the documentation's example node.
+const SETTINGS: &str = include_str!("../../../etc/node.ini");
+
+/// All that a snapshot is built from.
+struct World {
+    settings: Settings,
+    bundle: Arc<Bundle>,
+    listed: Listed,
+    shares: Vec<Share>,
+    endpoints: Table,
+    demand: demand::Table,
+}
+
+impl World {
+    fn new(size: crate::size::Size) -> Self {
+        let bundle = fleet::bundle(size);
+        let mut endpoints = Table::default();
+        for (id, row) in bundle.endpoints.iter().enumerate() {
+            endpoints.take(&row.name, fleet::report(&bundle, id));
+        }
+        let mut listed = Listed::default();
+        listed.update(&fleet::instances(size, NODES as usize));
+        let share = Share {
+            rate: 1.0,
+            in_flight: 10.0,
+        };
+        Self {
+            settings: node::settings::read("node.ini", SETTINGS).expect("sound settings"),
+            listed,
+            shares: vec![share; bundle.teams.len()],
+            endpoints,
+            demand: demand::Table::new(WORKERS),
+            bundle,
+        }
+    }
+
+    fn source<'a>(&'a self, group: &'a Group) -> Source<'a> {
+        Source {
+            settings: &self.settings,
+            callers: self.settings.callers.listen,
+            bundle: &self.bundle,
+            listed: &self.listed,
+            group,
+            shares: &self.shares,
+            endpoints: &self.endpoints,
+            demand: &self.demand,
+            leaving: false,
+        }
+    }
+
+    /// What a node does each second for rolls, whether it holds a lease or not.
+    fn rolls(&self) -> (usize, usize) {
+        let rows = self.bundle.endpoints.iter();
+        let health = |e: &bundle::endpoint::Endpoint| {
+            let takes = self.listed.takes_work(&e.instance);
+            self.endpoints.health(&e.name, takes)
+        };
+        let health: Vec<Health> = rows.map(health).collect();
+        (health.len(), self.endpoints.reports(&self.bundle).len())
+    }
+}
+
+/// All slopes of snapshots, by endpoints and by items of peers.
+pub fn slopes() -> Vec<Slope> {
+    let new = |name, unit| Slope::new(name, unit, "endpoints", ENDPOINTS);
+    let mut built = new("snapshot for one worker", "us");
+    let mut versions = new("of this, versions (done twice)", "us");
+    let mut rolls = new("reports and health for rolls, a second", "us");
+    let mut memory = new("memory of one snapshot", "KB");
+    let mut table = new("memory of the reports", "KB");
+    let mut dump = new("dump of the reports", "us");
+    let mut text = new("dump of the reports, text", "KB");
+    let small = membership::told(8, 3, 1);
+    for size in SIZES {
+        let x = size.endpoints() as f64;
+        let world = World::new(size);
+        let source = world.source(&small);
+        memory.add(x, clock::memory(100, || source.snapshot(0)));
+        let copies = (20_000 / size.endpoints()).clamp(2, 32);
+        let copy = || {
+            let mut table = Table::default();
+            let rows = world.bundle.endpoints.iter().enumerate();
+            rows.for_each(|(id, e)| {
+                table.take(&e.name, fleet::report(&world.bundle, id));
+            });
+            table
+        };
+        table.add(x, clock::memory(copies, copy));
+        built.add(x, clock::mean(|| source.snapshot(0)));
+        versions.add(x, clock::mean(|| world.endpoints.versions(&world.bundle)));
+        rolls.add(x, clock::mean(|| world.rolls()));
+        dump.add(x, clock::mean(|| world.endpoints.to_string()));
+        text.add(x, world.endpoints.to_string().len() as f64 / 1e3);
+    }
+    let mut slopes = vec![built, versions, rolls, memory, table, dump, text];
+    slopes.extend(items());
+    slopes
+}
+
+/// The part of a snapshot that reads what peers told.
+fn items() -> Vec<Slope> {
+    let all = NODES * TEAMS * 0.3;
+    let mut built = Slope::new("snapshot, 80 endpoints", "us", "items stored", all);
+    let mut dump = Slope::new("dump of the members", "us", "items stored", all);
+    let mut text = Slope::new("dump of the members, text", "KB", "items stored", all);
+    let world = World::new(SIZES[0]);
+    for nodes in [8, 16, 32] {
+        let group = membership::told(nodes, 3, TEAMS as usize);
+        let x = membership::stored(&group) as f64;
+        let source = world.source(&group);
+        built.add(x, clock::mean(|| source.snapshot(0)));
+        dump.add(x, clock::mean(|| group.to_string()));
+        text.add(x, group.to_string().len() as f64 / 1e3);
+    }
+    vec![built, dump, text]
+}
