--- a/crates/member/examples/spread.rs
+++ b/crates/member/examples/spread.rs
@@ -2,7 +2,7 @@
 //!
 //! Decision cores in one process with passed-in time; bytes are those of the `wire` crate's
 //! frames, with what a connection costs taken from `cargo run --release -p wigeonshelf-wire
-//! --example cost`.
+//! --example frame_cost`.
 
 #[path = "../tests/support/net.rs"]
 mod net;
--- a/crates/node/src/control/endpoints.rs
+++ b/crates/node/src/control/endpoints.rs
@@ -94,7 +94,9 @@
     fn whole(&self, bundle: &Bundle, model: ModelId, version: &str) -> bool {
         let layers = bundle.models[usize::from(model)].layers;
         let ids = 0..bundle.endpoints.len();
+        let spans = |id: &usize| bundle.endpoints[*id].spans.iter();
         let ready: Vec<_> = ids
+            .filter(|id| spans(id).any(|s| s.model == model))
             .filter(|id| self.serves(bundle, *id as EndpointId, model, version))
             .flat_map(|id| &bundle.endpoints[id].spans)
             .filter(|s| s.model == model)
--- a/crates/node/src/control/rolls.rs
+++ b/crates/node/src/control/rolls.rs
@@ -122,6 +122,12 @@
         self.handle(now, Event::Want(wants));
     }
 
+    /// Whether this node gives the orders in any group.
+    pub fn holds(&self, now: Duration) -> bool {
+        let mut groups = self.groups.keys();
+        groups.any(|group| self.table.permit(now, *group).is_some())
+    }
+
     /// Wants no group any more: this node leaves.
     pub fn give_back(&mut self, now: Duration) {
         self.handle(now, Event::Want(Vec::new()));
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -344,8 +344,9 @@
             endpoints: &self.endpoints,
             leaving: self.leaving,
         };
-        for (worker, board) in self.boards.iter().enumerate() {
-            board.store(Some(Arc::new(source.snapshot(worker))));
+        let snapshots = source.snapshots(self.boards.len());
+        for (board, snapshot) in self.boards.iter().zip(snapshots) {
+            board.store(Some(Arc::new(snapshot)));
         }
     }
 }
--- a/crates/node/src/control/state/orders.rs
+++ b/crates/node/src/control/state/orders.rs
@@ -45,6 +45,9 @@
         }
         let roster = self.group.roster();
         self.rolls.want(now, self.group.me(), &bundle, roster);
+        if !self.rolls.holds(now) {
+            return;
+        }
         let rows = bundle.endpoints.iter();
         let health = rows.map(|e| {
             let takes = self.listed.takes_work(&e.instance);
--- a/crates/node/src/control/state/peers.rs
+++ b/crates/node/src/control/state/peers.rs
@@ -49,7 +49,10 @@
                 let run = if restarted { " (another run)" } else { "" };
                 log::info!("node {name} is {state:?}{run}");
             }
-            Action::Learned(_) => self.dirty = true,
+            // Demand and load of peers change all the time; the step reads them once a second.
+            Action::Learned(item) => {
+                self.dirty |= !matches!(item.body, Body::Demand { .. } | Body::Load(_));
+            }
             Action::Newer { head, addr, .. } => self.fetch(head, addr),
         }
     }
--- a/crates/node/src/control/view.rs
+++ b/crates/node/src/control/view.rs
@@ -45,38 +45,53 @@
 }
 
 impl Source<'_> {
-    /// The snapshot for one worker.
-    pub fn snapshot(&self, worker: usize) -> Snapshot {
-        Snapshot {
-            view: Arc::new(self.view(worker)),
-            versions: self.endpoints.versions(self.bundle),
-            addresses: self.addresses(),
-        }
+    /// The snapshots of all workers, in order. Most of a snapshot is the same for all; looking it
+    /// up takes long in a large fleet, so it is done once.
+    pub fn snapshots(&self, workers: usize) -> Vec<Snapshot> {
+        let versions = self.endpoints.versions(self.bundle);
+        let view = self.view(&versions);
+        let addresses = self.addresses();
+        (0..workers)
+            .map(|worker| Snapshot {
+                view: Arc::new(self.own_part(view.clone(), worker)),
+                versions: versions.clone(),
+                addresses: addresses.clone(),
+            })
+            .collect()
     }
 
-    fn view(&self, worker: usize) -> View {
-        let observed = observed::read(self.group, self.bundle);
+    /// The view with one worker's shares.
+    fn own_part(&self, view: View, worker: usize) -> View {
         let shares = self.demand.worker(worker, self.shares, self.group.me());
         let retries = shares.iter().map(|s| s.rate).sum::<f64>() * RETRY_PART;
+        View {
+            shares,
+            retries: retries.max(LEAST_RETRIES),
+            ..view
+        }
+    }
+
+    /// The part of the view that is the same for all workers.
+    fn view(&self, versions: &[String]) -> View {
+        let observed = observed::read(self.group, self.bundle);
         View {
             bundle: self.bundle.clone(),
             zone: self.bundle.zone(&self.settings.node.zone).unwrap_or(0),
-            open: self.open(),
+            open: self.open(versions),
             ejected: observed.ejected,
             suspects: observed.suspects,
             pending: observed.pending,
             condemned: observed.condemned,
-            shares,
-            retries: retries.max(LEAST_RETRIES),
+            shares: Vec::new(),
+            retries: 0.0,
             // A node that leaves serves all that still comes; the listener ends it.
             leaving: false,
         }
     }
 
-    fn open(&self) -> Vec<bool> {
-        let versions = self.endpoints.versions(self.bundle);
+    fn open(&self, versions: &[String]) -> Vec<bool> {
         let rows = (0..).zip(&self.bundle.endpoints);
-        rows.map(|(id, e)| self.listed.takes_work(&e.instance) && self.ready(id, e, &versions))
+        rows.map(|(id, e)| self.listed.takes_work(&e.instance) && self.ready(id, e, versions))
             .collect()
     }
 
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -25,6 +25,8 @@
     NODE, CALLERS, PEERS, ADMIN, PLATFORM, TRUST, LIMITS, ROLL, LOGGING,
 ];
 
+/// Most failures that a roll may be set to take.
+const MOST_FAILURES: usize = 1000;
 /// Request workers, unless set.
 const WORKERS: usize = 2;
 /// Most request workers: more than any instance has cores.
@@ -263,7 +265,7 @@
         limit: section.or("load_time", usual.limit, time, findings),
         soak: section.or("watch", usual.soak, time, findings),
         drain: section.or("longest_request", usual.drain, time, findings),
-        failures: section.or("failures", usual.failures, count, findings),
+        failures: section.or("failures", usual.failures, up_to(MOST_FAILURES), findings),
         ..usual
     };
     section.finish(findings);
--- a/crates/rig/tests/tls.rs
+++ b/crates/rig/tests/tls.rs
@@ -261,7 +261,12 @@
     let pair = Pair::write("tls-admin");
     let plan = Plan::default();
     let closed = "127.0.0.1:9".parse().expect("an address");
-    let text = plan.settings(0, closed, closed);
+    let platform = rig::plan::Platform {
+        log: closed,
+        list: closed,
+        weights: closed,
+    };
+    let text = plan.settings(0, &platform);
     let admin = format!("[admin]\n{}", pair.lines());
     let text = text.replace("[admin]\n", &admin);
     let settings = node::settings::read("entry-0.ini", &text).expect("settings");
--- a/crates/route/src/meter.rs
+++ b/crates/route/src/meter.rs
@@ -21,12 +21,21 @@
     pub rate: f64,
     started: u32,
     since: Now,
+    last: Now,
     waited: bool,
 }
 
 impl Meter {
-    /// A request started; whether others still wait.
+    /// A request started; whether others still wait. Time without any start is not counted: a line
+    /// that was idle would look slow, and a burst after it would be refused as overload.
     pub fn start(&mut self, now: Now, waiting: bool) {
+        let idle = now.saturating_sub(self.last) >= WINDOW;
+        self.last = now;
+        if self.started == 0 || idle {
+            self.since = now;
+            self.started = 0;
+            self.waited = false;
+        }
         self.started += 1;
         self.waited |= waiting;
         self.roll(now);
@@ -40,11 +49,11 @@
         let rate = f64::from(self.started) / time.as_secs_f64();
         if self.waited {
             blend(&mut self.rate, rate, GAIN * 5.0);
-        } else {
+        } else if self.rate > 0.0 {
+            // Nobody waited, so more could have been started: it can only raise a known rate.
             self.rate = self.rate.max(rate);
         }
         self.started = 0;
-        self.since = now;
         self.waited = false;
     }
 
--- a/crates/route/tests/parts.rs
+++ b/crates/route/tests/parts.rs
@@ -259,6 +259,22 @@
     assert!(limits[10..].iter().all(|l| *l <= 16.0), "{limits:?}");
 }
 
+// Callers of a burst are refused as if the fleet were overloaded. A node that was idle for a while
+// starts one request, which says nothing of how many it could start; only starts while others wait
+// do, and idle time must not thin them out.
+#[test]
+fn idle_time_is_not_taken_for_a_slow_line() {
+    let mut meter = route::meter::Meter::default();
+    meter.start(ms(30_000), false);
+    meter.start(ms(62_000), false);
+    assert_eq!(meter.wait(100.0), Duration::ZERO);
+    (0..100).for_each(|i| meter.start(ms(90_000 + i * 20), true));
+    let wait = meter.wait(100.0);
+    assert!((ms(1_500)..=ms(2_500)).contains(&wait), "{wait:?}");
+    meter.start(ms(200_000), false);
+    assert!(meter.wait(100.0) <= wait);
+}
+
 #[test]
 fn the_time_that_counts_as_silence_is_bounded() {
     let mut pace = Pace::new(16);
--- a/crates/slopes/src/snapshot.rs
+++ b/crates/slopes/src/snapshot.rs
@@ -82,7 +82,7 @@
 pub fn slopes() -> Vec<Slope> {
     let new = |name, unit| Slope::new(name, unit, "endpoints", ENDPOINTS);
     let mut built = new("snapshot for one worker", "us");
-    let mut versions = new("of this, versions (done twice)", "us");
+    let mut versions = new("of this, versions", "us");
     let mut rolls = new("reports and health for rolls, a second", "us");
     let mut memory = new("memory of one snapshot", "KB");
     let mut table = new("memory of the reports", "KB");
@@ -93,7 +93,7 @@
         let x = size.endpoints() as f64;
         let world = World::new(size);
         let source = world.source(&small);
-        memory.add(x, clock::memory(100, || source.snapshot(0)));
+        memory.add(x, clock::memory(100, || source.snapshots(1)));
         let copies = (20_000 / size.endpoints()).clamp(2, 32);
         let copy = || {
             let mut table = Table::default();
@@ -104,7 +104,7 @@
             table
         };
         table.add(x, clock::memory(copies, copy));
-        built.add(x, clock::mean(|| source.snapshot(0)));
+        built.add(x, clock::mean(|| source.snapshots(1)));
         versions.add(x, clock::mean(|| world.endpoints.versions(&world.bundle)));
         rolls.add(x, clock::mean(|| world.rolls()));
         dump.add(x, clock::mean(|| world.endpoints.to_string()));
@@ -126,7 +126,7 @@
         let group = membership::told(nodes, 3, TEAMS as usize);
         let x = membership::stored(&group) as f64;
         let source = world.source(&group);
-        built.add(x, clock::mean(|| source.snapshot(0)));
+        built.add(x, clock::mean(|| source.snapshots(1)));
         dump.add(x, clock::mean(|| group.to_string()));
         text.add(x, group.to_string().len() as f64 / 1e3);
     }
