--- a/crates/rig/examples/demo.rs
+++ b/crates/rig/examples/demo.rs
@@ -215,6 +215,10 @@
 
 async fn serve_forever(fleet: &Fleet) -> Result<bool> {
     let node = fleet.node(0);
+    println!(
+        "  log service {}, instance list {}",
+        fleet.log.addr, fleet.list.addr
+    );
     println!("\ntry:");
     println!("  curl -s http://{}/v1/addresses", node.callers);
     println!(
