Claims and leases reach their streams of the log in one way

Cause: control's claims and rolls each had the same append, read and conversion of a page, with the same reading of an error that leaves an append unsure: a change to one could have missed the other. Change: node::control::stream has them once; both call it. Behaviour is as it was. Conclusion: one place says when an append counts as unsure.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -15,6 +15,7 @@
 pub mod records;
 pub mod rolls;
 pub mod state;
+pub mod stream;
 pub mod tail;
 pub mod view;
 
--- a/crates/node/src/control/claims.rs
+++ b/crates/node/src/control/claims.rs
@@ -1,15 +1,14 @@
 //! Claims of idempotency keys: the table, its reads and appends, and the answers kept for resends.
 
 use super::input::{Input, Inputs};
-use super::rolls::to_page;
+use super::stream::{self, Append};
 use crate::settings::Platform;
 use bytes::Bytes;
 use entry::api::error::Error;
 use entry::claim::{Ask, Ended, Kept, Verdict};
 use http::StatusCode;
 use lease::Owner;
-use lease::claim::{self, Action, Event, Settings, Table, Why, home, stream};
-use platform::Log;
+use lease::claim::{self, Action, Event, Settings, Table, Why, home};
 use platform::http::Log as Client;
 use route::outcome::Outcome;
 use route::request::Id;
@@ -17,8 +16,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How long a read waits for a record.
-const WAIT: Duration = Duration::from_secs(2);
 /// When to come back while the log is out.
 const LATER: Duration = Duration::from_secs(2);
 
@@ -200,10 +197,10 @@
         let client = self.client.clone();
         let inputs = self.inputs.clone();
         tokio::spawn(async move {
-            let event = match client.append(&stream(shard), body).await {
-                Ok(_) => Event::Appended(batch),
-                Err(error) if error.unsure() => Event::AppendUnsure(batch),
-                Err(_) => Event::AppendFailed(batch),
+            let event = match stream::append(&client, &claim::stream(shard), body).await {
+                Append::Done => Event::Appended(batch),
+                Append::Unsure => Event::AppendUnsure(batch),
+                Append::Failed => Event::AppendFailed(batch),
             };
             let _ = inputs.send(Input::Claim(event)).await;
         });
@@ -212,11 +209,11 @@
     fn read(&self, shard: claim::Shard, from: u64, wait: bool) {
         let client = self.client.clone();
         let inputs = self.inputs.clone();
-        let wait = if wait { WAIT } else { Duration::ZERO };
         tokio::spawn(async move {
-            let event = match client.read(&stream(shard), from, wait).await {
-                Ok(page) => Event::Page(shard, to_page(page)),
-                Err(_) => Event::ReadFailed(shard),
+            let page = stream::read(&client, &claim::stream(shard), from, wait).await;
+            let event = match page {
+                Some(page) => Event::Page(shard, page),
+                None => Event::ReadFailed(shard),
             };
             let _ = inputs.send(Input::Claim(event)).await;
         });
--- a/crates/node/src/control/rolls.rs
+++ b/crates/node/src/control/rolls.rs
@@ -3,19 +3,19 @@
 //! A group is a region. The nodes of the region want its lease; where there are none, all nodes do.
 
 use super::input::{Input, Inputs};
+use super::stream::{self, Append};
 use crate::settings::Settings;
 use bundle::Bundle;
 use bundle::id::{EndpointId, ZoneId};
 use bytes::Bytes;
 use engine::order::{Answer, What};
 use engine::pool::Pool;
+use lease::Owner;
 use lease::hold::{self, Event, Group, STREAM, Table, Want, group};
 use lease::roll::{Action, Health, Order, Rate, Report, Roll, View};
-use lease::{Owner, Page, Record};
 use member::identity::Id;
 use member::peer::{Peer, State};
 use member::roster::Roster;
-use platform::Log;
 use platform::http::Log as Client;
 use std::collections::BTreeMap;
 use std::fmt;
@@ -23,8 +23,6 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
-/// How long a read waits for a record.
-const WAIT: Duration = Duration::from_secs(2);
 /// What the weight store is taken to allow until it was asked.
 const CAREFUL: Rate = Rate {
     per_minute: 6,
@@ -255,10 +253,10 @@
         let client = self.client.clone();
         let inputs = self.inputs.clone();
         tokio::spawn(async move {
-            let event = match client.append(STREAM, body).await {
-                Ok(_) => Event::Appended(batch),
-                Err(error) if error.unsure() => Event::AppendUnsure(batch),
-                Err(_) => Event::AppendFailed(batch),
+            let event = match stream::append(&client, STREAM, body).await {
+                Append::Done => Event::Appended(batch),
+                Append::Unsure => Event::AppendUnsure(batch),
+                Append::Failed => Event::AppendFailed(batch),
             };
             let _ = inputs.send(Input::Lease(event)).await;
         });
@@ -267,11 +265,10 @@
     fn read(&self, from: u64, wait: bool) {
         let client = self.client.clone();
         let inputs = self.inputs.clone();
-        let wait = if wait { WAIT } else { Duration::ZERO };
         tokio::spawn(async move {
-            let event = match client.read(STREAM, from, wait).await {
-                Ok(page) => Event::Page(to_page(page)),
-                Err(_) => Event::ReadFailed,
+            let event = match stream::read(&client, STREAM, from, wait).await {
+                Some(page) => Event::Page(page),
+                None => Event::ReadFailed,
             };
             let _ = inputs.send(Input::Lease(event)).await;
         });
@@ -311,19 +308,6 @@
     }
 }
 
-/// A page as the decisions read it.
-pub fn to_page(page: platform::Page) -> Page {
-    let records = page.records.into_iter().map(|r| Record {
-        offset: r.offset,
-        body: r.body,
-    });
-    Page {
-        first: page.first,
-        next: page.next,
-        records: records.collect(),
-    }
-}
-
 impl fmt::Display for Rolls {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "{}", self.table)?;
