--- /dev/null
+++ b/crates/catalog/src/checked.rs
@@ -0,0 +1,192 @@
+//! The checked catalog.
+
+use crate::finding::Finding;
+use crate::limits::Limits;
+use crate::raw::{self, Tables};
+use crate::route::{Route, Share};
+use crate::service::Service;
+use crate::team::Team;
+use crate::{Result, RouteId, ServiceId, TeamId, Version};
+use std::collections::HashMap;
+use std::fmt;
+
+/// What the operator has put in force.
+///
+/// Invariants: every prefix begins and ends with a slash; the routes of a host stand with the
+/// longest prefix first, so that the first that fits a path is the one that counts; every share
+/// names a service of this catalog and has a weight.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Catalog {
+    /// Its number.
+    pub version: Version,
+    /// Routes.
+    pub routes: Vec<Route>,
+    /// Services.
+    pub services: Vec<Service>,
+    /// Teams.
+    pub teams: Vec<Team>,
+    /// Whether requests carry a key.
+    pub keyed: bool,
+    /// Bounds of what callers send.
+    pub limits: Limits,
+    hosts: HashMap<String, Vec<RouteId>>,
+    keys: HashMap<String, TeamId>,
+}
+
+impl Catalog {
+    /// The route of a path on `host`, which may carry a port.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let rows = match self.hosts.get(name) {
+            Some(rows) => rows,
+            None => self.hosts.get(&name.to_ascii_lowercase())?,
+        };
+        let mut routes = rows.iter().map(|&id| &self.routes[id as usize]);
+        routes.find(|r| path.starts_with(&r.prefix))
+    }
+
+    /// The team that holds `key`.
+    pub fn team(&self, key: &str) -> Option<&Team> {
+        self.keys.get(key).map(|&id| &self.teams[id as usize])
+    }
+
+    /// The service with this id.
+    pub fn service(&self, id: ServiceId) -> Option<&Service> {
+        self.services.get(id as usize)
+    }
+
+    /// The id of the service called `name`.
+    pub fn service_id(&self, name: &str) -> Option<ServiceId> {
+        let at = self.services.iter().position(|s| s.name == name)?;
+        u32::try_from(at).ok()
+    }
+}
+
+impl TryFrom<Tables> for Catalog {
+    type Error = Vec<Finding>;
+
+    fn try_from(tables: Tables) -> Result<Self> {
+        let mut findings = Vec::new();
+        let services: HashMap<String, ServiceId> = (0..)
+            .zip(&tables.services)
+            .map(|(id, s)| (s.name.clone(), id))
+            .collect();
+        let routes: Vec<Route> = tables
+            .routes
+            .into_iter()
+            .filter_map(|r| route(r, &services, &mut findings))
+            .collect();
+        let (teams, keys) = teams(tables.teams.as_deref().unwrap_or_default(), &mut findings);
+        if !findings.is_empty() {
+            return Err(findings);
+        }
+        Ok(Self {
+            version: tables.version,
+            hosts: hosts(&routes),
+            routes,
+            services: tables.services.into_iter().map(service).collect(),
+            teams,
+            keyed: tables.teams.is_some(),
+            limits: tables.limits,
+            keys,
+        })
+    }
+}
+
+fn service(raw: raw::Service) -> Service {
+    Service {
+        name: raw.name,
+        connections: raw.connections,
+        engine: raw.engine,
+    }
+}
+
+fn route(
+    raw: raw::Route,
+    services: &HashMap<String, ServiceId>,
+    findings: &mut Vec<Finding>,
+) -> Option<Route> {
+    let place = format!("route {}", raw.name);
+    let before = findings.len();
+    let mut find = |message: String| findings.push(Finding::new(place.clone(), message));
+    if !raw.prefix.starts_with('/') || !raw.prefix.ends_with('/') {
+        find(format!("prefix {:?} has no slash at an end", raw.prefix));
+    }
+    let mut split = Vec::new();
+    for share in &raw.split {
+        match services.get(&share.service) {
+            None => find(format!("service {} is not in the catalog", share.service)),
+            Some(_) if share.weight == 0 => {}
+            Some(&service) => split.push(Share {
+                service,
+                weight: share.weight,
+            }),
+        }
+    }
+    if split.is_empty() {
+        find("no service takes its requests".to_owned());
+    }
+    if raw.timeout.is_zero() {
+        find("its timeout is 0".to_owned());
+    }
+    (findings.len() == before).then(|| Route {
+        host: raw.host.to_ascii_lowercase(),
+        name: raw.name,
+        prefix: raw.prefix,
+        kind: raw.kind,
+        timeout: raw.timeout,
+        target: raw.target,
+        priority: raw.priority,
+        split,
+        attempts: raw.attempts.max(1),
+        public: raw.public,
+    })
+}
+
+fn hosts(routes: &[Route]) -> HashMap<String, Vec<RouteId>> {
+    let mut hosts: HashMap<String, Vec<RouteId>> = HashMap::new();
+    for (id, route) in (0..).zip(routes) {
+        hosts.entry(route.host.clone()).or_default().push(id);
+    }
+    for rows in hosts.values_mut() {
+        rows.sort_by_key(|&id| std::cmp::Reverse(routes[id as usize].prefix.len()));
+    }
+    hosts
+}
+
+fn teams(raw: &[raw::Team], findings: &mut Vec<Finding>) -> (Vec<Team>, HashMap<String, TeamId>) {
+    let mut keys = HashMap::new();
+    let mut teams = Vec::new();
+    for (id, team) in (0..).zip(raw) {
+        for key in &team.keys {
+            if keys.insert(key.clone(), id).is_some_and(|other| other != id) {
+                let place = format!("team {}", team.name);
+                findings.push(Finding::new(place, "shares a key with another team"));
+            }
+        }
+        teams.push(Team {
+            name: team.name.clone(),
+            priority: team.priority,
+        });
+    }
+    (teams, keys)
+}
+
+impl fmt::Display for Catalog {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "catalog {}", self.version)?;
+        for route in &self.routes {
+            let Route {
+                name, host, prefix, ..
+            } = route;
+            writeln!(f, "route {name} {host}{prefix} {:?}", route.kind)?;
+        }
+        for service in &self.services {
+            let model = if service.engine.is_some() { "model" } else { "plain" };
+            writeln!(f, "service {} {model}", service.name)?;
+        }
+        self.teams
+            .iter()
+            .try_for_each(|team| writeln!(f, "team {}", team.name))
+    }
+}
--- /dev/null
+++ b/crates/catalog/src/engine.rs
@@ -0,0 +1,112 @@
+//! What the endpoints of a model service can do.
+
+use crate::Layer;
+use std::time::Duration;
+
+/// Layers of a model, and what it costs to run and to hold them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Engine {
+    /// Layers of the model.
+    pub layers: Layer,
+    /// Bytes of one layer's weights.
+    pub layer_bytes: f64,
+    /// Bytes that one token of a request takes in memory at one layer.
+    pub token_bytes: f64,
+    /// Bytes that one token hands on from a stage to the next.
+    pub activation_bytes: f64,
+    /// Time of one token step through all layers, at pace 1 and without requests.
+    pub step: Duration,
+    /// Added to a step by each request that writes.
+    pub per_request: Duration,
+    /// Added to a step by 1,000 tokens of context of requests that write.
+    pub per_context: Duration,
+    /// Prompt tokens read in a second through all layers, at read pace 1.
+    pub read_rate: f64,
+    /// Steps between two events.
+    pub stride: u32,
+    /// Time to load all layers.
+    pub load: Duration,
+    /// Loads at once from which each takes longer.
+    pub loads: usize,
+    /// Requests at once that one endpoint takes as the first of a chain.
+    pub slots: u32,
+    /// Bits a second between two availability zones, shared by all.
+    pub pipe_bits: f64,
+    /// Kinds of accelerators.
+    pub kinds: Vec<Accelerator>,
+    /// Usual size of requests.
+    pub usual: Size,
+    /// Delays between availability zones; 0 where none is given.
+    pub delays: Vec<Delay>,
+}
+
+/// A kind of accelerator.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Accelerator {
+    /// Its name, by which endpoints tell theirs.
+    pub name: String,
+    /// Its memory.
+    pub bytes: f64,
+    /// Factor on the time of steps.
+    pub pace: f64,
+    /// Factor on the time to read prompts.
+    pub read: f64,
+}
+
+/// Tokens of a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Size {
+    /// Tokens of the prompt.
+    pub prompt: u32,
+    /// Tokens of the answer.
+    pub answer: u32,
+}
+
+/// One way between two availability zones.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Delay {
+    /// One zone.
+    pub from: String,
+    /// The other.
+    pub to: String,
+    /// Time of one way.
+    pub delay: Duration,
+}
+
+impl Engine {
+    /// The accelerator called `name`.
+    pub fn accelerator(&self, name: &str) -> Option<&Accelerator> {
+        self.kinds.iter().find(|k| k.name == name)
+    }
+
+    /// Most layers that fit into `accelerator` with room for `tokens` tokens of requests through
+    /// all of them.
+    pub fn fit(&self, accelerator: &Accelerator, tokens: f64) -> Layer {
+        let each = self.layer_bytes + tokens.max(0.0) * self.token_bytes;
+        let most = (accelerator.bytes / each).floor();
+        (most.max(0.0) as Layer).min(self.layers)
+    }
+
+    /// Room for requests, in tokens times layers, beside `held` layers.
+    pub fn room(&self, accelerator: &Accelerator, held: Layer) -> f64 {
+        let left = accelerator.bytes - f64::from(held) * self.layer_bytes;
+        (left / self.token_bytes).max(0.0)
+    }
+
+    /// Part of the model that `layers` are.
+    pub fn part(&self, layers: Layer) -> f64 {
+        f64::from(layers) / f64::from(self.layers.max(1))
+    }
+
+    /// Delay of one way between two availability zones.
+    pub fn delay(&self, a: &str, b: &str) -> Duration {
+        if a == b {
+            return Duration::ZERO;
+        }
+        let of = |d: &&Delay| (d.from == a && d.to == b) || (d.from == b && d.to == a);
+        self.delays
+            .iter()
+            .find(of)
+            .map_or(Duration::ZERO, |d| d.delay)
+    }
+}
--- /dev/null
+++ b/crates/gate/src/forward/attempt.rs
@@ -0,0 +1,184 @@
+//! One attempt up to the head of its answer.
+
+use super::Run;
+use crate::dialect::{Dialect, Order, Told};
+use crate::pool::{self, Conn};
+use crate::worker::Worker;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use steer::health::Outcome;
+use steer::target::Target;
+use tokio::time::timeout;
+
+/// What an attempt holds at endpoints, given back when it ends or is dropped.
+pub(crate) struct Held<D: Dialect> {
+    worker: Rc<Worker<D>>,
+    pub(crate) target: Target,
+    ended: bool,
+}
+
+impl<D: Dialect> Held<D> {
+    pub(crate) fn new(worker: Rc<Worker<D>>, target: Target) -> Self {
+        Self {
+            worker,
+            target,
+            ended: false,
+        }
+    }
+
+    /// Ends it; see [`steer::Steer::end`].
+    pub(crate) fn end(mut self, outcome: Outcome, blame: Option<SocketAddr>) {
+        self.ended = true;
+        self.worker.end(self.target.hold, outcome, blame);
+    }
+}
+
+impl<D: Dialect> Drop for Held<D> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.worker.end(self.target.hold, Outcome::Unknown, None);
+        }
+    }
+}
+
+/// An attempt whose answer's head came.
+pub(crate) struct Sent<D: Dialect> {
+    pub(crate) conn: Conn,
+    pub(crate) response: Response<Incoming>,
+    pub(crate) told: Told,
+    pub(crate) held: Held<D>,
+}
+
+/// Why an attempt brought no head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// No connection, or one that ended before anything was sent.
+    Unsent,
+    /// The connection broke.
+    Broken,
+    /// Nothing came in time.
+    Silent,
+    /// What came is the answer to another request, or none that the endpoint vouches for.
+    Foreign,
+}
+
+impl Failure {
+    /// Whether the request may have run.
+    pub(crate) fn ran(self) -> bool {
+        self != Self::Unsent
+    }
+
+    /// Whether it may have reached the endpoint.
+    pub(crate) fn arrived(self) -> bool {
+        self.ran()
+    }
+
+    fn word(self) -> &'static str {
+        match self {
+            Self::Unsent => "no connection",
+            Self::Broken => "the connection broke",
+            Self::Silent => "no answer in time",
+            Self::Foreign => "another request's answer, or one without a seal",
+        }
+    }
+}
+
+impl From<pool::Error> for Failure {
+    fn from(error: pool::Error) -> Self {
+        match error {
+            pool::Error::Connect | pool::Error::Unsent => Self::Unsent,
+            pool::Error::Broken => Self::Broken,
+        }
+    }
+}
+
+impl<D: Dialect> Run<D> {
+    /// Sends the request to the head of a target and waits up to `limit` for the answer's head.
+    /// `after` is the event after which the answer goes on.
+    pub(crate) async fn send(
+        &mut self,
+        held: Held<D>,
+        after: Option<u64>,
+        limit: Duration,
+    ) -> Result<Sent<D>, Failure> {
+        let addr = held.target.head().addr;
+        self.tried
+            .extend(held.target.stages.iter().map(|s| s.run.clone()));
+        self.story.sent(&held.target);
+        let exchanged = self.exchange(&held.target, after, limit).await;
+        let failure = match exchanged {
+            Ok((conn, response)) => {
+                let told = self.worker.dialect.told(response.headers());
+                if self.genuine(&response, &told) {
+                    return Ok(Sent {
+                        conn,
+                        response,
+                        told,
+                        held,
+                    });
+                }
+                Failure::Foreign
+            }
+            Err(failure) => failure,
+        };
+        self.story.failed(failure.word(), failure.ran());
+        self.worker.pool.forget(addr);
+        held.end(Outcome::Failed, None);
+        Err(failure)
+    }
+
+    async fn exchange(
+        &self,
+        target: &Target,
+        after: Option<u64>,
+        limit: Duration,
+    ) -> Result<(Conn, Response<Incoming>), Failure> {
+        let addr = target.head().addr;
+        let mut conn = self.worker.pool.conn(addr).await?;
+        let request = self.request(target, after);
+        match timeout(limit, conn.send(request)).await {
+            Ok(Ok(response)) => Ok((conn, response)),
+            // A kept connection that was closed before the request left: a new one is made.
+            Ok(Err(pool::Error::Unsent)) => {
+                self.worker.pool.forget(addr);
+                let mut conn = self.worker.pool.conn(addr).await?;
+                let request = self.request(target, after);
+                let response = timeout(limit, conn.send(request)).await;
+                Ok((response.map_err(|_| Failure::Silent)??, conn)).map(|(r, c)| (c, r))
+            }
+            Ok(Err(error)) => Err(error.into()),
+            Err(_) => Err(Failure::Silent),
+        }
+    }
+
+    fn request(&self, target: &Target, after: Option<u64>) -> Request<Full<bytes::Bytes>> {
+        let job = &self.job;
+        let mut request = Request::new(Full::new(job.body.clone()));
+        *request.method_mut() = job.method.clone();
+        *request.uri_mut() = job.uri.clone();
+        *request.headers_mut() = job.headers.clone();
+        let order = Order {
+            target,
+            left: job.left(),
+            team: job.team.as_deref(),
+            rank: job.service().engine.as_ref().map(|_| job.rank),
+            after,
+        };
+        self.worker.dialect.order(request.headers_mut(), &order);
+        request
+    }
+
+    /// Whether an answer is this request's and the endpoint vouches for it. An endpoint may send
+    /// a second answer late, at the place of the next one; a success without a seal is nobody's.
+    fn genuine(&self, response: &Response<Incoming>, told: &Told) -> bool {
+        let own = told.id.is_none() || told.id == self.job.ask.id;
+        let success = response.status().is_success();
+        let encoded = response.headers().contains_key(http::header::CONTENT_ENCODING);
+        let informational = response.status() == StatusCode::SWITCHING_PROTOCOLS;
+        own && !informational && !encoded && (!success || told.sealed)
+    }
+}
--- /dev/null
+++ b/crates/gate/src/forward/story.rs
@@ -0,0 +1,122 @@
+//! What is told of one request, decision by decision.
+
+use crate::job::Job;
+use crate::refusal::Refusal;
+use journal::Journal;
+use journal::event::Event;
+use steer::target::Target;
+use tokio::time::Instant;
+
+/// Tells of one request. Dropped before its end, it tells that the caller left.
+pub(crate) struct Story {
+    journal: Journal,
+    id: String,
+    route: String,
+    catalog: u64,
+    came: Instant,
+    head: Option<Instant>,
+    attempts: u32,
+    note: &'static str,
+    pause: std::time::Duration,
+    ended: bool,
+}
+
+impl Story {
+    pub(crate) fn new(journal: Journal, job: &Job) -> Self {
+        Self {
+            journal,
+            id: job.id().to_owned(),
+            route: job.route().name.clone(),
+            catalog: job.catalog.version,
+            came: job.came,
+            head: None,
+            attempts: 0,
+            note: "",
+            pause: std::time::Duration::ZERO,
+            ended: false,
+        }
+    }
+
+    /// Keeps a reason for the end.
+    pub(crate) fn note(&mut self, note: &'static str) {
+        self.note = note;
+    }
+
+    /// An attempt was sent.
+    pub(crate) fn sent(&mut self, target: &Target) {
+        self.attempts += 1;
+        let stages = target.stages.iter();
+        let stages: Vec<_> = stages.map(|s| format!("{}={}", s.run, s.span)).collect();
+        self.journal.tell(Event::Sent {
+            id: self.id.clone(),
+            attempt: self.attempts,
+            stages: stages.join(","),
+            catalog: self.catalog,
+        });
+    }
+
+    /// An attempt failed.
+    pub(crate) fn failed(&self, why: &str, ran: bool) {
+        self.journal.tell(Event::Failed {
+            id: self.id.clone(),
+            attempt: self.attempts,
+            why: why.to_owned(),
+            ran,
+            after_ms: self.came.elapsed().as_millis() as u64,
+        });
+    }
+
+    /// The answer's head went to the caller.
+    pub(crate) fn begun(&mut self) {
+        self.head = Some(Instant::now());
+    }
+
+    /// A pause between two events.
+    pub(crate) fn paused(&mut self, pause: std::time::Duration) {
+        self.pause = self.pause.max(pause);
+    }
+
+    /// The node answered by itself.
+    pub(crate) fn refused(&mut self, refusal: Refusal) {
+        let why = match self.note {
+            "" => refusal.reason.message().to_owned(),
+            note => format!("{}: {note}", refusal.reason.message()),
+        };
+        self.end(refusal.reason.status().as_u16(), "refused", why);
+    }
+
+    /// An endpoint's answer went to the caller as a whole.
+    pub(crate) fn answered(&mut self, status: u16) {
+        self.end(status, "answered", String::new());
+    }
+
+    /// An answer that had begun was broken off.
+    pub(crate) fn broken(&mut self) {
+        let why = self.note.to_owned();
+        self.end(200, "broken off", why);
+    }
+
+    fn end(&mut self, status: u16, outcome: &'static str, why: String) {
+        self.ended = true;
+        let head = self.head.unwrap_or_else(Instant::now);
+        self.journal.tell(Event::Ended {
+            id: std::mem::take(&mut self.id),
+            route: std::mem::take(&mut self.route),
+            status,
+            outcome,
+            why,
+            attempts: self.attempts,
+            head_ms: (head - self.came).as_millis() as u64,
+            all_ms: self.came.elapsed().as_millis() as u64,
+            pause_ms: self.pause.as_millis() as u64,
+        });
+    }
+}
+
+impl Drop for Story {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.end(0, "left", "the caller left".to_owned());
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/job.rs
@@ -0,0 +1,93 @@
+//! A request that was admitted.
+
+use crate::dialect::Ask;
+use bytes::Bytes;
+use catalog::Catalog;
+use catalog::engine::Size;
+use catalog::kind::Kind;
+use catalog::route::Route;
+use catalog::service::Service;
+use catalog::{RouteId, ServiceId};
+use http::{HeaderMap, Method, Uri};
+use std::sync::Arc;
+use std::time::Duration;
+use steer::chain::Need;
+use tokio::time::Instant;
+
+/// Ranks up to which a request is urgent.
+const URGENT: u8 = 0;
+/// Part by which an answer may be longer than its caller expects before room runs short: the
+/// estimate is right at the median only.
+const MARGIN: f64 = 1.25;
+
+/// A request on its way.
+#[derive(Debug)]
+pub struct Job {
+    /// What its head says.
+    pub ask: Ask,
+    /// The catalog that admitted it.
+    pub catalog: Arc<Catalog>,
+    /// Its route.
+    pub route: RouteId,
+    /// The service that was drawn for it.
+    pub service: ServiceId,
+    /// Name of the caller's team.
+    pub team: Option<String>,
+    /// Rank, 0 first.
+    pub rank: u8,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub uri: Uri,
+    /// Headers that are passed on.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// When it came.
+    pub came: Instant,
+    /// When its time is over: the caller's, or the route's if that is shorter.
+    pub until: Instant,
+}
+
+impl Job {
+    /// Its route.
+    pub fn route(&self) -> &Route {
+        &self.catalog.routes[self.route as usize]
+    }
+
+    /// Its service.
+    pub fn service(&self) -> &Service {
+        &self.catalog.services[self.service as usize]
+    }
+
+    /// What may be repeated.
+    pub fn kind(&self) -> Kind {
+        self.route().kind
+    }
+
+    /// Its id; empty if it has none.
+    pub fn id(&self) -> &str {
+        self.ask.id.as_deref().unwrap_or_default()
+    }
+
+    /// Time that is left.
+    pub fn left(&self) -> Duration {
+        self.until.saturating_duration_since(Instant::now())
+    }
+
+    /// What it needs of a chain.
+    pub fn need(&self) -> Need {
+        let usual = self.service().engine.as_ref().map(|e| e.usual);
+        let usual = usual.unwrap_or_default();
+        let asked = self.ask.size.unwrap_or(usual);
+        let expected = self.ask.expected.unwrap_or(usual.answer);
+        let expected = (f64::from(expected) * MARGIN) as u32;
+        Need {
+            size: Size {
+                prompt: asked.prompt,
+                answer: expected.min(asked.answer),
+            },
+            urgent: self.rank <= URGENT,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/listener.rs
@@ -0,0 +1,142 @@
+//! The listeners of a worker: callers, the question for addresses, and the question for readiness.
+
+use crate::answer::Answer;
+use crate::dialect::Dialect;
+use crate::directory;
+use crate::splice::Chunk;
+use crate::worker::Worker;
+use futures::Stream;
+use http::header::{CONNECTION, HeaderValue};
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
+use std::convert::Infallible;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Pause after a failed accept, so that a lack of descriptors does not spin the thread.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Time after which the kernel gives up a caller that does not confirm what was sent.
+const UNCONFIRMED: Duration = Duration::from_secs(10);
+/// Least buffer of a connection's head that the HTTP library takes.
+const LEAST_HEAD: usize = 8192;
+
+/// What a listener serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Port {
+    /// Requests of callers.
+    Callers,
+    /// The question which addresses to use.
+    Addresses,
+    /// The question whether this node takes requests.
+    Ready,
+}
+
+/// When a listener ends.
+#[derive(Clone, Debug, Default)]
+pub struct Stop {
+    /// Connections end with the request that they carry; idle ones are closed.
+    pub drain: CancellationToken,
+    /// All is broken off.
+    pub kill: CancellationToken,
+}
+
+/// Accepts connections until `stop.kill`.
+pub async fn run<D: Dialect>(
+    worker: Rc<Worker<D>>,
+    listener: TcpListener,
+    port: Port,
+    connections: usize,
+    stop: Stop,
+) {
+    let tracker = TaskTracker::new();
+    let room = std::sync::Arc::new(Semaphore::new(connections));
+    loop {
+        let accepted = tokio::select! {
+            () = stop.kill.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        // Over the bound a connection is closed at once: its caller goes to another node.
+        let Ok(permit) = room.clone().try_acquire_owned() else {
+            continue;
+        };
+        let worker = worker.clone();
+        let stop = stop.clone();
+        tracker.spawn_local(async move {
+            tokio::select! {
+                () = stop.kill.cancelled() => {}
+                () = connection(worker, stream, port, &stop) => {}
+            }
+            drop(permit);
+        });
+    }
+}
+
+async fn connection<D: Dialect>(
+    worker: Rc<Worker<D>>,
+    stream: TcpStream,
+    port: Port,
+    stop: &Stop,
+) {
+    // Without these options answers are slower or a lost caller is noticed later.
+    let _ = stream.set_nodelay(true);
+    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNCONFIRMED));
+    let limits = worker.view().map(|v| v.fleet.catalog.limits);
+    let limits = limits.unwrap_or_default();
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        // The library's one bound on the time for a head runs while a connection is idle too.
+        .header_read_timeout(limits.idle_time.max(limits.head_time))
+        .max_buf_size(limits.head_bytes.max(LEAST_HEAD) * 2);
+    let service = service_fn(move |request| answer(worker.clone(), request, port));
+    let mut conn = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    // An error ends one caller's connection only; its request tells its own story.
+    tokio::select! {
+        _ = conn.as_mut() => return,
+        () = stop.drain.cancelled() => conn.as_mut().graceful_shutdown(),
+    }
+    let _ = conn.await;
+}
+
+async fn answer<D: Dialect>(
+    worker: Rc<Worker<D>>,
+    request: Request<Incoming>,
+    port: Port,
+) -> Result<Response<Answer<impl Stream<Item = Chunk>>>, Infallible> {
+    let leaving = worker.leaving();
+    let path = request.uri().path();
+    let mut response = match port {
+        Port::Addresses if path == worker.dialect.addresses_path() => {
+            directory::answer(&worker.dialect, worker.view().as_deref(), worker.turn())
+        }
+        Port::Ready if path == worker.dialect.ready_path() => {
+            directory::ready(worker.view().as_deref())
+        }
+        Port::Callers => worker.serve(request).await,
+        _ => not_found(),
+    };
+    if leaving {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(response)
+}
+
+fn not_found<S>() -> Response<Answer<S>> {
+    let mut response = Response::new(crate::answer::whole(""));
+    *response.status_mut() = StatusCode::NOT_FOUND;
+    response
+}
--- /dev/null
+++ b/crates/gate/src/worker.rs
@@ -0,0 +1,240 @@
+//! One request worker: its state, and the way of a request through it.
+
+use crate::admit;
+use crate::answer::Answer;
+use crate::dialect::Dialect;
+use crate::forward;
+use crate::job::Job;
+use crate::pool::Pool;
+use crate::refusal::{Reason, Refusal};
+use crate::splice::Chunk;
+use crate::stats::{self, Stats};
+use crate::view::{Board, View};
+use futures::Stream;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use journal::Journal;
+use journal::event::Event;
+use rand::RngExt;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use steer::Steer;
+use steer::budget::Allowance;
+use steer::health::Outcome;
+use steer::target::Hold;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Time to come back for a caller whose node knows no catalog yet or is about to end: another
+/// node takes the request at once.
+const ELSEWHERE: Duration = Duration::from_millis(50);
+
+/// What a worker is made of.
+#[derive(Debug)]
+pub struct Parts<D> {
+    /// The installation's dialect.
+    pub dialect: D,
+    /// Where control publishes.
+    pub board: Board,
+    /// Decisions are told here.
+    pub journal: Journal,
+    /// Further attempts that are allowed.
+    pub allowance: Allowance,
+    /// Seed of its draws.
+    pub seed: u64,
+}
+
+/// The state of one worker. Only its own thread touches it.
+pub struct Worker<D> {
+    pub(crate) dialect: D,
+    pub(crate) journal: Journal,
+    pub(crate) pool: Pool,
+    pub(crate) stats: Rc<Stats>,
+    board: Board,
+    steer: RefCell<Steer>,
+    /// The view that `steer` follows.
+    view: RefCell<Option<Arc<View>>>,
+    /// Set off when room may have come free.
+    freed: Notify,
+    start: Instant,
+    turn: Cell<usize>,
+    /// Whether new requests are refused, since the process is about to end.
+    closing: Cell<bool>,
+}
+
+impl<D: Dialect> Worker<D> {
+    /// A worker that knows nothing yet.
+    pub fn new(parts: Parts<D>) -> Rc<Self> {
+        let stats = Rc::new(Stats::default());
+        Rc::new(Self {
+            dialect: parts.dialect,
+            journal: parts.journal,
+            pool: Pool::new(stats.clone()),
+            stats,
+            board: parts.board,
+            steer: RefCell::new(Steer::new(parts.seed, parts.allowance)),
+            view: RefCell::new(None),
+            freed: Notify::new(),
+            start: Instant::now(),
+            turn: Cell::new(0),
+            closing: Cell::new(false),
+        })
+    }
+
+    /// Requests in flight.
+    pub fn flying(&self) -> u64 {
+        self.stats.flying.get()
+    }
+
+    /// Refuses new requests from now on.
+    pub fn close(&self) {
+        self.closing.set(true);
+    }
+
+    /// Whether callers are told that their connection ends with the answer.
+    pub fn leaving(&self) -> bool {
+        self.closing.get() || self.view().is_some_and(|v| v.leaving)
+    }
+
+    /// The newest view. What was learned from it is kept until another one is published.
+    pub fn view(&self) -> Option<Arc<View>> {
+        let newest = self.board.load_full();
+        let mut known = self.view.borrow_mut();
+        let same = match (&*known, &newest) {
+            (Some(a), Some(b)) => Arc::ptr_eq(a, b),
+            (None, None) => true,
+            _ => false,
+        };
+        if !same {
+            if let Some(view) = &newest {
+                self.steer.borrow_mut().follow(view.fleet.clone());
+                self.freed.notify_waiters();
+            }
+            *known = newest.clone();
+        }
+        newest
+    }
+
+    /// Number of the next answer about addresses.
+    pub fn turn(&self) -> usize {
+        self.turn.set(self.turn.get().wrapping_add(1));
+        self.turn.get()
+    }
+
+    pub(crate) fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// Asks the table something.
+    pub(crate) fn steer<T>(&self, ask: impl FnOnce(&mut Steer, Duration) -> T) -> T {
+        // The newest view first, so that no endpoint is chosen that is known to leave.
+        self.view();
+        let now = self.now();
+        ask(&mut self.steer.borrow_mut(), now)
+    }
+
+    /// Waits until room may have come free, or for `most`.
+    pub(crate) async fn freed(&self, most: Duration) {
+        // Endpoints come back into use by time alone, which nothing tells.
+        let most = most.min(LOOK);
+        let _ = tokio::time::timeout(most, self.freed.notified()).await;
+    }
+
+    /// Gives back what an attempt holds.
+    pub(crate) fn end(&self, hold: Hold, outcome: Outcome, blame: Option<SocketAddr>) {
+        self.steer(|steer, now| steer.end(now, hold, outcome, blame));
+        self.freed.notify_one();
+    }
+
+    /// Closes idle connections that are old, or whose endpoint is gone.
+    pub fn tidy(&self) {
+        let Some(view) = self.view() else {
+            return;
+        };
+        let endpoints = &view.fleet.endpoints;
+        self.pool.tidy(|a| endpoints.iter().any(|e| e.addr == a));
+    }
+
+    /// The text for the dump.
+    pub fn dump(&self) -> String {
+        format!("{}{}", self.stats, self.steer.borrow())
+    }
+
+    /// Serves one request of a caller.
+    pub async fn serve(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+    ) -> Response<Answer<impl Stream<Item = Chunk>>> {
+        let came = Instant::now();
+        stats::add(&self.stats.requests);
+        let flight = Flight::new(self.stats.clone());
+        match self.admit(request, came).await {
+            Ok(job) => forward::run(self, job, flight).await,
+            Err((refusal, id)) => {
+                stats::add(&self.stats.refused);
+                self.tell_refusal(&id, refusal, came);
+                refusal.response()
+            }
+        }
+    }
+
+    async fn admit(
+        &self,
+        request: Request<Incoming>,
+        came: Instant,
+    ) -> Result<Job, (Refusal, String)> {
+        let (parts, incoming) = request.into_parts();
+        let id = self.dialect.ask(&parts.headers).id.unwrap_or_default();
+        let checked = async {
+            let away = |reason| Refusal::after(reason, ELSEWHERE);
+            let view = self.view().ok_or(away(Reason::NoCatalog))?;
+            if self.closing.get() {
+                return Err(away(Reason::Leaving));
+            }
+            let catalog = &view.fleet.catalog;
+            let admitted = admit::head(&self.dialect, catalog, &parts)?;
+            let body = admit::body(incoming, catalog.limits.body_bytes).await?;
+            let draw = rand::rng().random();
+            admit::job(&self.dialect, catalog, admitted, parts, body, came, draw)
+        };
+        checked.await.map_err(|refusal| (refusal, id))
+    }
+
+    fn tell_refusal(&self, id: &str, refusal: Refusal, came: Instant) {
+        let all_ms = came.elapsed().as_millis() as u64;
+        self.journal.tell(Event::Ended {
+            id: id.to_owned(),
+            route: String::new(),
+            status: refusal.reason.status().as_u16(),
+            outcome: "refused",
+            why: refusal.reason.message().to_owned(),
+            attempts: 0,
+            head_ms: all_ms,
+            all_ms,
+            pause_ms: 0,
+        });
+    }
+}
+
+/// How often a request that waits looks again, at the least.
+const LOOK: Duration = Duration::from_millis(25);
+
+/// Counts a request as in flight until it is dropped.
+#[derive(Debug)]
+pub struct Flight(Rc<Stats>);
+
+impl Flight {
+    fn new(stats: Rc<Stats>) -> Self {
+        stats::add(&stats.flying);
+        Self(stats)
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        stats::sub(&self.0.flying);
+    }
+}
--- /dev/null
+++ b/crates/journal/src/event.rs
@@ -0,0 +1,125 @@
+//! The events.
+
+use serde::Serialize;
+
+/// An event. `id` is the request's id as its caller gave it.
+#[derive(Clone, Debug, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum Event {
+    /// The process starts.
+    Start {
+        /// Name of the node.
+        node: String,
+        /// Where callers reach it.
+        callers: String,
+    },
+    /// The process begins to leave, or ends.
+    Stop {
+        /// Why.
+        reason: &'static str,
+        /// Requests in flight.
+        flying: usize,
+    },
+    /// The settings were read again.
+    Reload {
+        /// What came of it.
+        outcome: String,
+    },
+    /// Something that the node depends on does not answer, or answers again.
+    Dependency {
+        /// What.
+        name: &'static str,
+        /// Whether it answers.
+        up: bool,
+        /// The error, or how long it was away.
+        detail: String,
+    },
+    /// A catalog came.
+    Catalog {
+        /// Its version.
+        version: u64,
+        /// The version before.
+        before: u64,
+        /// Where it came from.
+        source: &'static str,
+        /// What became of it: `in force`, `older` or what is wrong with it.
+        outcome: String,
+    },
+    /// An endpoint came, changed or went.
+    Endpoint {
+        /// Its run.
+        run: String,
+        /// What it is now.
+        state: String,
+        /// Offset of the change in the endpoints' table.
+        offset: u64,
+    },
+    /// A node came or went.
+    Node {
+        /// Its name.
+        name: String,
+        /// Its state.
+        state: String,
+    },
+    /// An order to an endpoint.
+    Order {
+        /// The endpoint's run.
+        run: String,
+        /// The layers.
+        layers: String,
+        /// Orders that the endpoint had accepted before.
+        after: u64,
+        /// What came of it.
+        outcome: String,
+    },
+    /// A request was sent to an endpoint or a chain.
+    Sent {
+        /// The request.
+        id: String,
+        /// Number of the attempt, from 1.
+        attempt: u32,
+        /// The stages.
+        stages: String,
+        /// Version of the catalog that chose the route.
+        catalog: u64,
+    },
+    /// An attempt failed, was refused by its endpoint, or fell silent.
+    Failed {
+        /// The request.
+        id: String,
+        /// Number of the attempt.
+        attempt: u32,
+        /// What happened.
+        why: String,
+        /// Whether it may have run.
+        ran: bool,
+        /// Milliseconds since the request came.
+        after_ms: u64,
+    },
+    /// A request ended.
+    Ended {
+        /// The request.
+        id: String,
+        /// Name of its route; empty if it has none.
+        route: String,
+        /// The status that its caller got.
+        status: u16,
+        /// `answered`, `refused`, `broken off` or `left`.
+        outcome: &'static str,
+        /// The reason, for all but an answer.
+        why: String,
+        /// Attempts that were sent.
+        attempts: u32,
+        /// Milliseconds to the answer's head.
+        head_ms: u64,
+        /// Milliseconds in all.
+        all_ms: u64,
+        /// Longest pause between events in milliseconds.
+        pause_ms: u64,
+    },
+    /// Events that found the queue full.
+    Overflow {
+        /// How many.
+        lost: u64,
+    },
+}
--- a/crates/node/src/control/state/peers.rs
+++ b/crates/node/src/control/state/peers.rs
@@ -64,6 +64,10 @@
             Inbound::Head { ask, reply } => {
                 let _ = reply.send(self.offer(ask));
             }
+            // Copies of tables belong to nodes on a platform's store; this one has none.
+            Inbound::Copy { reply, .. } => {
+                let _ = reply.send(None);
+            }
             Inbound::Status { reply } => {
                 let _ = reply.send(self.peer_status());
             }
--- /dev/null
+++ b/crates/node/src/hosted/control.rs
@@ -0,0 +1,97 @@
+//! Control: what a node believes, and how it learns it.
+//!
+//! One thread with a current-thread runtime. [`state::State`] holds what is believed; tasks around
+//! it read the store and the peers and send it [`input::Input`]s.
+
+pub mod copy;
+pub mod input;
+pub mod orders;
+pub mod reader;
+pub mod state;
+pub mod tables;
+
+use super::settings::Settings;
+use adapter::Platform;
+use adapter::store::Table;
+use eyre::{Result, WrapErr};
+use gate::view::Board;
+use input::{INPUTS, Input, Inputs};
+use journal::Journal;
+use state::State;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::MissedTickBehavior;
+use tokio_util::sync::CancellationToken;
+use wire::peer::{Inbound, Link, Setup};
+
+/// Messages of peers that may wait.
+const INBOUND: usize = 1024;
+/// How often control looks whether anything is due.
+const STEP: Duration = Duration::from_millis(100);
+
+/// What control is made of.
+pub struct Control {
+    /// Settings of the node.
+    pub settings: Settings,
+    /// Number of this run.
+    pub incarnation: u64,
+    /// Seed of its draws.
+    pub seed: u64,
+    /// Where it publishes.
+    pub board: Board,
+    /// Decisions are told here.
+    pub journal: Journal,
+    /// The node begins to leave.
+    pub leave: CancellationToken,
+    /// Control ends.
+    pub end: CancellationToken,
+}
+
+impl Control {
+    /// Runs until `end`.
+    pub async fn run(self) -> Result<()> {
+        let (inbound, peers) = mpsc::channel(INBOUND);
+        let setup = Setup {
+            listen: self.settings.peers,
+            advertise: Some(self.settings.peers),
+            key: self.settings.key.clone(),
+            limits: wire::limits::Limits::default(),
+        };
+        let link = Link::start(setup, inbound, self.end.clone())
+            .await
+            .wrap_err_with(|| format!("peers' listener {}", self.settings.peers))?;
+        let platform = Arc::new(Platform::new(self.settings.store));
+        let (inputs, taken) = mpsc::channel(INPUTS);
+        for table in [Table::Operator, Table::Endpoints] {
+            tokio::spawn(reader::follow(platform.clone(), table, inputs.clone()));
+        }
+        tokio::spawn(from_peers(peers, inputs.clone()));
+        let end = self.end.clone();
+        let state = State::new(self, platform, link, inputs);
+        serve(state, taken, end).await;
+        Ok(())
+    }
+}
+
+async fn serve(mut state: State, mut inputs: mpsc::Receiver<Input>, end: CancellationToken) {
+    let mut step = tokio::time::interval(STEP);
+    step.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            biased;
+            () = end.cancelled() => break,
+            _ = step.tick() => state.step(),
+            Some(input) = inputs.recv() => state.input(input),
+        }
+    }
+    state.quit();
+}
+
+async fn from_peers(mut peers: mpsc::Receiver<Inbound>, inputs: Inputs) {
+    while let Some(inbound) = peers.recv().await {
+        if inputs.send(Input::Peer(inbound)).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/hosted/control/copy.rs
@@ -0,0 +1,80 @@
+//! Changes of a table as nodes send them to each other.
+
+use adapter::store::Table;
+use catalog::source::{Page, Record};
+use eyre::{Result, ensure};
+use serde::{Deserialize, Serialize};
+
+/// Longest copy that is read.
+const LONGEST: usize = 4 << 20;
+
+#[derive(Serialize, Deserialize)]
+struct Raw {
+    records: Vec<Row>,
+    next: u64,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Row {
+    key: String,
+    value: Option<Vec<u8>>,
+    offset: u64,
+}
+
+impl From<&Page> for Raw {
+    fn from(page: &Page) -> Self {
+        let rows = page.records.iter().map(|r| Row {
+            key: r.key.clone(),
+            value: r.value.as_ref().map(|v| v.to_vec()),
+            offset: r.offset,
+        });
+        Self {
+            records: rows.collect(),
+            next: page.next,
+        }
+    }
+}
+
+impl From<Raw> for Page {
+    fn from(raw: Raw) -> Self {
+        let records = raw.records.into_iter().map(|r| Record {
+            key: r.key,
+            value: r.value.map(Into::into),
+            offset: r.offset,
+        });
+        Self {
+            records: records.collect(),
+            next: raw.next,
+            whole: false,
+        }
+    }
+}
+
+/// The bytes of a page.
+pub fn encode(page: &Page) -> Result<Vec<u8>> {
+    let config = bincode::config::standard();
+    Ok(bincode::serde::encode_to_vec(Raw::from(page), config)?)
+}
+
+/// Reads the bytes of a page.
+pub fn decode(bytes: &[u8]) -> Result<Page> {
+    let config = bincode::config::standard().with_limit::<LONGEST>();
+    let (raw, used): (Raw, usize) = bincode::serde::decode_from_slice(bytes, config)?;
+    ensure!(used == bytes.len(), "trailing bytes");
+    Ok(raw.into())
+}
+
+/// The number of a table between nodes.
+pub fn number(table: Table) -> u8 {
+    match table {
+        Table::Operator => 0,
+        Table::Endpoints => 1,
+    }
+}
+
+/// The table of a number.
+pub fn table(number: u8) -> Option<Table> {
+    [Table::Operator, Table::Endpoints]
+        .into_iter()
+        .find(|t| self::number(*t) == number)
+}
--- /dev/null
+++ b/crates/node/src/hosted/control/orders.rs
@@ -0,0 +1,184 @@
+//! Gives endpoints the orders to hold layers.
+//!
+//! Any number of nodes may believe that it is theirs to give orders: an endpoint takes an order
+//! only if it has accepted as many before as the order says, so of two orders one is refused, and
+//! one that arrives late changes nothing. That only one node does so, the first of those that are
+//! known to live, saves orders; no lease is needed for it, and it goes on while the store is out.
+
+use super::input::{Input, Inputs};
+use adapter::report::{Control, Report};
+use catalog::endpoint::{Run, Span, State};
+use catalog::engine::Engine;
+use catalog::{Catalog, Endpoint};
+use journal::Journal;
+use journal::event::Event;
+use place::order::{Given, Order};
+use place::plan;
+use place::stock::Holder;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time beyond the load itself until a row must show the layers: a row is written every second or
+/// so, and read about as often.
+const SHOWN: Duration = Duration::from_secs(4);
+/// Time after an order without answer, or an endpoint that did not answer, until it is asked again.
+const AGAIN: Duration = Duration::from_millis(700);
+
+/// What is under way at an endpoint.
+#[derive(Clone, Copy, Debug)]
+enum Under {
+    /// It was asked for its report.
+    Asked(Instant),
+    /// It reported that it has accepted so many orders and holds nothing.
+    Empty { orders: u64, until: Instant },
+    /// An order was given, or it reported these layers; its row will show them.
+    Holds { span: Span, until: Instant },
+    /// It is left alone until then.
+    Wait(Instant),
+}
+
+/// The orders of one node.
+pub struct Orders {
+    journal: Journal,
+    inputs: Inputs,
+    under: BTreeMap<Run, Under>,
+}
+
+impl Orders {
+    /// No order is under way.
+    pub fn new(journal: Journal, inputs: Inputs) -> Self {
+        Self {
+            journal,
+            inputs,
+            under: BTreeMap::new(),
+        }
+    }
+
+    /// Gives what orders can be given now.
+    pub fn step<'a>(
+        &mut self,
+        now: Instant,
+        catalog: &Catalog,
+        endpoints: impl Iterator<Item = &'a Endpoint>,
+    ) {
+        let endpoints: Vec<&Endpoint> = endpoints.collect();
+        self.forget(now, &endpoints);
+        for service in &catalog.services {
+            let Some(engine) = &service.engine else {
+                continue;
+            };
+            let own = endpoints.iter().copied();
+            let own = own.filter(|e| e.service == service.name && e.state == State::Ready);
+            self.service(now, engine, own);
+        }
+    }
+
+    fn service<'a>(
+        &mut self,
+        now: Instant,
+        engine: &Engine,
+        endpoints: impl Iterator<Item = &'a Endpoint>,
+    ) {
+        let mut holders: Vec<Holder> = Vec::new();
+        for endpoint in endpoints {
+            let Some(mut holder) = Holder::of(endpoint) else {
+                continue;
+            };
+            match self.under.get(&holder.run) {
+                Some(Under::Holds { span, .. }) => holder.span = *span,
+                Some(Under::Empty { orders, .. }) => {
+                    holder.orders = *orders;
+                    holder.span = Span::default();
+                }
+                Some(Under::Asked(_) | Under::Wait(_)) => holder.busy = true,
+                None if holder.span.is_empty() => {
+                    self.ask(now, &holder);
+                    holder.busy = true;
+                }
+                None => {}
+            }
+            holders.push(holder);
+        }
+        // Endpoints that start together are planned together: one that was asked for its report
+        // is a moment away from being free.
+        if holders.iter().any(|h| matches!(self.under.get(&h.run), Some(Under::Asked(_)))) {
+            return;
+        }
+        for order in plan::next(engine, &holders) {
+            let load = engine.load.mul_f64(engine.part(order.span.len()));
+            let crowd = holders.len().div_ceil(engine.loads.max(1)) as u32;
+            let until = now + load * crowd + SHOWN;
+            let span = order.span;
+            self.under
+                .insert(order.run.clone(), Under::Holds { span, until });
+            self.give(order);
+        }
+    }
+
+    /// Asks an endpoint what it holds before it is given an order: its row may be old.
+    fn ask(&mut self, now: Instant, holder: &Holder) {
+        self.under.insert(holder.run.clone(), Under::Asked(now));
+        let (run, addr) = (holder.run.clone(), holder.addr);
+        let inputs = self.inputs.clone();
+        tokio::spawn(async move {
+            let report = Control::new(addr).report().await.ok();
+            // Control has ended if nobody takes it.
+            let _ = inputs.send(Input::Report(run, report)).await;
+        });
+    }
+
+    fn give(&self, order: Order) {
+        let inputs = self.inputs.clone();
+        tokio::spawn(async move {
+            let given = Control::new(order.addr).place(&order).await;
+            // Control has ended if nobody takes it.
+            let _ = inputs.send(Input::Ordered(order, given)).await;
+        });
+    }
+
+    /// An endpoint reported, or did not answer.
+    pub fn reported(&mut self, now: Instant, run: Run, report: Option<Report>) {
+        let another = |r: &Report| r.born != 0 && run.born != 0 && r.born != run.born;
+        let under = match report {
+            None => Under::Wait(now + AGAIN),
+            Some(report) if another(&report) || report.busy => Under::Wait(now + AGAIN),
+            Some(report) if report.span.is_empty() => Under::Empty {
+                orders: report.orders,
+                until: now + AGAIN,
+            },
+            Some(report) => Under::Holds {
+                span: report.span,
+                until: now + SHOWN,
+            },
+        };
+        self.under.insert(run, under);
+    }
+
+    /// An order was given.
+    pub fn ordered(&mut self, now: Instant, order: Order, given: Given) {
+        self.journal.tell(Event::Order {
+            run: order.run.to_string(),
+            layers: order.span.to_string(),
+            after: order.after,
+            outcome: format!("{given:?}"),
+        });
+        if given != Given::Taken {
+            self.under.insert(order.run, Under::Wait(now + AGAIN));
+        }
+    }
+
+    /// Forgets what is over, what its row shows by now, and runs that are gone.
+    fn forget(&mut self, now: Instant, endpoints: &[&Endpoint]) {
+        self.under.retain(|run, under| {
+            let Some(endpoint) = endpoints.iter().find(|e| e.run == *run) else {
+                return false;
+            };
+            match under {
+                Under::Asked(at) => now < *at + SHOWN,
+                Under::Empty { until, .. } | Under::Wait(until) => now < *until,
+                Under::Holds { span, until } => now < *until && endpoint.span != *span,
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/node/src/hosted/control/reader.rs
@@ -0,0 +1,67 @@
+//! Follows one table of the store.
+
+use super::input::{Input, Inputs};
+use adapter::Platform;
+use adapter::store::{Changes, Table};
+use catalog::source::{Offset, Page};
+use platform::Result;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long the store may hold a read of the operator's table back. Long, since each read is
+/// paid for; not so long that a silent store is noticed late.
+const WAIT: Duration = Duration::from_millis(1500);
+/// Pause between two reads of the endpoints' table, which changes all the time. A leaving
+/// endpoint must get no new work after two seconds, a read may take most of another.
+const PAUSE: Duration = Duration::from_millis(800);
+/// Pause between two reads of the operator's table, so that quick changes share a read.
+const SHORT_PAUSE: Duration = Duration::from_millis(50);
+/// Pause after a failed read.
+const FAILED: Duration = Duration::from_millis(300);
+
+/// Reads a table and its changes until the inputs are closed.
+pub async fn follow(platform: Arc<Platform>, table: Table, inputs: Inputs) {
+    let mut from: Option<Offset> = None;
+    loop {
+        let (input, pause) = match read(&platform, table, from).await {
+            Ok(Some(page)) => {
+                from = Some(page.next);
+                (Some(Input::Page(table, page)), pause(table))
+            }
+            Ok(None) => {
+                from = None;
+                (None, Duration::ZERO)
+            }
+            Err(error) => (Some(Input::Unread(table, error.to_string())), FAILED),
+        };
+        if let Some(input) = input
+            && inputs.send(input).await.is_err()
+        {
+            return;
+        }
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// The whole table, or its changes from an offset on; nothing if these are lost.
+async fn read(platform: &Platform, table: Table, from: Option<Offset>) -> Result<Option<Page>> {
+    let store = platform.store();
+    let Some(from) = from else {
+        return store.newest(table).await.map(Some);
+    };
+    let wait = match table {
+        Table::Operator => WAIT,
+        Table::Endpoints => Duration::ZERO,
+    };
+    Ok(match store.changes(table, from, wait).await? {
+        Changes::Page(page) => Some(page),
+        Changes::Lost => None,
+    })
+}
+
+fn pause(table: Table) -> Duration {
+    match table {
+        Table::Operator => SHORT_PAUSE,
+        Table::Endpoints => PAUSE,
+    }
+}
--- /dev/null
+++ b/crates/node/src/hosted/control/state.rs
@@ -0,0 +1,385 @@
+//! What control believes, and what each input does to it.
+
+use super::copy;
+use super::input::{Input, Inputs};
+use super::orders::Orders;
+use super::tables::Tables;
+use super::{Control, STEP};
+use crate::hosted::settings::Settings;
+use adapter::Platform;
+use adapter::store::Table;
+use catalog::Endpoint;
+use catalog::source::Page;
+use gate::view::{Board, View};
+use journal::Journal;
+use journal::event::Event as Told;
+use member::action::Action;
+use member::event::Event;
+use member::group::Group;
+use member::identity::Identity;
+use member::item::{Body, Key};
+use member::peer::{Entry, Standing};
+use rand::seq::IndexedRandom;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use steer::Fleet;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use wire::frame::{CopyAsk, Status};
+use wire::peer::{Inbound, Link};
+
+/// Time after the start in which no orders are given: nodes that started together find each other.
+const SETTLE: Duration = Duration::from_millis(700);
+/// How often a peer is asked for its copy while the store can't be read.
+const COPY: Duration = Duration::from_millis(300);
+/// Peers that are asked at once: one of them may be turned away as well.
+const ASKED: usize = 2;
+
+/// How one table of the store can be read.
+#[derive(Clone, Debug, Default)]
+struct Reading {
+    /// Since when it can't.
+    lost: Option<Instant>,
+    /// Whether it was ever read.
+    ever: bool,
+}
+
+/// The state of control.
+pub struct State {
+    settings: Settings,
+    incarnation: u64,
+    platform: Arc<Platform>,
+    board: Board,
+    journal: Journal,
+    link: Link,
+    inputs: Inputs,
+    leave: CancellationToken,
+    start: Instant,
+    group: Group,
+    actions: Vec<Action>,
+    tables: Tables,
+    orders: Orders,
+    operator: Reading,
+    endpoints: Reading,
+    copied: Instant,
+    leaving: bool,
+    /// Whether something changed that the worker must know.
+    dirty: bool,
+}
+
+impl State {
+    /// The state before any input.
+    pub fn new(control: Control, platform: Arc<Platform>, link: Link, inputs: Inputs) -> Self {
+        let settings = control.settings;
+        let me = Identity {
+            name: settings.name.clone(),
+            addr: link.addr(),
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+            incarnation: control.incarnation,
+        };
+        let group = Group::new(me, control.seed, member::settings::Settings::default());
+        let mut state = Self {
+            incarnation: control.incarnation,
+            platform,
+            board: control.board,
+            link,
+            leave: control.leave,
+            start: Instant::now(),
+            group,
+            actions: Vec::new(),
+            tables: Tables::new(control.journal.clone()),
+            orders: Orders::new(control.journal.clone(), inputs.clone()),
+            inputs,
+            journal: control.journal,
+            operator: Reading::default(),
+            endpoints: Reading::default(),
+            copied: Instant::now(),
+            leaving: false,
+            dirty: false,
+            settings,
+        };
+        let callers = Body::Callers {
+            addr: state.settings.callers,
+            tls: false,
+        };
+        state.handle(Event::Publish(vec![callers]));
+        let seeds = state.seeds();
+        state.handle(Event::Listed(seeds));
+        state
+    }
+
+    /// Takes an input.
+    pub fn input(&mut self, input: Input) {
+        let now = Instant::now();
+        match input {
+            Input::Page(table, page) => self.page(now, table, page),
+            Input::Unread(table, why) => self.unread(now, table, &why),
+            Input::Copy(table, page) => {
+                self.dirty |= self.tables.take(&self.platform, table, page, "peer");
+            }
+            Input::Peer(inbound) => self.inbound(inbound),
+            Input::Report(run, report) => {
+                self.orders.reported(now, run, report);
+                self.order(now);
+            }
+            Input::Ordered(order, given) => self.orders.ordered(now, order, given),
+        }
+        self.publish();
+    }
+
+    /// Time passed.
+    pub fn step(&mut self) {
+        let now = Instant::now();
+        if self.leave.is_cancelled() && !self.leaving {
+            self.leaving = true;
+            self.dirty = true;
+            self.handle(Event::Publish(vec![Body::Leaving]));
+        }
+        self.handle(Event::Tick);
+        self.dirty |= self.tables.expire(now);
+        self.copy(now);
+        self.order(now);
+        self.publish();
+    }
+
+    /// Tells peers that this node is gone.
+    pub fn quit(&mut self) {
+        self.handle(Event::Quit);
+    }
+
+    fn page(&mut self, now: Instant, table: Table, page: Page) {
+        let reading = self.reading(table);
+        let lost = reading.lost.take();
+        let first = !std::mem::replace(&mut reading.ever, true);
+        if table == Table::Endpoints {
+            self.tables.read(now);
+        }
+        if lost.is_some() || first {
+            let away = lost.map_or(Duration::ZERO, |at| now - at);
+            self.journal.tell(Told::Dependency {
+                name: table_name(table),
+                up: true,
+                detail: format!("away for {} ms", away.as_millis()),
+            });
+        }
+        self.dirty |= self.tables.take(&self.platform, table, page, "store");
+    }
+
+    fn unread(&mut self, now: Instant, table: Table, why: &str) {
+        if table == Table::Endpoints {
+            self.tables.unread(now);
+        }
+        let reading = self.reading(table);
+        if reading.lost.is_some() {
+            return;
+        }
+        reading.lost = Some(now);
+        self.journal.tell(Told::Dependency {
+            name: table_name(table),
+            up: false,
+            detail: why.to_owned(),
+        });
+    }
+
+    fn reading(&mut self, table: Table) -> &mut Reading {
+        match table {
+            Table::Operator => &mut self.operator,
+            Table::Endpoints => &mut self.endpoints,
+        }
+    }
+
+    /// Asks peers for their copies while the store can't be read.
+    fn copy(&mut self, now: Instant) {
+        let lost = self.operator.lost.is_some() || self.endpoints.lost.is_some();
+        if !lost || now < self.copied + COPY {
+            return;
+        }
+        self.copied = now;
+        let me = self.group.me();
+        let peers: Vec<SocketAddr> = self
+            .group
+            .open()
+            .filter(|p| p.id != me)
+            .map(|p| p.identity.addr)
+            .collect();
+        for &peer in peers.sample(&mut rand::rng(), ASKED) {
+            // One table that can't be read means that the other is about to be late as well.
+            for table in [Table::Operator, Table::Endpoints] {
+                self.ask_copy(peer, table);
+            }
+        }
+    }
+
+    fn ask_copy(&self, peer: SocketAddr, table: Table) {
+        let ask = CopyAsk {
+            table: copy::number(table),
+            from: self.tables.next(table),
+        };
+        let (link, inputs) = (self.link.clone(), self.inputs.clone());
+        tokio::spawn(async move {
+            // A peer that does not answer is asked again, or another one.
+            let Ok(Some(bytes)) = link.copy(peer, ask).await else {
+                return;
+            };
+            match copy::decode(&bytes) {
+                Ok(page) => {
+                    let _ = inputs.send(Input::Copy(table, page)).await;
+                }
+                Err(error) => log::warn!("a copy from {peer} can't be read: {error}"),
+            }
+        });
+    }
+
+    fn offer(&self, ask: CopyAsk) -> Option<Vec<u8>> {
+        let table = copy::table(ask.table)?;
+        let page = self.tables.copy(table).since(ask.from);
+        if page.next <= ask.from {
+            return None;
+        }
+        match copy::encode(&page) {
+            Ok(bytes) => Some(bytes),
+            Err(error) => {
+                log::warn!("a copy can't be given: {error}");
+                None
+            }
+        }
+    }
+
+    /// Gives orders if that is this node's part.
+    fn order(&mut self, now: Instant) {
+        if self.leaving || now < self.start + SETTLE {
+            return;
+        }
+        let first = self.group.open().map(|p| p.id).min();
+        if first != Some(self.group.me()) {
+            return;
+        }
+        let Some(catalog) = self.tables.catalog() else {
+            return;
+        };
+        self.orders.step(now, catalog, self.tables.endpoints());
+    }
+
+    fn inbound(&mut self, inbound: Inbound) {
+        match inbound {
+            Inbound::Member { from, message } => self.handle(Event::Frame { from, message }),
+            // Heads belong to nodes that read signed bundles from a log.
+            Inbound::Head { reply, .. } => {
+                let _ = reply.send(None);
+            }
+            Inbound::Copy { ask, reply } => {
+                let _ = reply.send(self.offer(ask));
+            }
+            Inbound::Status { reply } => {
+                let _ = reply.send(Status {
+                    number: self.tables.catalog().map_or(0, |c| c.version),
+                    incarnation: self.incarnation,
+                    leaving: self.leaving,
+                    ..Status::default()
+                });
+            }
+            Inbound::Unreached(addr) => {
+                let peers = self.group.roster().iter();
+                let gone: Vec<_> = peers
+                    .filter(|p| p.identity.addr == addr)
+                    .map(|p| p.id)
+                    .collect();
+                for peer in gone {
+                    self.handle(Event::Unreached(peer));
+                }
+            }
+        }
+    }
+
+    /// Gives the group an event and does what it asks for.
+    fn handle(&mut self, event: Event) {
+        let now = self.start.elapsed();
+        let mut actions = std::mem::take(&mut self.actions);
+        self.group.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            self.act(action);
+        }
+        self.actions = actions;
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { to, message, .. } => {
+                // A full queue is counted by the link; gossip repeats itself.
+                let _ = self.link.send(to, message);
+            }
+            Action::Changed { peer, state, .. } => {
+                self.dirty = true;
+                let row = self.group.roster().get(peer);
+                let name = row.map_or("?", |p| p.identity.name.as_str()).to_owned();
+                let state = format!("{state:?}");
+                self.journal.tell(Told::Node { name, state });
+            }
+            Action::Learned(_) => self.dirty = true,
+            Action::Newer { .. } => {}
+        }
+    }
+
+    /// Seeds stand for nodes whose names are not known; they tell them when asked who they are.
+    fn seeds(&self) -> Vec<Entry> {
+        let seeds = self.settings.seeds.iter();
+        let seeds = seeds.filter(|addr| **addr != self.settings.peers);
+        seeds
+            .map(|addr| Entry {
+                name: format!("seed-{addr}"),
+                addr: *addr,
+                zone: self.settings.zone.clone(),
+                region: self.settings.region.clone(),
+                standing: Standing::Live,
+            })
+            .collect()
+    }
+
+    /// Where callers reach the nodes that take new work.
+    fn nodes(&self) -> Vec<SocketAddr> {
+        let me = self.group.me();
+        let peers = self.group.open().filter(|p| p.id != me);
+        let callers = peers.filter_map(|p| {
+            let slot = self.group.store().get(p.id, &Key::Callers)?;
+            match slot.body {
+                Body::Callers { addr, .. } => Some(addr),
+                _ => None,
+            }
+        });
+        let own = (!self.leaving).then_some(self.settings.callers);
+        own.into_iter().chain(callers).collect()
+    }
+
+    /// Publishes a view if anything changed.
+    fn publish(&mut self) {
+        if !std::mem::take(&mut self.dirty) {
+            return;
+        }
+        let Some(catalog) = self.tables.catalog() else {
+            return;
+        };
+        let nodes = self.nodes();
+        let endpoints: Vec<Endpoint> = self.tables.endpoints().cloned().collect();
+        let view = View {
+            fleet: Fleet {
+                catalog: catalog.clone(),
+                endpoints: Arc::new(endpoints),
+                nodes: nodes.len().max(1),
+            },
+            nodes,
+            leaving: self.leaving,
+        };
+        self.board.store(Some(Arc::new(view)));
+    }
+}
+
+fn table_name(table: Table) -> &'static str {
+    match table {
+        Table::Operator => "store: the operator's table",
+        Table::Endpoints => "store: the endpoints' table",
+    }
+}
+
+const _: () = assert!(STEP.as_millis() <= member::event::TICK.as_millis());
--- /dev/null
+++ b/crates/node/src/hosted/control/tables.rs
@@ -0,0 +1,230 @@
+//! What the two tables say, decoded.
+//!
+//! Endpoints whose row went are kept in use for a moment when the store has just come back from
+//! an outage: rows lapse while nobody can write them, and endpoints that live write theirs again
+//! within about two seconds.
+
+use adapter::Platform;
+use adapter::store::Table;
+use catalog::endpoint::State;
+use catalog::source::{self, Offset, Page};
+use catalog::{Catalog, Endpoint};
+use journal::Journal;
+use journal::event::Event;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time after the store came back in which rows that lapsed are written again.
+const REWRITTEN: Duration = Duration::from_millis(2400);
+
+/// An endpoint, and what is known of its row.
+#[derive(Clone, Debug)]
+struct Known {
+    endpoint: Endpoint,
+    /// Until when it is kept although its row is gone.
+    lapsed: Option<Instant>,
+}
+
+/// The decoded tables.
+pub struct Tables {
+    journal: Journal,
+    operator: source::Table,
+    endpoints: source::Table,
+    catalog: Option<Arc<Catalog>>,
+    known: BTreeMap<String, Known>,
+    /// When reading the endpoints' table last failed.
+    failed: Option<Instant>,
+    /// When it succeeded again after that.
+    regained: Option<Instant>,
+}
+
+impl Tables {
+    /// Tables that nothing is known of.
+    pub fn new(journal: Journal) -> Self {
+        Self {
+            journal,
+            operator: source::Table::default(),
+            endpoints: source::Table::default(),
+            catalog: None,
+            known: BTreeMap::new(),
+            failed: None,
+            regained: None,
+        }
+    }
+
+    /// The catalog in force.
+    pub fn catalog(&self) -> Option<&Arc<Catalog>> {
+        self.catalog.as_ref()
+    }
+
+    /// The endpoints that may be used or are leaving.
+    pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        self.known.values().map(|k| &k.endpoint)
+    }
+
+    /// The copy of a table.
+    pub fn copy(&self, table: Table) -> &source::Table {
+        match table {
+            Table::Operator => &self.operator,
+            Table::Endpoints => &self.endpoints,
+        }
+    }
+
+    /// Offset of the next change of a table.
+    pub fn next(&self, table: Table) -> Offset {
+        self.copy(table).next()
+    }
+
+    /// The endpoints' table could not be read.
+    pub fn unread(&mut self, now: Instant) {
+        self.failed = Some(now);
+        self.regained = None;
+    }
+
+    /// The endpoints' table was read.
+    pub fn read(&mut self, now: Instant) {
+        if self.failed.take().is_some() {
+            self.regained = Some(now);
+        }
+    }
+
+    /// Takes changes in; whether anything that workers know is different now.
+    pub fn take(
+        &mut self,
+        platform: &Platform,
+        table: Table,
+        page: Page,
+        source: &'static str,
+    ) -> bool {
+        match table {
+            Table::Operator => {
+                let changed = self.operator.take(page);
+                changed.iter().any(|k| k == adapter::CATALOG_KEY) && self.adopt(platform, source)
+            }
+            Table::Endpoints => {
+                let next = page.next;
+                let changed = self.endpoints.take(page);
+                let mut any = false;
+                for key in changed {
+                    any |= self.update(platform, &key, next);
+                }
+                any
+            }
+        }
+    }
+
+    /// Puts the operator's newest catalog in force, unless it is older than the one there is.
+    fn adopt(&mut self, platform: &Platform, source: &'static str) -> bool {
+        let Some(value) = self.operator.get(adapter::CATALOG_KEY) else {
+            return false;
+        };
+        let before = self.catalog.as_ref().map_or(0, |c| c.version);
+        let (version, outcome, adopted) = match platform.catalog(value) {
+            // A catalog never gives way to an older one, wherever that came from.
+            Ok(catalog) if catalog.version <= before => {
+                (catalog.version, "older".to_owned(), false)
+            }
+            Ok(catalog) => {
+                let version = catalog.version;
+                self.catalog = Some(Arc::new(catalog));
+                (version, "in force".to_owned(), true)
+            }
+            Err(findings) => {
+                let findings: Vec<_> = findings.iter().map(ToString::to_string).collect();
+                (0, findings.join("; "), false)
+            }
+        };
+        self.journal.tell(Event::Catalog {
+            version,
+            before,
+            source,
+            outcome,
+        });
+        adopted
+    }
+
+    /// Takes in the row of one endpoint.
+    fn update(&mut self, platform: &Platform, key: &str, offset: Offset) -> bool {
+        let Some(value) = self.endpoints.get(key) else {
+            return self.gone(key, offset);
+        };
+        let decoded = platform.endpoint(key, value);
+        let state = match &decoded {
+            Ok(e) => format!("{:?} at {} layers {}", e.state, e.addr, e.span),
+            Err(why) => format!("unusable row: {why}"),
+        };
+        let same = match (&decoded, self.known.get(key)) {
+            (Ok(new), Some(known)) => known.lapsed.is_none() && alike(new, &known.endpoint),
+            (Err(_), None) => true,
+            _ => false,
+        };
+        match decoded {
+            Ok(endpoint) => {
+                let known = Known {
+                    endpoint,
+                    lapsed: None,
+                };
+                self.known.insert(key.to_owned(), known);
+            }
+            Err(_) => {
+                self.known.remove(key);
+            }
+        }
+        if !same {
+            self.tell(key, state, offset);
+        }
+        !same
+    }
+
+    fn gone(&mut self, key: &str, offset: Offset) -> bool {
+        let Some(known) = self.known.get_mut(key) else {
+            return false;
+        };
+        let now = Instant::now();
+        let away = self.failed.is_some();
+        let back = self.regained.is_some_and(|at| now < at + REWRITTEN);
+        if (away || back) && known.endpoint.state == State::Ready {
+            known.lapsed = Some(now + REWRITTEN);
+            self.tell(key, "row lapsed while the store was away".to_owned(), offset);
+            return false;
+        }
+        self.known.remove(key);
+        self.tell(key, "gone".to_owned(), offset);
+        true
+    }
+
+    /// Drops endpoints whose row lapsed and was not written again; whether there were any.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        if self.failed.is_some() {
+            return false;
+        }
+        let over = |k: &Known| k.lapsed.is_some_and(|until| now >= until);
+        let gone: Vec<String> = self
+            .known
+            .iter()
+            .filter(|(_, k)| over(k))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in &gone {
+            self.known.remove(key);
+            self.tell(key, "gone: its row was not written again".to_owned(), self.endpoints.next());
+        }
+        !gone.is_empty()
+    }
+
+    fn tell(&self, key: &str, state: String, offset: Offset) {
+        let run = self.known.get(key);
+        let run = run.map_or_else(|| key.to_owned(), |k| k.endpoint.run.to_string());
+        self.journal.tell(Event::Endpoint { run, state, offset });
+    }
+}
+
+/// Whether two rows say the same to a worker.
+fn alike(a: &Endpoint, b: &Endpoint) -> bool {
+    a == &Endpoint {
+        orders: a.orders,
+        ..b.clone()
+    }
+}
--- /dev/null
+++ b/crates/node/src/hosted/process.rs
@@ -0,0 +1,241 @@
+//! Starts and ends the threads of a node on a platform's store.
+//!
+//! Leaving: the node is no longer told to callers and says that it takes none, and answers go out
+//! with `connection: close`. Callers keep an address for a while and use connections that are open,
+//! so for a third of the grace time all that comes is served. Then new requests are refused as not
+//! run; the process ends when nothing is in flight, or shortly before it would be killed.
+
+use super::control::Control;
+use super::settings::{self, Settings};
+use crate::process::runtime;
+use adapter::header::Headers;
+use eyre::{Result, WrapErr};
+use gate::listener::{self, Port, Stop};
+use gate::view::Board;
+use gate::worker::{Parts, Worker};
+use journal::Journal;
+use journal::event::Event;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::task::LocalSet;
+use tokio_util::sync::CancellationToken;
+
+/// Part of the grace time in which new requests are still served.
+const SERVE_PART: f64 = 0.38;
+/// Part of the grace time after which what is in flight is broken off.
+const FINISH_PART: f64 = 0.94;
+/// How often the end of what is in flight is looked for.
+const LOOK: Duration = Duration::from_millis(20);
+/// How often idle connections are looked at.
+const TIDY: Duration = Duration::from_secs(1);
+/// How often the settings file is looked at: it may change without a signal.
+const SETTINGS_LOOK: Duration = Duration::from_secs(2);
+/// Connections that the listeners for short questions take.
+const SMALL: usize = 256;
+
+/// When the parts of a node end.
+#[derive(Clone, Debug, Default)]
+struct Ends {
+    leave: CancellationToken,
+    /// New requests are refused.
+    close: CancellationToken,
+    serving: Stop,
+    control: CancellationToken,
+    /// Requests in flight, for the thread that waits for their end.
+    flying: Arc<AtomicU64>,
+}
+
+/// Runs a node until a signal ends it.
+pub fn run(file: &Path, settings: Settings) -> Result<()> {
+    let (journal, lines) = Journal::new(journal::QUEUE);
+    let writer = journal::writer::start(&journal, lines, std::io::stdout())?;
+    log::set_max_level(settings.level);
+    journal.tell(Event::Start {
+        node: settings.name.clone(),
+        callers: settings.callers.to_string(),
+    });
+    let ends = Ends::default();
+    let board = Board::default();
+    let incarnation = incarnation();
+    let seed = seed(&settings.name, incarnation);
+    let worker = start_worker(&settings, &board, &journal, seed, &ends)?;
+    let control = Control {
+        settings: settings.clone(),
+        incarnation,
+        seed,
+        board,
+        journal: journal.clone(),
+        leave: ends.leave.clone(),
+        end: ends.control.clone(),
+    };
+    let builder = std::thread::Builder::new().name("control".to_owned());
+    let control = builder.spawn(move || runtime()?.block_on(control.run()))?;
+    let watched = Watched {
+        file: file.to_owned(),
+        settings,
+        journal: journal.clone(),
+    };
+    let result = runtime()?.block_on(until_end(watched, &ends));
+    for thread in [worker, control] {
+        thread.join().map_err(|_| eyre::eyre!("a thread panicked"))??;
+    }
+    journal.tell(Event::Stop {
+        reason: "ended",
+        flying: 0,
+    });
+    drop(journal);
+    writer.join().map_err(|_| eyre::eyre!("the writer panicked"))?;
+    result
+}
+
+type Thread = std::thread::JoinHandle<Result<()>>;
+
+fn start_worker(
+    settings: &Settings,
+    board: &Board,
+    journal: &Journal,
+    seed: u64,
+    ends: &Ends,
+) -> Result<Thread> {
+    let mut listeners = vec![(bind(settings.callers)?, Port::Callers, settings.connections)];
+    for (addr, port) in [(settings.addresses, Port::Addresses), (settings.ready, Port::Ready)] {
+        if let Some(addr) = addr {
+            listeners.push((bind(addr)?, port, SMALL));
+        }
+    }
+    let parts = Parts {
+        dialect: Headers,
+        board: board.clone(),
+        journal: journal.clone(),
+        allowance: settings.allowance,
+        seed,
+    };
+    let ends = ends.clone();
+    let builder = std::thread::Builder::new().name("worker".to_owned());
+    Ok(builder.spawn(move || {
+        let local = LocalSet::new();
+        let worker = Worker::new(parts);
+        local.block_on(&runtime()?, serve(worker, listeners, ends))
+    })?)
+}
+
+async fn serve(
+    worker: Rc<Worker<Headers>>,
+    listeners: Vec<(std::net::TcpListener, Port, usize)>,
+    ends: Ends,
+) -> Result<()> {
+    for (listener, port, connections) in listeners {
+        let listener = tokio::net::TcpListener::from_std(listener)?;
+        let stop = ends.serving.clone();
+        let running = listener::run(worker.clone(), listener, port, connections, stop);
+        tokio::task::spawn_local(running);
+    }
+    let mut tidy = tokio::time::interval(TIDY);
+    loop {
+        tokio::select! {
+            () = ends.serving.kill.cancelled() => return Ok(()),
+            () = ends.close.cancelled() => break,
+            _ = tidy.tick() => worker.tidy(),
+        }
+    }
+    worker.close();
+    loop {
+        ends.flying.store(worker.flying(), Ordering::Relaxed);
+        tokio::select! {
+            () = ends.serving.kill.cancelled() => return Ok(()),
+            () = tokio::time::sleep(LOOK) => {}
+        }
+    }
+}
+
+fn bind(addr: SocketAddr) -> Result<std::net::TcpListener> {
+    entry::listener::open(addr).wrap_err_with(|| format!("listener {addr}"))
+}
+
+struct Watched {
+    file: PathBuf,
+    settings: Settings,
+    journal: Journal,
+}
+
+/// Waits for the signal to end, then leaves.
+async fn until_end(mut watched: Watched, ends: &Ends) -> Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    let mut hup = signal(SignalKind::hangup())?;
+    let mut look = tokio::time::interval(SETTINGS_LOOK);
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = int.recv() => break,
+            _ = hup.recv() => watched.reload(true),
+            _ = look.tick() => watched.reload(false),
+        }
+    }
+    leave(&watched, ends, &mut term).await;
+    Ok(())
+}
+
+async fn leave(watched: &Watched, ends: &Ends, term: &mut Signal) {
+    let grace = watched.settings.grace;
+    let begun = tokio::time::Instant::now();
+    watched.journal.tell(Event::Stop {
+        reason: "signal to end",
+        flying: 0,
+    });
+    ends.leave.cancel();
+    tokio::select! {
+        () = tokio::time::sleep(grace.mul_f64(SERVE_PART)) => {}
+        _ = term.recv() => {}
+    }
+    ends.flying.store(u64::MAX, Ordering::Relaxed);
+    ends.close.cancel();
+    ends.serving.drain.cancel();
+    let finish = begun + grace.mul_f64(FINISH_PART);
+    while ends.flying.load(Ordering::Relaxed) > 0 && tokio::time::Instant::now() < finish {
+        tokio::time::sleep(LOOK).await;
+    }
+    // The last answers are in the kernel's hands by then, or in a moment.
+    tokio::time::sleep(LOOK).await;
+    ends.control.cancel();
+    ends.serving.kill.cancel();
+}
+
+impl Watched {
+    /// Reads the settings again if the file changed; `asked` if a signal asked for it.
+    fn reload(&mut self, asked: bool) {
+        let outcome = match settings::load(&self.file) {
+            Ok(new) if format!("{new:?}") == format!("{:?}", self.settings) => {
+                if !asked {
+                    return;
+                }
+                "nothing changed".to_owned()
+            }
+            Ok(new) => {
+                log::set_max_level(new.level);
+                self.settings = new;
+                "changed: the level of lines is taken, the rest at the next start".to_owned()
+            }
+            Err(findings) => {
+                let findings: Vec<_> = findings.iter().map(ToString::to_string).collect();
+                format!("kept the old ones: {}", findings.join("; "))
+            }
+        };
+        self.journal.tell(Event::Reload { outcome });
+    }
+}
+
+/// When this process started, in milliseconds of Unix time: a restart has a higher one.
+fn incarnation() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
+
+fn seed(name: &str, incarnation: u64) -> u64 {
+    member::identity::id(name) ^ incarnation.rotate_left(20)
+}
--- /dev/null
+++ b/crates/node/src/hosted/settings.rs
@@ -0,0 +1,169 @@
+//! Settings of a node on a platform's store.
+
+use crate::settings::finding::Finding;
+use crate::settings::section::{Section, stray_keys, unknown_sections};
+use crate::settings::text::Text;
+use crate::settings::value::{self, addr, addrs, level, limit, name, peer_key, time};
+use crate::settings::{self, Result};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+use steer::budget::Allowance;
+
+const NODE: &str = "node";
+const CALLERS: &str = "callers";
+const ADDRESSES: &str = "addresses";
+const READY: &str = "ready";
+const PEERS: &str = "peers";
+const STORE: &str = "store";
+const RETRIES: &str = "retries";
+const LIMITS: &str = "limits";
+const LOGGING: &str = "logging";
+const SECTIONS: [&str; 9] = [
+    NODE, CALLERS, ADDRESSES, READY, PEERS, STORE, RETRIES, LIMITS, LOGGING,
+];
+
+/// Descriptors that are kept for other uses than callers' connections: endpoints, peers, store.
+const RESERVED: usize = 1200;
+/// Callers' connections at the least.
+const LEAST_CONNECTIONS: usize = 256;
+/// Time from the signal to end until the process is killed, unless set.
+const GRACE: Duration = Duration::from_secs(8);
+/// Descriptors, unless set: the usual limit of a process.
+const DESCRIPTORS: usize = 4096;
+
+/// Checked settings.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the instance.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Its region.
+    pub region: String,
+    /// Where callers send requests.
+    pub callers: SocketAddr,
+    /// Where callers ask which addresses to use.
+    pub addresses: Option<SocketAddr>,
+    /// Where the platform asks whether this node takes requests.
+    pub ready: Option<SocketAddr>,
+    /// Where other nodes connect to.
+    pub peers: SocketAddr,
+    /// Key that all nodes share.
+    pub key: wire::auth::Key,
+    /// Nodes to ask for others.
+    pub seeds: Vec<SocketAddr>,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Further attempts that are allowed over all nodes.
+    pub allowance: Allowance,
+    /// Callers' connections at once.
+    pub connections: usize,
+    /// Time from the signal to end until the process is killed.
+    pub grace: Duration,
+    /// Least important level of lines about the process itself.
+    pub level: log::LevelFilter,
+}
+
+/// Whether the settings in `file` are those of a node on a platform's store.
+pub fn hosted(file: &Path) -> bool {
+    let content = std::fs::read_to_string(file).unwrap_or_default();
+    content.lines().any(|line| line.trim() == "[store]")
+}
+
+/// Reads and checks the settings in `file`.
+pub fn load(file: &Path) -> Result<Settings> {
+    let name = file.display().to_string();
+    let content = std::fs::read_to_string(file)
+        .map_err(|e| vec![Finding::of_file(&name, format!("can't be read: {e}"))])?;
+    read(&name, &content)
+}
+
+/// Checks the settings in `content`, which came from the file called `name`.
+pub fn read(name: &str, content: &str) -> Result<Settings> {
+    check(&settings::text::Text::read(name, content)?)
+}
+
+fn check(text: &Text) -> Result<Settings> {
+    let mut findings = text.findings.clone();
+    unknown_sections(text, &SECTIONS, &mut findings);
+    stray_keys(text, &mut findings);
+    let settings = settings(text, &mut findings);
+    match settings {
+        Some(settings) if findings.is_empty() => Ok(settings),
+        _ => {
+            findings.sort();
+            Err(findings)
+        }
+    }
+}
+
+fn settings(text: &Text, findings: &mut Vec<Finding>) -> Option<Settings> {
+    let mut node = Section::new(text, NODE);
+    let own_name = node.required("name", name, findings);
+    let zone = node.required("zone", name, findings);
+    let region = node.required("region", name, findings);
+    let grace = node.or("grace", GRACE, limit, findings);
+    node.finish(findings);
+    let callers = listen(text, CALLERS, findings);
+    let addresses = listen(text, ADDRESSES, findings);
+    let ready = listen(text, READY, findings);
+    if callers.is_none() && !text.entries.iter().any(|e| e.section == CALLERS) {
+        let section = Section::new(text, CALLERS);
+        findings.push(section.about("listen", "is missing"));
+    }
+    let mut peers = Section::new(text, PEERS);
+    let listen = peers.required("listen", addr, findings);
+    let key = peers.required("key", peer_key, findings);
+    let seeds = peers.or("seeds", Vec::new(), addrs, findings);
+    peers.finish(findings);
+    let mut store = Section::new(text, STORE);
+    let address = store.required("address", addr, findings);
+    store.finish(findings);
+    let allowance = allowance(text, findings);
+    let mut limits = Section::new(text, LIMITS);
+    let descriptors = limits.or("descriptors", DESCRIPTORS, value::count, findings);
+    limits.finish(findings);
+    let mut logging = Section::new(text, LOGGING);
+    let level = logging.or("level", log::LevelFilter::Info, level, findings);
+    logging.finish(findings);
+    Some(Settings {
+        name: own_name?,
+        zone: zone?,
+        region: region?,
+        callers: callers?,
+        addresses,
+        ready,
+        peers: listen?,
+        key: key?,
+        seeds,
+        store: address?,
+        allowance,
+        connections: descriptors.saturating_sub(RESERVED).max(LEAST_CONNECTIONS),
+        grace,
+        level,
+    })
+}
+
+fn listen(text: &Text, name: &'static str, findings: &mut Vec<Finding>) -> Option<SocketAddr> {
+    let mut section = Section::new(text, name);
+    let listen = section.optional("listen", addr, findings);
+    section.finish(findings);
+    listen
+}
+
+fn allowance(text: &Text, findings: &mut Vec<Finding>) -> Allowance {
+    let usual = Allowance {
+        ratio: 0.1,
+        slack: 50.0,
+        window: Duration::from_secs(10),
+    };
+    let mut retries = Section::new(text, RETRIES);
+    let allowance = Allowance {
+        ratio: retries.or("ratio", usual.ratio, value::fraction, findings),
+        slack: retries.or("slack", usual.slack, value::fraction, findings),
+        window: retries.or("window", usual.window, time, findings),
+    };
+    retries.finish(findings);
+    allowance
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod control;
 pub mod gauges;
+pub mod hosted;
 pub mod logging;
 pub mod process;
 pub mod settings;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -4,8 +4,8 @@
 use eyre::Result;
 use node::process::Process;
 use node::settings::{self, Settings};
-use node::{logging, process};
-use std::path::PathBuf;
+use node::{hosted, logging, process};
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -55,6 +55,15 @@
 }
 
 fn check(matches: &ArgMatches) -> ExitCode {
+    if let Some(file) = hosted_file(matches) {
+        return match load_hosted(&file) {
+            Ok(settings) => {
+                println!("the settings of node {} are right", settings.name);
+                ExitCode::SUCCESS
+            }
+            Err(code) => code,
+        };
+    }
     match load(matches) {
         Ok(settings) => {
             println!("the settings of node {} are right", settings.node.name);
@@ -64,7 +73,37 @@
     }
 }
 
+/// The settings file, if it is one of a node on a platform's store.
+fn hosted_file(matches: &ArgMatches) -> Option<PathBuf> {
+    let file = matches.get_one::<PathBuf>(CONFIG)?;
+    hosted::settings::hosted(file).then(|| file.clone())
+}
+
+fn load_hosted(file: &Path) -> std::result::Result<hosted::settings::Settings, ExitCode> {
+    hosted::settings::load(file).map_err(|findings| {
+        findings.iter().for_each(|finding| eprintln!("{finding}"));
+        ExitCode::from(BAD_SETTINGS)
+    })
+}
+
+fn run_hosted(file: &Path) -> ExitCode {
+    let settings = match load_hosted(file) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    match hosted::process::run(file, settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn run(matches: &ArgMatches) -> ExitCode {
+    if let Some(file) = hosted_file(matches) {
+        return run_hosted(&file);
+    }
     let settings = match load(matches) {
         Ok(settings) => settings,
         Err(code) => return code,
--- a/crates/node/src/settings/value.rs
+++ b/crates/node/src/settings/value.rs
@@ -24,18 +24,18 @@
 
 /// A time with its unit, up to a year: `250ms`, `10s`, `5m` or `24h`.
 pub fn time(text: &str) -> Result<Duration> {
-    let unit = text.trim_start_matches(|c: char| c.is_ascii_digit());
+    let unit = text.trim_start_matches(|c: char| c.is_ascii_digit() || c == '.');
     let digits = &text[..text.len() - unit.len()];
-    let wrong = || format!("{text:?} is not a time such as 250ms, 10s, 5m or 24h");
-    let number: u64 = digits.parse().map_err(|_| wrong())?;
-    let millis = match unit.trim() {
-        "ms" => Some(number),
-        "s" => number.checked_mul(1000),
-        "m" => number.checked_mul(60_000),
-        "h" => number.checked_mul(3_600_000),
-        _ => None,
+    let wrong = || format!("{text:?} is not a time such as 250ms, 10s, 1.5s, 5m or 24h");
+    let number: f64 = digits.parse().map_err(|_| wrong())?;
+    let seconds = match unit.trim() {
+        "ms" => number / 1000.0,
+        "s" => number,
+        "m" => number * 60.0,
+        "h" => number * 3600.0,
+        _ => return Err(wrong()),
     };
-    let time = millis.map(Duration::from_millis).ok_or_else(wrong)?;
+    let time = Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX);
     if time > LONGEST {
         return Err(format!("{text:?} is longer than a year"));
     }
@@ -97,3 +97,11 @@
     text.parse()
         .map_err(|_| format!("{text:?} is none of off, error, warn, info, debug, trace"))
 }
+
+/// A number of at least 0, maybe with a fraction.
+pub fn fraction(text: &str) -> Result<f64> {
+    match text.parse::<f64>() {
+        Ok(number) if number.is_finite() && number >= 0.0 => Ok(number),
+        _ => Err(format!("{text:?} is not a number of at least 0")),
+    }
+}
--- /dev/null
+++ b/crates/place/src/plan.rs
@@ -0,0 +1,162 @@
+//! The next orders.
+//!
+//! Each availability zone gets a cover of its own, since activations between zones go over a pipe
+//! that all share. Within a zone, endpoints of the fastest kinds hold as many layers as leave the
+//! zone's cover the most room that still lets all layers fit; slower ones fill what is missing and
+//! then hold second copies of the layers that the whole fleet holds least often. An endpoint that
+//! holds layers keeps them: an order costs seconds of loading and the requests that wait for it.
+
+use crate::demand::least_tokens;
+use crate::order::Order;
+use crate::stock::Holder;
+use catalog::Layer;
+use catalog::endpoint::Span;
+use catalog::engine::Engine;
+use std::collections::BTreeMap;
+
+/// Steps in which the room of a zone's cover is searched.
+const STEPS: u32 = 40;
+/// Most room of a cover that is looked for, in tokens: past it, latency binds before memory.
+const MOST_TOKENS: f64 = 100_000.0;
+
+/// Worth of a layer's next copy, by what is there already.
+mod worth {
+    /// No endpoint of the fleet holds it: nothing is served without it.
+    pub const NOWHERE: f64 = 1000.0;
+    /// No endpoint of the zone holds it.
+    pub const NOT_IN_ZONE: f64 = 30.0;
+    /// It is there: a copy more is worth this, over the number of copies in the fleet, squared.
+    pub const SPARE: f64 = 3.0;
+}
+
+/// How often each layer is held.
+struct Cover {
+    fleet: Vec<u32>,
+    zones: BTreeMap<String, Vec<u32>>,
+}
+
+impl Cover {
+    fn of(engine: &Engine, holders: &[Holder]) -> Self {
+        let mut cover = Self {
+            fleet: vec![0; engine.layers as usize],
+            zones: BTreeMap::new(),
+        };
+        for holder in holders {
+            cover.add(&holder.zone, holder.span);
+        }
+        cover
+    }
+
+    fn add(&mut self, zone: &str, span: Span) {
+        let layers = self.fleet.len();
+        let zone = self.zones.entry(zone.to_owned());
+        let zone = zone.or_insert_with(|| vec![0; layers]);
+        for layer in (span.from as usize..span.to as usize).filter(|&l| l < layers) {
+            self.fleet[layer] += 1;
+            zone[layer] += 1;
+        }
+    }
+
+    /// Worth of one more copy of each layer, held in `zone`.
+    fn worth(&self, zone: &str) -> Vec<f64> {
+        let none = vec![0; self.fleet.len()];
+        let own = self.zones.get(zone).unwrap_or(&none);
+        let pairs = self.fleet.iter().zip(own);
+        pairs
+            .map(|(&all, &here)| match (all, here) {
+                (0, _) => worth::NOWHERE,
+                (_, 0) => worth::NOT_IN_ZONE,
+                _ => worth::SPARE / f64::from(all * all),
+            })
+            .collect()
+    }
+}
+
+/// The orders that can be given now: one for each endpoint that holds nothing.
+pub fn next(engine: &Engine, holders: &[Holder]) -> Vec<Order> {
+    let mut cover = Cover::of(engine, holders);
+    let rooms = rooms(engine, holders);
+    let mut empty: Vec<&Holder> = holders
+        .iter()
+        .filter(|h| h.span.is_empty() && !h.busy)
+        .collect();
+    // Larger and faster endpoints first: they hold the long spans, and the small ones fill gaps.
+    let key = |h: &Holder| engine.accelerator(&h.kind).map_or((0.0, 0.0), |k| (k.pace, -k.bytes));
+    empty.sort_by(|a, b| {
+        let (a, b) = ((key(a), &a.run), (key(b), &b.run));
+        a.0.partial_cmp(&b.0)
+            .unwrap_or(std::cmp::Ordering::Equal)
+            .then_with(|| a.1.cmp(b.1))
+    });
+    let mut orders = Vec::new();
+    for holder in empty {
+        let Some(kind) = engine.accelerator(&holder.kind) else {
+            continue;
+        };
+        let tokens = rooms.get(&holder.zone).copied().unwrap_or(0.0);
+        // What fits with no room at all is the bound that an engine crashes beyond.
+        let most = engine.fit(kind, tokens).min(engine.fit(kind, 0.0));
+        let Some(span) = window(&cover.worth(&holder.zone), most) else {
+            continue;
+        };
+        cover.add(&holder.zone, span);
+        orders.push(Order {
+            run: holder.run.clone(),
+            addr: holder.addr,
+            span,
+            after: holder.orders,
+        });
+    }
+    orders
+}
+
+/// By zone: the most room, in tokens, that a cover of all layers by the zone's endpoints leaves.
+fn rooms(engine: &Engine, holders: &[Holder]) -> BTreeMap<String, f64> {
+    let mut kinds: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+    for holder in holders {
+        kinds.entry(&holder.zone).or_default().push(&holder.kind);
+    }
+    let least = least_tokens(engine);
+    let fits = |kinds: &[&str], tokens: f64| {
+        let layers = kinds.iter().filter_map(|k| engine.accelerator(k));
+        let layers: u32 = layers.map(|k| engine.fit(k, tokens)).sum();
+        layers >= engine.layers
+    };
+    let room = |kinds: &[&str]| {
+        let steps = (0..=STEPS).rev().map(|s| {
+            let part = f64::from(s) / f64::from(STEPS);
+            least + (MOST_TOKENS - least).max(0.0) * part
+        });
+        // A zone that can't cover all layers by itself still holds a part of them.
+        steps.into_iter().find(|&t| fits(kinds, t)).unwrap_or(least)
+    };
+    kinds
+        .into_iter()
+        .map(|(zone, kinds)| (zone.to_owned(), room(&kinds)))
+        .collect()
+}
+
+/// The stretch of at most `most` layers that is worth the most; cut to what is worth most if it
+/// only completes a gap.
+fn window(worth: &[f64], most: Layer) -> Option<Span> {
+    let most = (most as usize).min(worth.len());
+    if most == 0 {
+        return None;
+    }
+    let mut best: Option<(f64, usize)> = None;
+    let mut sum: f64 = worth[..most].iter().sum();
+    for from in 0..=worth.len() - most {
+        if from > 0 {
+            sum += worth[from + most - 1] - worth[from - 1];
+        }
+        // The first of equal stretches wins, so that spans stand in a row without gaps.
+        if best.is_none_or(|(b, _)| sum > b + 1e-6) {
+            best = Some((sum, from));
+        }
+    }
+    let (_, from) = best?;
+    Some(Span {
+        from: u32::try_from(from).ok()?,
+        to: u32::try_from(from + most).ok()?,
+    })
+}
--- /dev/null
+++ b/crates/place/src/stock.rs
@@ -0,0 +1,38 @@
+//! The endpoints of one model service as a plan sees them.
+
+use catalog::endpoint::{Endpoint, Run, Span};
+use std::net::SocketAddr;
+
+/// An endpoint.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Holder {
+    /// Its run.
+    pub run: Run,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its availability zone.
+    pub zone: String,
+    /// Kind of its accelerator.
+    pub kind: String,
+    /// Layers that it holds, or will hold once an order under way is done.
+    pub span: Span,
+    /// Orders that it has accepted.
+    pub orders: u64,
+    /// Whether an order is under way or was given and not heard of yet.
+    pub busy: bool,
+}
+
+impl Holder {
+    /// The holder that an endpoint is; nothing for one without an accelerator.
+    pub fn of(endpoint: &Endpoint) -> Option<Self> {
+        Some(Self {
+            run: endpoint.run.clone(),
+            addr: endpoint.addr,
+            zone: endpoint.zone.clone(),
+            kind: endpoint.kind.clone()?,
+            span: endpoint.span,
+            orders: endpoint.orders,
+            busy: false,
+        })
+    }
+}
--- a/crates/platform/src/http/client.rs
+++ b/crates/platform/src/http/client.rs
@@ -3,7 +3,7 @@
 use crate::error::{Cause, Error, Result};
 use crate::limits::Limits;
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::{self, connect::HttpConnector};
@@ -47,11 +47,25 @@
         path: &str,
         body: Bytes,
         wait: Duration,
+    ) -> Result<Bytes> {
+        self.call_with(method, path, HeaderMap::new(), body, wait)
+            .await
+    }
+
+    /// The same with headers of the caller's.
+    pub async fn call_with(
+        &self,
+        method: Method,
+        path: &str,
+        headers: HeaderMap,
+        body: Bytes,
+        wait: Duration,
     ) -> Result<Bytes> {
         if body.len() > self.limits.send {
             return Err(Error::unsent(Cause::Large(self.limits.send)));
         }
-        let request = self.request(method, path, body)?;
+        let mut request = self.request(method, path, body)?;
+        request.headers_mut().extend(headers);
         let inner = self.current();
         let limit = self.limits.call.saturating_add(wait);
         match timeout(limit, exchange(inner, request, self.limits.take)).await {
--- /dev/null
+++ b/crates/steer/src/fleet.rs
@@ -0,0 +1,16 @@
+//! What a worker is told of the outside.
+
+use catalog::{Catalog, Endpoint};
+use std::sync::Arc;
+
+/// The catalog in force, the endpoints that may be used, and the nodes that share them.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    /// The catalog.
+    pub catalog: Arc<Catalog>,
+    /// The endpoints.
+    pub endpoints: Arc<Vec<Endpoint>>,
+    /// Nodes that send requests, this one included. Callers spread evenly over them, so what this
+    /// node has under way, times this number, is what an endpoint has under way.
+    pub nodes: usize,
+}
--- /dev/null
+++ b/crates/steer/src/lib.rs
@@ -0,0 +1,29 @@
+//! Which endpoint, or which chain of endpoints, runs a request; without I/O.
+//!
+//! [`Steer`] is the state of one request worker: the endpoints that registered, what this worker
+//! has under way at each, and how each did of late. It is asked for a [`target::Target`] and is
+//! told how the attempt ended. Time is passed in and chance is seeded, so the same calls give the
+//! same choices.
+//!
+//! Left to others: sockets and HTTP (`gate`), which layers an endpoint holds (`place`), what the
+//! operator and the endpoints say (`catalog`).
+
+use std::time::Duration;
+
+pub mod budget;
+pub mod chain;
+pub mod fleet;
+pub mod health;
+pub mod row;
+mod search;
+pub mod shortage;
+pub mod table;
+pub mod target;
+
+pub use crate::fleet::Fleet;
+pub use crate::table::Steer;
+
+/// Time since the process started, on the monotonic clock.
+pub type Now = Duration;
+/// Result of asking for a target.
+pub type Result<T> = std::result::Result<T, shortage::Shortage>;
--- /dev/null
+++ b/crates/steer/src/row.rs
@@ -0,0 +1,62 @@
+//! One endpoint as a worker sees it.
+
+use crate::Now;
+use crate::health::Health;
+use catalog::endpoint::{Endpoint, State};
+use catalog::engine::Engine;
+
+/// An endpoint and what this worker has under way there.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// What it told of itself.
+    pub endpoint: Endpoint,
+    /// How it did of late.
+    pub health: Health,
+    /// Requests of this worker.
+    pub flying: u32,
+    /// Room that these take, in tokens times layers.
+    pub held: f64,
+    /// Room that it has, in tokens times layers; 0 for a plain service.
+    pub room: f64,
+    /// Time of a step through all layers at its pace, in seconds; 0 for a plain service.
+    pub step: f64,
+    /// Time to read a prompt token through all layers at its pace, in seconds.
+    pub read: f64,
+    /// What it is slower than its kind, as learned; 1 at first.
+    pub slow: f64,
+    /// Number of its availability zone in the table.
+    pub zone: usize,
+}
+
+impl Row {
+    /// A row for an endpoint that nothing is known of yet.
+    pub fn new(endpoint: Endpoint, zone: usize) -> Self {
+        Self {
+            endpoint,
+            health: Health::default(),
+            flying: 0,
+            held: 0.0,
+            room: 0.0,
+            step: 0.0,
+            read: 0.0,
+            slow: 1.0,
+            zone,
+        }
+    }
+
+    /// Takes its paces and room from the engine that the operator describes.
+    pub fn measure(&mut self, engine: &Engine) {
+        let kind = self.endpoint.kind.as_deref();
+        let Some(kind) = kind.and_then(|k| engine.accelerator(k)) else {
+            return;
+        };
+        self.room = engine.room(kind, self.endpoint.span.len());
+        self.step = engine.step.as_secs_f64() * kind.pace;
+        self.read = kind.read / engine.read_rate.max(1.0);
+    }
+
+    /// Whether new work may be sent to it.
+    pub fn open(&self, now: Now) -> bool {
+        self.endpoint.state == State::Ready && self.health.usable(now)
+    }
+}
--- /dev/null
+++ b/crates/steer/src/search.rs
@@ -0,0 +1,223 @@
+//! The cheapest chain of endpoints over all layers.
+//!
+//! A shortest path over a layered graph: from layer 0 on, a stage runs from where the last one
+//! ended up to some cut (a layer at which any endpoint begins or ends). The cost of a stage is
+//! its time for the request, dearer the fuller its memory is; a hop to another availability zone
+//! costs its delay and its part of the shared pipe. An endpoint runs at most one stage of a chain,
+//! since engines refuse a chain that names one twice.
+
+use crate::Now;
+use crate::chain::Need;
+use crate::row::Row;
+use crate::shortage::Shortage;
+use catalog::Layer;
+use catalog::endpoint::Span;
+use catalog::engine::Engine;
+
+/// Most stages of a chain that an engine takes.
+const STAGES: usize = 32;
+/// Part of an endpoint's room that requests without urgency may fill. What is left takes the
+/// growth of answers that get longer than expected; without it the newest would be preempted.
+const FILL: f64 = 0.92;
+/// The same for urgent requests.
+const FILL_URGENT: f64 = 0.97;
+/// Cost of a stage by itself, in seconds of a request: each stage is one more endpoint whose loss
+/// stalls the request.
+const STAGE: f64 = 0.004;
+
+/// A stage: an index into the rows, and its layers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Part {
+    pub(crate) row: usize,
+    pub(crate) span: Span,
+}
+
+/// What a search looks at.
+pub(crate) struct Search<'a> {
+    pub(crate) engine: &'a Engine,
+    /// Candidates: indexes into the table, open and not tried.
+    pub(crate) rows: &'a [(usize, &'a Row)],
+    /// Number of availability zones.
+    pub(crate) zones: usize,
+    /// Nodes that send requests as this one does.
+    pub(crate) nodes: f64,
+}
+
+/// The cheapest way to have run all layers before a cut, with the last stage in one zone.
+#[derive(Clone, Copy, Debug)]
+struct Best {
+    cost: f64,
+    part: Part,
+    /// Cut and zone before this stage.
+    from: Option<(usize, usize)>,
+}
+
+impl Search<'_> {
+    /// The cheapest chain.
+    pub(crate) fn chain(&self, need: &Need, now: Now) -> Result<Vec<Part>, Shortage> {
+        debug_assert!(self.rows.iter().all(|(_, r)| r.open(now)));
+        let cuts = self.cuts();
+        if !self.covered(&cuts) {
+            return Err(Shortage::Layers);
+        }
+        let fill = if need.urgent { FILL_URGENT } else { FILL };
+        let size = need.tokens();
+        let largest = |l: Layer| self.largest(l) * FILL_URGENT >= size;
+        if !(0..self.engine.layers).all(largest) {
+            return Err(Shortage::Size);
+        }
+        let mut best: Vec<Option<Best>> = vec![None; cuts.len() * self.zones];
+        let mut reach: Vec<bool> = vec![false; cuts.len()];
+        reach[0] = true;
+        for at in 0..cuts.len() - 1 {
+            if !reach[at] {
+                continue;
+            }
+            for &(index, row) in self.rows {
+                let span = row.endpoint.span;
+                if !span.holds(cuts[at]) {
+                    continue;
+                }
+                let Some((start, from)) = self.entry(&best, at, row, index, need) else {
+                    continue;
+                };
+                let room = row.room * fill - row.held * self.nodes;
+                for to in at + 1..cuts.len() {
+                    if cuts[to] > span.to {
+                        break;
+                    }
+                    let layers = cuts[to] - cuts[at];
+                    if size * f64::from(layers) > room {
+                        break;
+                    }
+                    let cost = start + STAGE + self.time(row, layers, need);
+                    let slot = &mut best[to * self.zones + row.zone];
+                    if slot.is_none_or(|b| cost < b.cost) {
+                        let span = Span {
+                            from: cuts[at],
+                            to: cuts[to],
+                        };
+                        *slot = Some(Best {
+                            cost,
+                            part: Part { row: index, span },
+                            from,
+                        });
+                        reach[to] = true;
+                    }
+                }
+            }
+        }
+        self.walk(&best, cuts.len() - 1).ok_or(Shortage::Room)
+    }
+
+    /// Layers at which a stage may begin or end.
+    fn cuts(&self) -> Vec<Layer> {
+        let spans = self.rows.iter().map(|(_, r)| r.endpoint.span);
+        let mut cuts: Vec<Layer> = spans.flat_map(|s| [s.from, s.to]).collect();
+        cuts.extend([0, self.engine.layers]);
+        cuts.retain(|&c| c <= self.engine.layers);
+        cuts.sort_unstable();
+        cuts.dedup();
+        cuts
+    }
+
+    fn covered(&self, cuts: &[Layer]) -> bool {
+        let mut cuts = cuts.iter().filter(|&&c| c < self.engine.layers);
+        cuts.all(|&c| self.rows.iter().any(|(_, r)| r.endpoint.span.holds(c)))
+    }
+
+    /// Most tokens that any endpoint could hold of a request if it ran just this layer, empty.
+    fn largest(&self, layer: Layer) -> f64 {
+        let rows = self.rows.iter().map(|(_, r)| r);
+        let rows = rows.filter(|r| r.endpoint.span.holds(layer));
+        rows.map(|r| r.room).fold(0.0, f64::max)
+    }
+
+    /// Cost before a stage on `row` that begins at cut `at`, and the way there.
+    fn entry(
+        &self,
+        best: &[Option<Best>],
+        at: usize,
+        row: &Row,
+        index: usize,
+        need: &Need,
+    ) -> Option<(f64, Option<(usize, usize)>)> {
+        if at == 0 {
+            return Some((0.0, None));
+        }
+        let mut found: Option<(f64, Option<(usize, usize)>)> = None;
+        for zone in 0..self.zones {
+            let Some(before) = best[at * self.zones + zone] else {
+                continue;
+            };
+            if self.names(best, (at, zone), index) {
+                continue;
+            }
+            let cost = before.cost + self.cross(zone, row, need, before.part.row);
+            if found.is_none_or(|(c, _)| cost < c) {
+                found = Some((cost, Some((at, zone))));
+            }
+        }
+        found
+    }
+
+    /// Whether the way to a state has a stage on this row.
+    fn names(&self, best: &[Option<Best>], mut state: (usize, usize), row: usize) -> bool {
+        while let Some(before) = best[state.0 * self.zones + state.1] {
+            if before.part.row == row {
+                return true;
+            }
+            match before.from {
+                Some(from) => state = from,
+                None => return false,
+            }
+        }
+        false
+    }
+
+    /// Time that a hop costs a request.
+    fn cross(&self, zone: usize, row: &Row, need: &Need, before: usize) -> f64 {
+        if zone == row.zone {
+            return 0.0;
+        }
+        let Some((_, last)) = self.rows.iter().find(|(i, _)| *i == before) else {
+            return 0.0;
+        };
+        let delay = self.engine.delay(&last.endpoint.zone, &row.endpoint.zone);
+        let bits = need.tokens() * self.engine.activation_bytes * 8.0;
+        let pipe = bits / self.engine.pipe_bits.max(1.0);
+        // A token waits for the one before it, so each token pays the delay. The pipe is shared
+        // by all requests, so a request's part of it counts several times its own transfer.
+        delay.as_secs_f64() * f64::from(need.size.answer) + PIPE * pipe
+    }
+
+    /// Time that a request spends at a stage, dearer the fuller its memory is.
+    fn time(&self, row: &Row, layers: Layer, need: &Need) -> f64 {
+        let part = self.engine.part(layers);
+        let flying = f64::from(row.flying) * self.nodes;
+        let each = self.engine.per_request.as_secs_f64()
+            + self.engine.per_context.as_secs_f64() * need.tokens() / 1000.0;
+        let crowd = 1.0 + flying * each / self.engine.step.as_secs_f64().max(1e-9);
+        let write = row.step * crowd * f64::from(need.size.answer);
+        let read = row.read * f64::from(need.size.prompt);
+        let used = (row.held * self.nodes / row.room.max(1.0)).clamp(0.0, 0.95);
+        (write + read) * part * row.slow * (1.0 + used * used / (1.0 - used))
+    }
+
+    fn walk(&self, best: &[Option<Best>], end: usize) -> Option<Vec<Part>> {
+        let last = (0..self.zones).filter_map(|z| best[end * self.zones + z]);
+        let last = last.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
+        let mut parts = vec![last.part];
+        let mut from = last.from;
+        while let Some((at, zone)) = from {
+            let before = best[at * self.zones + zone]?;
+            parts.push(before.part);
+            from = before.from;
+        }
+        parts.reverse();
+        (parts.len() <= STAGES).then_some(parts)
+    }
+}
+
+/// How often a request's own transfer counts between availability zones.
+const PIPE: f64 = 4.0;
--- /dev/null
+++ b/crates/steer/src/table.rs
@@ -0,0 +1,308 @@
+//! The table of endpoints and the choice of a target.
+
+use crate::budget::{Allowance, Budget};
+use crate::chain::Need;
+use crate::fleet::Fleet;
+use crate::health::Outcome;
+use crate::row::Row;
+use crate::search::{Part, Search};
+use crate::shortage::Shortage;
+use crate::target::{Hold, Stage, Target};
+use crate::{Now, Result};
+use catalog::ServiceId;
+use catalog::endpoint::{Run, Span};
+use catalog::service::Service;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::net::SocketAddr;
+
+/// What an attempt holds at one endpoint.
+#[derive(Clone, Debug)]
+struct Share {
+    run: Run,
+    addr: SocketAddr,
+    /// Room in tokens times layers.
+    held: f64,
+}
+
+/// What an attempt holds.
+#[derive(Clone, Debug)]
+struct Held {
+    began: Now,
+    parts: Vec<Share>,
+}
+
+/// The state of one worker.
+///
+/// Invariant: what a row has flying and held is the sum over the attempts that are not ended.
+pub struct Steer {
+    fleet: Fleet,
+    allowance: Allowance,
+    rows: Vec<Row>,
+    index: HashMap<Run, usize>,
+    zones: Vec<String>,
+    holds: BTreeMap<Hold, Held>,
+    budgets: BTreeMap<String, Budget>,
+    next: Hold,
+    rng: ChaCha8Rng,
+}
+
+impl Steer {
+    /// A worker that knows no endpoint yet; its draws follow `seed`.
+    pub fn new(seed: u64, allowance: Allowance) -> Self {
+        Self {
+            fleet: Fleet::default(),
+            allowance,
+            rows: Vec::new(),
+            index: HashMap::new(),
+            zones: Vec::new(),
+            holds: BTreeMap::new(),
+            budgets: BTreeMap::new(),
+            next: 1,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// The fleet as last told.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// Takes a new view of the outside; what is under way at endpoints that stay is kept.
+    pub fn follow(&mut self, fleet: Fleet) {
+        let mut old: HashMap<Run, Row> = std::mem::take(&mut self.rows)
+            .into_iter()
+            .map(|r| (r.endpoint.run.clone(), r))
+            .collect();
+        self.index.clear();
+        for endpoint in fleet.endpoints.iter() {
+            let zone = self.zone(&endpoint.zone);
+            let mut row = match old.remove(&endpoint.run) {
+                Some(row) => Row {
+                    endpoint: endpoint.clone(),
+                    zone,
+                    ..row
+                },
+                None => Row::new(endpoint.clone(), zone),
+            };
+            if let Some(engine) = engine(&fleet, &endpoint.service) {
+                row.measure(engine);
+            }
+            self.index.insert(endpoint.run.clone(), self.rows.len());
+            self.rows.push(row);
+        }
+        self.fleet = fleet;
+    }
+
+    fn zone(&mut self, name: &str) -> usize {
+        let known = self.zones.iter().position(|z| z == name);
+        known.unwrap_or_else(|| {
+            self.zones.push(name.to_owned());
+            self.zones.len() - 1
+        })
+    }
+
+    /// A target for a request of `service` that was not sent to any of `tried`.
+    pub fn target(
+        &mut self,
+        now: Now,
+        service: ServiceId,
+        need: &Need,
+        tried: &[Run],
+    ) -> Result<Target> {
+        let catalog = self.fleet.catalog.clone();
+        let service = catalog.service(service).ok_or(Shortage::Endpoints)?;
+        match &service.engine {
+            Some(_) => self.chain(now, service, need, tried),
+            None => self.plain(now, service, tried),
+        }
+    }
+
+    /// The endpoint with the least under way; among equals a random one.
+    fn plain(&mut self, now: Now, service: &Service, tried: &[Run]) -> Result<Target> {
+        let nodes = self.fleet.nodes.max(1) as u32;
+        let mut known = false;
+        let mut found: Option<(u32, u32, usize)> = None;
+        let mut full = false;
+        for (at, row) in self.rows.iter().enumerate() {
+            if row.endpoint.service != service.name || tried.contains(&row.endpoint.run) {
+                continue;
+            }
+            known = true;
+            if !row.open(now) {
+                continue;
+            }
+            // Whatever the other nodes have there is guessed from this one's own part.
+            if row.flying * nodes > row.endpoint.slots * PLAIN_QUEUE * nodes {
+                full = true;
+                continue;
+            }
+            let key = (row.flying, self.rng.random::<u32>(), at);
+            if found.is_none_or(|f| key < f) {
+                found = Some(key);
+            }
+        }
+        let Some((_, _, at)) = found else {
+            let why = match known && full {
+                true => Shortage::Room,
+                false => Shortage::Endpoints,
+            };
+            return Err(why);
+        };
+        let part = Part {
+            row: at,
+            span: Span::default(),
+        };
+        Ok(self.hold(now, &[part], 0.0))
+    }
+
+    fn chain(
+        &mut self,
+        now: Now,
+        service: &Service,
+        need: &Need,
+        tried: &[Run],
+    ) -> Result<Target> {
+        let engine = service.engine.as_ref().ok_or(Shortage::Endpoints)?;
+        let usable = |r: &&(usize, &Row)| {
+            let endpoint = &r.1.endpoint;
+            endpoint.service == service.name && r.1.open(now) && !tried.contains(&endpoint.run)
+        };
+        let all: Vec<(usize, &Row)> = self.rows.iter().enumerate().collect();
+        let rows: Vec<(usize, &Row)> = all.iter().filter(usable).copied().collect();
+        if rows.is_empty() {
+            return Err(Shortage::Endpoints);
+        }
+        let search = Search {
+            engine,
+            rows: &rows,
+            zones: self.zones.len(),
+            nodes: self.fleet.nodes.max(1) as f64,
+        };
+        let parts = search.chain(need, now)?;
+        Ok(self.hold(now, &parts, need.tokens()))
+    }
+
+    fn hold(&mut self, now: Now, parts: &[Part], tokens: f64) -> Target {
+        let hold = self.next;
+        self.next += 1;
+        let mut held = Vec::with_capacity(parts.len());
+        let mut stages = Vec::with_capacity(parts.len());
+        for part in parts {
+            let row = &mut self.rows[part.row];
+            let room = tokens * f64::from(part.span.len());
+            row.flying += 1;
+            row.held += room;
+            held.push(Share {
+                run: row.endpoint.run.clone(),
+                addr: row.endpoint.addr,
+                held: room,
+            });
+            stages.push(Stage {
+                run: row.endpoint.run.clone(),
+                addr: row.endpoint.addr,
+                span: part.span,
+            });
+        }
+        let began = now;
+        self.holds.insert(hold, Held { began, parts: held });
+        Target { hold, stages }
+    }
+
+    /// An attempt ended; `blame` is the endpoint that it is about, if it is known, or else the
+    /// outcome counts for all stages (good) or for the first (anything else).
+    pub fn end(&mut self, now: Now, hold: Hold, outcome: Outcome, blame: Option<SocketAddr>) {
+        let Some(held) = self.holds.remove(&hold) else {
+            return;
+        };
+        for (number, part) in held.parts.iter().enumerate() {
+            let Some(&at) = self.index.get(&part.run) else {
+                continue;
+            };
+            let row = &mut self.rows[at];
+            row.flying = row.flying.saturating_sub(1);
+            row.held = if row.flying == 0 {
+                0.0
+            } else {
+                (row.held - part.held).max(0.0)
+            };
+            let concerned = match (blame, outcome) {
+                (Some(addr), _) => addr == part.addr,
+                (None, Outcome::Good) => true,
+                (None, _) => number == 0,
+            };
+            if concerned {
+                row.health.ended(now, held.began, outcome);
+            }
+        }
+    }
+
+    /// Takes an endpoint out of use for a while, by its address: an engine named it as the one
+    /// that its chain waits for.
+    pub fn accuse(&mut self, now: Now, addr: SocketAddr) {
+        let rows = self.rows.iter_mut().filter(|r| r.endpoint.addr == addr);
+        rows.for_each(|r| r.health.ended(now, now, Outcome::Failed));
+    }
+
+    /// A first attempt for `service` was made.
+    pub fn first(&mut self, now: Now, service: &str) {
+        let allowance = self.allowance;
+        self.budget(service).first(now, &allowance);
+    }
+
+    /// Takes one further attempt for `service` out of the budget, if there is one.
+    pub fn again(&mut self, now: Now, service: &str) -> bool {
+        let nodes = self.fleet.nodes;
+        let allowance = self.allowance;
+        self.budget(service).take(now, &allowance, nodes)
+    }
+
+    fn budget(&mut self, service: &str) -> &mut Budget {
+        if !self.budgets.contains_key(service) {
+            self.budgets.insert(service.to_owned(), Budget::default());
+        }
+        self.budgets.entry(service.to_owned()).or_default()
+    }
+
+    /// Attempts that are not ended.
+    pub fn flying(&self) -> usize {
+        self.holds.len()
+    }
+
+    /// The rows, for dumps and tests.
+    pub fn rows(&self) -> &[Row] {
+        &self.rows
+    }
+}
+
+/// Requests of one node at a plain endpoint, as a multiple of its slots, from which on it counts
+/// as full: more would wait longer than they would take elsewhere later.
+const PLAIN_QUEUE: u32 = 3;
+
+fn engine<'a>(fleet: &'a Fleet, service: &str) -> Option<&'a catalog::engine::Engine> {
+    let services = fleet.catalog.services.iter();
+    let mut found = services.filter(|s| s.name == service);
+    found.next()?.engine.as_ref()
+}
+
+/// The text for the dump.
+impl fmt::Display for Steer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "attempts {} nodes {}", self.holds.len(), self.fleet.nodes)?;
+        for row in &self.rows {
+            let endpoint = &row.endpoint;
+            write!(f, "endpoint {} {} {}", endpoint.run, endpoint.addr, endpoint.service)?;
+            write!(f, " {:?} layers {} flying {}", endpoint.state, endpoint.span, row.flying)?;
+            writeln!(
+                f,
+                " held {:.0} of {:.0} failures {}",
+                row.held,
+                row.room,
+                row.health.failures()
+            )?;
+        }
+        Ok(())
+    }
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -37,12 +37,31 @@
     HeadAsk(HeadAsk),
     /// The records; nothing if they are not at hand.
     HeadGive(Option<Vec<u8>>),
+    /// Asks for changes of a table that the peer has a copy of.
+    CopyAsk(CopyAsk),
+    /// The changes; nothing if the peer has no such copy.
+    CopyGive(Option<Vec<u8>>),
     /// Asks what is in force.
     StatusAsk,
     /// What is in force.
     StatusGive(Status),
 }
 
+impl Body {
+    /// Whether it is an ask.
+    pub(crate) fn asks(&self) -> bool {
+        matches!(self, Self::HeadAsk(_) | Self::CopyAsk(_) | Self::StatusAsk)
+    }
+
+    /// Whether it is the answer to an ask.
+    pub(crate) fn gives(&self) -> bool {
+        matches!(
+            self,
+            Self::HeadGive(_) | Self::CopyGive(_) | Self::StatusGive(_)
+        )
+    }
+}
+
 /// An ask for a version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeadAsk {
@@ -52,6 +71,15 @@
     pub have: u64,
 }
 
+/// An ask for the changes of a table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CopyAsk {
+    /// Number of the table.
+    pub table: u8,
+    /// Offset of the first change that is not at hand.
+    pub from: u64,
+}
+
 /// What a node has in force.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Status {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -3,7 +3,7 @@
 use crate::auth::Key;
 use crate::counters::Counters;
 use crate::error::{Error, Result};
-use crate::frame::{Body, Call, Frame, HeadAsk, Kind, Status};
+use crate::frame::{Body, Call, CopyAsk, Frame, HeadAsk, Kind, Status};
 use crate::limits::Limits;
 use crate::listen;
 use crate::route::{Outgoing, Routes};
@@ -33,6 +33,13 @@
         /// Takes the answer.
         reply: Reply<Option<Vec<u8>>>,
     },
+    /// A peer asks for the changes of a table.
+    Copy {
+        /// What it wants.
+        ask: CopyAsk,
+        /// Takes the answer.
+        reply: Reply<Option<Vec<u8>>>,
+    },
     /// A peer asks what is in force.
     Status {
         /// Takes the answer.
@@ -135,6 +142,14 @@
         }
     }
 
+    /// Asks a peer for the changes of a table.
+    pub async fn copy(&self, to: SocketAddr, ask: CopyAsk) -> Result<Option<Vec<u8>>> {
+        match self.ask(to, Body::CopyAsk(ask)).await? {
+            Body::CopyGive(bytes) => Ok(bytes),
+            _ => Err(Error::Field("answer")),
+        }
+    }
+
     /// Asks a peer what it has in force.
     pub async fn status(&self, to: SocketAddr) -> Result<Status> {
         match self.ask(to, Body::StatusAsk).await? {
@@ -193,6 +208,10 @@
                 ask,
                 reply: self.reply(from, call, Body::HeadGive),
             },
+            (Kind::Ask(call), Body::CopyAsk(ask)) => Inbound::Copy {
+                ask,
+                reply: self.reply(from, call, Body::CopyGive),
+            },
             (Kind::Ask(call), Body::StatusAsk) => Inbound::Status {
                 reply: self.reply(from, call, Body::StatusGive),
             },
--- a/crates/wire/src/raw.rs
+++ b/crates/wire/src/raw.rs
@@ -34,6 +34,11 @@
         have: u64,
     },
     HeadGive(Option<Vec<u8>>),
+    CopyAsk {
+        table: u8,
+        from: u64,
+    },
+    CopyGive(Option<Vec<u8>>),
     StatusAsk,
     StatusGive {
         number: u64,
--- a/crates/wire/src/raw/from.rs
+++ b/crates/wire/src/raw/from.rs
@@ -33,6 +33,11 @@
                 have: ask.have,
             },
             frame::Body::HeadGive(bytes) => Self::HeadGive(bytes.clone()),
+            frame::Body::CopyAsk(ask) => Self::CopyAsk {
+                table: ask.table,
+                from: ask.from,
+            },
+            frame::Body::CopyGive(bytes) => Self::CopyGive(bytes.clone()),
             frame::Body::StatusAsk => Self::StatusAsk,
             frame::Body::StatusGive(status) => Self::StatusGive {
                 number: status.number,
--- a/crates/wire/src/raw/into.rs
+++ b/crates/wire/src/raw/into.rs
@@ -60,8 +60,8 @@
         let body = frame::Body::try_from(raw.body)?;
         match (kind, &body) {
             (frame::Kind::Send, frame::Body::Member(_)) => {}
-            (frame::Kind::Ask(_), frame::Body::HeadAsk(_) | frame::Body::StatusAsk) => {}
-            (frame::Kind::Answer(_), frame::Body::HeadGive(_) | frame::Body::StatusGive(_)) => {}
+            (frame::Kind::Ask(_), body) if body.asks() => {}
+            (frame::Kind::Answer(_), body) if body.gives() => {}
             _ => return Err(Error::Field("kind")),
         }
         Ok(Self { kind, body })
@@ -76,6 +76,8 @@
             Body::Member(message) => Self::Member(message.try_into()?),
             Body::HeadAsk { number, have } => Self::HeadAsk(frame::HeadAsk { number, have }),
             Body::HeadGive(bytes) => Self::HeadGive(bytes),
+            Body::CopyAsk { table, from } => Self::CopyAsk(frame::CopyAsk { table, from }),
+            Body::CopyGive(bytes) => Self::CopyGive(bytes),
             Body::StatusAsk => Self::StatusAsk,
             Body::StatusGive {
                 number,
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 use wire::auth::{Hello, Key, Session, Side};
 use wire::error::Error;
-use wire::frame::{Body as Matter, Frame, HeadAsk, Kind, Status};
+use wire::frame::{Body as Matter, CopyAsk, Frame, HeadAsk, Kind, Status};
 
 const KEY: &str = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
 
@@ -165,6 +165,14 @@
         kind: Kind::Answer(3),
         body: Matter::HeadGive(None),
     });
+    frames.push(Frame {
+        kind: Kind::Ask(4),
+        body: Matter::CopyAsk(CopyAsk { table: 1, from: 70 }),
+    });
+    frames.push(Frame {
+        kind: Kind::Answer(4),
+        body: Matter::CopyGive(Some(vec![3; 1000])),
+    });
     frames
 }
 
--- a/crates/wire/tests/support/node.rs
+++ b/crates/wire/tests/support/node.rs
@@ -158,6 +158,9 @@
                 let head = self.group.head().map(|h| h.number.to_le_bytes().to_vec());
                 let _ = reply.send(head);
             }
+            Inbound::Copy { reply, .. } => {
+                let _ = reply.send(None);
+            }
             Inbound::Status { reply } => {
                 let number = self.group.head().map_or(0, |h| h.number);
                 let _ = reply.send(Status {
