A pipe is not filled past what it carries; a stage that a head names is left out for longer

A dark stage, named by the head's 503, was tried again every 60 ms by every node and ate the budget for further attempts.

Change: no hop over a pipe that is used to 75%; a named stage counts as failed (300 ms, doubling to 4 s); rows that lapsed with the store are kept for 3.2 s after its return; the budget is shared with nodes that are out of reach.

--- a/crates/catalog/src/checked.rs
+++ b/crates/catalog/src/checked.rs
@@ -159,7 +159,10 @@
     let mut teams = Vec::new();
     for (id, team) in (0..).zip(raw) {
         for key in &team.keys {
-            if keys.insert(key.clone(), id).is_some_and(|other| other != id) {
+            if keys
+                .insert(key.clone(), id)
+                .is_some_and(|other| other != id)
+            {
                 let place = format!("team {}", team.name);
                 findings.push(Finding::new(place, "shares a key with another team"));
             }
@@ -182,7 +185,11 @@
             writeln!(f, "route {name} {host}{prefix} {:?}", route.kind)?;
         }
         for service in &self.services {
-            let model = if service.engine.is_some() { "model" } else { "plain" };
+            let model = if service.engine.is_some() {
+                "model"
+            } else {
+                "plain"
+            };
             writeln!(f, "service {} {model}", service.name)?;
         }
         self.teams
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -54,7 +54,7 @@
     /// An endpoint's whole answer.
     Whole(Response<Bytes>),
     /// An endpoint's answer that comes in events.
-    Live(Live<D>),
+    Live(Box<Live<D>>),
     /// The node's own.
     Own(Refusal),
 }
@@ -88,7 +88,7 @@
         }
         Ending::Live(live) => {
             let head = live.head();
-            let mut response = Response::new(answer::stream(splice::stream(run, live)));
+            let mut response = Response::new(answer::stream(splice::stream(run, *live)));
             *response.status_mut() = head.status;
             *response.headers_mut() = head.headers;
             response
@@ -138,11 +138,9 @@
     async fn take(&mut self, sent: Sent<D>) -> Option<Ending<D>> {
         let status = sent.response.status();
         if sent.told.unrun || status == StatusCode::MISDIRECTED_REQUEST {
-            self.story.failed(&format!("status {status}, not run"), false);
-            let outcome = match status {
-                StatusCode::MISDIRECTED_REQUEST => Outcome::Elsewhere,
-                _ => Outcome::Full,
-            };
+            self.story
+                .failed(&format!("status {status}, not run"), false);
+            let outcome = declined(status, &sent.told);
             let Sent {
                 conn,
                 response,
@@ -159,7 +157,7 @@
         self.ran += 1;
         let stream = self.job.kind().stream().is_some() && status == StatusCode::OK;
         if stream {
-            return Some(Ending::Live(Live::new(sent)));
+            return Some(Ending::Live(Box::new(Live::new(sent))));
         }
         let repeat = status.is_server_error() && self.job.kind().repeatable();
         let told = sent.told.clone();
@@ -233,7 +231,8 @@
         if granted {
             crate::stats::add(&self.worker.stats.again);
         } else {
-            self.story.note("the budget for further attempts is used up");
+            self.story
+                .note("the budget for further attempts is used up");
         }
         granted
     }
@@ -337,6 +336,17 @@
 use rand::RngExt;
 use std::sync::Arc;
 
+/// What a refusal says of the endpoint that it is about. A stage that the head of a chain names is
+/// dead, about to leave, or short of memory, and the head can't tell which; only a longer pause
+/// keeps a dead one from costing an attempt each time.
+pub(crate) fn declined(status: StatusCode, told: &Told) -> Outcome {
+    match status {
+        StatusCode::MISDIRECTED_REQUEST => Outcome::Elsewhere,
+        _ if told.culprit.is_some() => Outcome::Failed,
+        _ => Outcome::Full,
+    }
+}
+
 /// Longest body of a refusal that is read to keep its connection.
 const SHORT: usize = 64 << 10;
 /// Longest time for that.
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -177,7 +177,9 @@
     fn genuine(&self, response: &Response<Incoming>, told: &Told) -> bool {
         let own = told.id.is_none() || told.id == self.job.ask.id;
         let success = response.status().is_success();
-        let encoded = response.headers().contains_key(http::header::CONTENT_ENCODING);
+        let encoded = response
+            .headers()
+            .contains_key(http::header::CONTENT_ENCODING);
         let informational = response.status() == StatusCode::SWITCHING_PROTOCOLS;
         own && !informational && !encoded && (!success || told.sealed)
     }
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -14,7 +14,7 @@
 use steer::chain::Need;
 use tokio::time::Instant;
 
-/// Ranks up to which a request is urgent.
+/// Rank of urgent requests.
 const URGENT: u8 = 0;
 /// Part by which an answer may be longer than its caller expects before room runs short: the
 /// estimate is right at the median only.
@@ -87,7 +87,7 @@
                 prompt: asked.prompt,
                 answer: expected.min(asked.answer),
             },
-            urgent: self.rank <= URGENT,
+            urgent: self.rank == URGENT,
         }
     }
 }
--- a/crates/gate/src/listener.rs
+++ b/crates/gate/src/listener.rs
@@ -84,12 +84,7 @@
     }
 }
 
-async fn connection<D: Dialect>(
-    worker: Rc<Worker<D>>,
-    stream: TcpStream,
-    port: Port,
-    stop: &Stop,
-) {
+async fn connection<D: Dialect>(worker: Rc<Worker<D>>, stream: TcpStream, port: Port, stop: &Stop) {
     // Without these options answers are slower or a lost caller is noticed later.
     let _ = stream.set_nodelay(true);
     let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNCONFIRMED));
--- a/crates/gate/src/splice.rs
+++ b/crates/gate/src/splice.rs
@@ -9,7 +9,7 @@
 use crate::dialect::Dialect;
 use crate::events::{Cutter, Event};
 use crate::forward::attempt::{Held, Sent};
-use crate::forward::{Run, closes};
+use crate::forward::{Run, closes, declined};
 use crate::stats;
 use bytes::Bytes;
 use futures::Stream;
@@ -219,7 +219,10 @@
         self.run.story.note(why);
         self.cutter.clear();
         if let Some(live) = self.live.take() {
-            self.run.worker.pool.forget(live.sent.held.target.head().addr);
+            self.run
+                .worker
+                .pool
+                .forget(live.sent.held.target.head().addr);
             live.sent.held.end(Outcome::Failed, None);
         }
         let kind = self.run.job.kind();
@@ -249,10 +252,7 @@
         let unrun = sent.told.unrun || status == StatusCode::MISDIRECTED_REQUEST;
         self.run.story.failed(&format!("status {status}"), !unrun);
         self.run.ran += u32::from(!unrun);
-        let outcome = match status {
-            StatusCode::MISDIRECTED_REQUEST => Outcome::Elsewhere,
-            _ => Outcome::Full,
-        };
+        let outcome = declined(status, &sent.told);
         let Sent {
             conn,
             response,
@@ -283,4 +283,3 @@
         Broken
     }
 }
-
--- a/crates/node/src/hosted/control/orders.rs
+++ b/crates/node/src/hosted/control/orders.rs
@@ -121,7 +121,10 @@
         }
         // Endpoints that start together are planned together: one that was asked for its report
         // is a moment away from being free.
-        if holders.iter().any(|h| matches!(self.under.get(&h.run), Some(Under::Asked(_)))) {
+        if holders
+            .iter()
+            .any(|h| matches!(self.under.get(&h.run), Some(Under::Asked(_))))
+        {
             return;
         }
         for order in plan::next(engine, &holders) {
@@ -189,7 +192,8 @@
 
     /// Forgets what is over, what its row shows by now, and runs that are gone.
     fn forget(&mut self, now: Instant, endpoints: &[&Endpoint]) {
-        self.seen.retain(|run| endpoints.iter().any(|e| e.run == *run));
+        self.seen
+            .retain(|run| endpoints.iter().any(|e| e.run == *run));
         self.under.retain(|run, under| {
             let Some(endpoint) = endpoints.iter().find(|e| e.run == *run) else {
                 return false;
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -352,6 +352,12 @@
         own.into_iter().chain(callers).collect()
     }
 
+    /// Nodes that the budget for further attempts is shared with.
+    fn sharers(&self) -> usize {
+        let peers = self.group.roster().iter();
+        peers.filter(|p| p.state != member::peer::State::Left).count()
+    }
+
     /// Publishes a view if anything changed.
     fn publish(&mut self) {
         if !std::mem::take(&mut self.dirty) {
@@ -367,6 +373,7 @@
                 catalog: catalog.clone(),
                 endpoints: Arc::new(endpoints),
                 nodes: nodes.len().max(1),
+                sharers: self.sharers(),
             },
             nodes,
             leaving: self.leaving,
--- a/crates/node/src/hosted/control/tables.rs
+++ b/crates/node/src/hosted/control/tables.rs
@@ -17,7 +17,7 @@
 use tokio::time::Instant;
 
 /// Time after the store came back in which rows that lapsed are written again.
-const REWRITTEN: Duration = Duration::from_millis(2400);
+const REWRITTEN: Duration = Duration::from_millis(3200);
 
 /// An endpoint, and what is known of its row.
 #[derive(Clone, Debug)]
@@ -187,7 +187,11 @@
         let back = self.regained.is_some_and(|at| now < at + REWRITTEN);
         if (away || back) && known.endpoint.state == State::Ready {
             known.lapsed = Some(now + REWRITTEN);
-            self.tell(key, "row lapsed while the store was away".to_owned(), offset);
+            self.tell(
+                key,
+                "row lapsed while the store was away".to_owned(),
+                offset,
+            );
             return false;
         }
         self.known.remove(key);
@@ -209,7 +213,11 @@
             .collect();
         for key in &gone {
             self.known.remove(key);
-            self.tell(key, "gone: its row was not written again".to_owned(), self.endpoints.next());
+            self.tell(
+                key,
+                "gone: its row was not written again".to_owned(),
+                self.endpoints.next(),
+            );
         }
         !gone.is_empty()
     }
--- a/crates/node/src/hosted/process.rs
+++ b/crates/node/src/hosted/process.rs
@@ -82,14 +82,18 @@
     };
     let result = runtime()?.block_on(until_end(watched, &ends));
     for thread in [worker, control] {
-        thread.join().map_err(|_| eyre::eyre!("a thread panicked"))??;
+        thread
+            .join()
+            .map_err(|_| eyre::eyre!("a thread panicked"))??;
     }
     journal.tell(Event::Stop {
         reason: "ended",
         flying: 0,
     });
     drop(journal);
-    writer.join().map_err(|_| eyre::eyre!("the writer panicked"))?;
+    writer
+        .join()
+        .map_err(|_| eyre::eyre!("the writer panicked"))?;
     result
 }
 
@@ -103,7 +107,10 @@
     ends: &Ends,
 ) -> Result<Thread> {
     let mut listeners = vec![(bind(settings.callers)?, Port::Callers, settings.connections)];
-    for (addr, port) in [(settings.addresses, Port::Addresses), (settings.ready, Port::Ready)] {
+    for (addr, port) in [
+        (settings.addresses, Port::Addresses),
+        (settings.ready, Port::Ready),
+    ] {
         if let Some(addr) = addr {
             listeners.push((bind(addr)?, port, SMALL));
         }
--- a/crates/node/src/settings/value.rs
+++ b/crates/node/src/settings/value.rs
@@ -26,7 +26,7 @@
 pub fn time(text: &str) -> Result<Duration> {
     let unit = text.trim_start_matches(|c: char| c.is_ascii_digit() || c == '.');
     let digits = &text[..text.len() - unit.len()];
-    let wrong = || format!("{text:?} is not a time such as 250ms, 10s, 1.5s, 5m or 24h");
+    let wrong = || format!("{text:?} is not a time such as 250ms, 10s, 5m or 24h");
     let number: f64 = digits.parse().map_err(|_| wrong())?;
     let seconds = match unit.trim() {
         "ms" => number / 1000.0,
--- a/crates/place/src/plan.rs
+++ b/crates/place/src/plan.rs
@@ -81,7 +81,11 @@
         .filter(|h| h.span.is_empty() && !h.busy)
         .collect();
     // Larger and faster endpoints first: they hold the long spans, and the small ones fill gaps.
-    let key = |h: &Holder| engine.accelerator(&h.kind).map_or((0.0, 0.0), |k| (k.pace, -k.bytes));
+    let key = |h: &Holder| {
+        engine
+            .accelerator(&h.kind)
+            .map_or((0.0, 0.0), |k| (k.pace, -k.bytes))
+    };
     empty.sort_by(|a, b| {
         let (a, b) = ((key(a), &a.run), (key(b), &b.run));
         a.0.partial_cmp(&b.0)
--- a/crates/steer/src/budget.rs
+++ b/crates/steer/src/budget.rs
@@ -23,7 +23,7 @@
 }
 
 /// Part of the allowance that is used: counts of a window lag behind at its edges.
-const USED: f64 = 0.7;
+const USED: f64 = 0.6;
 
 /// Counts of one slot.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/steer/src/health.rs
+++ b/crates/steer/src/health.rs
@@ -9,11 +9,11 @@
 
 /// Time out of use after the first failure: longer than a report of load is old (200 ms), so that
 /// what is known of it is new by then.
-const FIRST: Duration = Duration::from_millis(400);
-/// Longest time out of use: half of what an endpoint usually takes to come back after a crash.
-const LONGEST: Duration = Duration::from_secs(2);
+const FIRST: Duration = Duration::from_millis(300);
+/// Longest time out of use: about what an endpoint takes to come back after a crash.
+const LONGEST: Duration = Duration::from_secs(4);
 /// Time that an endpoint which was full is passed over: a few of its answers.
-const FULL: Duration = Duration::from_millis(60);
+const FULL: Duration = Duration::from_millis(120);
 
 /// How an attempt ended, as far as one endpoint is to blame or to thank for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/steer/src/search.rs
+++ b/crates/steer/src/search.rs
@@ -157,7 +157,10 @@
             if self.names(best, (at, zone), index) {
                 continue;
             }
-            let cost = before.cost + self.cross(zone, row, need, before.part.row);
+            let Some(hop) = self.cross(zone, row, need, before.part.row) else {
+                continue;
+            };
+            let cost = before.cost + hop;
             if found.is_none_or(|(c, _)| cost < c) {
                 found = Some((cost, Some((at, zone))));
             }
@@ -179,22 +182,22 @@
         false
     }
 
-    /// Time that a hop costs a request.
-    fn cross(&self, zone: usize, row: &Row, need: &Need, before: usize) -> f64 {
+    /// Time that a hop costs a request; nothing if the pipe can't take it.
+    fn cross(&self, zone: usize, row: &Row, need: &Need, before: usize) -> Option<f64> {
         if zone == row.zone {
-            return 0.0;
+            return Some(0.0);
         }
-        let Some((_, last)) = self.rows.iter().find(|(i, _)| *i == before) else {
-            return 0.0;
-        };
+        let (_, last) = self.rows.iter().find(|(i, _)| *i == before)?;
         let delay = self.engine.delay(&last.endpoint.zone, &row.endpoint.zone);
         let capacity = self.engine.pipe_bits.max(1.0);
         let transfer = bits(self.engine, need) / capacity;
         let used = self.pipes.rate(self.now, zone, row.zone) * self.nodes / capacity;
+        if used > MOST_PIPE {
+            return None;
+        }
         // A token waits for the one before it, so each token pays the delay. The pipe is shared
         // by all requests, so a request's part of it counts several times its own transfer.
-        delay.as_secs_f64() * f64::from(need.size.answer)
-            + PIPE * transfer / (1.0 - used).max(FULL_PIPE)
+        Some(delay.as_secs_f64() * f64::from(need.size.answer) + PIPE * transfer / (1.0 - used))
     }
 
     /// Time that a request spends at a stage, dearer the fuller its memory is.
@@ -228,10 +231,10 @@
 /// How often a request's own transfer counts between availability zones. With 4, three zones with
 /// a cover each sent so many requests across that the pipes carried 1.1 times what they can, and
 /// the 99th percentile of the first event went from 0.2 to 1.3 s within ten seconds.
-const PIPE: f64 = 30.0;
-/// Least part of a pipe that counts as free: the price of a full one is bounded, since a chain
-/// over a full pipe is still better than none.
-const FULL_PIPE: f64 = 0.05;
+const PIPE: f64 = 60.0;
+/// Part of a pipe that is used at the most. Past it every request on the pipe is late: with zones
+/// whose covers had holes, chains crossed up to 13 times, and first events took over a second.
+const MOST_PIPE: f64 = 0.75;
 
 /// Bits that a request sends over one hop.
 pub(crate) fn bits(engine: &Engine, need: &Need) -> f64 {
--- a/crates/steer/src/table.rs
+++ b/crates/steer/src/table.rs
@@ -4,8 +4,8 @@
 use crate::chain::Need;
 use crate::fleet::Fleet;
 use crate::health::Outcome;
-use crate::row::Row;
 use crate::pipe::Pipes;
+use crate::row::Row;
 use crate::search::{self, Part, Search};
 use crate::shortage::Shortage;
 use crate::target::{Hold, Stage, Target};
@@ -161,13 +161,7 @@
         Ok(self.hold(now, &[part], 0.0))
     }
 
-    fn chain(
-        &mut self,
-        now: Now,
-        service: &Service,
-        need: &Need,
-        tried: &[Run],
-    ) -> Result<Target> {
+    fn chain(&mut self, now: Now, service: &Service, need: &Need, tried: &[Run]) -> Result<Target> {
         let engine = service.engine.as_ref().ok_or(Shortage::Endpoints)?;
         let usable = |r: &&(usize, &Row)| {
             let endpoint = &r.1.endpoint;
@@ -266,7 +260,7 @@
 
     /// Takes one further attempt for `service` out of the budget, if there is one.
     pub fn again(&mut self, now: Now, service: &str) -> bool {
-        let nodes = self.fleet.nodes;
+        let nodes = self.fleet.sharers.max(self.fleet.nodes);
         let allowance = self.allowance;
         self.budget(service).take(now, &allowance, nodes)
     }
@@ -302,11 +296,24 @@
 /// The text for the dump.
 impl fmt::Display for Steer {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(f, "attempts {} nodes {}", self.holds.len(), self.fleet.nodes)?;
+        writeln!(
+            f,
+            "attempts {} nodes {}",
+            self.holds.len(),
+            self.fleet.nodes
+        )?;
         for row in &self.rows {
             let endpoint = &row.endpoint;
-            write!(f, "endpoint {} {} {}", endpoint.run, endpoint.addr, endpoint.service)?;
-            write!(f, " {:?} layers {} flying {}", endpoint.state, endpoint.span, row.flying)?;
+            write!(
+                f,
+                "endpoint {} {} {}",
+                endpoint.run, endpoint.addr, endpoint.service
+            )?;
+            write!(
+                f,
+                " {:?} layers {} flying {}",
+                endpoint.state, endpoint.span, row.flying
+            )?;
             writeln!(
                 f,
                 " held {:.0} of {:.0} failures {}",
