A silent answer: the head of the chain is asked, and a dead stage is replaced under way

Cause: a node gave up an answer after 1 s (650 ms between events) whatever the reason. Slow answers were sent again, which doubled load where there was too much; dead stages were found late, and each resumption cost the budget.

Change: after 350 ms (260 ms) of silence the head is asked which of its requests wait for which stage. A named stage is replaced in the chain that is under way (steer::detour, an order to the head); a deaf head is given up after 550 ms; what is only slow is waited for up to 1.5 s.

--- a/crates/gate/src/dialect.rs
+++ b/crates/gate/src/dialect.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, HeaderName};
 use std::net::SocketAddr;
 use std::time::Duration;
-use steer::target::Target;
+use steer::target::{Stage, Target};
 
 /// What a caller's head says.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -54,6 +54,15 @@
     pub idle: Option<Duration>,
 }
 
+/// A request that waits for an endpoint of its chain.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stall {
+    /// The request's id.
+    pub request: String,
+    /// The endpoint that it waits for.
+    pub culprit: SocketAddr,
+}
+
 /// The installation's dialect.
 pub trait Dialect: Clone + 'static {
     /// Reads a caller's head.
@@ -66,7 +75,12 @@
     fn told(&self, headers: &HeaderMap) -> Told;
     /// The answer to a caller that asks which addresses to use.
     fn addresses(&self, addresses: &[SocketAddr], ttl: Duration) -> Bytes;
-    /// Path of that question.
+    /// Asks the head of chains which of its requests wait for another endpoint; nothing if it does
+    /// not answer.
+    fn stalls(&self, head: SocketAddr) -> impl Future<Output = Option<Vec<Stall>>>;
+    /// Orders the head of a chain to go on over other stages; whether it does.
+    fn detour(&self, request: &str, stages: &[Stage]) -> impl Future<Output = bool>;
+    /// Path of the question for addresses.
     fn addresses_path(&self) -> &'static str;
     /// Path of the question whether this node takes requests.
     fn ready_path(&self) -> &'static str;
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -1,6 +1,7 @@
 //! Sends a request to endpoints until one answers, as far as it may be repeated.
 
 pub mod attempt;
+pub mod look;
 pub mod story;
 
 use crate::admit;
@@ -296,7 +297,6 @@
         let last = self.ran + 1 >= self.job.route().attempts;
         match self.job.kind() {
             Kind::Idempotent if !last => left.min(self.job.route().target.mul_f64(SLOW)),
-            Kind::Stream(_) => left.min(splice::FIRST),
             _ => left,
         }
     }
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt up to the head of its answer.
 
 use super::Run;
+use super::look::{self, Look};
 use crate::dialect::{Dialect, Order, Told};
 use crate::pool::{self, Conn};
 use crate::worker::Worker;
@@ -8,11 +9,12 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use steer::health::Outcome;
 use steer::target::Target;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// What an attempt holds at endpoints, given back when it ends or is dropped.
 pub(crate) struct Held<D: Dialect> {
@@ -101,7 +103,7 @@
     /// `after` is the event after which the answer goes on.
     pub(crate) async fn send(
         &mut self,
-        held: Held<D>,
+        mut held: Held<D>,
         after: Option<u64>,
         limit: Duration,
     ) -> Result<Sent<D>, Failure> {
@@ -109,7 +111,7 @@
         self.tried
             .extend(held.target.stages.iter().map(|s| s.run.clone()));
         self.story.sent(&held.target);
-        let exchanged = self.exchange(&held.target, after, limit).await;
+        let exchanged = self.exchange(&mut held, after, limit).await;
         let failure = match exchanged {
             Ok((conn, response)) => {
                 let told = self.worker.dialect.told(response.headers());
@@ -133,25 +135,56 @@
 
     async fn exchange(
         &self,
-        target: &Target,
+        held: &mut Held<D>,
         after: Option<u64>,
         limit: Duration,
     ) -> Result<(Conn, Response<Incoming>), Failure> {
-        let addr = target.head().addr;
+        let addr = held.target.head().addr;
         let mut conn = self.worker.pool.conn(addr).await?;
-        let request = self.request(target, after);
-        match timeout(limit, conn.send(request)).await {
-            Ok(Ok(response)) => Ok((conn, response)),
+        let request = self.request(&held.target, after);
+        match self.answer(&mut conn, request, held, limit).await {
             // A kept connection that was closed before the request left: a new one is made.
-            Ok(Err(pool::Error::Unsent)) => {
+            Err(Failure::Unsent) => {
                 self.worker.pool.forget(addr);
                 let mut conn = self.worker.pool.conn(addr).await?;
-                let request = self.request(target, after);
-                let response = timeout(limit, conn.send(request)).await;
-                Ok((response.map_err(|_| Failure::Silent)??, conn)).map(|(r, c)| (c, r))
+                let request = self.request(&held.target, after);
+                let response = self.answer(&mut conn, request, held, limit).await?;
+                Ok((conn, response))
+            }
+            response => Ok((conn, response?)),
+        }
+    }
+
+    /// Waits for the head of an answer. A chain's head is asked what it waits for when it stays
+    /// silent; see [`super::look`].
+    async fn answer(
+        &self,
+        conn: &mut Conn,
+        request: Request<Full<bytes::Bytes>>,
+        held: &mut Held<D>,
+        limit: Duration,
+    ) -> Result<Response<Incoming>, Failure> {
+        let begun = Instant::now();
+        let mut response = pin!(conn.send(request));
+        let mut next = look::FIRST;
+        loop {
+            let silent = begun.elapsed();
+            if silent >= limit {
+                return Err(Failure::Silent);
+            }
+            let wait = next.min(limit).saturating_sub(silent);
+            match timeout(wait, response.as_mut()).await {
+                Ok(response) => return Ok(response?),
+                Err(_) if begun.elapsed() < limit => {
+                    let look = self.look(held, begun.elapsed()).await;
+                    if let Look::Lost(why) = look {
+                        self.story.failed(why, true);
+                        return Err(Failure::Silent);
+                    }
+                    next = begun.elapsed() + look::AGAIN;
+                }
+                Err(_) => return Err(Failure::Silent),
             }
-            Ok(Err(error)) => Err(error.into()),
-            Err(_) => Err(Failure::Silent),
         }
     }
 
--- /dev/null
+++ b/crates/gate/src/forward/look.rs
@@ -0,0 +1,115 @@
+//! What to do about an answer that does not go on.
+//!
+//! The head of a chain knows which stage its requests wait for. A node that hears nothing asks it:
+//! a named stage is replaced in the chain that is under way, which costs the tokens that the new
+//! stage reads again and no further attempt; a head that does not answer is given up; and an
+//! answer that is only slow is left alone, so that load is not doubled where there is too much.
+
+use super::Run;
+use super::attempt::Held;
+use crate::dialect::{Dialect, Stall};
+use crate::worker::Worker;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout};
+
+/// Silence before the first event after which the head is asked: four times the usual time.
+pub(crate) const FIRST: Duration = Duration::from_millis(350);
+/// Silence between two events after which the head is asked.
+pub(crate) const NEXT: Duration = Duration::from_millis(260);
+/// Time until it is asked again: what its account is old, and a little.
+pub(crate) const AGAIN: Duration = Duration::from_millis(220);
+/// Longest wait for its account.
+const ANSWER: Duration = Duration::from_millis(250);
+/// Time for which one account serves all requests of a head.
+const FRESH: Duration = Duration::from_millis(100);
+/// Silence after which a head that does not answer is given up. One lost packet is sent again
+/// within this time.
+const DEAF: Duration = Duration::from_millis(550);
+/// Silence after which an answer is given up although nothing is known to be wrong: callers leave
+/// after two seconds, and another chain needs some time.
+const LONGEST: Duration = Duration::from_millis(1500);
+
+/// What came of a look.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Look {
+    /// It may go on.
+    Wait,
+    /// It is given up.
+    Lost(&'static str),
+}
+
+/// A head's account.
+#[derive(Clone, Debug)]
+pub(crate) struct Account {
+    at: Instant,
+    stalls: Option<Rc<Vec<Stall>>>,
+}
+
+impl<D: Dialect> Worker<D> {
+    async fn account(&self, head: SocketAddr) -> Option<Rc<Vec<Stall>>> {
+        let known = self.accounts.borrow().get(&head).cloned();
+        if let Some(known) = known.filter(|a| a.at.elapsed() < FRESH) {
+            return known.stalls;
+        }
+        let asked = timeout(ANSWER, self.dialect.stalls(head)).await;
+        let stalls = asked.ok().flatten().map(Rc::new);
+        let account = Account {
+            at: Instant::now(),
+            stalls: stalls.clone(),
+        };
+        self.accounts.borrow_mut().insert(head, account);
+        stalls
+    }
+}
+
+impl<D: Dialect> Run<D> {
+    /// Looks after an answer that has been silent for `silent`.
+    pub(crate) async fn look(&self, held: &mut Held<D>, silent: Duration) -> Look {
+        if held.target.head().span.is_empty() {
+            let stream = self.job.kind().stream().is_some();
+            return match stream && silent > LONGEST {
+                true => Look::Lost("fell silent"),
+                false => Look::Wait,
+            };
+        }
+        let head = held.target.head().addr;
+        let Some(stalls) = self.worker.account(head).await else {
+            return match silent > DEAF {
+                true => Look::Lost("the head does not answer"),
+                false => Look::Wait,
+            };
+        };
+        let own = stalls.iter().find(|s| s.request == self.job.id());
+        match own {
+            Some(stall) => self.detour(held, stall.culprit).await,
+            None if silent > LONGEST => Look::Lost("fell silent"),
+            None => Look::Wait,
+        }
+    }
+
+    /// Replaces the stage that a request waits for.
+    async fn detour(&self, held: &mut Held<D>, culprit: SocketAddr) -> Look {
+        if !held.target.stages.iter().any(|s| s.addr == culprit) {
+            // An account from before the last detour.
+            return Look::Wait;
+        }
+        let need = self.job.need();
+        let service = self.job.service;
+        let target = &held.target;
+        let stages = self.worker.steer(|steer, now| {
+            steer.accuse(now, culprit);
+            steer.detour(now, target, service, &need, culprit)
+        });
+        let Ok(stages) = stages else {
+            return Look::Lost("a stage is dead, and nothing replaces it");
+        };
+        self.story.detour(culprit, &stages);
+        held.target.stages = stages;
+        match self.worker.dialect.detour(self.job.id(), &held.target.stages).await {
+            true => Look::Wait,
+            false => Look::Lost("a stage is dead, and the head can't replace it"),
+        }
+    }
+}
--- a/crates/gate/src/forward/story.rs
+++ b/crates/gate/src/forward/story.rs
@@ -4,7 +4,7 @@
 use crate::refusal::Refusal;
 use journal::Journal;
 use journal::event::Event;
-use steer::target::Target;
+use steer::target::{Stage, Target};
 use tokio::time::Instant;
 
 /// Tells of one request. Dropped before its end, it tells that the caller left.
@@ -45,16 +45,25 @@
     /// An attempt was sent.
     pub(crate) fn sent(&mut self, target: &Target) {
         self.attempts += 1;
-        let stages = target.stages.iter();
-        let stages: Vec<_> = stages.map(|s| format!("{}={}", s.run, s.span)).collect();
         self.journal.tell(Event::Sent {
             id: self.id.clone(),
             attempt: self.attempts,
-            stages: stages.join(","),
+            stages: text(&target.stages),
             catalog: self.catalog,
         });
     }
 
+    /// A stage of an attempt was replaced.
+    pub(crate) fn detour(&self, culprit: std::net::SocketAddr, stages: &[Stage]) {
+        self.journal.tell(Event::Detour {
+            id: self.id.clone(),
+            attempt: self.attempts,
+            culprit: culprit.to_string(),
+            stages: text(stages),
+            after_ms: self.came.elapsed().as_millis() as u64,
+        });
+    }
+
     /// An attempt failed.
     pub(crate) fn failed(&self, why: &str, ran: bool) {
         self.journal.tell(Event::Failed {
@@ -120,3 +129,9 @@
         }
     }
 }
+
+fn text(stages: &[Stage]) -> String {
+    let stages = stages.iter();
+    let stages: Vec<_> = stages.map(|s| format!("{}={}", s.run, s.span)).collect();
+    stages.join(",")
+}
--- a/crates/gate/src/splice.rs
+++ b/crates/gate/src/splice.rs
@@ -9,6 +9,7 @@
 use crate::dialect::Dialect;
 use crate::events::{Cutter, Event};
 use crate::forward::attempt::{Held, Sent};
+use crate::forward::look::{self, Look};
 use crate::forward::{Run, closes, declined};
 use crate::stats;
 use bytes::Bytes;
@@ -21,13 +22,6 @@
 use steer::health::Outcome;
 use tokio::time::{Instant, timeout};
 
-/// Longest wait for an answer's head and its first event. A stage that fell silent is given up by
-/// its engine after two seconds, when most callers have left too.
-pub(crate) const FIRST: Duration = Duration::from_millis(1000);
-/// Longest wait for a further event, as a multiple of the pause that the route allows.
-const PAUSES: f64 = 2.6;
-/// The same where the route names no pause.
-const PAUSE: Duration = Duration::from_millis(1500);
 /// Time after the last event in which another endpoint is looked for.
 const PATIENCE: Duration = Duration::from_millis(600);
 
@@ -188,31 +182,38 @@
     }
 
     async fn step(&mut self) -> Step {
-        let limit = self.limit();
         let Some(live) = &mut self.live else {
             return Step::Lost("no endpoint");
         };
-        let frame = live.sent.response.body_mut().frame();
-        match timeout(limit, frame).await {
-            Err(_) => Step::Lost("fell silent"),
-            Ok(None) => Step::End,
-            Ok(Some(Err(_))) => Step::Lost("broke off"),
-            Ok(Some(Ok(frame))) => {
-                if let Some(data) = frame.data_ref() {
-                    self.cutter.feed(data);
+        let usual = if self.begun { look::NEXT } else { look::FIRST };
+        let mut next = usual;
+        loop {
+            let left = self.run.job.left();
+            if left.is_zero() {
+                return Step::Lost("the time is over");
+            }
+            let wait = next.saturating_sub(self.moved.elapsed()).min(left);
+            let frame = live.sent.response.body_mut().frame();
+            match timeout(wait, frame).await {
+                Err(_) => {
+                    let silent = self.moved.elapsed();
+                    if let Look::Lost(why) = self.run.look(&mut live.sent.held, silent).await {
+                        return Step::Lost(why);
+                    }
+                    next = self.moved.elapsed() + look::AGAIN;
+                }
+                Ok(None) => return Step::End,
+                Ok(Some(Err(_))) => return Step::Lost("broke off"),
+                Ok(Some(Ok(frame))) => {
+                    if let Some(data) = frame.data_ref() {
+                        self.cutter.feed(data);
+                    }
+                    return Step::Fed;
                 }
-                Step::Fed
             }
         }
     }
 
-    fn limit(&self) -> Duration {
-        let pause = self.run.job.kind().stream().and_then(|s| s.pause);
-        let pause = pause.map_or(PAUSE, |p| p.mul_f64(PAUSES));
-        let most = if self.begun { pause } else { FIRST };
-        most.min(self.run.job.left())
-    }
-
     /// Goes on from another endpoint; whether there is one.
     async fn resume(&mut self, why: &'static str) -> bool {
         self.run.story.failed(why, true);
@@ -232,11 +233,12 @@
                 return false;
             };
             let held = Held::new(self.run.worker.clone(), target);
-            let limit = self.run.job.left().min(FIRST);
+            let limit = self.run.job.left();
             match self.run.send(held, self.last, limit).await {
                 Ok(sent) if sent.response.status() == StatusCode::OK => {
                     self.run.ran += 1;
                     self.live = Some(Live::new(sent));
+                    self.moved = Instant::now();
                     return true;
                 }
                 Ok(sent) => self.declined(sent).await,
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -4,6 +4,7 @@
 use crate::answer::Answer;
 use crate::dialect::Dialect;
 use crate::forward;
+use crate::forward::look::Account;
 use crate::job::Job;
 use crate::pool::Pool;
 use crate::refusal::{Reason, Refusal};
@@ -17,6 +18,7 @@
 use journal::event::Event;
 use rand::RngExt;
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -61,6 +63,8 @@
     freed: Notify,
     start: Instant,
     turn: Cell<usize>,
+    /// What heads of chains last said of their requests.
+    pub(crate) accounts: RefCell<HashMap<SocketAddr, Account>>,
     /// Whether new requests are refused, since the process is about to end.
     closing: Cell<bool>,
 }
@@ -80,6 +84,7 @@
             freed: Notify::new(),
             start: Instant::now(),
             turn: Cell::new(0),
+            accounts: RefCell::default(),
             closing: Cell::new(false),
         })
     }
@@ -155,7 +160,9 @@
             return;
         };
         let endpoints = &view.fleet.endpoints;
-        self.pool.tidy(|a| endpoints.iter().any(|e| e.addr == a));
+        let known = |addr| endpoints.iter().any(|e| e.addr == addr);
+        self.pool.tidy(known);
+        self.accounts.borrow_mut().retain(|addr, _| known(*addr));
     }
 
     /// The text for the dump.
--- a/crates/journal/src/event.rs
+++ b/crates/journal/src/event.rs
@@ -83,6 +83,19 @@
         /// Version of the catalog that chose the route.
         catalog: u64,
     },
+    /// A stage of a chain was replaced while its request was under way.
+    Detour {
+        /// The request.
+        id: String,
+        /// Number of the attempt.
+        attempt: u32,
+        /// The stage that its head waited for.
+        culprit: String,
+        /// The stages from now on.
+        stages: String,
+        /// Milliseconds since the request came.
+        after_ms: u64,
+    },
     /// An attempt failed, was refused by its endpoint, or fell silent.
     Failed {
         /// The request.
--- a/crates/steer/src/search.rs
+++ b/crates/steer/src/search.rs
@@ -36,6 +36,8 @@
 /// What a search looks at.
 pub(crate) struct Search<'a> {
     pub(crate) engine: &'a Engine,
+    /// The layers to run; all of them, or those of a stage that is replaced.
+    pub(crate) span: Span,
     /// Candidates: indexes into the table, open and not tried.
     pub(crate) rows: &'a [(usize, &'a Row)],
     /// Number of availability zones.
@@ -67,7 +69,7 @@
         let fill = if need.urgent { FILL_URGENT } else { FILL };
         let size = need.tokens();
         let largest = |l: Layer| self.largest(l) * FILL_URGENT >= size;
-        if !(0..self.engine.layers).all(largest) {
+        if !(self.span.from..self.span.to).all(largest) {
             return Err(Shortage::Size);
         }
         let mut best: Vec<Option<Best>> = vec![None; cuts.len() * self.zones];
@@ -87,7 +89,7 @@
                 };
                 let room = row.room * fill - row.held * self.nodes;
                 for to in at + 1..cuts.len() {
-                    if cuts[to] > span.to {
+                    if cuts[to] > span.to.min(self.span.to) {
                         break;
                     }
                     let layers = cuts[to] - cuts[at];
@@ -118,15 +120,15 @@
     fn cuts(&self) -> Vec<Layer> {
         let spans = self.rows.iter().map(|(_, r)| r.endpoint.span);
         let mut cuts: Vec<Layer> = spans.flat_map(|s| [s.from, s.to]).collect();
-        cuts.extend([0, self.engine.layers]);
-        cuts.retain(|&c| c <= self.engine.layers);
+        cuts.extend([self.span.from, self.span.to]);
+        cuts.retain(|&c| self.span.from <= c && c <= self.span.to);
         cuts.sort_unstable();
         cuts.dedup();
         cuts
     }
 
     fn covered(&self, cuts: &[Layer]) -> bool {
-        let mut cuts = cuts.iter().filter(|&&c| c < self.engine.layers);
+        let mut cuts = cuts.iter().filter(|&&c| c < self.span.to);
         cuts.all(|&c| self.rows.iter().any(|(_, r)| r.endpoint.span.holds(c)))
     }
 
--- a/crates/steer/src/table.rs
+++ b/crates/steer/src/table.rs
@@ -174,6 +174,10 @@
         }
         let search = Search {
             engine,
+            span: Span {
+                from: 0,
+                to: engine.layers,
+            },
             rows: &rows,
             zones: self.zones.len(),
             nodes: self.fleet.nodes.max(1) as f64,
@@ -194,27 +198,93 @@
     fn hold(&mut self, now: Now, parts: &[Part], tokens: f64) -> Target {
         let hold = self.next;
         self.next += 1;
-        let mut held = Vec::with_capacity(parts.len());
-        let mut stages = Vec::with_capacity(parts.len());
-        for part in parts {
+        let (held, stages) = self.take(parts, tokens);
+        let began = now;
+        self.holds.insert(hold, Held { began, parts: held });
+        Target { hold, stages }
+    }
+
+    /// Takes room at endpoints.
+    fn take(&mut self, parts: &[Part], tokens: f64) -> (Vec<Share>, Vec<Stage>) {
+        let take = |part: &Part| {
             let row = &mut self.rows[part.row];
             let room = tokens * f64::from(part.span.len());
             row.flying += 1;
             row.held += room;
-            held.push(Share {
+            let share = Share {
                 run: row.endpoint.run.clone(),
                 addr: row.endpoint.addr,
                 held: room,
-            });
-            stages.push(Stage {
+            };
+            let stage = Stage {
                 run: row.endpoint.run.clone(),
                 addr: row.endpoint.addr,
                 span: part.span,
-            });
+            };
+            (share, stage)
+        };
+        parts.iter().map(take).unzip()
+    }
+
+    /// Gives room back.
+    fn release(&mut self, share: &Share) {
+        let Some(&at) = self.index.get(&share.run) else {
+            return;
+        };
+        let row = &mut self.rows[at];
+        row.flying = row.flying.saturating_sub(1);
+        row.held = match row.flying {
+            0 => 0.0,
+            _ => (row.held - share.held).max(0.0),
+        };
+    }
+
+    /// Replaces the stage at `culprit` of a chain that is under way. Its head stays, since the
+    /// request is there. The stages of the new chain; the attempt holds them from now on.
+    pub fn detour(
+        &mut self,
+        now: Now,
+        target: &Target,
+        service: ServiceId,
+        need: &Need,
+        culprit: SocketAddr,
+    ) -> Result<Vec<Stage>> {
+        let catalog = self.fleet.catalog.clone();
+        let engine = catalog.service(service).and_then(|s| s.engine.as_ref());
+        let engine = engine.ok_or(Shortage::Endpoints)?;
+        let place = target.stages.iter().position(|s| s.addr == culprit);
+        let place = place.filter(|&p| p > 0).ok_or(Shortage::Endpoints)?;
+        let used: Vec<&Run> = target.stages.iter().map(|s| &s.run).collect();
+        let parts = {
+            let rows = self.rows.iter().enumerate();
+            let service = &catalog.services[service as usize].name;
+            let rows: Vec<(usize, &Row)> = rows
+                .filter(|(_, r)| r.endpoint.service == *service && r.open(now))
+                .filter(|(_, r)| !used.contains(&&r.endpoint.run))
+                .collect();
+            let search = Search {
+                engine,
+                span: target.stages[place].span,
+                rows: &rows,
+                zones: self.zones.len(),
+                nodes: self.fleet.nodes.max(1) as f64,
+                pipes: &self.pipes,
+                now,
+            };
+            search.chain(need)?
+        };
+        let (shares, stages) = self.take(&parts, need.tokens());
+        if let Some(held) = self.holds.get_mut(&target.hold) {
+            let gone = held.parts.iter().position(|s| s.addr == culprit);
+            let gone = gone.map(|at| held.parts.remove(at));
+            held.parts.extend(shares);
+            gone.iter().for_each(|share| self.release(share));
+        } else {
+            shares.iter().for_each(|share| self.release(share));
         }
-        let began = now;
-        self.holds.insert(hold, Held { began, parts: held });
-        Target { hold, stages }
+        let before = target.stages[..place].iter();
+        let after = target.stages[place + 1..].iter();
+        Ok(before.cloned().chain(stages).chain(after.cloned()).collect())
     }
 
     /// An attempt ended; `blame` is the endpoint that it is about, if it is known, or else the
@@ -224,16 +294,11 @@
             return;
         };
         for (number, part) in held.parts.iter().enumerate() {
+            self.release(part);
             let Some(&at) = self.index.get(&part.run) else {
                 continue;
             };
             let row = &mut self.rows[at];
-            row.flying = row.flying.saturating_sub(1);
-            row.held = if row.flying == 0 {
-                0.0
-            } else {
-                (row.held - part.held).max(0.0)
-            };
             let concerned = match (blame, outcome) {
                 (Some(addr), _) => addr == part.addr,
                 (None, Outcome::Good) => true,
