Holes in a zone's cover are closed by endpoints that hold second copies

Orders were refused besides: a row's sequence counts its writings, and was taken for the accepted orders.

Change: place::plan moves spare endpoints to holes, the smallest that closes one first; before each order the endpoint is asked, and the order carries the count from its report.

--- a/crates/catalog/src/endpoint.rs
+++ b/crates/catalog/src/endpoint.rs
@@ -83,6 +83,4 @@
     pub kind: Option<String>,
     /// Layers that it holds.
     pub span: Span,
-    /// Orders that it has accepted in this run.
-    pub orders: u64,
 }
--- a/crates/journal/src/event.rs
+++ b/crates/journal/src/event.rs
@@ -65,10 +65,12 @@
     Order {
         /// The endpoint's run.
         run: String,
-        /// The layers.
+        /// The layers that it held when the order was planned.
+        held: String,
+        /// The layers that it is to hold.
         layers: String,
-        /// Orders that the endpoint had accepted before.
-        after: u64,
+        /// Orders that the endpoint had accepted before; nothing if it did not say.
+        after: Option<u64>,
         /// What came of it.
         outcome: String,
     },
--- a/crates/node/src/hosted/control/input.rs
+++ b/crates/node/src/hosted/control/input.rs
@@ -2,7 +2,6 @@
 
 use adapter::report::Report;
 use adapter::store::Table;
-use catalog::endpoint::Run;
 use catalog::source::Page;
 use place::order::{Given, Order};
 use tokio::sync::mpsc;
@@ -14,6 +13,15 @@
 /// Where tasks put inputs.
 pub type Inputs = mpsc::Sender<Input>;
 
+/// What came of an order.
+#[derive(Clone, Debug)]
+pub struct Ordered {
+    /// The endpoint's report just before; nothing if it did not answer.
+    pub report: Option<Report>,
+    /// What came of it.
+    pub given: Given,
+}
+
 /// An input.
 #[derive(Debug)]
 pub enum Input {
@@ -25,8 +33,6 @@
     Copy(Table, Page),
     /// A message of a peer.
     Peer(Inbound),
-    /// An endpoint was asked for its report.
-    Report(Run, Option<Report>),
-    /// An order was given.
-    Ordered(Order, Given),
+    /// An order was given, or found not to fit.
+    Ordered(Order, Ordered),
 }
--- a/crates/node/src/hosted/control/orders.rs
+++ b/crates/node/src/hosted/control/orders.rs
@@ -5,8 +5,8 @@
 //! one that arrives late changes nothing. That only one node does so, the first of those that are
 //! known to live, saves orders; no lease is needed for it, and it goes on while the store is out.
 
-use super::input::{Input, Inputs};
-use adapter::report::{Control, Report};
+use super::input::{Input, Inputs, Ordered};
+use adapter::report::Control;
 use catalog::endpoint::{Run, Span, State};
 use catalog::engine::Engine;
 use catalog::{Catalog, Endpoint};
@@ -22,16 +22,13 @@
 /// Time beyond the load itself until a row must show the layers: a row is written every second or
 /// so, and read about as often.
 const SHOWN: Duration = Duration::from_secs(4);
-/// Time after an order without answer, or an endpoint that did not answer, until it is asked again.
+/// Time after an order that was not taken until another is given: what is known of the endpoint
+/// is new by then.
 const AGAIN: Duration = Duration::from_millis(700);
 
 /// What is under way at an endpoint.
 #[derive(Clone, Copy, Debug)]
 enum Under {
-    /// It was asked for its report.
-    Asked(Instant),
-    /// It reported that it has accepted so many orders and holds nothing.
-    Empty { orders: u64, until: Instant },
     /// An order was given, or it reported these layers; its row will show them.
     Holds { span: Span, until: Instant },
     /// It is left alone until then.
@@ -100,15 +97,7 @@
             };
             match self.under.get(&holder.run) {
                 Some(Under::Holds { span, .. }) => holder.span = *span,
-                Some(Under::Empty { orders, .. }) => {
-                    holder.orders = *orders;
-                    holder.span = Span::default();
-                }
-                Some(Under::Asked(_) | Under::Wait(_)) => holder.busy = true,
-                None if holder.span.is_empty() => {
-                    self.ask(now, &holder);
-                    holder.busy = true;
-                }
+                Some(Under::Wait(_)) => holder.busy = true,
                 None => {}
             }
             holders.push(holder);
@@ -119,14 +108,6 @@
         if fresh && now < self.arrived + self.gather {
             return;
         }
-        // Endpoints that start together are planned together: one that was asked for its report
-        // is a moment away from being free.
-        if holders
-            .iter()
-            .any(|h| matches!(self.under.get(&h.run), Some(Under::Asked(_))))
-        {
-            return;
-        }
         for order in plan::next(engine, &holders) {
             let load = engine.load.mul_f64(engine.part(order.span.len()));
             let crowd = holders.len().div_ceil(engine.loads.max(1)) as u32;
@@ -138,56 +119,37 @@
         }
     }
 
-    /// Asks an endpoint what it holds before it is given an order: its row may be old.
-    fn ask(&mut self, now: Instant, holder: &Holder) {
-        self.under.insert(holder.run.clone(), Under::Asked(now));
-        let (run, addr) = (holder.run.clone(), holder.addr);
-        let inputs = self.inputs.clone();
-        tokio::spawn(async move {
-            let report = Control::new(addr).report().await.ok();
-            // Control has ended if nobody takes it.
-            let _ = inputs.send(Input::Report(run, report)).await;
-        });
-    }
-
     fn give(&self, order: Order) {
         let inputs = self.inputs.clone();
         tokio::spawn(async move {
-            let given = Control::new(order.addr).place(&order).await;
+            let ordered = give(&order).await;
             // Control has ended if nobody takes it.
-            let _ = inputs.send(Input::Ordered(order, given)).await;
+            let _ = inputs.send(Input::Ordered(order, ordered)).await;
         });
     }
 
-    /// An endpoint reported, or did not answer.
-    pub fn reported(&mut self, now: Instant, run: Run, report: Option<Report>) {
-        let another = |r: &Report| r.born != 0 && run.born != 0 && r.born != run.born;
-        let under = match report {
-            None => Under::Wait(now + AGAIN),
-            Some(report) if another(&report) || report.busy => Under::Wait(now + AGAIN),
-            Some(report) if report.span.is_empty() => Under::Empty {
-                orders: report.orders,
-                until: now + AGAIN,
-            },
-            Some(report) => Under::Holds {
-                span: report.span,
-                until: now + SHOWN,
-            },
-        };
-        self.under.insert(run, under);
-    }
-
-    /// An order was given.
-    pub fn ordered(&mut self, now: Instant, order: Order, given: Given) {
+    /// An order was given, or found not to fit.
+    pub fn ordered(&mut self, now: Instant, order: Order, ordered: &Ordered) {
+        let report = ordered.report.as_ref();
         self.journal.tell(Event::Order {
             run: order.run.to_string(),
+            held: order.held.to_string(),
             layers: order.span.to_string(),
-            after: order.after,
-            outcome: format!("{given:?}"),
+            after: report.map(|r| r.orders),
+            outcome: format!("{:?}", ordered.given),
         });
-        if given != Given::Taken {
-            self.under.insert(order.run, Under::Wait(now + AGAIN));
-        }
+        let under = match (ordered.given, report) {
+            (Given::Taken, _) => return,
+            // It holds something else than its row says.
+            (Given::Refused, Some(report)) if !report.busy && report.span != order.held => {
+                Under::Holds {
+                    span: report.span,
+                    until: now + SHOWN,
+                }
+            }
+            _ => Under::Wait(now + AGAIN),
+        };
+        self.under.insert(order.run, under);
     }
 
     /// Forgets what is over, what its row shows by now, and runs that are gone.
@@ -199,10 +161,28 @@
                 return false;
             };
             match under {
-                Under::Asked(at) => now < *at + SHOWN,
-                Under::Empty { until, .. } | Under::Wait(until) => now < *until,
+                Under::Wait(until) => now < *until,
                 Under::Holds { span, until } => now < *until && endpoint.span != *span,
             }
         });
     }
 }
+
+/// Gives an order to an endpoint that still is what the order was planned for.
+///
+/// Its row does not say how many orders it has accepted, and may be seconds old. So it is asked
+/// first, and the order carries the count from its report.
+async fn give(order: &Order) -> Ordered {
+    let control = Control::new(order.addr);
+    let Ok(report) = control.report().await else {
+        let (report, given) = (None, Given::Refused);
+        return Ordered { report, given };
+    };
+    let another = report.born != 0 && order.run.born != 0 && report.born != order.run.born;
+    let given = match another || report.busy || report.span != order.held {
+        true => Given::Refused,
+        false => control.place(order, report.orders).await,
+    };
+    let report = Some(report);
+    Ordered { report, given }
+}
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -120,11 +120,7 @@
                 self.dirty |= self.tables.take(&self.platform, table, page, "peer");
             }
             Input::Peer(inbound) => self.inbound(inbound),
-            Input::Report(run, report) => {
-                self.orders.reported(now, run, report);
-                self.order(now);
-            }
-            Input::Ordered(order, given) => self.orders.ordered(now, order, given),
+            Input::Ordered(order, ordered) => self.orders.ordered(now, order, &ordered),
         }
         self.publish();
     }
--- a/crates/node/src/hosted/control/tables.rs
+++ b/crates/node/src/hosted/control/tables.rs
@@ -156,7 +156,7 @@
             Err(why) => format!("unusable row: {why}"),
         };
         let same = match (&decoded, self.known.get(key)) {
-            (Ok(new), Some(known)) => known.lapsed.is_none() && alike(new, &known.endpoint),
+            (Ok(new), Some(known)) => known.lapsed.is_none() && *new == known.endpoint,
             (Err(_), None) => true,
             _ => false,
         };
@@ -228,11 +228,3 @@
         self.journal.tell(Event::Endpoint { run, state, offset });
     }
 }
-
-/// Whether two rows say the same to a worker.
-fn alike(a: &Endpoint, b: &Endpoint) -> bool {
-    a == &Endpoint {
-        orders: a.orders,
-        ..b.clone()
-    }
-}
--- a/crates/place/src/order.rs
+++ b/crates/place/src/order.rs
@@ -10,11 +10,10 @@
     pub run: Run,
     /// Where it listens.
     pub addr: SocketAddr,
+    /// The layers that it held when the order was planned.
+    pub held: Span,
     /// The layers that it is to hold.
     pub span: Span,
-    /// Orders that the endpoint has accepted before this one. It refuses the order if that is no
-    /// longer so, so that an order given late or twice changes nothing.
-    pub after: u64,
 }
 
 /// What came of an order.
--- a/crates/place/src/plan.rs
+++ b/crates/place/src/plan.rs
@@ -57,6 +57,36 @@
         }
     }
 
+    fn remove(&mut self, zone: &str, span: Span) {
+        let Some(own) = self.zones.get_mut(zone) else {
+            return;
+        };
+        let layers = self.fleet.len();
+        for layer in (span.from as usize..span.to as usize).filter(|&l| l < layers) {
+            self.fleet[layer] = self.fleet[layer].saturating_sub(1);
+            own[layer] = own[layer].saturating_sub(1);
+        }
+    }
+
+    /// The first stretch of layers that no endpoint of a zone holds.
+    fn hole(&self, zone: &str) -> Option<Span> {
+        let own = self.zones.get(zone)?;
+        let from = own.iter().position(|&n| n == 0)?;
+        let len = own[from..].iter().take_while(|&&n| n == 0).count();
+        Some(Span {
+            from: u32::try_from(from).ok()?,
+            to: u32::try_from(from + len).ok()?,
+        })
+    }
+
+    /// Whether all layers of a span are held twice or more in a zone.
+    fn spared(&self, zone: &str, span: Span) -> bool {
+        let Some(own) = self.zones.get(zone) else {
+            return false;
+        };
+        (span.from as usize..span.to as usize).all(|l| own.get(l).is_some_and(|&n| n >= 2))
+    }
+
     /// Worth of one more copy of each layer, held in `zone`.
     fn worth(&self, zone: &str) -> Vec<f64> {
         let none = vec![0; self.fleet.len()];
@@ -72,10 +102,23 @@
     }
 }
 
-/// The orders that can be given now: one for each endpoint that holds nothing.
+/// The orders that can be given now: to each endpoint that holds nothing, and where a zone's cover
+/// has a hole, to those of its endpoints that hold nothing but second copies.
 pub fn next(engine: &Engine, holders: &[Holder]) -> Vec<Order> {
     let mut cover = Cover::of(engine, holders);
     let rooms = rooms(engine, holders);
+    let mut orders = fill(engine, holders, &rooms, &mut cover);
+    orders.extend(repair(engine, holders, &rooms, &mut cover));
+    orders
+}
+
+/// Orders to the endpoints that hold nothing.
+fn fill(
+    engine: &Engine,
+    holders: &[Holder],
+    rooms: &BTreeMap<String, f64>,
+    cover: &mut Cover,
+) -> Vec<Order> {
     let mut empty: Vec<&Holder> = holders
         .iter()
         .filter(|h| h.span.is_empty() && !h.busy)
@@ -107,13 +150,70 @@
         orders.push(Order {
             run: holder.run.clone(),
             addr: holder.addr,
+            held: holder.span,
             span,
-            after: holder.orders,
         });
     }
     orders
 }
 
+/// Orders that close holes in the covers of zones.
+///
+/// Without a repair a zone that lost an endpoint for good sends every request through another zone
+/// and back; with two zones short, the pipes between them are full. Only endpoints all of whose
+/// layers another one of the zone holds are moved, so no layer is lost by it.
+fn repair(
+    engine: &Engine,
+    holders: &[Holder],
+    rooms: &BTreeMap<String, f64>,
+    cover: &mut Cover,
+) -> Vec<Order> {
+    let mut orders = Vec::new();
+    let mut moved: Vec<&Holder> = Vec::new();
+    for (zone, &tokens) in rooms {
+        let own = |h: &&Holder| h.zone == *zone && !h.busy && !h.span.is_empty();
+        if holders.iter().any(|h| h.zone == *zone && h.busy) || !able(engine, holders, zone) {
+            continue;
+        }
+        while let Some(hole) = cover.hole(zone) {
+            let free = holders.iter().filter(own).filter(|h| !moved.contains(h));
+            let free = free.filter(|h| cover.spared(zone, h.span));
+            let most = |h: &Holder| engine.accelerator(&h.kind).map_or(0, |k| engine.fit(k, tokens));
+            // The smallest that closes the hole, or else the largest: what is moved serves nobody
+            // while it loads, and a large endpoint loads for seconds.
+            let key = |h: &Holder| match most(h) {
+                fit if fit >= hole.len() => (0, fit),
+                fit => (1, Layer::MAX - fit),
+            };
+            let Some(holder) = free.min_by(|a, b| (key(a), &a.run).cmp(&(key(b), &b.run))) else {
+                break;
+            };
+            let fit = most(holder);
+            cover.remove(zone, holder.span);
+            let Some(span) = window(&cover.worth(zone), fit) else {
+                break;
+            };
+            cover.add(zone, span);
+            moved.push(holder);
+            orders.push(Order {
+                run: holder.run.clone(),
+                addr: holder.addr,
+                held: holder.span,
+                span,
+            });
+        }
+    }
+    orders
+}
+
+/// Whether the endpoints of a zone can hold all layers with the least room for requests.
+fn able(engine: &Engine, holders: &[Holder], zone: &str) -> bool {
+    let least = least_tokens(engine);
+    let own = holders.iter().filter(|h| h.zone == zone);
+    let kinds = own.filter_map(|h| engine.accelerator(&h.kind));
+    kinds.map(|k| engine.fit(k, least)).sum::<Layer>() >= engine.layers
+}
+
 /// By zone: the most room, in tokens, that a cover of all layers by the zone's endpoints leaves.
 fn rooms(engine: &Engine, holders: &[Holder]) -> BTreeMap<String, f64> {
     let mut kinds: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
--- a/crates/place/src/stock.rs
+++ b/crates/place/src/stock.rs
@@ -16,8 +16,6 @@
     pub kind: String,
     /// Layers that it holds, or will hold once an order under way is done.
     pub span: Span,
-    /// Orders that it has accepted.
-    pub orders: u64,
     /// Whether an order is under way or was given and not heard of yet.
     pub busy: bool,
 }
@@ -31,7 +29,6 @@
             zone: endpoint.zone.clone(),
             kind: endpoint.kind.clone()?,
             span: endpoint.span,
-            orders: endpoint.orders,
             busy: false,
         })
     }
