A look at a silent answer holds nothing back; slow stages are asked how they do

Cause: the look awaited the accounts of up to 14 stages while events of the same answer waited; and a stage five times slower than its kind was priced like the others.

Change: the account is asked beside the wait for the next event and dropped if one comes; stages of a slow chain are asked in a task of their own, and the pace they report prices them in the search.

--- a/crates/gate/src/dialect.rs
+++ b/crates/gate/src/dialect.rs
@@ -63,6 +63,15 @@
     pub culprit: SocketAddr,
 }
 
+/// What an engine says of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Account {
+    /// Requests that were sent to it and wait for another endpoint.
+    pub stalls: Vec<Stall>,
+    /// How many times slower than its kind it runs.
+    pub pace: f64,
+}
+
 /// The installation's dialect.
 pub trait Dialect: Clone + 'static {
     /// Reads a caller's head.
@@ -75,9 +84,8 @@
     fn told(&self, headers: &HeaderMap) -> Told;
     /// The answer to a caller that asks which addresses to use.
     fn addresses(&self, addresses: &[SocketAddr], ttl: Duration) -> Bytes;
-    /// Asks the head of chains which of its requests wait for another endpoint; nothing if it does
-    /// not answer.
-    fn stalls(&self, head: SocketAddr) -> impl Future<Output = Option<Vec<Stall>>>;
+    /// Asks an engine for its account; nothing if it does not answer.
+    fn account(&self, addr: SocketAddr) -> impl Future<Output = Option<Account>>;
     /// Orders the head of a chain to go on over other stages; whether it does.
     fn detour(&self, request: &str, stages: &[Stage]) -> impl Future<Output = bool>;
     /// Path of the question for addresses.
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -176,7 +176,12 @@
             match timeout(wait, response.as_mut()).await {
                 Ok(response) => return Ok(response?),
                 Err(_) if begun.elapsed() < limit => {
-                    let look = self.look(held, begun.elapsed()).await;
+                    let account = tokio::select! {
+                        biased;
+                        response = response.as_mut() => return Ok(response?),
+                        account = self.ask(&held.target) => account,
+                    };
+                    let look = self.look(held, account, begun.elapsed()).await;
                     if let Look::Lost(why) = look {
                         self.story.failed(why, true);
                         return Err(Failure::Silent);
--- a/crates/gate/src/forward/look.rs
+++ b/crates/gate/src/forward/look.rs
@@ -7,11 +7,13 @@
 
 use super::Run;
 use super::attempt::Held;
-use crate::dialect::{Dialect, Stall};
+use crate::dialect::{Account, Dialect};
 use crate::worker::Worker;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use steer::target::Target;
 use tokio::time::{Instant, timeout};
 
 /// Silence before the first event after which the head is asked: four times the usual time.
@@ -24,6 +26,8 @@
 const ANSWER: Duration = Duration::from_millis(250);
 /// Time for which one account serves all requests of a head.
 const FRESH: Duration = Duration::from_millis(100);
+/// Time for which the account of a stage says how fast it is.
+const PACE: Duration = Duration::from_millis(900);
 /// Silence after which a head that does not answer is given up. One lost packet is sent again
 /// within this time.
 const DEAF: Duration = Duration::from_millis(550);
@@ -40,55 +44,101 @@
     Lost(&'static str),
 }
 
-/// A head's account.
+/// An engine's account, and how old it is.
 #[derive(Clone, Debug)]
-pub(crate) struct Account {
+pub(crate) struct Known {
     at: Instant,
-    stalls: Option<Rc<Vec<Stall>>>,
+    account: Option<Rc<Account>>,
 }
 
 impl<D: Dialect> Worker<D> {
-    async fn account(&self, head: SocketAddr) -> Option<Rc<Vec<Stall>>> {
-        let known = self.accounts.borrow().get(&head).cloned();
-        if let Some(known) = known.filter(|a| a.at.elapsed() < FRESH) {
-            return known.stalls;
+    /// The account of an engine, not older than `fresh`.
+    async fn account(&self, addr: SocketAddr, fresh: Duration) -> Option<Rc<Account>> {
+        let known = self.accounts.borrow().get(&addr).cloned();
+        if let Some(known) = known.filter(|a| a.at.elapsed() < fresh) {
+            return known.account;
         }
-        let asked = timeout(ANSWER, self.dialect.stalls(head)).await;
-        let stalls = asked.ok().flatten().map(Rc::new);
-        let account = Account {
-            at: Instant::now(),
-            stalls: stalls.clone(),
-        };
-        self.accounts.borrow_mut().insert(head, account);
-        stalls
+        // Those that come meanwhile take the old account instead of asking too.
+        let old = known_account(&self.accounts.borrow(), addr);
+        self.keep(addr, old);
+        let asked = timeout(ANSWER, self.dialect.account(addr)).await;
+        let account = asked.ok().flatten().map(Rc::new);
+        self.keep(addr, account.clone());
+        if let Some(account) = &account {
+            self.steer(|steer, _| steer.paced(addr, account.pace));
+        }
+        account
     }
+
+    fn keep(&self, addr: SocketAddr, account: Option<Rc<Account>>) {
+        let at = Instant::now();
+        let known = Known { at, account };
+        self.accounts.borrow_mut().insert(addr, known);
+    }
+
+    /// Asks engines that were slow how they do now, so that they come back into use.
+    pub async fn ask_slow(&self) {
+        let slow = self.steer(|steer, _| steer.slow());
+        let asked = slow.into_iter().map(|a| self.account(a, PACE));
+        futures::future::join_all(asked).await;
+    }
+}
+
+fn known_account(accounts: &HashMap<SocketAddr, Known>, addr: SocketAddr) -> Option<Rc<Account>> {
+    accounts.get(&addr).and_then(|k| k.account.clone())
 }
 
 impl<D: Dialect> Run<D> {
-    /// Looks after an answer that has been silent for `silent`.
-    pub(crate) async fn look(&self, held: &mut Held<D>, silent: Duration) -> Look {
-        if held.target.head().span.is_empty() {
-            let stream = self.job.kind().stream().is_some();
-            return match stream && silent > LONGEST {
-                true => Look::Lost("fell silent"),
-                false => Look::Wait,
-            };
+    /// Asks the head of a silent answer what it waits for. Dropped before its end, it changes
+    /// nothing, so that an event which comes meanwhile is passed on at once.
+    pub(crate) async fn ask(&self, target: &Target) -> Option<Rc<Account>> {
+        match target.head().span.is_empty() {
+            true => None,
+            false => self.worker.account(target.head().addr, FRESH).await,
+        }
+    }
+
+    /// Decides about an answer that has been silent for `silent`, by its head's account.
+    pub(crate) async fn look(
+        &self,
+        held: &mut Held<D>,
+        account: Option<Rc<Account>>,
+        silent: Duration,
+    ) -> Look {
+        let chain = !held.target.head().span.is_empty();
+        if !chain && self.job.kind().stream().is_none() {
+            return Look::Wait;
         }
-        let head = held.target.head().addr;
-        let Some(stalls) = self.worker.account(head).await else {
-            return match silent > DEAF {
+        if silent > LONGEST {
+            return Look::Lost("fell silent");
+        }
+        let Some(account) = account else {
+            return match chain && silent > DEAF {
                 true => Look::Lost("the head does not answer"),
                 false => Look::Wait,
             };
         };
-        let own = stalls.iter().find(|s| s.request == self.job.id());
+        let own = account.stalls.iter().find(|s| s.request == self.job.id());
         match own {
             Some(stall) => self.detour(held, stall.culprit).await,
-            None if silent > LONGEST => Look::Lost("fell silent"),
-            None => Look::Wait,
+            None => {
+                self.ask_stages(held);
+                Look::Wait
+            }
         }
     }
 
+    /// Asks the stages of a slow chain how they do, so that the next requests avoid one that runs
+    /// slower than its kind.
+    fn ask_stages(&self, held: &Held<D>) {
+        let addrs: Vec<SocketAddr> = held.target.stages.iter().skip(1).map(|s| s.addr).collect();
+        let worker = self.worker.clone();
+        tokio::task::spawn_local(async move {
+            let asked = addrs.into_iter().map(|a| worker.account(a, PACE));
+            futures::future::join_all(asked).await;
+        });
+    }
+
     /// Replaces the stage that a request waits for.
     async fn detour(&self, held: &mut Held<D>, culprit: SocketAddr) -> Look {
         if !held.target.stages.iter().any(|s| s.addr == culprit) {
@@ -107,7 +157,12 @@
         };
         self.story.detour(culprit, &stages);
         held.target.stages = stages;
-        match self.worker.dialect.detour(self.job.id(), &held.target.stages).await {
+        match self
+            .worker
+            .dialect
+            .detour(self.job.id(), &held.target.stages)
+            .await
+        {
             true => Look::Wait,
             false => Look::Lost("a stage is dead, and the head can't replace it"),
         }
--- a/crates/gate/src/splice.rs
+++ b/crates/gate/src/splice.rs
@@ -193,24 +193,33 @@
                 return Step::Lost("the time is over");
             }
             let wait = next.saturating_sub(self.moved.elapsed()).min(left);
-            let frame = live.sent.response.body_mut().frame();
-            match timeout(wait, frame).await {
-                Err(_) => {
-                    let silent = self.moved.elapsed();
-                    if let Look::Lost(why) = self.run.look(&mut live.sent.held, silent).await {
-                        return Step::Lost(why);
+            let Sent { response, held, .. } = &mut live.sent;
+            let mut frame = response.body_mut().frame();
+            let frame = match timeout(wait, &mut frame).await {
+                Ok(frame) => frame,
+                Err(_) => tokio::select! {
+                    biased;
+                    frame = frame => frame,
+                    account = self.run.ask(&held.target) => {
+                        let silent = self.moved.elapsed();
+                        if let Look::Lost(why) = self.run.look(held, account, silent).await {
+                            return Step::Lost(why);
+                        }
+                        next = self.moved.elapsed() + look::AGAIN;
+                        continue;
                     }
-                    next = self.moved.elapsed() + look::AGAIN;
-                }
-                Ok(None) => return Step::End,
-                Ok(Some(Err(_))) => return Step::Lost("broke off"),
-                Ok(Some(Ok(frame))) => {
+                },
+            };
+            return match frame {
+                None => Step::End,
+                Some(Err(_)) => Step::Lost("broke off"),
+                Some(Ok(frame)) => {
                     if let Some(data) = frame.data_ref() {
                         self.cutter.feed(data);
                     }
-                    return Step::Fed;
+                    Step::Fed
                 }
-            }
+            };
         }
     }
 
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -4,7 +4,7 @@
 use crate::answer::Answer;
 use crate::dialect::Dialect;
 use crate::forward;
-use crate::forward::look::Account;
+use crate::forward::look::Known;
 use crate::job::Job;
 use crate::pool::Pool;
 use crate::refusal::{Reason, Refusal};
@@ -64,7 +64,7 @@
     start: Instant,
     turn: Cell<usize>,
     /// What heads of chains last said of their requests.
-    pub(crate) accounts: RefCell<HashMap<SocketAddr, Account>>,
+    pub(crate) accounts: RefCell<HashMap<SocketAddr, Known>>,
     /// Whether new requests are refused, since the process is about to end.
     closing: Cell<bool>,
 }
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -351,7 +351,9 @@
     /// Nodes that the budget for further attempts is shared with.
     fn sharers(&self) -> usize {
         let peers = self.group.roster().iter();
-        peers.filter(|p| p.state != member::peer::State::Left).count()
+        peers
+            .filter(|p| p.state != member::peer::State::Left)
+            .count()
     }
 
     /// Publishes a view if anything changed.
--- a/crates/node/src/hosted/process.rs
+++ b/crates/node/src/hosted/process.rs
@@ -147,7 +147,11 @@
         tokio::select! {
             () = ends.serving.kill.cancelled() => return Ok(()),
             () = ends.close.cancelled() => break,
-            _ = tidy.tick() => worker.tidy(),
+            _ = tidy.tick() => {
+                worker.tidy();
+                let worker = worker.clone();
+                tokio::task::spawn_local(async move { worker.ask_slow().await });
+            }
         }
     }
     worker.close();
--- a/crates/place/src/plan.rs
+++ b/crates/place/src/plan.rs
@@ -178,7 +178,11 @@
         while let Some(hole) = cover.hole(zone) {
             let free = holders.iter().filter(own).filter(|h| !moved.contains(h));
             let free = free.filter(|h| cover.spared(zone, h.span));
-            let most = |h: &Holder| engine.accelerator(&h.kind).map_or(0, |k| engine.fit(k, tokens));
+            let most = |h: &Holder| {
+                engine
+                    .accelerator(&h.kind)
+                    .map_or(0, |k| engine.fit(k, tokens))
+            };
             // The smallest that closes the hole, or else the largest: what is moved serves nobody
             // while it loads, and a large endpoint loads for seconds.
             let key = |h: &Holder| match most(h) {
--- a/crates/steer/src/table.rs
+++ b/crates/steer/src/table.rs
@@ -284,7 +284,11 @@
         }
         let before = target.stages[..place].iter();
         let after = target.stages[place + 1..].iter();
-        Ok(before.cloned().chain(stages).chain(after.cloned()).collect())
+        Ok(before
+            .cloned()
+            .chain(stages)
+            .chain(after.cloned())
+            .collect())
     }
 
     /// An attempt ended; `blame` is the endpoint that it is about, if it is known, or else the
@@ -310,6 +314,18 @@
         }
     }
 
+    /// An endpoint reported how many times slower than its kind it runs.
+    pub fn paced(&mut self, addr: SocketAddr, pace: f64) {
+        let rows = self.rows.iter_mut().filter(|r| r.endpoint.addr == addr);
+        rows.for_each(|r| r.slow = pace.max(1.0));
+    }
+
+    /// Endpoints that reported to be slow.
+    pub fn slow(&self) -> Vec<SocketAddr> {
+        let rows = self.rows.iter().filter(|r| r.slow > SLOW);
+        rows.map(|r| r.endpoint.addr).collect()
+    }
+
     /// Takes an endpoint out of use for a while, by its address: an engine named it as the one
     /// that its chain waits for.
     pub fn accuse(&mut self, now: Now, addr: SocketAddr) {
@@ -348,6 +364,8 @@
     }
 }
 
+/// Factor from which an endpoint counts as slow.
+const SLOW: f64 = 1.15;
 /// Requests of one node at a plain endpoint, as a multiple of its slots, from which on it counts
 /// as full: more would wait longer than they would take elsewhere later.
 const PLAIN_QUEUE: u32 = 3;
