--- a/crates/place/src/plan.rs
+++ b/crates/place/src/plan.rs
@@ -6,7 +6,7 @@
 //! then hold second copies of the layers that the whole fleet holds least often. An endpoint that
 //! holds layers keeps them: an order costs seconds of loading and the requests that wait for it.
 
-use crate::demand::least_tokens;
+use crate::demand::{least_tokens, most_tokens};
 use crate::order::Order;
 use crate::stock::Holder;
 use catalog::Layer;
@@ -16,8 +16,6 @@
 
 /// Steps in which the room of a zone's cover is searched.
 const STEPS: u32 = 40;
-/// Most room of a cover that is looked for, in tokens: past it, latency binds before memory.
-const MOST_TOKENS: f64 = 100_000.0;
 
 /// Worth of a layer's next copy, by what is there already.
 mod worth {
@@ -224,7 +222,7 @@
     for holder in holders {
         kinds.entry(&holder.zone).or_default().push(&holder.kind);
     }
-    let least = least_tokens(engine);
+    let (least, most) = (least_tokens(engine), most_tokens(engine));
     let fits = |kinds: &[&str], tokens: f64| {
         let layers = kinds.iter().filter_map(|k| engine.accelerator(k));
         let layers: u32 = layers.map(|k| engine.fit(k, tokens)).sum();
@@ -233,7 +231,7 @@
     let room = |kinds: &[&str]| {
         let steps = (0..=STEPS).rev().map(|s| {
             let part = f64::from(s) / f64::from(STEPS);
-            least + (MOST_TOKENS - least).max(0.0) * part
+            least + (most - least).max(0.0) * part
         });
         // A zone that can't cover all layers by itself still holds a part of them.
         steps.into_iter().find(|&t| fits(kinds, t)).unwrap_or(least)
