What a node finds out about an endpoint goes to all; endpoints that stay accused are placed anew

Every node learned of each dead stage by itself, an attempt at a time, and no layer was placed anew until the store came back.

--- a/crates/gate/src/stats.rs
+++ b/crates/gate/src/stats.rs
@@ -18,6 +18,8 @@
     pub again: Cell<u64>,
     /// Connections made to endpoints.
     pub dialed: Cell<u64>,
+    /// Findings about endpoints that control was too busy to take.
+    pub untold: Cell<u64>,
     /// Requests in flight.
     pub flying: Cell<u64>,
 }
@@ -41,6 +43,7 @@
             ("broken", &self.broken),
             ("again", &self.again),
             ("dialed", &self.dialed),
+            ("untold", &self.untold),
             ("flying", &self.flying),
         ];
         rows.iter()
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -26,8 +26,9 @@
 use steer::Steer;
 use steer::budget::Allowance;
 use steer::health::Outcome;
+use steer::note::Note;
 use steer::target::Hold;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
 
 /// Time to come back for a caller whose node knows no catalog yet or is about to end: another
@@ -47,6 +48,8 @@
     pub allowance: Allowance,
     /// Seed of its draws.
     pub seed: u64,
+    /// What control is told of endpoints.
+    pub notes: mpsc::Sender<Note>,
 }
 
 /// The state of one worker. Only its own thread touches it.
@@ -56,6 +59,7 @@
     pub(crate) pool: Pool,
     pub(crate) stats: Rc<Stats>,
     board: Board,
+    notes: mpsc::Sender<Note>,
     steer: RefCell<Steer>,
     /// The view that `steer` follows.
     view: RefCell<Option<Arc<View>>>,
@@ -79,6 +83,7 @@
             pool: Pool::new(stats.clone()),
             stats,
             board: parts.board,
+            notes: parts.notes,
             steer: RefCell::new(Steer::new(parts.seed, parts.allowance)),
             view: RefCell::new(None),
             freed: Notify::new(),
@@ -138,7 +143,15 @@
         // The newest view first, so that no endpoint is chosen that is known to leave.
         self.view();
         let now = self.now();
-        ask(&mut self.steer.borrow_mut(), now)
+        let mut steer = self.steer.borrow_mut();
+        let answer = ask(&mut steer, now);
+        for note in steer.take_notes() {
+            // Control is behind: a further failure tells it again.
+            if self.notes.try_send(note).is_err() {
+                stats::add(&self.stats.untold);
+            }
+        }
+        answer
     }
 
     /// Waits until room may have come free, or for `most`.
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -7,7 +7,7 @@
 use crate::level::Level;
 use crate::peer::Peer;
 use crate::store::Slot;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 impl Group {
@@ -24,6 +24,23 @@
         self.observed(now).filter_map(name).collect()
     }
 
+    /// Endpoints that at least `least` nodes have ejected.
+    pub fn ejected_by(&self, now: Now, least: usize) -> BTreeSet<String> {
+        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+        for body in self.observed(now) {
+            if let Body::Endpoint {
+                name,
+                ejected: true,
+                ..
+            } = body
+            {
+                *counts.entry(name).or_default() += 1;
+            }
+        }
+        let counts = counts.into_iter().filter(|&(_, count)| count >= least);
+        counts.map(|(name, _)| name.to_owned()).collect()
+    }
+
     /// Fingerprints in flight at the death of an endpoint.
     pub fn suspects(&self, now: Now) -> BTreeSet<Fingerprint> {
         let print = |body: &Body| match body {
--- a/crates/node/src/hosted/control.rs
+++ b/crates/node/src/hosted/control.rs
@@ -3,6 +3,7 @@
 //! One thread with a current-thread runtime. [`state::State`] holds what is believed; tasks around
 //! it read the store and the peers and send it [`input::Input`]s.
 
+pub mod accused;
 pub mod copy;
 pub mod input;
 pub mod orders;
@@ -20,6 +21,7 @@
 use state::State;
 use std::sync::Arc;
 use std::time::Duration;
+use steer::note::Note;
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
@@ -42,6 +44,8 @@
     pub board: Board,
     /// Decisions are told here.
     pub journal: Journal,
+    /// What the worker finds out about endpoints.
+    pub noted: mpsc::Receiver<Note>,
     /// The node begins to leave.
     pub leave: CancellationToken,
     /// Control ends.
@@ -50,7 +54,7 @@
 
 impl Control {
     /// Runs until `end`.
-    pub async fn run(self) -> Result<()> {
+    pub async fn run(mut self) -> Result<()> {
         let (inbound, peers) = mpsc::channel(INBOUND);
         let setup = Setup {
             listen: self.settings.peers,
@@ -67,6 +71,9 @@
             tokio::spawn(reader::follow(platform.clone(), table, inputs.clone()));
         }
         tokio::spawn(from_peers(peers, inputs.clone()));
+        let (_, none) = mpsc::channel(1);
+        let noted = std::mem::replace(&mut self.noted, none);
+        tokio::spawn(from_worker(noted, inputs.clone()));
         let end = self.end.clone();
         let state = State::new(self, platform, link, inputs);
         serve(state, taken, end).await;
@@ -88,6 +95,14 @@
     state.quit();
 }
 
+async fn from_worker(mut noted: mpsc::Receiver<Note>, inputs: Inputs) {
+    while let Some(note) = noted.recv().await {
+        if inputs.send(Input::Note(note)).await.is_err() {
+            return;
+        }
+    }
+}
+
 async fn from_peers(mut peers: mpsc::Receiver<Inbound>, inputs: Inputs) {
     while let Some(inbound) = peers.recv().await {
         if inputs.send(Input::Peer(inbound)).await.is_err() {
--- a/crates/node/src/hosted/control/input.rs
+++ b/crates/node/src/hosted/control/input.rs
@@ -4,6 +4,7 @@
 use adapter::store::Table;
 use catalog::source::Page;
 use place::order::{Given, Order};
+use steer::note::Note;
 use tokio::sync::mpsc;
 use wire::peer::Inbound;
 
@@ -31,6 +32,8 @@
     Unread(Table, String),
     /// A peer gave changes of its copy.
     Copy(Table, Page),
+    /// The worker found something out about an endpoint.
+    Note(Note),
     /// A message of a peer.
     Peer(Inbound),
     /// An order was given, or found not to fit.
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -1,5 +1,6 @@
 //! What control believes, and what each input does to it.
 
+use super::accused::Accused;
 use super::copy;
 use super::input::{Input, Inputs};
 use super::orders::Orders;
@@ -24,6 +25,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use steer::Fleet;
+use steer::note::Note;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use wire::frame::{CopyAsk, Status};
@@ -33,6 +35,8 @@
 const SETTLE: Duration = Duration::from_millis(700);
 /// How often a peer is asked for its copy while the store can't be read.
 const COPY: Duration = Duration::from_millis(300);
+/// How long a finding of one node counts: until the endpoint has been tried again a few times.
+const ACCUSED: Duration = Duration::from_millis(2500);
 /// Peers that are asked at once: one of them may be turned away as well.
 const ASKED: usize = 2;
 
@@ -59,6 +63,7 @@
     group: Group,
     actions: Vec<Action>,
     tables: Tables,
+    accused: Accused,
     orders: Orders,
     operator: Reading,
     endpoints: Reading,
@@ -90,6 +95,7 @@
             group,
             actions: Vec::new(),
             tables: Tables::new(control.journal.clone()),
+            accused: Accused::default(),
             orders: Orders::new(control.journal.clone(), inputs.clone(), settings.heartbeat),
             inputs,
             journal: control.journal,
@@ -119,6 +125,7 @@
             Input::Copy(table, page) => {
                 self.dirty |= self.tables.take(&self.platform, table, page, "peer");
             }
+            Input::Note(note) => self.note(note),
             Input::Peer(inbound) => self.inbound(inbound),
             Input::Ordered(order, ordered) => self.orders.ordered(now, order, &ordered),
         }
@@ -135,6 +142,7 @@
         }
         self.handle(Event::Tick);
         self.dirty |= self.tables.expire(now);
+        self.dirty |= self.accused.update(now, self.start.elapsed(), &self.group);
         self.copy(now);
         self.order(now);
         self.publish();
@@ -145,6 +153,31 @@
         self.handle(Event::Quit);
     }
 
+    /// Tells the other nodes what the worker found out.
+    fn note(&mut self, note: Note) {
+        let (run, ejected) = match &note {
+            Note::Down(run) => (run, true),
+            Note::Up(run) => (run, false),
+        };
+        self.journal.tell(Told::Endpoint {
+            run: run.to_string(),
+            state: if ejected {
+                "fails here"
+            } else {
+                "does well here"
+            }
+            .to_owned(),
+            offset: self.tables.next(Table::Endpoints),
+        });
+        let body = Body::Endpoint {
+            name: run.to_string(),
+            ejected,
+            ttl: ACCUSED,
+        };
+        self.handle(Event::Publish(vec![body]));
+        self.dirty = true;
+    }
+
     fn page(&mut self, now: Instant, table: Table, page: Page) {
         let reading = self.reading(table);
         let lost = reading.lost.take();
@@ -255,7 +288,10 @@
         let Some(catalog) = self.tables.catalog() else {
             return;
         };
-        self.orders.step(now, catalog, self.tables.endpoints());
+        let accused = &self.accused;
+        let living = self.tables.endpoints();
+        let living = living.filter(|e| !accused.lost(now, &e.run.to_string()));
+        self.orders.step(now, catalog, living);
     }
 
     fn inbound(&mut self, inbound: Inbound) {
@@ -364,12 +400,15 @@
         let Some(catalog) = self.tables.catalog() else {
             return;
         };
+        let now = Instant::now();
+        self.accused.update(now, self.start.elapsed(), &self.group);
         let nodes = self.nodes();
         let endpoints: Vec<Endpoint> = self.tables.endpoints().cloned().collect();
         let view = View {
             fleet: Fleet {
                 catalog: catalog.clone(),
                 endpoints: Arc::new(endpoints),
+                accused: self.accused.now(),
                 nodes: nodes.len().max(1),
                 sharers: self.sharers(),
             },
--- a/crates/node/src/hosted/process.rs
+++ b/crates/node/src/hosted/process.rs
@@ -22,6 +22,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 use tokio_util::sync::CancellationToken;
 
@@ -35,6 +36,8 @@
 const TIDY: Duration = Duration::from_secs(1);
 /// How often the settings file is looked at: it may change without a signal.
 const SETTINGS_LOOK: Duration = Duration::from_secs(2);
+/// Findings about endpoints that may wait for control.
+const NOTES: usize = 256;
 /// Connections that the listeners for short questions take.
 const SMALL: usize = 256;
 
@@ -63,13 +66,23 @@
     let board = Board::default();
     let incarnation = incarnation();
     let seed = seed(&settings.name, incarnation);
-    let worker = start_worker(&settings, &board, &journal, seed, &ends)?;
+    let (notes, noted) = mpsc::channel(NOTES);
+    let parts = Parts {
+        dialect: Headers,
+        board: board.clone(),
+        journal: journal.clone(),
+        allowance: settings.allowance,
+        seed,
+        notes,
+    };
+    let worker = start_worker(&settings, parts, &ends)?;
     let control = Control {
         settings: settings.clone(),
         incarnation,
         seed,
         board,
         journal: journal.clone(),
+        noted,
         leave: ends.leave.clone(),
         end: ends.control.clone(),
     };
@@ -99,13 +112,7 @@
 
 type Thread = std::thread::JoinHandle<Result<()>>;
 
-fn start_worker(
-    settings: &Settings,
-    board: &Board,
-    journal: &Journal,
-    seed: u64,
-    ends: &Ends,
-) -> Result<Thread> {
+fn start_worker(settings: &Settings, parts: Parts<Headers>, ends: &Ends) -> Result<Thread> {
     let mut listeners = vec![(bind(settings.callers)?, Port::Callers, settings.connections)];
     for (addr, port) in [
         (settings.addresses, Port::Addresses),
@@ -115,13 +122,6 @@
             listeners.push((bind(addr)?, port, SMALL));
         }
     }
-    let parts = Parts {
-        dialect: Headers,
-        board: board.clone(),
-        journal: journal.clone(),
-        allowance: settings.allowance,
-        seed,
-    };
     let ends = ends.clone();
     let builder = std::thread::Builder::new().name("worker".to_owned());
     Ok(builder.spawn(move || {
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -1,6 +1,7 @@
 //! What a worker is told of the outside.
 
 use catalog::{Catalog, Endpoint};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// The catalog in force, the endpoints that may be used, and the nodes that share them.
@@ -10,6 +11,8 @@
     pub catalog: Arc<Catalog>,
     /// The endpoints.
     pub endpoints: Arc<Vec<Endpoint>>,
+    /// Runs of endpoints that several nodes found to fail, in their text form.
+    pub accused: Arc<BTreeSet<String>>,
     /// Nodes that send requests, this one included. Callers spread evenly over them, so what this
     /// node has under way, times this number, is what an endpoint has under way.
     pub nodes: usize,
--- a/crates/steer/src/row.rs
+++ b/crates/steer/src/row.rs
@@ -24,6 +24,8 @@
     pub read: f64,
     /// What it is slower than its kind, as learned; 1 at first.
     pub slow: f64,
+    /// Whether several nodes found it to fail.
+    pub accused: bool,
     /// Number of its availability zone in the table.
     pub zone: usize,
 }
@@ -40,6 +42,7 @@
             step: 0.0,
             read: 0.0,
             slow: 1.0,
+            accused: false,
             zone,
         }
     }
@@ -57,6 +60,6 @@
 
     /// Whether new work may be sent to it.
     pub fn open(&self, now: Now) -> bool {
-        self.endpoint.state == State::Ready && self.health.usable(now)
+        self.endpoint.state == State::Ready && !self.accused && self.health.usable(now)
     }
 }
--- a/crates/steer/src/table.rs
+++ b/crates/steer/src/table.rs
@@ -4,6 +4,7 @@
 use crate::chain::Need;
 use crate::fleet::Fleet;
 use crate::health::Outcome;
+use crate::note::Note;
 use crate::pipe::Pipes;
 use crate::row::Row;
 use crate::search::{self, Part, Search};
@@ -47,6 +48,7 @@
     holds: BTreeMap<Hold, Held>,
     budgets: BTreeMap<String, Budget>,
     pipes: Pipes,
+    notes: Vec<Note>,
     next: Hold,
     rng: ChaCha8Rng,
 }
@@ -63,6 +65,7 @@
             holds: BTreeMap::new(),
             budgets: BTreeMap::new(),
             pipes: Pipes::default(),
+            notes: Vec::new(),
             next: 1,
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -93,6 +96,7 @@
             if let Some(engine) = engine(&fleet, &endpoint.service) {
                 row.measure(engine);
             }
+            row.accused = fleet.accused.contains(&endpoint.run.to_string());
             self.index.insert(endpoint.run.clone(), self.rows.len());
             self.rows.push(row);
         }
@@ -309,7 +313,7 @@
                 (None, _) => number == 0,
             };
             if concerned {
-                row.health.ended(now, held.began, outcome);
+                self.notes.extend(judge(row, now, held.began, outcome));
             }
         }
     }
@@ -330,7 +334,13 @@
     /// that its chain waits for.
     pub fn accuse(&mut self, now: Now, addr: SocketAddr) {
         let rows = self.rows.iter_mut().filter(|r| r.endpoint.addr == addr);
-        rows.for_each(|r| r.health.ended(now, now, Outcome::Failed));
+        let notes = rows.filter_map(|r| judge(r, now, now, Outcome::Failed));
+        self.notes.extend(notes);
+    }
+
+    /// What the other nodes should know, since the last call.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
     }
 
     /// A first attempt for `service` was made.
@@ -370,6 +380,22 @@
 /// as full: more would wait longer than they would take elsewhere later.
 const PLAIN_QUEUE: u32 = 3;
 
+/// Failures in a row from which an endpoint is told of. One may be the request's or the way's.
+const TOLD: u32 = 2;
+
+/// Takes in how an attempt ended; what the other nodes should know of it.
+fn judge(row: &mut Row, now: Now, began: Now, outcome: Outcome) -> Option<Note> {
+    let before = row.health.failures();
+    row.health.ended(now, began, outcome);
+    let after = row.health.failures();
+    let run = || row.endpoint.run.clone();
+    match outcome {
+        Outcome::Failed if after > before && after >= TOLD => Some(Note::Down(run())),
+        Outcome::Good if before >= TOLD => Some(Note::Up(run())),
+        _ => None,
+    }
+}
+
 fn engine<'a>(fleet: &'a Fleet, service: &str) -> Option<&'a catalog::engine::Engine> {
     let services = fleet.catalog.services.iter();
     let mut found = services.filter(|s| s.name == service);
