--- a/crates/gate/src/dialect.rs
+++ b/crates/gate/src/dialect.rs
@@ -68,8 +68,6 @@
 pub struct Account {
     /// Requests that were sent to it and wait for another endpoint.
     pub stalls: Vec<Stall>,
-    /// How many times slower than its kind it runs.
-    pub pace: f64,
 }
 
 /// The installation's dialect.
--- a/crates/gate/src/forward/look.rs
+++ b/crates/gate/src/forward/look.rs
@@ -26,8 +26,6 @@
 const ANSWER: Duration = Duration::from_millis(250);
 /// Time for which one account serves all requests of a head.
 const FRESH: Duration = Duration::from_millis(100);
-/// Time for which the account of a stage says how fast it is.
-const PACE: Duration = Duration::from_millis(900);
 /// Silence after which a head that does not answer is given up. One lost packet is sent again
 /// within this time.
 const DEAF: Duration = Duration::from_millis(550);
@@ -52,10 +50,10 @@
 }
 
 impl<D: Dialect> Worker<D> {
-    /// The account of an engine, not older than `fresh`.
-    async fn account(&self, addr: SocketAddr, fresh: Duration) -> Option<Rc<Account>> {
+    /// The account of an engine, not much older than [`FRESH`].
+    async fn account(&self, addr: SocketAddr) -> Option<Rc<Account>> {
         let known = self.accounts.borrow().get(&addr).cloned();
-        if let Some(known) = known.filter(|a| a.at.elapsed() < fresh) {
+        if let Some(known) = known.filter(|a| a.at.elapsed() < FRESH) {
             return known.account;
         }
         // Those that come meanwhile take the old account instead of asking too.
@@ -64,9 +62,6 @@
         let asked = timeout(ANSWER, self.dialect.account(addr)).await;
         let account = asked.ok().flatten().map(Rc::new);
         self.keep(addr, account.clone());
-        if let Some(account) = &account {
-            self.steer(|steer, _| steer.paced(addr, account.pace));
-        }
         account
     }
 
@@ -75,13 +70,6 @@
         let known = Known { at, account };
         self.accounts.borrow_mut().insert(addr, known);
     }
-
-    /// Asks engines that were slow how they do now, so that they come back into use.
-    pub async fn ask_slow(&self) {
-        let slow = self.steer(|steer, _| steer.slow());
-        let asked = slow.into_iter().map(|a| self.account(a, PACE));
-        futures::future::join_all(asked).await;
-    }
 }
 
 fn known_account(accounts: &HashMap<SocketAddr, Known>, addr: SocketAddr) -> Option<Rc<Account>> {
@@ -94,7 +82,7 @@
     pub(crate) async fn ask(&self, target: &Target) -> Option<Rc<Account>> {
         match target.head().span.is_empty() {
             true => None,
-            false => self.worker.account(target.head().addr, FRESH).await,
+            false => self.worker.account(target.head().addr).await,
         }
     }
 
@@ -121,24 +109,10 @@
         let own = account.stalls.iter().find(|s| s.request == self.job.id());
         match own {
             Some(stall) => self.detour(held, stall.culprit).await,
-            None => {
-                self.ask_stages(held);
-                Look::Wait
-            }
+            None => Look::Wait,
         }
     }
 
-    /// Asks the stages of a slow chain how they do, so that the next requests avoid one that runs
-    /// slower than its kind.
-    fn ask_stages(&self, held: &Held<D>) {
-        let addrs: Vec<SocketAddr> = held.target.stages.iter().skip(1).map(|s| s.addr).collect();
-        let worker = self.worker.clone();
-        tokio::task::spawn_local(async move {
-            let asked = addrs.into_iter().map(|a| worker.account(a, PACE));
-            futures::future::join_all(asked).await;
-        });
-    }
-
     /// Replaces the stage that a request waits for.
     async fn detour(&self, held: &mut Held<D>, culprit: SocketAddr) -> Look {
         if !held.target.stages.iter().any(|s| s.addr == culprit) {
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -120,7 +120,8 @@
         };
         if !same {
             if let Some(view) = &newest {
-                self.steer.borrow_mut().follow(view.fleet.clone());
+                let now = self.now();
+                self.steer.borrow_mut().follow(now, view.fleet.clone());
                 self.freed.notify_waiters();
             }
             *known = newest.clone();
--- a/crates/node/src/hosted/control.rs
+++ b/crates/node/src/hosted/control.rs
@@ -6,8 +6,10 @@
 pub mod accused;
 pub mod copy;
 pub mod input;
+pub mod loads;
 pub mod orders;
 pub mod reader;
+pub mod readers;
 pub mod state;
 pub mod tables;
 
@@ -22,7 +24,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use steer::note::Note;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
 use wire::peer::{Inbound, Link, Setup};
@@ -67,15 +69,17 @@
             .wrap_err_with(|| format!("peers' listener {}", self.settings.peers))?;
         let platform = Arc::new(Platform::new(self.settings.store));
         let (inputs, taken) = mpsc::channel(INPUTS);
+        let (reads, told) = watch::channel(true);
         for table in [Table::Operator, Table::Endpoints] {
-            tokio::spawn(reader::follow(platform.clone(), table, inputs.clone()));
+            let (platform, inputs) = (platform.clone(), inputs.clone());
+            tokio::spawn(reader::follow(platform, table, inputs, told.clone()));
         }
         tokio::spawn(from_peers(peers, inputs.clone()));
         let (_, none) = mpsc::channel(1);
         let noted = std::mem::replace(&mut self.noted, none);
         tokio::spawn(from_worker(noted, inputs.clone()));
         let end = self.end.clone();
-        let state = State::new(self, platform, link, inputs);
+        let state = State::new(self, platform, link, inputs, reads);
         serve(state, taken, end).await;
         Ok(())
     }
--- a/crates/node/src/hosted/control/copy.rs
+++ b/crates/node/src/hosted/control/copy.rs
@@ -12,6 +12,7 @@
 struct Raw {
     records: Vec<Row>,
     next: u64,
+    fresh: bool,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -21,21 +22,31 @@
     offset: u64,
 }
 
-impl From<&Page> for Raw {
-    fn from(page: &Page) -> Self {
-        let rows = page.records.iter().map(|r| Row {
+/// Changes of a table, and whether the node that gives them can read the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Copy {
+    /// The changes; maybe none.
+    pub page: Page,
+    /// Whether they are all that there are.
+    pub fresh: bool,
+}
+
+impl From<&Copy> for Raw {
+    fn from(copy: &Copy) -> Self {
+        let rows = copy.page.records.iter().map(|r| Row {
             key: r.key.clone(),
             value: r.value.as_ref().map(|v| v.to_vec()),
             offset: r.offset,
         });
         Self {
             records: rows.collect(),
-            next: page.next,
+            next: copy.page.next,
+            fresh: copy.fresh,
         }
     }
 }
 
-impl From<Raw> for Page {
+impl From<Raw> for Copy {
     fn from(raw: Raw) -> Self {
         let records = raw.records.into_iter().map(|r| Record {
             key: r.key,
@@ -43,27 +54,33 @@
             offset: r.offset,
         });
         Self {
-            records: records.collect(),
-            next: raw.next,
-            whole: false,
+            page: Page {
+                records: records.collect(),
+                next: raw.next,
+                whole: false,
+            },
+            fresh: raw.fresh,
         }
     }
 }
 
-/// The bytes of a page.
-pub fn encode(page: &Page) -> Result<Vec<u8>> {
+/// The bytes of a copy.
+pub fn encode(copy: &Copy) -> Result<Vec<u8>> {
     let config = bincode::config::standard();
-    Ok(bincode::serde::encode_to_vec(Raw::from(page), config)?)
+    Ok(bincode::serde::encode_to_vec(Raw::from(copy), config)?)
 }
 
-/// Reads the bytes of a page.
-pub fn decode(bytes: &[u8]) -> Result<Page> {
+/// Reads the bytes of a copy.
+pub fn decode(bytes: &[u8]) -> Result<Copy> {
     let config = bincode::config::standard().with_limit::<LONGEST>();
     let (raw, used): (Raw, usize) = bincode::serde::decode_from_slice(bytes, config)?;
     ensure!(used == bytes.len(), "trailing bytes");
     Ok(raw.into())
 }
 
+/// The number between nodes of the list of loads, which is no table of the store.
+pub const LOADS: u8 = 2;
+
 /// The number of a table between nodes.
 pub fn number(table: Table) -> u8 {
     match table {
--- a/crates/node/src/hosted/control/input.rs
+++ b/crates/node/src/hosted/control/input.rs
@@ -1,7 +1,9 @@
 //! What tasks tell control.
 
+use super::copy::Copy;
 use adapter::report::Report;
 use adapter::store::Table;
+use catalog::endpoint::Run;
 use catalog::source::Page;
 use place::order::{Given, Order};
 use steer::note::Note;
@@ -31,7 +33,11 @@
     /// The store could not be read.
     Unread(Table, String),
     /// A peer gave changes of its copy.
-    Copy(Table, Page),
+    Copy(Table, Copy),
+    /// A peer gave the loads that it knows.
+    Loads(Vec<u8>),
+    /// An engine was asked for its report; nothing if it did not answer.
+    Report(Run, Option<Report>),
     /// The worker found something out about an endpoint.
     Note(Note),
     /// A message of a peer.
--- /dev/null
+++ b/crates/node/src/hosted/control/loads.rs
@@ -0,0 +1,168 @@
+//! Loads that engines report.
+//!
+//! One node of each availability zone asks the engines of its zone, often where there is much
+//! under way and seldom where there is not; the others take the answers from it. Each node asking
+//! each engine would cost the number of nodes times as many questions.
+
+use adapter::report::Report;
+use catalog::Endpoint;
+use catalog::endpoint::Span;
+use eyre::{Result, ensure};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use steer::load::Load;
+use tokio::time::Instant;
+
+/// Part of an engine's room from which it is asked often.
+const BUSY: f64 = 0.3;
+/// Time between two questions to a busy engine: twice what its report lags behind.
+const OFTEN: Duration = Duration::from_millis(400);
+/// Time between two questions to any other.
+const SELDOM: Duration = Duration::from_millis(1500);
+/// Time after which a report is forgotten.
+const KEEP: Duration = Duration::from_secs(4);
+/// Age up to which a report goes before the endpoint's own row, which is written every second or
+/// so and read about as often.
+const FRESH: Duration = Duration::from_millis(1500);
+/// Longest list that is read.
+const LONGEST: usize = 4 << 20;
+
+/// A report.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Row {
+    at: Instant,
+    used: f64,
+    room: f64,
+    pace: f64,
+    span: Span,
+}
+
+/// A report between nodes. Clocks of nodes differ, so its age is sent and not its time.
+#[derive(Serialize, Deserialize)]
+struct Raw {
+    run: String,
+    age_ms: u32,
+    used: f64,
+    room: f64,
+    pace: f64,
+    from: u32,
+    to: u32,
+}
+
+/// The newest report of each run.
+#[derive(Clone, Debug, Default)]
+pub struct Loads {
+    rows: BTreeMap<String, Row>,
+    /// When each run was last asked by this node.
+    asked: BTreeMap<String, Instant>,
+}
+
+impl Loads {
+    /// Takes a report in that was just given.
+    pub fn reported(&mut self, now: Instant, run: &str, report: &Report) {
+        let row = Row {
+            at: now,
+            used: report.used,
+            room: report.room,
+            pace: report.pace,
+            span: report.span,
+        };
+        self.rows.insert(run.to_owned(), row);
+    }
+
+    /// Whether a run should be asked now; if so, it counts as asked.
+    pub fn due(&mut self, now: Instant, run: &str) -> bool {
+        let busy = self.rows.get(run).is_some_and(|r| r.used > r.room * BUSY);
+        let period = if busy { OFTEN } else { SELDOM };
+        let due = self.asked.get(run).is_none_or(|&at| now >= at + period);
+        if due {
+            self.asked.insert(run.to_owned(), now);
+        }
+        due
+    }
+
+    /// Forgets what is old.
+    pub fn expire(&mut self, now: Instant) {
+        self.rows.retain(|_, row| now < row.at + KEEP);
+        self.asked.retain(|_, at| now < *at + KEEP);
+    }
+
+    /// All reports for a peer.
+    pub fn encode(&self, now: Instant) -> Result<Vec<u8>> {
+        let raws: Vec<Raw> = self.rows.iter().map(|(run, row)| raw(now, run, row)).collect();
+        let config = bincode::config::standard();
+        Ok(bincode::serde::encode_to_vec(&raws, config)?)
+    }
+
+    /// Takes a peer's reports in; whether any is new.
+    pub fn take(&mut self, now: Instant, bytes: &[u8]) -> Result<bool> {
+        let config = bincode::config::standard().with_limit::<LONGEST>();
+        let (raws, used): (Vec<Raw>, usize) = bincode::serde::decode_from_slice(bytes, config)?;
+        ensure!(used == bytes.len(), "trailing bytes");
+        let mut new = false;
+        for raw in raws {
+            let at = now.checked_sub(Duration::from_millis(raw.age_ms.into()));
+            let Some(at) = at else {
+                continue;
+            };
+            let known = self.rows.get(&raw.run);
+            if known.is_some_and(|k| k.at + SAME >= at) || now >= at + KEEP {
+                continue;
+            }
+            new = true;
+            self.rows.insert(raw.run.clone(), row(at, &raw));
+        }
+        Ok(new)
+    }
+
+    /// What workers are told.
+    pub fn view(&self, now: Instant, start: Instant) -> BTreeMap<String, Load> {
+        let load = |row: &Row| Load {
+            stamp: (row.at - start).as_micros() as u64,
+            used: row.used,
+            pace: row.pace,
+            age: now - row.at,
+        };
+        let rows = self.rows.iter();
+        rows.map(|(run, row)| (run.clone(), load(row))).collect()
+    }
+
+    /// The endpoint with the layers that it reported, if that is newer than its row.
+    pub fn overlay(&self, now: Instant, endpoint: &Endpoint) -> Endpoint {
+        let mut endpoint = endpoint.clone();
+        let row = self.rows.get(&endpoint.run.to_string());
+        if let Some(row) = row.filter(|r| now < r.at + FRESH) {
+            endpoint.span = row.span;
+        }
+        endpoint
+    }
+}
+
+/// Two copies of one report differ by the time that they were on their way.
+const SAME: Duration = Duration::from_millis(50);
+
+fn raw(now: Instant, run: &str, row: &Row) -> Raw {
+    Raw {
+        run: run.to_owned(),
+        age_ms: (now - row.at).as_millis() as u32,
+        used: row.used,
+        room: row.room,
+        pace: row.pace,
+        from: row.span.from,
+        to: row.span.to,
+    }
+}
+
+fn row(at: Instant, raw: &Raw) -> Row {
+    Row {
+        at,
+        used: raw.used,
+        room: raw.room,
+        pace: raw.pace,
+        span: Span {
+            from: raw.from,
+            to: raw.to,
+        },
+    }
+}
--- a/crates/node/src/hosted/control/reader.rs
+++ b/crates/node/src/hosted/control/reader.rs
@@ -7,6 +7,7 @@
 use platform::Result;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// How long the store may hold a read of the operator's table back. Long, since each read is
 /// paid for; not so long that a silent store is noticed late.
@@ -19,10 +20,18 @@
 /// Pause after a failed read.
 const FAILED: Duration = Duration::from_millis(300);
 
-/// Reads a table and its changes until the inputs are closed.
-pub async fn follow(platform: Arc<Platform>, table: Table, inputs: Inputs) {
+/// Reads a table and its changes while `reads` holds, until the inputs are closed.
+pub async fn follow(
+    platform: Arc<Platform>,
+    table: Table,
+    inputs: Inputs,
+    mut reads: watch::Receiver<bool>,
+) {
     let mut from: Option<Offset> = None;
     loop {
+        if reads.wait_for(|reads| *reads).await.is_err() {
+            return;
+        }
         let (input, pause) = match read(&platform, table, from).await {
             Ok(Some(page)) => {
                 from = Some(page.next);
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -1,15 +1,19 @@
 //! What control believes, and what each input does to it.
 
 use super::accused::Accused;
-use super::copy;
+use super::copy::{self, Copy};
 use super::input::{Input, Inputs};
+use super::loads::Loads;
 use super::orders::Orders;
+use super::readers::Part;
 use super::tables::Tables;
 use super::{Control, STEP};
 use crate::hosted::settings::Settings;
 use adapter::Platform;
+use adapter::report::{Control as Engine, Report};
 use adapter::store::Table;
 use catalog::Endpoint;
+use catalog::endpoint::Run;
 use catalog::source::Page;
 use gate::view::{Board, View};
 use journal::Journal;
@@ -21,11 +25,13 @@
 use member::item::{Body, Key};
 use member::peer::{Entry, Standing};
 use rand::seq::IndexedRandom;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use steer::Fleet;
 use steer::note::Note;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use wire::frame::{CopyAsk, Status};
@@ -35,6 +41,10 @@
 const SETTLE: Duration = Duration::from_millis(700);
 /// How often a peer is asked for its copy while the store can't be read.
 const COPY: Duration = Duration::from_millis(300);
+/// How often copies and loads are taken from peers.
+const PULL: Duration = Duration::from_millis(350);
+/// Time without an up-to-date copy after which a node reads the store by itself: three pulls.
+const UNHEARD: Duration = Duration::from_millis(1000);
 /// How long a finding of one node counts: until the endpoint has been tried again a few times.
 const ACCUSED: Duration = Duration::from_millis(2500);
 /// Peers that are asked at once: one of them may be turned away as well.
@@ -67,15 +77,32 @@
     orders: Orders,
     operator: Reading,
     endpoints: Reading,
+    /// Whether the tasks that read the store do so.
+    reads: watch::Sender<bool>,
+    part: Part,
+    loads: Loads,
+    /// Clients of engines that this node asks.
+    engines: BTreeMap<SocketAddr, Arc<Engine>>,
+    /// When a peer last gave a copy that was up to date.
+    heard: Instant,
+    pulled: Instant,
     copied: Instant,
     leaving: bool,
     /// Whether something changed that the worker must know.
     dirty: bool,
+    /// Whether loads changed; they are published by step, since reports come one by one.
+    reported: bool,
 }
 
 impl State {
     /// The state before any input.
-    pub fn new(control: Control, platform: Arc<Platform>, link: Link, inputs: Inputs) -> Self {
+    pub fn new(
+        control: Control,
+        platform: Arc<Platform>,
+        link: Link,
+        inputs: Inputs,
+        reads: watch::Sender<bool>,
+    ) -> Self {
         let settings = control.settings;
         let me = Identity {
             name: settings.name.clone(),
@@ -101,9 +128,16 @@
             journal: control.journal,
             operator: Reading::default(),
             endpoints: Reading::default(),
+            reads,
+            part: Part::default(),
+            loads: Loads::default(),
+            engines: BTreeMap::new(),
+            heard: Instant::now(),
+            pulled: Instant::now(),
             copied: Instant::now(),
             leaving: false,
             dirty: false,
+            reported: false,
             settings,
         };
         let callers = Body::Callers {
@@ -122,9 +156,12 @@
         match input {
             Input::Page(table, page) => self.page(now, table, page),
             Input::Unread(table, why) => self.unread(now, table, &why),
-            Input::Copy(table, page) => {
-                self.dirty |= self.tables.take(&self.platform, table, page, "peer");
-            }
+            Input::Copy(table, copy) => self.copied(now, table, copy),
+            Input::Loads(bytes) => match self.loads.take(now, &bytes) {
+                Ok(new) => self.reported |= new,
+                Err(error) => log::warn!("a peer's loads can't be read: {error}"),
+            },
+            Input::Report(run, report) => self.take_report(now, run, report),
             Input::Note(note) => self.note(note),
             Input::Peer(inbound) => self.inbound(inbound),
             Input::Ordered(order, ordered) => self.orders.ordered(now, order, &ordered),
@@ -143,8 +180,12 @@
         self.handle(Event::Tick);
         self.dirty |= self.tables.expire(now);
         self.dirty |= self.accused.update(now, self.start.elapsed(), &self.group);
+        self.share(now);
+        self.pull(now);
         self.copy(now);
+        self.poll(now);
         self.order(now);
+        self.dirty |= std::mem::take(&mut self.reported);
         self.publish();
     }
 
@@ -196,6 +237,98 @@
         self.dirty |= self.tables.take(&self.platform, table, page, "store");
     }
 
+    /// Finds this node's part in reading the store and asking engines.
+    fn share(&mut self, now: Instant) {
+        self.part = Part::of(&self.group, &self.settings.zone);
+        // A node whose readers don't answer, or can't read the store, tries it by itself.
+        let reads = self.part.reads || now >= self.heard + UNHEARD;
+        self.reads.send_if_modified(|r| std::mem::replace(r, reads) != reads);
+    }
+
+    /// Takes from peers what they read and ask for this node.
+    fn pull(&mut self, now: Instant) {
+        if now < self.pulled + PULL {
+            return;
+        }
+        self.pulled = now;
+        if self.part.reads {
+            for &poller in &self.part.pollers {
+                self.ask_loads(poller);
+            }
+            return;
+        }
+        if let Some(&reader) = self.part.readers.choose(&mut rand::rng()) {
+            for table in [Table::Operator, Table::Endpoints] {
+                self.ask_copy(reader, table);
+            }
+            self.ask_loads(reader);
+        }
+    }
+
+    /// A peer gave a copy.
+    fn copied(&mut self, now: Instant, table: Table, copy: Copy) {
+        if copy.fresh && !self.part.reads {
+            self.heard = now;
+            self.tables.read(now);
+            self.reading(table).lost = None;
+        }
+        self.dirty |= self.tables.take(&self.platform, table, copy.page, "peer");
+    }
+
+    fn ask_loads(&self, peer: SocketAddr) {
+        let ask = CopyAsk {
+            table: copy::LOADS,
+            from: 0,
+        };
+        let (link, inputs) = (self.link.clone(), self.inputs.clone());
+        tokio::spawn(async move {
+            // A peer that does not answer is asked again.
+            if let Ok(Some(bytes)) = link.copy(peer, ask).await {
+                // Control has ended if nobody takes it.
+                let _ = inputs.send(Input::Loads(bytes)).await;
+            }
+        });
+    }
+
+    /// Asks the engines that are this node's to ask.
+    fn poll(&mut self, now: Instant) {
+        self.loads.expire(now);
+        if self.leaving || self.tables.catalog().is_none() {
+            return;
+        }
+        let endpoints = self.tables.endpoints();
+        let own = endpoints.filter(|e| e.kind.is_some() && self.part.asks(&e.zone));
+        let own: Vec<Endpoint> = own.cloned().collect();
+        self.engines
+            .retain(|addr, _| own.iter().any(|e| e.addr == *addr));
+        for endpoint in own {
+            if !self.loads.due(now, &endpoint.run.to_string()) {
+                continue;
+            }
+            let engine = self.engines.entry(endpoint.addr);
+            let engine = engine.or_insert_with(|| Arc::new(Engine::new(endpoint.addr)));
+            let (engine, inputs) = (engine.clone(), self.inputs.clone());
+            tokio::spawn(async move {
+                // Silence is told by the missing report.
+                let report = engine.report().await.ok();
+                // Control has ended if nobody takes it.
+                let _ = inputs.send(Input::Report(endpoint.run, report)).await;
+            });
+        }
+    }
+
+    fn take_report(&mut self, now: Instant, run: Run, report: Option<Report>) {
+        let Some(report) = report else {
+            return;
+        };
+        // Another run has the address by now; its own row will tell of it.
+        if report.born != 0 && run.born != 0 && report.born != run.born {
+            return;
+        }
+        self.loads.reported(now, &run.to_string(), &report);
+        self.reported = true;
+    }
+
     fn unread(&mut self, now: Instant, table: Table, why: &str) {
         if table == Table::Endpoints {
             self.tables.unread(now);
@@ -253,8 +386,9 @@
                 return;
             };
             match copy::decode(&bytes) {
-                Ok(page) => {
-                    let _ = inputs.send(Input::Copy(table, page)).await;
+                Ok(copy) => {
+                    // Control has ended if nobody takes it.
+                    let _ = inputs.send(Input::Copy(table, copy)).await;
                 }
                 Err(error) => log::warn!("a copy from {peer} can't be read: {error}"),
             }
@@ -262,12 +396,12 @@
     }
 
     fn offer(&self, ask: CopyAsk) -> Option<Vec<u8>> {
-        let table = copy::table(ask.table)?;
-        let page = self.tables.copy(table).since(ask.from);
-        if page.next <= ask.from {
-            return None;
-        }
-        match copy::encode(&page) {
+        let encoded = match copy::table(ask.table) {
+            Some(table) => copy::encode(&self.own_copy(table, ask.from)),
+            None if ask.table == copy::LOADS => self.loads.encode(Instant::now()),
+            None => return None,
+        };
+        match encoded {
             Ok(bytes) => Some(bytes),
             Err(error) => {
                 log::warn!("a copy can't be given: {error}");
@@ -276,13 +410,24 @@
         }
     }
 
+    /// What this node has of a table, from an offset on.
+    fn own_copy(&self, table: Table, from: u64) -> Copy {
+        let reading = match table {
+            Table::Operator => &self.operator,
+            Table::Endpoints => &self.endpoints,
+        };
+        Copy {
+            page: self.tables.copy(table).since(from),
+            fresh: self.part.reads && reading.ever && reading.lost.is_none(),
+        }
+    }
+
     /// Gives orders if that is this node's part.
     fn order(&mut self, now: Instant) {
         if self.leaving || now < self.start + SETTLE {
             return;
         }
-        let first = self.group.open().map(|p| p.id).min();
-        if first != Some(self.group.me()) {
+        if !self.part.first {
             return;
         }
         let Some(catalog) = self.tables.catalog() else {
@@ -291,7 +436,8 @@
         let accused = &self.accused;
         let living = self.tables.endpoints();
         let living = living.filter(|e| !accused.lost(now, &e.run.to_string()));
-        self.orders.step(now, catalog, living);
+        let living: Vec<Endpoint> = living.map(|e| self.loads.overlay(now, e)).collect();
+        self.orders.step(now, catalog, living.iter());
     }
 
     fn inbound(&mut self, inbound: Inbound) {
@@ -403,11 +549,13 @@
         let now = Instant::now();
         self.accused.update(now, self.start.elapsed(), &self.group);
         let nodes = self.nodes();
-        let endpoints: Vec<Endpoint> = self.tables.endpoints().cloned().collect();
+        let endpoints = self.tables.endpoints();
+        let endpoints: Vec<Endpoint> = endpoints.map(|e| self.loads.overlay(now, e)).collect();
         let view = View {
             fleet: Fleet {
                 catalog: catalog.clone(),
                 endpoints: Arc::new(endpoints),
+                loads: Arc::new(self.loads.view(now, self.start)),
                 accused: self.accused.now(),
                 nodes: nodes.len().max(1),
                 sharers: self.sharers(),
--- a/crates/node/src/hosted/process.rs
+++ b/crates/node/src/hosted/process.rs
@@ -147,11 +147,7 @@
         tokio::select! {
             () = ends.serving.kill.cancelled() => return Ok(()),
             () = ends.close.cancelled() => break,
-            _ = tidy.tick() => {
-                worker.tidy();
-                let worker = worker.clone();
-                tokio::task::spawn_local(async move { worker.ask_slow().await });
-            }
+            _ = tidy.tick() => worker.tidy(),
         }
     }
     worker.close();
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -1,7 +1,8 @@
 //! What a worker is told of the outside.
 
 use catalog::{Catalog, Endpoint};
-use std::collections::BTreeSet;
+use crate::load::Load;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// The catalog in force, the endpoints that may be used, and the nodes that share them.
@@ -11,6 +12,8 @@
     pub catalog: Arc<Catalog>,
     /// The endpoints.
     pub endpoints: Arc<Vec<Endpoint>>,
+    /// Loads that endpoints reported, by the text form of their run.
+    pub loads: Arc<BTreeMap<String, Load>>,
     /// Runs of endpoints that several nodes found to fail, in their text form.
     pub accused: Arc<BTreeSet<String>>,
     /// Nodes that send requests, this one included. Callers spread evenly over them, so what this
--- /dev/null
+++ b/crates/steer/src/load.rs
@@ -0,0 +1,50 @@
+//! What an endpoint reported of its load.
+
+use crate::Now;
+use std::time::Duration;
+
+/// Age from which a report says nothing any more: most requests of then have ended.
+const OLD: Duration = Duration::from_secs(4);
+
+/// A report of an endpoint's load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Load {
+    /// Tells reports of one endpoint apart; a later one has a higher number.
+    pub stamp: u64,
+    /// Room in use, in tokens times layers.
+    pub used: f64,
+    /// How many times slower than its kind it runs.
+    pub pace: f64,
+    /// How old it was when it was published.
+    pub age: Duration,
+}
+
+/// The last report, and what this worker held at the endpoint when it came.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Known {
+    load: Load,
+    at: Now,
+    held: f64,
+}
+
+impl Known {
+    /// A report that came at `now`, when this worker held `held` there.
+    pub fn new(load: Load, now: Now, held: f64) -> Self {
+        Self {
+            load,
+            at: now.saturating_sub(load.age),
+            held,
+        }
+    }
+
+    /// Whether `load` is another report than this.
+    pub fn differs(&self, load: &Load) -> bool {
+        self.load.stamp != load.stamp
+    }
+
+    /// Room in use now, by the report and what this worker has taken or given back since.
+    pub fn used(&self, now: Now, held: f64) -> Option<f64> {
+        let fresh = now.saturating_sub(self.at) < OLD;
+        fresh.then(|| (self.load.used + held - self.held).max(held))
+    }
+}
--- a/crates/steer/src/row.rs
+++ b/crates/steer/src/row.rs
@@ -2,6 +2,7 @@
 
 use crate::Now;
 use crate::health::Health;
+use crate::load::{Known, Load};
 use catalog::endpoint::{Endpoint, State};
 use catalog::engine::Engine;
 
@@ -22,8 +23,10 @@
     pub step: f64,
     /// Time to read a prompt token through all layers at its pace, in seconds.
     pub read: f64,
-    /// What it is slower than its kind, as learned; 1 at first.
+    /// How many times slower than its kind it runs, by its last report.
     pub slow: f64,
+    /// Its last report.
+    pub known: Option<Known>,
     /// Whether several nodes found it to fail.
     pub accused: bool,
     /// Number of its availability zone in the table.
@@ -42,6 +45,7 @@
             step: 0.0,
             read: 0.0,
             slow: 1.0,
+            known: None,
             accused: false,
             zone,
         }
@@ -58,6 +62,21 @@
         self.read = kind.read / engine.read_rate.max(1.0);
     }
 
+    /// Takes its last report in.
+    pub fn report(&mut self, now: Now, load: Load) {
+        if self.known.is_none_or(|k| k.differs(&load)) {
+            self.known = Some(Known::new(load, now, self.held));
+            self.slow = load.pace.max(1.0);
+        }
+    }
+
+    /// Room in use by all nodes, in tokens times layers. Without a report, all of `nodes` are
+    /// taken to hold as much there as this one.
+    pub fn used(&self, now: Now, nodes: f64) -> f64 {
+        let known = self.known.and_then(|k| k.used(now, self.held));
+        known.unwrap_or(self.held * nodes)
+    }
+
     /// Whether new work may be sent to it.
     pub fn open(&self, now: Now) -> bool {
         self.endpoint.state == State::Ready && !self.accused && self.health.usable(now)
--- a/crates/steer/src/search.rs
+++ b/crates/steer/src/search.rs
@@ -87,7 +87,7 @@
                 let Some((start, from)) = self.entry(&best, at, row, index, need) else {
                     continue;
                 };
-                let room = row.room * fill - row.held * self.nodes;
+                let room = row.room * fill - row.used(self.now, self.nodes);
                 for to in at + 1..cuts.len() {
                     if cuts[to] > span.to.min(self.span.to) {
                         break;
@@ -205,13 +205,16 @@
     /// Time that a request spends at a stage, dearer the fuller its memory is.
     fn time(&self, row: &Row, layers: Layer, need: &Need) -> f64 {
         let part = self.engine.part(layers);
-        let flying = f64::from(row.flying) * self.nodes;
+        let used = row.used(self.now, self.nodes);
+        // Requests under way there, by the room that one of this size would take.
+        let held = f64::from(row.endpoint.span.len()) * need.tokens();
+        let flying = used / held.max(1.0);
         let each = self.engine.per_request.as_secs_f64()
             + self.engine.per_context.as_secs_f64() * need.tokens() / 1000.0;
         let crowd = 1.0 + flying * each / self.engine.step.as_secs_f64().max(1e-9);
         let write = row.step * crowd * f64::from(need.size.answer);
         let read = row.read * f64::from(need.size.prompt);
-        let used = (row.held * self.nodes / row.room.max(1.0)).clamp(0.0, 0.95);
+        let used = (used / row.room.max(1.0)).clamp(0.0, 0.95);
         (write + read) * part * row.slow * (1.0 + used * used / (1.0 - used))
     }
 
--- a/crates/steer/src/table.rs
+++ b/crates/steer/src/table.rs
@@ -77,7 +77,7 @@
     }
 
     /// Takes a new view of the outside; what is under way at endpoints that stay is kept.
-    pub fn follow(&mut self, fleet: Fleet) {
+    pub fn follow(&mut self, now: Now, fleet: Fleet) {
         let mut old: HashMap<Run, Row> = std::mem::take(&mut self.rows)
             .into_iter()
             .map(|r| (r.endpoint.run.clone(), r))
@@ -96,7 +96,11 @@
             if let Some(engine) = engine(&fleet, &endpoint.service) {
                 row.measure(engine);
             }
-            row.accused = fleet.accused.contains(&endpoint.run.to_string());
+            let run = endpoint.run.to_string();
+            row.accused = fleet.accused.contains(&run);
+            if let Some(load) = fleet.loads.get(&run) {
+                row.report(now, *load);
+            }
             self.index.insert(endpoint.run.clone(), self.rows.len());
             self.rows.push(row);
         }
@@ -318,18 +322,6 @@
         }
     }
 
-    /// An endpoint reported how many times slower than its kind it runs.
-    pub fn paced(&mut self, addr: SocketAddr, pace: f64) {
-        let rows = self.rows.iter_mut().filter(|r| r.endpoint.addr == addr);
-        rows.for_each(|r| r.slow = pace.max(1.0));
-    }
-
-    /// Endpoints that reported to be slow.
-    pub fn slow(&self) -> Vec<SocketAddr> {
-        let rows = self.rows.iter().filter(|r| r.slow > SLOW);
-        rows.map(|r| r.endpoint.addr).collect()
-    }
-
     /// Takes an endpoint out of use for a while, by its address: an engine named it as the one
     /// that its chain waits for.
     pub fn accuse(&mut self, now: Now, addr: SocketAddr) {
@@ -374,8 +366,6 @@
     }
 }
 
-/// Factor from which an endpoint counts as slow.
-const SLOW: f64 = 1.15;
 /// Requests of one node at a plain endpoint, as a multiple of its slots, from which on it counts
 /// as full: more would wait longer than they would take elsewhere later.
 const PLAIN_QUEUE: u32 = 3;
