Prices of endpoints grow evenly with their use, and are shaken among many nodes

Change: price 1 + 5u; chance factors on endpoints and zones whose width grows with the root of the number of nodes.

--- a/crates/node/src/hosted/control/loads.rs
+++ b/crates/node/src/hosted/control/loads.rs
@@ -90,7 +90,11 @@
 
     /// All reports for a peer.
     pub fn encode(&self, now: Instant) -> Result<Vec<u8>> {
-        let raws: Vec<Raw> = self.rows.iter().map(|(run, row)| raw(now, run, row)).collect();
+        let raws: Vec<Raw> = self
+            .rows
+            .iter()
+            .map(|(run, row)| raw(now, run, row))
+            .collect();
         let config = bincode::config::standard();
         Ok(bincode::serde::encode_to_vec(&raws, config)?)
     }
--- a/crates/node/src/hosted/control/readers.rs
+++ b/crates/node/src/hosted/control/readers.rs
@@ -47,7 +47,11 @@
         let pollers: Vec<&Peer> = zones.iter().filter_map(poller).collect();
         let addr = |p: &&&Peer| p.identity.addr;
         let others = |peers: &[&Peer]| -> Vec<SocketAddr> {
-            peers.iter().filter(|p| p.id != me).map(|p| addr(&p)).collect()
+            peers
+                .iter()
+                .filter(|p| p.id != me)
+                .map(|p| addr(&p))
+                .collect()
         };
         let polls = pollers.iter().filter(|p| p.id == me);
         Self {
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -242,7 +242,8 @@
         self.part = Part::of(&self.group, &self.settings.zone);
         // A node whose readers don't answer, or can't read the store, tries it by itself.
         let reads = self.part.reads || now >= self.heard + UNHEARD;
-        self.reads.send_if_modified(|r| std::mem::replace(r, reads) != reads);
+        self.reads
+            .send_if_modified(|r| std::mem::replace(r, reads) != reads);
     }
 
     /// Takes from peers what they read and ask for this node.
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -1,7 +1,7 @@
 //! What a worker is told of the outside.
 
-use catalog::{Catalog, Endpoint};
 use crate::load::Load;
+use catalog::{Catalog, Endpoint};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod chain;
 pub mod fleet;
 pub mod health;
+mod jitter;
 pub mod load;
 pub mod note;
 pub mod pipe;
--- a/crates/steer/src/search.rs
+++ b/crates/steer/src/search.rs
@@ -33,13 +33,23 @@
     pub(crate) span: Span,
 }
 
+/// An endpoint that a stage may run on.
+#[derive(Clone, Copy)]
+pub(crate) struct Candidate<'a> {
+    /// Its index in the table.
+    pub(crate) index: usize,
+    pub(crate) row: &'a Row,
+    /// Factor on its price.
+    pub(crate) factor: f64,
+}
+
 /// What a search looks at.
 pub(crate) struct Search<'a> {
     pub(crate) engine: &'a Engine,
     /// The layers to run; all of them, or those of a stage that is replaced.
     pub(crate) span: Span,
-    /// Candidates: indexes into the table, open and not tried.
-    pub(crate) rows: &'a [(usize, &'a Row)],
+    /// Candidates: indexes into the table, open and not tried; with the factor on their price.
+    pub(crate) rows: &'a [Candidate<'a>],
     /// Number of availability zones.
     pub(crate) zones: usize,
     /// Nodes that send requests as this one does.
@@ -61,7 +71,7 @@
 impl Search<'_> {
     /// The cheapest chain.
     pub(crate) fn chain(&self, need: &Need) -> Result<Vec<Part>, Shortage> {
-        debug_assert!(self.rows.iter().all(|(_, r)| r.open(self.now)));
+        debug_assert!(self.rows.iter().all(|c| c.row.open(self.now)));
         let cuts = self.cuts();
         if !self.covered(&cuts) {
             return Err(Shortage::Layers);
@@ -79,7 +89,7 @@
             if !reach[at] {
                 continue;
             }
-            for &(index, row) in self.rows {
+            for &Candidate { index, row, factor } in self.rows {
                 let span = row.endpoint.span;
                 if !span.holds(cuts[at]) {
                     continue;
@@ -96,7 +106,7 @@
                     if size * f64::from(layers) > room {
                         break;
                     }
-                    let cost = start + STAGE + self.time(row, layers, need);
+                    let cost = start + STAGE + self.time(row, layers, need) * factor;
                     let slot = &mut best[to * self.zones + row.zone];
                     if slot.is_none_or(|b| cost < b.cost) {
                         let span = Span {
@@ -118,7 +128,7 @@
 
     /// Layers at which a stage may begin or end.
     fn cuts(&self) -> Vec<Layer> {
-        let spans = self.rows.iter().map(|(_, r)| r.endpoint.span);
+        let spans = self.rows.iter().map(|c| c.row.endpoint.span);
         let mut cuts: Vec<Layer> = spans.flat_map(|s| [s.from, s.to]).collect();
         cuts.extend([self.span.from, self.span.to]);
         cuts.retain(|&c| self.span.from <= c && c <= self.span.to);
@@ -129,12 +139,12 @@
 
     fn covered(&self, cuts: &[Layer]) -> bool {
         let mut cuts = cuts.iter().filter(|&&c| c < self.span.to);
-        cuts.all(|&c| self.rows.iter().any(|(_, r)| r.endpoint.span.holds(c)))
+        cuts.all(|&c| self.rows.iter().any(|r| r.row.endpoint.span.holds(c)))
     }
 
     /// Most tokens that any endpoint could hold of a request if it ran just this layer, empty.
     fn largest(&self, layer: Layer) -> f64 {
-        let rows = self.rows.iter().map(|(_, r)| r);
+        let rows = self.rows.iter().map(|c| c.row);
         let rows = rows.filter(|r| r.endpoint.span.holds(layer));
         rows.map(|r| r.room).fold(0.0, f64::max)
     }
@@ -189,7 +199,7 @@
         if zone == row.zone {
             return Some(0.0);
         }
-        let (_, last) = self.rows.iter().find(|(i, _)| *i == before)?;
+        let last = self.rows.iter().find(|c| c.index == before)?.row;
         let delay = self.engine.delay(&last.endpoint.zone, &row.endpoint.zone);
         let capacity = self.engine.pipe_bits.max(1.0);
         let transfer = bits(self.engine, need) / capacity;
@@ -214,8 +224,8 @@
         let crowd = 1.0 + flying * each / self.engine.step.as_secs_f64().max(1e-9);
         let write = row.step * crowd * f64::from(need.size.answer);
         let read = row.read * f64::from(need.size.prompt);
-        let used = (used / row.room.max(1.0)).clamp(0.0, 0.95);
-        (write + read) * part * row.slow * (1.0 + used * used / (1.0 - used))
+        let used = (used / row.room.max(1.0)).clamp(0.0, MOST_USED);
+        (write + read) * part * row.slow * (1.0 + SLOPE * used)
     }
 
     fn walk(&self, best: &[Option<Best>], end: usize) -> Option<Vec<Part>> {
@@ -237,6 +247,12 @@
 /// a cover each sent so many requests across that the pipes carried 1.1 times what they can, and
 /// the 99th percentile of the first event went from 0.2 to 1.3 s within ten seconds.
 const PIPE: f64 = 60.0;
+/// By how much the price of an endpoint grows until its memory is full, as a multiple of its price
+/// when empty. Even, since nodes see uses that are up to a second old: where the price grows
+/// steeply, all leave an endpoint at once and come back at once.
+const SLOPE: f64 = 5.0;
+/// Part of an endpoint's memory past which its price does not grow.
+const MOST_USED: f64 = 0.95;
 /// Part of a pipe that is used at the most. Past it every request on the pipe is late: with zones
 /// whose covers had holes, chains crossed up to 13 times, and first events took over a second.
 const MOST_PIPE: f64 = 0.75;
--- a/crates/steer/src/table.rs
+++ b/crates/steer/src/table.rs
@@ -4,10 +4,11 @@
 use crate::chain::Need;
 use crate::fleet::Fleet;
 use crate::health::Outcome;
+use crate::jitter::Jitter;
 use crate::note::Note;
 use crate::pipe::Pipes;
 use crate::row::Row;
-use crate::search::{self, Part, Search};
+use crate::search::{self, Candidate, Part, Search};
 use crate::shortage::Shortage;
 use crate::target::{Hold, Stage, Target};
 use crate::{Now, Result};
@@ -171,12 +172,11 @@
 
     fn chain(&mut self, now: Now, service: &Service, need: &Need, tried: &[Run]) -> Result<Target> {
         let engine = service.engine.as_ref().ok_or(Shortage::Endpoints)?;
-        let usable = |r: &&(usize, &Row)| {
-            let endpoint = &r.1.endpoint;
-            endpoint.service == service.name && r.1.open(now) && !tried.contains(&endpoint.run)
+        let usable = |row: &Row| {
+            let endpoint = &row.endpoint;
+            endpoint.service == service.name && row.open(now) && !tried.contains(&endpoint.run)
         };
-        let all: Vec<(usize, &Row)> = self.rows.iter().enumerate().collect();
-        let rows: Vec<(usize, &Row)> = all.iter().filter(usable).copied().collect();
+        let rows = self.candidates(usable);
         if rows.is_empty() {
             return Err(Shortage::Endpoints);
         }
@@ -203,9 +203,27 @@
         Ok(self.hold(now, &parts, need.tokens()))
     }
 
+    /// The endpoints that a stage may run on, each with its chance factor.
+    fn candidates(&self, usable: impl Fn(&Row) -> bool) -> Vec<Candidate<'_>> {
+        // A generator of its own, since the table is borrowed by the candidates.
+        let mut rng = self.rng.clone();
+        let nodes = self.fleet.nodes.max(1) as f64;
+        let jitter = Jitter::new(&mut rng, nodes, self.zones.len());
+        let rows = self.rows.iter().enumerate();
+        let rows = rows.filter(|(_, row)| usable(row));
+        rows.map(|(index, row)| Candidate {
+            index,
+            row,
+            factor: jitter.row(&mut rng, row.zone),
+        })
+        .collect()
+    }
+
     fn hold(&mut self, now: Now, parts: &[Part], tokens: f64) -> Target {
         let hold = self.next;
         self.next += 1;
+        // The next request draws other factors than this one.
+        self.rng.set_stream(self.next);
         let (held, stages) = self.take(parts, tokens);
         let began = now;
         self.holds.insert(hold, Held { began, parts: held });
@@ -264,12 +282,12 @@
         let place = place.filter(|&p| p > 0).ok_or(Shortage::Endpoints)?;
         let used: Vec<&Run> = target.stages.iter().map(|s| &s.run).collect();
         let parts = {
-            let rows = self.rows.iter().enumerate();
             let service = &catalog.services[service as usize].name;
-            let rows: Vec<(usize, &Row)> = rows
-                .filter(|(_, r)| r.endpoint.service == *service && r.open(now))
-                .filter(|(_, r)| !used.contains(&&r.endpoint.run))
-                .collect();
+            let usable = |row: &Row| {
+                let endpoint = &row.endpoint;
+                endpoint.service == *service && row.open(now) && !used.contains(&&endpoint.run)
+            };
+            let rows = self.candidates(usable);
             let search = Search {
                 engine,
                 span: target.stages[place].span,
