--- /dev/null
+++ b/crates/gate/tests/stream.rs
@@ -0,0 +1,174 @@
+//! Answers in events: none twice, none missing, whole only when whole.
+
+mod support;
+
+use http::StatusCode;
+use std::time::Duration;
+use steer::budget::Allowance;
+use support::caller::{Got, ids, request, send};
+use support::server::{Act, Server, header};
+use support::{LAYERS, node, run, stage, start, view};
+
+/// An answer from an endpoint that does the first act and, once that has failed, another one.
+async fn ask(first: Act, then: Act) -> (Got, Vec<String>) {
+    let a = Server::start(vec![first]).await;
+    let b = Server::start(vec![then]).await;
+    let node = node(vec![stage(a.addr, 0, LAYERS)]).await;
+    let both = view(vec![stage(a.addr, 0, LAYERS), stage(b.addr, 0, LAYERS)]);
+    let asked = send(node.addr, request("/chat/x"));
+    let board = node.board.clone();
+    // The second endpoint registers once the first has the request.
+    let registered = async {
+        while a.heads().is_empty() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        board.store(Some(std::sync::Arc::new(both)));
+    };
+    let (got, ()) = tokio::join!(asked, registered);
+    (got, b.heads())
+}
+
+#[test]
+fn events_come_through_unchanged() {
+    run(async {
+        let (got, _) = ask(Act::Events(1, 5), Act::Silent).await;
+        assert_eq!((ids(&got.body), got.whole), (vec![1, 2, 3, 4, 5], true));
+        assert_eq!(got.headers["seal"], "s");
+    });
+}
+
+// The endpoint dies in the middle of an event. The caller gets the answer as if nothing had been:
+// no half event, none twice, none missing. The other endpoint is told where to go on.
+#[test]
+fn an_answer_goes_on_after_the_last_whole_event() {
+    run(async {
+        let (got, heads) = ask(Act::Torn(1, 3), Act::Events(4, 6)).await;
+        assert_eq!((ids(&got.body), got.whole), ((1..=6).collect(), true));
+        assert!(!got.body.contains("data: t4\n\ndata"), "{}", got.body);
+        assert_eq!(header(&heads[0], "after").as_deref(), Some("3"));
+    });
+}
+
+// The other endpoint begins anew instead of going on. What the caller has is left out.
+#[test]
+fn events_that_the_caller_has_are_left_out() {
+    run(async {
+        let (got, _) = ask(Act::Torn(1, 3), Act::Events(1, 6)).await;
+        assert_eq!((ids(&got.body), got.whole), ((1..=6).collect(), true));
+    });
+}
+
+// The other endpoint leaves an event out. An answer with a gap must not look whole.
+#[test]
+fn an_answer_with_a_gap_is_broken_off() {
+    run(async {
+        let (got, _) = ask(Act::Torn(1, 3), Act::Events(5, 6)).await;
+        assert_eq!((ids(&got.body), got.whole), (vec![1, 2, 3], false));
+    });
+}
+
+// Nothing can go on with the answer. What has come is with the caller; the answer does not look
+// whole, since its connection is broken off.
+#[test]
+fn an_answer_that_nobody_finishes_does_not_look_whole() {
+    run(async {
+        let (got, _) = ask(Act::Torn(1, 3), Act::Refuse(503)).await;
+        assert_eq!((ids(&got.body), got.whole), (vec![1, 2, 3], false));
+    });
+}
+
+// An endpoint stops answering between two events. Its silence is noticed, and another goes on
+// before the caller gives up.
+#[test]
+fn an_answer_that_stalls_goes_on_elsewhere() {
+    run(async {
+        let (got, _) = ask(Act::Stall(1, 2), Act::Events(3, 4)).await;
+        assert_eq!((ids(&got.body), got.whole), (vec![1, 2, 3, 4], true));
+    });
+}
+
+// The same with no budget for further attempts: silence alone is no reason to cut an answer that
+// may still go on. It stays open until its time is over.
+#[test]
+fn a_silent_answer_is_not_cut_while_nothing_can_go_on() {
+    run(async {
+        let none = Allowance {
+            ratio: 0.0,
+            slack: 0.0,
+            window: Duration::from_secs(10),
+        };
+        let a = Server::start(vec![Act::Stall(1, 2)]).await;
+        let b = Server::start(vec![Act::Events(3, 4)]).await;
+        let node = start(none).await;
+        let both = view(vec![stage(a.addr, 0, LAYERS), stage(b.addr, 0, LAYERS)]);
+        node.board.store(Some(std::sync::Arc::new(both)));
+        // One of the two is asked first; if it is the one that answers whole, ask again.
+        let asked = send(node.addr, request("/chat/x"));
+        let ended = tokio::time::timeout(Duration::from_millis(2500), asked).await;
+        if let Ok(got) = ended {
+            assert!(a.heads().is_empty(), "{got:?}");
+            return;
+        }
+        assert_eq!((a.heads().len(), b.heads().len()), (1, 0));
+    });
+}
+
+// The head of a chain waits for a dead stage and says so. The stage is replaced in the chain that
+// is under way: the same answer goes on, and no further attempt is made.
+#[test]
+fn a_dead_stage_is_replaced_under_way() {
+    run(async {
+        let head = Server::start(vec![Act::Stall(1, 2)]).await;
+        let dead = Server::start(vec![Act::Silent]).await;
+        let spare = Server::start(vec![Act::Silent]).await;
+        let node = node(vec![stage(head.addr, 0, 2), stage(dead.addr, 2, LAYERS)]).await;
+        let asked = send(node.addr, request("/chat/x"));
+        let (board, spare_addr) = (node.board.clone(), spare.addr);
+        let dies = async {
+            while head.heads().is_empty() {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            let rows = vec![
+                stage(head.addr, 0, 2),
+                stage(dead.addr, 2, LAYERS),
+                stage(spare_addr, 2, LAYERS),
+            ];
+            board.store(Some(std::sync::Arc::new(view(rows))));
+            head.report(format!("r1 {}", dead.addr));
+            while head.orders().is_empty() {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let both = async { tokio::join!(asked, dies) };
+        let _ = tokio::time::timeout(Duration::from_millis(1200), both).await;
+        assert_eq!(head.orders(), ["r1/2"]);
+        assert_eq!((head.heads().len(), spare.heads().len()), (1, 0));
+    });
+}
+
+#[test]
+fn a_chain_names_every_stage() {
+    run(async {
+        let head = Server::start(vec![Act::Events(1, 2)]).await;
+        let tail = Server::start(vec![Act::Silent]).await;
+        let node = node(vec![stage(head.addr, 0, 1), stage(tail.addr, 1, LAYERS)]).await;
+        let got = send(node.addr, request("/chat/x")).await;
+        assert_eq!(got.status, StatusCode::OK);
+        let chain = header(&head.heads()[0], "chain").unwrap();
+        assert_eq!(chain, format!("{}=0-1,{}=1-4", head.addr, tail.addr));
+    });
+}
+
+// No endpoint holds one of the layers. The caller learns at once that nothing has run, and when to
+// come back.
+#[test]
+fn a_request_that_no_chain_can_take_is_refused_as_not_run() {
+    run(async {
+        let head = Server::start(vec![Act::Events(1, 2)]).await;
+        let node = node(vec![stage(head.addr, 0, 2)]).await;
+        let got = send(node.addr, request("/chat/x")).await;
+        assert_eq!(got.status, StatusCode::SERVICE_UNAVAILABLE);
+        let after: f64 = got.headers["retry-after"].to_str().unwrap().parse().unwrap();
+        assert!(after > 0.0 && head.heads().is_empty());
+    });
+}
--- /dev/null
+++ b/crates/gate/tests/support/mod.rs
@@ -0,0 +1,211 @@
+//! A worker before scripted endpoints, on loopback.
+#![allow(dead_code)]
+
+pub mod caller;
+pub mod dialect;
+pub mod server;
+
+use arc_swap::ArcSwapOption;
+use catalog::endpoint::{Endpoint, Run, Span, State};
+use catalog::engine::{Accelerator, Engine, Size};
+use catalog::kind::{Kind, Stream};
+use catalog::limits::Limits;
+use catalog::raw::{Route, Service, Share, Tables, Team};
+use catalog::{Catalog, Layer};
+use dialect::Plain;
+use gate::listener::{self, Port, Stop};
+use gate::view::{Board, View};
+use gate::worker::{Parts, Worker};
+use journal::Journal;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use steer::Fleet;
+use steer::budget::Allowance;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+/// A node under test.
+pub struct Node {
+    /// Where callers reach it.
+    pub addr: SocketAddr,
+    pub worker: Rc<Worker<Plain>>,
+    pub board: Board,
+    pub stop: Stop,
+}
+
+/// Layers of the model.
+pub const LAYERS: Layer = 4;
+
+fn engine() -> Engine {
+    Engine {
+        layers: LAYERS,
+        layer_bytes: 1e9,
+        token_bytes: 1e6,
+        activation_bytes: 1.0,
+        step: Duration::from_millis(1),
+        per_request: Duration::ZERO,
+        per_context: Duration::ZERO,
+        read_rate: 1e5,
+        stride: 1,
+        load: Duration::from_secs(1),
+        loads: 4,
+        slots: 100,
+        pipe_bits: 1e12,
+        kinds: vec![Accelerator {
+            name: "card".to_owned(),
+            bytes: 10e9,
+            pace: 1.0,
+            read: 1.0,
+        }],
+        usual: Size {
+            prompt: 10,
+            answer: 10,
+        },
+        delays: Vec::new(),
+    }
+}
+
+fn route(name: &str, kind: Kind, service: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "h".to_owned(),
+        prefix: format!("/{name}/"),
+        kind,
+        timeout: Duration::from_secs(5),
+        target: Duration::from_millis(400),
+        priority: 1,
+        split: vec![Share {
+            service: service.to_owned(),
+            weight: 1,
+        }],
+        attempts: 2,
+        public: false,
+    }
+}
+
+fn catalog() -> Arc<Catalog> {
+    let stream = Kind::Stream(Stream {
+        resumable: true,
+        pause: Some(Duration::from_millis(250)),
+    });
+    let tables = Tables {
+        version: 1,
+        routes: vec![
+            route("safe", Kind::Idempotent, "plain"),
+            route("once", Kind::AtMostOnce, "plain"),
+            route("chat", stream, "model"),
+        ],
+        services: vec![
+            Service {
+                name: "plain".to_owned(),
+                connections: 10,
+                engine: None,
+            },
+            Service {
+                name: "model".to_owned(),
+                connections: 10,
+                engine: Some(engine()),
+            },
+        ],
+        teams: Some(vec![Team {
+            name: "north".to_owned(),
+            keys: vec!["k1".to_owned()],
+            priority: None,
+        }]),
+        limits: Limits::default(),
+    };
+    Arc::new(Catalog::try_from(tables).unwrap())
+}
+
+/// An endpoint of the plain service.
+pub fn plain(addr: SocketAddr) -> Endpoint {
+    Endpoint {
+        run: Run {
+            id: format!("i-{}", addr.port()),
+            born: 1,
+        },
+        service: "plain".to_owned(),
+        addr,
+        zone: "a".to_owned(),
+        slots: 10,
+        state: State::Ready,
+        kind: None,
+        span: Span::default(),
+    }
+}
+
+/// An endpoint that holds layers of the model.
+pub fn stage(addr: SocketAddr, from: Layer, to: Layer) -> Endpoint {
+    Endpoint {
+        service: "model".to_owned(),
+        kind: Some("card".to_owned()),
+        span: Span { from, to },
+        ..plain(addr)
+    }
+}
+
+/// A view with these endpoints.
+pub fn view(endpoints: Vec<Endpoint>) -> View {
+    View {
+        fleet: Fleet {
+            catalog: catalog(),
+            endpoints: Arc::new(endpoints),
+            nodes: 1,
+            sharers: 1,
+            ..Fleet::default()
+        },
+        nodes: vec![([127, 0, 0, 1], 9).into()],
+        leaving: false,
+    }
+}
+
+/// Starts a node; it knows nothing until a view is put on its board.
+pub async fn start(allowance: Allowance) -> Node {
+    let board: Board = Arc::new(ArcSwapOption::empty());
+    let (notes, mut noted) = mpsc::channel(64);
+    tokio::task::spawn_local(async move { while noted.recv().await.is_some() {} });
+    let worker = Worker::new(Parts {
+        dialect: Plain,
+        board: board.clone(),
+        journal: Journal::silent(),
+        allowance,
+        seed: 1,
+        notes,
+    });
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let stop = Stop::default();
+    let running = listener::run(worker.clone(), listener, Port::Callers, 100, stop.clone());
+    tokio::task::spawn_local(running);
+    Node {
+        addr,
+        worker,
+        board,
+        stop,
+    }
+}
+
+/// A node that knows these endpoints.
+pub async fn node(endpoints: Vec<Endpoint>) -> Node {
+    let node = start(ALLOWANCE).await;
+    node.board.store(Some(Arc::new(view(endpoints))));
+    node
+}
+
+/// An allowance that no test uses up by accident.
+pub const ALLOWANCE: Allowance = Allowance {
+    ratio: 0.2,
+    slack: 100.0,
+    window: Duration::from_secs(10),
+};
+
+/// Runs a test on one thread, as a worker does.
+pub fn run<F: Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
