The whole path in tests: the binary on stand-ins of the platform

Change: platform/standin speaks the store's and the engines' calls; six tests run the real binary against it.

--- /dev/null
+++ b/crates/node/tests/hosted.rs
@@ -0,0 +1,293 @@
+//! The real binary on a platform's store: start, requests of each kind, versions, drains, outages.
+
+#[path = "../../../platform/standin/mod.rs"]
+mod standin;
+
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use standin::engine::Engine;
+use standin::manifest;
+use standin::store::Store;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_wigeonshelf");
+/// Looks, 20 ms apart, before a state that should come is given up.
+const LOOKS: usize = 1500;
+
+/// A running node.
+struct Node {
+    child: Child,
+    callers: SocketAddr,
+    addresses: SocketAddr,
+    ready: SocketAddr,
+    peers: SocketAddr,
+    file: PathBuf,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+fn free() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn settings(name: &str, ports: [SocketAddr; 4], store: SocketAddr, seeds: &str) -> String {
+    let [callers, addresses, ready, peers] = ports;
+    format!(
+        "[node]\nname = {name}\nzone = a\nregion = south\ngrace = 3s\n\
+         [callers]\nlisten = {callers}\n[addresses]\nlisten = {addresses}\n[ready]\nlisten = {ready}\n\
+         [peers]\nlisten = {peers}\nkey = {}\nseeds = {seeds}\n\
+         [store]\naddress = {store}\nheartbeat = 200ms\n[logging]\nlevel = info\n",
+        "01".repeat(32)
+    )
+}
+
+fn file(name: &str, content: &str) -> PathBuf {
+    let file = std::env::temp_dir().join(format!("hosted-{}-{name}.ini", std::process::id()));
+    std::fs::write(&file, content).unwrap();
+    file
+}
+
+fn start(name: &str, store: SocketAddr, seeds: &str) -> Node {
+    let ports = [free(), free(), free(), free()];
+    let file = file(name, &settings(name, ports, store, seeds));
+    let child = Command::new(BINARY)
+        .args(["--config", file.to_str().unwrap()])
+        .stdout(Stdio::null())
+        .spawn()
+        .unwrap();
+    let [callers, addresses, ready, peers] = ports;
+    Node {
+        child,
+        callers,
+        addresses,
+        ready,
+        peers,
+        file,
+    }
+}
+
+/// Status and body of a request; nothing if there is no answer.
+async fn ask(addr: SocketAddr, method: &str, path: &str, key: &str) -> Option<(StatusCode, String)> {
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "h")
+        .header("x-request-id", "r1")
+        .header("x-deadline-ms", "4000")
+        .header("x-token-usage", "10,10")
+        .header("authorization", format!("Token {key}"))
+        .body(Full::<bytes::Bytes>::default())
+        .unwrap();
+    let stream = TcpStream::connect(addr).await.ok()?;
+    let (mut sender, conn) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(conn);
+    let response = sender.send_request(request).await.ok()?;
+    let status = response.status();
+    let body = response.into_body().collect().await.ok()?.to_bytes();
+    Some((status, String::from_utf8_lossy(&body).into_owned()))
+}
+
+/// Asks until `done` likes the answer, and fails if it never does.
+async fn until(
+    what: &str,
+    addr: SocketAddr,
+    path: &str,
+    done: impl Fn(&(StatusCode, String)) -> bool,
+) -> (StatusCode, String) {
+    let mut last = None;
+    for _ in 0..LOOKS {
+        last = ask(addr, "GET", path, "k1").await;
+        if let Some(found) = last.clone().filter(&done) {
+            return found;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("{what}: last answer {last:?}");
+}
+
+fn ok(answer: &(StatusCode, String)) -> bool {
+    answer.0 == StatusCode::OK
+}
+
+async fn fleet(store: &Store) -> (Vec<Engine>, Engine) {
+    let mut engines = Vec::new();
+    for number in 0..4 {
+        engines.push(Engine::start(&format!("e{number}"), store).await);
+    }
+    (engines, Engine::plain("app", store).await)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn engines_are_filled_and_each_kind_of_request_is_served() {
+    let store = Store::start().await;
+    let (engines, app) = fleet(&store).await;
+    let node = start("whole", store.addr, "");
+    let not_ready = until("an answer", node.ready, "/wigeonshelf/ready", |_| true).await;
+    assert_eq!(not_ready.0, StatusCode::SERVICE_UNAVAILABLE);
+    store.operator(&manifest(1, "/safe/"));
+    until("ready", node.ready, "/wigeonshelf/ready", ok).await;
+    let (_, body) = until("a chain", node.callers, "/chat/x", ok).await;
+    assert_eq!(body.matches("id: ").count(), 3);
+    for layer in 0..4 {
+        let held = engines.iter().map(Engine::layers);
+        assert!(held.filter(|&(from, to)| from <= layer && layer < to).count() > 0);
+    }
+    let chains: Vec<String> = engines.iter().flat_map(Engine::chains).collect();
+    assert!(chains.iter().all(|c| c.contains("=0-")), "{chains:?}");
+    for path in ["/safe/x", "/once/x"] {
+        let (_, body) = until(path, node.callers, path, ok).await;
+        assert_eq!(body, "app north");
+    }
+    assert!(!app.chains().is_empty());
+    let path = "/wigeonshelf/resolve?name=h&region=south&zone=a";
+    let (_, body) = until("addresses", node.addresses, path, ok).await;
+    assert!(body.contains(&node.callers.to_string()), "{body}");
+    let unknown = ask(node.callers, "GET", "/safe/x", "other").await.unwrap();
+    assert_eq!(unknown.0, StatusCode::UNAUTHORIZED);
+}
+
+// The store turns one node away and serves the other. The operator removes a route: the node that
+// can't read the store must not serve it for longer than the other, so it takes the version from
+// its peer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_that_the_store_turns_away_learns_versions_from_its_peer() {
+    let store = Store::start().await;
+    let (_engines, _app) = fleet(&store).await;
+    store.operator(&manifest(1, "/safe/"));
+    let (door, shut) = store.door().await;
+    let first = start("first", store.addr, "");
+    let second = start("second", door, &first.peers.to_string());
+    for node in [&first, &second] {
+        until("version 1", node.callers, "/safe/x", ok).await;
+    }
+    let both = |a: &(StatusCode, String)| a.1.contains(&first.callers.to_string());
+    until("the peer", second.addresses, "/wigeonshelf/resolve", both).await;
+    *shut.lock().unwrap() = true;
+    store.operator(&manifest(2, "/other/"));
+    until("version 2", second.callers, "/other/x", ok).await;
+    let old = ask(second.callers, "GET", "/safe/x", "k1").await.unwrap();
+    assert_eq!(old.0, StatusCode::NOT_FOUND);
+}
+
+// The store is gone altogether. What is known stays in force, and requests are served.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_are_served_while_the_store_is_out() {
+    let store = Store::start().await;
+    let (_engines, _app) = fleet(&store).await;
+    store.operator(&manifest(3, "/safe/"));
+    let node = start("out", store.addr, "");
+    until("a chain", node.callers, "/chat/x", ok).await;
+    store.down(true);
+    for _ in 0..20 {
+        let answer = ask(node.callers, "GET", "/chat/x", "k1").await.unwrap();
+        assert_eq!(answer.0, StatusCode::OK, "{}", answer.1);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    // An older version that comes with the store's return is not taken.
+    store.operator(&manifest(2, "/other/"));
+    store.down(false);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let answer = ask(node.callers, "GET", "/safe/x", "k1").await.unwrap();
+    assert_eq!(answer.0, StatusCode::OK);
+}
+
+// An endpoint says that it leaves while the store forgets its history. The node reads the whole
+// table anew, and sends nothing more to the endpoint.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leaving_endpoint_gets_nothing_also_behind_a_compacted_log() {
+    let store = Store::start().await;
+    let (_engines, app) = fleet(&store).await;
+    let other = Engine::plain("other", &store).await;
+    store.operator(&manifest(1, "/safe/"));
+    let node = start("leaving", store.addr, "");
+    until("the other", node.callers, "/safe/x", |a| a.1.starts_with("other")).await;
+    other.drain();
+    store.compact();
+    let mut quiet = 0;
+    for _ in 0..LOOKS {
+        let before = other.chains().len();
+        for _ in 0..10 {
+            until("an answer", node.callers, "/safe/x", ok).await;
+        }
+        quiet = if other.chains().len() == before { quiet + 1 } else { 0 };
+        if quiet == 3 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(quiet, 3, "the leaving endpoint still gets requests");
+    assert!(!app.chains().is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn signals_reload_and_end_a_node() {
+    let store = Store::start().await;
+    let (_engines, _app) = fleet(&store).await;
+    store.operator(&manifest(1, "/safe/"));
+    let mut node = start("signals", store.addr, "");
+    until("ready", node.ready, "/wigeonshelf/ready", ok).await;
+    let signal = |node: &Node, name: &str| {
+        let pid = node.child.id().to_string();
+        let status = Command::new("kill").args([name, &pid]).status().unwrap();
+        assert!(status.success());
+    };
+    // A file that can't be read any more is told and changes nothing.
+    std::fs::write(&node.file, "[store]\naddress = nowhere\n").unwrap();
+    signal(&node, "-HUP");
+    until("served after the reload", node.callers, "/safe/x", ok).await;
+    signal(&node, "-TERM");
+    let away = |a: &(StatusCode, String)| a.0 == StatusCode::SERVICE_UNAVAILABLE;
+    until("no longer ready", node.ready, "/wigeonshelf/ready", away).await;
+    // Callers that still come are served at first.
+    let answer = ask(node.callers, "GET", "/safe/x", "k1").await.unwrap();
+    assert_eq!(answer.0, StatusCode::OK);
+    for _ in 0..LOOKS {
+        if let Some(status) = node.child.try_wait().unwrap() {
+            assert!(status.success(), "{status}");
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("the node does not end");
+}
+
+#[test]
+fn every_finding_in_settings_is_told() {
+    let content = "[node]\nname = a b\nzone = a\n[callers]\nlisten = here\n[peers]\nkey = 1\n\
+                   [store]\naddress = 127.0.0.1:1\nheartbeat = 0s\n[retries]\nratio = -1\n[stray]\n";
+    let file = file("findings", content);
+    let output = Command::new(BINARY)
+        .args(["check", "--config", file.to_str().unwrap()])
+        .output()
+        .unwrap();
+    let _ = std::fs::remove_file(&file);
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    let expected = [
+        ":2: [node] name:",
+        "[node] region: is missing",
+        ":5: [callers] listen:",
+        "[peers] listen: is missing",
+        ":7: [peers] key:",
+        ":10: [store] heartbeat:",
+        ":12: [retries] ratio:",
+        "[stray] unknown section",
+    ];
+    for finding in expected {
+        assert!(text.contains(finding), "{finding} is not in {text}");
+    }
+    assert_eq!(text.lines().count(), expected.len(), "{text}");
+}
