Metrics, a dump, and an end that no output can hold up

Cause: the letter asks for counters and histograms on the metrics address; log lines of libraries went nowhere on a hosted node, since no logger was set.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -66,7 +66,7 @@
     job: Job,
     flight: Flight,
 ) -> Response<Answer<impl Stream<Item = Chunk>>> {
-    let story = Story::new(worker.journal.clone(), &job);
+    let story = Story::new(worker.journal.clone(), worker.metrics.clone(), &job);
     let service = job.service().name.clone();
     worker.steer(|steer, now| steer.first(now, &service));
     let mut run = Run {
@@ -251,7 +251,10 @@
             let service = self.job.service;
             let found = self.find(service, &need);
             let shortage = match found {
-                Ok(target) => return Ok(target),
+                Ok(target) => {
+                    self.worker.metrics.queue(begun.elapsed());
+                    return Ok(target);
+                }
                 Err(shortage) => shortage,
             };
             let waited = begun.elapsed();
--- a/crates/gate/src/forward/story.rs
+++ b/crates/gate/src/forward/story.rs
@@ -1,6 +1,7 @@
 //! What is told of one request, decision by decision.
 
 use crate::job::Job;
+use crate::metrics::Metrics;
 use crate::refusal::Refusal;
 use journal::Journal;
 use journal::event::Event;
@@ -10,6 +11,7 @@
 /// Tells of one request. Dropped before its end, it tells that the caller left.
 pub(crate) struct Story {
     journal: Journal,
+    metrics: Metrics,
     id: String,
     route: String,
     catalog: u64,
@@ -22,9 +24,10 @@
 }
 
 impl Story {
-    pub(crate) fn new(journal: Journal, job: &Job) -> Self {
+    pub(crate) fn new(journal: Journal, metrics: Metrics, job: &Job) -> Self {
         Self {
             journal,
+            metrics,
             id: job.id().to_owned(),
             route: job.route().name.clone(),
             catalog: job.catalog.version,
@@ -45,6 +48,7 @@
     /// An attempt was sent.
     pub(crate) fn sent(&mut self, target: &Target) {
         self.attempts += 1;
+        self.metrics.attempt("sent");
         self.journal.tell(Event::Sent {
             id: self.id.clone(),
             attempt: self.attempts,
@@ -55,6 +59,7 @@
 
     /// A stage of an attempt was replaced.
     pub(crate) fn detour(&self, culprit: std::net::SocketAddr, stages: &[Stage]) {
+        self.metrics.attempt("stage replaced");
         self.journal.tell(Event::Detour {
             id: self.id.clone(),
             attempt: self.attempts,
@@ -66,6 +71,7 @@
 
     /// An attempt failed.
     pub(crate) fn failed(&self, why: &str, ran: bool) {
+        self.metrics.attempt(if ran { "failed" } else { "not run" });
         self.journal.tell(Event::Failed {
             id: self.id.clone(),
             attempt: self.attempts,
@@ -78,11 +84,13 @@
     /// The answer's head went to the caller.
     pub(crate) fn begun(&mut self) {
         self.head = Some(Instant::now());
+        self.metrics.first(self.came.elapsed());
     }
 
     /// A pause between two events.
     pub(crate) fn paused(&mut self, pause: std::time::Duration) {
         self.pause = self.pause.max(pause);
+        self.metrics.pause(pause);
     }
 
     /// The node answered by itself.
@@ -108,6 +116,7 @@
     fn end(&mut self, status: u16, outcome: &'static str, why: String) {
         self.ended = true;
         let head = self.head.unwrap_or_else(Instant::now);
+        self.metrics.ended(outcome, status, self.came.elapsed());
         self.journal.tell(Event::Ended {
             id: std::mem::take(&mut self.id),
             route: std::mem::take(&mut self.route),
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod forward;
 pub mod job;
 pub mod listener;
+pub mod metrics;
 pub mod pool;
 pub mod refusal;
 pub mod splice;
--- a/crates/gate/src/listener.rs
+++ b/crates/gate/src/listener.rs
@@ -22,6 +22,10 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+/// Path of the metrics.
+const METRICS: &str = "/metrics";
+/// Path of the dump.
+const DUMP: &str = "/dump";
 /// Pause after a failed accept, so that a lack of descriptors does not spin the thread.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Time after which the kernel gives up a caller that does not confirm what was sent.
@@ -38,6 +42,8 @@
     Addresses,
     /// The question whether this node takes requests.
     Ready,
+    /// Metrics and the dump, for operators.
+    Metrics,
 }
 
 /// When a listener ends.
@@ -120,6 +126,8 @@
         Port::Ready if path == worker.dialect.ready_path() => {
             directory::ready(worker.view().as_deref())
         }
+        Port::Metrics if path == METRICS => metrics(&worker),
+        Port::Metrics if path == DUMP => Response::new(crate::answer::whole(worker.dump().await)),
         Port::Callers => worker.serve(request).await,
         _ => not_found(),
     };
@@ -130,6 +138,17 @@
     Ok(response)
 }
 
+fn metrics<D: Dialect, S>(worker: &Worker<D>) -> Response<Answer<S>> {
+    match worker.metrics.text() {
+        Ok(text) => Response::new(crate::answer::whole(text)),
+        Err(error) => {
+            let mut response = Response::new(crate::answer::whole(error.to_string()));
+            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            response
+        }
+    }
+}
+
 fn not_found<S>() -> Response<Answer<S>> {
     let mut response = Response::new(crate::answer::whole(""));
     *response.status_mut() = StatusCode::NOT_FOUND;
--- /dev/null
+++ b/crates/gate/src/metrics.rs
@@ -0,0 +1,149 @@
+//! Counters and latency histograms of a node, as text for a collector.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Bounds of the histograms, in seconds: from a hop within a zone to a caller's longest wait.
+const BOUNDS: [f64; 13] = [
+    0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0,
+];
+
+/// Why the metrics can't be made.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Error(String);
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "metrics: {}", self.0)
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Result of making metrics or their text.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// The instruments of a node; clones share them.
+#[derive(Clone)]
+pub struct Metrics {
+    registry: Registry,
+    /// Held as long as the instruments are used.
+    _provider: Arc<SdkMeterProvider>,
+    requests: Counter<u64>,
+    attempts: Counter<u64>,
+    reads: Counter<u64>,
+    first: Histogram<f64>,
+    pause: Histogram<f64>,
+    whole: Histogram<f64>,
+    queue: Histogram<f64>,
+    read: Histogram<f64>,
+    version: Gauge<u64>,
+    endpoints: Gauge<u64>,
+    age: Gauge<f64>,
+}
+
+impl Metrics {
+    /// Instruments with a registry of their own.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .map_err(|e| Error(e.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("wigeonshelf");
+        let seconds = |name: &'static str, about: &'static str| {
+            let histogram = meter.f64_histogram(name).with_unit("s");
+            let histogram = histogram.with_boundaries(BOUNDS.to_vec());
+            histogram.with_description(about).build()
+        };
+        let count = |name: &'static str, about: &'static str| {
+            meter.u64_counter(name).with_description(about).build()
+        };
+        Ok(Self {
+            requests: count("wigeonshelf_requests", "Requests by outcome and status"),
+            attempts: count("wigeonshelf_attempts", "Attempts by how they ended"),
+            reads: count(
+                "wigeonshelf_store_reads",
+                "Reads of the store by table and outcome",
+            ),
+            first: seconds("wigeonshelf_first_event", "Time to an answer's first event"),
+            pause: seconds("wigeonshelf_pause", "Time between two events"),
+            whole: seconds("wigeonshelf_answer", "Time to the end of an answer"),
+            queue: seconds("wigeonshelf_queue", "Wait for an endpoint with room"),
+            read: seconds("wigeonshelf_store_read", "Time of a read of the store"),
+            version: meter.u64_gauge("wigeonshelf_catalog_version").build(),
+            endpoints: meter.u64_gauge("wigeonshelf_endpoints").build(),
+            age: meter
+                .f64_gauge("wigeonshelf_belief_age")
+                .with_unit("s")
+                .build(),
+            registry,
+            _provider: Arc::new(provider),
+        })
+    }
+
+    /// A request ended.
+    pub fn ended(&self, outcome: &'static str, status: u16, whole: Duration) {
+        let status = KeyValue::new("status", i64::from(status));
+        self.requests
+            .add(1, &[KeyValue::new("outcome", outcome), status]);
+        self.whole
+            .record(whole.as_secs_f64(), &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// An attempt began, failed, or was moved.
+    pub fn attempt(&self, what: &'static str) {
+        self.attempts.add(1, &[KeyValue::new("what", what)]);
+    }
+
+    /// The first event of an answer came.
+    pub fn first(&self, time: Duration) {
+        self.first.record(time.as_secs_f64(), &[]);
+    }
+
+    /// A pause between two events.
+    pub fn pause(&self, time: Duration) {
+        self.pause.record(time.as_secs_f64(), &[]);
+    }
+
+    /// A request waited for room.
+    pub fn queue(&self, time: Duration) {
+        self.queue.record(time.as_secs_f64(), &[]);
+    }
+
+    /// The store was read, or could not be.
+    pub fn read(&self, table: &'static str, good: bool, time: Duration) {
+        let outcome = KeyValue::new("outcome", if good { "read" } else { "failed" });
+        self.reads.add(1, &[KeyValue::new("table", table), outcome]);
+        self.read
+            .record(time.as_secs_f64(), &[KeyValue::new("table", table)]);
+    }
+
+    /// What is believed now, and how old that is.
+    pub fn belief(&self, version: u64, endpoints: u64, table: &'static str, age: Duration) {
+        self.version.record(version, &[]);
+        self.endpoints.record(endpoints, &[]);
+        self.age
+            .record(age.as_secs_f64(), &[KeyValue::new("table", table)]);
+    }
+
+    /// The text that a collector reads.
+    pub fn text(&self) -> Result<Vec<u8>> {
+        let mut text = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        encoded.map_err(|e| Error(e.to_string()))?;
+        Ok(text)
+    }
+}
+
+impl std::fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Metrics")
+    }
+}
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -6,6 +6,7 @@
 use crate::forward;
 use crate::forward::look::Known;
 use crate::job::Job;
+use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::refusal::{Reason, Refusal};
 use crate::splice::Chunk;
@@ -28,7 +29,7 @@
 use steer::health::Outcome;
 use steer::note::Note;
 use steer::target::Hold;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::Instant;
 
 /// Time to come back for a caller whose node knows no catalog yet or is about to end: another
@@ -44,6 +45,10 @@
     pub board: Board,
     /// Decisions are told here.
     pub journal: Journal,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Where control is asked for its part of a dump.
+    pub dumps: mpsc::Sender<oneshot::Sender<String>>,
     /// Further attempts that are allowed.
     pub allowance: Allowance,
     /// Seed of its draws.
@@ -56,7 +61,9 @@
 pub struct Worker<D> {
     pub(crate) dialect: D,
     pub(crate) journal: Journal,
+    pub(crate) metrics: Metrics,
     pub(crate) pool: Pool,
+    dumps: mpsc::Sender<oneshot::Sender<String>>,
     pub(crate) stats: Rc<Stats>,
     board: Board,
     notes: mpsc::Sender<Note>,
@@ -80,6 +87,8 @@
         Rc::new(Self {
             dialect: parts.dialect,
             journal: parts.journal,
+            metrics: parts.metrics,
+            dumps: parts.dumps,
             pool: Pool::new(stats.clone()),
             stats,
             board: parts.board,
@@ -179,9 +188,16 @@
         self.accounts.borrow_mut().retain(|addr, _| known(*addr));
     }
 
-    /// The text for the dump.
-    pub fn dump(&self) -> String {
-        format!("{}{}", self.stats, self.steer.borrow())
+    /// The text for the dump, with control's part if it answers in time.
+    pub async fn dump(&self) -> String {
+        let (reply, answer) = oneshot::channel();
+        let control = match self.dumps.try_send(reply) {
+            Ok(()) => tokio::time::timeout(DUMP, answer).await.ok(),
+            Err(_) => None,
+        };
+        let control = control.and_then(|c| c.ok());
+        let control = control.unwrap_or_else(|| "control does not answer\n".to_owned());
+        format!("{}{}{control}", self.stats, self.steer.borrow())
     }
 
     /// Serves one request of a caller.
@@ -226,10 +242,12 @@
 
     fn tell_refusal(&self, id: &str, refusal: Refusal, came: Instant) {
         let all_ms = came.elapsed().as_millis() as u64;
+        let status = refusal.reason.status().as_u16();
+        self.metrics.ended("refused", status, came.elapsed());
         self.journal.tell(Event::Ended {
             id: id.to_owned(),
             route: String::new(),
-            status: refusal.reason.status().as_u16(),
+            status,
             outcome: "refused",
             why: refusal.reason.message().to_owned(),
             attempts: 0,
@@ -240,6 +258,8 @@
     }
 }
 
+/// Longest wait for control's part of a dump.
+const DUMP: Duration = Duration::from_millis(300);
 /// How often a request that waits looks again, at the least.
 const LOOK: Duration = Duration::from_millis(25);
 
--- a/crates/gate/tests/events.rs
+++ b/crates/gate/tests/events.rs
@@ -15,10 +15,16 @@
 fn only_whole_events_come_out() {
     let mut cutter = Cutter::default();
     cutter.feed(b"id: 1\ndata: a\n\nid: 2\nda");
-    assert_eq!(cut(&mut cutter), [(Some(1), "id: 1\ndata: a\n\n".to_owned())]);
+    assert_eq!(
+        cut(&mut cutter),
+        [(Some(1), "id: 1\ndata: a\n\n".to_owned())]
+    );
     assert!(cutter.torn());
     cutter.feed(b"ta: b\r\n\r\nversion: 3\ndata: c\n");
-    assert_eq!(cut(&mut cutter), [(Some(2), "id: 2\ndata: b\r\n\r\n".to_owned())]);
+    assert_eq!(
+        cut(&mut cutter),
+        [(Some(2), "id: 2\ndata: b\r\n\r\n".to_owned())]
+    );
     cutter.feed(b"\n");
     assert_eq!(cut(&mut cutter)[0].0, None);
     assert!(!cutter.torn());
@@ -27,7 +33,9 @@
 // Bytes arrive in pieces of any size. Whatever the cuts, the same events come out, byte by byte.
 #[test]
 fn pieces_of_any_size_give_the_same_events() {
-    let text: String = (0..50).map(|n| format!("id: {n}\ndata: {}\n\n", "x".repeat(n))).collect();
+    let text: String = (0..50)
+        .map(|n| format!("id: {n}\ndata: {}\n\n", "x".repeat(n)))
+        .collect();
     for seed in 0..100 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut cutter = Cutter::default();
--- a/crates/gate/tests/plain.rs
+++ b/crates/gate/tests/plain.rs
@@ -50,7 +50,10 @@
             assert_eq!((got.status, sent), (StatusCode::BAD_GATEWAY, 1), "{act:?}");
         }
         let (got, sent) = ask("/once/x", [Act::Answer(500, "no"), Act::Answer(500, "no")]).await;
-        assert_eq!((got.status.as_u16(), got.body.as_str(), sent), (500, "no", 1));
+        assert_eq!(
+            (got.status.as_u16(), got.body.as_str(), sent),
+            (500, "no", 1)
+        );
     });
 }
 
@@ -61,7 +64,10 @@
     run(async {
         for path in ["/once/x", "/safe/x"] {
             let mut statuses = Vec::new();
-            for acts in [[Act::Refuse(503), Act::Answer(200, "a")], [Act::Refuse(421), Act::Answer(200, "a")]] {
+            for acts in [
+                [Act::Refuse(503), Act::Answer(200, "a")],
+                [Act::Refuse(421), Act::Answer(200, "a")],
+            ] {
                 let (got, _) = ask(path, acts).await;
                 statuses.push(got.status.as_u16());
             }
@@ -78,7 +84,11 @@
     run(async {
         for act in [Act::Reset, Act::Half, Act::Foreign, Act::Answer(500, "no")] {
             let (got, _) = ask("/safe/x", [act.clone(), Act::Answer(200, "a")]).await;
-            assert_eq!((got.status.as_u16(), got.body.as_str()), (200, "a"), "{act:?}");
+            assert_eq!(
+                (got.status.as_u16(), got.body.as_str()),
+                (200, "a"),
+                "{act:?}"
+            );
         }
     });
 }
@@ -112,7 +122,10 @@
         let first = send(node.addr, request("/safe/x")).await;
         tokio::time::sleep(Duration::from_millis(20)).await;
         let second = send(node.addr, request("/safe/x")).await;
-        assert_eq!((first.body.as_str(), second.body.as_str()), ("one", "three"));
+        assert_eq!(
+            (first.body.as_str(), second.body.as_str()),
+            ("one", "three")
+        );
     });
 }
 
@@ -125,11 +138,20 @@
         let got = send(node.addr, request("/safe/x")).await;
         assert_eq!(got.status, StatusCode::SERVICE_UNAVAILABLE);
         let server = Server::start(vec![Act::Answer(200, "a")]).await;
-        node.board.store(Some(Arc::new(view(vec![plain(server.addr)]))));
-        assert_eq!(send(node.addr, request("/safe/x")).await.status.as_u16(), 200);
+        node.board
+            .store(Some(Arc::new(view(vec![plain(server.addr)]))));
+        assert_eq!(
+            send(node.addr, request("/safe/x")).await.status.as_u16(),
+            200
+        );
         let mut unknown = request("/safe/x");
-        unknown.headers_mut().insert("key", "other".parse().unwrap());
-        assert_eq!(send(node.addr, unknown).await.status, StatusCode::UNAUTHORIZED);
+        unknown
+            .headers_mut()
+            .insert("key", "other".parse().unwrap());
+        assert_eq!(
+            send(node.addr, unknown).await.status,
+            StatusCode::UNAUTHORIZED
+        );
         let nowhere = send(node.addr, request("/nowhere/x")).await;
         assert_eq!(nowhere.status, StatusCode::NOT_FOUND);
         node.worker.close();
@@ -147,7 +169,11 @@
         let server = Server::start(vec![Act::Silent]).await;
         let node = node(vec![plain(server.addr)]).await;
         let sent = send(node.addr, request("/once/x"));
-        assert!(tokio::time::timeout(Duration::from_millis(100), sent).await.is_err());
+        assert!(
+            tokio::time::timeout(Duration::from_millis(100), sent)
+                .await
+                .is_err()
+        );
         for _ in 0..100 {
             if server.left() == 1 {
                 break;
@@ -164,7 +190,9 @@
 fn a_late_request_ends_with_its_time() {
     run(async {
         let mut short = request("/once/x");
-        short.headers_mut().insert("deadline", "100".parse().unwrap());
+        short
+            .headers_mut()
+            .insert("deadline", "100".parse().unwrap());
         let server = Server::start(vec![Act::Silent]).await;
         let node = node(vec![plain(server.addr)]).await;
         let got = send(node.addr, short).await;
--- a/crates/gate/tests/stream.rs
+++ b/crates/gate/tests/stream.rs
@@ -168,7 +168,11 @@
         let node = node(vec![stage(head.addr, 0, 2)]).await;
         let got = send(node.addr, request("/chat/x")).await;
         assert_eq!(got.status, StatusCode::SERVICE_UNAVAILABLE);
-        let after: f64 = got.headers["retry-after"].to_str().unwrap().parse().unwrap();
+        let after: f64 = got.headers["retry-after"]
+            .to_str()
+            .unwrap()
+            .parse()
+            .unwrap();
         assert!(after > 0.0 && head.heads().is_empty());
     });
 }
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -14,6 +14,7 @@
 use catalog::{Catalog, Layer};
 use dialect::Plain;
 use gate::listener::{self, Port, Stop};
+use gate::metrics::Metrics;
 use gate::view::{Board, View};
 use gate::worker::{Parts, Worker};
 use journal::Journal;
@@ -166,7 +167,10 @@
     let board: Board = Arc::new(ArcSwapOption::empty());
     let (notes, mut noted) = mpsc::channel(64);
     tokio::task::spawn_local(async move { while noted.recv().await.is_some() {} });
+    let (dumps, _) = mpsc::channel(1);
     let worker = Worker::new(Parts {
+        metrics: Metrics::new().unwrap(),
+        dumps,
         dialect: Plain,
         board: board.clone(),
         journal: Journal::silent(),
--- a/crates/journal/src/event.rs
+++ b/crates/journal/src/event.rs
@@ -28,7 +28,7 @@
     /// Something that the node depends on does not answer, or answers again.
     Dependency {
         /// What.
-        name: &'static str,
+        name: String,
         /// Whether it answers.
         up: bool,
         /// The error, or how long it was away.
@@ -132,6 +132,15 @@
         /// Longest pause between events in milliseconds.
         pause_ms: u64,
     },
+    /// A line of a library, or of code without an event of its own.
+    Note {
+        /// Its level.
+        level: &'static str,
+        /// The module that it is from.
+        target: String,
+        /// The line.
+        message: String,
+    },
     /// Events that found the queue full.
     Overflow {
         /// How many.
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -6,6 +6,7 @@
 //! own once there is room.
 
 pub mod event;
+pub mod logger;
 pub mod writer;
 
 use event::Event;
@@ -28,16 +29,26 @@
     pub event: Event,
 }
 
+/// What is in the queue.
+#[derive(Debug)]
+pub enum Message {
+    /// A line to write.
+    Line(Line),
+    /// Nothing follows. The logger of the whole process keeps a journal for good, so the writer
+    /// can't wait until all of them are dropped.
+    End,
+}
+
 /// Where events are told; clones share the queue.
 #[derive(Clone, Debug)]
 pub struct Journal {
-    queue: Option<SyncSender<Line>>,
+    queue: Option<SyncSender<Message>>,
     dropped: Arc<AtomicU64>,
 }
 
 impl Journal {
     /// A journal and the lines that are told it.
-    pub fn new(queue: usize) -> (Self, Receiver<Line>) {
+    pub fn new(queue: usize) -> (Self, Receiver<Message>) {
         let (tx, rx) = sync_channel(queue);
         let journal = Self {
             queue: Some(tx),
@@ -63,14 +74,15 @@
             time: millis(),
             event,
         };
-        if queue.try_send(line).is_err() {
+        if queue.try_send(Message::Line(line)).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
 
-    /// Events that found the queue full since the last call.
-    pub fn take_dropped(&self) -> u64 {
-        self.dropped.swap(0, Ordering::Relaxed)
+    /// Marks the end of the lines; whether there was room for the mark.
+    pub(crate) fn end(&self) -> bool {
+        let queue = self.queue.as_ref();
+        queue.is_none_or(|queue| queue.try_send(Message::End).is_ok())
     }
 }
 
--- /dev/null
+++ b/crates/journal/src/logger.rs
@@ -0,0 +1,35 @@
+//! Lines of libraries and of code without an event of its own, told like any other event.
+
+use crate::Journal;
+use crate::event::Event;
+use log::{LevelFilter, Log, Metadata, Record, SetLoggerError};
+
+struct Logger {
+    journal: Journal,
+}
+
+impl Log for Logger {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        metadata.level() <= log::max_level()
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if self.enabled(record.metadata()) {
+            self.journal.tell(Event::Note {
+                level: record.level().as_str(),
+                target: record.target().to_owned(),
+                message: record.args().to_string(),
+            });
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+/// Takes the lines of the whole process from now on.
+pub fn start(journal: &Journal, level: LevelFilter) -> Result<(), SetLoggerError> {
+    let journal = journal.clone();
+    log::set_boxed_logger(Box::new(Logger { journal }))?;
+    log::set_max_level(level);
+    Ok(())
+}
--- a/crates/journal/src/writer.rs
+++ b/crates/journal/src/writer.rs
@@ -1,11 +1,11 @@
 //! Writes lines in batches from a thread of its own.
 
 use crate::event::Event;
-use crate::{Journal, Line, millis};
+use crate::{Journal, Line, Message, millis};
 use std::io::Write;
-use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::sync::mpsc::{Receiver, TryRecvError};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time in which lines are gathered before they are written: one write for many lines costs a
 /// small instance less, and a reader is not late by it.
@@ -13,15 +13,38 @@
 /// Lines of one write.
 const BATCH: usize = 512;
 
-/// Starts the thread; it ends when all journals of the queue are dropped.
+/// How often the end of the thread is looked for.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// The thread that writes.
+#[derive(Debug)]
+pub struct Writer {
+    journal: Journal,
+    thread: JoinHandle<()>,
+}
+
+impl Writer {
+    /// Writes what was told and ends; gives up after `most`, so that an output which takes nothing
+    /// does not keep the process.
+    pub fn finish(self, most: Duration) {
+        let last = Instant::now() + most;
+        let mut told = false;
+        while !self.thread.is_finished() && Instant::now() < last {
+            told = told || self.journal.end();
+            std::thread::sleep(LOOK);
+        }
+    }
+}
+
+/// Starts the thread; it ends at [`Writer::finish`], or when all journals are dropped.
 pub fn start<W: Write + Send + 'static>(
     journal: &Journal,
-    lines: Receiver<Line>,
+    lines: Receiver<Message>,
     mut out: W,
-) -> std::io::Result<JoinHandle<()>> {
+) -> std::io::Result<Writer> {
     let dropped = journal.dropped.clone();
     let builder = std::thread::Builder::new().name("journal".to_owned());
-    builder.spawn(move || {
+    let thread = builder.spawn(move || {
         let mut text = Vec::new();
         loop {
             let ended = gather(&lines, &mut text);
@@ -38,21 +61,23 @@
                 return;
             }
         }
-    })
+    })?;
+    let journal = journal.clone();
+    Ok(Writer { journal, thread })
 }
 
-/// Waits for a line, gathers those that follow; whether the queue has ended.
-fn gather(lines: &Receiver<Line>, text: &mut Vec<u8>) -> bool {
+/// Waits for a line, gathers those that follow; whether they have ended.
+fn gather(lines: &Receiver<Message>, text: &mut Vec<u8>) -> bool {
     match lines.recv() {
-        Ok(line) => push(&line, text),
-        Err(_) => return true,
+        Ok(Message::Line(line)) => push(&line, text),
+        Ok(Message::End) | Err(_) => return true,
     }
     std::thread::sleep(GATHER);
     for _ in 0..BATCH {
-        match lines.recv_timeout(Duration::ZERO) {
-            Ok(line) => push(&line, text),
-            Err(RecvTimeoutError::Timeout) => return false,
-            Err(RecvTimeoutError::Disconnected) => return true,
+        match lines.try_recv() {
+            Ok(Message::Line(line)) => push(&line, text),
+            Ok(Message::End) | Err(TryRecvError::Disconnected) => return true,
+            Err(TryRecvError::Empty) => return false,
         }
     }
     false
--- a/crates/journal/tests/journal.rs
+++ b/crates/journal/tests/journal.rs
@@ -1,10 +1,11 @@
 //! Lines are whole, bounded and never in the way of what they tell of.
 
-use journal::Journal;
 use journal::event::Event;
+use journal::{Journal, Message};
 use std::io::{self, Write};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// Standard output that takes nothing until it is let go.
 struct Stuck {
@@ -48,8 +49,7 @@
     (0..100).for_each(|n| journal.tell(order(n)));
     let writer = journal::writer::start(&journal, lines, out).unwrap();
     drop(go);
-    drop(journal);
-    writer.join().unwrap();
+    writer.finish(Duration::from_secs(30));
     let text = String::from_utf8(taken.lock().unwrap().clone()).unwrap();
     let events: Vec<serde_json::Value> = text
         .lines()
@@ -64,8 +64,25 @@
 fn a_line_has_the_time_the_kind_and_the_fields() {
     let (journal, lines) = Journal::new(8);
     journal.tell(order(7));
-    let line = serde_json::to_value(lines.recv().unwrap()).unwrap();
+    let Message::Line(line) = lines.recv().unwrap() else {
+        panic!("no line");
+    };
+    let line = serde_json::to_value(line).unwrap();
     assert_eq!(line["event"], "order");
     assert_eq!(line["after"], 7);
     assert!(line["time"].as_u64().is_some_and(|t| t > 0));
 }
+
+// The reader of standard output has stopped for good, and the process is told to end. It ends.
+#[test]
+fn a_stuck_output_does_not_keep_the_process() {
+    let (_go, stuck): (Sender<()>, _) = channel();
+    let (journal, lines) = Journal::new(8);
+    let out = Stuck {
+        go: stuck,
+        taken: Arc::default(),
+    };
+    let writer = journal::writer::start(&journal, lines, out).unwrap();
+    (0..100).for_each(|n| journal.tell(order(n)));
+    writer.finish(Duration::from_millis(50));
+}
--- a/crates/node/src/hosted/control.rs
+++ b/crates/node/src/hosted/control.rs
@@ -17,6 +17,7 @@
 use adapter::Platform;
 use adapter::store::Table;
 use eyre::{Result, WrapErr};
+use gate::metrics::Metrics;
 use gate::view::Board;
 use input::{INPUTS, Input, Inputs};
 use journal::Journal;
@@ -24,7 +25,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use steer::note::Note;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
 use wire::peer::{Inbound, Link, Setup};
@@ -48,6 +49,10 @@
     pub journal: Journal,
     /// What the worker finds out about endpoints.
     pub noted: mpsc::Receiver<Note>,
+    /// Questions for control's part of a dump.
+    pub asked: mpsc::Receiver<oneshot::Sender<String>>,
+    /// Counters and histograms.
+    pub metrics: Metrics,
     /// The node begins to leave.
     pub leave: CancellationToken,
     /// Control ends.
@@ -72,20 +77,34 @@
         let (reads, told) = watch::channel(true);
         for table in [Table::Operator, Table::Endpoints] {
             let (platform, inputs) = (platform.clone(), inputs.clone());
-            tokio::spawn(reader::follow(platform, table, inputs, told.clone()));
+            let metrics = self.metrics.clone();
+            tokio::spawn(reader::follow(
+                platform,
+                table,
+                inputs,
+                told.clone(),
+                metrics,
+            ));
         }
         tokio::spawn(from_peers(peers, inputs.clone()));
         let (_, none) = mpsc::channel(1);
         let noted = std::mem::replace(&mut self.noted, none);
         tokio::spawn(from_worker(noted, inputs.clone()));
+        let (_, none) = mpsc::channel(1);
+        let asked = std::mem::replace(&mut self.asked, none);
         let end = self.end.clone();
         let state = State::new(self, platform, link, inputs, reads);
-        serve(state, taken, end).await;
+        serve(state, taken, asked, end).await;
         Ok(())
     }
 }
 
-async fn serve(mut state: State, mut inputs: mpsc::Receiver<Input>, end: CancellationToken) {
+async fn serve(
+    mut state: State,
+    mut inputs: mpsc::Receiver<Input>,
+    mut asked: mpsc::Receiver<oneshot::Sender<String>>,
+    end: CancellationToken,
+) {
     let mut step = tokio::time::interval(STEP);
     step.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -94,6 +113,10 @@
             () = end.cancelled() => break,
             _ = step.tick() => state.step(),
             Some(input) = inputs.recv() => state.input(input),
+            Some(reply) = asked.recv() => {
+                // Whoever asked has gone if nobody takes it.
+                let _ = reply.send(state.dump());
+            }
         }
     }
     state.quit();
--- a/crates/node/src/hosted/control/reader.rs
+++ b/crates/node/src/hosted/control/reader.rs
@@ -4,10 +4,12 @@
 use adapter::Platform;
 use adapter::store::{Changes, Table};
 use catalog::source::{Offset, Page};
+use gate::metrics::Metrics;
 use platform::Result;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// How long the store may hold a read of the operator's table back. Long, since each read is
 /// paid for; not so long that a silent store is noticed late.
@@ -26,13 +28,17 @@
     table: Table,
     inputs: Inputs,
     mut reads: watch::Receiver<bool>,
+    metrics: Metrics,
 ) {
     let mut from: Option<Offset> = None;
     loop {
         if reads.wait_for(|reads| *reads).await.is_err() {
             return;
         }
-        let (input, pause) = match read(&platform, table, from).await {
+        let begun = Instant::now();
+        let result = read(&platform, table, from).await;
+        metrics.read(name(table), result.is_ok(), begun.elapsed());
+        let (input, pause) = match result {
             Ok(Some(page)) => {
                 from = Some(page.next);
                 (Some(Input::Page(table, page)), pause(table))
@@ -74,3 +80,11 @@
         Table::Endpoints => PAUSE,
     }
 }
+
+/// The word for a table in logs and metrics.
+pub fn name(table: Table) -> &'static str {
+    match table {
+        Table::Operator => "operator",
+        Table::Endpoints => "endpoints",
+    }
+}
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -5,6 +5,7 @@
 use super::input::{Input, Inputs};
 use super::loads::Loads;
 use super::orders::Orders;
+use super::reader;
 use super::readers::Part;
 use super::tables::Tables;
 use super::{Control, STEP};
@@ -15,6 +16,7 @@
 use catalog::Endpoint;
 use catalog::endpoint::Run;
 use catalog::source::Page;
+use gate::metrics::Metrics;
 use gate::view::{Board, View};
 use journal::Journal;
 use journal::event::Event as Told;
@@ -41,6 +43,8 @@
 const SETTLE: Duration = Duration::from_millis(700);
 /// How often a peer is asked for its copy while the store can't be read.
 const COPY: Duration = Duration::from_millis(300);
+/// How often the metrics of what is believed are set.
+const MEASURE: Duration = Duration::from_secs(1);
 /// How often copies and loads are taken from peers.
 const PULL: Duration = Duration::from_millis(350);
 /// Time without an up-to-date copy after which a node reads the store by itself: three pulls.
@@ -55,8 +59,8 @@
 struct Reading {
     /// Since when it can't.
     lost: Option<Instant>,
-    /// Whether it was ever read.
-    ever: bool,
+    /// When it was last known to be up to date.
+    known: Option<Instant>,
 }
 
 /// The state of control.
@@ -87,6 +91,8 @@
     heard: Instant,
     pulled: Instant,
     copied: Instant,
+    measured: Instant,
+    metrics: Metrics,
     leaving: bool,
     /// Whether something changed that the worker must know.
     dirty: bool,
@@ -135,6 +141,8 @@
             heard: Instant::now(),
             pulled: Instant::now(),
             copied: Instant::now(),
+            measured: Instant::now(),
+            metrics: control.metrics,
             leaving: false,
             dirty: false,
             reported: false,
@@ -182,6 +190,7 @@
         self.dirty |= self.accused.update(now, self.start.elapsed(), &self.group);
         self.share(now);
         self.pull(now);
+        self.measure(now);
         self.copy(now);
         self.poll(now);
         self.order(now);
@@ -189,6 +198,23 @@
         self.publish();
     }
 
+    /// The text for the dump.
+    pub fn dump(&self) -> String {
+        let version = self.tables.catalog().map_or(0, |c| c.version);
+        let mut text = format!("catalog {version}\npart {:?}\n", self.part);
+        for table in [Table::Operator, Table::Endpoints] {
+            let (name, next) = (reader::name(table), self.tables.next(table));
+            text.push_str(&format!("table {name} known up to {next}\n"));
+        }
+        for peer in self.group.roster().iter() {
+            text.push_str(&format!("node {peer}\n"));
+        }
+        for run in self.accused.now().iter() {
+            text.push_str(&format!("accused {run}\n"));
+        }
+        text
+    }
+
     /// Tells peers that this node is gone.
     pub fn quit(&mut self) {
         self.handle(Event::Quit);
@@ -222,7 +248,7 @@
     fn page(&mut self, now: Instant, table: Table, page: Page) {
         let reading = self.reading(table);
         let lost = reading.lost.take();
-        let first = !std::mem::replace(&mut reading.ever, true);
+        let first = reading.known.replace(now).is_none();
         if table == Table::Endpoints {
             self.tables.read(now);
         }
@@ -246,6 +272,22 @@
             .send_if_modified(|r| std::mem::replace(r, reads) != reads);
     }
 
+    /// Tells the metrics what is believed and how old that is.
+    fn measure(&mut self, now: Instant) {
+        if now < self.measured + MEASURE {
+            return;
+        }
+        self.measured = now;
+        let version = self.tables.catalog().map_or(0, |c| c.version);
+        let endpoints = self.tables.endpoints().count() as u64;
+        for table in [Table::Operator, Table::Endpoints] {
+            let known = self.reading(table).known;
+            let age = known.map_or(self.start.elapsed(), |at| now - at);
+            self.metrics
+                .belief(version, endpoints, reader::name(table), age);
+        }
+    }
+
     /// Takes from peers what they read and ask for this node.
     fn pull(&mut self, now: Instant) {
         if now < self.pulled + PULL {
@@ -271,7 +313,9 @@
         if copy.fresh && !self.part.reads {
             self.heard = now;
             self.tables.read(now);
-            self.reading(table).lost = None;
+            let reading = self.reading(table);
+            reading.lost = None;
+            reading.known = Some(now);
         }
         self.dirty |= self.tables.take(&self.platform, table, copy.page, "peer");
     }
@@ -419,7 +463,7 @@
         };
         Copy {
             page: self.tables.copy(table).since(from),
-            fresh: self.part.reads && reading.ever && reading.lost.is_none(),
+            fresh: self.part.reads && reading.known.is_some() && reading.lost.is_none(),
         }
     }
 
@@ -568,11 +612,8 @@
     }
 }
 
-fn table_name(table: Table) -> &'static str {
-    match table {
-        Table::Operator => "store: the operator's table",
-        Table::Endpoints => "store: the endpoints' table",
-    }
+fn table_name(table: Table) -> String {
+    format!("store, table {}", reader::name(table))
 }
 
 const _: () = assert!(STEP.as_millis() <= member::event::TICK.as_millis());
--- a/crates/node/src/hosted/process.rs
+++ b/crates/node/src/hosted/process.rs
@@ -11,6 +11,7 @@
 use adapter::header::Headers;
 use eyre::{Result, WrapErr};
 use gate::listener::{self, Port, Stop};
+use gate::metrics::Metrics;
 use gate::view::Board;
 use gate::worker::{Parts, Worker};
 use journal::Journal;
@@ -32,12 +33,16 @@
 const FINISH_PART: f64 = 0.94;
 /// How often the end of what is in flight is looked for.
 const LOOK: Duration = Duration::from_millis(20);
+/// Longest time that the last lines may take.
+const LAST_LINES: Duration = Duration::from_millis(300);
 /// How often idle connections are looked at.
 const TIDY: Duration = Duration::from_secs(1);
 /// How often the settings file is looked at: it may change without a signal.
 const SETTINGS_LOOK: Duration = Duration::from_secs(2);
 /// Findings about endpoints that may wait for control.
 const NOTES: usize = 256;
+/// Questions for a dump that may wait.
+const DUMPS: usize = 4;
 /// Connections that the listeners for short questions take.
 const SMALL: usize = 256;
 
@@ -57,7 +62,7 @@
 pub fn run(file: &Path, settings: Settings) -> Result<()> {
     let (journal, lines) = Journal::new(journal::QUEUE);
     let writer = journal::writer::start(&journal, lines, std::io::stdout())?;
-    log::set_max_level(settings.level);
+    journal::logger::start(&journal, settings.level)?;
     journal.tell(Event::Start {
         node: settings.name.clone(),
         callers: settings.callers.to_string(),
@@ -67,7 +72,11 @@
     let incarnation = incarnation();
     let seed = seed(&settings.name, incarnation);
     let (notes, noted) = mpsc::channel(NOTES);
+    let (dumps, asked) = mpsc::channel(DUMPS);
+    let metrics = Metrics::new()?;
     let parts = Parts {
+        metrics: metrics.clone(),
+        dumps,
         dialect: Headers,
         board: board.clone(),
         journal: journal.clone(),
@@ -83,6 +92,8 @@
         board,
         journal: journal.clone(),
         noted,
+        asked,
+        metrics,
         leave: ends.leave.clone(),
         end: ends.control.clone(),
     };
@@ -103,10 +114,7 @@
         reason: "ended",
         flying: 0,
     });
-    drop(journal);
-    writer
-        .join()
-        .map_err(|_| eyre::eyre!("the writer panicked"))?;
+    writer.finish(LAST_LINES);
     result
 }
 
@@ -117,6 +125,7 @@
     for (addr, port) in [
         (settings.addresses, Port::Addresses),
         (settings.ready, Port::Ready),
+        (settings.metrics, Port::Metrics),
     ] {
         if let Some(addr) = addr {
             listeners.push((bind(addr)?, port, SMALL));
--- a/crates/node/src/hosted/settings.rs
+++ b/crates/node/src/hosted/settings.rs
@@ -16,11 +16,12 @@
 const READY: &str = "ready";
 const PEERS: &str = "peers";
 const STORE: &str = "store";
+const METRICS: &str = "metrics";
 const RETRIES: &str = "retries";
 const LIMITS: &str = "limits";
 const LOGGING: &str = "logging";
-const SECTIONS: [&str; 9] = [
-    NODE, CALLERS, ADDRESSES, READY, PEERS, STORE, RETRIES, LIMITS, LOGGING,
+const SECTIONS: [&str; 10] = [
+    NODE, CALLERS, ADDRESSES, READY, PEERS, STORE, METRICS, RETRIES, LIMITS, LOGGING,
 ];
 
 /// Descriptors that are kept for other uses than callers' connections: endpoints, peers, store.
@@ -49,6 +50,8 @@
     pub addresses: Option<SocketAddr>,
     /// Where the platform asks whether this node takes requests.
     pub ready: Option<SocketAddr>,
+    /// Where operators read metrics and the dump.
+    pub metrics: Option<SocketAddr>,
     /// Where other nodes connect to.
     pub peers: SocketAddr,
     /// Key that all nodes share.
@@ -112,6 +115,7 @@
     let callers = listen(text, CALLERS, findings);
     let addresses = listen(text, ADDRESSES, findings);
     let ready = listen(text, READY, findings);
+    let metrics = listen(text, METRICS, findings);
     if callers.is_none() && !text.entries.iter().any(|e| e.section == CALLERS) {
         let section = Section::new(text, CALLERS);
         findings.push(section.about("listen", "is missing"));
@@ -139,6 +143,7 @@
         callers: callers?,
         addresses,
         ready,
+        metrics,
         peers: listen?,
         key: key?,
         seeds,
--- a/crates/node/src/settings/value.rs
+++ b/crates/node/src/settings/value.rs
@@ -27,21 +27,31 @@
     let unit = text.trim_start_matches(|c: char| c.is_ascii_digit() || c == '.');
     let digits = &text[..text.len() - unit.len()];
     let wrong = || format!("{text:?} is not a time such as 250ms, 10s, 5m or 24h");
-    let number: f64 = digits.parse().map_err(|_| wrong())?;
-    let seconds = match unit.trim() {
-        "ms" => number / 1000.0,
-        "s" => number,
-        "m" => number * 60.0,
-        "h" => number * 3600.0,
+    let unit: u64 = match unit.trim() {
+        "ms" => 1,
+        "s" => 1000,
+        "m" => 60_000,
+        "h" => 3_600_000,
         _ => return Err(wrong()),
     };
-    let time = Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX);
+    let millis = match digits.contains('.') {
+        true => part(digits, unit),
+        false => digits.parse().ok().and_then(|n: u64| n.checked_mul(unit)),
+    };
+    let time = millis.map(Duration::from_millis).ok_or_else(wrong)?;
     if time > LONGEST {
         return Err(format!("{text:?} is longer than a year"));
     }
     Ok(time)
 }
 
+/// Milliseconds of a number with a fraction, such as `1.5` of a unit.
+fn part(digits: &str, unit: u64) -> Option<u64> {
+    let number: f64 = digits.parse().ok()?;
+    let time = Duration::try_from_secs_f64(number * unit as f64 / 1000.0).ok()?;
+    u64::try_from(time.as_millis()).ok()
+}
+
 /// A time in which something is to happen, so not 0: see [`time`].
 pub fn limit(text: &str) -> Result<Duration> {
     let time = time(text)?;
--- a/crates/node/tests/hosted.rs
+++ b/crates/node/tests/hosted.rs
@@ -80,7 +80,12 @@
 }
 
 /// Status and body of a request; nothing if there is no answer.
-async fn ask(addr: SocketAddr, method: &str, path: &str, key: &str) -> Option<(StatusCode, String)> {
+async fn ask(
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    key: &str,
+) -> Option<(StatusCode, String)> {
     let request = Request::builder()
         .method(method)
         .uri(path)
@@ -143,7 +148,11 @@
     assert_eq!(body.matches("id: ").count(), 3);
     for layer in 0..4 {
         let held = engines.iter().map(Engine::layers);
-        assert!(held.filter(|&(from, to)| from <= layer && layer < to).count() > 0);
+        assert!(
+            held.filter(|&(from, to)| from <= layer && layer < to)
+                .count()
+                > 0
+        );
     }
     let chains: Vec<String> = engines.iter().flat_map(Engine::chains).collect();
     assert!(chains.iter().all(|c| c.contains("=0-")), "{chains:?}");
@@ -213,7 +222,10 @@
     let other = Engine::plain("other", &store).await;
     store.operator(&manifest(1, "/safe/"));
     let node = start("leaving", store.addr, "");
-    until("the other", node.callers, "/safe/x", |a| a.1.starts_with("other")).await;
+    until("the other", node.callers, "/safe/x", |a| {
+        a.1.starts_with("other")
+    })
+    .await;
     other.drain();
     store.compact();
     let mut quiet = 0;
@@ -222,7 +234,11 @@
         for _ in 0..10 {
             until("an answer", node.callers, "/safe/x", ok).await;
         }
-        quiet = if other.chains().len() == before { quiet + 1 } else { 0 };
+        quiet = if other.chains().len() == before {
+            quiet + 1
+        } else {
+            0
+        };
         if quiet == 3 {
             break;
         }
--- a/crates/steer/tests/herd.rs
+++ b/crates/steer/tests/herd.rs
@@ -61,9 +61,7 @@
         window: Duration::from_secs(10),
     };
     let base = fleet(endpoints(), NODES);
-    let mut nodes: Vec<Steer> = (0..NODES)
-        .map(|n| Steer::new(seed(n), allowance))
-        .collect();
+    let mut nodes: Vec<Steer> = (0..NODES).map(|n| Steer::new(seed(n), allowance)).collect();
     let mut taken: BTreeMap<String, usize> = BTreeMap::new();
     let mut running: VecDeque<(usize, usize, Target)> = VecDeque::new();
     let mut outcomes = Outcomes::default();
