A silent engine is one voice against it; a stage that is named is full or dead by its use

Change: an engine that misses two reports is accused with one node's word beside it, and stays so while it is silent; an endpoint that a head names is taken to be full if half of it is in use, and dead otherwise; the line of the refusal names it.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -22,6 +22,7 @@
         .subcommand(history())
         .subcommand(dump())
         .subcommand(restore())
+        .subcommand(explain())
 }
 
 fn output() -> Arg {
@@ -147,6 +148,12 @@
         .arg(trust())
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Tells the story of one request from nodes' log lines on standard input")
+        .arg(Arg::new("id").required(true).help("The request's id"))
+}
+
 fn name() -> Arg {
     Arg::new("name")
         .long("name")
--- /dev/null
+++ b/crates/ctl/src/explain.rs
@@ -0,0 +1,135 @@
+//! The story of one request, from the log lines of nodes on standard input.
+//!
+//! Lines of all nodes may come in any order and with any text before the JSON object, such as a
+//! node's name and a time. Beside the request's own lines, the last changes before it of what its
+//! node depends on and of the endpoints that it was sent to are part of the story: they are the
+//! beliefs that decided.
+
+use crate::failure::{Result, failed};
+use crate::output::Output;
+use clap::ArgMatches;
+use serde::Serialize;
+use serde_json::{Map, Value};
+use std::fmt;
+use std::io::BufRead;
+
+/// Changes of belief before the request that are shown, at the most.
+const BELIEFS: usize = 12;
+/// Milliseconds before the request from which on changes of belief are shown.
+const BEFORE: u64 = 10_000;
+
+/// A line of a log.
+#[derive(Debug)]
+struct Line {
+    /// What stands before the object, such as the node's name.
+    from: String,
+    time: u64,
+    event: String,
+    fields: Map<String, Value>,
+}
+
+impl Line {
+    fn parse(text: &str) -> Option<Self> {
+        let start = text.find('{')?;
+        let value: Value = serde_json::from_str(&text[start..]).ok()?;
+        let Value::Object(mut fields) = value else {
+            return None;
+        };
+        let time = fields.remove("time")?.as_u64()?;
+        let event = fields.remove("event")?.as_str()?.to_owned();
+        Some(Self {
+            from: text[..start].trim().to_owned(),
+            time,
+            event,
+            fields,
+        })
+    }
+
+    fn text(&self, name: &str) -> &str {
+        let value = self.fields.get(name).and_then(Value::as_str);
+        value.unwrap_or_default()
+    }
+
+    fn about(&self, id: &str) -> bool {
+        self.text("id") == id
+    }
+
+    /// Whether it changes what decides about a request that used these stages.
+    fn belief(&self, stages: &str) -> bool {
+        match self.event.as_str() {
+            "endpoint" | "order" => {
+                let run = self.text("run");
+                !run.is_empty() && stages.contains(run)
+            }
+            "dependency" | "catalog" | "reload" | "start" | "stop" | "overflow" => true,
+            _ => false,
+        }
+    }
+
+    /// The line for a reader, with its time after `start`.
+    fn tell(&self, start: u64) -> String {
+        let fields = self.fields.iter().filter(|(name, _)| *name != "id");
+        let fields: Vec<String> = fields
+            .map(|(name, value)| match value {
+                Value::String(text) => format!("{name}={text:?}"),
+                other => format!("{name}={other}"),
+            })
+            .collect();
+        let after = self.time as i64 - start as i64;
+        format!(
+            "{after:>7} ms  {:<10} {}  {}",
+            self.event,
+            fields.join(" "),
+            self.from
+        )
+    }
+}
+
+/// Reads standard input and prints the story.
+pub fn run(args: &ArgMatches, output: Output) -> Result {
+    let id: &String = args.get_one("id").expect("clap requires it");
+    let lines = std::io::stdin().lock().lines();
+    let lines: Vec<Line> = lines
+        .map_while(std::result::Result::ok)
+        .filter_map(|text| Line::parse(&text))
+        .collect();
+    let story = story(lines, id).ok_or_else(|| {
+        failed(eyre::eyre!(
+            "no line is about {id}; another node may have had it, or its lines were dropped"
+        ))
+    })?;
+    output.show(&story);
+    Ok(())
+}
+
+/// A request's story, a line each.
+#[derive(Debug, Serialize)]
+struct Story {
+    lines: Vec<String>,
+}
+
+impl fmt::Display for Story {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.lines.join("\n"))
+    }
+}
+
+/// The lines of a request in the order of their times; nothing if there are none.
+fn story(mut lines: Vec<Line>, id: &str) -> Option<Story> {
+    lines.sort_by_key(|l| l.time);
+    let own: Vec<&Line> = lines.iter().filter(|l| l.about(id)).collect();
+    let (start, end) = (own.first()?.time, own.last()?.time);
+    let stages: Vec<&str> = own.iter().map(|l| l.text("stages")).collect();
+    let stages = stages.join(",");
+    let near = |l: &&Line| l.time + BEFORE >= start && l.time <= end;
+    let beliefs: Vec<&Line> = lines
+        .iter()
+        .filter(near)
+        .filter(|l| !l.about(id) && l.belief(&stages))
+        .collect();
+    let skipped = beliefs.len().saturating_sub(BELIEFS);
+    let mut told: Vec<&Line> = beliefs.into_iter().skip(skipped).chain(own).collect();
+    told.sort_by_key(|l| l.time);
+    let lines = told.into_iter().map(|l| l.tell(start)).collect();
+    Some(Story { lines })
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -8,6 +8,7 @@
 mod check;
 mod cli;
 mod diff;
+mod explain;
 mod failure;
 mod files;
 mod history;
@@ -48,6 +49,7 @@
         Some(("sign", args)) => sign::run(args, output).await,
         Some(("publish", args)) => publish::run(args, output).await,
         Some(("restore", args)) => restore::run(args, output).await,
+        Some(("explain", args)) => explain::run(args, output),
         Some(("status", args)) => show::status(args, output).await,
         Some(("history", args)) => history::run(args, output).await,
         Some(("dump", args)) => show::dump(args, output).await,
--- /dev/null
+++ b/crates/ctl/tests/explain.rs
@@ -0,0 +1,56 @@
+//! The story of a request, told from log lines.
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+const LINES: &str = r#"
+b {"time":900,"event":"endpoint","run":"e2@1","state":"fails here","offset":5}
+a {"time":950,"event":"endpoint","run":"e9@1","state":"gone","offset":6}
+a {"time":1400,"event":"ended","id":"r1","route":"chat","status":503,"outcome":"refused","why":"no room","attempts":1}
+this line is not JSON, and neither is { this one
+a {"time":1100,"event":"failed","id":"r1","attempt":1,"why":"status 503","ran":false,"after_ms":100}
+a {"time":1000,"event":"sent","id":"r1","attempt":1,"stages":"e1@1=0-4,e2@1=4-8","catalog":7}
+b {"time":1050,"event":"sent","id":"r2","attempt":1,"stages":"e2@1=0-8","catalog":7}
+"#;
+
+fn explain(id: &str) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_wigeonctl"))
+        .args(["explain", id])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    child
+        .stdin
+        .take()
+        .unwrap()
+        .write_all(LINES.as_bytes())
+        .unwrap();
+    child.wait_with_output().unwrap()
+}
+
+// An engineer has the id of a failed request and the logs of all nodes. What is told is the
+// request's own lines in order, and the beliefs before it about the endpoints that it met.
+#[test]
+fn a_requests_lines_and_the_beliefs_before_it_are_told_in_order() {
+    let output = explain("r1");
+    assert!(output.status.success());
+    let text = String::from_utf8(output.stdout).unwrap();
+    let events: Vec<&str> = text
+        .lines()
+        .filter_map(|l| l.split_whitespace().nth(2))
+        .collect();
+    assert_eq!(events, ["endpoint", "sent", "failed", "ended"], "{text}");
+    assert!(
+        text.contains("fails here") && !text.contains("e9@1"),
+        "{text}"
+    );
+}
+
+#[test]
+fn an_unknown_id_is_told() {
+    let output = explain("r3");
+    assert_eq!(output.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("r3"));
+}
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -139,8 +139,7 @@
     async fn take(&mut self, sent: Sent<D>) -> Option<Ending<D>> {
         let status = sent.response.status();
         if sent.told.unrun || status == StatusCode::MISDIRECTED_REQUEST {
-            self.story
-                .failed(&format!("status {status}, not run"), false);
+            self.story.failed(&refused(status, &sent.told), false);
             let outcome = declined(status, &sent.told);
             let Sent {
                 conn,
@@ -366,13 +365,19 @@
 use rand::RngExt;
 use std::sync::Arc;
 
-/// What a refusal says of the endpoint that it is about. A stage that the head of a chain names is
-/// dead, about to leave, or short of memory, and the head can't tell which; only a longer pause
-/// keeps a dead one from costing an attempt each time.
+/// A refusal in words, with the stage that the head of a chain names.
+pub(crate) fn refused(status: StatusCode, told: &Told) -> String {
+    match told.culprit {
+        Some(culprit) => format!("status {}, not run, for {culprit}", status.as_u16()),
+        None => format!("status {}, not run", status.as_u16()),
+    }
+}
+
+/// What a refusal says of the endpoint that it is about.
 pub(crate) fn declined(status: StatusCode, told: &Told) -> Outcome {
     match status {
         StatusCode::MISDIRECTED_REQUEST => Outcome::Elsewhere,
-        _ if told.culprit.is_some() => Outcome::Failed,
+        _ if told.culprit.is_some() => Outcome::Named,
         _ => Outcome::Full,
     }
 }
--- a/crates/node/src/hosted/control/accused.rs
+++ b/crates/node/src/hosted/control/accused.rs
@@ -24,10 +24,25 @@
 }
 
 impl Accused {
-    /// Takes in what the nodes say; whether it is different now.
-    pub fn update(&mut self, at: Instant, elapsed: Duration, group: &Group) -> bool {
+    /// Takes in what the nodes say, and which engines did not report when asked; whether it is
+    /// different now.
+    ///
+    /// Silence is one voice beside those of the nodes. An endpoint that is accused stays so while
+    /// it is silent: were it let go when the accusations run out, every node would try it again.
+    pub fn update(
+        &mut self,
+        at: Instant,
+        elapsed: Duration,
+        group: &Group,
+        silent: &BTreeSet<String>,
+    ) -> bool {
         let agree = AGREE.min(group.open().count().max(1));
-        let accused = group.ejected_by(elapsed, agree);
+        let mut accused = group.ejected_by(elapsed, agree);
+        let alone = group.ejected_by(elapsed, 1);
+        let kept = silent
+            .iter()
+            .filter(|run| alone.contains(*run) || self.now.contains(*run));
+        accused.extend(kept.cloned());
         self.since.retain(|run, _| accused.contains(run));
         for run in &accused {
             self.since.entry(run.clone()).or_insert(at);
--- a/crates/node/src/hosted/control/loads.rs
+++ b/crates/node/src/hosted/control/loads.rs
@@ -9,7 +9,7 @@
 use catalog::endpoint::Span;
 use eyre::{Result, ensure};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use steer::load::Load;
 use tokio::time::Instant;
@@ -48,6 +48,23 @@
     pace: f64,
     from: u32,
     to: u32,
+    /// Whether it says that the run does not answer; the rest then says nothing.
+    silent: bool,
+}
+
+impl Raw {
+    fn silent(run: String) -> Self {
+        Self {
+            run,
+            age_ms: 0,
+            used: 0.0,
+            room: 0.0,
+            pace: 1.0,
+            from: 0,
+            to: 0,
+            silent: true,
+        }
+    }
 }
 
 /// The newest report of each run.
@@ -56,8 +73,24 @@
     rows: BTreeMap<String, Row>,
     /// When each run was last asked by this node.
     asked: BTreeMap<String, Instant>,
+    /// How often in a row each run did not answer this node, and when it last did not.
+    missed: BTreeMap<String, Missed>,
+    /// Runs that other nodes found silent, and until when that counts.
+    told: BTreeMap<String, Instant>,
+}
+
+/// Questions that were not answered.
+#[derive(Clone, Copy, Debug)]
+struct Missed {
+    count: u32,
+    at: Instant,
 }
 
+/// Questions in a row without an answer from which an engine counts as silent. One may be lost.
+const SILENT: u32 = 2;
+/// How long it counts that another node found an engine silent.
+const TOLD: Duration = Duration::from_millis(2500);
+
 impl Loads {
     /// Takes a report in that was just given.
     pub fn reported(&mut self, now: Instant, run: &str, report: &Report) {
@@ -69,12 +102,30 @@
             span: report.span,
         };
         self.rows.insert(run.to_owned(), row);
+        self.missed.remove(run);
+        self.told.remove(run);
+    }
+
+    /// An engine did not answer this node.
+    pub fn missed(&mut self, now: Instant, run: &str) {
+        let missed = self.missed.entry(run.to_owned());
+        let missed = missed.or_insert(Missed { count: 0, at: now });
+        missed.count += 1;
+        missed.at = now;
+    }
+
+    /// Runs that do not answer.
+    pub fn silent(&self) -> BTreeSet<String> {
+        let own = self.missed.iter().filter(|(_, m)| m.count >= SILENT);
+        let own = own.map(|(run, _)| run.clone());
+        own.chain(self.told.keys().cloned()).collect()
     }
 
     /// Whether a run should be asked now; if so, it counts as asked.
     pub fn due(&mut self, now: Instant, run: &str) -> bool {
         let busy = self.rows.get(run).is_some_and(|r| r.used > r.room * BUSY);
-        let period = if busy { OFTEN } else { SELDOM };
+        let doubted = busy || self.missed.contains_key(run);
+        let period = if doubted { OFTEN } else { SELDOM };
         let due = self.asked.get(run).is_none_or(|&at| now >= at + period);
         if due {
             self.asked.insert(run.to_owned(), now);
@@ -86,15 +137,18 @@
     pub fn expire(&mut self, now: Instant) {
         self.rows.retain(|_, row| now < row.at + KEEP);
         self.asked.retain(|_, at| now < *at + KEEP);
+        self.missed.retain(|_, missed| now < missed.at + KEEP);
+        self.told.retain(|_, until| now < *until);
     }
 
     /// All reports for a peer.
     pub fn encode(&self, now: Instant) -> Result<Vec<u8>> {
-        let raws: Vec<Raw> = self
+        let mut raws: Vec<Raw> = self
             .rows
             .iter()
             .map(|(run, row)| raw(now, run, row))
             .collect();
+        raws.extend(self.silent().into_iter().map(Raw::silent));
         let config = bincode::config::standard();
         Ok(bincode::serde::encode_to_vec(&raws, config)?)
     }
@@ -106,6 +160,13 @@
         ensure!(used == bytes.len(), "trailing bytes");
         let mut new = false;
         for raw in raws {
+            if raw.silent {
+                // Only what this node did not hear itself of late is taken.
+                if !self.asked.contains_key(&raw.run) {
+                    self.told.insert(raw.run, now + TOLD);
+                }
+                continue;
+            }
             let at = now.checked_sub(Duration::from_millis(raw.age_ms.into()));
             let Some(at) = at else {
                 continue;
@@ -155,6 +216,7 @@
         pace: row.pace,
         from: row.span.from,
         to: row.span.to,
+        silent: false,
     }
 }
 
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -187,7 +187,7 @@
         }
         self.handle(Event::Tick);
         self.dirty |= self.tables.expire(now);
-        self.dirty |= self.accused.update(now, self.start.elapsed(), &self.group);
+        self.dirty |= self.accuse(now);
         self.share(now);
         self.pull(now);
         self.measure(now);
@@ -220,6 +220,13 @@
         self.handle(Event::Quit);
     }
 
+    /// Finds the accused anew; whether they are different now.
+    fn accuse(&mut self, now: Instant) -> bool {
+        let silent = self.loads.silent();
+        let elapsed = self.start.elapsed();
+        self.accused.update(now, elapsed, &self.group, &silent)
+    }
+
     /// Tells the other nodes what the worker found out.
     fn note(&mut self, note: Note) {
         let (run, ejected) = match &note {
@@ -364,7 +371,7 @@
 
     fn take_report(&mut self, now: Instant, run: Run, report: Option<Report>) {
         let Some(report) = report else {
-            return;
+            return self.loads.missed(now, &run.to_string());
         };
         // Another run has the address by now; its own row will tell of it.
         if report.born != 0 && run.born != 0 && report.born != run.born {
@@ -588,11 +595,11 @@
         if !std::mem::take(&mut self.dirty) {
             return;
         }
+        let now = Instant::now();
+        self.accuse(now);
         let Some(catalog) = self.tables.catalog() else {
             return;
         };
-        let now = Instant::now();
-        self.accused.update(now, self.start.elapsed(), &self.group);
         let nodes = self.nodes();
         let endpoints = self.tables.endpoints();
         let endpoints: Vec<Endpoint> = endpoints.map(|e| self.loads.overlay(now, e)).collect();
--- a/crates/steer/src/health.rs
+++ b/crates/steer/src/health.rs
@@ -22,6 +22,9 @@
     Good,
     /// It said that it is full.
     Full,
+    /// The head of a chain named it: it is dead, about to leave, or short of memory, and the head
+    /// can't tell which.
+    Named,
     /// It is not what was expected at its address, or does not hold its layers.
     Elsewhere,
     /// No connection, a broken one, bytes that are no answer, or silence.
@@ -56,7 +59,7 @@
         match outcome {
             Outcome::Good => *self = Self::default(),
             Outcome::Full => self.leave(now, FULL),
-            Outcome::Failed | Outcome::Elsewhere => {
+            Outcome::Failed | Outcome::Named | Outcome::Elsewhere => {
                 if self.out.is_some_and(|until| began < until) {
                     return;
                 }
--- a/crates/steer/src/load.rs
+++ b/crates/steer/src/load.rs
@@ -37,6 +37,12 @@
         }
     }
 
+    /// The endpoint has just refused a request as full: it is, until it reports again.
+    pub fn fill(&mut self, room: f64, held: f64) {
+        self.load.used = room;
+        self.held = held;
+    }
+
     /// Whether `load` is another report than this.
     pub fn differs(&self, load: &Load) -> bool {
         self.load.stamp != load.stamp
--- a/crates/steer/src/row.rs
+++ b/crates/steer/src/row.rs
@@ -1,11 +1,15 @@
 //! One endpoint as a worker sees it.
 
 use crate::Now;
-use crate::health::Health;
+use crate::health::{Health, Outcome};
 use crate::load::{Known, Load};
 use catalog::endpoint::{Endpoint, State};
 use catalog::engine::Engine;
 
+/// Part of its memory in use from which an endpoint that is named as the one at fault is taken to
+/// be full. Reports are up to a second old, in which it may fill by half.
+const MUCH: f64 = 0.5;
+
 /// An endpoint and what this worker has under way there.
 #[derive(Clone, Debug)]
 pub struct Row {
@@ -82,6 +86,18 @@
         known.unwrap_or(self.held * nodes)
     }
 
+    /// What a refusal says that names this endpoint: it is full if much of it is in use.
+    pub fn named(&mut self, now: Now, nodes: f64) -> Outcome {
+        let used = self.used(now, nodes);
+        if used < self.room * MUCH {
+            return Outcome::Failed;
+        }
+        if let Some(known) = &mut self.known {
+            known.fill(self.room, self.held);
+        }
+        Outcome::Full
+    }
+
     /// Whether new work may be sent to it.
     pub fn open(&self, now: Now) -> bool {
         self.endpoint.state == State::Ready && !self.accused && self.health.usable(now)
--- a/crates/steer/src/table.rs
+++ b/crates/steer/src/table.rs
@@ -335,6 +335,10 @@
                 (None, _) => number == 0,
             };
             if concerned {
+                let outcome = match outcome {
+                    Outcome::Named => row.named(now, self.fleet.nodes.max(1) as f64),
+                    other => other,
+                };
                 self.notes.extend(judge(row, now, held.began, outcome));
             }
         }
