--- a/crates/node/tests/hosted.rs
+++ b/crates/node/tests/hosted.rs
@@ -158,7 +158,7 @@
     assert!(chains.iter().all(|c| c.contains("=0-")), "{chains:?}");
     for path in ["/safe/x", "/once/x"] {
         let (_, body) = until(path, node.callers, path, ok).await;
-        assert_eq!(body, "app north");
+        assert_eq!(body, "app north r1");
     }
     assert!(!app.chains().is_empty());
     let path = "/wigeonshelf/resolve?name=h&region=south&zone=a";
--- /dev/null
+++ b/crates/node/tests/soak/proxy.rs
@@ -0,0 +1,104 @@
+//! A proxy on loopback that delays, resets, silences or cuts connections in one direction.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What the proxy does to what passes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// Nothing.
+    Pass,
+    /// Each piece comes later by this.
+    Delay(Duration),
+    /// Connections are reset after this many bytes of an answer.
+    Reset(usize),
+    /// Nothing passes, and nothing is closed.
+    Silent,
+    /// Requests pass, answers do not.
+    OneWay,
+}
+
+/// A proxy; clones share its mode.
+#[derive(Clone)]
+pub struct Proxy {
+    pub addr: SocketAddr,
+    mode: Arc<Mutex<Mode>>,
+}
+
+impl Proxy {
+    /// A proxy before `to`.
+    pub async fn start(to: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let proxy = Self {
+            addr: listener.local_addr().unwrap(),
+            mode: Arc::new(Mutex::new(Mode::Pass)),
+        };
+        let own = proxy.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(own.clone().connection(stream, to));
+            }
+        });
+        proxy
+    }
+
+    /// Changes what it does, also to open connections.
+    pub fn set(&self, mode: Mode) {
+        *self.mode.lock().unwrap() = mode;
+    }
+
+    fn mode(&self) -> Mode {
+        *self.mode.lock().unwrap()
+    }
+
+    async fn connection(self, from: TcpStream, to: SocketAddr) {
+        let Ok(onward) = TcpStream::connect(to).await else {
+            return;
+        };
+        let (from_read, from_write) = from.into_split();
+        let (to_read, to_write) = onward.into_split();
+        let requests = self.clone().copy(from_read, to_write, false);
+        let answers = self.copy(to_read, from_write, true);
+        // The end of one direction closes the other.
+        tokio::select! {
+            () = requests => {}
+            () = answers => {}
+        }
+    }
+
+    async fn copy(self, mut read: OwnedReadHalf, mut write: OwnedWriteHalf, answers: bool) {
+        let mut buffer = [0; 1024];
+        let mut passed = 0;
+        while let Ok(n) = read.read(&mut buffer).await {
+            if n == 0 {
+                return;
+            }
+            loop {
+                match self.mode() {
+                    Mode::Silent => tokio::time::sleep(Duration::from_millis(20)).await,
+                    Mode::OneWay if answers => {
+                        tokio::time::sleep(Duration::from_millis(20)).await;
+                    }
+                    Mode::Delay(time) => {
+                        tokio::time::sleep(time).await;
+                        break;
+                    }
+                    Mode::Reset(after) if answers && passed + n > after => {
+                        let _ = socket2::SockRef::from(write.as_ref())
+                            .set_linger(Some(Duration::ZERO));
+                        return;
+                    }
+                    _ => break,
+                }
+            }
+            passed += n;
+            if write.write_all(&buffer[..n]).await.is_err() {
+                return;
+            }
+        }
+    }
+}
