--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -350,6 +350,9 @@
     /// The answer when no endpoint can take it.
     fn short(&mut self, shortage: Shortage) -> Refusal {
         self.story.note(shortage.word());
+        let service = self.job.service;
+        let scarcity = self.worker.steer(|steer, now| steer.scarcity(now, service));
+        self.story.short(shortage, &scarcity);
         if self.ran > 0 {
             return Refusal::new(Reason::Lost);
         }
--- a/crates/gate/src/forward/story.rs
+++ b/crates/gate/src/forward/story.rs
@@ -5,6 +5,8 @@
 use crate::refusal::Refusal;
 use journal::Journal;
 use journal::event::Event;
+use steer::scarcity::Scarcity;
+use steer::shortage::Shortage;
 use steer::target::{Stage, Target};
 use tokio::time::Instant;
 
@@ -69,6 +71,22 @@
         });
     }
 
+    /// No endpoint could take the request.
+    pub(crate) fn short(&self, shortage: Shortage, scarcity: &Scarcity) {
+        let percent = |part: f64| (part * 100.0).round() as u64;
+        self.journal.tell(Event::Short {
+            id: self.id.clone(),
+            shortage: shortage.word(),
+            known: scarcity.known,
+            open: scarcity.open,
+            layer: scarcity.layer,
+            free_percent: percent(scarcity.free),
+            pipe_percent: percent(scarcity.pipe),
+            age_ms: scarcity.age.as_millis() as u64,
+            catalog: self.catalog,
+        });
+    }
+
     /// An attempt failed.
     pub(crate) fn failed(&self, why: &str, ran: bool) {
         self.metrics.attempt(if ran { "failed" } else { "not run" });
--- a/crates/journal/src/event.rs
+++ b/crates/journal/src/event.rs
@@ -85,6 +85,27 @@
         /// Version of the catalog that chose the route.
         catalog: u64,
     },
+    /// No endpoint could take a request; what was believed then.
+    Short {
+        /// The request.
+        id: String,
+        /// What was short.
+        shortage: &'static str,
+        /// Endpoints of the service.
+        known: usize,
+        /// Those in use.
+        open: usize,
+        /// The layer with the least room, if the service runs a model.
+        layer: Option<u32>,
+        /// Part of memory that is free at the roomiest endpoint with that layer.
+        free_percent: u64,
+        /// Part of the fullest pipe between zones that is used.
+        pipe_percent: u64,
+        /// Age of the oldest report of load that this rests on.
+        age_ms: u64,
+        /// Version of the catalog.
+        catalog: u64,
+    },
     /// A stage of a chain was replaced while its request was under way.
     Detour {
         /// The request.
--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -37,8 +37,11 @@
 use tokio::net::TcpStream;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_wigeonshelf");
-/// Seeds of the run in CI.
-const SEEDS: std::ops::Range<u64> = 1..3;
+/// Seeds of the run in CI. 104 and 128 once failed: two soaks beside each other had drawn the same
+/// free ports, and nodes of one talked to endpoints of the other. Ports now belong to a process.
+const SEEDS: [u64; 4] = [1, 2, 104, 128];
+/// Ports of all soaks: below those that the kernel gives out by itself.
+const PORTS: std::ops::Range<u16> = 12_000..31_000;
 const NODES: usize = 3;
 /// Steps of a run; a fault may begin or end in each.
 const STEPS: usize = 30;
@@ -109,9 +112,16 @@
     command.stdout(Stdio::null()).spawn().unwrap()
 }
 
-fn free() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+/// Ports for the nodes of this process. Processes next to each other get others, and none is one
+/// that the kernel gives to a connection or a stand-in.
+fn ports() -> Vec<SocketAddr> {
+    let each = 2 * NODES as u16;
+    let slots = u32::from((PORTS.end - PORTS.start) / each);
+    let slot = (std::process::id() % slots) as u16;
+    let first = PORTS.start + slot * each;
+    (first..first + each)
+        .map(|port| ([127, 0, 0, 1], port).into())
+        .collect()
 }
 
 /// What callers saw.
@@ -161,12 +171,18 @@
 }
 
 /// One caller: requests of each kind until it is told to end.
-async fn caller(nodes: Vec<SocketAddr>, number: usize, seen: Arc<Mutex<Seen>>, end: Arc<Mutex<bool>>) {
+async fn caller(
+    seed: u64,
+    nodes: Vec<SocketAddr>,
+    number: usize,
+    seen: Arc<Mutex<Seen>>,
+    end: Arc<Mutex<bool>>,
+) {
     let mut count = 0;
     while !*end.lock().unwrap() {
         count += 1;
         let addr = nodes[(count + number) % nodes.len()];
-        let id = format!("c{number}-{count}");
+        let id = format!("s{seed}-{}-c{number}-{count}", std::process::id());
         let path = ["/chat/x", "/once/x"][count % 2];
         let limit = Duration::from_secs(4);
         let got = tokio::time::timeout(limit, ask(addr, path, &id)).await;
@@ -179,7 +195,7 @@
             "/once/x" => {
                 seen.once.insert(id.clone(), got.status);
                 if got.status == StatusCode::OK && got.whole && !got.body.ends_with(&id) {
-                    seen.wrong.push(format!("{id} got {:?}", got.body));
+                    seen.wrong.push(format!("{id} got {:.60?}", got.body));
                 }
             }
             _ if got.status == StatusCode::OK => {
@@ -187,7 +203,8 @@
                 let ids: Vec<u64> = lines.filter_map(|n| n.parse().ok()).collect();
                 let expected: Vec<u64> = (1..=EVENTS).collect();
                 if !expected.starts_with(&ids) || (got.whole && ids != expected) {
-                    seen.wrong.push(format!("{id} got events {ids:?}, whole {}", got.whole));
+                    seen.wrong
+                        .push(format!("{id} got events {ids:?}, whole {}", got.whole));
                 }
             }
             _ => {}
@@ -197,7 +214,13 @@
 }
 
 /// Watches one node for an older version after a newer one. Version `n` has the route `/v{n}/`.
-async fn versions(addr: SocketAddr, run: Arc<Mutex<u64>>, newest: Arc<Mutex<u64>>, seen: Arc<Mutex<Seen>>, end: Arc<Mutex<bool>>) {
+async fn versions(
+    addr: SocketAddr,
+    run: Arc<Mutex<u64>>,
+    newest: Arc<Mutex<u64>>,
+    seen: Arc<Mutex<Seen>>,
+    end: Arc<Mutex<bool>>,
+) {
     let (mut served, mut of) = (0, 0);
     while !*end.lock().unwrap() {
         let before = *run.lock().unwrap();
@@ -210,7 +233,9 @@
             if *run.lock().unwrap() != of {
                 break;
             }
-            let known = got.is_some_and(|g| g.status != StatusCode::NOT_FOUND && g.status != StatusCode::SERVICE_UNAVAILABLE);
+            let known = got.is_some_and(|g| {
+                g.status != StatusCode::NOT_FOUND && g.status != StatusCode::SERVICE_UNAVAILABLE
+            });
             if known && version > served {
                 served = version;
             }
@@ -219,7 +244,10 @@
             let old = served - 1;
             let got = ask(addr, &format!("/v{old}/x"), "v").await;
             if *run.lock().unwrap() == of && got.is_some_and(|g| g.status == StatusCode::OK) {
-                seen.lock().unwrap().wrong.push(format!("{addr} served {old} after {served}"));
+                seen.lock()
+                    .unwrap()
+                    .wrong
+                    .push(format!("{addr} served {old} after {served}"));
             }
         }
         tokio::time::sleep(Duration::from_millis(30)).await;
@@ -291,7 +319,10 @@
     /// Ends all faults.
     fn heal(&mut self) {
         self.store.down(false);
-        self.doors.iter().chain(&self.ways).for_each(|p| p.set(Mode::Pass));
+        self.doors
+            .iter()
+            .chain(&self.ways)
+            .for_each(|p| p.set(Mode::Pass));
         self.nodes.iter().for_each(|n| n.signal("-CONT"));
         for (node, run) in self.nodes.iter_mut().zip(&self.runs) {
             node.revive();
@@ -316,7 +347,7 @@
         engine.register_as(way.addr);
         ways.push(way);
     }
-    let ports: Vec<SocketAddr> = (0..NODES * 2).map(|_| free()).collect();
+    let ports = ports();
     let (mut doors, mut nodes) = (Vec::new(), Vec::new());
     for number in 0..NODES {
         let door = Proxy::start(store.addr).await;
@@ -340,10 +371,22 @@
     serve_again(&mut world, &addrs, seed).await;
     let mut tasks = Vec::new();
     for number in 0..6 {
-        tasks.push(tokio::spawn(caller(addrs.clone(), number, seen.clone(), end.clone())));
+        tasks.push(tokio::spawn(caller(
+            seed,
+            addrs.clone(),
+            number,
+            seen.clone(),
+            end.clone(),
+        )));
     }
     for (addr, run) in addrs.iter().zip(runs) {
-        tasks.push(tokio::spawn(versions(*addr, run, newest.clone(), seen.clone(), end.clone())));
+        tasks.push(tokio::spawn(versions(
+            *addr,
+            run,
+            newest.clone(),
+            seen.clone(),
+            end.clone(),
+        )));
     }
     for _ in 0..STEPS {
         tokio::time::sleep(STEP).await;
@@ -366,11 +409,18 @@
             loop {
                 let limit = Duration::from_secs(4);
                 let got = tokio::time::timeout(limit, ask(*addr, path, "again")).await;
-                if got.ok().flatten().is_some_and(|g| g.status == StatusCode::OK) {
+                if got
+                    .ok()
+                    .flatten()
+                    .is_some_and(|g| g.status == StatusCode::OK)
+                {
                     break;
                 }
                 looks += 1;
-                assert!(looks < LOOKS, "seed {seed}: {addr} does not serve {path} again");
+                assert!(
+                    looks < LOOKS,
+                    "seed {seed}: {addr} does not serve {path} again"
+                );
                 tokio::time::sleep(Duration::from_millis(20)).await;
                 world.heal();
             }
@@ -395,15 +445,20 @@
         }
     }
     let (once, answered) = (seen.once.len(), seen.answered);
-    println!("seed {seed}: {answered} answered, {once} at most once, {} wrong", wrong.len());
+    println!(
+        "seed {seed}: {answered} answered, {once} at most once, {} wrong",
+        wrong.len()
+    );
     assert!(wrong.is_empty(), "seed {seed}: {wrong:#?}");
 }
 
-fn seeds() -> std::ops::Range<u64> {
+fn seeds() -> Vec<u64> {
     let given = std::env::var("SOAK_SEEDS").ok();
     let range = given.as_deref().and_then(|g| g.split_once(".."));
-    let range = range.and_then(|(from, to)| Some(from.parse().ok()?..to.parse().ok()?));
-    range.unwrap_or(SEEDS)
+    let range = range.and_then(|(from, to)| Some((from.parse().ok()?, to.parse().ok()?)));
+    range.map_or(SEEDS.to_vec(), |(from, to): (u64, u64)| {
+        (from..to).collect()
+    })
 }
 
 #[test]
--- a/crates/node/tests/soak/proxy.rs
+++ b/crates/node/tests/soak/proxy.rs
@@ -88,8 +88,8 @@
                         break;
                     }
                     Mode::Reset(after) if answers && passed + n > after => {
-                        let _ = socket2::SockRef::from(write.as_ref())
-                            .set_linger(Some(Duration::ZERO));
+                        let _ =
+                            socket2::SockRef::from(write.as_ref()).set_linger(Some(Duration::ZERO));
                         return;
                     }
                     _ => break,
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod note;
 pub mod pipe;
 pub mod row;
+pub mod scarcity;
 mod search;
 pub mod shortage;
 pub mod table;
--- a/crates/steer/src/load.rs
+++ b/crates/steer/src/load.rs
@@ -43,6 +43,11 @@
         self.held = held;
     }
 
+    /// How old the report is.
+    pub fn age(&self, now: Now) -> Duration {
+        now.saturating_sub(self.at)
+    }
+
     /// Whether `load` is another report than this.
     pub fn differs(&self, load: &Load) -> bool {
         self.load.stamp != load.stamp
--- a/crates/steer/src/pipe.rs
+++ b/crates/steer/src/pipe.rs
@@ -34,6 +34,12 @@
         pipe.at = now;
     }
 
+    /// Bits a second that this worker sends over its fullest pipe.
+    pub fn most(&self, now: Now) -> f64 {
+        let rates = self.rows.keys().map(|&(a, b)| self.rate(now, a, b));
+        rates.fold(0.0, f64::max)
+    }
+
     /// Bits a second that this worker sends between two zones.
     pub fn rate(&self, now: Now, a: usize, b: usize) -> f64 {
         let pipe = self.rows.get(&pair(a, b));
--- a/crates/steer/src/table.rs
+++ b/crates/steer/src/table.rs
@@ -8,6 +8,7 @@
 use crate::note::Note;
 use crate::pipe::Pipes;
 use crate::row::Row;
+use crate::scarcity::Scarcity;
 use crate::search::{self, Candidate, Part, Search};
 use crate::shortage::Shortage;
 use crate::target::{Hold, Stage, Target};
@@ -384,6 +385,27 @@
         self.budgets.entry(service.to_owned()).or_default()
     }
 
+    /// What is scarce for requests of a service.
+    pub fn scarcity(&self, now: Now, service: ServiceId) -> Scarcity {
+        let Some(service) = self.fleet.catalog.service(service) else {
+            return Scarcity::default();
+        };
+        let nodes = self.fleet.nodes.max(1) as f64;
+        let rows = self.rows.iter();
+        let rows: Vec<&Row> = rows
+            .filter(|r| r.endpoint.service == service.name)
+            .collect();
+        let layers = service.engine.as_ref().map_or(0, |e| e.layers);
+        let pipe = service
+            .engine
+            .as_ref()
+            .map_or(0.0, |e| self.pipes.most(now) * nodes / e.pipe_bits.max(1.0));
+        Scarcity {
+            pipe,
+            ..Scarcity::of(now, nodes, &rows, layers)
+        }
+    }
+
     /// Attempts that are not ended.
     pub fn flying(&self) -> usize {
         self.holds.len()
--- a/crates/steer/tests/chain.rs
+++ b/crates/steer/tests/chain.rs
@@ -208,3 +208,24 @@
         );
     }
 }
+
+#[test]
+fn what_is_scarce_is_told_with_its_figures() {
+    let rows = vec![
+        endpoint(1, "a", "fast", 0, 4),
+        endpoint(2, "a", "fast", 4, 8),
+        endpoint(3, "a", "slow", 4, 6),
+    ];
+    let mut steer = steer(rows);
+    // 4 layers leave 6 GB, which hold 6,000 tokens times layers: half of it is taken here.
+    steer.target(ms(0), MODEL, &need(750), &[]).unwrap();
+    let scarcity = steer.scarcity(ms(0), MODEL);
+    assert_eq!((scarcity.known, scarcity.open), (3, 3));
+    assert_eq!((scarcity.layer, scarcity.free), (Some(0), 0.5));
+    steer.accuse(ms(0), ([10, 0, 0, 2], 80).into());
+    let scarcity = steer.scarcity(ms(0), MODEL);
+    assert_eq!(
+        (scarcity.open, scarcity.layer, scarcity.free),
+        (2, Some(6), 0.0)
+    );
+}
