--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -138,17 +138,8 @@
     /// What an endpoint's head leads to; nothing if the request is sent again.
     async fn take(&mut self, sent: Sent<D>) -> Option<Ending<D>> {
         let status = sent.response.status();
-        if sent.told.unrun || status == StatusCode::MISDIRECTED_REQUEST {
-            self.story.failed(&refused(status, &sent.told), false);
-            let outcome = declined(status, &sent.told);
-            let Sent {
-                conn,
-                response,
-                told,
-                held,
-            } = sent;
-            held.end(outcome, told.culprit);
-            self.drain(conn, response, &told).await;
+        if sent.unrun() {
+            self.decline(sent).await;
             return match self.again(true) {
                 true => None,
                 false => Some(Ending::Own(self.spent())),
@@ -201,13 +192,25 @@
         Some(Response::from_parts(parts, body.to_bytes()))
     }
 
+    /// Gives up an attempt whose endpoint refused it.
+    pub(crate) async fn decline(&mut self, sent: Sent<D>) {
+        let status = sent.response.status();
+        let unrun = sent.unrun();
+        self.story
+            .failed(&refused(status, unrun, &sent.told), !unrun);
+        let outcome = declined(status, &sent.told);
+        let Sent {
+            conn,
+            response,
+            told,
+            held,
+        } = sent;
+        held.end(outcome, told.culprit);
+        self.drain(conn, response, &told).await;
+    }
+
     /// Reads the short body of a refusal, so that its connection can be used again.
-    pub(crate) async fn drain(
-        &self,
-        conn: Conn,
-        response: Response<hyper::body::Incoming>,
-        told: &Told,
-    ) {
+    async fn drain(&self, conn: Conn, response: Response<hyper::body::Incoming>, told: &Told) {
         let closes = closes(response.headers());
         let body = http_body_util::Limited::new(response.into_body(), SHORT).collect();
         let read = timeout(self.job.left().min(DRAIN), body).await;
@@ -369,15 +372,18 @@
 use std::sync::Arc;
 
 /// A refusal in words, with the stage that the head of a chain names.
-pub(crate) fn refused(status: StatusCode, told: &Told) -> String {
-    match told.culprit {
-        Some(culprit) => format!("status {}, not run, for {culprit}", status.as_u16()),
-        None => format!("status {}, not run", status.as_u16()),
-    }
+fn refused(status: StatusCode, unrun: bool, told: &Told) -> String {
+    let run = if unrun { ", not run" } else { "" };
+    let culprit = told.culprit.map(|c| format!(", for {c}"));
+    format!(
+        "status {}{run}{}",
+        status.as_u16(),
+        culprit.unwrap_or_default()
+    )
 }
 
 /// What a refusal says of the endpoint that it is about.
-pub(crate) fn declined(status: StatusCode, told: &Told) -> Outcome {
+fn declined(status: StatusCode, told: &Told) -> Outcome {
     match status {
         StatusCode::MISDIRECTED_REQUEST => Outcome::Elsewhere,
         _ if told.culprit.is_some() => Outcome::Named,
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -55,6 +55,13 @@
     pub(crate) held: Held<D>,
 }
 
+impl<D: Dialect> Sent<D> {
+    /// Whether the endpoint says that it did not run the request.
+    pub(crate) fn unrun(&self) -> bool {
+        self.told.unrun || self.response.status() == StatusCode::MISDIRECTED_REQUEST
+    }
+}
+
 /// Why an attempt brought no head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Failure {
--- a/crates/gate/src/splice.rs
+++ b/crates/gate/src/splice.rs
@@ -10,7 +10,7 @@
 use crate::events::{Cutter, Event};
 use crate::forward::attempt::{Held, Sent};
 use crate::forward::look::{self, Look};
-use crate::forward::{Run, closes, declined};
+use crate::forward::{Run, closes};
 use crate::stats;
 use bytes::Bytes;
 use futures::Stream;
@@ -252,30 +252,16 @@
                     self.moved = Instant::now();
                     return true;
                 }
-                Ok(sent) => self.declined(sent).await,
+                Ok(sent) => {
+                    self.run.ran += u32::from(!sent.unrun());
+                    self.run.decline(sent).await;
+                }
                 Err(failure) => self.run.ran += u32::from(failure.ran()),
             }
         }
         false
     }
 
-    /// An endpoint did not go on with the answer.
-    async fn declined(&mut self, sent: Sent<D>) {
-        let status = sent.response.status();
-        let unrun = sent.told.unrun || status == StatusCode::MISDIRECTED_REQUEST;
-        self.run.story.failed(&format!("status {status}"), !unrun);
-        self.run.ran += u32::from(!unrun);
-        let outcome = declined(status, &sent.told);
-        let Sent {
-            conn,
-            response,
-            told,
-            held,
-        } = sent;
-        held.end(outcome, told.culprit);
-        self.run.drain(conn, response, &told).await;
-    }
-
     fn finish(&mut self) {
         self.done = true;
         if let Some(Live { sent }) = self.live.take() {
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -1,7 +1,9 @@
 //! What control believes, and what each input does to it.
 
+mod peers;
+mod share;
+
 use super::accused::Accused;
-use super::copy::{self, Copy};
 use super::input::{Input, Inputs};
 use super::loads::Loads;
 use super::orders::Orders;
@@ -11,10 +13,9 @@
 use super::{Control, STEP};
 use crate::hosted::settings::Settings;
 use adapter::Platform;
-use adapter::report::{Control as Engine, Report};
+use adapter::report::Control as Engine;
 use adapter::store::Table;
 use catalog::Endpoint;
-use catalog::endpoint::Run;
 use catalog::source::Page;
 use gate::metrics::Metrics;
 use gate::view::{Board, View};
@@ -24,9 +25,7 @@
 use member::event::Event;
 use member::group::Group;
 use member::identity::Identity;
-use member::item::{Body, Key};
-use member::peer::{Entry, Standing};
-use rand::seq::IndexedRandom;
+use member::item::Body;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -36,8 +35,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
-use wire::frame::{CopyAsk, Status};
-use wire::peer::{Inbound, Link};
+use wire::peer::Link;
 
 /// Time after the start in which no orders are given: nodes that started together find each other.
 const SETTLE: Duration = Duration::from_millis(700);
@@ -270,15 +268,6 @@
         self.dirty |= self.tables.take(&self.platform, table, page, "store");
     }
 
-    /// Finds this node's part in reading the store and asking engines.
-    fn share(&mut self, now: Instant) {
-        self.part = Part::of(&self.group, &self.settings.zone);
-        // A node whose readers don't answer, or can't read the store, tries it by itself.
-        let reads = self.part.reads || now >= self.heard + UNHEARD;
-        self.reads
-            .send_if_modified(|r| std::mem::replace(r, reads) != reads);
-    }
-
     /// Tells the metrics what is believed and how old that is.
     fn measure(&mut self, now: Instant) {
         if now < self.measured + MEASURE {
@@ -295,92 +284,6 @@
         }
     }
 
-    /// Takes from peers what they read and ask for this node.
-    fn pull(&mut self, now: Instant) {
-        if now < self.pulled + PULL {
-            return;
-        }
-        self.pulled = now;
-        if self.part.reads {
-            for &poller in &self.part.pollers {
-                self.ask_loads(poller);
-            }
-            return;
-        }
-        if let Some(&reader) = self.part.readers.choose(&mut rand::rng()) {
-            for table in [Table::Operator, Table::Endpoints] {
-                self.ask_copy(reader, table);
-            }
-            self.ask_loads(reader);
-        }
-    }
-
-    /// A peer gave a copy.
-    fn copied(&mut self, now: Instant, table: Table, copy: Copy) {
-        if copy.fresh && !self.part.reads {
-            self.heard = now;
-            self.tables.read(now);
-            let reading = self.reading(table);
-            reading.lost = None;
-            reading.known = Some(now);
-        }
-        self.dirty |= self.tables.take(&self.platform, table, copy.page, "peer");
-    }
-
-    fn ask_loads(&self, peer: SocketAddr) {
-        let ask = CopyAsk {
-            table: copy::LOADS,
-            from: 0,
-        };
-        let (link, inputs) = (self.link.clone(), self.inputs.clone());
-        tokio::spawn(async move {
-            // A peer that does not answer is asked again.
-            if let Ok(Some(bytes)) = link.copy(peer, ask).await {
-                // Control has ended if nobody takes it.
-                let _ = inputs.send(Input::Loads(bytes)).await;
-            }
-        });
-    }
-
-    /// Asks the engines that are this node's to ask.
-    fn poll(&mut self, now: Instant) {
-        self.loads.expire(now);
-        if self.leaving || self.tables.catalog().is_none() {
-            return;
-        }
-        let endpoints = self.tables.endpoints();
-        let own = endpoints.filter(|e| e.kind.is_some() && self.part.asks(&e.zone));
-        let own: Vec<Endpoint> = own.cloned().collect();
-        self.engines
-            .retain(|addr, _| own.iter().any(|e| e.addr == *addr));
-        for endpoint in own {
-            if !self.loads.due(now, &endpoint.run.to_string()) {
-                continue;
-            }
-            let engine = self.engines.entry(endpoint.addr);
-            let engine = engine.or_insert_with(|| Arc::new(Engine::new(endpoint.addr)));
-            let (engine, inputs) = (engine.clone(), self.inputs.clone());
-            tokio::spawn(async move {
-                // Silence is told by the missing report.
-                let report = engine.report().await.ok();
-                // Control has ended if nobody takes it.
-                let _ = inputs.send(Input::Report(endpoint.run, report)).await;
-            });
-        }
-    }
-
-    fn take_report(&mut self, now: Instant, run: Run, report: Option<Report>) {
-        let Some(report) = report else {
-            return self.loads.missed(now, &run.to_string());
-        };
-        // Another run has the address by now; its own row will tell of it.
-        if report.born != 0 && run.born != 0 && report.born != run.born {
-            return;
-        }
-        self.loads.reported(now, &run.to_string(), &report);
-        self.reported = true;
-    }
-
     fn unread(&mut self, now: Instant, table: Table, why: &str) {
         if table == Table::Endpoints {
             self.tables.unread(now);
@@ -404,76 +307,6 @@
         }
     }
 
-    /// Asks peers for their copies while the store can't be read.
-    fn copy(&mut self, now: Instant) {
-        let lost = self.operator.lost.is_some() || self.endpoints.lost.is_some();
-        if !lost || now < self.copied + COPY {
-            return;
-        }
-        self.copied = now;
-        let me = self.group.me();
-        let peers: Vec<SocketAddr> = self
-            .group
-            .open()
-            .filter(|p| p.id != me)
-            .map(|p| p.identity.addr)
-            .collect();
-        for &peer in peers.sample(&mut rand::rng(), ASKED) {
-            // One table that can't be read means that the other is about to be late as well.
-            for table in [Table::Operator, Table::Endpoints] {
-                self.ask_copy(peer, table);
-            }
-        }
-    }
-
-    fn ask_copy(&self, peer: SocketAddr, table: Table) {
-        let ask = CopyAsk {
-            table: copy::number(table),
-            from: self.tables.next(table),
-        };
-        let (link, inputs) = (self.link.clone(), self.inputs.clone());
-        tokio::spawn(async move {
-            // A peer that does not answer is asked again, or another one.
-            let Ok(Some(bytes)) = link.copy(peer, ask).await else {
-                return;
-            };
-            match copy::decode(&bytes) {
-                Ok(copy) => {
-                    // Control has ended if nobody takes it.
-                    let _ = inputs.send(Input::Copy(table, copy)).await;
-                }
-                Err(error) => log::warn!("a copy from {peer} can't be read: {error}"),
-            }
-        });
-    }
-
-    fn offer(&self, ask: CopyAsk) -> Option<Vec<u8>> {
-        let encoded = match copy::table(ask.table) {
-            Some(table) => copy::encode(&self.own_copy(table, ask.from)),
-            None if ask.table == copy::LOADS => self.loads.encode(Instant::now()),
-            None => return None,
-        };
-        match encoded {
-            Ok(bytes) => Some(bytes),
-            Err(error) => {
-                log::warn!("a copy can't be given: {error}");
-                None
-            }
-        }
-    }
-
-    /// What this node has of a table, from an offset on.
-    fn own_copy(&self, table: Table, from: u64) -> Copy {
-        let reading = match table {
-            Table::Operator => &self.operator,
-            Table::Endpoints => &self.endpoints,
-        };
-        Copy {
-            page: self.tables.copy(table).since(from),
-            fresh: self.part.reads && reading.known.is_some() && reading.lost.is_none(),
-        }
-    }
-
     /// Gives orders if that is this node's part.
     fn order(&mut self, now: Instant) {
         if self.leaving || now < self.start + SETTLE {
@@ -492,104 +325,6 @@
         self.orders.step(now, catalog, living.iter());
     }
 
-    fn inbound(&mut self, inbound: Inbound) {
-        match inbound {
-            Inbound::Member { from, message } => self.handle(Event::Frame { from, message }),
-            // Heads belong to nodes that read signed bundles from a log.
-            Inbound::Head { reply, .. } => {
-                let _ = reply.send(None);
-            }
-            Inbound::Copy { ask, reply } => {
-                let _ = reply.send(self.offer(ask));
-            }
-            Inbound::Status { reply } => {
-                let _ = reply.send(Status {
-                    number: self.tables.catalog().map_or(0, |c| c.version),
-                    incarnation: self.incarnation,
-                    leaving: self.leaving,
-                    ..Status::default()
-                });
-            }
-            Inbound::Unreached(addr) => {
-                let peers = self.group.roster().iter();
-                let gone: Vec<_> = peers
-                    .filter(|p| p.identity.addr == addr)
-                    .map(|p| p.id)
-                    .collect();
-                for peer in gone {
-                    self.handle(Event::Unreached(peer));
-                }
-            }
-        }
-    }
-
-    /// Gives the group an event and does what it asks for.
-    fn handle(&mut self, event: Event) {
-        let now = self.start.elapsed();
-        let mut actions = std::mem::take(&mut self.actions);
-        self.group.handle(now, event, &mut actions);
-        for action in actions.drain(..) {
-            self.act(action);
-        }
-        self.actions = actions;
-    }
-
-    fn act(&mut self, action: Action) {
-        match action {
-            Action::Send { to, message, .. } => {
-                // A full queue is counted by the link; gossip repeats itself.
-                let _ = self.link.send(to, message);
-            }
-            Action::Changed { peer, state, .. } => {
-                self.dirty = true;
-                let row = self.group.roster().get(peer);
-                let name = row.map_or("?", |p| p.identity.name.as_str()).to_owned();
-                let state = format!("{state:?}");
-                self.journal.tell(Told::Node { name, state });
-            }
-            Action::Learned(_) => self.dirty = true,
-            Action::Newer { .. } => {}
-        }
-    }
-
-    /// Seeds stand for nodes whose names are not known; they tell them when asked who they are.
-    fn seeds(&self) -> Vec<Entry> {
-        let seeds = self.settings.seeds.iter();
-        let seeds = seeds.filter(|addr| **addr != self.settings.peers);
-        seeds
-            .map(|addr| Entry {
-                name: format!("seed-{addr}"),
-                addr: *addr,
-                zone: self.settings.zone.clone(),
-                region: self.settings.region.clone(),
-                standing: Standing::Live,
-            })
-            .collect()
-    }
-
-    /// Where callers reach the nodes that take new work.
-    fn nodes(&self) -> Vec<SocketAddr> {
-        let me = self.group.me();
-        let peers = self.group.open().filter(|p| p.id != me);
-        let callers = peers.filter_map(|p| {
-            let slot = self.group.store().get(p.id, &Key::Callers)?;
-            match slot.body {
-                Body::Callers { addr, .. } => Some(addr),
-                _ => None,
-            }
-        });
-        let own = (!self.leaving).then_some(self.settings.callers);
-        own.into_iter().chain(callers).collect()
-    }
-
-    /// Nodes that the budget for further attempts is shared with.
-    fn sharers(&self) -> usize {
-        let peers = self.group.roster().iter();
-        peers
-            .filter(|p| p.state != member::peer::State::Left)
-            .count()
-    }
-
     /// Publishes a view if anything changed.
     fn publish(&mut self) {
         if !std::mem::take(&mut self.dirty) {
--- /dev/null
+++ b/crates/node/src/hosted/control/state/peers.rs
@@ -0,0 +1,111 @@
+//! The other nodes: their messages, who of them lives, and where callers reach them.
+
+use super::State;
+use journal::event::Event as Told;
+use member::action::Action;
+use member::event::Event;
+use member::item::{Body, Key};
+use member::peer::{Entry, Standing};
+use std::net::SocketAddr;
+use wire::frame::Status;
+use wire::peer::Inbound;
+
+impl State {
+    pub(super) fn inbound(&mut self, inbound: Inbound) {
+        match inbound {
+            Inbound::Member { from, message } => self.handle(Event::Frame { from, message }),
+            // Heads belong to nodes that read signed bundles from a log.
+            Inbound::Head { reply, .. } => {
+                let _ = reply.send(None);
+            }
+            Inbound::Copy { ask, reply } => {
+                let _ = reply.send(self.offer(ask));
+            }
+            Inbound::Status { reply } => {
+                let _ = reply.send(Status {
+                    number: self.tables.catalog().map_or(0, |c| c.version),
+                    incarnation: self.incarnation,
+                    leaving: self.leaving,
+                    ..Status::default()
+                });
+            }
+            Inbound::Unreached(addr) => {
+                let peers = self.group.roster().iter();
+                let gone: Vec<_> = peers
+                    .filter(|p| p.identity.addr == addr)
+                    .map(|p| p.id)
+                    .collect();
+                for peer in gone {
+                    self.handle(Event::Unreached(peer));
+                }
+            }
+        }
+    }
+
+    /// Gives the group an event and does what it asks for.
+    pub(super) fn handle(&mut self, event: Event) {
+        let now = self.start.elapsed();
+        let mut actions = std::mem::take(&mut self.actions);
+        self.group.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            self.act(action);
+        }
+        self.actions = actions;
+    }
+
+    pub(super) fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { to, message, .. } => {
+                // A full queue is counted by the link; gossip repeats itself.
+                let _ = self.link.send(to, message);
+            }
+            Action::Changed { peer, state, .. } => {
+                self.dirty = true;
+                let row = self.group.roster().get(peer);
+                let name = row.map_or("?", |p| p.identity.name.as_str()).to_owned();
+                let state = format!("{state:?}");
+                self.journal.tell(Told::Node { name, state });
+            }
+            Action::Learned(_) => self.dirty = true,
+            Action::Newer { .. } => {}
+        }
+    }
+
+    /// Seeds stand for nodes whose names are not known; they tell them when asked who they are.
+    pub(super) fn seeds(&self) -> Vec<Entry> {
+        let seeds = self.settings.seeds.iter();
+        let seeds = seeds.filter(|addr| **addr != self.settings.peers);
+        seeds
+            .map(|addr| Entry {
+                name: format!("seed-{addr}"),
+                addr: *addr,
+                zone: self.settings.zone.clone(),
+                region: self.settings.region.clone(),
+                standing: Standing::Live,
+            })
+            .collect()
+    }
+
+    /// Where callers reach the nodes that take new work.
+    pub(super) fn nodes(&self) -> Vec<SocketAddr> {
+        let me = self.group.me();
+        let peers = self.group.open().filter(|p| p.id != me);
+        let callers = peers.filter_map(|p| {
+            let slot = self.group.store().get(p.id, &Key::Callers)?;
+            match slot.body {
+                Body::Callers { addr, .. } => Some(addr),
+                _ => None,
+            }
+        });
+        let own = (!self.leaving).then_some(self.settings.callers);
+        own.into_iter().chain(callers).collect()
+    }
+
+    /// Nodes that the budget for further attempts is shared with.
+    pub(super) fn sharers(&self) -> usize {
+        let peers = self.group.roster().iter();
+        peers
+            .filter(|p| p.state != member::peer::State::Left)
+            .count()
+    }
+}
