--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -8,22 +8,22 @@
 //! Endpoint ids belong to one bundle. A failure names the id that its attempt was started with, as
 //! the router expects. What outlives a bundle otherwise (probes, loads, notes) goes by name.
 
+mod claims;
 mod message;
+mod progress;
 mod session;
 
-use crate::attempt::{self, Call, CallEvent, Context, Prompt, Stage, Work};
-use crate::cause;
-use crate::claim::{self, Kept, Verdict};
+use crate::attempt::{self, Call, Context, Prompt, Stage, Work};
+use crate::claim;
 use crate::metrics::Metrics;
 use crate::ring;
 use crate::snapshot::{Board, Snapshot};
 use arc_swap::ArcSwap;
 use bundle::id::EndpointId;
-use engine::chain::{self, Stop, Token};
+use engine::chain::{Stop, Token};
 use engine::pool::Pool;
 use route::action::{Action, Hop, Observation};
 use route::event::{Event, TICK};
-use route::failure::{Cause, Failure};
 use route::outcome::Outcome;
 use route::refusal::{Reason, Refusal};
 use route::request::Id;
@@ -265,85 +265,6 @@
         }
     }
 
-    /// What becomes of a request that asked for its key.
-    fn claimed(&mut self, id: Id, verdict: Verdict) {
-        match verdict {
-            Verdict::Run => self.run_claimed(id),
-            Verdict::Replay(kept) => self.replay(id, &kept),
-            Verdict::Error(error) => {
-                if let Some(session) = self.sessions.remove(&id) {
-                    self.metrics.ended(error.outcome);
-                    let _ = session.reply.send(Reply::Error(error));
-                }
-            }
-        }
-    }
-
-    /// Runs a request whose key it now holds. If its caller has left, control has been told so
-    /// and releases the key.
-    fn run_claimed(&mut self, id: Id) {
-        let session = self.sessions.get_mut(&id);
-        if let Some(request) = session.and_then(|s| s.unclaimed.take()) {
-            self.refresh();
-            self.handle(Event::Arrive(request));
-        }
-    }
-
-    /// Gives a resend the answer of its key's run.
-    fn replay(&mut self, id: Id, kept: &Kept) {
-        let Some(session) = self.sessions.remove(&id) else {
-            return;
-        };
-        self.metrics.replayed.add(1, &[]);
-        let reply = |reply| {
-            let _ = session.reply.send(reply);
-        };
-        match (kept, &session.work) {
-            (Kept::Tokens(tokens, end), _) => {
-                tokens.iter().for_each(|t| reply(Reply::Token(t.clone())));
-                reply(Reply::Done(*end));
-            }
-            (Kept::Call(head, body), Work::Call(call)) => {
-                reply(Reply::Head(head.clone()));
-                let _ = call.chunks.try_send(body.clone());
-                reply(Reply::Done(WHOLE_CALL));
-            }
-            (Kept::Call(..), Work::Tokens(_)) => {}
-        }
-    }
-
-    /// Tells control that a run under a key ended. Lost, the key would stay taken.
-    fn ended(&mut self, id: Id, session: &Session, outcome: Outcome) {
-        let Some(hash) = session.hash else {
-            return;
-        };
-        if session.unclaimed.is_some() {
-            self.outbox.push_back(Note::Unclaim(id));
-        } else {
-            let kept = (outcome == Outcome::Complete)
-                .then(|| session.kept())
-                .flatten();
-            let ended = claim::Ended {
-                id,
-                hash,
-                outcome,
-                kept: kept.map(Arc::new),
-            };
-            self.outbox.push_back(Note::Ended(ended));
-        }
-        self.post();
-    }
-
-    /// Sends notes that must reach control, in order.
-    fn post(&mut self) {
-        while let Some(note) = self.outbox.pop_front() {
-            if let Err(note) = self.notes.push(note) {
-                self.outbox.push_front(note);
-                return;
-            }
-        }
-    }
-
     /// Work that may be repeated is cancelled down to the engines. Work that may not goes on once
     /// it is under way: cut off halfway, its effect would be neither there nor safely absent.
     fn left(&mut self, id: Id) {
@@ -361,123 +282,6 @@
         }
     }
 
-    /// The session, if `attempt` is its current one. What an ended attempt still sends stops here.
-    fn current(&mut self, id: Id, attempt: Attempt) -> Option<&mut Session> {
-        let session = self.sessions.get_mut(&id);
-        let session = session.filter(|s| s.running.as_ref().is_some_and(|r| r.attempt == attempt));
-        if session.is_none() {
-            self.metrics.stale.add(1, &[]);
-        }
-        session
-    }
-
-    fn chain(&mut self, id: Id, attempt: Attempt, event: chain::Event) {
-        let Some(session) = self.current(id, attempt) else {
-            return;
-        };
-        match event {
-            chain::Event::Sent => {}
-            chain::Event::Progress { hop, .. } => self.handle(Event::Progress(id, attempt, hop)),
-            chain::Event::Token(token) => {
-                session.had.push(token.clone());
-                let _ = session.reply.send(Reply::Token(token));
-                self.metrics.tokens.add(1, &[]);
-                self.handle(Event::Token(id, attempt));
-            }
-            chain::Event::Finished {
-                stop,
-                prompt_tokens,
-            } => {
-                session.end.stop = stop;
-                session.end.prompt_tokens = prompt_tokens;
-                // The driver still closes its streams: cancelled now, it would reset them, and the
-                // engines would take a whole answer for one that was given up.
-                session.running = None;
-                self.handle(Event::Finished(id, attempt));
-            }
-            chain::Event::Failed {
-                hop,
-                cause,
-                sent,
-                retry_after,
-            } => {
-                let place = usize::from(hop);
-                let failure = self.failure(id, place, cause::chain(cause), sent, retry_after);
-                self.handle(Event::Failed(id, attempt, failure));
-            }
-        }
-    }
-
-    fn call(&mut self, id: Id, attempt: Attempt, event: CallEvent) {
-        let Some(session) = self.current(id, attempt) else {
-            return;
-        };
-        match event {
-            CallEvent::Head(parts) => {
-                session.committed = true;
-                session.head = session.hash.map(|_| parts.clone());
-                let _ = session.reply.send(Reply::Head(parts));
-                self.handle(Event::Progress(id, attempt, 0));
-            }
-            CallEvent::Finished(body) => {
-                session.body = body;
-                self.handle(Event::Finished(id, attempt));
-            }
-            CallEvent::Failed(failure) => {
-                let committed = session.committed;
-                let failure =
-                    self.failure(id, 0, cause::service(failure.cause), failure.sent, None);
-                if committed {
-                    // Part of the answer is with the caller: a second run would be appended to it.
-                    self.finish(id, Outcome::Unknown);
-                }
-                self.handle(Event::Failed(id, attempt, failure));
-                if committed {
-                    self.handle(Event::Left(id));
-                    self.remove(id);
-                }
-            }
-        }
-    }
-
-    fn failure(
-        &self,
-        id: Id,
-        hop: usize,
-        cause: Cause,
-        sent: bool,
-        retry_after: Option<Duration>,
-    ) -> Failure {
-        let session = self.sessions.get(&id);
-        let running = session.and_then(|s| s.running.as_ref());
-        let stage = running.and_then(|r| r.stages.get(hop));
-        Failure {
-            endpoint: stage.map_or(EndpointId::MAX, |s| s.endpoint),
-            cause,
-            sent,
-            retry_after,
-        }
-    }
-
-    /// Id of a named endpoint in the bundle that the router knows.
-    fn endpoint(&self, name: &str) -> Option<EndpointId> {
-        let snapshot = self.snapshot.as_ref()?;
-        snapshot.view.bundle.endpoint(name)
-    }
-
-    /// Name and address of an endpoint.
-    fn stage(&self, hop: &Hop) -> Option<Stage> {
-        let snapshot = self.snapshot.as_ref()?;
-        let row = snapshot.view.bundle.endpoints.get(hop.endpoint as usize)?;
-        Some(Stage {
-            endpoint: hop.endpoint,
-            name: row.name.as_str().into(),
-            addr: row.addr,
-            from: hop.from,
-            to: hop.to,
-        })
-    }
-
     fn handle(&mut self, event: Event) {
         let now = self.now();
         let mut actions = std::mem::take(&mut self.actions);
--- /dev/null
+++ b/crates/entry/src/core/claims.rs
@@ -0,0 +1,93 @@
+//! What claims decide: whether a request with an idempotency key runs here, waits, or gets the
+//! answer that was kept.
+
+use super::message::{Note, Reply};
+use super::session::Session;
+use super::{Core, WHOLE_CALL};
+use crate::attempt::Work;
+use crate::claim::{self, Kept, Verdict};
+use route::event::Event;
+use route::outcome::Outcome;
+use route::request::Id;
+use std::sync::Arc;
+
+impl Core {
+    /// What becomes of a request that asked for its key.
+    pub(super) fn claimed(&mut self, id: Id, verdict: Verdict) {
+        match verdict {
+            Verdict::Run => self.run_claimed(id),
+            Verdict::Replay(kept) => self.replay(id, &kept),
+            Verdict::Error(error) => {
+                if let Some(session) = self.sessions.remove(&id) {
+                    self.metrics.ended(error.outcome);
+                    let _ = session.reply.send(Reply::Error(error));
+                }
+            }
+        }
+    }
+
+    /// Runs a request whose key it now holds. If its caller has left, control has been told so
+    /// and releases the key.
+    pub(super) fn run_claimed(&mut self, id: Id) {
+        let session = self.sessions.get_mut(&id);
+        if let Some(request) = session.and_then(|s| s.unclaimed.take()) {
+            self.refresh();
+            self.handle(Event::Arrive(request));
+        }
+    }
+
+    /// Gives a resend the answer of its key's run.
+    pub(super) fn replay(&mut self, id: Id, kept: &Kept) {
+        let Some(session) = self.sessions.remove(&id) else {
+            return;
+        };
+        self.metrics.replayed.add(1, &[]);
+        let reply = |reply| {
+            let _ = session.reply.send(reply);
+        };
+        match (kept, &session.work) {
+            (Kept::Tokens(tokens, end), _) => {
+                tokens.iter().for_each(|t| reply(Reply::Token(t.clone())));
+                reply(Reply::Done(*end));
+            }
+            (Kept::Call(head, body), Work::Call(call)) => {
+                reply(Reply::Head(head.clone()));
+                let _ = call.chunks.try_send(body.clone());
+                reply(Reply::Done(WHOLE_CALL));
+            }
+            (Kept::Call(..), Work::Tokens(_)) => {}
+        }
+    }
+
+    /// Tells control that a run under a key ended. Lost, the key would stay taken.
+    pub(super) fn ended(&mut self, id: Id, session: &Session, outcome: Outcome) {
+        let Some(hash) = session.hash else {
+            return;
+        };
+        if session.unclaimed.is_some() {
+            self.outbox.push_back(Note::Unclaim(id));
+        } else {
+            let kept = (outcome == Outcome::Complete)
+                .then(|| session.kept())
+                .flatten();
+            let ended = claim::Ended {
+                id,
+                hash,
+                outcome,
+                kept: kept.map(Arc::new),
+            };
+            self.outbox.push_back(Note::Ended(ended));
+        }
+        self.post();
+    }
+
+    /// Sends notes that must reach control, in order.
+    pub(super) fn post(&mut self) {
+        while let Some(note) = self.outbox.pop_front() {
+            if let Err(note) = self.notes.push(note) {
+                self.outbox.push_front(note);
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/core/progress.rs
@@ -0,0 +1,135 @@
+//! What attempts tell: progress, tokens, ends and failures.
+
+use super::Core;
+use super::message::Reply;
+use super::session::Session;
+use crate::attempt::{CallEvent, Stage};
+use crate::cause;
+use bundle::id::EndpointId;
+use engine::chain;
+use route::Attempt;
+use route::action::Hop;
+use route::event::Event;
+use route::failure::{Cause, Failure};
+use route::outcome::Outcome;
+use route::request::Id;
+use std::time::Duration;
+
+impl Core {
+    /// The session, if `attempt` is its current one. What an ended attempt still sends stops here.
+    pub(super) fn current(&mut self, id: Id, attempt: Attempt) -> Option<&mut Session> {
+        let session = self.sessions.get_mut(&id);
+        let session = session.filter(|s| s.running.as_ref().is_some_and(|r| r.attempt == attempt));
+        if session.is_none() {
+            self.metrics.stale.add(1, &[]);
+        }
+        session
+    }
+
+    pub(super) fn chain(&mut self, id: Id, attempt: Attempt, event: chain::Event) {
+        let Some(session) = self.current(id, attempt) else {
+            return;
+        };
+        match event {
+            chain::Event::Sent => {}
+            chain::Event::Progress { hop, .. } => self.handle(Event::Progress(id, attempt, hop)),
+            chain::Event::Token(token) => {
+                session.had.push(token.clone());
+                let _ = session.reply.send(Reply::Token(token));
+                self.metrics.tokens.add(1, &[]);
+                self.handle(Event::Token(id, attempt));
+            }
+            chain::Event::Finished {
+                stop,
+                prompt_tokens,
+            } => {
+                session.end.stop = stop;
+                session.end.prompt_tokens = prompt_tokens;
+                // The driver still closes its streams: cancelled now, it would reset them, and the
+                // engines would take a whole answer for one that was given up.
+                session.running = None;
+                self.handle(Event::Finished(id, attempt));
+            }
+            chain::Event::Failed {
+                hop,
+                cause,
+                sent,
+                retry_after,
+            } => {
+                let place = usize::from(hop);
+                let failure = self.failure(id, place, cause::chain(cause), sent, retry_after);
+                self.handle(Event::Failed(id, attempt, failure));
+            }
+        }
+    }
+
+    pub(super) fn call(&mut self, id: Id, attempt: Attempt, event: CallEvent) {
+        let Some(session) = self.current(id, attempt) else {
+            return;
+        };
+        match event {
+            CallEvent::Head(parts) => {
+                session.committed = true;
+                session.head = session.hash.map(|_| parts.clone());
+                let _ = session.reply.send(Reply::Head(parts));
+                self.handle(Event::Progress(id, attempt, 0));
+            }
+            CallEvent::Finished(body) => {
+                session.body = body;
+                self.handle(Event::Finished(id, attempt));
+            }
+            CallEvent::Failed(failure) => {
+                let committed = session.committed;
+                let failure =
+                    self.failure(id, 0, cause::service(failure.cause), failure.sent, None);
+                if committed {
+                    // Part of the answer is with the caller: a second run would be appended to it.
+                    self.finish(id, Outcome::Unknown);
+                }
+                self.handle(Event::Failed(id, attempt, failure));
+                if committed {
+                    self.handle(Event::Left(id));
+                    self.remove(id);
+                }
+            }
+        }
+    }
+
+    pub(super) fn failure(
+        &self,
+        id: Id,
+        hop: usize,
+        cause: Cause,
+        sent: bool,
+        retry_after: Option<Duration>,
+    ) -> Failure {
+        let session = self.sessions.get(&id);
+        let running = session.and_then(|s| s.running.as_ref());
+        let stage = running.and_then(|r| r.stages.get(hop));
+        Failure {
+            endpoint: stage.map_or(EndpointId::MAX, |s| s.endpoint),
+            cause,
+            sent,
+            retry_after,
+        }
+    }
+
+    /// Id of a named endpoint in the bundle that the router knows.
+    pub(super) fn endpoint(&self, name: &str) -> Option<EndpointId> {
+        let snapshot = self.snapshot.as_ref()?;
+        snapshot.view.bundle.endpoint(name)
+    }
+
+    /// Name and address of an endpoint.
+    pub(super) fn stage(&self, hop: &Hop) -> Option<Stage> {
+        let snapshot = self.snapshot.as_ref()?;
+        let row = snapshot.view.bundle.endpoints.get(hop.endpoint as usize)?;
+        Some(Stage {
+            endpoint: hop.endpoint,
+            name: row.name.as_str().into(),
+            addr: row.addr,
+            from: hop.from,
+            to: hop.to,
+        })
+    }
+}
