Constants stand at the top; detours count on pipes; refusals for room spread their return

Cause: read as a newcomer: constants and imports stood behind the code that uses them, a detour over a pipe was not counted, one refusal told all callers the same time. Change: as said. Conclusion: tests as before.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -18,7 +18,9 @@
 use futures::Stream;
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
+use rand::RngExt;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use steer::health::Outcome;
 use steer::shortage::Shortage;
@@ -35,6 +37,16 @@
 const SLOW: f64 = 1.5;
 /// Bytes of an answer that are gathered before it is passed on.
 const GATHERED: usize = 16 << 20;
+/// Longest body of a refusal that is read to keep its connection.
+const SHORT: usize = 64 << 10;
+/// Longest time for that.
+const DRAIN: Duration = Duration::from_millis(100);
+/// When to come back if all endpoints are full: a part of what an answer takes.
+const AFTER_FULL: Duration = Duration::from_millis(400);
+/// When to come back if endpoints are missing: about what an endpoint takes to load its layers.
+const AFTER_GONE: Duration = Duration::from_millis(800);
+/// When to come back if nothing is large enough: an endpoint more is needed.
+const AFTER_SIZE: Duration = Duration::from_secs(3);
 
 /// A request under way.
 pub(crate) struct Run<D: Dialect> {
@@ -344,7 +356,7 @@
     /// The answer when no further attempt is made.
     fn spent(&self) -> Refusal {
         match self.ran {
-            0 => Refusal::after(Reason::Unavailable, AFTER_FULL),
+            0 => Refusal::after(Reason::Unavailable, spread(AFTER_FULL)),
             _ if self.job.left().is_zero() => Refusal::new(Reason::Late),
             _ => Refusal::new(Reason::Lost),
         }
@@ -368,9 +380,6 @@
     }
 }
 
-use rand::RngExt;
-use std::sync::Arc;
-
 /// A refusal in words, with the stage that the head of a chain names.
 fn refused(status: StatusCode, unrun: bool, told: &Told) -> String {
     let run = if unrun { ", not run" } else { "" };
@@ -391,17 +400,6 @@
     }
 }
 
-/// Longest body of a refusal that is read to keep its connection.
-const SHORT: usize = 64 << 10;
-/// Longest time for that.
-const DRAIN: Duration = Duration::from_millis(100);
-/// When to come back if all endpoints are full: a part of what an answer takes.
-const AFTER_FULL: Duration = Duration::from_millis(400);
-/// When to come back if endpoints are missing: about what an endpoint takes to load its layers.
-const AFTER_GONE: Duration = Duration::from_millis(800);
-/// When to come back if nothing is large enough: an endpoint more is needed.
-const AFTER_SIZE: Duration = Duration::from_secs(3);
-
 /// Spreads the return of callers that were refused together over once to twice the time.
 fn spread(after: Duration) -> Duration {
     after.mul_f64(rand::rng().random_range(1.0..2.0))
--- a/crates/steer/src/search.rs
+++ b/crates/steer/src/search.rs
@@ -2,7 +2,7 @@
 //!
 //! A shortest path over a layered graph: from layer 0 on, a stage runs from where the last one
 //! ended up to some cut (a layer at which any endpoint begins or ends). The cost of a stage is
-//! its time for the request, dearer the fuller its memory is; a hop to another availability zone
+//! its time for the request, dearer the more of its memory or time is used; a hop to another availability zone
 //! costs its delay and its part of the shared pipe. An endpoint runs at most one stage of a chain,
 //! since engines refuse a chain that names one twice.
 
@@ -25,6 +25,21 @@
 /// Cost of a stage by itself, in seconds of a request: each stage is one more endpoint whose loss
 /// stalls the request.
 const STAGE: f64 = 0.004;
+/// How often a request's own transfer counts between availability zones. With 4, three zones with
+/// a cover each sent so many requests across that the pipes carried 1.1 times what they can, and
+/// the 99th percentile of the first event went from 0.2 to 1.3 s within ten seconds.
+const PIPE: f64 = 60.0;
+/// By how much the price of an endpoint grows until its memory is full, as a multiple of its price
+/// when empty. Even, since nodes see uses that are up to a second old: where the price grows
+/// steeply, all leave an endpoint at once and come back at once.
+const SLOPE: f64 = 5.0;
+/// How busy an endpoint counts at the most, as a multiple of what it can do.
+const MOST_BUSY: f64 = 3.0;
+/// Part of an endpoint's memory past which its price does not grow.
+const MOST_USED: f64 = 0.95;
+/// Part of a pipe that is used at the most. Past it every request on the pipe is late: with zones
+/// whose covers had holes, chains crossed up to 13 times, and first events took over a second.
+const MOST_PIPE: f64 = 0.75;
 
 /// A stage: an index into the rows, and its layers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,13 +74,16 @@
     pub(crate) now: Now,
 }
 
+/// A cut and an availability zone, by number: where a way through the layers stands.
+type Place = (usize, usize);
+
 /// The cheapest way to have run all layers before a cut, with the last stage in one zone.
 #[derive(Clone, Copy, Debug)]
 struct Best {
     cost: f64,
     part: Part,
-    /// Cut and zone before this stage.
-    from: Option<(usize, usize)>,
+    /// Where the way stood before this stage.
+    from: Option<Place>,
 }
 
 impl Search<'_> {
@@ -157,11 +175,11 @@
         row: &Row,
         index: usize,
         need: &Need,
-    ) -> Option<(f64, Option<(usize, usize)>)> {
+    ) -> Option<(f64, Option<Place>)> {
         if at == 0 {
             return Some((0.0, None));
         }
-        let mut found: Option<(f64, Option<(usize, usize)>)> = None;
+        let mut found: Option<(f64, Option<Place>)> = None;
         for zone in 0..self.zones {
             let Some(before) = best[at * self.zones + zone] else {
                 continue;
@@ -181,7 +199,7 @@
     }
 
     /// Whether the way to a state has a stage on this row.
-    fn names(&self, best: &[Option<Best>], mut state: (usize, usize), row: usize) -> bool {
+    fn names(&self, best: &[Option<Best>], mut state: Place, row: usize) -> bool {
         while let Some(before) = best[state.0 * self.zones + state.1] {
             if before.part.row == row {
                 return true;
@@ -244,22 +262,6 @@
     }
 }
 
-/// How often a request's own transfer counts between availability zones. With 4, three zones with
-/// a cover each sent so many requests across that the pipes carried 1.1 times what they can, and
-/// the 99th percentile of the first event went from 0.2 to 1.3 s within ten seconds.
-const PIPE: f64 = 60.0;
-/// By how much the price of an endpoint grows until its memory is full, as a multiple of its price
-/// when empty. Even, since nodes see uses that are up to a second old: where the price grows
-/// steeply, all leave an endpoint at once and come back at once.
-const SLOPE: f64 = 5.0;
-/// How busy an endpoint counts at the most, as a multiple of what it can do.
-const MOST_BUSY: f64 = 3.0;
-/// Part of an endpoint's memory past which its price does not grow.
-const MOST_USED: f64 = 0.95;
-/// Part of a pipe that is used at the most. Past it every request on the pipe is late: with zones
-/// whose covers had holes, chains crossed up to 13 times, and first events took over a second.
-const MOST_PIPE: f64 = 0.75;
-
 /// Bits that a request sends over one hop.
 pub(crate) fn bits(engine: &Engine, need: &Need) -> f64 {
     need.tokens() * engine.activation_bytes * 8.0
--- a/crates/steer/src/table.rs
+++ b/crates/steer/src/table.rs
@@ -135,7 +135,6 @@
 
     /// The endpoint with the least under way; among equals a random one.
     fn plain(&mut self, now: Now, service: &Service, tried: &[Run]) -> Result<Target> {
-        let nodes = self.fleet.nodes.max(1) as u32;
         let mut known = false;
         let mut found: Option<(u32, u32, usize)> = None;
         let mut full = false;
@@ -147,8 +146,7 @@
             if !row.open(now) {
                 continue;
             }
-            // Whatever the other nodes have there is guessed from this one's own part.
-            if row.flying * nodes > row.endpoint.slots * PLAIN_QUEUE * nodes {
+            if row.flying > row.endpoint.slots.max(1) * PLAIN_QUEUE {
                 full = true;
                 continue;
             }
@@ -194,16 +192,22 @@
             now,
         };
         let parts = search.chain(need)?;
-        let bits = search::bits(engine, need);
-        for hop in parts.windows(2) {
-            let (a, b) = (self.rows[hop[0].row].zone, self.rows[hop[1].row].zone);
-            if a != b {
-                self.pipes.send(now, a, b, bits);
-            }
-        }
+        let zones: Vec<usize> = parts.iter().map(|p| self.rows[p.row].zone).collect();
+        self.send(now, &zones, search::bits(engine, need));
         Ok(self.hold(now, &parts, need.tokens()))
     }
 
+    /// Counts what goes over pipes when each of these zones hands on to the next.
+    fn send(&mut self, now: Now, zones: &[usize], bits: f64) {
+        let hops = zones.windows(2).filter(|hop| hop[0] != hop[1]);
+        hops.for_each(|hop| self.pipes.send(now, hop[0], hop[1], bits));
+    }
+
+    /// The zone of a stage's endpoint, if it is still known.
+    fn zone_of(&self, stage: &Stage) -> Option<usize> {
+        self.index.get(&stage.run).map(|&at| self.rows[at].zone)
+    }
+
     /// The endpoints that a stage may run on, each with its chance factor.
     fn candidates(&self, usable: impl Fn(&Row) -> bool) -> Vec<Candidate<'_>> {
         // A generator of its own, since the table is borrowed by the candidates.
@@ -300,6 +304,14 @@
             };
             search.chain(need)?
         };
+        let around = &target.stages[place - 1..];
+        let new = parts.iter().map(|p| Some(self.rows[p.row].zone));
+        let zones = std::iter::once(self.zone_of(&around[0]));
+        let zones = zones
+            .chain(new)
+            .chain(around.get(2).map(|s| self.zone_of(s)));
+        let zones: Vec<usize> = zones.flatten().collect();
+        self.send(now, &zones, search::bits(engine, need));
         let (shares, stages) = self.take(&parts, need.tokens());
         if let Some(held) = self.holds.get_mut(&target.hold) {
             let gone = held.parts.iter().position(|s| s.addr == culprit);
@@ -379,9 +391,6 @@
     }
 
     fn budget(&mut self, service: &str) -> &mut Budget {
-        if !self.budgets.contains_key(service) {
-            self.budgets.insert(service.to_owned(), Budget::default());
-        }
         self.budgets.entry(service.to_owned()).or_default()
     }
 
@@ -417,7 +426,7 @@
     }
 }
 
-/// Requests of one node at a plain endpoint, as a multiple of its slots, from which on it counts
+/// Requests of this node at a plain endpoint, as a multiple of its slots, from which on it counts
 /// as full: more would wait longer than they would take elsewhere later.
 const PLAIN_QUEUE: u32 = 3;
 
