--- a/crates/steer/src/search.rs
+++ b/crates/steer/src/search.rs
@@ -7,7 +7,7 @@
 //! since engines refuse a chain that names one twice.
 
 use crate::Now;
-use crate::chain::Need;
+use crate::chain::{FILL, FILL_URGENT, Need};
 use crate::pipe::Pipes;
 use crate::row::Row;
 use crate::shortage::Shortage;
@@ -17,11 +17,6 @@
 
 /// Most stages of a chain that an engine takes.
 const STAGES: usize = 32;
-/// Part of an endpoint's room that requests without urgency may fill. What is left takes the
-/// growth of answers that get longer than expected; without it the newest would be preempted.
-const FILL: f64 = 0.92;
-/// The same for urgent requests.
-const FILL_URGENT: f64 = 0.97;
 /// Cost of a stage by itself, in seconds of a request: each stage is one more endpoint whose loss
 /// stalls the request.
 const STAGE: f64 = 0.004;
