--- a/crates/steer/src/budget.rs
+++ b/crates/steer/src/budget.rs
@@ -25,6 +25,11 @@
 /// Part of the allowance that is used: counts of a window lag behind at its edges.
 const USED: f64 = 0.6;
 
+/// Further attempts of the fixed part that a node takes in its first window at the most. It knows
+/// few of the others then: after a loss of many nodes at once each took the whole fixed part for
+/// its own, and 84 of them went over what is allowed together.
+const YOUNG: f64 = 4.0;
+
 /// Counts of one slot.
 #[derive(Clone, Copy, Debug, Default)]
 struct Count {
@@ -59,7 +64,10 @@
         self.at(now, allowance);
         let first: u64 = self.counts.iter().map(|c| c.first).sum();
         let further: u64 = self.counts.iter().map(|c| c.further).sum();
-        let slack = allowance.slack / nodes.max(1) as f64;
+        let slack = match now < allowance.window {
+            true => (allowance.slack / nodes.max(1) as f64).min(YOUNG),
+            false => allowance.slack / nodes.max(1) as f64,
+        };
         let most = USED * (allowance.ratio * first as f64 + slack);
         (further + 1) as f64 <= most
     }
