Read-through: one piece of code where the change had two

Read against its base, the change held twins of what was there and state nobody read: its own start time and metrics provider beside node::process's, catalog::raw's Service and Route beside service::Service and route::Route, counters in gate::Stats beside the metrics, fields that were always zero, a caller stand-in written twice (hosted and soak tests), the caller's head read more than once a request, an endpoint's use computed for each pair in the search.

Change. node::process serves both processes; raw::Route is route::Route with shares; Catalog::route_id replaces a scan by pointer; the head is read once; one `kept` decides on passed and returned headers; an endpoint's use is computed once a candidate; dead fields and methods are gone; platform/standin/caller.rs serves both tests. Control::run takes its channels instead of Control holding dummies. No assertion of a test changed; test edits are imports, the caller moved, and the metrics made from a meter.

--- a/crates/catalog/src/checked.rs
+++ b/crates/catalog/src/checked.rs
@@ -36,13 +36,19 @@
 impl Catalog {
     /// The route of a path on `host`, which may carry a port.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let id = self.route_id(host, path)?;
+        self.routes.get(id as usize)
+    }
+
+    /// The id of that route.
+    pub fn route_id(&self, host: &str, path: &str) -> Option<RouteId> {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
         let rows = match self.hosts.get(name) {
             Some(rows) => rows,
             None => self.hosts.get(&name.to_ascii_lowercase())?,
         };
-        let mut routes = rows.iter().map(|&id| &self.routes[id as usize]);
-        routes.find(|r| path.starts_with(&r.prefix))
+        let fits = |id: &RouteId| path.starts_with(&self.routes[*id as usize].prefix);
+        rows.iter().copied().find(fits)
     }
 
     /// The team that holds `key`.
@@ -84,7 +90,7 @@
             version: tables.version,
             hosts: hosts(&routes),
             routes,
-            services: tables.services.into_iter().map(service).collect(),
+            services: tables.services,
             teams,
             keyed: tables.teams.is_some(),
             limits: tables.limits,
@@ -93,14 +99,6 @@
     }
 }
 
-fn service(raw: raw::Service) -> Service {
-    Service {
-        name: raw.name,
-        connections: raw.connections,
-        engine: raw.engine,
-    }
-}
-
 fn route(
     raw: raw::Route,
     services: &HashMap<String, ServiceId>,
--- a/crates/catalog/src/route.rs
+++ b/crates/catalog/src/route.rs
@@ -6,7 +6,7 @@
 
 /// Where requests of one host and path prefix go.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Route {
+pub struct Route<S = Share> {
     /// Its name.
     pub name: String,
     /// Host that callers name, in lower case.
@@ -22,7 +22,7 @@
     /// Rank, 0 first.
     pub priority: u8,
     /// Services that share the requests.
-    pub split: Vec<Share>,
+    pub split: Vec<S>,
     /// Endpoints that one request may be sent to.
     pub attempts: u32,
     /// Whether no key is asked for.
--- a/crates/catalog/src/source.rs
+++ b/crates/catalog/src/source.rs
@@ -4,7 +4,7 @@
 //! Offsets order all changes of a table, so two copies of it can be compared: the one that is
 //! known further replaces the other, and a node that can't read the source takes a peer's copy.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// Place of a change in its table.
@@ -48,9 +48,9 @@
         }
         let mut changed = Vec::new();
         if page.whole {
-            let named: Vec<&str> = page.records.iter().map(|r| r.key.as_str()).collect();
+            let named: BTreeSet<&str> = page.records.iter().map(|r| r.key.as_str()).collect();
             let lost = self.rows.values().filter(|r| r.value.is_some());
-            let lost = lost.filter(|r| !named.contains(&r.key.as_str()));
+            let lost = lost.filter(|r| !named.contains(r.key.as_str()));
             let lost: Vec<String> = lost.map(|r| r.key.clone()).collect();
             for key in lost {
                 let gone = Record {
@@ -64,10 +64,8 @@
         }
         for record in page.records {
             let known = self.rows.get(&record.key);
-            if known.is_some_and(|k| k.offset >= record.offset && k.value == record.value) {
-                continue;
-            }
-            if known.is_some_and(|k| k.offset > record.offset) {
+            let same = |k: &Record| k.offset == record.offset && k.value == record.value;
+            if known.is_some_and(|k| k.offset > record.offset || same(k)) {
                 continue;
             }
             changed.push(record.key.clone());
--- a/crates/catalog/tests/catalog.rs
+++ b/crates/catalog/tests/catalog.rs
@@ -3,7 +3,8 @@
 use catalog::Catalog;
 use catalog::kind::{Kind, Stream};
 use catalog::limits::Limits;
-use catalog::raw::{Route, Service, Share, Tables, Team};
+use catalog::raw::{Route, Share, Tables, Team};
+use catalog::service::Service;
 use std::time::Duration;
 
 fn route(name: &str, host: &str, prefix: &str, service: &str) -> Route {
--- a/crates/gate/src/admit.rs
+++ b/crates/gate/src/admit.rs
@@ -5,7 +5,7 @@
 use crate::refusal::{Reason, Refusal};
 use bytes::Bytes;
 use catalog::{Catalog, RouteId};
-use http::header::{CONNECTION, HOST};
+use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
 use http::request::Parts;
 use http::{HeaderMap, HeaderName};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -37,29 +37,19 @@
     pub team: Option<catalog::team::Team>,
 }
 
-/// Checks a head.
-pub fn head<D: Dialect>(
-    dialect: &D,
-    catalog: &Catalog,
-    parts: &Parts,
-) -> Result<Admitted, Refusal> {
-    let ask = dialect.ask(&parts.headers);
+/// Checks a head, of which `ask` was read.
+pub fn head(catalog: &Catalog, parts: &Parts, ask: Ask) -> Result<Admitted, Refusal> {
     let host = parts.headers.get(HOST).and_then(|h| h.to_str().ok());
     let host = host.or(parts.uri.host()).unwrap_or_default();
     let route = catalog
-        .route(host, parts.uri.path())
+        .route_id(host, parts.uri.path())
         .ok_or(Refusal::new(Reason::NoRoute))?;
     let team = ask.key.as_deref().and_then(|k| catalog.team(k)).cloned();
-    if catalog.keyed && !route.public && team.is_none() {
+    let public = catalog.routes[route as usize].public;
+    if catalog.keyed && !public && team.is_none() {
         return Err(Refusal::new(Reason::NoKey));
     }
-    let at = catalog.routes.iter().position(|r| std::ptr::eq(r, route));
-    let route = at.and_then(|at| RouteId::try_from(at).ok());
-    Ok(Admitted {
-        ask,
-        route: route.ok_or(Refusal::new(Reason::NoRoute))?,
-        team,
-    })
+    Ok(Admitted { ask, route, team })
 }
 
 /// Reads a body of at most `most` bytes.
@@ -109,18 +99,20 @@
 
 /// Headers that are passed on to an endpoint.
 fn passed<D: Dialect>(dialect: &D, headers: &HeaderMap) -> HeaderMap {
-    let named = connection_names(headers);
-    let kept = headers.iter().filter(|(name, _)| {
-        !hop(name, &named) && !dialect.withheld(name) && *name != http::header::CONTENT_LENGTH
-    });
-    kept.map(|(n, v)| (n.clone(), v.clone())).collect()
+    kept(headers, |name| !dialect.withheld(name))
 }
 
 /// Headers of an endpoint's answer that are passed on to the caller.
 pub fn returned(headers: &HeaderMap) -> HeaderMap {
+    kept(headers, |_| true)
+}
+
+/// Headers that concern more than one connection and that `wanted` keeps. The length is that of
+/// the body as it is sent on.
+fn kept(headers: &HeaderMap, wanted: impl Fn(&HeaderName) -> bool) -> HeaderMap {
     let named = connection_names(headers);
     let kept = headers.iter();
-    let kept = kept.filter(|(n, _)| !hop(n, &named) && *n != http::header::CONTENT_LENGTH);
+    let kept = kept.filter(|(n, _)| !hop(n, &named) && *n != CONTENT_LENGTH && wanted(n));
     kept.map(|(n, v)| (n.clone(), v.clone())).collect()
 }
 
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -139,7 +139,7 @@
                         let reason = if late { Reason::Late } else { Reason::Lost };
                         return Ending::Own(Refusal::new(reason));
                     }
-                    if unsent > UNSENT || !self.again(failure.arrived()) {
+                    if unsent > UNSENT || !self.again(failure.ran()) {
                         return Ending::Own(self.spent());
                     }
                 }
@@ -152,10 +152,7 @@
         let status = sent.response.status();
         if sent.unrun() {
             self.decline(sent).await;
-            return match self.again(true) {
-                true => None,
-                false => Some(Ending::Own(self.spent())),
-            };
+            return self.again_or_spent();
         }
         self.ran += 1;
         let stream = self.job.kind().stream().is_some() && status == StatusCode::OK;
@@ -169,10 +166,7 @@
             if !self.job.kind().repeatable() {
                 return Some(Ending::Own(Refusal::new(Reason::Lost)));
             }
-            return match self.again(true) {
-                true => None,
-                false => Some(Ending::Own(self.spent())),
-            };
+            return self.again_or_spent();
         };
         if repeat && told.sealed && self.job.left() > Duration::ZERO && self.again(true) {
             self.story.failed(&format!("status {status}"), true);
@@ -231,6 +225,15 @@
         }
     }
 
+    /// Nothing if the request is sent once more after an attempt that reached an endpoint, or else
+    /// the answer that ends it.
+    fn again_or_spent(&mut self) -> Option<Ending<D>> {
+        match self.again(true) {
+            true => None,
+            false => Some(Ending::Own(self.spent())),
+        }
+    }
+
     /// Whether the request may be sent once more; `arrived` if the last attempt counts as one
     /// that reached an endpoint.
     pub(crate) fn again(&mut self, arrived: bool) -> bool {
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -76,16 +76,11 @@
 }
 
 impl Failure {
-    /// Whether the request may have run.
+    /// Whether the request may have reached the endpoint, and have run.
     pub(crate) fn ran(self) -> bool {
         self != Self::Unsent
     }
 
-    /// Whether it may have reached the endpoint.
-    pub(crate) fn arrived(self) -> bool {
-        self.ran()
-    }
-
     fn word(self) -> &'static str {
         match self {
             Self::Unsent => "no connection",
--- a/crates/gate/src/forward/look.rs
+++ b/crates/gate/src/forward/look.rs
@@ -9,7 +9,6 @@
 use super::attempt::Held;
 use crate::dialect::{Account, Dialect};
 use crate::worker::Worker;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -53,12 +52,13 @@
     /// The account of an engine, not much older than [`FRESH`].
     async fn account(&self, addr: SocketAddr) -> Option<Rc<Account>> {
         let known = self.accounts.borrow().get(&addr).cloned();
-        if let Some(known) = known.filter(|a| a.at.elapsed() < FRESH) {
-            return known.account;
+        let fresh = known.as_ref().is_some_and(|k| k.at.elapsed() < FRESH);
+        let account = known.and_then(|k| k.account);
+        if fresh {
+            return account;
         }
         // Those that come meanwhile take the old account instead of asking too.
-        let old = known_account(&self.accounts.borrow(), addr);
-        self.keep(addr, old);
+        self.keep(addr, account);
         let asked = timeout(ANSWER, self.dialect.account(addr)).await;
         let account = asked.ok().flatten().map(Rc::new);
         self.keep(addr, account.clone());
@@ -72,10 +72,6 @@
     }
 }
 
-fn known_account(accounts: &HashMap<SocketAddr, Known>, addr: SocketAddr) -> Option<Rc<Account>> {
-    accounts.get(&addr).and_then(|k| k.account.clone())
-}
-
 impl<D: Dialect> Run<D> {
     /// Asks the head of a silent answer what it waits for. Dropped before its end, it changes
     /// nothing, so that an event which comes meanwhile is passed on at once.
--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -1,10 +1,8 @@
 //! Counters and latency histograms of a node, as text for a collector.
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
 use prometheus::{Encoder, Registry, TextEncoder};
-use std::sync::Arc;
 use std::time::Duration;
 
 /// Bounds of the histograms, in seconds: from a hop within a zone to a caller's longest wait.
@@ -12,7 +10,7 @@
     0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0,
 ];
 
-/// Why the metrics can't be made.
+/// Why there is no text.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Error(String);
 
@@ -24,15 +22,13 @@
 
 impl std::error::Error for Error {}
 
-/// Result of making metrics or their text.
+/// Result of making the text.
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// The instruments of a node; clones share them.
 #[derive(Clone)]
 pub struct Metrics {
     registry: Registry,
-    /// Held as long as the instruments are used.
-    _provider: Arc<SdkMeterProvider>,
     requests: Counter<u64>,
     attempts: Counter<u64>,
     reads: Counter<u64>,
@@ -47,16 +43,8 @@
 }
 
 impl Metrics {
-    /// Instruments with a registry of their own.
-    pub fn new() -> Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .build()
-            .map_err(|e| Error(e.to_string()))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("wigeonshelf");
+    /// Instruments of `meter`, whose values `registry` gathers.
+    pub fn new(meter: &Meter, registry: Registry) -> Self {
         let seconds = |name: &'static str, about: &'static str| {
             let histogram = meter.f64_histogram(name).with_unit("s");
             let histogram = histogram.with_boundaries(BOUNDS.to_vec());
@@ -65,7 +53,7 @@
         let count = |name: &'static str, about: &'static str| {
             meter.u64_counter(name).with_description(about).build()
         };
-        Ok(Self {
+        Self {
             requests: count("wigeonshelf_requests", "Requests by outcome and status"),
             attempts: count("wigeonshelf_attempts", "Attempts by how they ended"),
             reads: count(
@@ -84,8 +72,7 @@
                 .with_unit("s")
                 .build(),
             registry,
-            _provider: Arc::new(provider),
-        })
+        }
     }
 
     /// A request ended.
--- a/crates/gate/src/pool.rs
+++ b/crates/gate/src/pool.rs
@@ -50,8 +50,6 @@
     addr: SocketAddr,
     /// How long it may stay idle and still be used.
     idle: Duration,
-    /// Whether it was used before.
-    pub reused: bool,
 }
 
 #[derive(Debug)]
@@ -100,7 +98,6 @@
     /// Keeps a connection whose answer was read to its end.
     pub fn keep(&self, mut conn: Conn, idle: Option<Duration>) {
         conn.idle = idle.map_or(IDLE, |i| i.mul_f64(IDLE_PART));
-        conn.reused = true;
         let since = Instant::now();
         let mut kept = self.idle.borrow_mut();
         let list = kept.entry(conn.addr).or_default();
@@ -152,6 +149,5 @@
         sender,
         addr,
         idle: IDLE,
-        reused: false,
     })
 }
--- a/crates/gate/src/splice.rs
+++ b/crates/gate/src/splice.rs
@@ -11,7 +11,6 @@
 use crate::forward::attempt::{Held, Sent};
 use crate::forward::look::{self, Look};
 use crate::forward::{Run, closes};
-use crate::stats;
 use bytes::Bytes;
 use futures::Stream;
 use http::{HeaderMap, StatusCode};
@@ -271,13 +270,11 @@
                 self.run.worker.pool.keep(sent.conn, sent.told.idle);
             }
         }
-        stats::add(&self.run.worker.stats.answered);
         self.run.story.answered(StatusCode::OK.as_u16());
     }
 
     fn broken(&mut self) -> Broken {
         self.done = true;
-        stats::add(&self.run.worker.stats.broken);
         self.run.story.broken();
         Broken
     }
--- a/crates/gate/src/stats.rs
+++ b/crates/gate/src/stats.rs
@@ -1,4 +1,4 @@
-//! Counters of one worker.
+//! What a worker counts for itself and its dump; what operators collect is in the metrics.
 
 use std::cell::Cell;
 use std::fmt;
@@ -6,14 +6,6 @@
 /// Counters; a worker's own thread alone counts.
 #[derive(Debug, Default)]
 pub struct Stats {
-    /// Requests that came.
-    pub requests: Cell<u64>,
-    /// Requests that got an endpoint's answer.
-    pub answered: Cell<u64>,
-    /// Requests that the node refused or failed by itself.
-    pub refused: Cell<u64>,
-    /// Answers that were broken off.
-    pub broken: Cell<u64>,
     /// Attempts beyond the first.
     pub again: Cell<u64>,
     /// Connections made to endpoints.
@@ -37,10 +29,6 @@
 impl fmt::Display for Stats {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let rows = [
-            ("requests", &self.requests),
-            ("answered", &self.answered),
-            ("refused", &self.refused),
-            ("broken", &self.broken),
             ("again", &self.again),
             ("dialed", &self.dialed),
             ("untold", &self.untold),
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -206,12 +206,10 @@
         request: Request<Incoming>,
     ) -> Response<Answer<impl Stream<Item = Chunk>>> {
         let came = Instant::now();
-        stats::add(&self.stats.requests);
         let flight = Flight::new(self.stats.clone());
         match self.admit(request, came).await {
             Ok(job) => forward::run(self, job, flight).await,
             Err((refusal, id)) => {
-                stats::add(&self.stats.refused);
                 self.tell_refusal(&id, refusal, came);
                 refusal.response()
             }
@@ -224,7 +222,8 @@
         came: Instant,
     ) -> Result<Job, (Refusal, String)> {
         let (parts, incoming) = request.into_parts();
-        let id = self.dialect.ask(&parts.headers).id.unwrap_or_default();
+        let ask = self.dialect.ask(&parts.headers);
+        let id = ask.id.clone().unwrap_or_default();
         let checked = async {
             let away = |reason| Refusal::after(reason, ELSEWHERE);
             let view = self.view().ok_or(away(Reason::NoCatalog))?;
@@ -232,7 +231,7 @@
                 return Err(away(Reason::Leaving));
             }
             let catalog = &view.fleet.catalog;
-            let admitted = admit::head(&self.dialect, catalog, &parts)?;
+            let admitted = admit::head(catalog, &parts, ask)?;
             let body = admit::body(incoming, catalog.limits.body_bytes).await?;
             let draw = rand::rng().random();
             admit::job(&self.dialect, catalog, admitted, parts, body, came, draw)
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -10,7 +10,8 @@
 use catalog::engine::{Accelerator, Engine, Size};
 use catalog::kind::{Kind, Stream};
 use catalog::limits::Limits;
-use catalog::raw::{Route, Service, Share, Tables, Team};
+use catalog::raw::{Route, Share, Tables, Team};
+use catalog::service::Service;
 use catalog::{Catalog, Layer};
 use dialect::Plain;
 use gate::listener::{self, Port, Stop};
@@ -18,6 +19,7 @@
 use gate::view::{Board, View};
 use gate::worker::{Parts, Worker};
 use journal::Journal;
+use prometheus::Registry;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -169,7 +171,7 @@
     tokio::task::spawn_local(async move { while noted.recv().await.is_some() {} });
     let (dumps, _) = mpsc::channel(1);
     let worker = Worker::new(Parts {
-        metrics: Metrics::new().unwrap(),
+        metrics: Metrics::new(&opentelemetry::global::meter("test"), Registry::new()),
         dumps,
         dialect: Plain,
         board: board.clone(),
--- a/crates/journal/src/event.rs
+++ b/crates/journal/src/event.rs
@@ -17,8 +17,6 @@
     Stop {
         /// Why.
         reason: &'static str,
-        /// Requests in flight.
-        flying: usize,
     },
     /// The settings were read again.
     Reload {
--- a/crates/node/src/hosted/control.rs
+++ b/crates/node/src/hosted/control.rs
@@ -47,10 +47,6 @@
     pub board: Board,
     /// Decisions are told here.
     pub journal: Journal,
-    /// What the worker finds out about endpoints.
-    pub noted: mpsc::Receiver<Note>,
-    /// Questions for control's part of a dump.
-    pub asked: mpsc::Receiver<oneshot::Sender<String>>,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// The node begins to leave.
@@ -60,8 +56,13 @@
 }
 
 impl Control {
-    /// Runs until `end`.
-    pub async fn run(mut self) -> Result<()> {
+    /// Runs until `end`; the worker tells through `noted` what it finds out about endpoints, and
+    /// asks through `asked` for control's part of a dump.
+    pub async fn run(
+        self,
+        noted: mpsc::Receiver<Note>,
+        asked: mpsc::Receiver<oneshot::Sender<String>>,
+    ) -> Result<()> {
         let (inbound, peers) = mpsc::channel(INBOUND);
         let setup = Setup {
             listen: self.settings.peers,
@@ -87,11 +88,7 @@
             ));
         }
         tokio::spawn(from_peers(peers, inputs.clone()));
-        let (_, none) = mpsc::channel(1);
-        let noted = std::mem::replace(&mut self.noted, none);
         tokio::spawn(from_worker(noted, inputs.clone()));
-        let (_, none) = mpsc::channel(1);
-        let asked = std::mem::replace(&mut self.asked, none);
         let end = self.end.clone();
         let state = State::new(self, platform, link, inputs, reads);
         serve(state, taken, asked, end).await;
--- a/crates/node/src/hosted/control/orders.rs
+++ b/crates/node/src/hosted/control/orders.rs
@@ -181,8 +181,7 @@
         let (report, given) = (None, Given::Refused);
         return Ordered { report, given };
     };
-    let another = report.born != 0 && order.run.born != 0 && report.born != order.run.born;
-    let given = match another || report.busy || report.span != order.held {
+    let given = match report.of_another(&order.run) || report.busy || report.span != order.held {
         true => Given::Refused,
         false => control.place(order, report.orders).await,
     };
--- a/crates/node/src/hosted/control/readers.rs
+++ b/crates/node/src/hosted/control/readers.rs
@@ -45,13 +45,9 @@
         zones.dedup();
         let poller = |zone: &String| open.iter().find(|p| p.identity.zone == *zone).copied();
         let pollers: Vec<&Peer> = zones.iter().filter_map(poller).collect();
-        let addr = |p: &&&Peer| p.identity.addr;
         let others = |peers: &[&Peer]| -> Vec<SocketAddr> {
-            peers
-                .iter()
-                .filter(|p| p.id != me)
-                .map(|p| addr(&p))
-                .collect()
+            let others = peers.iter().filter(|p| p.id != me);
+            others.map(|p| p.identity.addr).collect()
         };
         let polls = pollers.iter().filter(|p| p.id == me);
         Self {
--- a/crates/node/src/hosted/control/state/share.rs
+++ b/crates/node/src/hosted/control/state/share.rs
@@ -103,7 +103,7 @@
             return self.loads.missed(now, &run.to_string());
         };
         // Another run has the address by now; its own row will tell of it.
-        if report.born != 0 && run.born != 0 && report.born != run.born {
+        if report.of_another(&run) {
             return;
         }
         self.loads.reported(now, &run.to_string(), &report);
--- a/crates/node/src/hosted/process.rs
+++ b/crates/node/src/hosted/process.rs
@@ -7,7 +7,7 @@
 
 use super::control::Control;
 use super::settings::{self, Settings};
-use crate::process::runtime;
+use crate::process::{incarnation, provider, runtime};
 use adapter::header::Headers;
 use eyre::{Result, WrapErr};
 use gate::listener::{self, Port, Stop};
@@ -16,12 +16,14 @@
 use gate::worker::{Parts, Worker};
 use journal::Journal;
 use journal::event::Event;
+use opentelemetry::metrics::MeterProvider;
+use prometheus::Registry;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
@@ -73,7 +75,10 @@
     let seed = seed(&settings.name, incarnation);
     let (notes, noted) = mpsc::channel(NOTES);
     let (dumps, asked) = mpsc::channel(DUMPS);
-    let metrics = Metrics::new()?;
+    let registry = Registry::new();
+    // Held until the end: the instruments work as long as it does.
+    let provider = provider(&registry)?;
+    let metrics = Metrics::new(&provider.meter("wigeonshelf"), registry);
     let parts = Parts {
         metrics: metrics.clone(),
         dumps,
@@ -91,14 +96,12 @@
         seed,
         board,
         journal: journal.clone(),
-        noted,
-        asked,
         metrics,
         leave: ends.leave.clone(),
         end: ends.control.clone(),
     };
     let builder = std::thread::Builder::new().name("control".to_owned());
-    let control = builder.spawn(move || runtime()?.block_on(control.run()))?;
+    let control = builder.spawn(move || runtime()?.block_on(control.run(noted, asked)))?;
     let watched = Watched {
         file: file.to_owned(),
         settings,
@@ -110,10 +113,7 @@
             .join()
             .map_err(|_| eyre::eyre!("a thread panicked"))??;
     }
-    journal.tell(Event::Stop {
-        reason: "ended",
-        flying: 0,
-    });
+    journal.tell(Event::Stop { reason: "ended" });
     writer.finish(LAST_LINES);
     result
 }
@@ -202,7 +202,6 @@
     let begun = tokio::time::Instant::now();
     watched.journal.tell(Event::Stop {
         reason: "signal to end",
-        flying: 0,
     });
     ends.leave.cancel();
     tokio::select! {
@@ -246,12 +245,6 @@
     }
 }
 
-/// When this process started, in milliseconds of Unix time: a restart has a higher one.
-fn incarnation() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
-}
-
 fn seed(name: &str, incarnation: u64) -> u64 {
     member::identity::id(name) ^ incarnation.rotate_left(20)
 }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -48,7 +48,12 @@
         eprintln!("--config is missing");
         return Err(ExitCode::from(BAD_SETTINGS));
     };
-    settings::load(file).map_err(|findings| {
+    told(settings::load(file))
+}
+
+/// Checked settings, or their findings on standard error.
+fn told<T>(checked: settings::Result<T>) -> std::result::Result<T, ExitCode> {
+    checked.map_err(|findings| {
         findings.iter().for_each(|finding| eprintln!("{finding}"));
         ExitCode::from(BAD_SETTINGS)
     })
@@ -80,10 +85,7 @@
 }
 
 fn load_hosted(file: &Path) -> std::result::Result<hosted::settings::Settings, ExitCode> {
-    hosted::settings::load(file).map_err(|findings| {
-        findings.iter().for_each(|finding| eprintln!("{finding}"));
-        ExitCode::from(BAD_SETTINGS)
-    })
+    told(hosted::settings::load(file))
 }
 
 fn run_hosted(file: &Path) -> ExitCode {
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -197,7 +197,8 @@
         .map_err(|_| eyre::eyre!("thread {name} panicked"))
 }
 
-fn provider(registry: &Registry) -> Result<SdkMeterProvider> {
+/// Gives out instruments whose values `registry` gathers.
+pub(crate) fn provider(registry: &Registry) -> Result<SdkMeterProvider> {
     let exporter = opentelemetry_prometheus::exporter()
         .with_registry(registry.clone())
         .without_target_info()
@@ -261,7 +262,7 @@
 }
 
 /// When this process started, in milliseconds of Unix time: a restart has a higher one.
-fn incarnation() -> u64 {
+pub(crate) fn incarnation() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
 }
--- a/crates/node/tests/hosted.rs
+++ b/crates/node/tests/hosted.rs
@@ -3,10 +3,8 @@
 #[path = "../../../platform/standin/mod.rs"]
 mod standin;
 
-use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
+use http::StatusCode;
+use standin::caller::{self, Ask};
 use standin::engine::Engine;
 use standin::manifest;
 use standin::store::Store;
@@ -14,7 +12,6 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
-use tokio::net::TcpStream;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_wigeonshelf");
 /// Looks, 20 ms apart, before a state that should come is given up.
@@ -79,30 +76,22 @@
     }
 }
 
-/// Status and body of a request; nothing if there is no answer.
+/// Status and body of a request; nothing if there is no whole answer.
 async fn ask(
     addr: SocketAddr,
     method: &str,
     path: &str,
     key: &str,
 ) -> Option<(StatusCode, String)> {
-    let request = Request::builder()
-        .method(method)
-        .uri(path)
-        .header("host", "h")
-        .header("x-request-id", "r1")
-        .header("x-deadline-ms", "4000")
-        .header("x-token-usage", "10,10")
-        .header("authorization", format!("Token {key}"))
-        .body(Full::<bytes::Bytes>::default())
-        .unwrap();
-    let stream = TcpStream::connect(addr).await.ok()?;
-    let (mut sender, conn) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-    tokio::spawn(conn);
-    let response = sender.send_request(request).await.ok()?;
-    let status = response.status();
-    let body = response.into_body().collect().await.ok()?.to_bytes();
-    Some((status, String::from_utf8_lossy(&body).into_owned()))
+    let ask = Ask {
+        method,
+        path,
+        id: "r1",
+        key,
+        deadline: "4000",
+    };
+    let got = caller::ask(addr, &ask).await?;
+    got.whole.then_some((got.status, got.body))
 }
 
 /// Asks until `done` likes the answer, and fails if it never does.
--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -18,13 +18,11 @@
 #[path = "../../../platform/standin/mod.rs"]
 mod standin;
 
-use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
+use http::StatusCode;
 use proxy::{Mode, Proxy};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use standin::caller::{self, Ask, Got};
 use standin::engine::{EVENTS, Engine};
 use standin::manifest;
 use standin::store::Store;
@@ -34,7 +32,6 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::net::TcpStream;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_wigeonshelf");
 /// Seeds of the run in CI. 104 and 128 once failed: two soaks beside each other had drawn the same
@@ -133,41 +130,15 @@
     wrong: Vec<String>,
 }
 
-/// One answer; nothing if none came.
-struct Got {
-    status: StatusCode,
-    body: String,
-    whole: bool,
-}
-
 async fn ask(addr: SocketAddr, path: &str, id: &str) -> Option<Got> {
-    let request = Request::post(path)
-        .header("host", "h")
-        .header("x-request-id", id)
-        .header("x-deadline-ms", "3000")
-        .header("x-token-usage", "10,10")
-        .header("authorization", "Token k1")
-        .body(Full::<bytes::Bytes>::default())
-        .unwrap();
-    let stream = TcpStream::connect(addr).await.ok()?;
-    let (mut sender, conn) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-    tokio::spawn(conn);
-    let response = sender.send_request(request).await.ok()?;
-    let status = response.status();
-    let mut body = response.into_body();
-    let mut bytes = Vec::new();
-    let whole = loop {
-        match body.frame().await {
-            None => break true,
-            Some(Err(_)) => break false,
-            Some(Ok(frame)) => bytes.extend_from_slice(&frame.into_data().unwrap_or_default()),
-        }
+    let ask = Ask {
+        method: "POST",
+        path,
+        id,
+        key: "k1",
+        deadline: "3000",
     };
-    Some(Got {
-        status,
-        body: String::from_utf8_lossy(&bytes).into_owned(),
-        whole,
-    })
+    caller::ask(addr, &ask).await
 }
 
 /// One caller: requests of each kind until it is told to end.
--- a/crates/place/src/plan.rs
+++ b/crates/place/src/plan.rs
@@ -144,12 +144,7 @@
             continue;
         };
         cover.add(&holder.zone, span);
-        orders.push(Order {
-            run: holder.run.clone(),
-            addr: holder.addr,
-            held: holder.span,
-            span,
-        });
+        orders.push(holder.order(span));
     }
     orders
 }
@@ -201,12 +196,7 @@
             };
             cover.add(zone, span);
             moved.push(holder);
-            orders.push(Order {
-                run: holder.run.clone(),
-                addr: holder.addr,
-                held: holder.span,
-                span,
-            });
+            orders.push(holder.order(span));
         }
     }
     orders
--- a/crates/place/src/stock.rs
+++ b/crates/place/src/stock.rs
@@ -1,5 +1,6 @@
 //! The endpoints of one model service as a plan sees them.
 
+use crate::order::Order;
 use catalog::endpoint::{Endpoint, Run, Span};
 use std::net::SocketAddr;
 
@@ -35,4 +36,14 @@
             busy: false,
         })
     }
+
+    /// The order to hold `span`.
+    pub fn order(&self, span: Span) -> Order {
+        Order {
+            run: self.run.clone(),
+            addr: self.addr,
+            held: self.span,
+            span,
+        }
+    }
 }
--- a/crates/steer/src/search.rs
+++ b/crates/steer/src/search.rs
@@ -49,6 +49,8 @@
     /// Its index in the table.
     pub(crate) index: usize,
     pub(crate) row: &'a Row,
+    /// Its room in use by all nodes.
+    pub(crate) used: f64,
     /// Factor on its price.
     pub(crate) factor: f64,
 }
@@ -102,7 +104,10 @@
             if !reach[at] {
                 continue;
             }
-            for &Candidate { index, row, factor } in self.rows {
+            for candidate in self.rows {
+                let &Candidate {
+                    index, row, used, ..
+                } = candidate;
                 let span = row.endpoint.span;
                 if !span.holds(cuts[at]) {
                     continue;
@@ -110,7 +115,7 @@
                 let Some((start, from)) = self.entry(&best, at, row, index, need) else {
                     continue;
                 };
-                let room = row.room * fill - row.used(self.now, self.nodes);
+                let room = row.room * fill - used;
                 for to in at + 1..cuts.len() {
                     if cuts[to] > span.to.min(self.span.to) {
                         break;
@@ -119,7 +124,7 @@
                     if size * f64::from(layers) > room {
                         break;
                     }
-                    let cost = start + STAGE + self.time(row, layers, need) * factor;
+                    let cost = start + STAGE + self.time(candidate, layers, need);
                     let slot = &mut best[to * self.zones + row.zone];
                     if slot.is_none_or(|b| cost < b.cost) {
                         let span = Span {
@@ -226,9 +231,9 @@
     }
 
     /// Time that a request spends at a stage, dearer the fuller its memory is.
-    fn time(&self, row: &Row, layers: Layer, need: &Need) -> f64 {
+    fn time(&self, candidate: &Candidate<'_>, layers: Layer, need: &Need) -> f64 {
+        let &Candidate { row, used, .. } = candidate;
         let part = self.engine.part(layers);
-        let used = row.used(self.now, self.nodes);
         // Requests under way there, by the room that one of this size would take.
         let held = f64::from(row.endpoint.span.len()) * need.tokens();
         let flying = used / held.max(1.0);
@@ -239,7 +244,7 @@
         let read = row.read * f64::from(need.size.prompt);
         let used = (used / row.room.max(1.0)).clamp(0.0, MOST_USED);
         let busy = (flying * row.slow / row.most.max(1.0)).min(MOST_BUSY);
-        (write + read) * part * row.slow * (1.0 + SLOPE * used.max(busy))
+        (write + read) * part * row.slow * (1.0 + SLOPE * used.max(busy)) * candidate.factor
     }
 
     fn walk(&self, best: &[Option<Best>], end: usize) -> Option<Vec<Part>> {
--- a/crates/steer/src/table.rs
+++ b/crates/steer/src/table.rs
@@ -73,11 +73,6 @@
         }
     }
 
-    /// The fleet as last told.
-    pub fn fleet(&self) -> &Fleet {
-        &self.fleet
-    }
-
     /// Takes a new view of the outside; what is under way at endpoints that stay is kept.
     pub fn follow(&mut self, now: Now, fleet: Fleet) {
         let mut old: HashMap<Run, Row> = std::mem::take(&mut self.rows)
@@ -175,7 +170,7 @@
             let endpoint = &row.endpoint;
             endpoint.service == service.name && row.open(now) && !tried.contains(&endpoint.run)
         };
-        let rows = self.candidates(usable);
+        let rows = self.candidates(now, usable);
         if rows.is_empty() {
             return Err(Shortage::Endpoints);
         }
@@ -209,7 +204,7 @@
     }
 
     /// The endpoints that a stage may run on, each with its chance factor.
-    fn candidates(&self, usable: impl Fn(&Row) -> bool) -> Vec<Candidate<'_>> {
+    fn candidates(&self, now: Now, usable: impl Fn(&Row) -> bool) -> Vec<Candidate<'_>> {
         // A generator of its own, since the table is borrowed by the candidates.
         let mut rng = self.rng.clone();
         let nodes = self.fleet.nodes.max(1) as f64;
@@ -219,6 +214,7 @@
         rows.map(|(index, row)| Candidate {
             index,
             row,
+            used: row.used(now, nodes),
             factor: jitter.row(&mut rng, row.zone),
         })
         .collect()
@@ -292,7 +288,7 @@
                 let endpoint = &row.endpoint;
                 endpoint.service == *service && row.open(now) && !used.contains(&&endpoint.run)
             };
-            let rows = self.candidates(usable);
+            let rows = self.candidates(now, usable);
             let search = Search {
                 engine,
                 span: target.stages[place].span,
