Tests: no two nodes are given one address

The tests asked the kernel for a free port, closed it and gave it to a node. Tests run beside each other; two were named the same port. One node ended at its start, and its test talked to the other test's node: that served the request, and nobody listened where addresses are asked. Ruled out: a port taken by an outgoing connection (the node binds callers first and ends as a whole at the first port that is taken, so 'version 1' would have failed).

Change: one way to make addresses for all tests (standin::address): a loopback address by the test process's id, ports counted up below the kernel's range. The soak had a way of its own for the same finding, which goes. A test asks for 2000 addresses. The hosted node's metrics address has a test now, and paths come from the adapter.

--- a/crates/node/tests/hosted.rs
+++ b/crates/node/tests/hosted.rs
@@ -3,7 +3,10 @@
 #[path = "../../../platform/standin/mod.rs"]
 mod standin;
 
+use adapter::header::Headers;
+use gate::dialect::Dialect;
 use http::StatusCode;
+use standin::address;
 use standin::caller::{self, Ask};
 use standin::engine::Engine;
 use standin::manifest;
@@ -24,6 +27,7 @@
     addresses: SocketAddr,
     ready: SocketAddr,
     peers: SocketAddr,
+    metrics: SocketAddr,
     file: PathBuf,
 }
 
@@ -35,16 +39,12 @@
     }
 }
 
-fn free() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
-fn settings(name: &str, ports: [SocketAddr; 4], store: SocketAddr, seeds: &str) -> String {
-    let [callers, addresses, ready, peers] = ports;
+fn settings(name: &str, ports: [SocketAddr; 5], store: SocketAddr, seeds: &str) -> String {
+    let [callers, addresses, ready, peers, metrics] = ports;
     format!(
         "[node]\nname = {name}\nzone = a\nregion = south\ngrace = 3s\n\
          [callers]\nlisten = {callers}\n[addresses]\nlisten = {addresses}\n[ready]\nlisten = {ready}\n\
+         [metrics]\nlisten = {metrics}\n\
          [peers]\nlisten = {peers}\nkey = {}\nseeds = {seeds}\n\
          [store]\naddress = {store}\nheartbeat = 200ms\n[logging]\nlevel = info\n",
         "01".repeat(32)
@@ -58,20 +58,21 @@
 }
 
 fn start(name: &str, store: SocketAddr, seeds: &str) -> Node {
-    let ports = [free(), free(), free(), free()];
+    let ports = std::array::from_fn(|_| address::fresh());
     let file = file(name, &settings(name, ports, store, seeds));
     let child = Command::new(BINARY)
         .args(["--config", file.to_str().unwrap()])
         .stdout(Stdio::null())
         .spawn()
         .unwrap();
-    let [callers, addresses, ready, peers] = ports;
+    let [callers, addresses, ready, peers, metrics] = ports;
     Node {
         child,
         callers,
         addresses,
         ready,
         peers,
+        metrics,
         file,
     }
 }
@@ -129,10 +130,10 @@
     let store = Store::start().await;
     let (engines, app) = fleet(&store).await;
     let node = start("whole", store.addr, "");
-    let not_ready = until("an answer", node.ready, "/wigeonshelf/ready", |_| true).await;
+    let not_ready = until("an answer", node.ready, Headers.ready_path(), |_| true).await;
     assert_eq!(not_ready.0, StatusCode::SERVICE_UNAVAILABLE);
     store.operator(&manifest(1, "/safe/"));
-    until("ready", node.ready, "/wigeonshelf/ready", ok).await;
+    until("ready", node.ready, Headers.ready_path(), ok).await;
     let (_, body) = until("a chain", node.callers, "/chat/x", ok).await;
     assert_eq!(body.matches("id: ").count(), 3);
     for layer in 0..4 {
@@ -172,7 +173,7 @@
         until("version 1", node.callers, "/safe/x", ok).await;
     }
     let both = |a: &(StatusCode, String)| a.1.contains(&first.callers.to_string());
-    until("the peer", second.addresses, "/wigeonshelf/resolve", both).await;
+    until("the peer", second.addresses, Headers.addresses_path(), both).await;
     *shut.lock().unwrap() = true;
     store.operator(&manifest(2, "/other/"));
     until("version 2", second.callers, "/other/x", ok).await;
@@ -243,7 +244,7 @@
     let (_engines, _app) = fleet(&store).await;
     store.operator(&manifest(1, "/safe/"));
     let mut node = start("signals", store.addr, "");
-    until("ready", node.ready, "/wigeonshelf/ready", ok).await;
+    until("ready", node.ready, Headers.ready_path(), ok).await;
     let signal = |node: &Node, name: &str| {
         let pid = node.child.id().to_string();
         let status = Command::new("kill").args([name, &pid]).status().unwrap();
@@ -255,7 +256,7 @@
     until("served after the reload", node.callers, "/safe/x", ok).await;
     signal(&node, "-TERM");
     let away = |a: &(StatusCode, String)| a.0 == StatusCode::SERVICE_UNAVAILABLE;
-    until("no longer ready", node.ready, "/wigeonshelf/ready", away).await;
+    until("no longer ready", node.ready, Headers.ready_path(), away).await;
     // Callers that still come are served at first.
     let answer = ask(node.callers, "GET", "/safe/x", "k1").await.unwrap();
     assert_eq!(answer.0, StatusCode::OK);
@@ -269,6 +270,43 @@
     panic!("the node does not end");
 }
 
+// Tests run beside each other, and each starts nodes. Two nodes that are given one port are a test
+// that talks to another test's node, and fails once in many runs.
+#[test]
+fn no_two_nodes_are_given_one_address() {
+    let mut given: Vec<_> = (0..2000).map(|_| address::fresh()).collect();
+    given.sort();
+    given.dedup();
+    assert_eq!(given.len(), 2000);
+}
+
+// A caller complains. The operator reads the counters and the state where the settings say, and
+// finds what was served there; a path that is neither is not found.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn operators_read_counters_and_state_on_an_address_of_its_own() {
+    let store = Store::start().await;
+    let (_engines, _app) = fleet(&store).await;
+    store.operator(&manifest(1, "/safe/"));
+    let node = start("metrics", store.addr, "");
+    until("version 1", node.callers, "/safe/x", ok).await;
+    let (status, text) = ask(node.metrics, "GET", "/metrics", "").await.unwrap();
+    assert_eq!(status, StatusCode::OK);
+    for name in [
+        "wigeonshelf_requests_total",
+        "wigeonshelf_answer_seconds_bucket",
+        "wigeonshelf_store_read_seconds_bucket",
+    ] {
+        assert!(text.contains(name), "{name} is not in {text}");
+    }
+    let (status, text) = ask(node.metrics, "GET", "/dump", "").await.unwrap();
+    assert_eq!(status, StatusCode::OK);
+    for part in ["catalog 1", "table endpoints known up to", "app"] {
+        assert!(text.contains(part), "{part} is not in {text}");
+    }
+    let other = ask(node.metrics, "GET", "/safe/x", "k1").await.unwrap();
+    assert_eq!(other.0, StatusCode::NOT_FOUND);
+}
+
 #[test]
 fn every_finding_in_settings_is_told() {
     let content = "[node]\nname = a b\nzone = a\n[callers]\nlisten = here\n[peers]\nkey = 1\n\
--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -22,6 +22,7 @@
 use proxy::{Mode, Proxy};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use standin::address;
 use standin::caller::{self, Ask, Got};
 use standin::engine::{EVENTS, Engine};
 use standin::manifest;
@@ -35,10 +36,8 @@
 
 const BINARY: &str = env!("CARGO_BIN_EXE_wigeonshelf");
 /// Seeds of the run in CI. 104 and 128 once failed: two soaks beside each other had drawn the same
-/// free ports, and nodes of one talked to endpoints of the other. Ports now belong to a process.
+/// free ports, and nodes of one talked to endpoints of the other. Addresses now belong to a process.
 const SEEDS: [u64; 4] = [1, 2, 104, 128];
-/// Ports of all soaks: below those that the kernel gives out by itself.
-const PORTS: std::ops::Range<u16> = 12_000..31_000;
 const NODES: usize = 3;
 /// Steps of a run; a fault may begin or end in each.
 const STEPS: usize = 30;
@@ -109,18 +108,6 @@
     command.stdout(Stdio::null()).spawn().unwrap()
 }
 
-/// Ports for the nodes of this process. Processes next to each other get others, and none is one
-/// that the kernel gives to a connection or a stand-in.
-fn ports() -> Vec<SocketAddr> {
-    let each = 2 * NODES as u16;
-    let slots = u32::from((PORTS.end - PORTS.start) / each);
-    let slot = (std::process::id() % slots) as u16;
-    let first = PORTS.start + slot * each;
-    (first..first + each)
-        .map(|port| ([127, 0, 0, 1], port).into())
-        .collect()
-}
-
 /// What callers saw.
 #[derive(Default)]
 struct Seen {
@@ -318,7 +305,7 @@
         engine.register_as(way.addr);
         ways.push(way);
     }
-    let ports = ports();
+    let ports: Vec<_> = (0..2 * NODES).map(|_| address::fresh()).collect();
     let (mut doors, mut nodes) = (Vec::new(), Vec::new());
     for number in 0..NODES {
         let door = Proxy::start(store.addr).await;
