steer: the queue at the first endpoint of a chain is in its price

Its reports said up to 82 queued while its memory was a quarter free: an endpoint begins a bounded number of chains (192 here), and the price knew its memory and its time only. Ruled out: waits in the node (the first send is within 50 ms of the request), pipes (chains within the zone were as late).

Change: reports carry what waits there; the price of a chain that begins at an endpoint grows by the wait, ten times. Detours don't pay it.

Test: fails without the change (the fast endpoint is taken with 50 waiting).

--- a/crates/node/src/hosted/control/loads.rs
+++ b/crates/node/src/hosted/control/loads.rs
@@ -35,6 +35,7 @@
     used: f64,
     room: f64,
     pace: f64,
+    queued: u32,
     span: Span,
 }
 
@@ -46,6 +47,7 @@
     used: f64,
     room: f64,
     pace: f64,
+    queued: u32,
     from: u32,
     to: u32,
     /// Whether it says that the run does not answer; the rest then says nothing.
@@ -60,6 +62,7 @@
             used: 0.0,
             room: 0.0,
             pace: 1.0,
+            queued: 0,
             from: 0,
             to: 0,
             silent: true,
@@ -99,6 +102,7 @@
             used: report.used,
             room: report.room,
             pace: report.pace,
+            queued: report.queued,
             span: report.span,
         };
         self.rows.insert(run.to_owned(), row);
@@ -187,6 +191,7 @@
             stamp: (row.at - start).as_micros() as u64,
             used: row.used,
             pace: row.pace,
+            queued: row.queued,
             age: now - row.at,
         };
         let rows = self.rows.iter();
@@ -214,6 +219,7 @@
         used: row.used,
         room: row.room,
         pace: row.pace,
+        queued: row.queued,
         from: row.span.from,
         to: row.span.to,
         silent: false,
@@ -226,6 +232,7 @@
         used: raw.used,
         room: raw.room,
         pace: raw.pace,
+        queued: raw.queued,
         span: Span {
             from: raw.from,
             to: raw.to,
--- a/crates/steer/src/load.rs
+++ b/crates/steer/src/load.rs
@@ -15,6 +15,8 @@
     pub used: f64,
     /// How many times slower than its kind it runs.
     pub pace: f64,
+    /// Requests that wait there to begin as the first endpoint of their chain.
+    pub queued: u32,
     /// How old it was when it was published.
     pub age: Duration,
 }
@@ -43,6 +45,14 @@
         self.held = held;
     }
 
+    /// Requests that wait there to begin, if the report still says anything.
+    pub fn queued(&self, now: Now) -> u32 {
+        match self.age(now) < OLD {
+            true => self.load.queued,
+            false => 0,
+        }
+    }
+
     /// How old the report is.
     pub fn age(&self, now: Now) -> Duration {
         now.saturating_sub(self.at)
--- a/crates/steer/src/search.rs
+++ b/crates/steer/src/search.rs
@@ -14,6 +14,7 @@
 use catalog::Layer;
 use catalog::endpoint::Span;
 use catalog::engine::Engine;
+use std::time::Duration;
 
 /// Most stages of a chain that an engine takes.
 const STAGES: usize = 32;
@@ -28,6 +29,10 @@
 /// when empty. Even, since nodes see uses that are up to a second old: where the price grows
 /// steeply, all leave an endpoint at once and come back at once.
 const SLOPE: f64 = 5.0;
+/// How often the wait for a place at the first endpoint counts. The queue is that of half a second
+/// ago and all nodes see it, so it is dear while it is short: with 25 waiting before 192 places a
+/// chain costs as much as one over a pipe.
+const QUEUE: f64 = 10.0;
 /// How busy an endpoint counts at the most, as a multiple of what it can do.
 const MOST_BUSY: f64 = 3.0;
 /// Part of an endpoint's memory past which its price does not grow.
@@ -68,6 +73,8 @@
     pub(crate) nodes: f64,
     /// What this node sends between zones.
     pub(crate) pipes: &'a Pipes,
+    /// How long requests stay on their chains.
+    pub(crate) stay: Duration,
     pub(crate) now: Now,
 }
 
@@ -177,7 +184,7 @@
         need: &Need,
     ) -> Option<(f64, Option<Place>)> {
         if at == 0 {
-            return Some((0.0, None));
+            return Some((self.queue(row), None));
         }
         let mut found: Option<(f64, Option<Place>)> = None;
         for zone in 0..self.zones {
@@ -198,6 +205,18 @@
         found
     }
 
+    /// Price of the wait before a chain begins at this row. An endpoint begins a bounded number of
+    /// chains at once, whatever memory it has; those beyond wait, and their callers with them.
+    fn queue(&self, row: &Row) -> f64 {
+        let slots = f64::from(row.endpoint.slots.max(1));
+        let queued = row.known.map_or(0, |k| k.queued(self.now));
+        match self.span.from {
+            0 => QUEUE * f64::from(queued) * self.stay.as_secs_f64() / slots,
+            // The endpoints of a detour are not the first of their chain.
+            _ => 0.0,
+        }
+    }
+
     /// Whether the way to a state has a stage on this row.
     fn names(&self, best: &[Option<Best>], mut state: Place, row: usize) -> bool {
         while let Some(before) = best[state.0 * self.zones + state.1] {
--- a/crates/steer/src/table/chain.rs
+++ b/crates/steer/src/table/chain.rs
@@ -36,34 +36,35 @@
         if rows.is_empty() {
             return Err(Shortage::Endpoints);
         }
-        let nodes = self.fleet.nodes.max(1) as f64;
-        let others = flow.others(now, nodes, lag(now, &rows));
-        let tokens = need.tokens() * others / f64::from(unseen::PARTS);
-        let parts = self.place(now, engine, need, rows, tokens, draw)?;
+        let parts = self.place(now, engine, need, rows, flow, draw)?;
         let zones: Vec<usize> = parts.iter().map(|p| self.rows[p.row].zone).collect();
         self.send(now, &zones, search::bits(engine, need));
         Ok(self.hold(now, &parts, need.tokens()))
     }
 
-    /// The chain that is the cheapest once others have placed requests `parts` times, each time
-    /// with `tokens` tokens in all.
+    /// The chain that is the cheapest once others have placed so many parts of the requests that
+    /// no report shows yet.
     fn place(
         &self,
         now: Now,
         engine: &Engine,
         need: &Need,
         mut rows: Vec<Candidate<'_>>,
-        tokens: f64,
+        flow: Flow,
         parts: u32,
     ) -> Result<Vec<Part>> {
         let whole = Span {
             from: 0,
             to: engine.layers,
         };
-        let mut found = self.search(now, engine, whole, &rows).chain(need)?;
+        let stay = flow.stay();
+        let nodes = self.fleet.nodes.max(1) as f64;
+        let others = flow.others(now, nodes, lag(now, &rows));
+        let tokens = need.tokens() * others / f64::from(unseen::PARTS);
+        let mut found = self.search(now, engine, stay, whole, &rows).chain(need)?;
         for _ in 0..parts {
             search::load(&mut rows, &found, tokens);
-            match self.search(now, engine, whole, &rows).chain(need) {
+            match self.search(now, engine, stay, whole, &rows).chain(need) {
                 Ok(chain) => found = chain,
                 // There is room for a part of the requests only.
                 Err(_) => break,
@@ -76,6 +77,7 @@
         &'a self,
         now: Now,
         engine: &'a Engine,
+        stay: Duration,
         span: Span,
         rows: &'a [Candidate<'a>],
     ) -> Search<'a> {
@@ -86,6 +88,7 @@
             zones: self.zones.len(),
             nodes: self.fleet.nodes.max(1) as f64,
             pipes: &self.pipes,
+            stay,
             now,
         }
     }
@@ -154,7 +157,7 @@
             let stay = self.flow(service, engine).stay();
             let rows = self.candidates(now, stay, usable);
             let span = target.stages[place].span;
-            self.search(now, engine, span, &rows).chain(need)?
+            self.search(now, engine, stay, span, &rows).chain(need)?
         };
         let around = &target.stages[place - 1..];
         let new = parts.iter().map(|p| Some(self.rows[p.row].zone));
--- a/crates/steer/tests/chain.rs
+++ b/crates/steer/tests/chain.rs
@@ -2,15 +2,19 @@
 
 mod support;
 
+use catalog::Endpoint;
 use catalog::endpoint::State;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use steer::chain::FILL;
 use steer::health::Outcome;
+use steer::load::Load;
 use steer::shortage::Shortage;
 use steer::target::Target;
-use support::{LAYERS, endpoint, fleet, ms, need, steer};
+use steer::{Fleet, Steer};
+use support::{ALLOWANCE, LAYERS, endpoint, fleet, ms, need, steer};
 
 const MODEL: u32 = 0;
 
@@ -230,3 +234,36 @@
         (2, Some(6), 0.0)
     );
 }
+
+// Callers wait for their first event at a fast endpoint that has memory to spare: it begins a
+// bounded number of chains at once, and the others queue. Its report says so, and requests begin
+// elsewhere; as a later stage of a chain it is used as before.
+#[test]
+fn a_first_endpoint_with_a_queue_is_passed_over() {
+    let fast = endpoint(0, "a", "fast", 0, 4);
+    let slow = endpoint(1, "a", "slow", 0, 4);
+    let rest = endpoint(2, "a", "fast", 4, 8);
+    let begin = |queued: u32| {
+        let load = |run: &Endpoint, queued| {
+            let load = Load {
+                stamp: 1,
+                used: 0.0,
+                pace: 1.0,
+                queued,
+                age: ms(200),
+            };
+            (run.run.to_string(), load)
+        };
+        let loads = [load(&fast, queued), load(&rest, 50)];
+        let mut steer = Steer::new(1, ALLOWANCE);
+        let fleet = Fleet {
+            loads: Arc::new(loads.into_iter().collect()),
+            ..fleet(vec![fast.clone(), slow.clone(), rest.clone()], 1)
+        };
+        steer.follow(ms(0), fleet);
+        let target = steer.target(ms(10), 0, &need(200), &[]).unwrap();
+        target.stages[0].run.clone()
+    };
+    assert_eq!(begin(0), fast.run);
+    assert_eq!(begin(50), slow.run);
+}
--- a/crates/steer/tests/herd.rs
+++ b/crates/steer/tests/herd.rs
@@ -148,6 +148,7 @@
                 stamp: step as u64,
                 used: self.used.get(&run).copied().unwrap_or(0.0),
                 pace: 1.0,
+                queued: 0,
                 age: STEP * LAG as u32,
             };
             (run, load)
