--- a/crates/node/tests/hosted.rs
+++ b/crates/node/tests/hosted.rs
@@ -57,14 +57,28 @@
     file
 }
 
+impl Node {
+    /// Kills the process, which tells nobody, and leaves its settings.
+    fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    fn revive(&mut self) {
+        self.child = spawn(&self.file);
+    }
+}
+
+fn spawn(file: &std::path::Path) -> Child {
+    let mut command = Command::new(BINARY);
+    command.args(["--config", file.to_str().unwrap()]);
+    command.stdout(Stdio::null()).spawn().unwrap()
+}
+
 fn start(name: &str, store: SocketAddr, seeds: &str) -> Node {
     let ports = std::array::from_fn(|_| address::fresh());
     let file = file(name, &settings(name, ports, store, seeds));
-    let child = Command::new(BINARY)
-        .args(["--config", file.to_str().unwrap()])
-        .stdout(Stdio::null())
-        .spawn()
-        .unwrap();
+    let child = spawn(&file);
     let [callers, addresses, ready, peers, metrics] = ports;
     Node {
         child,
@@ -151,8 +165,8 @@
         assert_eq!(body, "app north r1");
     }
     assert!(!app.chains().is_empty());
-    let path = "/wigeonshelf/resolve?name=h&region=south&zone=a";
-    let (_, body) = until("addresses", node.addresses, path, ok).await;
+    let path = format!("{}?name=h&region=south&zone=a", Headers.addresses_path());
+    let (_, body) = until("addresses", node.addresses, &path, ok).await;
     assert!(body.contains(&node.callers.to_string()), "{body}");
     let unknown = ask(node.callers, "GET", "/safe/x", "other").await.unwrap();
     assert_eq!(unknown.0, StatusCode::UNAUTHORIZED);
@@ -203,6 +217,40 @@
     assert_eq!(answer.0, StatusCode::OK);
 }
 
+// All nodes are killed at the same moment, right after a version was written, and the store is away
+// when they start again. Callers get nothing meanwhile; once the store is back every node serves
+// requests of each kind by the newest version again, also a node whose only seed is another that
+// was killed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nodes_that_were_killed_together_serve_again() {
+    let store = Store::start().await;
+    let (_engines, _app) = fleet(&store).await;
+    store.operator(&manifest(1, "/safe/"));
+    let first = start("killed-1", store.addr, "");
+    let second = start("killed-2", store.addr, &first.peers.to_string());
+    let mut nodes = [first, second];
+    for node in &nodes {
+        until("a chain", node.callers, "/chat/x", ok).await;
+    }
+    store.operator(&manifest(2, "/other/"));
+    nodes.iter_mut().for_each(Node::kill);
+    assert_eq!(ask(nodes[0].callers, "GET", "/chat/x", "k1").await, None);
+    store.down(true);
+    nodes.iter_mut().for_each(Node::revive);
+    let away = |a: &(StatusCode, String)| a.0 == StatusCode::SERVICE_UNAVAILABLE;
+    for node in &nodes {
+        until("no catalog", node.callers, "/chat/x", away).await;
+    }
+    store.down(false);
+    for node in &nodes {
+        for path in ["/chat/x", "/other/x", "/once/x"] {
+            until(path, node.callers, path, ok).await;
+        }
+        let old = ask(node.callers, "GET", "/safe/x", "k1").await.unwrap();
+        assert_eq!(old.0, StatusCode::NOT_FOUND);
+    }
+}
+
 // An endpoint says that it leaves while the store forgets its history. The node reads the whole
 // table anew, and sends nothing more to the endpoint.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
