steer: a refusal for want of memory is newer than the report

Since reports fade with their age, a stage that had just refused a request counted as 'full as of the last report', so faded at once and was chosen again 120 ms later; and a stage whose old report had faded below half was judged as failed instead of full, which takes it out for up to 4 s and tells the other nodes. Change: a refusal is news of its own moment; what is judged by the report is judged by the report as it was. Tests: one for both, red with either half left out.

--- a/crates/steer/src/load.rs
+++ b/crates/steer/src/load.rs
@@ -39,8 +39,10 @@
         }
     }
 
-    /// The endpoint has just refused a request as full: it is, until it reports again.
-    pub fn fill(&mut self, room: f64, held: f64) {
+    /// The endpoint has just refused a request as full. This is newer than its report, and what
+    /// fills it ends by and by, until it reports again.
+    pub fn fill(&mut self, now: Now, room: f64, held: f64) {
+        self.at = now;
         self.load.used = room;
         self.held = held;
     }
--- a/crates/steer/src/row.rs
+++ b/crates/steer/src/row.rs
@@ -87,14 +87,15 @@
         known.unwrap_or(self.held * nodes)
     }
 
-    /// What a refusal says that names this endpoint: it is full if much of it is in use.
-    pub fn named(&mut self, now: Now, nodes: f64, stay: Duration) -> Outcome {
-        let used = self.used(now, nodes, stay);
+    /// What a refusal says that names this endpoint: it is full if much of it was in use when it
+    /// reported. What has ended since may have been replaced by others' requests.
+    pub fn named(&mut self, now: Now, nodes: f64) -> Outcome {
+        let used = self.used(now, nodes, Duration::MAX);
         if used < self.room * MUCH {
             return Outcome::Failed;
         }
         if let Some(known) = &mut self.known {
-            known.fill(self.room, self.held);
+            known.fill(now, self.room, self.held);
         }
         Outcome::Full
     }
--- a/crates/steer/src/table.rs
+++ b/crates/steer/src/table.rs
@@ -24,7 +24,6 @@
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 /// What an attempt holds at one endpoint.
 #[derive(Clone, Debug)]
@@ -223,7 +222,7 @@
         let Some(held) = self.holds.remove(&hold) else {
             return;
         };
-        let stay = self.stayed(now, &held, outcome);
+        self.stayed(now, &held, outcome);
         for (number, part) in held.parts.iter().enumerate() {
             self.release(part);
             let Some(&at) = self.index.get(&part.run) else {
@@ -237,7 +236,7 @@
             };
             if concerned {
                 let outcome = match outcome {
-                    Outcome::Named => row.named(now, self.fleet.nodes.max(1) as f64, stay),
+                    Outcome::Named => row.named(now, self.fleet.nodes.max(1) as f64),
                     other => other,
                 };
                 self.notes.extend(judge(row, now, held.began, outcome));
@@ -245,18 +244,17 @@
         }
     }
 
-    /// Takes in how long an attempt stayed if it ended well; how long those like it stay.
-    fn stayed(&mut self, now: Now, held: &Held, outcome: Outcome) -> Duration {
+    /// Takes in how long an attempt stayed if it ended well.
+    fn stayed(&mut self, now: Now, held: &Held, outcome: Outcome) {
+        if outcome != Outcome::Good {
+            return;
+        }
         let run = held.parts.first().and_then(|p| self.index.get(&p.run));
         let service = run.map(|&at| &self.rows[at].endpoint.service);
         let flow = service.and_then(|s| self.flows.get_mut(s));
-        let Some(flow) = flow else {
-            return Duration::ZERO;
-        };
-        if outcome == Outcome::Good {
+        if let Some(flow) = flow {
             flow.ended(now.saturating_sub(held.began));
         }
-        flow.stay()
     }
 
     /// Takes an endpoint out of use for a while, by its address: an engine named it as the one
--- a/crates/steer/src/table/chain.rs
+++ b/crates/steer/src/table/chain.rs
@@ -18,6 +18,7 @@
 use std::time::Duration;
 
 impl Steer {
+    /// A chain for a request of a model service that was not sent to any of `tried`.
     pub(super) fn chain(
         &mut self,
         now: Now,
--- a/crates/steer/tests/chain.rs
+++ b/crates/steer/tests/chain.rs
@@ -267,3 +267,35 @@
     assert_eq!(begin(0), fast.run);
     assert_eq!(begin(50), slow.run);
 }
+
+// An endpoint refuses a request for want of memory although its last report, a second old, says
+// that a third is free. The refusal is newer than the report: the next request does not go there,
+// or it would be refused as well and use up an attempt more.
+#[test]
+fn a_refusal_for_want_of_memory_is_newer_than_the_report() {
+    let (fast, slow) = (
+        endpoint(0, "a", "fast", 0, 8),
+        endpoint(1, "a", "slow", 0, 8),
+    );
+    let room = f64::from(LAYERS) * 250.0;
+    let load = Load {
+        stamp: 1,
+        used: room * 0.66,
+        pace: 1.0,
+        queued: 0,
+        age: ms(1000),
+    };
+    let mut steer = Steer::new(1, ALLOWANCE);
+    let fleet = Fleet {
+        loads: Arc::new([(fast.run.to_string(), load)].into()),
+        ..fleet(vec![fast.clone(), slow.clone()], 1)
+    };
+    steer.follow(ms(1000), fleet);
+    let first = steer.target(ms(1000), MODEL, &need(80), &[]).unwrap();
+    assert_eq!(first.head().run, fast.run);
+    steer.end(ms(1000), first.hold, Outcome::Named, Some(fast.addr));
+    // It is full, and did not fail.
+    assert_eq!(steer.rows()[0].health.failures(), 0);
+    let next = steer.target(ms(1130), MODEL, &need(200), &[]).unwrap();
+    assert_eq!(next.head().run, slow.run);
+}
