entry: the end of a ring is not slept through

The sender woke its consumer in its own drop, which runs before its fields are dropped: a consumer on another thread that looked in between saw the ring still held, slept again, and nothing woke it. All values had come; the end was slept through. Symptom in the product: a duty of a node that does not end with its producer. Ruled out: a lost value (a wake-up is kept while nobody waits), load (the order of the two steps alone decides).

Change: the wake-up is a field that is dropped after the ring's end. Test: a task that is polled again inside its wake-up; without the change it fails each time.

--- a/crates/entry/src/ring.rs
+++ b/crates/entry/src/ring.rs
@@ -8,10 +8,21 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::sync::Notify;
 
+/// Wakes the consumer when it is dropped.
+struct Bell(Arc<Notify>);
+
+impl Drop for Bell {
+    fn drop(&mut self) {
+        self.0.notify_one();
+    }
+}
+
 /// The producing end.
 pub struct Sender<T> {
     ring: rtrb::Producer<T>,
-    wake: Arc<Notify>,
+    /// Dropped after the ring's end, in the order of the fields. Rung before it, the consumer could
+    /// look while the ring still counts as held, and sleep for good.
+    bell: Bell,
     full: Arc<AtomicU64>,
 }
 
@@ -27,7 +38,7 @@
     let wake = Arc::new(Notify::new());
     let sender = Sender {
         ring: producer,
-        wake: wake.clone(),
+        bell: Bell(wake.clone()),
         full: Arc::default(),
     };
     let receiver = Receiver {
@@ -47,7 +58,7 @@
         if pushed.is_err() {
             self.full.fetch_add(1, Ordering::Relaxed);
         }
-        self.wake.notify_one();
+        self.bell.0.notify_one();
         pushed.map_err(|rtrb::PushError::Full(value)| value)
     }
 
@@ -57,12 +68,6 @@
     }
 }
 
-impl<T> Drop for Sender<T> {
-    fn drop(&mut self) {
-        self.wake.notify_one();
-    }
-}
-
 impl<T> Receiver<T> {
     /// The next value, or `None` when the producer is gone and the ring is empty.
     pub async fn pop(&mut self) -> Option<T> {
--- a/crates/entry/tests/ring.rs
+++ b/crates/entry/tests/ring.rs
@@ -1,7 +1,10 @@
 //! Bounded rings between threads.
 
 use entry::ring::ring;
+use std::pin::Pin;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll, Wake, Waker};
 use std::time::Duration;
 
 /// Longest time for something that must come.
@@ -41,6 +44,38 @@
     assert_eq!(receiver.pop().await, None);
 }
 
+/// A task that is polled again inside its wake-up, as one on another thread may be.
+struct Eager {
+    task: Mutex<Pin<Box<dyn Future<Output = Option<u32>> + Send>>>,
+    ended: Mutex<Option<Option<u32>>>,
+}
+
+impl Wake for Eager {
+    fn wake(self: Arc<Self>) {
+        let waker = Waker::from(self.clone());
+        let mut context = Context::from_waker(&waker);
+        let mut task = self.task.lock().expect("task");
+        if let Poll::Ready(value) = task.as_mut().poll(&mut context) {
+            *self.ended.lock().expect("ended") = Some(value);
+        }
+    }
+}
+
+// A duty never ends: its producer goes and wakes it, and it looks at once, before the producer's
+// end of the ring is marked as gone. It goes back to sleep, and nothing wakes it again.
+#[test]
+fn the_end_is_not_slept_through() {
+    let (sender, mut receiver) = ring(4);
+    let eager = Arc::new(Eager {
+        task: Mutex::new(Box::pin(async move { receiver.pop().await })),
+        ended: Mutex::default(),
+    });
+    eager.clone().wake();
+    assert_eq!(*eager.ended.lock().expect("ended"), None);
+    drop(sender);
+    assert_eq!(*eager.ended.lock().expect("ended"), Some(None));
+}
+
 // A consumer that sleeps through a push would stop a duty for good. The producer, on its own thread,
 // pushes with the ring mostly empty, so that the consumer goes to sleep before nearly every value.
 #[tokio::test]
