steer: asking for a target takes none

Whether a silent answer could go on elsewhere was asked by taking a target and giving it back, each 220 ms. Room came back, but what the chain would send over pipes between zones stayed counted for two seconds, a waiting request was woken each time, and the choice was made at the wrong depth: the caller undid what it had not wanted. Change: Steer chooses in one place (choose); target takes what was chosen, could only says whether there is one. gate's find asks for either, with its one fallback. Beside it, without effect: the number of nodes as a factor and the engine of scarcity were each derived in several places, now in one. Before: 100 questions about a chain over a pipe left it full, and the next request was refused. After: it is sent (chain.rs, fails without the change).

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -14,6 +14,7 @@
 use crate::worker::{Flight, Worker};
 use attempt::{Failure, Held, Sent};
 use bytes::Bytes;
+use catalog::ServiceId;
 use catalog::kind::Kind;
 use futures::Stream;
 use http::{Response, StatusCode};
@@ -24,6 +25,7 @@
 use std::time::Duration;
 use steer::health::Outcome;
 use steer::shortage::Shortage;
+use steer::{Now, Steer};
 use story::Story;
 use tokio::time::timeout;
 
@@ -265,8 +267,8 @@
         let patience = patience.unwrap_or(usual).min(self.job.left());
         let need = self.job.need();
         loop {
-            let service = self.job.service;
-            let found = self.find(service, &need);
+            let found =
+                self.find(|steer, now, service, tried| steer.target(now, service, &need, tried));
             let shortage = match found {
                 Ok(target) => {
                     self.worker.metrics.queue(begun.elapsed());
@@ -300,34 +302,27 @@
         {
             return false;
         }
-        match self.find(self.job.service, &self.job.need()) {
-            Ok(target) => {
-                self.worker.end(target.hold, Outcome::Unknown, None);
-                true
-            }
-            Err(_) => false,
-        }
+        let need = self.job.need();
+        let found = self.find(|steer, now, service, tried| steer.could(now, service, &need, tried));
+        found.is_ok()
     }
 
-    /// A target that was not tried, or else any.
-    fn find(
+    /// Asks for endpoints that were not tried, or else for any.
+    fn find<T>(
         &self,
-        service: catalog::ServiceId,
-        need: &steer::chain::Need,
-    ) -> steer::Result<steer::target::Target> {
-        let service = self.service_now(service)?;
+        ask: impl Fn(&mut Steer, Now, ServiceId, &[catalog::endpoint::Run]) -> steer::Result<T>,
+    ) -> steer::Result<T> {
+        let service = self.service_now(self.job.service)?;
         let tried = &self.tried;
-        self.worker.steer(|steer, now| {
-            let fresh = steer.target(now, service, need, tried);
-            match fresh {
-                Err(_) if !tried.is_empty() => steer.target(now, service, need, &[]),
+        self.worker
+            .steer(|steer, now| match ask(steer, now, service, tried) {
+                Err(_) if !tried.is_empty() => ask(steer, now, service, &[]),
                 found => found,
-            }
-        })
+            })
     }
 
     /// The id of the job's service in the catalog that is in force now.
-    fn service_now(&self, service: catalog::ServiceId) -> steer::Result<catalog::ServiceId> {
+    fn service_now(&self, service: ServiceId) -> steer::Result<ServiceId> {
         let name = &self.job.service().name;
         let now = self.worker.view();
         let catalog = now.as_ref().map(|v| &v.fleet.catalog);
--- a/crates/steer/src/table.rs
+++ b/crates/steer/src/table.rs
@@ -10,7 +10,7 @@
 use crate::pipe::Pipes;
 use crate::row::Row;
 use crate::scarcity::Scarcity;
-use crate::search::Part;
+use crate::search::{self, Part};
 use crate::shortage::Shortage;
 use crate::target::{Hold, Stage, Target};
 use crate::unseen::Flow;
@@ -24,6 +24,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// What an attempt holds at one endpoint.
 #[derive(Clone, Debug)]
@@ -110,6 +111,11 @@
         self.fleet = fleet;
     }
 
+    /// Nodes that send requests, as a factor.
+    fn nodes(&self) -> f64 {
+        self.fleet.nodes.max(1) as f64
+    }
+
     fn zone(&mut self, name: &str) -> usize {
         let known = self.zones.iter().position(|z| z == name);
         known.unwrap_or_else(|| {
@@ -126,16 +132,46 @@
         need: &Need,
         tried: &[Run],
     ) -> Result<Target> {
+        let parts = self.choose(now, service, need, tried)?;
+        let catalog = self.fleet.catalog.clone();
+        let engine = catalog.service(service).and_then(|s| s.engine.as_ref());
+        let Some(engine) = engine else {
+            return Ok(self.hold(now, &parts, 0.0));
+        };
+        let zones: Vec<usize> = parts.iter().map(|p| self.rows[p.row].zone).collect();
+        self.send(now, &zones, search::bits(engine, need));
+        Ok(self.hold(now, &parts, need.tokens()))
+    }
+
+    /// Whether there is such a target. Nothing is taken, neither room nor a part of a pipe: those
+    /// that only ask, again and again while an answer is silent, would look like load.
+    pub fn could(
+        &mut self,
+        now: Now,
+        service: ServiceId,
+        need: &Need,
+        tried: &[Run],
+    ) -> Result<()> {
+        self.choose(now, service, need, tried).map(|_| ())
+    }
+
+    fn choose(
+        &mut self,
+        now: Now,
+        service: ServiceId,
+        need: &Need,
+        tried: &[Run],
+    ) -> Result<Vec<Part>> {
         let catalog = self.fleet.catalog.clone();
         let service = catalog.service(service).ok_or(Shortage::Endpoints)?;
         match &service.engine {
-            Some(_) => self.chain(now, service, need, tried),
-            None => self.plain(now, service, tried),
+            Some(engine) => self.chain(now, service, engine, need, tried),
+            None => self.plain(now, service, tried).map(|part| vec![part]),
         }
     }
 
     /// The endpoint with the least under way; among equals a random one.
-    fn plain(&mut self, now: Now, service: &Service, tried: &[Run]) -> Result<Target> {
+    fn plain(&mut self, now: Now, service: &Service, tried: &[Run]) -> Result<Part> {
         let mut known = false;
         let mut found: Option<(u32, u32, usize)> = None;
         let mut full = false;
@@ -163,11 +199,10 @@
             };
             return Err(why);
         };
-        let part = Part {
+        Ok(Part {
             row: at,
             span: Span::default(),
-        };
-        Ok(self.hold(now, &[part], 0.0))
+        })
     }
 
     fn hold(&mut self, now: Now, parts: &[Part], tokens: f64) -> Target {
@@ -223,6 +258,7 @@
             return;
         };
         self.stayed(now, &held, outcome);
+        let nodes = self.nodes();
         for (number, part) in held.parts.iter().enumerate() {
             self.release(part);
             let Some(&at) = self.index.get(&part.run) else {
@@ -236,7 +272,7 @@
             };
             if concerned {
                 let outcome = match outcome {
-                    Outcome::Named => row.named(now, self.fleet.nodes.max(1) as f64),
+                    Outcome::Named => row.named(now, nodes),
                     other => other,
                 };
                 self.notes.extend(judge(row, now, held.began, outcome));
@@ -303,24 +339,18 @@
         let Some(service) = self.fleet.catalog.service(service) else {
             return Scarcity::default();
         };
-        let nodes = self.fleet.nodes.max(1) as f64;
+        let nodes = self.nodes();
         let rows = self.rows.iter();
         let rows: Vec<&Row> = rows
             .filter(|r| r.endpoint.service == service.name)
             .collect();
-        let layers = service.engine.as_ref().map_or(0, |e| e.layers);
-        let stay = service
-            .engine
-            .as_ref()
-            .map(|e| self.flow(service, e).stay());
-        let stay = stay.unwrap_or_default();
-        let pipe = service
-            .engine
-            .as_ref()
-            .map_or(0.0, |e| self.pipes.most(now) * nodes / e.pipe_bits.max(1.0));
+        let Some(engine) = &service.engine else {
+            return Scarcity::of(now, nodes, Duration::ZERO, &rows, 0);
+        };
+        let stay = self.flow(service, engine).stay();
         Scarcity {
-            pipe,
-            ..Scarcity::of(now, nodes, stay, &rows, layers)
+            pipe: self.pipes.most(now) * nodes / engine.pipe_bits.max(1.0),
+            ..Scarcity::of(now, nodes, stay, &rows, engine.layers)
         }
     }
 
--- a/crates/steer/src/table/chain.rs
+++ b/crates/steer/src/table/chain.rs
@@ -23,10 +23,10 @@
         &mut self,
         now: Now,
         service: &Service,
+        engine: &Engine,
         need: &Need,
         tried: &[Run],
-    ) -> Result<Target> {
-        let engine = service.engine.as_ref().ok_or(Shortage::Endpoints)?;
+    ) -> Result<Vec<Part>> {
         let draw = self.rng.random_range(0..unseen::PARTS);
         let flow = self.flow(service, engine);
         let usable = |row: &Row| {
@@ -37,10 +37,7 @@
         if rows.is_empty() {
             return Err(Shortage::Endpoints);
         }
-        let parts = self.place(now, engine, need, rows, flow, draw)?;
-        let zones: Vec<usize> = parts.iter().map(|p| self.rows[p.row].zone).collect();
-        self.send(now, &zones, search::bits(engine, need));
-        Ok(self.hold(now, &parts, need.tokens()))
+        self.place(now, engine, need, rows, flow, draw)
     }
 
     /// The chain that is the cheapest once others have placed so many parts of the requests that
@@ -59,7 +56,7 @@
             to: engine.layers,
         };
         let stay = flow.stay();
-        let nodes = self.fleet.nodes.max(1) as f64;
+        let nodes = self.nodes();
         let others = flow.others(now, nodes, lag(now, &rows));
         let tokens = need.tokens() * others / f64::from(unseen::PARTS);
         let mut found = self.search(now, engine, stay, whole, &rows).chain(need)?;
@@ -87,7 +84,7 @@
             span,
             rows,
             zones: self.zones.len(),
-            nodes: self.fleet.nodes.max(1) as f64,
+            nodes: self.nodes(),
             pipes: &self.pipes,
             stay,
             now,
@@ -101,7 +98,7 @@
     }
 
     /// Counts what goes over pipes when each of these zones hands on to the next.
-    fn send(&mut self, now: Now, zones: &[usize], bits: f64) {
+    pub(super) fn send(&mut self, now: Now, zones: &[usize], bits: f64) {
         let hops = zones.windows(2).filter(|hop| hop[0] != hop[1]);
         hops.for_each(|hop| self.pipes.send(now, hop[0], hop[1], bits));
     }
@@ -120,7 +117,7 @@
     ) -> Vec<Candidate<'_>> {
         // A generator of its own, since the table is borrowed by the candidates.
         let mut rng = self.rng.clone();
-        let nodes = self.fleet.nodes.max(1) as f64;
+        let nodes = self.nodes();
         let jitter = Jitter::new(&mut rng, nodes, self.zones.len());
         let rows = self.rows.iter().enumerate();
         let rows = rows.filter(|(_, row)| usable(row));
--- a/crates/steer/tests/chain.rs
+++ b/crates/steer/tests/chain.rs
@@ -119,6 +119,24 @@
     assert!(steer.target(ms(4000), MODEL, &need(1000), &[]).is_ok());
 }
 
+// An answer over the pipe is silent, and it is asked again and again whether it could go on
+// elsewhere. Counted as requests over the pipe, the questions alone would fill it, and the next
+// callers would be refused although nothing crosses.
+#[test]
+fn asking_for_a_chain_takes_nothing() {
+    let rows = vec![
+        endpoint(1, "a", "fast", 0, 4),
+        endpoint(2, "b", "fast", 4, 8),
+    ];
+    let mut steer = steer(rows);
+    for _ in 0..100 {
+        assert_eq!(steer.could(ms(0), MODEL, &need(1000), &[]), Ok(()));
+    }
+    assert_eq!(steer.flying(), 0);
+    let target = steer.target(ms(0), MODEL, &need(1000), &[]);
+    assert!(target.is_ok(), "{target:?}");
+}
+
 #[test]
 fn draining_accused_and_failed_endpoints_are_left_out() {
     let mut leaving = endpoint(1, "a", "fast", 0, 8);
