gate: a stage is replaced by the service's number of the catalog in force

A detour, and the line that tells what was scarce, asked the table by the number that the job's service had in the catalog that admitted it; the table knows the catalog in force. After a version that names services in another order the number is another service's: the dead stage was not replaced and the answer given up, or the line spoke of another service. The choice of a target had service_now for this all along. Change: both call service_now. Before: no order to replace the stage (the new test fails: [] against r1/2). After: the stage is replaced, no further attempt.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -312,7 +312,7 @@
         &self,
         ask: impl Fn(&mut Steer, Now, ServiceId, &[catalog::endpoint::Run]) -> steer::Result<T>,
     ) -> steer::Result<T> {
-        let service = self.service_now(self.job.service)?;
+        let service = self.service_now()?;
         let tried = &self.tried;
         self.worker
             .steer(|steer, now| match ask(steer, now, service, tried) {
@@ -321,13 +321,14 @@
             })
     }
 
-    /// The id of the job's service in the catalog that is in force now.
-    fn service_now(&self, service: ServiceId) -> steer::Result<ServiceId> {
+    /// The id of the job's service in the catalog that is in force now, which may be a later one
+    /// than the job's own.
+    pub(crate) fn service_now(&self) -> steer::Result<ServiceId> {
         let name = &self.job.service().name;
         let now = self.worker.view();
         let catalog = now.as_ref().map(|v| &v.fleet.catalog);
         match catalog {
-            Some(c) if Arc::ptr_eq(c, &self.job.catalog) => Ok(service),
+            Some(c) if Arc::ptr_eq(c, &self.job.catalog) => Ok(self.job.service),
             Some(c) => c.service_id(name).ok_or(Shortage::Endpoints),
             None => Err(Shortage::Endpoints),
         }
@@ -363,9 +364,10 @@
     /// The answer when no endpoint can take it.
     fn short(&mut self, shortage: Shortage) -> Refusal {
         self.story.note(shortage.word());
-        let service = self.job.service;
-        let scarcity = self.worker.steer(|steer, now| steer.scarcity(now, service));
-        self.story.short(shortage, &scarcity);
+        let scarcity = self
+            .service_now()
+            .map(|service| self.worker.steer(|steer, now| steer.scarcity(now, service)));
+        self.story.short(shortage, &scarcity.unwrap_or_default());
         if self.ran > 0 {
             return Refusal::new(Reason::Lost);
         }
--- a/crates/gate/src/forward/look.rs
+++ b/crates/gate/src/forward/look.rs
@@ -116,11 +116,11 @@
             return Look::Wait;
         }
         let need = self.job.need();
-        let service = self.job.service;
+        let service = self.service_now();
         let target = &held.target;
         let stages = self.worker.steer(|steer, now| {
             steer.accuse(now, culprit);
-            steer.detour(now, target, service, &need, culprit)
+            steer.detour(now, target, service?, &need, culprit)
         });
         let Ok(stages) = stages else {
             return Look::Lost("a stage is dead, and nothing replaces it");
--- a/crates/gate/tests/stream.rs
+++ b/crates/gate/tests/stream.rs
@@ -2,12 +2,13 @@
 
 mod support;
 
+use gate::view::View;
 use http::StatusCode;
 use std::time::Duration;
 use steer::budget::Allowance;
 use support::caller::{Got, ids, request, send};
 use support::server::{Act, Server, header};
-use support::{LAYERS, node, run, stage, start, view};
+use support::{LAYERS, node, reordered, run, stage, start, view};
 
 /// An answer from an endpoint that does the first act and, once that has failed, another one.
 async fn ask(first: Act, then: Act) -> (Got, Vec<String>) {
@@ -117,7 +118,19 @@
 // is under way: the same answer goes on, and no further attempt is made.
 #[test]
 fn a_dead_stage_is_replaced_under_way() {
-    run(async {
+    a_stage_dies(|view| view);
+}
+
+// Meanwhile the operator writes a version that names the services in another order. The answer
+// began under the version before; its stage is replaced by one of its own service all the same.
+#[test]
+fn a_dead_stage_is_replaced_under_a_later_version() {
+    a_stage_dies(reordered);
+}
+
+/// A stage dies under way, and what is known then is as `change` makes it.
+fn a_stage_dies(change: fn(View) -> View) {
+    run(async move {
         let head = Server::start(vec![Act::Stall(1, 2)]).await;
         let dead = Server::start(vec![Act::Silent]).await;
         let spare = Server::start(vec![Act::Silent]).await;
@@ -133,7 +146,7 @@
                 stage(dead.addr, 2, LAYERS),
                 stage(spare_addr, 2, LAYERS),
             ];
-            board.store(Some(std::sync::Arc::new(view(rows))));
+            board.store(Some(std::sync::Arc::new(change(view(rows)))));
             head.report(format!("r1 {}", dead.addr));
             while head.orders().is_empty() {
                 tokio::time::sleep(Duration::from_millis(5)).await;
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -88,12 +88,12 @@
     }
 }
 
-fn catalog() -> Arc<Catalog> {
+fn tables() -> Tables {
     let stream = Kind::Stream(Stream {
         resumable: true,
         pause: Some(Duration::from_millis(250)),
     });
-    let tables = Tables {
+    Tables {
         version: 1,
         routes: vec![
             route("safe", Kind::Idempotent, "plain"),
@@ -118,8 +118,20 @@
             priority: None,
         }]),
         limits: Limits::default(),
-    };
-    Arc::new(Catalog::try_from(tables).unwrap())
+    }
+}
+
+fn catalog() -> Arc<Catalog> {
+    Arc::new(Catalog::try_from(tables()).unwrap())
+}
+
+/// The same view under the next version, which names the services in another order.
+pub fn reordered(mut view: View) -> View {
+    let mut tables = tables();
+    tables.version += 1;
+    tables.services.reverse();
+    view.fleet.catalog = Arc::new(Catalog::try_from(tables).unwrap());
+    view
 }
 
 /// An endpoint of the plain service.
