--- a/crates/node/tests/hosted.rs
+++ b/crates/node/tests/hosted.rs
@@ -1,42 +1,33 @@
 //! The real binary on a platform's store: start, requests of each kind, versions, drains, outages.
 
+#[path = "support/process.rs"]
+mod process;
 #[path = "../../../platform/standin/mod.rs"]
 mod standin;
 
 use adapter::header::Headers;
 use gate::dialect::Dialect;
 use http::StatusCode;
+use process::Process;
 use standin::address;
 use standin::caller::{self, Ask};
 use standin::engine::Engine;
 use standin::manifest;
 use standin::store::Store;
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
-const BINARY: &str = env!("CARGO_BIN_EXE_wigeonshelf");
 /// Looks, 20 ms apart, before a state that should come is given up.
 const LOOKS: usize = 1500;
 
 /// A running node.
 struct Node {
-    child: Child,
+    process: Process,
     callers: SocketAddr,
     addresses: SocketAddr,
     ready: SocketAddr,
     peers: SocketAddr,
     metrics: SocketAddr,
-    file: PathBuf,
-}
-
-impl Drop for Node {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.file);
-    }
 }
 
 fn settings(name: &str, ports: [SocketAddr; 5], store: SocketAddr, seeds: &str) -> String {
@@ -51,43 +42,17 @@
     )
 }
 
-fn file(name: &str, content: &str) -> PathBuf {
-    let file = std::env::temp_dir().join(format!("hosted-{}-{name}.ini", std::process::id()));
-    std::fs::write(&file, content).unwrap();
-    file
-}
-
-impl Node {
-    /// Kills the process, which tells nobody, and leaves its settings.
-    fn kill(&mut self) {
-        self.child.kill().unwrap();
-        self.child.wait().unwrap();
-    }
-
-    fn revive(&mut self) {
-        self.child = spawn(&self.file);
-    }
-}
-
-fn spawn(file: &std::path::Path) -> Child {
-    let mut command = Command::new(BINARY);
-    command.args(["--config", file.to_str().unwrap()]);
-    command.stdout(Stdio::null()).spawn().unwrap()
-}
-
 fn start(name: &str, store: SocketAddr, seeds: &str) -> Node {
     let ports = std::array::from_fn(|_| address::fresh());
-    let file = file(name, &settings(name, ports, store, seeds));
-    let child = spawn(&file);
     let [callers, addresses, ready, peers, metrics] = ports;
+    let file = process::settings(callers, &settings(name, ports, store, seeds));
     Node {
-        child,
+        process: Process::start(file),
         callers,
         addresses,
         ready,
         peers,
         metrics,
-        file,
     }
 }
 
@@ -233,10 +198,10 @@
         until("a chain", node.callers, "/chat/x", ok).await;
     }
     store.operator(&manifest(2, "/other/"));
-    nodes.iter_mut().for_each(Node::kill);
+    nodes.iter_mut().for_each(|n| n.process.kill());
     assert_eq!(ask(nodes[0].callers, "GET", "/chat/x", "k1").await, None);
     store.down(true);
-    nodes.iter_mut().for_each(Node::revive);
+    nodes.iter_mut().for_each(|n| n.process.revive());
     let away = |a: &(StatusCode, String)| a.0 == StatusCode::SERVICE_UNAVAILABLE;
     for node in &nodes {
         until("no catalog", node.callers, "/chat/x", away).await;
@@ -293,23 +258,18 @@
     store.operator(&manifest(1, "/safe/"));
     let mut node = start("signals", store.addr, "");
     until("ready", node.ready, Headers.ready_path(), ok).await;
-    let signal = |node: &Node, name: &str| {
-        let pid = node.child.id().to_string();
-        let status = Command::new("kill").args([name, &pid]).status().unwrap();
-        assert!(status.success());
-    };
     // A file that can't be read any more is told and changes nothing.
-    std::fs::write(&node.file, "[store]\naddress = nowhere\n").unwrap();
-    signal(&node, "-HUP");
+    std::fs::write(&node.process.file, "[store]\naddress = nowhere\n").unwrap();
+    assert!(node.process.signal("-HUP"));
     until("served after the reload", node.callers, "/safe/x", ok).await;
-    signal(&node, "-TERM");
+    assert!(node.process.signal("-TERM"));
     let away = |a: &(StatusCode, String)| a.0 == StatusCode::SERVICE_UNAVAILABLE;
     until("no longer ready", node.ready, Headers.ready_path(), away).await;
     // Callers that still come are served at first.
     let answer = ask(node.callers, "GET", "/safe/x", "k1").await.unwrap();
     assert_eq!(answer.0, StatusCode::OK);
     for _ in 0..LOOKS {
-        if let Some(status) = node.child.try_wait().unwrap() {
+        if let Some(status) = node.process.ended() {
             assert!(status.success(), "{status}");
             return;
         }
@@ -359,11 +319,8 @@
 fn every_finding_in_settings_is_told() {
     let content = "[node]\nname = a b\nzone = a\n[callers]\nlisten = here\n[peers]\nkey = 1\n\
                    [store]\naddress = 127.0.0.1:1\nheartbeat = 0s\n[retries]\nratio = -1\n[stray]\n";
-    let file = file("findings", content);
-    let output = Command::new(BINARY)
-        .args(["check", "--config", file.to_str().unwrap()])
-        .output()
-        .unwrap();
+    let file = process::settings(address::fresh(), content);
+    let output = process::check(&file);
     let _ = std::fs::remove_file(&file);
     assert_eq!(output.status.code(), Some(2));
     let text = String::from_utf8_lossy(&output.stderr).into_owned();
--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -13,12 +13,15 @@
 //!
 //! `SOAK_SEEDS=100..150 cargo test --release -p wigeonshelf --test soak -- --nocapture` runs others.
 
+#[path = "support/process.rs"]
+mod process;
 #[path = "soak/proxy.rs"]
 mod proxy;
 #[path = "../../../platform/standin/mod.rs"]
 mod standin;
 
 use http::StatusCode;
+use process::Process;
 use proxy::{Mode, Proxy};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -29,12 +32,9 @@
 use standin::store::Store;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-const BINARY: &str = env!("CARGO_BIN_EXE_wigeonshelf");
 /// Seeds of the run in CI. 104 and 128 once failed: two soaks beside each other had drawn the same
 /// free ports, and nodes of one talked to endpoints of the other. Addresses now belong to a process.
 const SEEDS: [u64; 4] = [1, 2, 104, 128];
@@ -47,11 +47,10 @@
 
 /// A node that is started again when it ends.
 struct Node {
-    child: Child,
+    process: Process,
     /// Runs so far; versions are ordered within one.
     run: u64,
     callers: SocketAddr,
-    file: PathBuf,
 }
 
 impl Node {
@@ -67,47 +66,26 @@
             "02".repeat(32),
             seeds.join(",")
         );
-        let name = format!("soak-{}-{}.ini", std::process::id(), own[0].port());
-        let file = std::env::temp_dir().join(name);
-        std::fs::write(&file, content).unwrap();
         Self {
-            child: spawn(&file),
+            process: Process::start(process::settings(own[0], &content)),
             run: 1,
             callers: own[0],
-            file,
         }
     }
 
     fn signal(&self, name: &str) {
         // One that has ended just now takes no signal; it is started again anyway.
-        let _ = Command::new("kill")
-            .args([name, &self.child.id().to_string()])
-            .stderr(Stdio::null())
-            .status();
+        let _ = self.process.signal(name);
     }
 
     fn revive(&mut self) {
-        if self.child.try_wait().unwrap().is_some() {
-            self.child = spawn(&self.file);
+        if self.process.ended().is_some() {
+            self.process.revive();
             self.run += 1;
         }
     }
 }
 
-impl Drop for Node {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.file);
-    }
-}
-
-fn spawn(file: &std::path::Path) -> Child {
-    let mut command = Command::new(BINARY);
-    command.args(["--config", file.to_str().unwrap()]);
-    command.stdout(Stdio::null()).spawn().unwrap()
-}
-
 /// What callers saw.
 #[derive(Default)]
 struct Seen {
--- a/crates/steer/tests/chain.rs
+++ b/crates/steer/tests/chain.rs
@@ -10,11 +10,10 @@
 use std::sync::Arc;
 use steer::chain::FILL;
 use steer::health::Outcome;
-use steer::load::Load;
 use steer::shortage::Shortage;
 use steer::target::Target;
 use steer::{Fleet, Steer};
-use support::{ALLOWANCE, LAYERS, endpoint, fleet, ms, need, steer};
+use support::{ALLOWANCE, LAYERS, endpoint, fleet, load, ms, need, steer};
 
 const MODEL: u32 = 0;
 
@@ -262,17 +261,8 @@
     let slow = endpoint(1, "a", "slow", 0, 4);
     let rest = endpoint(2, "a", "fast", 4, 8);
     let begin = |queued: u32| {
-        let load = |run: &Endpoint, queued| {
-            let load = Load {
-                stamp: 1,
-                used: 0.0,
-                pace: 1.0,
-                queued,
-                age: ms(200),
-            };
-            (run.run.to_string(), load)
-        };
-        let loads = [load(&fast, queued), load(&rest, 50)];
+        let told = |e: &Endpoint, queued| (e.run.to_string(), load(1, 0.0, queued, ms(200)));
+        let loads = [told(&fast, queued), told(&rest, 50)];
         let mut steer = Steer::new(1, ALLOWANCE);
         let fleet = Fleet {
             loads: Arc::new(loads.into_iter().collect()),
@@ -296,16 +286,10 @@
         endpoint(1, "a", "slow", 0, 8),
     );
     let room = f64::from(LAYERS) * 250.0;
-    let load = Load {
-        stamp: 1,
-        used: room * 0.66,
-        pace: 1.0,
-        queued: 0,
-        age: ms(1000),
-    };
+    let told = load(1, room * 0.66, 0, ms(1000));
     let mut steer = Steer::new(1, ALLOWANCE);
     let fleet = Fleet {
-        loads: Arc::new([(fast.run.to_string(), load)].into()),
+        loads: Arc::new([(fast.run.to_string(), told)].into()),
         ..fleet(vec![fast.clone(), slow.clone()], 1)
     };
     steer.follow(ms(1000), fleet);
--- a/crates/steer/tests/herd.rs
+++ b/crates/steer/tests/herd.rs
@@ -19,7 +19,7 @@
 use steer::load::Load;
 use steer::target::{Stage, Target};
 use steer::{Fleet, Steer};
-use support::{catalog_of, endpoint, engine, fleet};
+use support::{catalog_of, endpoint, engine, fleet, load};
 
 const NODES: usize = 84;
 const ENDPOINTS: u8 = 48;
@@ -143,18 +143,12 @@
 
     /// What the endpoints report now.
     fn loads(&self, base: &Fleet, step: usize) -> BTreeMap<String, Load> {
-        let load = |run: String| {
-            let load = Load {
-                stamp: step as u64,
-                used: self.used.get(&run).copied().unwrap_or(0.0),
-                pace: 1.0,
-                queued: 0,
-                age: STEP * LAG as u32,
-            };
-            (run, load)
+        let told = |run: String| {
+            let used = self.used.get(&run).copied().unwrap_or(0.0);
+            (run, load(step as u64, used, 0, STEP * LAG as u32))
         };
         let runs = base.endpoints.iter().map(|e| e.run.to_string());
-        runs.map(load).collect()
+        runs.map(told).collect()
     }
 }
 
--- a/crates/steer/tests/support/mod.rs
+++ b/crates/steer/tests/support/mod.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 use steer::budget::Allowance;
 use steer::chain::Need;
+use steer::load::Load;
 use steer::{Fleet, Steer};
 
 /// Layers of the model.
@@ -162,6 +163,17 @@
     }
 }
 
+/// A report of `used` room and `queued` requests that was `age` old when it was published.
+pub fn load(stamp: u64, used: f64, queued: u32, age: Duration) -> Load {
+    Load {
+        stamp,
+        used,
+        pace: 1.0,
+        queued,
+        age,
+    }
+}
+
 /// Milliseconds since the start.
 pub fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
