node: one record for what is kept of an engine's report

Each figure of a report stood in five places: in the row, in the form between nodes, in the copy each way, and as zeros where a run does not answer, with a flag beside them. One record now serves the row and the form between nodes, and no record means no answer.

--- a/crates/node/src/hosted/control/loads.rs
+++ b/crates/node/src/hosted/control/loads.rs
@@ -28,48 +28,46 @@
 /// Longest list that is read.
 const LONGEST: usize = 4 << 20;
 
-/// A report.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Row {
-    at: Instant,
-    used: f64,
-    room: f64,
-    pace: f64,
-    queued: u32,
-    span: Span,
-}
-
-/// A report between nodes. Clocks of nodes differ, so its age is sent and not its time.
-#[derive(Serialize, Deserialize)]
-struct Raw {
-    run: String,
-    age_ms: u32,
+/// What is kept of a report, as nodes also send it to each other.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+struct Figures {
     used: f64,
     room: f64,
     pace: f64,
     queued: u32,
     from: u32,
     to: u32,
-    /// Whether it says that the run does not answer; the rest then says nothing.
-    silent: bool,
 }
 
-impl Raw {
-    fn silent(run: String) -> Self {
+impl From<&Report> for Figures {
+    fn from(report: &Report) -> Self {
         Self {
-            run,
-            age_ms: 0,
-            used: 0.0,
-            room: 0.0,
-            pace: 1.0,
-            queued: 0,
-            from: 0,
-            to: 0,
-            silent: true,
+            used: report.used,
+            room: report.room,
+            pace: report.pace,
+            queued: report.queued,
+            from: report.span.from,
+            to: report.span.to,
         }
     }
 }
 
+/// A report, and when it was given.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Row {
+    at: Instant,
+    figures: Figures,
+}
+
+/// A report between nodes. Clocks of nodes differ, so its age is sent and not its time.
+#[derive(Serialize, Deserialize)]
+struct Raw {
+    run: String,
+    age_ms: u32,
+    /// Nothing if the run does not answer.
+    figures: Option<Figures>,
+}
+
 /// The newest report of each run.
 #[derive(Clone, Debug, Default)]
 pub struct Loads {
@@ -97,14 +95,8 @@
 impl Loads {
     /// Takes a report in that was just given.
     pub fn reported(&mut self, now: Instant, run: &str, report: &Report) {
-        let row = Row {
-            at: now,
-            used: report.used,
-            room: report.room,
-            pace: report.pace,
-            queued: report.queued,
-            span: report.span,
-        };
+        let figures = Figures::from(report);
+        let row = Row { at: now, figures };
         self.rows.insert(run.to_owned(), row);
         self.missed.remove(run);
         self.told.remove(run);
@@ -127,7 +119,8 @@
 
     /// Whether a run should be asked now; if so, it counts as asked.
     pub fn due(&mut self, now: Instant, run: &str) -> bool {
-        let busy = self.rows.get(run).is_some_and(|r| r.used > r.room * BUSY);
+        let figures = self.rows.get(run).map(|r| r.figures);
+        let busy = figures.is_some_and(|f| f.used > f.room * BUSY);
         let doubted = busy || self.missed.contains_key(run);
         let period = if doubted { OFTEN } else { SELDOM };
         let due = self.asked.get(run).is_none_or(|&at| now >= at + period);
@@ -147,12 +140,17 @@
 
     /// All reports for a peer.
     pub fn encode(&self, now: Instant) -> Result<Vec<u8>> {
-        let mut raws: Vec<Raw> = self
-            .rows
-            .iter()
-            .map(|(run, row)| raw(now, run, row))
-            .collect();
-        raws.extend(self.silent().into_iter().map(Raw::silent));
+        let rows = self.rows.iter().map(|(run, row)| Raw {
+            run: run.clone(),
+            age_ms: (now - row.at).as_millis() as u32,
+            figures: Some(row.figures),
+        });
+        let silent = self.silent().into_iter().map(|run| Raw {
+            run,
+            age_ms: 0,
+            figures: None,
+        });
+        let raws: Vec<Raw> = rows.chain(silent).collect();
         let config = bincode::config::standard();
         Ok(bincode::serde::encode_to_vec(&raws, config)?)
     }
@@ -164,13 +162,13 @@
         ensure!(used == bytes.len(), "trailing bytes");
         let mut new = false;
         for raw in raws {
-            if raw.silent {
+            let Some(figures) = raw.figures else {
                 // Only what this node did not hear itself of late is taken.
                 if !self.asked.contains_key(&raw.run) {
                     self.told.insert(raw.run, now + TOLD);
                 }
                 continue;
-            }
+            };
             let at = now.checked_sub(Duration::from_millis(raw.age_ms.into()));
             let Some(at) = at else {
                 continue;
@@ -180,7 +178,7 @@
                 continue;
             }
             new = true;
-            self.rows.insert(raw.run.clone(), row(at, &raw));
+            self.rows.insert(raw.run, Row { at, figures });
         }
         Ok(new)
     }
@@ -189,9 +187,9 @@
     pub fn view(&self, now: Instant, start: Instant) -> BTreeMap<String, Load> {
         let load = |row: &Row| Load {
             stamp: (row.at - start).as_micros() as u64,
-            used: row.used,
-            pace: row.pace,
-            queued: row.queued,
+            used: row.figures.used,
+            pace: row.figures.pace,
+            queued: row.figures.queued,
             age: now - row.at,
         };
         let rows = self.rows.iter();
@@ -203,7 +201,8 @@
         let mut endpoint = endpoint.clone();
         let row = self.rows.get(&endpoint.run.to_string());
         if let Some(row) = row.filter(|r| now < r.at + FRESH) {
-            endpoint.span = row.span;
+            let Figures { from, to, .. } = row.figures;
+            endpoint.span = Span { from, to };
         }
         endpoint
     }
@@ -211,31 +210,3 @@
 
 /// Two copies of one report differ by the time that they were on their way.
 const SAME: Duration = Duration::from_millis(50);
-
-fn raw(now: Instant, run: &str, row: &Row) -> Raw {
-    Raw {
-        run: run.to_owned(),
-        age_ms: (now - row.at).as_millis() as u32,
-        used: row.used,
-        room: row.room,
-        pace: row.pace,
-        queued: row.queued,
-        from: row.span.from,
-        to: row.span.to,
-        silent: false,
-    }
-}
-
-fn row(at: Instant, raw: &Raw) -> Row {
-    Row {
-        at,
-        used: raw.used,
-        room: raw.room,
-        pace: raw.pace,
-        queued: raw.queued,
-        span: Span {
-            from: raw.from,
-            to: raw.to,
-        },
-    }
-}
