--- a/crates/node/src/hosted/process.rs
+++ b/crates/node/src/hosted/process.rs
@@ -82,7 +82,7 @@
     let parts = Parts {
         metrics: metrics.clone(),
         dumps,
-        dialect: Headers,
+        dialect: Headers::default(),
         board: board.clone(),
         journal: journal.clone(),
         allowance: settings.allowance,
--- a/crates/node/tests/hosted.rs
+++ b/crates/node/tests/hosted.rs
@@ -109,10 +109,16 @@
     let store = Store::start().await;
     let (engines, app) = fleet(&store).await;
     let node = start("whole", store.addr, "");
-    let not_ready = until("an answer", node.ready, Headers.ready_path(), |_| true).await;
+    let not_ready = until(
+        "an answer",
+        node.ready,
+        Headers::default().ready_path(),
+        |_| true,
+    )
+    .await;
     assert_eq!(not_ready.0, StatusCode::SERVICE_UNAVAILABLE);
     store.operator(&manifest(1, "/safe/"));
-    until("ready", node.ready, Headers.ready_path(), ok).await;
+    until("ready", node.ready, Headers::default().ready_path(), ok).await;
     let (_, body) = until("a chain", node.callers, "/chat/x", ok).await;
     assert_eq!(body.matches("id: ").count(), 3);
     for layer in 0..4 {
@@ -130,7 +136,10 @@
         assert_eq!(body, "app north r1");
     }
     assert!(!app.chains().is_empty());
-    let path = format!("{}?name=h&region=south&zone=a", Headers.addresses_path());
+    let path = format!(
+        "{}?name=h&region=south&zone=a",
+        Headers::default().addresses_path()
+    );
     let (_, body) = until("addresses", node.addresses, &path, ok).await;
     assert!(body.contains(&node.callers.to_string()), "{body}");
     let unknown = ask(node.callers, "GET", "/safe/x", "other").await.unwrap();
@@ -152,7 +161,13 @@
         until("version 1", node.callers, "/safe/x", ok).await;
     }
     let both = |a: &(StatusCode, String)| a.1.contains(&first.callers.to_string());
-    until("the peer", second.addresses, Headers.addresses_path(), both).await;
+    until(
+        "the peer",
+        second.addresses,
+        Headers::default().addresses_path(),
+        both,
+    )
+    .await;
     *shut.lock().unwrap() = true;
     store.operator(&manifest(2, "/other/"));
     until("version 2", second.callers, "/other/x", ok).await;
@@ -257,14 +272,20 @@
     let (_engines, _app) = fleet(&store).await;
     store.operator(&manifest(1, "/safe/"));
     let mut node = start("signals", store.addr, "");
-    until("ready", node.ready, Headers.ready_path(), ok).await;
+    until("ready", node.ready, Headers::default().ready_path(), ok).await;
     // A file that can't be read any more is told and changes nothing.
     std::fs::write(&node.process.file, "[store]\naddress = nowhere\n").unwrap();
     assert!(node.process.signal("-HUP"));
     until("served after the reload", node.callers, "/safe/x", ok).await;
     assert!(node.process.signal("-TERM"));
     let away = |a: &(StatusCode, String)| a.0 == StatusCode::SERVICE_UNAVAILABLE;
-    until("no longer ready", node.ready, Headers.ready_path(), away).await;
+    until(
+        "no longer ready",
+        node.ready,
+        Headers::default().ready_path(),
+        away,
+    )
+    .await;
     // Callers that still come are served at first.
     let answer = ask(node.callers, "GET", "/safe/x", "k1").await.unwrap();
     assert_eq!(answer.0, StatusCode::OK);
