--- a/crates/gate/src/forward/look.rs
+++ b/crates/gate/src/forward/look.rs
@@ -15,15 +15,12 @@
 use steer::target::Target;
 use tokio::time::{Instant, timeout};
 
-/// Silence before the first event after which the head is asked: twice the usual time. Asked after
-/// 350 ms, a new answer over a dead stage was moved too late for the usual target of 500 ms.
-pub(crate) const FIRST: Duration = Duration::from_millis(200);
-/// Silence between two events after which the head is asked: what its account is old. A stage that
-/// died with the last event is in an account from then on.
-pub(crate) const NEXT: Duration = Duration::from_millis(200);
-/// Time until it is asked again. A stage is named this much after it could be at the most; on a day
-/// with four crashes each 100 ms more cost 0.01 of its worth, and 10,000 questions less saved 0.003.
-pub(crate) const AGAIN: Duration = Duration::from_millis(120);
+/// Silence before the first event after which the head is asked: four times the usual time.
+pub(crate) const FIRST: Duration = Duration::from_millis(350);
+/// Silence between two events after which the head is asked.
+pub(crate) const NEXT: Duration = Duration::from_millis(260);
+/// Time until it is asked again: what its account is old, and a little.
+pub(crate) const AGAIN: Duration = Duration::from_millis(220);
 /// Longest wait for its account.
 const ANSWER: Duration = Duration::from_millis(250);
 /// Time for which one account serves all requests of a head.
