--- a/crates/node/src/hosted/control.rs
+++ b/crates/node/src/hosted/control.rs
@@ -12,7 +12,6 @@
 pub mod readers;
 pub mod state;
 pub mod tables;
-pub mod viewed;
 
 use super::settings::Settings;
 use adapter::Platform;
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -10,7 +10,6 @@
 use super::reader;
 use super::readers::Part;
 use super::tables::Tables;
-use super::viewed::Viewed;
 use super::{Control, STEP};
 use crate::hosted::settings::Settings;
 use adapter::Platform;
@@ -95,8 +94,6 @@
     leaving: bool,
     /// Whether something changed that the worker must know.
     dirty: bool,
-    /// What the worker was last told.
-    told: Option<Viewed>,
     /// Whether loads changed; they are published by step, since reports come one by one.
     reported: bool,
 }
@@ -146,7 +143,6 @@
             metrics: control.metrics,
             leaving: false,
             dirty: false,
-            told: None,
             reported: false,
             settings,
         };
@@ -329,21 +325,12 @@
         self.orders.step(now, catalog, living.iter());
     }
 
-    /// Publishes a view if anything changed, or leaves that to a later step.
+    /// Publishes a view if anything changed.
     fn publish(&mut self) {
-        let next = Viewed {
-            at: Instant::now(),
-            version: self.tables.catalog().map_or(0, |c| c.version),
-            leaving: self.leaving,
-        };
-        let count = self.tables.endpoints().count();
-        let may = self.told.is_none_or(|told| told.gives_way(&next, count));
-        if !self.dirty || !may {
+        if !std::mem::take(&mut self.dirty) {
             return;
         }
-        self.dirty = false;
-        self.told = Some(next);
-        let now = next.at;
+        let now = Instant::now();
         self.accuse(now);
         let Some(catalog) = self.tables.catalog() else {
             return;
