gate: callers of a node that knows no catalog come back after seconds

The time is drawn from 1.5 to 3 s: where a node has no catalog after its start, all have none and the store is out, which lasts for seconds. Test, without the bench: the time that callers are told, and that it is not the same for all (fails before: 0.05 for all).

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -401,7 +401,7 @@
 }
 
 /// Spreads the return of callers that were refused together over once to twice the time.
-fn spread(after: Duration) -> Duration {
+pub(crate) fn spread(after: Duration) -> Duration {
     after.mul_f64(rand::rng().random_range(1.0..2.0))
 }
 
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -32,9 +32,13 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::Instant;
 
-/// Time to come back for a caller whose node knows no catalog yet or is about to end: another
-/// node takes the request at once.
+/// Time to come back for a caller whose node is about to end: another node takes the request at once.
 const ELSEWHERE: Duration = Duration::from_millis(50);
+/// Time to come back for a caller whose node knows no catalog yet. A node that starts beside others
+/// has theirs before callers are sent to it, so the others know none either: all have started anew
+/// while the store is out, which lasts for seconds. Callers that came back after 50 ms were refused
+/// again, and most come back only once.
+const BLIND: Duration = Duration::from_millis(1500);
 
 /// What a worker is made of.
 #[derive(Debug)]
@@ -225,10 +229,11 @@
         let ask = self.dialect.ask(&parts.headers);
         let id = ask.id.clone().unwrap_or_default();
         let checked = async {
-            let away = |reason| Refusal::after(reason, ELSEWHERE);
-            let view = self.view().ok_or(away(Reason::NoCatalog))?;
+            let Some(view) = self.view() else {
+                return Err(Refusal::after(Reason::NoCatalog, forward::spread(BLIND)));
+            };
             if self.closing.get() {
-                return Err(away(Reason::Leaving));
+                return Err(Refusal::after(Reason::Leaving, ELSEWHERE));
             }
             let catalog = &view.fleet.catalog;
             let admitted = admit::head(catalog, &parts, ask)?;
--- a/crates/gate/tests/plain.rs
+++ b/crates/gate/tests/plain.rs
@@ -5,7 +5,7 @@
 use http::StatusCode;
 use std::sync::Arc;
 use std::time::Duration;
-use support::caller::{request, send};
+use support::caller::{Got, request, send};
 use support::server::{Act, Server, header};
 use support::{ALLOWANCE, node, plain, run, start, view};
 
@@ -130,13 +130,28 @@
 }
 
 // A node that has just started knows no catalog. It must not say that a route or key does not
-// exist, which callers take as final: it says that it is not ready, and that nothing has run.
+// exist, which callers take as final: it says that it is not ready, and that nothing has run. Where all
+// nodes started anew, the others know none either, and most callers come back only once: they are
+// told a time in which a store comes back, and not the same one all.
 #[test]
 fn a_node_without_a_catalog_sends_callers_elsewhere() {
     run(async {
         let node = start(ALLOWANCE).await;
         let got = send(node.addr, request("/safe/x")).await;
         assert_eq!(got.status, StatusCode::SERVICE_UNAVAILABLE);
+        let after = |got: &Got| -> f64 {
+            got.headers["retry-after"]
+                .to_str()
+                .unwrap()
+                .parse()
+                .unwrap()
+        };
+        assert!((1.5..=3.0).contains(&after(&got)), "{:?}", got.headers);
+        let mut others = Vec::new();
+        for _ in 0..4 {
+            others.push(after(&send(node.addr, request("/safe/x")).await));
+        }
+        assert!(others.iter().any(|o| *o != others[0]), "{others:?}");
         let server = Server::start(vec![Act::Answer(200, "a")]).await;
         node.board
             .store(Some(Arc::new(view(vec![plain(server.addr)]))));
