Comments: what is worked out says so

Cause: the last reading of the change; a rate that was worked out read as measured, and a share that the trace did not give. Change: comments only.

--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -32,7 +32,8 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::Instant;
 
-/// Time to come back for a caller whose node is about to end: another node takes the request at once.
+/// Time to come back for a caller whose node is about to end: another node takes the request at
+/// once.
 const ELSEWHERE: Duration = Duration::from_millis(50);
 /// Time to come back for a caller whose node knows no catalog yet. A node that starts beside others
 /// has theirs before callers are sent to it, so the others know none either: all have started anew
--- a/crates/steer/src/search.rs
+++ b/crates/steer/src/search.rs
@@ -64,7 +64,8 @@
 
 /// Zones of the stages that stay on both sides of a stage which is replaced; none where the chain
 /// begins or ends. A replaced stage in another zone costs two hops, over which all tokens so far go
-/// at once: 290 answers that were moved so filled a pipe for seconds, and most callers left.
+/// at once: 300 answers that were moved so filled the pipes for seconds, and a third of their callers
+/// left.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Ends {
     pub(crate) before: Option<usize>,
