One loop for what others take, one hop price, one test model

Cause: the reading of the whole change. New chains and replaced stages each had the loop that places others' requests in thought; the lookup of a chain's candidates stood twice; the price of a hop that may not exist was put together in two places; a string was made for each endpoint ten times a second to count zones; two neighbouring modules each had a type `Part`; two tests had the users' model of their own, a third the small engine. Change: `unseen::after`, `search::along`, `Search::hop`, zones by reference, `copy::Scope`, the model in the tests' support. Behaviour, bounds and assertions are as before.

--- a/crates/node/src/hosted/control/copy.rs
+++ b/crates/node/src/hosted/control/copy.rs
@@ -80,26 +80,26 @@
 
 /// Which loads a node is asked for. They are no table of the store, and have numbers of their own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Part {
+pub enum Scope {
     /// Those that it asked engines for itself.
     Own,
     /// All that it knows.
     All,
 }
 
-/// The number of a part of the loads between nodes.
-pub fn loads_number(part: Part) -> u8 {
-    match part {
-        Part::All => 2,
-        Part::Own => 3,
+/// The number between nodes of a scope of the loads.
+pub fn loads_number(scope: Scope) -> u8 {
+    match scope {
+        Scope::All => 2,
+        Scope::Own => 3,
     }
 }
 
-/// The part of the loads of a number.
-pub fn loads(number: u8) -> Option<Part> {
-    [Part::Own, Part::All]
+/// The scope of the loads of a number.
+pub fn loads(number: u8) -> Option<Scope> {
+    [Scope::Own, Scope::All]
         .into_iter()
-        .find(|p| loads_number(*p) == number)
+        .find(|s| loads_number(*s) == number)
 }
 
 /// The number of a table between nodes.
--- a/crates/node/src/hosted/control/input.rs
+++ b/crates/node/src/hosted/control/input.rs
@@ -1,6 +1,6 @@
 //! What tasks tell control.
 
-use super::copy::{Copy, Part};
+use super::copy::{Copy, Scope};
 use adapter::report::Report;
 use adapter::store::Table;
 use catalog::endpoint::Run;
@@ -36,7 +36,7 @@
     /// A peer gave changes of its copy.
     Copy(Table, Copy),
     /// A peer gave the loads that it learned since it was last asked.
-    Loads(SocketAddr, Part, Vec<u8>),
+    Loads(SocketAddr, Scope, Vec<u8>),
     /// An engine was asked for its report; nothing if it did not answer.
     Report(Run, Option<Report>),
     /// The worker found something out about an endpoint.
--- a/crates/node/src/hosted/control/loads.rs
+++ b/crates/node/src/hosted/control/loads.rs
@@ -5,7 +5,7 @@
 //! each engine would cost the number of nodes times as many questions. A node that takes answers
 //! again gets those that the giver learned since: all of 3,000 engines' would be 180 KB each time.
 
-use super::copy::Part;
+use super::copy::Scope;
 use adapter::report::Report;
 use catalog::Endpoint;
 use catalog::endpoint::Span;
@@ -96,7 +96,7 @@
     rows: BTreeMap<String, Row>,
     /// Number of the last change.
     last: u64,
-    heard: BTreeMap<(SocketAddr, Part), Heard>,
+    heard: BTreeMap<(SocketAddr, Scope), Heard>,
     /// When each run was last asked by this node.
     asked: BTreeMap<String, Instant>,
     /// How often in a row each run did not answer this node, and when it last did not.
@@ -137,9 +137,9 @@
         self.rows.insert(run, row);
     }
 
-    /// The last change of a part of a peer's list that is known here.
-    pub fn heard(&self, peer: SocketAddr, part: Part) -> u64 {
-        self.heard.get(&(peer, part)).map_or(0, |h| h.last)
+    /// The last change of a scope of a peer's list that is known here.
+    pub fn heard(&self, peer: SocketAddr, scope: Scope) -> u64 {
+        self.heard.get(&(peer, scope)).map_or(0, |h| h.last)
     }
 
     /// An engine did not answer this node.
@@ -186,9 +186,9 @@
     /// A peer that knows of later changes than there are learned them before this node started
     /// anew, and gets all. Were there as many again by then, it would miss some until the engines
     /// are next asked, at most [`SELDOM`] later.
-    pub fn encode(&self, now: Instant, part: Part, known: u64) -> Result<Vec<u8>> {
+    pub fn encode(&self, now: Instant, scope: Scope, known: u64) -> Result<Vec<u8>> {
         let known = if known > self.last { 0 } else { known };
-        let given = |row: &Row| row.number > known && (row.own || part == Part::All);
+        let given = |row: &Row| row.number > known && (row.own || scope == Scope::All);
         let rows = self.rows.iter().filter(|(_, row)| given(row));
         let rows = rows.map(|(run, row)| Raw {
             run: run.clone(),
@@ -213,14 +213,14 @@
         &mut self,
         now: Instant,
         peer: SocketAddr,
-        part: Part,
+        scope: Scope,
         bytes: &[u8],
     ) -> Result<bool> {
         let config = bincode::config::standard().with_limit::<LONGEST>();
         let (changes, used): (Changes, usize) = bincode::serde::decode_from_slice(bytes, config)?;
         ensure!(used == bytes.len(), "trailing bytes");
         let last = changes.last;
-        self.heard.insert((peer, part), Heard { last, at: now });
+        self.heard.insert((peer, scope), Heard { last, at: now });
         let mut new = false;
         for raw in changes.rows {
             let Some(figures) = raw.figures else {
--- a/crates/node/src/hosted/control/readers.rs
+++ b/crates/node/src/hosted/control/readers.rs
@@ -22,7 +22,7 @@
 pub const ASKED: usize = 48;
 
 /// Engines by availability zone.
-pub type Engines = BTreeMap<String, usize>;
+pub type Engines<'a> = BTreeMap<&'a str, usize>;
 
 /// The engines of a zone that a node asks: one of `of` equal parts.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -52,7 +52,7 @@
         me: Id,
         zone: &str,
         open: impl Iterator<Item = &'a Peer>,
-        engines: &Engines,
+        engines: &Engines<'_>,
     ) -> Self {
         let mut open: Vec<&Peer> = open.collect();
         open.sort_by_key(|p| p.id);
@@ -64,7 +64,7 @@
         let own = of_zone(&open, zone, nodes.div_ceil(READS_FOR).max(READERS));
         let mut pollers: Vec<&Peer> = Vec::new();
         let mut shares = BTreeMap::new();
-        for (zone, &count) in engines {
+        for (&zone, &count) in engines {
             let most = count.div_ceil(ASKED).max(1);
             let mut asking = of_zone(&open, zone, most);
             if asking.is_empty() {
@@ -73,7 +73,7 @@
             }
             if let Some(number) = asking.iter().position(|p| p.id == me) {
                 let of = asking.len();
-                shares.insert(zone.clone(), Share { number, of });
+                shares.insert(zone.to_owned(), Share { number, of });
             }
             pollers.extend(asking);
         }
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -163,7 +163,7 @@
             Input::Page(table, page) => self.page(now, table, page),
             Input::Unread(table, why) => self.unread(now, table, &why),
             Input::Copy(table, copy) => self.copied(now, table, copy),
-            Input::Loads(peer, part, bytes) => match self.loads.take(now, peer, part, &bytes) {
+            Input::Loads(peer, scope, bytes) => match self.loads.take(now, peer, scope, &bytes) {
                 Ok(new) => self.reported |= new,
                 Err(error) => log::warn!("a peer's loads can't be read: {error}"),
             },
--- a/crates/node/src/hosted/control/state/share.rs
+++ b/crates/node/src/hosted/control/state/share.rs
@@ -18,8 +18,8 @@
 impl State {
     /// Finds this node's part in reading the store and asking engines.
     pub(super) fn share(&mut self, now: Instant) {
-        let open = self.group.open();
-        self.part = Part::of(self.group.me(), &self.settings.zone, open, &self.zones());
+        let (me, open) = (self.group.me(), self.group.open());
+        self.part = Part::of(me, &self.settings.zone, open, &self.zones());
         // A node whose readers don't answer, or can't read the store, tries it by itself.
         let reads = self.part.reads || now >= self.heard + UNHEARD;
         self.reads
@@ -27,10 +27,10 @@
     }
 
     /// How many engines there are in each zone.
-    fn zones(&self) -> Engines {
+    fn zones(&self) -> Engines<'_> {
         let mut zones = Engines::new();
         let engines = self.tables.endpoints().filter(|e| e.kind.is_some());
-        engines.for_each(|e| *zones.entry(e.zone.clone()).or_default() += 1);
+        engines.for_each(|e| *zones.entry(&e.zone).or_default() += 1);
         zones
     }
 
@@ -42,7 +42,7 @@
         self.pulled = now;
         if self.part.reads {
             for &poller in &self.part.pollers {
-                self.ask_loads(poller, copy::Part::Own);
+                self.ask_loads(poller, copy::Scope::Own);
             }
             return;
         }
@@ -50,7 +50,7 @@
             for table in [Table::Operator, Table::Endpoints] {
                 self.ask_copy(reader, table);
             }
-            self.ask_loads(reader, copy::Part::All);
+            self.ask_loads(reader, copy::Scope::All);
         }
     }
 
@@ -66,17 +66,17 @@
         self.dirty |= self.tables.take(&self.platform, table, copy.page, "peer");
     }
 
-    pub(super) fn ask_loads(&self, peer: SocketAddr, part: copy::Part) {
+    pub(super) fn ask_loads(&self, peer: SocketAddr, scope: copy::Scope) {
         let ask = CopyAsk {
-            table: copy::loads_number(part),
-            from: self.loads.heard(peer, part),
+            table: copy::loads_number(scope),
+            from: self.loads.heard(peer, scope),
         };
         let (link, inputs) = (self.link.clone(), self.inputs.clone());
         tokio::spawn(async move {
             // A peer that does not answer is asked again.
             if let Ok(Some(bytes)) = link.copy(peer, ask).await {
                 // Control has ended if nobody takes it.
-                let _ = inputs.send(Input::Loads(peer, part, bytes)).await;
+                let _ = inputs.send(Input::Loads(peer, scope, bytes)).await;
             }
         });
     }
@@ -166,7 +166,7 @@
     pub(super) fn offer(&self, ask: CopyAsk) -> Option<Vec<u8>> {
         let encoded = match (copy::table(ask.table), copy::loads(ask.table)) {
             (Some(table), _) => copy::encode(&self.own_copy(table, ask.from)),
-            (None, Some(part)) => self.loads.encode(Instant::now(), part, ask.from),
+            (None, Some(scope)) => self.loads.encode(Instant::now(), scope, ask.from),
             (None, None) => return None,
         };
         match encoded {
--- a/crates/node/tests/loads.rs
+++ b/crates/node/tests/loads.rs
@@ -4,7 +4,7 @@
 use catalog::endpoint::{Run, Span};
 use member::identity::Identity;
 use member::peer::Peer;
-use node::hosted::control::copy::Part::{All, Own};
+use node::hosted::control::copy::Scope::{self, All, Own};
 use node::hosted::control::loads::Loads;
 use node::hosted::control::readers::{ASKED, Engines, Part};
 use std::net::SocketAddr;
@@ -32,7 +32,7 @@
     }
 }
 
-fn parts(peers: &[Peer], engines: &Engines) -> Vec<Part> {
+fn parts(peers: &[Peer], engines: &Engines<'_>) -> Vec<Part> {
     let part = |p: &Peer| Part::of(p.id, &p.identity.zone, peers.iter(), engines);
     peers.iter().map(part).collect()
 }
@@ -56,11 +56,7 @@
 fn each_engine_is_asked_by_one_node_and_many_by_many() {
     let zone = |n| if n < 40 { "a" } else { "b" };
     let peers: Vec<Peer> = (0..44).map(|n| peer(n, zone(n))).collect();
-    let engines = Engines::from([
-        ("a".to_owned(), MANY),
-        ("b".to_owned(), 30),
-        ("far".to_owned(), 5),
-    ]);
+    let engines = Engines::from([("a", MANY), ("b", 30), ("far", 5)]);
     let parts = parts(&peers, &engines);
     let mut each = vec![0; parts.len()];
     for asker in askers(&parts, "a", MANY) {
@@ -146,10 +142,10 @@
 }
 
 /// What a node knows that asked another one.
-fn told_by(giver: &Loads, now: Instant, part: node::hosted::control::copy::Part) -> Loads {
+fn told_by(giver: &Loads, now: Instant, scope: Scope) -> Loads {
     let addr: SocketAddr = ([10, 0, 0, 2], 80).into();
     let mut taker = Loads::default();
-    let bytes = giver.encode(now, part, 0).unwrap();
-    taker.take(now, addr, part, &bytes).unwrap();
+    let bytes = giver.encode(now, scope, 0).unwrap();
+    taker.take(now, addr, scope, &bytes).unwrap();
     taker
 }
--- a/crates/node/tests/orders.rs
+++ b/crates/node/tests/orders.rs
@@ -1,11 +1,9 @@
 //! Orders to many endpoints at once, against a listener that never answers.
 
-use catalog::Catalog;
-use catalog::endpoint::{Endpoint, Run, Span, State};
-use catalog::engine::{Accelerator, Engine, Size};
-use catalog::limits::Limits;
-use catalog::raw::Tables;
-use catalog::service::Service;
+#[path = "../../steer/tests/support/mod.rs"]
+mod support;
+
+use catalog::endpoint::{Endpoint, Run};
 use journal::Journal;
 use node::hosted::control::input::Input;
 use node::hosted::control::orders::{GIVEN, Orders};
@@ -13,6 +11,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
+use support::{catalog, endpoint};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -20,60 +19,15 @@
 /// Endpoints that hold nothing yet.
 const ENDPOINTS: usize = 300;
 
-fn catalog() -> Catalog {
-    let engine = Engine {
-        layers: 8,
-        layer_bytes: 1e9,
-        token_bytes: 1e6,
-        activation_bytes: 1e4,
-        step: Duration::from_millis(1),
-        per_request: Duration::from_micros(5),
-        per_context: Duration::from_micros(5),
-        read_rate: 100_000.0,
-        stride: 1,
-        load: Duration::from_secs(10),
-        loads: 4,
-        slots: 100,
-        pipe_bits: 1e9,
-        kinds: vec![Accelerator {
-            name: "fast".to_owned(),
-            bytes: 10e9,
-            pace: 1.0,
-            read: 1.0,
-        }],
-        usual: Size {
-            prompt: 100,
-            answer: 100,
-        },
-        delays: Vec::new(),
-    };
-    let tables = Tables {
-        version: 1,
-        routes: Vec::new(),
-        services: vec![Service {
-            name: "model".to_owned(),
-            connections: 10,
-            engine: Some(engine),
-        }],
-        teams: None,
-        limits: Limits::default(),
-    };
-    Catalog::try_from(tables).unwrap()
-}
-
-fn endpoint(number: usize, addr: SocketAddr) -> Endpoint {
+/// Endpoint number `number` of a whole fleet at one address.
+fn empty(number: usize, addr: SocketAddr) -> Endpoint {
     Endpoint {
         run: Run {
             id: format!("e{number}"),
             born: 1,
         },
-        service: "model".to_owned(),
         addr,
-        zone: "a".to_owned(),
-        slots: 10,
-        state: State::Ready,
-        kind: Some("fast".to_owned()),
-        span: Span::default(),
+        ..endpoint(0, "a", "fast", 0, 0)
     }
 }
 
@@ -95,7 +49,7 @@
     let addr = listener.local_addr().unwrap();
     let count = Arc::new(AtomicUsize::new(0));
     let accepts = tokio::spawn(silent(listener, count.clone()));
-    let endpoints: Vec<Endpoint> = (0..ENDPOINTS).map(|n| endpoint(n, addr)).collect();
+    let endpoints: Vec<Endpoint> = (0..ENDPOINTS).map(|n| empty(n, addr)).collect();
     let (journal, _lines) = Journal::new(1024);
     let (inputs, mut taken) = mpsc::channel(ENDPOINTS);
     let mut orders = Orders::new(journal, inputs, Duration::ZERO);
--- a/crates/steer/src/search.rs
+++ b/crates/steer/src/search.rs
@@ -207,8 +207,8 @@
         need: &Need,
     ) -> Option<(f64, Option<Place>)> {
         if at == 0 {
-            let hop = self.ends.before.map(|z| self.cross(z, row.zone, need));
-            return Some((hop.unwrap_or(Some(0.0))? + self.queue(row), None));
+            let hop = self.hop(self.ends.before, Some(row.zone), need)?;
+            return Some((hop + self.queue(row), None));
         }
         let mut found: Option<(f64, Option<Place>)> = None;
         for zone in 0..self.zones.len() {
@@ -218,7 +218,7 @@
             if self.names(best, (at, zone), index) {
                 continue;
             }
-            let Some(hop) = self.cross(zone, row.zone, need) else {
+            let Some(hop) = self.hop(Some(zone), Some(row.zone), need) else {
                 continue;
             };
             let cost = before.cost + hop;
@@ -255,8 +255,12 @@
         false
     }
 
-    /// Time that a hop costs a request; nothing if the pipe can't take it.
-    fn cross(&self, from: usize, to: usize, need: &Need) -> Option<f64> {
+    /// Time that a hop costs a request; nothing if the pipe can't take it. Where a chain begins or
+    /// ends there is no hop.
+    fn hop(&self, from: Option<usize>, to: Option<usize>, need: &Need) -> Option<f64> {
+        let (Some(from), Some(to)) = (from, to) else {
+            return Some(0.0);
+        };
         if from == to {
             return Some(0.0);
         }
@@ -292,8 +296,7 @@
     fn walk(&self, best: &[Option<Best>], end: usize, need: &Need) -> Option<Vec<Part>> {
         let last = (0..self.zones.len()).filter_map(|zone| {
             let last = best[self.slot((end, zone))]?;
-            let hop = self.ends.after.map(|z| self.cross(zone, z, need));
-            let cost = last.cost + hop.unwrap_or(Some(0.0))?;
+            let cost = last.cost + self.hop(Some(zone), self.ends.after, need)?;
             Some(Best { cost, ..last })
         });
         let last = last.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
@@ -311,10 +314,8 @@
 
 /// Takes `tokens` tokens as under way on a chain, for the next search.
 pub(crate) fn load(rows: &mut [Candidate<'_>], chain: &[Part], tokens: f64) {
-    for part in chain {
-        let row = rows.iter_mut().find(|c| c.index == part.row);
-        row.into_iter()
-            .for_each(|c| c.used += tokens * f64::from(part.span.len()));
+    for (candidate, part) in along(rows, chain) {
+        candidate.used += tokens * f64::from(part.span.len());
     }
 }
 
@@ -322,14 +323,21 @@
 /// and time before whatever comes later.
 pub(crate) fn reread(engine: &Engine, rows: &mut [Candidate<'_>], chain: &[Part], tokens: f64) {
     load(rows, chain, tokens);
-    for part in chain {
-        let time = tokens * engine.part(part.span.len());
-        let row = rows.iter_mut().find(|c| c.index == part.row);
-        row.into_iter()
-            .for_each(|c| c.backlog += c.row.read * c.row.slow * time);
+    for (candidate, part) in along(rows, chain) {
+        let row = candidate.row;
+        candidate.backlog += row.read * row.slow * tokens * engine.part(part.span.len());
     }
 }
 
+/// The candidates that a chain runs on, each with its part; a chain has no endpoint twice.
+fn along<'r, 'a>(
+    rows: &'r mut [Candidate<'a>],
+    chain: &'r [Part],
+) -> impl Iterator<Item = (&'r mut Candidate<'a>, &'r Part)> {
+    let part = |c: &Candidate<'_>| chain.iter().find(|p| p.row == c.index);
+    rows.iter_mut().filter_map(move |c| part(c).map(|p| (c, p)))
+}
+
 /// Bits that a request sends over one hop.
 pub(crate) fn bits(engine: &Engine, need: &Need) -> f64 {
     need.tokens() * engine.activation_bytes * 8.0
--- a/crates/steer/src/table/chain.rs
+++ b/crates/steer/src/table/chain.rs
@@ -53,16 +53,12 @@
         let nodes = self.nodes();
         let others = flow.others(now, nodes, lag(now, &rows));
         let tokens = need.tokens() * others / f64::from(unseen::PARTS);
-        let mut found = self.search(now, engine, stay, &rows).chain(need)?;
-        for _ in 0..parts {
-            search::load(&mut rows, &found, tokens);
-            match self.search(now, engine, stay, &rows).chain(need) {
-                Ok(chain) => found = chain,
-                // There is room for a part of the requests only.
-                Err(_) => break,
-            }
-        }
-        Ok(found)
+        unseen::after(
+            &mut rows,
+            parts,
+            |rows| self.search(now, engine, stay, rows).chain(need),
+            |rows, chain| search::load(rows, chain, tokens),
+        )
     }
 
     /// A search for a whole chain.
--- a/crates/steer/src/table/detour.rs
+++ b/crates/steer/src/table/detour.rs
@@ -12,6 +12,7 @@
 use crate::search::{self, Candidate, Ends, Part, Search};
 use crate::shortage::Shortage;
 use crate::target::{Hold, Stage, Target};
+use crate::unseen;
 use crate::{Now, Result};
 use catalog::ServiceId;
 use catalog::engine::Engine;
@@ -103,7 +104,7 @@
         let stay = self.flow(service, engine).stay();
         let mut rows = self.candidates(now, stay, usable);
         let tokens = self.stranded(now, gap.stage()) / f64::from(PARTS);
-        let search = |rows: &[Candidate<'_>]| {
+        let find = |rows: &Vec<Candidate<'_>>| {
             let search = Search {
                 span: gap.stage().span,
                 ends: gap.ends,
@@ -111,16 +112,9 @@
             };
             search.chain(need)
         };
-        let mut found = search(&rows)?;
-        for _ in 0..parts {
-            search::reread(engine, &mut rows, &found, tokens);
-            match search(&rows) {
-                Ok(chain) => found = chain,
-                // There is room for a part of the requests only.
-                Err(_) => break,
-            }
-        }
-        Ok(found)
+        unseen::after(&mut rows, parts, find, |rows, chain| {
+            search::reread(engine, rows, chain, tokens);
+        })
     }
 
     /// Tokens that other nodes' requests have at each layer of a stage that is gone, by its last
--- a/crates/steer/src/unseen.rs
+++ b/crates/steer/src/unseen.rs
@@ -9,7 +9,8 @@
 //! The idea is that of load balancing by interpreted stale reports (Dahlin, 2000), with the
 //! incremental assignment of traffic to shortest paths in place of single servers.
 
-use crate::Now;
+use crate::search::Part;
+use crate::{Now, Result};
 use std::time::Duration;
 
 /// Parts in which the requests of the others are placed. More parts spread them more finely and
@@ -23,6 +24,26 @@
 /// and follow it within ten seconds.
 const COUNTED: u32 = 32;
 
+/// The cheapest chain once others have taken `parts` chains before it, each the cheapest after those
+/// before; `take` puts a chain's load on what `find` looks at.
+pub(crate) fn after<T>(
+    world: &mut T,
+    parts: u32,
+    find: impl Fn(&T) -> Result<Vec<Part>>,
+    take: impl Fn(&mut T, &[Part]),
+) -> Result<Vec<Part>> {
+    let mut found = find(world)?;
+    for _ in 0..parts {
+        take(world, &found);
+        match find(world) {
+            Ok(chain) => found = chain,
+            // There is room for a part of the requests only.
+            Err(_) => break,
+        }
+    }
+    Ok(found)
+}
+
 /// How requests of one service come to this node and how long they stay.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Flow {
--- a/crates/steer/tests/detour.rs
+++ b/crates/steer/tests/detour.rs
@@ -8,59 +8,24 @@
 mod support;
 
 use catalog::Endpoint;
-use catalog::engine::{Accelerator, Engine, Size};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use steer::chain::Need;
 use steer::{Fleet, Steer};
-use support::{ALLOWANCE, catalog_of, endpoint, engine, fleet, load, steer};
+use support::{ALLOWANCE, SIZE, catalog_of, endpoint, fleet, load, model, read, steer, tokens};
 
 const NODES: usize = 84;
 /// Requests that each node has on the endpoint.
 const EACH: usize = 3;
 /// Layers of the dead stage, of eight.
 const LOST: u32 = 2;
-const SIZE: Size = Size {
-    prompt: 775,
-    answer: 214,
-};
+/// Requests that an endpoint has room for.
+const PLACES: usize = 400;
 /// Largest part by which the time of the endpoint that reads longest may be over the even share.
 /// A node knows only in thought what the others do, so it is not 1.
 const UNEVEN: f64 = 1.35;
 
-fn tokens() -> f64 {
-    f64::from(SIZE.prompt + SIZE.answer)
-}
-
-/// Factor on the time to read prompts, by the kind of an accelerator.
-fn read(kind: &str) -> f64 {
-    if kind == "fast" { 3.2 } else { 7.9 }
-}
-
-/// Room for 400 requests beside two layers.
-fn model() -> Engine {
-    let token = 61_500.0;
-    let bytes = f64::from(LOST) * (17.5e9 + 400.0 * tokens() * token);
-    let kind = |name: &str, pace| Accelerator {
-        name: name.to_owned(),
-        bytes,
-        pace,
-        read: read(name),
-    };
-    Engine {
-        layer_bytes: 17.5e9,
-        token_bytes: token,
-        step: Duration::from_micros(1020),
-        per_request: Duration::from_nanos(3820),
-        per_context: Duration::from_nanos(5120),
-        read_rate: 196_000.0,
-        kinds: vec![kind("fast", 2.4), kind("slow", 5.3)],
-        usual: SIZE,
-        ..engine()
-    }
-}
-
 /// A chain of four stages.
 fn chain() -> Vec<Endpoint> {
     let one = |n: u8| {
@@ -84,7 +49,7 @@
 #[test]
 fn moved_requests_are_read_by_all_that_hold_the_layers() {
     let base = Fleet {
-        catalog: catalog_of(model()),
+        catalog: catalog_of(model(LOST, PLACES)),
         ..fleet(chain(), NODES)
     };
     let need = Need {
--- a/crates/steer/tests/herd.rs
+++ b/crates/steer/tests/herd.rs
@@ -8,7 +8,6 @@
 mod support;
 
 use catalog::Endpoint;
-use catalog::engine::{Accelerator, Engine, Size};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -19,17 +18,10 @@
 use steer::load::Load;
 use steer::target::{Stage, Target};
 use steer::{Fleet, Steer};
-use support::{catalog_of, endpoint, engine, fleet, load};
+use support::{SIZE, catalog_of, endpoint, fleet, load, model, tokens};
 
 const NODES: usize = 84;
 const ENDPOINTS: u8 = 48;
-/// A request: its prompt, and its answer.
-const SIZE: Size = Size {
-    prompt: 775,
-    answer: 214,
-};
-/// Bytes of a token at one layer.
-const TOKEN: f64 = 61_500.0;
 /// Requests that fit into an endpoint.
 const PLACES: usize = 150;
 /// Layers of an endpoint.
@@ -68,34 +60,6 @@
     (0..ENDPOINTS).map(one).collect()
 }
 
-/// Tokens of a request in all.
-fn tokens() -> f64 {
-    f64::from(SIZE.prompt + SIZE.answer)
-}
-
-/// The users' model, in eight parts instead of eighty layers.
-fn model() -> Engine {
-    let layer = 17.5e9;
-    let bytes = f64::from(HELD) * (layer + PLACES as f64 * tokens() * TOKEN);
-    let kind = |name: &str, pace, read| Accelerator {
-        name: name.to_owned(),
-        bytes,
-        pace,
-        read,
-    };
-    Engine {
-        layer_bytes: layer,
-        token_bytes: TOKEN,
-        step: Duration::from_micros(1020),
-        per_request: Duration::from_nanos(3820),
-        per_context: Duration::from_nanos(5120),
-        read_rate: 196_000.0,
-        kinds: vec![kind("fast", 2.4, 3.2), kind("slow", 5.3, 7.9)],
-        usual: SIZE,
-        ..engine()
-    }
-}
-
 /// A request that runs.
 struct Running {
     end: usize,
@@ -160,7 +124,7 @@
         window: Duration::from_secs(10),
     };
     let base = Fleet {
-        catalog: catalog_of(model()),
+        catalog: catalog_of(model(HELD, PLACES)),
         ..fleet(endpoints(), NODES)
     };
     let need = Need {
--- a/crates/steer/tests/support/mod.rs
+++ b/crates/steer/tests/support/mod.rs
@@ -67,6 +67,46 @@
     }
 }
 
+/// A usual request of the users: its prompt, and its answer.
+pub const SIZE: Size = Size {
+    prompt: 775,
+    answer: 214,
+};
+
+/// Tokens of such a request in all.
+pub fn tokens() -> f64 {
+    f64::from(SIZE.prompt + SIZE.answer)
+}
+
+/// Factor on the time to read prompts, by the kind of the users' accelerators.
+pub fn read(kind: &str) -> f64 {
+    if kind == "fast" { 3.2 } else { 7.9 }
+}
+
+/// The users' model, in eight parts instead of eighty layers, on accelerators that have room for
+/// `places` requests beside `held` parts.
+pub fn model(held: Layer, places: usize) -> Engine {
+    let (layer, token) = (17.5e9, 61_500.0);
+    let bytes = f64::from(held) * (layer + places as f64 * tokens() * token);
+    let kind = |name: &str, pace| Accelerator {
+        name: name.to_owned(),
+        bytes,
+        pace,
+        read: read(name),
+    };
+    Engine {
+        layer_bytes: layer,
+        token_bytes: token,
+        step: Duration::from_micros(1020),
+        per_request: Duration::from_nanos(3820),
+        per_context: Duration::from_nanos(5120),
+        read_rate: 196_000.0,
+        kinds: vec![kind("fast", 2.4), kind("slow", 5.3)],
+        usual: SIZE,
+        ..engine()
+    }
+}
+
 /// A catalog with a model service and a plain one.
 pub fn catalog() -> Arc<Catalog> {
     catalog_of(engine())
