catalog: a copy that began later gives all keys in place of changes

The gap was there since copies are taken from peers. A table knows from which offset on it has all changes, removals too; asked from before that, it gives all keys and says so. Tests, without the bench, both fail before: a table takes from a peer that started after a removal; a copy arrives whole if it was given whole.

--- a/crates/catalog/src/source.rs
+++ b/crates/catalog/src/source.rs
@@ -33,10 +33,14 @@
 }
 
 /// A copy of a table.
+///
+/// Invariant: of each change from `kept` on that is not superseded, the rows have its record, removals
+/// too. Before it removals may be missing, since a page of all keys does not name what was removed.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     rows: BTreeMap<String, Record>,
     next: Offset,
+    kept: Offset,
 }
 
 impl Table {
@@ -48,6 +52,7 @@
         }
         let mut changed = Vec::new();
         if page.whole {
+            self.kept = page.next;
             let named: BTreeSet<&str> = page.records.iter().map(|r| r.key.as_str()).collect();
             let lost = self.rows.values().filter(|r| r.value.is_some());
             let lost = lost.filter(|r| !named.contains(r.key.as_str()));
@@ -91,13 +96,18 @@
         self.next
     }
 
-    /// The changes from `from` on, for a peer whose copy ends there.
+    /// The changes from `from` on, for a peer whose copy ends there; all keys if not all of these
+    /// changes are kept. Given as changes, they would leave the peer with endpoints that are gone.
     pub fn since(&self, from: Offset) -> Page {
-        let rows = self.rows.values().filter(|r| r.offset >= from);
+        let whole = from < self.kept;
+        let wanted = |r: &&Record| match whole {
+            true => r.value.is_some(),
+            false => r.offset >= from,
+        };
         Page {
-            records: rows.cloned().collect(),
+            records: self.rows.values().filter(wanted).cloned().collect(),
             next: self.next,
-            whole: false,
+            whole,
         }
     }
 }
--- a/crates/catalog/tests/table.rs
+++ b/crates/catalog/tests/table.rs
@@ -76,3 +76,24 @@
     assert_eq!(peer.take(table.since(peer.next())), ["a"]);
     assert_eq!(keys(&peer), ["b"]);
 }
+
+// An endpoint leaves, and a node goes on sending requests to it for good. It has just come to take
+// copies from a peer that started after the endpoint's row was removed: the peer read the keys that
+// there are, and knows of no removal before. What it gives must not pass for all changes.
+#[test]
+fn a_peer_that_started_later_tells_what_was_removed_before() {
+    let mut table = Table::default();
+    let records = vec![record("a", Some("1"), 0), record("b", Some("1"), 1)];
+    table.take(page(records, 2, true));
+    let mut started = Table::default();
+    // "a" was removed at 2, and nothing names it any more.
+    started.take(page(vec![record("b", Some("1"), 1)], 3, true));
+    assert_eq!(table.take(started.since(table.next())), ["a"]);
+    assert_eq!(keys(&table), ["b"]);
+    // From here on changes are enough again.
+    started.take(page(vec![record("c", Some("1"), 3)], 4, false));
+    let changes = started.since(table.next());
+    assert_eq!((changes.whole, changes.records.len()), (false, 1));
+    assert_eq!(table.take(changes), ["c"]);
+    assert_eq!(keys(&table), ["b", "c"]);
+}
--- a/crates/node/src/hosted/control/copy.rs
+++ b/crates/node/src/hosted/control/copy.rs
@@ -12,6 +12,7 @@
 struct Raw {
     records: Vec<Row>,
     next: u64,
+    whole: bool,
     fresh: bool,
 }
 
@@ -41,6 +42,7 @@
         Self {
             records: rows.collect(),
             next: copy.page.next,
+            whole: copy.page.whole,
             fresh: copy.fresh,
         }
     }
@@ -57,7 +59,7 @@
             page: Page {
                 records: records.collect(),
                 next: raw.next,
-                whole: false,
+                whole: raw.whole,
             },
             fresh: raw.fresh,
         }
