budget: four fifths of the further attempts are used, young nodes take less

Change: 0.8 of the allowance in place of 0.6; a node in its first window takes 2 of the fixed part in place of 4, so that a fleet that used up its parts and starts anew stays within the bound. Test: nodes that used up their budget and start anew; fails with 4 at 195 nodes. One test asserted 24 grants, 0.6 of 40; it asserts 32 now.

--- a/crates/steer/src/budget.rs
+++ b/crates/steer/src/budget.rs
@@ -22,13 +22,16 @@
     pub window: Duration,
 }
 
-/// Part of the allowance that is used: counts of a window lag behind at its edges.
-const USED: f64 = 0.6;
+/// Part of the allowance that is used. The rest covers nodes that start anew and do not know what they
+/// used before, and the edges of the window. With 0.6, 67 nodes refused 900 of 8,000 requests on a
+/// day with crashes while a third of what is allowed was left.
+const USED: f64 = 0.8;
 
 /// Further attempts of the fixed part that a node takes in its first window at the most. It knows
 /// few of the others then: after a loss of many nodes at once each took the whole fixed part for
-/// its own, and 84 of them went over what is allowed together.
-const YOUNG: f64 = 4.0;
+/// its own, and 84 of them went over what is allowed together. With 2, all of 67 nodes that used up
+/// their parts and started anew stay within it (worked out, and a test).
+const YOUNG: f64 = 2.0;
 
 /// Counts of one slot.
 #[derive(Clone, Copy, Debug, Default)]
