steer: a named endpoint that stops reporting is dead, however full it was

Cause: heads name a stage that is dead and one that is full alike. Change: named for a second without a report of its own since, it has failed. Test: an endpoint that is named for two seconds, with and without reports; the first fails without the change.

--- a/crates/steer/src/row.rs
+++ b/crates/steer/src/row.rs
@@ -11,6 +11,12 @@
 /// be full. Reports are up to a second old, in which it may fill by half.
 const MUCH: f64 = 0.5;
 
+/// Time without a report after which an endpoint that is named as the one at fault is taken to be dead,
+/// however full it was: a busy engine is asked each 400 ms, and what it says is with all nodes within
+/// another 600. One that died half full was taken to be full until its row lapsed, 3 s and 180 refusals
+/// among 67 nodes later.
+const UNHEARD: Duration = Duration::from_secs(1);
+
 /// An endpoint and what this worker has under way there.
 #[derive(Clone, Debug)]
 pub struct Row {
@@ -32,6 +38,8 @@
     pub slow: f64,
     /// Its last report.
     pub known: Option<Known>,
+    /// When it was first named as the one at fault since it last reported or did well.
+    pub doubted: Option<Now>,
     /// Requests under way at once from which on it has more work than time; 0 if unknown.
     pub most: f64,
     /// Whether several nodes found it to fail.
@@ -53,6 +61,7 @@
             read: 0.0,
             slow: 1.0,
             known: None,
+            doubted: None,
             most: 0.0,
             accused: false,
             zone,
@@ -76,6 +85,9 @@
     pub fn report(&mut self, now: Now, load: Load) {
         if self.known.is_none_or(|k| k.differs(&load)) {
             self.known = Some(Known::new(load, now, self.held));
+            // A report from before it was named says nothing of what is wrong since.
+            let made = now.saturating_sub(load.age);
+            self.doubted = self.doubted.filter(|&since| made < since);
             self.slow = load.pace.max(1.0);
         }
     }
@@ -88,10 +100,12 @@
     }
 
     /// What a refusal says that names this endpoint: it is full if much of it was in use when it
-    /// reported. What has ended since may have been replaced by others' requests.
+    /// reported, and it has reported since it was first named. What has ended since may have been
+    /// replaced by others' requests.
     pub fn named(&mut self, now: Now, nodes: f64) -> Outcome {
+        let since = *self.doubted.get_or_insert(now);
         let used = self.used(now, nodes, Duration::MAX);
-        if used < self.room * MUCH {
+        if used < self.room * MUCH || now >= since + UNHEARD {
             return Outcome::Failed;
         }
         if let Some(known) = &mut self.known {
--- a/crates/steer/src/table.rs
+++ b/crates/steer/src/table.rs
@@ -376,6 +376,9 @@
 /// Takes in how an attempt ended; what the other nodes should know of it.
 fn judge(row: &mut Row, now: Now, began: Now, outcome: Outcome) -> Option<Note> {
     let before = row.health.failures();
+    if outcome == Outcome::Good {
+        row.doubted = None;
+    }
     row.health.ended(now, began, outcome);
     let after = row.health.failures();
     let run = || row.endpoint.run.clone();
--- a/crates/steer/tests/health.rs
+++ b/crates/steer/tests/health.rs
@@ -2,9 +2,13 @@
 
 mod support;
 
+use catalog::Endpoint;
+use std::sync::Arc;
+use std::time::Duration;
 use steer::health::{Health, Outcome};
 use steer::note::Note;
-use support::{ms, need, plain, steer};
+use steer::{Fleet, Steer};
+use support::{ALLOWANCE, LAYERS, endpoint, fleet, load, ms, need, plain, steer};
 
 const PLAIN: u32 = 1;
 
@@ -85,3 +89,50 @@
     let other = steer.target(ms(0), PLAIN, &need(0), &tried);
     assert_eq!(other.unwrap().head().run.id, "e3");
 }
+
+// A stage dies while two thirds of its memory is in use. Heads refuse callers and name it, as they
+// do for one that is full. It was tried again each 120 ms by each node and no node was told, until
+// its row lapsed after three heartbeats. It has stopped reporting, which one that is full has not.
+#[test]
+fn an_endpoint_that_is_named_and_stops_reporting_is_told_to_be_dead() {
+    // Told again while it lasts, since what one node tells counts for a while only.
+    let mut told = named_for_two_seconds(None);
+    told.dedup();
+    assert_eq!(told, vec![Note::Down(dead().run)]);
+}
+
+// The same with an engine that is alive and full: it is never blamed, however often it refuses.
+#[test]
+fn an_endpoint_that_is_named_and_goes_on_reporting_is_full() {
+    assert_eq!(named_for_two_seconds(Some(ms(400))), vec![]);
+}
+
+fn dead() -> Endpoint {
+    endpoint(1, "a", "slow", 0, LAYERS)
+}
+
+/// What a node tells when one endpoint is named in each request to it for two seconds, while it
+/// goes on to report every so often.
+fn named_for_two_seconds(reports: Option<Duration>) -> Vec<Note> {
+    let run = dead().run.to_string();
+    // Room is 2 GB beside 8 layers, 2000 in tokens times layers.
+    let view = |stamp: u64| Fleet {
+        loads: Arc::new([(run.clone(), load(stamp, 1300.0, 0, Duration::ZERO))].into()),
+        ..fleet(vec![dead()], 1)
+    };
+    let mut steer = Steer::new(1, ALLOWANCE);
+    steer.follow(Duration::ZERO, view(0));
+    let mut notes = Vec::new();
+    let mut reported = Duration::ZERO;
+    for now in (0..2000).step_by(20).map(ms) {
+        if reports.is_some_and(|every| now >= reported + every) {
+            reported = now;
+            steer.follow(now, view(now.as_millis() as u64));
+        }
+        if let Ok(target) = steer.target(now, 0, &need(20), &[]) {
+            steer.end(now, target.hold, Outcome::Named, Some(dead().addr));
+        }
+        notes.extend(steer.take_notes());
+    }
+    notes
+}
