--- a/crates/gate/src/forward/depart.rs
+++ b/crates/gate/src/forward/depart.rs
@@ -21,7 +21,8 @@
 /// A move that is to come.
 #[derive(Clone, Copy, Debug)]
 struct Move {
-    culprit: SocketAddr,
+    /// The stage that is replaced.
+    stage: SocketAddr,
     at: Instant,
 }
 
@@ -47,21 +48,23 @@
             self.look(worker, target);
         }
         let due = self.next.filter(|n| n.at <= Instant::now())?;
-        self.next = Some(plan(due.culprit));
-        Some(due.culprit)
+        self.next = Some(plan(due.stage));
+        Some(due.stage)
     }
 
+    /// Finds the departing stage anew; one that is planned keeps its moment.
     fn look<D: Dialect>(&mut self, worker: &Worker<D>, target: &Target) {
         let found = worker.steer(|steer, _| steer.departing(target));
-        let planned = self.next.map(|n| n.culprit);
+        let planned = self.next.map(|n| n.stage);
         if planned != found {
             self.next = found.map(plan);
         }
     }
 }
 
-fn plan(culprit: SocketAddr) -> Move {
+/// Replaces a stage at a moment within [`SPREAD`].
+fn plan(stage: SocketAddr) -> Move {
     let wait = SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
     let at = Instant::now() + wait;
-    Move { culprit, at }
+    Move { stage, at }
 }
--- a/crates/gate/src/splice.rs
+++ b/crates/gate/src/splice.rs
@@ -85,6 +85,7 @@
     moved: Instant,
     /// Whether an event was passed on.
     begun: bool,
+    /// The stage that is about to go, if any.
     departure: Departure,
     done: bool,
 }
@@ -197,9 +198,9 @@
             let wait = next.saturating_sub(self.moved.elapsed()).min(left);
             let Sent { response, held, .. } = &mut live.sent;
             if self.begun
-                && let Some(culprit) = self.departure.due(&self.run.worker, &held.target)
+                && let Some(stage) = self.departure.due(&self.run.worker, &held.target)
             {
-                self.run.evacuate(held, culprit).await;
+                self.run.evacuate(held, stage).await;
             }
             let mut frame = response.body_mut().frame();
             let frame = match timeout(wait, &mut frame).await {
--- a/crates/place/tests/plan.rs
+++ b/crates/place/tests/plan.rs
@@ -10,14 +10,17 @@
 use rand_chacha::ChaCha8Rng;
 use std::time::{Duration, Instant};
 
-/// An engine of 80 layers of 1.75 GB on three kinds, as the users rent them.
-fn engine() -> Engine {
-    let kind = |name: &str, gigabytes, pace, read| Accelerator {
+fn kind(name: &str, gigabytes: f64, pace: f64, read: f64) -> Accelerator {
+    Accelerator {
         name: name.to_owned(),
         bytes: gigabytes * 1e9,
         pace,
         read,
-    };
+    }
+}
+
+/// An engine of 80 layers of 1.75 GB on three kinds, as the users rent them.
+fn engine() -> Engine {
     Engine {
         layers: 80,
         layer_bytes: 1.75e9,
@@ -155,12 +158,6 @@
 /// An engine on smaller accelerators: each zone of [`tight`] has memory for 1.7 to 2 covers when
 /// nothing is kept for requests.
 fn small_engine() -> Engine {
-    let kind = |name: &str, gigabytes, pace, read| Accelerator {
-        name: name.to_owned(),
-        bytes: gigabytes * 1e9,
-        pace,
-        read,
-    };
     Engine {
         token_bytes: 5325.0,
         step: Duration::from_micros(850),
--- a/crates/steer/src/budget.rs
+++ b/crates/steer/src/budget.rs
@@ -24,7 +24,7 @@
 
 /// Part of the allowance that is used. The rest covers nodes that start anew and do not know what they
 /// used before, and the edges of the window. With 0.6, 67 nodes refused 900 of 8,000 requests on a
-/// day with crashes while a third of what is allowed was left.
+/// day with crashes while two fifths of what is allowed were kept back.
 const USED: f64 = 0.8;
 
 /// Further attempts of the fixed part that a node takes in its first window at the most. It knows
