--- a/crates/gate/tests/stream.rs
+++ b/crates/gate/tests/stream.rs
@@ -5,6 +5,7 @@
 use catalog::endpoint::State;
 use gate::view::View;
 use http::StatusCode;
+use std::sync::Arc;
 use std::time::Duration;
 use steer::budget::Allowance;
 use support::caller::{Got, ids, request, send};
@@ -24,7 +25,7 @@
         while a.heads().is_empty() {
             tokio::time::sleep(Duration::from_millis(1)).await;
         }
-        board.store(Some(std::sync::Arc::new(both)));
+        board.store(Some(Arc::new(both)));
     };
     let (got, ()) = tokio::join!(asked, registered);
     (got, b.heads())
@@ -103,7 +104,7 @@
         let b = Server::start(vec![Act::Events(3, 4)]).await;
         let node = start(none).await;
         let both = view(vec![stage(a.addr, 0, LAYERS), stage(b.addr, 0, LAYERS)]);
-        node.board.store(Some(std::sync::Arc::new(both)));
+        node.board.store(Some(Arc::new(both)));
         // One of the two is asked first; if it is the one that answers whole, ask again.
         let asked = send(node.addr, request("/chat/x"));
         let ended = tokio::time::timeout(Duration::from_millis(2500), asked).await;
@@ -129,66 +130,53 @@
     a_stage_dies(reordered);
 }
 
+/// A stage dies under way, and what is known then is as `change` makes it.
+fn a_stage_dies(change: fn(View) -> View) {
+    a_stage_is_replaced(change, true, Duration::from_millis(1200));
+}
+
 // An endpoint says that it leaves while an answer passes through it, and serves for two more seconds.
 // Left there, the answer stalls when it ends, and the caller waits until the silence is explained.
 // It is moved before: the head gets the order though it waits for nothing, and is sent nothing anew.
 #[test]
 fn an_answer_is_moved_off_a_stage_that_leaves() {
-    run(async move {
-        let head = Server::start(vec![Act::Stall(1, 2)]).await;
-        let leaving = Server::start(vec![Act::Silent]).await;
-        let spare = Server::start(vec![Act::Silent]).await;
-        let node = node(vec![stage(head.addr, 0, 2), stage(leaving.addr, 2, LAYERS)]).await;
-        let asked = send(node.addr, request("/chat/x"));
-        let leaves = async {
-            while head.heads().is_empty() {
-                tokio::time::sleep(Duration::from_millis(1)).await;
-            }
-            let mut rows = vec![
-                stage(head.addr, 0, 2),
-                stage(leaving.addr, 2, LAYERS),
-                stage(spare.addr, 2, LAYERS),
-            ];
-            rows[1].state = State::Draining;
-            node.board.store(Some(std::sync::Arc::new(view(rows))));
-            while head.orders().is_empty() {
-                tokio::time::sleep(Duration::from_millis(5)).await;
-            }
-        };
-        let both = async { tokio::join!(asked, leaves) };
-        // Shorter than the silence after which an answer is given up.
-        let _ = tokio::time::timeout(Duration::from_millis(1400), both).await;
-        assert_eq!(head.orders(), ["r1/2"]);
-        assert_eq!((head.heads().len(), spare.heads().len()), (1, 0));
-    });
+    let leaves = |mut view: View| {
+        Arc::make_mut(&mut view.fleet.endpoints)[1].state = State::Draining;
+        view
+    };
+    // Shorter than the silence after which an answer is given up.
+    a_stage_is_replaced(leaves, false, Duration::from_millis(1400));
 }
 
-/// A stage dies under way, and what is known then is as `change` makes it.
-fn a_stage_dies(change: fn(View) -> View) {
+/// An answer runs over two stages when a spare one registers for the second, and what is known then
+/// is as `change` makes it; `stalls` if the head says that the answer waits for the second. Within
+/// `time` the head is ordered to go on over the spare one, and nothing is sent anew.
+fn a_stage_is_replaced(change: fn(View) -> View, stalls: bool, time: Duration) {
     run(async move {
         let head = Server::start(vec![Act::Stall(1, 2)]).await;
-        let dead = Server::start(vec![Act::Silent]).await;
+        let second = Server::start(vec![Act::Silent]).await;
         let spare = Server::start(vec![Act::Silent]).await;
-        let node = node(vec![stage(head.addr, 0, 2), stage(dead.addr, 2, LAYERS)]).await;
+        let node = node(vec![stage(head.addr, 0, 2), stage(second.addr, 2, LAYERS)]).await;
         let asked = send(node.addr, request("/chat/x"));
-        let (board, spare_addr) = (node.board.clone(), spare.addr);
-        let dies = async {
+        let changes = async {
             while head.heads().is_empty() {
                 tokio::time::sleep(Duration::from_millis(1)).await;
             }
             let rows = vec![
                 stage(head.addr, 0, 2),
-                stage(dead.addr, 2, LAYERS),
-                stage(spare_addr, 2, LAYERS),
+                stage(second.addr, 2, LAYERS),
+                stage(spare.addr, 2, LAYERS),
             ];
-            board.store(Some(std::sync::Arc::new(change(view(rows)))));
-            head.report(format!("r1 {}", dead.addr));
+            node.board.store(Some(Arc::new(change(view(rows)))));
+            if stalls {
+                head.report(format!("r1 {}", second.addr));
+            }
             while head.orders().is_empty() {
                 tokio::time::sleep(Duration::from_millis(5)).await;
             }
         };
-        let both = async { tokio::join!(asked, dies) };
-        let _ = tokio::time::timeout(Duration::from_millis(1200), both).await;
+        let both = async { tokio::join!(asked, changes) };
+        let _ = tokio::time::timeout(time, both).await;
         assert_eq!(head.orders(), ["r1/2"]);
         assert_eq!((head.heads().len(), spare.heads().len()), (1, 0));
     });
