--- a/crates/ctl/src/losses/account.rs
+++ b/crates/ctl/src/losses/account.rs
@@ -25,7 +25,11 @@
     why: String,
     status: u64,
     head: Duration,
+    /// Time from its start to its end.
+    all: Duration,
     pause: Duration,
+    /// Time since the caller was last given an event, or since the request came.
+    quiet: Duration,
 }
 
 /// The account of one request.
@@ -72,6 +76,7 @@
             "answered" => return Some((self.late(), over)),
             "refused" => Cause::of_refusal(&end.why),
             "broken off" => Cause::Broken,
+            "left" if end.starved(limits) => Cause::Starved,
             "left" => Cause::Left,
             _ => Cause::Unknown,
         };
@@ -99,7 +104,16 @@
             why: line.text("why").to_owned(),
             status: line.number("status").unwrap_or_default(),
             head: millis("head_ms"),
+            all: Duration::from_millis(all),
             pause: millis("pause_ms"),
+            quiet: millis("quiet_ms"),
         }
     }
+
+    /// Whether the caller last waited for longer than allowed: for the head if no event came, else
+    /// for the next event.
+    fn starved(&self, limits: &Limits) -> bool {
+        let begun = self.quiet < self.all;
+        self.quiet > if begun { limits.pause } else { limits.head }
+    }
 }
--- a/crates/ctl/src/losses/cause.rs
+++ b/crates/ctl/src/losses/cause.rs
@@ -33,8 +33,10 @@
     Broken,
     /// The endpoint's own failure.
     Failed,
-    /// The caller left before the end.
+    /// The caller left while events kept coming.
     Left,
+    /// The caller left after a wait for an event that was longer than allowed.
+    Starved,
     /// The lines do not tell.
     Unknown,
 }
@@ -79,7 +81,8 @@
             Self::Lost => "lost, may have run",
             Self::Broken => "broken off",
             Self::Failed => "failed by the endpoint",
-            Self::Left => "caller left",
+            Self::Left => "caller left, events kept coming",
+            Self::Starved => "caller left, after a long wait",
             Self::Unknown => "cause unknown",
         })
     }
--- a/crates/ctl/tests/losses.rs
+++ b/crates/ctl/tests/losses.rs
@@ -21,6 +21,10 @@
 "#;
 
 fn losses(args: &[&str]) -> Output {
+    run(args, LINES)
+}
+
+fn run(args: &[&str], lines: &str) -> Output {
     let mut child = Command::new(env!("CARGO_BIN_EXE_wigeonctl"))
         .arg("losses")
         .args(args)
@@ -31,7 +35,7 @@
         .unwrap();
     let mut input = child.stdin.take().unwrap();
     // A tool that refuses its arguments reads nothing.
-    let _ = input.write_all(LINES.as_bytes());
+    let _ = input.write_all(lines.as_bytes());
     drop(input);
     child.wait_with_output().unwrap()
 }
@@ -85,3 +89,25 @@
     );
     assert!(text.contains("late, a stage was replaced"), "{text}");
 }
+
+/// One line of a caller that left after `all` ms, `quiet` ms after its last event.
+fn left(id: &str, all: u64, quiet: u64) -> String {
+    format!(
+        r#"a {{"time":9000,"event":"ended","id":"{id}","status":0,"outcome":"left","why":"","attempts":1,"head_ms":40,"all_ms":{all},"pause_ms":30,"quiet_ms":{quiet}}}"#
+    )
+}
+
+// Guards against blaming a slow endpoint for callers that gave up while their events kept coming.
+#[test]
+fn callers_that_left_are_told_apart_by_their_last_wait() {
+    let lines = [
+        left("gave-up", 150, 20),
+        left("before-its-first-event", 120, 120),
+        left("no-first-event", 2000, 2000),
+        left("stalled", 6000, 2000),
+    ];
+    let output = run(&["--output", "json"], &lines.join("\n"));
+    let tables: Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert_eq!(tables["causes"]["left"]["count"], 2);
+    assert_eq!(tables["causes"]["starved"]["count"], 2);
+}
--- a/crates/gate/src/forward/story.rs
+++ b/crates/gate/src/forward/story.rs
@@ -23,6 +23,8 @@
     attempts: u32,
     note: &'static str,
     pause: std::time::Duration,
+    /// When the caller was last given an event.
+    given: Option<Instant>,
     ended: bool,
 }
 
@@ -39,6 +41,7 @@
             attempts: 0,
             note: "",
             pause: std::time::Duration::ZERO,
+            given: None,
             ended: false,
         }
     }
@@ -105,12 +108,14 @@
     /// The answer's head went to the caller.
     pub(crate) fn begun(&mut self) {
         self.head = Some(Instant::now());
+        self.given = self.head;
         self.metrics.first(self.came.elapsed());
     }
 
     /// A pause between two events.
     pub(crate) fn paused(&mut self, pause: std::time::Duration) {
         self.pause = self.pause.max(pause);
+        self.given = Some(Instant::now());
         self.metrics.pause(pause);
     }
 
@@ -148,6 +153,7 @@
             head_ms: (head - self.came).as_millis() as u64,
             all_ms: self.came.elapsed().as_millis() as u64,
             pause_ms: self.pause.as_millis() as u64,
+            quiet_ms: self.given.unwrap_or(self.came).elapsed().as_millis() as u64,
         });
     }
 }
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -269,6 +269,7 @@
             head_ms: all_ms,
             all_ms,
             pause_ms: 0,
+            quiet_ms: all_ms,
         });
     }
 }
--- a/crates/journal/src/event.rs
+++ b/crates/journal/src/event.rs
@@ -154,6 +154,8 @@
         all_ms: u64,
         /// Longest pause between events in milliseconds.
         pause_ms: u64,
+        /// Milliseconds since the caller was last given an event, or since the request came.
+        quiet_ms: u64,
     },
     /// A line of a library, or of code without an event of its own.
     Note {
