control: planning and publishing take a bounded share of its time

Two nodes, front-kingston-65 and front-kingston-89, kept the old catalog to the end.

Their reads of the store ended at the time limit from 2.8 s and 3.1 s on, and 410 and 339 asks of peers without an answer are theirs, of whatever kind and whichever peer, while other nodes had 0 to 48. Planning went over all 3,001 endpoints in each step of 100 ms, on an eighth of a core, and each input that changed anything published a view of all endpoints anew.

Ruled out: readers that are slow (others got the catalog from the same ones), links (the two send a tenth of what readers do).

Change: Pace rests for a multiple of the time that the last run of a task took: 9 times after planning, at most 2 s; 4 times after publishing a view, at most 400 ms. A new catalog, and that the node leaves, are published at once. In small fleets a run takes about a millisecond, and nothing waits. A peer without an answer is told once in two seconds, not once an ask.

--- a/crates/node/src/hosted/control.rs
+++ b/crates/node/src/hosted/control.rs
@@ -8,6 +8,7 @@
 pub mod input;
 pub mod loads;
 pub mod orders;
+pub mod pace;
 pub mod pulls;
 pub mod reader;
 pub mod readers;
--- a/crates/node/src/hosted/control/orders.rs
+++ b/crates/node/src/hosted/control/orders.rs
@@ -15,7 +15,7 @@
 use place::order::{Given, Order};
 use place::plan;
 use place::stock::Holder;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -40,11 +40,21 @@
     Wait(Instant),
 }
 
+/// An order that waits to be given.
+#[derive(Debug)]
+struct Planned {
+    order: Order,
+    /// How long the layers take to load beside the others of the plan.
+    load: Duration,
+}
+
 /// The orders of one node.
 pub struct Orders {
     journal: Journal,
     inputs: Inputs,
     under: BTreeMap<Run, Under>,
+    /// Orders of the last plan that have not been given yet.
+    planned: VecDeque<Planned>,
     /// Orders that are being given.
     giving: usize,
     /// How long endpoints take to register that started together.
@@ -61,6 +71,7 @@
             journal,
             inputs,
             under: BTreeMap::new(),
+            planned: VecDeque::new(),
             giving: 0,
             gather,
             arrived: Instant::now(),
@@ -68,7 +79,7 @@
         }
     }
 
-    /// Gives what orders can be given now.
+    /// Plans anew, and gives what orders can be given now.
     pub fn step<'a>(
         &mut self,
         now: Instant,
@@ -77,6 +88,7 @@
     ) {
         let endpoints: Vec<&Endpoint> = endpoints.collect();
         self.forget(now, &endpoints);
+        self.planned.clear();
         for endpoint in &endpoints {
             if self.seen.insert(endpoint.run.clone()) {
                 self.arrived = now;
@@ -90,6 +102,21 @@
             let own = own.filter(|e| e.service == service.name && e.state == State::Ready);
             self.service(now, engine, own);
         }
+        self.go_on(now);
+    }
+
+    /// Gives more of the orders that were planned last, as others end. An order that no longer fits
+    /// its endpoint is found out when it is given.
+    pub fn go_on(&mut self, now: Instant) {
+        while self.giving < GIVEN
+            && let Some(Planned { order, load }) = self.planned.pop_front()
+        {
+            let span = order.span;
+            let until = now + load + SHOWN;
+            self.under
+                .insert(order.run.clone(), Under::Holds { span, until });
+            self.give(order);
+        }
     }
 
     /// Orders that are being given, and whose outcome is not known yet.
@@ -124,17 +151,12 @@
         if fresh && now < self.arrived + self.gather {
             return;
         }
+        let crowd = holders.len().div_ceil(engine.loads.max(1)) as u32;
         let orders = plan::next(engine, &holders).into_iter();
-        // Those that are left over come up again in the next step.
-        for order in orders.take(GIVEN.saturating_sub(self.giving)) {
-            let load = engine.load.mul_f64(engine.part(order.span.len()));
-            let crowd = holders.len().div_ceil(engine.loads.max(1)) as u32;
-            let until = now + load * crowd + SHOWN;
-            let span = order.span;
-            self.under
-                .insert(order.run.clone(), Under::Holds { span, until });
-            self.give(order);
-        }
+        self.planned.extend(orders.map(|order| {
+            let load = engine.load.mul_f64(engine.part(order.span.len())) * crowd;
+            Planned { order, load }
+        }));
     }
 
     fn give(&mut self, order: Order) {
--- /dev/null
+++ b/crates/node/src/hosted/control/pace.rs
@@ -0,0 +1,40 @@
+//! Bounds the share of control's time that one recurring task takes.
+//!
+//! Planning layers and publishing a view cost time in proportion to the endpoints. Done in each step
+//! before 3,000 endpoints, they took the whole processor of a small node: its reads of the store and
+//! of its peers ended at their time limits, and it answered callers by an old catalog.
+
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// When a task may run again.
+#[derive(Clone, Debug)]
+pub struct Pace {
+    /// Time without the task after each run, in lengths of that run.
+    rests: u32,
+    /// Longest time without the task.
+    most: Duration,
+    next: Option<Instant>,
+}
+
+impl Pace {
+    /// A task that rests for `rests` times as long as it ran, and for `most` at the most.
+    pub fn new(rests: u32, most: Duration) -> Self {
+        Self {
+            rests,
+            most,
+            next: None,
+        }
+    }
+
+    /// Whether the task may run.
+    pub fn due(&self, now: Instant) -> bool {
+        self.next.is_none_or(|next| now >= next)
+    }
+
+    /// The task ran from `begun` to `ended`.
+    pub fn ran(&mut self, begun: Instant, ended: Instant) {
+        let rest = (ended - begun).saturating_mul(self.rests);
+        self.next = Some(ended + rest.min(self.most));
+    }
+}
--- a/crates/node/src/hosted/control/pulls.rs
+++ b/crates/node/src/hosted/control/pulls.rs
@@ -17,7 +17,7 @@
 
 /// How often copies and loads are taken from peers.
 pub const PULL: Duration = Duration::from_millis(350);
-/// How long a reader that failed is left alone if there is another one.
+/// How long a peer that failed is left alone if there is another one.
 const AVOID: Duration = Duration::from_secs(2);
 
 /// Asks that are under way, readers to avoid, and tables that are gathered part by part.
@@ -85,10 +85,10 @@
         good.or(readers.first()).copied()
     }
 
-    /// A reader did not answer, or can't read the store.
-    pub fn failed(&mut self, now: Instant, reader: SocketAddr) {
+    /// A peer did not answer, or can't read the store; whether that was not known yet.
+    pub fn failed(&mut self, now: Instant, peer: SocketAddr) -> bool {
         self.avoid.retain(|_, until| now < *until);
-        self.avoid.insert(reader, now + AVOID);
+        self.avoid.insert(peer, now + AVOID).is_none()
     }
 
     /// Begins an ask unless it is under way, or `most` of its kind are. The parts of a table count
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -7,6 +7,7 @@
 use super::input::{Input, Inputs};
 use super::loads::Loads;
 use super::orders::Orders;
+use super::pace::Pace;
 use super::pulls::Pulls;
 use super::reader;
 use super::readers::Part;
@@ -42,6 +43,12 @@
 const SETTLE: Duration = Duration::from_millis(700);
 /// How often a peer is asked for its copy while the store can't be read.
 const COPY: Duration = Duration::from_millis(300);
+/// Rest after planning orders, in lengths of the planning, and its bound.
+const PLAN_RESTS: u32 = 9;
+const PLAN_REST: Duration = Duration::from_secs(2);
+/// Rest after publishing a view, in lengths of the publishing, and its bound.
+const VIEW_RESTS: u32 = 4;
+const VIEW_REST: Duration = Duration::from_millis(400);
 /// How often the metrics of what is believed are set.
 const MEASURE: Duration = Duration::from_secs(1);
 /// Time without an up-to-date copy after which a node reads the store by itself: three pulls.
@@ -91,8 +98,12 @@
     measured: Instant,
     metrics: Metrics,
     leaving: bool,
+    planning: Pace,
+    publishing: Pace,
     /// Whether something changed that the worker must know.
     dirty: bool,
+    /// Whether the worker must know it at once: a catalog, or that the node leaves.
+    urgent: bool,
     /// Whether loads changed; they are published by step, since reports come one by one.
     reported: bool,
 }
@@ -141,7 +152,10 @@
             measured: Instant::now(),
             metrics: control.metrics,
             leaving: false,
+            planning: Pace::new(PLAN_RESTS, PLAN_REST),
+            publishing: Pace::new(VIEW_RESTS, VIEW_REST),
             dirty: false,
+            urgent: false,
             reported: false,
             settings,
         };
@@ -176,7 +190,7 @@
         let now = Instant::now();
         if self.leave.is_cancelled() && !self.leaving {
             self.leaving = true;
-            self.dirty = true;
+            self.urgent = true;
             self.handle(Event::Publish(vec![Body::Leaving]));
         }
         self.handle(Event::Tick);
@@ -262,7 +276,16 @@
                 detail: format!("away for {} ms", away.as_millis()),
             });
         }
-        self.dirty |= self.tables.take(&self.platform, table, page, "store");
+        self.take_page(table, page, "store");
+    }
+
+    /// Takes changes of a table in.
+    fn take_page(&mut self, table: Table, page: Page, source: &'static str) {
+        let changed = self.tables.take(&self.platform, table, page, source);
+        match table {
+            Table::Operator => self.urgent |= changed,
+            Table::Endpoints => self.dirty |= changed,
+        }
     }
 
     /// Tells the metrics what is believed and how old that is.
@@ -312,6 +335,9 @@
         if !self.part.first {
             return;
         }
+        if !self.planning.due(now) {
+            return self.orders.go_on(now);
+        }
         let Some(catalog) = self.tables.catalog() else {
             return;
         };
@@ -320,14 +346,17 @@
         let living = living.filter(|e| !accused.lost(now, &e.run.to_string()));
         let living: Vec<Endpoint> = living.map(|e| self.loads.overlay(now, e)).collect();
         self.orders.step(now, catalog, living.iter());
+        self.planning.ran(now, Instant::now());
     }
 
-    /// Publishes a view if anything changed.
+    /// Publishes a view if anything changed; what is not urgent may wait for a later step.
     fn publish(&mut self) {
-        if !std::mem::take(&mut self.dirty) {
+        let now = Instant::now();
+        let due = self.dirty && self.publishing.due(now);
+        if !due && !self.urgent {
             return;
         }
-        let now = Instant::now();
+        (self.dirty, self.urgent) = (false, false);
         self.accuse(now);
         let Some(catalog) = self.tables.catalog() else {
             return;
@@ -348,6 +377,7 @@
             leaving: self.leaving,
         };
         self.board.store(Some(Arc::new(view)));
+        self.publishing.ran(now, Instant::now());
     }
 }
 
--- a/crates/node/src/hosted/control/state/share.rs
+++ b/crates/node/src/hosted/control/state/share.rs
@@ -9,7 +9,7 @@
 use adapter::store::Table;
 use catalog::Endpoint;
 use catalog::endpoint::Run;
-use catalog::source::{Offset, Page};
+use catalog::source::Offset;
 use journal::event::Event as Told;
 use rand::seq::IndexedRandom;
 use std::collections::BTreeSet;
@@ -66,7 +66,9 @@
     /// A peer did not answer an ask. It is asked again, or another one.
     pub(super) fn unanswered(&mut self, now: Instant, ask: Ask, peer: SocketAddr, why: String) {
         self.pulls.ended(ask, peer, false);
-        self.pulls.failed(now, peer);
+        if !self.pulls.failed(now, peer) {
+            return;
+        }
         self.journal.tell(Told::Unanswered {
             peer: peer.to_string(),
             ask: format!("{ask:?}"),
@@ -88,19 +90,15 @@
             self.pulls.failed(now, peer);
         }
         match self.pulls.gather(peer, table, copy) {
-            Next::Take(page) => self.take_copy(table, page),
+            Next::Take(page) => self.take_page(table, page, "peer"),
             Next::TakeAndAsk(page) => {
-                self.take_copy(table, page);
+                self.take_page(table, page, "peer");
                 self.ask_more(Ask::Changes(table), self.tables.next(table), peer);
             }
             Next::Gather(from) => self.ask_more(Ask::Keys(table), from, peer),
         }
     }
 
-    fn take_copy(&mut self, table: Table, page: Page) {
-        self.dirty |= self.tables.take(&self.platform, table, page, "peer");
-    }
-
     /// Asks for more of a table, unless enough asks for it are under way.
     fn ask_more(&mut self, ask: Ask, from: Offset, peer: SocketAddr) {
         if self.pulls.begin(ask, peer, ASKED) {
--- a/crates/node/tests/orders.rs
+++ b/crates/node/tests/orders.rs
@@ -7,6 +7,7 @@
 use journal::Journal;
 use node::hosted::control::input::Input;
 use node::hosted::control::orders::{GIVEN, Orders};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -68,3 +69,26 @@
     assert_eq!(orders.giving(), GIVEN);
     accepts.abort();
 }
+
+// Guards against a fleet that stays empty for minutes: planning for 3,000 endpoints is costly and
+// rests in between, so what one plan holds must be given without another one.
+#[tokio::test]
+async fn one_plan_is_given_to_its_end() {
+    let nobody = SocketAddr::from(([127, 0, 0, 1], 1));
+    let endpoints: Vec<Endpoint> = (0..ENDPOINTS).map(|n| empty(n, nobody)).collect();
+    let (journal, _lines) = Journal::new(1024);
+    let (inputs, mut taken) = mpsc::channel(ENDPOINTS);
+    let mut orders = Orders::new(journal, inputs, Duration::ZERO);
+    orders.step(Instant::now(), &catalog(), endpoints.iter());
+    let mut given = BTreeSet::new();
+    while orders.giving() > 0 {
+        let Some(Input::Ordered(order, ordered)) = taken.recv().await else {
+            panic!("an order ends, answered or not");
+        };
+        given.insert(order.run.clone());
+        orders.ordered(Instant::now(), order, &ordered);
+        orders.go_on(Instant::now());
+        assert!(orders.giving() <= GIVEN);
+    }
+    assert_eq!(given.len(), ENDPOINTS);
+}
