Read-through: chunks of a copy, readers of the operator's table

Names only, no change of behaviour: `Part` meant both a node's share of the work and a piece of a copied table; the latter is a chunk now. `teller` is `operator_reader`, `go_on` is `give_planned`.

--- a/crates/catalog/src/source.rs
+++ b/crates/catalog/src/source.rs
@@ -39,12 +39,12 @@
     pub whole: bool,
 }
 
-/// A part of what a table has for a peer.
+/// A chunk of what a table has for a peer.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Part {
-    /// The records of this part. Their `next` is where the peer's copy ends once it has them.
+pub struct Chunk {
+    /// The records of this chunk. Their `next` is where the peer's copy ends once it has them.
     pub page: Page,
-    /// Whether more parts follow.
+    /// Whether more chunks follow.
     pub more: bool,
 }
 
@@ -118,9 +118,9 @@
     }
 
     /// The oldest changes from `from` on, for a peer whose copy ends there, in at most about `most`
-    /// bytes; the first part of all keys if not all of these changes are kept. Given as changes,
+    /// bytes; the first chunk of all keys if not all of these changes are kept. Given as changes,
     /// they would leave the peer with endpoints that are gone.
-    pub fn changes(&self, from: Offset, most: usize) -> Part {
+    pub fn changes(&self, from: Offset, most: usize) -> Chunk {
         if from < self.kept {
             return self.keys(0, most);
         }
@@ -135,13 +135,13 @@
             next,
             whole: false,
         };
-        Part { page, more }
+        Chunk { page, more }
     }
 
     /// The keys that last changed at `from` or later, the oldest first, in at most about `most`
-    /// bytes. A key that changes while its peer gathers the parts comes again in a later one, or
-    /// among the changes from the first part's `next` on.
-    pub fn keys(&self, from: Offset, most: usize) -> Part {
+    /// bytes. A key that changes while its peer gathers the chunks comes again in a later one, or
+    /// among the changes from the first chunk's `next` on.
+    pub fn keys(&self, from: Offset, most: usize) -> Chunk {
         let living = self.rows.values().filter(|r| r.value.is_some());
         let wanted = living.filter(|r| r.offset >= from);
         let (records, more) = oldest(wanted.collect(), most);
@@ -150,7 +150,7 @@
             next: self.next,
             whole: true,
         };
-        Part { page, more }
+        Chunk { page, more }
     }
 }
 
--- a/crates/node/src/hosted/control/copy.rs
+++ b/crates/node/src/hosted/control/copy.rs
@@ -1,6 +1,6 @@
 //! What nodes ask each other for, and the changes of a table as they send them.
 //!
-//! A copy comes in parts of about [`PART`] bytes. As one frame, a table of 3,000 endpoints takes a
+//! A copy comes in chunks of about [`CHUNK`] bytes. As one frame, a table of 3,000 endpoints takes a
 //! slow link for longer than a connection may leave a frame unconfirmed: it was sent again and again
 //! over new connections, and the operator's catalog waited behind it.
 
@@ -12,7 +12,7 @@
 /// Longest copy that is read.
 const LONGEST: usize = 4 << 20;
 /// Bytes of a copy from which on the rest waits for the next ask.
-pub const PART: usize = 48 << 10;
+pub const CHUNK: usize = 48 << 10;
 
 #[derive(Serialize, Deserialize)]
 struct Raw {
@@ -30,14 +30,14 @@
     offset: u64,
 }
 
-/// A part of a table's changes, and what the node that gives it says of itself.
+/// A chunk of a table's changes, and what the node that gives it says of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Copy {
-    /// The changes in this part; maybe none.
+    /// The changes in this chunk; maybe none.
     pub page: Page,
     /// Whether the node that gives them can read the store.
     pub fresh: bool,
-    /// Whether more parts follow.
+    /// Whether more chunks follow.
     pub more: bool,
 }
 
@@ -105,7 +105,7 @@
 pub enum Ask {
     /// Changes of a table from an offset on.
     Changes(Table),
-    /// The next part of all keys of a table, those that changed at an offset or later.
+    /// The next chunk of all keys of a table, those that changed at an offset or later.
     Keys(Table),
     /// Loads of engines that changed after a number.
     Loads(Scope),
--- a/crates/node/src/hosted/control/loads.rs
+++ b/crates/node/src/hosted/control/loads.rs
@@ -5,7 +5,7 @@
 //! each engine would cost the number of nodes times as many questions. A node that takes answers
 //! again gets those that the giver learned since: all of 3,000 engines' would be 180 KB each time.
 
-use super::copy::{PART, Scope};
+use super::copy::{CHUNK, Scope};
 use adapter::report::Report;
 use catalog::Endpoint;
 use catalog::endpoint::Span;
@@ -31,7 +31,7 @@
 /// Bytes of a report between nodes, about.
 const REPORT: usize = 40;
 /// Reports that a peer gets at once.
-const ROWS: usize = PART / REPORT;
+const ROWS: usize = CHUNK / REPORT;
 /// Longest list that is read.
 const LONGEST: usize = 4 << 20;
 
@@ -183,7 +183,7 @@
         self.heard.retain(|_, heard| now < heard.at + KEEP);
     }
 
-    /// The oldest reports for a peer that knows the changes up to `known`, in about [`PART`] bytes,
+    /// The oldest reports for a peer that knows the changes up to `known`, in about [`CHUNK`] bytes,
     /// and all silent runs; the peer gets the rest when it asks next. A peer that
     /// asks several nodes takes from each what that one asked for itself: with all that each knows,
     /// 21 nodes with 1,000 engines sent 6.5 MB a second between zones.
--- a/crates/node/src/hosted/control/orders.rs
+++ b/crates/node/src/hosted/control/orders.rs
@@ -102,12 +102,12 @@
             let own = own.filter(|e| e.service == service.name && e.state == State::Ready);
             self.service(now, engine, own);
         }
-        self.go_on(now);
+        self.give_planned(now);
     }
 
     /// Gives more of the orders that were planned last, as others end. An order that no longer fits
     /// its endpoint is found out when it is given.
-    pub fn go_on(&mut self, now: Instant) {
+    pub fn give_planned(&mut self, now: Instant) {
         while self.giving < GIVEN
             && let Some(Planned { order, load }) = self.planned.pop_front()
         {
--- a/crates/node/src/hosted/control/pulls.rs
+++ b/crates/node/src/hosted/control/pulls.rs
@@ -25,13 +25,13 @@
 const AVOID: Duration = Duration::from_secs(2);
 
 /// Readers that are asked for the operator's table, in turn.
-const TELLERS: usize = 3;
+const OPERATOR_READERS: usize = 3;
 /// Asks for the operator's table that may be under way.
 const OPERATOR_ASKS: usize = 2;
 /// Nodes that a reader asks for their loads at once. The others have their turn in the next pulls.
 const POLLERS: usize = 16;
 
-/// Asks that are under way, readers to avoid, and tables that are gathered part by part.
+/// Asks that are under way, readers to avoid, and tables that are gathered chunk by chunk.
 #[derive(Debug, Default)]
 pub struct Pulls {
     /// When peers were last asked.
@@ -54,7 +54,7 @@
 /// What to do with an answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Next {
-    /// Take the page; no part follows it.
+    /// Take the page; no chunk follows it.
     Take(Page),
     /// Take the page, and ask the same peer for what follows it.
     TakeAndAsk(Page),
@@ -72,8 +72,8 @@
         self.pulled = Some(now);
         self.turn = self.turn.wrapping_add(1);
         let mut due = Vec::new();
-        if let Some(teller) = self.teller(now, &part.readers) {
-            due.push((Ask::Changes(Table::Operator), teller));
+        if let Some(operator_reader) = self.operator_reader(now, &part.readers) {
+            due.push((Ask::Changes(Table::Operator), operator_reader));
         }
         if part.reads {
             let own = Ask::Loads(Scope::Own);
@@ -92,8 +92,8 @@
     }
 
     /// The reader to ask for the operator's table: one of the first few, in turn.
-    fn teller(&self, now: Instant, readers: &[SocketAddr]) -> Option<SocketAddr> {
-        let few = &readers[..readers.len().min(TELLERS)];
+    fn operator_reader(&self, now: Instant, readers: &[SocketAddr]) -> Option<SocketAddr> {
+        let few = &readers[..readers.len().min(OPERATOR_READERS)];
         let start = self.turn % few.len().max(1);
         let (before, after) = few.split_at(start.min(few.len()));
         let mut order = after.iter().chain(before);
@@ -124,7 +124,7 @@
         self.avoid.insert(peer, now + AVOID).is_none()
     }
 
-    /// Begins an ask unless it is under way, or `most` of its kind are. The parts of a table count
+    /// Begins an ask unless it is under way, or `most` of its kind are. The chunks of a table count
     /// as one kind.
     pub fn begin(&mut self, ask: Ask, peer: SocketAddr, most: usize) -> bool {
         let kind = self.flying.iter().filter(|(a, _)| same_kind(*a, ask));
@@ -145,7 +145,7 @@
         }
     }
 
-    /// Finds what to do with a part that a peer gave.
+    /// Finds what to do with a chunk that a peer gave.
     pub fn gather(&mut self, peer: SocketAddr, table: Table, copy: Copy) -> Next {
         let before = self.gathered.iter();
         let before = before
@@ -173,11 +173,11 @@
     }
 }
 
-/// Two parts of all keys. The whole is known only as far as the part that is known least far: the
+/// Two chunks of all keys. The whole is known only as far as the chunk that is known least far: the
 /// peer may have started anew between them.
-fn joined(mut page: Page, part: Page) -> Page {
-    page.next = page.next.min(part.next);
-    page.records.extend(part.records);
+fn joined(mut page: Page, chunk: Page) -> Page {
+    page.next = page.next.min(chunk.next);
+    page.records.extend(chunk.records);
     page
 }
 
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -336,7 +336,7 @@
             return;
         }
         if !self.planning.due(now) {
-            return self.orders.go_on(now);
+            return self.orders.give_planned(now);
         }
         let Some(catalog) = self.tables.catalog() else {
             return;
--- a/crates/node/src/hosted/control/state/share.rs
+++ b/crates/node/src/hosted/control/state/share.rs
@@ -1,6 +1,6 @@
 //! What nodes read and ask for each other: copies of the store's tables, and loads of engines.
 
-use super::super::copy::{self, Ask, Copy, PART};
+use super::super::copy::{self, Ask, CHUNK, Copy};
 use super::super::input::Input;
 use super::super::pulls::Next;
 use super::super::readers::{Engines, Part};
@@ -76,7 +76,7 @@
         });
     }
 
-    /// A peer gave a part of a copy.
+    /// A peer gave a chunk of a copy.
     fn copied(&mut self, now: Instant, table: Table, peer: SocketAddr, copy: Copy) {
         if copy.fresh && !self.part.reads {
             self.heard = now;
@@ -203,21 +203,21 @@
         }
     }
 
-    /// A part of what this node has of a table, from an offset on.
+    /// A chunk of what this node has of a table, from an offset on.
     fn own_copy(&self, ask: Ask, table: Table, from: Offset) -> Copy {
         let reading = match table {
             Table::Operator => &self.operator,
             Table::Endpoints => &self.endpoints,
         };
         let own = self.tables.copy(table);
-        let part = match ask {
-            Ask::Keys(_) => own.keys(from, PART),
-            _ => own.changes(from, PART),
+        let chunk = match ask {
+            Ask::Keys(_) => own.keys(from, CHUNK),
+            _ => own.changes(from, CHUNK),
         };
         Copy {
-            page: part.page,
+            page: chunk.page,
             fresh: self.part.reads && reading.known.is_some() && reading.lost.is_none(),
-            more: part.more,
+            more: chunk.more,
         }
     }
 }
--- a/crates/node/tests/copy.rs
+++ b/crates/node/tests/copy.rs
@@ -35,8 +35,8 @@
     }
 }
 
-/// Bytes of a part: a few records.
-const PART: usize = 100;
+/// Bytes of a chunk: a few records.
+const CHUNK: usize = 100;
 
 /// A change of one of a few keys, written or removed.
 fn change(random: &mut ChaCha8Rng, offset: u64) -> Page {
@@ -91,8 +91,8 @@
             }
             giver.take(store.since(giver.next()));
             let part = match ask.0 {
-                Ask::Keys(_) => giver.keys(ask.1, PART),
-                _ => giver.changes(ask.1, PART),
+                Ask::Keys(_) => giver.keys(ask.1, CHUNK),
+                _ => giver.changes(ask.1, CHUNK),
             };
             let copy = Copy {
                 page: part.page,
--- a/crates/node/tests/orders.rs
+++ b/crates/node/tests/orders.rs
@@ -87,7 +87,7 @@
         };
         given.insert(order.run.clone());
         orders.ordered(Instant::now(), order, &ordered);
-        orders.go_on(Instant::now());
+        orders.give_planned(Instant::now());
         assert!(orders.giving() <= GIVEN);
     }
     assert_eq!(given.len(), ENDPOINTS);
--- a/crates/node/tests/support/spread.rs
+++ b/crates/node/tests/support/spread.rs
@@ -6,7 +6,7 @@
 use catalog::source::{Page, Record, Table};
 use member::identity::Identity;
 use member::peer::Peer;
-use node::hosted::control::copy::{self, Ask, Copy, PART};
+use node::hosted::control::copy::{self, Ask, CHUNK, Copy};
 use node::hosted::control::loads::Loads;
 use node::hosted::control::pulls::{Next, Pulls};
 use node::hosted::control::readers::{Engines, Part};
@@ -400,15 +400,15 @@
             Kind::Operator => &node.operator,
             Kind::Endpoints => &node.endpoints,
         };
-        let part = match Ask::try_from(ask).expect("an ask") {
-            Ask::Changes(kind) => table(kind).changes(from, PART),
-            Ask::Keys(kind) => table(kind).keys(from, PART),
+        let chunk = match Ask::try_from(ask).expect("an ask") {
+            Ask::Changes(kind) => table(kind).changes(from, CHUNK),
+            Ask::Keys(kind) => table(kind).keys(from, CHUNK),
             Ask::Loads(scope) => return node.loads.encode(now, scope, from).expect("encodes"),
         };
         let copy = Copy {
-            page: part.page,
+            page: chunk.page,
             fresh: node.part.reads,
-            more: part.more,
+            more: chunk.more,
         };
         copy::encode(&copy).expect("encodes")
     }
