Read-through: one report for the tests of loads and of copies

The test of copies had written the report of an engine again that the test of loads has. In the test of copies the draws of what an engine has in use follow its room, 1,000 in place of 100,000; nothing there asks for it.

--- a/crates/node/tests/copies.rs
+++ b/crates/node/tests/copies.rs
@@ -9,6 +9,8 @@
 //! Links of readers were full (2.3 of 2.5 MB/s), every second ask for a copy ended after 2 s without
 //! an answer, and the few bytes of a new catalog waited behind the rows of endpoints.
 
+#[path = "support/report.rs"]
+mod report;
 #[path = "support/spread.rs"]
 mod spread;
 
--- a/crates/node/tests/loads.rs
+++ b/crates/node/tests/loads.rs
@@ -1,12 +1,15 @@
 //! Which node reads the store, which one asks which engine for its load, and how the others learn it.
 
-use adapter::report::Report;
-use catalog::endpoint::{Run, Span};
+#[path = "support/report.rs"]
+mod report;
+
+use catalog::endpoint::Run;
 use member::identity::Identity;
 use member::peer::Peer;
 use node::hosted::control::copy::Scope::{self, All, Own};
 use node::hosted::control::loads::Loads;
 use node::hosted::control::readers::{ASKED, Engines, Part};
+use report::report;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -87,20 +90,6 @@
     }
 }
 
-fn report(used: f64) -> Report {
-    Report {
-        born: 1,
-        span: Span { from: 0, to: 4 },
-        busy: false,
-        orders: 0,
-        used,
-        room: 1000.0,
-        pace: 1.0,
-        queued: 0,
-        stalled: Vec::new(),
-    }
-}
-
 // A node takes from another one what it learned, several times a second. Whole lists of thousands
 // of engines would fill the link of a small node; a change that is left out would leave it with a
 // wrong idea of an engine, most of all after the other one started anew with an empty list.
--- a/crates/node/tests/support/spread.rs
+++ b/crates/node/tests/support/spread.rs
@@ -1,8 +1,8 @@
 //! Nodes that take copies from each other over slow links, with time passed in.
 
-use adapter::report::Report;
+use super::report::report;
 use adapter::store::Table as Kind;
-use catalog::endpoint::{Run, Span};
+use catalog::endpoint::Run;
 use catalog::source::{Page, Record, Table};
 use member::identity::Identity;
 use member::peer::Peer;
@@ -138,20 +138,6 @@
     }
 }
 
-fn report(used: f64) -> Report {
-    Report {
-        born: 1,
-        span: Span { from: 0, to: 4 },
-        busy: false,
-        orders: 0,
-        used,
-        room: 100_000.0,
-        pace: 1.0,
-        queued: 0,
-        stalled: Vec::new(),
-    }
-}
-
 impl Fleet {
     /// Nodes that know each other and nothing else, before endpoints whose rows come in the first
     /// seconds and change as layers are loaded.
@@ -356,7 +342,7 @@
         if self.now >= node.polled + POLL {
             node.polled = self.now;
             for &engine in &node.engines {
-                let used = self.random.random_range(0.0..9e4);
+                let used = self.random.random_range(0.0..900.0);
                 node.loads
                     .reported(now, &run(engine).to_string(), &report(used));
             }
