steer: a search looks at a few holders of each layer

Cause: a search cost time in proportion to the endpoints, and a request pays for 4.5 of them.

Ruled out: the rows that follow() makes anew (3 ms before 3,000, once a view).

Change: prices of stages and hops are worked out once a search; a search looks at six holders of each layer in each zone, drawn anew for each request, and at all endpoints only if these have no chain. What others are taken to send meanwhile goes to the part that is looked at. Fleets in which no layer has more than six holders in a zone are looked at whole, as before.

--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod scarcity;
 mod search;
 pub mod shortage;
+pub mod shortlist;
 pub mod table;
 pub mod target;
 mod unseen;
--- a/crates/steer/src/search.rs
+++ b/crates/steer/src/search.rs
@@ -72,6 +72,22 @@
     pub(crate) after: Option<usize>,
 }
 
+/// Costs of hops by the numbers of both zones; nothing where the pipe can't take one more.
+struct Hops {
+    zones: usize,
+    costs: Vec<Option<f64>>,
+}
+
+impl Hops {
+    /// Where a chain begins or ends there is no hop.
+    fn cost(&self, from: Option<usize>, to: Option<usize>) -> Option<f64> {
+        let (Some(from), Some(to)) = (from, to) else {
+            return Some(0.0);
+        };
+        self.costs[from * self.zones + to]
+    }
+}
+
 /// What a search looks at.
 pub(crate) struct Search<'a> {
     pub(crate) engine: &'a Engine,
@@ -118,6 +134,8 @@
         if !(self.span.from..self.span.to).all(largest) {
             return Err(Shortage::Size);
         }
+        let hops = self.hops(need);
+        let prices: Vec<f64> = self.rows.iter().map(|c| self.price(c, need)).collect();
         let mut best: Vec<Option<Best>> = vec![None; cuts.len() * self.zones.len()];
         let mut reach: Vec<bool> = vec![false; cuts.len()];
         reach[0] = true;
@@ -125,7 +143,7 @@
             if !reach[at] {
                 continue;
             }
-            for candidate in self.rows {
+            for (candidate, price) in self.rows.iter().zip(&prices) {
                 let &Candidate {
                     index,
                     row,
@@ -137,7 +155,7 @@
                 if !span.holds(cuts[at]) {
                     continue;
                 }
-                let Some((start, from)) = self.entry(&best, at, row, index, need) else {
+                let Some((start, from)) = self.entry(&best, &hops, at, row, index) else {
                     continue;
                 };
                 let room = row.room * fill - used;
@@ -149,7 +167,7 @@
                     if size * f64::from(layers) > room {
                         break;
                     }
-                    let cost = start + STAGE + backlog + self.time(candidate, layers, need);
+                    let cost = start + STAGE + backlog + price * f64::from(layers);
                     let slot = &mut best[self.slot((to, row.zone))];
                     if slot.is_none_or(|b| cost < b.cost) {
                         let span = Span {
@@ -166,7 +184,8 @@
                 }
             }
         }
-        self.walk(&best, cuts.len() - 1, need).ok_or(Shortage::Room)
+        let end = cuts.len() - 1;
+        self.walk(&best, &hops, end).ok_or(Shortage::Room)
     }
 
     /// Where the best way to a place is kept.
@@ -201,13 +220,13 @@
     fn entry(
         &self,
         best: &[Option<Best>],
+        hops: &Hops,
         at: usize,
         row: &Row,
         index: usize,
-        need: &Need,
     ) -> Option<(f64, Option<Place>)> {
         if at == 0 {
-            let hop = self.hop(self.ends.before, Some(row.zone), need)?;
+            let hop = hops.cost(self.ends.before, Some(row.zone))?;
             return Some((hop + self.queue(row), None));
         }
         let mut found: Option<(f64, Option<Place>)> = None;
@@ -215,14 +234,12 @@
             let Some(before) = best[self.slot((at, zone))] else {
                 continue;
             };
-            if self.names(best, (at, zone), index) {
-                continue;
-            }
-            let Some(hop) = self.hop(Some(zone), Some(row.zone), need) else {
+            let Some(hop) = hops.cost(Some(zone), Some(row.zone)) else {
                 continue;
             };
             let cost = before.cost + hop;
-            if found.is_none_or(|(c, _)| cost < c) {
+            let cheaper = found.is_none_or(|(c, _)| cost < c);
+            if cheaper && !self.names(best, (at, zone), index) {
                 found = Some((cost, Some((at, zone))));
             }
         }
@@ -255,12 +272,16 @@
         false
     }
 
-    /// Time that a hop costs a request; nothing if the pipe can't take it. Where a chain begins or
-    /// ends there is no hop.
-    fn hop(&self, from: Option<usize>, to: Option<usize>, need: &Need) -> Option<f64> {
-        let (Some(from), Some(to)) = (from, to) else {
-            return Some(0.0);
-        };
+    /// What hops between all zones cost this request.
+    fn hops(&self, need: &Need) -> Hops {
+        let zones = self.zones.len();
+        let pairs = (0..zones).flat_map(|from| (0..zones).map(move |to| (from, to)));
+        let costs = pairs.map(|(from, to)| self.hop(from, to, need)).collect();
+        Hops { zones, costs }
+    }
+
+    /// Time that a hop costs a request; nothing if the pipe can't take it.
+    fn hop(&self, from: usize, to: usize, need: &Need) -> Option<f64> {
         if from == to {
             return Some(0.0);
         }
@@ -276,10 +297,10 @@
         Some(delay.as_secs_f64() * f64::from(need.size.answer) + PIPE * transfer / (1.0 - used))
     }
 
-    /// Time that a request spends at a stage, dearer the fuller its memory is.
-    fn time(&self, candidate: &Candidate<'_>, layers: Layer, need: &Need) -> f64 {
+    /// Time that a request spends at each layer of a stage, dearer the fuller its memory is.
+    fn price(&self, candidate: &Candidate<'_>, need: &Need) -> f64 {
         let &Candidate { row, used, .. } = candidate;
-        let part = self.engine.part(layers);
+        let part = self.engine.part(1);
         // Requests under way there, by the room that one of this size would take.
         let held = f64::from(row.endpoint.span.len()) * need.tokens();
         let flying = used / held.max(1.0);
@@ -293,10 +314,10 @@
         (write + read) * part * row.slow * (1.0 + SLOPE * used.max(busy)) * candidate.factor
     }
 
-    fn walk(&self, best: &[Option<Best>], end: usize, need: &Need) -> Option<Vec<Part>> {
+    fn walk(&self, best: &[Option<Best>], hops: &Hops, end: usize) -> Option<Vec<Part>> {
         let last = (0..self.zones.len()).filter_map(|zone| {
             let last = best[self.slot((end, zone))]?;
-            let cost = last.cost + self.hop(Some(zone), self.ends.after, need)?;
+            let cost = last.cost + hops.cost(Some(zone), self.ends.after)?;
             Some(Best { cost, ..last })
         });
         let last = last.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
--- a/crates/steer/src/table/chain.rs
+++ b/crates/steer/src/table/chain.rs
@@ -6,6 +6,7 @@
 use crate::row::Row;
 use crate::search::{self, Candidate, Ends, Part, Search};
 use crate::shortage::Shortage;
+use crate::shortlist::{self, Holder};
 use crate::target::Stage;
 use crate::unseen::{self, Flow};
 use crate::{Now, Result};
@@ -15,6 +16,13 @@
 use rand::RngExt;
 use std::time::Duration;
 
+/// The rows that a search looks at.
+pub(super) struct Looked<'a> {
+    pub(super) rows: &'a [usize],
+    /// Part of the usable rows that these are.
+    pub(super) part: f64,
+}
+
 impl Steer {
     /// A chain for a request of a model service that was not sent to any of `tried`.
     pub(super) fn chain(
@@ -31,11 +39,51 @@
             let endpoint = &row.endpoint;
             endpoint.service == service.name && row.open(now) && !tried.contains(&endpoint.run)
         };
-        let rows = self.candidates(now, flow.stay(), usable);
-        if rows.is_empty() {
+        let usable = self.usable(usable);
+        if usable.is_empty() {
             return Err(Shortage::Endpoints);
         }
-        self.place(now, engine, need, rows, flow, draw)
+        self.looking(engine, &usable, |looked| {
+            let rows = self.candidates(now, flow.stay(), looked.rows);
+            self.place(now, engine, need, rows, flow.scaled(looked.part), draw)
+        })
+    }
+
+    /// Looks for a chain among few of the usable rows, and among all of them if these few have none.
+    pub(super) fn looking(
+        &self,
+        engine: &Engine,
+        usable: &[usize],
+        find: impl Fn(Looked<'_>) -> Result<Vec<Part>>,
+    ) -> Result<Vec<Part>> {
+        let all = Looked {
+            rows: usable,
+            part: 1.0,
+        };
+        let few = self.few(engine, usable);
+        if few.len() == usable.len() {
+            return find(all);
+        }
+        let part = few.len() as f64 / usable.len() as f64;
+        find(Looked { rows: &few, part }).or_else(|_| find(all))
+    }
+
+    /// A few of these rows, drawn anew for each request.
+    fn few(&self, engine: &Engine, usable: &[usize]) -> Vec<usize> {
+        let holder = |&row: &usize| Holder {
+            span: self.rows[row].endpoint.span,
+            zone: self.rows[row].zone,
+        };
+        let holders: Vec<Holder> = usable.iter().map(holder).collect();
+        let few = shortlist::draw(&mut self.rng.clone(), engine.layers, &holders);
+        few.into_iter().map(|at| usable[at]).collect()
+    }
+
+    /// Indexes of the rows that may be used.
+    pub(super) fn usable(&self, usable: impl Fn(&Row) -> bool) -> Vec<usize> {
+        let rows = self.rows.iter().enumerate();
+        let rows = rows.filter(|(_, row)| usable(row));
+        rows.map(|(index, _)| index).collect()
     }
 
     /// The chain that is the cheapest once others have placed so many parts of the requests that
@@ -113,22 +161,23 @@
         &self,
         now: Now,
         stay: Duration,
-        usable: impl Fn(&Row) -> bool,
+        rows: &[usize],
     ) -> Vec<Candidate<'_>> {
         // A generator of its own, since the table is borrowed by the candidates.
         let mut rng = self.rng.clone();
         let nodes = self.nodes();
         let jitter = Jitter::new(&mut rng, nodes, self.zones.len());
-        let rows = self.rows.iter().enumerate();
-        let rows = rows.filter(|(_, row)| usable(row));
-        rows.map(|(index, row)| Candidate {
-            index,
-            row,
-            used: row.used(now, nodes, stay),
-            factor: jitter.row(&mut rng, row.zone),
-            backlog: 0.0,
-        })
-        .collect()
+        let candidate = |&index: &usize| {
+            let row = &self.rows[index];
+            Candidate {
+                index,
+                row,
+                used: row.used(now, nodes, stay),
+                factor: jitter.row(&mut rng, row.zone),
+                backlog: 0.0,
+            }
+        };
+        rows.iter().map(candidate).collect()
     }
 }
 
--- a/crates/steer/src/table/detour.rs
+++ b/crates/steer/src/table/detour.rs
@@ -38,6 +38,14 @@
         &self.target.stages[self.place]
     }
 
+    /// Whether an endpoint holds layers of the stage and is not in the chain yet.
+    fn may_take(&self, row: &Row) -> bool {
+        let (held, lost) = (row.endpoint.span, self.stage().span);
+        let meets = held.from < lost.to && lost.from < held.to;
+        let mut stages = self.target.stages.iter();
+        meets && !stages.any(|s| s.run == row.endpoint.run)
+    }
+
     /// The stages with others in its place.
     fn filled(&self, stages: Vec<Stage>) -> Vec<Stage> {
         let mut all = self.target.stages.clone();
@@ -98,12 +106,11 @@
         gap: &Gap<'_>,
         parts: u32,
     ) -> Result<Vec<Part>> {
-        let used = |row: &Row| gap.target.stages.iter().any(|s| s.run == row.endpoint.run);
-        let usable =
-            |row: &Row| row.endpoint.service == service.name && row.open(now) && !used(row);
+        let usable = self.usable(|row| {
+            row.endpoint.service == service.name && row.open(now) && gap.may_take(row)
+        });
         let stay = self.flow(service, engine).stay();
-        let mut rows = self.candidates(now, stay, usable);
-        let tokens = self.stranded(now, gap.stage()) / f64::from(PARTS);
+        let stranded = self.stranded(now, gap.stage()) / f64::from(PARTS);
         let find = |rows: &Vec<Candidate<'_>>| {
             let search = Search {
                 span: gap.stage().span,
@@ -112,8 +119,12 @@
             };
             search.chain(need)
         };
-        unseen::after(&mut rows, parts, find, |rows, chain| {
-            search::reread(engine, rows, chain, tokens);
+        self.looking(engine, &usable, |looked| {
+            let mut rows = self.candidates(now, stay, looked.rows);
+            let tokens = stranded * looked.part;
+            unseen::after(&mut rows, parts, find, |rows, chain| {
+                search::reread(engine, rows, chain, tokens);
+            })
         })
     }
 
--- a/crates/steer/src/unseen.rs
+++ b/crates/steer/src/unseen.rs
@@ -126,6 +126,19 @@
         self.stay = self.stay.mul_f64(1.0 - part) + time.mul_f64(part);
     }
 
+    /// The part of the requests that go to a part of the endpoints.
+    pub(crate) fn scaled(self, part: f64) -> Self {
+        let scaled = |rate: Rate| Rate {
+            per_second: rate.per_second * part,
+            ..rate
+        };
+        Self {
+            usual: scaled(self.usual),
+            moment: scaled(self.moment),
+            ..self
+        }
+    }
+
     /// How long requests stay, on average.
     pub(crate) fn stay(&self) -> Duration {
         self.stay
--- /dev/null
+++ b/crates/steer/tests/shortlist.rs
@@ -0,0 +1,135 @@
+//! Choices among hundreds of endpoints for each layer.
+//!
+//! The pattern: 300 nodes before 3,000 endpoints in three zones, each with an eighth of a processor
+//! and two or three requests a second. A search that looks at every endpoint takes 40 ms of a whole
+//! processor, so a request waited a third of a second for its choice.
+
+mod support;
+
+use catalog::Endpoint;
+use catalog::endpoint::{Run, Span};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet};
+use steer::Steer;
+use steer::shortlist::{self, HOLDERS, Holder};
+use support::{LAYERS, endpoint, ms, need, steer};
+
+/// Layers of the users' model.
+const MODEL: u32 = 80;
+const ZONES: usize = 3;
+
+/// Holders of a zone's layers as a plan lays them out: rows of equal spans from layer 0 on.
+fn holders(count: usize, rng: &mut ChaCha8Rng) -> Vec<Holder> {
+    let holder = |n: usize| {
+        let len = [7, 8, 11, 30][rng.random_range(0..4)];
+        let from = (n as u32 * 7) % (MODEL - len + 1);
+        let span = Span {
+            from,
+            to: from + len,
+        };
+        Holder {
+            span,
+            zone: n % ZONES,
+        }
+    };
+    (0..count).map(holder).collect()
+}
+
+/// How many of these hold each layer in each zone.
+fn held(holders: impl Iterator<Item = Holder>) -> BTreeMap<(usize, u32), u32> {
+    let mut held = BTreeMap::new();
+    for holder in holders {
+        for layer in holder.span.from..holder.span.to {
+            *held.entry((holder.zone, layer)).or_default() += 1;
+        }
+    }
+    held
+}
+
+// Guards against choices whose cost grows with the fleet, and against layers that are left out.
+#[test]
+fn a_search_looks_at_a_few_holders_of_each_layer() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut sizes = Vec::new();
+    for count in [300, 1000, 3000, 4700] {
+        let all = holders(count, &mut rng);
+        let few = shortlist::draw(&mut rng, MODEL, &all);
+        assert!(few.is_sorted());
+        let kept = held(few.iter().map(|&at| all[at]));
+        for (place, &there) in &held(all.iter().copied()) {
+            let kept = kept.get(place).copied().unwrap_or(0);
+            assert!(kept >= there.min(HOLDERS), "{place:?}: {kept} of {there}");
+        }
+        sizes.push(few.len());
+    }
+    // Each one drawn holds at least seven layers, one of which had too few holders before it.
+    let bound = ZONES * (MODEL * HOLDERS) as usize / 4;
+    assert!(sizes.iter().all(|&n| n <= bound), "{sizes:?}");
+}
+
+// Guards against a change of choice on small fleets, where every holder counts.
+#[test]
+fn a_small_fleet_is_looked_at_whole() {
+    let mut rng = ChaCha8Rng::seed_from_u64(2);
+    let all = holders(ZONES * HOLDERS as usize, &mut rng);
+    let few = shortlist::draw(&mut rng, MODEL, &all);
+    assert_eq!(few.len(), all.len());
+}
+
+// Guards against spans that an endpoint reports wrongly.
+#[test]
+fn spans_past_the_model_are_no_holders() {
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    let holder = |from, to| Holder {
+        span: Span { from, to },
+        zone: 0,
+    };
+    let all = [holder(0, u32::MAX), holder(9, 3), holder(200, 300)];
+    assert_eq!(shortlist::draw(&mut rng, MODEL, &all), [0]);
+}
+
+/// Many endpoints of one zone, each with half of the layers.
+fn many(count: u16) -> Vec<Endpoint> {
+    let one = |n: u16| {
+        let from = u32::from(n % 2) * LAYERS / 2;
+        Endpoint {
+            run: Run {
+                id: format!("e{n}"),
+                born: 1,
+            },
+            addr: ([10, 0, (n >> 8) as u8, n as u8], 80).into(),
+            ..endpoint(0, "a", "fast", from, from + LAYERS / 2)
+        }
+    };
+    (0..count).map(one).collect()
+}
+
+/// Heads of so many chains, one chosen after the other.
+fn heads(steer: &mut Steer, chains: usize) -> BTreeSet<Run> {
+    let chosen = (0..chains).map(|_| steer.target(ms(0), 0, &need(100), &[]));
+    let chosen = chosen.map(|target| target.expect("there is room").stages[0].run.clone());
+    chosen.collect()
+}
+
+// Guards against nodes that keep to the endpoints of one draw while hundreds of others idle.
+#[test]
+fn each_request_looks_at_others() {
+    let mut steer = steer(many(400));
+    let heads = heads(&mut steer, 100);
+    assert!(heads.len() >= 60, "{} heads of 200", heads.len());
+}
+
+// Guards against callers that are refused for want of room while an endpoint that was not looked at
+// has some.
+#[test]
+fn all_endpoints_are_looked_at_before_a_refusal() {
+    // Each holds four layers, with room for 1,500 tokens: one request of this size.
+    let mut steer = steer(many(120));
+    for _ in 0..60 {
+        let found = steer.target(ms(0), 0, &need(1000), &[]);
+        assert!(found.is_ok(), "{found:?}");
+    }
+    let full = steer.target(ms(0), 0, &need(1000), &[]);
+    assert!(full.is_err(), "{full:?}");
+}
