ctl: losses compares two runs, draws a chart, and counts what it can't read

Cause: the issue on hundreds of instances needs two runs beside each other and causes by second.

`Line::all` stopped at the first line that was no UTF-8, silently; such lines are read as far as they go now.

Tests: crates/ctl/tests/losses.rs.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -168,6 +168,19 @@
         .about(
             "Accounts for late and lost requests by cause, from nodes' log lines on standard input",
         )
+        .arg(
+            path_option(
+                "compare",
+                "Two files of lines to compare, read in place of standard input",
+            )
+            .num_args(2)
+            .value_names(["A", "B"])
+            .conflicts_with("svg"),
+        )
+        .arg(path_option(
+            "svg",
+            "Also writes a chart of the losses over time",
+        ))
         .arg(number(
             "head",
             "MS",
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -6,7 +6,7 @@
 //! beliefs that decided.
 
 use crate::failure::{Result, failed};
-use crate::line::Line;
+use crate::line::{Line, Reader};
 use crate::output::Output;
 use clap::ArgMatches;
 use serde::Serialize;
@@ -57,7 +57,9 @@
 /// Reads standard input and prints the story.
 pub fn run(args: &ArgMatches, output: Output) -> Result {
     let id: &String = args.get_one("id").expect("clap requires it");
-    let lines: Vec<Line> = Line::all(std::io::stdin().lock()).collect();
+    let mut reader = Reader::new(std::io::stdin().lock(), "standard input");
+    let lines: Vec<Line> = reader.by_ref().collect();
+    reader.end()?;
     let story = story(lines, id).ok_or_else(|| {
         failed(eyre::eyre!(
             "no line is about {id}; another node may have had it, or its lines were dropped"
--- a/crates/ctl/src/losses/cause.rs
+++ b/crates/ctl/src/losses/cause.rs
@@ -25,7 +25,11 @@
     Budget,
     /// Refused: the node knew no catalog, or was about to end.
     Node,
-    /// Refused: the request itself is wrong, or larger than any endpoint.
+    /// Refused: no route has its host and path.
+    Route,
+    /// Refused: no team has its key.
+    Key,
+    /// Refused: it can't be read, or is larger than any endpoint.
     Caller,
     /// Lost: it may have run, and was not or could not be sent again.
     Lost,
@@ -50,14 +54,19 @@
     ("no endpoint to go on from", Cause::Endpoints),
     ("no catalog", Cause::Node),
     ("about to end", Cause::Node),
-    ("no route", Cause::Caller),
-    ("the key is unknown", Cause::Caller),
+    ("no route", Cause::Route),
+    ("the key is unknown", Cause::Key),
     ("can't be read", Cause::Caller),
     ("may have run", Cause::Lost),
     ("no endpoint", Cause::Endpoints),
 ];
 
 impl Cause {
+    /// Whether it is the answer that the operator's catalog asks for: nothing was lost.
+    pub fn denied(self) -> bool {
+        matches!(self, Self::Route | Self::Key)
+    }
+
     /// The cause that a refusal's reason tells.
     pub fn of_refusal(why: &str) -> Self {
         let found = REASONS.iter().find(|(words, _)| why.contains(words));
@@ -77,6 +86,8 @@
             Self::Endpoints => "refused, no endpoint",
             Self::Budget => "refused, budget used up",
             Self::Node => "refused, node starting or ending",
+            Self::Route => "refused, no such route",
+            Self::Key => "refused, key unknown",
             Self::Caller => "refused, the request's own fault",
             Self::Lost => "lost, may have run",
             Self::Broken => "broken off",
--- /dev/null
+++ b/crates/ctl/src/losses/chart.rs
@@ -0,0 +1,65 @@
+//! A chart of the losses: seconds on the x axis, causes stacked.
+
+use super::Losses;
+use super::cause::Cause;
+use crate::failure::{Result, failed};
+use plotters::prelude::*;
+use std::collections::BTreeSet;
+use std::path::Path;
+
+/// Width and height in pixels.
+const SIZE: (u32, u32) = (1000, 480);
+/// Pixels of the axes' labels.
+const LABELS: u32 = 48;
+
+/// Writes the chart.
+pub fn write(losses: &Losses, file: &Path) -> Result {
+    let mut text = String::new();
+    draw(losses, &mut text).map_err(|error| failed(eyre::eyre!("no chart: {error}")))?;
+    let written = std::fs::write(file, text);
+    written.map_err(|error| failed(eyre::Report::new(error).wrap_err(file.display().to_string())))
+}
+
+fn draw(losses: &Losses, text: &mut String) -> std::result::Result<(), Box<dyn std::error::Error>> {
+    let root = SVGBackend::with_string(text, SIZE).into_drawing_area();
+    root.fill(&WHITE)?;
+    let end = losses
+        .intervals
+        .keys()
+        .max()
+        .map_or(1, |last| last + losses.every);
+    let sums = losses
+        .intervals
+        .values()
+        .map(|counts| counts.values().sum::<u64>());
+    let most = sums.max().unwrap_or_default().max(1);
+    let mut chart = ChartBuilder::on(&root)
+        .margin(10)
+        .x_label_area_size(LABELS)
+        .y_label_area_size(LABELS)
+        .build_cartesian_2d(0..end, 0..most)?;
+    let mut mesh = chart.configure_mesh();
+    mesh.disable_x_mesh();
+    mesh.x_desc("second in which requests came")
+        .y_desc("requests late or lost")
+        .draw()?;
+    let causes: BTreeSet<Cause> = losses.causes.keys().copied().collect();
+    for (number, &cause) in causes.iter().enumerate() {
+        let color = Palette99::pick(number).to_rgba();
+        let bars = losses.intervals.iter().filter_map(|(&from, counts)| {
+            let count = *counts.get(&cause)?;
+            let below: u64 = counts.range(..cause).map(|(_, n)| n).sum();
+            let corners = [(from, below), (from + losses.every, below + count)];
+            Some(Rectangle::new(corners, color.filled()))
+        });
+        let series = chart.draw_series(bars)?.label(cause.to_string());
+        series.legend(move |(x, y)| Rectangle::new([(x, y - 5), (x + 10, y + 5)], color.filled()));
+    }
+    chart
+        .configure_series_labels()
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK)
+        .draw()?;
+    root.present()?;
+    Ok(())
+}
--- a/crates/ctl/tests/losses.rs
+++ b/crates/ctl/tests/losses.rs
@@ -111,3 +111,89 @@
     assert_eq!(tables["causes"]["left"]["count"], 2);
     assert_eq!(tables["causes"]["starved"]["count"], 2);
 }
+
+/// Lines of a refusal with this reason.
+fn refused(id: &str, status: u16, why: &str) -> String {
+    format!(
+        r#"a {{"time":9000,"event":"ended","id":"{id}","status":{status},"outcome":"refused","why":"{why}","attempts":0,"head_ms":1,"all_ms":1,"pause_ms":0,"quiet_ms":1}}"#
+    )
+}
+
+// Guards against a table in which probes of the catalog in force look like lost callers: most
+// refusals of a run were for hosts that no catalog had, asked for by its operators.
+#[test]
+fn requests_that_no_catalog_allows_are_not_lost() {
+    let lines = [
+        refused("r1", 404, "no route has this host and path"),
+        refused("r2", 401, "the key is unknown"),
+        refused("r3", 503, "no endpoint can take the request now: no room"),
+    ];
+    let output = run(&["--output", "json"], &lines.join("\n"));
+    let tables: Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert_eq!(tables["ended"], 3);
+    assert_eq!(tables["denied"], 2);
+    assert_eq!(tables["causes"].as_object().unwrap().len(), 1, "{tables}");
+}
+
+// Guards against a table over half of the lines that looks like one over all of them.
+#[test]
+fn lines_that_can_not_be_read_are_counted_and_told() {
+    let output = run(&["--output", "json"], &format!("{LINES}front-1 is up\n"));
+    let tables: Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert_eq!(tables["unread"]["foreign"], 1);
+    assert_eq!(tables["unread"]["cut"], 1);
+    assert_eq!(tables["unread"]["first_cut"], 14);
+    let text = String::from_utf8(losses(&[]).stdout).unwrap();
+    assert!(
+        text.contains("1 cut or mixed, the first of them line 14"),
+        "{text}"
+    );
+    for nothing in ["", "no line of a node\n{\"time\":1}\n"] {
+        let output = run(&[], nothing);
+        assert_eq!(output.status.code(), Some(2), "{output:?}");
+        let error = String::from_utf8(output.stderr).unwrap();
+        assert!(error.contains("standard input"), "{error}");
+    }
+}
+
+#[test]
+fn two_runs_are_shown_beside_each_other() {
+    let dir = std::env::temp_dir().join(format!("losses-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let (a, b) = (dir.join("a.log"), dir.join("b.log"));
+    std::fs::write(&a, LINES).unwrap();
+    std::fs::write(&b, refused("r1", 503, "no room")).unwrap();
+    let files = [a.to_str().unwrap(), b.to_str().unwrap()];
+    let output = run(&["--output", "json", "--compare", files[0], files[1]], "");
+    let tables: Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert_eq!(tables["ended"], serde_json::json!([7, 1]));
+    assert_eq!(
+        tables["causes"]["room"]["counts"],
+        serde_json::json!([1, 1])
+    );
+    assert_eq!(tables["causes"]["room"]["shares"][1], 1.0);
+    let missing = run(&["--compare", files[0], "/nowhere"], "");
+    assert_eq!(missing.status.code(), Some(2), "{missing:?}");
+    std::fs::remove_dir_all(&dir).unwrap();
+}
+
+#[test]
+fn the_chart_stacks_causes_over_seconds() {
+    let dir = std::env::temp_dir().join(format!("chart-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let file = dir.join("losses.svg");
+    let output = losses(&["--svg", file.to_str().unwrap()]);
+    assert!(output.status.success(), "{output:?}");
+    let text = std::fs::read_to_string(&file).unwrap();
+    assert!(text.starts_with("<svg") && text.trim_end().ends_with("</svg>"));
+    for words in [
+        "late, a stage was replaced",
+        "refused, budget used up",
+        "second in which",
+    ] {
+        assert!(text.contains(words), "{words}");
+    }
+    // One bar for each cause of each interval, beside those of the legend.
+    assert!(text.matches("<rect").count() >= 12, "{text}");
+    std::fs::remove_dir_all(&dir).unwrap();
+}
