control, gate: moves are announced, requests wait for a young node's first catalog

Now the giver announces a move to all nodes and gives the order 0.6 s later; plans until then count it as given.

With 1,400 routes the catalog is large; 195 nodes read it at once, 132 of them answered 1,147 requests with "no catalog is known yet" and 1.5 to 3 s to come back, for a catalog that was there 0.1 to 1.5 s later. 43 reads of it ended at the time limit of 0.7 s and were begun again.

Nodes that start together know few others, so each took the cheapest chain as if alone: 148 requests in 0.2 s went to 4 to 6 heads, and their first events took 0.36 to 0.58 s. Until a node has settled it takes one node for each two endpoints to send requests.

Tests: orders (announced, then given; counted meanwhile), depart (an announced endpoint departs and gets nothing new), plain (waits for the first catalog, is refused at once later).

--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -41,6 +41,15 @@
 /// again, and most come back only once.
 const BLIND: Duration = Duration::from_millis(1500);
 
+/// Time from the start in which requests wait for the first catalog. Nodes that start together read it
+/// from the store at the same time, which takes up to a second and a half if it is large.
+const FIRST: Duration = Duration::from_millis(2000);
+/// Part of a request's time that it waits for the first catalog at the most. Callers give up what was
+/// not read within a third of it, or within a second.
+const FIRST_PART: f64 = 0.25;
+/// Longest wait for the first catalog.
+const FIRST_WAIT: Duration = Duration::from_millis(900);
+
 /// What a worker is made of.
 #[derive(Debug)]
 pub struct Parts<D> {
@@ -147,6 +156,20 @@
         newest
     }
 
+    /// The newest view. In a process that has just started, a request of so much time that came at `came`
+    /// waits for the first one.
+    async fn first_view(&self, time: Option<Duration>, came: Instant) -> Option<Arc<View>> {
+        let part = time.map_or(FIRST_WAIT, |t| t.mul_f64(FIRST_PART).min(FIRST_WAIT));
+        let until = (self.start + FIRST).min(came + part);
+        loop {
+            let view = self.view();
+            if view.is_some() || self.closing.get() || Instant::now() >= until {
+                return view;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
     /// Number of the newest view; another one tells that something may have changed.
     pub(crate) fn views(&self) -> u64 {
         self.view();
@@ -240,7 +263,7 @@
         let ask = self.dialect.ask(&parts.headers);
         let id = ask.id.clone().unwrap_or_default();
         let checked = async {
-            let Some(view) = self.view() else {
+            let Some(view) = self.first_view(ask.deadline, came).await else {
                 return Err(Refusal::after(Reason::NoCatalog, forward::spread(BLIND)));
             };
             if self.closing.get() {
--- a/crates/gate/tests/plain.rs
+++ b/crates/gate/tests/plain.rs
@@ -2,9 +2,9 @@
 
 mod support;
 
-use http::StatusCode;
+use http::{HeaderValue, StatusCode};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::caller::{Got, request, send};
 use support::server::{Act, Server, header};
 use support::{ALLOWANCE, node, plain, run, start, view};
@@ -129,6 +129,41 @@
     });
 }
 
+// Guards against callers that are refused, and told to come back after seconds, by nodes that know the
+// catalog a moment later: all 195 nodes started together and refused 1,147 requests in a second and a
+// half. Once the time in which a catalog comes is over, requests are refused at once.
+#[test]
+fn a_request_waits_for_the_first_catalog_of_a_young_node() {
+    run(async {
+        let node = start(ALLOWANCE).await;
+        let server = Server::start(vec![Act::Answer(200, "a")]).await;
+        let begun = Instant::now();
+        let learns = async {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            let known = view(vec![plain(server.addr)]);
+            node.board.store(Some(Arc::new(known)));
+        };
+        let (got, ()) = tokio::join!(send(node.addr, request("/safe/x")), learns);
+        assert_eq!(got.status, StatusCode::OK);
+        assert!(begun.elapsed() < Duration::from_millis(600));
+
+        let node = start(ALLOWANCE).await;
+        let mut short = request("/safe/x");
+        let time = HeaderValue::from_static("400");
+        short.headers_mut().insert("deadline", time);
+        let begun = Instant::now();
+        let got = send(node.addr, short).await;
+        assert_eq!(got.status, StatusCode::SERVICE_UNAVAILABLE);
+        let waited = begun.elapsed();
+        assert!(waited < Duration::from_millis(300), "{waited:?}");
+        tokio::time::sleep(Duration::from_millis(2000)).await;
+        let begun = Instant::now();
+        let got = send(node.addr, request("/safe/x")).await;
+        assert_eq!(got.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(begun.elapsed() < Duration::from_millis(200));
+    });
+}
+
 // A node that has just started knows no catalog. It must not say that a route or key does not
 // exist, which callers take as final: it says that it is not ready, and that nothing has run. Where all
 // nodes started anew, the others know none either, and most callers come back only once: they are
--- a/crates/member/src/exchange.rs
+++ b/crates/member/src/exchange.rs
@@ -26,6 +26,7 @@
 fn weight(body: &item::Body) -> usize {
     match body {
         item::Body::Endpoint { name, .. } => SMALL + 8 + name.len(),
+        item::Body::Moving { name, .. } => SMALL + 8 + name.len(),
         item::Body::Suspect { .. } | item::Body::Condemned { .. } => SMALL + 8,
         _ => SMALL,
     }
--- a/crates/member/src/item.rs
+++ b/crates/member/src/item.rs
@@ -31,6 +31,8 @@
     Callers,
     /// An endpoint, by name.
     Endpoint(String),
+    /// An endpoint that is about to give up layers, by name.
+    Moving(String),
     /// A fingerprint in flight at an endpoint's death.
     Suspect(Fingerprint),
     /// A fingerprint on which a verdict is awaited.
@@ -64,6 +66,13 @@
         /// How long this counts.
         ttl: Duration,
     },
+    /// The origin is about to order an endpoint to give up its layers for others.
+    Moving {
+        /// Name of the endpoint.
+        name: String,
+        /// How long this counts.
+        ttl: Duration,
+    },
     /// A request with this fingerprint was in flight when an endpoint died.
     Suspect {
         /// Hash of the request.
@@ -104,6 +113,7 @@
             Self::Load(_) => Key::Load,
             Self::Callers { .. } => Key::Callers,
             Self::Endpoint { name, .. } => Key::Endpoint(name.clone()),
+            Self::Moving { name, .. } => Key::Moving(name.clone()),
             Self::Suspect { fingerprint, .. } => Key::Suspect(*fingerprint),
             Self::Pending { fingerprint, .. } => Key::Pending(*fingerprint),
             Self::Condemned { fingerprint, .. } => Key::Condemned(*fingerprint),
@@ -115,6 +125,7 @@
     pub fn ttl(&self) -> Option<Duration> {
         match self {
             Self::Endpoint { ttl, .. }
+            | Self::Moving { ttl, .. }
             | Self::Suspect { ttl, .. }
             | Self::Pending { ttl, .. }
             | Self::Condemned { ttl, .. } => Some(*ttl),
@@ -126,6 +137,7 @@
     pub fn with_ttl(mut self, left: Duration) -> Self {
         match &mut self {
             Self::Endpoint { ttl, .. }
+            | Self::Moving { ttl, .. }
             | Self::Suspect { ttl, .. }
             | Self::Pending { ttl, .. }
             | Self::Condemned { ttl, .. } => *ttl = left,
@@ -163,6 +175,7 @@
             Self::Endpoint { name, ejected, ttl } => {
                 write!(f, "endpoint {name} ejected={ejected} for {ttl:?}")
             }
+            Self::Moving { name, ttl } => write!(f, "moving {name} for {ttl:?}"),
             Self::Suspect { fingerprint, ttl } => write!(f, "suspect {fingerprint:x} for {ttl:?}"),
             Self::Pending { fingerprint, ttl } => write!(f, "pending {fingerprint:x} for {ttl:?}"),
             Self::Condemned { fingerprint, ttl } => {
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -24,6 +24,15 @@
         self.observed(now).filter_map(name).collect()
     }
 
+    /// Endpoints that some node is about to order to give up their layers.
+    pub fn moving(&self, now: Now) -> BTreeSet<String> {
+        let name = |body: &Body| match body {
+            Body::Moving { name, .. } => Some(name.clone()),
+            _ => None,
+        };
+        self.observed(now).filter_map(name).collect()
+    }
+
     /// Endpoints that at least `least` nodes have ejected.
     pub fn ejected_by(&self, now: Now, least: usize) -> BTreeSet<String> {
         let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
--- a/crates/node/src/hosted/control/orders.rs
+++ b/crates/node/src/hosted/control/orders.rs
@@ -33,6 +33,10 @@
 /// endpoints stood empty; by 24 it gives 240 a second.
 pub const GIVEN: usize = 24;
 
+/// Time between the announcement that an endpoint gives up layers and the order: what is announced is
+/// with all nodes by then. Without it each node sent requests there that were refused, until it knew.
+pub const ANNOUNCED: Duration = Duration::from_millis(600);
+
 /// What is under way at an endpoint.
 #[derive(Clone, Copy, Debug)]
 enum Under {
@@ -57,6 +61,10 @@
     under: BTreeMap<Run, Under>,
     /// Orders of the last plan that have not been given yet.
     planned: VecDeque<Planned>,
+    /// Orders to give up layers, in the order of their times.
+    moves: VecDeque<(Instant, Planned)>,
+    /// Endpoints whose moves are to be announced.
+    moving: Vec<Run>,
     /// Orders that are being given.
     giving: usize,
     /// How long endpoints take to register that started together.
@@ -74,6 +82,8 @@
             inputs,
             under: BTreeMap::new(),
             planned: VecDeque::new(),
+            moves: VecDeque::new(),
+            moving: Vec::new(),
             giving: 0,
             gather,
             arrived: Instant::now(),
@@ -112,7 +122,7 @@
     /// its endpoint is found out when it is given.
     pub fn give_planned(&mut self, now: Instant) {
         while self.giving < GIVEN
-            && let Some(Planned { order, load }) = self.planned.pop_front()
+            && let Some(Planned { order, load }) = self.next(now)
         {
             let span = order.span;
             let until = now + load + SHOWN;
@@ -122,6 +132,34 @@
         }
     }
 
+    /// The next order to give: a move whose time has come, or one to an endpoint that holds nothing.
+    fn next(&mut self, now: Instant) -> Option<Planned> {
+        let due = self.moves.pop_front_if(|(at, _)| *at <= now);
+        due.map(|(_, planned)| planned)
+            .or_else(|| self.planned.pop_front())
+    }
+
+    /// Takes in what a plan orders. Moves wait until they are announced; the plans until then count
+    /// them as given.
+    fn plan(&mut self, now: Instant, planned: Planned) {
+        let Planned { order, load } = &planned;
+        if order.held.is_empty() {
+            return self.planned.push_back(planned);
+        }
+        let at = now + ANNOUNCED;
+        let span = order.span;
+        let until = at + *load + SHOWN;
+        self.under
+            .insert(order.run.clone(), Under::Holds { span, until });
+        self.moving.push(order.run.clone());
+        self.moves.push_back((at, planned));
+    }
+
+    /// Endpoints that are about to give up layers, since the last call.
+    pub fn take_moving(&mut self) -> Vec<Run> {
+        std::mem::take(&mut self.moving)
+    }
+
     /// Orders that are being given, and whose outcome is not known yet.
     pub fn giving(&self) -> usize {
         self.giving
@@ -158,10 +196,10 @@
         let crowd = holders.len().div_ceil(engine.loads.max(1)) as u32;
         let orders = plan::next(engine, &holders).into_iter();
         let orders = orders.filter(|o| part.orders_to(&o.run, o.held));
-        self.planned.extend(orders.map(|order| {
+        for order in orders {
             let load = engine.load.mul_f64(engine.part(order.span.len())) * crowd;
-            Planned { order, load }
-        }));
+            self.plan(now, Planned { order, load });
+        }
     }
 
     fn give(&mut self, order: Order) {
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -51,8 +51,16 @@
 const MEASURE: Duration = Duration::from_secs(1);
 /// Time without an up-to-date copy after which a node reads the store by itself: three pulls.
 const UNHEARD: Duration = Duration::from_millis(1000);
+/// Time from the start after which a node asks its peers for a table that the store has not given.
+const UNANSWERED: Duration = Duration::from_millis(700);
 /// How long a finding of one node counts: until the endpoint has been tried again a few times.
 const ACCUSED: Duration = Duration::from_millis(2500);
+/// How long it counts that an endpoint is about to give up its layers: until what it reports of its new
+/// ones is with all nodes.
+const MOVING: Duration = Duration::from_secs(3);
+/// Endpoints for which a node that has just started takes another one to send requests as well. Without
+/// it, nodes that start together all take the cheapest chain, each as if it were alone.
+const ENDPOINTS_FOR: usize = 2;
 /// Peers that are asked at once: one of them may be turned away as well.
 const ASKED: usize = 2;
 
@@ -347,6 +355,21 @@
         let living: Vec<Endpoint> = living.map(|e| self.loads.overlay(now, e)).collect();
         self.orders.step(now, &self.part, catalog, living.iter());
         self.planning.ran(now, Instant::now());
+        self.announce();
+    }
+
+    /// Tells the other nodes which endpoints are about to give up layers.
+    fn announce(&mut self) {
+        let moving = self.orders.take_moving().into_iter();
+        let moving = moving.map(|run| Body::Moving {
+            name: run.to_string(),
+            ttl: MOVING,
+        });
+        let moving: Vec<Body> = moving.collect();
+        if !moving.is_empty() {
+            self.handle(Event::Publish(moving));
+            self.dirty = true;
+        }
     }
 
     /// Publishes a view if anything changed; what is not urgent may wait for a later step.
@@ -364,13 +387,19 @@
         let nodes = self.nodes();
         let endpoints = self.tables.endpoints();
         let endpoints: Vec<Endpoint> = endpoints.map(|e| self.loads.overlay(now, e)).collect();
+        let known = nodes.len().max(1);
+        let senders = match self.settled() {
+            true => known,
+            false => known.max(endpoints.len() / ENDPOINTS_FOR),
+        };
         let view = View {
             fleet: Fleet {
                 catalog: catalog.clone(),
                 endpoints: Arc::new(endpoints),
                 loads: Arc::new(self.loads.view(now, self.start)),
                 accused: self.accused.now(),
-                nodes: nodes.len().max(1),
+                moving: Arc::new(self.group.moving(self.start.elapsed())),
+                nodes: senders,
                 sharers: self.sharers(),
             },
             nodes,
--- a/crates/node/src/hosted/control/state/share.rs
+++ b/crates/node/src/hosted/control/state/share.rs
@@ -4,7 +4,7 @@
 use super::super::input::Input;
 use super::super::pulls::Next;
 use super::super::readers::{Engines, Part};
-use super::{ASKED, COPY, State, UNHEARD};
+use super::{ASKED, COPY, Reading, State, UNANSWERED, UNHEARD};
 use adapter::report::{Control as Engine, Report};
 use adapter::store::Table;
 use catalog::Endpoint;
@@ -164,9 +164,11 @@
         self.reported = true;
     }
 
-    /// Asks peers for their copies while the store can't be read.
+    /// Asks peers for their copies while the store can't be read, or has not answered yet.
     pub(super) fn copy(&mut self, now: Instant) {
-        let lost = self.operator.lost.is_some() || self.endpoints.lost.is_some();
+        let waiting = now >= self.start + UNANSWERED;
+        let lost = |r: &Reading| r.lost.is_some() || (waiting && r.known.is_none());
+        let lost = lost(&self.operator) || lost(&self.endpoints);
         if !lost || now < self.copied + COPY {
             return;
         }
--- a/crates/node/tests/orders.rs
+++ b/crates/node/tests/orders.rs
@@ -8,7 +8,7 @@
 use member::identity::Identity;
 use member::peer::Peer;
 use node::hosted::control::input::Input;
-use node::hosted::control::orders::{GIVEN, Orders};
+use node::hosted::control::orders::{ANNOUNCED, GIVEN, Orders};
 use node::hosted::control::readers::{Engines, ORDERS_FOR, Part};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -145,3 +145,36 @@
         }
     }
 }
+
+// Guards against sends that an endpoint refuses since it has begun to give up its layers: each of 195
+// nodes found that out by itself, 30 refusals an endpoint that was moved. The others are told first,
+// and the order is given once they know.
+#[tokio::test(start_paused = true)]
+async fn a_move_is_announced_before_it_is_ordered() {
+    let nobody = SocketAddr::from(([127, 0, 0, 1], 1));
+    let holds = |number: usize, from, to| Endpoint {
+        span: Span { from, to },
+        ..empty(number, nobody)
+    };
+    // The last layers are held by none, the first ones twice.
+    let endpoints = [
+        holds(0, 0, 2),
+        holds(1, 0, 2),
+        holds(2, 2, 4),
+        holds(3, 4, 6),
+    ];
+    let (journal, _lines) = Journal::new(64);
+    let (inputs, _taken) = mpsc::channel(64);
+    let mut orders = Orders::new(journal, inputs, Duration::ZERO);
+    let (part, catalog) = (alone(), catalog());
+    let start = Instant::now();
+    orders.step(start, &part, &catalog, endpoints.iter());
+    let moving = orders.take_moving();
+    assert_eq!(moving.len(), 1, "{moving:?}");
+    assert_eq!(orders.giving(), 0);
+    // A plan made meanwhile counts the move as given.
+    orders.step(start + ANNOUNCED / 2, &part, &catalog, endpoints.iter());
+    assert_eq!((orders.take_moving().len(), orders.giving()), (0, 0));
+    orders.give_planned(start + ANNOUNCED);
+    assert_eq!(orders.giving(), 1);
+}
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -16,6 +16,8 @@
     pub loads: Arc<BTreeMap<String, Load>>,
     /// Runs of endpoints that several nodes found to fail, in their text form.
     pub accused: Arc<BTreeSet<String>>,
+    /// Runs of endpoints that are about to give up their layers for others, in their text form.
+    pub moving: Arc<BTreeSet<String>>,
     /// Nodes that send requests, this one included. Callers spread evenly over them, so what this
     /// node has under way, times this number, is what an endpoint has under way.
     pub nodes: usize,
--- a/crates/steer/src/row.rs
+++ b/crates/steer/src/row.rs
@@ -46,6 +46,8 @@
     pub told: bool,
     /// Whether several nodes found it to fail.
     pub accused: bool,
+    /// Whether it is about to give up its layers for others.
+    pub moving: bool,
     /// Number of its availability zone in the table.
     pub zone: usize,
 }
@@ -67,6 +69,7 @@
             most: 0.0,
             told: false,
             accused: false,
+            moving: false,
             zone,
         }
     }
@@ -119,6 +122,7 @@
 
     /// Whether new work may be sent to it.
     pub fn open(&self, now: Now) -> bool {
-        self.endpoint.state == State::Ready && !self.accused && self.health.usable(now)
+        let stays = self.endpoint.state == State::Ready && !self.moving;
+        stays && !self.accused && self.health.usable(now)
     }
 }
--- a/crates/steer/src/table.rs
+++ b/crates/steer/src/table.rs
@@ -104,6 +104,7 @@
             }
             let run = endpoint.run.to_string();
             row.accused = fleet.accused.contains(&run);
+            row.moving = fleet.moving.contains(&run);
             if let Some(load) = fleet.loads.get(&run) {
                 row.report(now, *load);
             }
--- a/crates/steer/tests/depart.rs
+++ b/crates/steer/tests/depart.rs
@@ -7,9 +7,11 @@
 
 use catalog::Endpoint;
 use catalog::endpoint::{Span, State};
+use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
-use steer::Steer;
 use steer::target::Target;
+use steer::{Fleet, Steer};
 use support::{endpoint, fleet, need, steer};
 
 fn rows() -> Vec<Endpoint> {
@@ -56,3 +58,21 @@
     assert_eq!(departs(|rows| rows[1].span = Span { from: 2, to: 7 }), None);
     assert_eq!(departs(|rows| rows[0].state = State::Draining), None);
 }
+
+// Guards against requests that are sent to an endpoint which is about to give up its layers, and refused.
+#[test]
+fn an_endpoint_that_is_about_to_give_up_its_layers_departs_and_gets_nothing_new() {
+    let (mut steer, target) = under_way();
+    let moved = &target.stages[1];
+    let moving = BTreeSet::from([moved.run.to_string()]);
+    let view = Fleet {
+        moving: Arc::new(moving),
+        ..fleet(rows(), 1)
+    };
+    steer.follow(Duration::from_secs(1), view);
+    assert_eq!(steer.departing(&target), Some(moved.addr));
+    let row = steer.rows().iter().find(|r| r.endpoint.run == moved.run);
+    assert!(row.is_some_and(|r| !r.open(Duration::from_secs(1))));
+    steer.follow(Duration::from_secs(2), fleet(rows(), 1));
+    assert_eq!(steer.departing(&target), None);
+}
--- a/crates/wire/src/raw.rs
+++ b/crates/wire/src/raw.rs
@@ -181,4 +181,8 @@
         fingerprint: Id,
         ttl: u32,
     },
+    Moving {
+        name: String,
+        ttl: u32,
+    },
 }
--- a/crates/wire/src/raw/from.rs
+++ b/crates/wire/src/raw/from.rs
@@ -221,6 +221,10 @@
                 ejected: *ejected,
                 ttl: seconds(*ttl),
             },
+            item::Body::Moving { name, ttl } => Self::Moving {
+                name: name.clone(),
+                ttl: seconds(*ttl),
+            },
             item::Body::Suspect { fingerprint, ttl } => Self::Suspect {
                 fingerprint: fingerprint.to_le_bytes(),
                 ttl: seconds(*ttl),
--- a/crates/wire/src/raw/into.rs
+++ b/crates/wire/src/raw/into.rs
@@ -302,6 +302,13 @@
                 ejected,
                 ttl: ttl(left)?,
             },
+            Observation::Moving {
+                name: text,
+                ttl: left,
+            } => Self::Moving {
+                name: name(text, "endpoint")?,
+                ttl: ttl(left)?,
+            },
             Observation::Suspect {
                 fingerprint,
                 ttl: left,
