gate: the pause that is told is the caller's own

Cause: an answer that went on from another endpoint counted its pause from there.

Change: the pause runs from the caller's last event. Decisions still go by the time since the endpoint's. Test: the_pause_that_is_told_is_the_callers.

Lines and histograms only; no choice depends on it.

--- a/crates/gate/src/forward/story.rs
+++ b/crates/gate/src/forward/story.rs
@@ -112,8 +112,10 @@
         self.metrics.first(self.came.elapsed());
     }
 
-    /// A pause between two events.
-    pub(crate) fn paused(&mut self, pause: std::time::Duration) {
+    /// A further event went to the caller. The pause before it is the caller's, whether or not the answer
+    /// went on from another endpoint meanwhile.
+    pub(crate) fn went_on(&mut self) {
+        let pause = self.given.unwrap_or(self.came).elapsed();
         self.pause = self.pause.max(pause);
         self.given = Some(Instant::now());
         self.metrics.pause(pause);
--- a/crates/gate/src/splice.rs
+++ b/crates/gate/src/splice.rs
@@ -81,7 +81,7 @@
     cutter: Cutter,
     /// Id of the last event that was passed on.
     last: Option<u64>,
-    /// When an event, or the request, last came.
+    /// When an event or the request last came, or the answer went on from another endpoint.
     moved: Instant,
     /// Whether an event was passed on.
     begun: bool,
@@ -176,7 +176,7 @@
 
     fn passed(&mut self) {
         if self.begun {
-            self.run.story.paused(self.moved.elapsed());
+            self.run.story.went_on();
         } else {
             self.run.story.begun();
         }
--- a/crates/gate/tests/stream.rs
+++ b/crates/gate/tests/stream.rs
@@ -5,13 +5,15 @@
 use catalog::endpoint::State;
 use gate::view::View;
 use http::StatusCode;
+use journal::event::Event;
+use journal::{Journal, Line, Message};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use steer::budget::Allowance;
 use support::caller::{Got, ids, request, send};
 use support::server::{Act, Server, header};
-use support::{LAYERS, node, reordered, run, stage, start, view};
+use support::{ALLOWANCE, LAYERS, node, reordered, run, stage, start, start_with, view};
 
 /// An answer from an endpoint that does the first act and, once that has failed, another one.
 async fn ask(first: Act, then: Act) -> (Got, Vec<String>) {
@@ -225,6 +227,41 @@
     });
 }
 
+// Guards against accounts in which a caller waited for a moment only: the pause of an answer that went on
+// from another endpoint was counted from there, and not from the caller's last event.
+#[test]
+fn the_pause_that_is_told_is_the_callers() {
+    run(async {
+        let silent = Server::start(vec![Act::Stall(1, 2)]).await;
+        let other = Server::start(vec![Act::Events(3, 5)]).await;
+        let (journal, lines) = Journal::new(64);
+        let node = start_with(ALLOWANCE, journal).await;
+        let first = view(vec![stage(silent.addr, 0, LAYERS)]);
+        node.board.store(Some(Arc::new(first)));
+        let asked = send(node.addr, request("/chat/x"));
+        let learns = async {
+            while silent.heads().is_empty() {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            let both = [silent.addr, other.addr].map(|addr| stage(addr, 0, LAYERS));
+            node.board.store(Some(Arc::new(view(both.to_vec()))));
+        };
+        let begun = Instant::now();
+        let (got, ()) = tokio::join!(asked, learns);
+        assert_eq!((ids(&got.body), got.whole), (vec![1, 2, 3, 4, 5], true));
+        let waited = begun.elapsed().as_millis() as u64;
+        let told = lines.try_iter().find_map(|message| match message {
+            Message::Line(Line {
+                event: Event::Ended { pause_ms, .. },
+                ..
+            }) => Some(pause_ms),
+            _ => None,
+        });
+        let told = told.expect("the request ended");
+        assert!(told * 2 > waited && told <= waited, "{told} of {waited} ms");
+    });
+}
+
 #[test]
 fn a_chain_names_every_stage() {
     run(async {
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -178,6 +178,11 @@
 
 /// Starts a node; it knows nothing until a view is put on its board.
 pub async fn start(allowance: Allowance) -> Node {
+    start_with(allowance, Journal::silent()).await
+}
+
+/// The same with a journal.
+pub async fn start_with(allowance: Allowance, journal: Journal) -> Node {
     let board: Board = Arc::new(ArcSwapOption::empty());
     let (notes, mut noted) = mpsc::channel(64);
     tokio::task::spawn_local(async move { while noted.recv().await.is_some() {} });
@@ -187,7 +192,7 @@
         dumps,
         dialect: Plain,
         board: board.clone(),
-        journal: Journal::silent(),
+        journal,
         allowance,
         seed: 1,
         notes,
