steer, control: a guess how many nodes start beside this one takes no room

A young node took one node for each two endpoints to send requests, here 20 in place of 7, and multiplied what it had under way by that; and no engine had been asked for its load.

Change: the guess spreads choices only (chance in prices, requests placed in thought); room and pipes count the nodes that are known.

Test: others_that_are_guessed_take_no_room.

--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -58,8 +58,8 @@
 /// How long it counts that an endpoint is about to give up its layers: until what it reports of its new
 /// ones is with all nodes.
 const MOVING: Duration = Duration::from_secs(3);
-/// Endpoints for which a node that has just started takes another one to send requests as well. Without
-/// it, nodes that start together all take the cheapest chain, each as if it were alone.
+/// Endpoints for which a node that has just started takes another one to choose as well. Without it,
+/// nodes that start together all take the cheapest chain, each as if it were alone.
 const ENDPOINTS_FOR: usize = 2;
 /// Peers that are asked at once: one of them may be turned away as well.
 const ASKED: usize = 2;
@@ -387,10 +387,9 @@
         let nodes = self.nodes();
         let endpoints = self.tables.endpoints();
         let endpoints: Vec<Endpoint> = endpoints.map(|e| self.loads.overlay(now, e)).collect();
-        let known = nodes.len().max(1);
-        let senders = match self.settled() {
-            true => known,
-            false => known.max(endpoints.len() / ENDPOINTS_FOR),
+        let choosers = match self.settled() {
+            true => nodes.len(),
+            false => endpoints.len() / ENDPOINTS_FOR,
         };
         let view = View {
             fleet: Fleet {
@@ -399,7 +398,8 @@
                 loads: Arc::new(self.loads.view(now, self.start)),
                 accused: self.accused.now(),
                 moving: Arc::new(self.group.moving(self.start.elapsed())),
-                nodes: senders,
+                nodes: nodes.len().max(1),
+                choosers,
                 sharers: self.sharers(),
             },
             nodes,
--- a/crates/node/src/hosted/control/state/share.rs
+++ b/crates/node/src/hosted/control/state/share.rs
@@ -3,7 +3,7 @@
 use super::super::copy::{self, Ask, CHUNK, Copy};
 use super::super::input::Input;
 use super::super::pulls::Next;
-use super::super::readers::{Engines, Part};
+use super::super::readers::{self, Engines, Part};
 use super::{ASKED, COPY, Reading, State, UNANSWERED, UNHEARD};
 use adapter::report::{Control as Engine, Report};
 use adapter::store::Table;
@@ -18,6 +18,9 @@
 use tokio::time::Instant;
 use wire::frame::CopyAsk;
 
+/// Engines up to which a node that has just started asks them all: as many as any node asks later.
+const ASKED_YOUNG: usize = readers::ASKED;
+
 impl State {
     /// Finds this node's part in reading the store and asking engines.
     pub(super) fn share(&mut self, now: Instant) {
@@ -128,7 +131,11 @@
     /// Asks the engines that are this node's to ask.
     pub(super) fn poll(&mut self, now: Instant) {
         self.loads.expire(now);
-        if self.leaving || !self.settled() || self.tables.catalog().is_none() {
+        if self.leaving || self.tables.catalog().is_none() {
+            return;
+        }
+        // Nodes that start together would each ask all engines, until they know each other.
+        if !self.settled() && self.zones().values().sum::<usize>() > ASKED_YOUNG {
             return;
         }
         let endpoints = self.tables.endpoints();
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -21,6 +21,9 @@
     /// Nodes that send requests, this one included. Callers spread evenly over them, so what this
     /// node has under way, times this number, is what an endpoint has under way.
     pub nodes: usize,
+    /// Nodes that may choose by the same reports as this one; more than `nodes` where this one has just
+    /// started and knows few of the others yet.
+    pub choosers: usize,
     /// Nodes that may send further attempts, those included that are out of reach now: the
     /// budget is shared with them, since they may only be cut off from this one.
     pub sharers: usize,
--- a/crates/steer/src/table.rs
+++ b/crates/steer/src/table.rs
@@ -119,6 +119,11 @@
         self.fleet.nodes.max(1) as f64
     }
 
+    /// Nodes that choose as this one does, as a factor.
+    fn choosers(&self) -> f64 {
+        self.fleet.choosers.max(self.fleet.nodes).max(1) as f64
+    }
+
     fn zone(&mut self, name: &str) -> usize {
         let known = self.zones.iter().position(|z| z == name);
         known.unwrap_or_else(|| {
--- a/crates/steer/src/table/chain.rs
+++ b/crates/steer/src/table/chain.rs
@@ -98,8 +98,7 @@
         parts: u32,
     ) -> Result<Vec<Part>> {
         let stay = flow.stay();
-        let nodes = self.nodes();
-        let others = flow.others(now, nodes, lag(now, &rows));
+        let others = flow.others(now, self.choosers(), lag(now, &rows));
         let tokens = need.tokens() * others / f64::from(unseen::PARTS);
         unseen::after(
             &mut rows,
@@ -166,7 +165,7 @@
         // A generator of its own, since the table is borrowed by the candidates.
         let mut rng = self.rng.clone();
         let nodes = self.nodes();
-        let jitter = Jitter::new(&mut rng, nodes, self.zones.len());
+        let jitter = Jitter::new(&mut rng, self.choosers(), self.zones.len());
         let candidate = |&index: &usize| {
             let row = &self.rows[index];
             Candidate {
--- a/crates/steer/tests/chain.rs
+++ b/crates/steer/tests/chain.rs
@@ -301,3 +301,22 @@
     let next = steer.target(ms(1130), MODEL, &need(200), &[]).unwrap();
     assert_eq!(next.head().run, slow.run);
 }
+
+// Guards against callers that are refused for want of room by nodes that have just started: a guess how
+// many others choose beside them was taken for requests that these hold, and 162 callers of seven nodes
+// were refused within a second after all had started anew.
+#[test]
+fn others_that_are_guessed_take_no_room() {
+    let row = endpoint(1, "a", "fast", 0, 8);
+    let mut steer = Steer::new(1, ALLOWANCE);
+    let view = Fleet {
+        choosers: 100,
+        ..fleet(vec![row], 1)
+    };
+    steer.follow(ms(0), view);
+    for at in 0..10 {
+        steer.first(ms(at), "model");
+        let found = steer.target(ms(at), MODEL, &need(20), &[]);
+        assert!(found.is_ok(), "request {at}: {found:?}");
+    }
+}
