control: a waiting move is dropped that would take a zone's last copy; notes and names

Cause, found on reading: a move is given 0.6 s after it was planned. If the other holder of its layers dies in between, the move would leave the zone without them; a plan that was given at once hardly met this. Moves also stayed queued on a node that was no longer the first.

Change: each plan looks at the waiting moves again and drops those whose layers no other loaded endpoint of the zone holds, whose endpoint is gone, and all of them on a node that is not the first. Test: a_move_is_dropped_that_would_take_a_last_copy (fails without the check).

--- a/crates/gate/src/forward/look.rs
+++ b/crates/gate/src/forward/look.rs
@@ -16,7 +16,7 @@
 use steer::target::Target;
 use tokio::time::{Instant, timeout};
 
-/// Silence before the first event after which the head is asked: four times the usual time.
+/// Silence before the first event after which the head is asked.
 pub(crate) const FIRST: Duration = Duration::from_millis(350);
 /// Silence between two events after which the head is asked.
 pub(crate) const NEXT: Duration = Duration::from_millis(260);
@@ -140,15 +140,15 @@
             .steer(|steer, _| steer.retake(&held.target, &need));
     }
 
-    /// Replaces a stage, and each further one that the head names as missing meanwhile. Endpoints die, and
-    /// give up layers, together: of 205 that lost eight, every fifth chain that lost a stage had lost two.
+    /// Replaces a stage, and each further one that the head names as missing meanwhile: endpoints die, and
+    /// give up layers, together.
     async fn replace_all(&self, held: &mut Held<D>, culprit: SocketAddr) -> Option<Detoured> {
         let mut done = self.replace(held, culprit).await?;
         for _ in 1..MOST_REPLACED {
             let Detoured::Missing(next) = done else {
                 break;
             };
-            self.worker.steer(|steer, now| steer.name(now, next));
+            self.worker.steer(|steer, now| steer.named(now, next));
             done = self.replace(held, next).await?;
         }
         Some(done)
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -37,12 +37,11 @@
 const ELSEWHERE: Duration = Duration::from_millis(50);
 /// Time to come back for a caller whose node knows no catalog yet. A node that starts beside others
 /// has theirs before callers are sent to it, so the others know none either: all have started anew
-/// while the store is out, which lasts for seconds. Callers that came back after 50 ms were refused
-/// again, and most come back only once.
+/// while the store is out, which lasts for seconds, and most callers come back only once.
 const BLIND: Duration = Duration::from_millis(1500);
 
 /// Time from the start in which requests wait for the first catalog. Nodes that start together read it
-/// from the store at the same time, which takes up to a second and a half if it is large.
+/// from the store at the same time.
 const FIRST: Duration = Duration::from_millis(2000);
 /// Part of a request's time that it waits for the first catalog at the most. Callers give up what was
 /// not read within a third of it, or within a second.
--- a/crates/member/src/settings.rs
+++ b/crates/member/src/settings.rs
@@ -89,9 +89,8 @@
     }
 
     /// Time until the next exchange of digests among `peers`, `age` after the start. Nodes that have
-    /// just started look for each other in each tick: 8 that started together knew each other after
-    /// 0.3 s in place of 0.7 s, 67 after 0.6 s in place of 2.8 s (measured in virtual time), and
-    /// callers that were cut off are back within a second.
+    /// just started look for each other in each tick, since callers that were cut off are back within
+    /// a second.
     pub fn exchange(&self, peers: usize, age: Duration) -> Duration {
         let usual = self.round(peers);
         match peers <= 1 || age < self.young {
--- a/crates/node/src/hosted/control/orders.rs
+++ b/crates/node/src/hosted/control/orders.rs
@@ -28,13 +28,12 @@
 /// is new by then.
 const AGAIN: Duration = Duration::from_millis(700);
 
-/// Orders that are being given at once, each on a connection of its own. A node of an eighth of a core
-/// that began 900 together had none of them answered in time, again and again, and a fleet of 1,000
-/// endpoints stood empty; by 24 it gives 240 a second.
+/// Orders that are being given at once, each on a connection of its own: a small node that begins too
+/// many has none of them answered in time.
 pub const GIVEN: usize = 24;
 
 /// Time between the announcement that an endpoint gives up layers and the order: what is announced is
-/// with all nodes by then. Without it each node sent requests there that were refused, until it knew.
+/// with all nodes by then, so that none sends requests there that would be refused.
 pub const ANNOUNCED: Duration = Duration::from_millis(600);
 
 /// What is under way at an endpoint.
@@ -155,6 +154,20 @@
         self.moves.push_back((at, planned));
     }
 
+    /// Drops moves that wait and are no longer this node's to order, or would now leave the endpoint's
+    /// zone without a layer: another holder may have died since they were planned.
+    fn reconsider(&mut self, part: &Part, engine: &Engine, holders: &[Holder]) {
+        let under = &mut self.under;
+        self.moves.retain(|(_, Planned { order, .. })| {
+            let own = holders.iter().any(|h| h.run == order.run);
+            let kept = !own || (part.first && plan::spared(engine, holders, order));
+            if !kept {
+                under.remove(&order.run);
+            }
+            kept
+        });
+    }
+
     /// Endpoints that are about to give up layers, since the last call.
     pub fn take_moving(&mut self) -> Vec<Run> {
         std::mem::take(&mut self.moving)
@@ -187,6 +200,7 @@
             }
             holders.push(holder);
         }
+        self.reconsider(part, engine, &holders);
         // A fleet that holds nothing is planned as a whole, once all have registered: planned by
         // ones and twos, the first take what the larger ones that follow should hold.
         let fresh = holders.iter().all(|h| h.span.is_empty());
@@ -241,6 +255,7 @@
     fn forget(&mut self, now: Instant, endpoints: &[&Endpoint]) {
         let spans: BTreeMap<&Run, Span> = endpoints.iter().map(|e| (&e.run, e.span)).collect();
         self.seen.retain(|run| spans.contains_key(run));
+        self.moves.retain(|(_, m)| spans.contains_key(&m.order.run));
         self.under
             .retain(|run, under| match (spans.get(run), under) {
                 (None, _) => false,
--- a/crates/node/src/hosted/control/readers.rs
+++ b/crates/node/src/hosted/control/readers.rs
@@ -14,16 +14,12 @@
 
 /// Nodes of a zone that read the store, at the least: one may be cut off or stopped.
 const READERS: usize = 2;
-/// Nodes of a zone for which one reads. Two that read for a hundred are asked some 430 times a second
-/// (worked out), and others knew a catalog up to four seconds late. Sixteen ask 140 times a second.
+/// Nodes of a zone for which one reads.
 const READS_FOR: usize = 16;
-/// Engines that one node asks before another one shares in it. With 1,000 engines before 100 nodes the
-/// busiest node had used 0.080 of a core, of the 0.12 that it has; by 48 it used 0.064, and 15 MB in
-/// place of 26.
+/// Engines that one node asks before another one shares in it.
 pub const ASKED: usize = 48;
 
-/// Endpoints for which one node gives orders before another one shares in it. A node of an eighth of a
-/// core gives some fifty orders a second.
+/// Endpoints for which one node gives orders before another one shares in it.
 pub const ORDERS_FOR: usize = 256;
 
 /// Engines by availability zone.
--- a/crates/node/tests/orders.rs
+++ b/crates/node/tests/orders.rs
@@ -146,6 +146,48 @@
     }
 }
 
+/// Endpoints of which none holds the last layers, and two hold the first ones.
+fn with_a_hole() -> Vec<Endpoint> {
+    let nobody = SocketAddr::from(([127, 0, 0, 1], 1));
+    let holds = |(number, (from, to))| Endpoint {
+        span: Span { from, to },
+        ..empty(number, nobody)
+    };
+    let spans = [(0, 2), (0, 2), (2, 4), (4, 6)];
+    spans.into_iter().enumerate().map(holds).collect()
+}
+
+/// A node that has announced, and not yet given, one move among these endpoints.
+fn announced(start: Instant, endpoints: &[Endpoint]) -> Orders {
+    let (journal, _lines) = Journal::new(64);
+    let (inputs, _taken) = mpsc::channel(64);
+    let mut orders = Orders::new(journal, inputs, Duration::ZERO);
+    orders.step(start, &alone(), &catalog(), endpoints.iter());
+    let moving = orders.take_moving();
+    assert_eq!(moving.len(), 1, "{moving:?}");
+    assert_eq!(orders.giving(), 0);
+    orders
+}
+
+// Guards against a move that takes a zone's last copy of a layer, since the other one died between the
+// announcement and the order.
+#[tokio::test(start_paused = true)]
+async fn a_move_is_dropped_that_would_take_a_last_copy() {
+    let endpoints = with_a_hole();
+    let start = Instant::now();
+    let mut orders = announced(start, &endpoints);
+    let left = endpoints.iter().skip(1);
+    orders.step(start + ANNOUNCED / 2, &alone(), &catalog(), left.clone());
+    let left = endpoints.iter().take(1).chain(endpoints.iter().skip(2));
+    let mut other = announced(start, &endpoints);
+    other.step(start + ANNOUNCED / 2, &alone(), &catalog(), left);
+    // Whichever of the two was to be moved, it stays once the other one is gone.
+    for orders in [&mut orders, &mut other] {
+        orders.give_planned(start + ANNOUNCED * 2);
+        assert_eq!(orders.giving(), 0);
+    }
+}
+
 // Guards against sends that an endpoint refuses since it has begun to give up its layers: each of 195
 // nodes found that out by itself, 30 refusals an endpoint that was moved. The others are told first,
 // and the order is given once they know.
--- a/crates/place/src/plan.rs
+++ b/crates/place/src/plan.rs
@@ -113,6 +113,18 @@
     orders
 }
 
+/// Whether the layers that an order's endpoint gives up are all held by others of its zone, loaded.
+pub fn spared(engine: &Engine, holders: &[Holder], order: &Order) -> bool {
+    let Some(own) = holders.iter().find(|h| h.run == order.run) else {
+        return false;
+    };
+    let others = holders.iter().filter(|h| h.run != order.run);
+    let others = others.filter(|h| h.zone == own.zone && !h.loading);
+    let cover = Cover::of(engine, others);
+    let mut given = (order.held.from..order.held.to).filter(|&l| !order.span.holds(l));
+    given.all(|l| cover.fleet.get(l as usize).is_some_and(|&n| n > 0))
+}
+
 /// Orders to the endpoints that hold nothing.
 fn fill(
     engine: &Engine,
--- a/crates/steer/src/row.rs
+++ b/crates/steer/src/row.rs
@@ -8,13 +8,11 @@
 use std::time::Duration;
 
 /// Part of its memory in use from which an endpoint that is named as the one at fault is taken to
-/// be full. Reports are up to a second old, in which it may fill by half.
+/// be full.
 const MUCH: f64 = 0.5;
 
 /// Time without a report after which an endpoint that is named as the one at fault is taken to be dead,
-/// however full it was: a busy engine is asked each 400 ms, and what it says is with all nodes within
-/// another 600. One that died half full was taken to be full until its row lapsed, 3 s and 180 refusals
-/// among 67 nodes later.
+/// however full it was.
 const UNHEARD: Duration = Duration::from_secs(1);
 
 /// An endpoint and what this worker has under way there.
--- a/crates/steer/src/search.rs
+++ b/crates/steer/src/search.rs
@@ -21,24 +21,20 @@
 /// Cost of a stage by itself, in seconds of a request: each stage is one more endpoint whose loss
 /// stalls the request.
 const STAGE: f64 = 0.004;
-/// How often a request's own transfer counts between availability zones. With 4, three zones with
-/// a cover each sent so many requests across that the pipes carried 1.1 times what they can, and
-/// the 99th percentile of the first event went from 0.2 to 1.3 s within ten seconds.
+/// How often a request's own transfer counts between availability zones: all requests share a pipe.
 const PIPE: f64 = 60.0;
 /// By how much the price of an endpoint grows until its memory is full, as a multiple of its price
 /// when empty. Even, since nodes see uses that are up to a second old: where the price grows
 /// steeply, all leave an endpoint at once and come back at once.
 const SLOPE: f64 = 5.0;
 /// How often the wait for a place at the first endpoint counts. The queue is that of half a second
-/// ago and all nodes see it, so it is dear while it is short: with 25 waiting before 192 places a
-/// chain costs as much as one over a pipe.
+/// ago and all nodes see it, so it is dear while it is short.
 const QUEUE: f64 = 10.0;
 /// How busy an endpoint counts at the most, as a multiple of what it can do.
 const MOST_BUSY: f64 = 3.0;
 /// Part of an endpoint's memory past which its price does not grow.
 const MOST_USED: f64 = 0.95;
-/// Part of a pipe that is used at the most. Past it every request on the pipe is late: with zones
-/// whose covers had holes, chains crossed up to 13 times, and first events took over a second.
+/// Part of a pipe that is used at the most. Past it every request on the pipe is late.
 const MOST_PIPE: f64 = 0.75;
 
 /// A stage: an index into the rows, and its layers.
@@ -64,8 +60,7 @@
 
 /// Zones of the stages that stay on both sides of a stage which is replaced; none where the chain
 /// begins or ends. A replaced stage in another zone costs two hops, over which all tokens so far go
-/// at once: 300 answers that were moved so filled the pipes for seconds, and a third of their callers
-/// left.
+/// at once.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Ends {
     pub(crate) before: Option<usize>,
--- a/crates/steer/src/shortlist.rs
+++ b/crates/steer/src/shortlist.rs
@@ -1,8 +1,7 @@
 //! The endpoints that one search looks at.
 //!
-//! A search costs time in proportion to the endpoints: before 3,000 of them a choice took 40 ms of a
-//! processor, and a node has an eighth of one. So a search looks at a few holders of each layer in
-//! each availability zone, drawn anew for each request. A few drawn at random are enough to find one
+//! A search costs time in proportion to the endpoints that it looks at. So it looks at a few holders of
+//! each layer in each availability zone, drawn anew for each request. A few drawn at random are enough to find one
 //! with little load (the power of two choices, Mitzenmacher 1996), and nodes that draw for
 //! themselves do not all choose the same ones.
 
--- a/crates/steer/src/table.rs
+++ b/crates/steer/src/table.rs
@@ -312,7 +312,7 @@
     }
 
     /// Takes in that a head named an endpoint as missing from its chain, by its address.
-    pub fn name(&mut self, now: Now, addr: SocketAddr) {
+    pub fn named(&mut self, now: Now, addr: SocketAddr) {
         let nodes = self.nodes();
         let rows = self.rows.iter_mut().filter(|r| r.endpoint.addr == addr);
         let notes = rows.filter_map(|row| {
--- a/crates/steer/src/table/chain.rs
+++ b/crates/steer/src/table/chain.rs
@@ -16,8 +16,8 @@
 use rand::RngExt;
 use std::time::Duration;
 
-/// The rows that a search looks at.
-pub(super) struct Looked<'a> {
+/// The rows that a search looks at, by their indexes.
+pub(super) struct Shortlist<'a> {
     pub(super) rows: &'a [usize],
     /// Part of the usable rows that these are.
     pub(super) part: f64,
@@ -43,33 +43,33 @@
         if usable.is_empty() {
             return Err(Shortage::Endpoints);
         }
-        self.looking(engine, &usable, |looked| {
-            let rows = self.candidates(now, flow.stay(), looked.rows);
-            self.place(now, engine, need, rows, flow.scaled(looked.part), draw)
+        self.over_shortlist(engine, &usable, |listed| {
+            let rows = self.candidates(now, flow.stay(), listed.rows);
+            self.place(now, engine, need, rows, flow.scaled(listed.part), draw)
         })
     }
 
     /// Looks for a chain among few of the usable rows, and among all of them if these few have none.
-    pub(super) fn looking(
+    pub(super) fn over_shortlist(
         &self,
         engine: &Engine,
         usable: &[usize],
-        find: impl Fn(Looked<'_>) -> Result<Vec<Part>>,
+        find: impl Fn(Shortlist<'_>) -> Result<Vec<Part>>,
     ) -> Result<Vec<Part>> {
-        let all = Looked {
+        let all = Shortlist {
             rows: usable,
             part: 1.0,
         };
-        let few = self.few(engine, usable);
+        let few = self.shortlist(engine, usable);
         if few.len() == usable.len() {
             return find(all);
         }
         let part = few.len() as f64 / usable.len() as f64;
-        find(Looked { rows: &few, part }).or_else(|_| find(all))
+        find(Shortlist { rows: &few, part }).or_else(|_| find(all))
     }
 
     /// A few of these rows, drawn anew for each request.
-    fn few(&self, engine: &Engine, usable: &[usize]) -> Vec<usize> {
+    fn shortlist(&self, engine: &Engine, usable: &[usize]) -> Vec<usize> {
         let holder = |&row: &usize| Holder {
             span: self.rows[row].endpoint.span,
             zone: self.rows[row].zone,
--- a/crates/steer/src/table/detour.rs
+++ b/crates/steer/src/table/detour.rs
@@ -21,8 +21,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Parts in which the requests of the others are placed. Each layer has four or five holders in a
-/// zone; each should get several parts, so that they come out even.
+/// Parts in which the requests of the others are placed.
 const PARTS: u32 = 24;
 
 /// A stage that is replaced.
@@ -138,9 +137,9 @@
             };
             search.chain(need)
         };
-        self.looking(engine, &usable, |looked| {
-            let mut rows = self.candidates(now, stay, looked.rows);
-            let tokens = stranded * looked.part;
+        self.over_shortlist(engine, &usable, |listed| {
+            let mut rows = self.candidates(now, stay, listed.rows);
+            let tokens = stranded * listed.part;
             unseen::after(&mut rows, parts, find, |rows, chain| {
                 search::reread(engine, rows, chain, tokens);
             })
--- a/crates/steer/src/unseen.rs
+++ b/crates/steer/src/unseen.rs
@@ -16,18 +16,15 @@
 /// Parts in which the requests of the others are placed. More parts spread them more finely and
 /// cost a search each.
 pub(crate) const PARTS: u32 = 8;
-/// Time in which a request counts less towards the usual rate by a factor of e. At the three requests
-/// a second that one of 84 nodes gets, the rate is then right to a fifth.
+/// Time in which a request counts less towards the usual rate by a factor of e.
 const USUAL: Duration = Duration::from_secs(4);
 /// The same for the rate of the moment: about the age of reports, since what came in that time is
-/// what they do not show. Callers that were cut off come back within a second, five times as many as
-/// usual; by the usual rate alone each node took the others to send a fifth of what they sent.
+/// what they do not show. Callers that were cut off come back together, many more than usual.
 const MOMENT: Duration = Duration::from_millis(500);
 /// Shortest time over which a rate is taken: one request in the first millisecond is no rate.
 const YOUNG: Duration = Duration::from_millis(250);
 
-/// Requests over which the mean stay is taken, at the most. Nodes know the stay to a fifth then,
-/// and follow it within ten seconds.
+/// Requests over which the mean stay is taken, at the most.
 const COUNTED: u32 = 32;
 
 /// The cheapest chain once others have taken `parts` chains before it, each the cheapest after those
