control: a node that starts asks its peers for a catalog, not for rows of endpoints

The endpoints' table of 3,001 rows is whole only after seconds, so all nodes asked all others for rows: the load that the mend of old catalogs had taken away.

--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -51,7 +51,7 @@
 const MEASURE: Duration = Duration::from_secs(1);
 /// Time without an up-to-date copy after which a node reads the store by itself: three pulls.
 const UNHEARD: Duration = Duration::from_millis(1000);
-/// Time from the start after which a node asks its peers for a table that the store has not given.
+/// Time from the start after which a node asks its peers for a catalog that the store has not given.
 const UNANSWERED: Duration = Duration::from_millis(700);
 /// How long a finding of one node counts: until the endpoint has been tried again a few times.
 const ACCUSED: Duration = Duration::from_millis(2500);
--- a/crates/node/src/hosted/control/state/share.rs
+++ b/crates/node/src/hosted/control/state/share.rs
@@ -4,7 +4,7 @@
 use super::super::input::Input;
 use super::super::pulls::Next;
 use super::super::readers::{self, Engines, Part};
-use super::{ASKED, COPY, Reading, State, UNANSWERED, UNHEARD};
+use super::{ASKED, COPY, State, UNANSWERED, UNHEARD};
 use adapter::report::{Control as Engine, Report};
 use adapter::store::Table;
 use catalog::Endpoint;
@@ -171,12 +171,18 @@
         self.reported = true;
     }
 
-    /// Asks peers for their copies while the store can't be read, or has not answered yet.
+    /// Asks peers for their copies while the store can't be read, and for the operator's alone while it
+    /// has not given a catalog yet.
     pub(super) fn copy(&mut self, now: Instant) {
-        let waiting = now >= self.start + UNANSWERED;
-        let lost = |r: &Reading| r.lost.is_some() || (waiting && r.known.is_none());
-        let lost = lost(&self.operator) || lost(&self.endpoints);
-        if !lost || now < self.copied + COPY {
+        let lost = self.operator.lost.is_some() || self.endpoints.lost.is_some();
+        let waits = now >= self.start + UNANSWERED && self.tables.catalog().is_none();
+        let tables: &[Table] = match (lost, waits) {
+            // One table that can't be read means that the other is about to be late as well.
+            (true, _) => &[Table::Operator, Table::Endpoints],
+            (false, true) => &[Table::Operator],
+            (false, false) => return,
+        };
+        if now < self.copied + COPY {
             return;
         }
         self.copied = now;
@@ -188,8 +194,7 @@
             .map(|p| p.identity.addr)
             .collect();
         for &peer in peers.sample(&mut rand::rng(), ASKED) {
-            // One table that can't be read means that the other is about to be late as well.
-            for table in [Table::Operator, Table::Endpoints] {
+            for &table in tables {
                 self.ask_more(Ask::Changes(table), self.tables.next(table), peer);
             }
         }
