Read-through of the whole change: one copy of what stood twice

Ruled out: Client::call_with beside ask (two signatures, one body), the pairs of the same shape (Display and builders of other types), place::plan::spared beside Cover::spared (one asks for two copies with the endpoint itself among them, the other for one without it).

--- a/crates/ctl/src/losses/chart.rs
+++ b/crates/ctl/src/losses/chart.rs
@@ -1,10 +1,8 @@
 //! A chart of the losses: seconds on the x axis, causes stacked.
 
 use super::Losses;
-use super::cause::Cause;
 use crate::failure::{Result, failed};
 use plotters::prelude::*;
-use std::collections::BTreeSet;
 use std::path::Path;
 
 /// Width and height in pixels.
@@ -43,8 +41,7 @@
     mesh.x_desc("second in which requests came")
         .y_desc("requests late or lost")
         .draw()?;
-    let causes: BTreeSet<Cause> = losses.causes.keys().copied().collect();
-    for (number, &cause) in causes.iter().enumerate() {
+    for (number, &cause) in losses.causes.keys().enumerate() {
         let color = Palette99::pick(number).to_rgba();
         let bars = losses.intervals.iter().filter_map(|(&from, counts)| {
             let count = *counts.get(&cause)?;
--- a/crates/ctl/src/losses/compare.rs
+++ b/crates/ctl/src/losses/compare.rs
@@ -1,7 +1,7 @@
 //! The losses of two runs beside each other.
 
+use super::Losses;
 use super::cause::Cause;
-use super::{Losses, Sum};
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::fmt;
@@ -28,7 +28,7 @@
         let runs = [a, b];
         let ended = runs.map(|run| run.ended - run.denied);
         let row = |cause: Cause| {
-            let counts = runs.map(|run| run.causes.get(&cause).map_or(0, |sum: &Sum| sum.count));
+            let counts = runs.map(|run| run.causes.get(&cause).map_or(0, |sum| sum.count));
             let share = |run: usize| counts[run] as f64 / ended[run].max(1) as f64;
             let shares = [share(0), share(1)];
             (cause, Row { counts, shares })
--- a/crates/member/src/exchange.rs
+++ b/crates/member/src/exchange.rs
@@ -25,8 +25,9 @@
 /// Bytes of an item in a frame, as an estimate.
 fn weight(body: &item::Body) -> usize {
     match body {
-        item::Body::Endpoint { name, .. } => SMALL + 8 + name.len(),
-        item::Body::Moving { name, .. } => SMALL + 8 + name.len(),
+        item::Body::Endpoint { name, .. } | item::Body::Moving { name, .. } => {
+            SMALL + 8 + name.len()
+        }
         item::Body::Suspect { .. } | item::Body::Condemned { .. } => SMALL + 8,
         _ => SMALL,
     }
--- a/crates/node/src/hosted/control/orders.rs
+++ b/crates/node/src/hosted/control/orders.rs
@@ -123,10 +123,7 @@
         while self.giving < GIVEN
             && let Some(Planned { order, load }) = self.next(now)
         {
-            let span = order.span;
-            let until = now + load + SHOWN;
-            self.under
-                .insert(order.run.clone(), Under::Holds { span, until });
+            self.expect(&order, now + load);
             self.give(order);
         }
     }
@@ -146,14 +143,18 @@
             return self.planned.push_back(planned);
         }
         let at = now + ANNOUNCED;
-        let span = order.span;
-        let until = at + *load + SHOWN;
-        self.under
-            .insert(order.run.clone(), Under::Holds { span, until });
+        self.expect(order, at + *load);
         self.moving.push(order.run.clone());
         self.moves.push_back((at, planned));
     }
 
+    /// Counts an order as given whose layers are loaded at `loaded`.
+    fn expect(&mut self, order: &Order, loaded: Instant) {
+        let (span, until) = (order.span, loaded + SHOWN);
+        self.under
+            .insert(order.run.clone(), Under::Holds { span, until });
+    }
+
     /// Drops moves that wait and are no longer this node's to order, or would now leave the endpoint's
     /// zone without a layer: another holder may have died since they were planned.
     fn reconsider(&mut self, part: &Part, engine: &Engine, holders: &[Holder]) {
--- a/crates/node/src/hosted/control/state/share.rs
+++ b/crates/node/src/hosted/control/state/share.rs
@@ -18,9 +18,6 @@
 use tokio::time::Instant;
 use wire::frame::CopyAsk;
 
-/// Engines up to which a node that has just started asks them all: as many as any node asks later.
-const ASKED_YOUNG: usize = readers::ASKED;
-
 impl State {
     /// Finds this node's part in reading the store and asking engines.
     pub(super) fn share(&mut self, now: Instant) {
@@ -134,8 +131,9 @@
         if self.leaving || self.tables.catalog().is_none() {
             return;
         }
-        // Nodes that start together would each ask all engines, until they know each other.
-        if !self.settled() && self.zones().values().sum::<usize>() > ASKED_YOUNG {
+        // Nodes that start together would each ask all engines, until they know each other. As many as
+        // any node asks later are asked at once.
+        if !self.settled() && self.zones().values().sum::<usize>() > readers::ASKED {
             return;
         }
         let endpoints = self.tables.endpoints();
--- a/crates/steer/src/table.rs
+++ b/crates/steer/src/table.rs
@@ -306,18 +306,27 @@
     /// that its chain waits for. The engine's word counts more than an attempt that failed, so the
     /// others are told at once.
     pub fn accuse(&mut self, now: Now, addr: SocketAddr) {
-        let rows = self.rows.iter_mut().filter(|r| r.endpoint.addr == addr);
-        let notes = rows.filter_map(|r| judge(r, now, now, Outcome::Failed, 1));
-        self.notes.extend(notes);
+        self.judge_at(now, addr, 1, |_| Outcome::Failed);
     }
 
     /// Takes in that a head named an endpoint as missing from its chain, by its address.
     pub fn named(&mut self, now: Now, addr: SocketAddr) {
         let nodes = self.nodes();
+        self.judge_at(now, addr, TOLD, |row| row.named(now, nodes));
+    }
+
+    /// Takes in what is said now of the endpoint at an address; see [`judge`].
+    fn judge_at(
+        &mut self,
+        now: Now,
+        addr: SocketAddr,
+        least: u32,
+        outcome: impl Fn(&mut Row) -> Outcome,
+    ) {
         let rows = self.rows.iter_mut().filter(|r| r.endpoint.addr == addr);
         let notes = rows.filter_map(|row| {
-            let outcome = row.named(now, nodes);
-            judge(row, now, now, outcome, TOLD)
+            let outcome = outcome(row);
+            judge(row, now, now, outcome, least)
         });
         self.notes.extend(notes);
     }
--- a/crates/steer/src/table/detour.rs
+++ b/crates/steer/src/table/detour.rs
@@ -81,21 +81,18 @@
 
     /// Takes back a change of stages that the head did not take: the attempt holds what `target` says.
     pub fn retake(&mut self, target: &Target, need: &Need) {
-        let Some(held) = self.holds.get_mut(&target.hold) else {
+        let Some(mut held) = self.holds.remove(&target.hold) else {
             return;
         };
-        let old = std::mem::take(&mut held.parts);
-        old.iter().for_each(|share| self.release(share));
+        held.parts.iter().for_each(|share| self.release(share));
         let part = |stage: &Stage| {
             let row = *self.index.get(&stage.run)?;
             let span = stage.span;
             Some(Part { row, span })
         };
         let parts: Vec<Part> = target.stages.iter().filter_map(part).collect();
-        let (shares, _) = self.take(&parts, need.tokens());
-        if let Some(held) = self.holds.get_mut(&target.hold) {
-            held.parts = shares;
-        }
+        (held.parts, _) = self.take(&parts, need.tokens());
+        self.holds.insert(target.hold, held);
     }
 
     /// The stage at `culprit`, unless it is the head.
--- a/crates/steer/tests/detour.rs
+++ b/crates/steer/tests/detour.rs
@@ -136,8 +136,8 @@
     }
 }
 
-// Guards against room that nothing uses: each change of stages that a head refused left its new stages
-// held beside the old ones, ten times over for one answer that was tried again and again.
+// Guards against room that nothing uses: a change of stages that a head refuses left its new stages
+// held beside the old ones.
 #[test]
 fn a_change_that_the_head_refuses_holds_nothing() {
     let mut rows = chain();
