member: each node is probed by two watchers in every round

Cause: every node probed one peer a round, in an order of its own. With as many probers as peers the time until anybody probes a given peer is spread like an exponential with a mean of one round, so one death in some hundred was not probed for five rounds and more.

Change: the next two peers in the ring of ids that are up are probed in every round, beside the peer whose turn it is; at once again after one of them is suspected, since the next ones may have died with it. The bound on open probes in turn stays, watching has its own.

Ruled out: more random probes (the tail gets shorter and stays).

Cost: two pings and two answers more a round and node.

Conclusion: a dead node is named for a round, a probe's 900 ms and the spread of the word: bound 2.5 s in the tests.

--- a/crates/member/src/check.rs
+++ b/crates/member/src/check.rs
@@ -4,7 +4,9 @@
 use crate::identity::Id;
 use crate::message::Bucket;
 use crate::peer::State;
+use crate::probe::Cause;
 use crate::roster::{self, BUCKETS};
+use crate::watch::WATCHED;
 use std::collections::BTreeSet;
 use std::fmt;
 
@@ -124,11 +126,14 @@
         if self.roster.len() > self.settings.peers {
             errors.push(error("roster", self.roster.len(), Fault::Bound));
         }
-        let probes = self.probes.open.len();
         let round = self.settings.round / 2;
         let rounds = self.settings.probe.div_duration_f64(round).ceil() as usize;
-        if probes > rounds * 2 + 1 {
-            errors.push(error("probes", probes, Fault::Bound));
+        for (cause, each) in [(Cause::Turn, 1), (Cause::Watch, WATCHED)] {
+            let open = self.probes.open.iter();
+            let probes = open.filter(|p| p.cause == cause).count();
+            if probes > (rounds * 2 + 1) * each {
+                errors.push(error("probes", probes, Fault::Bound));
+            }
         }
     }
 }
--- a/crates/member/src/group.rs
+++ b/crates/member/src/group.rs
@@ -110,6 +110,7 @@
             self.resume(now);
         }
         self.check_probes(now, out);
+        self.watch(now, out);
         if self.due(now) {
             self.judge(now, out);
             self.judge_again(now, out);
--- a/crates/member/src/judge.rs
+++ b/crates/member/src/judge.rs
@@ -80,6 +80,8 @@
         }
         self.counters.suspected += 1;
         self.suspect(now, id, out);
+        // Its neighbours in the ring may be gone as well.
+        self.probes.watch = now;
     }
 
     /// Starts the time in which a peer may refute.
--- a/crates/member/src/probe.rs
+++ b/crates/member/src/probe.rs
@@ -1,4 +1,4 @@
-//! Probing: one peer per round, then others are asked, then it is suspected.
+//! Probing: one peer per round beside the watched ones, then others are asked, then it is suspected.
 
 use crate::Now;
 use crate::action::Action;
@@ -19,11 +19,21 @@
 /// Listed but unknown nodes that are probed per round while this node knows nobody.
 const CONTACTS: usize = 3;
 
+/// Why a peer is probed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Cause {
+    /// It is its turn, or it is suspected.
+    Turn,
+    /// This node watches it.
+    Watch,
+}
+
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Probe {
     pub(crate) seq: Seq,
     pub(crate) to: Id,
     pub(crate) sent: Now,
+    pub(crate) cause: Cause,
     /// Whether others were asked.
     relayed: bool,
     /// Whether a new connection to it failed.
@@ -50,6 +60,8 @@
     next: Now,
     /// When a peer is probed next.
     round: Now,
+    /// When the watched peers are probed next.
+    pub(crate) watch: Now,
 }
 
 impl Probes {
@@ -58,6 +70,12 @@
         self.relays.clear();
         self.next = now;
         self.round = now;
+        self.watch = now;
+    }
+
+    /// Whether a probe of `id` has no answer yet.
+    pub(crate) fn is_open(&self, id: Id) -> bool {
+        self.open.iter().any(|p| p.to == id)
     }
 
     pub(crate) fn forget(&mut self, id: Id) {
@@ -89,7 +107,7 @@
         let Some(target) = self.target() else { return };
         if now >= self.probes.round {
             self.probes.round = now + self.settings.round(peers).mul_f64(jitter);
-            self.probe(now, target, out);
+            self.probe(now, target, Cause::Turn, out);
         }
         let up = self
             .roster
@@ -151,7 +169,7 @@
         }
     }
 
-    fn probe(&mut self, now: Now, to: Id, out: &mut Vec<Action>) {
+    pub(crate) fn probe(&mut self, now: Now, to: Id, cause: Cause, out: &mut Vec<Action>) {
         let Some(peer) = self.roster.get(to) else {
             return;
         };
@@ -161,6 +179,7 @@
             seq,
             to,
             sent: now,
+            cause,
             relayed: false,
             failed: false,
         };
@@ -311,7 +330,7 @@
 
     /// Puts a peer next in the order, if there is room and no probe of it is open.
     pub(crate) fn probe_next(&mut self, id: Id) {
-        let open = self.probes.open.iter().any(|p| p.to == id);
+        let open = self.probes.is_open(id);
         let focus = &mut self.probes.focus;
         if focus.len() < FOCUS && !open && !focus.contains(&id) {
             focus.push_back(id);
--- /dev/null
+++ b/crates/member/tests/naming.rs
@@ -0,0 +1,148 @@
+//! How long a node that is gone is still named to callers, in virtual time.
+
+#[path = "support/net.rs"]
+mod net;
+
+use member::Now;
+use member::settings::Settings;
+use net::{Faults, Net, QUIET, ms};
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+
+const SECOND: Duration = ms(1000);
+/// Longest time that any node may name another one that is gone.
+const NAMED: Duration = ms(2500);
+/// How long a death is watched.
+const WATCHED: Duration = ms(12_000);
+/// Availability zones.
+const ZONES: usize = 5;
+
+/// A group that has run for a while.
+fn calm(nodes: usize, seed: u64) -> Net {
+    let mut net = Net::new(nodes, ZONES, seed, Settings::default());
+    net.run(SECOND * 20);
+    assert!(net.whole(), "{nodes} nodes join, seed {seed}");
+    net
+}
+
+/// Whether `by` names `of` to callers.
+fn names(net: &Net, by: usize, of: usize) -> bool {
+    let group = net.group(by);
+    group.is_some_and(|g| g.roster().get(net.id(of)).is_some_and(|p| p.open()))
+}
+
+/// Runs for `time`. How long after now any node still named one of `gone`, and which did so last.
+fn named(net: &mut Net, gone: &[usize], time: Duration) -> (Duration, usize) {
+    let from = net.now;
+    let mut last = (Now::ZERO, 0);
+    net.run_with(from + time, |net, by| {
+        if gone.iter().any(|of| names(net, by, *of)) {
+            last = (net.now - from, by);
+        }
+    });
+    last
+}
+
+/// Some nodes, drawn at random.
+fn draw(random: &mut ChaCha8Rng, nodes: usize, count: usize) -> Vec<usize> {
+    let mut all: Vec<usize> = (0..nodes).collect();
+    all.shuffle(random);
+    all.truncate(count);
+    all
+}
+
+/// Kills nodes one after the other in several groups. The deaths after which one was named too long.
+fn deaths(nodes: usize, seeds: std::ops::Range<u64>, kills: usize) -> Vec<String> {
+    let mut late = Vec::new();
+    for seed in seeds {
+        let mut net = calm(nodes, seed);
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        for of in draw(&mut random, nodes, kills) {
+            net.run(net.now + ms(random.random_range(0..1000)));
+            net.kill(of);
+            let (time, by) = named(&mut net, &[of], WATCHED);
+            let case = format!("{nodes} nodes, seed {seed}: {of} named for {time:?}, last by {by}");
+            println!("{case}");
+            late.extend((time > NAMED).then_some(case));
+        }
+        net.verify();
+    }
+    late
+}
+
+// Guards against a dead node that nobody probes for seconds, so that callers are sent to it.
+#[test]
+fn a_dead_node_is_named_for_a_bounded_time() {
+    let cases = [(8, 200..206, 5), (67, 210..214, 6), (195, 220..226, 10)];
+    let late: Vec<String> = cases
+        .into_iter()
+        .flat_map(|(nodes, seeds, kills)| deaths(nodes, seeds, kills))
+        .collect();
+    assert!(late.is_empty(), "{late:#?}");
+}
+
+// Guards against nodes that name a dead one while its neighbours die with it.
+#[test]
+fn nodes_that_die_together_are_named_for_a_bounded_time() {
+    for seed in 230..234 {
+        let mut net = calm(195, seed);
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let gone = draw(&mut random, 195, 20);
+        gone.iter().for_each(|of| net.kill(*of));
+        let (time, by) = named(&mut net, &gone, WATCHED);
+        println!("seed {seed}: named for {time:?}, last by {by}");
+        assert!(time <= NAMED, "seed {seed}: {time:?}, last by {by}");
+        net.verify();
+    }
+}
+
+/// A group whose messages get lost now and then.
+fn lossy(nodes: usize, seed: u64, loss: f64) -> (Net, ChaCha8Rng) {
+    let mut net = calm(nodes, seed);
+    net.faults = Faults { loss, ..QUIET };
+    (net, ChaCha8Rng::seed_from_u64(seed))
+}
+
+// Guards against a node that dies while messages get lost, and is named by those that missed it.
+#[test]
+fn a_dead_node_is_named_for_a_bounded_time_while_messages_get_lost() {
+    for seed in 250..253 {
+        let (mut net, mut random) = lossy(195, seed, 0.02);
+        for of in draw(&mut random, 195, 5) {
+            net.kill(of);
+            let (time, by) = named(&mut net, &[of], WATCHED);
+            println!("seed {seed}: {of} named for {time:?}, last by {by}");
+            assert!(time <= NAMED, "seed {seed}: {time:?}, last by {by}");
+        }
+        net.verify();
+    }
+}
+
+// Guards against a node that no other one reaches, or that is frozen, and is named to callers.
+#[test]
+fn a_node_that_is_cut_off_or_frozen_is_named_for_a_bounded_time() {
+    for seed in 260..264 {
+        let (mut net, mut random) = lossy(195, seed, 0.0);
+        let drawn = draw(&mut random, 195, 2);
+        let (cut, frozen) = (drawn[0], drawn[1]);
+        net.nodes[cut].side = 1;
+        net.pause(frozen, SECOND * 10);
+        let watched = SECOND * 9;
+        let from = net.now;
+        let mut last = (Now::ZERO, 0, 0);
+        net.run_with(from + watched, |net, by| {
+            let gone = [cut, frozen].into_iter().find(|of| names(net, by, *of));
+            if let Some(of) = gone.filter(|of| *of != by && by != cut) {
+                last = (net.now - from, by, of);
+            }
+        });
+        println!("seed {seed}: cut {cut}, frozen {frozen}: {last:?}");
+        assert!(last.0 <= NAMED, "seed {seed}: {last:?}");
+        net.heal();
+        net.run(net.now + SECOND * 15);
+        assert!(net.whole(), "seed {seed}: both are back");
+        net.verify();
+    }
+}
