member: a node that starts is told which of the nodes are gone

Cause: a row of the roster says who a node is and not whether it lives, and the news of its death had run out. A node that started entered the dead as up and named them until its own turn came to probe them, a minute and more among 195.

Change: with rows go the runs among them that are not up here, as News::Suspect; no frame changes its form, so nodes of the last version read them. Who has heard of such a run from others only takes it for a suspect, which answers or is judged; it is not told on, and who has heard from the node itself keeps its own view. So a node that was cut off and holds all others for gone misleads nobody that heard them. Peer::heard is nothing until the peer itself is heard: hearsay counted as hearing, also for whether a zone answers.

Ruled out: a state in the row (nodes of two versions could not read each other's rows during a roll); verdicts taken over (no node is dead by a rumour).

Test: a_node_that_starts_names_no_dead_one, failed before.

--- a/crates/member/src/group.rs
+++ b/crates/member/src/group.rs
@@ -7,7 +7,7 @@
 use crate::head::Head;
 use crate::identity::{Id, Identity, Incarnation};
 use crate::item::Version;
-use crate::message::{Body, Message, News, Row};
+use crate::message::{Body, Message, News, Row, Run};
 use crate::peer::{Entry, Peer, Standing, State};
 use crate::probe::Probes;
 use crate::roster::{self, Roster};
@@ -16,10 +16,13 @@
 use crate::store::Store;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
 use std::net::SocketAddr;
 
+/// Rows of one message whose runs are said to be gone at most.
+const DOUBTS: usize = 32;
+
 /// A run that was taken out of the roster.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Grave {
@@ -153,8 +156,21 @@
         if let Some(head) = head {
             self.compare(now, head, id, from, out);
         }
+        let (doubts, news) = part(news, body.rows());
         news.into_iter().for_each(|n| self.hear_news(now, n, out));
         self.take(now, id, from, body, out);
+        // A node that was not known has now told who it is.
+        if self.runs(id, incarnation) {
+            self.up(now, id, out);
+        }
+        doubts.into_iter().for_each(|run| self.doubt(now, run, out));
+    }
+
+    /// Whether this run of a node is in the roster.
+    fn runs(&self, id: Id, run: Incarnation) -> bool {
+        self.roster
+            .get(id)
+            .is_some_and(|p| p.identity.incarnation == run)
     }
 
     fn take(&mut self, now: Now, id: Id, from: SocketAddr, body: Body, out: &mut Vec<Action>) {
@@ -282,11 +298,18 @@
         self.listed.as_ref()?.get(&id).map(|e| e.standing)
     }
 
-    /// Sends a message with the head and some news.
+    /// Sends a message with the head and some news. What this node thinks of the rows in it goes along.
     pub(crate) fn send(&mut self, peer: Id, to: SocketAddr, body: Body, out: &mut Vec<Action>) {
-        let news = self.pick_news(peer);
+        let mut news = self.pick_news(peer);
+        let away = self.away(body.rows());
+        let (first, more) = away.split_at(DOUBTS.min(away.len()));
+        news.extend(self.doubts(first));
         let message = self.message(news, body);
         out.push(Action::Send { peer, to, message });
+        for rows in more.chunks(DOUBTS) {
+            let message = self.message(self.doubts(rows), Body::Rows(rows.to_vec()));
+            out.push(Action::Send { peer, to, message });
+        }
     }
 
     /// Sends nothing but `news`.
@@ -371,6 +394,21 @@
     }
 }
 
+/// What the sender of `rows` thinks of them, and the news.
+fn part(news: Vec<News>, rows: &[Row]) -> (Vec<Run>, Vec<News>) {
+    let sent: BTreeSet<Id> = rows.iter().map(|row| row.identity.id()).collect();
+    let mut doubts = Vec::new();
+    let news = news.into_iter().filter(|piece| match piece {
+        News::Suspect(run) if sent.contains(&run.id) => {
+            doubts.push(*run);
+            false
+        }
+        _ => true,
+    });
+    let news = news.collect();
+    (doubts, news)
+}
+
 impl fmt::Display for Group {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self.head {
--- a/crates/member/src/judge.rs
+++ b/crates/member/src/judge.rs
@@ -4,6 +4,7 @@
 use crate::action::Action;
 use crate::group::Group;
 use crate::identity::Id;
+use crate::message::Run;
 use crate::peer::{Peer, State, Turn};
 use crate::roster::age;
 use std::time::Duration;
@@ -20,7 +21,7 @@
         let Some(peer) = self.roster.get_mut(id) else {
             return;
         };
-        peer.heard = now;
+        peer.heard = Some(now);
         if peer.state == State::Up || id == self.me {
             return;
         }
@@ -39,7 +40,7 @@
 
     /// Tells a peer that it was suspected. It is up here, but the suspicion may still be on its
     /// way to others, who would judge it dead unless it refutes.
-    fn warn(&mut self, id: Id, run: crate::message::Run, out: &mut Vec<Action>) {
+    fn warn(&mut self, id: Id, run: Run, out: &mut Vec<Action>) {
         let Some(to) = self.addr(id) else { return };
         self.news
             .retain(|p| p.news != crate::message::News::Suspect(run));
@@ -84,27 +85,44 @@
         self.probes.watch = now;
     }
 
-    /// Starts the time in which a peer may refute.
+    /// Starts the time in which a peer may refute, and tells the others.
     pub(crate) fn suspect(&mut self, now: Now, id: Id, out: &mut Vec<Action>) {
-        let Some(peer) = self.roster.get_mut(id) else {
+        let Some(run) = self.begin_suspicion(now, id, out) else {
             return;
         };
+        self.tell(crate::message::News::Suspect(run));
+        self.hot = true;
+    }
+
+    /// Takes over what a peer thinks of a run whose row came with it. This node has heard nothing of
+    /// that run itself, so it is suspected here until it answers; the others know better than this node.
+    pub(crate) fn doubt(&mut self, now: Now, run: Run, out: &mut Vec<Action>) {
+        let unheard = |p: &Peer| {
+            p.heard.is_none() && p.identity.incarnation == run.incarnation && p.turn <= run.turn
+        };
+        if self.roster.get(run.id).is_some_and(unheard) {
+            self.begin_suspicion(now, run.id, out);
+        }
+    }
+
+    /// Makes a suspect of a peer that is up; which run of it, if it was.
+    fn begin_suspicion(&mut self, now: Now, id: Id, out: &mut Vec<Action>) -> Option<Run> {
+        let peer = self.roster.get_mut(id)?;
         if peer.state != State::Up || id == self.me {
-            return;
+            return None;
         }
         peer.state = State::Suspect;
         peer.since = now;
         peer.lost = now;
         peer.zoned = None;
         let run = crate::spread::run(peer);
-        self.tell(crate::message::News::Suspect(run));
-        self.hot = true;
         self.focus(id);
         out.push(Action::Changed {
             peer: id,
             state: State::Suspect,
             restarted: false,
         });
+        Some(run)
     }
 
     /// Judges suspects whose time is over.
@@ -222,7 +240,7 @@
         for other in others.filter(|p| p.state != State::Dead || !apart(p)) {
             tally.all += 1;
             tally.away += usize::from(other.state != State::Up);
-            tally.heard += usize::from(other.heard > peer.lost);
+            tally.heard += usize::from(other.heard.is_some_and(|h| h > peer.lost));
         }
         tally
     }
--- a/crates/member/src/message.rs
+++ b/crates/member/src/message.rs
@@ -22,7 +22,8 @@
     pub incarnation: Incarnation,
     /// What it has in force.
     pub head: Option<Head>,
-    /// What changed in the group of late.
+    /// What changed in the group of late. A [`News::Suspect`] of a run whose row is in the body is what
+    /// the sender thinks of it, and no news.
     pub news: Vec<News>,
     /// The matter itself.
     pub body: Body,
@@ -68,6 +69,17 @@
     Delta(Delta),
 }
 
+impl Body {
+    /// Rows of the roster in it.
+    pub fn rows(&self) -> &[Row] {
+        match self {
+            Self::Rows(rows) => rows,
+            Self::Delta(delta) => &delta.rows,
+            _ => &[],
+        }
+    }
+}
+
 /// A row of the roster.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Row {
--- a/crates/member/src/peer.rs
+++ b/crates/member/src/peer.rs
@@ -66,8 +66,9 @@
     /// When it was last no longer up; what followed has one cause with what other peers lost
     /// then.
     pub lost: Now,
-    /// When something last came from it or proved that it lives.
-    pub heard: Now,
+    /// When something last came from it or proved that it lives; nothing if it is only known from
+    /// others.
+    pub heard: Option<Now>,
     /// When this node's own probe of it last failed.
     pub failed: Option<Now>,
     /// Since when, after it was lost, its availability zone is known to answer.
@@ -90,7 +91,7 @@
             state: State::Up,
             since: now,
             lost: now,
-            heard: now,
+            heard: None,
             failed: None,
             zoned: None,
             standing: None,
--- a/crates/member/src/spread.rs
+++ b/crates/member/src/spread.rs
@@ -88,6 +88,20 @@
         self.tell(News::Join(row));
     }
 
+    /// Those of `rows` that are not up here.
+    pub(crate) fn away(&self, rows: &[Row]) -> Vec<Row> {
+        let peer = |row: &&Row| self.roster.get(row.identity.id());
+        let away = |row: &&Row| peer(row).is_some_and(|p| p.state != State::Up);
+        rows.iter().filter(away).cloned().collect()
+    }
+
+    /// What this node thinks of `rows` that are not up here.
+    pub(crate) fn doubts(&self, rows: &[Row]) -> Vec<News> {
+        let peers = rows.iter().map(|row| row.identity.id());
+        let peers = peers.filter_map(|id| self.roster.get(id));
+        peers.map(|p| News::Suspect(run(p))).collect()
+    }
+
     /// The least told news, and what the receiver needs to know of itself.
     pub(crate) fn pick_news(&mut self, peer: Id) -> Vec<News> {
         self.news.sort_by_key(|p| std::cmp::Reverse(p.left));
@@ -151,7 +165,8 @@
             }
             return;
         }
-        if roster::age(now, peer.heard) >= self.settings.probe {
+        let probe = self.settings.probe;
+        if peer.heard.is_none_or(|h| roster::age(now, h) >= probe) {
             self.suspect(now, run.id, out);
         }
     }
--- a/crates/member/tests/naming.rs
+++ b/crates/member/tests/naming.rs
@@ -6,6 +6,7 @@
 use member::Now;
 use member::event::Event;
 use member::item::Body;
+use member::peer::State;
 use member::settings::Settings;
 use net::{Faults, Net, QUIET, ms};
 use rand::seq::SliceRandom;
@@ -100,6 +101,37 @@
     }
 }
 
+// Guards against a node that starts, is told of a dead one, and names it to callers.
+#[test]
+fn a_node_that_starts_names_no_dead_one() {
+    for (nodes, seed) in [(8, 240), (67, 241), (195, 242), (195, 243)] {
+        let mut net = calm(nodes, seed);
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let drawn = draw(&mut random, nodes, 4);
+        let (dead, started) = (drawn[0], &drawn[1..]);
+        net.kill(dead);
+        net.run(net.now + SECOND * 35);
+        for of in started {
+            net.kill(*of);
+            net.run(net.now + ms(800));
+            net.start(*of);
+        }
+        let (time, by) = named(&mut net, &[dead], SECOND * 25);
+        println!("{nodes} nodes, seed {seed}: named for {time:?}, last by {by}");
+        assert!(
+            time <= NAMED,
+            "{nodes} nodes, seed {seed}: {time:?}, by {by}"
+        );
+        for of in started {
+            let up = net.nodes.len() - 1;
+            let open = (0..nodes).filter(|n| names(&net, *of, *n)).count();
+            assert_eq!(open, up, "{of} names all that live");
+            assert!(net.state(*of, dead) != Some(State::Up));
+        }
+        net.verify();
+    }
+}
+
 /// A group whose messages get lost now and then.
 fn lossy(nodes: usize, seed: u64, loss: f64) -> (Net, ChaCha8Rng) {
     let mut net = calm(nodes, seed);
@@ -167,3 +199,29 @@
         net.verify();
     }
 }
+
+// Guards against a node that starts, is told by one that was cut off that all others are gone, and
+// names none of them.
+#[test]
+fn a_node_that_starts_beside_one_that_was_cut_off_names_all_that_live() {
+    for (nodes, seed) in [(8, 280), (67, 281), (67, 282), (195, 283)] {
+        let mut net = calm(nodes, seed);
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let drawn = draw(&mut random, nodes, 2);
+        let (cut, started) = (drawn[0], drawn[1]);
+        net.nodes[cut].side = 1;
+        net.kill(started);
+        net.run(net.now + SECOND * 40);
+        net.heal();
+        net.start(started);
+        let from = net.now;
+        let all = |net: &Net| (0..nodes).all(|of| of == cut || names(net, started, of));
+        while !all(&net) && net.now < from + SECOND * 60 {
+            net.run(net.now + ms(100));
+        }
+        let time = net.now - from;
+        println!("{nodes} nodes, seed {seed}: all named after {time:?}");
+        assert!(time <= SECOND * 3, "{nodes} nodes, seed {seed}: {time:?}");
+        net.verify();
+    }
+}
