wire: asks to a peer that is gone end at once

Cause: a node takes rows of endpoints from one reader, one ask at a time. An ask to a reader that died waited for its time limit of 2 s, and no other reader was asked meanwhile.

Evidence: virtual time, 300 nodes before 3,001 endpoints, a reader loses power: the last node knows after 2.9 s, 1.3 s where no reader dies.

Change: when a connection to a peer is closed, or no new one can be opened (500 ms of silence, 500 ms for a new one), the asks that wait for this peer end as closed.

Ruled out, each by a trial in the same virtual fleet: a second reader asked when the first is late by 700 ms: while layers are loaded readers' links are full, asks are late without any death, and the catalog was late again (tests of copies.rs failed).

Not mended: while rows of 3,001 endpoints change (the first 5 s), the same word takes 3.2 to 3.5 s without any death in the virtual fleet, and 5.5 s with deaths: readers' links are full.

Tests: ask_ends_when_the_process_of_the_peer_ends, ask_ends_when_the_peer_is_not_reached, a_leaving_endpoint_is_known_everywhere_in_time_when_a_reader_dies; all failed before.

--- a/crates/node/tests/copies.rs
+++ b/crates/node/tests/copies.rs
@@ -69,3 +69,27 @@
         fleet.traffic()
     );
 }
+
+/// Time in which the word that an endpoint leaves must be with all nodes.
+const LEAVING: Duration = Duration::from_millis(2500);
+
+// Guards against requests to an endpoint seconds after it said that it leaves, by nodes whose reader
+// lost power: their asks for rows waited until their time limit, and no other reader was asked.
+#[test]
+fn a_leaving_endpoint_is_known_everywhere_in_time_when_a_reader_dies() {
+    for seed in 10..12 {
+        let mut fleet = Fleet::new(NODES, ENDPOINTS, seed);
+        fleet.publish();
+        for at in 0..24 {
+            fleet.run_until(ms(10_000 + at * 500));
+            fleet.leave();
+            if at % 8 == 2 {
+                fleet.kill_reader();
+            }
+        }
+        fleet.run_until(ms(27_000));
+        let (time, node) = fleet.slowest_leave();
+        println!("seed {seed}: {time:?} on node {node}; {}", fleet.traffic());
+        assert!(time <= LEAVING, "seed {seed}: {time:?} on node {node}");
+    }
+}
--- a/crates/node/tests/support/spread.rs
+++ b/crates/node/tests/support/spread.rs
@@ -26,8 +26,12 @@
 const SILENT: Duration = ms(500);
 /// How often a frame is sent at most.
 const TRIES: u32 = 2;
+/// How long it takes until a node that is gone is taken for gone.
+const MISSED: Duration = ms(2000);
 /// How long an ask may take.
 const ASK: Duration = ms(2000);
+/// How long it takes until an ask to a node without power has failed.
+const FAILS: Duration = ms(1000);
 /// Bytes of an ask with its headers.
 const ASK_BYTES: usize = 80;
 /// How often control looks whether anything is due.
@@ -55,6 +59,8 @@
     Read(usize),
     Told(usize),
     Row(usize),
+    /// The others take a node for gone.
+    Missed(usize),
     Ask {
         to: usize,
         by: usize,
@@ -85,7 +91,7 @@
     operator: Table,
     endpoints: Table,
     loads: Loads,
-    calls: HashMap<u64, (Ask, SocketAddr)>,
+    calls: HashMap<u64, (Ask, SocketAddr, Duration)>,
     /// When the link is free to send, and to receive.
     up: Duration,
     down: Duration,
@@ -94,6 +100,16 @@
     polled: Duration,
     /// Whether it no longer gets the operator's table from the store, and does not know.
     stuck: bool,
+    /// Whether it runs.
+    runs: bool,
+}
+
+/// An endpoint that said that it leaves.
+struct Leaving {
+    offset: u64,
+    since: Duration,
+    /// When each node knew.
+    known: BTreeMap<usize, Duration>,
 }
 
 /// All nodes, the store, and what is on its way.
@@ -102,6 +118,8 @@
     start: Instant,
     peers: Vec<Peer>,
     nodes: Vec<Node>,
+    /// Endpoints of all zones.
+    engines: usize,
     operator: Table,
     endpoints: Table,
     due: BinaryHeap<Reverse<(Duration, u64, Due)>>,
@@ -109,6 +127,9 @@
     unanswered: u64,
     published: Duration,
     reached: BTreeMap<usize, Duration>,
+    leaving: Vec<Leaving>,
+    /// How long each ask that was answered took.
+    answered: Vec<Duration>,
     random: ChaCha8Rng,
 }
 
@@ -129,6 +150,20 @@
     }
 }
 
+/// The part of a node among those that are open, before endpoints spread over the zones.
+fn part<'a>(peer: &Peer, open: impl Iterator<Item = &'a Peer>, endpoints: usize) -> Part {
+    let third = endpoints / 3;
+    let engines = Engines::from([("a", third), ("b", third), ("c", endpoints - 2 * third)]);
+    Part::of(peer.id, &peer.identity.zone, open, &engines)
+}
+
+/// The endpoints that a node asks for their load.
+fn asked(part: &Part, endpoints: usize) -> Vec<usize> {
+    let zone = |n: usize| ["a", "b", "c"][n % 3];
+    let own = (0..endpoints).filter(|&n| part.asks(zone(n), &run(n)));
+    own.collect()
+}
+
 fn record(key: String, bytes: usize, offset: u64) -> Page {
     let value = Some(vec![7; bytes].into());
     Page {
@@ -145,14 +180,10 @@
         let peers: Vec<Peer> = (0..nodes)
             .map(|n| Peer::new(identity(n), Duration::ZERO))
             .collect();
-        let third = endpoints / 3;
-        let engines = Engines::from([("a", third), ("b", third), ("c", endpoints - 2 * third)]);
         let node = |peer: &Peer| {
-            let part = Part::of(peer.id, &peer.identity.zone, peers.iter(), &engines);
-            let zone = |n: usize| ["a", "b", "c"][n % 3];
-            let own = (0..endpoints).filter(|&n| part.asks(zone(n), &run(n)));
+            let part = part(peer, peers.iter(), endpoints);
             Node {
-                engines: own.collect(),
+                engines: asked(&part, endpoints),
                 part,
                 pulls: Pulls::default(),
                 operator: Table::default(),
@@ -164,6 +195,7 @@
                 sent: 0,
                 polled: Duration::ZERO,
                 stuck: false,
+                runs: true,
             }
         };
         let mut fleet = Self {
@@ -171,6 +203,7 @@
             start: Instant::now(),
             nodes: peers.iter().map(node).collect(),
             peers,
+            engines: endpoints,
             operator: Table::default(),
             endpoints: Table::default(),
             due: BinaryHeap::new(),
@@ -178,6 +211,8 @@
             unanswered: 0,
             published: Duration::ZERO,
             reached: BTreeMap::new(),
+            leaving: Vec::new(),
+            answered: Vec::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
         };
         for number in 0..nodes {
@@ -229,6 +264,39 @@
         last - self.published
     }
 
+    /// An endpoint says that it leaves.
+    pub fn leave(&mut self) {
+        let offset = self.endpoints.next();
+        let endpoint = self.random.random_range(0..self.engines);
+        self.endpoints.take(record(run(endpoint).id, ROW, offset));
+        self.leaving.push(Leaving {
+            offset,
+            since: self.now,
+            known: BTreeMap::new(),
+        });
+    }
+
+    /// The longest that it took until a node that runs knew of an endpoint that leaves, and that node.
+    pub fn slowest_leave(&self) -> (Duration, usize) {
+        let running = (0..self.nodes.len()).filter(|&n| self.nodes[n].runs);
+        let times = running.flat_map(|n| {
+            let took = move |l: &Leaving| l.known.get(&n).map_or(Duration::MAX, |at| *at - l.since);
+            self.leaving.iter().map(move |l| (took(l), n))
+        });
+        times.max().unwrap_or_default()
+    }
+
+    /// A reader of the store loses power; which one.
+    pub fn kill_reader(&mut self) -> usize {
+        let readers =
+            (0..self.nodes.len()).filter(|&n| self.nodes[n].part.reads && self.nodes[n].runs);
+        let readers: Vec<usize> = readers.collect();
+        let reader = readers[self.random.random_range(0..readers.len())];
+        self.nodes[reader].runs = false;
+        self.later(MISSED, Due::Missed(reader));
+        reader
+    }
+
     /// Nodes that lack rows of the endpoints' table.
     pub fn behind(&self) -> usize {
         let rows = self.endpoints.iter().count();
@@ -256,9 +324,15 @@
         let seconds = self.now.as_secs_f64();
         let rate = |n: &Node| n.sent as f64 / seconds / 1e6;
         let busiest = self.nodes.iter().map(rate).fold(0.0, f64::max);
+        let mut took = self.answered.clone();
+        took.sort();
+        let at = |part: f64| took.get((took.len() as f64 * part) as usize);
         format!(
-            "busiest node {busiest:.2} MB/s, {} asks without an answer",
-            self.unanswered
+            "busiest node {busiest:.2} MB/s, {} asks without an answer, changes of endpoints took {:?}, {:?}, {:?}",
+            self.unanswered,
+            at(0.5),
+            at(0.9),
+            at(0.99)
         )
     }
 
@@ -280,11 +354,14 @@
         match due {
             Due::Step(number) => self.step(number),
             Due::Read(number) => {
-                let node = &mut self.nodes[number];
-                let page = self.endpoints.since(node.endpoints.next());
-                node.endpoints.take(page);
+                if !self.nodes[number].runs || !self.nodes[number].part.reads {
+                    return;
+                }
+                let page = self.endpoints.since(self.nodes[number].endpoints.next());
+                self.take(number, Kind::Endpoints, page);
                 self.later(READ, Due::Read(number));
             }
+            Due::Missed(_) => self.divide(),
             Due::Told(number) if self.nodes[number].stuck => {}
             Due::Told(number) => {
                 let page = self.operator.since(self.nodes[number].operator.next());
@@ -301,6 +378,9 @@
                 ask,
                 from,
             } => {
+                if !self.nodes[to].runs {
+                    return;
+                }
                 let bytes = self.give(to, ask, from);
                 self.send(
                     to,
@@ -314,7 +394,10 @@
                 );
             }
             Due::Answer { to, call, bytes } => {
-                if let Some((ask, peer)) = self.nodes[to].calls.remove(&call) {
+                if let Some((ask, peer, begun)) = self.nodes[to].calls.remove(&call) {
+                    if matches!(ask, Ask::Changes(Kind::Endpoints)) {
+                        self.answered.push(self.now - begun);
+                    }
                     self.answered(to, ask, peer, &bytes);
                 }
             }
@@ -327,7 +410,7 @@
             Due::Expire { by, call } => {
                 let now = self.start + self.now;
                 let node = &mut self.nodes[by];
-                if let Some((ask, peer)) = node.calls.remove(&call) {
+                if let Some((ask, peer, _)) = node.calls.remove(&call) {
                     node.pulls.ended(ask, peer, false);
                     node.pulls.failed(now, peer);
                     self.unanswered += 1;
@@ -336,9 +419,27 @@
         }
     }
 
+    /// The nodes that run find their parts anew.
+    fn divide(&mut self) {
+        for number in 0..self.nodes.len() {
+            let peers = self.peers.iter().zip(&self.nodes);
+            let open = peers.filter(|(_, node)| node.runs).map(|(peer, _)| peer);
+            let new = part(&self.peers[number], open, self.engines);
+            let node = &mut self.nodes[number];
+            node.engines = asked(&new, self.engines);
+            let before = std::mem::replace(&mut node.part, new);
+            if node.part.reads && !before.reads {
+                self.later(Duration::ZERO, Due::Read(number));
+            }
+        }
+    }
+
     fn step(&mut self, number: usize) {
         let now = self.start + self.now;
         let node = &mut self.nodes[number];
+        if !node.runs {
+            return;
+        }
         if self.now >= node.polled + POLL {
             node.polled = self.now;
             for &engine in &node.engines {
@@ -360,7 +461,7 @@
         self.count += 1;
         let call = self.count;
         let node = &mut self.nodes[by];
-        node.calls.insert(call, (ask, peer));
+        node.calls.insert(call, (ask, peer, self.now));
         let from = from.unwrap_or_else(|| match ask {
             Ask::Changes(Kind::Operator) | Ask::Keys(Kind::Operator) => node.operator.next(),
             Ask::Changes(Kind::Endpoints) | Ask::Keys(Kind::Endpoints) => node.endpoints.next(),
@@ -374,7 +475,8 @@
             ask,
             from,
         };
-        self.later(ASK, Due::Expire { by, call });
+        let limit = if self.nodes[to].runs { ASK } else { FAILS };
+        self.later(limit, Due::Expire { by, call });
         self.send(by, to, message, 0);
     }
 
@@ -429,7 +531,13 @@
     fn take(&mut self, number: usize, kind: Kind, page: Page) {
         let node = &mut self.nodes[number];
         match kind {
-            Kind::Endpoints => drop(node.endpoints.take(page)),
+            Kind::Endpoints => {
+                node.endpoints.take(page);
+                let next = node.endpoints.next();
+                for leaving in self.leaving.iter_mut().filter(|l| l.offset < next) {
+                    leaving.known.entry(number).or_insert(self.now);
+                }
+            }
             Kind::Operator => {
                 node.operator.take(page);
                 if node.operator.next() == self.operator.next() {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -178,6 +178,12 @@
         }
     }
 
+    /// Ends the asks to a peer that is gone: it has lost them, and nothing else would tell before their
+    /// time limit.
+    pub(crate) fn end_calls(&self, peer: SocketAddr) {
+        self.calls().retain(|_, waiting| waiting.peer != peer);
+    }
+
     fn calls(&self) -> std::sync::MutexGuard<'_, HashMap<Call, Waiting>> {
         self.shared
             .calls
--- a/crates/wire/src/route.rs
+++ b/crates/wire/src/route.rs
@@ -167,6 +167,9 @@
             let (end, left) = conn
                 .run(&self.link, &mut self.frames, unsent, &self.stop)
                 .await;
+            if end == End::Closed {
+                self.link.end_calls(self.addr);
+            }
             unsent = retry(left);
             let done = unsent.is_empty() && self.frames.is_empty();
             if done || end == End::Refused || self.stop.is_cancelled() {
@@ -183,6 +186,7 @@
             return;
         }
         self.link.shared.counters.unreached.add(1);
+        self.link.end_calls(self.addr);
         let _ = self
             .link
             .shared
--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -18,7 +18,8 @@
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use wire::frame::HeadAsk;
+use wire::error::Error;
+use wire::frame::{CopyAsk, HeadAsk};
 use wire::limits::Limits;
 use wire::peer::Inbound;
 
@@ -105,6 +106,41 @@
     assert_eq!(near.link.routes(), 0);
 }
 
+/// Limits under which an ask ends by its time limit only long after the test.
+fn patient() -> Limits {
+    Limits {
+        ask: PATIENCE * 10,
+        ..Limits::default()
+    }
+}
+
+// Guards against an ask that waits for its time limit though the peer's process is gone.
+#[tokio::test]
+async fn ask_ends_when_the_process_of_the_peer_ends() {
+    let near = Bare::start(KEY, patient()).await;
+    let mut far = Bare::start(KEY, Limits::default()).await;
+    let (link, addr) = (near.link.clone(), far.link.addr());
+    let ask = tokio::spawn(async move { link.copy(addr, CopyAsk { table: 1, from: 0 }).await });
+    let taken = tokio::time::timeout(PATIENCE, far.inbound.recv()).await;
+    assert!(matches!(taken, Ok(Some(Inbound::Copy { .. }))), "{taken:?}");
+    far.cancel.cancel();
+    let ended = tokio::time::timeout(PATIENCE, ask).await.expect("in time");
+    let answer = ended.expect("runs");
+    assert!(matches!(answer, Err(Error::Closed)), "{answer:?}");
+}
+
+// Guards against an ask that waits for its time limit though the peer answers on no connection.
+#[tokio::test]
+async fn ask_ends_when_the_peer_is_not_reached() {
+    let near = Bare::start(KEY, patient()).await;
+    // Connections are accepted by the kernel and nobody reads them, as those of a frozen node.
+    let frozen = std::net::TcpListener::bind("127.0.0.1:0").expect("listens");
+    let addr = frozen.local_addr().expect("address");
+    let ask = near.link.copy(addr, CopyAsk { table: 1, from: 0 });
+    let answer = tokio::time::timeout(PATIENCE, ask).await.expect("in time");
+    assert!(matches!(answer, Err(Error::Closed)), "{answer:?}");
+}
+
 /// A node with another key, by an operator's mistake or an attacker's guess, connects. Its first
 /// frame does not verify, so its connection is closed and counted, and nothing is delivered.
 #[tokio::test]
