control: a node that has just started does not read for others yet

Cause: readers are the first nodes of a zone by id. Nodes that lost power and started again took that duty back at once, and those that had read in their place stopped. The ones that started had no tables, answered as not fresh, and once they had read the whole table their copy had no history, so that each asker that was a little behind gathered all rows again: 600 KB for each of fourteen askers over a link of 2.5 MB/s.

Change: a peer that appeared after this node had found the others, and less than 3 s ago, reads for nobody, unless its zone has no other node. All nodes that start together read from the start on, as before.

Test: a_leaving_endpoint_is_known_everywhere_in_time_when_readers_start_anew; failed before.

--- a/crates/node/src/hosted/control/readers.rs
+++ b/crates/node/src/hosted/control/readers.rs
@@ -2,20 +2,29 @@
 //!
 //! The first nodes of each availability zone read the store, one for sixteen and at least two; the
 //! others of the zone take copies from them. Calls to the store then grow slower than the nodes.
+//! A node that starts beside others reads only for itself at first: until it has read whole tables it
+//! has nothing to give, and those that took copies from the reader before it would learn nothing new.
 //! The engines of a zone are asked for their loads by its first nodes, each for a bounded number.
 //! The first nodes of all give orders to endpoints, each to a bounded number.
 
 use catalog::endpoint::{Run, Span};
+use member::Now;
 use member::identity::Id;
 use member::peer::Peer;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Nodes of a zone that read the store, at the least: one may be cut off or stopped.
 const READERS: usize = 2;
 /// Nodes of a zone for which one reads.
 const READS_FOR: usize = 16;
+/// How long a node that has started beside others does not read for them.
+const STARTING: Duration = Duration::from_secs(3);
+/// Time from this node's own start in which it finds the nodes that were there before it or started
+/// with it.
+const FINDING: Duration = Duration::from_millis(2500);
 /// Engines that one node asks before another one shares in it.
 pub const ASKED: usize = 48;
 
@@ -59,8 +68,9 @@
 }
 
 impl Part {
-    /// The part of the node `me` in `zone`, among the nodes that take new work.
+    /// The part of the node `me` in `zone` at `now`, among the nodes that take new work.
     pub fn of<'a>(
+        now: Now,
         me: Id,
         zone: &str,
         open: impl Iterator<Item = &'a Peer>,
@@ -73,7 +83,7 @@
             others.map(|p| p.identity.addr).collect()
         };
         let near = of_zone(&open, zone, usize::MAX);
-        let own = of_zone(&open, zone, near.len().div_ceil(READS_FOR).max(READERS));
+        let own = reading(now, &near);
         let place = near.iter().position(|p| p.id == me).unwrap_or_default();
         let mut pollers: Vec<&Peer> = Vec::new();
         let mut shares = BTreeMap::new();
@@ -124,6 +134,16 @@
     }
 }
 
+/// The nodes of a zone that read the store: the first of those that have not just started, or of all if
+/// there is no other.
+fn reading<'a>(now: Now, near: &[&'a Peer]) -> Vec<&'a Peer> {
+    let most = near.len().div_ceil(READS_FOR).max(READERS);
+    let starts = |p: &Peer| p.since > FINDING && now.saturating_sub(p.since) < STARTING;
+    let (starting, ready): (Vec<&Peer>, Vec<&Peer>) = near.iter().partition(|p| starts(p));
+    let readers = if ready.is_empty() { starting } else { ready };
+    readers.into_iter().take(most).collect()
+}
+
 /// The share of a node in giving orders.
 fn ordering(me: Id, open: &[&Peer], engines: &Engines<'_>) -> Option<Share> {
     let endpoints: usize = engines.values().sum();
--- a/crates/node/src/hosted/control/state/share.rs
+++ b/crates/node/src/hosted/control/state/share.rs
@@ -22,7 +22,8 @@
     /// Finds this node's part in reading the store and asking engines.
     pub(super) fn share(&mut self, now: Instant) {
         let (me, open) = (self.group.me(), self.group.open());
-        self.part = Part::of(me, &self.settings.zone, open, &self.zones());
+        let elapsed = self.start.elapsed();
+        self.part = Part::of(elapsed, me, &self.settings.zone, open, &self.zones());
         // A node whose readers don't answer, or can't read the store, tries it by itself.
         let reads = self.part.reads || now >= self.heard + UNHEARD;
         self.reads
--- a/crates/node/tests/loads.rs
+++ b/crates/node/tests/loads.rs
@@ -36,7 +36,15 @@
 }
 
 fn parts(peers: &[Peer], engines: &Engines<'_>) -> Vec<Part> {
-    let part = |p: &Peer| Part::of(p.id, &p.identity.zone, peers.iter(), engines);
+    let part = |p: &Peer| {
+        Part::of(
+            Duration::ZERO,
+            p.id,
+            &p.identity.zone,
+            peers.iter(),
+            engines,
+        )
+    };
     peers.iter().map(part).collect()
 }
 
--- a/crates/node/tests/orders.rs
+++ b/crates/node/tests/orders.rs
@@ -50,7 +50,7 @@
 fn parts(nodes: usize) -> Vec<Part> {
     let peers: Vec<Peer> = (0..nodes).map(node).collect();
     let engines = Engines::from([("a", ENDPOINTS)]);
-    let part = |p: &Peer| Part::of(p.id, "a", peers.iter(), &engines);
+    let part = |p: &Peer| Part::of(Duration::ZERO, p.id, "a", peers.iter(), &engines);
     peers.iter().map(part).collect()
 }
 
--- a/crates/node/tests/support/spread.rs
+++ b/crates/node/tests/support/spread.rs
@@ -28,6 +28,14 @@
 const TRIES: u32 = 2;
 /// How long it takes until a node that is gone is taken for gone.
 const MISSED: Duration = ms(2000);
+/// How long a node is without power.
+const POWERLESS: Duration = ms(3500);
+/// How long a small node that starts takes to read whole tables.
+const WHOLE: Duration = ms(1500);
+/// How long it takes until the others know that a node has started.
+const KNOWN: Duration = ms(200);
+/// Time after which it may read for them.
+const AGED: Duration = ms(3000);
 /// How long an ask may take.
 const ASK: Duration = ms(2000);
 /// How long it takes until an ask to a node without power has failed.
@@ -59,8 +67,12 @@
     Read(usize),
     Told(usize),
     Row(usize),
-    /// The others take a node for gone.
-    Missed(usize),
+    /// Nodes find their parts anew.
+    Divide,
+    /// A node starts anew.
+    Start(usize),
+    /// A node that has started has read whole tables.
+    Whole(usize),
     Ask {
         to: usize,
         by: usize,
@@ -102,6 +114,10 @@
     stuck: bool,
     /// Whether it runs.
     runs: bool,
+    /// When it started.
+    started: Duration,
+    /// Whether it has read whole tables since it started.
+    fresh: bool,
 }
 
 /// An endpoint that said that it leaves.
@@ -151,10 +167,15 @@
 }
 
 /// The part of a node among those that are open, before endpoints spread over the zones.
-fn part<'a>(peer: &Peer, open: impl Iterator<Item = &'a Peer>, endpoints: usize) -> Part {
+fn part<'a>(
+    now: Duration,
+    peer: &Peer,
+    open: impl Iterator<Item = &'a Peer>,
+    endpoints: usize,
+) -> Part {
     let third = endpoints / 3;
     let engines = Engines::from([("a", third), ("b", third), ("c", endpoints - 2 * third)]);
-    Part::of(peer.id, &peer.identity.zone, open, &engines)
+    Part::of(now, peer.id, &peer.identity.zone, open, &engines)
 }
 
 /// The endpoints that a node asks for their load.
@@ -181,7 +202,7 @@
             .map(|n| Peer::new(identity(n), Duration::ZERO))
             .collect();
         let node = |peer: &Peer| {
-            let part = part(peer, peers.iter(), endpoints);
+            let part = part(Duration::ZERO, peer, peers.iter(), endpoints);
             Node {
                 engines: asked(&part, endpoints),
                 part,
@@ -196,6 +217,8 @@
                 polled: Duration::ZERO,
                 stuck: false,
                 runs: true,
+                started: Duration::ZERO,
+                fresh: true,
             }
         };
         let mut fleet = Self {
@@ -276,11 +299,16 @@
         });
     }
 
-    /// The longest that it took until a node that runs knew of an endpoint that leaves, and that node.
+    /// The longest that it took until a node that runs knew of an endpoint that leaves, and that node. A
+    /// node that was off learns it when it starts.
     pub fn slowest_leave(&self) -> (Duration, usize) {
         let running = (0..self.nodes.len()).filter(|&n| self.nodes[n].runs);
         let times = running.flat_map(|n| {
-            let took = move |l: &Leaving| l.known.get(&n).map_or(Duration::MAX, |at| *at - l.since);
+            let started = self.nodes[n].started;
+            let took = move |l: &Leaving| {
+                let known = l.known.get(&n);
+                known.map_or(Duration::MAX, |at| *at - l.since.max(started))
+            };
             self.leaving.iter().map(move |l| (took(l), n))
         });
         times.max().unwrap_or_default()
@@ -293,10 +321,37 @@
         let readers: Vec<usize> = readers.collect();
         let reader = readers[self.random.random_range(0..readers.len())];
         self.nodes[reader].runs = false;
-        self.later(MISSED, Due::Missed(reader));
+        self.later(MISSED, Due::Divide);
         reader
     }
 
+    /// All readers of a zone lose power and start anew after some time.
+    pub fn restart_readers(&mut self, zone: &str) {
+        let near = (0..self.nodes.len()).filter(|&n| self.peers[n].identity.zone == zone);
+        let readers = near.filter(|&n| self.nodes[n].part.reads && self.nodes[n].runs);
+        for reader in readers.collect::<Vec<_>>() {
+            self.nodes[reader].runs = false;
+            self.later(POWERLESS, Due::Start(reader));
+        }
+        self.later(MISSED, Due::Divide);
+    }
+
+    fn start(&mut self, number: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[number];
+        node.pulls = Pulls::default();
+        (node.operator, node.endpoints) = (Table::default(), Table::default());
+        node.loads = Loads::default();
+        node.calls.clear();
+        (node.runs, node.fresh, node.started) = (true, false, now);
+        self.peers[number].since = now;
+        self.later(STEP, Due::Step(number));
+        self.later(WHOLE, Due::Whole(number));
+        for after in [KNOWN, KNOWN + AGED] {
+            self.later(after, Due::Divide);
+        }
+    }
+
     /// Nodes that lack rows of the endpoints' table.
     pub fn behind(&self) -> usize {
         let rows = self.endpoints.iter().count();
@@ -361,7 +416,15 @@
                 self.take(number, Kind::Endpoints, page);
                 self.later(READ, Due::Read(number));
             }
-            Due::Missed(_) => self.divide(),
+            Due::Divide => self.divide(),
+            Due::Start(number) => self.start(number),
+            Due::Whole(number) => {
+                let (operator, endpoints) = (whole(&self.operator), whole(&self.endpoints));
+                self.nodes[number].fresh = true;
+                self.take(number, Kind::Operator, operator);
+                self.take(number, Kind::Endpoints, endpoints);
+                self.later(READ, Due::Read(number));
+            }
             Due::Told(number) if self.nodes[number].stuck => {}
             Due::Told(number) => {
                 let page = self.operator.since(self.nodes[number].operator.next());
@@ -424,7 +487,7 @@
         for number in 0..self.nodes.len() {
             let peers = self.peers.iter().zip(&self.nodes);
             let open = peers.filter(|(_, node)| node.runs).map(|(peer, _)| peer);
-            let new = part(&self.peers[number], open, self.engines);
+            let new = part(self.now, &self.peers[number], open, self.engines);
             let node = &mut self.nodes[number];
             node.engines = asked(&new, self.engines);
             let before = std::mem::replace(&mut node.part, new);
@@ -495,7 +558,7 @@
         };
         let copy = Copy {
             page: chunk.page,
-            fresh: node.part.reads,
+            fresh: node.part.reads && node.fresh,
             more: chunk.more,
         };
         copy::encode(&copy).expect("encodes")
@@ -513,6 +576,9 @@
             }
         };
         let copy = copy::decode(bytes).expect("decodes");
+        if !copy.fresh {
+            node.pulls.failed(now, peer);
+        }
         let (page, more) = match node.pulls.gather(peer, kind, copy) {
             Next::Take(page) => (Some(page), None),
             Next::TakeAndAsk(page) => (Some(page), Some((Ask::Changes(kind), None))),
