wire: an ask outlives the connection that it was sent over

A node keeps routes to 256 peers and closes the least used one for another. The far end took the closed connection for a dead peer, gave up its asks, left that reader alone and gathered whole tables again from the next one.

Change: when a connection closes while an ask waits, a new one is opened. Only where that fails the asks end.

Ruled out: a larger bound on routes (memory and descriptors of small nodes).

Test: ask_outlives_its_connection, failed before; both tests of asks that end pass as they are.

--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -184,6 +184,11 @@
         self.calls().retain(|_, waiting| waiting.peer != peer);
     }
 
+    /// Whether an ask to a peer waits for its answer.
+    pub(crate) fn awaits(&self, peer: SocketAddr) -> bool {
+        self.calls().values().any(|waiting| waiting.peer == peer)
+    }
+
     fn calls(&self) -> std::sync::MutexGuard<'_, HashMap<Call, Waiting>> {
         self.shared
             .calls
--- a/crates/wire/src/route.rs
+++ b/crates/wire/src/route.rs
@@ -167,11 +167,11 @@
             let (end, left) = conn
                 .run(&self.link, &mut self.frames, unsent, &self.stop)
                 .await;
-            if end == End::Closed {
-                self.link.end_calls(self.addr);
-            }
             unsent = retry(left);
-            let done = unsent.is_empty() && self.frames.is_empty();
+            // A peer that lives closes connections too, and answers over another one. Whether it lives
+            // shows when a new one is opened.
+            let awaits = end == End::Closed && self.link.awaits(self.addr);
+            let done = unsent.is_empty() && self.frames.is_empty() && !awaits;
             if done || end == End::Refused || self.stop.is_cancelled() {
                 return self.close();
             }
--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -129,6 +129,35 @@
     assert!(matches!(answer, Err(Error::Closed)), "{answer:?}");
 }
 
+// Guards against an ask that is given up since the peer closed the connection for another route.
+#[tokio::test]
+async fn ask_outlives_its_connection() {
+    let few = Limits {
+        routes: 1,
+        ..Limits::default()
+    };
+    let near = Bare::start(KEY, patient()).await;
+    let mut far = Bare::start(KEY, few).await;
+    let other = Bare::start(KEY, Limits::default()).await;
+    let (link, addr) = (near.link.clone(), far.link.addr());
+    let ask = tokio::spawn(async move { link.copy(addr, CopyAsk { table: 1, from: 0 }).await });
+    let taken = tokio::time::timeout(PATIENCE, far.inbound.recv()).await;
+    let Ok(Some(Inbound::Copy { reply, .. })) = taken else {
+        panic!("{taken:?}");
+    };
+    let before = far.link.counters().dialed.get();
+    far.link.send(other.link.addr(), note(1)).expect("queued");
+    until("a route to the other", || {
+        far.link.counters().dialed.get() > before
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    reply.send(Some(vec![7])).expect("queued");
+    let ended = tokio::time::timeout(PATIENCE, ask).await.expect("in time");
+    let answer = ended.expect("runs").expect("answer");
+    assert_eq!(answer, Some(vec![7]));
+}
+
 // Guards against an ask that waits for its time limit though the peer answers on no connection.
 #[tokio::test]
 async fn ask_ends_when_the_peer_is_not_reached() {
