Read-through: doubts are split from news, docs of the crate

No change of behaviour: one function has a name that says what it splits, doc comments wrapped and made exact.

--- a/crates/member/src/group.rs
+++ b/crates/member/src/group.rs
@@ -156,7 +156,7 @@
         if let Some(head) = head {
             self.compare(now, head, id, from, out);
         }
-        let (doubts, news) = part(news, body.rows());
+        let (doubts, news) = split_doubts(news, body.rows());
         news.into_iter().for_each(|n| self.hear_news(now, n, out));
         self.take(now, id, from, body, out);
         // A node that was not known has now told who it is.
@@ -395,7 +395,7 @@
 }
 
 /// What the sender of `rows` thinks of them, and the news.
-fn part(news: Vec<News>, rows: &[Row]) -> (Vec<Run>, Vec<News>) {
+fn split_doubts(news: Vec<News>, rows: &[Row]) -> (Vec<Run>, Vec<News>) {
     let sent: BTreeSet<Id> = rows.iter().map(|row| row.identity.id()).collect();
     let mut doubts = Vec::new();
     let news = news.into_iter().filter(|piece| match piece {
--- a/crates/member/src/spread.rs
+++ b/crates/member/src/spread.rs
@@ -95,7 +95,7 @@
         rows.iter().filter(away).cloned().collect()
     }
 
-    /// What this node thinks of `rows` that are not up here.
+    /// What this node thinks of `rows`, whose runs are not up here.
     pub(crate) fn doubts(&self, rows: &[Row]) -> Vec<News> {
         let peers = rows.iter().map(|row| row.identity.id());
         let peers = peers.filter_map(|id| self.roster.get(id));
--- a/crates/node/src/hosted/control/readers.rs
+++ b/crates/node/src/hosted/control/readers.rs
@@ -20,7 +20,7 @@
 const READERS: usize = 2;
 /// Nodes of a zone for which one reads.
 const READS_FOR: usize = 16;
-/// How long a node that has started beside others does not read for them.
+/// How long a node that has started beside others, or was suspected, does not read for them.
 const STARTING: Duration = Duration::from_secs(3);
 /// Time from this node's own start in which it finds the nodes that were there before it or started
 /// with it.
