--- a/crates/gate/tests/support/server.rs
+++ b/crates/gate/tests/support/server.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -32,6 +33,11 @@
     EventsThenReset(u64, u64),
     /// Sends the events `from..=to` and then nothing more, without closing the connection.
     EventsThenStall(u64, u64),
+    /// Sends the first events, pauses, sends the others and ends the response. Without others, it
+    /// resets the connection after the pause.
+    EventsWithPause(RangeInclusive<u64>, Duration, RangeInclusive<u64>),
+    /// Waits before it does what the other behavior says.
+    Delayed(Duration, Box<Behavior>),
 }
 
 /// A scripted endpoint.
@@ -181,6 +187,19 @@
                 write(stream, &events(&own, from, to)).await?;
                 self.wait_for_close(stream).await
             }
+            Behavior::EventsWithPause(first, pause, others) => {
+                write(stream, &events(&own, *first.start(), *first.end())).await?;
+                tokio::time::sleep(pause).await;
+                if others.is_empty() {
+                    return reset(stream);
+                }
+                write(stream, &chunks(others)).await?;
+                write(stream, "0\r\n\r\n").await
+            }
+            Behavior::Delayed(delay, behavior) => {
+                tokio::time::sleep(delay).await;
+                Box::pin(self.perform(stream, head, *behavior)).await
+            }
         }
     }
 
@@ -207,8 +226,12 @@
 
 fn events(headers: &str, from: u64, to: u64) -> String {
     let head = format!("HTTP/1.1 200 OK\r\n{headers}transfer-encoding: chunked\r\n\r\n");
-    let events = (from..=to).map(|n| chunk(&format!("id: {n}\ndata: t{n}\n\n")));
-    head + &events.collect::<String>()
+    head + &chunks(from..=to)
+}
+
+fn chunks(ids: RangeInclusive<u64>) -> String {
+    ids.map(|n| chunk(&format!("id: {n}\ndata: t{n}\n\n")))
+        .collect()
 }
 
 fn chunk(text: &str) -> String {
