--- a/crates/gate/tests/resume.rs
+++ b/crates/gate/tests/resume.rs
@@ -203,3 +203,49 @@
         }
     });
 }
+
+// Guards against lost events: an endpoint skips an event, and the events before the gap, which were
+// received together with those behind it, were dropped but counted as forwarded.
+#[test]
+fn events_before_a_gap_are_forwarded() {
+    run(async {
+        let first = Behavior::OneChunk(vec![1, 2, 4]);
+        let others = vec![Behavior::Events(3, 5)];
+        let (response, _) =
+            send_with_failover("/chat/x", ALLOWANCE, first, others, |view| view).await;
+        assert_eq!(
+            (ids(&response.body), response.complete),
+            (vec![1, 2, 3, 4, 5], true)
+        );
+    });
+}
+
+// Guards against a response that stays blocked on a failed stage: the head could not replace it
+// once, and the node then took the stage for replaced.
+#[test]
+fn a_replacement_that_failed_is_tried_again() {
+    run(async {
+        let head = Server::start(vec![Behavior::EventsThenStall(1, 2)]).await;
+        let lost = Server::start(vec![Behavior::Silent]).await;
+        let spare = Server::start(vec![Behavior::Silent]).await;
+        let mut known = vec![stage(head.addr, 0, 2), stage(lost.addr, 2, LAYERS)];
+        let node = start(ALLOWANCE).await;
+        node.shared_view.store(Some(Arc::new(view(known.clone()))));
+        let sending = send(node.addr, request("/chat/x"));
+        let changes = async {
+            while head.heads().is_empty() {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            known.push(stage(spare.addr, 2, LAYERS));
+            node.shared_view.store(Some(Arc::new(view(known))));
+            head.refuse_next_order(lost.addr);
+            while head.orders().len() < 2 {
+                head.set_report(format!("r1 {}", lost.addr));
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let both = async { tokio::join!(sending, changes) };
+        let _ = tokio::time::timeout(Duration::from_millis(1400), both).await;
+        assert_eq!(head.orders(), ["r1/2", "r1/2"]);
+    });
+}
--- a/crates/gate/tests/support/server.rs
+++ b/crates/gate/tests/support/server.rs
@@ -36,6 +36,8 @@
     /// Sends the first events, pauses, sends the others and ends the response. Without others, it
     /// resets the connection after the pause.
     EventsWithPause(RangeInclusive<u64>, Duration, RangeInclusive<u64>),
+    /// Sends the events in one piece, then resets the connection.
+    OneChunk(Vec<u64>),
     /// Waits before it does what the other behavior says.
     Delayed(Duration, Box<Behavior>),
 }
@@ -196,6 +198,13 @@
                 write(stream, &chunks(others)).await?;
                 write(stream, "0\r\n\r\n").await
             }
+            Behavior::OneChunk(ids) => {
+                let events = ids.iter().map(|n| format!("id: {n}\ndata: t{n}\n\n"));
+                let head = self::events(&own, 1, 0);
+                write(stream, &(head + &chunk(&events.collect::<String>()))).await?;
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                reset(stream)
+            }
             Behavior::Delayed(delay, behavior) => {
                 tokio::time::sleep(delay).await;
                 Box::pin(self.perform(stream, head, *behavior)).await
