gate: an idle endpoint is given up only once another one has sent the next event

Cause: break before make. After 1.5 s without an event, or when the head of the chain did not answer its status request, or when a stage failed that the head could not replace, Splice::resume closed the endpoint's stream and looked for another endpoint then. Each of a refusal, a failure, no free endpoint and no retry left in the budget ended the response, although the endpoint that had been given up was alive. can_resume asked for one retry; a refusal took it, and the next was asked for when nothing could be taken back.

Ruled out: the catalog. With a newer catalog in force the same test fails in the same way, and without it too.

Change: Splice::hedge tries another endpoint beside the idle one. Whichever sends the next event first is the source from then on; a refusal, a failure, a silent or empty stream or a gap in it leaves the response where it is. If the idle endpoint breaks meanwhile, the other one, once it has accepted, takes its place. The next try comes after the interval of the status requests, then after twice as long, so that an idle response costs few retries. A hedge needs another head than the one in use. A run that is dropped counts as one of the route's attempts. The log has the line `idle` for an attempt beside which another one is tried; `failed` names the attempt that failed, not the last one sent.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -16,6 +16,7 @@
 use attempt::{Exchange, Failure, Reservation};
 use bytes::Bytes;
 use catalog::ServiceId;
+use catalog::endpoint::Run;
 use catalog::kind::Kind;
 use futures::Stream;
 use http::{Response, StatusCode};
@@ -60,7 +61,7 @@
     pub(crate) job: Job,
     pub(crate) log: RequestLog,
     /// Endpoints that the request was sent to.
-    pub(crate) tried: Vec<catalog::endpoint::Run>,
+    pub(crate) tried: Vec<Run>,
     /// Number of attempts that may have been executed.
     pub(crate) possible_runs: u32,
     /// Whether an attempt reached an endpoint. From then on further attempts count against the
@@ -168,20 +169,22 @@
         self.possible_runs += 1;
         let stream = self.job.kind().stream().is_some() && status == StatusCode::OK;
         if stream {
-            return Some(Reply::Events(Box::new(EventSource::new(exchange))));
+            let source = EventSource::new(exchange, self.job.received_at);
+            return Some(Reply::Events(Box::new(source)));
         }
         let repeat = status.is_server_error() && self.job.kind().repeatable();
-        let info = exchange.info.clone();
+        let (info, attempt) = (exchange.info.clone(), exchange.reservation.attempt);
         let Some(response) = self.read_complete(exchange).await else {
             self.log
-                .record_failure("response was cut off before its end", true);
+                .record_failure(attempt, "response was cut off before its end", true);
             if !self.job.kind().repeatable() {
                 return Some(Reply::Refused(Refusal::new(Reason::OutcomeUnknown)));
             }
             return self.retry_or_refuse();
         };
         if repeat && info.sealed && self.job.time_left() > Duration::ZERO && self.try_retry(true) {
-            self.log.record_failure(&format!("status {status}"), true);
+            self.log
+                .record_failure(attempt, &format!("status {status}"), true);
             return None;
         }
         Some(Reply::Complete(response))
@@ -214,8 +217,11 @@
     pub(crate) async fn end_refused(&mut self, exchange: Exchange<D>) {
         let status = exchange.response.status();
         let not_run = exchange.not_run();
-        self.log
-            .record_failure(&describe_refusal(status, not_run, &exchange.info), !not_run);
+        self.log.record_failure(
+            exchange.reservation.attempt,
+            &describe_refusal(status, not_run, &exchange.info),
+            !not_run,
+        );
         let outcome = refusal_outcome(status, &exchange.info);
         let Exchange {
             conn,
@@ -308,24 +314,40 @@
         }
     }
 
+    /// Selects a target for an attempt beside one at `head`, and takes the retry from the budget;
+    /// `None` if the request may not be retried or no other endpoint can take it now.
+    pub(crate) fn hedge_target(&mut self, head: &Run) -> Option<Reservation<D>> {
+        if !self.job.kind().repeatable() || !self.has_retry() {
+            return None;
+        }
+        let service = self.current_service().ok()?;
+        let need = self.job.need();
+        let untried = [self.tried.as_slice(), std::slice::from_ref(head)];
+        let target = self.worker.with_selector(|selector, now| {
+            let mut found = untried
+                .iter()
+                .map(|t| selector.select(now, service, &need, t));
+            found.find_map(std::result::Result::ok)
+        })?;
+        let target = Reservation::new(self.worker.clone(), target);
+        self.try_retry(true).then_some(target)
+    }
+
+    /// Returns whether neither the route nor the retry budget forbids a further attempt.
+    fn has_retry(&self) -> bool {
+        let service = &self.job.service().name;
+        self.possible_runs < self.job.route().max_attempts
+            && self
+                .worker
+                .with_selector(|selector, now| selector.can_retry(now, service))
+    }
+
     /// Returns whether the request could be retried on another endpoint now. An attempt that is
     /// merely idle is not abandoned before that: its endpoint may still continue, while a caller
     /// whose response is cut off has nothing.
     pub(crate) fn can_fail_over(&self) -> bool {
-        self.possible_runs + 1 < self.job.route().max_attempts && self.can_resume()
-    }
-
-    /// Like [`Self::can_fail_over`], for a response that has started and whose execution is already
-    /// counted.
-    pub(crate) fn can_resume(&self) -> bool {
-        if !self.job.kind().repeatable() || self.possible_runs >= self.job.route().max_attempts {
-            return false;
-        }
-        let service = &self.job.service().name;
-        if !self
-            .worker
-            .with_selector(|selector, now| selector.can_retry(now, service))
-        {
+        let last = self.possible_runs + 1 >= self.job.route().max_attempts;
+        if last || !self.job.kind().repeatable() || !self.has_retry() {
             return false;
         }
         let need = self.job.need();
@@ -338,12 +360,7 @@
     /// Runs a query for endpoints that were not tried yet; if there are none, for all endpoints.
     fn query_untried<T>(
         &self,
-        query: impl Fn(
-            &mut Selector,
-            Timestamp,
-            ServiceId,
-            &[catalog::endpoint::Run],
-        ) -> steer::Result<T>,
+        query: impl Fn(&mut Selector, Timestamp, ServiceId, &[Run]) -> steer::Result<T>,
     ) -> steer::Result<T> {
         let service = self.current_service()?;
         let tried = &self.tried;
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -21,6 +21,8 @@
 pub(crate) struct Reservation<D: Dialect> {
     worker: Rc<Worker<D>>,
     pub(crate) target: Target,
+    /// Number of the attempt; 0 until it is sent.
+    pub(crate) attempt: u32,
     ended: bool,
 }
 
@@ -29,6 +31,7 @@
         Self {
             worker,
             target,
+            attempt: 0,
             ended: false,
         }
     }
@@ -116,7 +119,7 @@
         self.tried
             .extend(reservation.target.stages.iter().map(|s| s.run.clone()));
         let crossings = self.crossings(&reservation.target.stages);
-        self.log.record_sent(&reservation.target, crossings);
+        reservation.attempt = self.log.record_sent(&reservation.target, crossings);
         let exchanged = self.exchange(&mut reservation, last_event_id, limit).await;
         let failure = match exchanged {
             Ok((conn, response)) => {
@@ -133,8 +136,11 @@
             }
             Err(failure) => failure,
         };
-        self.log
-            .record_failure(failure.as_str(), failure.may_have_run());
+        self.log.record_failure(
+            reservation.attempt,
+            failure.as_str(),
+            failure.may_have_run(),
+        );
         self.worker.pool.close_idle(addr);
         reservation.end(Outcome::Failed, None);
         Err(failure)
@@ -202,13 +208,13 @@
             };
             let idle = started.elapsed();
             let reason = match self.assess(reservation, report, idle).await {
-                Verdict::Abandon(reason) => Some(reason),
+                Verdict::Failover(reason) => Some(reason),
                 Verdict::Wait => (idle >= limit).then_some("slow"),
             };
             if let Some(reason) = reason
                 && self.can_fail_over()
             {
-                self.log.record_failure(reason, true);
+                self.log.record_failure(reservation.attempt, reason, true);
                 return Err(Failure::TimedOut);
             }
             next_probe = match idle < limit {
--- a/crates/gate/src/forward/request_log.rs
+++ b/crates/gate/src/forward/request_log.rs
@@ -52,8 +52,8 @@
         self.reason = reason;
     }
 
-    /// Records that an attempt was sent.
-    pub(crate) fn record_sent(&mut self, target: &Target, crossings: u32) {
+    /// Records that an attempt was sent, and returns its number.
+    pub(crate) fn record_sent(&mut self, target: &Target, crossings: u32) -> u32 {
         self.attempts += 1;
         self.metrics.record_attempt("sent");
         self.journal.record(Event::Sent {
@@ -63,14 +63,21 @@
             crossings,
             catalog: self.catalog_version,
         });
+        self.attempts
     }
 
-    /// Records that a stage of the current attempt was replaced.
-    pub(crate) fn record_reroute(&self, replaced: SocketAddr, stages: &[Stage], crossings: u32) {
+    /// Records that a stage of an attempt was replaced.
+    pub(crate) fn record_reroute(
+        &self,
+        attempt: u32,
+        replaced: SocketAddr,
+        stages: &[Stage],
+        crossings: u32,
+    ) {
         self.metrics.record_attempt("stage replaced");
         self.journal.record(Event::Detour {
             id: self.id.clone(),
-            attempt: self.attempts,
+            attempt,
             culprit: replaced.to_string(),
             stages: stage_list(stages),
             crossings,
@@ -94,13 +101,24 @@
         });
     }
 
+    /// Records that an attempt is idle, and that another endpoint is tried beside it.
+    pub(crate) fn record_idle(&self, attempt: u32, why: &'static str) {
+        self.metrics.record_attempt("idle");
+        self.journal.record(Event::Idle {
+            id: self.id.clone(),
+            attempt,
+            why,
+            after_ms: self.received_at.elapsed().as_millis() as u64,
+        });
+    }
+
     /// Records that an attempt failed.
-    pub(crate) fn record_failure(&self, why: &str, ran: bool) {
+    pub(crate) fn record_failure(&self, attempt: u32, why: &str, ran: bool) {
         self.metrics
             .record_attempt(if ran { "failed" } else { "not run" });
         self.journal.record(Event::Failed {
             id: self.id.clone(),
-            attempt: self.attempts,
+            attempt,
             why: why.to_owned(),
             ran,
             after_ms: self.received_at.elapsed().as_millis() as u64,
--- a/crates/gate/src/forward/stall.rs
+++ b/crates/gate/src/forward/stall.rs
@@ -2,9 +2,9 @@
 //!
 //! The head of a chain knows which stage its requests wait for, so a node that receives no data
 //! asks it. A stage that the head reports is replaced in the chain in flight, which costs only the
-//! prefill of the tokens so far on the new stage and no further attempt. A head that does not
-//! respond is abandoned. A response that is merely slow is left alone, because a retry would double
-//! the load when the fleet is overloaded.
+//! prefill of the tokens so far on the new stage and no further attempt. If the head does not
+//! respond, another endpoint is tried beside it. A response that is merely slow is left alone,
+//! because a retry would double the load when the fleet is overloaded.
 
 use super::Forwarder;
 use super::attempt::Reservation;
@@ -28,10 +28,10 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Age up to which a status report is reused for other requests of the same head.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(100);
-/// Idle time after which an unresponsive head is abandoned. A lost packet is retransmitted within
-/// this time.
+/// Idle time after which another endpoint is tried beside an unresponsive head. A lost packet is
+/// retransmitted within this time.
 const UNRESPONSIVE_HEAD_TIMEOUT: Duration = Duration::from_millis(550);
-/// Idle time after which a response is abandoned although no fault is known. Callers leave after
+/// Idle time after which another endpoint is tried although no fault is known. Callers leave after
 /// two seconds, and another chain needs part of that time.
 const MAX_IDLE_TIME: Duration = Duration::from_millis(1500);
 
@@ -43,8 +43,8 @@
 pub(crate) enum Verdict {
     /// The response may continue.
     Wait,
-    /// The response is abandoned, for this reason.
-    Abandon(&'static str),
+    /// Another endpoint should be tried, for this reason.
+    Failover(&'static str),
 }
 
 /// The status report of an engine and when it was received; `None` if the engine did not respond.
@@ -107,11 +107,11 @@
             return Verdict::Wait;
         }
         if idle > MAX_IDLE_TIME {
-            return Verdict::Abandon("idle for too long");
+            return Verdict::Failover("idle for too long");
         }
         let Some(report) = report else {
             return match chain && idle > UNRESPONSIVE_HEAD_TIMEOUT {
-                true => Verdict::Abandon("head of the chain is unresponsive"),
+                true => Verdict::Failover("head of the chain is unresponsive"),
                 false => Verdict::Wait,
             };
         };
@@ -136,8 +136,8 @@
             .with_selector(|selector, now| selector.report_failed(now, stage));
         match self.replace_stages(reservation, stage).await {
             Some(RerouteOutcome::Done) => Verdict::Wait,
-            Some(_) => Verdict::Abandon("a stage failed and the head could not replace it"),
-            None => Verdict::Abandon("a stage failed and has no replacement"),
+            Some(_) => Verdict::Failover("a stage failed and the head could not replace it"),
+            None => Verdict::Failover("a stage failed and has no replacement"),
         }
     }
 
@@ -187,7 +187,8 @@
             |selector: &mut Selector, now| selector.reroute(now, target, service?, &need, stage);
         let stages = self.worker.with_selector(reroute).ok()?;
         let crossings = self.crossings(&stages);
-        self.log.record_reroute(stage, &stages, crossings);
+        self.log
+            .record_reroute(reservation.attempt, stage, &stages, crossings);
         reservation.target.stages = stages;
         let outcome = self
             .worker
--- a/crates/gate/src/splice.rs
+++ b/crates/gate/src/splice.rs
@@ -1,27 +1,30 @@
 //! Joins the event streams of successive endpoints into one response.
 //!
-//! Events are forwarded as they arrive. When an endpoint's stream breaks or stalls, the response is
-//! resumed from another endpoint after the last forwarded event, if the route allows it. The head
-//! of the response remains that of the first endpoint. A response is ended as complete only if its
-//! endpoint ended it between two events; otherwise the caller's connection is aborted, so that a
-//! truncated response does not look complete.
+//! Events are forwarded as they arrive. When an endpoint's stream breaks, the response is resumed
+//! from another endpoint after the last forwarded event, if the route allows it; when it stalls,
+//! another endpoint is tried beside it ([`hedge`]). The head of the response remains that of the
+//! first endpoint. A response is ended as complete only if its endpoint ended it between two events;
+//! otherwise the caller's connection is aborted, so that a truncated response does not look
+//! complete.
+
+mod hedge;
+mod source;
 
-use crate::admit;
 use crate::dialect::Dialect;
-use crate::events::{Event, Splitter};
-use crate::forward::attempt::{Exchange, Reservation};
-use crate::forward::migration::Migration;
-use crate::forward::stall::{self, Verdict};
-use crate::forward::{Forwarder, closes_connection};
+use crate::forward::Forwarder;
+use crate::forward::attempt::Reservation;
+use crate::forward::stall;
 use bytes::Bytes;
 use futures::Stream;
+use hedge::Hedged;
 use http::{HeaderMap, StatusCode};
-use http_body_util::BodyExt;
 use hyper::body::Frame;
+use source::{Batch, Step};
 use std::fmt;
 use std::time::Duration;
-use steer::health::Outcome;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
+
+pub(crate) use source::EventSource;
 
 /// Maximum wait for an endpoint with free capacity when a response is resumed.
 const MAX_RESUME_WAIT: Duration = Duration::from_millis(600);
@@ -41,53 +44,19 @@
 
 impl std::error::Error for Incomplete {}
 
-/// The response of one endpoint while its events are received.
-pub(crate) struct EventSource<D: Dialect> {
-    exchange: Exchange<D>,
-}
-
 /// Status and headers that are sent to the caller.
 pub(crate) struct Head {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
 }
 
-impl<D: Dialect> EventSource<D> {
-    pub(crate) fn new(exchange: Exchange<D>) -> Self {
-        Self { exchange }
-    }
-
-    pub(crate) fn head(&self) -> Head {
-        let response = &self.exchange.response;
-        Head {
-            status: response.status(),
-            headers: admit::returned(response.headers()),
-        }
-    }
-}
-
-/// Result of reading from the endpoint's stream.
-enum Step {
-    /// Bytes were added to the splitter.
-    Data,
-    /// The endpoint ended the response.
-    End,
-    /// The stream broke, stalled or skipped an event.
-    Failed(&'static str),
-}
-
 struct Splice<D: Dialect> {
     forwarder: Forwarder<D>,
     source: Option<EventSource<D>>,
-    splitter: Splitter,
     /// Id of the last event that was forwarded, or that the caller already had.
     last_event_id: Option<u64>,
-    /// Time of the last forwarded event, of the last resumption, or of the request's arrival.
-    last_progress: Instant,
     /// Whether an event was forwarded.
     has_started: bool,
-    /// The planned move off a departing stage.
-    migration: Migration,
     done: bool,
 }
 
@@ -98,12 +67,9 @@
 ) -> impl Stream<Item = Chunk> {
     let splice = Splice {
         last_event_id: forwarder.job.info.last_event_id,
-        last_progress: forwarder.job.received_at,
         forwarder,
         source: Some(source),
-        splitter: Splitter::default(),
         has_started: false,
-        migration: Migration::default(),
         done: false,
     };
     futures::stream::unfold(splice, |mut splice| async move {
@@ -113,157 +79,88 @@
 }
 
 impl<D: Dialect> Splice<D> {
-    /// Returns the next part of the body; `None` at its end.
+    /// Returns the next frame of the body; `None` at its end.
     async fn next_chunk(&mut self) -> Option<Chunk> {
         if self.done {
             return None;
         }
-        loop {
-            match self.take_events() {
-                Ok(Some(bytes)) => return Some(Ok(Frame::data(bytes))),
-                Ok(None) => {}
-                Err(reason) => {
-                    if !self.resume(reason).await {
-                        return Some(Err(self.truncate()));
-                    }
-                    continue;
-                }
+        match self.next().await {
+            Ok(bytes) => bytes.map(|bytes| Ok(Frame::data(bytes))),
+            Err(incomplete) => {
+                self.done = true;
+                self.forwarder.log.end_truncated();
+                Some(Err(incomplete))
             }
+        }
+    }
+
+    /// Returns the next events; `None` at the end of the response.
+    async fn next(&mut self) -> std::result::Result<Option<Bytes>, Incomplete> {
+        loop {
             match self.step().await {
-                Step::Data => {}
-                Step::End if !self.splitter.has_partial() => {
-                    self.finish();
-                    return None;
+                Step::Events(batch) => {
+                    self.record_progress(&batch);
+                    return Ok(Some(batch.bytes));
                 }
                 Step::End => {
-                    if !self.resume("ended in the middle of an event").await {
-                        return Some(Err(self.truncate()));
-                    }
+                    self.finish();
+                    return Ok(None);
                 }
-                Step::Failed(reason) => {
+                Step::Failed(reason) | Step::Idle(reason) => {
                     if !self.resume(reason).await {
-                        return Some(Err(self.truncate()));
+                        return Err(Incomplete);
                     }
                 }
             }
         }
     }
 
-    /// Returns the complete events that are buffered, without those that the caller already has.
-    fn take_events(&mut self) -> Result<Option<Bytes>, &'static str> {
-        let mut out: Option<Bytes> = None;
-        if self.splitter.is_oversized() {
-            return Err("sent an event that exceeds the size limit");
-        }
-        while let Some(event) = self.splitter.next() {
-            if !self.is_next(&event)? {
-                continue;
+    fn record_progress(&mut self, batch: &Batch) {
+        for _ in 0..batch.count {
+            if self.has_started {
+                self.forwarder.log.record_event();
+            } else {
+                self.forwarder.log.record_first_event();
             }
-            self.record_progress();
-            self.last_event_id = event.id.or(self.last_event_id);
-            out = Some(match out {
-                None => event.bytes,
-                Some(earlier) => [earlier, event.bytes].concat().into(),
-            });
-        }
-        Ok(out)
-    }
-
-    /// Returns whether an event is to be forwarded. Events that the caller already has are skipped;
-    /// a gap in the ids is an error.
-    fn is_next(&self, event: &Event) -> Result<bool, &'static str> {
-        match (self.last_event_id, event.id) {
-            (Some(last), Some(id)) if id <= last => Ok(false),
-            (Some(last), Some(id)) if id > last + 1 => Err("skipped an event"),
-            _ => Ok(true),
-        }
-    }
-
-    fn record_progress(&mut self) {
-        if self.has_started {
-            self.forwarder.log.record_event();
-        } else {
-            self.forwarder.log.record_first_event();
+            self.has_started = true;
         }
-        self.has_started = true;
-        self.last_progress = Instant::now();
+        self.last_event_id = batch.last_id;
     }
 
+    /// Waits for the next step of the source. While it is idle, other endpoints are tried, at
+    /// intervals that double with each one that does not continue the response.
     async fn step(&mut self) -> Step {
-        let Some(source) = &mut self.source else {
-            return Step::Failed("no endpoint");
-        };
-        let delay = if self.has_started {
-            stall::NEXT_EVENT_PROBE_DELAY
-        } else {
-            stall::FIRST_EVENT_PROBE_DELAY
-        };
-        let mut next_probe = delay;
+        let mut interval = stall::PROBE_INTERVAL;
+        let mut next_hedge = Instant::now();
         loop {
-            let left = self.forwarder.job.time_left();
-            if left.is_zero() {
-                return Step::Failed("deadline passed");
-            }
-            let wait = next_probe
-                .saturating_sub(self.last_progress.elapsed())
-                .min(left);
-            let Exchange {
-                response,
-                reservation,
-                ..
-            } = &mut source.exchange;
-            if self.has_started
-                && let Some(stage) = self
-                    .migration
-                    .due(&self.forwarder.worker, &reservation.target)
-            {
-                self.forwarder.migrate(reservation, stage).await;
-            }
-            let mut frame = response.body_mut().frame();
-            let frame = match timeout(wait, &mut frame).await {
-                Ok(frame) => frame,
-                Err(_) => tokio::select! {
-                    biased;
-                    frame = frame => frame,
-                    report = self.forwarder.query_head(&reservation.target) => {
-                        let idle = self.last_progress.elapsed();
-                        if let Verdict::Abandon(reason) = self.forwarder.assess(reservation, report, idle).await
-                            && self.forwarder.can_resume()
-                        {
-                            return Step::Failed(reason);
-                        }
-                        next_probe = self.last_progress.elapsed() + stall::PROBE_INTERVAL;
-                        continue;
-                    }
-                },
+            let Some(source) = &mut self.source else {
+                return Step::Failed("no endpoint");
             };
-            return match frame {
-                None => Step::End,
-                Some(Err(_)) => Step::Failed("connection broke"),
-                Some(Ok(frame)) => {
-                    if let Some(data) = frame.data_ref() {
-                        self.splitter.feed(data);
-                    }
-                    Step::Data
-                }
+            let reason = match source.watch(&self.forwarder, self.last_event_id).await {
+                Step::Idle(reason) => reason,
+                step => return step,
             };
+            if Instant::now() < next_hedge {
+                continue;
+            }
+            match self.hedge(reason).await {
+                Hedged::Step(step) => return step,
+                Hedged::Replaced | Hedged::NoTarget => {}
+                Hedged::Declined => {
+                    next_hedge = Instant::now() + interval;
+                    interval = interval.saturating_mul(2);
+                }
+            }
         }
     }
 
-    /// Resumes the response from another endpoint. Returns whether one was found.
+    /// Resumes a response whose source failed from another endpoint. Returns whether one was found.
     async fn resume(&mut self, reason: &'static str) -> bool {
-        self.forwarder.log.record_failure(reason, true);
         self.forwarder.log.set_reason(reason);
-        self.splitter.clear();
         if let Some(source) = self.source.take() {
-            self.forwarder
-                .worker
-                .pool
-                .close_idle(source.exchange.reservation.target.head().addr);
-            source.exchange.reservation.end(Outcome::Failed, None);
+            source.fail(&self.forwarder, reason);
         }
-        let kind = self.forwarder.job.kind();
-        while kind.repeatable()
+        while self.forwarder.job.kind().repeatable()
             && !self.forwarder.job.time_left().is_zero()
             && self.forwarder.try_retry(true)
         {
@@ -280,8 +177,7 @@
             {
                 Ok(exchange) if exchange.response.status() == StatusCode::OK => {
                     self.forwarder.possible_runs += 1;
-                    self.source = Some(EventSource::new(exchange));
-                    self.last_progress = Instant::now();
+                    self.source = Some(EventSource::new(exchange, Instant::now()));
                     return true;
                 }
                 Ok(exchange) => {
@@ -296,22 +192,9 @@
 
     fn finish(&mut self) {
         self.done = true;
-        if let Some(EventSource { exchange }) = self.source.take() {
-            let closes_connection = closes_connection(exchange.response.headers());
-            exchange.reservation.end(Outcome::Success, None);
-            if !closes_connection {
-                self.forwarder
-                    .worker
-                    .pool
-                    .put(exchange.conn, exchange.info.idle_timeout);
-            }
+        if let Some(source) = self.source.take() {
+            source.finish(&self.forwarder);
         }
         self.forwarder.log.end_answered(StatusCode::OK.as_u16());
     }
-
-    fn truncate(&mut self) -> Incomplete {
-        self.done = true;
-        self.forwarder.log.end_truncated();
-        Incomplete
-    }
 }
--- /dev/null
+++ b/crates/gate/src/splice/source.rs
@@ -0,0 +1,227 @@
+//! The event stream of one endpoint.
+
+use super::Head;
+use crate::admit;
+use crate::dialect::{Dialect, ResponseInfo};
+use crate::events::{Event, Splitter};
+use crate::forward::attempt::{Exchange, Reservation};
+use crate::forward::migration::Migration;
+use crate::forward::stall;
+use crate::forward::{Forwarder, closes_connection};
+use crate::pool::Conn;
+use bytes::Bytes;
+use http::Response;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::time::Duration;
+use steer::health::Outcome;
+use tokio::time::{Instant, timeout};
+
+/// Complete events that follow each other.
+#[derive(Debug)]
+pub(super) struct Batch {
+    pub(super) bytes: Bytes,
+    /// Number of events, at least 1.
+    pub(super) count: usize,
+    /// Id of the last event; `None` if no event has an id.
+    pub(super) last_id: Option<u64>,
+}
+
+/// Result of reading from an endpoint's stream.
+#[derive(Debug)]
+pub(super) enum Step {
+    /// The next events.
+    Events(Batch),
+    /// The endpoint ended the response.
+    End,
+    /// The stream broke or is invalid.
+    Failed(&'static str),
+    /// The endpoint has been idle for so long that another one should be tried. It may still
+    /// continue.
+    Idle(&'static str),
+}
+
+/// Splits the body of a response into events.
+pub(super) struct Reader {
+    response: Response<Incoming>,
+    splitter: Splitter,
+}
+
+impl Reader {
+    /// Waits for the next events after event `position`. Cancelling it loses no data.
+    pub(super) async fn next(&mut self, position: Option<u64>) -> Step {
+        loop {
+            match self.take_events(position) {
+                Ok(Some(batch)) => return Step::Events(batch),
+                Ok(None) => {}
+                Err(reason) => return Step::Failed(reason),
+            }
+            match self.response.body_mut().frame().await {
+                None if self.splitter.has_partial() => {
+                    return Step::Failed("ended in the middle of an event");
+                }
+                None => return Step::End,
+                Some(Err(_)) => return Step::Failed("connection broke"),
+                Some(Ok(frame)) => {
+                    if let Some(data) = frame.data_ref() {
+                        self.splitter.feed(data);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Returns the complete events that are buffered, without those up to `position`.
+    fn take_events(&mut self, position: Option<u64>) -> Result<Option<Batch>, &'static str> {
+        if self.splitter.is_oversized() {
+            return Err("sent an event that exceeds the size limit");
+        }
+        let mut batch: Option<Batch> = None;
+        for event in self.splitter.by_ref() {
+            let last_id = batch.as_ref().map_or(position, |b| b.last_id);
+            if !is_next(last_id, &event)? {
+                continue;
+            }
+            batch = Some(match batch {
+                None => Batch {
+                    bytes: event.bytes,
+                    count: 1,
+                    last_id: event.id.or(last_id),
+                },
+                Some(earlier) => Batch {
+                    bytes: [earlier.bytes, event.bytes].concat().into(),
+                    count: earlier.count + 1,
+                    last_id: event.id.or(last_id),
+                },
+            });
+        }
+        Ok(batch)
+    }
+}
+
+/// Returns whether an event is to be forwarded after event `position`. Events that the caller
+/// already has are skipped; a gap in the ids is an error.
+fn is_next(position: Option<u64>, event: &Event) -> Result<bool, &'static str> {
+    match (position, event.id) {
+        (Some(last), Some(id)) if id <= last => Ok(false),
+        (Some(last), Some(id)) if id > last + 1 => Err("skipped an event"),
+        _ => Ok(true),
+    }
+}
+
+/// The response of one endpoint while its events are received.
+pub(crate) struct EventSource<D: Dialect> {
+    pub(super) reader: Reader,
+    pub(super) reservation: Reservation<D>,
+    conn: Conn,
+    info: ResponseInfo,
+    /// The planned move off a departing stage.
+    migration: Migration,
+    /// Time of the last event, or the time from which the first one is awaited.
+    last_active: Instant,
+    has_started: bool,
+    /// Idle time after which the head of the chain is queried next.
+    next_probe: Duration,
+}
+
+impl<D: Dialect> EventSource<D> {
+    /// Creates a source whose idle time counts from `last_active`.
+    pub(crate) fn new(exchange: Exchange<D>, last_active: Instant) -> Self {
+        let Exchange {
+            conn,
+            response,
+            info,
+            reservation,
+        } = exchange;
+        Self {
+            reader: Reader {
+                response,
+                splitter: Splitter::default(),
+            },
+            reservation,
+            conn,
+            info,
+            migration: Migration::default(),
+            last_active,
+            has_started: false,
+            next_probe: stall::FIRST_EVENT_PROBE_DELAY,
+        }
+    }
+
+    pub(crate) fn head(&self) -> Head {
+        let response = &self.reader.response;
+        Head {
+            status: response.status(),
+            headers: admit::returned(response.headers()),
+        }
+    }
+
+    /// Returns the time since the last event.
+    pub(super) fn idle_time(&self) -> Duration {
+        self.last_active.elapsed()
+    }
+
+    /// Waits for the next events after event `position`. While the source is idle, its chain is
+    /// checked, and stages that stall or depart are replaced.
+    pub(super) async fn watch(&mut self, forwarder: &Forwarder<D>, position: Option<u64>) -> Step {
+        loop {
+            let left = forwarder.job.time_left();
+            if left.is_zero() {
+                return Step::Failed("deadline passed");
+            }
+            if self.has_started
+                && let Some(stage) = self
+                    .migration
+                    .due(&forwarder.worker, &self.reservation.target)
+            {
+                forwarder.migrate(&mut self.reservation, stage).await;
+            }
+            let wait = self.next_probe.saturating_sub(self.idle_time()).min(left);
+            if let Ok(step) = timeout(wait, self.reader.next(position)).await {
+                return self.received(step);
+            }
+            let report = tokio::select! {
+                biased;
+                step = self.reader.next(position) => return self.received(step),
+                report = forwarder.query_head(&self.reservation.target) => report,
+            };
+            let idle = self.idle_time();
+            let verdict = forwarder.assess(&mut self.reservation, report, idle).await;
+            self.next_probe = self.idle_time() + stall::PROBE_INTERVAL;
+            if let stall::Verdict::Failover(reason) = verdict {
+                return Step::Idle(reason);
+            }
+        }
+    }
+
+    /// Restarts the idle time if events were received.
+    pub(super) fn received(&mut self, step: Step) -> Step {
+        if matches!(step, Step::Events(_)) {
+            self.has_started = true;
+            self.last_active = Instant::now();
+            self.next_probe = stall::NEXT_EVENT_PROBE_DELAY;
+        }
+        step
+    }
+
+    /// Ends a source whose response was received completely, and keeps its connection.
+    pub(super) fn finish(self, forwarder: &Forwarder<D>) {
+        let closes_connection = closes_connection(self.reader.response.headers());
+        self.reservation.end(Outcome::Success, None);
+        if !closes_connection {
+            forwarder.worker.pool.put(self.conn, self.info.idle_timeout);
+        }
+    }
+
+    /// Ends a source that failed, and closes its connection.
+    pub(super) fn fail(self, forwarder: &Forwarder<D>, reason: &str) {
+        forwarder
+            .log
+            .record_failure(self.reservation.attempt, reason, true);
+        forwarder
+            .worker
+            .pool
+            .close_idle(self.reservation.target.head().addr);
+        self.reservation.end(Outcome::Failed, None);
+    }
+}
--- a/crates/journal/src/event.rs
+++ b/crates/journal/src/event.rs
@@ -130,6 +130,17 @@
         /// Time from the request's arrival to the change, in milliseconds.
         after_ms: u64,
     },
+    /// The endpoint of an attempt is idle, and another one is tried beside it.
+    Idle {
+        /// Request id.
+        id: String,
+        /// Number of the attempt.
+        attempt: u32,
+        /// Why another endpoint is tried.
+        why: &'static str,
+        /// Time from the request's arrival, in milliseconds.
+        after_ms: u64,
+    },
     /// An attempt failed, was refused by its endpoint, or timed out.
     Failed {
         /// Request id.
