gate: events before a gap are forwarded before the response is resumed

What callers saw: a response that ended as complete without some of its events.

Cause: take_events counted each event as forwarded while it collected them, and an event that skips an id ended the collection with an error, which dropped what had been collected. The response was resumed behind the dropped events. Needs an endpoint that skips an event in the same piece as the events before it.

Ruled out: the same with an event that exceeds the size limit: that is checked before any event is taken.

Change: the events before the gap are returned, and the error with the next call. The position moves only with events that are returned.

--- a/crates/gate/src/splice/source.rs
+++ b/crates/gate/src/splice/source.rs
@@ -45,6 +45,8 @@
 pub(super) struct Reader {
     response: Response<Incoming>,
     splitter: Splitter,
+    /// An error behind the events that were returned last.
+    pending_error: Option<&'static str>,
 }
 
 impl Reader {
@@ -73,14 +75,24 @@
 
     /// Returns the complete events that are buffered, without those up to `position`.
     fn take_events(&mut self, position: Option<u64>) -> Result<Option<Batch>, &'static str> {
+        if let Some(reason) = self.pending_error {
+            return Err(reason);
+        }
         if self.splitter.is_oversized() {
             return Err("sent an event that exceeds the size limit");
         }
         let mut batch: Option<Batch> = None;
         for event in self.splitter.by_ref() {
             let last_id = batch.as_ref().map_or(position, |b| b.last_id);
-            if !is_next(last_id, &event)? {
-                continue;
+            match is_next(last_id, &event) {
+                Ok(true) => {}
+                Ok(false) => continue,
+                Err(reason) if batch.is_none() => return Err(reason),
+                // The events before the gap are still forwarded.
+                Err(reason) => {
+                    self.pending_error = Some(reason);
+                    break;
+                }
             }
             batch = Some(match batch {
                 None => Batch {
@@ -137,6 +149,7 @@
             reader: Reader {
                 response,
                 splitter: Splitter::default(),
+                pending_error: None,
             },
             reservation,
             conn,
