gate: the head of an event stream is sent with the first event

What callers saw: status 200 and then a closed connection, for a response of which no event had been sent.

Cause: the head of the first endpoint was passed on before its first event. When the stream broke before it and could not be resumed, no honest status was possible any more.

Change: splice::open waits for the first events and returns the head together with the body. A response that ends before them is refused: 502, or 504 after the deadline; it has run or may have run, so never 503. The head is that of the endpoint whose event comes first. Events are forwarded as they arrive, as before.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -11,7 +11,7 @@
 use crate::job::Job;
 use crate::pool::Conn;
 use crate::refusal::{Reason, Refusal};
-use crate::splice::{self, Chunk, EventSource};
+use crate::splice::{self, Chunk, EventSource, Opened};
 use crate::worker::{InFlightGuard, Worker};
 use attempt::{Exchange, Failure, Reservation};
 use bytes::Bytes;
@@ -107,13 +107,19 @@
             forwarder.log.end_answered(response.status().as_u16());
             response.map(body::full)
         }
-        Reply::Events(source) => {
-            let head = source.head();
-            let mut response = Response::new(body::stream(splice::stream(forwarder, *source)));
-            *response.status_mut() = head.status;
-            *response.headers_mut() = head.headers;
-            response
-        }
+        Reply::Events(source) => match splice::open(forwarder, *source).await {
+            Ok(Opened { head, body }) => {
+                let mut response = Response::new(body::stream(body));
+                *response.status_mut() = head.status;
+                *response.headers_mut() = head.headers;
+                response
+            }
+            Err(mut forwarder) => {
+                let refusal = forwarder.exhausted();
+                forwarder.log.end_refused(refusal);
+                refusal.response()
+            }
+        },
     }
 }
 
--- a/crates/gate/src/splice.rs
+++ b/crates/gate/src/splice.rs
@@ -2,10 +2,11 @@
 //!
 //! Events are forwarded as they arrive. When an endpoint's stream breaks, the response is resumed
 //! from another endpoint after the last forwarded event, if the route allows it; when it stalls,
-//! another endpoint is tried beside it ([`hedge`]). The head of the response remains that of the
-//! first endpoint. A response is ended as complete only if its endpoint ended it between two events;
-//! otherwise the caller's connection is aborted, so that a truncated response does not look
-//! complete.
+//! another endpoint is tried beside it ([`hedge`]). The head of the response is held back until
+//! the first event: a response that ends before it is an error that names its reason. Later the
+//! head remains that of the first endpoint. A response is ended as complete only if its endpoint
+//! ended it between two events; otherwise the caller's connection is aborted, so that a truncated
+//! response does not look complete.
 
 mod hedge;
 mod source;
@@ -15,7 +16,7 @@
 use crate::forward::attempt::Reservation;
 use crate::forward::stall;
 use bytes::Bytes;
-use futures::Stream;
+use futures::{Stream, StreamExt};
 use hedge::Hedged;
 use http::{HeaderMap, StatusCode};
 use hyper::body::Frame;
@@ -50,6 +51,12 @@
     pub(crate) headers: HeaderMap,
 }
 
+/// A response whose first events were received.
+pub(crate) struct Opened<S> {
+    pub(crate) head: Head,
+    pub(crate) body: S,
+}
+
 struct Splice<D: Dialect> {
     forwarder: Forwarder<D>,
     source: Option<EventSource<D>>,
@@ -60,21 +67,40 @@
     done: bool,
 }
 
-/// Returns the body of a response whose first part is read from `source`.
-pub(crate) fn stream<D: Dialect>(
+/// Waits for the first events of a response whose first part is read from `source`, and returns
+/// its head and body.
+///
+/// # Errors
+///
+/// Returns the forwarder if the response ended before its first event and no endpoint could resume
+/// it.
+pub(crate) async fn open<D: Dialect>(
     forwarder: Forwarder<D>,
     source: EventSource<D>,
-) -> impl Stream<Item = Chunk> {
-    let splice = Splice {
+) -> std::result::Result<Opened<impl Stream<Item = Chunk>>, Forwarder<D>> {
+    let mut head = source.head();
+    let mut splice = Splice {
         last_event_id: forwarder.job.info.last_event_id,
         forwarder,
         source: Some(source),
         has_started: false,
         done: false,
     };
-    futures::stream::unfold(splice, |mut splice| async move {
+    let first = match splice.next().await {
+        Ok(first) => first,
+        Err(_) => return Err(splice.forwarder),
+    };
+    if let Some(source) = &splice.source {
+        head = source.head();
+    }
+    let first = futures::stream::iter(first.map(|bytes| Ok(Frame::data(bytes))));
+    let others = futures::stream::unfold(splice, |mut splice| async move {
         let chunk = splice.next_chunk().await?;
         Some((chunk, splice))
+    });
+    Ok(Opened {
+        head,
+        body: first.chain(others),
     })
 }
 
--- a/crates/gate/src/splice/source.rs
+++ b/crates/gate/src/splice/source.rs
@@ -161,7 +161,7 @@
         }
     }
 
-    pub(crate) fn head(&self) -> Head {
+    pub(super) fn head(&self) -> Head {
         let response = &self.reader.response;
         Head {
             status: response.status(),
