gate: a stage that could not be replaced stays in the reservation

What callers saw: a response that stayed blocked on a failed stage until it was given up for silence.

Cause: replace_stages writes the new stages into the reservation before the head accepts them. migrate takes them back after a failure; replace_blocked did not, so that the next report, which still named the failed stage, was taken for one from before the replacement.

Change: replace_blocked uses migrate, which takes the stages and the reserved capacity back.

--- a/crates/gate/src/forward/stall.rs
+++ b/crates/gate/src/forward/stall.rs
@@ -134,24 +134,28 @@
         }
         self.worker
             .with_selector(|selector, now| selector.report_failed(now, stage));
-        match self.replace_stages(reservation, stage).await {
+        match self.migrate(reservation, stage).await {
             Some(RerouteOutcome::Done) => Verdict::Wait,
             Some(_) => Verdict::Failover("a stage failed and the head could not replace it"),
             None => Verdict::Failover("a stage failed and has no replacement"),
         }
     }
 
-    /// Moves a response off a stage that is about to stop serving. If that fails, the response
-    /// continues on the old stages.
-    pub(crate) async fn migrate(&self, reservation: &mut Reservation<D>, stage: SocketAddr) {
+    /// Moves a response off a stage. If that fails, the response continues on the old stages.
+    pub(crate) async fn migrate(
+        &self,
+        reservation: &mut Reservation<D>,
+        stage: SocketAddr,
+    ) -> Option<RerouteOutcome> {
         let previous = reservation.target.stages.clone();
-        if self.replace_stages(reservation, stage).await == Some(RerouteOutcome::Done) {
-            return;
+        let outcome = self.replace_stages(reservation, stage).await;
+        if outcome != Some(RerouteOutcome::Done) {
+            reservation.target.stages = previous;
+            let need = self.job.need();
+            self.worker
+                .with_selector(|selector, _| selector.revert_reroute(&reservation.target, &need));
         }
-        reservation.target.stages = previous;
-        let need = self.job.need();
-        self.worker
-            .with_selector(|selector, _| selector.revert_reroute(&reservation.target, &need));
+        outcome
     }
 
     /// Replaces a stage, and further stages that the head reports as missing. Endpoints fail, and
--- a/crates/gate/src/splice/source.rs
+++ b/crates/gate/src/splice/source.rs
@@ -187,7 +187,8 @@
                     .migration
                     .due(&forwarder.worker, &self.reservation.target)
             {
-                forwarder.migrate(&mut self.reservation, stage).await;
+                // A move that failed is planned again.
+                let _ = forwarder.migrate(&mut self.reservation, stage).await;
             }
             let wait = self.next_probe.saturating_sub(self.idle_time()).min(left);
             if let Ok(step) = timeout(wait, self.reader.next(position)).await {
