gate: a slow endpoint is awaited beside the next one until one of them accepts

What callers saw: 502 for a request that its first endpoint would have answered. The same cause as that of the responses that were cut off, before the head of the response: await_head gave a slow attempt up when one retry was left, and the next endpoint refused, failed or was slow too.

Change: send_hedged awaits both attempts. The first one that accepts the request answers it; an endpoint that refuses or fails leaves the other one where it is. Attempts count as possible runs from the moment they are sent, and are taken back when it is known that they did not run, in one place; so a dropped attempt counts as well. An attempt that loses is reported as failed for the endpoint's health, as one that was given up was before.

Ruled out: requests that run at most once are never hedged (hedge_target asks whether the kind may be repeated).

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -1,6 +1,7 @@
 //! Forwards a request to endpoints until one responds, with retries where the route allows them.
 
 pub mod attempt;
+pub mod hedge;
 pub mod migration;
 pub mod request_log;
 pub mod stall;
@@ -23,6 +24,7 @@
 use http_body_util::BodyExt;
 use rand::RngExt;
 use request_log::RequestLog;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -61,12 +63,12 @@
     pub(crate) job: Job,
     pub(crate) log: RequestLog,
     /// Endpoints that the request was sent to.
-    pub(crate) tried: Vec<Run>,
-    /// Number of attempts that may have been executed.
-    pub(crate) possible_runs: u32,
+    pub(crate) tried: RefCell<Vec<Run>>,
+    /// Number of attempts that may have been executed, or may still be.
+    pub(crate) possible_runs: Cell<u32>,
     /// Whether an attempt reached an endpoint. From then on further attempts count against the
     /// retry budget.
-    pub(crate) reached: bool,
+    pub(crate) reached: Cell<bool>,
     pub(crate) _in_flight: InFlightGuard,
 }
 
@@ -93,9 +95,9 @@
         worker,
         job,
         log,
-        tried: Vec::new(),
-        possible_runs: 0,
-        reached: false,
+        tried: RefCell::default(),
+        possible_runs: Cell::new(0),
+        reached: Cell::new(false),
         _in_flight: guard,
     };
     match forwarder.run_attempts().await {
@@ -136,18 +138,14 @@
             };
             let reservation = Reservation::new(self.worker.clone(), target);
             let limit = self.head_timeout();
-            match self.send(reservation, None, limit).await {
+            match self.send_hedged(reservation, limit).await {
                 Ok(exchange) => {
                     if let Some(reply) = self.handle_response(exchange).await {
                         return reply;
                     }
                 }
                 Err(failure) => {
-                    if failure.may_have_run() {
-                        self.possible_runs += 1;
-                    } else {
-                        unsent += 1;
-                    }
+                    unsent += u32::from(!failure.may_have_run());
                     if failure.may_have_run() && !self.job.kind().repeatable() {
                         let late = failure == Failure::TimedOut && self.job.time_left().is_zero();
                         let reason = if late {
@@ -172,7 +170,6 @@
             self.end_refused(exchange).await;
             return self.retry_or_refuse();
         }
-        self.possible_runs += 1;
         let stream = self.job.kind().stream().is_some() && status == StatusCode::OK;
         if stream {
             let source = EventSource::new(exchange, self.job.received_at);
@@ -220,7 +217,7 @@
     }
 
     /// Ends an attempt that the endpoint refused.
-    pub(crate) async fn end_refused(&mut self, exchange: Exchange<D>) {
+    pub(crate) async fn end_refused(&self, exchange: Exchange<D>) {
         let status = exchange.response.status();
         let not_run = exchange.not_run();
         self.log.record_failure(
@@ -228,6 +225,9 @@
             &describe_refusal(status, not_run, &exchange.info),
             !not_run,
         );
+        if not_run {
+            self.withdraw_run();
+        }
         let outcome = refusal_outcome(status, &exchange.info);
         let Exchange {
             conn,
@@ -254,6 +254,11 @@
         }
     }
 
+    /// Records that an attempt has not been executed and will not be.
+    pub(crate) fn withdraw_run(&self) {
+        self.possible_runs.set(self.possible_runs.get() - 1);
+    }
+
     /// Returns `None` if the request may be retried after an attempt that reached an endpoint,
     /// otherwise the final reply.
     fn retry_or_refuse(&mut self) -> Option<Reply<D>> {
@@ -266,12 +271,12 @@
     /// Returns whether the request may be retried, and takes the retry from the budget. `reached`
     /// tells whether the last attempt counts as one that reached an endpoint; retries before that
     /// are free.
-    pub(crate) fn try_retry(&mut self, reached: bool) -> bool {
-        self.reached |= reached;
-        if self.possible_runs >= self.job.route().max_attempts {
+    pub(crate) fn try_retry(&self, reached: bool) -> bool {
+        self.reached.set(self.reached.get() | reached);
+        if self.possible_runs.get() >= self.job.route().max_attempts {
             return false;
         }
-        if !self.reached {
+        if !self.reached.get() {
             return true;
         }
         let service = self.job.service().name.clone();
@@ -290,7 +295,7 @@
     /// Selects a target and reserves its capacity. Waits for free capacity for up to `max_wait`, or
     /// a fraction of the route's latency target.
     pub(crate) async fn acquire_target(
-        &mut self,
+        &self,
         max_wait: Option<Duration>,
     ) -> Result<steer::target::Target, Shortage> {
         let started = tokio::time::Instant::now();
@@ -322,13 +327,14 @@
 
     /// Selects a target for an attempt beside one at `head`, and takes the retry from the budget;
     /// `None` if the request may not be retried or no other endpoint can take it now.
-    pub(crate) fn hedge_target(&mut self, head: &Run) -> Option<Reservation<D>> {
+    pub(crate) fn hedge_target(&self, head: &Run) -> Option<Reservation<D>> {
         if !self.job.kind().repeatable() || !self.has_retry() {
             return None;
         }
         let service = self.current_service().ok()?;
         let need = self.job.need();
-        let untried = [self.tried.as_slice(), std::slice::from_ref(head)];
+        let tried = self.tried.borrow();
+        let untried = [tried.as_slice(), std::slice::from_ref(head)];
         let target = self.worker.with_selector(|selector, now| {
             let mut found = untried
                 .iter()
@@ -342,34 +348,20 @@
     /// Returns whether neither the route nor the retry budget forbids a further attempt.
     fn has_retry(&self) -> bool {
         let service = &self.job.service().name;
-        self.possible_runs < self.job.route().max_attempts
+        self.possible_runs.get() < self.job.route().max_attempts
             && self
                 .worker
                 .with_selector(|selector, now| selector.can_retry(now, service))
     }
 
-    /// Returns whether the request could be retried on another endpoint now. An attempt that is
-    /// merely idle is not abandoned before that: its endpoint may still continue, while a caller
-    /// whose response is cut off has nothing.
-    pub(crate) fn can_fail_over(&self) -> bool {
-        let last = self.possible_runs + 1 >= self.job.route().max_attempts;
-        if last || !self.job.kind().repeatable() || !self.has_retry() {
-            return false;
-        }
-        let need = self.job.need();
-        let selected = self.query_untried(|selector, now, service, tried| {
-            selector.can_select(now, service, &need, tried)
-        });
-        selected.is_ok()
-    }
-
     /// Runs a query for endpoints that were not tried yet; if there are none, for all endpoints.
     fn query_untried<T>(
         &self,
         query: impl Fn(&mut Selector, Timestamp, ServiceId, &[Run]) -> steer::Result<T>,
     ) -> steer::Result<T> {
         let service = self.current_service()?;
-        let tried = &self.tried;
+        let tried = self.tried.borrow();
+        let tried = tried.as_slice();
         self.worker
             .with_selector(|selector, now| match query(selector, now, service, tried) {
                 Err(_) if !tried.is_empty() => query(selector, now, service, &[]),
@@ -393,7 +385,7 @@
     /// Returns the maximum wait for the head of a response.
     fn head_timeout(&self) -> Duration {
         let time_left = self.job.time_left();
-        let last = self.possible_runs + 1 >= self.job.route().max_attempts;
+        let last = self.possible_runs.get() + 1 >= self.job.route().max_attempts;
         match self.job.kind() {
             Kind::Idempotent if !last => {
                 time_left.min(self.job.route().latency_target.mul_f64(HEAD_TIMEOUT_FACTOR))
@@ -404,7 +396,7 @@
 
     /// Returns the reason of a refusal after the deadline.
     fn timeout_reason(&self) -> Reason {
-        match self.possible_runs {
+        match self.possible_runs.get() {
             0 => Reason::ExpiredNotRun,
             _ => Reason::TimedOut,
         }
@@ -412,7 +404,7 @@
 
     /// Returns the refusal when no further attempt is made.
     fn exhausted(&self) -> Refusal {
-        match self.possible_runs {
+        match self.possible_runs.get() {
             0 => Refusal::with_retry_after(Reason::Unavailable, jitter(RETRY_AFTER_FULL)),
             _ if self.job.time_left().is_zero() => Refusal::new(Reason::TimedOut),
             _ => Refusal::new(Reason::OutcomeUnknown),
@@ -428,7 +420,7 @@
         });
         self.log
             .record_shortage(shortage, &scarcity.unwrap_or_default());
-        if self.possible_runs > 0 {
+        if self.possible_runs.get() > 0 {
             return Refusal::new(Reason::OutcomeUnknown);
         }
         let base = match shortage {
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -8,12 +8,14 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use steer::health::Outcome;
 use steer::target::{Stage, Target};
+use tokio::sync::Notify;
 use tokio::time::{Instant, timeout};
 
 /// The capacity that an attempt reserved at its endpoints, released when the attempt ends or is
@@ -23,6 +25,8 @@
     pub(crate) target: Target,
     /// Number of the attempt; 0 until it is sent.
     pub(crate) attempt: u32,
+    /// State that is shared with those who wait for the attempt.
+    pub(crate) progress: Rc<Progress>,
     ended: bool,
 }
 
@@ -32,6 +36,7 @@
             worker,
             target,
             attempt: 0,
+            progress: Rc::default(),
             ended: false,
         }
     }
@@ -47,12 +52,50 @@
 impl<D: Dialect> Drop for Reservation<D> {
     fn drop(&mut self) {
         if !self.ended {
-            self.worker
-                .release(self.target.reservation, Outcome::Unknown, None);
+            self.worker.release(
+                self.target.reservation,
+                self.progress.dropped_as.get(),
+                None,
+            );
         }
     }
 }
 
+/// State of an attempt that waits for its response, for those who wait for it.
+#[derive(Debug)]
+pub(crate) struct Progress {
+    /// Number of the attempt; 0 until it is sent.
+    pub(crate) attempt: Cell<u32>,
+    /// Outcome that is reported if the attempt is dropped.
+    pub(crate) dropped_as: Cell<Outcome>,
+    idle_reason: Cell<&'static str>,
+    idle: Notify,
+}
+
+impl Default for Progress {
+    fn default() -> Self {
+        Self {
+            attempt: Cell::new(0),
+            dropped_as: Cell::new(Outcome::Unknown),
+            idle_reason: Cell::new(""),
+            idle: Notify::new(),
+        }
+    }
+}
+
+impl Progress {
+    /// Waits until another endpoint should be tried, and returns the reason.
+    pub(crate) async fn idle(&self) -> &'static str {
+        self.idle.notified().await;
+        self.idle_reason.get()
+    }
+
+    fn report_idle(&self, reason: &'static str) {
+        self.idle_reason.set(reason);
+        self.idle.notify_one();
+    }
+}
+
 /// An attempt whose response head was received.
 pub(crate) struct Exchange<D: Dialect> {
     pub(crate) conn: Conn,
@@ -108,18 +151,23 @@
 
 impl<D: Dialect> Forwarder<D> {
     /// Sends the request to the head of a target and waits for up to `limit` for the response head.
-    /// A response is resumed after the event `last_event_id`.
+    /// A response is resumed after the event `last_event_id`. The attempt counts as one that may be
+    /// executed until it is known that it was not.
     pub(crate) async fn send(
-        &mut self,
+        &self,
         mut reservation: Reservation<D>,
         last_event_id: Option<u64>,
         limit: Duration,
     ) -> Result<Exchange<D>, Failure> {
         let addr = reservation.target.head().addr;
         self.tried
+            .borrow_mut()
             .extend(reservation.target.stages.iter().map(|s| s.run.clone()));
         let crossings = self.crossings(&reservation.target.stages);
-        reservation.attempt = self.log.record_sent(&reservation.target, crossings);
+        let attempt = self.log.record_sent(&reservation.target, crossings);
+        reservation.attempt = attempt;
+        reservation.progress.attempt.set(attempt);
+        self.possible_runs.set(self.possible_runs.get() + 1);
         let exchanged = self.exchange(&mut reservation, last_event_id, limit).await;
         let failure = match exchanged {
             Ok((conn, response)) => {
@@ -136,11 +184,11 @@
             }
             Err(failure) => failure,
         };
-        self.log.record_failure(
-            reservation.attempt,
-            failure.as_str(),
-            failure.may_have_run(),
-        );
+        if !failure.may_have_run() {
+            self.withdraw_run();
+        }
+        self.log
+            .record_failure(attempt, failure.as_str(), failure.may_have_run());
         self.worker.pool.close_idle(addr);
         reservation.end(Outcome::Failed, None);
         Err(failure)
@@ -181,7 +229,8 @@
     }
 
     /// Waits for the head of the response. If it is late, the head of a chain is asked what it
-    /// waits for; see [`super::stall`].
+    /// waits for; see [`super::stall`]. If another endpoint should be tried, this is reported to
+    /// those who wait for the attempt.
     async fn await_head(
         &self,
         conn: &mut Conn,
@@ -211,11 +260,8 @@
                 Verdict::Failover(reason) => Some(reason),
                 Verdict::Wait => (idle >= limit).then_some("slow"),
             };
-            if let Some(reason) = reason
-                && self.can_fail_over()
-            {
-                self.log.record_failure(reservation.attempt, reason, true);
-                return Err(Failure::TimedOut);
+            if let Some(reason) = reason {
+                reservation.progress.report_idle(reason);
             }
             next_probe = match idle < limit {
                 true => limit.min(started.elapsed() + stall::PROBE_INTERVAL),
--- a/crates/gate/src/forward/request_log.rs
+++ b/crates/gate/src/forward/request_log.rs
@@ -5,6 +5,7 @@
 use crate::refusal::Refusal;
 use journal::Journal;
 use journal::event::Event;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use steer::scarcity::Scarcity;
 use steer::shortage::Shortage;
@@ -21,8 +22,8 @@
     catalog_version: u64,
     received_at: Instant,
     first_event: Option<Instant>,
-    attempts: u32,
-    reason: &'static str,
+    attempts: Cell<u32>,
+    reason: Cell<&'static str>,
     max_pause: std::time::Duration,
     /// When the last event was sent to the caller.
     last_event: Option<Instant>,
@@ -39,8 +40,8 @@
             catalog_version: job.catalog.version,
             received_at: job.received_at,
             first_event: None,
-            attempts: 0,
-            reason: "",
+            attempts: Cell::new(0),
+            reason: Cell::new(""),
             max_pause: std::time::Duration::ZERO,
             last_event: None,
             ended: false,
@@ -48,22 +49,23 @@
     }
 
     /// Sets the reason that is recorded at the request's end.
-    pub(crate) fn set_reason(&mut self, reason: &'static str) {
-        self.reason = reason;
+    pub(crate) fn set_reason(&self, reason: &'static str) {
+        self.reason.set(reason);
     }
 
     /// Records that an attempt was sent, and returns its number.
-    pub(crate) fn record_sent(&mut self, target: &Target, crossings: u32) -> u32 {
-        self.attempts += 1;
+    pub(crate) fn record_sent(&self, target: &Target, crossings: u32) -> u32 {
+        let attempt = self.attempts.get() + 1;
+        self.attempts.set(attempt);
         self.metrics.record_attempt("sent");
         self.journal.record(Event::Sent {
             id: self.id.clone(),
-            attempt: self.attempts,
+            attempt,
             stages: stage_list(&target.stages),
             crossings,
             catalog: self.catalog_version,
         });
-        self.attempts
+        attempt
     }
 
     /// Records that a stage of an attempt was replaced.
@@ -143,7 +145,7 @@
 
     /// Ends the log of a request that the node refused or failed.
     pub(crate) fn end_refused(&mut self, refusal: Refusal) {
-        let why = match self.reason {
+        let why = match self.reason.get() {
             "" => refusal.reason.message().to_owned(),
             detail => format!("{}: {detail}", refusal.reason.message()),
         };
@@ -157,7 +159,7 @@
 
     /// Ends the log of a request whose response was cut off after it had started.
     pub(crate) fn end_truncated(&mut self) {
-        let why = self.reason.to_owned();
+        let why = self.reason.get().to_owned();
         self.end(200, "broken off", why);
     }
 
@@ -172,7 +174,7 @@
             status,
             outcome,
             why,
-            attempts: self.attempts,
+            attempts: self.attempts.get(),
             head_ms: (head_sent - self.received_at).as_millis() as u64,
             all_ms: self.received_at.elapsed().as_millis() as u64,
             pause_ms: self.max_pause.as_millis() as u64,
--- a/crates/gate/src/splice.rs
+++ b/crates/gate/src/splice.rs
@@ -202,15 +202,11 @@
                 .await
             {
                 Ok(exchange) if exchange.response.status() == StatusCode::OK => {
-                    self.forwarder.possible_runs += 1;
                     self.source = Some(EventSource::new(exchange, Instant::now()));
                     return true;
                 }
-                Ok(exchange) => {
-                    self.forwarder.possible_runs += u32::from(!exchange.not_run());
-                    self.forwarder.end_refused(exchange).await;
-                }
-                Err(failure) => self.forwarder.possible_runs += u32::from(failure.may_have_run()),
+                Ok(exchange) => self.forwarder.end_refused(exchange).await,
+                Err(_) => {}
             }
         }
         false
--- a/crates/gate/src/splice/hedge.rs
+++ b/crates/gate/src/splice/hedge.rs
@@ -36,8 +36,6 @@
         self.forwarder
             .log
             .record_idle(current.reservation.attempt, reason);
-        // The attempt counts from here on, since it may be dropped while the endpoint runs it.
-        self.forwarder.possible_runs += 1;
         let position = self.last_event_id;
         let limit = self.forwarder.job.time_left();
         let mut failure = None;
@@ -58,14 +56,10 @@
                 Some(EventSource::new(exchange, Instant::now()))
             }
             Ok(exchange) => {
-                self.forwarder.possible_runs -= u32::from(exchange.not_run());
                 self.forwarder.end_refused(exchange).await;
                 None
             }
-            Err(failure) => {
-                self.forwarder.possible_runs -= u32::from(!failure.may_have_run());
-                None
-            }
+            Err(_) => None,
         };
         match (accepted, failure) {
             (None, None) => Hedged::Declined,
