steer, gate: a tenth of the retry budget is left for responses in progress

What callers saw: a response that had begun was cut off when its endpoint's connection broke, because requests that no endpoint had answered yet had used up the retry budget. Those could still have been refused with an honest status.

Change: retries have a purpose. Those for requests without an answer may use nine tenths of what a node may use, those that resume a response whose events were sent all of it. The limit of the node is as before, so the rule for the fleet is kept by the same bound. A share with room for one retry is not divided.

Ruled out: a larger budget; USABLE_FRACTION covers nodes that restart.

Tests: a_broken_response_is_resumed_after_other_requests_used_up_their_retries failed on (events 1 and 2, cut off); retries_are_left_for_responses_in_progress and a_node_with_room_for_one_retry_takes_it_for_a_request are new. The earlier tests of the budget keep their bounds and use the kind that may take everything.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -28,6 +28,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use steer::budget::Purpose;
 use steer::health::Outcome;
 use steer::shortage::Shortage;
 use steer::{Selector, Timestamp};
@@ -155,7 +156,9 @@
                         };
                         return Reply::Refused(Refusal::new(reason));
                     }
-                    if unsent > MAX_UNSENT_ATTEMPTS || !self.try_retry(failure.may_have_run()) {
+                    if unsent > MAX_UNSENT_ATTEMPTS
+                        || !self.try_retry(failure.may_have_run(), Purpose::Answer)
+                    {
                         return Reply::Refused(self.exhausted());
                     }
                 }
@@ -185,7 +188,11 @@
             }
             return self.retry_or_refuse();
         };
-        if repeat && info.sealed && self.job.time_left() > Duration::ZERO && self.try_retry(true) {
+        if repeat
+            && info.sealed
+            && self.job.time_left() > Duration::ZERO
+            && self.try_retry(true, Purpose::Answer)
+        {
             self.log
                 .record_failure(attempt, &format!("status {status}"), true);
             return None;
@@ -262,7 +269,7 @@
     /// Returns `None` if the request may be retried after an attempt that reached an endpoint,
     /// otherwise the final reply.
     fn retry_or_refuse(&mut self) -> Option<Reply<D>> {
-        match self.try_retry(true) {
+        match self.try_retry(true, Purpose::Answer) {
             true => None,
             false => Some(Reply::Refused(self.exhausted())),
         }
@@ -271,7 +278,7 @@
     /// Returns whether the request may be retried, and takes the retry from the budget. `reached`
     /// tells whether the last attempt counts as one that reached an endpoint; retries before that
     /// are free.
-    pub(crate) fn try_retry(&self, reached: bool) -> bool {
+    pub(crate) fn try_retry(&self, reached: bool, purpose: Purpose) -> bool {
         self.reached.set(self.reached.get() | reached);
         if self.possible_runs.get() >= self.job.route().max_attempts {
             return false;
@@ -282,7 +289,7 @@
         let service = self.job.service().name.clone();
         let granted = self
             .worker
-            .with_selector(|selector, now| selector.try_retry(now, &service));
+            .with_selector(|selector, now| selector.try_retry(now, &service, purpose));
         if granted {
             crate::stats::increment(&self.worker.stats.retries);
         } else {
@@ -342,7 +349,7 @@
             found.find_map(std::result::Result::ok)
         })?;
         let target = Reservation::new(self.worker.clone(), target);
-        self.try_retry(true).then_some(target)
+        self.try_retry(true, Purpose::Answer).then_some(target)
     }
 
     /// Returns whether neither the route nor the retry budget forbids a further attempt.
@@ -351,7 +358,7 @@
         self.possible_runs.get() < self.job.route().max_attempts
             && self
                 .worker
-                .with_selector(|selector, now| selector.can_retry(now, service))
+                .with_selector(|selector, now| selector.can_retry(now, service, Purpose::Answer))
     }
 
     /// Runs a query for endpoints that were not tried yet; if there are none, for all endpoints.
--- a/crates/gate/src/splice.rs
+++ b/crates/gate/src/splice.rs
@@ -23,6 +23,7 @@
 use source::{Batch, Step};
 use std::fmt;
 use std::time::Duration;
+use steer::budget::Purpose;
 use tokio::time::Instant;
 
 pub(crate) use source::EventSource;
@@ -186,9 +187,13 @@
         if let Some(source) = self.source.take() {
             source.fail(&self.forwarder, reason);
         }
+        let purpose = match self.has_started {
+            true => Purpose::Resumption,
+            false => Purpose::Answer,
+        };
         while self.forwarder.job.kind().repeatable()
             && !self.forwarder.job.time_left().is_zero()
-            && self.forwarder.try_retry(true)
+            && self.forwarder.try_retry(true, purpose)
         {
             let Ok(target) = self.forwarder.acquire_target(Some(MAX_RESUME_WAIT)).await else {
                 self.forwarder.log.set_reason("no endpoint to go on from");
--- a/crates/gate/tests/resume.rs
+++ b/crates/gate/tests/resume.rs
@@ -249,3 +249,42 @@
         assert_eq!(head.orders(), ["r1/2", "r1/2"]);
     });
 }
+
+// Guards against responses in progress that are cut off because requests that no endpoint has
+// accepted yet used up the retry budget.
+#[test]
+fn a_broken_response_is_resumed_after_other_requests_used_up_their_retries() {
+    run(async {
+        let allowance = Allowance {
+            ratio: 1.0,
+            slack: 0.0,
+            window: Duration::from_secs(10),
+        };
+        #[allow(clippy::reversed_empty_ranges)]
+        let breaks = Behavior::EventsWithPause(1..=2, Duration::from_millis(1000), 3..=2);
+        let a = Server::start(vec![breaks, Behavior::Refuse(503)]).await;
+        let b = Server::start(vec![Behavior::Refuse(503)]).await;
+        let node = start(allowance).await;
+        let known = [a.addr, b.addr].map(|addr| stage(addr, 0, LAYERS));
+        node.shared_view
+            .store(Some(Arc::new(view(known[..1].to_vec()))));
+        let sending = send(node.addr, request("/chat/x"));
+        let others = async {
+            while a.heads().is_empty() {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            node.shared_view.store(Some(Arc::new(view(known.to_vec()))));
+            let refused = (0..40).map(|_| send(node.addr, request("/chat/x")));
+            for response in futures::future::join_all(refused).await {
+                assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+            }
+            a.set_behavior(Behavior::Events(3, 4));
+            b.set_behavior(Behavior::Events(3, 4));
+        };
+        let (response, ()) = tokio::join!(sending, others);
+        assert_eq!(
+            (ids(&response.body), response.complete),
+            (vec![1, 2, 3, 4], true)
+        );
+    });
+}
--- a/crates/gate/tests/support/server.rs
+++ b/crates/gate/tests/support/server.rs
@@ -87,6 +87,11 @@
         self.state.lock().unwrap().heads.clone()
     }
 
+    /// Applies a behavior to all further requests.
+    pub fn set_behavior(&self, behavior: Behavior) {
+        self.state.lock().unwrap().behaviors = [behavior].into();
+    }
+
     /// Sets the body of the status report.
     pub fn set_report(&self, text: String) {
         self.state.lock().unwrap().report = text;
--- a/crates/steer/src/budget.rs
+++ b/crates/steer/src/budget.rs
@@ -33,6 +33,28 @@
 /// shares and restarted stay within it.
 const MAX_STARTUP_RETRIES: f64 = 2.0;
 
+/// Fraction of the usable allowance that is reserved for responses in progress.
+const RESUMPTION_FRACTION: f64 = 0.1;
+
+/// What a retry is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// A request that no endpoint has answered yet. It can still be refused with an honest status.
+    Answer,
+    /// A response in progress, which is cut off without the retry.
+    Resumption,
+}
+
+impl Purpose {
+    /// Returns the fraction of the usable allowance that such retries may use.
+    fn fraction(self) -> f64 {
+        match self {
+            Self::Answer => 1.0 - RESUMPTION_FRACTION,
+            Self::Resumption => 1.0,
+        }
+    }
+}
+
 /// Counts of one slot.
 #[derive(Clone, Copy, Debug, Default)]
 struct Count {
@@ -54,8 +76,14 @@
     }
 
     /// Takes one retry from the budget; returns whether one was left for this node.
-    pub fn try_retry(&mut self, now: Timestamp, allowance: &Allowance, nodes: usize) -> bool {
-        let granted = self.can_retry(now, allowance, nodes);
+    pub fn try_retry(
+        &mut self,
+        now: Timestamp,
+        allowance: &Allowance,
+        nodes: usize,
+        purpose: Purpose,
+    ) -> bool {
+        let granted = self.can_retry(now, allowance, nodes, purpose);
         if granted {
             self.current_slot(now, allowance).retries += 1;
         }
@@ -63,7 +91,13 @@
     }
 
     /// Returns whether the budget has a retry left for this node.
-    pub fn can_retry(&mut self, now: Timestamp, allowance: &Allowance, nodes: usize) -> bool {
+    pub fn can_retry(
+        &mut self,
+        now: Timestamp,
+        allowance: &Allowance,
+        nodes: usize,
+        purpose: Purpose,
+    ) -> bool {
         self.current_slot(now, allowance);
         let requests: u64 = self.counts.iter().map(|c| c.requests).sum();
         let retries: u64 = self.counts.iter().map(|c| c.retries).sum();
@@ -71,7 +105,9 @@
             true => (allowance.slack / nodes.max(1) as f64).min(MAX_STARTUP_RETRIES),
             false => allowance.slack / nodes.max(1) as f64,
         };
-        let limit = USABLE_FRACTION * (allowance.ratio * requests as f64 + slack);
+        let usable = USABLE_FRACTION * (allowance.ratio * requests as f64 + slack);
+        // A small allowance has room for one retry of either kind.
+        let limit = (usable * purpose.fraction()).max(usable.min(1.0));
         (retries + 1) as f64 <= limit
     }
 
--- a/crates/steer/src/selector.rs
+++ b/crates/steer/src/selector.rs
@@ -4,7 +4,7 @@
 mod departing;
 mod reroute;
 
-use crate::budget::{Allowance, Budget};
+use crate::budget::{Allowance, Budget, Purpose};
 use crate::chain::Need;
 use crate::fleet::Fleet;
 use crate::health::Outcome;
@@ -382,17 +382,19 @@
     }
 
     /// Takes one retry for `service` from the retry budget; returns whether one was left.
-    pub fn try_retry(&mut self, now: Timestamp, service: &str) -> bool {
+    pub fn try_retry(&mut self, now: Timestamp, service: &str, purpose: Purpose) -> bool {
         let nodes = self.fleet.budget_nodes.max(self.fleet.nodes);
         let allowance = self.allowance;
-        self.budget(service).try_retry(now, &allowance, nodes)
+        self.budget(service)
+            .try_retry(now, &allowance, nodes, purpose)
     }
 
     /// Returns whether the retry budget has a retry left for `service`.
-    pub fn can_retry(&mut self, now: Timestamp, service: &str) -> bool {
+    pub fn can_retry(&mut self, now: Timestamp, service: &str, purpose: Purpose) -> bool {
         let nodes = self.fleet.budget_nodes.max(self.fleet.nodes);
         let allowance = self.allowance;
-        self.budget(service).can_retry(now, &allowance, nodes)
+        self.budget(service)
+            .can_retry(now, &allowance, nodes, purpose)
     }
 
     fn budget(&mut self, service: &str) -> &mut Budget {
--- a/crates/steer/tests/budget.rs
+++ b/crates/steer/tests/budget.rs
@@ -3,7 +3,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
-use steer::budget::{Allowance, Budget};
+use steer::budget::{Allowance, Budget, Purpose};
 
 const ALLOWANCE: Allowance = Allowance {
     ratio: 0.2,
@@ -28,7 +28,7 @@
             let node = rng.random_range(0..NODES);
             budgets[node].record_request(now, &ALLOWANCE);
             requests.push(now);
-            if budgets[node].try_retry(now, &ALLOWANCE, NODES) {
+            if budgets[node].try_retry(now, &ALLOWANCE, NODES, Purpose::Resumption) {
                 retries.push(now);
             }
         }
@@ -48,13 +48,13 @@
     let mut budget = Budget::default();
     let mut granted = 0;
     // A node knows the other nodes after its first window; before that it takes fewer retries.
-    while budget.try_retry(Duration::from_secs(20), &ALLOWANCE, 1) {
+    while budget.try_retry(Duration::from_secs(20), &ALLOWANCE, 1, Purpose::Resumption) {
         granted += 1;
     }
     // Four fifths of the fixed part; the rest is reserved for nodes that restart.
     assert_eq!(granted, 32);
-    assert!(!budget.try_retry(Duration::from_secs(29), &ALLOWANCE, 1));
-    assert!(budget.try_retry(Duration::from_secs(32), &ALLOWANCE, 1));
+    assert!(!budget.try_retry(Duration::from_secs(29), &ALLOWANCE, 1, Purpose::Resumption));
+    assert!(budget.try_retry(Duration::from_secs(32), &ALLOWANCE, 1, Purpose::Resumption));
 }
 
 // All nodes restart at the same time. None of them knows another one yet, so each would take the
@@ -64,7 +64,7 @@
     let mut granted = 0;
     for _ in 0..10 {
         let mut budget = Budget::default();
-        while budget.try_retry(Duration::from_secs(1), &ALLOWANCE, 1) {
+        while budget.try_retry(Duration::from_secs(1), &ALLOWANCE, 1, Purpose::Resumption) {
             granted += 1;
         }
     }
@@ -126,9 +126,39 @@
         let now = start + step * number as u32;
         let budget = &mut budgets[number % nodes];
         budget.record_request(now, allowance);
-        while budget.try_retry(now, allowance, known) {
+        while budget.try_retry(now, allowance, known, Purpose::Resumption) {
             spent += 1;
         }
     }
     spent
 }
+
+// Guards against responses in progress that are cut off because requests that no endpoint has
+// answered yet took every retry. Both kinds together stay within the limit of the node.
+#[test]
+fn retries_are_left_for_responses_in_progress() {
+    let now = Duration::from_secs(20);
+    let mut budget = Budget::default();
+    let mut count = |purpose| {
+        (0..100)
+            .filter(|_| budget.try_retry(now, &ALLOWANCE, 1, purpose))
+            .count()
+    };
+    assert_eq!(
+        (count(Purpose::Answer), count(Purpose::Resumption)),
+        (28, 4)
+    );
+}
+
+// Guards against a small share of the allowance that is left unused.
+#[test]
+fn a_node_with_room_for_one_retry_takes_it_for_a_request() {
+    let now = Duration::from_secs(20);
+    let mut budget = Budget::default();
+    let allowance = Allowance {
+        slack: 1.25,
+        ..ALLOWANCE
+    };
+    assert!(budget.try_retry(now, &allowance, 1, Purpose::Answer));
+    assert!(!budget.try_retry(now, &allowance, 1, Purpose::Resumption));
+}
