gate, platform: the log shows the rest that an endpoint asks for

The line failed shows it: "status 503, not run, retry after 3000 ms". No decision depends on it yet.

--- a/crates/gate/src/dialect.rs
+++ b/crates/gate/src/dialect.rs
@@ -53,6 +53,8 @@
     pub faulty_stage: Option<SocketAddr>,
     /// How long the endpoint keeps an idle connection open.
     pub idle_timeout: Option<Duration>,
+    /// How long the endpoint asks to be left alone, if it refused the request.
+    pub retry_after: Option<Duration>,
 }
 
 /// A request that is blocked on another endpoint of its chain.
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -432,14 +432,19 @@
     }
 }
 
-/// Describes a refusal for the log, with the faulty stage that the head of a chain reported.
+/// Describes a refusal for the log, with the faulty stage that the head of a chain reported and the
+/// rest that the endpoint asked for.
 fn describe_refusal(status: StatusCode, not_run: bool, info: &ResponseInfo) -> String {
     let run = if not_run { ", not run" } else { "" };
     let stage = info.faulty_stage.map(|c| format!(", for {c}"));
+    let rest = info
+        .retry_after
+        .map(|r| format!(", retry after {} ms", r.as_millis()));
     format!(
-        "status {}{run}{}",
+        "status {}{run}{}{}",
         status.as_u16(),
-        stage.unwrap_or_default()
+        stage.unwrap_or_default(),
+        rest.unwrap_or_default()
     )
 }
 
--- a/crates/gate/tests/support/dialect.rs
+++ b/crates/gate/tests/support/dialect.rs
@@ -57,6 +57,7 @@
             sealed: headers.contains_key("seal"),
             faulty_stage: text(headers, "culprit").and_then(|a| a.parse().ok()),
             idle_timeout: None,
+            retry_after: number(headers, "rest").map(Duration::from_millis),
         }
     }
 
