--- a/crates/gate/tests/support/server.rs
+++ b/crates/gate/tests/support/server.rs
@@ -15,6 +15,13 @@
     Answer(u16, &'static str),
     /// Responds with this status and states that the request was not executed.
     Refuse(u16),
+    /// Responds with 503, states that the request was not executed, and asks to be left alone for
+    /// this time.
+    AskForRest(Duration),
+    /// Like `AskForRest`, with the address of the stage at fault.
+    AskForRestBecauseOf(Duration, SocketAddr),
+    /// Like `AskForRest`, with the id of another request.
+    AskForRestAsOtherRequest(Duration),
     /// Responds with the id of another request.
     OtherRequest,
     /// Responds without a seal.
@@ -155,6 +162,21 @@
                 let headers = format!("id: {id}\r\nunrun: 1\r\n");
                 write(stream, &answer(status, &headers, "")).await
             }
+            Behavior::AskForRest(time) => {
+                let headers = format!("id: {id}\r\nunrun: 1\r\nrest: {}\r\n", time.as_millis());
+                write(stream, &answer(503, &headers, "")).await
+            }
+            Behavior::AskForRestBecauseOf(time, stage) => {
+                let rest = time.as_millis();
+                let headers =
+                    format!("id: {id}\r\nunrun: 1\r\nrest: {rest}\r\nculprit: {stage}\r\n");
+                write(stream, &answer(503, &headers, "")).await
+            }
+            Behavior::AskForRestAsOtherRequest(time) => {
+                let rest = time.as_millis();
+                let headers = format!("id: other\r\nunrun: 1\r\nrest: {rest}\r\n");
+                write(stream, &answer(503, &headers, "")).await
+            }
             Behavior::OtherRequest => {
                 write(stream, &answer(200, "id: other\r\nseal: s\r\n", "x")).await
             }
