gate, steer: an endpoint that asks for rest gets none of this node's requests until its end

What callers saw: a first attempt that was refused and a retry of the budget for each request that chose the endpoint; on a fleet without a second chain, refusals with a time at which they would be refused again.

Cause: nothing read the time that a 503 asks for. The endpoint was passed over for 120 ms (health::FULL_BACKOFF), and a success of an attempt that began before the refusal ended even that. Ruled out by the lines of the run: retries, hedges and stages as the way there; all 124 requests were first attempts to the head of a chain.

Change: - steer::rest holds the rest of a row apart from its health. Responses, load reports and views leave it alone, also a view that does not list the endpoint; it ends with its time or with the run, a later one never shortens it, and 600 s bound it. - Row::available_from is the one place that says from when requests may be sent, for whole requests and stages, first attempts, retries, hedges and reroutes. Before a request is written to a connection that took time to establish, also when it is sent again on a new one, the target is checked once more (Selector::rests). - Forwarder::send reads the rest from every head of a response that is genuine, whoever waits for the attempt. The request is refused at once unless it can be served within its queue time, with the first time at which it can be served as Retry-After, spread over 0.1 to 1 s. A lack of capacity or a failed endpoint is not attributed to rests. - The dump shows the time of the process and the end of each rest.

All 126 tests of steer, gate and the adapter pass. Not shown by a test: the check after a connection was established; on the loopback interface it takes no time.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -25,6 +25,7 @@
 use rand::RngExt;
 use request_log::RequestLog;
 use std::cell::{Cell, RefCell};
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -53,6 +54,9 @@
 /// Retry-after delay when endpoints are missing: about the time in which an endpoint loads its
 /// layers.
 const RETRY_AFTER_MISSING: Duration = Duration::from_millis(800);
+/// Range of the time over which the callers that were refused are spread after the end of a rest; in
+/// between, it is as long as what is left of the rest.
+const REST_SPREAD: RangeInclusive<Duration> = Duration::from_millis(100)..=Duration::from_secs(1);
 /// Retry-after delay when no endpoint is large enough for the request: an additional endpoint is
 /// needed.
 const RETRY_AFTER_TOO_LARGE: Duration = Duration::from_secs(3);
@@ -228,7 +232,7 @@
         if not_run {
             self.withdraw_run();
         }
-        let outcome = refusal_outcome(status, &exchange.info);
+        let outcome = refusal_outcome(&exchange);
         let Exchange {
             conn,
             response,
@@ -318,10 +322,16 @@
                 Err(shortage) => shortage,
             };
             let waited = started.elapsed();
-            if shortage == Shortage::Size || waited >= max_wait {
+            let remaining = max_wait.saturating_sub(waited);
+            let in_vain = match shortage {
+                Shortage::Size => true,
+                Shortage::Rest { until } => until > self.worker.now() + remaining,
+                _ => false,
+            };
+            if in_vain || remaining.is_zero() {
                 return Err(shortage);
             }
-            self.worker.wait_for_capacity(max_wait - waited).await;
+            self.worker.wait_for_capacity(remaining).await;
         }
     }
 
@@ -423,12 +433,17 @@
         if self.possible_runs.get() > 0 {
             return Refusal::new(Reason::OutcomeUnknown);
         }
-        let base = match shortage {
-            Shortage::Capacity => RETRY_AFTER_FULL,
-            Shortage::Endpoints | Shortage::Layers => RETRY_AFTER_MISSING,
-            Shortage::Size => RETRY_AFTER_TOO_LARGE,
+        let retry_after = match shortage {
+            Shortage::Capacity => jitter(RETRY_AFTER_FULL),
+            Shortage::Endpoints | Shortage::Layers => jitter(RETRY_AFTER_MISSING),
+            Shortage::Size => jitter(RETRY_AFTER_TOO_LARGE),
+            Shortage::Rest { until } => {
+                let left = until.saturating_sub(self.worker.now());
+                let spread = left.clamp(*REST_SPREAD.start(), *REST_SPREAD.end());
+                left + spread.mul_f64(rand::rng().random_range(0.0..1.0))
+            }
         };
-        Refusal::with_retry_after(Reason::Unavailable, jitter(base))
+        Refusal::with_retry_after(Reason::Unavailable, retry_after)
     }
 }
 
@@ -448,12 +463,15 @@
     )
 }
 
-/// Returns what a refusal implies for the health of the endpoint.
-fn refusal_outcome(status: StatusCode, info: &ResponseInfo) -> Outcome {
-    match status {
-        StatusCode::MISDIRECTED_REQUEST => Outcome::Misdirected,
-        _ if info.faulty_stage.is_some() => Outcome::Missing,
-        _ => Outcome::Full,
+/// Returns what a refusal implies for the health of the endpoint at fault.
+fn refusal_outcome<D: Dialect>(exchange: &Exchange<D>) -> Outcome {
+    let head = exchange.reservation.target.head().addr;
+    match exchange.info.faulty_stage {
+        _ if exchange.response.status() == StatusCode::MISDIRECTED_REQUEST => Outcome::Misdirected,
+        // A head that asks for rest is busy and not missing.
+        Some(stage) if stage == head && exchange.rest().is_some() => Outcome::Full,
+        Some(_) => Outcome::Missing,
+        None => Outcome::Full,
     }
 }
 
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -13,6 +13,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
+use steer::Selector;
 use steer::health::Outcome;
 use steer::target::{Stage, Target};
 use tokio::sync::Notify;
@@ -109,6 +110,19 @@
     pub(crate) fn not_run(&self) -> bool {
         self.info.not_run || self.response.status() == StatusCode::MISDIRECTED_REQUEST
     }
+
+    /// Returns the time for which the endpoint asks to be left alone.
+    pub(crate) fn rest(&self) -> Option<Duration> {
+        let refused = self.response.status() == StatusCode::SERVICE_UNAVAILABLE;
+        self.info
+            .retry_after
+            .filter(|rest| refused && !rest.is_zero())
+    }
+
+    /// Returns whether the endpoint answers the request.
+    pub(crate) fn is_accepted(&self) -> bool {
+        !self.not_run() && !self.response.status().is_server_error()
+    }
 }
 
 /// Why an attempt got no response head.
@@ -116,6 +130,8 @@
 pub(crate) enum Failure {
     /// No connection, or one that was closed before the request was sent.
     Unsent,
+    /// An endpoint of the target asked for rest before the request was sent.
+    Resting,
     /// The connection broke.
     Broken,
     /// No response within the time limit.
@@ -127,12 +143,13 @@
 impl Failure {
     /// Returns whether the request may have reached the endpoint and have been executed.
     pub(crate) fn may_have_run(self) -> bool {
-        self != Self::Unsent
+        !matches!(self, Self::Unsent | Self::Resting)
     }
 
     fn as_str(self) -> &'static str {
         match self {
             Self::Unsent => "no connection",
+            Self::Resting => "endpoint at rest",
             Self::Broken => "connection broke",
             Self::TimedOut => "no response head before the timeout",
             Self::Unverified => "response belongs to another request or has no seal",
@@ -173,12 +190,14 @@
             Ok((conn, response)) => {
                 let info = self.worker.dialect.response_info(response.headers());
                 if self.is_genuine(&response, &info) {
-                    return Ok(Exchange {
+                    let exchange = Exchange {
                         conn,
                         response,
                         info,
                         reservation,
-                    });
+                    };
+                    self.record_head(&exchange);
+                    return Ok(exchange);
                 }
                 Failure::Unverified
             }
@@ -189,11 +208,40 @@
         }
         self.log
             .record_failure(attempt, failure.as_str(), failure.may_have_run());
-        self.worker.pool.close_idle(addr);
-        reservation.end(Outcome::Failed, None);
+        let outcome = match failure {
+            Failure::Resting => Outcome::Unknown,
+            _ => {
+                self.worker.pool.close_idle(addr);
+                Outcome::Failed
+            }
+        };
+        reservation.end(outcome, None);
         Err(failure)
     }
 
+    /// Records whether the endpoint accepted the request, or asks for rest. The rest is that of the
+    /// endpoint that answers, whichever stage is at fault.
+    fn record_head(&self, exchange: &Exchange<D>) {
+        let target = &exchange.reservation.target;
+        self.worker
+            .with_selector(|selector, now| match exchange.rest() {
+                Some(rest) => selector.record_rest(now, &target.head().run, rest),
+                None if exchange.is_accepted() => selector.record_accepted(target.reservation),
+                None => {}
+            });
+    }
+
+    /// Returns a connection to the head of a target, unless an endpoint of the target asked for rest
+    /// while it was established.
+    async fn connect(&self, target: &Target) -> Result<Conn, Failure> {
+        let conn = self.worker.pool.get(target.head().addr).await?;
+        let rests = |selector: &mut Selector, now| selector.rests(now, target);
+        match self.worker.with_selector(rests) {
+            true => Err(Failure::Resting),
+            false => Ok(conn),
+        }
+    }
+
     /// Returns the number of hops between availability zones, for the log.
     pub(crate) fn crossings(&self, stages: &[Stage]) -> u32 {
         self.worker
@@ -207,7 +255,7 @@
         limit: Duration,
     ) -> Result<(Conn, Response<Incoming>), Failure> {
         let addr = reservation.target.head().addr;
-        let mut conn = self.worker.pool.get(addr).await?;
+        let mut conn = self.connect(&reservation.target).await?;
         let request = self.request(&reservation.target, last_event_id);
         match self
             .await_head(&mut conn, request, reservation, limit)
@@ -217,7 +265,7 @@
             // one.
             Err(Failure::Unsent) => {
                 self.worker.pool.close_idle(addr);
-                let mut conn = self.worker.pool.get(addr).await?;
+                let mut conn = self.connect(&reservation.target).await?;
                 let request = self.request(&reservation.target, last_event_id);
                 let response = self
                     .await_head(&mut conn, request, reservation, limit)
--- a/crates/gate/src/forward/hedge.rs
+++ b/crates/gate/src/forward/hedge.rs
@@ -56,14 +56,14 @@
                 sent = &mut second.sent => Ok(sent),
             };
             match sent {
-                Err(Ok(exchange)) if is_accepted(&exchange) => return Ok(exchange),
+                Err(Ok(exchange)) if exchange.is_accepted() => return Ok(exchange),
                 Err(sent) => {
                     if let Ok(exchange) = sent {
                         self.end_refused(exchange).await;
                     }
                     first = second;
                 }
-                Ok(Ok(exchange)) if is_accepted(&exchange) => {
+                Ok(Ok(exchange)) if exchange.is_accepted() => {
                     self.log
                         .record_failure(first.progress.attempt.get(), reason, true);
                     first.progress.dropped_as.set(Outcome::Failed);
@@ -92,8 +92,3 @@
         }
     }
 }
-
-/// Returns whether an endpoint answers the request.
-fn is_accepted<D: Dialect>(exchange: &Exchange<D>) -> bool {
-    !exchange.not_run() && !exchange.response.status().is_server_error()
-}
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -258,7 +258,9 @@
         };
         let control = control.and_then(|c| c.ok());
         let control = control.unwrap_or_else(|| "control does not answer\n".to_owned());
-        format!("{}{}{control}", self.stats, self.selector.borrow())
+        let time = self.now().as_secs_f64();
+        let selector = self.selector.borrow();
+        format!("time {time:.3}\n{}{selector}{control}", self.stats)
     }
 
     /// Serves a request of a caller.
--- a/crates/gate/tests/rest.rs
+++ b/crates/gate/tests/rest.rs
@@ -267,6 +267,20 @@
     });
 }
 
+// Guards against a rest that counts as a failure, with its longer and longer ejections, because the
+// head names itself as the stage at fault.
+#[test]
+fn a_head_that_asks_for_rest_has_not_failed() {
+    run(async {
+        let server = Server::start(Vec::new()).await;
+        server.add_behavior(Behavior::AskForRestBecauseOf(LONG, server.addr));
+        let node = node(vec![stage(server.addr, 0, LAYERS)]).await;
+        send(node.addr, request("/chat/x")).await;
+        let dump = node.worker.dump().await;
+        assert!(dump.contains("failures 0 rest until"), "{dump}");
+    });
+}
+
 // Guards against a response to another request, which may come from another endpoint, that puts an
 // endpoint to rest.
 #[test]
--- a/crates/gate/tests/support/server.rs
+++ b/crates/gate/tests/support/server.rs
@@ -94,6 +94,11 @@
         self.state.lock().unwrap().heads.clone()
     }
 
+    /// Adds a behavior after the others.
+    pub fn add_behavior(&self, behavior: Behavior) {
+        self.state.lock().unwrap().behaviors.push_back(behavior);
+    }
+
     /// Sets the body of the status report.
     pub fn set_report(&self, text: String) {
         self.state.lock().unwrap().report = text;
--- a/crates/steer/src/health.rs
+++ b/crates/steer/src/health.rs
@@ -50,6 +50,11 @@
         self.ejected_until.is_none_or(|until| now >= until)
     }
 
+    /// Returns the end of the ejection, if any.
+    pub fn ejected_until(&self) -> Option<Timestamp> {
+        self.ejected_until
+    }
+
     /// Returns the number of failures since the last success.
     pub fn failures(&self) -> u32 {
         self.failures
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -17,6 +17,7 @@
 mod jitter;
 pub mod link;
 pub mod load;
+pub mod rest;
 pub mod row;
 pub mod scarcity;
 mod search;
--- a/crates/steer/src/row.rs
+++ b/crates/steer/src/row.rs
@@ -3,6 +3,7 @@
 use crate::Timestamp;
 use crate::health::{Health, Outcome};
 use crate::load::{Load, Snapshot};
+use crate::rest::Rest;
 use catalog::endpoint::{Endpoint, State};
 use catalog::engine::Engine;
 use std::time::Duration;
@@ -21,6 +22,8 @@
     pub endpoint: Endpoint,
     /// Health, by the outcomes of recent attempts.
     pub health: Health,
+    /// Rest that the endpoint asked for, until it accepts a request again.
+    pub rest: Option<Rest>,
     /// Number of requests of this worker.
     pub in_flight: u32,
     /// Capacity that these requests reserve, in token-layers.
@@ -56,6 +59,7 @@
         Self {
             endpoint,
             health: Health::default(),
+            rest: None,
             in_flight: 0,
             reserved: 0.0,
             capacity: 0.0,
@@ -123,9 +127,31 @@
         Outcome::Full
     }
 
-    /// Returns whether new requests may be sent to the endpoint.
+    /// Returns whether new requests may be sent to the endpoint, as the only stage, as the head of a
+    /// chain or as a further stage.
     pub fn is_available(&self, now: Timestamp) -> bool {
+        self.available_from().is_some_and(|from| now >= from)
+    }
+
+    /// Returns the time from which new requests may be sent to the endpoint; `None` if that does not
+    /// depend on time.
+    pub fn available_from(&self) -> Option<Timestamp> {
         let serving = self.endpoint.state == State::Ready && !self.releasing;
-        serving && !self.reported_failed && self.health.is_usable(now)
+        let ejected_until = self.health.ejected_until().unwrap_or_default();
+        let next_request = self.rest.map_or(Timestamp::ZERO, |r| r.next_request());
+        (serving && !self.reported_failed).then(|| ejected_until.max(next_request))
+    }
+
+    /// Returns whether the endpoint serves and asked for rest, or is not yet used in full after one.
+    pub fn is_resting(&self, now: Timestamp) -> bool {
+        let rests = self.rest.is_some_and(|rest| now < rest.next_request());
+        rests && self.available_from().is_some()
+    }
+
+    /// Records that a request is sent to the endpoint.
+    pub fn record_request(&mut self, now: Timestamp) {
+        if let Some(rest) = &mut self.rest {
+            rest.record_request(now);
+        }
     }
 }
--- a/crates/steer/src/selector.rs
+++ b/crates/steer/src/selector.rs
@@ -3,12 +3,14 @@
 mod chain;
 mod departing;
 mod reroute;
+mod resting;
 
 use crate::budget::{Allowance, Budget};
 use crate::chain::Need;
 use crate::fleet::Fleet;
 use crate::health::Outcome;
 use crate::link::Links;
+use crate::rest::Rest;
 use crate::row::Row;
 use crate::scarcity::Scarcity;
 use crate::search::{self, Segment};
@@ -53,6 +55,8 @@
     allowance: Allowance,
     rows: Vec<Row>,
     index: HashMap<Run, usize>,
+    /// Rests of endpoints that the last fleet does not list.
+    unlisted_rests: HashMap<Run, Rest>,
     zones: Vec<String>,
     reservations: BTreeMap<ReservationId, Reservation>,
     budgets: BTreeMap<String, Budget>,
@@ -72,6 +76,7 @@
             allowance,
             rows: Vec::new(),
             index: HashMap::new(),
+            unlisted_rests: HashMap::new(),
             zones: Vec::new(),
             reservations: BTreeMap::new(),
             budgets: BTreeMap::new(),
@@ -98,7 +103,10 @@
                     zone,
                     ..row
                 },
-                None => Row::new(endpoint.clone(), zone),
+                None => Row {
+                    rest: self.unlisted_rests.remove(&endpoint.run),
+                    ..Row::new(endpoint.clone(), zone)
+                },
             };
             if let Some(engine) = engine_of(&fleet, &endpoint.service) {
                 row.apply_engine(engine);
@@ -112,6 +120,7 @@
             self.index.insert(endpoint.run.clone(), self.rows.len());
             self.rows.push(row);
         }
+        self.keep_rests(now, previous);
         self.fleet = fleet;
     }
 
@@ -180,9 +189,14 @@
         let service = catalog.service(service).ok_or(Shortage::Endpoints)?;
         match &service.engine {
             Some(engine) => self.chain(now, service, engine, need, tried),
-            None => self
-                .least_loaded(now, service, tried)
-                .map(|segment| vec![segment]),
+            None => {
+                let found = self.least_loaded(now, service, tried);
+                found.map(|segment| vec![segment]).map_err(|shortage| {
+                    self.attribute(now, shortage, &service.name, tried, |rows, _| {
+                        rows.first().map(|_| ()).ok_or(shortage)
+                    })
+                })
+            }
         }
     }
 
@@ -232,6 +246,7 @@
         // The next request draws other factors than this one.
         self.rng.set_stream(self.next_reservation);
         let (shares, stages) = self.reserve_segments(segments, tokens);
+        self.record_requests(now, segments);
         let began = now;
         self.reservations
             .insert(reservation, Reservation { began, shares });
@@ -494,13 +509,17 @@
                 " {:?} layers {} flying {}",
                 endpoint.state, endpoint.span, row.in_flight
             )?;
-            writeln!(
+            write!(
                 f,
                 " held {:.0} of {:.0} failures {}",
                 row.reserved,
                 row.capacity,
                 row.health.failures()
             )?;
+            if let Some(rest) = &row.rest {
+                write!(f, " rest until {:.3}", rest.until().as_secs_f64())?;
+            }
+            writeln!(f)?;
         }
         Ok(())
     }
--- a/crates/steer/src/selector/chain.rs
+++ b/crates/steer/src/selector/chain.rs
@@ -34,18 +34,38 @@
         tried: &[Run],
     ) -> Result<Vec<Segment>> {
         let increments = self.rng.random_range(0..unreported::INCREMENTS);
-        let flow = self.flow(service, engine);
-        let usable = |row: &Row| {
+        let usable = self.rows_where(|row| {
             let endpoint = &row.endpoint;
             endpoint.service == service.name
                 && row.is_available(now)
                 && !tried.contains(&endpoint.run)
-        };
-        let usable = self.rows_where(usable);
+        });
+        let found = self.chain_of(now, service, engine, need, &usable, increments);
+        found.map_err(|shortage| {
+            let residence = self.flow(service, engine).residence();
+            self.attribute(now, shortage, &service.name, tried, |rows, at| {
+                let candidates = self.candidates(now, residence, rows);
+                let search = self.search(at, engine, residence, &candidates);
+                search.cheapest_chain(need).map(|_| ())
+            })
+        })
+    }
+
+    /// Returns the cheapest chain of the usable rows.
+    fn chain_of(
+        &self,
+        now: Timestamp,
+        service: &Service,
+        engine: &Engine,
+        need: &Need,
+        usable: &[usize],
+        increments: u32,
+    ) -> Result<Vec<Segment>> {
+        let flow = self.flow(service, engine);
         if usable.is_empty() {
             return Err(Shortage::Endpoints);
         }
-        self.search_shortlist(engine, &usable, |listed| {
+        self.search_shortlist(engine, usable, |listed| {
             let candidates = self.candidates(now, flow.residence(), listed.rows);
             self.chain_after_others(
                 now,
--- a/crates/steer/src/selector/reroute.rs
+++ b/crates/steer/src/selector/reroute.rs
@@ -86,6 +86,7 @@
         let zones: Vec<usize> = zones.collect();
         self.record_hops(now, &zones, search::bits(engine, need));
         let (shares, stages) = self.reserve_segments(&segments, need.tokens());
+        self.record_requests(now, &segments);
         self.replace_share(target.reservation, faulty_stage, shares);
         Ok(gap.with_replacement(stages))
     }
--- a/crates/steer/src/shortage.rs
+++ b/crates/steer/src/shortage.rs
@@ -1,5 +1,7 @@
 //! Reasons why a request finds no target.
 
+use crate::Timestamp;
+
 /// Reason why no endpoint can take a request now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Shortage {
@@ -11,6 +13,11 @@
     Capacity,
     /// The request is larger than the memory of any chain.
     Size,
+    /// The endpoints that could take the request rest; enough of them are available from `until`.
+    Rest {
+        /// Time from which the request can be taken.
+        until: Timestamp,
+    },
 }
 
 impl Shortage {
@@ -21,6 +28,7 @@
             Self::Layers => "layers missing",
             Self::Capacity => "no room",
             Self::Size => "too large",
+            Self::Rest { .. } => "endpoints at rest",
         }
     }
 }
