route: the jitter does not shorten a delay that an endpoint asked for

No caller saw more than a refused attempt. Now 1 to 2 times; the router's own backoff stays at 0.5 to 1.5 times its setting.

--- a/crates/route/src/router/recover.rs
+++ b/crates/route/src/router/recover.rs
@@ -55,10 +55,11 @@
     /// Records a failure against its endpoint; returns whether the endpoint is to be ejected.
     fn record_failure(&mut self, now: Now, endpoint: EndpointId, failure: &Failure) -> bool {
         let jitter: f64 = self.rng.random_range(0.5..1.5);
-        let busy_backoff = failure
-            .retry_after
-            .unwrap_or(self.settings.busy_backoff)
-            .mul_f64(jitter);
+        // The jitter must not shorten a delay that the endpoint asked for.
+        let busy_backoff = match failure.retry_after {
+            Some(delay) => delay.mul_f64(jitter + 0.5),
+            None => self.settings.busy_backoff.mul_f64(jitter),
+        };
         let Some(row) = self.fleet.get_mut(endpoint) else {
             return false;
         };
