route: a delay that no time can hold does not end the node

One wrong frame of one endpoint was enough. The delay is now bounded by 600 s, which also bounds how long a wrong value keeps an endpoint out of use.

--- a/crates/route/src/router/recover.rs
+++ b/crates/route/src/router/recover.rs
@@ -18,6 +18,9 @@
 const LEAVING_BACKOFF: Duration = Duration::from_secs(5);
 /// Time without new work for an endpoint that does not serve a model yet.
 const UNFIT_BACKOFF: Duration = Duration::from_secs(1);
+/// Maximum delay that an endpoint can ask for. It bounds how long a wrong value keeps an endpoint
+/// out of use.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(600);
 
 impl Router {
     pub(super) fn failed(&mut self, now: Now, id: Id, attempt: Attempt, failure: &Failure) {
@@ -57,7 +60,7 @@
         let jitter: f64 = self.rng.random_range(0.5..1.5);
         // The jitter must not shorten a delay that the endpoint asked for.
         let busy_backoff = match failure.retry_after {
-            Some(delay) => delay.mul_f64(jitter + 0.5),
+            Some(delay) => delay.min(MAX_RETRY_AFTER).mul_f64(jitter + 0.5),
             None => self.settings.busy_backoff.mul_f64(jitter),
         };
         let Some(row) = self.fleet.get_mut(endpoint) else {
