--- a/crates/steer/src/selector.rs
+++ b/crates/steer/src/selector.rs
@@ -2,6 +2,7 @@
 
 mod chain;
 mod departing;
+mod dump;
 mod reroute;
 mod resting;
 
@@ -26,7 +27,6 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, HashMap};
-use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -487,40 +487,3 @@
     let mut found = services.filter(|s| s.name == service);
     found.next()?.engine.as_ref()
 }
-
-/// Formats the state for the dump.
-impl fmt::Display for Selector {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(
-            f,
-            "attempts {} nodes {}",
-            self.reservations.len(),
-            self.fleet.nodes
-        )?;
-        for row in &self.rows {
-            let endpoint = &row.endpoint;
-            write!(
-                f,
-                "endpoint {} {} {}",
-                endpoint.run, endpoint.addr, endpoint.service
-            )?;
-            write!(
-                f,
-                " {:?} layers {} flying {}",
-                endpoint.state, endpoint.span, row.in_flight
-            )?;
-            write!(
-                f,
-                " held {:.0} of {:.0} failures {}",
-                row.reserved,
-                row.capacity,
-                row.health.failures()
-            )?;
-            if let Some(rest) = &row.rest {
-                write!(f, " rest until {:.3}", rest.until().as_secs_f64())?;
-            }
-            writeln!(f)?;
-        }
-        Ok(())
-    }
-}
--- /dev/null
+++ b/crates/steer/src/selector/dump.rs
@@ -0,0 +1,40 @@
+//! The selector's part of the state dump.
+
+use super::Selector;
+use std::fmt;
+
+impl fmt::Display for Selector {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "attempts {} nodes {}",
+            self.reservations.len(),
+            self.fleet.nodes
+        )?;
+        for row in &self.rows {
+            let endpoint = &row.endpoint;
+            write!(
+                f,
+                "endpoint {} {} {}",
+                endpoint.run, endpoint.addr, endpoint.service
+            )?;
+            write!(
+                f,
+                " {:?} layers {} flying {}",
+                endpoint.state, endpoint.span, row.in_flight
+            )?;
+            write!(
+                f,
+                " held {:.0} of {:.0} failures {}",
+                row.reserved,
+                row.capacity,
+                row.health.failures()
+            )?;
+            if let Some(rest) = &row.rest {
+                write!(f, " rest until {:.3}", rest.until().as_secs_f64())?;
+            }
+            writeln!(f)?;
+        }
+        Ok(())
+    }
+}
