--- a/crates/gate/tests/rest.rs
+++ b/crates/gate/tests/rest.rs
@@ -150,6 +150,27 @@
     });
 }
 
+// Guards against a stated time that is too early: a caller that returns then would be refused again.
+#[test]
+fn callers_that_return_at_the_stated_time_are_served() {
+    run(async {
+        let rest = Behavior::AskForRest(Duration::from_millis(500));
+        let server = Server::start(vec![rest, answer()]).await;
+        let node = node(vec![plain(server.addr)]).await;
+        send(node.addr, request("/once/x")).await;
+        let callers = (0..20).map(|_| async {
+            let refused = assert_refused_at_once(&node, "/once/x").await;
+            tokio::time::sleep(Duration::from_secs_f64(retry_after(&refused))).await;
+            send(node.addr, request("/once/x")).await.status
+        });
+        let statuses = futures::future::join_all(callers).await;
+        assert!(
+            statuses.iter().all(|&s| s == StatusCode::OK),
+            "{statuses:?}"
+        );
+    });
+}
+
 // Guards against requests that wait in the queue for an endpoint and are sent to it although it
 // asked for rest meanwhile.
 #[test]
--- a/crates/steer/src/selector/resting.rs
+++ b/crates/steer/src/selector/resting.rs
@@ -29,12 +29,17 @@
 
     /// Records that an endpoint refused a request and asks to be left alone for `length`.
     pub fn record_rest(&mut self, now: Timestamp, run: &Run, length: Duration) {
-        let Some(&at) = self.index.get(run) else {
-            return;
-        };
-        let row = &mut self.rows[at];
         let rest = Rest::new(now, length);
-        row.rest = Some(row.rest.map_or(rest, |earlier| earlier.later(rest)));
+        match self.index.get(run) {
+            Some(&at) => {
+                let row = &mut self.rows[at];
+                row.rest = Some(row.rest.map_or(rest, |earlier| earlier.later(rest)));
+            }
+            None => {
+                let known = self.unlisted_rests.entry(run.clone()).or_insert(rest);
+                *known = known.later(rest);
+            }
+        }
     }
 
     /// Records that the endpoints of an attempt accepted its request. It ends the pacing after a
--- a/crates/steer/tests/rest.rs
+++ b/crates/steer/tests/rest.rs
@@ -4,12 +4,16 @@
 
 use catalog::Endpoint;
 use catalog::endpoint::State;
-use std::collections::BTreeMap;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use steer::health::Outcome;
 use steer::rest::MAX_REST;
 use steer::shortage::Shortage;
+use steer::target::Target;
 use steer::{Fleet, Selector};
 use support::{LAYERS, endpoint, fleet, load, ms, need, plain, selector};
 
@@ -209,6 +213,84 @@
     assert_eq!(shortage.unwrap_err(), Shortage::Endpoints);
 }
 
+// Guards against an order of responses, failures, load reports, views and reroutes in which an
+// endpoint that rests is selected.
+#[test]
+fn no_order_of_events_sends_a_request_to_an_endpoint_that_rests() {
+    let sent: usize = (0..200).map(run_random_events).sum();
+    assert!(sent > 10_000, "{sent}");
+}
+
+/// Runs random events and returns the number of requests that were sent.
+fn run_random_events(seed: u64) -> usize {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let whole = |n| endpoint(n, "a", "fast", 0, LAYERS);
+    let half = |n, from| endpoint(n, "b", "slow", from, from + 4);
+    let endpoints = vec![
+        whole(1),
+        whole(2),
+        half(3, 0),
+        half(4, 4),
+        half(5, 0),
+        half(6, 4),
+    ];
+    let mut selector = Selector::new(seed, support::ALLOWANCE);
+    selector.update_fleet(ms(0), fleet(endpoints.clone(), 1));
+    let mut rest_ends: HashMap<SocketAddr, u64> = HashMap::new();
+    let mut targets: Vec<Target> = Vec::new();
+    let mut sent = 0;
+    for now in (0..3000).step_by(5) {
+        let drawn = &endpoints[rng.random_range(0..endpoints.len())];
+        match rng.random_range(0..12) {
+            0 => {
+                let length = rng.random_range(1..800);
+                put_to_rest(&mut selector, ms(now), drawn, ms(length));
+                let end = rest_ends.entry(drawn.addr).or_default();
+                *end = (*end).max(now + length);
+            }
+            1 => {
+                let listed = endpoints.iter().filter(|_| rng.random_bool(0.9)).cloned();
+                selector.update_fleet(ms(now), fleet(listed.collect(), 3));
+            }
+            2..5 if !targets.is_empty() => {
+                let target = targets.swap_remove(rng.random_range(0..targets.len()));
+                let outcomes = [Outcome::Success, Outcome::Full, Outcome::Unknown];
+                let outcome = outcomes[rng.random_range(0..3)];
+                selector.end(ms(now), target.reservation, outcome, None);
+            }
+            5 if !targets.is_empty() => {
+                let target = &targets[rng.random_range(0..targets.len())];
+                selector.record_accepted(target.reservation);
+            }
+            6 if !targets.is_empty() => {
+                let at = rng.random_range(0..targets.len());
+                let target = &mut targets[at];
+                let faulty = target.stages[target.stages.len() - 1].addr;
+                if let Ok(stages) = selector.reroute(ms(now), target, MODEL, &need(10), faulty) {
+                    let new = stages.iter().filter(|s| !target.stages.contains(s));
+                    let rested = |a: SocketAddr| rest_ends.get(&a).is_none_or(|&end| now >= end);
+                    assert!(new.clone().all(|s| rested(s.addr)), "seed {seed}, {now} ms");
+                    target.stages = stages;
+                }
+            }
+            _ => {
+                let Ok(target) = selector.select(ms(now), MODEL, &need(10), &[]) else {
+                    continue;
+                };
+                let rested = |a: SocketAddr| rest_ends.get(&a).is_none_or(|&end| now >= end);
+                let stages = &target.stages;
+                assert!(
+                    stages.iter().all(|s| rested(s.addr)),
+                    "seed {seed}, {now} ms"
+                );
+                sent += 1;
+                targets.push(target);
+            }
+        }
+    }
+    sent
+}
+
 #[test]
 fn the_dump_shows_the_end_of_a_rest() {
     let one = plain(1);
