--- a/crates/gate/tests/rest.rs
+++ b/crates/gate/tests/rest.rs
@@ -294,7 +294,7 @@
 fn a_head_that_asks_for_rest_has_not_failed() {
     run(async {
         let server = Server::start(Vec::new()).await;
-        server.add_behavior(Behavior::AskForRestBecauseOf(LONG, server.addr));
+        server.set_behavior(Behavior::AskForRestBecauseOf(LONG, server.addr));
         let node = node(vec![stage(server.addr, 0, LAYERS)]).await;
         send(node.addr, request("/chat/x")).await;
         let dump = node.worker.dump().await;
--- a/crates/gate/tests/support/server.rs
+++ b/crates/gate/tests/support/server.rs
@@ -94,9 +94,9 @@
         self.state.lock().unwrap().heads.clone()
     }
 
-    /// Adds a behavior after the others.
-    pub fn add_behavior(&self, behavior: Behavior) {
-        self.state.lock().unwrap().behaviors.push_back(behavior);
+    /// Applies a behavior to all further requests.
+    pub fn set_behavior(&self, behavior: Behavior) {
+        self.state.lock().unwrap().behaviors = [behavior].into();
     }
 
     /// Sets the body of the status report.
