--- a/crates/route/src/router/recover.rs
+++ b/crates/route/src/router/recover.rs
@@ -18,9 +18,9 @@
 const LEAVING_BACKOFF: Duration = Duration::from_secs(5);
 /// Time without new work for an endpoint that does not serve a model yet.
 const UNFIT_BACKOFF: Duration = Duration::from_secs(1);
-/// Maximum delay that an endpoint can ask for. It bounds how long a wrong value keeps an endpoint
-/// out of use.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(600);
+/// Maximum delay that an endpoint can ask for, as in the frames of engines. It bounds how long a wrong
+/// value keeps an endpoint out of use.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(3600);
 
 impl Router {
     pub(super) fn failed(&mut self, now: Now, id: Id, attempt: Attempt, failure: &Failure) {
