gate: tests for endpoints that announce in a response that they leave

What callers would see: requests that an endpoint which is about to end takes and cuts, or refuses.

ResponseInfo gets the field `leaving`, which the tests' dialect fills; the platform's dialect still sets false, and nothing reads the field. So the tests fail for what they guard against, not for want of a name.

--- a/crates/gate/src/dialect.rs
+++ b/crates/gate/src/dialect.rs
@@ -49,6 +49,8 @@
     pub not_run: bool,
     /// Whether the response has a seal, which proves that the endpoint produced it.
     pub sealed: bool,
+    /// Whether the endpoint announces that it leaves.
+    pub leaving: bool,
     /// The endpoint of the chain that caused the failure.
     pub faulty_stage: Option<SocketAddr>,
     /// How long the endpoint keeps an idle connection open.
--- a/crates/gate/tests/support/dialect.rs
+++ b/crates/gate/tests/support/dialect.rs
@@ -55,6 +55,7 @@
             request_id: text(headers, "id"),
             not_run: headers.contains_key("unrun"),
             sealed: headers.contains_key("seal"),
+            leaving: headers.contains_key("leaving"),
             faulty_stage: text(headers, "culprit").and_then(|a| a.parse().ok()),
             idle_timeout: None,
         }
--- a/crates/gate/tests/support/server.rs
+++ b/crates/gate/tests/support/server.rs
@@ -40,6 +40,21 @@
     OneChunk(Vec<u64>),
     /// Waits before it does what the other behavior says.
     Delayed(Duration, Box<Behavior>),
+    /// Does what the other behavior says, and announces in the head of the response that it leaves.
+    /// A delay comes around it, not within it.
+    Leaving(Box<Behavior>),
+}
+
+impl Behavior {
+    /// Announces in the head of the response that the endpoint leaves.
+    pub fn leaving(self) -> Self {
+        Self::Leaving(Box::new(self))
+    }
+
+    /// Waits before the response.
+    pub fn delayed(self, delay: Duration) -> Self {
+        Self::Delayed(delay, Box::new(self))
+    }
 }
 
 /// A scripted endpoint.
@@ -62,6 +77,8 @@
     missing: VecDeque<SocketAddr>,
     /// Number of connections that the other side closed during a response.
     aborted: usize,
+    /// Number of connections that the other side closed between two requests.
+    closed_idle: usize,
 }
 
 impl Server {
@@ -107,6 +124,11 @@
         self.state.lock().unwrap().aborted
     }
 
+    /// Returns the number of connections that were closed between two requests.
+    pub fn closed_idle(&self) -> usize {
+        self.state.lock().unwrap().closed_idle
+    }
+
     async fn serve(self, mut stream: TcpStream) {
         while let Some(head) = read_request(&mut stream).await {
             if let Some(body) = self.control_response(&head) {
@@ -118,6 +140,7 @@
                 return;
             }
         }
+        self.state.lock().unwrap().closed_idle += 1;
     }
 
     /// Returns the body of the response to a request for the status report or to an order; `None`
@@ -148,11 +171,15 @@
     /// Responds to a request; `None` if the connection ends.
     async fn perform(&self, stream: &mut TcpStream, head: &str, behavior: Behavior) -> Option<()> {
         let id = header(head, "id").unwrap_or_default();
-        let own = format!("id: {id}\r\nseal: s\r\n");
+        let (behavior, leaving) = match behavior {
+            Behavior::Leaving(behavior) => (*behavior, "leaving: 1\r\n"),
+            other => (other, ""),
+        };
+        let own = format!("id: {id}\r\nseal: s\r\n{leaving}");
         match behavior {
             Behavior::Answer(status, body) => write(stream, &answer(status, &own, body)).await,
             Behavior::Refuse(status) => {
-                let headers = format!("id: {id}\r\nunrun: 1\r\n");
+                let headers = format!("id: {id}\r\nunrun: 1\r\n{leaving}");
                 write(stream, &answer(status, &headers, "")).await
             }
             Behavior::OtherRequest => {
@@ -209,6 +236,7 @@
                 tokio::time::sleep(delay).await;
                 Box::pin(self.perform(stream, head, *behavior)).await
             }
+            Behavior::Leaving(behavior) => Box::pin(self.perform(stream, head, *behavior)).await,
         }
     }
 
