gate, steer: nothing new is sent to an endpoint that announced in a response that it leaves

What callers would see: requests that an endpoint which is about to end cuts or refuses, for as long as its registration still says ready. Cause: nothing read the header.

Row::is_available is false for these rows. Requests, retries, hedges, the queue, stages of new chains and replacements of stages all ask it. - gate: a target is checked again when its connection stands, also when the request is sent again on a new one; an attempt that ends there was not sent and says nothing about the endpoint's health. - gate: responses in flight notice without a new view (the table's version counts announcements), and are moved off a leaving stage as off a draining one. The head stays. - gate: idle connections to it are closed, and those in use once they are idle; later ones, of another run, are kept. - The control task writes an `endpoint` line, and the dump marks the row.

Other nodes are not told: each learns it from its own responses or from the row. The membership has no such observation, and one that ejects the endpoint everywhere on one node's word would be a verdict.

Not tested: the check after a connection was opened. The announcement would have to arrive while another connection to the endpoint is being opened, which the loopback interface does not let a test arrange.

--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -116,6 +116,8 @@
 pub(crate) enum Failure {
     /// No connection, or one that was closed before the request was sent.
     Unsent,
+    /// An endpoint of the target announced that it leaves before the request was sent.
+    Leaving,
     /// The connection broke.
     Broken,
     /// No response within the time limit.
@@ -127,12 +129,21 @@
 impl Failure {
     /// Returns whether the request may have reached the endpoint and have been executed.
     pub(crate) fn may_have_run(self) -> bool {
-        self != Self::Unsent
+        !matches!(self, Self::Unsent | Self::Leaving)
+    }
+
+    /// Returns what the failure implies for the health of the endpoint.
+    fn outcome(self) -> Outcome {
+        match self {
+            Self::Leaving => Outcome::Unknown,
+            _ => Outcome::Failed,
+        }
     }
 
     fn as_str(self) -> &'static str {
         match self {
             Self::Unsent => "no connection",
+            Self::Leaving => "an endpoint announced that it leaves",
             Self::Broken => "connection broke",
             Self::TimedOut => "no response head before the timeout",
             Self::Unverified => "response belongs to another request or has no seal",
@@ -173,6 +184,9 @@
             Ok((conn, response)) => {
                 let info = self.worker.dialect.response_info(response.headers());
                 if self.is_genuine(&response, &info) {
+                    if info.leaving {
+                        self.worker.record_leaving(reservation.target.head());
+                    }
                     return Ok(Exchange {
                         conn,
                         response,
@@ -190,7 +204,7 @@
         self.log
             .record_failure(attempt, failure.as_str(), failure.may_have_run());
         self.worker.pool.close_idle(addr);
-        reservation.end(Outcome::Failed, None);
+        reservation.end(failure.outcome(), None);
         Err(failure)
     }
 
@@ -207,7 +221,7 @@
         limit: Duration,
     ) -> Result<(Conn, Response<Incoming>), Failure> {
         let addr = reservation.target.head().addr;
-        let mut conn = self.worker.pool.get(addr).await?;
+        let mut conn = self.connect(&reservation.target).await?;
         let request = self.request(&reservation.target, last_event_id);
         match self
             .await_head(&mut conn, request, reservation, limit)
@@ -217,7 +231,7 @@
             // one.
             Err(Failure::Unsent) => {
                 self.worker.pool.close_idle(addr);
-                let mut conn = self.worker.pool.get(addr).await?;
+                let mut conn = self.connect(&reservation.target).await?;
                 let request = self.request(&reservation.target, last_event_id);
                 let response = self
                     .await_head(&mut conn, request, reservation, limit)
@@ -228,6 +242,19 @@
         }
     }
 
+    /// Returns a connection to the head of a target, unless an endpoint of the target announced
+    /// meanwhile that it leaves.
+    async fn connect(&self, target: &Target) -> Result<Conn, Failure> {
+        let conn = self.worker.pool.get(target.head().addr).await?;
+        match self
+            .worker
+            .with_selector(|selector, _| selector.is_leaving(target))
+        {
+            true => Err(Failure::Leaving),
+            false => Ok(conn),
+        }
+    }
+
     /// Waits for the head of the response. If it is late, the head of a chain is asked what it
     /// waits for; see [`super::stall`]. If another endpoint should be tried, this is reported to
     /// those who wait for the attempt.
--- a/crates/gate/src/forward/migration.rs
+++ b/crates/gate/src/forward/migration.rs
@@ -29,8 +29,8 @@
 /// Departing stages of one response.
 #[derive(Debug, Default)]
 pub(crate) struct Migration {
-    /// Number of the view that was last checked.
-    view_number: u64,
+    /// Version of the selector's table that was last checked.
+    table_version: u64,
     planned: Option<PlannedMove>,
 }
 
@@ -42,9 +42,9 @@
         worker: &Worker<D>,
         target: &Target,
     ) -> Option<SocketAddr> {
-        let view_number = worker.view_number();
-        if view_number != self.view_number {
-            self.view_number = view_number;
+        let table_version = worker.table_version();
+        if table_version != self.table_version {
+            self.table_version = table_version;
             self.refresh(worker, target);
         }
         let due = self.planned.filter(|n| n.at <= Instant::now())?;
--- a/crates/gate/src/pool.rs
+++ b/crates/gate/src/pool.rs
@@ -51,6 +51,7 @@
 pub struct Conn {
     sender: SendRequest<Full<Bytes>>,
     addr: SocketAddr,
+    opened_at: Instant,
     /// How long the connection may be idle and still be reused.
     idle_timeout: Duration,
 }
@@ -65,6 +66,8 @@
 #[derive(Debug)]
 pub struct Pool {
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConn>>>,
+    /// Times up to which connections were opened that are not reused.
+    retired: RefCell<HashMap<SocketAddr, Instant>>,
     stats: Rc<Stats>,
 }
 
@@ -73,6 +76,7 @@
     pub fn new(stats: Rc<Stats>) -> Self {
         Self {
             idle: RefCell::default(),
+            retired: RefCell::default(),
             stats,
         }
     }
@@ -98,8 +102,13 @@
         None
     }
 
-    /// Returns a connection to the pool after its response was read completely.
+    /// Returns a connection to the pool after its response was read completely. A connection that
+    /// was retired meanwhile is closed.
     pub fn put(&self, mut conn: Conn, idle_timeout: Option<Duration>) {
+        let retired = self.retired.borrow().get(&conn.addr).copied();
+        if retired.is_some_and(|at| conn.opened_at <= at) {
+            return;
+        }
         conn.idle_timeout =
             idle_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |i| i.mul_f64(IDLE_TIMEOUT_FRACTION));
         let idle_since = Instant::now();
@@ -120,6 +129,14 @@
             });
             !list.is_empty() && known(*addr)
         });
+        self.retired.borrow_mut().retain(|addr, _| known(*addr));
+    }
+
+    /// Closes the idle connections to an endpoint, and those in use once they are idle. Connections
+    /// that are opened later are kept: another run may use the address.
+    pub fn retire(&self, addr: SocketAddr) {
+        self.close_idle(addr);
+        self.retired.borrow_mut().insert(addr, Instant::now());
     }
 
     /// Closes the idle connections to an endpoint, after a failure.
@@ -156,6 +173,7 @@
     Ok(Conn {
         sender,
         addr,
+        opened_at: Instant::now(),
         idle_timeout: DEFAULT_IDLE_TIMEOUT,
     })
 }
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -27,7 +27,7 @@
 use steer::Selector;
 use steer::budget::Allowance;
 use steer::health::Outcome;
-use steer::target::ReservationId;
+use steer::target::{ReservationId, Stage};
 use steer::transition::Transition;
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::Instant;
@@ -85,8 +85,9 @@
     selector: RefCell<Selector>,
     /// The view that `selector` was last updated with.
     view: RefCell<Option<Arc<View>>>,
-    /// Number of views that `selector` was updated with.
-    view_number: Cell<u64>,
+    /// Number of views that `selector` was updated with, and of endpoints that announced that they
+    /// leave.
+    table_version: Cell<u64>,
     /// Notified when capacity may have become free.
     capacity_freed: Notify,
     started_at: Instant,
@@ -112,7 +113,7 @@
             transitions: parts.transitions,
             selector: RefCell::new(Selector::new(parts.seed, parts.allowance)),
             view: RefCell::new(None),
-            view_number: Cell::new(0),
+            table_version: Cell::new(0),
             capacity_freed: Notify::new(),
             started_at: Instant::now(),
             rotation: Cell::new(0),
@@ -152,7 +153,7 @@
                 self.selector
                     .borrow_mut()
                     .update_fleet(now, view.fleet.clone());
-                self.view_number.set(self.view_number.get() + 1);
+                self.table_version.set(self.table_version.get() + 1);
                 self.capacity_freed.notify_waiters();
             }
             *current = newest.clone();
@@ -180,10 +181,11 @@
         }
     }
 
-    /// Returns the number of the current view, which changes with every published view.
-    pub(crate) fn view_number(&self) -> u64 {
+    /// Returns the version of the selector's table, which changes with every published view and
+    /// whenever an endpoint announces that it leaves.
+    pub(crate) fn table_version(&self) -> u64 {
         self.view();
-        self.view_number.get()
+        self.table_version.get()
     }
 
     /// Returns the rotation of the next address list.
@@ -207,8 +209,12 @@
         let mut selector = self.selector.borrow_mut();
         let result = operation(&mut selector, now);
         for transition in selector.take_transitions() {
+            if let Transition::Leaving { addr, .. } = &transition {
+                self.pool.retire(*addr);
+                self.table_version.set(self.table_version.get() + 1);
+            }
             // The control task is behind. The transition is dropped; the endpoint's next failure
-            // reports it again.
+            // reports it again, and an endpoint that leaves is only missing from the log.
             if self.transitions.try_send(transition).is_err() {
                 stats::increment(&self.stats.dropped_transitions);
             }
@@ -216,6 +222,12 @@
         result
     }
 
+    /// Records that the endpoint of a stage announced that it leaves. Its connections are closed
+    /// once they are idle.
+    pub(crate) fn record_leaving(&self, stage: &Stage) {
+        self.with_selector(|selector, now| selector.record_leaving(now, &stage.run, stage.addr));
+    }
+
     /// Waits until capacity may have become free, at most for `max_wait`.
     pub(crate) async fn wait_for_capacity(&self, max_wait: Duration) {
         // Ejected endpoints become available again by the passage of time, which sends no
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -272,22 +272,23 @@
             .update(now, elapsed, &self.group, &unresponsive)
     }
 
-    /// Publishes a change of endpoint health, as found by the worker, to the other nodes.
+    /// Records a transition of an endpoint, as found by the worker, and publishes a change of its
+    /// health to the other nodes. That an endpoint leaves, the others learn from its responses to
+    /// them, or from its row.
     fn publish_transition(&mut self, transition: Transition) {
-        let (run, ejected) = match &transition {
-            Transition::Down(run) => (run, true),
-            Transition::Up(run) => (run, false),
+        let (run, state, ejected) = match &transition {
+            Transition::Down(run) => (run, "fails here", Some(true)),
+            Transition::Up(run) => (run, "does well here", Some(false)),
+            Transition::Leaving { run, .. } => (run, "announced that it leaves", None),
         };
         self.journal.record(JournalEvent::Endpoint {
             run: run.to_string(),
-            state: if ejected {
-                "fails here"
-            } else {
-                "does well here"
-            }
-            .to_owned(),
+            state: state.to_owned(),
             offset: self.tables.next_offset(Table::Endpoints),
         });
+        let Some(ejected) = ejected else {
+            return;
+        };
         let observation = Observation::Endpoint {
             name: run.to_string(),
             ejected,
--- a/crates/steer/src/row.rs
+++ b/crates/steer/src/row.rs
@@ -46,6 +46,8 @@
     pub reported_failed: bool,
     /// Whether the endpoint is about to release its layers to load others.
     pub releasing: bool,
+    /// Whether the endpoint itself announced that it leaves.
+    pub leaving: bool,
     /// Index of the availability zone in the selector's table.
     pub zone: usize,
 }
@@ -68,6 +70,7 @@
             failure_published: false,
             reported_failed: false,
             releasing: false,
+            leaving: false,
             zone,
         }
     }
@@ -125,7 +128,7 @@
 
     /// Returns whether new requests may be sent to the endpoint.
     pub fn is_available(&self, now: Timestamp) -> bool {
-        let serving = self.endpoint.state == State::Ready && !self.releasing;
+        let serving = self.endpoint.state == State::Ready && !self.releasing && !self.leaving;
         serving && !self.reported_failed && self.health.is_usable(now)
     }
 }
--- a/crates/steer/src/selector.rs
+++ b/crates/steer/src/selector.rs
@@ -6,6 +6,7 @@
 
 use crate::budget::{Allowance, Budget};
 use crate::chain::Need;
+use crate::departures::Departures;
 use crate::fleet::Fleet;
 use crate::health::Outcome;
 use crate::link::Links;
@@ -59,6 +60,7 @@
     links: Links,
     /// Flow of requests by the name of a model service.
     flows: BTreeMap<String, Flow>,
+    departures: Departures,
     transitions: Vec<Transition>,
     next_reservation: ReservationId,
     rng: ChaCha8Rng,
@@ -77,6 +79,7 @@
             budgets: BTreeMap::new(),
             links: Links::default(),
             flows: BTreeMap::new(),
+            departures: Departures::default(),
             transitions: Vec::new(),
             next_reservation: 1,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -106,12 +109,15 @@
             let run = endpoint.run.to_string();
             row.reported_failed = fleet.reported_failed.contains(&run);
             row.releasing = fleet.releasing.contains(&run);
+            row.leaving = self.departures.contains(&endpoint.run);
             if let Some(load) = fleet.loads.get(&run) {
                 row.update_load(now, *load);
             }
             self.index.insert(endpoint.run.clone(), self.rows.len());
             self.rows.push(row);
         }
+        let index = &self.index;
+        self.departures.expire(now, |run| index.contains_key(run));
         self.fleet = fleet;
     }
 
@@ -365,7 +371,7 @@
         self.transitions.extend(transitions);
     }
 
-    /// Returns the health transitions to publish to the other nodes since the last call.
+    /// Returns the transitions to report to the control task since the last call.
     pub fn take_transitions(&mut self) -> Vec<Transition> {
         std::mem::take(&mut self.transitions)
     }
@@ -489,6 +495,9 @@
                 "endpoint {} {} {}",
                 endpoint.run, endpoint.addr, endpoint.service
             )?;
+            if row.leaving {
+                write!(f, " leaving")?;
+            }
             write!(
                 f,
                 " {:?} layers {} flying {}",
