gate, node: status reports announce that an endpoint leaves, too

What callers would see: the same as without the announcement in other responses, for longer. An endpoint that leaves says so in all its answers; nodes that poll engines, and those that ask the head of an idle response, read only the bodies.

Change: the clients of status reports read the header. The head of an idle response is marked at once. Of polled engines control names the run in the view (Fleet::leaving) while its reports are kept, and the selection records it as it does an announcement in a response: for good.

Left out: the answers to orders (their results name no announcement, and the same engines are polled), reports with another status than 200, and loads that other nodes hand on, whose format has no place for it.

--- a/crates/gate/src/dialect.rs
+++ b/crates/gate/src/dialect.rs
@@ -71,6 +71,8 @@
 pub struct StatusReport {
     /// Requests that this engine is the head of and that wait for another endpoint.
     pub stalls: Vec<Stall>,
+    /// Whether the engine announces that it leaves.
+    pub leaving: bool,
 }
 
 /// Result of rerouting a request that is in flight.
--- a/crates/gate/src/forward/stall.rs
+++ b/crates/gate/src/forward/stall.rs
@@ -88,10 +88,15 @@
     /// Asks the head of an idle response what it waits for. Cancelling it has no effect, so that an
     /// event that arrives meanwhile is forwarded at once.
     pub(crate) async fn query_head(&self, target: &Target) -> Option<Rc<StatusReport>> {
-        match target.head().span.is_empty() {
-            true => None,
-            false => self.worker.cached_report(target.head().addr).await,
+        let head = target.head();
+        if head.span.is_empty() {
+            return None;
         }
+        let report = self.worker.cached_report(head.addr).await;
+        if report.as_ref().is_some_and(|r| r.leaving) {
+            self.worker.record_leaving(head);
+        }
+        report
     }
 
     /// Decides about a response that has been idle for `idle`, based on the status report of its
--- a/crates/gate/tests/leaving.rs
+++ b/crates/gate/tests/leaving.rs
@@ -290,6 +290,24 @@
     });
 }
 
+// Guards against an announcement in the status report of a head that nobody reads.
+#[test]
+fn a_status_report_announces_the_leaving() {
+    run(async {
+        let leaving = Server::start(vec![Behavior::EventsThenStall(1, 2)]).await;
+        let other = Server::start(vec![Behavior::Events(1, 2)]).await;
+        leaving.set_report("leaving".to_owned());
+        let node = node(vec![stage(leaving.addr, 0, LAYERS)]).await;
+        // The head is asked for its status, since the response is idle.
+        let sending = send(node.addr, request("/chat/x"));
+        let idle = tokio::time::timeout(Duration::from_millis(500), sending);
+        assert!(idle.await.is_err());
+        let both = [leaving.addr, other.addr].map(|addr| stage(addr, 0, LAYERS));
+        publish(&node, view(both.to_vec()));
+        assert_unused(&node, "/chat/x", &leaving).await;
+    });
+}
+
 // Guards against chains that run a stage on an endpoint which announced that it leaves.
 #[test]
 fn no_chain_runs_over_an_endpoint_that_announced_its_leaving() {
--- a/crates/gate/tests/support/dialect.rs
+++ b/crates/gate/tests/support/dialect.rs
@@ -72,6 +72,7 @@
         });
         Some(StatusReport {
             stalls: stalls.collect(),
+            leaving: body.lines().any(|l| l == "leaving"),
         })
     }
 
--- a/crates/node/src/hosted/control/loads.rs
+++ b/crates/node/src/hosted/control/loads.rs
@@ -114,6 +114,8 @@
     misses: BTreeMap<String, Misses>,
     /// Runs that other nodes found unresponsive, with the time at which this information expires.
     reported_unresponsive: BTreeMap<String, Instant>,
+    /// Runs that announced in a report to this node that they leave.
+    leaving: BTreeSet<String>,
 }
 
 /// Consecutive polls without an answer, and the time of the last one.
@@ -135,6 +137,9 @@
         self.insert(run.to_owned(), now, true, Figures::from(report));
         self.misses.remove(run);
         self.reported_unresponsive.remove(run);
+        if report.leaving {
+            self.leaving.insert(run.to_owned());
+        }
     }
 
     fn insert(&mut self, run: String, at: Instant, own: bool, figures: Figures) {
@@ -174,6 +179,11 @@
             .collect()
     }
 
+    /// Returns the runs that announced to this node that they leave, while their reports are kept.
+    pub fn leaving(&self) -> BTreeSet<String> {
+        self.leaving.clone()
+    }
+
     /// Returns whether a run is to be polled now; if so, records the poll.
     pub fn due(&mut self, now: Instant, run: &str) -> bool {
         let figures = self.rows.get(run).map(|r| r.figures);
@@ -197,6 +207,7 @@
     /// Discards expired entries.
     pub fn expire(&mut self, now: Instant) {
         self.rows.retain(|_, row| now < row.at + REPORT_TTL);
+        self.leaving.retain(|run| self.rows.contains_key(run));
         self.last_polls.retain(|_, at| now < *at + REPORT_TTL);
         self.misses.retain(|_, misses| now < misses.at + REPORT_TTL);
         self.reported_unresponsive.retain(|_, until| now < *until);
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -437,6 +437,7 @@
                 loads: Arc::new(self.loads.view(now, self.start)),
                 reported_failed: self.failures.current(),
                 releasing: Arc::new(self.group.releasing(self.start.elapsed())),
+                leaving: Arc::new(self.loads.leaving()),
                 nodes: nodes.len().max(1),
                 selecting_nodes,
                 budget_nodes: self.budget_nodes(),
--- a/crates/node/tests/loads.rs
+++ b/crates/node/tests/loads.rs
@@ -3,6 +3,7 @@
 #[path = "support/report.rs"]
 mod report;
 
+use adapter::report::Report;
 use catalog::endpoint::Run;
 use member::identity::Identity;
 use member::peer::Peer;
@@ -159,3 +160,22 @@
     receiver.merge(now, addr, scope, &bytes).unwrap();
     receiver
 }
+
+// Guards against an engine's announcement in a status report that later reports undo, and against
+// one that is kept after the engine has ended.
+#[test]
+fn a_leaving_engine_is_known_until_its_reports_end() {
+    let (start, secs) = (Instant::now(), Duration::from_secs);
+    let mut loads = Loads::default();
+    let leaving = Report {
+        leaving: true,
+        ..report(1.0)
+    };
+    loads.record(start, "e1", &leaving);
+    loads.record(start, "e2", &report(1.0));
+    loads.record(start + secs(1), "e1", &report(2.0));
+    loads.expire(start + secs(2));
+    assert_eq!(loads.leaving(), ["e1".to_owned()].into());
+    loads.expire(start + secs(60));
+    assert!(loads.leaving().is_empty());
+}
--- a/crates/node/tests/support/report.rs
+++ b/crates/node/tests/support/report.rs
@@ -15,5 +15,6 @@
         slowdown: 1.0,
         queued: 0,
         stalled: Vec::new(),
+        leaving: false,
     }
 }
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -18,6 +18,8 @@
     pub reported_failed: Arc<BTreeSet<String>>,
     /// Runs of endpoints that are about to release their layers to load others, in text form.
     pub releasing: Arc<BTreeSet<String>>,
+    /// Runs of endpoints that announced to this node that they leave, in text form.
+    pub leaving: Arc<BTreeSet<String>>,
     /// Number of nodes that send requests, this one included. Callers are spread evenly over them,
     /// so an endpoint has in flight what this node has in flight there times this number.
     pub nodes: usize,
--- a/crates/steer/src/selector.rs
+++ b/crates/steer/src/selector.rs
@@ -109,6 +109,9 @@
             let run = endpoint.run.to_string();
             row.reported_failed = fleet.reported_failed.contains(&run);
             row.releasing = fleet.releasing.contains(&run);
+            if fleet.leaving.contains(&run) {
+                self.record_leaving(now, &endpoint.run, endpoint.addr);
+            }
             row.leaving = self.departures.contains(&endpoint.run);
             if let Some(load) = fleet.loads.get(&run) {
                 row.update_load(now, *load);
--- a/crates/steer/tests/leaving.rs
+++ b/crates/steer/tests/leaving.rs
@@ -66,6 +66,25 @@
     assert!(is_unused(&mut early, ms(20)));
 }
 
+// Guards against an announcement in a view that the next view undoes.
+#[test]
+fn an_announcement_in_a_view_is_kept() {
+    let endpoint = plain(1);
+    let mut selector = selector(vec![endpoint.clone()]);
+    let view = Fleet {
+        leaving: Arc::new([endpoint.run.to_string()].into()),
+        ..fleet(vec![endpoint.clone()], 1)
+    };
+    selector.update_fleet(ms(10), view);
+    assert!(is_unused(&mut selector, ms(10)));
+    let (run, addr) = (endpoint.run.clone(), endpoint.addr);
+    let transition = Transition::Leaving { run, addr };
+    assert_eq!(selector.take_transitions(), [transition]);
+    selector.update_fleet(ms(20), fleet(vec![endpoint], 1));
+    assert!(is_unused(&mut selector, ms(20)));
+    assert!(selector.take_transitions().is_empty());
+}
+
 // Guards against a new run that inherits the announcement of its predecessor at the address.
 #[test]
 fn a_new_run_is_used() {
