--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -13,6 +13,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
+use steer::Selector;
 use steer::health::Outcome;
 use steer::target::{Stage, Target};
 use tokio::sync::Notify;
@@ -109,6 +110,19 @@
     pub(crate) fn not_run(&self) -> bool {
         self.info.not_run || self.response.status() == StatusCode::MISDIRECTED_REQUEST
     }
+
+    /// Returns the time for which the endpoint asks to be left alone.
+    pub(crate) fn rest(&self) -> Option<Duration> {
+        let refused = self.response.status() == StatusCode::SERVICE_UNAVAILABLE;
+        self.info
+            .retry_after
+            .filter(|rest| refused && !rest.is_zero())
+    }
+
+    /// Returns whether the endpoint answers the request.
+    pub(crate) fn is_accepted(&self) -> bool {
+        !self.not_run() && !self.response.status().is_server_error()
+    }
 }
 
 /// Why an attempt got no response head.
@@ -118,6 +132,8 @@
     Unsent,
     /// An endpoint of the target announced that it leaves before the request was sent.
     Leaving,
+    /// An endpoint of the target asked for rest before the request was sent.
+    Resting,
     /// The connection broke.
     Broken,
     /// No response within the time limit.
@@ -129,21 +145,14 @@
 impl Failure {
     /// Returns whether the request may have reached the endpoint and have been executed.
     pub(crate) fn may_have_run(self) -> bool {
-        !matches!(self, Self::Unsent | Self::Leaving)
-    }
-
-    /// Returns what the failure implies for the health of the endpoint.
-    fn outcome(self) -> Outcome {
-        match self {
-            Self::Leaving => Outcome::Unknown,
-            _ => Outcome::Failed,
-        }
+        !matches!(self, Self::Unsent | Self::Leaving | Self::Resting)
     }
 
     fn as_str(self) -> &'static str {
         match self {
             Self::Unsent => "no connection",
             Self::Leaving => "an endpoint announced that it leaves",
+            Self::Resting => "endpoint at rest",
             Self::Broken => "connection broke",
             Self::TimedOut => "no response head before the timeout",
             Self::Unverified => "response belongs to another request or has no seal",
@@ -184,15 +193,14 @@
             Ok((conn, response)) => {
                 let info = self.worker.dialect.response_info(response.headers());
                 if self.is_genuine(&response, &info) {
-                    if info.leaving {
-                        self.worker.record_leaving(reservation.target.head());
-                    }
-                    return Ok(Exchange {
+                    let exchange = Exchange {
                         conn,
                         response,
                         info,
                         reservation,
-                    });
+                    };
+                    self.record_head(&exchange);
+                    return Ok(exchange);
                 }
                 Failure::Unverified
             }
@@ -203,11 +211,48 @@
         }
         self.log
             .record_failure(attempt, failure.as_str(), failure.may_have_run());
-        self.worker.pool.close_idle(addr);
-        reservation.end(failure.outcome(), None);
+        let outcome = match failure {
+            Failure::Leaving | Failure::Resting => Outcome::Unknown,
+            _ => {
+                self.worker.pool.close_idle(addr);
+                Outcome::Failed
+            }
+        };
+        reservation.end(outcome, None);
         Err(failure)
     }
 
+    /// Records whether the endpoint accepted the request, asks for rest, or announces that it leaves.
+    /// The rest is that of the endpoint that answers, whichever stage is at fault.
+    fn record_head(&self, exchange: &Exchange<D>) {
+        let target = &exchange.reservation.target;
+        if exchange.info.leaving {
+            self.worker.record_leaving(target.head());
+        }
+        self.worker
+            .with_selector(|selector, now| match exchange.rest() {
+                Some(rest) => selector.record_rest(now, &target.head().run, rest),
+                None if exchange.is_accepted() => selector.record_accepted(target.reservation),
+                None => {}
+            });
+    }
+
+    /// Returns a connection to the head of a target, unless an endpoint of the target announced that it
+    /// leaves, or asked for rest, while it was established.
+    async fn connect(&self, target: &Target) -> Result<Conn, Failure> {
+        let conn = self.worker.pool.get(target.head().addr).await?;
+        let check = |selector: &mut Selector, now| {
+            if selector.is_leaving(target) {
+                return Err(Failure::Leaving);
+            }
+            match selector.rests(now, target) {
+                true => Err(Failure::Resting),
+                false => Ok(()),
+            }
+        };
+        self.worker.with_selector(check).map(|()| conn)
+    }
+
     /// Returns the number of hops between availability zones, for the log.
     pub(crate) fn crossings(&self, stages: &[Stage]) -> u32 {
         self.worker
@@ -242,19 +287,6 @@
         }
     }
 
-    /// Returns a connection to the head of a target, unless an endpoint of the target announced
-    /// meanwhile that it leaves.
-    async fn connect(&self, target: &Target) -> Result<Conn, Failure> {
-        let conn = self.worker.pool.get(target.head().addr).await?;
-        match self
-            .worker
-            .with_selector(|selector, _| selector.is_leaving(target))
-        {
-            true => Err(Failure::Leaving),
-            false => Ok(conn),
-        }
-    }
-
     /// Waits for the head of the response. If it is late, the head of a chain is asked what it
     /// waits for; see [`super::stall`]. If another endpoint should be tried, this is reported to
     /// those who wait for the attempt.
--- a/crates/gate/tests/support/dialect.rs
+++ b/crates/gate/tests/support/dialect.rs
@@ -58,6 +58,7 @@
             leaving: headers.contains_key("leaving"),
             faulty_stage: text(headers, "culprit").and_then(|a| a.parse().ok()),
             idle_timeout: None,
+            retry_after: number(headers, "rest").map(Duration::from_millis),
         }
     }
 
