--- a/crates/gate/src/dialect.rs
+++ b/crates/gate/src/dialect.rs
@@ -49,6 +49,8 @@
     pub not_run: bool,
     /// Whether the response has a seal, which proves that the endpoint produced it.
     pub sealed: bool,
+    /// Whether the endpoint announces that it leaves.
+    pub leaving: bool,
     /// The endpoint of the chain that caused the failure.
     pub faulty_stage: Option<SocketAddr>,
     /// How long the endpoint keeps an idle connection open.
@@ -71,6 +73,8 @@
 pub struct StatusReport {
     /// Requests that this engine is the head of and that wait for another endpoint.
     pub stalls: Vec<Stall>,
+    /// Whether the engine announces that it leaves.
+    pub leaving: bool,
 }
 
 /// Result of rerouting a request that is in flight.
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -130,6 +130,8 @@
 pub(crate) enum Failure {
     /// No connection, or one that was closed before the request was sent.
     Unsent,
+    /// An endpoint of the target announced that it leaves before the request was sent.
+    Leaving,
     /// An endpoint of the target asked for rest before the request was sent.
     Resting,
     /// The connection broke.
@@ -143,12 +145,13 @@
 impl Failure {
     /// Returns whether the request may have reached the endpoint and have been executed.
     pub(crate) fn may_have_run(self) -> bool {
-        !matches!(self, Self::Unsent | Self::Resting)
+        !matches!(self, Self::Unsent | Self::Leaving | Self::Resting)
     }
 
     fn as_str(self) -> &'static str {
         match self {
             Self::Unsent => "no connection",
+            Self::Leaving => "an endpoint announced that it leaves",
             Self::Resting => "endpoint at rest",
             Self::Broken => "connection broke",
             Self::TimedOut => "no response head before the timeout",
@@ -209,7 +212,7 @@
         self.log
             .record_failure(attempt, failure.as_str(), failure.may_have_run());
         let outcome = match failure {
-            Failure::Resting => Outcome::Unknown,
+            Failure::Leaving | Failure::Resting => Outcome::Unknown,
             _ => {
                 self.worker.pool.close_idle(addr);
                 Outcome::Failed
@@ -219,10 +222,13 @@
         Err(failure)
     }
 
-    /// Records whether the endpoint accepted the request, or asks for rest. The rest is that of the
-    /// endpoint that answers, whichever stage is at fault.
+    /// Records whether the endpoint accepted the request, asks for rest, or announces that it leaves.
+    /// The rest is that of the endpoint that answers, whichever stage is at fault.
     fn record_head(&self, exchange: &Exchange<D>) {
         let target = &exchange.reservation.target;
+        if exchange.info.leaving {
+            self.worker.record_leaving(target.head());
+        }
         self.worker
             .with_selector(|selector, now| match exchange.rest() {
                 Some(rest) => selector.record_rest(now, &target.head().run, rest),
@@ -231,15 +237,20 @@
             });
     }
 
-    /// Returns a connection to the head of a target, unless an endpoint of the target asked for rest
-    /// while it was established.
+    /// Returns a connection to the head of a target, unless an endpoint of the target announced that it
+    /// leaves, or asked for rest, while it was established.
     async fn connect(&self, target: &Target) -> Result<Conn, Failure> {
         let conn = self.worker.pool.get(target.head().addr).await?;
-        let rests = |selector: &mut Selector, now| selector.rests(now, target);
-        match self.worker.with_selector(rests) {
-            true => Err(Failure::Resting),
-            false => Ok(conn),
-        }
+        let check = |selector: &mut Selector, now| {
+            if selector.is_leaving(target) {
+                return Err(Failure::Leaving);
+            }
+            match selector.rests(now, target) {
+                true => Err(Failure::Resting),
+                false => Ok(()),
+            }
+        };
+        self.worker.with_selector(check).map(|()| conn)
     }
 
     /// Returns the number of hops between availability zones, for the log.
--- a/crates/steer/src/row.rs
+++ b/crates/steer/src/row.rs
@@ -49,6 +49,8 @@
     pub reported_failed: bool,
     /// Whether the endpoint is about to release its layers to load others.
     pub releasing: bool,
+    /// Whether the endpoint itself announced that it leaves.
+    pub leaving: bool,
     /// Index of the availability zone in the selector's table.
     pub zone: usize,
 }
@@ -72,6 +74,7 @@
             failure_published: false,
             reported_failed: false,
             releasing: false,
+            leaving: false,
             zone,
         }
     }
@@ -136,7 +139,7 @@
     /// Returns the time from which new requests may be sent to the endpoint; `None` if that does not
     /// depend on time.
     pub fn available_from(&self) -> Option<Timestamp> {
-        let serving = self.endpoint.state == State::Ready && !self.releasing;
+        let serving = self.endpoint.state == State::Ready && !self.releasing && !self.leaving;
         let ejected_until = self.health.ejected_until().unwrap_or_default();
         let next_request = self.rest.map_or(Timestamp::ZERO, |r| r.next_request());
         (serving && !self.reported_failed).then(|| ejected_until.max(next_request))
--- a/crates/steer/src/selector.rs
+++ b/crates/steer/src/selector.rs
@@ -8,6 +8,7 @@
 
 use crate::budget::{Allowance, Budget, Purpose};
 use crate::chain::Need;
+use crate::departures::Departures;
 use crate::fleet::Fleet;
 use crate::health::Outcome;
 use crate::link::Links;
@@ -63,6 +64,7 @@
     links: Links,
     /// Flow of requests by the name of a model service.
     flows: BTreeMap<String, Flow>,
+    departures: Departures,
     transitions: Vec<Transition>,
     next_reservation: ReservationId,
     rng: ChaCha8Rng,
@@ -82,6 +84,7 @@
             budgets: BTreeMap::new(),
             links: Links::default(),
             flows: BTreeMap::new(),
+            departures: Departures::default(),
             transitions: Vec::new(),
             next_reservation: 1,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -114,12 +117,18 @@
             let run = endpoint.run.to_string();
             row.reported_failed = fleet.reported_failed.contains(&run);
             row.releasing = fleet.releasing.contains(&run);
+            if fleet.leaving.contains(&run) {
+                self.record_leaving(now, &endpoint.run, endpoint.addr);
+            }
+            row.leaving = self.departures.contains(&endpoint.run);
             if let Some(load) = fleet.loads.get(&run) {
                 row.update_load(now, *load);
             }
             self.index.insert(endpoint.run.clone(), self.rows.len());
             self.rows.push(row);
         }
+        let index = &self.index;
+        self.departures.expire(now, |run| index.contains_key(run));
         self.keep_rests(now, previous);
         self.fleet = fleet;
     }
@@ -380,7 +389,7 @@
         self.transitions.extend(transitions);
     }
 
-    /// Returns the health transitions to publish to the other nodes since the last call.
+    /// Returns the transitions to report to the control task since the last call.
     pub fn take_transitions(&mut self) -> Vec<Transition> {
         std::mem::take(&mut self.transitions)
     }
--- a/crates/steer/src/selector/dump.rs
+++ b/crates/steer/src/selector/dump.rs
@@ -18,6 +18,9 @@
                 "endpoint {} {} {}",
                 endpoint.run, endpoint.addr, endpoint.service
             )?;
+            if row.leaving {
+                write!(f, " leaving")?;
+            }
             write!(
                 f,
                 " {:?} layers {} flying {}",
