--- a/crates/gate/tests/support/server.rs
+++ b/crates/gate/tests/support/server.rs
@@ -60,6 +60,8 @@
     orders: Vec<String>,
     /// Stages that the next orders are refused for, as missing.
     missing: VecDeque<SocketAddr>,
+    /// Number of orders whose response is lost.
+    lost_responses: usize,
     /// Number of connections that the other side closed during a response.
     aborted: usize,
 }
@@ -102,6 +104,11 @@
         self.state.lock().unwrap().missing.push_back(stage);
     }
 
+    /// Accepts the next order, but responds with an error, as if the response was lost on the way.
+    pub fn lose_next_order_response(&self) {
+        self.state.lock().unwrap().lost_responses += 1;
+    }
+
     /// Returns the paths of the received orders.
     pub fn orders(&self) -> Vec<String> {
         self.state.lock().unwrap().orders.clone()
@@ -114,8 +121,8 @@
 
     async fn serve(self, mut stream: TcpStream) {
         while let Some(head) = read_request(&mut stream).await {
-            if let Some(body) = self.control_response(&head) {
-                let _ = write(&mut stream, &answer(200, "", &body)).await;
+            if let Some((status, body)) = self.control_response(&head) {
+                let _ = write(&mut stream, &answer(status, "", &body)).await;
                 continue;
             }
             let behavior = self.next_behavior(&head);
@@ -125,19 +132,26 @@
         }
     }
 
-    /// Returns the body of the response to a request for the status report or to an order; `None`
+    /// Returns the status and body of the response to a request for the status report or to an order; `None`
     /// for other requests.
-    fn control_response(&self, head: &str) -> Option<String> {
+    fn control_response(&self, head: &str) -> Option<(u16, String)> {
         let mut state = self.state.lock().unwrap();
         if head.starts_with("GET /report ") {
-            return Some(state.report.clone());
+            return Some((200, state.report.clone()));
         }
         let path = head.strip_prefix("GET /detour/")?;
         let path = path.split(' ').next()?.to_owned();
         state.orders.push(path);
         state.report.clear();
+        if state.lost_responses > 0 {
+            state.lost_responses -= 1;
+            return Some((504, String::new()));
+        }
         let missing = state.missing.pop_front();
-        Some(missing.map_or_else(String::new, |stage| stage.to_string()))
+        Some((
+            200,
+            missing.map_or_else(String::new, |stage| stage.to_string()),
+        ))
     }
 
     fn next_behavior(&self, head: &str) -> Behavior {
