gate: attempts run beside each other until one has sent events or the whole response

Cause: three places decided for themselves when an attempt ends: before the head (send_hedged), beside an idle source (hedge, race) and after a break (resume). Each knew one other attempt at most and took a part of its progress (accepted, a head, idle) for the whole.

Change: forward::race is the one place. An attempt is a request that is sent and received up to its first events or its whole body, or the source that the response was read from. One is started when none is left and when the newest is idle, at intervals that double; all that were started go on until one of them wins. Each is watched on its own: its head is asked, its stages are replaced, and no attempt ends for silence. A stream that ends without an event, and a response with a server error, are used only if no other attempt does better; so an endpoint's own error is no longer replaced by 502 when a retry is refused. The log says when an attempt is dropped because another one won.

Ruled out: two fixed slots; with three attempts a route needs three.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -1,8 +1,8 @@
 //! Forwards a request to endpoints until one responds, with retries where the route allows them.
 
 pub mod attempt;
-pub mod hedge;
 pub mod migration;
+pub mod race;
 pub mod request_log;
 pub mod stall;
 
@@ -12,9 +12,9 @@
 use crate::job::Job;
 use crate::pool::Conn;
 use crate::refusal::{Reason, Refusal};
-use crate::splice::{self, Chunk, EventSource, Opened};
+use crate::splice::{self, Chunk};
 use crate::worker::{InFlightGuard, Worker};
-use attempt::{Exchange, Failure, Reservation};
+use attempt::{Exchange, Progress, Reservation};
 use bytes::Bytes;
 use catalog::ServiceId;
 use catalog::endpoint::Run;
@@ -22,6 +22,7 @@
 use futures::Stream;
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
+use race::{Lost, Phase, Winner};
 use rand::RngExt;
 use request_log::RequestLog;
 use std::cell::{Cell, RefCell};
@@ -33,10 +34,9 @@
 use steer::health::Outcome;
 use steer::shortage::Shortage;
 use steer::{Selector, Timestamp};
+use tokio::sync::Notify;
 use tokio::time::timeout;
 
-/// Maximum number of attempts that may fail without having reached an endpoint.
-const MAX_UNSENT_ATTEMPTS: u32 = 4;
 /// Maximum wait for an endpoint with free capacity, as a fraction of the route's latency target.
 /// After that time another node that the caller retries on is as likely to find capacity as this
 /// one.
@@ -74,19 +74,11 @@
     /// Whether an attempt reached an endpoint. From then on further attempts count against the
     /// retry budget.
     pub(crate) reached: Cell<bool>,
+    /// Notified when an attempt is idle.
+    pub(crate) idle: Notify,
     pub(crate) _in_flight: InFlightGuard,
 }
 
-/// The response that a caller gets.
-enum Reply<D: Dialect> {
-    /// A buffered response of an endpoint.
-    Complete(Response<Bytes>),
-    /// An event stream of an endpoint.
-    Events(Box<EventSource<D>>),
-    /// An error response of this node.
-    Refused(Refusal),
-}
-
 /// Forwards an admitted request and returns the response for the caller.
 pub(crate) async fn run<D: Dialect>(
     worker: Rc<Worker<D>>,
@@ -103,109 +95,36 @@
         tried: RefCell::default(),
         possible_runs: Cell::new(0),
         reached: Cell::new(false),
+        idle: Notify::new(),
         _in_flight: guard,
     };
-    match forwarder.run_attempts().await {
-        Reply::Refused(refusal) => {
-            forwarder.log.end_refused(refusal);
-            refusal.response()
-        }
-        Reply::Complete(response) => {
+    match forwarder.race(None, Phase::Opening).await {
+        Ok(Winner::Complete(response)) => {
             forwarder.log.end_answered(response.status().as_u16());
             response.map(body::full)
         }
-        Reply::Events(source) => match splice::open(forwarder, *source).await {
-            Ok(Opened { head, body }) => {
-                let mut response = Response::new(body::stream(body));
-                *response.status_mut() = head.status;
-                *response.headers_mut() = head.headers;
-                response
-            }
-            Err(mut forwarder) => {
-                let refusal = forwarder.exhausted();
-                forwarder.log.end_refused(refusal);
-                refusal.response()
-            }
-        },
-    }
-}
-
-impl<D: Dialect> Forwarder<D> {
-    async fn run_attempts(&mut self) -> Reply<D> {
-        let mut unsent = 0;
-        loop {
-            if self.job.time_left().is_zero() {
-                return Reply::Refused(Refusal::new(self.timeout_reason()));
-            }
-            let target = match self.acquire_target(None).await {
-                Ok(target) => target,
-                Err(shortage) => return Reply::Refused(self.refuse_for_shortage(shortage)),
-            };
-            let reservation = Reservation::new(self.worker.clone(), target);
-            let limit = self.head_timeout();
-            match self.send_hedged(reservation, limit).await {
-                Ok(exchange) => {
-                    if let Some(reply) = self.handle_response(exchange).await {
-                        return reply;
-                    }
-                }
-                Err(failure) => {
-                    unsent += u32::from(!failure.may_have_run());
-                    if failure.may_have_run() && !self.job.kind().repeatable() {
-                        let late = failure == Failure::TimedOut && self.job.time_left().is_zero();
-                        let reason = if late {
-                            Reason::TimedOut
-                        } else {
-                            Reason::OutcomeUnknown
-                        };
-                        return Reply::Refused(Refusal::new(reason));
-                    }
-                    if unsent > MAX_UNSENT_ATTEMPTS
-                        || !self.try_retry(failure.may_have_run(), Purpose::Answer)
-                    {
-                        return Reply::Refused(self.exhausted());
-                    }
-                }
-            }
-        }
-    }
-
-    /// Turns an endpoint's response into the reply; `None` if the request is to be retried.
-    async fn handle_response(&mut self, exchange: Exchange<D>) -> Option<Reply<D>> {
-        let status = exchange.response.status();
-        if exchange.not_run() {
-            self.end_refused(exchange).await;
-            return self.retry_or_refuse();
+        Ok(Winner::Events(source, first)) => {
+            let (head, body) = splice::stream(forwarder, *source, first);
+            let mut response = Response::new(body::stream(body));
+            *response.status_mut() = head.status;
+            *response.headers_mut() = head.headers;
+            response
         }
-        let stream = self.job.kind().stream().is_some() && status == StatusCode::OK;
-        if stream {
-            let source = EventSource::new(exchange, self.job.received_at);
-            return Some(Reply::Events(Box::new(source)));
-        }
-        let repeat = status.is_server_error() && self.job.kind().repeatable();
-        let (info, attempt) = (exchange.info.clone(), exchange.reservation.attempt);
-        let Some(response) = self.read_complete(exchange).await else {
-            self.log
-                .record_failure(attempt, "response was cut off before its end", true);
-            if !self.job.kind().repeatable() {
-                return Some(Reply::Refused(Refusal::new(Reason::OutcomeUnknown)));
-            }
-            return self.retry_or_refuse();
-        };
-        if repeat
-            && info.sealed
-            && self.job.time_left() > Duration::ZERO
-            && self.try_retry(true, Purpose::Answer)
-        {
-            self.log
-                .record_failure(attempt, &format!("status {status}"), true);
-            return None;
+        Err(lost) => {
+            let refusal = match lost {
+                Lost::Shortage(shortage) => forwarder.refuse_for_shortage(shortage),
+                Lost::Deadline => Refusal::new(forwarder.timeout_reason()),
+                Lost::Exhausted => forwarder.exhausted(),
+            };
+            forwarder.log.end_refused(refusal);
+            refusal.response()
         }
-        Some(Reply::Complete(response))
     }
+}
 
+impl<D: Dialect> Forwarder<D> {
     /// Reads a response completely; `None` if it was cut off or exceeds the size limit.
-    async fn read_complete(&mut self, exchange: Exchange<D>) -> Option<Response<Bytes>> {
+    async fn read_complete(&self, exchange: Exchange<D>) -> Option<Response<Bytes>> {
         let Exchange {
             conn,
             response,
@@ -232,7 +151,7 @@
         let status = exchange.response.status();
         let not_run = exchange.not_run();
         self.log.record_failure(
-            exchange.reservation.attempt,
+            exchange.reservation.attempt(),
             &describe_refusal(status, not_run, &exchange.info),
             !not_run,
         );
@@ -270,21 +189,11 @@
         self.possible_runs.set(self.possible_runs.get() - 1);
     }
 
-    /// Returns `None` if the request may be retried after an attempt that reached an endpoint,
-    /// otherwise the final reply.
-    fn retry_or_refuse(&mut self) -> Option<Reply<D>> {
-        match self.try_retry(true, Purpose::Answer) {
-            true => None,
-            false => Some(Reply::Refused(self.exhausted())),
-        }
-    }
-
-    /// Returns whether the request may be retried, and takes the retry from the budget. `reached`
-    /// tells whether the last attempt counts as one that reached an endpoint; retries before that
-    /// are free.
-    pub(crate) fn try_retry(&self, reached: bool, purpose: Purpose) -> bool {
-        self.reached.set(self.reached.get() | reached);
+    /// Returns whether the request may be retried, and takes the retry from the budget. Retries are
+    /// free until an attempt reached an endpoint.
+    pub(crate) fn try_retry(&self, purpose: Purpose) -> bool {
         if self.possible_runs.get() >= self.job.route().max_attempts {
+            self.log.set_reason("the route's attempts are used up");
             return false;
         }
         if !self.reached.get() {
@@ -342,33 +251,39 @@
         }
     }
 
-    /// Selects a target for an attempt beside one at `head`, and takes the retry from the budget;
-    /// `None` if the request may not be retried or no other endpoint can take it now.
-    pub(crate) fn hedge_target(&self, head: &Run) -> Option<Reservation<D>> {
-        if !self.job.kind().repeatable() || !self.has_retry() {
+    /// Selects a target for an attempt beside those that are running, and takes the retry from the
+    /// budget; `None` if the request may not be retried or no other endpoint can take it now.
+    pub(crate) fn hedge_target(
+        &self,
+        running: &[Rc<Progress>],
+        purpose: Purpose,
+    ) -> Option<Reservation<D>> {
+        if !self.job.kind().repeatable() || !self.has_retry(purpose) {
             return None;
         }
         let service = self.current_service().ok()?;
         let need = self.job.need();
         let tried = self.tried.borrow();
-        let untried = [tried.as_slice(), std::slice::from_ref(head)];
+        let heads: Vec<Run> = running.iter().map(|p| p.head.clone()).collect();
+        let excluded = [tried.as_slice(), &heads];
         let target = self.worker.with_selector(|selector, now| {
-            let mut found = untried
+            let mut found = excluded
                 .iter()
-                .map(|t| selector.select(now, service, &need, t));
+                .map(|e| selector.select(now, service, &need, e));
             found.find_map(std::result::Result::ok)
         })?;
-        let target = Reservation::new(self.worker.clone(), target);
-        self.try_retry(true, Purpose::Answer).then_some(target)
+        let reservation = Reservation::new(self.worker.clone(), target);
+        self.reached.set(true);
+        self.try_retry(purpose).then_some(reservation)
     }
 
     /// Returns whether neither the route nor the retry budget forbids a further attempt.
-    fn has_retry(&self) -> bool {
+    fn has_retry(&self, purpose: Purpose) -> bool {
         let service = &self.job.service().name;
         self.possible_runs.get() < self.job.route().max_attempts
             && self
                 .worker
-                .with_selector(|selector, now| selector.can_retry(now, service, Purpose::Answer))
+                .with_selector(|selector, now| selector.can_retry(now, service, purpose))
     }
 
     /// Runs a query for endpoints that were not tried yet; if there are none, for all endpoints.
@@ -399,12 +314,11 @@
         }
     }
 
-    /// Returns the maximum wait for the head of a response.
+    /// Returns the time after which an attempt without a response head is slow.
     fn head_timeout(&self) -> Duration {
         let time_left = self.job.time_left();
-        let last = self.possible_runs.get() + 1 >= self.job.route().max_attempts;
         match self.job.kind() {
-            Kind::Idempotent if !last => {
+            Kind::Idempotent => {
                 time_left.min(self.job.route().latency_target.mul_f64(HEAD_TIMEOUT_FACTOR))
             }
             _ => time_left,
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -5,6 +5,7 @@
 use crate::dialect::{Dialect, ForwardInfo, ResponseInfo};
 use crate::pool::{self, Conn};
 use crate::worker::Worker;
+use catalog::endpoint::Run;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -16,7 +17,6 @@
 use steer::Selector;
 use steer::health::Outcome;
 use steer::target::{Stage, Target};
-use tokio::sync::Notify;
 use tokio::time::{Instant, timeout};
 
 /// The capacity that an attempt reserved at its endpoints, released when the attempt ends or is
@@ -24,8 +24,6 @@
 pub(crate) struct Reservation<D: Dialect> {
     worker: Rc<Worker<D>>,
     pub(crate) target: Target,
-    /// Number of the attempt; 0 until it is sent.
-    pub(crate) attempt: u32,
     /// State that is shared with those who wait for the attempt.
     pub(crate) progress: Rc<Progress>,
     ended: bool,
@@ -33,15 +31,20 @@
 
 impl<D: Dialect> Reservation<D> {
     pub(crate) fn new(worker: Rc<Worker<D>>, target: Target) -> Self {
+        let progress = Rc::new(Progress::new(target.head()));
         Self {
             worker,
             target,
-            attempt: 0,
-            progress: Rc::default(),
+            progress,
             ended: false,
         }
     }
 
+    /// Returns the number of the attempt; 0 until it is sent.
+    pub(crate) fn attempt(&self) -> u32 {
+        self.progress.attempt.get()
+    }
+
     /// Releases the reservation and reports the outcome; see [`steer::Selector::end`].
     pub(crate) fn end(mut self, outcome: Outcome, faulty_stage: Option<SocketAddr>) {
         self.ended = true;
@@ -65,38 +68,33 @@
 /// State of an attempt that waits for its response, for those who wait for it.
 #[derive(Debug)]
 pub(crate) struct Progress {
+    /// Endpoint that the request is sent to.
+    pub(crate) head: Run,
+    /// Address of `head`.
+    pub(crate) addr: SocketAddr,
     /// Number of the attempt; 0 until it is sent.
     pub(crate) attempt: Cell<u32>,
     /// Outcome that is reported if the attempt is dropped.
     pub(crate) dropped_as: Cell<Outcome>,
-    idle_reason: Cell<&'static str>,
-    idle: Notify,
+    /// Why another endpoint should be tried, until that was considered.
+    pub(crate) idle_reason: Cell<Option<&'static str>>,
+    /// Whether the attempt was ever idle.
+    pub(crate) was_idle: Cell<bool>,
 }
 
-impl Default for Progress {
-    fn default() -> Self {
+impl Progress {
+    fn new(head: &Stage) -> Self {
         Self {
+            head: head.run.clone(),
+            addr: head.addr,
             attempt: Cell::new(0),
             dropped_as: Cell::new(Outcome::Unknown),
-            idle_reason: Cell::new(""),
-            idle: Notify::new(),
+            idle_reason: Cell::new(None),
+            was_idle: Cell::new(false),
         }
     }
 }
 
-impl Progress {
-    /// Waits until another endpoint should be tried, and returns the reason.
-    pub(crate) async fn idle(&self) -> &'static str {
-        self.idle.notified().await;
-        self.idle_reason.get()
-    }
-
-    fn report_idle(&self, reason: &'static str) {
-        self.idle_reason.set(reason);
-        self.idle.notify_one();
-    }
-}
-
 /// An attempt whose response head was received.
 pub(crate) struct Exchange<D: Dialect> {
     pub(crate) conn: Conn,
@@ -170,14 +168,13 @@
 }
 
 impl<D: Dialect> Forwarder<D> {
-    /// Sends the request to the head of a target and waits for up to `limit` for the response head.
+    /// Sends the request to the head of a target and waits for the response head until the deadline.
     /// A response is resumed after the event `last_event_id`. The attempt counts as one that may be
     /// executed until it is known that it was not.
     pub(crate) async fn send(
         &self,
         mut reservation: Reservation<D>,
         last_event_id: Option<u64>,
-        limit: Duration,
     ) -> Result<Exchange<D>, Failure> {
         let addr = reservation.target.head().addr;
         self.tried
@@ -185,10 +182,9 @@
             .extend(reservation.target.stages.iter().map(|s| s.run.clone()));
         let crossings = self.crossings(&reservation.target.stages);
         let attempt = self.log.record_sent(&reservation.target, crossings);
-        reservation.attempt = attempt;
         reservation.progress.attempt.set(attempt);
         self.possible_runs.set(self.possible_runs.get() + 1);
-        let exchanged = self.exchange(&mut reservation, last_event_id, limit).await;
+        let exchanged = self.exchange(&mut reservation, last_event_id).await;
         let failure = match exchanged {
             Ok((conn, response)) => {
                 let info = self.worker.dialect.response_info(response.headers());
@@ -263,24 +259,18 @@
         &self,
         reservation: &mut Reservation<D>,
         last_event_id: Option<u64>,
-        limit: Duration,
     ) -> Result<(Conn, Response<Incoming>), Failure> {
         let addr = reservation.target.head().addr;
         let mut conn = self.connect(&reservation.target).await?;
         let request = self.request(&reservation.target, last_event_id);
-        match self
-            .await_head(&mut conn, request, reservation, limit)
-            .await
-        {
+        match self.await_head(&mut conn, request, reservation).await {
             // The endpoint closed the idle connection before the request was sent; retry on a new
             // one.
             Err(Failure::Unsent) => {
                 self.worker.pool.close_idle(addr);
                 let mut conn = self.connect(&reservation.target).await?;
                 let request = self.request(&reservation.target, last_event_id);
-                let response = self
-                    .await_head(&mut conn, request, reservation, limit)
-                    .await?;
+                let response = self.await_head(&mut conn, request, reservation).await?;
                 Ok((conn, response))
             }
             response => Ok((conn, response?)),
@@ -295,10 +285,10 @@
         conn: &mut Conn,
         request: Request<Full<bytes::Bytes>>,
         reservation: &mut Reservation<D>,
-        limit: Duration,
     ) -> Result<Response<Incoming>, Failure> {
         let started = Instant::now();
         let time_left = self.job.time_left();
+        let limit = self.head_timeout();
         let mut response = pin!(conn.send(request));
         let mut next_probe = stall::FIRST_EVENT_PROBE_DELAY.min(limit);
         loop {
@@ -320,7 +310,7 @@
                 Verdict::Wait => (idle >= limit).then_some("slow"),
             };
             if let Some(reason) = reason {
-                reservation.progress.report_idle(reason);
+                self.report_idle(&reservation.progress, reason);
             }
             next_probe = match idle < limit {
                 true => limit.min(started.elapsed() + stall::PROBE_INTERVAL),
--- a/crates/gate/src/forward/stall.rs
+++ b/crates/gate/src/forward/stall.rs
@@ -197,7 +197,7 @@
         let stages = self.worker.with_selector(reroute).ok()?;
         let crossings = self.crossings(&stages);
         self.log
-            .record_reroute(reservation.attempt, stage, &stages, crossings);
+            .record_reroute(reservation.attempt(), stage, &stages, crossings);
         reservation.target.stages = stages;
         let outcome = self
             .worker
--- a/crates/gate/src/splice.rs
+++ b/crates/gate/src/splice.rs
@@ -2,34 +2,25 @@
 //!
 //! Events are forwarded as they arrive. When an endpoint's stream breaks, the response is resumed
 //! from another endpoint after the last forwarded event, if the route allows it; when it stalls,
-//! another endpoint is tried beside it ([`hedge`]). The head of the response is held back until
+//! another endpoint is tried beside it ([`crate::forward::race`]). The head of the response is held back until
 //! the first event: a response that ends before it is an error that names its reason. Later the
 //! head remains that of the first endpoint. A response is ended as complete only if its endpoint
 //! ended it between two events; otherwise the caller's connection is aborted, so that a truncated
 //! response does not look complete.
 
-mod hedge;
 mod source;
 
 use crate::dialect::Dialect;
 use crate::forward::Forwarder;
-use crate::forward::attempt::Reservation;
-use crate::forward::stall;
+use crate::forward::race::{Lost, Phase, Winner};
 use bytes::Bytes;
-use futures::{Stream, StreamExt};
-use hedge::Hedged;
+use futures::Stream;
 use http::{HeaderMap, StatusCode};
 use hyper::body::Frame;
-use source::{Batch, Step};
+use source::Batch;
 use std::fmt;
-use std::time::Duration;
-use steer::budget::Purpose;
-use tokio::time::Instant;
 
-pub(crate) use source::EventSource;
-
-/// Maximum wait for an endpoint with free capacity when a response is resumed.
-const MAX_RESUME_WAIT: Duration = Duration::from_millis(600);
+pub(crate) use source::{EventSource, Step};
 
 /// A frame of the body that is sent to a caller.
 pub type Chunk = std::result::Result<Frame<Bytes>, Incomplete>;
@@ -52,12 +43,6 @@
     pub(crate) headers: HeaderMap,
 }
 
-/// A response whose first events were received.
-pub(crate) struct Opened<S> {
-    pub(crate) head: Head,
-    pub(crate) body: S,
-}
-
 struct Splice<D: Dialect> {
     forwarder: Forwarder<D>,
     source: Option<EventSource<D>>,
@@ -68,76 +53,53 @@
     done: bool,
 }
 
-/// Waits for the first events of a response whose first part is read from `source`, and returns
-/// its head and body.
-///
-/// # Errors
-///
-/// Returns the forwarder if the response ended before its first event and no endpoint could resume
-/// it.
-pub(crate) async fn open<D: Dialect>(
+/// Returns the head and the body of a response that continues `source`, whose first step is `first`.
+pub(crate) fn stream<D: Dialect>(
     forwarder: Forwarder<D>,
     source: EventSource<D>,
-) -> std::result::Result<Opened<impl Stream<Item = Chunk>>, Forwarder<D>> {
-    let mut head = source.head();
-    let mut splice = Splice {
+    first: Step,
+) -> (Head, impl Stream<Item = Chunk>) {
+    let head = source.head();
+    let splice = Splice {
         last_event_id: forwarder.job.info.last_event_id,
         forwarder,
         source: Some(source),
         has_started: false,
         done: false,
     };
-    let first = match splice.next().await {
-        Ok(first) => first,
-        Err(_) => return Err(splice.forwarder),
-    };
-    if let Some(source) = &splice.source {
-        head = source.head();
-    }
-    let first = futures::stream::iter(first.map(|bytes| Ok(Frame::data(bytes))));
-    let others = futures::stream::unfold(splice, |mut splice| async move {
-        let chunk = splice.next_chunk().await?;
-        Some((chunk, splice))
+    let body = futures::stream::unfold((splice, Some(first)), |(mut splice, first)| async move {
+        let chunk = splice.next_chunk(first).await?;
+        Some((chunk, (splice, None)))
     });
-    Ok(Opened {
-        head,
-        body: first.chain(others),
-    })
+    (head, body)
 }
 
 impl<D: Dialect> Splice<D> {
-    /// Returns the next frame of the body; `None` at its end.
-    async fn next_chunk(&mut self) -> Option<Chunk> {
+    /// Returns the next frame of the body; `None` at its end. `ready` is a step that was read before.
+    async fn next_chunk(&mut self, ready: Option<Step>) -> Option<Chunk> {
         if self.done {
             return None;
         }
-        match self.next().await {
-            Ok(bytes) => bytes.map(|bytes| Ok(Frame::data(bytes))),
-            Err(incomplete) => {
-                self.done = true;
-                self.forwarder.log.end_truncated();
-                Some(Err(incomplete))
+        let step = match ready {
+            Some(step) => Ok(step),
+            None => self.step().await,
+        };
+        match step {
+            Ok(Step::Events(batch)) => {
+                self.record_progress(&batch);
+                Some(Ok(Frame::data(batch.bytes)))
             }
-        }
-    }
-
-    /// Returns the next events; `None` at the end of the response.
-    async fn next(&mut self) -> std::result::Result<Option<Bytes>, Incomplete> {
-        loop {
-            match self.step().await {
-                Step::Events(batch) => {
-                    self.record_progress(&batch);
-                    return Ok(Some(batch.bytes));
-                }
-                Step::End => {
-                    self.finish();
-                    return Ok(None);
-                }
-                Step::Failed(reason) | Step::Idle(reason) => {
-                    if !self.resume(reason).await {
-                        return Err(Incomplete);
-                    }
+            Ok(_) => {
+                self.finish();
+                None
+            }
+            Err(lost) => {
+                if let Lost::Shortage(_) = lost {
+                    self.forwarder.log.set_reason("no endpoint to go on from");
                 }
+                self.done = true;
+                self.forwarder.log.end_truncated();
+                Some(Err(Incomplete))
             }
         }
     }
@@ -154,67 +116,37 @@
         self.last_event_id = batch.last_id;
     }
 
-    /// Waits for the next step of the source. While it is idle, other endpoints are tried, at
-    /// intervals that double with each one that does not continue the response.
-    async fn step(&mut self) -> Step {
-        let mut interval = stall::PROBE_INTERVAL;
-        let mut next_hedge = Instant::now();
-        loop {
-            let Some(source) = &mut self.source else {
-                return Step::Failed("no endpoint");
-            };
-            let reason = match source.watch(&self.forwarder, self.last_event_id).await {
-                Step::Idle(reason) => reason,
-                step => return step,
-            };
-            if Instant::now() < next_hedge {
-                continue;
+    /// Waits for the next events or the end of the response. If the source is idle or fails, other
+    /// endpoints are tried.
+    async fn step(&mut self) -> std::result::Result<Step, Lost> {
+        let Some(mut source) = self.source.take() else {
+            return Err(Lost::Exhausted);
+        };
+        let phase = Phase::Resuming(self.last_event_id);
+        let step = source.watch(&self.forwarder, self.last_event_id).await;
+        let current = match step {
+            Step::Idle(reason) => {
+                self.forwarder.report_idle(&source.progress(), reason);
+                Some(source)
             }
-            match self.hedge(reason).await {
-                Hedged::Step(step) => return step,
-                Hedged::Replaced | Hedged::NoTarget => {}
-                Hedged::Declined => {
-                    next_hedge = Instant::now() + interval;
-                    interval = interval.saturating_mul(2);
-                }
+            Step::Failed(reason) => {
+                self.forwarder.log.set_reason(reason);
+                source.fail(&self.forwarder, reason);
+                None
+            }
+            step => {
+                self.source = Some(source);
+                return Ok(step);
             }
-        }
-    }
-
-    /// Resumes a response whose source failed from another endpoint. Returns whether one was found.
-    async fn resume(&mut self, reason: &'static str) -> bool {
-        self.forwarder.log.set_reason(reason);
-        if let Some(source) = self.source.take() {
-            source.fail(&self.forwarder, reason);
-        }
-        let purpose = match self.has_started {
-            true => Purpose::Resumption,
-            false => Purpose::Answer,
         };
-        while self.forwarder.job.kind().repeatable()
-            && !self.forwarder.job.time_left().is_zero()
-            && self.forwarder.try_retry(true, purpose)
-        {
-            let Ok(target) = self.forwarder.acquire_target(Some(MAX_RESUME_WAIT)).await else {
-                self.forwarder.log.set_reason("no endpoint to go on from");
-                return false;
-            };
-            let reservation = Reservation::new(self.forwarder.worker.clone(), target);
-            let limit = self.forwarder.job.time_left();
-            match self
-                .forwarder
-                .send(reservation, self.last_event_id, limit)
-                .await
-            {
-                Ok(exchange) if exchange.response.status() == StatusCode::OK => {
-                    self.source = Some(EventSource::new(exchange, Instant::now()));
-                    return true;
-                }
-                Ok(exchange) => self.forwarder.end_refused(exchange).await,
-                Err(_) => {}
+        match self.forwarder.race(current, phase).await? {
+            Winner::Events(source, step) => {
+                self.source = Some(*source);
+                Ok(step)
             }
+            // A response that is resumed is an event stream.
+            Winner::Complete(_) => Err(Lost::Exhausted),
         }
-        false
     }
 
     fn finish(&mut self) {
--- a/crates/gate/src/splice/source.rs
+++ b/crates/gate/src/splice/source.rs
@@ -4,7 +4,7 @@
 use crate::admit;
 use crate::dialect::{Dialect, ResponseInfo};
 use crate::events::{Event, Splitter};
-use crate::forward::attempt::{Exchange, Reservation};
+use crate::forward::attempt::{Exchange, Progress, Reservation};
 use crate::forward::migration::Migration;
 use crate::forward::stall;
 use crate::forward::{Forwarder, closes_connection};
@@ -13,13 +13,14 @@
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use std::rc::Rc;
 use std::time::Duration;
 use steer::health::Outcome;
 use tokio::time::{Instant, timeout};
 
 /// Complete events that follow each other.
 #[derive(Debug)]
-pub(super) struct Batch {
+pub(crate) struct Batch {
     pub(super) bytes: Bytes,
     /// Number of events, at least 1.
     pub(super) count: usize,
@@ -29,7 +30,7 @@
 
 /// Result of reading from an endpoint's stream.
 #[derive(Debug)]
-pub(super) enum Step {
+pub(crate) enum Step {
     /// The next events.
     Events(Batch),
     /// The endpoint ended the response.
@@ -123,8 +124,8 @@
 
 /// The response of one endpoint while its events are received.
 pub(crate) struct EventSource<D: Dialect> {
-    pub(super) reader: Reader,
-    pub(super) reservation: Reservation<D>,
+    reader: Reader,
+    reservation: Reservation<D>,
     conn: Conn,
     info: ResponseInfo,
     /// The planned move off a departing stage.
@@ -169,14 +170,19 @@
         }
     }
 
+    /// Returns the state that is shared with those who wait for the attempt.
+    pub(crate) fn progress(&self) -> Rc<Progress> {
+        self.reservation.progress.clone()
+    }
+
     /// Returns the time since the last event.
-    pub(super) fn idle_time(&self) -> Duration {
+    fn idle_time(&self) -> Duration {
         self.last_active.elapsed()
     }
 
     /// Waits for the next events after event `position`. While the source is idle, its chain is
     /// checked, and stages that stall or depart are replaced.
-    pub(super) async fn watch(&mut self, forwarder: &Forwarder<D>, position: Option<u64>) -> Step {
+    pub(crate) async fn watch(&mut self, forwarder: &Forwarder<D>, position: Option<u64>) -> Step {
         loop {
             let left = forwarder.job.time_left();
             if left.is_zero() {
@@ -209,7 +215,7 @@
     }
 
     /// Restarts the idle time if events were received.
-    pub(super) fn received(&mut self, step: Step) -> Step {
+    fn received(&mut self, step: Step) -> Step {
         if matches!(step, Step::Events(_)) {
             self.has_started = true;
             self.last_active = Instant::now();
@@ -228,10 +234,10 @@
     }
 
     /// Ends a source that failed, and closes its connection.
-    pub(super) fn fail(self, forwarder: &Forwarder<D>, reason: &str) {
+    pub(crate) fn fail(self, forwarder: &Forwarder<D>, reason: &str) {
         forwarder
             .log
-            .record_failure(self.reservation.attempt, reason, true);
+            .record_failure(self.reservation.attempt(), reason, true);
         forwarder
             .worker
             .pool
