gate: a stage that a head reports as failed is replaced after a long idle time, too

What callers saw: a response that stayed on a failed stage until the caller left.

Change: the report comes first. A report that is older than the last reroute leaves the other checks in force.

--- a/crates/gate/src/forward/stall.rs
+++ b/crates/gate/src/forward/stall.rs
@@ -111,39 +111,39 @@
         if !chain && self.job.kind().stream().is_none() {
             return Verdict::Wait;
         }
+        let stalls = report.iter().flat_map(|r| &r.stalls);
+        let stall = stalls.into_iter().find(|s| s.request == self.job.id());
+        if let Some(stall) = stall
+            && let Some(verdict) = self.replace_blocked(reservation, stall.blocked_on).await
+        {
+            return verdict;
+        }
         if idle > MAX_IDLE_TIME {
             return Verdict::Failover("idle for too long");
         }
-        let Some(report) = report else {
-            return match chain && idle > UNRESPONSIVE_HEAD_TIMEOUT {
-                true => Verdict::Failover("head of the chain is unresponsive"),
-                false => Verdict::Wait,
-            };
-        };
-        let stall = report.stalls.iter().find(|s| s.request == self.job.id());
-        match stall {
-            Some(stall) => self.replace_blocked(reservation, stall.blocked_on).await,
-            None => Verdict::Wait,
+        match report.is_none() && chain && idle > UNRESPONSIVE_HEAD_TIMEOUT {
+            true => Verdict::Failover("head of the chain is unresponsive"),
+            false => Verdict::Wait,
         }
     }
 
-    /// Replaces the stage that a request is blocked on.
+    /// Replaces the stage that a request is blocked on; `None` if the report that names it is older
+    /// than the last reroute.
     async fn replace_blocked(
         &self,
         reservation: &mut Reservation<D>,
         stage: SocketAddr,
-    ) -> Verdict {
+    ) -> Option<Verdict> {
         if !reservation.target.stages.iter().any(|s| s.addr == stage) {
-            // The report is older than the last reroute.
-            return Verdict::Wait;
+            return None;
         }
         self.worker
             .with_selector(|selector, now| selector.report_failed(now, stage));
-        match self.migrate(reservation, stage).await {
+        Some(match self.migrate(reservation, stage).await {
             Some(RerouteOutcome::Done) => Verdict::Wait,
             Some(_) => Verdict::Failover("a stage failed and the head could not replace it"),
             None => Verdict::Failover("a stage failed and has no replacement"),
-        }
+        })
     }
 
     /// Moves a response off a stage. If that fails, the response continues on the old stages.
