gate: a stage of an order without a response can be replaced

What callers saw: a response that stayed blocked on a failed stage.

Cause: takes the stages back after any order that was not confirmed. If the head carried the order out and only its response was lost, a report that names the new stage was taken for an old one. Without taking them back, the same happened when the order was not carried out.

Change: after an order without a response the reservation keeps the new stages, and those before it apart. A report that names one of the earlier stages shows that the order was not carried out, and they are reserved again.

--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -24,6 +24,8 @@
 pub(crate) struct Reservation<D: Dialect> {
     worker: Rc<Worker<D>>,
     pub(crate) target: Target,
+    /// Stages before the last reroute, while it is not known whether the head carried it out.
+    pub(crate) unconfirmed: Option<Vec<Stage>>,
     /// State that is shared with those who wait for the attempt.
     pub(crate) progress: Rc<Progress>,
     ended: bool,
@@ -35,6 +37,7 @@
         Self {
             worker,
             target,
+            unconfirmed: None,
             progress,
             ended: false,
         }
--- a/crates/gate/src/forward/stall.rs
+++ b/crates/gate/src/forward/stall.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use steer::Selector;
-use steer::target::Target;
+use steer::target::{Stage, Target};
 use tokio::time::{Instant, timeout};
 
 /// Idle time before the first event after which the head is queried.
@@ -134,8 +134,11 @@
         reservation: &mut Reservation<D>,
         stage: SocketAddr,
     ) -> Option<Verdict> {
-        if !reservation.target.stages.iter().any(|s| s.addr == stage) {
-            return None;
+        let runs_through = |stages: &[Stage]| stages.iter().any(|s| s.addr == stage);
+        if !runs_through(&reservation.target.stages) {
+            // The last order got no response. The report shows that it was not carried out.
+            let previous = reservation.unconfirmed.take_if(|p| runs_through(p))?;
+            self.revert(reservation, previous);
         }
         self.worker
             .with_selector(|selector, now| selector.report_failed(now, stage));
@@ -146,7 +149,8 @@
         })
     }
 
-    /// Moves a response off a stage. If that fails, the response continues on the old stages.
+    /// Moves a response off a stage. If the head does not do so, the response continues on the old
+    /// stages. An order without a response may have been carried out, so both are kept.
     pub(crate) async fn migrate(
         &self,
         reservation: &mut Reservation<D>,
@@ -154,15 +158,22 @@
     ) -> Option<RerouteOutcome> {
         let previous = reservation.target.stages.clone();
         let outcome = self.replace_stages(reservation, stage).await;
-        if outcome != Some(RerouteOutcome::Done) {
-            reservation.target.stages = previous;
-            let need = self.job.need();
-            self.worker
-                .with_selector(|selector, _| selector.revert_reroute(&reservation.target, &need));
+        match outcome {
+            Some(RerouteOutcome::Done) => reservation.unconfirmed = None,
+            Some(RerouteOutcome::Failed) => reservation.unconfirmed = Some(previous),
+            Some(RerouteOutcome::Missing(_)) | None => self.revert(reservation, previous),
         }
         outcome
     }
 
+    /// Reserves the stages before an order that was not carried out.
+    fn revert(&self, reservation: &mut Reservation<D>, previous: Vec<Stage>) {
+        reservation.target.stages = previous;
+        let need = self.job.need();
+        self.worker
+            .with_selector(|selector, _| selector.revert_reroute(&reservation.target, &need));
+    }
+
     /// Replaces a stage, and further stages that the head reports as missing. Endpoints fail, and
     /// release layers, in groups.
     async fn replace_stages(
