gate: the events before an error reach the caller together with the head

What callers saw: a connection that was closed without any response, although the first events had been received.

Cause: when the body fails, the connection drops what it has not written. If the first events and the error behind them were read in one piece, the head and the events were still unwritten.

Change: the body waits once before it fails, upon which the connection writes what it has.

--- a/crates/gate/src/splice.rs
+++ b/crates/gate/src/splice.rs
@@ -99,6 +99,9 @@
                 }
                 self.done = true;
                 self.forwarder.log.end_truncated();
+                // The connection discards what it has not written when the body fails. It writes
+                // the events before when it has to wait.
+                tokio::task::yield_now().await;
                 Some(Err(Incomplete))
             }
         }
