--- /dev/null
+++ b/crates/node/tests/hosted_drain.rs
@@ -0,0 +1,71 @@
+//! Drains of the real binary on a platform's store.
+
+#[path = "support/process.rs"]
+mod process;
+#[path = "../../../platform/standin/mod.rs"]
+mod standin;
+
+use process::Process;
+use standin::caller::{self, Call};
+use standin::store::Store;
+use standin::{address, bulk, manifest};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Length of the response, above what the kernel buffers for a connection.
+const BODY_BYTES: usize = 15 << 20;
+/// Time after which the endpoint responds: after the node began to refuse new requests.
+const RESPONSE_DELAY: Duration = Duration::from_millis(1400);
+
+/// Starts a node with a grace time of three seconds and returns the address for its callers.
+fn start(store: &Store) -> (Process, SocketAddr) {
+    let [callers, peers] = std::array::from_fn(|_| address::unused());
+    let settings = format!(
+        "[node]\nname = drain\nzone = a\nregion = south\ngrace = 3s\n[callers]\nlisten = {callers}\n\
+         [peers]\nlisten = {peers}\nkey = {}\nseeds =\n[store]\naddress = {}\nheartbeat = 200ms\n\
+         [logging]\nlevel = info\n",
+        "01".repeat(32),
+        store.addr
+    );
+    let file = process::settings(callers, &settings);
+    (Process::start(file), callers)
+}
+
+/// Waits until the node has the catalog.
+async fn wait_for_catalog(addr: SocketAddr) {
+    let call = Call {
+        method: "GET",
+        path: "/none/x",
+        id: "r0",
+        key: "k1",
+        deadline: "1000",
+    };
+    for _ in 0..500 {
+        if caller::send(addr, &call)
+            .await
+            .is_some_and(|answer| answer.status == http::StatusCode::NOT_FOUND)
+        {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("the node gets no catalog");
+}
+
+// Guards against a drain that ends the process while a response is still being written: its caller
+// reads slowly, and the end of the grace time is more than a second away.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn response_that_a_caller_reads_slowly_survives_a_drain() {
+    let store = Store::start().await;
+    bulk::start("bulk", &store, RESPONSE_DELAY, BODY_BYTES).await;
+    store.put_manifest(&manifest(1, "/safe/"));
+    let (node, callers) = start(&store);
+    wait_for_catalog(callers).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let response = tokio::spawn(bulk::read_slowly(callers, "/once/x"));
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert!(node.signal("-TERM"));
+    let (head, length) = response.await.unwrap().unwrap();
+    assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+    assert_eq!(length, BODY_BYTES);
+}
