gate, node: a drain waits until the last response is written

Callers that read slowly saw a response that broke off when their node was stopped: the endpoint had answered, and most of the grace time was left.

Cause: the process ended 20 ms after no request was in flight. A request counts as in flight until its response is handed to the HTTP library, which still has to write it; what the socket's buffer had not taken was dropped with the process.

Ruled out: the grace time (2.3 s of 4.7 s had passed), and the abort of connections at its end.

Change: the drain waits for the connections of callers instead, still within the grace time. Idle ones are closed when it begins to refuse requests, so the rest have a response in progress. The state dump shows their number.

--- a/crates/gate/src/stats.rs
+++ b/crates/gate/src/stats.rs
@@ -16,6 +16,8 @@
     pub dropped_transitions: Cell<u64>,
     /// Requests in flight.
     pub in_flight: Cell<u64>,
+    /// Open connections of callers.
+    pub connections: Cell<u64>,
 }
 
 /// Increments a counter.
@@ -35,6 +37,7 @@
             ("dialed", &self.connects),
             ("untold", &self.dropped_transitions),
             ("flying", &self.in_flight),
+            ("connected", &self.connections),
         ];
         rows.iter()
             .try_for_each(|(name, cell)| writeln!(f, "{name} {}", cell.get()))
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -126,6 +126,12 @@
         self.stats.in_flight.get()
     }
 
+    /// Returns the number of open connections of callers. During a drain each of them has a request
+    /// in flight or a response that is not completely written yet.
+    pub fn open_connections(&self) -> u64 {
+        self.stats.connections.get()
+    }
+
     /// Refuses new requests from now on.
     pub fn close(&self) {
         self.closing.set(true);
--- a/crates/node/src/hosted/process.rs
+++ b/crates/node/src/hosted/process.rs
@@ -4,7 +4,8 @@
 //! reports itself as not ready, and sends responses with `connection: close`. Callers cache
 //! addresses for a while and reuse open connections, so new requests are still served for the first
 //! `SERVE_FRACTION` of the grace time. After that they are refused as not run. The process ends
-//! when no request is in flight, or shortly before it would be killed.
+//! when no connection of a caller is open, which is after the last response was written, or shortly
+//! before it would be killed.
 
 use super::control::Control;
 use super::settings::{self, Settings};
@@ -34,7 +35,7 @@
 const SERVE_FRACTION: f64 = 0.38;
 /// Fraction of the grace time after which requests in flight are aborted.
 const ABORT_FRACTION: f64 = 0.94;
-/// Interval at which the number of requests in flight is checked during a drain.
+/// Interval at which the number of callers' connections is checked during a drain.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum time to write the remaining decision lines at the end.
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
@@ -60,8 +61,8 @@
     serving: Stop,
     /// Cancelled when control must stop.
     control: CancellationToken,
-    /// Number of requests in flight, for the thread that waits for their end.
-    in_flight: Arc<AtomicU64>,
+    /// Number of open connections of callers, for the thread that waits for their end.
+    connections: Arc<AtomicU64>,
 }
 
 /// Runs a node until a signal stops it.
@@ -167,8 +168,8 @@
     worker.close();
     loop {
         shutdown
-            .in_flight
-            .store(worker.in_flight(), Ordering::Relaxed);
+            .connections
+            .store(worker.open_connections(), Ordering::Relaxed);
         tokio::select! {
             () = shutdown.serving.kill.cancelled() => return Ok(()),
             () = tokio::time::sleep(DRAIN_POLL_INTERVAL) => {}
@@ -218,11 +219,12 @@
         () = tokio::time::sleep(grace.mul_f64(SERVE_FRACTION)) => {}
         _ = terminate.recv() => {}
     }
-    shutdown.in_flight.store(u64::MAX, Ordering::Relaxed);
+    shutdown.connections.store(u64::MAX, Ordering::Relaxed);
     shutdown.close.cancel();
     shutdown.serving.drain.cancel();
     let deadline = started + grace.mul_f64(ABORT_FRACTION);
-    while shutdown.in_flight.load(Ordering::Relaxed) > 0 && tokio::time::Instant::now() < deadline {
+    while shutdown.connections.load(Ordering::Relaxed) > 0 && tokio::time::Instant::now() < deadline
+    {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
     // Gives the last responses time to be written to their sockets.
