entry: a listener that closes stops listening at once

Callers that connected to a node after its drain time got neither an answer nor a refusal until the node's last response had ended.

Cause: the socket was shared with the tasks of the connections and stayed open until the last of them ended. The kernel went on establishing connections, which nobody accepted.

Ruled out: the order of the shutdown; the loop does end when the listener closes.

Change: the connections share the rest of the server; the socket is dropped when the loop ends, so that callers are refused and use another address.

Before: closed_node_refuses_connections_while_answers_are_in_progress failed (the connection was established). After: it passes, as do drain, hostile, outcomes and tls of rig.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -53,12 +53,20 @@
     pub metrics: Metrics,
 }
 
+/// The parts of a running server that its connections share.
+struct Shared {
+    tree: Arc<Tree>,
+    limits: Limits,
+    tls: Option<Arc<ReloadableConfig>>,
+    metrics: Metrics,
+}
+
 /// Tokens that shut a listener down in steps.
 #[derive(Clone, Debug, Default)]
 pub struct Shutdown {
     /// Asks callers to move to another node; all requests are still served.
     pub drain: CancellationToken,
-    /// Stops accepting connections; the listener ends when all connections have ended.
+    /// Closes the listening socket; the listener ends when all connections have ended.
     pub close: CancellationToken,
     /// Aborts all connections.
     pub kill: CancellationToken,
@@ -70,13 +78,25 @@
     pub async fn run(self, shutdown: Shutdown) {
         let tracker = TaskTracker::new();
         let permits = Arc::new(Semaphore::new(self.limits.max_connections));
-        let shared = Arc::new(self);
+        let Self {
+            listener,
+            tree,
+            limits,
+            tls,
+            metrics,
+        } = self;
+        let shared = Arc::new(Shared {
+            tree,
+            limits,
+            tls,
+            metrics,
+        });
         loop {
             let accepted = tokio::select! {
                 biased;
                 () = shutdown.close.cancelled() => break,
                 () = shutdown.kill.cancelled() => break,
-                accepted = shared.listener.accept() => accepted,
+                accepted = listener.accept() => accepted,
             };
             let Ok((stream, addr)) = accepted else {
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -98,10 +118,14 @@
                 drop(permit);
             });
         }
+        // While the socket listens, the kernel establishes connections that nobody would serve.
+        drop(listener);
         tracker.close();
         tracker.wait().await;
     }
+}
 
+impl Shared {
     async fn connection(&self, stream: TcpStream, addr: SocketAddr, shutdown: &Shutdown) {
         let _ = stream.set_nodelay(true);
         let Some(tls) = &self.tls else {
