entry: a worker ends after its last request, not after its last connection

A call that must not be made twice, and whose caller had left, was interrupted when its node was drained, with most of the finish time left: nobody could tell whether it had taken effect. Without a drain such a call goes on to its end.

Cause: the core was stopped as soon as the last connection had ended. Its sessions were dropped with it, and so were ends of claimed runs that still waited in the outbox for the control thread.

Ruled out: the cancellation for callers that left; Core::caller_left keeps such a session.

Change: the core runs on until it has no session and an empty outbox. The worker waits for that or for the kill token, which is cancelled at the end of the finish time.

Before: drain_awaits_a_call_that_is_not_repeatable_and_whose_caller_left failed (no effect). After: it passes, as do drain, once, outcomes and crash of rig. That the end of a claimed run could be lost with the outbox is read from the code, not shown by a test.

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -126,7 +126,8 @@
         }
     }
 
-    /// Handles commands and control events until `stop` is cancelled.
+    /// Handles commands and control events until `stop` is cancelled and no request is left: work
+    /// that is not repeatable continues after its caller has left.
     pub async fn run(
         mut self,
         mut rx: Rx,
@@ -135,10 +136,10 @@
     ) {
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        loop {
+        while !(stop.is_cancelled() && self.is_idle()) {
             tokio::select! {
                 biased;
-                () = stop.cancelled() => return,
+                () = stop.cancelled(), if self.is_idle() => {}
                 _ = tick.tick() => self.tick(),
                 Some(event) = control_events.pop() => self.handle_control_event(event),
                 Some(command) = rx.recv() => self.handle_command(command),
@@ -146,6 +147,11 @@
         }
     }
 
+    /// Returns whether no request is left and the control thread was told about all that have ended.
+    fn is_idle(&self) -> bool {
+        self.sessions.is_empty() && self.outbox.is_empty()
+    }
+
     fn now(&self) -> Now {
         self.start.elapsed()
     }
--- a/crates/entry/src/worker.rs
+++ b/crates/entry/src/worker.rs
@@ -94,7 +94,8 @@
             start,
             reports: self.reports,
         });
-        // The core outlives the listener, because requests in flight need it until they end.
+        // The core outlives the listener: requests in flight need it until they end, and some go on
+        // after their connection.
         let end = CancellationToken::new();
         let running = tokio::spawn(core.run(rx, self.control_events, end.clone()));
         let shared = Shared {
@@ -115,9 +116,13 @@
             tls: self.tls,
             metrics: self.metrics,
         };
+        let kill = self.shutdown.kill.clone();
         server.run(self.shutdown).await;
         end.cancel();
-        let _ = running.await;
+        tokio::select! {
+            () = kill.cancelled() => {}
+            _ = running => {}
+        }
         Ok(())
     }
 }
