entry, route: a call whose answer has begun is not made again

Callers of a repeatable plain service saw an answer that broke off, sometimes with bytes of a second one, while the call ran again at another endpoint for nobody. An endpoint that is ejected for the errors of other calls ended answers in progress in the same way.

Cause: only a failure that the call itself reported was kept from a retry once the head of its answer had been forwarded. An attempt that the router cancelled (ejection, slow endpoint, reserved chain) was started again elsewhere.

Ruled out: a second answer that looks complete; its head ends the body with an error.

Change: the core reports the head as Event::Committed, and the router takes the request for one that is not repeatable from then on. It is not moved, and if its endpoint is lost it ends with an unknown outcome. The audit checks this too; the special case for failures in the core is gone.

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -246,7 +246,6 @@
             unclaimed: None,
             head: None,
             body: None,
-            committed: false,
             running: None,
         };
         let id = arrival.request.id;
--- a/crates/entry/src/core/progress.rs
+++ b/crates/entry/src/core/progress.rs
@@ -11,7 +11,6 @@
 use route::action::Hop;
 use route::event::Event;
 use route::failure::{Cause, Failure};
-use route::outcome::Outcome;
 use route::request::Id;
 use std::time::Duration;
 
@@ -71,17 +70,15 @@
         };
         match event {
             CallEvent::Head(parts) => {
-                session.committed = true;
                 session.head = session.key_hash.map(|_| parts.clone());
                 let _ = session.reply.send(Reply::Head(parts));
-                self.handle(Event::Progress(id, attempt, 0));
+                self.handle(Event::Committed(id, attempt));
             }
             CallEvent::Finished(body) => {
                 session.body = body;
                 self.handle(Event::Finished(id, attempt));
             }
             CallEvent::Failed(failure) => {
-                let committed = session.committed;
                 let failure = self.failure(
                     id,
                     0,
@@ -89,16 +86,7 @@
                     failure.sent,
                     None,
                 );
-                if committed {
-                    // Part of the answer has reached the caller. A retry would append a second
-                    // answer to it.
-                    self.finish(id, Outcome::Unknown);
-                }
                 self.handle(Event::Failed(id, attempt, failure));
-                if committed {
-                    self.handle(Event::Left(id));
-                    self.remove(id);
-                }
             }
         }
     }
--- a/crates/entry/src/core/session.rs
+++ b/crates/entry/src/core/session.rs
@@ -27,8 +27,6 @@
     pub(super) head: Option<Box<http::response::Parts>>,
     /// Body of a service's answer, if it is short enough to be cached.
     pub(super) body: Option<Bytes>,
-    /// Whether part of a service's answer was sent to the caller, so that no retry is possible.
-    pub(super) committed: bool,
     pub(super) running: Option<Running>,
 }
 
--- a/crates/route/src/audit.rs
+++ b/crates/route/src/audit.rs
@@ -54,6 +54,11 @@
                 };
                 self.records.entry(request.id).or_insert(record);
             }
+            Event::Committed(id, attempt) => {
+                if let Some(record) = self.current(*id, *attempt) {
+                    record.repeatable = false;
+                }
+            }
             Event::Finished(id, attempt) => {
                 if let Some(record) = self.current(*id, *attempt) {
                     record.complete = true;
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -17,6 +17,9 @@
     Arrive(Request),
     /// A hop of an attempt completed its part of the current step.
     Progress(Id, Attempt, u8),
+    /// The answer of a plain service began and is forwarded to the caller, so that no other attempt
+    /// can answer the request.
+    Committed(Id, Attempt),
     /// An attempt generated one more token.
     Token(Id, Attempt),
     /// An attempt generated its last token, or the answer of a plain service is complete.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -162,6 +162,7 @@
             Event::View(view) => self.apply_view(now, view),
             Event::Arrive(request) => self.arrive(now, request),
             Event::Progress(id, attempt, hop) => self.progress(now, id, attempt, hop),
+            Event::Committed(id, attempt) => self.committed(now, id, attempt),
             Event::Token(id, attempt) => self.token(now, id, attempt),
             Event::Finished(id, attempt) => self.finished(now, id, attempt),
             Event::Failed(id, attempt, failure) => self.failed(now, id, attempt, &failure),
--- a/crates/route/src/router/progress.rs
+++ b/crates/route/src/router/progress.rs
@@ -48,6 +48,17 @@
         }
     }
 
+    /// Records that the answer of an attempt has begun: the request is not repeatable any more.
+    pub(super) fn committed(&mut self, now: Now, id: Id, attempt: Attempt) {
+        if self.current(id, attempt).is_none() {
+            return;
+        }
+        self.progress(now, id, attempt, 0);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.request.repeatable = false;
+        }
+    }
+
     pub(super) fn token(&mut self, now: Now, id: Id, attempt: Attempt) {
         let Some(run) = self.current(id, attempt) else {
             return;
