entry, route: a request keeps its team and target when the bundle changes before it reaches the router

A call of one service ran at another one, and its caller got that one's answer with status 200, after the operator had removed a service while the call's body was still arriving.

The router takes the ids for those of the bundle in force when the request reaches it.

Ruled out: requests in the router; their ids are renumbered with each bundle (route::router::update).

Change: an arrival carries the bundle of its ids, and the core renumbers it by the same names as the router does. Where the team or the target is gone, the request is refused as not run. The claim path uses the same function; it has no test of its own.

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -21,6 +21,7 @@
 use crate::ring;
 use crate::snapshot::{SharedSnapshot, Snapshot};
 use arc_swap::ArcSwap;
+use bundle::Bundle;
 use bundle::id::EndpointId;
 use engine::chain::{Stop, Token};
 use engine::pool::Pool;
@@ -28,7 +29,7 @@
 use route::event::{Event, TICK};
 use route::outcome::Outcome;
 use route::refusal::{Reason, Refusal};
-use route::request::Id;
+use route::request::{Id, Request};
 use route::router::Router;
 use route::{Attempt, Now};
 use std::collections::{HashMap, VecDeque};
@@ -56,6 +57,11 @@
     reason: Reason::Overload,
     retry_after: Some(Duration::from_secs(1)),
 };
+/// The refusal of a request whose team or target is no longer in the bundle.
+const TARGET_GONE: Refusal = Refusal {
+    reason: Reason::NoEndpoint,
+    retry_after: None,
+};
 /// The end of a service's answer that is complete.
 const COMPLETE_CALL_END: End = End {
     outcome: Outcome::Complete,
@@ -208,7 +214,7 @@
 
     fn handle_command(&mut self, command: Command) {
         match command {
-            Command::Arrive(arrival) => self.arrive(arrival),
+            Command::Arrive(arrival) => self.arrive(*arrival),
             Command::Chain(id, attempt, event) => self.handle_chain_event(id, attempt, event),
             Command::Call(id, attempt, event) => self.handle_call_event(id, attempt, event),
             Command::CallerLeft(id) => self.caller_left(id),
@@ -229,9 +235,6 @@
     }
 
     fn arrive(&mut self, arrival: Arrival) {
-        // The handler may have used a newer snapshot than the router has. Both must use the same
-        // bundle, because ids are valid for one bundle only.
-        self.refresh();
         let session = Session {
             work: arrival.work,
             reply: arrival.reply,
@@ -251,7 +254,7 @@
         let id = arrival.request.id;
         let Some(claim) = arrival.claim else {
             self.sessions.insert(id, session);
-            return self.handle(Event::Arrive(arrival.request));
+            return self.submit(arrival.request, &arrival.bundle);
         };
         let request = claim::Request {
             id,
@@ -262,7 +265,7 @@
             id,
             Session {
                 key_hash: Some(claim.form.hash()),
-                unclaimed: Some(arrival.request),
+                unclaimed: Some((arrival.request, arrival.bundle)),
                 ..session
             },
         );
@@ -279,6 +282,22 @@
         }
     }
 
+    /// Passes a request with the ids of `bundle` to the router. The router may have another bundle:
+    /// the handler's snapshot was older if the body or the claim took time, or newer.
+    fn submit(&mut self, request: Request, bundle: &Arc<Bundle>) {
+        self.refresh();
+        let id = request.id;
+        let current = self.snapshot.as_ref().map(|s| &s.view.bundle);
+        let request = match current {
+            Some(current) if !Arc::ptr_eq(current, bundle) => request.renumber(bundle, current),
+            _ => Some(request),
+        };
+        match request {
+            Some(request) => self.handle(Event::Arrive(request)),
+            None => self.refuse(id, TARGET_GONE),
+        }
+    }
+
     /// Ends a request whose caller has left. A repeatable request is cancelled, down to the
     /// engines. A request that is not repeatable continues once its attempt has started: if it were
     /// interrupted, it would be unknown whether its effects took place.
--- a/crates/entry/src/core/claims.rs
+++ b/crates/entry/src/core/claims.rs
@@ -6,7 +6,6 @@
 use super::{COMPLETE_CALL_END, Core};
 use crate::attempt::Work;
 use crate::claim::{self, CachedAnswer, Verdict};
-use route::event::Event;
 use route::outcome::Outcome;
 use route::request::Id;
 use std::sync::Arc;
@@ -30,9 +29,8 @@
     /// more, and the control thread has been notified and releases the key.
     pub(super) fn run_claimed(&mut self, id: Id) {
         let session = self.sessions.get_mut(&id);
-        if let Some(request) = session.and_then(|s| s.unclaimed.take()) {
-            self.refresh();
-            self.handle(Event::Arrive(request));
+        if let Some((request, bundle)) = session.and_then(|s| s.unclaimed.take()) {
+            self.submit(request, &bundle);
         }
     }
 
--- a/crates/entry/src/core/message.rs
+++ b/crates/entry/src/core/message.rs
@@ -3,6 +3,7 @@
 use crate::api::error::Error;
 use crate::attempt::{CallEvent, Work};
 use crate::claim::{self, Claim, Verdict};
+use bundle::Bundle;
 use bundle::digest::Digest;
 use engine::chain::{self, Stop, Token};
 use route::Attempt;
@@ -17,7 +18,7 @@
 #[derive(Debug)]
 pub enum Command {
     /// A request arrived.
-    Arrive(Arrival),
+    Arrive(Box<Arrival>),
     /// An event of an attempt on a chain of stages.
     Chain(Id, Attempt, chain::Event),
     /// An event of a call of a plain HTTP service.
@@ -37,6 +38,8 @@
 pub struct Arrival {
     /// The properties that the router decides on.
     pub request: Request,
+    /// The bundle whose ids the request has.
+    pub bundle: Arc<Bundle>,
     /// The work to do.
     pub work: Work,
     /// The idempotency key under which the request runs at most once, if any.
--- a/crates/entry/src/core/session.rs
+++ b/crates/entry/src/core/session.rs
@@ -3,12 +3,14 @@
 use super::message::{End, Reply};
 use crate::attempt::{Stage, Work};
 use crate::claim::CachedAnswer;
+use bundle::Bundle;
 use bytes::Bytes;
 use engine::chain::Token;
 use lease::claim::Hash;
 use route::Attempt;
 use route::outcome::Outcome;
 use route::request::Request;
+use std::sync::Arc;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
@@ -21,8 +23,8 @@
     pub(super) repeatable: bool,
     /// Hash of the idempotency key, if the request has a claim.
     pub(super) key_hash: Option<Hash>,
-    /// The request as the router needs it, while it waits for its key.
-    pub(super) unclaimed: Option<Request>,
+    /// The request as the router needs it, with the bundle of its ids, while it waits for its key.
+    pub(super) unclaimed: Option<(Request, Arc<Bundle>)>,
     /// Head of a service's answer, if it is to be cached for retries.
     pub(super) head: Option<Box<http::response::Parts>>,
     /// Body of a service's answer, if it is short enough to be cached.
--- a/crates/entry/src/handler/call.rs
+++ b/crates/entry/src/handler/call.rs
@@ -7,7 +7,6 @@
 use crate::api::error::{Error, Result};
 use crate::api::header::{DEADLINE, Header, OUTCOME, PRIORITY, REPEATABLE, WHOLE};
 use crate::attempt::{Call, MAX_BUFFERED_CHUNKS, Work};
-use crate::claim::Claim;
 use crate::core::{Arrival, Command, End, Reply};
 use crate::request_body;
 use bytes::Bytes;
@@ -89,7 +88,15 @@
         options,
     };
     let time_left = options.head_timeout;
-    let answer = submit(state, request, work, claim, chunk_rx).await;
+    let (reply, replies) = mpsc::unbounded_channel();
+    let arrival = Arrival {
+        request,
+        bundle: bundle.clone(),
+        work: Work::Call(work),
+        claim,
+        reply,
+    };
+    let answer = submit(state, arrival, replies, chunk_rx).await;
     let answer = original.or_forward(state, answer, body, time_left).await;
     with_request_id(answer, id)
 }
@@ -138,25 +145,17 @@
 
 async fn submit(
     state: &Shared,
-    request: Routed,
-    call: Call,
-    claim: Option<Claim>,
+    arrival: Arrival,
+    replies: mpsc::UnboundedReceiver<Reply>,
     chunk_rx: mpsc::Receiver<Bytes>,
 ) -> Result<Response> {
-    let (reply, replies) = mpsc::unbounded_channel();
     let mut body = ResponseBody {
-        guard: Guard::new(request.id, state.tx.clone()),
+        guard: Guard::new(arrival.request.id, state.tx.clone()),
         replies,
         chunks: chunk_rx,
         ended: false,
     };
-    let arrival = Arrival {
-        request,
-        work: Work::Call(call),
-        claim,
-        reply,
-    };
-    let _ = state.tx.send(Command::Arrive(arrival));
+    let _ = state.tx.send(Command::Arrive(Box::new(arrival)));
     match body.replies.recv().await {
         Some(Reply::Head(parts)) => Ok(streaming_response(*parts, body)),
         Some(Reply::Refused(refusal)) => Err(refusal.into()),
--- a/crates/entry/src/handler/complete.rs
+++ b/crates/entry/src/handler/complete.rs
@@ -63,7 +63,7 @@
         .request
         .deadline
         .saturating_sub(state.start.elapsed());
-    let _ = state.tx.send(Command::Arrive(arrival));
+    let _ = state.tx.send(Command::Arrive(Box::new(arrival)));
     let result = respond(answer, header.whole).await;
     let response = original.or_forward(state, result, body, time_left).await;
     with_request_id(response, id)
@@ -162,6 +162,7 @@
     let guard = Guard::new(request.id, state.tx.clone());
     let arrival = Arrival {
         request,
+        bundle: bundle.clone(),
         work: Work::Completion(Arc::new(prompt)),
         claim: None,
         reply,
--- a/crates/route/src/router/update.rs
+++ b/crates/route/src/router/update.rs
@@ -5,10 +5,10 @@
 use crate::Now;
 use crate::plan::Plan;
 use crate::refusal::Reason;
-use crate::request::{Id, Target};
+use crate::request::{Id, Target, renumber_priority};
 use crate::view::View;
 use bundle::Bundle;
-use bundle::id::{EndpointId, ModelId, PriorityId, ServiceId, TeamId};
+use bundle::id::{EndpointId, ModelId, ServiceId, TeamId};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -158,8 +158,8 @@
             .copied()
             .flatten()
             .unwrap_or(TeamId::MAX);
-        request.priority = priority(old, new, request.priority);
-        let target = target(old, new, request.target);
+        request.priority = renumber_priority(old, new, request.priority);
+        let target = request.target.renumber(old, new);
         let compatible = target.is_some_and(|t| is_compatible(old, new, request.target, t));
         job.not_resumable |= !compatible && (job.sent || job.tokens > 0 || job.run.is_some());
         request.target = target.unwrap_or(request.target);
@@ -192,36 +192,6 @@
     }
 }
 
-/// Returns the priority of the same name, or the least urgent one.
-fn priority(old: &Bundle, new: &Bundle, id: PriorityId) -> PriorityId {
-    let name = old.priorities.get(id as usize).map(|p| p.name.as_str());
-    let last = new.priorities.len().saturating_sub(1) as PriorityId;
-    name.and_then(|n| new.priority(n)).unwrap_or(last)
-}
-
-/// Returns the target of the same name.
-fn target(old: &Bundle, new: &Bundle, target: Target) -> Option<Target> {
-    match target {
-        Target::Model(model, adapter) => {
-            let old = old.models.get(model as usize)?;
-            let model = new.model(&old.name)?;
-            let Some(adapter) = adapter else {
-                return Some(Target::Model(model, None));
-            };
-            let name = old.adapters.get(adapter as usize)?;
-            let found = new.models[model as usize]
-                .adapters
-                .iter()
-                .position(|a| a == name)?;
-            Some(Target::Model(model, Some(found as u16)))
-        }
-        Target::Service(service) => {
-            let name = &old.services.get(service as usize)?.name;
-            new.service(name).map(Target::Service)
-        }
-    }
-}
-
 /// Returns whether an answer begun under the old bundle may continue under the new one. The version
 /// of the model must not change within an answer.
 fn is_compatible(old: &Bundle, new: &Bundle, was: Target, is: Target) -> bool {
