route: an endpoint that is ejected for errors keeps the attempts that nothing can replace

Callers of work that must not be repeated got an unknown outcome although their attempt was alive: four other requests had failed at the same endpoint within ten seconds.

Cause: an ejection cancelled all attempts on the endpoint. That is right where the endpoint is dead, and where a request goes on elsewhere; an endpoint that is ejected for errors answers, and an attempt that is not repeatable has no successor.

Ruled out: the failures of the four; each ended only its own request.

Change: such an ejection leaves attempts that can't be moved, unless they are silent themselves. They end by their own connection, by the endpoint's death, or by silence, which is looked at when the probe for the endpoint's return is answered. An ejection after an unanswered probe cancels all, as before.

The check of the router's tables said that nothing runs on an ejected endpoint. It now says that nothing movable does; the count of attempts there is checked as before.

Before: call_that_is_not_repeatable_outlives_the_ejection_of_its_endpoint_for_errors failed (Cancel, Finish Unknown). After: it passes. Two tests cover how such a call ends; the one about silence fails without the change to the probe's answer (run as a trial). All tests of route, entry and rig pass.

--- a/crates/route/src/job.rs
+++ b/crates/route/src/job.rs
@@ -119,6 +119,12 @@
         self.phase == Phase::Running && self.request.repeatable && !self.not_resumable
     }
 
+    /// Returns whether the running attempt continues when its endpoint is ejected although it
+    /// answers probes: it shows progress, and no other attempt could take its place.
+    pub fn outlives_ejection(&self) -> bool {
+        !self.is_movable() && self.run.as_ref().is_some_and(|r| !r.silent)
+    }
+
     /// Returns whether the running attempt may be paused for urgent work and resumed later.
     pub fn is_preemptible(&self) -> bool {
         self.is_movable() && !self.urgent
--- a/crates/route/src/router/check.rs
+++ b/crates/route/src/router/check.rs
@@ -49,7 +49,7 @@
             if alone.is_some_and(|a| here.iter().any(|j| j.id() != a.id())) {
                 report(Fault::Shared(id));
             }
-            if row.health.is_ejected() && row.in_flight > 0 {
+            if row.health.is_ejected() && here.iter().any(|j| j.is_movable()) {
                 report(Fault::Closed(id));
             }
         }
--- a/crates/route/src/router/recover.rs
+++ b/crates/route/src/router/recover.rs
@@ -49,7 +49,7 @@
         }
         // The ejection comes last: it cancels all attempts on the endpoint, and this one has
         // already ended.
-        ejected.into_iter().for_each(|e| self.eject(now, e));
+        ejected.into_iter().for_each(|e| self.eject(now, e, true));
     }
 
     /// Records a failure against its endpoint; returns whether the endpoint is to be ejected.
--- a/crates/route/src/router/verdict.rs
+++ b/crates/route/src/router/verdict.rs
@@ -60,14 +60,13 @@
         if returned {
             row.limiter.reset(now);
             self.plan_stale = true;
-        } else {
-            self.confirm_alive(now, endpoint);
         }
+        self.confirm_alive(now, endpoint);
         self.dispatch_needed = true;
         self.unpark(now);
     }
 
-    /// Handles an answered probe of an endpoint in use: only connections to it are dead.
+    /// Handles an answered probe of an endpoint: only connections to it are dead.
     fn confirm_alive(&mut self, now: Now, endpoint: EndpointId) {
         let connection_lost = self.broken_connections.remove(&endpoint);
         let new_suspects = self.crash.record_alive(now, endpoint, connection_lost);
@@ -77,7 +76,7 @@
         if connection_lost || !silent.is_empty() {
             let row = self.fleet.get_mut(endpoint);
             if row.is_some_and(|r| r.health.record_failure(now)) {
-                return self.eject(now, endpoint);
+                return self.eject(now, endpoint, true);
             }
         }
         if silent.is_empty() {
@@ -126,7 +125,7 @@
         self.crash.open_incident(now, endpoint, fingerprints);
         let new_suspects = self.crash.record_dead(now, endpoint);
         self.publish_suspects(&new_suspects);
-        self.eject(now, endpoint);
+        self.eject(now, endpoint, false);
     }
 
     fn publish_suspects(&mut self, fingerprints: &[u64]) {
@@ -140,8 +139,9 @@
         self.rerank();
     }
 
-    /// Ejects an endpoint and recovers its requests on others.
-    pub(super) fn eject(&mut self, now: Now, endpoint: EndpointId) {
+    /// Ejects an endpoint and recovers its requests on others. If it `answers` probes, attempts that
+    /// can't be replaced continue there.
+    pub(super) fn eject(&mut self, now: Now, endpoint: EndpointId, answers: bool) {
         let jitter = self.rng.random();
         let Some(row) = self.fleet.get_mut(endpoint) else {
             return;
@@ -159,6 +159,7 @@
         }
         self.plan_stale = true;
         let running = self.jobs.values().filter(|j| j.runs_on(endpoint));
+        let running = running.filter(|j| !(answers && j.outlives_ejection()));
         let ids: Vec<Id> = running.map(|j| j.id()).collect();
         ids.into_iter()
             .for_each(|id| self.fail_over(now, id, Some(endpoint), Cause::Reset));
