--- a/crates/route/src/job.rs
+++ b/crates/route/src/job.rs
@@ -114,9 +114,20 @@
         self.request.id
     }
 
+    /// Returns whether the running attempt may be cancelled and the request resumed elsewhere.
+    pub fn is_movable(&self) -> bool {
+        self.phase == Phase::Running && self.request.repeatable && !self.not_resumable
+    }
+
+    /// Returns whether the running attempt continues when its endpoint is ejected although it
+    /// answers probes: it shows progress, and no other attempt could take its place.
+    pub fn outlives_ejection(&self) -> bool {
+        !self.is_movable() && self.run.as_ref().is_some_and(|r| !r.silent)
+    }
+
     /// Returns whether the running attempt may be paused for urgent work and resumed later.
     pub fn is_preemptible(&self) -> bool {
-        self.phase == Phase::Running && !self.urgent && self.request.repeatable
+        self.is_movable() && !self.urgent
     }
 
     /// Returns whether an attempt runs on `endpoint`.
