gate: attempts beside an idle endpoint leave the retries for broken responses

What callers saw: nothing yet; found in the review of the race. An attempt beside an idle source used the tenth of the retry budget that is left for responses whose endpoint broke, although the idle endpoint may still continue.

Change: attempts beside others use what requests without an answer may use; only an attempt that is started when none is left for a response in progress may use all.

Test: a_broken_response_is_resumed_after_attempts_beside_idle_ones fails with the purpose of a resumption (events 1 and 2, cut off) and passes twice in a row.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -252,13 +252,10 @@
     }
 
     /// Selects a target for an attempt beside those that are running, and takes the retry from the
-    /// budget; `None` if the request may not be retried or no other endpoint can take it now.
-    pub(crate) fn hedge_target(
-        &self,
-        running: &[Rc<Progress>],
-        purpose: Purpose,
-    ) -> Option<Reservation<D>> {
-        if !self.job.kind().repeatable() || !self.has_retry(purpose) {
+    /// budget, but not from what is left for responses that have no endpoint any more; `None` if the
+    /// request may not be retried or no other endpoint can take it now.
+    pub(crate) fn hedge_target(&self, running: &[Rc<Progress>]) -> Option<Reservation<D>> {
+        if !self.job.kind().repeatable() || !self.has_retry() {
             return None;
         }
         let service = self.current_service().ok()?;
@@ -274,16 +271,16 @@
         })?;
         let reservation = Reservation::new(self.worker.clone(), target);
         self.reached.set(true);
-        self.try_retry(purpose).then_some(reservation)
+        self.try_retry(Purpose::Answer).then_some(reservation)
     }
 
     /// Returns whether neither the route nor the retry budget forbids a further attempt.
-    fn has_retry(&self, purpose: Purpose) -> bool {
+    fn has_retry(&self) -> bool {
         let service = &self.job.service().name;
         self.possible_runs.get() < self.job.route().max_attempts
             && self
                 .worker
-                .with_selector(|selector, now| selector.can_retry(now, service, purpose))
+                .with_selector(|selector, now| selector.can_retry(now, service, Purpose::Answer))
     }
 
     /// Runs a query for endpoints that were not tried yet; if there are none, for all endpoints.
--- a/crates/gate/src/forward/race.rs
+++ b/crates/gate/src/forward/race.rs
@@ -114,6 +114,7 @@
         }
     }
 
+    /// Returns what an attempt is for that is started when none is left.
     fn purpose(self) -> Purpose {
         match self {
             Self::Opening => Purpose::Answer,
@@ -208,7 +209,7 @@
                     if Instant::now() < pace.next {
                         continue;
                     }
-                    if let Some(reservation) = self.hedge_target(&entrants, phase.purpose()) {
+                    if let Some(reservation) = self.hedge_target(&entrants) {
                         self.log.record_idle(newest.attempt.get(), reason);
                         entrants.push(reservation.progress.clone());
                         let entrant = Entrant::Request(reservation, Instant::now());
--- a/crates/gate/tests/resume.rs
+++ b/crates/gate/tests/resume.rs
@@ -288,3 +288,47 @@
         );
     });
 }
+
+// Guards against responses in progress that are cut off because attempts beside idle endpoints,
+// which may still continue, took the retries that are left for them.
+#[test]
+fn a_broken_response_is_resumed_after_attempts_beside_idle_ones() {
+    run(async {
+        let allowance = Allowance {
+            ratio: 1.0,
+            slack: 0.0,
+            window: Duration::from_secs(10),
+        };
+        #[allow(clippy::reversed_empty_ranges)]
+        let breaks = Behavior::EventsWithPause(1..=2, Duration::from_millis(3200), 3..=2);
+        let a = Server::start(vec![Behavior::EventsWithPause(1..=2, PAUSE, 3..=4)]).await;
+        let b = Server::start(vec![Behavior::Refuse(503)]).await;
+        let node = start(allowance).await;
+        let known = [a.addr, b.addr].map(|addr| stage(addr, 0, LAYERS));
+        let publish = |known: &[catalog::endpoint::Endpoint]| {
+            node.shared_view.store(Some(Arc::new(view(known.to_vec()))));
+        };
+        publish(&known[..1]);
+        let idle = (0..40).map(|_| send(node.addr, request("/chat/x")));
+        let idle = futures::future::join_all(idle);
+        let others = async {
+            while a.heads().len() < 40 {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            a.set_behavior(breaks);
+            let broken = send(node.addr, request("/chat/x"));
+            let registered = async {
+                tokio::time::sleep(Duration::from_millis(1300)).await;
+                publish(&known);
+                tokio::time::sleep(Duration::from_millis(1000)).await;
+                b.set_behavior(Behavior::Events(3, 4));
+            };
+            tokio::join!(broken, registered).0
+        };
+        let (_, broken) = tokio::join!(idle, others);
+        assert_eq!(
+            (ids(&broken.body), broken.complete),
+            (vec![1, 2, 3, 4], true)
+        );
+    });
+}
