gate: an attempt that was not sent has no line about its end

Cause: an attempt beside an idle one may be dropped before it is sent, when the idle one goes on in the same moment; its line named attempt 0. Change: only attempts that were sent are reported. Found in reading; gate's tests pass.

--- a/crates/gate/src/forward/race.rs
+++ b/crates/gate/src/forward/race.rs
@@ -240,7 +240,8 @@
 
     /// Reports the attempts that are dropped because another one goes on with the response.
     fn end_losers(&self, losers: &[Rc<Progress>]) {
-        for loser in losers {
+        let sent = losers.iter().filter(|l| l.attempt.get() > 0);
+        for loser in sent {
             let why = "another endpoint went on with the response";
             self.log.record_failure(loser.attempt.get(), why, true);
             if loser.was_idle.get() {
