gate: the body of a refused request is read before the refusal is sent

Callers whose body arrived after the head saw their connection break instead of a refusal (503 of a node that is about to end or has no catalog, 401, 404), and could not tell that the request had not been run.

Cause: a refusal was sent by the head alone. The HTTP library then closes the connection, whose unread body makes the kernel reset it, and the reset discards the response at the caller.

Ruled out: the caller; it reads after its request is written, as HTTP clients do.

Change: the rest of the body is read and dropped first, within the catalog's limit for bodies and one second.

Before: refusal_before_the_body_reaches_a_caller_that_writes_first failed (broken pipe). After: it passes, as do all tests of gate. A body above the limit is still refused at once and may be lost in the same way.

--- a/crates/gate/src/admit.rs
+++ b/crates/gate/src/admit.rs
@@ -27,6 +27,9 @@
     "upgrade",
 ];
 
+/// Maximum time for reading the body of a refused request.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Result of checking a request's head.
 #[derive(Debug)]
 pub struct Admitted {
@@ -66,6 +69,16 @@
     }
 }
 
+/// Reads the body of a refused request and drops it, within `max_bytes` and a time limit. If the
+/// connection closed while the body still arrives, it would be reset, and the caller would not get
+/// the refusal.
+pub async fn discard_body(body: Incoming, max_bytes: usize) {
+    let mut body = Limited::new(body, max_bytes);
+    let rest = async { while let Some(Ok(_)) = body.frame().await {} };
+    // The refusal is sent in any case.
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, rest).await;
+}
+
 /// Builds the job from the parts of an admitted request.
 ///
 /// `random` selects the service if the route splits its traffic among several.
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -1,8 +1,8 @@
 //! State of a request worker, and the handling of a request from admission to response.
 
-use crate::admit;
+use crate::admit::{self, Admitted};
 use crate::body::Body;
-use crate::dialect::Dialect;
+use crate::dialect::{Dialect, RequestInfo};
 use crate::forward;
 use crate::forward::stall::CachedReport;
 use crate::job::Job;
@@ -13,7 +13,7 @@
 use crate::stats::{self, Stats};
 use crate::view::{SharedView, View};
 use futures::Stream;
-use http::{Request, Response};
+use http::{Request, Response, request};
 use hyper::body::Incoming;
 use journal::Journal;
 use journal::event::Event;
@@ -291,21 +291,16 @@
         let (parts, incoming) = request.into_parts();
         let info = self.dialect.request_info(&parts.headers);
         let id = info.id.clone().unwrap_or_default();
-        let result = async {
-            let Some(view) = self.wait_for_view(info.timeout, received_at).await else {
-                return Err(Refusal::with_retry_after(
-                    Reason::NoCatalog,
-                    forward::jitter(NO_CATALOG_RETRY_AFTER),
-                ));
-            };
-            if self.closing.get() {
-                return Err(Refusal::with_retry_after(
-                    Reason::Leaving,
-                    LEAVING_RETRY_AFTER,
-                ));
+        let (view, admitted) = match self.admit_head(&parts, info, received_at).await {
+            Ok(admitted) => admitted,
+            Err(refusal) => {
+                let limits = self.view().map(|v| v.fleet.catalog.limits);
+                admit::discard_body(incoming, limits.unwrap_or_default().body_bytes).await;
+                return Err((refusal, id));
             }
-            let catalog = &view.fleet.catalog;
-            let admitted = admit::head(catalog, &parts, info)?;
+        };
+        let catalog = &view.fleet.catalog;
+        let result = async {
             let body = admit::body(incoming, catalog.limits.body_bytes).await?;
             let random = rand::rng().random();
             admit::job(
@@ -321,6 +316,29 @@
         result.await.map_err(|refusal| (refusal, id))
     }
 
+    /// Checks the head of a request by the view that is in force, and returns that view.
+    async fn admit_head(
+        &self,
+        head: &request::Parts,
+        info: RequestInfo,
+        received_at: Instant,
+    ) -> Result<(Arc<View>, Admitted), Refusal> {
+        let Some(view) = self.wait_for_view(info.timeout, received_at).await else {
+            return Err(Refusal::with_retry_after(
+                Reason::NoCatalog,
+                forward::jitter(NO_CATALOG_RETRY_AFTER),
+            ));
+        };
+        if self.closing.get() {
+            return Err(Refusal::with_retry_after(
+                Reason::Leaving,
+                LEAVING_RETRY_AFTER,
+            ));
+        }
+        let admitted = admit::head(&view.fleet.catalog, head, info)?;
+        Ok((view, admitted))
+    }
+
     fn record_refusal(&self, id: &str, refusal: Refusal, received_at: Instant) {
         let all_ms = received_at.elapsed().as_millis() as u64;
         let status = refusal.reason.status().as_u16();
