--- a/crates/rig/tests/changes.rs
+++ b/crates/rig/tests/changes.rs
@@ -152,3 +152,29 @@
     let effects: u64 = services.map(|s| s.handle.effects("x")).sum();
     assert_eq!(effects, 1);
 }
+
+// Guards against a refusal that its caller never sees: the node closes the connection while the
+// body is still arriving, which resets the connection and discards the answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_by_the_head_reaches_a_caller_that_still_sends_the_body() {
+    const PART_BYTES: usize = 8 << 10;
+    let fleet = fleet(plan(), &Config::default()).await;
+    for path in ["/v1/chat/completions", "/services/none/x", "/none"] {
+        let mut stream = TcpStream::connect(fleet.node(0).callers)
+            .await
+            .expect("connected");
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: h\r\ncontent-length: {}\r\n\r\n",
+            6 * PART_BYTES
+        );
+        stream.write_all(head.as_bytes()).await.expect("sent");
+        for _ in 0..6 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            let sent = stream.write_all(&[b'a'; PART_BYTES]).await;
+            sent.unwrap_or_else(|error| panic!("{path}: {error}"));
+        }
+        let mut answer = [0; 12];
+        stream.read_exact(&mut answer).await.expect("an answer");
+        assert_eq!(&answer[..10], b"HTTP/1.1 4", "{path}");
+    }
+}
