entry: the body of a refused request is read before the refusal is sent

Callers of the product whose body arrived after the head saw their connection break instead of a 401, 403, 404 or 503, and could not tell that the request had not been run.

Ruled out: the check of the key before the body, which stays; the body is dropped as it arrives and takes no memory.

--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -11,6 +11,7 @@
 use crate::core::Tx;
 use crate::limits::{Limits, RequestLimits};
 use crate::metrics::Metrics;
+use crate::request_body;
 use crate::snapshot::{SharedSnapshot, Snapshot};
 use engine::pool::Pool;
 use http::StatusCode;
@@ -85,45 +86,74 @@
 pub fn routes(state: State) -> Router {
     let mut router = Router::new();
     let s = state.clone();
-    router = router.post("/v1/chat/completions", move |req: Request| {
+    router = router.post("/v1/chat/completions", move |mut req: Request| {
         let s = s.clone();
-        async move { finish(&s, complete::chat(&s, req).await) }
+        async move {
+            let result = complete::chat(&s, &mut req).await;
+            finish(&s, req, result).await
+        }
     });
     let s = state.clone();
-    router = router.post("/v1/completions", move |req: Request| {
+    router = router.post("/v1/completions", move |mut req: Request| {
         let s = s.clone();
-        async move { finish(&s, complete::text(&s, req).await) }
+        async move {
+            let result = complete::text(&s, &mut req).await;
+            finish(&s, req, result).await
+        }
     });
     let s = state.clone();
     router = router.get("/v1/models", move |req: Request| {
         let s = s.clone();
-        async move { finish(&s, discover::models(&s, &req)) }
+        async move {
+            let result = discover::models(&s, &req);
+            finish(&s, req, result).await
+        }
     });
     let s = state.clone();
     router = router.get("/v1/addresses", move |req: Request| {
         let s = s.clone();
-        async move { finish(&s, discover::addresses(&s, &req)) }
+        async move {
+            let result = discover::addresses(&s, &req);
+            finish(&s, req, result).await
+        }
     });
     let s = state.clone();
     router = router.post("/v1/tickets", move |req: Request| {
         let s = s.clone();
-        async move { finish(&s, key::ticket(&s, &req).await) }
+        async move {
+            let result = key::ticket(&s, &req).await;
+            finish(&s, req, result).await
+        }
     });
     let s = state.clone();
-    router = router.any("/services/:service/*", move |req: Request| {
+    router = router.any("/services/:service/*", move |mut req: Request| {
         let s = s.clone();
-        async move { finish(&s, call::service(&s, req).await) }
+        async move {
+            let result = call::service(&s, &mut req).await;
+            finish(&s, req, result).await
+        }
     });
     let s = state;
     router.any("/*", move |req: Request| {
         let s = s.clone();
-        async move { finish(&s, Err(unknown_route(&req))) }
+        async move {
+            let result = Err(unknown_route(&req));
+            finish(&s, req, result).await
+        }
     })
 }
 
-/// Counts an error and converts it to a response. Every response has a request id, even if the
-/// request did not reach a router, so that a caller can refer to it when contacting the operators.
-fn finish(state: &Shared, result: Result<Response, Error>) -> viz::Result<Response> {
+/// Counts an error and converts it to a response, after the body of its request has arrived. Every
+/// response has a request id, even if the request did not reach a router, so that a caller can refer
+/// to it when contacting the operators.
+async fn finish(
+    state: &Shared,
+    mut req: Request,
+    result: Result<Response, Error>,
+) -> viz::Result<Response> {
+    if result.is_err() {
+        request_body::discard(&mut req, &state.limits).await;
+    }
     let mut response = result.unwrap_or_else(|error| {
         state.metrics.record_rejection(error.code);
         error.into_response()
--- a/crates/entry/src/handler/call.rs
+++ b/crates/entry/src/handler/call.rs
@@ -44,7 +44,7 @@
 const FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
 
 /// Handles any method on `/services/NAME/...`.
-pub async fn service(state: &Shared, mut req: Request) -> Result<Response> {
+pub async fn service(state: &Shared, req: &mut Request) -> Result<Response> {
     let snapshot = state.snapshot()?;
     let bundle = &snapshot.view.bundle;
     let header = Header::check(req.headers(), bundle)?;
@@ -57,10 +57,10 @@
     let service_repeatable = bundle.services[usize::from(service)].repeatable;
     // A caller can forbid retries, but can't allow them if the operators have forbidden them.
     let repeatable = service_repeatable && header.repeatable.unwrap_or(true);
-    let head = service_head(&req, rest)?;
+    let head = service_head(req, rest)?;
     let fingerprint_path = path.to_owned();
-    let original = Original::of(&req);
-    let body = request_body::read(&mut req, &state.limits).await?;
+    let original = Original::of(req);
+    let body = request_body::read(req, &state.limits).await?;
     let team = &bundle.teams[usize::from(header.team)].name;
     let (chunk_tx, chunk_rx) = mpsc::channel(MAX_BUFFERED_CHUNKS);
     let request = Routed {
--- a/crates/entry/src/handler/complete.rs
+++ b/crates/entry/src/handler/complete.rs
@@ -31,26 +31,26 @@
 const MAX_PREFIX_BLOCKS: usize = 64;
 
 /// Handles `POST /v1/chat/completions`.
-pub async fn chat(state: &Shared, req: Request) -> Result<Response> {
+pub async fn chat(state: &Shared, req: &mut Request) -> Result<Response> {
     complete(state, req, chat::read).await
 }
 
 /// Handles `POST /v1/completions`.
-pub async fn text(state: &Shared, req: Request) -> Result<Response> {
+pub async fn text(state: &Shared, req: &mut Request) -> Result<Response> {
     complete(state, req, completion::read).await
 }
 
 async fn complete(
     state: &Shared,
-    mut req: Request,
+    req: &mut Request,
     read: fn(&[u8]) -> Result<Params>,
 ) -> Result<Response> {
     // The key is checked before the body is read, so that callers without a key use no memory.
     let snapshot = state.snapshot()?;
     let bundle = &snapshot.view.bundle;
     let header = Header::check(req.headers(), bundle)?;
-    let original = Original::of(&req);
-    let body = request_body::read(&mut req, &state.limits).await?;
+    let original = Original::of(req);
+    let body = request_body::read(req, &state.limits).await?;
     let params = read(&body)?;
     let resolved = resolve_model(bundle, &header, &params)?;
     let max_tokens = max_tokens(state, bundle, resolved.model, &params)?;
