--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -232,3 +232,16 @@
         .unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, test);
 }
+
+/// Returns the next view after the operator removed all routes, services and teams, and all
+/// endpoints left.
+pub fn with_all_removed(mut view: View) -> View {
+    let mut tables = tables();
+    tables.version += 1;
+    tables.routes.clear();
+    tables.services.clear();
+    tables.teams = Some(Vec::new());
+    view.fleet.catalog = Arc::new(Catalog::try_from(tables).unwrap());
+    view.fleet.endpoints = Arc::default();
+    view
+}
