--- a/crates/node/tests/hosted_drain.rs
+++ b/crates/node/tests/hosted_drain.rs
@@ -1,4 +1,4 @@
-//! Drains of the real binary on a platform's store.
+//! Signals and drains of the real binary on a platform's store.
 
 #[path = "support/process.rs"]
 mod process;
@@ -18,14 +18,14 @@
 const RESPONSE_DELAY: Duration = Duration::from_millis(2200);
 
 /// Starts a node with a grace time of five seconds and returns the address for its callers.
-fn start(store: &Store) -> (Process, SocketAddr) {
+fn start_with(store: SocketAddr) -> (Process, SocketAddr) {
     let [callers, peers] = std::array::from_fn(|_| address::unused());
     let settings = format!(
         "[node]\nname = drain\nzone = a\nregion = south\ngrace = 5s\n[callers]\nlisten = {callers}\n\
          [peers]\nlisten = {peers}\nkey = {}\nseeds =\n[store]\naddress = {}\nheartbeat = 200ms\n\
          [logging]\nlevel = info\n",
         "01".repeat(32),
-        store.addr
+        store
     );
     let file = process::settings(callers, &settings);
     (Process::start(file), callers)
@@ -59,7 +59,7 @@
     let store = Store::start().await;
     bulk::start("bulk", &store, RESPONSE_DELAY, BODY_BYTES).await;
     store.put_manifest(&manifest(1, "/safe/"));
-    let (node, callers) = start(&store);
+    let (node, callers) = start_with(store.addr);
     wait_for_catalog(callers).await;
     tokio::time::sleep(Duration::from_millis(300)).await;
     let response = tokio::spawn(bulk::read_slowly(callers, "/once/x"));
@@ -69,3 +69,20 @@
     assert!(head.starts_with("HTTP/1.1 200"), "{head}");
     assert_eq!(length, BODY_BYTES);
 }
+
+// Guards against a node that a signal kills because it accepts callers before it handles signals.
+#[test]
+fn signal_right_after_the_start_does_not_kill_a_node() {
+    const STARTS: usize = 20;
+    let store: SocketAddr = address::unused();
+    for start in 0..STARTS {
+        let (mut node, callers) = start_with(store);
+        let signal = node.prepare_signal("-HUP");
+        while std::net::TcpStream::connect(callers).is_err() {
+            std::hint::spin_loop();
+        }
+        signal.send();
+        std::thread::sleep(Duration::from_millis(20));
+        assert_eq!(node.exit_status(), None, "start {start}");
+    }
+}
--- a/crates/node/tests/support/process.rs
+++ b/crates/node/tests/support/process.rs
@@ -54,6 +54,14 @@
         self.child.try_wait().unwrap()
     }
 
+    /// Prepares a signal.
+    pub fn prepare_signal(&self, name: &str) -> PreparedSignal {
+        let script = format!("read -r line; kill {name} {}", self.child.id());
+        let mut command = Command::new("sh");
+        command.args(["-c", &script]).stdin(Stdio::piped());
+        PreparedSignal(command.stderr(Stdio::null()).spawn().unwrap())
+    }
+
     /// Sends a signal. Returns false if the process has already ended.
     pub fn signal(&self, name: &str) -> bool {
         let mut command = Command::new("kill");
@@ -63,6 +71,17 @@
     }
 }
 
+/// A signal that is sent without the delay of starting a program.
+pub struct PreparedSignal(Child);
+
+impl PreparedSignal {
+    /// Sends the signal.
+    pub fn send(mut self) {
+        drop(self.0.stdin.take());
+        self.0.wait().unwrap();
+    }
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         let _ = self.child.kill();
