node: signals are handled before callers are accepted

A node that was told to reload or to end right after its start died at once; its callers lost their connections without an answer.

Cause: the handlers of SIGTERM, SIGINT and SIGHUP were installed after the threads had been started and the listeners opened. Until then the default applies, which ends the process.

Ruled out: the settings; the process ended by signal 1.

Change: the handlers are installed first, in a hosted node and in one with signed bundles. SIGHUP keeps its default in the latter, which does not use it.

--- a/crates/node/src/hosted/process.rs
+++ b/crates/node/src/hosted/process.rs
@@ -65,8 +65,29 @@
     connections: Arc<AtomicU64>,
 }
 
+/// The signals that a node handles.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    /// Handles the signals from now on; must be called within a runtime.
+    fn listen() -> Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
 /// Runs a node until a signal stops it.
 pub fn run(file: &Path, settings: Settings) -> Result<()> {
+    // Signals are handled before callers are accepted: by default they would kill the process.
+    let main_runtime = runtime()?;
+    let signals = main_runtime.block_on(async { Signals::listen() })?;
     let (journal, lines) = Journal::new(journal::QUEUE_CAPACITY);
     let writer = journal::writer::start(&journal, lines, std::io::stdout())?;
     journal::logger::install(&journal, settings.level)?;
@@ -113,7 +134,7 @@
         settings,
         journal: journal.clone(),
     };
-    let result = runtime()?.block_on(run_until_signal(watch, &shutdown));
+    main_runtime.block_on(run_until_signal(watch, &shutdown, signals));
     for thread in [worker, control] {
         thread
             .join()
@@ -121,7 +142,7 @@
     }
     journal.record(Event::Stop { reason: "ended" });
     writer.finish(LOG_FLUSH_TIMEOUT);
-    result
+    Ok(())
 }
 
 type Thread = std::thread::JoinHandle<Result<()>>;
@@ -189,21 +210,17 @@
 }
 
 /// Reloads changed settings until SIGTERM or SIGINT arrives, then drains the node.
-async fn run_until_signal(mut watch: SettingsWatch, shutdown: &Shutdown) -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hangup = signal(SignalKind::hangup())?;
+async fn run_until_signal(mut watch: SettingsWatch, shutdown: &Shutdown, mut signals: Signals) {
     let mut poll = tokio::time::interval(SETTINGS_POLL_INTERVAL);
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => watch.reload(true),
+            _ = signals.terminate.recv() => break,
+            _ = signals.interrupt.recv() => break,
+            _ = signals.hangup.recv() => watch.reload(true),
             _ = poll.tick() => watch.reload(false),
         }
     }
-    leave(&watch, shutdown, &mut terminate).await;
-    Ok(())
+    leave(&watch, shutdown, &mut signals.terminate).await;
 }
 
 /// Drains the node within the grace time. Another SIGTERM ends the time in which new requests are
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -8,7 +8,7 @@
 use node::{hosted, logging, process};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Exit code for missing or invalid settings. Nothing was started.
 const EXIT_INVALID_SETTINGS: u8 = 2;
@@ -125,6 +125,9 @@
 
 fn serve(settings: Settings) -> Result<()> {
     logging::start(&settings.logging)?;
+    // Signals are handled before callers are accepted: by default they would kill the process.
+    let runtime = process::runtime()?;
+    let signals = runtime.block_on(async { Signals::listen() })?;
     let process = Process::start(settings)?;
     log::info!(
         "node {} serves callers on {}, peers on {}, admin on {}",
@@ -133,26 +136,39 @@
         process.peers,
         process.admin
     );
-    process::runtime()?.block_on(drain_on_signal(&process))?;
+    runtime.block_on(drain_on_signal(&process, signals));
     process.join()
 }
 
+/// The signals that end a node.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    /// Handles the signals from now on; must be called within a runtime.
+    fn listen() -> Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+}
+
 /// Waits for a signal, then drains the node. A second signal aborts the requests in flight.
-async fn drain_on_signal(process: &Process) -> Result<()> {
-    let mut term = signal(SignalKind::terminate())?;
-    let mut int = signal(SignalKind::interrupt())?;
+async fn drain_on_signal(process: &Process, mut signals: Signals) {
     tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
+        _ = signals.terminate.recv() => {}
+        _ = signals.interrupt.recv() => {}
     }
     log::info!("draining; a second signal aborts the requests in flight");
     let shutdown = process.shutdown();
     let leaving = process.leave();
     tokio::select! {
         () = leaving => log::info!("drain ended: no request is in flight, or the finish time has elapsed"),
-        _ = term.recv() => log::warn!("received a second signal; aborting the requests in flight"),
-        _ = int.recv() => log::warn!("received a second signal; aborting the requests in flight"),
+        _ = signals.terminate.recv() => log::warn!("received a second signal; aborting the requests in flight"),
+        _ = signals.interrupt.recv() => log::warn!("received a second signal; aborting the requests in flight"),
     }
     shutdown.serving.kill.cancel();
-    Ok(())
 }
