node: the soak also runs faults of endpoints, and checks that responses are whole beside catalog changes

The soak had no endpoint that was slow or turned requests away, and took a cut response for allowed.

Two tests check them: the guarantees of before, and that a request that only sound endpoints ran is not cut off within seven tenths of its time, beside a catalog version (2 s to apply and 1 s). A paused, killed, restarted or exiting node and a faulty connection excuse it.

The code moves into modules.

--- /dev/null
+++ b/crates/node/tests/soak/guarantee.rs
@@ -0,0 +1,124 @@
+//! Guarantees of a soak run, checked from what callers and endpoints observed.
+
+use crate::cluster::{Cluster, Endpoint};
+use crate::node::Node;
+use crate::observation::{DEADLINE, Observations, Sent};
+use crate::standin::engine::arrival::{Arrival, Reply};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Time after a catalog version in which it is still being applied.
+const VERSION_PERIOD: Duration = Duration::from_secs(3);
+/// Time after SIGTERM in which a node may break off responses: its grace period, and a second.
+const EXIT_PERIOD: Duration = Duration::from_secs(3);
+/// Longest delay of a proxy, which bytes may still be held up by after it has ended.
+const MAX_DELAY: Duration = Duration::from_millis(300);
+
+/// Violations of one run.
+#[derive(Debug, Default)]
+pub struct Violations {
+    pub base: Vec<String>,
+    pub cut: Vec<String>,
+}
+
+/// What is known about a run after its end.
+pub struct Record<'a> {
+    pub cluster: &'a Cluster,
+    pub observed: &'a Observations,
+    /// Arrivals at each endpoint.
+    arrivals: Vec<(&'a Endpoint, Vec<Arrival>)>,
+}
+
+impl<'a> Record<'a> {
+    pub fn new(cluster: &'a Cluster, observed: &'a Observations) -> Self {
+        let endpoints = cluster.endpoints.iter();
+        Self {
+            cluster,
+            observed,
+            arrivals: endpoints.map(|e| (e, e.engine.arrivals())).collect(),
+        }
+    }
+
+    /// Checks all guarantees.
+    pub fn check(&self) -> Violations {
+        Violations {
+            base: self.check_base(),
+            cut: self.check_cut(),
+        }
+    }
+
+    fn node(&self, addr: SocketAddr) -> &'a Node {
+        let mut nodes = self.cluster.nodes.iter();
+        nodes.find(|n| n.callers == addr).expect("a known node")
+    }
+
+    /// At-most-once requests run at most once, and not if their callers were told so.
+    fn check_base(&self) -> Vec<String> {
+        let mut runs: BTreeMap<&str, usize> = BTreeMap::new();
+        let arrivals = self.arrivals.iter().flat_map(|(_, arrivals)| arrivals);
+        for arrival in arrivals.filter(|a| a.was_run()) {
+            *runs.entry(&arrival.request).or_default() += 1;
+        }
+        let mut violations = self.observed.violations.clone();
+        for (id, status) in &self.observed.at_most_once {
+            let count = runs.get(id.as_str()).copied().unwrap_or(0);
+            if count > 1 {
+                violations.push(format!("{id} ran {count} times"));
+            }
+            let promised_not_run = matches!(status.as_u16(), 408 | 421 | 429 | 503);
+            if promised_not_run && count > 0 {
+                violations.push(format!("{id} ran although its caller got {status}"));
+            }
+        }
+        violations
+    }
+
+    /// A request that was run only by sound endpoints gets its whole response beside a catalog
+    /// change.
+    fn check_cut(&self) -> Vec<String> {
+        let mut reached: BTreeMap<&str, Vec<(&Endpoint, &Arrival)>> = BTreeMap::new();
+        for (endpoint, arrivals) in &self.arrivals {
+            for arrival in arrivals {
+                let reached = reached.entry(&arrival.request).or_default();
+                reached.push((endpoint, arrival));
+            }
+        }
+        let mut violations = Vec::new();
+        for (id, sent) in &self.observed.requests {
+            let Some((ended, outcome)) = sent.end.as_ref().filter(|(_, o)| o.is_cut()) else {
+                continue;
+            };
+            let reached = reached.get(id.as_str()).map_or(&[][..], Vec::as_slice);
+            let mut runs = reached.iter().filter(|(_, a)| a.was_run()).peekable();
+            let was_run = runs.peek().is_some();
+            let sound = runs.all(|(endpoint, arrival)| {
+                arrival.reply != Reply::BrokenOff
+                    && !endpoint.proxy.was_faulty(sent.at - MAX_DELAY, *ended)
+                    && endpoint.engine.stopped_at().is_none_or(|at| at > *ended)
+            });
+            if was_run && sound && !self.may_cut(sent, *ended) {
+                let steps: Vec<_> = reached
+                    .iter()
+                    .map(|(e, a)| (&e.engine.id, a.at - sent.at, a.reply))
+                    .collect();
+                violations.push(format!(
+                    "{id} ended after {:?} with {outcome:?}; it reached {steps:?}",
+                    *ended - sent.at
+                ));
+            }
+        }
+        violations
+    }
+
+    /// Returns whether a request may end without its response, whatever its endpoint does: its time
+    /// has nearly passed, its node was interrupted or is exiting, or no catalog version is recent.
+    fn may_cut(&self, sent: &Sent, ended: Instant) -> bool {
+        let node = self.node(sent.node);
+        let recent = sent.at - VERSION_PERIOD..=ended;
+        ended - sent.at >= DEADLINE * 7 / 10
+            || node.was_interrupted(sent.at, ended)
+            || node.was_terminated(sent.at - EXIT_PERIOD, ended)
+            || !self.cluster.versions.iter().any(|at| recent.contains(at))
+    }
+}
--- /dev/null
+++ b/crates/node/tests/soak/node.rs
@@ -0,0 +1,85 @@
+//! A node of a soak run.
+
+use crate::process::{self, Process};
+use std::net::SocketAddr;
+use std::time::Instant;
+
+/// What happened to a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    Signal(&'static str),
+    Restart,
+}
+
+/// A node that is restarted after it has exited.
+pub struct Node {
+    process: Process,
+    /// Number of process starts so far; versions must not decrease within one run of the process.
+    pub run: u64,
+    pub callers: SocketAddr,
+    paused: bool,
+    events: Vec<(Instant, Event)>,
+}
+
+impl Node {
+    /// Starts node `number` of those that listen at `ports`.
+    pub fn start(number: usize, store: SocketAddr, ports: &[SocketAddr]) -> Self {
+        let own = &ports[number * 2..];
+        let seeds: Vec<String> = ports.chunks(2).map(|p| p[1].to_string()).collect();
+        let content = format!(
+            "[node]\nname = n{number}\nzone = a\nregion = south\ngrace = 2s\n\
+             [callers]\nlisten = {}\n[peers]\nlisten = {}\nkey = {}\nseeds = {}\n\
+             [store]\naddress = {store}\nheartbeat = 200ms\n",
+            own[0],
+            own[1],
+            "02".repeat(32),
+            seeds.join(",")
+        );
+        Self {
+            process: Process::start(process::settings(own[0], &content)),
+            run: 1,
+            callers: own[0],
+            paused: false,
+            events: Vec::new(),
+        }
+    }
+
+    /// Sends a signal.
+    pub fn signal(&mut self, name: &'static str) {
+        // A process that has just exited can't be signalled; it is restarted anyway.
+        let _ = self.process.signal(name);
+        // The signal takes effect at some time during the call.
+        if name != "-CONT" || self.paused {
+            self.events.push((Instant::now(), Event::Signal(name)));
+        }
+        self.paused = name == "-STOP" || (self.paused && name != "-CONT");
+    }
+
+    /// Restarts the process if it has exited.
+    pub fn restart_if_exited(&mut self) {
+        if self.process.exit_status().is_some() {
+            self.process.restart();
+            self.run += 1;
+            self.paused = false;
+            self.events.push((Instant::now(), Event::Restart));
+        }
+    }
+
+    /// Returns whether it was told to exit from `from` to `to`.
+    pub fn was_terminated(&self, from: Instant, to: Instant) -> bool {
+        self.events_between(from, to)
+            .any(|event| event == Event::Signal("-TERM"))
+    }
+
+    /// Returns whether it was paused, killed or restarted from `from` to `to`.
+    pub fn was_interrupted(&self, from: Instant, to: Instant) -> bool {
+        self.events_between(from, to)
+            .any(|event| event != Event::Signal("-TERM"))
+    }
+
+    fn events_between(&self, from: Instant, to: Instant) -> impl Iterator<Item = Event> {
+        let events = self.events.iter();
+        let within = events.filter(move |(at, _)| (from..=to).contains(at));
+        within.map(|(_, event)| *event)
+    }
+}
--- a/crates/node/tests/soak/proxy.rs
+++ b/crates/node/tests/soak/proxy.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -27,6 +27,8 @@
 pub struct Proxy {
     pub addr: SocketAddr,
     mode: Arc<Mutex<Mode>>,
+    /// When the mode was changed, and to which.
+    changes: Arc<Mutex<Vec<(Instant, Mode)>>>,
 }
 
 impl Proxy {
@@ -36,6 +38,7 @@
         let proxy = Self {
             addr: listener.local_addr().unwrap(),
             mode: Arc::new(Mutex::new(Mode::Pass)),
+            changes: Arc::default(),
         };
         let own = proxy.clone();
         tokio::spawn(async move {
@@ -49,6 +52,15 @@
     /// Changes the mode, also for open connections.
     pub fn set(&self, mode: Mode) {
         *self.mode.lock().unwrap() = mode;
+        self.changes.lock().unwrap().push((Instant::now(), mode));
+    }
+
+    /// Returns whether it injected a fault at any time from `from` to `to`.
+    pub fn was_faulty(&self, from: Instant, to: Instant) -> bool {
+        let changes = self.changes.lock().unwrap();
+        let before = changes.iter().rev().find(|(at, _)| *at <= from);
+        let within = changes.iter().filter(|(at, _)| *at > from && *at <= to);
+        within.chain(before).any(|(_, mode)| *mode != Mode::Pass)
     }
 
     fn mode(&self) -> Mode {
