--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -13,6 +13,7 @@
 //!   complete is complete;
 //! - a node that has served a catalog version never serves an older one in the same run;
 //! - after all faults have ended, all nodes serve again;
+//! - an endpoint that asked a node for rest gets at most two more requests from it in that time;
 //! - a response of sound endpoints is not cut off beside a catalog change.
 //!
 //! `SOAK_SEEDS=100..150 cargo test --release -p wigeonshelf --test soak -- --nocapture` runs other
@@ -102,11 +103,12 @@
     let violations = Record::new(&cluster, &observed).check();
     println!(
         "seed {seed}, faults of endpoints {endpoint_faults}: {} sent, {} answered, {} at most once; \
-         wrong: {} of the base, {} cut",
+         wrong: {} of the base, {} in rest, {} cut",
         observed.requests.len(),
         observed.answered,
         observed.at_most_once.len(),
         violations.base.len(),
+        violations.rest.len(),
         violations.cut.len()
     );
     violations
@@ -189,6 +191,12 @@
     assert_none(&RUNS, |v| &v.base);
 }
 
+// Guards against repeated requests to an endpoint within the time of its Retry-After.
+#[test]
+fn endpoints_get_the_rest_that_they_ask_for() {
+    assert_none(&RUNS, |v| &v.rest);
+}
+
 // Guards against responses that are given up though their endpoint is only slow.
 #[test]
 fn responses_of_sound_endpoints_are_whole_beside_catalog_changes() {
--- a/crates/node/tests/soak/guarantee.rs
+++ b/crates/node/tests/soak/guarantee.rs
@@ -8,6 +8,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+/// Time after a request for rest in which requests may still arrive.
+const REST_LEEWAY: Duration = Duration::from_millis(500);
+/// Maximum number of requests from a node to an endpoint that asked it for rest.
+const MAX_ARRIVALS_IN_REST: usize = 2;
 /// Time after a catalog version in which it is still being applied.
 const VERSION_PERIOD: Duration = Duration::from_secs(3);
 /// Time after SIGTERM in which a node may break off responses: its grace period, and a second.
@@ -19,6 +23,7 @@
 #[derive(Debug, Default)]
 pub struct Violations {
     pub base: Vec<String>,
+    pub rest: Vec<String>,
     pub cut: Vec<String>,
 }
 
@@ -44,10 +49,15 @@
     pub fn check(&self) -> Violations {
         Violations {
             base: self.check_base(),
+            rest: self.check_rest(),
             cut: self.check_cut(),
         }
     }
 
+    fn sent(&self, request: &str) -> Option<&'a Sent> {
+        self.observed.requests.get(request)
+    }
+
     fn node(&self, addr: SocketAddr) -> &'a Node {
         let mut nodes = self.cluster.nodes.iter();
         nodes.find(|n| n.callers == addr).expect("a known node")
@@ -74,6 +84,45 @@
         violations
     }
 
+    /// An endpoint that asked a node for rest gets at most two more requests from it in that time.
+    fn check_rest(&self) -> Vec<String> {
+        let mut violations = Vec::new();
+        for (endpoint, arrivals) in &self.arrivals {
+            let with_nodes: Vec<_> = arrivals
+                .iter()
+                .filter_map(|a| Some((self.sent(&a.request)?.node, a)))
+                .collect();
+            // The worst violation of each node.
+            let mut worst: BTreeMap<SocketAddr, (usize, String)> = BTreeMap::new();
+            for (node, asked) in &with_nodes {
+                let Reply::TurnedAway { rest } = asked.reply else {
+                    continue;
+                };
+                let (from, to) = (asked.at + REST_LEEWAY, asked.at + rest);
+                let within = with_nodes
+                    .iter()
+                    .filter(|(n, a)| n == node && (from..=to).contains(&a.at));
+                let interrupted = |at| {
+                    self.node(*node).was_interrupted(asked.at, at)
+                        || endpoint.proxy.was_faulty(asked.at, at)
+                };
+                let counted: Vec<_> = within.filter(|(_, a)| !interrupted(a.at)).collect();
+                let known = worst.get(node).map_or(0, |(count, _)| *count);
+                if counted.len() > MAX_ARRIVALS_IN_REST.max(known) {
+                    let text = format!(
+                        "{} asked {node} for rest of {rest:?} and got {} requests in it, the third after {:?}",
+                        endpoint.engine.id,
+                        counted.len(),
+                        counted[MAX_ARRIVALS_IN_REST].1.at - asked.at,
+                    );
+                    worst.insert(*node, (counted.len(), text));
+                }
+            }
+            violations.extend(worst.into_values().map(|(_, text)| text));
+        }
+        violations
+    }
+
     /// A request that was run only by sound endpoints gets its whole response beside a catalog
     /// change.
     fn check_cut(&self) -> Vec<String> {
