--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -14,6 +14,7 @@
 //! - a node that has served a catalog version never serves an older one in the same run;
 //! - after all faults have ended, all nodes serve again;
 //! - an endpoint that asked a node for rest gets at most two more requests from it in that time;
+//! - a node that passed on that an endpoint leaves sends no new requests there;
 //! - a response of sound endpoints is not cut off beside a catalog change.
 //!
 //! `SOAK_SEEDS=100..150 cargo test --release -p wigeonshelf --test soak -- --nocapture` runs other
@@ -103,12 +104,13 @@
     let violations = Record::new(&cluster, &observed).check();
     println!(
         "seed {seed}, faults of endpoints {endpoint_faults}: {} sent, {} answered, {} at most once; \
-         wrong: {} of the base, {} in rest, {} cut",
+         wrong: {} of the base, {} in rest, {} after leaving, {} cut",
         observed.requests.len(),
         observed.answered,
         observed.at_most_once.len(),
         violations.base.len(),
         violations.rest.len(),
+        violations.leaving.len(),
         violations.cut.len()
     );
     violations
@@ -197,6 +199,13 @@
     assert_none(&RUNS, |v| &v.rest);
 }
 
+// Guards against requests to an endpoint whose own responses have said that it leaves, while the
+// store says nothing.
+#[test]
+fn endpoints_that_say_they_leave_get_no_new_requests() {
+    assert_none(&RUNS, |v| &v.leaving);
+}
+
 // Guards against responses that are given up though their endpoint is only slow.
 #[test]
 fn responses_of_sound_endpoints_are_whole_beside_catalog_changes() {
--- a/crates/node/tests/soak/guarantee.rs
+++ b/crates/node/tests/soak/guarantee.rs
@@ -2,8 +2,9 @@
 
 use crate::cluster::{Cluster, Endpoint};
 use crate::node::Node;
-use crate::observation::{DEADLINE, Observations, Sent};
+use crate::observation::{DEADLINE, Observations, Outcome, Sent};
 use crate::standin::engine::arrival::{Arrival, Reply};
+use http::StatusCode;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -12,6 +13,9 @@
 const REST_LEEWAY: Duration = Duration::from_millis(500);
 /// Maximum number of requests from a node to an endpoint that asked it for rest.
 const MAX_ARRIVALS_IN_REST: usize = 2;
+/// Time after a node has passed on that an endpoint leaves in which requests that it receives may
+/// still go there.
+const DRAIN_LIMIT: Duration = Duration::from_secs(2);
 /// Time after a catalog version in which it is still being applied.
 const VERSION_PERIOD: Duration = Duration::from_secs(3);
 /// Time after SIGTERM in which a node may break off responses: its grace period, and a second.
@@ -24,6 +28,7 @@
 pub struct Violations {
     pub base: Vec<String>,
     pub rest: Vec<String>,
+    pub leaving: Vec<String>,
     pub cut: Vec<String>,
 }
 
@@ -50,6 +55,7 @@
         Violations {
             base: self.check_base(),
             rest: self.check_rest(),
+            leaving: self.check_leaving(),
             cut: self.check_cut(),
         }
     }
@@ -123,6 +129,62 @@
         violations
     }
 
+    /// A node that passed on that an endpoint leaves sends no new request there, nor through it.
+    fn check_leaving(&self) -> Vec<String> {
+        let mut violations = Vec::new();
+        for (endpoint, arrivals) in &self.arrivals {
+            let passed_on: Vec<_> = arrivals
+                .iter()
+                .filter(|a| a.leaving && a.reply == Reply::Run)
+                .filter_map(|a| self.passed_on(&a.request))
+                .collect();
+            let stage = format!("{}=", endpoint.engine.advertised());
+            let through = self.arrivals.iter().flat_map(|(_, other)| other);
+            let through = through.filter(|a| a.chain.split(',').any(|s| s.starts_with(&stage)));
+            let own = arrivals.iter().filter(|a| a.chain.is_empty());
+            let mut late: BTreeMap<SocketAddr, (usize, Duration)> = BTreeMap::new();
+            for arrival in own.chain(through) {
+                let Some(sent) = self.sent(&arrival.request) else {
+                    continue;
+                };
+                let known = passed_on.iter().filter(|(node, at)| {
+                    *node == sent.node
+                        && sent.at > *at + DRAIN_LIMIT
+                        && !self.node(*node).was_interrupted(*at, arrival.at)
+                });
+                if let Some(longest) = known.map(|(_, at)| sent.at - *at).max() {
+                    let (count, time) = late.entry(sent.node).or_default();
+                    (*count, *time) = (*count + 1, longest.max(*time));
+                }
+            }
+            violations.extend(late.into_iter().map(|(node, (count, time))| {
+                format!(
+                    "{} got {count} requests from {node} up to {time:?} after it had passed on that it leaves",
+                    endpoint.engine.id
+                )
+            }));
+        }
+        violations
+    }
+
+    /// Returns the node that passed on the response of a request, and the latest time at which it
+    /// did. Returns `None` if more than one endpoint ran the request.
+    fn passed_on(&self, request: &str) -> Option<(SocketAddr, Instant)> {
+        let arrivals = self.arrivals.iter().flat_map(|(_, arrivals)| arrivals);
+        let runs = arrivals.filter(|a| a.request == request && a.was_run());
+        let sent = self.sent(request)?;
+        match &sent.end {
+            Some((
+                at,
+                Outcome::Response {
+                    status: StatusCode::OK,
+                    ..
+                },
+            )) if runs.count() == 1 => Some((sent.node, *at)),
+            _ => None,
+        }
+    }
+
     /// A request that was run only by sound endpoints gets its whole response beside a catalog
     /// change.
     fn check_cut(&self) -> Vec<String> {
