gate, steer: an idle endpoint is ejected as soon as another one is tried beside it

What callers saw: more requests that waited for a silent endpoint until their deadline.

Cause: an attempt that was given up recorded the failure of its endpoint at that moment, which ejected it. Since attempts go on beside each other, the failure was recorded when another one had answered, or at the deadline, and meanwhile further requests chose the silent endpoint.

Change: the failure is recorded when another endpoint is tried.

Ruled out: the rest that endpoints ask for as the only cause; the test has none.

--- a/crates/gate/src/forward/race.rs
+++ b/crates/gate/src/forward/race.rs
@@ -211,6 +211,9 @@
                     }
                     if let Some(reservation) = self.hedge_target(&entrants) {
                         self.log.record_idle(newest.attempt.get(), reason);
+                        // Other requests should not wait for it as well.
+                        self.worker
+                            .with_selector(|selector, now| selector.report_idle(now, newest.addr));
                         entrants.push(reservation.progress.clone());
                         let entrant = Entrant::Request(reservation, Instant::now());
                         running.push(self.attempt(entrant, phase));
--- a/crates/gate/tests/race.rs
+++ b/crates/gate/tests/race.rs
@@ -317,3 +317,39 @@
         assert_eq!(open, 1);
     });
 }
+
+// Guards against requests that are sent to a silent endpoint while another one is tried beside it:
+// its failure was recorded only when another endpoint had answered.
+#[test]
+fn a_silent_endpoint_gets_no_requests_while_another_one_is_tried() {
+    run(async {
+        let silent = Server::start(vec![Behavior::Silent]).await;
+        let delay = Duration::from_millis(1500);
+        let late = Behavior::Delayed(delay, Box::new(Behavior::Answer(200, "late")));
+        let slow = Server::start(vec![late]).await;
+        let node = start(RETRIES).await;
+        let known = [plain(silent.addr), plain(slow.addr)];
+        node.shared_view
+            .store(Some(Arc::new(view(known[..1].to_vec()))));
+        let first = send(node.addr, request("/safe/x"));
+        let others = async {
+            while silent.heads().is_empty() {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            node.shared_view.store(Some(Arc::new(view(known.to_vec()))));
+            while slow.heads().is_empty() {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            let others = (0..8).map(|_| send(node.addr, request("/safe/x")));
+            // Shorter than the time after which these requests try another endpoint, too.
+            let limit = Duration::from_millis(200);
+            let _ = tokio::time::timeout(limit, futures::future::join_all(others)).await;
+            silent.heads().len()
+        };
+        let received = tokio::select! {
+            _ = first => unreachable!("the endpoint answers later"),
+            received = others => received,
+        };
+        assert_eq!(received, 1);
+    });
+}
--- a/crates/steer/src/selector.rs
+++ b/crates/steer/src/selector.rs
@@ -365,6 +365,12 @@
         self.record_at(now, addr, 1, |_| Outcome::Failed);
     }
 
+    /// Records that the endpoint at `addr` is idle while a request waits for it. This counts like an
+    /// attempt that failed.
+    pub fn report_idle(&mut self, now: Timestamp, addr: SocketAddr) {
+        self.record_at(now, addr, FAILURES_TO_PUBLISH, |_| Outcome::Failed);
+    }
+
     /// Records that the head of a chain reported the endpoint at `addr` as missing.
     pub fn report_missing(&mut self, now: Timestamp, addr: SocketAddr) {
         let nodes = self.nodes();
