gate: the race of attempts in smaller steps; plainer words in comments

Reading the change as a newcomer: the choice of an attempt beside an idle one is a function of its own, and the limit of attempts that reach no endpoint is checked where the next one is chosen, so that an endpoint's error that was received before is returned in that case, too. Comments say ignored, received and served.

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -153,7 +153,7 @@
         }
     }
 
-    /// Returns whether no request is left and the control thread was told about all that have ended.
+    /// Returns whether no request is left and the control thread has received all that have ended.
     fn is_idle(&self) -> bool {
         self.sessions.is_empty() && self.outbox.is_empty()
     }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -118,7 +118,7 @@
                 drop(permit);
             });
         }
-        // While the socket listens, the kernel establishes connections that nobody would serve.
+        // While the socket listens, the kernel establishes connections that would not be served.
         drop(listener);
         tracker.close();
         tracker.wait().await;
--- a/crates/gate/src/forward/race.rs
+++ b/crates/gate/src/forward/race.rs
@@ -155,7 +155,11 @@
                 if let Some(Fallback::Ended(source)) = fallback {
                     return Ok(Winner::Events(source, Step::End));
                 }
-                match self.next_target(phase, is_first).await {
+                let target = match unsent > MAX_UNSENT_ATTEMPTS {
+                    true => Err(Lost::Exhausted),
+                    false => self.next_target(phase, is_first).await,
+                };
+                match target {
                     Ok(reservation) => {
                         let since = match is_first {
                             true => self.job.received_at,
@@ -189,31 +193,13 @@
                         End::ServerError(response) => {
                             fallback = Some(Fallback::ServerError(response));
                         }
-                        End::Unsent => {
-                            unsent += 1;
-                            if unsent > MAX_UNSENT_ATTEMPTS && running.is_empty() {
-                                return Err(Lost::Exhausted);
-                            }
-                        }
+                        End::Unsent => unsent += 1,
                         End::Failed => {}
                     }
                     pace.back_off();
                 }
                 () = self.idle.notified() => {
-                    let Some(newest) = entrants.last().cloned() else {
-                        continue;
-                    };
-                    let Some(reason) = newest.idle_reason.take() else {
-                        continue;
-                    };
-                    if Instant::now() < pace.next {
-                        continue;
-                    }
-                    if let Some(reservation) = self.hedge_target(&entrants) {
-                        self.log.record_idle(newest.attempt.get(), reason);
-                        // Other requests should not wait for it as well.
-                        self.worker
-                            .with_selector(|selector, now| selector.report_idle(now, newest.addr));
+                    if let Some(reservation) = self.hedge(&entrants, &pace) {
                         entrants.push(reservation.progress.clone());
                         let entrant = Entrant::Request(reservation, Instant::now());
                         running.push(self.attempt(entrant, phase));
@@ -223,6 +209,22 @@
         }
     }
 
+    /// Returns the reservation of an attempt beside the newest one, if that one is idle and another
+    /// attempt is due.
+    fn hedge(&self, running: &[Rc<Progress>], pace: &Pace) -> Option<Reservation<D>> {
+        let newest = running.last()?;
+        let reason = newest.idle_reason.take()?;
+        if Instant::now() < pace.next {
+            return None;
+        }
+        let reservation = self.hedge_target(running)?;
+        self.log.record_idle(newest.attempt.get(), reason);
+        // Other requests should not wait for it as well.
+        self.worker
+            .with_selector(|selector, now| selector.report_idle(now, newest.addr));
+        Some(reservation)
+    }
+
     /// Takes a retry unless this is the first attempt, and selects a target.
     async fn next_target(&self, phase: Phase, is_first: bool) -> Result<Reservation<D>, Lost> {
         if self.job.time_left().is_zero() {
--- a/crates/gate/tests/leaving.rs
+++ b/crates/gate/tests/leaving.rs
@@ -290,7 +290,7 @@
     });
 }
 
-// Guards against an announcement in the status report of a head that nobody reads.
+// Guards against an announcement in the status report of a head that is ignored.
 #[test]
 fn a_status_report_announces_the_leaving() {
     run(async {
@@ -335,7 +335,7 @@
 }
 
 // Guards against responses that stay on a stage after its endpoint announced in the response to
-// another request that it leaves: no new view tells them.
+// another request that it leaves, without a new view.
 #[test]
 fn a_response_is_moved_off_a_stage_that_announced_its_leaving() {
     run(async {
--- a/crates/node/tests/soak/guarantee.rs
+++ b/crates/node/tests/soak/guarantee.rs
@@ -69,7 +69,7 @@
         nodes.find(|n| n.callers == addr).expect("a known node")
     }
 
-    /// At-most-once requests run at most once, and not if their callers were told so.
+    /// At-most-once requests run at most once, and not if their callers received a promise of that.
     fn check_base(&self) -> Vec<String> {
         let mut runs: BTreeMap<&str, usize> = BTreeMap::new();
         let arrivals = self.arrivals.iter().flat_map(|(_, arrivals)| arrivals);
--- a/crates/node/tests/soak/node.rs
+++ b/crates/node/tests/soak/node.rs
@@ -65,7 +65,7 @@
         }
     }
 
-    /// Returns whether it was told to exit from `from` to `to`.
+    /// Returns whether it received SIGTERM between `from` and `to`.
     pub fn was_terminated(&self, from: Instant, to: Instant) -> bool {
         self.events_between(from, to)
             .any(|event| event == Event::Signal("-TERM"))
--- a/crates/rig/tests/changes.rs
+++ b/crates/rig/tests/changes.rs
@@ -127,7 +127,7 @@
     node.shutdown().serving.close.cancel();
     tokio::time::sleep(Duration::from_millis(300)).await;
     let late = TcpStream::connect(addr).await;
-    assert!(late.is_err(), "a connection that nobody serves");
+    assert!(late.is_err(), "a connection that is not served");
     let (status, ..) = running.await.expect("joined").expect("an answer");
     assert!(status.is_success());
 }
