--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -113,6 +113,15 @@
         violations.leaving.len(),
         violations.cut.len()
     );
+    let all = [
+        &violations.base,
+        &violations.rest,
+        &violations.leaving,
+        &violations.cut,
+    ];
+    for wrong in all.into_iter().flatten() {
+        println!("seed {seed}: {wrong}");
+    }
     violations
 }
 
