node: the soak counts a signal from before it is sent

The check of cut responses was wrong: it recorded a signal when the program that sends it had ended. A node that is killed closes its connections before, so that responses that ended in these milliseconds counted as cut by a running node.

Change: an event has a range of time and excuses a response that it overlaps with.

--- a/crates/node/tests/soak/node.rs
+++ b/crates/node/tests/soak/node.rs
@@ -2,6 +2,7 @@
 
 use crate::process::{self, Process};
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Instant;
 
 /// What happened to a node.
@@ -18,7 +19,7 @@
     pub run: u64,
     pub callers: SocketAddr,
     paused: bool,
-    events: Vec<(Instant, Event)>,
+    events: Vec<(RangeInclusive<Instant>, Event)>,
 }
 
 impl Node {
@@ -46,11 +47,13 @@
 
     /// Sends a signal.
     pub fn signal(&mut self, name: &'static str) {
+        // The signal takes effect at some time during the call, which starts a program.
+        let begin = Instant::now();
         // A process that has just exited can't be signalled; it is restarted anyway.
         let _ = self.process.signal(name);
-        // The signal takes effect at some time during the call.
         if name != "-CONT" || self.paused {
-            self.events.push((Instant::now(), Event::Signal(name)));
+            self.events
+                .push((begin..=Instant::now(), Event::Signal(name)));
         }
         self.paused = name == "-STOP" || (self.paused && name != "-CONT");
     }
@@ -61,7 +64,8 @@
             self.process.restart();
             self.run += 1;
             self.paused = false;
-            self.events.push((Instant::now(), Event::Restart));
+            let now = Instant::now();
+            self.events.push((now..=now, Event::Restart));
         }
     }
 
@@ -79,7 +83,7 @@
 
     fn events_between(&self, from: Instant, to: Instant) -> impl Iterator<Item = Event> {
         let events = self.events.iter();
-        let within = events.filter(move |(at, _)| (from..=to).contains(at));
+        let within = events.filter(move |(time, _)| *time.start() <= to && from <= *time.end());
         within.map(|(_, event)| *event)
     }
 }
