gate: the test of closed connections doesn't depend on timing

Cause: the test. It expected that the request sent 60 ms later finds one of the connections whose responses take 30 ms idle. On a slow machine none is idle yet, and the node opens a fourth connection, which it closes as well. Shown by sending that request after 10 ms: 4 closed, 3 expected, each time. Ruled out: a connection that is kept open (4 of 4 were closed).

Change: the stand-in holds the three responses until the test releases them, so that two connections are idle and one is in use at the announcement, whatever the speed. The test asserts that all connections that the endpoint accepted are closed, at least three.

As strict as before: without the list of retired connections 1 of 3 is closed, without closing the idle ones 2 of 3; the test fails on both.

--- a/crates/gate/tests/leaving.rs
+++ b/crates/gate/tests/leaving.rs
@@ -4,6 +4,8 @@
 mod support;
 
 use catalog::endpoint::{Endpoint, State};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use gate::view::View;
 use http::StatusCode;
 use std::sync::Arc;
@@ -270,23 +272,27 @@
 #[test]
 fn connections_to_an_endpoint_that_announced_its_leaving_are_closed() {
     run(async {
-        let ms = Duration::from_millis;
-        let behaviors = vec![
-            OK.delayed(ms(30)),
-            OK.delayed(ms(90)),
-            OK.delayed(ms(30)),
-            OK.leaving(),
-        ];
+        let behaviors = vec![OK.held(), OK.held(), OK.held(), OK.leaving()];
         let server = Server::start(behaviors).await;
         let node = node(vec![plain(server.addr)]).await;
         let sent = (0..3).map(|_| send(node.addr, request("/safe/x")));
-        let announce = async {
-            tokio::time::sleep(ms(60)).await;
-            send(node.addr, request("/safe/x")).await;
+        let mut sent: FuturesUnordered<_> = sent.collect();
+        let release = async {
+            while server.heads().len() < 3 {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            server.release(2);
+        };
+        let answered = async {
+            sent.next().await;
+            sent.next().await;
         };
-        tokio::join!(futures::future::join_all(sent), announce);
+        tokio::join!(answered, release);
+        send(node.addr, request("/safe/x")).await;
+        server.release(1);
+        sent.next().await;
         assert_eq!(server.heads().len(), 4);
-        wait_for_closed(&server, 3).await;
+        wait_for_closed(&server, server.opened()).await;
     });
 }
 
--- a/crates/gate/tests/support/server.rs
+++ b/crates/gate/tests/support/server.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 
 /// What an endpoint does with a request.
 #[derive(Clone, Debug)]
@@ -47,6 +48,8 @@
     OneChunk(Vec<u64>),
     /// Waits before it does what the other behavior says.
     Delayed(Duration, Box<Behavior>),
+    /// Waits for `Server::release` before it does what the other behavior says.
+    Held(Box<Behavior>),
     /// Does what the other behavior says, and announces in the head of the response that it leaves.
     /// A delay comes around it, not within it.
     Leaving(Box<Behavior>),
@@ -62,6 +65,11 @@
     pub fn delayed(self, delay: Duration) -> Self {
         Self::Delayed(delay, Box::new(self))
     }
+
+    /// Waits for `Server::release` before the response.
+    pub fn held(self) -> Self {
+        Self::Held(Box::new(self))
+    }
 }
 
 /// A scripted endpoint.
@@ -69,6 +77,8 @@
 pub struct Server {
     pub addr: SocketAddr,
     state: Arc<Mutex<State>>,
+    /// One permit for each held response that may be sent.
+    released: Arc<Semaphore>,
 }
 
 #[derive(Default)]
@@ -86,6 +96,8 @@
     lost_responses: usize,
     /// Number of connections that the other side closed during a response.
     aborted: usize,
+    /// Number of accepted connections.
+    opened: usize,
     /// Number of connections that the other side closed between two requests.
     closed_idle: usize,
 }
@@ -97,11 +109,13 @@
         let server = Self {
             addr: listener.local_addr().unwrap(),
             state: Arc::default(),
+            released: Arc::new(Semaphore::new(0)),
         };
         server.state.lock().unwrap().behaviors = behaviors.into();
         let own = server.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                own.state.lock().unwrap().opened += 1;
                 tokio::spawn(own.clone().serve(stream));
             }
         });
@@ -143,6 +157,16 @@
         self.state.lock().unwrap().aborted
     }
 
+    /// Lets this number of held responses be sent.
+    pub fn release(&self, count: usize) {
+        self.released.add_permits(count);
+    }
+
+    /// Returns the number of accepted connections.
+    pub fn opened(&self) -> usize {
+        self.state.lock().unwrap().opened
+    }
+
     /// Returns the number of connections that were closed between two requests.
     pub fn closed_idle(&self) -> usize {
         self.state.lock().unwrap().closed_idle
@@ -277,6 +301,10 @@
                 tokio::time::sleep(delay).await;
                 Box::pin(self.perform(stream, head, *behavior)).await
             }
+            Behavior::Held(behavior) => {
+                self.released.acquire().await.ok()?.forget();
+                Box::pin(self.perform(stream, head, *behavior)).await
+            }
             Behavior::Leaving(behavior) => Box::pin(self.perform(stream, head, *behavior)).await,
         }
     }
