node: a removed row counts as expired until 3.2 s after an outage, not longer

For 3.2 s after that, a removed row counts as one that expired during the outage, but the 3.2 s in which it may be written again counted from the moment at which the node saw the removal. The row of i-85de74a6a1, removed at 26.105 without a word of draining (scale_in), was seen gone at 26.567 there and the endpoint dropped at 29.901, 3.80 s after the store's acknowledgement; 36 other nodes dropped it by 27.44.

Ruled out: rows that travel late. An attempt that is sent late: the request came in 5 ms before.

Change: the window ends 3.2 s after the outage. During the outage nothing changes.

Test, before: an_endpoint_that_leaves_after_an_outage_is_dropped_in_time panicked: removed at 900ms, dropped at 4.8s. After: passes.

--- a/crates/node/src/hosted/control/tables.rs
+++ b/crates/node/src/hosted/control/tables.rs
@@ -185,12 +185,15 @@
             return false;
         };
         let now = Instant::now();
-        let unreadable = self.failed_at.is_some();
-        let recovering = self
-            .recovered_at
-            .is_some_and(|at| now < at + ROW_REWRITE_WINDOW);
-        if (unreadable || recovering) && entry.endpoint.state == State::Ready {
-            entry.kept_until = Some(now + ROW_REWRITE_WINDOW);
+        // The window counts from the end of the outage, not from the removal: an endpoint whose row
+        // is removed after the outage may be leaving.
+        let kept_until = match self.failed_at {
+            Some(_) => Some(now + ROW_REWRITE_WINDOW),
+            None => self.recovered_at.map(|at| at + ROW_REWRITE_WINDOW),
+        };
+        let kept_until = kept_until.filter(|until| now < *until);
+        if kept_until.is_some() && entry.endpoint.state == State::Ready {
+            entry.kept_until = kept_until;
             self.log_endpoint(
                 key,
                 "row lapsed while the store was away".to_owned(),
