entry: hop-by-hop headers are not forwarded

Cause: a call of a service removed connection, te, trailer, transfer-encoding and upgrade; keep-alive, proxy-authenticate, proxy-authorization and whatever `Connection` names passed on to the service, and in answers to the caller. A request forwarded to the owner of its key lost connection, content-length and transfer-encoding only. RFC 9110, 7.6.1, asks a proxy to remove all of them. `x-wigeonshelf-hop`, which is for nodes, went to services as well.

Change: one list for the four places where a message passes on: to a service, to the owner of a key, and back from each. Between nodes the headers of the API stay even if `Connection` names them: an owner that gets no key, or no mark that the request is not repeatable, would run it once more.

Elsewhere: gate has a list of its own (without proxy-connection), not changed here. The chain of stages forwards no headers.

--- a/crates/entry/src/api/header.rs
+++ b/crates/entry/src/api/header.rs
@@ -29,6 +29,17 @@
 /// Tells client libraries whether to retry the request automatically.
 pub const SHOULD_RETRY: HeaderName = HeaderName::from_static("x-should-retry");
 
+/// Headers of a request that a node acts on. Each occurs at most once in a valid request.
+pub const REQUEST_HEADERS: [HeaderName; 7] = [
+    AUTHORIZATION,
+    PRIORITY,
+    DEADLINE,
+    REPEATABLE,
+    WHOLE,
+    IDEMPOTENCY_KEY,
+    HOP,
+];
+
 /// Scheme of the `authorization` header; compared case-insensitively.
 const BEARER: &str = "Bearer";
 /// Maximum length of an idempotency key, in bytes.
--- a/crates/entry/src/handler/call.rs
+++ b/crates/entry/src/handler/call.rs
@@ -5,16 +5,13 @@
 use super::{Shared, caller_addr, with_request_id};
 use crate::answer::Guard;
 use crate::api::error::{Error, Result};
-use crate::api::header::{DEADLINE, Header, OUTCOME, PRIORITY, REPEATABLE, WHOLE};
+use crate::api::header::{DEADLINE, HOP, Header, OUTCOME, PRIORITY, REPEATABLE, WHOLE};
 use crate::attempt::{Call, MAX_BUFFERED_CHUNKS, Work};
 use crate::core::{Arrival, Command, End, Reply};
-use crate::request_body;
+use crate::{hop_by_hop, request_body};
 use bytes::Bytes;
 use futures::{Stream, stream};
-use http::header::{
-    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, HeaderName, HeaderValue, TE, TRAILER,
-    TRANSFER_ENCODING, UPGRADE,
-};
+use http::header::{AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderName, HeaderValue};
 use http::{HeaderMap, StatusCode, Uri};
 use route::outcome::Outcome;
 use route::request::{Request as Routed, Target};
@@ -25,20 +22,16 @@
 
 /// Prefix of the paths of services.
 const PATH_PREFIX: &str = "/services/";
-/// Headers that apply to a single connection (hop-by-hop) or are meant for this node only.
-const NOT_FORWARDED: [HeaderName; 12] = [
+/// Headers that are meant for this node only, or are set anew for the service.
+const NOT_FORWARDED: [HeaderName; 8] = [
     AUTHORIZATION,
-    CONNECTION,
     CONTENT_LENGTH,
     HOST,
-    TE,
-    TRAILER,
-    TRANSFER_ENCODING,
-    UPGRADE,
     PRIORITY,
     DEADLINE,
     REPEATABLE,
     WHOLE,
+    HOP,
 ];
 /// Carries the caller's address to the service.
 const FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
@@ -136,11 +129,12 @@
 }
 
 fn forward_headers(headers: &HeaderMap) -> HeaderMap {
-    let kept = headers
-        .iter()
-        .filter(|(name, _)| !NOT_FORWARDED.contains(name));
-    kept.map(|(name, value)| (name.clone(), value.clone()))
-        .collect()
+    let mut forwarded = headers.clone();
+    hop_by_hop::remove(&mut forwarded);
+    for name in NOT_FORWARDED {
+        forwarded.remove(name);
+    }
+    forwarded
 }
 
 async fn submit(
@@ -175,9 +169,7 @@
 }
 
 fn streaming_response(mut parts: http::response::Parts, body: ResponseBody) -> Response {
-    for name in [CONNECTION, TRANSFER_ENCODING, TE, TRAILER, UPGRADE] {
-        parts.headers.remove(name);
-    }
+    hop_by_hop::remove(&mut parts.headers);
     // The outcome is not known yet. If the answer stays incomplete, its transfer is aborted.
     parts.headers.remove(&OUTCOME);
     Response::from_parts(parts, Body::from_stream(body_stream(body)))
--- a/crates/entry/src/handler/forward.rs
+++ b/crates/entry/src/handler/forward.rs
@@ -6,10 +6,11 @@
 
 use super::Shared;
 use crate::api::error::Result;
-use crate::api::header::HOP;
+use crate::api::header::{HOP, REQUEST_HEADERS};
+use crate::hop_by_hop;
 use bytes::Bytes;
 use engine::service::{CallOptions, call};
-use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use http::header::{CONTENT_LENGTH, HeaderValue};
 use http::{HeaderMap, Method, Uri};
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
@@ -28,10 +29,16 @@
     /// Copies the parts of `req`, without the headers that apply to its connection only.
     pub fn of(req: &Request) -> Self {
         let mut headers = req.headers().clone();
-        let forwarded = headers.insert(HOP, HeaderValue::from_static("1")).is_some();
-        headers.remove(CONNECTION);
+        hop_by_hop::remove(&mut headers);
         headers.remove(CONTENT_LENGTH);
-        headers.remove(TRANSFER_ENCODING);
+        // The owner handles the request as this node would. If `Connection` named the key or the
+        // mark that the request is not repeatable, the owner would run it once more without them.
+        for name in REQUEST_HEADERS {
+            if let Some(value) = req.headers().get(&name) {
+                headers.insert(name, value.clone());
+            }
+        }
+        let forwarded = headers.insert(HOP, HeaderValue::from_static("1")).is_some();
         Self {
             method: req.method().clone(),
             uri: req.uri().clone(),
@@ -83,8 +90,7 @@
             .ok()?;
         state.metrics.forwarded.add(1, &[]);
         let (mut parts, body) = response.into_parts();
-        parts.headers.remove(CONNECTION);
-        parts.headers.remove(TRANSFER_ENCODING);
+        hop_by_hop::remove(&mut parts.headers);
         Some(Response::from_parts(parts, Body::wrap(body)))
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod claim;
 pub mod core;
 pub mod handler;
+mod hop_by_hop;
 pub mod limits;
 pub mod listener;
 pub mod metrics;
