entry: services get the caller's address

Cause: viz::Responder stores the address of a connection as Option<SocketAddr>, and RequestExt::remote_addr looks for SocketAddr. So the handlers never knew the address: a service got no x-forwarded-for, or the one that the caller had made up, since only the known address replaces it.

Change: the handlers read what the library stores. No other place asks for the address. Not changed: where a node hands a request on to the owner of its key and the owner runs it, the service sees the address of that node.

--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -195,7 +195,8 @@
     Ok(response)
 }
 
-/// Returns the caller's address, if the listener provides it.
+/// Returns the caller's address, if the listener provides it. `viz::Responder` stores it as an
+/// `Option`, which `viz::RequestExt::remote_addr` does not find.
 fn caller_addr(req: &Request) -> Option<SocketAddr> {
-    viz::RequestExt::remote_addr(req).copied()
+    *req.extensions().get::<Option<SocketAddr>>()?
 }
