entry: a caller's hop header is not taken for a peer's

Cause: a node that forwards a request to the owner of its key marks it with `x-wigeonshelf-hop: 1`, so that it isn't forwarded again. Callers use the same listener, and any value from anyone counted: a caller that sends the header (or copies it from a log) got 409 and the owner's URL instead of the answer of its first run.

Ruled out: the address of the connection alone. It does not tell a peer whose connections come from another address, or that this node does not know yet; two such nodes with different views would forward a request to each other without end.

Change: the mark is a MAC by the nodes' shared key over the request, derived apart from the keys of frames. Former build: its nodes take any value for a mark, and send `1` to the callers' listener of the owner; `1` counts from the address of an entry node that this node knows, leaving ones included (request_of_a_former_node_is_not_forwarded_again). If a former node's connections come from an unknown address, its request is forwarded once more, with a mark that all understand.

Not told apart: a caller on the address of an entry node that sends `1`; it gets what it got before. A node of the former build itself was not run against this one.

--- a/crates/entry/src/api/header.rs
+++ b/crates/entry/src/api/header.rs
@@ -24,7 +24,7 @@
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 /// Base URL of the node that owns the request's idempotency key.
 pub const NODE: HeaderName = HeaderName::from_static("x-wigeonshelf-node");
-/// Set by a node that forwards a request to another node.
+/// Set by a node that forwards a request to another node; ignored if a caller sets it.
 pub const HOP: HeaderName = HeaderName::from_static("x-wigeonshelf-hop");
 /// Tells client libraries whether to retry the request automatically.
 pub const SHOULD_RETRY: HeaderName = HeaderName::from_static("x-should-retry");
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -4,6 +4,7 @@
 pub mod complete;
 pub mod discover;
 pub mod forward;
+mod hop;
 pub mod key;
 
 use crate::api::error::Error;
@@ -22,6 +23,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 use viz::{IntoResponse, Request, Response, Router};
+use wire::auth::Key;
 
 /// Retry-after delay while no bundle is in force yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -30,6 +32,8 @@
 pub struct Shared {
     /// Sends commands to the worker's core.
     pub tx: Tx,
+    /// Key that all nodes share; marks requests that a node forwards.
+    pub peer_key: Key,
     /// The snapshot that the control thread publishes.
     pub shared_snapshot: SharedSnapshot,
     /// Connection pool of this worker.
--- a/crates/entry/src/handler/forward.rs
+++ b/crates/entry/src/handler/forward.rs
@@ -4,15 +4,16 @@
 //! request is forwarded only once: the node that receives a forwarded request answers it itself,
 //! so that two nodes with different views can't forward it in a loop.
 
-use super::Shared;
+use super::hop::Covered;
+use super::{Shared, caller_addr};
 use crate::api::error::Result;
 use crate::api::header::{HOP, REQUEST_HEADERS};
 use crate::hop_by_hop;
 use bytes::Bytes;
 use engine::service::{CallOptions, call};
-use http::header::{CONTENT_LENGTH, HeaderValue};
+use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, Method, Uri};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 use viz::{Body, Request, Response};
@@ -22,7 +23,7 @@
     method: Method,
     uri: Uri,
     headers: HeaderMap,
-    forwarded: bool,
+    from: Option<IpAddr>,
 }
 
 impl Original {
@@ -38,12 +39,11 @@
                 headers.insert(name, value.clone());
             }
         }
-        let forwarded = headers.insert(HOP, HeaderValue::from_static("1")).is_some();
         Self {
             method: req.method().clone(),
             uri: req.uri().clone(),
             headers,
-            forwarded,
+            from: caller_addr(req).map(|addr| addr.ip()),
         }
     }
 
@@ -57,7 +57,7 @@
         time_left: Duration,
     ) -> Result<Response> {
         let error = match result {
-            Err(error) if error.owner_url.is_some() && !self.forwarded => error,
+            Err(error) if error.owner_url.is_some() && !self.is_forwarded(state, &body) => error,
             other => return other,
         };
         let Some(addr) = error.owner_url.as_deref().and_then(plain_http_addr) else {
@@ -69,13 +69,30 @@
         }
     }
 
+    fn covered<'a>(&'a self, body: &'a Bytes) -> Covered<'a> {
+        Covered {
+            method: &self.method,
+            uri: &self.uri,
+            headers: &self.headers,
+            body,
+        }
+    }
+
+    /// Returns whether another node has forwarded this request.
+    fn is_forwarded(&self, state: &Shared, body: &Bytes) -> bool {
+        let mut marks = self.headers.get_all(HOP).iter();
+        marks.any(|mark| self.covered(body).is_forwarded(state, mark, self.from))
+    }
+
     async fn forward(
-        self,
+        mut self,
         state: &Shared,
         addr: SocketAddr,
         body: Bytes,
         time_left: Duration,
     ) -> Option<Response> {
+        let mark = self.covered(&body).sign(&state.peer_key)?;
+        self.headers.insert(HOP, mark);
         let mut request = http::Request::new(body);
         *request.method_mut() = self.method;
         *request.uri_mut() = self.uri;
--- a/crates/entry/src/worker.rs
+++ b/crates/entry/src/worker.rs
@@ -20,6 +20,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use viz::Tree;
+use wire::auth::Key;
 
 /// A request worker that has not started yet.
 pub struct Worker {
@@ -39,6 +40,8 @@
     pub seed: u64,
     /// TLS configuration of the listener, if it uses TLS.
     pub tls: Option<Arc<ReloadableConfig>>,
+    /// Key that all nodes share; marks requests that a node forwards.
+    pub peer_key: Key,
     /// The snapshot that the control thread publishes.
     pub shared_snapshot: SharedSnapshot,
     /// Counters of the request path.
@@ -100,6 +103,7 @@
         let running = tokio::spawn(core.run(rx, self.control_events, end.clone()));
         let shared = Shared {
             tx,
+            peer_key: self.peer_key,
             shared_snapshot: self.shared_snapshot,
             pool,
             limits: self.limits.clone(),
--- a/crates/entry/tests/support/front.rs
+++ b/crates/entry/tests/support/front.rs
@@ -29,6 +29,8 @@
 
 /// Bearer key of the only team.
 pub const KEY: &str = "kitchens-key";
+/// Key that all nodes share.
+const PEER_KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 /// Address of callers.
 pub const CALLER: [u8; 4] = [127, 0, 0, 1];
 /// Time limit of each step of a test.
@@ -49,6 +51,11 @@
     /// Starts a worker whose service `lookup` (repeatable) and service `newsletter` (not
     /// repeatable) have one endpoint, at `endpoint`.
     pub fn start(endpoint: SocketAddr) -> Self {
+        Self::with_peers(endpoint, &[])
+    }
+
+    /// Starts a worker as [`Front::start`] does, whose other nodes have the addresses `peers`.
+    pub fn with_peers(endpoint: SocketAddr, peers: &[IpAddr]) -> Self {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone());
         let exporter = exporter.without_target_info().build().expect("an exporter");
@@ -67,7 +74,8 @@
             route: route::settings::Settings::default(),
             seed: 1,
             tls: None,
-            shared_snapshot: Arc::new(ArcSwapOption::from_pointee(snapshot(endpoint))),
+            peer_key: PEER_KEY.try_into().expect("a key"),
+            shared_snapshot: Arc::new(ArcSwapOption::from_pointee(snapshot(endpoint, peers))),
             metrics: Metrics::new(&provider.meter("test")),
             control_events,
             worker_events,
@@ -128,7 +136,7 @@
     }
 }
 
-fn snapshot(endpoint: SocketAddr) -> Snapshot {
+fn snapshot(endpoint: SocketAddr, peers: &[IpAddr]) -> Snapshot {
     let text = format!(
         "[zone zone-0]\nregion = south\n\
          [link zone-0 zone-0]\nlatency = 100us\ntokens_per_second = 1000000\n\
@@ -159,6 +167,7 @@
         view: Arc::new(view),
         versions: Vec::new(),
         addresses: Vec::new(),
+        peer_ips: Arc::new(peers.iter().copied().collect()),
     }
 }
 
--- a/crates/node/src/control/view.rs
+++ b/crates/node/src/control/view.rs
@@ -14,7 +14,8 @@
 use member::peer::{Peer, State};
 use member::team::Share;
 use route::view::View;
-use std::net::SocketAddr;
+use std::collections::HashSet;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
 /// Retries per second, as a fraction of the requests per second that teams may start. It bounds the
@@ -52,11 +53,13 @@
         let versions = self.endpoints.serving_versions(self.bundle);
         let view = self.shared_view(&versions);
         let addresses = self.addresses();
+        let peer_ips = Arc::new(self.peer_ips());
         (0..workers)
             .map(|worker| Snapshot {
                 view: Arc::new(self.worker_view(view.clone(), worker)),
                 versions: versions.clone(),
                 addresses: addresses.clone(),
+                peer_ips: peer_ips.clone(),
             })
             .collect()
     }
@@ -126,6 +129,18 @@
         addresses
     }
 
+    /// Returns the IP addresses at which the other nodes listen.
+    fn peer_ips(&self) -> HashSet<IpAddr> {
+        let me = self.group.me();
+        let peers = self.group.roster().iter().filter(|p| p.id != me);
+        let ips = peers.flat_map(|p| {
+            let callers = observed::callers_address(self.group, p.id);
+            let callers = callers.map(|(addr, _)| addr.ip());
+            callers.into_iter().chain([p.identity.addr.ip()])
+        });
+        ips.map(|ip| ip.to_canonical()).collect()
+    }
+
     /// Returns the address of a peer, if it has published one.
     fn peer_address(&self, peer: &Peer) -> Option<Address> {
         let (addr, tls) = observed::callers_address(self.group, peer.id)?;
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -103,6 +103,7 @@
                 route: settings.route.clone(),
                 seed: seeds.worker(number),
                 tls: tls.clone(),
+                peer_key: settings.peers.key.clone(),
                 shared_snapshot,
                 metrics: metrics.clone(),
                 control_events: control_event_rx,
