entry: a refused request counts once

Cause: the core counts a refusal in `refusals` (and the ended request in `requests`); the handler that writes the answer then counted the same request in `rejects`, which the operators' page describes as errors before a router. The same for errors of the control thread and failed attempts.

Ruled out: the demand that a worker reports for a team's shares (admitted + refused): the router counts a request in one of the two only.

Change: `rejects` counts errors of requests that did not reach the core. Left: methods that no path takes (501) are answered below the handlers and are in no counter.

--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -147,7 +147,8 @@
     })
 }
 
-/// Counts an error and converts it to a response, after the body of its request has arrived. Every
+/// Converts an error to a response, after the body of its request has arrived. An error without a
+/// request id is counted here; one that has an id reached the core, which has counted it. Every
 /// response has a request id, even if the request did not reach a router, so that a caller can refer
 /// to it when contacting the operators.
 async fn finish(
@@ -159,7 +160,9 @@
         request_body::discard(&mut req, &state.limits).await;
     }
     let mut response = result.unwrap_or_else(|error| {
-        state.metrics.record_rejection(error.code);
+        if error.request_id.is_none() {
+            state.metrics.record_rejection(error.code);
+        }
         error.into_response()
     });
     if !response.headers().contains_key(REQUEST_ID) {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -17,7 +17,7 @@
     pub requests: Counter<u64>,
     /// Refused requests, by reason.
     pub refusals: Counter<u64>,
-    /// Requests that were answered with an error by the HTTP handlers, by error code.
+    /// Requests that were answered with an error before they reached the core, by error code.
     pub rejects: Counter<u64>,
     /// Started attempts.
     pub attempts: Counter<u64>,
@@ -73,7 +73,7 @@
             .add(1, &[KeyValue::new("reason", reason_label(reason))]);
     }
 
-    /// Counts an error of an HTTP handler.
+    /// Counts an error of a request that has not reached the core.
     pub fn record_rejection(&self, code: &'static str) {
         self.rejects.add(1, &[KeyValue::new("code", code)]);
     }
