entry: events lost on a full ring are on the metrics page

Cause: a full ring between control and a worker counts what it drops or refuses, but nothing read the counter.

Change: wigeonshelf_ring_overflows_total{to="control"|"worker"}.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -4,6 +4,8 @@
 use opentelemetry::metrics::{Counter, Histogram, Meter};
 use route::outcome::Outcome;
 use route::refusal::Reason;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 /// Upper bounds of the histograms' buckets, in seconds.
 const TIME_BOUNDS: [f64; 14] = [
@@ -79,6 +81,30 @@
     }
 }
 
+/// Overflow counters of the rings between the threads, by the thread that receives.
+#[derive(Debug, Default)]
+pub struct RingOverflows {
+    /// Rings from the workers to the control thread.
+    pub to_control: Vec<Arc<AtomicU64>>,
+    /// Rings from the control thread to the workers.
+    pub to_worker: Vec<Arc<AtomicU64>>,
+}
+
+impl RingOverflows {
+    /// Registers the counters with `meter`.
+    pub fn register(self, meter: &Meter) {
+        let builder = meter.u64_observable_counter("wigeonshelf_ring_overflows");
+        builder
+            .with_callback(move |observer| {
+                for (to, rings) in [("control", &self.to_control), ("worker", &self.to_worker)] {
+                    let overflows = rings.iter().map(|r| r.load(Ordering::Relaxed));
+                    observer.observe(overflows.sum(), &[KeyValue::new("to", to)]);
+                }
+            })
+            .build();
+    }
+}
+
 fn reason_label(reason: Reason) -> &'static str {
     match reason {
         Reason::Limit => "limit",
--- a/crates/entry/tests/counters.rs
+++ b/crates/entry/tests/counters.rs
@@ -3,8 +3,12 @@
 #[path = "support/front.rs"]
 mod front;
 
-use front::{Front, Origin, owned_by, post};
+use front::{Front, Origin, RING_CAPACITY, owned_by, post};
+use std::time::Duration;
+use tokio::time::timeout;
 
+/// Time in which a claim that finds no space in the ring is refused.
+const STEP: Duration = Duration::from_secs(1);
 const ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 const LOOKUP: &str = "/services/lookup/send";
 
@@ -57,3 +61,33 @@
     assert_eq!(response.status(), 422, "{response:?}");
     assert_eq!(counts(&front), [0.0, 0.0, 2.0]);
 }
+
+// Guards against events of a worker that are lost without a trace while the control thread is slow.
+// A claim that finds the ring full is refused, and its request does not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn events_that_find_a_full_ring_are_counted() {
+    let origin = Origin::start(ANSWER).await;
+    let front = Front::start(origin.addr);
+    let addr = front.addr;
+    let calls = (0..RING_CAPACITY + 8).map(|number| async move {
+        let key = format!("1764712345-{number}");
+        let headers = [
+            ("idempotency-key", key.as_str()),
+            ("x-wigeonshelf-deadline-ms", "2000"),
+        ];
+        let path = "/services/newsletter/send";
+        timeout(STEP, post(addr, path, &headers, "menu")).await
+    });
+    let answers = futures::future::join_all(calls).await;
+    let refused = answers
+        .iter()
+        .flatten()
+        .filter(|a| a.status() == 503)
+        .count();
+    let overflows = front.counter("wigeonshelf_ring_overflows_total");
+    assert!(refused >= 8, "{refused} refused");
+    assert!(
+        overflows >= refused as f64,
+        "{overflows} overflows, {refused} refused"
+    );
+}
--- a/crates/entry/tests/support/front.rs
+++ b/crates/entry/tests/support/front.rs
@@ -9,7 +9,7 @@
 use entry::core::{ControlEvent, Reports, WorkerEvent};
 use entry::limits::{Limits, RequestLimits};
 use entry::listener;
-use entry::metrics::Metrics;
+use entry::metrics::{Metrics, RingOverflows};
 use entry::ring::{self, ring};
 use entry::server::Shutdown;
 use entry::snapshot::Snapshot;
@@ -31,6 +31,8 @@
 pub const KEY: &str = "kitchens-key";
 /// Key that all nodes share.
 const PEER_KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+/// Capacity of the rings to and from the worker.
+pub const RING_CAPACITY: usize = 64;
 /// Address of callers.
 pub const CALLER: [u8; 4] = [127, 0, 0, 1];
 /// Time limit of each step of a test.
@@ -60,10 +62,15 @@
         let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone());
         let exporter = exporter.without_target_info().build().expect("an exporter");
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let (worker_events, events) = ring(64);
-        let (control, control_events) = ring(64);
+        let (worker_events, events) = ring(RING_CAPACITY);
+        let (control, control_events) = ring(RING_CAPACITY);
         let (reserved, addr) =
             listener::reserve(SocketAddr::from(([127, 0, 0, 1], 0))).expect("an address");
+        let overflows = RingOverflows {
+            to_control: vec![worker_events.overflows()],
+            to_worker: vec![control.overflows()],
+        };
+        overflows.register(&provider.meter("test"));
         let shutdown = Shutdown::default();
         let worker = Worker {
             number: 0,
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -12,7 +12,7 @@
 use entry::admin;
 use entry::core::{Reports, Tx};
 use entry::listener;
-use entry::metrics::Metrics;
+use entry::metrics::{Metrics, RingOverflows};
 use entry::server::{Server, Shutdown};
 use entry::snapshot::SharedSnapshot;
 use entry::tls::ReloadableConfig;
@@ -81,11 +81,14 @@
         let admin_tls = open_tls(&settings.admin)?;
         let mut workers = Vec::new();
         let mut rings = Vec::new();
+        let mut overflows = RingOverflows::default();
         let mut shared_snapshots = Vec::new();
         let mut reports = Vec::new();
         for number in 0..settings.node.workers {
             let (worker_event_tx, worker_events) = entry::ring::ring(RING_CAPACITY);
             let (control_events, control_event_rx) = entry::ring::ring(RING_CAPACITY);
+            overflows.to_control.push(worker_event_tx.overflows());
+            overflows.to_worker.push(control_events.overflows());
             rings.push(control::WorkerRings {
                 control_events,
                 worker_events,
@@ -115,6 +118,7 @@
         }
         drop(reserved);
         gauges::register(&meter, reports);
+        overflows.register(&meter);
         let admin_addr = admin_listener.local_addr()?;
         let worker_senders = workers.iter().map(|w| w.tx.clone()).collect();
         let admin_parts = AdminParts {
--- a/crates/node/tests/binary.rs
+++ b/crates/node/tests/binary.rs
@@ -213,6 +213,22 @@
     assert_eq!(node.wait_for_exit(), Some(0));
 }
 
+// Guards against events between the threads that are lost without a trace: a full ring was counted,
+// and the counter was read by no one.
+#[test]
+fn overflows_of_rings_are_on_the_metrics_page() {
+    let node = Node::start("overflows", "0s");
+    let page = node.get(node.admin, "/metrics");
+    for ring in ["control", "worker"] {
+        let counter = format!("wigeonshelf_ring_overflows_total{{to=\"{ring}\"");
+        let line = page.lines().find(|l| l.starts_with(&counter));
+        assert!(
+            line.is_some_and(|l| l.ends_with(" 0")),
+            "{counter}: {line:?}"
+        );
+    }
+}
+
 // Callers that use a cached address are still served while the node drains; then it exits with code
 // 0.
 #[test]
