engine: a request that fits into no frame does not blame the stage

Cause: when the head of a step could not be encoded, the attempt failed as `Unfit` at its stage. The router then left that stage without new work for a second and queued the request again without counting the attempt: with an answer of some 210,000 tokens and a failed stage, the request went through all stages of its model, over and over until its deadline. `sent` was set before the encoding, so that a request that must not be repeated ended as unknown though no byte had left.

Change: a cause of its own, `Invalid`, from the encoding of frames and of calls of services. The router refuses the request at once (422 request_not_sendable, refusals{reason="invalid"}), or ends it as unknown if an earlier attempt was sent. `Sent` follows the encoding of the first frame. A prompt over the bound of a payload (1 GiB) is found here, not by the stage.

Elsewhere: a chain with a gap stays `Unfit`: another chain can be right. Names of models and versions have 64 bytes at most in a bundle and prefixes 1,024 hashes, so the first frame always fits. A call of a service whose head can't be built is counted as invalid too; no request that a listener accepts was found that reaches this, so no test shows it.

--- a/crates/engine/src/chain.rs
+++ b/crates/engine/src/chain.rs
@@ -82,8 +82,11 @@
     Busy,
     /// The stage refused a slot because it is leaving the fleet. No layer ran.
     Leaving,
-    /// The stage doesn't serve the model, version, adapter or layers, or the job is invalid.
+    /// The stage doesn't serve the model, version, adapter or layers, or the chain has a gap.
     Unfit,
+    /// The request doesn't fit into the frames of the protocol. No layer ran, and no other stage
+    /// could run it.
+    Invalid,
     /// The connection or stream broke.
     Reset,
     /// The stage violated the protocol, such as by a wrong request, attempt, step or layer range.
--- a/crates/engine/src/chain/drive.rs
+++ b/crates/engine/src/chain/drive.rs
@@ -60,7 +60,6 @@
         step: 0,
         prompt_tokens: 0,
     };
-    out(Event::Sent);
     let stop = attempt.run_steps(earlier_tokens, out).await?;
     out(Event::Finished {
         stop,
@@ -139,6 +138,9 @@
         let last = self.job.hops.len() - 1;
         let mut buf = BytesMut::new();
         self.encode_head(0, input, payload.len(), &mut buf)?;
+        if self.step == 1 {
+            out(Event::Sent);
+        }
         if payload.len() <= MAX_JOINED_BYTES {
             buf.extend_from_slice(&payload);
             self.hops.send(0, buf.freeze()).await?;
@@ -173,13 +175,16 @@
             ..
         } = self.job;
         let place = place(*request, *attempt, self.step, &hops[at]);
-        let payload = u32::try_from(payload).map_err(|_| Failure::new(at, Cause::Unfit))?;
+        let payload = u32::try_from(payload).ok();
+        let payload = payload.filter(|bytes| *bytes <= frame::MAX_PAYLOAD_BYTES);
+        let invalid = Failure::new(at, Cause::Invalid);
+        let payload = payload.ok_or(invalid)?;
         let step = Step {
             place,
             input,
             payload,
         };
-        frame::encode(&Call::Step(step), buf).map_err(|_| Failure::new(at, Cause::Unfit))
+        frame::encode(&Call::Step(step), buf).map_err(|_| invalid)
     }
 
     /// Waits until hop `at`, which is not the last one, has run its layers. Returns the length of
--- a/crates/engine/src/chain/open.rs
+++ b/crates/engine/src/chain/open.rs
@@ -86,7 +86,7 @@
 /// Sends the open frame and waits until the stage reserves or refuses a slot.
 async fn accept(pool: &Pool, link: &mut Link, open: &Open) -> std::result::Result<(), Fault> {
     let mut buf = BytesMut::new();
-    frame::encode(&Call::Open(open.clone()), &mut buf).map_err(|_| Cause::Unfit)?;
+    frame::encode(&Call::Open(open.clone()), &mut buf).map_err(|_| Cause::Invalid)?;
     link.send(buf.freeze()).await.map_err(|_| Cause::Reset)?;
     match poll_fn(|cx| link.poll_item(cx, pool.counters())).await? {
         Item::Head(Reply::Opened(request, attempt))
--- a/crates/engine/src/service.rs
+++ b/crates/engine/src/service.rs
@@ -34,9 +34,10 @@
     Reset,
     /// The head of the response was not received in time.
     Silent,
-    /// The request is invalid, or the end of the response is not delimited, so that a truncated
-    /// response would look complete.
+    /// The end of the response is not delimited, so that a truncated response would look complete.
     Protocol,
+    /// The request can't be sent over HTTP/1.1.
+    Invalid,
 }
 
 /// A failed call.
@@ -194,7 +195,7 @@
 /// length of the body is known.
 fn prepare(addr: SocketAddr, request: Request<Bytes>) -> Result<Request<Full<Bytes>>> {
     let failure = Failure {
-        cause: Cause::Protocol,
+        cause: Cause::Invalid,
         sent: false,
     };
     let (mut parts, body) = request.into_parts();
--- a/crates/entry/src/api/error.rs
+++ b/crates/entry/src/api/error.rs
@@ -155,6 +155,11 @@
                 "node_leaving",
                 "this node takes no new work; ask for an address again",
             ),
+            Reason::Invalid => (
+                StatusCode::UNPROCESSABLE_ENTITY,
+                "request_not_sendable",
+                "the request is too long for the protocol of the endpoints",
+            ),
         };
         let mut error = Self::new(status, code, message);
         error.retry_after = refusal.retry_after;
--- a/crates/entry/src/cause.rs
+++ b/crates/entry/src/cause.rs
@@ -10,6 +10,7 @@
         Source::Busy => Cause::Busy,
         Source::Leaving => Cause::Leaving,
         Source::Unfit => Cause::Unfit,
+        Source::Invalid => Cause::Invalid,
         Source::Reset => Cause::Reset,
         Source::Protocol => Cause::Protocol,
         Source::Internal => Cause::Internal,
@@ -24,5 +25,6 @@
         Source::Reset => Cause::Reset,
         Source::Silent => Cause::Silent,
         Source::Protocol => Cause::Protocol,
+        Source::Invalid => Cause::Invalid,
     }
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -113,5 +113,6 @@
         Reason::NoEndpoint => "no-endpoint",
         Reason::Condemned => "condemned",
         Reason::Leaving => "leaving",
+        Reason::Invalid => "invalid",
     }
 }
--- a/crates/route/src/failure.rs
+++ b/crates/route/src/failure.rs
@@ -14,6 +14,8 @@
     Leaving,
     /// The endpoint refused before running anything because it does not serve the model or service.
     Unfit,
+    /// The request can't be sent to any endpoint, because it doesn't fit into the protocol.
+    Invalid,
     /// The connection was reset or closed.
     Reset,
     /// The connection is open but delivers nothing.
--- a/crates/route/src/refusal.rs
+++ b/crates/route/src/refusal.rs
@@ -17,6 +17,8 @@
     Condemned,
     /// The node is leaving.
     Leaving,
+    /// The request can't be sent to any endpoint.
+    Invalid,
 }
 
 /// Refusal of a request.
--- a/crates/route/src/report.rs
+++ b/crates/route/src/report.rs
@@ -39,6 +39,8 @@
     refused_condemned,
     /// Counter: requests refused because the node is leaving.
     refused_leaving,
+    /// Counter: requests refused because they can't be sent to any endpoint.
+    refused_invalid,
     /// Counter: requests whose caller disconnected.
     left,
     /// Counter: attempts started.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -257,6 +257,7 @@
             Reason::NoEndpoint => &mut report.refused_no_endpoint,
             Reason::Condemned => &mut report.refused_condemned,
             Reason::Leaving => &mut report.refused_leaving,
+            Reason::Invalid => &mut report.refused_invalid,
         };
         *counter += 1;
         self.actions.push(Action::Refuse(id, refusal));
--- a/crates/route/src/router/recover.rs
+++ b/crates/route/src/router/recover.rs
@@ -48,6 +48,8 @@
                 self.requeue(now, id);
             }
             Cause::Leaving | Cause::Unfit => self.requeue(now, id),
+            // No other endpoint could run it either.
+            Cause::Invalid => self.terminate(now, id, Reason::Invalid, None),
             cause => self.recover(now, id, endpoint, cause),
         }
         // The ejection comes last: it cancels all attempts on the endpoint, and this one has
@@ -74,6 +76,7 @@
             }
             Cause::Leaving => row.backoff_until = row.backoff_until.max(now + LEAVING_BACKOFF),
             Cause::Unfit => row.backoff_until = row.backoff_until.max(now + UNFIT_BACKOFF),
+            Cause::Invalid => {}
             Cause::Connect => self.probe(now, endpoint),
             Cause::Reset => {
                 self.broken_connections.insert(endpoint);
--- a/crates/route/tests/recover.rs
+++ b/crates/route/tests/recover.rs
@@ -50,6 +50,21 @@
     assert_eq!(bench.router.report().ejected, 0);
 }
 
+#[test]
+fn request_that_cannot_be_sent_is_refused_at_once() {
+    // Guards against a request that no stage can run and that takes all of them out of use: it was
+    // queued again without end, and each attempt left its stage without new work for a second.
+    let mut bench = Bench::new(fixture::fleet(1, 1, 1));
+    let out = bench.handle(Event::Arrive(fixture::request(1, FAR_DEADLINE)));
+    let (_, hops) = find_start(&out, 1).expect("starts");
+    let out = bench.fail(1, 1, hops[0].endpoint, Cause::Invalid, false);
+    assert!(refused(&out, Reason::Invalid), "{out:?}");
+    assert_eq!(bench.router.report().refused_invalid, 1);
+    let out = bench.handle(Event::Arrive(fixture::request(2, FAR_DEADLINE)));
+    assert!(find_start(&out, 2).is_some(), "{out:?}");
+    assert_eq!(bench.router.report().ejected, 0);
+}
+
 #[test]
 fn paused_node_ejects_no_endpoint() {
     // The node is paused for five seconds, once while an answer runs and once while a probe is in
--- a/crates/standin/tests/driver/refused.rs
+++ b/crates/standin/tests/driver/refused.rs
@@ -87,6 +87,21 @@
     expect_refusal(&job, &engines, 0, Cause::Unfit).await;
 }
 
+#[tokio::test]
+async fn a_request_that_fits_into_no_frame_is_not_the_stages_fault() {
+    // Guards against a long answer that takes the stages out of use: the tokens that earlier
+    // attempts generated make the head of the first step longer than a frame allows. Nothing was
+    // sent, and no stage can run the request.
+    let engines = pipeline(&[0, 4, 8, LAYERS], Config::default()).await;
+    let mut job = job(1, &engines, "soup", 400_000);
+    let token = engine::chain::Token {
+        id: 70_000,
+        text: "a".into(),
+    };
+    job.tokens = vec![token; 300_000];
+    expect_refusal(&job, &engines, 0, Cause::Invalid).await;
+}
+
 #[tokio::test]
 async fn a_chain_with_a_gap_never_opens_a_stream() {
     // A routing error must not become a wrong answer, with a layer skipped or run twice.
