--- a/crates/entry/src/api/header.rs
+++ b/crates/entry/src/api/header.rs
@@ -24,11 +24,22 @@
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 /// Base URL of the node that owns the request's idempotency key.
 pub const NODE: HeaderName = HeaderName::from_static("x-wigeonshelf-node");
-/// Set by a node that forwards a request to another node.
+/// Set by a node that forwards a request to another node; ignored if a caller sets it.
 pub const HOP: HeaderName = HeaderName::from_static("x-wigeonshelf-hop");
 /// Tells client libraries whether to retry the request automatically.
 pub const SHOULD_RETRY: HeaderName = HeaderName::from_static("x-should-retry");
 
+/// Headers of a request that a node acts on. Each occurs at most once in a valid request.
+pub const REQUEST_HEADERS: [HeaderName; 7] = [
+    AUTHORIZATION,
+    PRIORITY,
+    DEADLINE,
+    REPEATABLE,
+    WHOLE,
+    IDEMPOTENCY_KEY,
+    HOP,
+];
+
 /// Scheme of the `authorization` header; compared case-insensitively.
 const BEARER: &str = "Bearer";
 /// Maximum length of an idempotency key, in bytes.
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -4,6 +4,7 @@
 pub mod complete;
 pub mod discover;
 pub mod forward;
+mod hop;
 pub mod key;
 
 use crate::api::error::Error;
@@ -22,6 +23,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 use viz::{IntoResponse, Request, Response, Router};
+use wire::auth::Key;
 
 /// Retry-after delay while no bundle is in force yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -30,6 +32,8 @@
 pub struct Shared {
     /// Sends commands to the worker's core.
     pub tx: Tx,
+    /// Key that all nodes share; marks requests that a node forwards.
+    pub peer_key: Key,
     /// The snapshot that the control thread publishes.
     pub shared_snapshot: SharedSnapshot,
     /// Connection pool of this worker.
@@ -143,7 +147,8 @@
     })
 }
 
-/// Counts an error and converts it to a response, after the body of its request has arrived. Every
+/// Converts an error to a response, after the body of its request has arrived. An error without a
+/// request id is counted here; one that has an id reached the core, which has counted it. Every
 /// response has a request id, even if the request did not reach a router, so that a caller can refer
 /// to it when contacting the operators.
 async fn finish(
@@ -155,7 +160,9 @@
         request_body::discard(&mut req, &state.limits).await;
     }
     let mut response = result.unwrap_or_else(|error| {
-        state.metrics.record_rejection(error.code);
+        if error.request_id.is_none() {
+            state.metrics.record_rejection(error.code);
+        }
         error.into_response()
     });
     if !response.headers().contains_key(REQUEST_ID) {
@@ -195,7 +202,8 @@
     Ok(response)
 }
 
-/// Returns the caller's address, if the listener provides it.
+/// Returns the caller's address, if the listener provides it. `viz::Responder` stores it as an
+/// `Option`, which `viz::RequestExt::remote_addr` does not find.
 fn caller_addr(req: &Request) -> Option<SocketAddr> {
-    viz::RequestExt::remote_addr(req).copied()
+    *req.extensions().get::<Option<SocketAddr>>()?
 }
