engine: Retry-After may be a date

Cause: a busy stage's Retry-After was read as whole seconds only. A date (RFC 9110, 10.2.3), a fraction or a space around the value counted as no delay, and the router asked again after its own back-off.

Change: seconds, fractions and dates. A date counts from the response's own Date, so that clocks need not agree; a past date and a value that is none leave the router's back-off in force.

Elsewhere: the log service's client reads seconds, which is its format (docs/PLATFORM.md): no fault.

--- a/crates/engine/src/stream.rs
+++ b/crates/engine/src/stream.rs
@@ -9,7 +9,7 @@
 use std::future::{Future, poll_fn};
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 use tokio::sync::OwnedSemaphorePermit;
 
 /// A stream to an endpoint. If it is dropped before it has ended, it is reset, so that the endpoint
@@ -175,7 +175,16 @@
     Error::Reset
 }
 
+/// Returns the delay that a response asks for: seconds, also with a fraction, or a date (RFC 9110,
+/// section 10.2.3). A date counts from the date of the response, so that the endpoint's clock may be
+/// wrong. A past one is ignored: without a date of the response, it can be a clock that is behind.
 fn retry_after<B>(response: &Response<B>) -> Option<Duration> {
-    let value = response.headers().get(header::RETRY_AFTER)?;
-    value.to_str().ok()?.parse().ok().map(Duration::from_secs)
+    let text = |name| response.headers().get(name)?.to_str().ok().map(str::trim);
+    let date = |name| httpdate::parse_http_date(text(name)?).ok();
+    if let Ok(seconds) = text(header::RETRY_AFTER)?.parse() {
+        return Duration::try_from_secs_f64(seconds).ok();
+    }
+    let end = date(header::RETRY_AFTER)?;
+    let now = date(header::DATE).unwrap_or_else(SystemTime::now);
+    end.duration_since(now).ok()
 }
