engine: health probes connect within their pool's limit

Cause: a probe asks over HTTP/2 and HTTP/1.1 at once; the second made a pool of its own with the default limits, so that it connected for 1 s whatever the pool's connect timeout was.

Change: the probe uses the limits of its pool. A node's workers probe for 500 ms and have the default limits, so callers saw nothing of it. Elsewhere: load reports, orders and calls of services use the pool's own limits.

--- a/crates/engine/src/pool/unary.rs
+++ b/crates/engine/src/pool/unary.rs
@@ -29,7 +29,7 @@
 /// plain service may support only HTTP/1.1, and not all such servers answer HTTP/2 with an error.
 pub(super) async fn probe(addr: SocketAddr, limits: &Limits) -> bool {
     let http2 = pin!(async { health(addr, limits).await.unwrap_or(false) });
-    let http1 = pin!(service::health(addr));
+    let http1 = pin!(service::health(addr, limits));
     match select(http2, http1).await {
         Either::Left((true, _)) | Either::Right((true, _)) => true,
         Either::Left((false, http1)) => http1.await,
--- a/crates/engine/src/service.rs
+++ b/crates/engine/src/service.rs
@@ -172,7 +172,7 @@
 }
 
 /// Returns whether the service answers `GET /health` with success on a new connection.
-pub(crate) async fn health(addr: SocketAddr) -> bool {
+pub(crate) async fn health(addr: SocketAddr, limits: &Limits) -> bool {
     let Ok(request) = Request::get("/health").body(Bytes::new()) else {
         return false;
     };
@@ -181,7 +181,7 @@
         new_connection: true,
     };
     let response = call(
-        &Pool::default(),
+        &Pool::new(*limits),
         addr,
         request,
         options,
