ctl: explain shows the state changes of the request's endpoints only

Cause: a line of an endpoint counted if its run was anywhere in the text of the request's stages.

Change: the stages are read as `run=layers` and runs are compared whole. Elsewhere: `losses` looks for fixed words in reasons, which is meant.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -11,6 +11,7 @@
 use clap::ArgMatches;
 use serde::Serialize;
 use serde_json::Value;
+use std::collections::BTreeSet;
 use std::fmt;
 
 /// Maximum number of state changes in a timeline; the latest ones are kept.
@@ -24,14 +25,17 @@
         self.text("id") == id
     }
 
+    /// Returns the runs of the endpoints in the `stages` field, whose entries are `run=layers`.
+    fn runs(&self) -> impl Iterator<Item = &str> {
+        let stages = self.text("stages").split(',');
+        stages.filter_map(|stage| stage.rsplit_once('=').map(|(run, _)| run))
+    }
+
     /// Whether the line records a state change that can influence the routing of a request whose
-    /// attempts used `stages`, the joined `stages` fields of its lines.
-    fn is_relevant_change(&self, stages: &str) -> bool {
+    /// attempts used the endpoints with these runs.
+    fn is_relevant_change(&self, runs: &BTreeSet<&str>) -> bool {
         match self.event.as_str() {
-            "endpoint" | "order" => {
-                let run = self.text("run");
-                !run.is_empty() && stages.contains(run)
-            }
+            "endpoint" | "order" => runs.contains(self.text("run")),
             "dependency" | "catalog" | "reload" | "start" | "stop" | "overflow" => true,
             _ => false,
         }
@@ -89,13 +93,12 @@
     lines.sort_by_key(|l| l.time);
     let own: Vec<&Line> = lines.iter().filter(|l| l.is_about(id)).collect();
     let (start, end) = (own.first()?.time, own.last()?.time);
-    let stages: Vec<&str> = own.iter().map(|l| l.text("stages")).collect();
-    let stages = stages.join(",");
+    let runs: BTreeSet<&str> = own.iter().flat_map(|l| l.runs()).collect();
     let in_window = |l: &&Line| l.time + LOOKBACK_MS >= start && l.time <= end;
     let changes: Vec<&Line> = lines
         .iter()
         .filter(in_window)
-        .filter(|l| !l.is_about(id) && l.is_relevant_change(&stages))
+        .filter(|l| !l.is_about(id) && l.is_relevant_change(&runs))
         .collect();
     let skipped = changes.len().saturating_sub(MAX_STATE_CHANGES);
     let mut selected: Vec<&Line> = changes.into_iter().skip(skipped).chain(own).collect();
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -14,6 +14,10 @@
 "#;
 
 fn explain(id: &str) -> Output {
+    explain_lines(LINES, id)
+}
+
+fn explain_lines(lines: &str, id: &str) -> Output {
     let mut child = Command::new(env!("CARGO_BIN_EXE_wigeonctl"))
         .args(["explain", id])
         .stdin(Stdio::piped())
@@ -25,7 +29,7 @@
         .stdin
         .take()
         .unwrap()
-        .write_all(LINES.as_bytes())
+        .write_all(lines.as_bytes())
         .unwrap();
     child.wait_with_output().unwrap()
 }
@@ -54,3 +58,31 @@
     assert_eq!(output.status.code(), Some(1));
     assert!(String::from_utf8_lossy(&output.stderr).contains("r3"));
 }
+
+// Guards against state changes of other endpoints in the timeline: the run of one can be part of the
+// name, or the beginning of the start time, of one that the request was sent to.
+#[test]
+fn runs_whose_text_is_part_of_another_are_left_out() {
+    let lines = r#"
+{"time":900,"event":"endpoint","run":"e1@1","state":"part of the start time"}
+{"time":900,"event":"endpoint","run":"1@12","state":"part of the name"}
+{"time":900,"event":"order","run":"e=1@1","outcome":"part after the sign"}
+{"time":900,"event":"endpoint","run":"e1@12=0-4,e2","state":"across two stages"}
+{"time":900,"event":"endpoint","run":"e2@1","state":"the second stage"}
+{"time":900,"event":"endpoint","run":"e3@1","state":"the stage that took over"}
+{"time":1000,"event":"sent","id":"r1","attempt":1,"stages":"e1@12=0-4,e2@1=4-8"}
+{"time":1100,"event":"detour","id":"r1","attempt":1,"stages":"e1@12=0-4,e3@1=4-8"}
+"#;
+    let output = explain_lines(lines, "r1");
+    assert!(output.status.success());
+    let text = String::from_utf8(output.stdout).unwrap();
+    let found = text
+        .lines()
+        .filter(|l| l.contains(" endpoint ") || l.contains(" order "));
+    let found: Vec<&str> = found.filter_map(|l| l.split('"').nth(3)).collect();
+    assert_eq!(
+        found,
+        ["the second stage", "the stage that took over"],
+        "{text}"
+    );
+}
