ctl: a result that can't be written is a failure

Cause: every error of writing a result to standard output was ignored, for the sake of `| head`; with a full disk a script went on with an empty file and exit code 0. A signed version was written without a flush, whose error at the end of the process is ignored as well; `status` and `dump` took a closed pipe for a failure.

Change: one function writes and flushes. A closed pipe is no failure, but for a signed version, which would be lost.

--- a/crates/ctl/src/check.rs
+++ b/crates/ctl/src/check.rs
@@ -54,6 +54,5 @@
         services: bundle.services.len(),
         teams: bundle.teams.len(),
         findings,
-    });
-    Ok(())
+    })
 }
--- a/crates/ctl/src/diff.rs
+++ b/crates/ctl/src/diff.rs
@@ -46,8 +46,7 @@
         added: format_headers(added),
         changed: format_headers(changed),
         removed: format_headers(delta.removed.iter()),
-    });
-    Ok(())
+    })
 }
 
 /// Reads the sections of a bundle's text, or of a record that holds a complete bundle. A file that
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -72,8 +72,7 @@
              its lines were dropped"
         ))
     })?;
-    output.show(&timeline);
-    Ok(())
+    output.show(&timeline)
 }
 
 /// Formatted log lines of a request and of the state changes around it, in order of time.
--- a/crates/ctl/src/history.rs
+++ b/crates/ctl/src/history.rs
@@ -27,6 +27,5 @@
             History::from(&tail.fold)
         }
     };
-    output.show(&history);
-    Ok(())
+    output.show(&history)
 }
--- a/crates/ctl/src/keygen.rs
+++ b/crates/ctl/src/keygen.rs
@@ -48,8 +48,7 @@
     let pem = sign::to_pem(&key).map_err(failed)?;
     write_new(files::path_arg(args, "key"), &pem)?;
     let public = sign::public_key_hex(&key);
-    output.show(&Key { name, public });
-    Ok(())
+    output.show(&Key { name, public })
 }
 
 /// Creates a file; fails if it exists, since an overwritten private key can't be recovered.
--- a/crates/ctl/src/losses.rs
+++ b/crates/ctl/src/losses.rs
@@ -39,12 +39,11 @@
     if let Some(files) = args.get_many::<PathBuf>("compare") {
         let runs = files.map(|file| Losses::read(open(file)?, &limits, interval));
         let runs: Vec<Losses> = runs.collect::<Result<_>>()?;
-        output.show(&Comparison::new(&runs[0], &runs[1]));
-        return Ok(());
+        return output.show(&Comparison::new(&runs[0], &runs[1]));
     }
     let input = Reader::new(std::io::stdin().lock(), "standard input");
     let losses = Losses::read(input, &limits, interval)?;
-    output.show(&losses);
+    output.show(&losses)?;
     match args.get_one::<PathBuf>("svg") {
         Some(file) => chart::write(&losses, file),
         None => Ok(()),
--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -1,8 +1,9 @@
 //! Output of commands: results as text or JSON on stdout, errors on stderr.
 
-use crate::failure::Failure;
+use crate::failure::{Failure, Result, failed};
 use bundle::finding::Findings;
 use clap::ArgMatches;
+use eyre::WrapErr;
 use serde::Serialize;
 use std::fmt::Display;
 use std::io::{self, Write};
@@ -33,11 +34,12 @@
     }
 
     /// Writes `value` to stdout, as text or JSON.
-    pub fn show<T: Display + Serialize>(self, value: &T) {
-        match self {
-            Self::Text => write_line(&mut io::stdout(), value),
-            Self::Json => write_line(&mut io::stdout(), to_json(value)),
-        }
+    pub fn show<T: Display + Serialize>(self, value: &T) -> Result {
+        let text = match self {
+            Self::Text => value.to_string(),
+            Self::Json => to_json(value),
+        };
+        show_bytes(text.as_bytes())
     }
 
     /// Writes the reason of a failure to stderr.
@@ -47,16 +49,15 @@
             Failure::Input(report) | Failure::Failed(report) => (format!("{report:#}"), &none),
             Failure::Findings(findings) => ("the bundle is wrong".into(), findings),
         };
-        match self {
-            Self::Text => write_line(
-                &mut io::stderr(),
-                format_args!("error: {error}\n{findings}"),
-            ),
-            Self::Json => {
-                let findings = findings.rows();
-                write_line(&mut io::stderr(), to_json(&Error { error, findings }));
-            }
-        }
+        let text = match self {
+            Self::Text => format!("error: {error}\n{findings}"),
+            Self::Json => to_json(&Error {
+                error,
+                findings: findings.rows(),
+            }),
+        };
+        // There is no other place to report that stderr can't be written.
+        let _ = writeln!(io::stderr(), "{}", text.trim_end());
     }
 }
 
@@ -65,9 +66,29 @@
     serde_json::to_string(value).unwrap_or_default()
 }
 
-/// Writes one line. Write errors are ignored: a reader that closes the pipe early (`| head`) is not
-/// a failure of the command.
-fn write_line(to: &mut impl Write, text: impl Display) {
-    let text = text.to_string();
-    let _ = writeln!(to, "{}", text.trim_end());
+/// Writes bytes to stdout, unchanged but for trailing white space, which becomes one newline. A
+/// reader that closes the pipe early (`| head`) is not a failure of the command.
+pub fn show_bytes(bytes: &[u8]) -> Result {
+    let written = write(&[bytes.trim_ascii_end(), b"\n"].concat());
+    match written {
+        Err(error) if error.kind() == io::ErrorKind::BrokenPipe => Ok(()),
+        written => report(written),
+    }
+}
+
+/// Writes bytes to stdout that must not be lost. A closed pipe is a failure, too.
+pub fn write_all(bytes: &[u8]) -> Result {
+    report(write(bytes))
+}
+
+/// Writes and flushes. Without the flush, an error of the rest would be ignored at the end of the
+/// process.
+fn write(bytes: &[u8]) -> io::Result<()> {
+    let mut stdout = io::stdout().lock();
+    stdout.write_all(bytes)?;
+    stdout.flush()
+}
+
+fn report(written: io::Result<()>) -> Result {
+    written.wrap_err("writing to stdout").map_err(failed)
 }
--- a/crates/ctl/src/publish.rs
+++ b/crates/ctl/src/publish.rs
@@ -39,7 +39,8 @@
         None => publish_to_log(source::tail(args)?, publish).await,
     };
     check_outcome(&answer)?;
-    output.show(&answer);
+    // The version is accepted, so the fleet is awaited even if the result can't be written.
+    let shown = output.show(&answer);
     if args.get_flag("wait")
         && let Some(addr) = args.get_one::<SocketAddr>("admin")
     {
@@ -47,7 +48,7 @@
         let limit = Duration::from_secs(seconds);
         wait::run(Admin(*addr), answer.number, limit, output).await?;
     }
-    Ok(())
+    shown
 }
 
 /// Turns any outcome but acceptance into a failure.
--- a/crates/ctl/src/restore.rs
+++ b/crates/ctl/src/restore.rs
@@ -87,6 +87,5 @@
         number: header.number,
         signer: header.signer,
         digest: header.result.to_string(),
-    });
-    Ok(())
+    })
 }
--- a/crates/ctl/src/show.rs
+++ b/crates/ctl/src/show.rs
@@ -2,12 +2,11 @@
 
 use crate::admin::Admin;
 use crate::failure::{Result, failed, input};
-use crate::output::Output;
+use crate::output::{Output, show_bytes};
 use crate::source::HEAD_PATH;
 use clap::ArgMatches;
 use eyre::{WrapErr, eyre};
 use serde_json::Value;
-use std::io::Write;
 use std::net::SocketAddr;
 
 /// Admin path of the summary of a node's state.
@@ -17,14 +16,14 @@
 pub async fn status(args: &ArgMatches, output: Output) -> Result {
     let body = admin_arg(args)?.get(STATUS_PATH).await.map_err(failed)?;
     if output == Output::Json {
-        return write_raw(&body);
+        return show_bytes(&body);
     }
     let value: Value = serde_json::from_slice(&body)
         .wrap_err("decoding the node's status")
         .map_err(failed)?;
     let mut text = String::new();
     flatten("", &value, &mut text);
-    write_raw(text.as_bytes())
+    show_bytes(text.as_bytes())
 }
 
 /// Prints the complete state of a node, or its head as a record.
@@ -36,7 +35,7 @@
         _ => "/dump?format=text",
     };
     let body = admin_arg(args)?.get(path).await.map_err(failed)?;
-    write_raw(&body)
+    show_bytes(&body)
 }
 
 /// Returns the admin API given with `--admin`.
@@ -46,15 +45,6 @@
         .ok_or_else(|| input(eyre!("--admin is missing")))
 }
 
-/// Writes bytes to stdout unchanged but for trailing white space, which becomes one newline.
-fn write_raw(bytes: &[u8]) -> Result {
-    let mut out = std::io::stdout();
-    let written = out
-        .write_all(bytes.trim_ascii_end())
-        .and_then(|()| writeln!(out));
-    written.wrap_err("writing to stdout").map_err(failed)
-}
-
 /// Appends a JSON value to `text` as lines of the form `path value`, one for each scalar. Keys and
 /// array indices in a path are joined with dots.
 fn flatten(path: &str, value: &Value, text: &mut String) {
--- a/crates/ctl/src/sign.rs
+++ b/crates/ctl/src/sign.rs
@@ -2,7 +2,7 @@
 
 use crate::failure::{Failure, Result, failed, input};
 use crate::files;
-use crate::output::Output;
+use crate::output::{self, Output};
 use crate::source;
 use bundle::record::Record;
 use bundle::sign::{self, Error};
@@ -11,7 +11,6 @@
 use serde::Serialize;
 use std::fmt;
 use std::fs;
-use std::io::Write;
 use std::path::PathBuf;
 
 /// Summary of the signed version.
@@ -66,14 +65,10 @@
             written
                 .wrap_err_with(|| path.display().to_string())
                 .map_err(failed)?;
-            output.show(&signed);
-        }
-        None => {
-            let written = std::io::stdout().write_all(&body);
-            written.wrap_err("writing to stdout").map_err(failed)?;
+            output.show(&signed)
         }
+        None => output::write_all(&body),
     }
-    Ok(())
 }
 
 /// Converts an error of signing, which is always one of the input.
--- a/crates/ctl/tests/common.rs
+++ b/crates/ctl/tests/common.rs
@@ -4,7 +4,7 @@
 use bundle::signer::Signer;
 use serde_json::Value;
 use std::fs;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 
 /// Temporary folder with an operator's files; removed on drop.
@@ -53,6 +53,11 @@
         ]));
     }
 
+    /// Returns the folder.
+    pub fn path(&self) -> &Path {
+        &self.0
+    }
+
     /// Writes a file in the folder.
     pub fn write(&self, name: &str, text: &str) {
         fs::write(self.0.join(name), text).unwrap();
