standin: accept errors are retried with a pause

Cause: the server of the platform's stand-ins (log, instance list, weight store) accepted again at once after an error. While file descriptors were short it took a core from the test that it serves. The stand-ins of endpoints pause already.

Change: the pause of the endpoints' stand-ins, 10 ms.

--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -1,5 +1,6 @@
 //! Faults of the platform stand-ins, and the HTTP server that injects them.
 
+use crate::lifecycle::RETRY_INTERVAL;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -202,6 +203,7 @@
 ) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(RETRY_INTERVAL).await;
             continue;
         };
         if faults.mode() == Mode::Down {
--- a/crates/standin/src/lifecycle.rs
+++ b/crates/standin/src/lifecycle.rs
@@ -18,7 +18,7 @@
 /// Maximum number of retries to bind an address that is still in use.
 const MAX_BIND_RETRIES: u32 = 300;
 /// Delay between two attempts to bind or accept.
-const RETRY_INTERVAL: Duration = Duration::from_millis(10);
+pub(crate) const RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
 /// An endpoint that can crash and restart.
 pub(crate) trait Serve: Send + Sync + Sized + 'static {
