entry: the caller's address passes through a forwarding node

Cause: the owner of a key runs a request that another node has forwarded, and would give the service the address of that node; the forwarding node itself passed on whatever the caller had put into x-forwarded-for.

Change: a node that forwards sets x-forwarded-for to its caller's address, and the owner keeps it if the request has the mark that only a node can make. A request of a node of the former build (mark `1`) has the address of that node, since its x-forwarded-for may be the caller's own.

--- a/crates/entry/src/api/header.rs
+++ b/crates/entry/src/api/header.rs
@@ -26,6 +26,8 @@
 pub const NODE: HeaderName = HeaderName::from_static("x-wigeonshelf-node");
 /// Set by a node that forwards a request to another node; ignored if a caller sets it.
 pub const HOP: HeaderName = HeaderName::from_static("x-wigeonshelf-hop");
+/// Carries the caller's address to services, and from a node that forwards a request to the next.
+pub const FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
 /// Tells client libraries whether to retry the request automatically.
 pub const SHOULD_RETRY: HeaderName = HeaderName::from_static("x-should-retry");
 
--- a/crates/entry/src/handler/call.rs
+++ b/crates/entry/src/handler/call.rs
@@ -2,16 +2,18 @@
 
 use super::complete::fingerprint;
 use super::forward::Original;
-use super::{Shared, caller_addr, with_request_id};
+use super::{Shared, with_request_id};
 use crate::answer::Guard;
 use crate::api::error::{Error, Result};
-use crate::api::header::{DEADLINE, HOP, Header, OUTCOME, PRIORITY, REPEATABLE, WHOLE};
+use crate::api::header::{
+    DEADLINE, FORWARDED_FOR, HOP, Header, OUTCOME, PRIORITY, REPEATABLE, WHOLE,
+};
 use crate::attempt::{Call, MAX_BUFFERED_CHUNKS, Work};
 use crate::core::{Arrival, Command, End, Reply};
 use crate::{hop_by_hop, request_body};
 use bytes::Bytes;
 use futures::{Stream, stream};
-use http::header::{AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderName, HeaderValue};
+use http::header::{AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderName};
 use http::{HeaderMap, StatusCode, Uri};
 use route::outcome::Outcome;
 use route::request::{Request as Routed, Target};
@@ -23,7 +25,7 @@
 /// Prefix of the paths of services.
 const PATH_PREFIX: &str = "/services/";
 /// Headers that are meant for this node only, or are set anew for the service.
-const NOT_FORWARDED: [HeaderName; 8] = [
+const NOT_FORWARDED: [HeaderName; 9] = [
     AUTHORIZATION,
     CONTENT_LENGTH,
     HOST,
@@ -32,9 +34,8 @@
     REPEATABLE,
     WHOLE,
     HOP,
+    FORWARDED_FOR,
 ];
-/// Carries the caller's address to the service.
-const FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
 
 /// Handles any method on `/services/NAME/...`.
 pub async fn service(state: &Shared, req: &mut Request) -> Result<Response> {
@@ -50,10 +51,13 @@
     let service_repeatable = bundle.services[usize::from(service)].repeatable;
     // A caller can forbid retries, but can't allow them if the operators have forbidden them.
     let repeatable = service_repeatable && header.repeatable.unwrap_or(true);
-    let head = service_head(req, rest)?;
+    let mut head = service_head(req, rest)?;
     let fingerprint_path = path.to_owned();
     let original = Original::of(req);
     let body = request_body::read(req, &state.limits).await?;
+    if let Some(caller) = original.caller(state, &body) {
+        head.headers.insert(FORWARDED_FOR, caller);
+    }
     let team = &bundle.teams[usize::from(header.team)].name;
     let (chunk_tx, chunk_rx) = mpsc::channel(MAX_BUFFERED_CHUNKS);
     let request = Routed {
@@ -119,12 +123,6 @@
     head.method = req.method().clone();
     head.uri = uri;
     head.headers = forward_headers(req.headers());
-    if let Some(addr) = caller_addr(req) {
-        let text = addr.ip().to_string();
-        if let Ok(value) = HeaderValue::from_str(&text) {
-            head.headers.insert(FORWARDED_FOR, value);
-        }
-    }
     Ok(head)
 }
 
--- a/crates/entry/src/handler/forward.rs
+++ b/crates/entry/src/handler/forward.rs
@@ -7,11 +7,11 @@
 use super::hop::Covered;
 use super::{Shared, caller_addr};
 use crate::api::error::Result;
-use crate::api::header::{HOP, REQUEST_HEADERS};
+use crate::api::header::{FORWARDED_FOR, HOP, REQUEST_HEADERS};
 use crate::hop_by_hop;
 use bytes::Bytes;
 use engine::service::{CallOptions, call};
-use http::header::CONTENT_LENGTH;
+use http::header::{CONTENT_LENGTH, HeaderValue};
 use http::{HeaderMap, Method, Uri};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::AtomicBool;
@@ -84,6 +84,18 @@
         marks.any(|mark| self.covered(body).is_forwarded(state, mark, self.from))
     }
 
+    /// Returns the caller's address as text. A node that has forwarded the request states it; a
+    /// caller's own statement is ignored.
+    pub fn caller(&self, state: &Shared, body: &Bytes) -> Option<HeaderValue> {
+        let mut marks = self.headers.get_all(HOP).iter();
+        let covered = self.covered(body);
+        if marks.any(|mark| covered.is_signed(&state.peer_key, mark)) {
+            return self.headers.get(FORWARDED_FOR).cloned();
+        }
+        let addr = self.from?.to_string();
+        HeaderValue::from_str(&addr).ok()
+    }
+
     async fn forward(
         mut self,
         state: &Shared,
@@ -92,6 +104,10 @@
         time_left: Duration,
     ) -> Option<Response> {
         let mark = self.covered(&body).sign(&state.peer_key)?;
+        self.headers.remove(FORWARDED_FOR);
+        if let Some(caller) = self.caller(state, &body) {
+            self.headers.insert(FORWARDED_FOR, caller);
+        }
         self.headers.insert(HOP, mark);
         let mut request = http::Request::new(body);
         *request.method_mut() = self.method;
--- a/crates/entry/src/handler/hop.rs
+++ b/crates/entry/src/handler/hop.rs
@@ -46,7 +46,12 @@
             let peers = snapshot.as_ref().map(|s| &s.peer_ips);
             return from.is_some_and(|ip| peers.is_some_and(|p| p.contains(&ip.to_canonical())));
         }
-        self.verify(&state.peer_key, mark).unwrap_or(false)
+        self.is_signed(&state.peer_key, mark)
+    }
+
+    /// Returns whether `mark` is the one that a node with this key sets.
+    pub(super) fn is_signed(&self, key: &Key, mark: &HeaderValue) -> bool {
+        self.verify(key, mark).unwrap_or(false)
     }
 
     fn verify(&self, key: &Key, mark: &HeaderValue) -> Option<bool> {
