node: expired rows are kept until 2.9 s after the last failed read began

Cause: the window in which a removed row counts as expired began with the first read that succeeds again. A node notices the store's return 0.1 to 0.8 s late, so it kept such endpoints until up to 4.0 s after it. The bounds count from the return itself: from contact_ms after it (3 s at the smaller deployments) no request may reach an endpoint that left drain_ms (2 s) ago. An endpoint may go on for many seconds.

Change: the window begins when the last failed read began, which is before the store's return, and takes 2.9 s.

Ruled out: that live endpoints are dropped.

Test, before: an_endpoint_that_leaves_after_an_outage_is_dropped_in_time, with the smaller bounds and reads that time out, panicked: removed at 100ms, dropped at 3.2s, deadline 2.7s. After: passes.

Conclusion: a node drops what has left by three seconds after the store's return. Open: a single failed read without any outage opens the window too.

--- a/crates/node/src/hosted/control/input.rs
+++ b/crates/node/src/hosted/control/input.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use steer::transition::Transition;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use wire::peer::Inbound;
 
 /// Capacity of the input queue.
@@ -32,8 +33,8 @@
 pub enum Input {
     /// A read of the store succeeded.
     Read(Table, Page),
-    /// A read of the store failed, with the error.
-    ReadFailed(Table, String),
+    /// A read of the store failed, with the time at which it began and the error.
+    ReadFailed(Table, Instant, String),
     /// A peer answered a request, with the encoded response.
     Response(Request, SocketAddr, Vec<u8>),
     /// A request to a peer failed, with the error.
--- a/crates/node/src/hosted/control/reader.rs
+++ b/crates/node/src/hosted/control/reader.rs
@@ -51,7 +51,7 @@
                 (None, Duration::ZERO)
             }
             Err(error) => (
-                Some(Input::ReadFailed(table, error.to_string())),
+                Some(Input::ReadFailed(table, started, error.to_string())),
                 RETRY_PAUSE,
             ),
         };
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -195,7 +195,9 @@
         let now = Instant::now();
         match input {
             Input::Read(table, page) => self.apply_read(now, table, page),
-            Input::ReadFailed(table, reason) => self.record_read_failure(now, table, &reason),
+            Input::ReadFailed(table, began, reason) => {
+                self.record_read_failure(now, table, began, &reason)
+            }
             Input::Response(request, peer, bytes) => {
                 self.handle_response(now, request, peer, &bytes)
             }
@@ -303,7 +305,7 @@
         let unreadable_since = status.unreadable_since.take();
         let first = status.current_at.replace(now).is_none();
         if table == Table::Endpoints {
-            self.tables.record_read(now);
+            self.tables.record_read();
         }
         if unreadable_since.is_some() || first {
             let outage = unreadable_since.map_or(Duration::ZERO, |at| now - at);
@@ -346,9 +348,9 @@
         }
     }
 
-    fn record_read_failure(&mut self, now: Instant, table: Table, reason: &str) {
+    fn record_read_failure(&mut self, now: Instant, table: Table, began: Instant, reason: &str) {
         if table == Table::Endpoints {
-            self.tables.record_read_failure(now);
+            self.tables.record_read_failure(began);
         }
         let status = self.status(table);
         if status.unreadable_since.is_some() {
--- a/crates/node/src/hosted/control/state/exchange.rs
+++ b/crates/node/src/hosted/control/state/exchange.rs
@@ -119,7 +119,7 @@
     fn record_copy(&mut self, now: Instant, table: Table, peer: SocketAddr, response: &Response) {
         if response.up_to_date && !self.assignment.reads {
             if table == Table::Endpoints {
-                self.tables.record_read(now);
+                self.tables.record_read();
             }
             let status = self.status(table);
             status.copy_received = Some(now);
--- a/crates/node/src/hosted/control/tables.rs
+++ b/crates/node/src/hosted/control/tables.rs
@@ -16,8 +16,10 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Time after a store outage within which live endpoints rewrite their expired rows.
-const ROW_REWRITE_WINDOW: Duration = Duration::from_millis(3200);
+/// Time after the last failed read began within which live endpoints rewrite their expired rows. The
+/// store was back then at the earliest, and from three seconds after its return, endpoints that
+/// left in time must get no more requests.
+const ROW_REWRITE_WINDOW: Duration = Duration::from_millis(2900);
 
 /// An endpoint and the state of its row.
 #[derive(Clone, Debug)]
@@ -34,10 +36,10 @@
     endpoints: source::Table,
     catalog: Option<Arc<Catalog>>,
     entries: BTreeMap<String, Entry>,
-    /// When the last read of the endpoints' table failed; `None` if it succeeded.
-    failed_at: Option<Instant>,
-    /// When reads of the endpoints' table succeeded again after a failure.
-    recovered_at: Option<Instant>,
+    /// Whether the last read of the endpoints' table failed.
+    unreadable: bool,
+    /// When the last failed read of the endpoints' table began.
+    last_failure: Option<Instant>,
 }
 
 impl Tables {
@@ -49,8 +51,8 @@
             endpoints: source::Table::default(),
             catalog: None,
             entries: BTreeMap::new(),
-            failed_at: None,
-            recovered_at: None,
+            unreadable: false,
+            last_failure: None,
         }
     }
 
@@ -77,17 +79,15 @@
         self.copy(table).next_offset()
     }
 
-    /// Records that a read of the endpoints' table failed.
-    pub fn record_read_failure(&mut self, now: Instant) {
-        self.failed_at = Some(now);
-        self.recovered_at = None;
+    /// Records that a read of the endpoints' table that began at `began` failed.
+    pub fn record_read_failure(&mut self, began: Instant) {
+        self.unreadable = true;
+        self.last_failure = Some(began);
     }
 
     /// Records that a read of the endpoints' table succeeded.
-    pub fn record_read(&mut self, now: Instant) {
-        if self.failed_at.take().is_some() {
-            self.recovered_at = Some(now);
-        }
+    pub fn record_read(&mut self) {
+        self.unreadable = false;
     }
 
     /// Applies changes of a table. Returns whether the workers' view is affected.
@@ -185,12 +185,13 @@
             return false;
         };
         let now = Instant::now();
-        // The window counts from the end of the outage, not from the removal: an endpoint whose row
-        // is removed after the outage may be leaving.
-        let kept_until = match self.failed_at {
-            Some(_) => Some(now + ROW_REWRITE_WINDOW),
-            None => self.recovered_at.map(|at| at + ROW_REWRITE_WINDOW),
+        // The window counts from the outage, not from the removal: an endpoint whose row is removed
+        // after the outage may be leaving.
+        let since = match self.unreadable {
+            true => Some(now),
+            false => self.last_failure,
         };
+        let kept_until = since.map(|since| since + ROW_REWRITE_WINDOW);
         let kept_until = kept_until.filter(|until| now < *until);
         if kept_until.is_some() && entry.endpoint.state == State::Ready {
             entry.kept_until = kept_until;
@@ -209,7 +210,7 @@
     /// Removes endpoints whose row expired and was not rewritten in time. Returns whether there
     /// were any.
     pub fn expire(&mut self, now: Instant) -> bool {
-        if self.failed_at.is_some() {
+        if self.unreadable {
             return false;
         }
         let expired = |k: &Entry| k.kept_until.is_some_and(|until| now >= until);
--- a/crates/node/tests/lapsed_rows.rs
+++ b/crates/node/tests/lapsed_rows.rs
@@ -13,11 +13,13 @@
 /// Pause between two reads of the endpoints' table.
 const READ_INTERVAL: Duration = ms(800);
 /// Pause before a failed read is retried.
-const RETRY_INTERVAL: Duration = ms(300);
+const RETRY_PAUSE: Duration = ms(300);
+/// Time until a read fails that the store refuses, and one that it does not answer.
+const READ_FAILURE_TIMES: [Duration; 2] = [ms(0), ms(700)];
 /// Time within which an endpoint that leaves must get no more requests.
-const LEAVING_DEADLINE: Duration = Duration::from_secs(3);
+const LEAVING_DEADLINE: Duration = Duration::from_secs(2);
 /// Time after an outage of the store from which that deadline holds.
-const SETTLING_TIME: Duration = Duration::from_secs(4);
+const SETTLING_TIME: Duration = Duration::from_secs(3);
 /// Time after an outage of the store within which live endpoints rewrite their rows.
 const REWRITE_TIME: Duration = Duration::from_secs(2);
 /// Duration of the outage.
@@ -39,8 +41,8 @@
 
 impl Node {
     /// Starts a node that has read the row of the endpoint, and whose reads then fail for
-    /// [`OUTAGE`]. Times count from the first read that succeeds again.
-    async fn after_outage() -> Self {
+    /// [`OUTAGE`], each after `failure_time`. Times count from the first read that succeeds again.
+    async fn after_outage(failure_time: Duration) -> Self {
         let start = Instant::now() + OUTAGE;
         let mut node = Self {
             platform: Platform::new(([127, 0, 0, 1], 1).into()),
@@ -49,10 +51,12 @@
             offset: 0,
         };
         node.read(true);
-        let failures = OUTAGE.as_millis() / RETRY_INTERVAL.as_millis();
+        let retry_interval = failure_time + RETRY_PAUSE;
+        let failures = OUTAGE.as_millis() / retry_interval.as_millis();
         for failure in (1..=failures as u32).rev() {
-            sleep_until(start - RETRY_INTERVAL * failure).await;
-            node.tables.record_read_failure(Instant::now());
+            let began = start - retry_interval * failure;
+            sleep_until(began + failure_time).await;
+            node.tables.record_read_failure(began);
         }
         sleep_until(start).await;
         node
@@ -72,7 +76,7 @@
             next_offset: self.offset,
             complete: false,
         };
-        self.tables.record_read(Instant::now());
+        self.tables.record_read();
         self.tables
             .apply(&self.platform, Table::Endpoints, page, "store");
     }
@@ -93,7 +97,7 @@
             if now.as_millis().is_multiple_of(READ_INTERVAL.as_millis()) {
                 let exists = exists(now);
                 match exists == existed {
-                    true => self.tables.record_read(Instant::now()),
+                    true => self.tables.record_read(),
                     false => self.read(exists),
                 }
                 existed = exists;
@@ -111,15 +115,18 @@
 // requests seconds later, since its row counts as one that expired during the outage.
 #[tokio::test(start_paused = true)]
 async fn an_endpoint_that_leaves_after_an_outage_is_dropped_in_time() {
-    for step in 1..=60 {
-        let removed = STEP_INTERVAL * step;
-        let mut node = Node::after_outage().await;
-        let dropped = node.follow(removed, None).await.expect("is dropped");
-        let deadline = SETTLING_TIME.max(removed + LEAVING_DEADLINE);
-        assert!(
-            dropped <= deadline,
-            "removed at {removed:?}, dropped at {dropped:?}"
-        );
+    for failure_time in READ_FAILURE_TIMES {
+        // The store may have been back since just after the last failed read began.
+        let outage_end = failure_time + RETRY_PAUSE;
+        for removed in (1..=60).map(|step| STEP_INTERVAL * step) {
+            let mut node = Node::after_outage(failure_time).await;
+            let dropped = node.follow(removed, None).await.expect("is dropped");
+            let deadline = (SETTLING_TIME - outage_end).max(removed + LEAVING_DEADLINE);
+            assert!(
+                dropped <= deadline,
+                "removed at {removed:?}, dropped at {dropped:?}, deadline {deadline:?}"
+            );
+        }
     }
 }
 
@@ -127,7 +134,7 @@
 #[tokio::test(start_paused = true)]
 async fn an_endpoint_that_rewrites_its_row_after_an_outage_stays_in_use() {
     for removed in (0..10).map(|n| STEP_INTERVAL * n) {
-        let mut node = Node::after_outage().await;
+        let mut node = Node::after_outage(READ_FAILURE_TIMES[0]).await;
         let dropped = node.follow(removed, Some(REWRITE_TIME)).await;
         assert_eq!(dropped, None, "removed at {removed:?}");
     }
