member: nodes that exchange digests also compare which peers they do not see up

Cause: a node that starts learns of a dead node by the join that another starting node passes on, which carries no opinion of it, and enters it as up. Its hashes then equal those of the others, so no rows follow, and the news of the death is disseminated once: the node offers the dead one to callers until its own probe, one of 195 a second. A node that was paused while the news of a death spread does the same. Ruled out: a suspicion that is sent and not adopted (none reached 124), more suspicions than one message holds (one node stays dead).

Change: member::reconcile. A digest carries suspicions of up to 16 peers that its sender sees suspect or dead; the receiver answers with those that the sender lacks and with the refutations that it missed. A node that sees most of the group away sends none, and parted peers are left out.

--- a/crates/member/src/group.rs
+++ b/crates/member/src/group.rs
@@ -12,6 +12,7 @@
 use crate::message::{Body, Message, Row, Run, Update};
 use crate::peer::{Entry, ListedState, Peer, State};
 use crate::probe::Probes;
+use crate::reconcile;
 use crate::roster::{self, Roster};
 use crate::settings::Settings;
 use crate::store::Store;
@@ -151,6 +152,7 @@
         message: Message,
         out: &mut Vec<Action>,
     ) {
+        let stated = reconcile::stated_suspicions(&message);
         let Message {
             from: id,
             incarnation,
@@ -181,6 +183,9 @@
         suspicions
             .into_iter()
             .for_each(|run| self.adopt_suspicion(now, run, out));
+        if let Some(stated) = stated {
+            self.answer_suspicions(id, from, &stated, out);
+        }
     }
 
     /// Returns whether the roster holds this run of a node.
@@ -333,9 +338,12 @@
     }
 
     /// Sends a message with the head and some updates. Suspicions of the rows that it holds are sent with it,
-    /// and in further messages if they exceed the bound of one.
+    /// and in further messages if they exceed the bound of one. A digest carries suspicions to be compared.
     pub(crate) fn send(&mut self, peer: Id, to: SocketAddr, body: Body, out: &mut Vec<Action>) {
         let mut updates = self.select_updates(peer);
+        if matches!(body, Body::Digest(_)) {
+            self.add_suspicions(&mut updates);
+        }
         let not_up = self.rows_not_up(body.rows());
         let (first, rest) = not_up.split_at(MAX_SUSPICIONS_PER_MESSAGE.min(not_up.len()));
         updates.extend(self.suspicions_of(first));
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -32,6 +32,7 @@
 mod partition;
 pub mod peer;
 mod probe;
+mod reconcile;
 mod ring;
 pub mod roster;
 pub mod settings;
--- a/crates/member/src/message.rs
+++ b/crates/member/src/message.rs
@@ -23,7 +23,8 @@
     /// Head of the bundle that the sender has in force.
     pub head: Option<Head>,
     /// Recent changes of membership, piggybacked on the message. An [`Update::Suspect`] of a run whose
-    /// row is in the body states how the sender sees that run, and is not a recent change.
+    /// row is in the body states how the sender sees that run, and is not a recent change. Those beside a
+    /// [`Body::Digest`] and its answer may be of any age.
     pub updates: Vec<Update>,
     /// Content of the message.
     pub body: Body,
