node: the soak tells how its requests ended, and counts whole responses only

Cause: the figure "answered" of the soak compares badly.

Change: each run prints the callers' requests by kind, status and error message, with the time that their callers waited in total and at most. A response counts as answered only if it is complete. What is sent and checked is unchanged.

--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -36,6 +36,8 @@
 mod proxy;
 #[path = "../../../platform/standin/mod.rs"]
 mod standin;
+#[path = "soak/summary.rs"]
+mod summary;
 
 use cluster::Cluster;
 use guarantee::{Record, Violations};
@@ -44,6 +46,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, LazyLock, Mutex};
 use std::time::Duration;
+use summary::Summary;
 
 /// Default seeds, also run in CI. 104 and 128 fail if two concurrent soak runs pick the same free
 /// ports, so that nodes of one send requests to endpoints of the other; addresses are therefore
@@ -113,6 +116,7 @@
         violations.leaving.len(),
         violations.cut.len()
     );
+    print!("{}", Summary::new(&observed, &format!("s{seed}-")));
     let all = [
         &violations.base,
         &violations.rest,
--- a/crates/node/tests/soak/caller.rs
+++ b/crates/node/tests/soak/caller.rs
@@ -56,7 +56,7 @@
             }
             _ => {}
         }
-        observed.answered += usize::from(got.status == StatusCode::OK);
+        observed.answered += usize::from(got.status == StatusCode::OK && got.complete);
     }
 }
 
--- a/crates/node/tests/soak/observation.rs
+++ b/crates/node/tests/soak/observation.rs
@@ -15,8 +15,14 @@
 /// How a request ended for its caller.
 #[derive(Clone, Debug)]
 pub enum Outcome {
-    /// A response, and whether its body was received to the end.
-    Response { status: StatusCode, complete: bool },
+    /// A response.
+    Response {
+        status: StatusCode,
+        /// Whether its body was received to the end.
+        complete: bool,
+        /// Error message of the node.
+        error: Option<String>,
+    },
     /// The connection was closed without a response.
     NoResponse,
     /// The caller stopped waiting.
@@ -27,7 +33,9 @@
     /// Returns whether the connection ended without a response, or within a successful one.
     pub fn is_cut(&self) -> bool {
         match self {
-            Self::Response { status, complete } => !complete && status.is_success(),
+            Self::Response {
+                status, complete, ..
+            } => !complete && status.is_success(),
             Self::NoResponse => true,
             Self::GivenUp => false,
         }
@@ -40,6 +48,7 @@
     /// Node that it was sent to.
     pub node: SocketAddr,
     pub at: Instant,
+    pub at_most_once: bool,
     /// When and how it ended.
     pub end: Option<(Instant, Outcome)>,
 }
@@ -51,6 +60,7 @@
     pub requests: BTreeMap<String, Sent>,
     /// Status of each at-most-once request, by its id.
     pub at_most_once: BTreeMap<String, StatusCode>,
+    /// Number of complete responses with status 200.
     pub answered: usize,
     pub violations: Vec<String>,
 }
@@ -86,6 +96,7 @@
     let sent = Sent {
         node,
         at: Instant::now(),
+        at_most_once: path.starts_with("/once/"),
         end: None,
     };
     observed
@@ -98,6 +109,7 @@
         Ok(Some(answer)) => Outcome::Response {
             status: answer.status,
             complete: answer.complete,
+            error: error(answer),
         },
         Ok(None) => Outcome::NoResponse,
         Err(_) => Outcome::GivenUp,
@@ -110,3 +122,9 @@
     }
     got.ok().flatten()
 }
+
+/// Returns the message of a response that the node generated itself.
+fn error(answer: &Answer) -> Option<String> {
+    let body: serde_json::Value = serde_json::from_str(&answer.body).ok()?;
+    Some(body.get("error")?.as_str()?.to_owned())
+}
