node: a move of an endpoint that drains is dropped

What happens: an endpoint that is to release layers gets its order 600 ms after the plan. If it begins to drain in this time, the order is still sent. The endpoint releases layers that its requests in progress need, and what it loads is of no use.

Cause: Orders::expire kept the moves of all endpoints that are listed, and Orders::revalidate_moves keeps those of endpoints that it is not asked about, among them the draining ones, which are no holders.

An endpoint whose row says that it drains takes the same path. Ruled out: that the replacement waits for the dropped move; the next plan orders another endpoint.

Change: a move is dropped, with its pending change, once its endpoint is not ready.

Test: a_move_of_an_endpoint_that_drains_is_dropped (crates/node/tests/orders.rs). Without the fix:

panicked at crates/node/tests/orders.rs: assertion `left == right` failed, left: 1, right: 0 (orders in flight)

With it, all 6 tests of the file pass.

--- a/crates/node/src/hosted/control/orders.rs
+++ b/crates/node/src/hosted/control/orders.rs
@@ -265,12 +265,21 @@
         self.pending.insert(order.run, pending);
     }
 
-    /// Discards pending changes that have expired or that the row shows by now, and runs that are
-    /// gone.
+    /// Discards pending changes that have expired or that the row shows by now, moves of endpoints
+    /// that are not ready any more, and runs that are gone.
     fn expire(&mut self, now: Instant, endpoints: &[&Endpoint]) {
         let spans: BTreeMap<&Run, Span> = endpoints.iter().map(|e| (&e.run, e.span)).collect();
         self.seen.retain(|run| spans.contains_key(run));
-        self.moves.retain(|(_, m)| spans.contains_key(&m.order.run));
+        let is_ready = |e: &&&Endpoint| e.state == State::Ready;
+        let ready: BTreeSet<&Run> = endpoints.iter().filter(is_ready).map(|e| &e.run).collect();
+        let pending = &mut self.pending;
+        self.moves.retain(|(_, Planned { order, .. })| {
+            let kept = ready.contains(&order.run);
+            if !kept {
+                pending.remove(&order.run);
+            }
+            kept
+        });
         self.pending
             .retain(|run, pending| match (spans.get(run), pending) {
                 (None, _) => false,
--- a/crates/node/tests/orders.rs
+++ b/crates/node/tests/orders.rs
@@ -3,7 +3,7 @@
 #[path = "../../steer/tests/support/mod.rs"]
 mod support;
 
-use catalog::endpoint::{Endpoint, Run, Span};
+use catalog::endpoint::{Endpoint, Run, Span, State};
 use journal::Journal;
 use member::identity::Identity;
 use member::peer::Peer;
@@ -207,6 +207,38 @@
     }
 }
 
+// Guards against an order to a draining endpoint, which would release layers that its requests in
+// progress still need.
+#[tokio::test(start_paused = true)]
+async fn a_move_of_an_endpoint_that_drains_is_dropped() {
+    let mut endpoints = with_missing_layers();
+    let third = Endpoint {
+        span: endpoints[0].span,
+        ..empty(endpoints.len(), endpoints[0].addr)
+    };
+    endpoints.push(third);
+    let (journal, _lines) = Journal::new(64);
+    let (inputs, _taken) = mpsc::channel(64);
+    let mut orders = Orders::new(journal, inputs, Duration::ZERO);
+    let (assignment, catalog) = (sole_assignment(), catalog());
+    let start = Instant::now();
+    orders.step(start, &assignment, &catalog, endpoints.iter());
+    let moving = orders.take_moving();
+    assert_eq!(moving.len(), 1, "{moving:?}");
+    let moved = endpoints.iter_mut().find(|e| e.run == moving[0]);
+    moved.expect("an endpoint of the fleet").state = State::Draining;
+    let half = start + MOVE_NOTICE / 2;
+    orders.step(half, &assignment, &catalog, endpoints.iter());
+    orders.send_planned(start + MOVE_NOTICE);
+    assert_eq!(orders.in_flight(), 0);
+    // Another endpoint takes its place, after an announcement of its own.
+    let others = orders.take_moving();
+    assert_eq!(others.len(), 1, "{others:?}");
+    assert_ne!(others, moving);
+    orders.send_planned(half + MOVE_NOTICE);
+    assert_eq!(orders.in_flight(), 1);
+}
+
 // Guards against requests that an endpoint refuses because it has begun to release its layers. If
 // each of 195 nodes finds that out by itself, there are 30 refusals per moved endpoint. So the move
 // is announced to the other nodes first, and the order is sent when they know of it.
