node: the layers of an endpoint that announced that it leaves are loaded elsewhere at once

What callers see: 503, layers missing, for as long as the row of an endpoint still says ready after it has announced in a response that it leaves: up to seconds, or until it is gone if the store never hears of it.

Cause: since nothing new is sent to such an endpoint, but the orders were planned from the rows. The announcement reached the control task, which wrote a line and returned. So its layers counted as held: they were loaded nowhere else, an endpoint that came in its place got other layers, and an endpoint with a second copy of other layers was not moved.

Change: control keeps the announcements (steer::departures) and plans such an endpoint as draining. Callers' requests are selected as before.

Test: layers_of_endpoints_that_announced_that_they_leave_are_loaded_elsewhere (crates/node/tests/hosted.rs). Without the change it failed in three runs of three ("the layers are still missing", after 20 s), with it it passed in three of three, 8 s each.

Not covered: a node that gives orders learns of an announcement only from its own responses and polls, as before. A stage that is not the head of a chain announces only in its status reports. A lost layer stays missing while no endpoint of the zone holds second copies (place::plan::repair).

--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -220,7 +220,8 @@
                 self.table_version.set(self.table_version.get() + 1);
             }
             // The control task is behind. The transition is dropped; the endpoint's next failure
-            // reports it again, and an endpoint that leaves is only missing from the log.
+            // reports it again, and the layers of an endpoint that leaves are replaced once its
+            // row says so.
             if self.transitions.try_send(transition).is_err() {
                 stats::increment(&self.stats.dropped_transitions);
             }
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -19,6 +19,7 @@
 use adapter::report::Control as Engine;
 use adapter::store::Table;
 use catalog::Endpoint;
+use catalog::endpoint::State as EndpointState;
 use catalog::source::Page;
 use gate::metrics::Metrics;
 use gate::view::{SharedView, View};
@@ -34,6 +35,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use steer::Fleet;
+use steer::departures::Departures;
 use steer::transition::Transition;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -102,6 +104,8 @@
     actions: Vec<Action>,
     tables: Tables,
     failures: Failures,
+    /// Endpoints that announced to this node that they leave.
+    departures: Departures,
     orders: Orders,
     operator: TableStatus,
     endpoints: TableStatus,
@@ -158,6 +162,7 @@
             actions: Vec::new(),
             tables: Tables::new(control.journal.clone()),
             failures: Failures::default(),
+            departures: Departures::default(),
             orders: Orders::new(control.journal.clone(), inputs.clone(), settings.heartbeat),
             inputs,
             journal: control.journal,
@@ -224,6 +229,9 @@
         }
         self.handle_event(Event::Tick);
         self.dirty |= self.tables.expire(now);
+        let tables = &self.tables;
+        self.departures
+            .expire(self.start.elapsed(), |run| tables.contains(run));
         self.dirty |= self.update_failures(now);
         self.update_assignment(now);
         self.pull(now);
@@ -279,7 +287,10 @@
         let (run, state, ejected) = match &transition {
             Transition::Down(run) => (run, "fails here", Some(true)),
             Transition::Up(run) => (run, "does well here", Some(false)),
-            Transition::Leaving { run, .. } => (run, "announced that it leaves", None),
+            Transition::Leaving { run, .. } => {
+                self.departures.record(self.start.elapsed(), run);
+                (run, "announced that it leaves", None)
+            }
         };
         self.journal.record(JournalEvent::Endpoint {
             run: run.to_string(),
@@ -389,13 +400,23 @@
         let failures = &self.failures;
         let live = self.tables.endpoints();
         let live = live.filter(|e| !failures.is_lost(now, &e.run.to_string()));
-        let live: Vec<Endpoint> = live.map(|e| self.loads.overlay(now, e)).collect();
+        let live: Vec<Endpoint> = live.map(|e| self.planned(now, e)).collect();
         self.orders
             .step(now, &self.assignment, catalog, live.iter());
         self.planning.record_run(now, Instant::now());
         self.announce_moves();
     }
 
+    /// Returns an endpoint as orders are planned for it. One that announced that it leaves is draining,
+    /// also while its row says otherwise: it gets no new requests, so its layers are missing.
+    fn planned(&self, now: Instant, endpoint: &Endpoint) -> Endpoint {
+        let mut planned = self.loads.overlay(now, endpoint);
+        if self.departures.contains(&planned.run) {
+            planned.state = EndpointState::Draining;
+        }
+        planned
+    }
+
     /// Announces to the other nodes which endpoints are to release layers.
     fn announce_moves(&mut self) {
         let moving = self.orders.take_moving().into_iter();
--- a/crates/node/src/hosted/control/tables.rs
+++ b/crates/node/src/hosted/control/tables.rs
@@ -6,7 +6,7 @@
 
 use adapter::Platform;
 use adapter::store::Table;
-use catalog::endpoint::State;
+use catalog::endpoint::{Run, State};
 use catalog::source::{self, Offset, Page};
 use catalog::{Catalog, Endpoint};
 use journal::Journal;
@@ -64,6 +64,12 @@
         self.entries.values().map(|k| &k.endpoint)
     }
 
+    /// Returns whether a run is among the endpoints.
+    pub fn contains(&self, run: &Run) -> bool {
+        let entry = self.entries.get(&run.id);
+        entry.is_some_and(|k| k.endpoint.run == *run)
+    }
+
     /// Returns the copy of a table, not decoded.
     pub fn copy(&self, table: Table) -> &source::Table {
         match table {
--- a/crates/node/tests/hosted.rs
+++ b/crates/node/tests/hosted.rs
@@ -20,6 +20,8 @@
 
 /// Maximum number of checks, 20 ms apart, for an expected state.
 const MAX_POLLS: usize = 1500;
+/// Maximum time from the loss of a layer until another endpoint serves it.
+const MAX_LOAD_TIME: Duration = Duration::from_secs(20);
 
 /// A running node.
 struct Node {
@@ -279,6 +281,46 @@
     assert!(!app.chains().is_empty());
 }
 
+/// Waits until an engine holds layers.
+async fn until_loaded(engine: &Engine) {
+    for _ in 0..MAX_POLLS {
+        if engine.layers() != (0, 0) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("{} was not ordered to load layers", engine.id);
+}
+
+// Guards against layers that stay missing, and requests that are refused, until endpoints that
+// announced that they leave are gone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn layers_of_endpoints_that_announced_that_they_leave_are_loaded_elsewhere() {
+    let store = Store::start().await;
+    let (mut engines, _app) = fleet(&store).await;
+    store.put_manifest(&manifest(1, "/safe/"));
+    let node = start("announced", store.addr, "");
+    until("a chain", node.callers, "/chat/x", ok).await;
+    // Second copies of two layers.
+    for id in ["e4", "e5"] {
+        let engine = Engine::start(id, &store).await;
+        until_loaded(&engine).await;
+        engines.push(engine);
+    }
+    let heads: Vec<&Engine> = engines.iter().filter(|e| e.layers().0 == 0).collect();
+    assert_eq!(heads.len(), 2);
+    heads.iter().for_each(|head| head.leave());
+    let served_by_another = async {
+        let others = || engines.iter().filter(|e| !e.is_leaving());
+        while others().all(|e| e.runs().is_empty()) {
+            send_request(node.callers, "GET", "/chat/x", "k1").await;
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let served = tokio::time::timeout(MAX_LOAD_TIME, served_by_another).await;
+    assert!(served.is_ok(), "the layers are still missing");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn signals_reload_and_stop_a_node() {
     let store = Store::start().await;
