--- a/crates/engine/src/service.rs
+++ b/crates/engine/src/service.rs
@@ -34,9 +34,10 @@
     Reset,
     /// The head of the response was not received in time.
     Silent,
-    /// The request is invalid, or the end of the response is not delimited, so that a truncated
-    /// response would look complete.
+    /// The end of the response is not delimited, so that a truncated response would look complete.
     Protocol,
+    /// The request can't be sent over HTTP/1.1.
+    Invalid,
 }
 
 /// A failed call.
@@ -171,7 +172,7 @@
 }
 
 /// Returns whether the service answers `GET /health` with success on a new connection.
-pub(crate) async fn health(addr: SocketAddr) -> bool {
+pub(crate) async fn health(addr: SocketAddr, limits: &Limits) -> bool {
     let Ok(request) = Request::get("/health").body(Bytes::new()) else {
         return false;
     };
@@ -180,7 +181,7 @@
         new_connection: true,
     };
     let response = call(
-        &Pool::default(),
+        &Pool::new(*limits),
         addr,
         request,
         options,
@@ -194,7 +195,7 @@
 /// length of the body is known.
 fn prepare(addr: SocketAddr, request: Request<Bytes>) -> Result<Request<Full<Bytes>>> {
     let failure = Failure {
-        cause: Cause::Protocol,
+        cause: Cause::Invalid,
         sent: false,
     };
     let (mut parts, body) = request.into_parts();
--- a/crates/entry/src/handler/forward.rs
+++ b/crates/entry/src/handler/forward.rs
@@ -4,14 +4,16 @@
 //! request is forwarded only once: the node that receives a forwarded request answers it itself,
 //! so that two nodes with different views can't forward it in a loop.
 
-use super::Shared;
+use super::hop::Covered;
+use super::{Shared, caller_addr};
 use crate::api::error::Result;
-use crate::api::header::HOP;
+use crate::api::header::{FORWARDED_FOR, HOP, REQUEST_HEADERS};
+use crate::hop_by_hop;
 use bytes::Bytes;
 use engine::service::{CallOptions, call};
-use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use http::header::{CONTENT_LENGTH, HeaderValue};
 use http::{HeaderMap, Method, Uri};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 use viz::{Body, Request, Response};
@@ -21,22 +23,27 @@
     method: Method,
     uri: Uri,
     headers: HeaderMap,
-    forwarded: bool,
+    from: Option<IpAddr>,
 }
 
 impl Original {
     /// Copies the parts of `req`, without the headers that apply to its connection only.
     pub fn of(req: &Request) -> Self {
         let mut headers = req.headers().clone();
-        let forwarded = headers.insert(HOP, HeaderValue::from_static("1")).is_some();
-        headers.remove(CONNECTION);
+        hop_by_hop::remove(&mut headers);
         headers.remove(CONTENT_LENGTH);
-        headers.remove(TRANSFER_ENCODING);
+        // The owner handles the request as this node would. If `Connection` named the key or the
+        // mark that the request is not repeatable, the owner would run it once more without them.
+        for name in REQUEST_HEADERS {
+            if let Some(value) = req.headers().get(&name) {
+                headers.insert(name, value.clone());
+            }
+        }
         Self {
             method: req.method().clone(),
             uri: req.uri().clone(),
             headers,
-            forwarded,
+            from: caller_addr(req).map(|addr| addr.ip()),
         }
     }
 
@@ -50,7 +57,7 @@
         time_left: Duration,
     ) -> Result<Response> {
         let error = match result {
-            Err(error) if error.owner_url.is_some() && !self.forwarded => error,
+            Err(error) if error.owner_url.is_some() && !self.is_forwarded(state, &body) => error,
             other => return other,
         };
         let Some(addr) = error.owner_url.as_deref().and_then(plain_http_addr) else {
@@ -62,13 +69,46 @@
         }
     }
 
+    fn covered<'a>(&'a self, body: &'a Bytes) -> Covered<'a> {
+        Covered {
+            method: &self.method,
+            uri: &self.uri,
+            headers: &self.headers,
+            body,
+        }
+    }
+
+    /// Returns whether another node has forwarded this request.
+    fn is_forwarded(&self, state: &Shared, body: &Bytes) -> bool {
+        let mut marks = self.headers.get_all(HOP).iter();
+        marks.any(|mark| self.covered(body).is_forwarded(state, mark, self.from))
+    }
+
+    /// Returns the caller's address as text. A node that has forwarded the request states it; a
+    /// caller's own statement is ignored.
+    pub fn caller(&self, state: &Shared, body: &Bytes) -> Option<HeaderValue> {
+        let mut marks = self.headers.get_all(HOP).iter();
+        let covered = self.covered(body);
+        if marks.any(|mark| covered.is_signed(&state.peer_key, mark)) {
+            return self.headers.get(FORWARDED_FOR).cloned();
+        }
+        let addr = self.from?.to_string();
+        HeaderValue::from_str(&addr).ok()
+    }
+
     async fn forward(
-        self,
+        mut self,
         state: &Shared,
         addr: SocketAddr,
         body: Bytes,
         time_left: Duration,
     ) -> Option<Response> {
+        let mark = self.covered(&body).sign(&state.peer_key)?;
+        self.headers.remove(FORWARDED_FOR);
+        if let Some(caller) = self.caller(state, &body) {
+            self.headers.insert(FORWARDED_FOR, caller);
+        }
+        self.headers.insert(HOP, mark);
         let mut request = http::Request::new(body);
         *request.method_mut() = self.method;
         *request.uri_mut() = self.uri;
@@ -83,8 +123,7 @@
             .ok()?;
         state.metrics.forwarded.add(1, &[]);
         let (mut parts, body) = response.into_parts();
-        parts.headers.remove(CONNECTION);
-        parts.headers.remove(TRANSFER_ENCODING);
+        hop_by_hop::remove(&mut parts.headers);
         Some(Response::from_parts(parts, Body::wrap(body)))
     }
 }
