--- a/crates/member/src/probe.rs
+++ b/crates/member/src/probe.rs
@@ -84,6 +84,12 @@
         self.open.iter().any(|p| p.to == id)
     }
 
+    /// Iterates over the open probes of neighbours in the ring whose direct answer is late.
+    pub(crate) fn late(&self) -> impl Iterator<Item = &Probe> {
+        let late = |p: &&Probe| p.cause == Cause::Ring && p.indirect_requested;
+        self.open.iter().filter(late)
+    }
+
     pub(crate) fn forget(&mut self, id: Id) {
         self.open.retain(|p| p.to != id);
         self.priority.retain(|f| *f != id);
@@ -218,6 +224,9 @@
             if late(probe) {
                 probe.indirect_requested = true;
                 late_probes.push((probe.seq, probe.to));
+                if probe.cause == Cause::Ring {
+                    self.probes.next_ring_probe = now;
+                }
             }
         }
         late_probes
--- a/crates/member/tests/naming.rs
+++ b/crates/member/tests/naming.rs
@@ -10,9 +10,12 @@
 use member::item::Observation;
 use member::peer::State;
 use net::{Faults, NO_FAULTS, Net, ms};
-use offers::{MAX_OFFERED_TIME, OBSERVED_TIME, SECOND, draw, offered_time, offers, settled_net};
+use offers::{
+    MAX_OFFERED_TIME, OBSERVED_TIME, SECOND, ZONES, draw, offered_time, offers, settled_net,
+};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
 
 /// Kills nodes one after the other in several networks. Returns the deaths after which the node was offered
 /// for too long.
@@ -65,6 +68,43 @@
     }
 }
 
+/// Kills all nodes of an availability zone at once. Returns the time for which any of them was offered, and the
+/// last node that did.
+fn offered_time_of_dead_zone(seed: u64) -> (Duration, usize) {
+    let mut net = settled_net(195, seed);
+    let zone = seed as usize % ZONES;
+    let gone: Vec<usize> = (0..195).filter(|of| of % ZONES == zone).collect();
+    gone.iter().for_each(|of| net.kill(*of));
+    let offered = offered_time(&mut net, &gone, OBSERVED_TIME);
+    net.verify();
+    offered
+}
+
+/// Panics if a node of a dead zone was offered for too long.
+fn check_dead_zones(seeds: impl IntoIterator<Item = u64>) {
+    let mut late = Vec::new();
+    for seed in seeds {
+        let (time, by) = offered_time_of_dead_zone(seed);
+        let case = format!("seed {seed}: offered for {time:?}, last by {by}");
+        println!("{case}");
+        late.extend((time > MAX_OFFERED_TIME).then_some(case));
+    }
+    assert!(late.is_empty(), "{late:#?}");
+}
+
+// Guards against dead nodes of a zone that stay offered because several of them follow each other in the ring, so
+// that their watchers died with them.
+#[test]
+fn a_zone_that_dies_is_offered_for_a_bounded_time() {
+    check_dead_zones([1100, 1120, 1130]);
+}
+
+#[test]
+#[ignore = "minutes long"]
+fn many_zones_that_die() {
+    check_dead_zones(1100..1140);
+}
+
 // Guards against a starting node that receives the row of a dead one from a peer and offers it to callers.
 #[test]
 fn a_starting_node_offers_no_dead_one() {
