node: a removed row counts by the outage in which it was seen

Cause: the end of the window was fixed when the node learned of the removal, from the failed reads known then. (1) A node that copies from a peer can learn of it while its own read still waits: when that read fails, nothing was extended, and the endpoint was dropped up to 1.5 s early. (2) While reads fail, the window began at the removal, so one that was copied between a failed read and the next one kept an endpoint that left up to 0.9 s too long.

Before: a_read_in_flight_at_the_return_of_the_store_counts_as_failed: dropped at 6.9s (store back at 5.5 s, rows return until 7.5 s); a_removal_copied_before_the_next_read_is_kept_no_longer: dropped at 8.9s, bound 8.0 s. After: both pass, with the two tests that were there.

Change: a removal is kept until 2.9 s after the last failed read of the outage in which it was seen. Ruled out: one window for all rows that each failed read moves; single failed reads would keep endpoints that left for as long as they go on.

--- a/crates/node/src/hosted/control/tables.rs
+++ b/crates/node/src/hosted/control/tables.rs
@@ -25,8 +25,17 @@
 #[derive(Clone, Debug)]
 struct Entry {
     endpoint: Endpoint,
-    /// Time until which the endpoint is kept although its row is gone; `None` if the row exists.
-    kept_until: Option<Instant>,
+    /// `None` if the row exists.
+    lapse: Option<Lapse>,
+}
+
+/// A row that was removed beside an outage of the store, so that it may have expired.
+#[derive(Clone, Copy, Debug)]
+struct Lapse {
+    /// When this node learned of the removal.
+    at: Instant,
+    /// Time until which the endpoint is kept, unless the store can't be read then.
+    kept_until: Instant,
 }
 
 /// Copies of both tables with the decoded catalog and endpoints.
@@ -38,6 +47,8 @@
     entries: BTreeMap<String, Entry>,
     /// Whether the last read of the endpoints' table failed.
     unreadable: bool,
+    /// When the first failed read of the last outage began.
+    outage_began: Option<Instant>,
     /// When the last failed read of the endpoints' table began.
     last_failure: Option<Instant>,
 }
@@ -52,6 +63,7 @@
             catalog: None,
             entries: BTreeMap::new(),
             unreadable: false,
+            outage_began: None,
             last_failure: None,
         }
     }
@@ -87,8 +99,17 @@
 
     /// Records that a read of the endpoints' table that began at `began` failed.
     pub fn record_read_failure(&mut self, began: Instant) {
+        if !self.unreadable {
+            self.outage_began = Some(began);
+        }
         self.unreadable = true;
         self.last_failure = Some(began);
+        // A peer may have noticed the store's return while this read still waited for a response.
+        let outage_began = self.outage_began;
+        let lapses = self.entries.values_mut().filter_map(|k| k.lapse.as_mut());
+        lapses
+            .filter(|lapse| Some(lapse.at) >= outage_began)
+            .for_each(|lapse| lapse.kept_until = began + ROW_REWRITE_WINDOW);
     }
 
     /// Records that a read of the endpoints' table succeeded.
@@ -164,7 +185,7 @@
             Err(why) => format!("unusable row: {why}"),
         };
         let same = match (&decoded, self.entries.get(key)) {
-            (Ok(new), Some(entry)) => entry.kept_until.is_none() && *new == entry.endpoint,
+            (Ok(new), Some(entry)) => entry.lapse.is_none() && *new == entry.endpoint,
             (Err(_), None) => true,
             _ => false,
         };
@@ -172,7 +193,7 @@
             Ok(endpoint) => {
                 let entry = Entry {
                     endpoint,
-                    kept_until: None,
+                    lapse: None,
                 };
                 self.entries.insert(key.to_owned(), entry);
             }
@@ -193,14 +214,15 @@
         let now = Instant::now();
         // The window counts from the outage, not from the removal: an endpoint whose row is removed
         // after the outage may be leaving.
-        let since = match self.unreadable {
-            true => Some(now),
-            false => self.last_failure,
-        };
-        let kept_until = since.map(|since| since + ROW_REWRITE_WINDOW);
-        let kept_until = kept_until.filter(|until| now < *until);
-        if kept_until.is_some() && entry.endpoint.state == State::Ready {
-            entry.kept_until = kept_until;
+        let kept_until = self.last_failure.map(|began| began + ROW_REWRITE_WINDOW);
+        let kept_until = kept_until.filter(|until| self.unreadable || now < *until);
+        if let Some(kept_until) = kept_until
+            && entry.endpoint.state == State::Ready
+        {
+            entry.lapse = Some(Lapse {
+                at: now,
+                kept_until,
+            });
             self.log_endpoint(
                 key,
                 "row lapsed while the store was away".to_owned(),
@@ -219,7 +241,7 @@
         if self.unreadable {
             return false;
         }
-        let expired = |k: &Entry| k.kept_until.is_some_and(|until| now >= until);
+        let expired = |k: &Entry| k.lapse.is_some_and(|lapse| now >= lapse.kept_until);
         let gone: Vec<String> = self
             .entries
             .iter()
--- a/crates/node/tests/lapsed_rows.rs
+++ b/crates/node/tests/lapsed_rows.rs
@@ -139,3 +139,116 @@
         assert_eq!(dropped, None, "removed at {removed:?}");
     }
 }
+
+impl Node {
+    /// Starts a node that has read the row of the endpoint. Times count from then.
+    fn ready() -> Self {
+        let mut node = Self {
+            platform: Platform::new(([127, 0, 0, 1], 1).into()),
+            tables: Tables::new(Journal::disabled()),
+            start: Instant::now(),
+            offset: 0,
+        };
+        node.read(true);
+        node
+    }
+
+    /// Waits until `at` after the start.
+    async fn wait_until(&self, at: Duration) {
+        sleep_until(self.start + at).await;
+    }
+
+    /// Applies the removal of the endpoint's row from the copy of a peer, which is no read of the
+    /// store by this node.
+    fn copy_removal(&mut self) {
+        let record = Record {
+            key: "e".to_owned(),
+            value: None,
+            offset: self.offset,
+        };
+        self.offset += 1;
+        let page = Page {
+            records: vec![record],
+            next_offset: self.offset,
+            complete: false,
+        };
+        self.tables
+            .apply(&self.platform, Table::Endpoints, page, "peer");
+    }
+
+    /// Does the periodic work from `from` on and returns when the endpoint was dropped.
+    async fn dropped_at(&mut self, from: Duration) -> Duration {
+        let mut now = from;
+        while now < GIVE_UP {
+            self.wait_until(now).await;
+            self.tables.expire(Instant::now());
+            if !self.uses_endpoint() {
+                return now;
+            }
+            now += STEP_INTERVAL;
+        }
+        GIVE_UP
+    }
+}
+
+// Guards against a live endpoint that is dropped early by a node that copies the table from a
+// reader: the reader notices the store's return while the node's own read still waits for an answer.
+#[tokio::test(start_paused = true)]
+async fn a_read_in_flight_at_the_return_of_the_store_counts_as_failed() {
+    let mut node = Node::ready();
+    node.wait_until(ms(4700)).await;
+    node.tables.record_read_failure(node.start + ms(4000));
+    // The next read began at 5 s. The store returns at 5.5 s, and a reader's copy arrives.
+    node.wait_until(ms(5600)).await;
+    node.tables.record_read();
+    node.copy_removal();
+    node.wait_until(ms(5700)).await;
+    node.tables.record_read_failure(node.start + ms(5000));
+    node.wait_until(ms(5950)).await;
+    node.tables.record_read();
+    let dropped = node.dropped_at(ms(6000)).await;
+    assert!(dropped >= ms(5500) + REWRITE_TIME, "dropped at {dropped:?}");
+}
+
+// Guards against a removal that a node copies from a peer after the store's return and before its
+// own next read: the window counts from the last failed read there too.
+#[tokio::test(start_paused = true)]
+async fn a_removal_copied_before_the_next_read_is_kept_no_longer() {
+    let mut node = Node::ready();
+    // The store returns just after this read began.
+    node.wait_until(ms(5700)).await;
+    node.tables.record_read_failure(node.start + ms(5000));
+    node.wait_until(ms(5950)).await;
+    node.copy_removal();
+    node.wait_until(ms(6050)).await;
+    node.tables.record_read();
+    let dropped = node.dropped_at(ms(6100)).await;
+    assert!(
+        dropped <= ms(5000) + SETTLING_TIME,
+        "dropped at {dropped:?}"
+    );
+}
+
+// Guards against a live endpoint that is dropped at the end of a second outage, because its time to
+// write its row again ran out during that outage.
+#[tokio::test(start_paused = true)]
+async fn a_second_outage_gives_endpoints_their_time_again() {
+    let mut node = Node::ready();
+    node.wait_until(ms(5000)).await;
+    node.tables.record_read_failure(node.start + ms(5000));
+    node.wait_until(ms(5300)).await;
+    node.read(false);
+    for failure in 0..20 {
+        let began = ms(5600) + RETRY_PAUSE * failure;
+        node.wait_until(began).await;
+        node.tables.record_read_failure(node.start + began);
+    }
+    // The last failed read began at 11.3 s.
+    node.wait_until(ms(11_600)).await;
+    node.tables.record_read();
+    let dropped = node.dropped_at(ms(11_600)).await;
+    assert!(
+        dropped >= ms(11_300) + REWRITE_TIME,
+        "dropped at {dropped:?}"
+    );
+}
