gate: one guard counts requests and connections while they last

Cause: listener::OpenGuard repeated worker::InFlightGuard for another counter.

Change: stats::Guard takes the counter; both are gone. Tests of gate pass, none changed.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -13,7 +13,8 @@
 use crate::pool::Conn;
 use crate::refusal::{Reason, Refusal};
 use crate::splice::{self, Chunk};
-use crate::worker::{InFlightGuard, Worker};
+use crate::stats::Guard;
+use crate::worker::Worker;
 use attempt::{Exchange, Progress, Reservation};
 use bytes::Bytes;
 use catalog::ServiceId;
@@ -76,14 +77,14 @@
     pub(crate) reached: Cell<bool>,
     /// Notified when an attempt is idle.
     pub(crate) idle: Notify,
-    pub(crate) _in_flight: InFlightGuard,
+    pub(crate) _in_flight: Guard,
 }
 
 /// Forwards an admitted request and returns the response for the caller.
 pub(crate) async fn run<D: Dialect>(
     worker: Rc<Worker<D>>,
     job: Job,
-    guard: InFlightGuard,
+    guard: Guard,
 ) -> Response<Body<impl Stream<Item = Chunk>>> {
     let log = RequestLog::new(worker.journal.clone(), worker.metrics.clone(), &job);
     let service = job.service().name.clone();
--- a/crates/gate/src/listener.rs
+++ b/crates/gate/src/listener.rs
@@ -4,7 +4,7 @@
 use crate::dialect::Dialect;
 use crate::discovery;
 use crate::splice::Chunk;
-use crate::stats::{self, Stats};
+use crate::stats::Guard;
 use crate::worker::Worker;
 use futures::Stream;
 use http::header::{CONNECTION, HeaderValue};
@@ -84,7 +84,8 @@
         };
         let worker = worker.clone();
         let stop = stop.clone();
-        let open = (port == Port::Callers).then(|| OpenGuard::new(worker.stats.clone()));
+        let open =
+            (port == Port::Callers).then(|| Guard::new(worker.stats.clone(), |s| &s.connections));
         tracker.spawn_local(async move {
             tokio::select! {
                 () = stop.kill.cancelled() => {}
@@ -95,22 +96,6 @@
     }
 }
 
-/// Counts a caller's connection as open until it is dropped.
-struct OpenGuard(Rc<Stats>);
-
-impl OpenGuard {
-    fn new(stats: Rc<Stats>) -> Self {
-        stats::increment(&stats.connections);
-        Self(stats)
-    }
-}
-
-impl Drop for OpenGuard {
-    fn drop(&mut self) {
-        stats::decrement(&self.0.connections);
-    }
-}
-
 async fn serve_connection<D: Dialect>(
     worker: Rc<Worker<D>>,
     stream: TcpStream,
--- a/crates/gate/src/stats.rs
+++ b/crates/gate/src/stats.rs
@@ -3,6 +3,7 @@
 
 use std::cell::Cell;
 use std::fmt;
+use std::rc::Rc;
 
 /// Counters of one worker, updated by its own thread only.
 #[derive(Debug, Default)]
@@ -26,10 +27,31 @@
 }
 
 /// Decrements a counter, down to zero.
-pub fn decrement(counter: &Cell<u64>) {
+fn decrement(counter: &Cell<u64>) {
     counter.set(counter.get().saturating_sub(1));
 }
 
+/// Counts something as present until it is dropped.
+#[derive(Debug)]
+pub struct Guard {
+    stats: Rc<Stats>,
+    counter: fn(&Stats) -> &Cell<u64>,
+}
+
+impl Guard {
+    /// Increments the counter that `counter` selects; dropping the guard decrements it again.
+    pub fn new(stats: Rc<Stats>, counter: fn(&Stats) -> &Cell<u64>) -> Self {
+        increment(counter(&stats));
+        Self { stats, counter }
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        decrement((self.counter)(&self.stats));
+    }
+}
+
 impl fmt::Display for Stats {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let rows = [
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -10,7 +10,7 @@
 use crate::pool::Pool;
 use crate::refusal::{Reason, Refusal};
 use crate::splice::Chunk;
-use crate::stats::{self, Stats};
+use crate::stats::{self, Guard, Stats};
 use crate::view::{SharedView, View};
 use futures::Stream;
 use http::{Request, Response, request};
@@ -288,7 +288,7 @@
         request: Request<Incoming>,
     ) -> Response<Body<impl Stream<Item = Chunk>>> {
         let received_at = Instant::now();
-        let guard = InFlightGuard::new(self.stats.clone());
+        let guard = Guard::new(self.stats.clone(), |s| &s.in_flight);
         match self.admit(request, received_at).await {
             Ok(job) => forward::run(self, job, guard).await,
             Err((refusal, id)) => {
@@ -378,20 +378,3 @@
 const DUMP_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum time between two checks of a waiting request.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
-
-/// Counts a request as in flight until it is dropped.
-#[derive(Debug)]
-pub struct InFlightGuard(Rc<Stats>);
-
-impl InFlightGuard {
-    fn new(stats: Rc<Stats>) -> Self {
-        stats::increment(&stats.in_flight);
-        Self(stats)
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        stats::decrement(&self.0.in_flight);
-    }
-}
