gate: the pool decides whether a connection is kept

Cause: three places that give a connection back each checked whether the endpoint closes it: a complete response, a refusal and a finished stream.

Change: Pool::put takes the response's headers and checks it, where retired connections are dropped too. Behaviour is unchanged. Tests of gate pass, none changed.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -140,9 +140,9 @@
             return None;
         };
         reservation.end(Outcome::Success, None);
-        if !closes_connection(&parts.headers) {
-            self.worker.pool.put(conn, info.idle_timeout);
-        }
+        self.worker
+            .pool
+            .put(conn, &parts.headers, info.idle_timeout);
         parts.headers = admit::returned(&parts.headers);
         Some(Response::from_parts(parts, body.to_bytes()))
     }
@@ -177,11 +177,13 @@
         response: Response<hyper::body::Incoming>,
         info: &ResponseInfo,
     ) {
-        let closes_connection = closes_connection(response.headers());
-        let body = http_body_util::Limited::new(response.into_body(), MAX_DRAINED_BYTES).collect();
+        let (parts, body) = response.into_parts();
+        let body = http_body_util::Limited::new(body, MAX_DRAINED_BYTES).collect();
         let read = timeout(self.job.time_left().min(DRAIN_TIMEOUT), body).await;
-        if matches!(read, Ok(Ok(_))) && !closes_connection {
-            self.worker.pool.put(conn, info.idle_timeout);
+        if matches!(read, Ok(Ok(_))) {
+            self.worker
+                .pool
+                .put(conn, &parts.headers, info.idle_timeout);
         }
     }
 
@@ -399,10 +401,3 @@
 pub(crate) fn jitter(base: Duration) -> Duration {
     base.mul_f64(rand::rng().random_range(1.0..2.0))
 }
-
-/// Returns whether the endpoint closes the connection after its response.
-pub(crate) fn closes_connection(headers: &http::HeaderMap) -> bool {
-    let values = headers.get_all(http::header::CONNECTION).iter();
-    let mut values = values.filter_map(|v| v.to_str().ok());
-    values.any(|v| v.to_ascii_lowercase().contains("close"))
-}
--- a/crates/gate/src/pool.rs
+++ b/crates/gate/src/pool.rs
@@ -3,7 +3,8 @@
 
 use crate::stats::{self, Stats};
 use bytes::Bytes;
-use http::{Request, Response};
+use http::header::CONNECTION;
+use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -103,8 +104,12 @@
     }
 
     /// Returns a connection to the pool after its response was read completely. A connection that
-    /// was retired meanwhile is closed.
-    pub fn put(&self, mut conn: Conn, idle_timeout: Option<Duration>) {
+    /// the endpoint closes after this response, by its headers, or that was retired meanwhile is
+    /// closed.
+    pub fn put(&self, mut conn: Conn, headers: &HeaderMap, idle_timeout: Option<Duration>) {
+        if closes_connection(headers) {
+            return;
+        }
         let retired = self.retired.borrow().get(&conn.addr).copied();
         if retired.is_some_and(|at| conn.opened_at <= at) {
             return;
@@ -177,3 +182,10 @@
         idle_timeout: DEFAULT_IDLE_TIMEOUT,
     })
 }
+
+/// Returns whether the endpoint closes the connection after its response.
+fn closes_connection(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(CONNECTION).iter();
+    let mut values = values.filter_map(|v| v.to_str().ok());
+    values.any(|v| v.to_ascii_lowercase().contains("close"))
+}
--- a/crates/gate/src/splice/source.rs
+++ b/crates/gate/src/splice/source.rs
@@ -4,10 +4,10 @@
 use crate::admit;
 use crate::dialect::{Dialect, ResponseInfo};
 use crate::events::{Event, Splitter};
+use crate::forward::Forwarder;
 use crate::forward::attempt::{Exchange, Progress, Reservation};
 use crate::forward::migration::Migration;
 use crate::forward::stall;
-use crate::forward::{Forwarder, closes_connection};
 use crate::pool::Conn;
 use bytes::Bytes;
 use http::Response;
@@ -226,11 +226,12 @@
 
     /// Ends a source whose response was received completely, and keeps its connection.
     pub(super) fn finish(self, forwarder: &Forwarder<D>) {
-        let closes_connection = closes_connection(self.reader.response.headers());
         self.reservation.end(Outcome::Success, None);
-        if !closes_connection {
-            forwarder.worker.pool.put(self.conn, self.info.idle_timeout);
-        }
+        let headers = self.reader.response.headers();
+        forwarder
+            .worker
+            .pool
+            .put(self.conn, headers, self.info.idle_timeout);
     }
 
     /// Ends a source that failed, and closes its connection.
