gate: the state of an attempt holds its stage

Cause: Progress repeated two fields of steer::target::Stage.

Change: it holds the stage. Behaviour is unchanged. Tests of gate pass, none changed.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -264,7 +264,7 @@
         let service = self.current_service().ok()?;
         let need = self.job.need();
         let tried = self.tried.borrow();
-        let heads: Vec<Run> = running.iter().map(|p| p.head.clone()).collect();
+        let heads: Vec<Run> = running.iter().map(|p| p.head.run.clone()).collect();
         let excluded = [tried.as_slice(), &heads];
         let target = self.worker.with_selector(|selector, now| {
             let mut found = excluded
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -5,7 +5,6 @@
 use crate::dialect::{Dialect, ForwardInfo, ResponseInfo};
 use crate::pool::{self, Conn};
 use crate::worker::Worker;
-use catalog::endpoint::Run;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -71,10 +70,8 @@
 /// State of an attempt that waits for its response, for those who wait for it.
 #[derive(Debug)]
 pub(crate) struct Progress {
-    /// Endpoint that the request is sent to.
-    pub(crate) head: Run,
-    /// Address of `head`.
-    pub(crate) addr: SocketAddr,
+    /// Stage that the request is sent to.
+    pub(crate) head: Stage,
     /// Number of the attempt; 0 until it is sent.
     pub(crate) attempt: Cell<u32>,
     /// Outcome that is reported if the attempt is dropped.
@@ -88,8 +85,7 @@
 impl Progress {
     fn new(head: &Stage) -> Self {
         Self {
-            head: head.run.clone(),
-            addr: head.addr,
+            head: head.clone(),
             attempt: Cell::new(0),
             dropped_as: Cell::new(Outcome::Unknown),
             idle_reason: Cell::new(None),
--- a/crates/gate/src/forward/race.rs
+++ b/crates/gate/src/forward/race.rs
@@ -221,7 +221,7 @@
         self.log.record_idle(newest.attempt.get(), reason);
         // Other requests should not wait for it as well.
         self.worker
-            .with_selector(|selector, now| selector.report_idle(now, newest.addr));
+            .with_selector(|selector, now| selector.report_idle(now, newest.head.addr));
         Some(reservation)
     }
 
@@ -251,7 +251,7 @@
             self.log.record_failure(loser.attempt.get(), why, true);
             if loser.was_idle.get() {
                 loser.dropped_as.set(Outcome::Failed);
-                self.worker.pool.close_idle(loser.addr);
+                self.worker.pool.close_idle(loser.head.addr);
             }
         }
     }
