--- a/crates/gate/tests/leaving.rs
+++ b/crates/gate/tests/leaving.rs
@@ -13,7 +13,9 @@
 use steer::load::Load;
 use support::caller::{Received, ids, request, send};
 use support::server::{Behavior, Server, header};
-use support::{LAYERS, Node, node, plain, run, stage, view, with_services_reordered};
+use support::{
+    LAYERS, Node, node, plain, run, stage, view, wait_for_request, with_services_reordered,
+};
 
 const OK: Behavior = Behavior::Answer(200, "sheet");
 
@@ -103,9 +105,7 @@
         let node = node(vec![stage(leaving.addr, 0, LAYERS)]).await;
         let sending = send(node.addr, request("/chat/x"));
         let others = async {
-            while leaving.heads().is_empty() {
-                tokio::time::sleep(Duration::from_millis(1)).await;
-            }
+            wait_for_request(&leaving).await;
             tokio::time::sleep(pause / 3).await;
             let both = [leaving.addr, other.addr].map(|addr| stage(addr, 0, LAYERS));
             publish(&node, view(both.to_vec()));
@@ -180,9 +180,7 @@
         let other = Server::start(vec![OK]).await;
         let node = node(vec![plain(leaving.addr)]).await;
         let announce = async {
-            while leaving.heads().is_empty() {
-                tokio::time::sleep(Duration::from_millis(1)).await;
-            }
+            wait_for_request(&leaving).await;
             send(node.addr, request("/safe/x")).await
         };
         let (slow, quick) = tokio::join!(send(node.addr, request("/safe/x")), announce);
@@ -353,9 +351,7 @@
         let node = node(vec![stage(head.addr, 0, 2), stage(second.addr, 2, LAYERS)]).await;
         let sending = send(node.addr, request("/chat/x"));
         let changes = async {
-            while head.heads().is_empty() {
-                tokio::time::sleep(Duration::from_millis(1)).await;
-            }
+            wait_for_request(&head).await;
             let mut draining = stage(head.addr, 0, 2);
             draining.state = State::Draining;
             publish(
--- a/crates/gate/tests/race.rs
+++ b/crates/gate/tests/race.rs
@@ -11,7 +11,9 @@
 use steer::budget::Allowance;
 use support::caller::{Received, ids, request, send};
 use support::server::{Behavior, Server};
-use support::{ALLOWANCE, LAYERS, Node, node, plain, run, stage, start, view};
+use support::{
+    ALLOWANCE, LAYERS, Node, endpoint_for, node, plain, run, stage, start, view, wait_for_request,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -39,17 +41,13 @@
     first: Behavior,
     others: Vec<Behavior>,
 ) -> (Received, Vec<Server>) {
-    let register = match path.starts_with("/chat/") {
-        true => |server: &Server| stage(server.addr, 0, LAYERS),
-        false => |server: &Server| plain(server.addr),
-    };
     let mut servers = Vec::new();
     for behavior in std::iter::once(first).chain(others) {
         servers.push(Server::start(vec![behavior]).await);
     }
     let node = start(RETRIES).await;
     let publish = |endpoints: &[Server]| {
-        let endpoints = endpoints.iter().map(register).collect();
+        let endpoints = endpoints.iter().map(endpoint_for(path)).collect();
         let view = with_attempts(view(endpoints), attempts);
         node.shared_view.store(Some(Arc::new(view)));
     };
@@ -59,9 +57,7 @@
     request.headers_mut().insert("deadline", deadline);
     let registered = async {
         for known in 1..servers.len() {
-            while servers[known - 1].heads().is_empty() {
-                tokio::time::sleep(Duration::from_millis(1)).await;
-            }
+            wait_for_request(&servers[known - 1]).await;
             publish(&servers[..=known]);
         }
         std::future::pending::<()>().await;
@@ -198,9 +194,7 @@
     let node = node(endpoints).await;
     let sending = send(node.addr, request("/chat/x"));
     let changes = async {
-        while head.heads().is_empty() {
-            tokio::time::sleep(Duration::from_millis(1)).await;
-        }
+        wait_for_request(head).await;
         changes(node).await;
     };
     let both = async { tokio::join!(sending, changes) };
@@ -333,13 +327,9 @@
             .store(Some(Arc::new(view(known[..1].to_vec()))));
         let first = send(node.addr, request("/safe/x"));
         let others = async {
-            while silent.heads().is_empty() {
-                tokio::time::sleep(Duration::from_millis(1)).await;
-            }
+            wait_for_request(&silent).await;
             node.shared_view.store(Some(Arc::new(view(known.to_vec()))));
-            while slow.heads().is_empty() {
-                tokio::time::sleep(Duration::from_millis(1)).await;
-            }
+            wait_for_request(&slow).await;
             let others = (0..8).map(|_| send(node.addr, request("/safe/x")));
             // Shorter than the time after which these requests try another endpoint, too.
             let limit = Duration::from_millis(200);
--- a/crates/gate/tests/resume.rs
+++ b/crates/gate/tests/resume.rs
@@ -8,47 +8,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 use steer::budget::Allowance;
-use support::caller::{Received, ids, request, send};
+use support::caller::{ids, request, send};
 use support::server::{Behavior, Server};
-use support::{ALLOWANCE, LAYERS, plain, run, stage, start, view, with_services_reordered};
+use support::{
+    ALLOWANCE, LAYERS, run, send_with_failover, stage, start, view, wait_for_request,
+    with_services_reordered,
+};
 
 /// Longer than the idle time after which another endpoint is tried, shorter than the deadline.
 const PAUSE: Duration = Duration::from_millis(2400);
 
-/// Sends a request to the endpoint `first`. Once it has received the request, the endpoints
-/// `others` register, in a view that is changed by `change`.
-async fn send_with_failover(
-    path: &str,
-    allowance: Allowance,
-    first: Behavior,
-    others: Vec<Behavior>,
-    change: fn(View) -> View,
-) -> (Received, Vec<Server>) {
-    let register = match path.starts_with("/chat/") {
-        true => |server: &Server| stage(server.addr, 0, LAYERS),
-        false => |server: &Server| plain(server.addr),
-    };
-    let first = Server::start(vec![first]).await;
-    let mut servers = Vec::new();
-    for behavior in others {
-        servers.push(Server::start(vec![behavior]).await);
-    }
-    let node = start(allowance).await;
-    let only = view(vec![register(&first)]);
-    node.shared_view.store(Some(Arc::new(only)));
-    let sending = send(node.addr, request(path));
-    let registered = async {
-        while first.heads().is_empty() {
-            tokio::time::sleep(Duration::from_millis(1)).await;
-        }
-        let all = std::iter::once(&first).chain(&servers);
-        let all = view(all.map(register).collect());
-        node.shared_view.store(Some(Arc::new(change(all))));
-    };
-    let (response, ()) = tokio::join!(sending, registered);
-    (response, servers)
-}
-
 /// An endpoint pauses between two events, and another one, which is tried meanwhile, has the given
 /// behavior and does not continue the response. The caller must get the whole response.
 fn a_pause_is_survived(other: Behavior, change: fn(View) -> View) {
@@ -233,9 +202,7 @@
         node.shared_view.store(Some(Arc::new(view(known.clone()))));
         let sending = send(node.addr, request("/chat/x"));
         let changes = async {
-            while head.heads().is_empty() {
-                tokio::time::sleep(Duration::from_millis(1)).await;
-            }
+            wait_for_request(&head).await;
             known.push(stage(spare.addr, 2, LAYERS));
             node.shared_view.store(Some(Arc::new(view(known))));
             head.refuse_next_order(lost.addr);
@@ -270,9 +237,7 @@
             .store(Some(Arc::new(view(known[..1].to_vec()))));
         let sending = send(node.addr, request("/chat/x"));
         let others = async {
-            while a.heads().is_empty() {
-                tokio::time::sleep(Duration::from_millis(1)).await;
-            }
+            wait_for_request(&a).await;
             node.shared_view.store(Some(Arc::new(view(known.to_vec()))));
             let refused = (0..40).map(|_| send(node.addr, request("/chat/x")));
             for response in futures::future::join_all(refused).await {
--- a/crates/gate/tests/stream.rs
+++ b/crates/gate/tests/stream.rs
@@ -14,28 +14,18 @@
 use support::caller::{Received, ids, request, send};
 use support::server::{Behavior, Server, header};
 use support::{
-    ALLOWANCE, LAYERS, node, run, stage, start, start_with, view, with_services_reordered,
+    ALLOWANCE, LAYERS, node, run, stage, start, start_with, view, wait_for_request,
+    with_services_reordered,
 };
 
 /// Sends a request to an endpoint with the first behavior; an endpoint with the second one is
 /// available for failover. Returns the response and the request heads that the second endpoint
 /// received.
 async fn send_with_failover(first: Behavior, second: Behavior) -> (Received, Vec<String>) {
-    let a = Server::start(vec![first]).await;
-    let b = Server::start(vec![second]).await;
-    let node = node(vec![stage(a.addr, 0, LAYERS)]).await;
-    let both = view(vec![stage(a.addr, 0, LAYERS), stage(b.addr, 0, LAYERS)]);
-    let sending = send(node.addr, request("/chat/x"));
-    let shared_view = node.shared_view.clone();
-    // The second endpoint registers once the first has received the request.
-    let registered = async {
-        while a.heads().is_empty() {
-            tokio::time::sleep(Duration::from_millis(1)).await;
-        }
-        shared_view.store(Some(Arc::new(both)));
-    };
-    let (response, ()) = tokio::join!(sending, registered);
-    (response, b.heads())
+    let others = vec![second];
+    let (response, servers) =
+        support::send_with_failover("/chat/x", ALLOWANCE, first, others, |view| view).await;
+    (response, servers[0].heads())
 }
 
 #[test]
@@ -198,9 +188,7 @@
         let node = node(vec![stage(head.addr, 0, 2), stage(second.addr, 2, LAYERS)]).await;
         let sending = send(node.addr, request("/chat/x"));
         let changes = async {
-            while head.heads().is_empty() {
-                tokio::time::sleep(Duration::from_millis(1)).await;
-            }
+            wait_for_request(&head).await;
             let rows = vec![
                 stage(head.addr, 0, 2),
                 stage(second.addr, 2, LAYERS),
@@ -263,9 +251,7 @@
         let node = node(known.clone()).await;
         let sending = send(node.addr, request("/chat/x"));
         let changes = async {
-            while head.heads().is_empty() {
-                tokio::time::sleep(Duration::from_millis(1)).await;
-            }
+            wait_for_request(&head).await;
             head.refuse_next_order(lost[1].addr);
             if stalls {
                 head.set_report(format!("r1 {}", lost[0].addr));
@@ -297,9 +283,7 @@
         node.shared_view.store(Some(Arc::new(first)));
         let sending = send(node.addr, request("/chat/x"));
         let publish = async {
-            while silent.heads().is_empty() {
-                tokio::time::sleep(Duration::from_millis(1)).await;
-            }
+            wait_for_request(&silent).await;
             let both = [silent.addr, other.addr].map(|addr| stage(addr, 0, LAYERS));
             node.shared_view.store(Some(Arc::new(view(both.to_vec()))));
         };
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod server;
 
 use arc_swap::ArcSwapOption;
+use caller::{Received, request, send};
 use catalog::endpoint::{Endpoint, Run, Span, State};
 use catalog::engine::{Accelerator, Engine, Size};
 use catalog::kind::{Kind, Stream};
@@ -20,6 +21,7 @@
 use gate::worker::{Parts, Worker};
 use journal::Journal;
 use prometheus::Registry;
+use server::{Behavior, Server};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -217,6 +219,50 @@
     node
 }
 
+/// Returns the function that creates the endpoints which serve a path.
+pub fn endpoint_for(path: &str) -> fn(&Server) -> Endpoint {
+    match path.starts_with("/chat/") {
+        true => |server| stage(server.addr, 0, LAYERS),
+        false => |server| plain(server.addr),
+    }
+}
+
+/// Waits until an endpoint has received a request.
+pub async fn wait_for_request(server: &Server) {
+    while server.heads().is_empty() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// Sends a request to the endpoint `first`. Once it has received the request, the endpoints
+/// `others` register, in a view that is changed by `change`. Returns the response and the other
+/// endpoints.
+pub async fn send_with_failover(
+    path: &str,
+    allowance: Allowance,
+    first: Behavior,
+    others: Vec<Behavior>,
+    change: fn(View) -> View,
+) -> (Received, Vec<Server>) {
+    let first = Server::start(vec![first]).await;
+    let mut servers = Vec::new();
+    for behavior in others {
+        servers.push(Server::start(vec![behavior]).await);
+    }
+    let node = start(allowance).await;
+    let only = view(vec![endpoint_for(path)(&first)]);
+    node.shared_view.store(Some(Arc::new(only)));
+    let sending = send(node.addr, request(path));
+    let registered = async {
+        wait_for_request(&first).await;
+        let all = std::iter::once(&first).chain(&servers);
+        let all = view(all.map(endpoint_for(path)).collect());
+        node.shared_view.store(Some(Arc::new(change(all))));
+    };
+    let (response, ()) = tokio::join!(sending, registered);
+    (response, servers)
+}
+
 /// A retry budget that is large enough for every test.
 pub const ALLOWANCE: Allowance = Allowance {
     ratio: 0.2,
