ctl: tests share the command that signs the first version

Cause: output.rs wrote the arguments twice that Workdir::sign_first has, and cli.rs once.

Change: SIGN_FIRST in common.rs; cli.rs calls sign_first. The commands that run are the same, no assertion changed. Tests of ctl pass.

--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -16,17 +16,7 @@
     let dir = Workdir::new("first-day");
     dir.signers(&["mira"]);
     ok(&dir.run(&["check", "bundle.ini"]));
-    ok(&dir.run(&[
-        "sign",
-        "bundle.ini",
-        "--name",
-        "mira",
-        "--key",
-        "mira.pem",
-        "--first",
-        "--out",
-        "1.json",
-    ]));
+    dir.sign_first();
     let publish = ["publish", "1.json", "--log", &addr, "--trust", "trust.ini"];
     let output = json(&dir.run(&[&publish[..], &["--output", "json"]].concat()));
     assert_eq!(
--- a/crates/ctl/tests/common.rs
+++ b/crates/ctl/tests/common.rs
@@ -7,6 +7,17 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 
+/// Signs the example bundle as the first version, to standard output.
+pub const SIGN_FIRST: [&str; 7] = [
+    "sign",
+    "bundle.ini",
+    "--name",
+    "mira",
+    "--key",
+    "mira.pem",
+    "--first",
+];
+
 /// Temporary folder with an operator's files; removed on drop.
 pub struct Workdir(PathBuf);
 
@@ -40,17 +51,7 @@
 
     /// Signs the example bundle as the first version, into `1.json`.
     pub fn sign_first(&self) {
-        ok(&self.run(&[
-            "sign",
-            "bundle.ini",
-            "--name",
-            "mira",
-            "--key",
-            "mira.pem",
-            "--first",
-            "--out",
-            "1.json",
-        ]));
+        ok(&self.run(&[&SIGN_FIRST[..], &["--out", "1.json"]].concat()));
     }
 
     /// Returns the folder.
--- a/crates/ctl/tests/output.rs
+++ b/crates/ctl/tests/output.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Workdir, ok};
+use common::{SIGN_FIRST, Workdir, ok};
 use std::fs::File;
 use std::io::Write;
 use std::process::{Command, ExitStatus, Stdio};
@@ -31,22 +31,13 @@
 fn full_disk_is_a_failure() {
     let dir = Workdir::new("full-disk");
     dir.signers(&["mira"]);
-    let sign = [
-        "sign",
-        "bundle.ini",
-        "--name",
-        "mira",
-        "--key",
-        "mira.pem",
-        "--first",
-    ];
     let commands: [&[&str]; 6] = [
         &["check", "bundle.ini"],
         &["diff", "bundle.ini", "bundle.ini"],
         &["explain", "r1"],
         &["losses"],
         &["keygen", "--name", "tuya", "--key", "tuya.pem"],
-        &sign,
+        &SIGN_FIRST,
     ];
     for args in commands {
         for format in ["text", "json"] {
@@ -68,16 +59,7 @@
     dir.signers(&["mira"]);
     let (status, errors) = run(&dir, &["explain", "r1"], Stdio::piped());
     assert!(status.success() && errors.is_empty(), "{errors}");
-    let sign = [
-        "sign",
-        "bundle.ini",
-        "--name",
-        "mira",
-        "--key",
-        "mira.pem",
-        "--first",
-    ];
-    let (status, errors) = run(&dir, &sign, Stdio::piped());
+    let (status, errors) = run(&dir, &SIGN_FIRST, Stdio::piped());
     assert_eq!(status.code(), Some(1), "{errors}");
-    ok(&dir.run(&sign));
+    ok(&dir.run(&SIGN_FIRST));
 }
