node: tests of lapsed rows and of orders share their setup

Cause: lapsed_rows.rs built the node and the page of its row twice, since the tests of the review came as a second impl block. A new test in orders.rs repeated `announced`, as an older one did, which also repeated `with_missing_layers`.

Change: one constructor and one way to apply a row; `announced` also returns the run to be moved, and all three tests call it.

--- a/crates/node/tests/lapsed_rows.rs
+++ b/crates/node/tests/lapsed_rows.rs
@@ -40,17 +40,24 @@
 }
 
 impl Node {
-    /// Starts a node that has read the row of the endpoint, and whose reads then fail for
-    /// [`OUTAGE`], each after `failure_time`. Times count from the first read that succeeds again.
-    async fn after_outage(failure_time: Duration) -> Self {
-        let start = Instant::now() + OUTAGE;
+    /// Starts a node that has read the row of the endpoint. Times count from then.
+    fn ready() -> Self {
         let mut node = Self {
             platform: Platform::new(([127, 0, 0, 1], 1).into()),
             tables: Tables::new(Journal::disabled()),
-            start,
+            start: Instant::now(),
             offset: 0,
         };
         node.read(true);
+        node
+    }
+
+    /// Starts a node that has read the row of the endpoint, and whose reads then fail for
+    /// [`OUTAGE`], each after `failure_time`. Times count from the first read that succeeds again.
+    async fn after_outage(failure_time: Duration) -> Self {
+        let mut node = Self::ready();
+        node.start += OUTAGE;
+        let start = node.start;
         let retry_interval = failure_time + RETRY_PAUSE;
         let failures = OUTAGE.as_millis() / retry_interval.as_millis();
         for failure in (1..=failures as u32).rev() {
@@ -58,12 +65,29 @@
             sleep_until(began + failure_time).await;
             node.tables.record_read_failure(began);
         }
-        sleep_until(start).await;
+        node.wait_until(Duration::ZERO).await;
         node
     }
 
+    /// Waits until `at` after the start.
+    async fn wait_until(&self, at: Duration) {
+        sleep_until(self.start + at).await;
+    }
+
     /// Reads the endpoint's row, or its removal.
     fn read(&mut self, exists: bool) {
+        self.tables.record_read();
+        self.apply(exists, "store");
+    }
+
+    /// Applies the removal of the endpoint's row from the copy of a peer, which is no read of the
+    /// store by this node.
+    fn copy_removal(&mut self) {
+        self.apply(false, "peer");
+    }
+
+    /// Applies the endpoint's row, or its removal.
+    fn apply(&mut self, exists: bool, source: &'static str) {
         let row = r#"{"service":"app","address":"127.0.0.1:9","zone":"a","state":"ready"}"#;
         let record = Record {
             key: "e".to_owned(),
@@ -76,9 +100,8 @@
             next_offset: self.offset,
             complete: false,
         };
-        self.tables.record_read();
         self.tables
-            .apply(&self.platform, Table::Endpoints, page, "store");
+            .apply(&self.platform, Table::Endpoints, page, source);
     }
 
     fn uses_endpoint(&self) -> bool {
@@ -93,7 +116,7 @@
         let mut existed = true;
         for step in 0..(GIVE_UP.as_millis() / STEP_INTERVAL.as_millis()) as u32 {
             let now = STEP_INTERVAL * step;
-            sleep_until(self.start + now).await;
+            self.wait_until(now).await;
             if now.as_millis().is_multiple_of(READ_INTERVAL.as_millis()) {
                 let exists = exists(now);
                 match exists == existed {
@@ -109,6 +132,20 @@
         }
         None
     }
+
+    /// Does the periodic work from `from` on and returns when the endpoint was dropped.
+    async fn dropped_at(&mut self, from: Duration) -> Duration {
+        let mut now = from;
+        while now < GIVE_UP {
+            self.wait_until(now).await;
+            self.tables.expire(Instant::now());
+            if !self.uses_endpoint() {
+                return now;
+            }
+            now += STEP_INTERVAL;
+        }
+        GIVE_UP
+    }
 }
 
 // Guards against an endpoint that leaves shortly after an outage of the store and still gets
@@ -140,57 +177,6 @@
     }
 }
 
-impl Node {
-    /// Starts a node that has read the row of the endpoint. Times count from then.
-    fn ready() -> Self {
-        let mut node = Self {
-            platform: Platform::new(([127, 0, 0, 1], 1).into()),
-            tables: Tables::new(Journal::disabled()),
-            start: Instant::now(),
-            offset: 0,
-        };
-        node.read(true);
-        node
-    }
-
-    /// Waits until `at` after the start.
-    async fn wait_until(&self, at: Duration) {
-        sleep_until(self.start + at).await;
-    }
-
-    /// Applies the removal of the endpoint's row from the copy of a peer, which is no read of the
-    /// store by this node.
-    fn copy_removal(&mut self) {
-        let record = Record {
-            key: "e".to_owned(),
-            value: None,
-            offset: self.offset,
-        };
-        self.offset += 1;
-        let page = Page {
-            records: vec![record],
-            next_offset: self.offset,
-            complete: false,
-        };
-        self.tables
-            .apply(&self.platform, Table::Endpoints, page, "peer");
-    }
-
-    /// Does the periodic work from `from` on and returns when the endpoint was dropped.
-    async fn dropped_at(&mut self, from: Duration) -> Duration {
-        let mut now = from;
-        while now < GIVE_UP {
-            self.wait_until(now).await;
-            self.tables.expire(Instant::now());
-            if !self.uses_endpoint() {
-                return now;
-            }
-            now += STEP_INTERVAL;
-        }
-        GIVE_UP
-    }
-}
-
 // Guards against a live endpoint that is dropped early by a node that copies the table from a
 // reader: the reader notices the store's return while the node's own read still waits for an answer.
 #[tokio::test(start_paused = true)]
--- a/crates/node/tests/orders.rs
+++ b/crates/node/tests/orders.rs
@@ -166,8 +166,8 @@
 }
 
 /// Returns the orders of a node that has announced one move among these endpoints and not sent it
-/// yet.
-fn announced(start: Instant, endpoints: &[Endpoint]) -> Orders {
+/// yet, and the run to be moved.
+fn announced(start: Instant, endpoints: &[Endpoint]) -> (Orders, Run) {
     let (journal, _lines) = Journal::new(64);
     let (inputs, _taken) = mpsc::channel(64);
     let mut orders = Orders::new(journal, inputs, Duration::ZERO);
@@ -175,7 +175,7 @@
     let moving = orders.take_moving();
     assert_eq!(moving.len(), 1, "{moving:?}");
     assert_eq!(orders.in_flight(), 0);
-    orders
+    (orders, moving[0].clone())
 }
 
 // Guards against a move that removes a zone's last copy of a layer because the other holder has
@@ -184,7 +184,7 @@
 async fn a_move_that_would_remove_a_last_copy_is_dropped() {
     let endpoints = with_missing_layers();
     let start = Instant::now();
-    let mut orders = announced(start, &endpoints);
+    let (mut orders, _) = announced(start, &endpoints);
     let left = endpoints.iter().skip(1);
     orders.step(
         start + MOVE_NOTICE / 2,
@@ -193,7 +193,7 @@
         left.clone(),
     );
     let left = endpoints.iter().take(1).chain(endpoints.iter().skip(2));
-    let mut other = announced(start, &endpoints);
+    let (mut other, _) = announced(start, &endpoints);
     other.step(
         start + MOVE_NOTICE / 2,
         &sole_assignment(),
@@ -217,15 +217,10 @@
         ..empty(endpoints.len(), endpoints[0].addr)
     };
     endpoints.push(third);
-    let (journal, _lines) = Journal::new(64);
-    let (inputs, _taken) = mpsc::channel(64);
-    let mut orders = Orders::new(journal, inputs, Duration::ZERO);
     let (assignment, catalog) = (sole_assignment(), catalog());
     let start = Instant::now();
-    orders.step(start, &assignment, &catalog, endpoints.iter());
-    let moving = orders.take_moving();
-    assert_eq!(moving.len(), 1, "{moving:?}");
-    let moved = endpoints.iter_mut().find(|e| e.run == moving[0]);
+    let (mut orders, moving) = announced(start, &endpoints);
+    let moved = endpoints.iter_mut().find(|e| e.run == moving);
     moved.expect("an endpoint of the fleet").state = State::Draining;
     let half = start + MOVE_NOTICE / 2;
     orders.step(half, &assignment, &catalog, endpoints.iter());
@@ -234,7 +229,7 @@
     // Another endpoint takes its place, after an announcement of its own.
     let others = orders.take_moving();
     assert_eq!(others.len(), 1, "{others:?}");
-    assert_ne!(others, moving);
+    assert_ne!(others, [moving]);
     orders.send_planned(half + MOVE_NOTICE);
     assert_eq!(orders.in_flight(), 1);
 }
@@ -244,27 +239,10 @@
 // is announced to the other nodes first, and the order is sent when they know of it.
 #[tokio::test(start_paused = true)]
 async fn a_move_is_announced_before_it_is_ordered() {
-    let closed = SocketAddr::from(([127, 0, 0, 1], 1));
-    let holds = |number: usize, from, to| Endpoint {
-        span: Span { from, to },
-        ..empty(number, closed)
-    };
-    // The last layers are held by no endpoint, the first ones by two.
-    let endpoints = [
-        holds(0, 0, 2),
-        holds(1, 0, 2),
-        holds(2, 2, 4),
-        holds(3, 4, 6),
-    ];
-    let (journal, _lines) = Journal::new(64);
-    let (inputs, _taken) = mpsc::channel(64);
-    let mut orders = Orders::new(journal, inputs, Duration::ZERO);
+    let endpoints = with_missing_layers();
     let (assignment, catalog) = (sole_assignment(), catalog());
     let start = Instant::now();
-    orders.step(start, &assignment, &catalog, endpoints.iter());
-    let moving = orders.take_moving();
-    assert_eq!(moving.len(), 1, "{moving:?}");
-    assert_eq!(orders.in_flight(), 0);
+    let (mut orders, _) = announced(start, &endpoints);
     // A plan made meanwhile counts the move as sent.
     orders.step(
         start + MOVE_NOTICE / 2,
