--- a/crates/node/tests/pages.rs
+++ b/crates/node/tests/pages.rs
@@ -1,4 +1,4 @@
-//! Settings that the operators' pages name. Guards against advice that can't be followed: a page told
+//! Settings that the operators' pages name. Guards against advice that can't be followed: a page advised
 //! to change a field of the program that no settings file has.
 
 use node::hosted::settings as hosted;
--- a/crates/node/tests/soak/cluster.rs
+++ b/crates/node/tests/soak/cluster.rs
@@ -173,8 +173,8 @@
     async fn leave(&mut self) {
         let number = self.rng.random_range(0..self.endpoints.len());
         let engine = self.endpoints[number].engine.clone();
-        let told = self.rng.random_bool(0.5);
-        let told_after = Duration::from_millis(self.rng.random_range(500..4000));
+        let drains = self.rng.random_bool(0.5);
+        let drains_after = Duration::from_millis(self.rng.random_range(500..4000));
         let stays = Duration::from_millis(self.rng.random_range(4000..8000));
         if engine.is_leaving() {
             return;
@@ -184,8 +184,8 @@
             .push(Endpoint::start(next, plain, &self.store).await);
         engine.leave();
         tokio::spawn(async move {
-            if told {
-                tokio::time::sleep(told_after).await;
+            if drains {
+                tokio::time::sleep(drains_after).await;
                 engine.drain();
             }
             tokio::time::sleep(stays).await;
--- a/crates/node/tests/soak/observation.rs
+++ b/crates/node/tests/soak/observation.rs
@@ -10,7 +10,7 @@
 /// Time for which callers say that they wait.
 pub const DEADLINE: Duration = Duration::from_secs(3);
 /// Time after which callers stop waiting.
-const PATIENCE: Duration = Duration::from_secs(4);
+const CALL_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// How a request ended for its caller.
 #[derive(Clone, Debug)]
@@ -88,7 +88,7 @@
         *slot = None;
     }
     if slot.is_none() {
-        *slot = tokio::time::timeout(PATIENCE, Connection::open(node))
+        *slot = tokio::time::timeout(CALL_TIMEOUT, Connection::open(node))
             .await
             .ok()?;
     }
@@ -104,7 +104,7 @@
         .unwrap()
         .requests
         .insert(id.to_owned(), sent);
-    let got = tokio::time::timeout(PATIENCE, connection.send(&call)).await;
+    let got = tokio::time::timeout(CALL_TIMEOUT, connection.send(&call)).await;
     let outcome = match &got {
         Ok(Some(answer)) => Outcome::Response {
             status: answer.status,
