node: the last outage of the store is one value

Cause: three fields of Tables (unreadable, outage_began, last_failure) changed together, and their combinations that can't occur had to be read as such.

Change: one Option<Outage>.

--- a/crates/node/src/hosted/control/tables.rs
+++ b/crates/node/src/hosted/control/tables.rs
@@ -38,6 +38,17 @@
     kept_until: Instant,
 }
 
+/// A series of failed reads.
+#[derive(Clone, Copy, Debug)]
+struct Outage {
+    /// When the first failed read began.
+    began: Instant,
+    /// When the last failed read began.
+    last_failure: Instant,
+    /// Whether no read has succeeded since.
+    ongoing: bool,
+}
+
 /// Copies of both tables with the decoded catalog and endpoints.
 pub struct Tables {
     journal: Journal,
@@ -45,12 +56,8 @@
     endpoints: source::Table,
     catalog: Option<Arc<Catalog>>,
     entries: BTreeMap<String, Entry>,
-    /// Whether the last read of the endpoints' table failed.
-    unreadable: bool,
-    /// When the first failed read of the last outage began.
-    outage_began: Option<Instant>,
-    /// When the last failed read of the endpoints' table began.
-    last_failure: Option<Instant>,
+    /// The last series of failed reads of the endpoints' table.
+    outage: Option<Outage>,
 }
 
 impl Tables {
@@ -62,9 +69,7 @@
             endpoints: source::Table::default(),
             catalog: None,
             entries: BTreeMap::new(),
-            unreadable: false,
-            outage_began: None,
-            last_failure: None,
+            outage: None,
         }
     }
 
@@ -99,22 +104,25 @@
 
     /// Records that a read of the endpoints' table that began at `began` failed.
     pub fn record_read_failure(&mut self, began: Instant) {
-        if !self.unreadable {
-            self.outage_began = Some(began);
-        }
-        self.unreadable = true;
-        self.last_failure = Some(began);
+        let ongoing = self.outage.filter(|outage| outage.ongoing);
+        let outage = Outage {
+            began: ongoing.map_or(began, |outage| outage.began),
+            last_failure: began,
+            ongoing: true,
+        };
+        self.outage = Some(outage);
         // A peer may have noticed the store's return while this read still waited for a response.
-        let outage_began = self.outage_began;
         let lapses = self.entries.values_mut().filter_map(|k| k.lapse.as_mut());
         lapses
-            .filter(|lapse| Some(lapse.at) >= outage_began)
+            .filter(|lapse| lapse.at >= outage.began)
             .for_each(|lapse| lapse.kept_until = began + ROW_REWRITE_WINDOW);
     }
 
     /// Records that a read of the endpoints' table succeeded.
     pub fn record_read(&mut self) {
-        self.unreadable = false;
+        if let Some(outage) = &mut self.outage {
+            outage.ongoing = false;
+        }
     }
 
     /// Applies changes of a table. Returns whether the workers' view is affected.
@@ -214,15 +222,15 @@
         let now = Instant::now();
         // The window counts from the outage, not from the removal: an endpoint whose row is removed
         // after the outage may be leaving.
-        let kept_until = self.last_failure.map(|began| began + ROW_REWRITE_WINDOW);
-        let kept_until = kept_until.filter(|until| self.unreadable || now < *until);
-        if let Some(kept_until) = kept_until
-            && entry.endpoint.state == State::Ready
-        {
-            entry.lapse = Some(Lapse {
+        let lapse = self.outage.and_then(|outage| {
+            let kept_until = outage.last_failure + ROW_REWRITE_WINDOW;
+            (outage.ongoing || now < kept_until).then_some(Lapse {
                 at: now,
                 kept_until,
-            });
+            })
+        });
+        if lapse.is_some() && entry.endpoint.state == State::Ready {
+            entry.lapse = lapse;
             self.log_endpoint(
                 key,
                 "row lapsed while the store was away".to_owned(),
@@ -238,7 +246,7 @@
     /// Removes endpoints whose row expired and was not rewritten in time. Returns whether there
     /// were any.
     pub fn expire(&mut self, now: Instant) -> bool {
-        if self.unreadable {
+        if self.outage.is_some_and(|outage| outage.ongoing) {
             return false;
         }
         let expired = |k: &Entry| k.lapse.is_some_and(|lapse| now >= lapse.kept_until);
