--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -40,6 +40,7 @@
     store_read: Histogram<f64>,
     peer_requests: Counter<u64>,
     peer_response: Histogram<f64>,
+    control: Histogram<f64>,
     catalog_version: Gauge<u64>,
     endpoints: Gauge<u64>,
     view_age: Gauge<f64>,
@@ -76,6 +77,7 @@
                 "Asks of peers for copies and loads by what and outcome",
             ),
             peer_response: seconds("wigeonshelf_copy", "Time of a peer's answer to such an ask"),
+            control: seconds("wigeonshelf_control", "Time of a run of a task of control"),
             catalog_version: meter.u64_gauge("wigeonshelf_catalog_version").build(),
             endpoints: meter.u64_gauge("wigeonshelf_endpoints").build(),
             view_age: meter
@@ -134,6 +136,12 @@
             .record(time.as_secs_f64(), &[KeyValue::new("what", what)]);
     }
 
+    /// Records a run of a task on the control thread, which handles no input meanwhile.
+    pub fn record_control_run(&self, task: &'static str, time: Duration) {
+        self.control
+            .record(time.as_secs_f64(), &[KeyValue::new("task", task)]);
+    }
+
     /// Records the catalog version and number of endpoints of the current view, and the age of a
     /// table in it.
     pub fn record_view(&self, version: u64, endpoints: u64, table: &'static str, age: Duration) {
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -244,6 +244,7 @@
         self.give_orders(now);
         self.dirty |= std::mem::take(&mut self.loads_changed);
         self.publish();
+        self.metrics.record_control_run("step", now.elapsed());
     }
 
     /// Returns control's section of the dump.
@@ -405,7 +406,9 @@
         let live: Vec<Endpoint> = live.map(|e| self.planned(now, e)).collect();
         self.orders
             .step(now, &self.assignment, catalog, live.iter());
-        self.planning.record_run(now, Instant::now());
+        let ended = Instant::now();
+        self.planning.record_run(now, ended);
+        self.metrics.record_control_run("plan", ended - now);
         self.announce_moves();
     }
 
@@ -469,7 +472,9 @@
             leaving: self.leaving,
         };
         self.shared_view.store(Some(Arc::new(view)));
-        self.publishing.record_run(now, Instant::now());
+        let ended = Instant::now();
+        self.publishing.record_run(now, ended);
+        self.metrics.record_control_run("view", ended - now);
     }
 }
 
