--- a/crates/node/tests/busy_control.rs
+++ b/crates/node/tests/busy_control.rs
@@ -32,6 +32,7 @@
     max_rest: Duration,
 }
 
+/// The tasks, with the pauses that the control state sets.
 const TASKS: [Task; 2] = [
     Task {
         name: "plan",
@@ -89,7 +90,8 @@
         self.buckets.last().map_or(0.0, |(_, count)| *count)
     }
 
-    /// Returns the least total duration of the pauses after these runs, but for those in `before`.
+    /// Returns the least total duration of the pauses after these runs, but for those in `before`, in
+    /// seconds. Each run counts as the shortest of its bucket.
     fn least_rest(&self, before: &Self, task: &Task) -> f64 {
         let known = |index: usize| before.buckets.get(index).map_or(0.0, |(_, count)| *count);
         let (mut shortest_run, mut shorter_runs, mut rest) = (0.0, 0.0, 0.0);
