node: the test of control's pauses fails if the node gives no metrics

Cause: an unanswered request for metrics read as no runs so far, and the test would have blamed the pauses.

--- a/crates/node/tests/busy_control.rs
+++ b/crates/node/tests/busy_control.rs
@@ -144,7 +144,7 @@
             _process: Process::start(process::settings(callers, &settings)),
         };
         let started = Instant::now();
-        while Runs::parse(&fleet.metrics().await, "plan").count() == 0.0 {
+        while !fleet.plans().await {
             assert!(
                 started.elapsed() < START_TIMEOUT,
                 "the node plans no orders"
@@ -154,8 +154,14 @@
         fleet
     }
 
-    /// Returns the node's metrics; empty if it does not respond.
-    async fn metrics(&self) -> String {
+    /// Returns whether the node has planned orders.
+    async fn plans(&self) -> bool {
+        let metrics = self.metrics().await;
+        metrics.is_some_and(|text| Runs::parse(&text, "plan").count() > 0.0)
+    }
+
+    /// Returns the node's metrics, or `None` if it does not respond.
+    async fn metrics(&self) -> Option<String> {
         let call = Call {
             method: "GET",
             path: "/metrics",
@@ -163,8 +169,7 @@
             key: "",
             deadline: "4000",
         };
-        let response = caller::send(self.metrics, &call).await;
-        response.map(|r| r.body).unwrap_or_default()
+        Some(caller::send(self.metrics, &call).await?.body)
     }
 
     /// Publishes observations of the peer from now on, each in a message of its own.
@@ -219,9 +224,9 @@
     let fleet = Fleet::start().await;
     fleet.publish_observations();
     let started = Instant::now();
-    let before = fleet.metrics().await;
+    let before = fleet.metrics().await.expect("metrics");
     tokio::time::sleep(MEASUREMENT_TIME).await;
-    let after = fleet.metrics().await;
+    let after = fleet.metrics().await.expect("metrics");
     let elapsed = started.elapsed().as_secs_f64();
     for task in TASKS {
         let name = task.name;
