node: tests with stand-ins for readers share how the real node starts

Cause: busy_control.rs wrote again what late_catalog.rs has: the settings of a node beside stand-ins for readers, its start, and the request for a page of its metrics address.

Change: support/instance.rs, used by both; the settings are the same but for names, key, addresses and seeds, as before. No assertion, bound, time or seed changed.

Ruled out: one start for late_reader.rs, hosted.rs and hosted_drain.rs too; their settings differ in listeners and grace time. The pairs in lapsed_rows.rs and disagreement.rs are scripts of events that differ in order and times.

Checks: with a rest factor of 0 in state.rs control_pauses_after_each_plan_and_view fails as before (views 203 runs of 1.90 s, pauses of at least 4.93 s, in 5.00 s; plans 49 of 3.22 s, 21.60 s, in 5.04 s). The ten tests of late_catalog.rs pass.

--- a/crates/node/tests/busy_control.rs
+++ b/crates/node/tests/busy_control.rs
@@ -3,6 +3,8 @@
 //!
 //! The node is the real binary, which reads the store itself. Its peer is a stand-in.
 
+#[path = "support/instance.rs"]
+mod instance;
 #[path = "support/process.rs"]
 mod process;
 #[path = "support/reader.rs"]
@@ -10,17 +12,14 @@
 #[path = "../../../platform/standin/mod.rs"]
 mod standin;
 
+use instance::Instance;
 use member::Message;
 use member::identity;
 use member::item::{Item, Observation};
 use member::message::Body;
-use process::Process;
 use reader::Reader;
-use standin::address;
-use standin::caller::{self, Call};
 use standin::manifest;
 use standin::store::Store;
-use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -109,9 +108,7 @@
 /// A node, its peer in another zone, and the store.
 struct Fleet {
     peer: Reader,
-    peers: SocketAddr,
-    metrics: SocketAddr,
-    _process: Process,
+    node: Instance,
 }
 
 impl Fleet {
@@ -127,22 +124,8 @@
             store.put_registration(&endpoint(number), &registration(number));
         }
         let peer = Reader::start(names[1], "b", &key).await;
-        let [callers, peers, metrics] = std::array::from_fn(|_| address::unused());
-        let settings = format!(
-            "[node]\nname = {}\nzone = a\nregion = south\ngrace = 3s\n\
-             [callers]\nlisten = {callers}\n[metrics]\nlisten = {metrics}\n\
-             [peers]\nlisten = {peers}\nkey = {key}\nseeds = {}\n\
-             [store]\naddress = {}\nheartbeat = 200ms\n[logging]\nlevel = info\n",
-            names[0],
-            peer.link.addr(),
-            store.addr
-        );
-        let fleet = Self {
-            peer,
-            peers,
-            metrics,
-            _process: Process::start(process::settings(callers, &settings)),
-        };
+        let node = Instance::start(names[0], &key, &[&peer], store.addr);
+        let fleet = Self { peer, node };
         let started = Instant::now();
         while !fleet.plans().await {
             assert!(
@@ -162,19 +145,12 @@
 
     /// Returns the node's metrics, or `None` if it does not respond.
     async fn metrics(&self) -> Option<String> {
-        let call = Call {
-            method: "GET",
-            path: "/metrics",
-            id: "r1",
-            key: "",
-            deadline: "4000",
-        };
-        Some(caller::send(self.metrics, &call).await?.body)
+        self.node.page("/metrics").await
     }
 
     /// Publishes observations of the peer from now on, each in a message of its own.
     fn publish_observations(&self) {
-        let (link, to) = (self.peer.link.clone(), self.peers);
+        let (link, to) = (self.peer.link.clone(), self.node.peers);
         let origin = identity::id(&self.peer.name);
         tokio::spawn(async move {
             let mut interval = tokio::time::interval(PUBLICATION_INTERVAL);
--- a/crates/node/tests/late_catalog.rs
+++ b/crates/node/tests/late_catalog.rs
@@ -4,6 +4,8 @@
 //! The node is the real binary, the store has the newest catalog and is healthy, and the readers
 //! are stand-ins.
 
+#[path = "support/instance.rs"]
+mod instance;
 #[path = "support/process.rs"]
 mod process;
 #[path = "support/reader.rs"]
@@ -12,14 +14,11 @@
 mod standin;
 
 use adapter::store::Table;
+use instance::Instance;
 use node::hosted::control::copy::Request;
-use process::Process;
 use reader::{Arrival, Fate, Reader};
-use standin::address;
-use standin::caller::{self, Call};
 use standin::manifest;
 use standin::store::Store;
-use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -39,9 +38,8 @@
     second: Reader,
     other: Reader,
     store: Store,
-    metrics: SocketAddr,
+    node: Instance,
     published: Instant,
-    _process: Process,
 }
 
 impl Zone {
@@ -60,24 +58,14 @@
         for reader in [&first, &second] {
             reader.put_manifest(&manifest(1, "/safe/"), 0);
         }
-        let [callers, peers, metrics] = std::array::from_fn(|_| address::unused());
-        let seeds = [&first, &second, &other].map(|r| r.link.addr().to_string());
-        let seeds = seeds.join(", ");
-        let settings = format!(
-            "[node]\nname = {}\nzone = a\nregion = south\ngrace = 3s\n\
-             [callers]\nlisten = {callers}\n[metrics]\nlisten = {metrics}\n\
-             [peers]\nlisten = {peers}\nkey = {key}\nseeds = {seeds}\n\
-             [store]\naddress = {}\nheartbeat = 200ms\n[logging]\nlevel = info\n",
-            names[2], store.addr
-        );
+        let node = Instance::start(names[2], &key, &[&first, &second, &other], store.addr);
         let zone = Self {
             first,
             second,
             other,
             store,
-            metrics,
+            node,
             published: Instant::now(),
-            _process: Process::start(process::settings(callers, &settings)),
         };
         let started = Instant::now();
         while !zone.copies().await {
@@ -90,15 +78,7 @@
     }
 
     async fn dump(&self) -> String {
-        let call = Call {
-            method: "GET",
-            path: "/dump",
-            id: "r1",
-            key: "",
-            deadline: "4000",
-        };
-        let response = caller::send(self.metrics, &call).await;
-        response.map(|r| r.body).unwrap_or_default()
+        self.node.page("/dump").await.unwrap_or_default()
     }
 
     /// Returns whether the node has the first catalog, knows both readers and is none itself.
