gate: a broken attempt is logged with its content and whether the endpoint crashed

The lines could not tell a request that returns from those that are moved together with it, nor an endpoint that ended from a connection that broke. Endpoints that drain or announced that they leave are left out. Counter: attempts "endpoint crashed".

No decision changes.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -1,6 +1,7 @@
 //! Forwards a request to endpoints until one responds, with retries where the route allows them.
 
 pub mod attempt;
+mod inquiry;
 pub mod migration;
 pub mod race;
 pub mod request_log;
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -206,6 +206,9 @@
         }
         self.log
             .record_failure(attempt, failure.as_str(), failure.may_have_run());
+        if failure == Failure::Broken {
+            self.inquire(&reservation.progress);
+        }
         let outcome = match failure {
             Failure::Leaving | Failure::Resting => Outcome::Unknown,
             _ => {
--- a/crates/gate/src/forward/race.rs
+++ b/crates/gate/src/forward/race.rs
@@ -319,11 +319,13 @@
         let status = exchange.response.status();
         let can_retry =
             status.is_server_error() && exchange.info.sealed && self.job.kind().repeatable();
-        let attempt = exchange.reservation.attempt();
+        let progress = exchange.reservation.progress.clone();
+        let attempt = progress.attempt.get();
         match self.read_complete(exchange).await {
             None => {
                 let why = "response was cut off before its end";
                 self.log.record_failure(attempt, why, true);
+                self.inquire(&progress);
                 End::Failed
             }
             Some(response) if can_retry => {
--- a/crates/gate/src/forward/request_log.rs
+++ b/crates/gate/src/forward/request_log.rs
@@ -3,10 +3,12 @@
 use crate::job::Job;
 use crate::metrics::Metrics;
 use crate::refusal::Refusal;
+use catalog::endpoint::Run;
 use journal::Journal;
 use journal::event::Event;
 use std::cell::Cell;
 use std::net::SocketAddr;
+use steer::crash::Fingerprint;
 use steer::scarcity::Scarcity;
 use steer::shortage::Shortage;
 use steer::target::{Stage, Target};
@@ -127,6 +129,18 @@
         });
     }
 
+    /// Returns the record of a broken attempt, to be written once its endpoint was probed.
+    pub(crate) fn broken(&self, attempt: u32, run: &Run, content: Fingerprint) -> BrokenAttempt {
+        BrokenAttempt {
+            journal: self.journal.clone(),
+            metrics: self.metrics.clone(),
+            id: self.id.clone(),
+            attempt,
+            run: run.to_string(),
+            content,
+        }
+    }
+
     /// Records that the response's head and first event were sent to the caller.
     pub(crate) fn record_first_event(&mut self) {
         self.first_event = Some(Instant::now());
@@ -187,6 +201,32 @@
     }
 }
 
+/// Record of an attempt whose connection broke.
+pub(crate) struct BrokenAttempt {
+    journal: Journal,
+    metrics: Metrics,
+    id: String,
+    attempt: u32,
+    run: String,
+    content: Fingerprint,
+}
+
+impl BrokenAttempt {
+    /// Writes the record; `crashed` is whether the endpoint has ended.
+    pub(crate) fn end(self, crashed: bool) {
+        if crashed {
+            self.metrics.record_attempt("endpoint crashed");
+        }
+        self.journal.record(Event::Broken {
+            id: self.id,
+            attempt: self.attempt,
+            run: self.run,
+            content: format!("{:016x}", self.content),
+            crashed,
+        });
+    }
+}
+
 impl Drop for RequestLog {
     fn drop(&mut self) {
         if !self.ended {
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -8,10 +8,13 @@
 use catalog::route::Route;
 use catalog::service::Service;
 use catalog::{RouteId, ServiceId};
+use http::header::HOST;
 use http::{HeaderMap, Method, Uri};
+use sha2::{Digest, Sha256};
 use std::sync::Arc;
 use std::time::Duration;
 use steer::chain::Need;
+use steer::crash::Fingerprint;
 use tokio::time::Instant;
 
 /// Priority at which requests count as urgent.
@@ -75,6 +78,30 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the hash of the request's content: team, host, method, path and body. A caller that
+    /// sends the request again gets the same one, at every node and under every catalog. The hash is
+    /// cryptographic, so that a request can't be made to match that of another team.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let host = self.headers.get(HOST).map_or(&[][..], |h| h.as_bytes());
+        let path = self.uri.path_and_query().map_or("", |p| p.as_str());
+        let team = self.team.as_deref().unwrap_or_default();
+        let fields = [
+            team.as_bytes(),
+            host,
+            self.method.as_str().as_bytes(),
+            path.as_bytes(),
+            &self.body,
+        ];
+        let mut hash = Sha256::new();
+        for field in fields {
+            hash.update((field.len() as u64).to_le_bytes());
+            hash.update(field);
+        }
+        let digest: [u8; 32] = hash.finalize().into();
+        let (first, _) = digest.split_first_chunk().unwrap_or((&[0; 8], &[]));
+        Fingerprint::from_le_bytes(*first)
+    }
+
     /// Returns the size and urgency by which a chain is selected.
     pub fn need(&self) -> Need {
         let typical = self.service().engine.as_ref().map(|e| e.typical_size);
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod listener;
 pub mod metrics;
 pub mod pool;
+mod probe;
 pub mod refusal;
 pub mod splice;
 pub mod stats;
--- a/crates/gate/src/splice/source.rs
+++ b/crates/gate/src/splice/source.rs
@@ -48,6 +48,8 @@
     splitter: Splitter,
     /// An error behind the events that were returned last.
     pending_error: Option<&'static str>,
+    /// Whether the connection broke before the end of the response.
+    broken: bool,
 }
 
 impl Reader {
@@ -61,10 +63,14 @@
             }
             match self.response.body_mut().frame().await {
                 None if self.splitter.has_partial() => {
+                    self.broken = true;
                     return Step::Failed("ended in the middle of an event");
                 }
                 None => return Step::End,
-                Some(Err(_)) => return Step::Failed("connection broke"),
+                Some(Err(_)) => {
+                    self.broken = true;
+                    return Step::Failed("connection broke");
+                }
                 Some(Ok(frame)) => {
                     if let Some(data) = frame.data_ref() {
                         self.splitter.feed(data);
@@ -151,6 +157,7 @@
                 response,
                 splitter: Splitter::default(),
                 pending_error: None,
+                broken: false,
             },
             reservation,
             conn,
@@ -239,6 +246,9 @@
         forwarder
             .log
             .record_failure(self.reservation.attempt(), reason, true);
+        if self.reader.broken {
+            forwarder.inquire(&self.reservation.progress);
+        }
         forwarder
             .worker
             .pool
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -8,6 +8,7 @@
 use crate::job::Job;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::probe::Probes;
 use crate::refusal::{Reason, Refusal};
 use crate::splice::Chunk;
 use crate::stats::{self, Guard, Stats};
@@ -94,6 +95,8 @@
     rotation: Cell<usize>,
     /// Cached status reports of the heads of chains.
     pub(crate) status_reports: RefCell<HashMap<SocketAddr, CachedReport>>,
+    /// Probes of endpoints whose connections broke.
+    pub(crate) probes: Probes,
     /// Whether new requests are refused because the process is about to end.
     closing: Cell<bool>,
 }
@@ -118,6 +121,7 @@
             started_at: Instant::now(),
             rotation: Cell::new(0),
             status_reports: RefCell::default(),
+            probes: Probes::default(),
             closing: Cell::new(false),
         })
     }
--- a/crates/journal/src/event.rs
+++ b/crates/journal/src/event.rs
@@ -154,6 +154,19 @@
         /// Time from the request's arrival to the failure, in milliseconds.
         after_ms: u64,
     },
+    /// The connection of an attempt broke, and its endpoint was probed on a new one.
+    Broken {
+        /// Request id.
+        id: String,
+        /// Number of the attempt.
+        attempt: u32,
+        /// Run of the endpoint: its id and start time.
+        run: String,
+        /// Fingerprint of the request's content, in hexadecimal digits.
+        content: String,
+        /// Whether the endpoint has ended: it refuses connections and had not announced that it leaves.
+        crashed: bool,
+    },
     /// A request ended.
     Ended {
         /// Request id.
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod budget;
 pub mod chain;
+pub mod crash;
 pub mod departures;
 pub mod fleet;
 pub mod health;
--- a/crates/steer/src/selector/departing.rs
+++ b/crates/steer/src/selector/departing.rs
@@ -27,6 +27,12 @@
         stages.any(|s| self.departures.contains(&s.run))
     }
 
+    /// Returns whether an endpoint is registered as ready and has not announced that it leaves.
+    pub fn is_serving(&self, run: &Run) -> bool {
+        let row = self.index.get(run).map(|&at| &self.rows[at]);
+        row.is_some_and(|row| row.endpoint.state == State::Ready && !row.leaving)
+    }
+
     /// Returns the address of the first stage of a chain in flight, other than the head, that will
     /// not serve until the end of the answer: its endpoint is draining, announced that it leaves, is
     /// no longer registered, or has released or is about to release the layers of the stage. The
