--- a/crates/gate/tests/support/server.rs
+++ b/crates/gate/tests/support/server.rs
@@ -8,6 +8,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
 
 /// What an endpoint does with a request.
 #[derive(Clone, Debug)]
@@ -23,6 +24,12 @@
     AskForRestBecauseOf(Duration, SocketAddr),
     /// Like `AskForRest`, with the id of another request.
     AskForRestAsOtherRequest(Duration),
+    /// Closes the listener and resets all connections, as a process that crashes.
+    Crash,
+    /// Sends the events `from..=to`, then crashes.
+    EventsThenCrash(u64, u64),
+    /// Does what the first behavior says if the request has this path, else what the second says.
+    ForPath(&'static str, Box<Behavior>, Box<Behavior>),
     /// Responds with the id of another request.
     OtherRequest,
     /// Responds without a seal.
@@ -79,6 +86,10 @@
     state: Arc<Mutex<State>>,
     /// One permit for each held response that may be sent.
     released: Arc<Semaphore>,
+    /// Cancelled when the endpoint crashes.
+    crashed: CancellationToken,
+    /// Cancelled when the listener is closed.
+    closed: CancellationToken,
 }
 
 #[derive(Default)]
@@ -110,14 +121,21 @@
             addr: listener.local_addr().unwrap(),
             state: Arc::default(),
             released: Arc::new(Semaphore::new(0)),
+            crashed: CancellationToken::new(),
+            closed: CancellationToken::new(),
         };
         server.state.lock().unwrap().behaviors = behaviors.into();
         let own = server.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                own.state.lock().unwrap().opened += 1;
-                tokio::spawn(own.clone().serve(stream));
-            }
+            let accepting = async {
+                while let Ok((stream, _)) = listener.accept().await {
+                    own.state.lock().unwrap().opened += 1;
+                    tokio::spawn(own.clone().serve(stream));
+                }
+            };
+            own.crashed.run_until_cancelled(accepting).await;
+            drop(listener);
+            own.closed.cancel();
         });
         server
     }
@@ -172,14 +190,27 @@
         self.state.lock().unwrap().closed_idle
     }
 
+    /// Crashes: new connections are refused before the open ones are reset.
+    pub async fn crash(&self) {
+        self.crashed.cancel();
+        self.closed.cancelled().await;
+    }
+
     async fn serve(self, mut stream: TcpStream) {
-        while let Some(head) = read_request(&mut stream).await {
+        let served = self.serve_requests(&mut stream);
+        if self.closed.run_until_cancelled(served).await.is_none() {
+            reset(&stream);
+        }
+    }
+
+    async fn serve_requests(&self, stream: &mut TcpStream) {
+        while let Some(head) = read_request(stream).await {
             if let Some((status, body)) = self.control_response(&head) {
-                let _ = write(&mut stream, &answer(status, "", &body)).await;
+                let _ = write(stream, &answer(status, "", &body)).await;
                 continue;
             }
             let behavior = self.next_behavior(&head);
-            if self.perform(&mut stream, &head, behavior).await.is_none() {
+            if self.perform(stream, &head, behavior).await.is_none() {
                 return;
             }
         }
@@ -259,6 +290,20 @@
                 write(stream, &both).await
             }
             Behavior::Reset => reset(stream),
+            Behavior::Crash => {
+                self.crash().await;
+                reset(stream)
+            }
+            Behavior::EventsThenCrash(from, to) => {
+                write(stream, &events(&own, from, to)).await?;
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                Box::pin(self.perform(stream, head, Behavior::Crash)).await
+            }
+            Behavior::ForPath(path, behavior, other) => {
+                let matches = head.split(' ').nth(1) == Some(path);
+                let behavior = if matches { *behavior } else { *other };
+                Box::pin(self.perform(stream, head, behavior)).await
+            }
             Behavior::HalfBody => {
                 let full = answer(200, &own, "0123456789");
                 write(stream, &full[..full.len() - 5]).await;
