gate, node: a content that crashes endpoints is suspended after two, and refused by all nodes after three

Callers saw outages of whole services: one request that crashes each endpoint that runs it came again and again, at any node, and was sent on each time.

Cause: the hosted path never compared two requests. max_attempts and the retry budget bound one attempt of a caller, and each return began anew. The path with signed bundles has had a safeguard since its start (route::crash); the hosted path was built without it. Ruled out: one attempt that crashes more endpoints than max_attempts (no id has more than two attempts that may have run), and a safeguard whose evidence arrives late (there was none).

Change: the worker probes an endpoint whose connection broke. If it refuses connections and had not announced that it leaves, the content of the request has crashed one endpoint more than when the attempt was sent (steer::crash). So copies that are lost together count once, and a completion starts anew. Two crashes in a row suspend the content for 5 s, so that a service doesn't lose its endpoints one after the other while the first restart; three condemn it for an hour. Such a request gets 503 at once with the time at which it may come back, since it has not run. A suspect is not tried beside itself. The counts go to all nodes as Suspect, Pending and Condemned items; a completion as Cleared (new, appended to the wire format). Each node keeps what it learned and publishes it again once no node of the group does, so that it outlives the node that found it.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -37,6 +37,7 @@
 use steer::shortage::Shortage;
 use steer::{Selector, Timestamp};
 use tokio::sync::Notify;
+use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 /// Maximum wait for an endpoint with free capacity, as a fraction of the route's latency target.
@@ -60,6 +61,9 @@
 /// Range of the time over which the callers that were refused are spread after the end of a rest; in
 /// between, it is as long as what is left of the rest.
 const REST_SPREAD: RangeInclusive<Duration> = Duration::from_millis(100)..=Duration::from_secs(1);
+/// Time over which the callers of a content are spread that crashes endpoints, so that it doesn't
+/// return at all nodes at once.
+const CRASHING_SPREAD: Duration = Duration::from_secs(1);
 /// Retry-after delay when no endpoint is large enough for the request: an additional endpoint is
 /// needed.
 const RETRY_AFTER_TOO_LARGE: Duration = Duration::from_secs(3);
@@ -78,6 +82,8 @@
     pub(crate) reached: Cell<bool>,
     /// Notified when an attempt is idle.
     pub(crate) idle: Notify,
+    /// Inquiries into broken attempts.
+    inquiries: RefCell<Vec<JoinHandle<()>>>,
     pub(crate) _in_flight: Guard,
 }
 
@@ -98,10 +104,12 @@
         possible_runs: Cell::new(0),
         reached: Cell::new(false),
         idle: Notify::new(),
+        inquiries: RefCell::default(),
         _in_flight: guard,
     };
     match forwarder.race(None, Phase::Opening).await {
         Ok(Winner::Complete(response)) => {
+            forwarder.worker.record_completed(&forwarder.job);
             forwarder.log.end_answered(response.status().as_u16());
             response.map(body::full)
         }
@@ -115,6 +123,7 @@
         Err(lost) => {
             let refusal = match lost {
                 Lost::Shortage(shortage) => forwarder.refuse_for_shortage(shortage),
+                Lost::Crashing { until } => forwarder.refuse_crashing(until),
                 Lost::Deadline => Refusal::new(forwarder.timeout_reason()),
                 Lost::Exhausted => forwarder.exhausted(),
             };
@@ -259,7 +268,9 @@
     /// budget, but not from what is left for responses that have no endpoint any more; `None` if the
     /// request may not be retried or no other endpoint can take it now.
     pub(crate) fn hedge_target(&self, running: &[Rc<Progress>]) -> Option<Reservation<D>> {
-        if !self.job.kind().repeatable() || !self.has_retry() {
+        // A content that may have crashed an endpoint runs on one at a time.
+        let suspect = self.worker.crashes(&self.job) > 0;
+        if suspect || !self.job.kind().repeatable() || !self.has_retry() {
             return None;
         }
         let service = self.current_service().ok()?;
@@ -343,6 +354,16 @@
         }
     }
 
+    /// Returns the refusal of a request whose content crashes endpoints.
+    fn refuse_crashing(&self, until: Timestamp) -> Refusal {
+        self.log.set_reason("its content crashes endpoints");
+        if self.possible_runs.get() > 0 {
+            return Refusal::new(Reason::OutcomeUnknown);
+        }
+        let left = until.saturating_sub(self.worker.now());
+        Refusal::with_retry_after(Reason::Crashing, left + random_part(CRASHING_SPREAD))
+    }
+
     /// Records a shortage and returns the refusal when no endpoint can take the request.
     fn refuse_for_shortage(&mut self, shortage: Shortage) -> Refusal {
         self.log.set_reason(shortage.as_str());
@@ -362,7 +383,7 @@
             Shortage::Rest { until } => {
                 let left = until.saturating_sub(self.worker.now());
                 let spread = left.clamp(*REST_SPREAD.start(), *REST_SPREAD.end());
-                left + spread.mul_f64(rand::rng().random_range(0.0..1.0))
+                left + random_part(spread)
             }
         };
         Refusal::with_retry_after(Reason::Unavailable, retry_after)
@@ -399,6 +420,11 @@
 
 /// Spreads the retries of callers that are refused together: returns one to two times `after`, at
 /// random.
-pub(crate) fn jitter(base: Duration) -> Duration {
-    base.mul_f64(rand::rng().random_range(1.0..2.0))
+pub(crate) fn jitter(after: Duration) -> Duration {
+    after + random_part(after)
+}
+
+/// Returns a random part of a time.
+fn random_part(time: Duration) -> Duration {
+    time.mul_f64(rand::rng().random_range(0.0..1.0))
 }
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -80,6 +80,8 @@
     pub(crate) idle_reason: Cell<Option<&'static str>>,
     /// Whether the attempt was ever idle.
     pub(crate) was_idle: Cell<bool>,
+    /// Number of endpoints that the request's content had crashed when the attempt was sent.
+    pub(crate) earlier_crashes: Cell<u8>,
 }
 
 impl Progress {
@@ -90,6 +92,7 @@
             dropped_as: Cell::new(Outcome::Unknown),
             idle_reason: Cell::new(None),
             was_idle: Cell::new(false),
+            earlier_crashes: Cell::new(0),
         }
     }
 }
@@ -182,6 +185,8 @@
         let crossings = self.crossings(&reservation.target.stages);
         let attempt = self.log.record_sent(&reservation.target, crossings);
         reservation.progress.attempt.set(attempt);
+        let crashes = self.worker.crashes(&self.job);
+        reservation.progress.earlier_crashes.set(crashes);
         self.possible_runs.set(self.possible_runs.get() + 1);
         let exchanged = self.exchange(&mut reservation, last_event_id).await;
         let failure = match exchanged {
--- a/crates/gate/src/forward/inquiry.rs
+++ b/crates/gate/src/forward/inquiry.rs
@@ -1,8 +1,11 @@
-//! Inquiries into attempts whose connection broke: whether the endpoint has ended under the request.
+//! Inquiries into attempts whose connection broke: whether the endpoint crashed under the request.
 
 use super::Forwarder;
 use super::attempt::Progress;
+use super::race::Phase;
 use crate::dialect::Dialect;
+use steer::Timestamp;
+use steer::crash::Verdict;
 
 impl<D: Dialect> Forwarder<D> {
     /// Finds out whether the head of a broken attempt has ended, and records it. This is done in a
@@ -17,11 +20,35 @@
             return;
         }
         let (worker, addr) = (self.worker.clone(), head.addr);
-        let record = self
-            .log
-            .broken(broken.attempt.get(), &head.run, self.job.fingerprint());
-        tokio::task::spawn_local(async move {
-            record.end(worker.probes.has_ended(addr).await);
+        let content = self.job.fingerprint();
+        let crashes = broken.earlier_crashes.get().saturating_add(1);
+        let record = self.log.broken(broken.attempt.get(), &head.run, content);
+        let inquiry = tokio::task::spawn_local(async move {
+            let crashed = worker.probes.has_ended(addr).await;
+            if crashed {
+                worker.record_crash(content, crashes);
+            }
+            record.end(crashed);
         });
+        self.inquiries.borrow_mut().push(inquiry);
+    }
+
+    /// Waits for the inquiries into the attempts of this request, so that the next one is judged by
+    /// their outcome.
+    async fn finish_inquiries(&self) {
+        for inquiry in self.inquiries.take() {
+            // An inquiry fails only if the process ends.
+            let _ = inquiry.await;
+        }
+    }
+
+    /// Returns until when no attempt of the request may be started because its content crashes
+    /// endpoints; `None` if one may be started now.
+    pub(crate) async fn refused_until(&self, phase: Phase) -> Option<Timestamp> {
+        self.finish_inquiries().await;
+        match (self.worker.verdict(&self.job), phase) {
+            (Verdict::Allowed, _) | (Verdict::Suspended(_), Phase::Resuming(_)) => None,
+            (Verdict::Suspended(until) | Verdict::Condemned(until), _) => Some(until),
+        }
     }
 }
--- a/crates/gate/src/forward/race.rs
+++ b/crates/gate/src/forward/race.rs
@@ -14,6 +14,7 @@
 use http::{Response, StatusCode};
 use std::rc::Rc;
 use std::time::Duration;
+use steer::Timestamp;
 use steer::budget::Purpose;
 use steer::health::Outcome;
 use steer::shortage::Shortage;
@@ -50,6 +51,8 @@
     Exhausted,
     /// The deadline passed before an attempt could be started.
     Deadline,
+    /// The request's content crashes endpoints, and is not sent before this time.
+    Crashing { until: Timestamp },
 }
 
 /// An attempt that takes part.
@@ -230,6 +233,9 @@
         if self.job.time_left().is_zero() {
             return Err(Lost::Deadline);
         }
+        if let Some(until) = self.refused_until(phase).await {
+            return Err(Lost::Crashing { until });
+        }
         if !is_first && (!self.may_repeat() || !self.try_retry(phase.purpose())) {
             return Err(Lost::Exhausted);
         }
--- a/crates/gate/src/refusal.rs
+++ b/crates/gate/src/refusal.rs
@@ -22,6 +22,8 @@
     Leaving,
     /// No endpoint can take the request now, and it was not executed.
     Unavailable,
+    /// Requests with this content crash endpoints, and it was not executed.
+    Crashing,
     /// The attempt failed, and the request may have been executed.
     OutcomeUnknown,
     /// The deadline passed, and the request may have been executed.
@@ -34,9 +36,11 @@
     /// Returns the HTTP status. 503 guarantees that the request was not and will not be executed.
     pub fn status(self) -> StatusCode {
         match self {
-            Self::NoCatalog | Self::Leaving | Self::Unavailable | Self::ExpiredNotRun => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoCatalog
+            | Self::Leaving
+            | Self::Unavailable
+            | Self::Crashing
+            | Self::ExpiredNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -56,6 +60,7 @@
             Self::Malformed => "the request can't be read",
             Self::Leaving => "this node is about to end",
             Self::Unavailable => "no endpoint can take the request now",
+            Self::Crashing => "endpoints crashed under this request",
             Self::OutcomeUnknown => {
                 "the connection to the endpoint broke; the request may have run"
             }
--- a/crates/gate/src/splice.rs
+++ b/crates/gate/src/splice.rs
@@ -94,8 +94,16 @@
                 None
             }
             Err(lost) => {
-                if let Lost::Shortage(_) = lost {
-                    self.forwarder.log.set_reason("no endpoint to go on from");
+                match lost {
+                    Lost::Shortage(_) => {
+                        self.forwarder.log.set_reason("no endpoint to go on from");
+                    }
+                    Lost::Crashing { .. } => {
+                        self.forwarder
+                            .log
+                            .set_reason("its content crashes endpoints");
+                    }
+                    Lost::Exhausted | Lost::Deadline => {}
                 }
                 self.done = true;
                 self.forwarder.log.end_truncated();
@@ -157,6 +165,7 @@
         if let Some(source) = self.source.take() {
             source.finish(&self.forwarder);
         }
+        self.forwarder.worker.record_completed(&self.forwarder.job);
         self.forwarder.log.end_answered(StatusCode::OK.as_u16());
     }
 }
--- a/crates/gate/src/view.rs
+++ b/crates/gate/src/view.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use steer::Fleet;
+use steer::crash::Ledger;
 
 /// Snapshot of the state that the control task knows.
 #[derive(Clone, Debug, Default)]
@@ -15,6 +16,8 @@
     pub nodes: Vec<SocketAddr>,
     /// Whether this node is leaving.
     pub leaving: bool,
+    /// Contents under which endpoints crashed at any node.
+    pub crashes: Arc<Ledger>,
 }
 
 /// The current view, replaced by the control task; empty until a catalog is in force.
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -27,6 +27,7 @@
 use std::time::Duration;
 use steer::Selector;
 use steer::budget::Allowance;
+use steer::crash::{Finding, Findings, Fingerprint, Verdict};
 use steer::health::Outcome;
 use steer::target::{ReservationId, Stage};
 use steer::transition::Transition;
@@ -95,6 +96,8 @@
     rotation: Cell<usize>,
     /// Cached status reports of the heads of chains.
     pub(crate) status_reports: RefCell<HashMap<SocketAddr, CachedReport>>,
+    /// Contents under which endpoints crashed.
+    crashes: RefCell<Findings>,
     /// Probes of endpoints whose connections broke.
     pub(crate) probes: Probes,
     /// Whether new requests are refused because the process is about to end.
@@ -121,6 +124,7 @@
             started_at: Instant::now(),
             rotation: Cell::new(0),
             status_reports: RefCell::default(),
+            crashes: RefCell::default(),
             probes: Probes::default(),
             closing: Cell::new(false),
         })
@@ -163,6 +167,7 @@
                 self.selector
                     .borrow_mut()
                     .update_fleet(now, view.fleet.clone());
+                self.crashes.borrow_mut().update(now, &view.crashes);
                 self.table_version.set(self.table_version.get() + 1);
                 self.capacity_freed.notify_waiters();
             }
@@ -223,16 +228,54 @@
                 self.pool.retire(*addr);
                 self.table_version.set(self.table_version.get() + 1);
             }
-            // The control task is behind. The transition is dropped; the endpoint's next failure
-            // reports it again, and the layers of an endpoint that leaves are replaced once its
-            // row says so.
-            if self.transitions.try_send(transition).is_err() {
-                stats::increment(&self.stats.dropped_transitions);
-            }
+            self.report(transition);
         }
         result
     }
 
+    /// Reports a transition to the control task.
+    fn report(&self, transition: Transition) {
+        // If the control task is behind, the transition is dropped. The endpoint's next failure or
+        // the content's next crash reports it again, and the layers of an endpoint that leaves are
+        // replaced once its row says so.
+        if self.transitions.try_send(transition).is_err() {
+            stats::increment(&self.stats.dropped_transitions);
+        }
+    }
+
+    /// Returns whether requests with the content of `job` may be sent to endpoints.
+    pub(crate) fn verdict(&self, job: &Job) -> Verdict {
+        self.view();
+        let crashes = self.crashes.borrow();
+        crashes.verdict(self.now(), || job.fingerprint())
+    }
+
+    /// Returns the number of endpoints that the content of `job` has crashed in a row.
+    pub(crate) fn crashes(&self, job: &Job) -> u8 {
+        self.view();
+        let crashes = self.crashes.borrow();
+        crashes.crashes(self.now(), || job.fingerprint())
+    }
+
+    /// Records that a content has crashed this number of endpoints in a row.
+    pub(crate) fn record_crash(&self, content: Fingerprint, crashes: u8) {
+        self.record_finding(content, Finding::Crashed(crashes));
+    }
+
+    /// Records that a request completed.
+    pub(crate) fn record_completed(&self, job: &Job) {
+        if self.crashes(job) > 0 {
+            self.record_finding(job.fingerprint(), Finding::Completed);
+        }
+    }
+
+    fn record_finding(&self, content: Fingerprint, finding: Finding) {
+        let now = self.now();
+        if self.crashes.borrow_mut().record(now, content, finding) {
+            self.report(Transition::Content(content, finding));
+        }
+    }
+
     /// Records that the endpoint of a stage announced that it leaves. Its connections are closed
     /// once they are idle.
     pub(crate) fn record_leaving(&self, stage: &Stage) {
--- a/crates/gate/tests/crash.rs
+++ b/crates/gate/tests/crash.rs
@@ -2,11 +2,15 @@
 
 mod support;
 
-use http::StatusCode;
+use bytes::Bytes;
+use catalog::endpoint::State;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use std::sync::Arc;
 use std::time::Duration;
 use support::caller::{Received, request, send};
 use support::server::{Behavior, Server};
-use support::{Node, endpoint_for, node, run};
+use support::{ALLOWANCE, Node, endpoint_for, node, plain, run, start, view, wait_for_request};
 
 /// Maximum number of times that a request which crashes endpoints is sent to one.
 const MAX_RUNS: usize = 3;
@@ -14,6 +18,8 @@
 const ENDPOINTS: usize = 8;
 /// Number of times that the caller sends the request.
 const RETURNS: usize = 10;
+/// Number of times that endpoints of a harmless request are lost.
+const CRASHES_OF_OTHERS: usize = 5;
 
 async fn sleep(ms: u64) {
     tokio::time::sleep(Duration::from_millis(ms)).await;
@@ -37,6 +43,12 @@
     heads.filter(|h| h.split(' ').nth(1) == Some(path)).count()
 }
 
+/// Returns a request with another body.
+fn with_body(path: &str, body: &'static str) -> Request<Full<Bytes>> {
+    let (parts, _) = request(path).into_parts();
+    Request::from_parts(parts, Full::new(body.into()))
+}
+
 /// Sends a request again and again, as a caller that does not give up.
 async fn send_repeatedly(node: &Node, path: &str) -> Vec<Received> {
     let mut responses = Vec::new();
@@ -81,3 +93,117 @@
         assert!(other.status == StatusCode::OK && other.complete);
     });
 }
+
+// Guards against a refusal of the copies of a harmless request: they ran on several endpoints that were
+// lost together.
+#[test]
+fn endpoints_lost_together_count_as_one_crash() {
+    run(async {
+        let node = start(ALLOWANCE).await;
+        for _ in 0..3 {
+            let mut lost = Vec::new();
+            for _ in 0..3 {
+                lost.push(Server::start(vec![Behavior::Silent]).await);
+            }
+            let all = lost.iter().map(|s| plain(s.addr)).collect();
+            node.shared_view.store(Some(Arc::new(view(all))));
+            let copies = lost.iter().map(|_| send(node.addr, request("/once/x")));
+            let loss = async {
+                for server in &lost {
+                    wait_for_request(server).await;
+                }
+                futures::future::join_all(lost.iter().map(Server::crash)).await;
+            };
+            futures::join!(futures::future::join_all(copies), loss);
+            let spare = Server::start(vec![Behavior::Answer(200, "x")]).await;
+            node.shared_view
+                .store(Some(Arc::new(view(vec![plain(spare.addr)]))));
+            let response = send(node.addr, request("/once/x")).await;
+            assert_eq!(response.status, StatusCode::OK);
+        }
+    });
+}
+
+// Guards against a refusal of a request that is often in flight when endpoints crash, but also
+// completes.
+#[test]
+fn a_completion_ends_the_count_of_crashes() {
+    run(async {
+        let node = start(ALLOWANCE).await;
+        for _ in 0..CRASHES_OF_OTHERS {
+            let crashing = Server::start(vec![Behavior::Crash]).await;
+            let only = view(vec![plain(crashing.addr)]);
+            node.shared_view.store(Some(Arc::new(only)));
+            let response = send(node.addr, request("/once/x")).await;
+            assert_eq!(response.status, StatusCode::BAD_GATEWAY);
+            let spare = Server::start(vec![Behavior::Answer(200, "x")]).await;
+            let other = view(vec![plain(spare.addr)]);
+            node.shared_view.store(Some(Arc::new(other)));
+            let response = send(node.addr, request("/once/x")).await;
+            assert_eq!(response.status, StatusCode::OK);
+        }
+    });
+}
+
+// Guards against a refusal of requests whose endpoint broke the connection and did not crash.
+#[test]
+fn a_broken_connection_is_not_a_crash() {
+    run(async {
+        let node = start(ALLOWANCE).await;
+        for _ in 0..CRASHES_OF_OTHERS {
+            let server = Server::start(vec![Behavior::Reset]).await;
+            let only = view(vec![plain(server.addr)]);
+            node.shared_view.store(Some(Arc::new(only)));
+            let response = send(node.addr, request("/once/x")).await;
+            assert_eq!(response.status, StatusCode::BAD_GATEWAY);
+        }
+    });
+}
+
+// Guards against a refusal of requests that were cut off by endpoints which left as announced.
+#[test]
+fn an_endpoint_that_leaves_is_not_a_crash() {
+    run(async {
+        let node = start(ALLOWANCE).await;
+        for _ in 0..CRASHES_OF_OTHERS {
+            let leaving = Server::start(vec![Behavior::Silent]).await;
+            let mut draining = view(vec![plain(leaving.addr)]);
+            node.shared_view.store(Some(Arc::new(draining.clone())));
+            let sending = send(node.addr, request("/once/x"));
+            let end = async {
+                wait_for_request(&leaving).await;
+                let mut endpoint = plain(leaving.addr);
+                endpoint.state = State::Draining;
+                draining.fleet.endpoints = Arc::new(vec![endpoint]);
+                node.shared_view.store(Some(Arc::new(draining)));
+                leaving.crash().await;
+            };
+            let (response, ()) = futures::join!(sending, end);
+            assert_eq!(response.status, StatusCode::BAD_GATEWAY);
+        }
+        let spare = Server::start(vec![Behavior::Answer(200, "x")]).await;
+        node.shared_view
+            .store(Some(Arc::new(view(vec![plain(spare.addr)]))));
+        let response = send(node.addr, request("/once/x")).await;
+        assert_eq!(response.status, StatusCode::OK);
+    });
+}
+
+// Guards against a refusal of requests that share only path and caller with one that crashes endpoints.
+#[test]
+fn requests_with_another_body_are_served() {
+    run(async {
+        let answer = Behavior::Answer(200, "x");
+        let (node, servers) = fleet("/once/bad", Behavior::Crash, answer.clone()).await;
+        for _ in 0..MAX_RUNS {
+            send(node.addr, request("/once/bad")).await;
+        }
+        let refused = send(node.addr, request("/once/bad")).await;
+        assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+        for server in &servers {
+            server.set_behavior(answer.clone());
+        }
+        let other = send(node.addr, with_body("/once/bad", "other")).await;
+        assert_eq!(other.status, StatusCode::OK);
+    });
+}
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -175,6 +175,7 @@
         },
         nodes: vec![([127, 0, 0, 1], 9).into()],
         leaving: false,
+        crashes: Arc::default(),
     }
 }
 
--- a/crates/member/src/exchange.rs
+++ b/crates/member/src/exchange.rs
@@ -30,9 +30,10 @@
         item::Observation::Endpoint { name, .. } | item::Observation::Releasing { name, .. } => {
             SMALL_ITEM_BYTES + 8 + name.len()
         }
-        item::Observation::Suspect { .. } | item::Observation::Condemned { .. } => {
-            SMALL_ITEM_BYTES + 8
-        }
+        item::Observation::Suspect { .. }
+        | item::Observation::Pending { .. }
+        | item::Observation::Condemned { .. }
+        | item::Observation::Cleared { .. } => SMALL_ITEM_BYTES + 8,
         _ => SMALL_ITEM_BYTES,
     }
 }
--- a/crates/member/src/item.rs
+++ b/crates/member/src/item.rs
@@ -39,6 +39,8 @@
     Pending(Fingerprint),
     /// A fingerprint that crashes endpoints.
     Condemned(Fingerprint),
+    /// A fingerprint whose request completed after it was in flight when an endpoint died.
+    Cleared(Fingerprint),
     /// Demand of a team at the origin.
     Demand(Team),
 }
@@ -80,8 +82,8 @@
         /// Time until the observation expires.
         ttl: Duration,
     },
-    /// A request with this fingerprint was the only one on an endpoint that died; the verdict on it is
-    /// pending.
+    /// A request with this fingerprint was the only one on an endpoint that died, or was in flight at two
+    /// deaths in a row; the verdict on it is pending.
     Pending {
         /// Fingerprint of the request.
         fingerprint: Fingerprint,
@@ -95,6 +97,13 @@
         /// Time until the observation expires.
         ttl: Duration,
     },
+    /// A request with this fingerprint completed; what was observed of it before no longer counts.
+    Cleared {
+        /// Fingerprint of the request.
+        fingerprint: Fingerprint,
+        /// Time until the observation expires.
+        ttl: Duration,
+    },
     /// Demand of a team at the origin.
     Demand {
         /// The team.
@@ -118,6 +127,7 @@
             Self::Suspect { fingerprint, .. } => Key::Suspect(*fingerprint),
             Self::Pending { fingerprint, .. } => Key::Pending(*fingerprint),
             Self::Condemned { fingerprint, .. } => Key::Condemned(*fingerprint),
+            Self::Cleared { fingerprint, .. } => Key::Cleared(*fingerprint),
             Self::Demand { team, .. } => Key::Demand(*team),
         }
     }
@@ -129,7 +139,8 @@
             | Self::Releasing { ttl, .. }
             | Self::Suspect { ttl, .. }
             | Self::Pending { ttl, .. }
-            | Self::Condemned { ttl, .. } => Some(*ttl),
+            | Self::Condemned { ttl, .. }
+            | Self::Cleared { ttl, .. } => Some(*ttl),
             _ => None,
         }
     }
@@ -141,7 +152,8 @@
             | Self::Releasing { ttl, .. }
             | Self::Suspect { ttl, .. }
             | Self::Pending { ttl, .. }
-            | Self::Condemned { ttl, .. } => *ttl = new_ttl,
+            | Self::Condemned { ttl, .. }
+            | Self::Cleared { ttl, .. } => *ttl = new_ttl,
             _ => {}
         }
         self
@@ -182,6 +194,7 @@
             Self::Condemned { fingerprint, ttl } => {
                 write!(f, "condemned {fingerprint:x} for {ttl:?}")
             }
+            Self::Cleared { fingerprint, ttl } => write!(f, "cleared {fingerprint:x} for {ttl:?}"),
             Self::Demand {
                 team,
                 rate,
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -59,6 +59,15 @@
         self.observed(now).filter_map(fingerprint).collect()
     }
 
+    /// Returns the fingerprints of requests on which a verdict is pending.
+    pub fn pending_fingerprints(&self, now: Now) -> BTreeSet<Fingerprint> {
+        let fingerprint = |body: &Observation| match body {
+            Observation::Pending { fingerprint, .. } => Some(*fingerprint),
+            _ => None,
+        };
+        self.observed(now).filter_map(fingerprint).collect()
+    }
+
     /// Returns the fingerprints of requests that every node refuses.
     pub fn condemned_fingerprints(&self, now: Now) -> BTreeSet<Fingerprint> {
         let fingerprint = |body: &Observation| match body {
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -1,5 +1,6 @@
 //! State of control and its transitions on inputs and time.
 
+mod contents;
 mod exchange;
 mod peers;
 
@@ -35,6 +36,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use steer::Fleet;
+use steer::crash::Ledger;
 use steer::departures::Departures;
 use steer::transition::Transition;
 use tokio::sync::watch;
@@ -106,6 +108,10 @@
     failures: Failures,
     /// Endpoints that announced to this node that they leave.
     departures: Departures,
+    /// Contents under which endpoints crashed.
+    crashes: Ledger,
+    /// When it was last checked that the peers know them.
+    crashes_checked: Instant,
     orders: Orders,
     operator: TableStatus,
     endpoints: TableStatus,
@@ -163,6 +169,8 @@
             tables: Tables::new(control.journal.clone()),
             failures: Failures::default(),
             departures: Departures::default(),
+            crashes: Ledger::default(),
+            crashes_checked: Instant::now(),
             orders: Orders::new(control.journal.clone(), inputs.clone(), settings.heartbeat),
             inputs,
             journal: control.journal,
@@ -235,6 +243,7 @@
         self.departures
             .expire(self.start.elapsed(), |run| tables.contains(run));
         self.dirty |= self.update_failures(now);
+        self.check_contents(now);
         self.update_assignment(now);
         self.pull(now);
         self.serve_waiting(now);
@@ -261,6 +270,7 @@
         for run in self.failures.current().iter() {
             text.push_str(&format!("failing {run}\n"));
         }
+        text.push_str(&self.dump_contents());
         text.push_str(&format!(
             "uploads waiting {}, in flight {} bytes\n",
             self.uploads.waiting(),
@@ -294,6 +304,9 @@
                 self.departures.record(self.start.elapsed(), run);
                 (run, "announced that it leaves", None)
             }
+            Transition::Content(content, finding) => {
+                return self.publish_finding(*content, *finding);
+            }
         };
         self.journal.record(JournalEvent::Endpoint {
             run: run.to_string(),
@@ -470,6 +483,7 @@
             },
             nodes,
             leaving: self.leaving,
+            crashes: Arc::new(self.crashes.clone()),
         };
         self.shared_view.store(Some(Arc::new(view)));
         let ended = Instant::now();
--- a/crates/node/src/hosted/control/state/peers.rs
+++ b/crates/node/src/hosted/control/state/peers.rs
@@ -70,7 +70,10 @@
                 let state = format!("{state:?}");
                 self.journal.record(JournalEvent::Node { name, state });
             }
-            Action::Learned(_) => self.dirty = true,
+            Action::Learned(item) => {
+                self.learn_content(&item.body);
+                self.dirty = true;
+            }
             Action::FetchHead { addr, .. } => {
                 self.fetch_catalog(Instant::now(), addr);
             }
--- a/crates/steer/src/transition.rs
+++ b/crates/steer/src/transition.rs
@@ -1,9 +1,10 @@
-//! Transitions of endpoints that a worker reports to the control task.
+//! Transitions of endpoints and contents that a worker reports to the control task.
 
+use crate::crash::{Finding, Fingerprint};
 use catalog::endpoint::Run;
 use std::net::SocketAddr;
 
-/// Transition of an endpoint.
+/// Transition of an endpoint or a content.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Transition {
     /// The endpoint failed several times in a row, or a head reported that its chain waits for it.
@@ -17,4 +18,6 @@
         /// Address that the endpoint listens on.
         addr: SocketAddr,
     },
+    /// Something was found out about the content of requests.
+    Content(Fingerprint, Finding),
 }
--- a/crates/wire/src/raw.rs
+++ b/crates/wire/src/raw.rs
@@ -225,4 +225,8 @@
         name: String,
         ttl: u32,
     },
+    Cleared {
+        fingerprint: Id,
+        ttl: u32,
+    },
 }
--- a/crates/wire/src/raw/decode.rs
+++ b/crates/wire/src/raw/decode.rs
@@ -331,6 +331,10 @@
                 fingerprint: u64::from_le_bytes(fingerprint),
                 ttl: check_ttl(ttl)?,
             },
+            Observation::Cleared { fingerprint, ttl } => Self::Cleared {
+                fingerprint: u64::from_le_bytes(fingerprint),
+                ttl: check_ttl(ttl)?,
+            },
             Observation::Demand {
                 team,
                 rate,
--- a/crates/wire/src/raw/encode.rs
+++ b/crates/wire/src/raw/encode.rs
@@ -241,6 +241,10 @@
                 fingerprint: fingerprint.to_le_bytes(),
                 ttl: ceil_seconds(*ttl),
             },
+            item::Observation::Cleared { fingerprint, ttl } => Self::Cleared {
+                fingerprint: fingerprint.to_le_bytes(),
+                ttl: ceil_seconds(*ttl),
+            },
             item::Observation::Demand {
                 team,
                 rate,
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -49,6 +49,14 @@
             fingerprint: 8,
             ttl,
         },
+        Observation::Pending {
+            fingerprint: 8,
+            ttl,
+        },
+        Observation::Cleared {
+            fingerprint: 8,
+            ttl,
+        },
         Observation::Demand {
             team: 5,
             rate: Level(40),
