member: news that nodes act on at once goes before suspects

A crash makes suspects of all requests in flight, up to 192, and a flush takes 16 urgent items each 250 ms in the order in which they came, each twice. So a condemned request waits behind the suspects of its own crashes, and so do failure reports; items past 256 were dropped, whichever came last.

Change: urgent items have a precedence, suspects the lowest; a full queue drops one of the lowest.

--- a/crates/member/src/dissemination.rs
+++ b/crates/member/src/dissemination.rs
@@ -240,26 +240,32 @@
         neighbours.into_iter().chain(drawn).take(fanout).collect()
     }
 
+    /// Takes the items of the next flush, those of the highest precedence first.
     fn take_urgent(&mut self, now: Now) -> Vec<Item> {
-        let mut items = Vec::new();
-        for urgent in self
-            .urgent
-            .iter_mut()
-            .filter(|u| u.due_at <= now)
-            .take(MAX_URGENT_PER_FLUSH)
-        {
+        let mut due: Vec<&mut UrgentItem> =
+            self.urgent.iter_mut().filter(|u| u.due_at <= now).collect();
+        due.sort_by_key(|u| u.item.body.precedence());
+        let send = |urgent: &mut UrgentItem| {
             urgent.due_at = now + URGENT_RESEND_DELAY;
             urgent.sends_left -= 1;
-            items.push(urgent.item.clone());
-        }
+            urgent.item.clone()
+        };
+        let selected = due.into_iter().take(MAX_URGENT_PER_FLUSH);
+        let items = selected.map(send).collect();
         self.urgent.retain(|u| u.sends_left > 0);
         items
     }
 
+    /// Queues an item. If the queue is full, an item of the lowest precedence is dropped.
     fn queue_urgent(&mut self, now: Now, item: Item) {
         if self.urgent.len() >= MAX_QUEUED_URGENT {
             self.counters.dropped += 1;
-            return;
+            let precedence = item.body.precedence();
+            let mut queued = self.urgent.iter();
+            let Some(lower) = queued.rposition(|u| u.item.body.precedence() > precedence) else {
+                return;
+            };
+            self.urgent.remove(lower);
         }
         self.urgent.push_back(UrgentItem {
             item,
--- a/crates/member/src/item.rs
+++ b/crates/member/src/item.rs
@@ -159,6 +159,15 @@
         self
     }
 
+    /// Returns the precedence among urgent observations, the highest first. A death makes suspects of
+    /// all requests that were in flight; they must not delay news that change what is done at once.
+    pub fn precedence(&self) -> Precedence {
+        match self {
+            Self::Suspect { .. } => Precedence::Suspicion,
+            _ => Precedence::Decision,
+        }
+    }
+
     /// Returns whether the observation is sent on at once instead of with the next exchange. Demand and
     /// load change continuously, and their readers allow for a delay.
     pub fn urgent(&self) -> bool {
@@ -166,6 +175,15 @@
     }
 }
 
+/// Precedence of an urgent observation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Precedence {
+    /// Other nodes act on it at once.
+    Decision,
+    /// It counts only together with later observations.
+    Suspicion,
+}
+
 /// An observation with its origin.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Item {
