gate: only a success ends the count of crashes

Any whole response counted as a completion, also an error that an endpoint sent before it ran the request, as some endpoints do for a part of their requests.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -109,7 +109,10 @@
     };
     match forwarder.race(None, Phase::Opening).await {
         Ok(Winner::Complete(response)) => {
-            forwarder.worker.record_completed(&forwarder.job);
+            // An endpoint that answers with an error may not have run the request to its end.
+            if response.status().is_success() {
+                forwarder.worker.record_completed(&forwarder.job);
+            }
             forwarder.log.end_answered(response.status().as_u16());
             response.map(body::full)
         }
--- a/crates/gate/tests/crash.rs
+++ b/crates/gate/tests/crash.rs
@@ -207,3 +207,24 @@
         assert_eq!(other.status, StatusCode::OK);
     });
 }
+
+// Guards against a request that crashes endpoints without end, since some of them answer it with an
+// error of their own in between.
+#[test]
+fn an_error_does_not_end_the_count_of_crashes() {
+    run(async {
+        let node = start(ALLOWANCE).await;
+        let mut crashed = 0;
+        for _ in 0..RETURNS {
+            for behavior in [Behavior::Crash, Behavior::Answer(500, "x")] {
+                let server = Server::start(vec![behavior.clone()]).await;
+                let only = view(vec![plain(server.addr)]);
+                node.shared_view.store(Some(Arc::new(only)));
+                send(node.addr, request("/once/x")).await;
+                let ran = !server.heads().is_empty();
+                crashed += usize::from(ran && matches!(behavior, Behavior::Crash));
+            }
+        }
+        assert!(crashed <= MAX_RUNS, "{crashed} endpoints crashed");
+    });
+}
