gate, steer: a suspended content returns one request at a time

Change: after its suspension a content is on trial. A node runs one request with it at a time, on one endpoint; others get 503 with the time to come back. The nodes end a suspension 5 to 15 s after the crash, each at a time of its own, drawn from its seed and the content, so that the first trial decides before there is another.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -15,6 +15,7 @@
 use crate::refusal::{Reason, Refusal};
 use crate::splice::{self, Chunk};
 use crate::stats::Guard;
+use crate::trial::Trial;
 use crate::worker::Worker;
 use attempt::{Exchange, Progress, Reservation};
 use bytes::Bytes;
@@ -27,7 +28,7 @@
 use race::{Lost, Phase, Winner};
 use rand::RngExt;
 use request_log::RequestLog;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -84,6 +85,8 @@
     pub(crate) idle: Notify,
     /// Inquiries into broken attempts.
     inquiries: RefCell<Vec<JoinHandle<()>>>,
+    /// The trial that this request is, if its content is on trial.
+    trial: OnceCell<Trial>,
     pub(crate) _in_flight: Guard,
 }
 
@@ -105,6 +108,7 @@
         reached: Cell::new(false),
         idle: Notify::new(),
         inquiries: RefCell::default(),
+        trial: OnceCell::new(),
         _in_flight: guard,
     };
     match forwarder.race(None, Phase::Opening).await {
--- a/crates/gate/src/forward/inquiry.rs
+++ b/crates/gate/src/forward/inquiry.rs
@@ -4,9 +4,13 @@
 use super::attempt::Progress;
 use super::race::Phase;
 use crate::dialect::Dialect;
+use std::time::Duration;
 use steer::Timestamp;
 use steer::crash::Verdict;
 
+/// Retry-after delay while another request with the same content is on trial.
+const TRIAL_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 impl<D: Dialect> Forwarder<D> {
     /// Finds out whether the head of a broken attempt has ended, and records it. This is done in a
     /// task of its own, since the caller may leave meanwhile.
@@ -47,8 +51,22 @@
     pub(crate) async fn refused_until(&self, phase: Phase) -> Option<Timestamp> {
         self.finish_inquiries().await;
         match (self.worker.verdict(&self.job), phase) {
-            (Verdict::Allowed, _) | (Verdict::Suspended(_), Phase::Resuming(_)) => None,
-            (Verdict::Suspended(until) | Verdict::Condemned(until), _) => Some(until),
+            (Verdict::Condemned(until), _) => Some(until),
+            (_, Phase::Resuming(_)) | (Verdict::Allowed, _) => None,
+            (Verdict::Suspended(until), Phase::Opening) => Some(until),
+            (Verdict::OnTrial, Phase::Opening) => {
+                let begun = self.possible_runs.get() == 0 && self.begin_trial();
+                (!begun).then(|| self.worker.now().saturating_add(TRIAL_RETRY_AFTER))
+            }
+        }
+    }
+
+    /// Makes this request the trial of its content. Returns whether no other request is.
+    fn begin_trial(&self) -> bool {
+        if self.trial.get().is_some() {
+            return true;
         }
+        let trial = self.worker.begin_trial(&self.job);
+        trial.is_some_and(|trial| self.trial.set(trial).is_ok())
     }
 }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -26,5 +26,6 @@
 pub mod refusal;
 pub mod splice;
 pub mod stats;
+mod trial;
 pub mod view;
 pub mod worker;
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -12,6 +12,7 @@
 use crate::refusal::{Reason, Refusal};
 use crate::splice::Chunk;
 use crate::stats::{self, Guard, Stats};
+use crate::trial::{Trial, Trials};
 use crate::view::{SharedView, View};
 use futures::Stream;
 use http::{Request, Response, request};
@@ -98,6 +99,8 @@
     pub(crate) status_reports: RefCell<HashMap<SocketAddr, CachedReport>>,
     /// Contents under which endpoints crashed.
     crashes: RefCell<Findings>,
+    /// Contents on trial of which a request is in flight.
+    trials: Rc<Trials>,
     /// Probes of endpoints whose connections broke.
     pub(crate) probes: Probes,
     /// Whether new requests are refused because the process is about to end.
@@ -125,6 +128,7 @@
             rotation: Cell::new(0),
             status_reports: RefCell::default(),
             crashes: RefCell::default(),
+            trials: Rc::default(),
             probes: Probes::default(),
             closing: Cell::new(false),
         })
@@ -257,6 +261,11 @@
         crashes.crashes(self.now(), || job.fingerprint())
     }
 
+    /// Begins a trial of the content of `job`; `None` if one is in progress.
+    pub(crate) fn begin_trial(&self, job: &Job) -> Option<Trial> {
+        Trial::begin(self.trials.clone(), job.fingerprint())
+    }
+
     /// Records that a content has crashed this number of endpoints in a row.
     pub(crate) fn record_crash(&self, content: Fingerprint, crashes: u8) {
         self.record_finding(content, Finding::Crashed(crashes));
--- a/crates/gate/tests/crash.rs
+++ b/crates/gate/tests/crash.rs
@@ -228,3 +228,30 @@
         assert!(crashed <= MAX_RUNS, "{crashed} endpoints crashed");
     });
 }
+
+// Guards against copies of a request that crashes endpoints which all return when its suspension ends.
+#[test]
+fn a_request_runs_alone_after_its_suspension() {
+    run(async {
+        let answer = Behavior::Answer(200, "x");
+        let crash = Behavior::Crash.delayed(Duration::from_millis(100));
+        let (node, servers) = fleet("/safe/bad", crash, answer).await;
+        send(node.addr, request("/safe/bad")).await;
+        let refused = send(node.addr, request("/safe/bad")).await;
+        assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+        let delay: f64 = refused.headers["retry-after"]
+            .to_str()
+            .unwrap()
+            .parse()
+            .unwrap();
+        tokio::time::sleep(Duration::from_secs_f64(delay)).await;
+        let copies = (0..RETURNS).map(|_| send(node.addr, request("/safe/bad")));
+        let responses = futures::future::join_all(copies).await;
+        let sent = runs(&servers, "/safe/bad");
+        assert_eq!(sent, MAX_RUNS);
+        let refused = responses
+            .iter()
+            .filter(|r| r.status == StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(refused.count(), RETURNS - 1);
+    });
+}
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -169,7 +169,7 @@
             tables: Tables::new(control.journal.clone()),
             failures: Failures::default(),
             departures: Departures::default(),
-            crashes: Ledger::default(),
+            crashes: Ledger::new(control.seed),
             crashes_checked: Instant::now(),
             orders: Orders::new(control.journal.clone(), inputs.clone(), settings.heartbeat),
             inputs,
--- a/crates/steer/src/crash.rs
+++ b/crates/steer/src/crash.rs
@@ -8,13 +8,17 @@
 //! together count once.
 //!
 //! A content is suspended for a while after two crashes in a row, so that the endpoints that it
-//! crashed can return before it runs again, and refused after three.
+//! crashed can return before it runs again. Then it is on trial: a node runs one request with it at a
+//! time. The nodes end the suspension at different times, so that the first trial decides before
+//! there are others. After three crashes the content is refused.
 
 mod findings;
 
 pub use findings::{Finding, Findings};
 
 use crate::Timestamp;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -25,8 +29,10 @@
 pub const CRASHES_TO_SUSPEND: u8 = 2;
 /// Number of crashes in a row after which a content is condemned.
 pub const CRASHES_TO_CONDEMN: u8 = 3;
-/// Time for which a content is suspended: an endpoint that crashed restarts within it.
-pub const SUSPENSION: Duration = Duration::from_secs(5);
+/// Shortest time for which a content is suspended: an endpoint that crashed restarts within it.
+pub const MIN_SUSPENSION: Duration = Duration::from_secs(5);
+/// Longest time for which a content is suspended.
+pub const MAX_SUSPENSION: Duration = Duration::from_secs(15);
 /// Time for which crashes of a content are remembered that do not condemn it.
 pub const SUSPECT_RETENTION: Duration = Duration::from_secs(600);
 /// Time for which a content is condemned.
@@ -41,6 +47,9 @@
     Allowed,
     /// New requests are refused until this time. Responses in progress may be resumed.
     Suspended(Timestamp),
+    /// New requests may be sent one at a time, each to one endpoint. Responses in progress may be
+    /// resumed.
+    OnTrial,
     /// Nothing is sent until this time.
     Condemned(Timestamp),
 }
@@ -68,9 +77,25 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Ledger {
     records: HashMap<Fingerprint, Record>,
+    seed: u64,
 }
 
 impl Ledger {
+    /// Creates an empty ledger. `seed` determines how long contents are suspended; it should differ
+    /// between nodes.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            seed,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the time for which a content is suspended at this node.
+    fn suspension(&self, content: Fingerprint) -> Duration {
+        let fraction = ChaCha8Rng::seed_from_u64(self.seed ^ content).random_range(0.0..1.0);
+        MIN_SUSPENSION + (MAX_SUSPENSION - MIN_SUSPENSION).mul_f64(fraction)
+    }
+
     /// Records that a content has now crashed this number of endpoints in a row. Returns whether that
     /// is more than was recorded.
     pub fn record(&mut self, content: Fingerprint, crashes: u8, now: Timestamp) -> bool {
@@ -95,7 +120,7 @@
         let age = retention(crashes).saturating_sub(ttl);
         let record = Record {
             crashes: crashes.min(CRASHES_TO_CONDEMN),
-            suspended_until: now.saturating_add(SUSPENSION.saturating_sub(age)),
+            suspended_until: now.saturating_add(self.suspension(content).saturating_sub(age)),
             expires_at: now.saturating_add(ttl),
         };
         self.records.insert(content, record);
@@ -140,6 +165,7 @@
             CRASHES_TO_SUSPEND if now < record.suspended_until => {
                 Verdict::Suspended(record.suspended_until)
             }
+            CRASHES_TO_SUSPEND if now < record.expires_at => Verdict::OnTrial,
             _ => Verdict::Allowed,
         }
     }
--- a/crates/steer/tests/crash.rs
+++ b/crates/steer/tests/crash.rs
@@ -1,14 +1,23 @@
 //! The ledger of contents under which endpoints crashed.
 
 use std::time::Duration;
+use steer::Timestamp;
 use steer::crash::{
-    CONDEMNED_RETENTION, Finding, Findings, Ledger, SUSPECT_RETENTION, SUSPENSION, Verdict,
+    CONDEMNED_RETENTION, Finding, Findings, Fingerprint, Ledger, MAX_SUSPENSION, MIN_SUSPENSION,
+    SUSPECT_RETENTION, Verdict,
 };
 
 const fn secs(n: u64) -> Duration {
     Duration::from_secs(n)
 }
 
+fn suspended_until(ledger: &Ledger, now: Timestamp, content: Fingerprint) -> Timestamp {
+    match ledger.verdict(now, content) {
+        Verdict::Suspended(until) => until,
+        other => panic!("{other:?}"),
+    }
+}
+
 // Guards against a content that crashes one endpoint after the other without a pause, until a service
 // has none left.
 #[test]
@@ -17,9 +26,9 @@
     assert!(ledger.record(7, 1, secs(10)));
     assert_eq!(ledger.verdict(secs(10), 7), Verdict::Allowed);
     assert!(ledger.record(7, 2, secs(11)));
-    let until = secs(11) + SUSPENSION;
-    assert_eq!(ledger.verdict(secs(11), 7), Verdict::Suspended(until));
-    assert_eq!(ledger.verdict(until, 7), Verdict::Allowed);
+    let until = suspended_until(&ledger, secs(11), 7);
+    assert!(until >= secs(11) + MIN_SUSPENSION && until <= secs(11) + MAX_SUSPENSION);
+    assert_eq!(ledger.verdict(until, 7), Verdict::OnTrial);
     assert!(ledger.record(7, 3, until));
     let until = until + CONDEMNED_RETENTION;
     assert_eq!(ledger.verdict(secs(20), 7), Verdict::Condemned(until));
@@ -46,8 +55,12 @@
 fn a_learned_record_expires_with_the_one_that_it_was_learned_from() {
     let mut ledger = Ledger::default();
     ledger.learn(7, 2, secs(100), SUSPECT_RETENTION - secs(2));
-    let suspended = ledger.verdict(secs(100), 7);
-    assert_eq!(suspended, Verdict::Suspended(secs(98) + SUSPENSION));
+    let mut original = Ledger::default();
+    original.record(7, 2, secs(98));
+    assert_eq!(
+        suspended_until(&ledger, secs(100), 7),
+        suspended_until(&original, secs(98), 7)
+    );
     assert_eq!(ledger.remaining(secs(100), 7), SUSPECT_RETENTION - secs(2));
     ledger.expire(secs(98) + SUSPECT_RETENTION);
     assert!(ledger.is_empty());
@@ -83,3 +96,18 @@
     findings.update(secs(15), &published);
     assert_eq!(findings.crashes(secs(15), || 7), 0);
 }
+
+// Guards against a content that returns at all nodes at once when its suspension ends.
+#[test]
+fn nodes_end_a_suspension_at_different_times() {
+    let mut ends: Vec<Timestamp> = (0..100)
+        .map(|seed| {
+            let mut ledger = Ledger::new(seed);
+            ledger.record(7, 2, secs(10));
+            suspended_until(&ledger, secs(10), 7)
+        })
+        .collect();
+    ends.sort();
+    let first_second = ends.partition_point(|end| *end < secs(10) + MIN_SUSPENSION + secs(1));
+    assert!((1..30).contains(&first_second), "{first_second}");
+}
