gate, steer, platform: the limit that an endpoint names is read, logged and shown

Nothing read the header, and no line could show which node had been sent a limit. It is now parsed (decimal requests a second, kept as the time between two), kept beside the health of the endpoint until a response to a later request does not name it, written as a line `limit` when it changes, counted (attempts "limit changed") and shown in the dump. A 421 is left out: it comes from another run.

No decision changes.

--- a/crates/gate/src/dialect.rs
+++ b/crates/gate/src/dialect.rs
@@ -57,6 +57,9 @@
     pub idle_timeout: Option<Duration>,
     /// How long the endpoint asks to be left alone, if it refused the request.
     pub retry_after: Option<Duration>,
+    /// Mean time between two requests of all nodes together that the endpoint allows, if it limits
+    /// them.
+    pub request_interval: Option<Duration>,
 }
 
 /// A request that is blocked on another endpoint of its chain.
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -238,6 +238,25 @@
                 None if exchange.is_accepted() => selector.record_accepted(target.reservation),
                 None => {}
             });
+        self.record_limit(exchange);
+    }
+
+    /// Records whether the endpoint limits the requests that it takes.
+    fn record_limit(&self, exchange: &Exchange<D>) {
+        // The response of another run at the same address says nothing about this one.
+        if exchange.response.status() == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        let target = &exchange.reservation.target;
+        let run = &target.head().run;
+        let interval = exchange.info.request_interval;
+        let news = self.worker.with_selector(|selector, now| match interval {
+            Some(interval) => selector.record_limit(now, run, interval),
+            None => selector.record_no_limit(target.reservation),
+        });
+        if news {
+            self.log.record_limit(run, interval);
+        }
     }
 
     /// Returns a connection to the head of a target, unless an endpoint of the target announced that it
--- a/crates/gate/src/forward/request_log.rs
+++ b/crates/gate/src/forward/request_log.rs
@@ -8,6 +8,7 @@
 use journal::event::Event;
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::time::Duration;
 use steer::crash::Fingerprint;
 use steer::scarcity::Scarcity;
 use steer::shortage::Shortage;
@@ -26,7 +27,7 @@
     first_event: Option<Instant>,
     attempts: Cell<u32>,
     reason: Cell<&'static str>,
-    max_pause: std::time::Duration,
+    max_pause: Duration,
     /// When the last event was sent to the caller.
     last_event: Option<Instant>,
     ended: bool,
@@ -44,7 +45,7 @@
             first_event: None,
             attempts: Cell::new(0),
             reason: Cell::new(""),
-            max_pause: std::time::Duration::ZERO,
+            max_pause: Duration::ZERO,
             last_event: None,
             ended: false,
         }
@@ -129,6 +130,17 @@
         });
     }
 
+    /// Records that an endpoint names another limit than before; `interval` is the time between two
+    /// requests.
+    pub(crate) fn record_limit(&self, run: &Run, interval: Option<Duration>) {
+        self.metrics.record_attempt("limit changed");
+        self.journal.record(Event::Limit {
+            id: self.id.clone(),
+            run: run.to_string(),
+            per_second: interval.map(|i| 1.0 / i.as_secs_f64()),
+        });
+    }
+
     /// Returns the record of a broken attempt, to be written once its endpoint was probed.
     pub(crate) fn broken(&self, attempt: u32, run: &Run, content: Fingerprint) -> BrokenAttempt {
         BrokenAttempt {
--- a/crates/gate/tests/support/dialect.rs
+++ b/crates/gate/tests/support/dialect.rs
@@ -59,6 +59,7 @@
             faulty_stage: text(headers, "culprit").and_then(|a| a.parse().ok()),
             idle_timeout: None,
             retry_after: number(headers, "rest").map(Duration::from_millis),
+            request_interval: number(headers, "interval").map(Duration::from_millis),
         }
     }
 
--- a/crates/journal/src/event.rs
+++ b/crates/journal/src/event.rs
@@ -154,6 +154,16 @@
         /// Time from the request's arrival to the failure, in milliseconds.
         after_ms: u64,
     },
+    /// An endpoint limits the requests that it takes from all nodes together, changed the limit, or
+    /// ended it.
+    Limit {
+        /// Request id of the response that says so.
+        id: String,
+        /// Run of the endpoint: its id and start time.
+        run: String,
+        /// Requests a second; `None` if there is no limit any more.
+        per_second: Option<f64>,
+    },
     /// The connection of an attempt broke, and its endpoint was probed on a new one.
     Broken {
         /// Request id.
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod fleet;
 pub mod health;
 mod jitter;
+pub mod limit;
 pub mod link;
 pub mod load;
 pub mod rest;
--- a/crates/steer/src/row.rs
+++ b/crates/steer/src/row.rs
@@ -2,6 +2,7 @@
 
 use crate::Timestamp;
 use crate::health::{Health, Outcome};
+use crate::limit::Limit;
 use crate::load::{Load, Snapshot};
 use crate::rest::Rest;
 use catalog::endpoint::{Endpoint, State};
@@ -24,6 +25,8 @@
     pub health: Health,
     /// Rest that the endpoint asked for, until it accepts a request again.
     pub rest: Option<Rest>,
+    /// Limit of the requests that the endpoint takes, if it named one.
+    pub limit: Option<Limit>,
     /// Number of requests of this worker.
     pub in_flight: u32,
     /// Capacity that these requests reserve, in token-layers.
@@ -62,6 +65,7 @@
             endpoint,
             health: Health::default(),
             rest: None,
+            limit: None,
             in_flight: 0,
             reserved: 0.0,
             capacity: 0.0,
--- a/crates/steer/src/selector.rs
+++ b/crates/steer/src/selector.rs
@@ -3,6 +3,7 @@
 mod chain;
 mod departing;
 mod dump;
+mod limited;
 mod reported;
 mod reroute;
 mod resting;
--- a/crates/steer/src/selector/dump.rs
+++ b/crates/steer/src/selector/dump.rs
@@ -36,6 +36,9 @@
             if let Some(rest) = &row.rest {
                 write!(f, " rest until {:.3}", rest.until().as_secs_f64())?;
             }
+            if let Some(limit) = &row.limit {
+                write!(f, " limit {:.1} a second", limit.per_second())?;
+            }
             writeln!(f)?;
         }
         Ok(())
