gate: a node keeps to its part of the limit of an endpoint, failing test

One of seven nodes before two endpoints, one of which allows seven requests a second of all nodes together: it gets 111 in 4 s from this node, 6.7 is a seventh of what the rule allows.

--- a/crates/gate/tests/support/server.rs
+++ b/crates/gate/tests/support/server.rs
@@ -60,6 +60,9 @@
     /// Does what the other behavior says, and announces in the head of the response that it leaves.
     /// A delay comes around it, not within it.
     Leaving(Box<Behavior>),
+    /// Does what the other behavior says, and names in the head of the response the time between two
+    /// requests of all nodes. A delay comes around it, not within it.
+    Limited(Duration, Box<Behavior>),
 }
 
 impl Behavior {
@@ -68,6 +71,11 @@
         Self::Leaving(Box::new(self))
     }
 
+    /// Names the time between two requests of all nodes in the head of the response.
+    pub fn limited(self, interval: Duration) -> Self {
+        Self::Limited(interval, Box::new(self))
+    }
+
     /// Waits before the response.
     pub fn delayed(self, delay: Duration) -> Self {
         Self::Delayed(delay, Box::new(self))
@@ -252,15 +260,18 @@
     /// Responds to a request; `None` if the connection ends.
     async fn perform(&self, stream: &mut TcpStream, head: &str, behavior: Behavior) -> Option<()> {
         let id = header(head, "id").unwrap_or_default();
-        let (behavior, leaving) = match behavior {
-            Behavior::Leaving(behavior) => (*behavior, "leaving: 1\r\n"),
-            other => (other, ""),
+        let (behavior, notice) = match behavior {
+            Behavior::Leaving(behavior) => (*behavior, "leaving: 1\r\n".to_owned()),
+            Behavior::Limited(interval, behavior) => {
+                (*behavior, format!("interval: {}\r\n", interval.as_millis()))
+            }
+            other => (other, String::new()),
         };
-        let own = format!("id: {id}\r\nseal: s\r\n{leaving}");
+        let own = format!("id: {id}\r\nseal: s\r\n{notice}");
         match behavior {
             Behavior::Answer(status, body) => write(stream, &answer(status, &own, body)).await,
             Behavior::Refuse(status) => {
-                let headers = format!("id: {id}\r\nunrun: 1\r\n{leaving}");
+                let headers = format!("id: {id}\r\nunrun: 1\r\n{notice}");
                 write(stream, &answer(status, &headers, "")).await
             }
             Behavior::AskForRest(time) => {
@@ -350,7 +361,9 @@
                 self.released.acquire().await.ok()?.forget();
                 Box::pin(self.perform(stream, head, *behavior)).await
             }
-            Behavior::Leaving(behavior) => Box::pin(self.perform(stream, head, *behavior)).await,
+            Behavior::Leaving(behavior) | Behavior::Limited(_, behavior) => {
+                Box::pin(self.perform(stream, head, *behavior)).await
+            }
         }
     }
 
