steer: nodes share the limit that an endpoint names

An endpoint in need got 107 requests in 4 s with a limit of 7.3 a second, from seven nodes that sent it as much as before. Ruled out by the lines: a limit that each node keeps for itself, and retries that take a path of their own; all were first attempts, and no node's rate changed.

Change: each node takes a part, without asking the others (steer::limit). The nodes are ranked by a hash of the endpoint's run and the node; as many as the limit has requests a second take equal parts, one request at a time, and begin one after the other. With more nodes the others send a fifth of the limit together, to notice its end. Nodes that are only suspected, or not known yet, count, so that the parts are rather too small. A limit is kept beside the health, over views that do not list the endpoint, until a response to a later request does not name it; a new run has none. All attempts, and stages that a chain passes through, use up the part. If only limits are in the way, a request is refused at once with the time of the node's next turn, as with a rest.

In virtual time, 1, 7, 67 and 300 nodes, limits of 0.4 to 60 a second, 45 plays: the rule holds in every window and at least half of the limit is used (crates/steer/tests/limit.rs).

--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -477,6 +477,8 @@
                 reported_failed: self.failures.current(),
                 releasing: Arc::new(self.group.releasing(self.start.elapsed())),
                 leaving: Arc::new(self.loads.leaving()),
+                members: Arc::new(nodes.clone()),
+                me: Some(self.settings.callers),
                 nodes: nodes.len().max(1),
                 selecting_nodes,
                 budget_nodes: self.budget_nodes(),
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -3,6 +3,7 @@
 use crate::load::Load;
 use catalog::{Catalog, Endpoint};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Catalog in force, usable endpoints, and the nodes that share them.
@@ -20,6 +21,10 @@
     pub releasing: Arc<BTreeSet<String>>,
     /// Runs of endpoints that announced to this node that they leave, in text form.
     pub leaving: Arc<BTreeSet<String>>,
+    /// Addresses for callers of the nodes that send requests.
+    pub members: Arc<Vec<SocketAddr>>,
+    /// Address for callers of this node; `None` if it is not known.
+    pub me: Option<SocketAddr>,
     /// Number of nodes that send requests, this one included. Callers are spread evenly over them,
     /// so an endpoint has in flight what this node has in flight there times this number.
     pub nodes: usize,
--- a/crates/steer/src/row.rs
+++ b/crates/steer/src/row.rs
@@ -145,14 +145,20 @@
     pub fn available_from(&self) -> Option<Timestamp> {
         let serving = self.endpoint.state == State::Ready && !self.releasing && !self.leaving;
         let ejected_until = self.health.ejected_until().unwrap_or_default();
-        let next_request = self.rest.map_or(Timestamp::ZERO, |r| r.next_request());
-        (serving && !self.reported_failed).then(|| ejected_until.max(next_request))
+        (serving && !self.reported_failed).then(|| ejected_until.max(self.next_request()))
     }
 
-    /// Returns whether the endpoint serves and asked for rest, or is not yet used in full after one.
+    /// Returns the time from which the endpoint takes the next request, by the rest that it asked for
+    /// and by its limit.
+    fn next_request(&self) -> Timestamp {
+        let after_rest = self.rest.map_or(Timestamp::ZERO, |r| r.next_request());
+        let within_limit = self.limit.map_or(Timestamp::ZERO, |l| l.next_request());
+        after_rest.max(within_limit)
+    }
+
+    /// Returns whether the endpoint serves and asked to be left alone until later.
     pub fn is_resting(&self, now: Timestamp) -> bool {
-        let rests = self.rest.is_some_and(|rest| now < rest.next_request());
-        rests && self.available_from().is_some()
+        now < self.next_request() && self.available_from().is_some()
     }
 
     /// Records that a request is sent to the endpoint.
@@ -160,5 +166,8 @@
         if let Some(rest) = &mut self.rest {
             rest.record_request(now);
         }
+        if let Some(limit) = &mut self.limit {
+            limit.record_request(now);
+        }
     }
 }
--- a/crates/steer/src/selector.rs
+++ b/crates/steer/src/selector.rs
@@ -13,6 +13,7 @@
 use crate::departures::Departures;
 use crate::fleet::Fleet;
 use crate::health::Outcome;
+use crate::limit::Limit;
 use crate::link::Links;
 use crate::rest::Rest;
 use crate::row::Row;
@@ -60,6 +61,8 @@
     index: HashMap<Run, usize>,
     /// Rests of endpoints that the last fleet does not list.
     unlisted_rests: HashMap<Run, Rest>,
+    /// Limits of endpoints that the last fleet does not list.
+    unlisted_limits: HashMap<Run, Limit>,
     zones: Vec<String>,
     reservations: BTreeMap<ReservationId, Reservation>,
     budgets: BTreeMap<String, Budget>,
@@ -81,6 +84,7 @@
             rows: Vec::new(),
             index: HashMap::new(),
             unlisted_rests: HashMap::new(),
+            unlisted_limits: HashMap::new(),
             zones: Vec::new(),
             reservations: BTreeMap::new(),
             budgets: BTreeMap::new(),
@@ -110,6 +114,7 @@
                 },
                 None => Row {
                     rest: self.unlisted_rests.remove(&endpoint.run),
+                    limit: self.unlisted_limits.remove(&endpoint.run),
                     ..Row::new(endpoint.clone(), zone)
                 },
             };
@@ -131,6 +136,7 @@
         }
         let index = &self.index;
         self.departures.expire(now, |run| index.contains_key(run));
+        self.keep_limits(now, &previous);
         self.keep_rests(now, previous);
         self.fleet = fleet;
     }
--- a/crates/steer/tests/support/mod.rs
+++ b/crates/steer/tests/support/mod.rs
@@ -215,6 +215,6 @@
 }
 
 /// Time in milliseconds since the start.
-pub fn ms(ms: u64) -> Duration {
+pub const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
