--- a/crates/gate/src/admit.rs
+++ b/crates/gate/src/admit.rs
@@ -10,6 +10,7 @@
 use http::{HeaderMap, HeaderName};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use std::cell::OnceCell;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -111,6 +112,7 @@
         body,
         received_at,
         deadline,
+        fingerprint: OnceCell::new(),
     })
 }
 
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -11,6 +11,7 @@
 use http::header::HOST;
 use http::{HeaderMap, Method, Uri};
 use sha2::{Digest, Sha256};
+use std::cell::OnceCell;
 use std::sync::Arc;
 use std::time::Duration;
 use steer::chain::Need;
@@ -50,6 +51,8 @@
     pub received_at: Instant,
     /// Deadline: the caller's timeout, or the route's if that is shorter.
     pub deadline: Instant,
+    /// Hash of the content, once it was needed; see [`Job::fingerprint`].
+    pub fingerprint: OnceCell<Fingerprint>,
 }
 
 impl Job {
@@ -82,6 +85,10 @@
     /// sends the request again gets the same one, at every node and under every catalog. The hash is
     /// cryptographic, so that a request can't be made to match that of another team.
     pub fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| self.hash_content())
+    }
+
+    fn hash_content(&self) -> Fingerprint {
         let host = self.headers.get(HOST).map_or(&[][..], |h| h.as_bytes());
         let path = self.uri.path_and_query().map_or("", |p| p.as_str());
         let team = self.team.as_deref().unwrap_or_default();
--- a/crates/gate/src/probe.rs
+++ b/crates/gate/src/probe.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, timeout};
 
 /// Timeout of a probe. A refusal takes one round trip.
-pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Age up to which the outcome of a probe is reused. All connections of an endpoint that ends break
 /// at the same time.
 const MAX_PROBE_AGE: Duration = Duration::from_millis(250);
--- a/crates/gate/src/splice.rs
+++ b/crates/gate/src/splice.rs
@@ -94,16 +94,8 @@
                 None
             }
             Err(lost) => {
-                match lost {
-                    Lost::Shortage(_) => {
-                        self.forwarder.log.set_reason("no endpoint to go on from");
-                    }
-                    Lost::Crashing { .. } => {
-                        self.forwarder
-                            .log
-                            .set_reason("its content crashes endpoints");
-                    }
-                    Lost::Exhausted | Lost::Deadline => {}
+                if let Some(reason) = reason_to_end(lost) {
+                    self.forwarder.log.set_reason(reason);
                 }
                 self.done = true;
                 self.forwarder.log.end_truncated();
@@ -169,3 +161,12 @@
         self.forwarder.log.end_answered(StatusCode::OK.as_u16());
     }
 }
+
+/// Returns why a response is cut off; `None` if the reason is recorded already.
+fn reason_to_end(lost: Lost) -> Option<&'static str> {
+    match lost {
+        Lost::Shortage(_) => Some("no endpoint to go on from"),
+        Lost::Crashing { .. } => Some("its content crashes endpoints"),
+        Lost::Exhausted | Lost::Deadline => None,
+    }
+}
