gate: the trial of a content reaches one endpoint

A request on trial whose endpoint refused it went on to the next one, as others do: its attempts count only once they may have run.

--- a/crates/gate/src/forward/inquiry.rs
+++ b/crates/gate/src/forward/inquiry.rs
@@ -55,7 +55,8 @@
             (_, Phase::Resuming(_)) | (Verdict::Allowed, _) => None,
             (Verdict::Suspended(until), Phase::Opening) => Some(until),
             (Verdict::OnTrial, Phase::Opening) => {
-                let begun = self.possible_runs.get() == 0 && self.begin_trial();
+                // A trial ends with the first attempt that reaches an endpoint, also if it is refused.
+                let begun = !self.reached.get() && self.begin_trial();
                 (!begun).then(|| self.worker.now().saturating_add(TRIAL_RETRY_AFTER))
             }
         }
--- a/crates/gate/tests/crash.rs
+++ b/crates/gate/tests/crash.rs
@@ -229,6 +229,14 @@
     });
 }
 
+/// Returns how long a request is suspended, by the refusal that it gets.
+async fn suspension(node: &Node, path: &str) -> Duration {
+    let refused = send(node.addr, request(path)).await;
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    let delay = refused.headers["retry-after"].to_str().unwrap();
+    Duration::from_secs_f64(delay.parse().unwrap())
+}
+
 // Guards against copies of a request that crashes endpoints which all return when its suspension ends.
 #[test]
 fn a_request_runs_alone_after_its_suspension() {
@@ -237,14 +245,7 @@
         let crash = Behavior::Crash.delayed(Duration::from_millis(100));
         let (node, servers) = fleet("/safe/bad", crash, answer).await;
         send(node.addr, request("/safe/bad")).await;
-        let refused = send(node.addr, request("/safe/bad")).await;
-        assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
-        let delay: f64 = refused.headers["retry-after"]
-            .to_str()
-            .unwrap()
-            .parse()
-            .unwrap();
-        tokio::time::sleep(Duration::from_secs_f64(delay)).await;
+        tokio::time::sleep(suspension(&node, "/safe/bad").await).await;
         let copies = (0..RETURNS).map(|_| send(node.addr, request("/safe/bad")));
         let responses = futures::future::join_all(copies).await;
         let sent = runs(&servers, "/safe/bad");
@@ -255,3 +256,25 @@
         assert_eq!(refused.count(), RETURNS - 1);
     });
 }
+
+// Guards against a suspended request that is sent from one endpoint to the next because each is full.
+#[test]
+fn a_trial_that_is_refused_is_not_sent_on() {
+    run(async {
+        let answer = Behavior::Answer(200, "x");
+        let (node, servers) = fleet("/safe/bad", Behavior::Crash, answer).await;
+        // Each request adds to the retry budget.
+        for _ in 0..50 {
+            send(node.addr, request("/safe/x")).await;
+        }
+        send(node.addr, request("/safe/bad")).await;
+        let suspended = suspension(&node, "/safe/bad").await;
+        for server in &servers {
+            server.set_behavior(Behavior::Refuse(503));
+        }
+        tokio::time::sleep(suspended).await;
+        let response = send(node.addr, request("/safe/bad")).await;
+        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(runs(&servers, "/safe/bad"), MAX_RUNS);
+    });
+}
