--- a/crates/gate/tests/crash.rs
+++ b/crates/gate/tests/crash.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use catalog::endpoint::State;
+use futures::future::join_all;
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use std::sync::Arc;
@@ -37,6 +38,19 @@
     (node, servers)
 }
 
+/// Replaces all endpoints of a node by one of the plain service.
+async fn replace_endpoints(node: &Node, behavior: Behavior) -> Server {
+    let server = Server::start(vec![behavior]).await;
+    publish(node, std::slice::from_ref(&server));
+    server
+}
+
+/// Publishes a view with these endpoints of the plain service.
+fn publish(node: &Node, servers: &[Server]) {
+    let endpoints = servers.iter().map(|s| plain(s.addr)).collect();
+    node.shared_view.store(Some(Arc::new(view(endpoints))));
+}
+
 /// Returns how often a path was requested at all endpoints.
 fn runs(servers: &[Server], path: &str) -> usize {
     let heads = servers.iter().flat_map(Server::heads);
@@ -105,19 +119,16 @@
             for _ in 0..3 {
                 lost.push(Server::start(vec![Behavior::Silent]).await);
             }
-            let all = lost.iter().map(|s| plain(s.addr)).collect();
-            node.shared_view.store(Some(Arc::new(view(all))));
+            publish(&node, &lost);
             let copies = lost.iter().map(|_| send(node.addr, request("/once/x")));
             let loss = async {
                 for server in &lost {
                     wait_for_request(server).await;
                 }
-                futures::future::join_all(lost.iter().map(Server::crash)).await;
+                join_all(lost.iter().map(Server::crash)).await;
             };
-            futures::join!(futures::future::join_all(copies), loss);
-            let spare = Server::start(vec![Behavior::Answer(200, "x")]).await;
-            node.shared_view
-                .store(Some(Arc::new(view(vec![plain(spare.addr)]))));
+            futures::join!(join_all(copies), loss);
+            replace_endpoints(&node, Behavior::Answer(200, "x")).await;
             let response = send(node.addr, request("/once/x")).await;
             assert_eq!(response.status, StatusCode::OK);
         }
@@ -131,14 +142,10 @@
     run(async {
         let node = start(ALLOWANCE).await;
         for _ in 0..CRASHES_OF_OTHERS {
-            let crashing = Server::start(vec![Behavior::Crash]).await;
-            let only = view(vec![plain(crashing.addr)]);
-            node.shared_view.store(Some(Arc::new(only)));
+            replace_endpoints(&node, Behavior::Crash).await;
             let response = send(node.addr, request("/once/x")).await;
             assert_eq!(response.status, StatusCode::BAD_GATEWAY);
-            let spare = Server::start(vec![Behavior::Answer(200, "x")]).await;
-            let other = view(vec![plain(spare.addr)]);
-            node.shared_view.store(Some(Arc::new(other)));
+            replace_endpoints(&node, Behavior::Answer(200, "x")).await;
             let response = send(node.addr, request("/once/x")).await;
             assert_eq!(response.status, StatusCode::OK);
         }
@@ -151,9 +158,7 @@
     run(async {
         let node = start(ALLOWANCE).await;
         for _ in 0..CRASHES_OF_OTHERS {
-            let server = Server::start(vec![Behavior::Reset]).await;
-            let only = view(vec![plain(server.addr)]);
-            node.shared_view.store(Some(Arc::new(only)));
+            replace_endpoints(&node, Behavior::Reset).await;
             let response = send(node.addr, request("/once/x")).await;
             assert_eq!(response.status, StatusCode::BAD_GATEWAY);
         }
@@ -166,24 +171,20 @@
     run(async {
         let node = start(ALLOWANCE).await;
         for _ in 0..CRASHES_OF_OTHERS {
-            let leaving = Server::start(vec![Behavior::Silent]).await;
-            let mut draining = view(vec![plain(leaving.addr)]);
-            node.shared_view.store(Some(Arc::new(draining.clone())));
+            let leaving = replace_endpoints(&node, Behavior::Silent).await;
             let sending = send(node.addr, request("/once/x"));
             let end = async {
                 wait_for_request(&leaving).await;
                 let mut endpoint = plain(leaving.addr);
                 endpoint.state = State::Draining;
-                draining.fleet.endpoints = Arc::new(vec![endpoint]);
+                let draining = view(vec![endpoint]);
                 node.shared_view.store(Some(Arc::new(draining)));
                 leaving.crash().await;
             };
             let (response, ()) = futures::join!(sending, end);
             assert_eq!(response.status, StatusCode::BAD_GATEWAY);
         }
-        let spare = Server::start(vec![Behavior::Answer(200, "x")]).await;
-        node.shared_view
-            .store(Some(Arc::new(view(vec![plain(spare.addr)]))));
+        replace_endpoints(&node, Behavior::Answer(200, "x")).await;
         let response = send(node.addr, request("/once/x")).await;
         assert_eq!(response.status, StatusCode::OK);
     });
@@ -217,9 +218,7 @@
         let mut crashed = 0;
         for _ in 0..RETURNS {
             for behavior in [Behavior::Crash, Behavior::Answer(500, "x")] {
-                let server = Server::start(vec![behavior.clone()]).await;
-                let only = view(vec![plain(server.addr)]);
-                node.shared_view.store(Some(Arc::new(only)));
+                let server = replace_endpoints(&node, behavior.clone()).await;
                 send(node.addr, request("/once/x")).await;
                 let ran = !server.heads().is_empty();
                 crashed += usize::from(ran && matches!(behavior, Behavior::Crash));
@@ -247,7 +246,7 @@
         send(node.addr, request("/safe/bad")).await;
         tokio::time::sleep(suspension(&node, "/safe/bad").await).await;
         let copies = (0..RETURNS).map(|_| send(node.addr, request("/safe/bad")));
-        let responses = futures::future::join_all(copies).await;
+        let responses = join_all(copies).await;
         let sent = runs(&servers, "/safe/bad");
         assert_eq!(sent, MAX_RUNS);
         let refused = responses
