node: the test of crashing requests takes the platform's path from platform/

Only platform/ knows the platform's names; the test had the path of the address list written out. The other tests of real nodes ask the dialect, and now this one does. No assertion changed; passes as before.

--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -5,6 +5,8 @@
 #[path = "../../../platform/standin/mod.rs"]
 mod standin;
 
+use adapter::header::Headers;
+use gate::dialect::Dialect;
 use http::StatusCode;
 use process::Process;
 use standin::address;
@@ -70,9 +72,13 @@
 
     /// Waits until the node serves requests and knows the callers' addresses of `peers`.
     async fn ready(&self, peers: &[&Node]) {
+        let path = format!(
+            "{}?name=h&region=south&zone=a",
+            Headers::default().addresses_path()
+        );
         let list = Call {
             method: "GET",
-            path: "/wigeonshelf/resolve?name=h&region=south&zone=a",
+            path: &path,
             id: "",
             key: "",
             deadline: "4000",
