node: tests of real nodes share how one starts, also before a fleet

The test of crashing requests had written the settings and the start of a node again, which support/instance.rs has for two other tests. Instance now takes its peers' addresses in place of stand-ins for readers and serves the list of callers' addresses too.

--- a/crates/node/tests/busy_control.rs
+++ b/crates/node/tests/busy_control.rs
@@ -124,7 +124,7 @@
             store.put_registration(&endpoint(number), &registration(number));
         }
         let peer = Reader::start(names[1], "b", &key).await;
-        let node = Instance::start(names[0], &key, &[&peer], store.addr);
+        let node = Instance::start(names[0], &key, &[peer.link.addr()], store.addr);
         let fleet = Self { peer, node };
         let started = Instant::now();
         while !fleet.plans().await {
--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -1,5 +1,7 @@
 //! A request that crashes endpoints, before a fleet of real nodes.
 
+#[path = "support/instance.rs"]
+mod instance;
 #[path = "support/process.rs"]
 mod process;
 #[path = "../../../platform/standin/mod.rs"]
@@ -8,8 +10,7 @@
 use adapter::header::Headers;
 use gate::dialect::Dialect;
 use http::StatusCode;
-use process::Process;
-use standin::address;
+use instance::Instance;
 use standin::caller::{self, Call};
 use standin::engine::Engine;
 use standin::manifest;
@@ -31,31 +32,12 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// A running node.
-struct Node {
-    process: Process,
-    callers: SocketAddr,
-    addresses: SocketAddr,
-    peers: SocketAddr,
-}
+struct Node(Instance);
 
 impl Node {
     fn start(name: &str, store: SocketAddr, seeds: &[&Node]) -> Self {
-        let [callers, addresses, peers] = std::array::from_fn(|_| address::unused());
-        let seeds: Vec<String> = seeds.iter().map(|n| n.peers.to_string()).collect();
-        let settings = format!(
-            "[node]\nname = {name}\nzone = a\nregion = south\ngrace = 3s\n\
-             [callers]\nlisten = {callers}\n[addresses]\nlisten = {addresses}\n\
-             [peers]\nlisten = {peers}\nkey = {}\nseeds = {}\n\
-             [store]\naddress = {store}\nheartbeat = 200ms\n[logging]\nlevel = info\n",
-            "01".repeat(32),
-            seeds.join(", ")
-        );
-        Self {
-            process: Process::start(process::settings(callers, &settings)),
-            callers,
-            addresses,
-            peers,
-        }
+        let seeds: Vec<SocketAddr> = seeds.iter().map(|n| n.0.peers).collect();
+        Self(Instance::start(name, &"01".repeat(32), &seeds, store))
     }
 
     /// Sends a request and returns its status; `None` if the node does not respond.
@@ -67,7 +49,7 @@
             key: "k1",
             deadline: "4000",
         };
-        Some(caller::send(self.callers, &call).await?.status)
+        Some(caller::send(self.0.callers, &call).await?.status)
     }
 
     /// Waits until the node serves requests and knows the callers' addresses of `peers`.
@@ -86,9 +68,9 @@
         let ready = async {
             loop {
                 let served = self.status(HARMLESS).await == Some(StatusCode::OK);
-                let list = caller::send(self.addresses, &list).await;
+                let list = caller::send(self.0.addresses, &list).await;
                 let list = list.map(|answer| answer.body).unwrap_or_default();
-                let known = |p: &&Node| list.contains(&p.callers.to_string());
+                let known = |p: &&Node| list.contains(&p.0.callers.to_string());
                 if served && peers.iter().all(known) {
                     return;
                 }
@@ -137,7 +119,7 @@
     let third = Node::start("crash-3", store.addr, &[&second]);
     third.ready(&[&first, &second]).await;
     third.assert_refused().await;
-    first.process.kill();
+    first.0.process.kill();
     let fourth = Node::start("crash-4", store.addr, &[&third]);
     fourth.ready(&[&second, &third]).await;
     tokio::time::sleep(KNOWN_WITHIN).await;
--- a/crates/node/tests/late_catalog.rs
+++ b/crates/node/tests/late_catalog.rs
@@ -58,7 +58,8 @@
         for reader in [&first, &second] {
             reader.put_manifest(&manifest(1, "/safe/"), 0);
         }
-        let node = Instance::start(names[2], &key, &[&first, &second, &other], store.addr);
+        let seeds = [&first, &second, &other].map(|r| r.link.addr());
+        let node = Instance::start(names[2], &key, &seeds, store.addr);
         let zone = Self {
             first,
             second,
--- a/crates/node/tests/support/instance.rs
+++ b/crates/node/tests/support/instance.rs
@@ -1,8 +1,7 @@
-//! The real node, as a member of a fleet of stand-ins for readers.
+//! The real node, as a member of a fleet of others or of stand-ins for readers.
 #![allow(dead_code)]
 
 use crate::process::{self, Process};
-use crate::reader::Reader;
 use crate::standin::address;
 use crate::standin::caller::{self, Call};
 use std::net::SocketAddr;
@@ -11,26 +10,33 @@
 pub struct Instance {
     /// Address for its peers.
     pub peers: SocketAddr,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for requests for the list of callers' addresses.
+    pub addresses: SocketAddr,
+    pub process: Process,
     metrics: SocketAddr,
-    _process: Process,
 }
 
 impl Instance {
     /// Starts a node that knows the address of the store and those of its peers.
-    pub fn start(name: &str, key: &str, seeds: &[&Reader], store: SocketAddr) -> Self {
-        let [callers, peers, metrics] = std::array::from_fn(|_| address::unused());
-        let seeds: Vec<String> = seeds.iter().map(|r| r.link.addr().to_string()).collect();
+    pub fn start(name: &str, key: &str, seeds: &[SocketAddr], store: SocketAddr) -> Self {
+        let [callers, addresses, peers, metrics] = std::array::from_fn(|_| address::unused());
+        let seeds: Vec<String> = seeds.iter().map(SocketAddr::to_string).collect();
         let seeds = seeds.join(", ");
         let settings = format!(
             "[node]\nname = {name}\nzone = a\nregion = south\ngrace = 3s\n\
-             [callers]\nlisten = {callers}\n[metrics]\nlisten = {metrics}\n\
+             [callers]\nlisten = {callers}\n[addresses]\nlisten = {addresses}\n\
+             [metrics]\nlisten = {metrics}\n\
              [peers]\nlisten = {peers}\nkey = {key}\nseeds = {seeds}\n\
              [store]\naddress = {store}\nheartbeat = 200ms\n[logging]\nlevel = info\n"
         );
         Self {
             peers,
+            callers,
+            addresses,
+            process: Process::start(process::settings(callers, &settings)),
             metrics,
-            _process: Process::start(process::settings(callers, &settings)),
         }
     }
 
