gate: the line of an attempt without a connection names the cause

no connection stood for a refusal, a timeout and a connection that was closed before the request was sent.

--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -128,7 +128,11 @@
 /// Why an attempt got no response head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Failure {
-    /// No connection, or one that was closed before the request was sent.
+    /// The endpoint refused or reset a new connection.
+    Refused,
+    /// No connection was established before the timeout.
+    Unreachable,
+    /// The connection was closed before the request was sent.
     Unsent,
     /// An endpoint of the target announced that it leaves before the request was sent.
     Leaving,
@@ -145,12 +149,14 @@
 impl Failure {
     /// Returns whether the request may have reached the endpoint and have been executed.
     pub(crate) fn may_have_run(self) -> bool {
-        !matches!(self, Self::Unsent | Self::Leaving | Self::Resting)
+        matches!(self, Self::Broken | Self::TimedOut | Self::Unverified)
     }
 
     fn as_str(self) -> &'static str {
         match self {
-            Self::Unsent => "no connection",
+            Self::Refused => "no connection: refused",
+            Self::Unreachable => "no connection before the timeout",
+            Self::Unsent => "connection closed before the request was sent",
             Self::Leaving => "an endpoint announced that it leaves",
             Self::Resting => "endpoint at rest",
             Self::Broken => "connection broke",
@@ -163,7 +169,9 @@
 impl From<pool::Error> for Failure {
     fn from(error: pool::Error) -> Self {
         match error {
-            pool::Error::Connect | pool::Error::Unsent => Self::Unsent,
+            pool::Error::Refused => Self::Refused,
+            pool::Error::Unreachable => Self::Unreachable,
+            pool::Error::Unsent => Self::Unsent,
             pool::Error::Broken => Self::Broken,
         }
     }
--- a/crates/gate/src/forward/race.rs
+++ b/crates/gate/src/forward/race.rs
@@ -5,7 +5,7 @@
 //! attempt is started when none is left, and when the newest one is idle.
 
 use super::Forwarder;
-use super::attempt::{Exchange, Failure, Progress, Reservation};
+use super::attempt::{Exchange, Progress, Reservation};
 use super::stall;
 use crate::dialect::Dialect;
 use crate::splice::{EventSource, Step};
@@ -285,11 +285,11 @@
     ) -> End<D> {
         let exchange = match self.send(reservation, phase.resume_after()).await {
             Ok(exchange) => exchange,
-            Err(Failure::Broken | Failure::TimedOut | Failure::Unverified) => {
+            Err(failure) if failure.may_have_run() => {
                 self.reached.set(true);
                 return End::Failed;
             }
-            Err(Failure::Unsent | Failure::Leaving | Failure::Resting) => return End::Unsent,
+            Err(_) => return End::Unsent,
         };
         self.reached.set(true);
         let status = exchange.response.status();
--- a/crates/gate/src/pool.rs
+++ b/crates/gate/src/pool.rs
@@ -36,8 +36,10 @@
 /// Why no response head was received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Error {
-    /// No connection could be established; nothing was sent.
-    Connect,
+    /// The endpoint refused or reset a new connection; nothing was sent.
+    Refused,
+    /// No connection was established before the timeout; nothing was sent.
+    Unreachable,
     /// The connection was closed before the request was sent.
     Unsent,
     /// The connection broke or the response was malformed; the request may have been executed.
@@ -89,7 +91,7 @@
         }
         stats::increment(&self.stats.connects);
         let connected = timeout(CONNECT_TIMEOUT, connect(addr)).await;
-        connected.unwrap_or(Err(Error::Connect))
+        connected.unwrap_or(Err(Error::Unreachable))
     }
 
     fn take_idle(&self, addr: SocketAddr) -> Option<Conn> {
@@ -164,13 +166,13 @@
 }
 
 async fn connect(addr: SocketAddr) -> Result<Conn> {
-    let stream = TcpStream::connect(addr).await.map_err(|_| Error::Connect)?;
+    let stream = TcpStream::connect(addr).await.map_err(|_| Error::Refused)?;
     // Without these options requests are slower or a lost endpoint is detected later, but the
     // connection works; failures are ignored.
     let _ = stream.set_nodelay(true);
     let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
     let handshake = http1::handshake(TokioIo::new(stream)).await;
-    let (sender, conn) = handshake.map_err(|_| Error::Connect)?;
+    let (sender, conn) = handshake.map_err(|_| Error::Refused)?;
     // Errors of the connection are returned to the request that uses it.
     tokio::task::spawn_local(async move {
         let _ = conn.await;
