node, gate: nodes that lose their paths to endpoints, failing tests

In gate, a request in flight when all endpoints become unreachable is refused as crashing from the third time on.

--- a/crates/gate/tests/crash.rs
+++ b/crates/gate/tests/crash.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use catalog::endpoint::State;
-use futures::future::join_all;
+use futures::future::{join_all, pending, select_all};
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use std::sync::Arc;
@@ -165,6 +165,37 @@
     });
 }
 
+// Guards against a refusal of requests that were in flight when their node lost its paths to all
+// endpoints, which then refuse connections as if they had ended.
+#[test]
+fn endpoints_out_of_reach_did_not_crash() {
+    run(async {
+        let node = start(ALLOWANCE).await;
+        for _ in 0..CRASHES_OF_OTHERS {
+            let mut lost = Vec::new();
+            for _ in 0..3 {
+                lost.push(Server::start(vec![Behavior::Silent]).await);
+            }
+            publish(&node, &lost);
+            let sending = send(node.addr, request("/once/x"));
+            let loss = async {
+                let any = lost.iter().map(|s| Box::pin(wait_for_request(s)));
+                select_all(any).await;
+                join_all(lost.iter().map(Server::crash)).await;
+                pending::<()>().await;
+            };
+            let response = tokio::select! {
+                response = sending => response,
+                () = loss => unreachable!(),
+            };
+            assert_eq!(response.status, StatusCode::BAD_GATEWAY);
+        }
+        replace_endpoints(&node, Behavior::Answer(200, "x")).await;
+        let response = send(node.addr, request("/once/x")).await;
+        assert_eq!(response.status, StatusCode::OK);
+    });
+}
+
 // Guards against a refusal of requests that were cut off by endpoints which left as announced.
 #[test]
 fn an_endpoint_that_leaves_is_not_a_crash() {
--- a/crates/node/tests/support/instance.rs
+++ b/crates/node/tests/support/instance.rs
@@ -6,7 +6,7 @@
 use crate::standin::caller::{self, Call};
 use std::net::SocketAddr;
 
-/// A running node in zone `a`.
+/// A running node.
 pub struct Instance {
     /// Address for its peers.
     pub peers: SocketAddr,
@@ -21,11 +21,22 @@
 impl Instance {
     /// Starts a node that knows the address of the store and those of its peers.
     pub fn start(name: &str, key: &str, seeds: &[SocketAddr], store: SocketAddr) -> Self {
+        Self::start_in("a", name, key, seeds, store)
+    }
+
+    /// Like [`Self::start`], in another zone.
+    pub fn start_in(
+        zone: &str,
+        name: &str,
+        key: &str,
+        seeds: &[SocketAddr],
+        store: SocketAddr,
+    ) -> Self {
         let [callers, addresses, peers, metrics] = std::array::from_fn(|_| address::unused());
         let seeds: Vec<String> = seeds.iter().map(SocketAddr::to_string).collect();
         let seeds = seeds.join(", ");
         let settings = format!(
-            "[node]\nname = {name}\nzone = a\nregion = south\ngrace = 3s\n\
+            "[node]\nname = {name}\nzone = {zone}\nregion = south\ngrace = 3s\n\
              [callers]\nlisten = {callers}\n[addresses]\nlisten = {addresses}\n\
              [metrics]\nlisten = {metrics}\n\
              [peers]\nlisten = {peers}\nkey = {key}\nseeds = {seeds}\n\
