gate, steer, member, node: a node that reaches no endpoint reports itself and not the endpoints

Cause: a report that an endpoint fails is evidence about a path and was taken for evidence about the endpoint. Four nodes reported the five heads of chains, two reports suffice, and all nodes were short of layer 0; the holder of the orders, cut off itself, counted them as lost. Ruled out: overload, since the shortage is one of layers and not of room.

Change: a report waits until a check, begun after the failure, has connected to others of the service (steer::paths decides, gate::reach connects). If one accepts, the report goes out; if none of up to eight does, the node is isolated from the service, drops its reports, tells its peers (a new item, appended on the wire: Isolated) and checks every 0.2 s until one accepts. Nodes that are isolated from most endpoints are not among the addresses for callers, and neither poll engines nor give orders; if all are, the endpoints are at fault and nothing changes. A request of an isolated node does not wait for room. A node's own polls of engines do not count while it is isolated. member: an observation about its origin is published also if a peer published the same.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -262,7 +262,7 @@
             let in_vain = match shortage {
                 Shortage::Size => true,
                 Shortage::Rest { until } => until > self.worker.now() + remaining,
-                _ => false,
+                _ => self.worker.is_isolated(&self.job.service().name),
             };
             if in_vain || remaining.is_zero() {
                 return Err(shortage);
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -219,8 +219,10 @@
         }
         self.log
             .record_failure(attempt, failure.as_str(), failure.may_have_run());
-        if failure == Failure::Broken {
-            self.inquire(&reservation.progress);
+        match failure {
+            Failure::Broken => self.inquire(&reservation.progress),
+            Failure::Refused | Failure::Unreachable => self.suspect_paths(),
+            _ => {}
         }
         let outcome = match failure {
             Failure::Leaving | Failure::Resting => Outcome::Unknown,
@@ -233,6 +235,11 @@
         Err(failure)
     }
 
+    /// Records that the service of the request may be out of reach.
+    pub(crate) fn suspect_paths(&self) {
+        self.worker.suspect_paths(&self.job.service().name);
+    }
+
     /// Records whether the endpoint accepted the request, asks for rest, or announces that it leaves.
     /// The rest is that of the endpoint that answers, whichever stage is at fault.
     fn record_head(&self, exchange: &Exchange<D>) {
--- a/crates/gate/src/forward/stall.rs
+++ b/crates/gate/src/forward/stall.rs
@@ -121,10 +121,11 @@
         if idle > MAX_IDLE_TIME {
             return Verdict::Failover("idle for too long");
         }
-        match report.is_none() && chain && idle > UNRESPONSIVE_HEAD_TIMEOUT {
-            true => Verdict::Failover("head of the chain is unresponsive"),
-            false => Verdict::Wait,
+        if report.is_none() && chain && idle > UNRESPONSIVE_HEAD_TIMEOUT {
+            self.suspect_paths();
+            return Verdict::Failover("head of the chain is unresponsive");
         }
+        Verdict::Wait
     }
 
     /// Replaces the stage that a request is blocked on; `None` if the report that names it is older
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod metrics;
 pub mod pool;
 mod probe;
+mod reach;
 pub mod refusal;
 pub mod splice;
 pub mod stats;
--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -44,6 +44,7 @@
     catalog_version: Gauge<u64>,
     endpoints: Gauge<u64>,
     view_age: Gauge<f64>,
+    isolated: Gauge<u64>,
 }
 
 impl Metrics {
@@ -84,6 +85,7 @@
                 .f64_gauge("wigeonshelf_belief_age")
                 .with_unit("s")
                 .build(),
+            isolated: meter.u64_gauge("wigeonshelf_isolated").build(),
             registry,
         }
     }
@@ -151,6 +153,12 @@
             .record(age.as_secs_f64(), &[KeyValue::new("table", table)]);
     }
 
+    /// Records whether the node is isolated from the endpoints of a service.
+    pub fn record_isolation(&self, service: &str, isolated: bool) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.isolated.record(isolated.into(), &[service]);
+    }
+
     /// Encodes all metrics in the text format.
     pub fn encode(&self) -> Result<Vec<u8>> {
         let mut text = Vec::new();
--- a/crates/gate/src/view.rs
+++ b/crates/gate/src/view.rs
@@ -11,8 +11,8 @@
 pub struct View {
     /// Catalog, endpoints and number of nodes.
     pub fleet: Fleet,
-    /// Addresses for callers of the nodes that accept new requests; includes this node unless it
-    /// leaves.
+    /// Addresses for callers of the nodes that accept new requests and are not isolated from most
+    /// endpoints; includes this node unless it leaves.
     pub nodes: Vec<SocketAddr>,
     /// Whether this node is leaving.
     pub leaving: bool,
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -23,13 +23,14 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
 use steer::Selector;
 use steer::budget::Allowance;
 use steer::crash::{Finding, Findings, Fingerprint, Verdict};
 use steer::health::Outcome;
+use steer::paths::Paths;
 use steer::target::{ReservationId, Stage};
 use steer::transition::Transition;
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -103,6 +104,10 @@
     trials: Rc<Trials>,
     /// Probes of endpoints whose connections broke.
     pub(crate) probes: Probes,
+    /// The paths to endpoints.
+    pub(crate) paths: RefCell<Paths>,
+    /// This worker, for tasks that it starts.
+    pub(crate) me: Weak<Self>,
     /// Whether new requests are refused because the process is about to end.
     closing: Cell<bool>,
 }
@@ -111,7 +116,7 @@
     /// Creates a worker without a view.
     pub fn new(parts: Parts<D>) -> Rc<Self> {
         let stats = Rc::new(Stats::default());
-        Rc::new(Self {
+        Rc::new_cyclic(|me| Self {
             dialect: parts.dialect,
             journal: parts.journal,
             metrics: parts.metrics,
@@ -130,6 +135,8 @@
             crashes: RefCell::default(),
             trials: Rc::default(),
             probes: Probes::default(),
+            paths: RefCell::default(),
+            me: me.clone(),
             closing: Cell::new(false),
         })
     }
@@ -232,13 +239,18 @@
                 self.pool.retire(*addr);
                 self.table_version.set(self.table_version.get() + 1);
             }
-            self.report(transition);
+            match &transition {
+                Transition::Down(run) if let Some(service) = selector.service_of(run) => {
+                    self.hold(service, run.clone());
+                }
+                _ => self.send(transition),
+            }
         }
         result
     }
 
-    /// Reports a transition to the control task.
-    fn report(&self, transition: Transition) {
+    /// Sends a transition to the control task.
+    pub(crate) fn send(&self, transition: Transition) {
         // If the control task is behind, the transition is dropped. The endpoint's next failure or
         // the content's next crash reports it again, and the layers of an endpoint that leaves are
         // replaced once its row says so.
@@ -281,7 +293,7 @@
     fn record_finding(&self, content: Fingerprint, finding: Finding) {
         let now = self.now();
         if self.crashes.borrow_mut().record(now, content, finding) {
-            self.report(Transition::Content(content, finding));
+            self.send(Transition::Content(content, finding));
         }
     }
 
@@ -299,6 +311,11 @@
         let _ = tokio::time::timeout(max_wait, self.capacity_freed.notified()).await;
     }
 
+    /// Wakes the requests that wait for capacity.
+    pub(crate) fn notify_capacity(&self) {
+        self.capacity_freed.notify_waiters();
+    }
+
     /// Releases the reservation of an attempt.
     pub(crate) fn release(
         &self,
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -22,12 +22,14 @@
 use journal::Journal;
 use prometheus::Registry;
 use server::{Behavior, Server};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use steer::Fleet;
 use steer::budget::Allowance;
+use steer::transition::Transition;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
@@ -38,6 +40,8 @@
     pub worker: Rc<Worker<Plain>>,
     pub shared_view: SharedView,
     pub stop: Stop,
+    /// What the worker reported to the control task.
+    pub transitions: Rc<RefCell<Vec<Transition>>>,
 }
 
 /// Number of layers of the model.
@@ -188,7 +192,13 @@
 pub async fn start_with(allowance: Allowance, journal: Journal) -> Node {
     let shared_view: SharedView = Arc::new(ArcSwapOption::empty());
     let (transitions, mut received) = mpsc::channel(64);
-    tokio::task::spawn_local(async move { while received.recv().await.is_some() {} });
+    let reported: Rc<RefCell<Vec<Transition>>> = Rc::default();
+    let list = reported.clone();
+    tokio::task::spawn_local(async move {
+        while let Some(transition) = received.recv().await {
+            list.borrow_mut().push(transition);
+        }
+    });
     let (dumps, _) = mpsc::channel(1);
     let worker = Worker::new(Parts {
         metrics: Metrics::new(&opentelemetry::global::meter("test"), Registry::new()),
@@ -210,6 +220,7 @@
         worker,
         shared_view,
         stop,
+        transitions: reported,
     }
 }
 
--- a/crates/member/src/dissemination.rs
+++ b/crates/member/src/dissemination.rs
@@ -332,11 +332,14 @@
     }
 
     /// Returns whether an item of another node holds the same observation and stays valid for at least half
-    /// its time to live.
+    /// its time to live. An observation about its origin says nothing about another node.
     fn is_published_elsewhere(&self, now: Now, body: &item::Observation) -> bool {
         let (Some(ttl), key) = (body.ttl(), body.key()) else {
             return false;
         };
+        if matches!(body, item::Observation::Isolated { .. }) {
+            return false;
+        }
         let others = self.store.origins().filter(|o| *o != self.me);
         let mut same = others.filter_map(|o| self.store.get(o, &key));
         let lasts = |u: Now| u.saturating_sub(now) >= ttl / 2;
--- a/crates/member/src/exchange.rs
+++ b/crates/member/src/exchange.rs
@@ -30,6 +30,7 @@
         item::Observation::Endpoint { name, .. } | item::Observation::Releasing { name, .. } => {
             SMALL_ITEM_BYTES + 8 + name.len()
         }
+        item::Observation::Isolated { service, .. } => SMALL_ITEM_BYTES + 8 + service.len(),
         item::Observation::Suspect { .. }
         | item::Observation::Pending { .. }
         | item::Observation::Condemned { .. }
--- a/crates/member/src/item.rs
+++ b/crates/member/src/item.rs
@@ -41,6 +41,8 @@
     Condemned(Fingerprint),
     /// A fingerprint whose request completed after it was in flight when an endpoint died.
     Cleared(Fingerprint),
+    /// A service, by name, whose endpoints the origin may be isolated from.
+    Isolated(String),
     /// Demand of a team at the origin.
     Demand(Team),
 }
@@ -104,6 +106,15 @@
         /// Time until the observation expires.
         ttl: Duration,
     },
+    /// The origin reaches no endpoint of a service, or reaches one again.
+    Isolated {
+        /// Name of the service.
+        service: String,
+        /// Whether the origin is isolated from its endpoints.
+        isolated: bool,
+        /// Time until the observation expires.
+        ttl: Duration,
+    },
     /// Demand of a team at the origin.
     Demand {
         /// The team.
@@ -128,6 +139,7 @@
             Self::Pending { fingerprint, .. } => Key::Pending(*fingerprint),
             Self::Condemned { fingerprint, .. } => Key::Condemned(*fingerprint),
             Self::Cleared { fingerprint, .. } => Key::Cleared(*fingerprint),
+            Self::Isolated { service, .. } => Key::Isolated(service.clone()),
             Self::Demand { team, .. } => Key::Demand(*team),
         }
     }
@@ -140,7 +152,8 @@
             | Self::Suspect { ttl, .. }
             | Self::Pending { ttl, .. }
             | Self::Condemned { ttl, .. }
-            | Self::Cleared { ttl, .. } => Some(*ttl),
+            | Self::Cleared { ttl, .. }
+            | Self::Isolated { ttl, .. } => Some(*ttl),
             _ => None,
         }
     }
@@ -153,7 +166,8 @@
             | Self::Suspect { ttl, .. }
             | Self::Pending { ttl, .. }
             | Self::Condemned { ttl, .. }
-            | Self::Cleared { ttl, .. } => *ttl = new_ttl,
+            | Self::Cleared { ttl, .. }
+            | Self::Isolated { ttl, .. } => *ttl = new_ttl,
             _ => {}
         }
         self
@@ -213,6 +227,13 @@
                 write!(f, "condemned {fingerprint:x} for {ttl:?}")
             }
             Self::Cleared { fingerprint, ttl } => write!(f, "cleared {fingerprint:x} for {ttl:?}"),
+            Self::Isolated {
+                service,
+                isolated,
+                ttl,
+            } => {
+                write!(f, "endpoints of {service} isolated={isolated} for {ttl:?}")
+            }
             Self::Demand {
                 team,
                 rate,
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -50,6 +50,25 @@
         counts.map(|(name, _)| name.to_owned()).collect()
     }
 
+    /// Returns the services that each node is isolated from, without the nodes that are isolated from
+    /// none.
+    pub fn isolated(&self, now: Now) -> BTreeMap<Id, BTreeSet<&str>> {
+        let mut isolated: BTreeMap<Id, BTreeSet<&str>> = BTreeMap::new();
+        for origin in self.store().origins() {
+            for (_, slot) in self.valid_items(origin, now) {
+                if let Observation::Isolated {
+                    service,
+                    isolated: true,
+                    ..
+                } = &slot.body
+                {
+                    isolated.entry(origin).or_default().insert(service);
+                }
+            }
+        }
+        isolated
+    }
+
     /// Returns the fingerprints of requests that were in flight when an endpoint died.
     pub fn suspect_fingerprints(&self, now: Now) -> BTreeSet<Fingerprint> {
         let fingerprint = |body: &Observation| match body {
@@ -101,13 +120,15 @@
     /// Iterates over all valid observations except demand. Demand has the last keys and by far the most items,
     /// so iteration stops before it.
     fn observed(&self, now: Now) -> impl Iterator<Item = &Observation> {
-        let is_valid = move |slot: &Slot| slot.expires_at.is_none_or(|u| u > now);
-        let origins = self.store().origins().flat_map(|o| {
-            self.store()
-                .items(o)
-                .take_while(|(key, _)| **key < Key::Demand(0))
-                .map(|(_, slot)| slot)
-        });
-        origins.filter(move |s| is_valid(s)).map(|s| &s.body)
+        let origins = self.store().origins();
+        let items = origins.flat_map(move |origin| self.valid_items(origin, now));
+        items.map(|(_, slot)| &slot.body)
+    }
+
+    /// Iterates over the valid observations of a node except demand.
+    fn valid_items(&self, origin: Id, now: Now) -> impl Iterator<Item = (&Key, &Slot)> {
+        let items = self.store().items(origin);
+        let items = items.take_while(|(key, _)| **key < Key::Demand(0));
+        items.filter(move |(_, slot)| slot.expires_at.is_none_or(|u| u > now))
     }
 }
--- a/crates/node/src/hosted/control/assignment.rs
+++ b/crates/node/src/hosted/control/assignment.rs
@@ -16,7 +16,7 @@
 use member::Now;
 use member::identity::Id;
 use member::peer::Peer;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
@@ -75,12 +75,13 @@
 
 impl Assignment {
     /// Computes the assignment of the node `me` in `zone` at `now`, among the nodes that accept new
-    /// work.
+    /// work. The nodes in `isolated` reach no endpoints: they only read the store.
     pub fn of<'a>(
         now: Now,
         me: Id,
         zone: &str,
         accepting: impl Iterator<Item = &'a Peer>,
+        isolated: &BTreeSet<Id>,
         engines: &EngineCounts<'_>,
     ) -> Self {
         let mut accepting: Vec<&Peer> = accepting.collect();
@@ -92,6 +93,7 @@
         let local = first_in_zone(&accepting, zone, usize::MAX);
         let local_readers = select_readers(now, &local);
         let position = local.iter().position(|p| p.id == me).unwrap_or_default();
+        accepting.retain(|p| !isolated.contains(&p.id));
         let mut pollers: Vec<&Peer> = Vec::new();
         let mut poll_shards = BTreeMap::new();
         for (&zone, &engine_count) in engines {
--- a/crates/node/src/hosted/control/loads.rs
+++ b/crates/node/src/hosted/control/loads.rs
@@ -168,6 +168,11 @@
         misses.at = now;
     }
 
+    /// Forgets the polls that were not answered.
+    pub fn forget_misses(&mut self) {
+        self.misses.clear();
+    }
+
     /// Returns the runs that are unresponsive, as found by this node or reported by others.
     pub fn unresponsive(&self) -> BTreeSet<String> {
         let own = self
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -2,6 +2,7 @@
 
 mod contents;
 mod exchange;
+mod isolation;
 mod peers;
 
 use super::assignment::Assignment;
@@ -112,6 +113,8 @@
     crashes: Ledger,
     /// When it was last checked that the peers know them.
     crashes_checked: Instant,
+    /// Services that this node is isolated from, with the time of the last publication.
+    isolated: BTreeMap<String, Instant>,
     orders: Orders,
     operator: TableStatus,
     endpoints: TableStatus,
@@ -171,6 +174,7 @@
             departures: Departures::default(),
             crashes: Ledger::new(control.seed),
             crashes_checked: Instant::now(),
+            isolated: BTreeMap::new(),
             orders: Orders::new(control.journal.clone(), inputs.clone(), settings.heartbeat),
             inputs,
             journal: control.journal,
@@ -267,6 +271,12 @@
         for peer in self.group.roster().iter() {
             text.push_str(&format!("node {peer}\n"));
         }
+        for (id, services) in self.group.isolated(self.start.elapsed()) {
+            let peer = self.group.roster().get(id);
+            let name = peer.map_or("?", |peer| peer.identity.name.as_str());
+            let services = Vec::from_iter(services).join(" ");
+            text.push_str(&format!("isolated {name} from {services}\n"));
+        }
         for run in self.failures.current().iter() {
             text.push_str(&format!("failing {run}\n"));
         }
@@ -304,6 +314,9 @@
                 self.departures.record(self.start.elapsed(), run);
                 (run, "announced that it leaves", None)
             }
+            Transition::Isolation { service, isolated } => {
+                return self.publish_isolation(Instant::now(), service.clone(), *isolated);
+            }
             Transition::Content(content, finding) => {
                 return self.publish_finding(*content, *finding);
             }
--- a/crates/node/src/hosted/control/state/exchange.rs
+++ b/crates/node/src/hosted/control/state/exchange.rs
@@ -26,11 +26,13 @@
     pub(super) fn update_assignment(&mut self, now: Instant) {
         let (me, accepting) = (self.group.me(), self.group.accepting());
         let elapsed = self.start.elapsed();
+        let isolated = self.isolated_nodes();
         self.assignment = Assignment::of(
             elapsed,
             me,
             &self.settings.zone,
             accepting,
+            &isolated,
             &self.engines_by_zone(),
         );
         // A node reads the store itself if it gets no up-to-date copy from the readers of its zone,
@@ -227,7 +229,12 @@
 
     pub(super) fn handle_report(&mut self, now: Instant, run: Run, report: Option<Report>) {
         let Some(report) = report else {
-            return self.loads.record_miss(now, &run.to_string());
+            let endpoint = self.tables.endpoints().find(|e| e.run == run);
+            // An isolated node gets no reports, whatever the engines do.
+            if endpoint.is_none_or(|e| !self.is_isolated(now, &e.service)) {
+                self.loads.record_miss(now, &run.to_string());
+            }
+            return;
         };
         // Another run has taken over the address, and has a row of its own.
         if report.is_from_another_run(&run) {
--- a/crates/node/src/hosted/control/state/peers.rs
+++ b/crates/node/src/hosted/control/state/peers.rs
@@ -6,6 +6,7 @@
 use member::action::Action;
 use member::event::Event;
 use member::head::Head;
+use member::identity::Id;
 use member::item::{Key, Observation};
 use member::peer::{Entry, ListedState};
 use sha2::{Digest, Sha256};
@@ -110,19 +111,27 @@
             .collect()
     }
 
-    /// Returns the addresses at which callers reach the nodes that accept new work.
+    /// Returns the addresses at which callers reach the nodes that accept new work, without those that
+    /// are isolated.
     pub(super) fn caller_addrs(&self) -> Vec<SocketAddr> {
+        let isolated = self.isolated_nodes();
+        let serves = !self.leaving && !isolated.contains(&self.group.me());
+        let own = serves.then_some(self.settings.callers);
+        let peers = self.peer_addrs().filter(|(id, _)| !isolated.contains(id));
+        own.into_iter().chain(peers.map(|(_, addr)| addr)).collect()
+    }
+
+    /// Iterates over the peers that accept new work, with their addresses for callers.
+    fn peer_addrs(&self) -> impl Iterator<Item = (Id, SocketAddr)> {
         let me = self.group.me();
-        let peers = self.group.accepting().filter(|p| p.id != me);
-        let callers = peers.filter_map(|p| {
+        let peers = self.group.accepting().filter(move |p| p.id != me);
+        peers.filter_map(|p| {
             let slot = self.group.store().get(p.id, &Key::Callers)?;
             match slot.body {
-                Observation::Callers { addr, .. } => Some(addr),
+                Observation::Callers { addr, .. } => Some((p.id, addr)),
                 _ => None,
             }
-        });
-        let own = (!self.leaving).then_some(self.settings.callers);
-        own.into_iter().chain(callers).collect()
+        })
     }
 
     /// Returns the number of nodes that share the retry budget: all known nodes that have not left.
--- a/crates/node/tests/loads.rs
+++ b/crates/node/tests/loads.rs
@@ -11,6 +11,7 @@
 use node::hosted::control::copy::Scope::{self, All, Own};
 use node::hosted::control::loads::Loads;
 use report::report;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -43,6 +44,7 @@
             p.id,
             &p.identity.zone,
             peers.iter(),
+            &BTreeSet::new(),
             engines,
         )
     };
--- a/crates/node/tests/orders.rs
+++ b/crates/node/tests/orders.rs
@@ -50,7 +50,16 @@
 fn assignments(nodes: usize) -> Vec<Assignment> {
     let peers: Vec<Peer> = (0..nodes).map(node).collect();
     let engines = EngineCounts::from([("a", ENDPOINTS)]);
-    let assign = |p: &Peer| Assignment::of(Duration::ZERO, p.id, "a", peers.iter(), &engines);
+    let assign = |p: &Peer| {
+        Assignment::of(
+            Duration::ZERO,
+            p.id,
+            "a",
+            peers.iter(),
+            &BTreeSet::new(),
+            &engines,
+        )
+    };
     peers.iter().map(assign).collect()
 }
 
--- a/crates/node/tests/support/spread/layout.rs
+++ b/crates/node/tests/support/spread/layout.rs
@@ -5,6 +5,7 @@
 use member::identity::Identity;
 use member::peer::Peer;
 use node::hosted::control::assignment::{Assignment, EngineCounts};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 pub(super) fn identity(number: usize) -> Identity {
@@ -34,7 +35,15 @@
 ) -> Assignment {
     let third = endpoints / 3;
     let engines = EngineCounts::from([("a", third), ("b", third), ("c", endpoints - 2 * third)]);
-    Assignment::of(now, peer.id, &peer.identity.zone, accepting, &engines)
+    let isolated = BTreeSet::new();
+    Assignment::of(
+        now,
+        peer.id,
+        &peer.identity.zone,
+        accepting,
+        &isolated,
+        &engines,
+    )
 }
 
 /// Returns the endpoints that a node polls for their load.
--- a/crates/steer/src/health.rs
+++ b/crates/steer/src/health.rs
@@ -40,6 +40,8 @@
 pub struct Health {
     /// Failures since the last success.
     failures: u32,
+    /// When the first of these failures was recorded.
+    failing_since: Option<Timestamp>,
     /// End of the ejection.
     ejected_until: Option<Timestamp>,
 }
@@ -60,6 +62,11 @@
         self.failures
     }
 
+    /// Returns when the first failure since the last success was recorded.
+    pub fn failing_since(&self) -> Option<Timestamp> {
+        self.failing_since
+    }
+
     /// Records the outcome of an attempt that began at `began`. A failed attempt that began before
     /// the end of the latest ejection does not count, so that many attempts that break off
     /// together count as one failure.
@@ -73,6 +80,7 @@
                 }
                 let time = BASE_EJECTION_TIME.saturating_mul(1 << self.failures.min(8));
                 self.failures = self.failures.saturating_add(1);
+                self.failing_since.get_or_insert(now);
                 self.eject(now, time.min(MAX_EJECTION_TIME));
             }
             Outcome::Unknown => {}
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod limit;
 pub mod link;
 pub mod load;
+pub mod paths;
 pub mod rest;
 pub mod row;
 pub mod scarcity;
--- a/crates/steer/src/selector.rs
+++ b/crates/steer/src/selector.rs
@@ -4,6 +4,7 @@
 mod departing;
 mod dump;
 mod limited;
+mod reached;
 mod reported;
 mod reroute;
 mod resting;
--- a/crates/steer/src/transition.rs
+++ b/crates/steer/src/transition.rs
@@ -18,6 +18,13 @@
         /// Address that the endpoint listens on.
         addr: SocketAddr,
     },
+    /// The node no longer reaches any endpoint of a service, or reaches one again.
+    Isolation {
+        /// Name of the service.
+        service: String,
+        /// Whether the node is isolated from it.
+        isolated: bool,
+    },
     /// Something was found out about the content of requests.
     Content(Fingerprint, Finding),
 }
--- a/crates/wire/src/raw.rs
+++ b/crates/wire/src/raw.rs
@@ -229,4 +229,9 @@
         fingerprint: Id,
         ttl: u32,
     },
+    Isolated {
+        service: String,
+        isolated: bool,
+        ttl: u32,
+    },
 }
--- a/crates/wire/src/raw/decode.rs
+++ b/crates/wire/src/raw/decode.rs
@@ -335,6 +335,15 @@
                 fingerprint: u64::from_le_bytes(fingerprint),
                 ttl: check_ttl(ttl)?,
             },
+            Observation::Isolated {
+                service,
+                isolated,
+                ttl,
+            } => Self::Isolated {
+                service: check_name(service, "service")?,
+                isolated,
+                ttl: check_ttl(ttl)?,
+            },
             Observation::Demand {
                 team,
                 rate,
--- a/crates/wire/src/raw/encode.rs
+++ b/crates/wire/src/raw/encode.rs
@@ -245,6 +245,15 @@
                 fingerprint: fingerprint.to_le_bytes(),
                 ttl: ceil_seconds(*ttl),
             },
+            item::Observation::Isolated {
+                service,
+                isolated,
+                ttl,
+            } => Self::Isolated {
+                service: service.clone(),
+                isolated: *isolated,
+                ttl: ceil_seconds(*ttl),
+            },
             item::Observation::Demand {
                 team,
                 rate,
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -57,6 +57,11 @@
             fingerprint: 8,
             ttl,
         },
+        Observation::Isolated {
+            service: "s-1".into(),
+            isolated: true,
+            ttl,
+        },
         Observation::Demand {
             team: 5,
             rate: Level(40),
