gate: a node that reaches no endpoint relays requests to one that does

Cause: gate::forward can only send to endpoints. Being left out of the addresses does not suffice, since callers keep an answer for its time and longer.

Change: while a node is isolated from the service of a request, it sends the request to another node's callers' address over HTTP/1.1 (the pool of connections to endpoints serves both), with the caller's key, the time left and a header of our own that forbids another hop. Any node that accepts work and is not isolated from that service may be the relay, at random. A stream is passed on as it comes, any other response once it is complete. What broke after it was sent may have run: 502 for requests that may run once at most; others go to a second relay from the retry budget. Requests are counted for the budget where they go to endpoints. All isolated: refused at once with Retry-After.

Not covered: a stream in progress when its node is cut off ends; its caller may resume it elsewhere.

--- a/crates/gate/src/dialect.rs
+++ b/crates/gate/src/dialect.rs
@@ -23,6 +23,19 @@
     pub expected_output: Option<u32>,
     /// Id of the last event that the caller received from an earlier response to this request.
     pub last_event_id: Option<u64>,
+    /// Whether another node relays the request.
+    pub relayed: bool,
+}
+
+/// Metadata that is added to the caller's headers when a request is relayed to another node.
+#[derive(Clone, Debug)]
+pub struct RelayInfo<'a> {
+    /// Key of the caller's team.
+    pub key: Option<&'a str>,
+    /// Time until the request's deadline.
+    pub time_left: Duration,
+    /// Id of the last event that the caller received from an earlier response to this request.
+    pub last_event_id: Option<u64>,
 }
 
 /// Metadata that is added to the caller's headers when a request is sent to an endpoint.
@@ -99,6 +112,8 @@
     fn is_stripped(&self, name: &HeaderName) -> bool;
     /// Adds the headers for an endpoint.
     fn add_headers(&self, headers: &mut HeaderMap, info: &ForwardInfo<'_>);
+    /// Adds the headers for another node, which restore what [`Self::is_stripped`] withholds.
+    fn add_relay_headers(&self, headers: &mut HeaderMap, info: &RelayInfo<'_>);
     /// Parses the headers of an endpoint's response.
     fn response_info(&self, headers: &HeaderMap) -> ResponseInfo;
     /// Encodes the list of addresses that callers should use for the next `ttl`.
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -4,6 +4,7 @@
 mod inquiry;
 pub mod migration;
 pub mod race;
+mod relay;
 pub mod request_log;
 pub mod stall;
 
@@ -22,11 +23,13 @@
 use catalog::ServiceId;
 use catalog::endpoint::Run;
 use catalog::kind::Kind;
-use futures::Stream;
+use futures::future::Either;
+use futures::{Stream, StreamExt};
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
 use race::{Lost, Phase, Winner};
 use rand::RngExt;
+use relay::Content;
 use request_log::RequestLog;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::ops::RangeInclusive;
@@ -97,8 +100,6 @@
     guard: Guard,
 ) -> Response<Body<impl Stream<Item = Chunk>>> {
     let log = RequestLog::new(worker.journal.clone(), worker.metrics.clone(), &job);
-    let service = job.service().name.clone();
-    worker.with_selector(|selector, now| selector.record_request(now, &service));
     let mut forwarder = Forwarder {
         worker,
         job,
@@ -111,6 +112,14 @@
         trial: OnceCell::new(),
         _in_flight: guard,
     };
+    if forwarder.is_isolated()
+        && let Some(relayed) = forwarder.relay().await
+    {
+        return pass_on(relay::receive(forwarder, relayed).await);
+    }
+    let service = forwarder.job.service().name.clone();
+    let worker = forwarder.worker.clone();
+    worker.with_selector(|selector, now| selector.record_request(now, &service));
     match forwarder.race(None, Phase::Opening).await {
         Ok(Winner::Complete(response)) => {
             // An endpoint that answers with an error may not have run the request to its end.
@@ -122,12 +131,18 @@
         }
         Ok(Winner::Events(source, first)) => {
             let (head, body) = splice::stream(forwarder, *source, first);
-            let mut response = Response::new(body::stream(body));
+            let mut response = Response::new(body::stream(body.right_stream()));
             *response.status_mut() = head.status;
             *response.headers_mut() = head.headers;
             response
         }
         Err(lost) => {
+            // The paths may have been lost meanwhile.
+            if forwarder.is_isolated()
+                && let Some(relayed) = forwarder.relay().await
+            {
+                return pass_on(relay::receive(forwarder, relayed).await);
+            }
             let refusal = match lost {
                 Lost::Shortage(shortage) => forwarder.refuse_for_shortage(shortage),
                 Lost::Crashing { until } => forwarder.refuse_crashing(until),
@@ -140,6 +155,19 @@
     }
 }
 
+/// Returns the response to a request that was relayed.
+fn pass_on<R: Stream<Item = Chunk>, S: Stream<Item = Chunk>>(
+    received: Result<Response<Content<R>>, Refusal>,
+) -> Response<Body<Either<R, S>>> {
+    match received {
+        Ok(response) => response.map(|content| match content {
+            Content::Complete(bytes) => body::full(bytes),
+            Content::Frames(frames) => body::stream(frames.left_stream()),
+        }),
+        Err(refusal) => refusal.response(),
+    }
+}
+
 impl<D: Dialect> Forwarder<D> {
     /// Reads a response completely; `None` if it was cut off or exceeds the size limit.
     async fn read_complete(&self, exchange: Exchange<D>) -> Option<Response<Bytes>> {
--- /dev/null
+++ b/crates/gate/src/forward/relay.rs
@@ -0,0 +1,192 @@
+//! Relays a request to another node while this one is isolated from the endpoints of its service.
+//!
+//! The other node treats it as a request of a caller of its own, so admission, retries, the retry
+//! budget and the deadline are those of that node, and its response is passed on as it is. It does not
+//! relay the request further.
+
+use super::{Forwarder, MAX_BODY_BYTES};
+use crate::admit;
+use crate::dialect::{Dialect, RelayInfo};
+use crate::pool::{self, Conn};
+use crate::refusal::Refusal;
+use crate::splice::{Chunk, Incomplete};
+use bytes::Bytes;
+use futures::Stream;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Frame, Incoming};
+use rand::seq::SliceRandom;
+use std::net::SocketAddr;
+use std::time::Duration;
+use steer::budget::Purpose;
+use tokio::time::timeout;
+
+/// Maximum number of nodes that a request is sent to.
+const MAX_RELAYS: usize = 3;
+/// Time after the deadline within which the other node reports what became of the request.
+const REPORT_TIME: Duration = Duration::from_millis(100);
+
+/// A response of another node whose head was received.
+pub(crate) struct Relayed {
+    conn: Conn,
+    response: Response<Incoming>,
+}
+
+/// Body of a response for the caller.
+pub(crate) enum Content<S> {
+    /// A body that was received completely.
+    Complete(Bytes),
+    /// A body that is passed on while it is received.
+    Frames(S),
+}
+
+/// Body of a response that is passed on while it is received.
+struct Passage<D: Dialect> {
+    forwarder: Forwarder<D>,
+    conn: Conn,
+    headers: HeaderMap,
+    body: Incoming,
+    status: StatusCode,
+    has_started: bool,
+}
+
+impl<D: Dialect> Forwarder<D> {
+    /// Returns whether the request is to be relayed.
+    pub(crate) fn is_isolated(&self) -> bool {
+        !self.job.info.relayed && self.worker.is_isolated(&self.job.service().name)
+    }
+
+    /// Sends the request to another node that reaches endpoints of its service, and waits for the head
+    /// of the response; `None` if there is no such node, or the request may not be sent again.
+    pub(crate) async fn relay(&self) -> Option<Relayed> {
+        let mut nodes = self.relay_nodes();
+        nodes.shuffle(&mut rand::rng());
+        for node in nodes.into_iter().take(MAX_RELAYS) {
+            let may_send = self.possible_runs.get() == 0
+                || (self.job.kind().repeatable() && self.try_retry(Purpose::Answer));
+            if !may_send || self.job.time_left().is_zero() {
+                return None;
+            }
+            let attempt = self.log.record_relayed(node);
+            self.possible_runs.set(self.possible_runs.get() + 1);
+            match self.relay_to(node).await {
+                Ok(relayed) => return Some(relayed),
+                Err(error) => {
+                    let ran = error == pool::Error::Broken;
+                    if ran {
+                        self.reached.set(true);
+                    } else {
+                        self.withdraw_run();
+                    }
+                    self.worker.pool.close_idle(node);
+                    let why = format!("relay: {error}");
+                    self.log.record_failure(attempt, &why, ran);
+                }
+            }
+        }
+        None
+    }
+
+    fn relay_nodes(&self) -> Vec<SocketAddr> {
+        let service = &self.job.service().name;
+        let view = self.worker.view();
+        let relays = view.iter().flat_map(|v| &v.relays);
+        let connected = relays.filter(|r| !r.isolated_from.contains(service));
+        connected.map(|r| r.addr).collect()
+    }
+
+    async fn relay_to(&self, node: SocketAddr) -> pool::Result<Relayed> {
+        let mut conn = self.worker.pool.get(node).await?;
+        let limit = self.job.time_left() + REPORT_TIME;
+        let sent = timeout(limit, conn.send(self.relay_request())).await;
+        let response = sent.unwrap_or(Err(pool::Error::Broken))?;
+        Ok(Relayed { conn, response })
+    }
+
+    fn relay_request(&self) -> Request<Full<Bytes>> {
+        let job = &self.job;
+        let mut request = Request::new(Full::new(job.body.clone()));
+        *request.method_mut() = job.method.clone();
+        *request.uri_mut() = job.uri.clone();
+        *request.headers_mut() = job.headers.clone();
+        let info = RelayInfo {
+            key: job.info.key.as_deref(),
+            time_left: job.time_left(),
+            last_event_id: job.info.last_event_id,
+        };
+        let dialect = &self.worker.dialect;
+        dialect.add_relay_headers(request.headers_mut(), &info);
+        request
+    }
+}
+
+/// Receives the body of a response. A stream is passed on while it is received; any other response is
+/// received completely before, so that one that is cut off does not look complete.
+pub(crate) async fn receive<D: Dialect>(
+    mut forwarder: Forwarder<D>,
+    relayed: Relayed,
+) -> Result<Response<Content<impl Stream<Item = Chunk>>>, Refusal> {
+    let Relayed { conn, response } = relayed;
+    let status = response.status();
+    let (mut parts, incoming) = response.into_parts();
+    let headers = std::mem::take(&mut parts.headers);
+    parts.headers = admit::returned(&headers);
+    if forwarder.job.kind().stream().is_some() && status == StatusCode::OK {
+        let passage = Passage {
+            forwarder,
+            conn,
+            headers,
+            body: incoming,
+            status,
+            has_started: false,
+        };
+        let frames = futures::stream::unfold(Some(passage), |passage| async {
+            passage?.next_frame().await
+        });
+        return Ok(Response::from_parts(parts, Content::Frames(frames)));
+    }
+    let limit = forwarder.job.time_left() + REPORT_TIME;
+    let body = http_body_util::Limited::new(incoming, MAX_BODY_BYTES).collect();
+    let Ok(Ok(body)) = timeout(limit, body).await else {
+        let refusal = forwarder.exhausted();
+        forwarder.log.end_refused(refusal);
+        return Err(refusal);
+    };
+    forwarder.worker.pool.put(conn, &headers, None);
+    forwarder.log.end_answered(status.as_u16());
+    let content = Content::Complete(body.to_bytes());
+    Ok(Response::from_parts(parts, content))
+}
+
+impl<D: Dialect> Passage<D> {
+    /// Returns the next frame of the body and what is left of it; `None` at its end.
+    async fn next_frame(mut self) -> Option<(Chunk, Option<Self>)> {
+        let left = self.forwarder.job.time_left() + REPORT_TIME;
+        match timeout(left, self.body.frame()).await {
+            Ok(Some(Ok(frame))) => {
+                let Ok(data) = frame.into_data() else {
+                    return Some((Ok(Frame::data(Bytes::new())), Some(self)));
+                };
+                match self.has_started {
+                    true => self.forwarder.log.record_event(),
+                    false => self.forwarder.log.record_first_event(),
+                }
+                self.has_started = true;
+                Some((Ok(Frame::data(data)), Some(self)))
+            }
+            Ok(None) => {
+                self.forwarder
+                    .worker
+                    .pool
+                    .put(self.conn, &self.headers, None);
+                self.forwarder.log.end_answered(self.status.as_u16());
+                None
+            }
+            Ok(Some(Err(_))) | Err(_) => {
+                self.forwarder.log.set_reason("the other node broke it off");
+                self.forwarder.log.end_truncated();
+                Some((Err(Incomplete), None))
+            }
+        }
+    }
+}
--- a/crates/gate/src/forward/request_log.rs
+++ b/crates/gate/src/forward/request_log.rs
@@ -71,6 +71,20 @@
         attempt
     }
 
+    /// Records that the request was sent to another node, and returns the number of the attempt.
+    pub(crate) fn record_relayed(&self, node: SocketAddr) -> u32 {
+        let attempt = self.attempts.get() + 1;
+        self.attempts.set(attempt);
+        self.metrics.record_attempt("relayed");
+        self.journal.record(Event::Relayed {
+            id: self.id.clone(),
+            attempt,
+            node: node.to_string(),
+            after_ms: self.received_at.elapsed().as_millis() as u64,
+        });
+        attempt
+    }
+
     /// Records that a stage of an attempt was replaced.
     pub(crate) fn record_reroute(
         &self,
--- a/crates/gate/src/pool.rs
+++ b/crates/gate/src/pool.rs
@@ -12,6 +12,7 @@
 use socket2::SockRef;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -46,6 +47,19 @@
     Broken,
 }
 
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Refused => "no connection: refused",
+            Self::Unreachable => "no connection before the timeout",
+            Self::Unsent => "connection closed before the request was sent",
+            Self::Broken => "connection broke",
+        })
+    }
+}
+
+impl std::error::Error for Error {}
+
 /// Result of sending a request.
 pub type Result<T> = std::result::Result<T, Error>;
 
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -327,15 +327,16 @@
         self.capacity_freed.notify_one();
     }
 
-    /// Closes idle connections that timed out or whose endpoint no longer exists, and drops the
-    /// status reports of removed endpoints.
+    /// Closes idle connections that timed out, or whose endpoint or node is not used any more, and drops
+    /// the status reports of removed endpoints.
     pub fn prune(&self) {
         let Some(view) = self.view() else {
             return;
         };
         let endpoints = &view.fleet.endpoints;
         let known = |addr| endpoints.iter().any(|e| e.addr == addr);
-        self.pool.prune(known);
+        let relays = |addr| view.relays.iter().any(|r| r.addr == addr);
+        self.pool.prune(|addr| known(addr) || relays(addr));
         self.status_reports
             .borrow_mut()
             .retain(|addr, _| known(*addr));
--- a/crates/gate/tests/isolated.rs
+++ b/crates/gate/tests/isolated.rs
@@ -2,12 +2,15 @@
 
 mod support;
 
+use gate::view::{Relay, View};
+use http::StatusCode;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use steer::transition::Transition;
-use support::caller::{request, send};
+use support::caller::{ids, request, send};
 use support::server::{Behavior, Server};
-use support::{Node, node, plain, run};
+use support::{LAYERS, Node, node, plain, run, stage};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// Time within which a node must know that it is isolated.
@@ -60,6 +63,17 @@
     failing.count()
 }
 
+/// Lets the view of a node list another node as relay.
+fn add_relay(node: &Node, addr: SocketAddr, isolated_from: &[&str]) {
+    let current = node.shared_view.load_full().unwrap();
+    let mut changed = View::clone(&current);
+    changed.relays.push(Relay {
+        addr,
+        isolated_from: isolated_from.iter().map(|s| (*s).to_owned()).collect(),
+    });
+    node.shared_view.store(Some(Arc::new(changed)));
+}
+
 /// Sends requests until the node knows that it is isolated.
 async fn isolate(node: &Node, path: &str) {
     let isolated = async {
@@ -83,6 +97,11 @@
     node(endpoints).await
 }
 
+async fn connected_node(behavior: Behavior) -> (Node, Server) {
+    let server = Server::start(vec![behavior]).await;
+    (node(vec![plain(server.addr)]).await, server)
+}
+
 // Guards against reports of failing endpoints by a node that reaches none, and against control that
 // forgets the isolation while it lasts.
 #[test]
@@ -131,3 +150,102 @@
         assert_eq!(failing(&node), 0);
     });
 }
+
+/// Starts an isolated node with another node as relay, which is isolated from `isolated_from`.
+async fn isolated_beside(relay: &Node, isolated_from: &[&str]) -> Node {
+    let node = refused_node().await;
+    isolate(&node, "/safe/x").await;
+    add_relay(&node, relay.addr, isolated_from);
+    node
+}
+
+// Guards against a relay that withholds the key from the other node, or shows it to the endpoint.
+#[test]
+fn another_node_serves_the_requests_of_an_isolated_one() {
+    run(async {
+        let (other, server) = connected_node(Behavior::Answer(200, "x")).await;
+        let node = isolated_beside(&other, &[]).await;
+        for path in ["/safe/x", "/once/x"] {
+            let response = send(node.addr, request(path)).await;
+            assert_eq!(response.status, StatusCode::OK);
+            assert_eq!(response.body, "x");
+            assert!(response.headers.contains_key("seal"));
+        }
+        for head in server.heads() {
+            assert!(head.contains("team: north"), "{head}");
+            assert!(
+                !head.contains("key:") && !head.contains("relayed"),
+                "{head}"
+            );
+        }
+    });
+}
+
+// Guards against streams that end as complete though the other node broke them off.
+#[test]
+fn a_relayed_stream_is_passed_on_to_its_end() {
+    run(async {
+        for (behavior, complete) in [
+            (Behavior::Events(1, 4), true),
+            (Behavior::EventsThenReset(1, 3), false),
+        ] {
+            let server = Server::start(vec![behavior]).await;
+            let other = node(vec![stage(server.addr, 0, LAYERS)]).await;
+            let hole = [Hole::open().await, Hole::open().await];
+            let stages = hole.iter().map(|h| stage(h.addr(), 0, LAYERS));
+            let node = node(stages.collect()).await;
+            isolate(&node, "/chat/x").await;
+            add_relay(&node, other.addr, &[]);
+            let response = send(node.addr, request("/chat/x")).await;
+            assert_eq!(response.status, StatusCode::OK);
+            assert_eq!(response.complete, complete);
+            assert_eq!(ids(&response.body)[..3], [1, 2, 3]);
+        }
+    });
+}
+
+// Guards against requests that circle between nodes none of which reaches an endpoint, and against a
+// refusal that is held back.
+#[test]
+fn isolated_nodes_do_not_relay_in_a_circle() {
+    run(async {
+        let (first, second) = (refused_node().await, refused_node().await);
+        for node in [&first, &second] {
+            isolate(node, "/safe/x").await;
+        }
+        add_relay(&first, second.addr, &[]);
+        add_relay(&second, first.addr, &[]);
+        let response = send(first.addr, request("/safe/x")).await;
+        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(response.headers.contains_key("retry-after"));
+    });
+}
+
+// Guards against a relay to a node that is isolated as well.
+#[test]
+fn a_node_that_is_isolated_as_well_is_no_relay() {
+    run(async {
+        let (other, server) = connected_node(Behavior::Answer(200, "x")).await;
+        let node = isolated_beside(&other, &["plain"]).await;
+        let response = send(node.addr, request("/safe/x")).await;
+        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(server.heads().is_empty());
+    });
+}
+
+// Guards against a request that may run once at most and is said not to have run, or is sent again,
+// after the connection to the other node broke.
+#[test]
+fn a_broken_relay_leaves_the_outcome_unknown() {
+    run(async {
+        let broken = Server::start(vec![Behavior::Reset]).await;
+        let node = refused_node().await;
+        isolate(&node, "/once/x").await;
+        for _ in 0..2 {
+            add_relay(&node, broken.addr, &[]);
+        }
+        let response = send(node.addr, request("/once/x")).await;
+        assert_eq!(response.status, StatusCode::BAD_GATEWAY);
+        assert_eq!(broken.heads().len(), 1);
+    });
+}
--- a/crates/gate/tests/support/dialect.rs
+++ b/crates/gate/tests/support/dialect.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use catalog::engine::Size;
 use gate::dialect::{
-    Dialect, ForwardInfo, RequestInfo, RerouteOutcome, ResponseInfo, Stall, StatusReport,
+    Dialect, ForwardInfo, RelayInfo, RequestInfo, RerouteOutcome, ResponseInfo, Stall, StatusReport,
 };
 use http::{HeaderMap, HeaderName, HeaderValue};
 use std::net::SocketAddr;
@@ -26,11 +26,12 @@
             }),
             expected_output: None,
             last_event_id: number(headers, "after"),
+            relayed: headers.contains_key("relayed"),
         }
     }
 
     fn is_stripped(&self, name: &HeaderName) -> bool {
-        ["key", "deadline", "team", "chain", "after"].contains(&name.as_str())
+        ["key", "deadline", "team", "chain", "after", "relayed"].contains(&name.as_str())
     }
 
     fn add_headers(&self, headers: &mut HeaderMap, info: &ForwardInfo<'_>) {
@@ -50,6 +51,20 @@
         set("chain", stages.join(","));
     }
 
+    fn add_relay_headers(&self, headers: &mut HeaderMap, info: &RelayInfo<'_>) {
+        let mut set = |name: &'static str, value: String| {
+            headers.insert(name, HeaderValue::try_from(value).unwrap());
+        };
+        set("relayed", "1".to_owned());
+        set("deadline", info.time_left.as_millis().to_string());
+        if let Some(key) = info.key {
+            set("key", key.to_owned());
+        }
+        if let Some(after) = info.last_event_id {
+            set("after", after.to_string());
+        }
+    }
+
     fn response_info(&self, headers: &HeaderMap) -> ResponseInfo {
         ResponseInfo {
             request_id: text(headers, "id"),
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -178,6 +178,7 @@
             ..Fleet::default()
         },
         nodes: vec![([127, 0, 0, 1], 9).into()],
+        relays: Vec::new(),
         leaving: false,
         crashes: Arc::default(),
     }
--- a/crates/journal/src/event.rs
+++ b/crates/journal/src/event.rs
@@ -94,6 +94,18 @@
         /// Version of the catalog that chose the route.
         catalog: u64,
     },
+    /// A request was sent to another node, since this one is isolated from the endpoints of its service.
+    /// That node writes lines with the same id.
+    Relayed {
+        /// Request id.
+        id: String,
+        /// Number of the attempt.
+        attempt: u32,
+        /// Address of the other node for callers.
+        node: String,
+        /// Time from the request's arrival, in milliseconds.
+        after_ms: u64,
+    },
     /// No endpoint could take a request. The fields describe the fleet as this node knew it.
     Short {
         /// Request id.
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -497,6 +497,7 @@
                 budget_nodes: self.budget_nodes(),
             },
             nodes,
+            relays: self.relays(),
             leaving: self.leaving,
             crashes: Arc::new(self.crashes.clone()),
         };
--- a/crates/node/src/hosted/control/state/peers.rs
+++ b/crates/node/src/hosted/control/state/peers.rs
@@ -2,6 +2,7 @@
 
 use super::State;
 use adapter::store::Table;
+use gate::view::Relay;
 use journal::event::Event as JournalEvent;
 use member::action::Action;
 use member::event::Event;
@@ -121,6 +122,23 @@
         own.into_iter().chain(peers.map(|(_, addr)| addr)).collect()
     }
 
+    /// Returns the peers that accept new work, as relays for the services that this node is isolated
+    /// from; none while it is isolated from none.
+    pub(super) fn relays(&self) -> Vec<Relay> {
+        if self.isolated.is_empty() {
+            return Vec::new();
+        }
+        let isolated = self.group.isolated(self.start.elapsed());
+        let relay = |(id, addr)| Relay {
+            addr,
+            isolated_from: isolated
+                .get(&id)
+                .map(|services| services.iter().map(|s| (*s).to_owned()).collect())
+                .unwrap_or_default(),
+        };
+        self.peer_addrs().map(relay).collect()
+    }
+
     /// Iterates over the peers that accept new work, with their addresses for callers.
     fn peer_addrs(&self) -> impl Iterator<Item = (Id, SocketAddr)> {
         let me = self.group.me();
