gate: an endpoint that is out of reach did not crash

Callers saw: harmless contents refused as crashing, at all nodes, after their node lost its paths.

Change: a refusal is evidence only if another endpoint of the service accepts a connection.

--- a/crates/gate/src/forward/inquiry.rs
+++ b/crates/gate/src/forward/inquiry.rs
@@ -24,11 +24,13 @@
             return;
         }
         let (worker, addr) = (self.worker.clone(), head.addr);
+        let run = head.run.clone();
         let content = self.job.fingerprint();
         let crashes = broken.earlier_crashes.get().saturating_add(1);
         let record = self.log.broken(broken.attempt.get(), &head.run, content);
         let inquiry = tokio::task::spawn_local(async move {
-            let crashed = worker.probes.has_ended(addr).await;
+            let others = || worker.with_selector(|selector, now| selector.sample_beside(now, &run));
+            let crashed = worker.probes.has_ended(addr, others).await;
             if crashed {
                 worker.record_crash(content, crashes);
             }
--- a/crates/gate/src/probe.rs
+++ b/crates/gate/src/probe.rs
@@ -2,8 +2,10 @@
 //!
 //! A broken connection alone doesn't show it. The endpoint may have given up one response, or only
 //! the connection was reset. The address of a machine that lost power or is cut off does not respond,
-//! which says nothing about the process.
+//! which says nothing about the process. Nor does a refusal if the other endpoints refuse as well: then
+//! this node has lost its paths.
 
+use crate::reach;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -28,16 +30,25 @@
 }
 
 impl Probes {
-    /// Returns whether the endpoint at `addr` has ended. Concurrent calls share a probe. Must be called
-    /// within a [`tokio::task::LocalSet`].
-    pub(crate) async fn has_ended(&self, addr: SocketAddr) -> bool {
-        let mut outcome = self.outcome(addr);
+    /// Returns whether the endpoint at `addr` has ended: it refuses connections, and one of the
+    /// endpoints that `others` returns accepts them. Without others, its refusal suffices. Concurrent
+    /// calls share a probe. Must be called within a [`tokio::task::LocalSet`].
+    pub(crate) async fn has_ended(
+        &self,
+        addr: SocketAddr,
+        others: impl FnOnce() -> Vec<SocketAddr>,
+    ) -> bool {
+        let mut outcome = self.outcome(addr, others);
         // The sender is dropped only after the outcome, or with the runtime.
         let ended = outcome.wait_for(Option::is_some).await;
         ended.is_ok_and(|ended| *ended == Some(true))
     }
 
-    fn outcome(&self, addr: SocketAddr) -> watch::Receiver<Outcome> {
+    fn outcome(
+        &self,
+        addr: SocketAddr,
+        others: impl FnOnce() -> Vec<SocketAddr>,
+    ) -> watch::Receiver<Outcome> {
         let mut recent = self.recent.borrow_mut();
         recent.retain(|_, (started, _)| started.elapsed() < MAX_PROBE_AGE);
         if let Some((_, outcome)) = recent.get(&addr) {
@@ -45,8 +56,11 @@
         }
         let (sender, outcome) = watch::channel(None);
         recent.insert(addr, (Instant::now(), outcome.clone()));
+        let others = others();
         tokio::task::spawn_local(async move {
-            sender.send_replace(Some(refuses_connections(addr).await));
+            let ended = refuses_connections(addr).await
+                && (others.is_empty() || reach::any_accepts(&others).await);
+            sender.send_replace(Some(ended));
         });
         outcome
     }
