--- a/crates/gate/tests/crash.rs
+++ b/crates/gate/tests/crash.rs
@@ -308,3 +308,51 @@
         assert_eq!(runs(&servers, "/safe/bad"), MAX_RUNS);
     });
 }
+
+/// Returns a request that no other one is like, with these parts in its prompt before a part of its own.
+fn prompt(path: &str, number: usize, parts: &str) -> Request<Full<Bytes>> {
+    let (mut head, _) = request(path).into_parts();
+    let parts = format!("{parts},own{number}");
+    head.headers.insert("parts", parts.parse().unwrap());
+    let body = format!("prompt {number}");
+    Request::from_parts(head, Full::new(body.into()))
+}
+
+// Guards against a part of prompts that crashes endpoints, each time in another request.
+#[test]
+fn a_part_that_crashes_endpoints_is_refused_after_three_of_them() {
+    run(async {
+        for path in ["/safe/bad", "/chat/bad"] {
+            let answer = match path {
+                "/chat/bad" => Behavior::Events(1, 4),
+                _ => Behavior::Answer(200, "x"),
+            };
+            let (node, servers) = fleet(path, Behavior::Crash, answer).await;
+            for number in 0..RETURNS {
+                send(node.addr, prompt(path, number, "shared,guilty")).await;
+                sleep(20).await;
+            }
+            let sent = runs(&servers, path);
+            assert!(sent <= MAX_RUNS, "sent to {sent} endpoints");
+        }
+    });
+}
+
+// Guards against a refusal of sound requests that share the caller and other parts of the prompt with
+// requests that crash endpoints.
+#[test]
+fn requests_without_the_part_that_crashes_endpoints_are_served() {
+    run(async {
+        let answer = Behavior::Answer(200, "x");
+        let (node, _servers) = fleet("/safe/bad", Behavior::Crash, answer).await;
+        let mut served = 0;
+        for number in 0..RETURNS {
+            let sound = prompt("/safe/x", 100 + number, "shared");
+            let response = send(node.addr, sound).await;
+            served += usize::from(response.status == StatusCode::OK);
+            send(node.addr, prompt("/safe/bad", number, "shared,guilty")).await;
+            sleep(20).await;
+        }
+        assert_eq!(served, RETURNS);
+    });
+}
