gate, steer: a part of prompts that crashes endpoints is refused

Cause: crashes were counted by content (team, host, method, path, body), so each of these requests was new. Ruled out: news of counts that is late, since no content was the same twice.

Change: the parts of a prompt except the last, which is the request's own, are counted like contents, each by itself: suspended after two crashes in a row, one request at a time after that, condemned by all nodes after three. The line of a broken attempt names the parts.

In tests of Findings the argument of crashes() is no longer a closure; what they assert is unchanged.

--- a/crates/gate/src/admit.rs
+++ b/crates/gate/src/admit.rs
@@ -112,7 +112,8 @@
         body,
         received_at,
         deadline,
-        fingerprint: OnceCell::new(),
+        features: OnceCell::new(),
+        parts: OnceCell::new(),
     })
 }
 
--- a/crates/gate/src/dialect.rs
+++ b/crates/gate/src/dialect.rs
@@ -25,6 +25,8 @@
     pub last_event_id: Option<u64>,
     /// Whether another node relays the request.
     pub relayed: bool,
+    /// Names of the parts of the prompt that other requests may share, in order.
+    pub shared_parts: Vec<String>,
 }
 
 /// Metadata that is added to the caller's headers when a request is relayed to another node.
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -303,8 +303,8 @@
     /// budget, but not from what is left for responses that have no endpoint any more; `None` if the
     /// request may not be retried or no other endpoint can take it now.
     pub(crate) fn hedge_target(&self, running: &[Rc<Progress>]) -> Option<Reservation<D>> {
-        // A content that may have crashed an endpoint runs on one at a time.
-        let suspect = self.worker.crashes(&self.job) > 0;
+        // A request that may have crashed an endpoint runs on one at a time.
+        let suspect = self.worker.is_suspect(&self.job);
         if suspect || !self.job.kind().repeatable() || !self.has_retry() {
             return None;
         }
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -8,7 +8,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -80,8 +80,9 @@
     pub(crate) idle_reason: Cell<Option<&'static str>>,
     /// Whether the attempt was ever idle.
     pub(crate) was_idle: Cell<bool>,
-    /// Number of endpoints that the request's content had crashed when the attempt was sent.
-    pub(crate) earlier_crashes: Cell<u8>,
+    /// Number of endpoints that each feature of the request had crashed when the attempt was sent;
+    /// empty if nothing was recorded.
+    pub(crate) earlier_crashes: RefCell<Vec<u8>>,
 }
 
 impl Progress {
@@ -92,7 +93,7 @@
             dropped_as: Cell::new(Outcome::Unknown),
             idle_reason: Cell::new(None),
             was_idle: Cell::new(false),
-            earlier_crashes: Cell::new(0),
+            earlier_crashes: RefCell::default(),
         }
     }
 }
@@ -194,7 +195,7 @@
         let attempt = self.log.record_sent(&reservation.target, crossings);
         reservation.progress.attempt.set(attempt);
         let crashes = self.worker.crashes(&self.job);
-        reservation.progress.earlier_crashes.set(crashes);
+        reservation.progress.earlier_crashes.replace(crashes);
         self.possible_runs.set(self.possible_runs.get() + 1);
         let exchanged = self.exchange(&mut reservation, last_event_id).await;
         let failure = match exchanged {
--- a/crates/gate/src/forward/inquiry.rs
+++ b/crates/gate/src/forward/inquiry.rs
@@ -25,14 +25,17 @@
         }
         let (worker, addr) = (self.worker.clone(), head.addr);
         let run = head.run.clone();
-        let content = self.job.fingerprint();
-        let crashes = broken.earlier_crashes.get().saturating_add(1);
-        let record = self.log.broken(broken.attempt.get(), &head.run, content);
+        let features = self.job.features().to_vec();
+        let earlier_crashes = broken.earlier_crashes.take();
+        let record = self.log.broken(broken.attempt.get(), &head.run, &features);
         let inquiry = tokio::task::spawn_local(async move {
             let others = || worker.with_selector(|selector, now| selector.sample_beside(now, &run));
             let crashed = worker.probes.has_ended(addr, others).await;
             if crashed {
-                worker.record_crash(content, crashes);
+                let earlier_crashes = earlier_crashes.into_iter().chain(std::iter::repeat(0));
+                for (feature, earlier) in features.into_iter().zip(earlier_crashes) {
+                    worker.record_crash(feature, earlier.saturating_add(1));
+                }
             }
             record.end(crashed);
         });
--- a/crates/gate/src/forward/request_log.rs
+++ b/crates/gate/src/forward/request_log.rs
@@ -156,14 +156,20 @@
     }
 
     /// Returns the record of a broken attempt, to be written once its endpoint was probed.
-    pub(crate) fn broken(&self, attempt: u32, run: &Run, content: Fingerprint) -> BrokenAttempt {
+    /// `features` are those of [`Job::features`].
+    pub(crate) fn broken(
+        &self,
+        attempt: u32,
+        run: &Run,
+        features: &[Fingerprint],
+    ) -> BrokenAttempt {
         BrokenAttempt {
             journal: self.journal.clone(),
             metrics: self.metrics.clone(),
             id: self.id.clone(),
             attempt,
             run: run.to_string(),
-            content,
+            features: features.iter().map(|f| format!("{f:016x}")).collect(),
         }
     }
 
@@ -234,7 +240,7 @@
     id: String,
     attempt: u32,
     run: String,
-    content: Fingerprint,
+    features: Vec<String>,
 }
 
 impl BrokenAttempt {
@@ -243,11 +249,13 @@
         if crashed {
             self.metrics.record_attempt("endpoint crashed");
         }
+        let mut features = self.features.into_iter();
         self.journal.record(Event::Broken {
             id: self.id,
             attempt: self.attempt,
             run: self.run,
-            content: format!("{:016x}", self.content),
+            content: features.next().unwrap_or_default(),
+            parts: features.collect(),
             crashed,
         });
     }
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -51,8 +51,10 @@
     pub received_at: Instant,
     /// Deadline: the caller's timeout, or the route's if that is shorter.
     pub deadline: Instant,
-    /// Hash of the content, once it was needed; see [`Job::fingerprint`].
-    pub fingerprint: OnceCell<Fingerprint>,
+    /// Hashes of the features, once they were needed; see [`Job::features`].
+    pub features: OnceCell<Vec<Fingerprint>>,
+    /// Hashes of the parts of the prompt, once they were needed; see [`Job::parts`].
+    pub parts: OnceCell<Vec<Fingerprint>>,
 }
 
 impl Job {
@@ -85,28 +87,40 @@
     /// sends the request again gets the same one, at every node and under every catalog. The hash is
     /// cryptographic, so that a request can't be made to match that of another team.
     pub fn fingerprint(&self) -> Fingerprint {
-        *self.fingerprint.get_or_init(|| self.hash_content())
+        self.features()[0]
+    }
+
+    /// Returns the hashes of the parts of the prompt that other requests of the service may share.
+    pub fn parts(&self) -> &[Fingerprint] {
+        self.parts.get_or_init(|| {
+            let service = self.service().name.as_bytes();
+            let parts = self.info.shared_parts.iter();
+            parts
+                .map(|part| hash([b"part", service, part.as_bytes()]))
+                .collect()
+        })
+    }
+
+    /// Returns the hashes of what the request may have in common with others that crash endpoints: its
+    /// content, then the parts of its prompt.
+    pub fn features(&self) -> &[Fingerprint] {
+        self.features.get_or_init(|| {
+            let content = std::iter::once(self.hash_content());
+            content.chain(self.parts().iter().copied()).collect()
+        })
     }
 
     fn hash_content(&self) -> Fingerprint {
         let host = self.headers.get(HOST).map_or(&[][..], |h| h.as_bytes());
         let path = self.uri.path_and_query().map_or("", |p| p.as_str());
         let team = self.team.as_deref().unwrap_or_default();
-        let fields = [
+        hash([
             team.as_bytes(),
             host,
             self.method.as_str().as_bytes(),
             path.as_bytes(),
             &self.body,
-        ];
-        let mut hash = Sha256::new();
-        for field in fields {
-            hash.update((field.len() as u64).to_le_bytes());
-            hash.update(field);
-        }
-        let digest: [u8; 32] = hash.finalize().into();
-        let (first, _) = digest.split_first_chunk().unwrap_or((&[0; 8], &[]));
-        Fingerprint::from_le_bytes(*first)
+        ])
     }
 
     /// Returns the size and urgency by which a chain is selected.
@@ -125,3 +139,14 @@
         }
     }
 }
+
+fn hash<const N: usize>(fields: [&[u8]; N]) -> Fingerprint {
+    let mut hash = Sha256::new();
+    for field in fields {
+        hash.update((field.len() as u64).to_le_bytes());
+        hash.update(field);
+    }
+    let digest: [u8; 32] = hash.finalize().into();
+    let (first, _) = digest.split_first_chunk().unwrap_or((&[0; 8], &[]));
+    Fingerprint::from_le_bytes(*first)
+}
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -178,7 +178,10 @@
                 self.selector
                     .borrow_mut()
                     .update_fleet(now, view.fleet.clone());
-                self.crashes.borrow_mut().update(now, &view.crashes);
+                let disproved = self.crashes.borrow_mut().update(now, &view.crashes);
+                for part in disproved {
+                    self.send(Transition::Content(part, Finding::Completed));
+                }
                 self.table_version.set(self.table_version.get() + 1);
                 self.capacity_freed.notify_waiters();
             }
@@ -259,35 +262,62 @@
         }
     }
 
-    /// Returns whether requests with the content of `job` may be sent to endpoints.
+    /// Returns whether requests with the features of `job` may be sent to endpoints.
     pub(crate) fn verdict(&self, job: &Job) -> Verdict {
         self.view();
         let crashes = self.crashes.borrow();
-        crashes.verdict(self.now(), || job.fingerprint())
+        crashes.verdict(self.now(), || job.features())
     }
 
-    /// Returns the number of endpoints that the content of `job` has crashed in a row.
-    pub(crate) fn crashes(&self, job: &Job) -> u8 {
+    /// Returns the number of endpoints that each feature of `job` has crashed in a row; empty if
+    /// nothing is recorded of any request.
+    pub(crate) fn crashes(&self, job: &Job) -> Vec<u8> {
         self.view();
         let crashes = self.crashes.borrow();
-        crashes.crashes(self.now(), || job.fingerprint())
+        if crashes.is_empty() {
+            return Vec::new();
+        }
+        let features = job.features().iter();
+        let now = self.now();
+        features.map(|&f| crashes.crashes(now, f)).collect()
     }
 
-    /// Begins a trial of the content of `job`; `None` if one is in progress.
+    /// Returns whether a feature of `job` may crash endpoints.
+    pub(crate) fn is_suspect(&self, job: &Job) -> bool {
+        self.crashes(job).iter().any(|&crashes| crashes > 0)
+    }
+
+    /// Begins a trial of the features of `job` that are on trial; `None` if one is in progress.
     pub(crate) fn begin_trial(&self, job: &Job) -> Option<Trial> {
-        Trial::begin(self.trials.clone(), job.fingerprint())
+        let now = self.now();
+        let crashes = self.crashes.borrow();
+        let on_trial = |feature: &&Fingerprint| {
+            crashes.verdict(now, || std::slice::from_ref(*feature)) == Verdict::OnTrial
+        };
+        let features = job.features().iter().filter(on_trial).copied();
+        Trial::begin(self.trials.clone(), features.collect())
     }
 
-    /// Records that a content has crashed this number of endpoints in a row.
+    /// Records that a feature has crashed this number of endpoints in a row.
     pub(crate) fn record_crash(&self, content: Fingerprint, crashes: u8) {
         self.record_finding(content, Finding::Crashed(crashes));
     }
 
     /// Records that a request completed.
     pub(crate) fn record_completed(&self, job: &Job) {
-        if self.crashes(job) > 0 {
+        if self
+            .crashes(job)
+            .first()
+            .is_some_and(|&crashes| crashes > 0)
+        {
             self.record_finding(job.fingerprint(), Finding::Completed);
         }
+        let now = self.now();
+        for &part in job.parts() {
+            if self.crashes.borrow_mut().prove(now, part) {
+                self.send(Transition::Content(part, Finding::Completed));
+            }
+        }
     }
 
     fn record_finding(&self, content: Fingerprint, finding: Finding) {
--- a/crates/gate/tests/support/dialect.rs
+++ b/crates/gate/tests/support/dialect.rs
@@ -27,6 +27,10 @@
             expected_output: None,
             last_event_id: number(headers, "after"),
             relayed: headers.contains_key("relayed"),
+            shared_parts: text(headers, "parts")
+                .and_then(|parts| Some(parts.rsplit_once(',')?.0.to_owned()))
+                .map(|shared| shared.split(',').map(str::to_owned).collect())
+                .unwrap_or_default(),
         }
     }
 
--- a/crates/journal/src/event.rs
+++ b/crates/journal/src/event.rs
@@ -186,6 +186,8 @@
         run: String,
         /// Fingerprint of the request's content, in hexadecimal digits.
         content: String,
+        /// Fingerprints of the parts of its prompt that other requests may share.
+        parts: Vec<String>,
         /// Whether the endpoint has ended: it refuses connections and had not announced that it leaves.
         crashed: bool,
     },
--- a/crates/steer/src/crash.rs
+++ b/crates/steer/src/crash.rs
@@ -11,8 +11,14 @@
 //! crashed can return before it runs again. Then it is on trial: a node runs one request with it at a
 //! time. The nodes end the suspension at different times, so that the first trial decides before
 //! there are others. After three crashes the content is refused.
+//!
+//! The parts of a prompt that other requests may share are counted in the same way, each by itself,
+//! since a part may crash endpoints in requests that have nothing else in common. A part that was
+//! ever in a request that completed does not, so it is no longer counted. Content and parts are
+//! called the features of a request.
 
 mod findings;
+mod proven;
 
 pub use findings::{Finding, Findings};
 
@@ -22,7 +28,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Hash of a request's content.
+/// Hash of a request's content, or of a part of its prompt.
 pub type Fingerprint = u64;
 
 /// Number of crashes in a row after which a content is suspended.
@@ -54,6 +60,19 @@
     Condemned(Timestamp),
 }
 
+impl Verdict {
+    /// Returns the stricter of two verdicts on the features of one request.
+    fn stricter(self, other: Self) -> Self {
+        let rank = |verdict: &Self| match *verdict {
+            Self::Allowed => (0, Timestamp::ZERO),
+            Self::OnTrial => (1, Timestamp::ZERO),
+            Self::Suspended(until) => (2, until),
+            Self::Condemned(until) => (3, until),
+        };
+        std::cmp::max_by_key(self, other, rank)
+    }
+}
+
 /// Crashes of one content.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Record {
--- a/crates/steer/tests/crash.rs
+++ b/crates/steer/tests/crash.rs
@@ -86,15 +86,15 @@
     assert!(findings.record(secs(10), 7, Finding::Crashed(2)));
     assert!(!findings.record(secs(10), 7, Finding::Crashed(1)));
     findings.update(secs(11), &Ledger::default());
-    assert_eq!(findings.crashes(secs(11), || 7), 2);
+    assert_eq!(findings.crashes(secs(11), 7), 2);
     findings.update(secs(13), &Ledger::default());
-    assert_eq!(findings.crashes(secs(13), || 7), 0);
+    assert_eq!(findings.crashes(secs(13), 7), 0);
     let mut published = Ledger::default();
     published.record(7, 2, secs(13));
     findings.update(secs(14), &published);
     assert!(findings.record(secs(14), 7, Finding::Completed));
     findings.update(secs(15), &published);
-    assert_eq!(findings.crashes(secs(15), || 7), 0);
+    assert_eq!(findings.crashes(secs(15), 7), 0);
 }
 
 // Guards against a content that returns at all nodes at once when its suspension ends.
@@ -111,3 +111,26 @@
     let first_second = ends.partition_point(|end| *end < secs(10) + MIN_SUSPENSION + secs(1));
     assert!((1..30).contains(&first_second), "{first_second}");
 }
+
+// Guards against a part of prompts that many requests share and that is refused since it was often in
+// flight when endpoints crashed.
+#[test]
+fn a_part_that_completed_is_no_longer_counted() {
+    let mut findings = Findings::default();
+    findings.record(secs(10), 7, Finding::Crashed(1));
+    assert!(findings.prove(secs(11), 7));
+    for crashes in 1..=3 {
+        assert!(!findings.record(secs(12), 7, Finding::Crashed(crashes)));
+    }
+    assert_eq!(findings.verdict(secs(13), || &[7]), Verdict::Allowed);
+    let mut published = Ledger::default();
+    published.record(7, 3, secs(14));
+    published.record(8, 3, secs(14));
+    assert_eq!(findings.update(secs(15), &published), [7]);
+    assert_eq!(findings.verdict(secs(15), || &[7]), Verdict::Allowed);
+    let until = secs(14) + CONDEMNED_RETENTION;
+    assert_eq!(
+        findings.verdict(secs(15), || &[7, 8]),
+        Verdict::Condemned(until)
+    );
+}
