gate: responses without end take a bounded part of the memory

The bodies that a worker buffers are now bounded together (48 MiB), and a head by 64 KiB in place of the library's 400 KiB.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -178,9 +178,9 @@
             reservation,
         } = exchange;
         let (mut parts, body) = response.into_parts();
-        let body = http_body_util::Limited::new(body, MAX_BODY_BYTES).collect();
+        let body = self.worker.buffers.collect(body, MAX_BODY_BYTES);
         let body = timeout(self.job.time_left(), body).await;
-        let Ok(Ok(body)) = body else {
+        let Ok(Some(body)) = body else {
             reservation.end(Outcome::Failed, None);
             return None;
         };
@@ -189,7 +189,7 @@
             .pool
             .put(conn, &parts.headers, info.idle_timeout);
         parts.headers = admit::returned(&parts.headers);
-        Some(Response::from_parts(parts, body.to_bytes()))
+        Some(Response::from_parts(parts, body))
     }
 
     /// Ends an attempt that the endpoint refused.
--- a/crates/gate/src/forward/relay.rs
+++ b/crates/gate/src/forward/relay.rs
@@ -146,15 +146,16 @@
         return Ok(Response::from_parts(parts, Content::Frames(frames)));
     }
     let limit = forwarder.job.time_left() + REPORT_TIME;
-    let body = http_body_util::Limited::new(incoming, MAX_BODY_BYTES).collect();
-    let Ok(Ok(body)) = timeout(limit, body).await else {
+    let worker = forwarder.worker.clone();
+    let body = worker.buffers.collect(incoming, MAX_BODY_BYTES);
+    let Ok(Some(body)) = timeout(limit, body).await else {
         let refusal = forwarder.exhausted();
         forwarder.log.end_refused(refusal);
         return Err(refusal);
     };
     forwarder.worker.pool.put(conn, &headers, None);
     forwarder.log.end_answered(status.as_u16());
-    let content = Content::Complete(body.to_bytes());
+    let content = Content::Complete(body);
     Ok(Response::from_parts(parts, content))
 }
 
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -14,6 +14,7 @@
 
 pub mod admit;
 pub mod body;
+mod buffer;
 pub mod dialect;
 pub mod discovery;
 pub mod events;
--- a/crates/gate/src/pool.rs
+++ b/crates/gate/src/pool.rs
@@ -31,6 +31,9 @@
 /// that is sent while the endpoint closes the connection is lost, and it is unknown whether it was
 /// executed.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.6;
+/// Maximum size of a response head, and of what is read at once of a body. An endpoint may send a head
+/// without end on each of its connections.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections to one endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 64;
 
@@ -185,7 +188,10 @@
     // connection works; failures are ignored.
     let _ = stream.set_nodelay(true);
     let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let handshake = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await;
     let (sender, conn) = handshake.map_err(|_| Error::Refused)?;
     // Errors of the connection are returned to the request that uses it.
     tokio::task::spawn_local(async move {
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -2,6 +2,7 @@
 
 use crate::admit::{self, Admitted};
 use crate::body::Body;
+use crate::buffer::Buffers;
 use crate::dialect::{Dialect, RequestInfo};
 use crate::forward;
 use crate::forward::stall::CachedReport;
@@ -104,6 +105,8 @@
     trials: Rc<Trials>,
     /// Probes of endpoints whose connections broke.
     pub(crate) probes: Probes,
+    /// Buffers for the bodies of responses.
+    pub(crate) buffers: Buffers,
     /// The paths to endpoints.
     pub(crate) paths: RefCell<Paths>,
     /// This worker, for tasks that it starts.
@@ -135,6 +138,7 @@
             crashes: RefCell::default(),
             trials: Rc::default(),
             probes: Probes::default(),
+            buffers: Buffers::default(),
             paths: RefCell::default(),
             me: me.clone(),
             closing: Cell::new(false),
--- a/crates/gate/tests/support/server.rs
+++ b/crates/gate/tests/support/server.rs
@@ -30,6 +30,8 @@
     EventsThenCrash(u64, u64),
     /// Does what the first behavior says if the request has this path, else what the second says.
     ForPath(&'static str, Box<Behavior>, Box<Behavior>),
+    /// Sends a head or a body of this kind without end, until the connection closes.
+    Endless(Endless),
     /// Responds with the id of another request.
     OtherRequest,
     /// Responds without a seal.
@@ -65,6 +67,14 @@
     Limited(Duration, Box<Behavior>),
 }
 
+/// What an endpoint sends without end.
+#[derive(Clone, Copy, Debug)]
+pub enum Endless {
+    Head,
+    Body,
+    Event,
+}
+
 impl Behavior {
     /// Announces in the head of the response that the endpoint leaves.
     pub fn leaving(self) -> Self {
@@ -321,6 +331,18 @@
                 tokio::time::sleep(Duration::from_millis(20)).await;
                 reset(stream)
             }
+            Behavior::Endless(kind) => {
+                let head = "HTTP/1.1 200 OK\r\n".to_owned() + &own;
+                let start = match kind {
+                    Endless::Head => head + "x-endless: ",
+                    Endless::Body => head + "\r\n",
+                    Endless::Event => head + "\r\nid: 1\ndata: ",
+                };
+                write(stream, &start).await?;
+                let filler = "x".repeat(1 << 16);
+                while write(stream, &filler).await.is_some() {}
+                None
+            }
             Behavior::Silent => self.wait_for_close(stream).await,
             Behavior::Events(from, to) => {
                 write(stream, &events(&own, from, to)).await?;
