--- a/crates/gate/tests/isolated.rs
+++ b/crates/gate/tests/isolated.rs
@@ -249,3 +249,32 @@
         assert_eq!(broken.heads().len(), 1);
     });
 }
+
+// Guards against an isolated node that cuts off what still works: open connections may live on while
+// new ones are refused.
+#[test]
+fn an_open_stream_goes_on_while_new_connections_are_refused() {
+    run(async {
+        let pause = Duration::from_millis(800);
+        let slow = Behavior::EventsWithPause(1..=2, pause, 3..=4);
+        let servers = [
+            Server::start(vec![slow.clone()]).await,
+            Server::start(vec![slow]).await,
+        ];
+        let stages = servers.iter().map(|s| stage(s.addr, 0, LAYERS));
+        let node = node(stages.collect()).await;
+        let stream = send(node.addr, request("/chat/x"));
+        let partition = async {
+            while servers.iter().all(|s| s.heads().is_empty()) {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            for server in &servers {
+                server.refuse_new().await;
+            }
+            isolate(&node, "/chat/x").await;
+        };
+        let (response, ()) = futures::join!(stream, partition);
+        assert!(response.complete);
+        assert_eq!(ids(&response.body), [1, 2, 3, 4]);
+    });
+}
--- a/crates/gate/tests/support/caller.rs
+++ b/crates/gate/tests/support/caller.rs
@@ -32,6 +32,10 @@
 /// Sends a request on a new connection and reads the response to its end.
 pub async fn send(addr: SocketAddr, request: Request<Full<bytes::Bytes>>) -> Received {
     let stream = TcpStream::connect(addr).await.unwrap();
+    send_on(stream, request).await
+}
+
+async fn send_on(stream: TcpStream, request: Request<Full<bytes::Bytes>>) -> Received {
     let (mut sender, conn) = http1::handshake(TokioIo::new(stream)).await.unwrap();
     let conn = tokio::spawn(async move {
         let _ = conn.await;
@@ -58,10 +62,12 @@
     }
 }
 
-/// Sends a GET request and returns the body; `None` if the status is not a success.
+/// Sends a GET request and returns the body; `None` if no connection can be established or the status
+/// is not a success.
 pub async fn get(addr: SocketAddr, path: &str) -> Option<String> {
     let request = Request::get(path).body(Full::default()).unwrap();
-    let response = send(addr, request).await;
+    let stream = TcpStream::connect(addr).await.ok()?;
+    let response = send_on(stream, request).await;
     response.status.is_success().then_some(response.body)
 }
 
--- a/crates/gate/tests/support/server.rs
+++ b/crates/gate/tests/support/server.rs
@@ -104,6 +104,8 @@
     state: Arc<Mutex<State>>,
     /// One permit for each held response that may be sent.
     released: Arc<Semaphore>,
+    /// Cancelled when new connections are refused.
+    refusing: CancellationToken,
     /// Cancelled when the endpoint crashes.
     crashed: CancellationToken,
     /// Cancelled when the listener is closed.
@@ -139,6 +141,7 @@
             addr: listener.local_addr().unwrap(),
             state: Arc::default(),
             released: Arc::new(Semaphore::new(0)),
+            refusing: CancellationToken::new(),
             crashed: CancellationToken::new(),
             closed: CancellationToken::new(),
         };
@@ -151,8 +154,10 @@
                     tokio::spawn(own.clone().serve(stream));
                 }
             };
+            let accepting = own.refusing.run_until_cancelled(accepting);
             own.crashed.run_until_cancelled(accepting).await;
             drop(listener);
+            own.crashed.cancelled().await;
             own.closed.cancel();
         });
         server
@@ -208,6 +213,14 @@
         self.state.lock().unwrap().closed_idle
     }
 
+    /// Refuses new connections; the open ones go on.
+    pub async fn refuse_new(&self) {
+        self.refusing.cancel();
+        while TcpStream::connect(self.addr).await.is_ok() {
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Crashes: new connections are refused before the open ones are reset.
     pub async fn crash(&self) {
         self.crashed.cancel();
