--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -112,7 +112,7 @@
         trial: OnceCell::new(),
         _in_flight: guard,
     };
-    if forwarder.is_isolated()
+    if forwarder.must_relay()
         && let Some(relayed) = forwarder.relay().await
     {
         return pass_on(relay::receive(forwarder, relayed).await);
@@ -138,7 +138,7 @@
         }
         Err(lost) => {
             // The paths may have been lost meanwhile.
-            if forwarder.is_isolated()
+            if forwarder.must_relay()
                 && let Some(relayed) = forwarder.relay().await
             {
                 return pass_on(relay::receive(forwarder, relayed).await);
--- a/crates/gate/src/forward/relay.rs
+++ b/crates/gate/src/forward/relay.rs
@@ -51,8 +51,9 @@
 }
 
 impl<D: Dialect> Forwarder<D> {
-    /// Returns whether the request is to be relayed.
-    pub(crate) fn is_isolated(&self) -> bool {
+    /// Returns whether the request is to be relayed: this node is isolated from its service, and no
+    /// other node relays it already.
+    pub(crate) fn must_relay(&self) -> bool {
         !self.job.info.relayed && self.worker.is_isolated(&self.job.service().name)
     }
 
--- a/crates/gate/src/reach.rs
+++ b/crates/gate/src/reach.rs
@@ -2,6 +2,7 @@
 
 use crate::dialect::Dialect;
 use crate::worker::Worker;
+use catalog::endpoint::Run;
 use futures::stream::{FuturesUnordered, StreamExt};
 use journal::event::Event;
 use std::net::SocketAddr;
@@ -35,7 +36,7 @@
     }
 
     /// Holds back the report of a failing endpoint until a check has ended.
-    pub(crate) fn hold(&self, service: &str, run: catalog::endpoint::Run) {
+    pub(crate) fn hold(&self, service: &str, run: Run) {
         if self.paths.borrow_mut().hold(service, run) {
             self.start_checks(service);
         }
--- a/crates/steer/src/paths.rs
+++ b/crates/steer/src/paths.rs
@@ -62,12 +62,6 @@
         self.services.get(service).is_some_and(|p| p.isolated)
     }
 
-    /// Iterates over the services that the node is isolated from.
-    pub fn isolated(&self) -> impl Iterator<Item = &str> {
-        let isolated = self.services.iter().filter(|(_, path)| path.isolated);
-        isolated.map(|(service, _)| service.as_str())
-    }
-
     /// Holds back the report that an endpoint fails. Returns whether a check is to be begun.
     pub fn hold(&mut self, service: &str, run: Run) -> bool {
         let path = self.path(service);
