node: isolation is published when it begins and ends

From reading the diff: each isolated node renewed its observation each second, and such observations are not merged, since each is about its origin. When all endpoints of a service end, all nodes are isolated from it; at 370 nodes that were 370 urgent items a second at every node, estimated and not measured.

--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -25,6 +25,7 @@
 use catalog::source::Page;
 use gate::metrics::Metrics;
 use gate::view::{SharedView, View};
+use isolation::Isolation;
 use journal::Journal;
 use journal::event::Event as JournalEvent;
 use member::action::Action;
@@ -113,8 +114,8 @@
     crashes: Ledger,
     /// When it was last checked that the peers know them.
     crashes_checked: Instant,
-    /// Services that this node is isolated from, with the time of the last publication.
-    isolated: BTreeMap<String, Instant>,
+    /// Services that this node is isolated from.
+    isolated: BTreeMap<String, Isolation>,
     orders: Orders,
     operator: TableStatus,
     endpoints: TableStatus,
@@ -248,6 +249,7 @@
             .expire(self.start.elapsed(), |run| tables.contains(run));
         self.dirty |= self.update_failures(now);
         self.check_contents(now);
+        self.expire_isolation(now);
         self.update_assignment(now);
         self.pull(now);
         self.serve_waiting(now);
--- a/crates/node/src/hosted/control/state/exchange.rs
+++ b/crates/node/src/hosted/control/state/exchange.rs
@@ -231,7 +231,7 @@
         let Some(report) = report else {
             let endpoint = self.tables.endpoints().find(|e| e.run == run);
             // An isolated node gets no reports, whatever the engines do.
-            if endpoint.is_none_or(|e| !self.is_isolated(now, &e.service)) {
+            if endpoint.is_none_or(|e| !self.isolated.contains_key(&e.service)) {
                 self.loads.record_miss(now, &run.to_string());
             }
             return;
