ctl: the pipe in a test has no reader from the start

Cause: the test closed the reader after it had started the command, which had written its result by then while the test waited for a processor. The pipe now loses its reader before the command starts; what is asserted is unchanged.

--- a/crates/ctl/tests/output.rs
+++ b/crates/ctl/tests/output.rs
@@ -16,8 +16,6 @@
     command.current_dir(dir.path()).args(args);
     command.stdin(Stdio::piped()).stdout(stdout);
     let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
-    // The reader of a pipe leaves before anything is written.
-    drop(child.stdout.take());
     // Commands that don't read standard input may have ended.
     let _ = writeln!(child.stdin.take().unwrap(), "{LINE}");
     let output = child.wait_with_output().unwrap();
@@ -25,6 +23,12 @@
     (output.status, errors)
 }
 
+/// Returns a pipe that has no reader any more.
+fn closed_pipe() -> Stdio {
+    let (_reader, writer) = std::io::pipe().unwrap();
+    writer.into()
+}
+
 // Guards against a script that goes on with an empty file: the disk is full, the result is lost, and
 // the command reports success.
 #[test]
@@ -57,9 +61,9 @@
 fn closed_pipe_is_no_failure_unless_a_version_is_lost() {
     let dir = Workdir::new("closed-pipe");
     dir.signers(&["mira"]);
-    let (status, errors) = run(&dir, &["explain", "r1"], Stdio::piped());
+    let (status, errors) = run(&dir, &["explain", "r1"], closed_pipe());
     assert!(status.success() && errors.is_empty(), "{errors}");
-    let (status, errors) = run(&dir, &SIGN_FIRST, Stdio::piped());
+    let (status, errors) = run(&dir, &SIGN_FIRST, closed_pipe());
     assert_eq!(status.code(), Some(1), "{errors}");
     ok(&dir.run(&SIGN_FIRST));
 }
