--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -80,7 +80,7 @@
     /// Endpoints that the request was sent to.
     pub(crate) tried: RefCell<Vec<Run>>,
     /// Number of attempts that may have been executed, or may still be.
-    pub(crate) possible_runs: Cell<u32>,
+    pub(crate) possible_runs: Rc<Cell<u32>>,
     /// Whether an attempt reached an endpoint. From then on further attempts count against the
     /// retry budget.
     pub(crate) reached: Cell<bool>,
@@ -99,13 +99,15 @@
     job: Job,
     guard: Guard,
 ) -> Response<Body<impl Stream<Item = Chunk>>> {
-    let log = RequestLog::new(worker.journal.clone(), worker.metrics.clone(), &job);
+    let possible_runs: Rc<Cell<u32>> = Rc::default();
+    let (journal, metrics) = (worker.journal.clone(), worker.metrics.clone());
+    let log = RequestLog::new(journal, metrics, &job, possible_runs.clone());
     let mut forwarder = Forwarder {
         worker,
         job,
         log,
         tried: RefCell::default(),
-        possible_runs: Cell::new(0),
+        possible_runs,
         reached: Cell::new(false),
         idle: Notify::new(),
         inquiries: RefCell::default(),
@@ -198,7 +200,7 @@
         let not_run = exchange.not_run();
         self.log.record_failure(
             exchange.reservation.attempt(),
-            &describe_refusal(status, not_run, &exchange.info),
+            &describe_refusal(status, not_run, &exchange.info, self.job.info.id.as_deref()),
             !not_run,
         );
         if not_run {
@@ -425,16 +427,27 @@
     }
 }
 
-/// Describes a refusal for the log, with the faulty stage that the head of a chain reported and the
-/// rest that the endpoint asked for.
-fn describe_refusal(status: StatusCode, not_run: bool, info: &ResponseInfo) -> String {
+/// Describes a refusal for the log, with what proves that it belongs to the request `id`, the faulty
+/// stage that the head of a chain reported and the rest that the endpoint asked for.
+fn describe_refusal(
+    status: StatusCode,
+    not_run: bool,
+    info: &ResponseInfo,
+    id: Option<&str>,
+) -> String {
     let run = if not_run { ", not run" } else { "" };
+    let origin = match info.request_id.as_deref() {
+        found if found == id => "",
+        None => ", without id",
+        Some(_) => ", with another id",
+    };
+    let seal = if info.sealed { ", sealed" } else { "" };
     let stage = info.faulty_stage.map(|c| format!(", for {c}"));
     let rest = info
         .retry_after
         .map(|r| format!(", retry after {} ms", r.as_millis()));
     format!(
-        "status {}{run}{}{}",
+        "status {}{run}{origin}{seal}{}{}",
         status.as_u16(),
         stage.unwrap_or_default(),
         rest.unwrap_or_default()
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -474,6 +474,7 @@
             outcome: "refused",
             why: refusal.reason.message().to_owned(),
             attempts: 0,
+            possible_runs: 0,
             head_ms: all_ms,
             all_ms,
             pause_ms: 0,
--- a/crates/journal/src/event.rs
+++ b/crates/journal/src/event.rs
@@ -205,6 +205,9 @@
         why: String,
         /// Number of attempts that were sent.
         attempts: u32,
+        /// Number of attempts that may have been executed. A request that runs at most once and ends
+        /// with a status that promises that it was not executed has none.
+        possible_runs: u32,
         /// Time to the first event, or to the end of a response without events, in milliseconds.
         head_ms: u64,
         /// Total time in milliseconds.
