gate: at-most-once requests that run twice or are refused though they ran, failing tests

A fourth test passes and guards the other side: a statement with the request's id still permits another attempt.

The functions by which a test isolates a node move from isolated.rs to support/isolation.rs, unchanged.

--- a/crates/gate/tests/isolated.rs
+++ b/crates/gate/tests/isolated.rs
@@ -2,20 +2,16 @@
 
 mod support;
 
-use gate::view::{Relay, View};
 use http::StatusCode;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 use steer::transition::Transition;
 use support::caller::{ids, request, send};
+use support::isolation::{add_relay, isolate, isolations};
 use support::server::{Behavior, Server};
 use support::{LAYERS, Node, node, plain, run, stage};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
-/// Time within which a node must know that it is isolated.
-const DETECTION_TIME: Duration = Duration::from_secs(2);
-
 /// An address that accepts no connections and does not refuse them, as behind a partition.
 struct Hole {
     listener: TcpListener,
@@ -45,16 +41,6 @@
     }
 }
 
-/// Returns the reports of isolation that a node made.
-fn isolations(node: &Node) -> Vec<bool> {
-    let transitions = node.transitions.borrow();
-    let isolations = transitions.iter().filter_map(|t| match t {
-        Transition::Isolation { isolated, .. } => Some(*isolated),
-        _ => None,
-    });
-    isolations.collect()
-}
-
 fn failing(node: &Node) -> usize {
     let transitions = node.transitions.borrow();
     let failing = transitions
@@ -63,29 +49,6 @@
     failing.count()
 }
 
-/// Lets the view of a node list another node as relay.
-fn add_relay(node: &Node, addr: SocketAddr, isolated_from: &[&str]) {
-    let current = node.shared_view.load_full().unwrap();
-    let mut changed = View::clone(&current);
-    changed.relays.push(Relay {
-        addr,
-        isolated_from: isolated_from.iter().map(|s| (*s).to_owned()).collect(),
-    });
-    node.shared_view.store(Some(Arc::new(changed)));
-}
-
-/// Sends requests until the node knows that it is isolated.
-async fn isolate(node: &Node, path: &str) {
-    let isolated = async {
-        while isolations(node).is_empty() {
-            send(node.addr, request(path)).await;
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    };
-    let isolated = tokio::time::timeout(DETECTION_TIME, isolated).await;
-    isolated.expect("the node does not know that it is isolated");
-}
-
 /// Starts a node whose plain endpoints refuse connections.
 async fn refused_node() -> Node {
     let mut endpoints = Vec::new();
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod dialect;
+pub mod isolation;
 pub mod server;
 
 use arc_swap::ArcSwapOption;
--- a/crates/gate/tests/support/server.rs
+++ b/crates/gate/tests/support/server.rs
@@ -17,6 +17,8 @@
     Answer(u16, &'static str),
     /// Responds with this status and states that the request was not executed.
     Refuse(u16),
+    /// Responds with this status and these header lines, each with its line break.
+    WithHeaders(u16, &'static str),
     /// Responds with 503, states that the request was not executed, and asks to be left alone for
     /// this time.
     AskForRest(Duration),
@@ -297,6 +299,9 @@
                 let headers = format!("id: {id}\r\nunrun: 1\r\n{notice}");
                 write(stream, &answer(status, &headers, "")).await
             }
+            Behavior::WithHeaders(status, headers) => {
+                write(stream, &answer(status, headers, "x")).await
+            }
             Behavior::AskForRest(time) => {
                 let headers = format!("id: {id}\r\nunrun: 1\r\nrest: {}\r\n", time.as_millis());
                 write(stream, &answer(503, &headers, "")).await
