--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -34,6 +34,8 @@
 mod process;
 #[path = "soak/proxy.rs"]
 mod proxy;
+#[path = "support/seeds.rs"]
+mod seeds;
 #[path = "../../../platform/standin/mod.rs"]
 mod standin;
 #[path = "soak/summary.rs"]
@@ -48,6 +50,8 @@
 use std::time::Duration;
 use summary::Summary;
 
+/// Environment variable that gives other seeds.
+const VARIABLE: &str = "SOAK_SEEDS";
 /// Default seeds, also run in CI. 104 and 128 fail if two concurrent soak runs pick the same free
 /// ports, so that nodes of one send requests to endpoints of the other; addresses are therefore
 /// unique per process.
@@ -159,15 +163,6 @@
     }
 }
 
-fn seeds(default: &[u64]) -> Vec<u64> {
-    let given = std::env::var("SOAK_SEEDS").ok();
-    let range = given.as_deref().and_then(|g| g.split_once(".."));
-    let range = range.and_then(|(from, to)| Some((from.parse().ok()?, to.parse().ok()?)));
-    range.map_or(default.to_vec(), |(from, to): (u64, u64)| {
-        (from..to).collect()
-    })
-}
-
 /// Runs each seed.
 fn run(seeds: &[u64], endpoint_faults: bool) -> Vec<(u64, Violations)> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -183,7 +178,7 @@
 
 /// The runs with faults of endpoints, which several tests check.
 static RUNS: LazyLock<Vec<(u64, Violations)>> =
-    LazyLock::new(|| run(&seeds(&ENDPOINT_FAULT_SEEDS), true));
+    LazyLock::new(|| run(&seeds::given(VARIABLE, &ENDPOINT_FAULT_SEEDS), true));
 
 fn assert_none(runs: &[(u64, Violations)], violations: impl Fn(&Violations) -> &Vec<String>) {
     let wrong: Vec<_> = runs
@@ -196,7 +191,7 @@
 
 #[test]
 fn guarantees_hold_under_faults() {
-    assert_none(&run(&seeds(&SEEDS), false), |v| &v.base);
+    assert_none(&run(&seeds::given(VARIABLE, &SEEDS), false), |v| &v.base);
 }
 
 // Guards against requests that run twice, or responses with wrong events, while endpoints turn
--- a/crates/node/tests/soak/cluster.rs
+++ b/crates/node/tests/soak/cluster.rs
@@ -70,7 +70,7 @@
         let (mut store_proxies, mut nodes) = (Vec::new(), Vec::new());
         for number in 0..NODES {
             let proxy = Proxy::start(store.addr).await;
-            nodes.push(Node::start(number, proxy.addr, &ports));
+            nodes.push(Node::start(number, "a", proxy.addr, &ports));
             store_proxies.push(proxy);
         }
         Self {
--- a/crates/node/tests/soak/node.rs
+++ b/crates/node/tests/soak/node.rs
@@ -1,4 +1,5 @@
 //! A node of a soak run.
+#![allow(dead_code)]
 
 use crate::process::{self, Process};
 use std::net::SocketAddr;
@@ -23,12 +24,12 @@
 }
 
 impl Node {
-    /// Starts node `number` of those that listen at `ports`.
-    pub fn start(number: usize, store: SocketAddr, ports: &[SocketAddr]) -> Self {
+    /// Starts node `number` of those that listen at `ports`, in an availability zone.
+    pub fn start(number: usize, zone: &str, store: SocketAddr, ports: &[SocketAddr]) -> Self {
         let own = &ports[number * 2..];
         let seeds: Vec<String> = ports.chunks(2).map(|p| p[1].to_string()).collect();
         let content = format!(
-            "[node]\nname = n{number}\nzone = a\nregion = south\ngrace = 2s\n\
+            "[node]\nname = n{number}\nzone = {zone}\nregion = south\ngrace = 2s\n\
              [callers]\nlisten = {}\n[peers]\nlisten = {}\nkey = {}\nseeds = {}\n\
              [store]\naddress = {store}\nheartbeat = 200ms\n",
             own[0],
--- a/crates/node/tests/soak/proxy.rs
+++ b/crates/node/tests/soak/proxy.rs
@@ -1,4 +1,5 @@
 //! A loopback proxy that delays, resets or stalls connections, or cuts them in one direction.
+#![allow(dead_code)]
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -6,6 +7,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 /// Fault that the proxy injects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,6 +31,8 @@
     mode: Arc<Mutex<Mode>>,
     /// When the mode was changed, and to which.
     changes: Arc<Mutex<Vec<(Instant, Mode)>>>,
+    /// Whether new connections are refused.
+    refusing: Arc<watch::Sender<bool>>,
 }
 
 impl Proxy {
@@ -39,16 +43,40 @@
             addr: listener.local_addr().unwrap(),
             mode: Arc::new(Mutex::new(Mode::Pass)),
             changes: Arc::default(),
+            refusing: Arc::default(),
         };
-        let own = proxy.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(own.clone().connection(stream, to));
-            }
-        });
+        tokio::spawn(proxy.clone().listen(listener, to));
         proxy
     }
 
+    async fn listen(self, mut listener: TcpListener, to: SocketAddr) {
+        let mut refusing = self.refusing.subscribe();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    if let Ok((stream, _)) = accepted {
+                        tokio::spawn(self.clone().connection(stream, to));
+                    }
+                    continue;
+                }
+                _ = refusing.wait_for(|refusing| *refusing) => {}
+            }
+            drop(listener);
+            let _ = refusing.wait_for(|refusing| !*refusing).await;
+            listener = loop {
+                match TcpListener::bind(self.addr).await {
+                    Ok(listener) => break listener,
+                    Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+                }
+            };
+        }
+    }
+
+    /// Sets whether new connections are refused; open ones go on.
+    pub fn refuse(&self, refuse: bool) {
+        self.refusing.send_replace(refuse);
+    }
+
     /// Changes the mode, also for open connections.
     pub fn set(&self, mode: Mode) {
         *self.mode.lock().unwrap() = mode;
--- a/crates/node/tests/support/process.rs
+++ b/crates/node/tests/support/process.rs
@@ -93,5 +93,18 @@
 fn spawn(file: &Path) -> Child {
     let mut command = Command::new(BINARY);
     command.args(["--config", file.to_str().unwrap()]);
-    command.stdout(Stdio::null()).spawn().unwrap()
+    command.stdout(output(file)).spawn().unwrap()
+}
+
+/// Returns where the lines of a process go: to a file in the folder that the environment variable
+/// `NODE_LOGS` names, named like its settings.
+fn output(file: &Path) -> Stdio {
+    let Some(folder) = std::env::var_os("NODE_LOGS") else {
+        return Stdio::null();
+    };
+    let name = file.with_extension("log");
+    let path = Path::new(&folder).join(name.file_name().unwrap());
+    let mut options = std::fs::OpenOptions::new();
+    options.create(true).append(true);
+    options.open(path).unwrap().into()
 }
