gate: a request is sent only by a permit, and only its ledger promises that it was not executed

What callers saw: an at-most-once request that an isolated node had relayed ran a second time at an endpoint, and the caller got 200 (TWICE).

Cause: whether a request may be sent was decided in five places from a counter that each had to remember to ask: `race::next_target` did not on the first attempt, and `relay`, which comes before it, returned `None` both if nothing was sent and if the outcome is unknown. Ruled out: the HTTP library handing a request back after its first byte, hedges (repeatable requests only), attempts after a race.

Change: `gate::execution`, without I/O. A `Ledger` gives out a `Permit` for each sending; `send` and `relay_to` can't be called without one. A sending that begun counts as one that may run until a `Disproof` takes it back; nothing else does. Refusals that promise "not run" are made by the ledger alone, and there is no permit after one. The counter, `withdraw_run`, `may_repeat` and the checks at the refusals are gone. A relay after attempts that reached endpoints now draws on the retry budget also if none ran: it is a further arrival at the service.

--- /dev/null
+++ b/crates/gate/src/execution.rs
@@ -0,0 +1,147 @@
+//! What is known about the executions of one request: whether it may be sent to an endpoint or a node,
+//! and whether a refusal may promise that it was not executed.
+//!
+//! A request is sent by a [`Permit`] of its [`Ledger`]. Once it begins to be sent, it counts as one that
+//! may be executed, until a [`Disproof`] shows that it was not. Nothing else ends that doubt, so a path
+//! that forgets to report an outcome only makes refusals more cautious. Nothing here does I/O.
+
+use crate::dialect::ResponseInfo;
+use crate::pool;
+use crate::refusal::{Reason, Refusal};
+use catalog::kind::Kind;
+use http::StatusCode;
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// Why a request may not be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denial {
+    /// It may have been executed, and runs at most once.
+    MayHaveRun,
+    /// The attempts of its route are used up.
+    AttemptsUsed,
+    /// Its caller was promised that it is not executed.
+    Refused,
+}
+
+/// Result of asking for a permit.
+pub type Result<T> = std::result::Result<T, Denial>;
+
+#[derive(Debug, Default)]
+struct State {
+    /// Permits that are neither used nor dropped.
+    permits: Cell<u32>,
+    /// Attempts that may have been executed, or may still be.
+    possible_runs: Cell<u32>,
+    /// Whether the caller was promised that the request is not executed.
+    refused: Cell<bool>,
+}
+
+/// What is known about the executions of one request. Clones share it.
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    repeatable: bool,
+    max_attempts: u32,
+    state: Rc<State>,
+}
+
+impl Ledger {
+    /// Creates the ledger of a request that was not sent yet.
+    pub fn new(kind: Kind, max_attempts: u32) -> Self {
+        Self {
+            repeatable: kind.repeatable(),
+            max_attempts,
+            state: Rc::default(),
+        }
+    }
+
+    /// Returns the permission to send the request once.
+    pub fn permit(&self) -> Result<Permit> {
+        let state = &self.state;
+        let in_doubt = state.permits.get() + state.possible_runs.get();
+        match in_doubt {
+            _ if state.refused.get() => return Err(Denial::Refused),
+            0 => {}
+            _ if !self.repeatable => return Err(Denial::MayHaveRun),
+            _ if in_doubt >= self.max_attempts => return Err(Denial::AttemptsUsed),
+            _ => {}
+        }
+        state.permits.set(state.permits.get() + 1);
+        Ok(Permit {
+            state: state.clone(),
+        })
+    }
+
+    /// Returns the number of attempts that may have been executed, or may still be.
+    pub fn possible_runs(&self) -> u32 {
+        self.state.possible_runs.get()
+    }
+
+    /// Returns the refusal that is true: `promise` if the request was not executed and will not be, or
+    /// else one for the reason `otherwise`. After a promise there are no more permits.
+    pub fn refuse(&self, promise: Refusal, otherwise: Reason) -> Refusal {
+        let state = &self.state;
+        if state.permits.get() + state.possible_runs.get() > 0 {
+            return Refusal::new(otherwise);
+        }
+        state.refused.set(true);
+        promise
+    }
+}
+
+/// Permission to send a request once. Dropping it returns it.
+#[derive(Debug)]
+#[must_use]
+pub struct Permit {
+    state: Rc<State>,
+}
+
+impl Permit {
+    /// Uses the permission: from now on the request may be executed.
+    pub fn begin(self) -> Attempt {
+        let runs = &self.state.possible_runs;
+        runs.set(runs.get() + 1);
+        Attempt {
+            state: self.state.clone(),
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.state.permits.set(self.state.permits.get() - 1);
+    }
+}
+
+/// An attempt that may have been executed, or may still be. Dropping it leaves that open.
+#[derive(Debug)]
+pub struct Attempt {
+    state: Rc<State>,
+}
+
+impl Attempt {
+    /// Returns the permission to send, since the attempt was not executed and will not be.
+    pub fn disprove(self, _: Disproof) -> Permit {
+        let (permits, runs) = (&self.state.permits, &self.state.possible_runs);
+        runs.set(runs.get() - 1);
+        permits.set(permits.get() + 1);
+        Permit { state: self.state }
+    }
+}
+
+/// Evidence that an attempt was not executed and will not be.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Disproof(());
+
+impl Disproof {
+    /// Returns the evidence in the failure of a connection; `None` if the request may have been sent.
+    pub fn of_failure(error: pool::Error) -> Option<Self> {
+        (!error.may_have_run()).then_some(Self(()))
+    }
+
+    /// Returns the evidence in the head of a response; `None` if the request may have been executed.
+    pub fn of_response(status: StatusCode, info: &ResponseInfo) -> Option<Self> {
+        let stated = info.not_run || status == StatusCode::MISDIRECTED_REQUEST;
+        stated.then_some(Self(()))
+    }
+}
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -11,6 +11,7 @@
 use crate::admit;
 use crate::body::{self, Body};
 use crate::dialect::{Dialect, ResponseInfo};
+use crate::execution::{Denial, Ledger, Permit};
 use crate::job::Job;
 use crate::pool::Conn;
 use crate::refusal::{Reason, Refusal};
@@ -79,8 +80,8 @@
     pub(crate) log: RequestLog,
     /// Endpoints that the request was sent to.
     pub(crate) tried: RefCell<Vec<Run>>,
-    /// Number of attempts that may have been executed, or may still be.
-    pub(crate) possible_runs: Rc<Cell<u32>>,
+    /// What is known about its executions.
+    pub(crate) executions: Ledger,
     /// Whether an attempt reached an endpoint. From then on further attempts count against the
     /// retry budget.
     pub(crate) reached: Cell<bool>,
@@ -99,15 +100,15 @@
     job: Job,
     guard: Guard,
 ) -> Response<Body<impl Stream<Item = Chunk>>> {
-    let possible_runs: Rc<Cell<u32>> = Rc::default();
+    let executions = Ledger::new(job.kind(), job.route().max_attempts);
     let (journal, metrics) = (worker.journal.clone(), worker.metrics.clone());
-    let log = RequestLog::new(journal, metrics, &job, possible_runs.clone());
+    let log = RequestLog::new(journal, metrics, &job, executions.clone());
     let mut forwarder = Forwarder {
         worker,
         job,
         log,
         tried: RefCell::default(),
-        possible_runs,
+        executions,
         reached: Cell::new(false),
         idle: Notify::new(),
         inquiries: RefCell::default(),
@@ -148,7 +149,7 @@
             let refusal = match lost {
                 Lost::Shortage(shortage) => forwarder.refuse_for_shortage(shortage),
                 Lost::Crashing { until } => forwarder.refuse_crashing(until),
-                Lost::Deadline => Refusal::new(forwarder.timeout_reason()),
+                Lost::Deadline => forwarder.expired(),
                 Lost::Exhausted => forwarder.exhausted(),
             };
             forwarder.log.end_refused(refusal);
@@ -178,6 +179,7 @@
             response,
             info,
             reservation,
+            ..
         } = exchange;
         let (mut parts, body) = response.into_parts();
         let body = self.worker.buffers.collect(body, MAX_BODY_BYTES);
@@ -203,16 +205,18 @@
             &describe_refusal(status, not_run, &exchange.info, self.job.info.id.as_deref()),
             !not_run,
         );
-        if not_run {
-            self.withdraw_run();
-        }
         let outcome = refusal_outcome(&exchange);
         let Exchange {
             conn,
             response,
             info,
             reservation,
+            attempt,
+            disproof,
         } = exchange;
+        if let Some(disproof) = disproof {
+            drop(attempt.disprove(disproof));
+        }
         reservation.end(outcome, info.faulty_stage);
         self.drain_body(conn, response, &info).await;
     }
@@ -234,18 +238,17 @@
         }
     }
 
-    /// Records that an attempt has not been executed and will not be.
-    pub(crate) fn withdraw_run(&self) {
-        self.possible_runs.set(self.possible_runs.get() - 1);
-    }
-
-    /// Returns whether the request may be retried, and takes the retry from the budget. Retries are
-    /// free until an attempt reached an endpoint.
-    pub(crate) fn try_retry(&self, purpose: Purpose) -> bool {
-        if self.possible_runs.get() >= self.job.route().max_attempts {
+    /// Returns the permission to send the request; `None` if it may not be sent again.
+    pub(crate) fn permit(&self) -> Option<Permit> {
+        let permit = self.executions.permit();
+        if permit.as_ref().err() == Some(&Denial::AttemptsUsed) {
             self.log.set_reason("the route's attempts are used up");
-            return false;
         }
+        permit.ok()
+    }
+
+    /// Takes an attempt from the retry budget. Attempts are free until one reached an endpoint.
+    pub(crate) fn take_from_budget(&self, purpose: Purpose) -> bool {
         if !self.reached.get() {
             return true;
         }
@@ -304,12 +307,15 @@
     /// Selects a target for an attempt beside those that are running, and takes the retry from the
     /// budget, but not from what is left for responses that have no endpoint any more; `None` if the
     /// request may not be retried or no other endpoint can take it now.
-    pub(crate) fn hedge_target(&self, running: &[Rc<Progress>]) -> Option<Reservation<D>> {
+    pub(crate) fn hedge_target(
+        &self,
+        running: &[Rc<Progress>],
+    ) -> Option<(Reservation<D>, Permit)> {
         // A request that may have crashed an endpoint runs on one at a time.
-        let suspect = self.worker.is_suspect(&self.job);
-        if suspect || !self.job.kind().repeatable() || !self.has_retry() {
+        if self.worker.is_suspect(&self.job) || !self.has_budget() {
             return None;
         }
+        let permit = self.executions.permit().ok()?;
         let service = self.current_service().ok()?;
         let need = self.job.need();
         let tried = self.tried.borrow();
@@ -323,16 +329,15 @@
         })?;
         let reservation = Reservation::new(self.worker.clone(), target);
         self.reached.set(true);
-        self.try_retry(Purpose::Answer).then_some(reservation)
+        self.take_from_budget(Purpose::Answer)
+            .then_some((reservation, permit))
     }
 
-    /// Returns whether neither the route nor the retry budget forbids a further attempt.
-    fn has_retry(&self) -> bool {
+    /// Returns whether the retry budget has a further attempt.
+    fn has_budget(&self) -> bool {
         let service = &self.job.service().name;
-        self.possible_runs.get() < self.job.route().max_attempts
-            && self
-                .worker
-                .with_selector(|selector, now| selector.can_retry(now, service, Purpose::Answer))
+        self.worker
+            .with_selector(|selector, now| selector.can_retry(now, service, Purpose::Answer))
     }
 
     /// Runs a query for endpoints that were not tried yet; if there are none, for all endpoints.
@@ -374,31 +379,29 @@
         }
     }
 
-    /// Returns the reason of a refusal after the deadline.
-    fn timeout_reason(&self) -> Reason {
-        match self.possible_runs.get() {
-            0 => Reason::ExpiredNotRun,
-            _ => Reason::TimedOut,
-        }
+    /// Returns the refusal after the deadline.
+    fn expired(&self) -> Refusal {
+        let not_run = Refusal::new(Reason::ExpiredNotRun);
+        self.executions.refuse(not_run, Reason::TimedOut)
     }
 
     /// Returns the refusal when no further attempt is made.
     fn exhausted(&self) -> Refusal {
-        match self.possible_runs.get() {
-            0 => Refusal::with_retry_after(Reason::Unavailable, jitter(RETRY_AFTER_FULL)),
-            _ if self.job.time_left().is_zero() => Refusal::new(Reason::TimedOut),
-            _ => Refusal::new(Reason::OutcomeUnknown),
-        }
+        let otherwise = match self.job.time_left().is_zero() {
+            true => Reason::TimedOut,
+            false => Reason::OutcomeUnknown,
+        };
+        let promise = Refusal::with_retry_after(Reason::Unavailable, jitter(RETRY_AFTER_FULL));
+        self.executions.refuse(promise, otherwise)
     }
 
     /// Returns the refusal of a request whose content crashes endpoints.
     fn refuse_crashing(&self, until: Timestamp) -> Refusal {
         self.log.set_reason("its content crashes endpoints");
-        if self.possible_runs.get() > 0 {
-            return Refusal::new(Reason::OutcomeUnknown);
-        }
         let left = until.saturating_sub(self.worker.now());
-        Refusal::with_retry_after(Reason::Crashing, left + random_part(CRASHING_SPREAD))
+        let retry_after = left + random_part(CRASHING_SPREAD);
+        let promise = Refusal::with_retry_after(Reason::Crashing, retry_after);
+        self.executions.refuse(promise, Reason::OutcomeUnknown)
     }
 
     /// Records a shortage and returns the refusal when no endpoint can take the request.
@@ -410,9 +413,6 @@
         });
         self.log
             .record_shortage(shortage, &scarcity.unwrap_or_default());
-        if self.possible_runs.get() > 0 {
-            return Refusal::new(Reason::OutcomeUnknown);
-        }
         let retry_after = match shortage {
             Shortage::Capacity => jitter(RETRY_AFTER_FULL),
             Shortage::Endpoints | Shortage::Layers => jitter(RETRY_AFTER_MISSING),
@@ -423,7 +423,8 @@
                 left + random_part(spread)
             }
         };
-        Refusal::with_retry_after(Reason::Unavailable, retry_after)
+        let promise = Refusal::with_retry_after(Reason::Unavailable, retry_after);
+        self.executions.refuse(promise, Reason::OutcomeUnknown)
     }
 }
 
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -3,12 +3,14 @@
 use super::Forwarder;
 use super::stall::{self, Verdict};
 use crate::dialect::{Dialect, ForwardInfo, ResponseInfo};
+use crate::execution::{Attempt, Disproof, Permit};
 use crate::pool::{self, Conn};
 use crate::worker::Worker;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use std::cell::{Cell, RefCell};
+use std::fmt;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -104,12 +106,15 @@
     pub(crate) response: Response<Incoming>,
     pub(crate) info: ResponseInfo,
     pub(crate) reservation: Reservation<D>,
+    pub(crate) attempt: Attempt,
+    /// Evidence that the endpoint did not execute the request.
+    pub(crate) disproof: Option<Disproof>,
 }
 
 impl<D: Dialect> Exchange<D> {
-    /// Returns whether the endpoint states that it did not execute the request.
+    /// Returns whether the endpoint did not execute the request.
     pub(crate) fn not_run(&self) -> bool {
-        self.info.not_run || self.response.status() == StatusCode::MISDIRECTED_REQUEST
+        self.disproof.is_some()
     }
 
     /// Returns the time for which the endpoint asks to be left alone.
@@ -129,18 +134,12 @@
 /// Why an attempt got no response head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Failure {
-    /// The endpoint refused or reset a new connection.
-    Refused,
-    /// No connection was established before the timeout.
-    Unreachable,
-    /// The connection was closed before the request was sent.
-    Unsent,
+    /// No connection was established, or it broke.
+    Connection(pool::Error),
     /// An endpoint of the target announced that it leaves before the request was sent.
     Leaving,
     /// An endpoint of the target asked for rest before the request was sent.
     Resting,
-    /// The connection broke.
-    Broken,
     /// No response within the time limit.
     TimedOut,
     /// The response belongs to another request, or lacks the seal of the endpoint.
@@ -150,41 +149,47 @@
 impl Failure {
     /// Returns whether the request may have reached the endpoint and have been executed.
     pub(crate) fn may_have_run(self) -> bool {
-        matches!(self, Self::Broken | Self::TimedOut | Self::Unverified)
+        match self {
+            Self::Connection(error) => error.may_have_run(),
+            Self::Leaving | Self::Resting => false,
+            Self::TimedOut | Self::Unverified => true,
+        }
     }
 
-    fn as_str(self) -> &'static str {
+    /// Returns the evidence that the request was not executed, if there is any.
+    fn disproof(self) -> Option<Disproof> {
         match self {
-            Self::Refused => "no connection: refused",
-            Self::Unreachable => "no connection before the timeout",
-            Self::Unsent => "connection closed before the request was sent",
+            Self::Connection(error) => Disproof::of_failure(error),
+            _ => None,
+        }
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Connection(error) => return error.fmt(f),
             Self::Leaving => "an endpoint announced that it leaves",
             Self::Resting => "endpoint at rest",
-            Self::Broken => "connection broke",
             Self::TimedOut => "no response head before the timeout",
             Self::Unverified => "response belongs to another request or has no seal",
-        }
+        })
     }
 }
 
 impl From<pool::Error> for Failure {
     fn from(error: pool::Error) -> Self {
-        match error {
-            pool::Error::Refused => Self::Refused,
-            pool::Error::Unreachable => Self::Unreachable,
-            pool::Error::Unsent => Self::Unsent,
-            pool::Error::Broken => Self::Broken,
-        }
+        Self::Connection(error)
     }
 }
 
 impl<D: Dialect> Forwarder<D> {
     /// Sends the request to the head of a target and waits for the response head until the deadline.
-    /// A response is resumed after the event `last_event_id`. The attempt counts as one that may be
-    /// executed until it is known that it was not.
+    /// A response is resumed after the event `last_event_id`.
     pub(crate) async fn send(
         &self,
         mut reservation: Reservation<D>,
+        permit: Permit,
         last_event_id: Option<u64>,
     ) -> Result<Exchange<D>, Failure> {
         let addr = reservation.target.head().addr;
@@ -196,17 +201,18 @@
         reservation.progress.attempt.set(attempt);
         let crashes = self.worker.crashes(&self.job);
         reservation.progress.earlier_crashes.replace(crashes);
-        self.possible_runs.set(self.possible_runs.get() + 1);
-        let exchanged = self.exchange(&mut reservation, last_event_id).await;
+        let exchanged = self.exchange(&mut reservation, permit, last_event_id).await;
         let failure = match exchanged {
-            Ok((conn, response)) => {
+            Ok((conn, response, attempt)) => {
                 let info = self.worker.dialect.response_info(response.headers());
                 if self.is_genuine(&response, &info) {
                     let exchange = Exchange {
+                        disproof: Disproof::of_response(response.status(), &info),
                         conn,
                         response,
                         info,
                         reservation,
+                        attempt,
                     };
                     self.record_head(&exchange);
                     return Ok(exchange);
@@ -215,14 +221,13 @@
             }
             Err(failure) => failure,
         };
-        if !failure.may_have_run() {
-            self.withdraw_run();
-        }
         self.log
-            .record_failure(attempt, failure.as_str(), failure.may_have_run());
+            .record_failure(attempt, &failure.to_string(), failure.may_have_run());
         match failure {
-            Failure::Broken => self.inquire(&reservation.progress),
-            Failure::Refused | Failure::Unreachable => self.suspect_paths(),
+            Failure::Connection(pool::Error::Broken) => self.inquire(&reservation.progress),
+            Failure::Connection(pool::Error::Refused | pool::Error::Unreachable) => {
+                self.suspect_paths();
+            }
             _ => {}
         }
         let outcome = match failure {
@@ -297,25 +302,33 @@
             .with_selector(|selector, _| selector.crossings(stages))
     }
 
+    /// Sends the request and waits for the head of the response. If the endpoint closed the idle connection
+    /// before, the request is sent on a new one.
     async fn exchange(
         &self,
         reservation: &mut Reservation<D>,
+        mut permit: Permit,
         last_event_id: Option<u64>,
-    ) -> Result<(Conn, Response<Incoming>), Failure> {
+    ) -> Result<(Conn, Response<Incoming>, Attempt), Failure> {
         let addr = reservation.target.head().addr;
-        let mut conn = self.connect(&reservation.target).await?;
-        let request = self.request(&reservation.target, last_event_id);
-        match self.await_head(&mut conn, request, reservation).await {
-            // The endpoint closed the idle connection before the request was sent; retry on a new
-            // one.
-            Err(Failure::Unsent) => {
-                self.worker.pool.close_idle(addr);
-                let mut conn = self.connect(&reservation.target).await?;
-                let request = self.request(&reservation.target, last_event_id);
-                let response = self.await_head(&mut conn, request, reservation).await?;
-                Ok((conn, response))
+        let mut is_retry = false;
+        loop {
+            let mut conn = self.connect(&reservation.target).await?;
+            let request = self.request(&reservation.target, last_event_id);
+            let attempt = permit.begin();
+            let error = match self.await_head(&mut conn, request, reservation).await {
+                Ok(response) => return Ok((conn, response, attempt)),
+                Err(error) => error,
+            };
+            let Some(disproof) = error.disproof() else {
+                return Err(error);
+            };
+            permit = attempt.disprove(disproof);
+            if is_retry {
+                return Err(error);
             }
-            response => Ok((conn, response?)),
+            is_retry = true;
+            self.worker.pool.close_idle(addr);
         }
     }
 
--- a/crates/gate/src/forward/race.rs
+++ b/crates/gate/src/forward/race.rs
@@ -8,6 +8,7 @@
 use super::attempt::{Exchange, Progress, Reservation};
 use super::stall;
 use crate::dialect::Dialect;
+use crate::execution::Permit;
 use crate::splice::{EventSource, Step};
 use bytes::Bytes;
 use futures::stream::{FuturesUnordered, StreamExt};
@@ -57,8 +58,8 @@
 
 /// An attempt that takes part.
 enum Entrant<D: Dialect> {
-    /// A request to be sent. Its idle time counts from `since`.
-    Request(Reservation<D>, Instant),
+    /// A request to be sent, and the time from which its idle time counts.
+    Request(Reservation<D>, Permit, Instant),
     /// A response that is being received.
     Source(Box<EventSource<D>>),
 }
@@ -160,16 +161,17 @@
                 }
                 let target = match unsent > MAX_UNSENT_ATTEMPTS {
                     true => Err(Lost::Exhausted),
-                    false => self.next_target(phase, is_first).await,
+                    false => self.next_target(phase).await,
                 };
                 match target {
-                    Ok(reservation) => {
+                    Ok((reservation, permit)) => {
                         let since = match is_first {
                             true => self.job.received_at,
                             false => Instant::now(),
                         };
                         entrants.push(reservation.progress.clone());
-                        running.push(self.attempt(Entrant::Request(reservation, since), phase));
+                        let entrant = Entrant::Request(reservation, permit, since);
+                        running.push(self.attempt(entrant, phase));
                     }
                     Err(lost) => {
                         return match fallback {
@@ -202,9 +204,9 @@
                     pace.back_off();
                 }
                 () = self.idle.notified() => {
-                    if let Some(reservation) = self.hedge(&entrants, &pace) {
+                    if let Some((reservation, permit)) = self.hedge(&entrants, &pace) {
                         entrants.push(reservation.progress.clone());
-                        let entrant = Entrant::Request(reservation, Instant::now());
+                        let entrant = Entrant::Request(reservation, permit, Instant::now());
                         running.push(self.attempt(entrant, phase));
                     }
                 }
@@ -212,41 +214,37 @@
         }
     }
 
-    /// Returns the reservation of an attempt beside the newest one, if that one is idle and another
-    /// attempt is due.
-    fn hedge(&self, running: &[Rc<Progress>], pace: &Pace) -> Option<Reservation<D>> {
+    /// Returns the reservation and the permit of an attempt beside the newest one, if that one is idle and
+    /// another attempt is due.
+    fn hedge(&self, running: &[Rc<Progress>], pace: &Pace) -> Option<(Reservation<D>, Permit)> {
         let newest = running.last()?;
         let reason = newest.idle_reason.take()?;
         if Instant::now() < pace.next {
             return None;
         }
-        let reservation = self.hedge_target(running)?;
+        let hedge = self.hedge_target(running)?;
         self.log.record_idle(newest.attempt.get(), reason);
         // Other requests should not wait for it as well.
         self.worker
             .with_selector(|selector, now| selector.report_idle(now, newest.head.addr));
-        Some(reservation)
+        Some(hedge)
     }
 
-    /// Takes a retry unless this is the first attempt, and selects a target.
-    async fn next_target(&self, phase: Phase, is_first: bool) -> Result<Reservation<D>, Lost> {
+    /// Takes an attempt from the retry budget, and selects a target.
+    async fn next_target(&self, phase: Phase) -> Result<(Reservation<D>, Permit), Lost> {
         if self.job.time_left().is_zero() {
             return Err(Lost::Deadline);
         }
         if let Some(until) = self.refused_until(phase).await {
             return Err(Lost::Crashing { until });
         }
-        if !is_first && (!self.may_repeat() || !self.try_retry(phase.purpose())) {
+        let permit = self.permit().ok_or(Lost::Exhausted)?;
+        if !self.take_from_budget(phase.purpose()) {
             return Err(Lost::Exhausted);
         }
         let target = self.acquire_target(phase.max_wait()).await;
         let target = target.map_err(Lost::Shortage)?;
-        Ok(Reservation::new(self.worker.clone(), target))
-    }
-
-    /// Returns whether the request may be sent again: its kind allows it, or no attempt was executed.
-    fn may_repeat(&self) -> bool {
-        self.job.kind().repeatable() || self.possible_runs.get() == 0
+        Ok((Reservation::new(self.worker.clone(), target), permit))
     }
 
     /// Reports the attempts that are dropped because another one goes on with the response.
@@ -265,11 +263,12 @@
     async fn attempt(&self, entrant: Entrant<D>, phase: Phase) -> (Rc<Progress>, End<D>) {
         match entrant {
             Entrant::Source(source) => (source.progress(), self.follow(source, phase).await),
-            Entrant::Request(reservation, since) => {
+            Entrant::Request(reservation, permit, since) => {
                 let progress = reservation.progress.clone();
                 (
                     progress,
-                    self.send_and_receive(reservation, since, phase).await,
+                    self.send_and_receive(reservation, permit, since, phase)
+                        .await,
                 )
             }
         }
@@ -280,10 +279,11 @@
     async fn send_and_receive(
         &self,
         reservation: Reservation<D>,
+        permit: Permit,
         since: Instant,
         phase: Phase,
     ) -> End<D> {
-        let exchange = match self.send(reservation, phase.resume_after()).await {
+        let exchange = match self.send(reservation, permit, phase.resume_after()).await {
             Ok(exchange) => exchange,
             Err(failure) if failure.may_have_run() => {
                 self.reached.set(true);
--- a/crates/gate/src/forward/relay.rs
+++ b/crates/gate/src/forward/relay.rs
@@ -7,6 +7,7 @@
 use super::{Forwarder, MAX_BODY_BYTES};
 use crate::admit;
 use crate::dialect::{Dialect, RelayInfo};
+use crate::execution::{Disproof, Permit};
 use crate::pool::{self, Conn};
 use crate::refusal::Refusal;
 use crate::splice::{Chunk, Incomplete};
@@ -63,21 +64,20 @@
         let mut nodes = self.relay_nodes();
         nodes.shuffle(&mut rand::rng());
         for node in nodes.into_iter().take(MAX_RELAYS) {
-            let may_send = self.possible_runs.get() == 0
-                || (self.job.kind().repeatable() && self.try_retry(Purpose::Answer));
-            if !may_send || self.job.time_left().is_zero() {
+            if self.job.time_left().is_zero() {
+                return None;
+            }
+            let permit = self.permit()?;
+            if !self.take_from_budget(Purpose::Answer) {
                 return None;
             }
             let attempt = self.log.record_relayed(node);
-            self.possible_runs.set(self.possible_runs.get() + 1);
-            match self.relay_to(node).await {
+            match self.relay_to(node, permit).await {
                 Ok(relayed) => return Some(relayed),
                 Err(error) => {
-                    let ran = error == pool::Error::Broken;
+                    let ran = error.may_have_run();
                     if ran {
                         self.reached.set(true);
-                    } else {
-                        self.withdraw_run();
                     }
                     self.worker.pool.close_idle(node);
                     let why = format!("relay: {error}");
@@ -96,12 +96,18 @@
         connected.map(|r| r.addr).collect()
     }
 
-    async fn relay_to(&self, node: SocketAddr) -> pool::Result<Relayed> {
+    async fn relay_to(&self, node: SocketAddr, permit: Permit) -> pool::Result<Relayed> {
         let mut conn = self.worker.pool.get(node).await?;
         let limit = self.job.time_left() + REPORT_TIME;
+        let attempt = permit.begin();
         let sent = timeout(limit, conn.send(self.relay_request())).await;
-        let response = sent.unwrap_or(Err(pool::Error::Broken))?;
-        Ok(Relayed { conn, response })
+        match sent.unwrap_or(Err(pool::Error::Broken)) {
+            Ok(response) => Ok(Relayed { conn, response }),
+            Err(error) => {
+                Disproof::of_failure(error).map(|disproof| attempt.disprove(disproof));
+                Err(error)
+            }
+        }
     }
 
     fn relay_request(&self) -> Request<Full<Bytes>> {
--- a/crates/gate/src/forward/request_log.rs
+++ b/crates/gate/src/forward/request_log.rs
@@ -1,5 +1,6 @@
 //! Log and metrics of one request.
 
+use crate::execution::Ledger;
 use crate::job::Job;
 use crate::metrics::Metrics;
 use crate::refusal::Refusal;
@@ -8,7 +9,6 @@
 use journal::event::Event;
 use std::cell::Cell;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 use steer::crash::Fingerprint;
 use steer::scarcity::Scarcity;
@@ -27,8 +27,7 @@
     received_at: Instant,
     first_event: Option<Instant>,
     attempts: Cell<u32>,
-    /// Number of attempts that may have been executed.
-    possible_runs: Rc<Cell<u32>>,
+    executions: Ledger,
     reason: Cell<&'static str>,
     max_pause: Duration,
     /// When the last event was sent to the caller.
@@ -37,12 +36,7 @@
 }
 
 impl RequestLog {
-    pub(crate) fn new(
-        journal: Journal,
-        metrics: Metrics,
-        job: &Job,
-        possible_runs: Rc<Cell<u32>>,
-    ) -> Self {
+    pub(crate) fn new(journal: Journal, metrics: Metrics, job: &Job, executions: Ledger) -> Self {
         Self {
             journal,
             metrics,
@@ -52,7 +46,7 @@
             received_at: job.received_at,
             first_event: None,
             attempts: Cell::new(0),
-            possible_runs,
+            executions,
             reason: Cell::new(""),
             max_pause: Duration::ZERO,
             last_event: None,
@@ -230,7 +224,7 @@
             outcome,
             why,
             attempts: self.attempts.get(),
-            possible_runs: self.possible_runs.get(),
+            possible_runs: self.executions.possible_runs(),
             head_ms: (head_sent - self.received_at).as_millis() as u64,
             all_ms: self.received_at.elapsed().as_millis() as u64,
             pause_ms: self.max_pause.as_millis() as u64,
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod dialect;
 pub mod discovery;
 pub mod events;
+pub mod execution;
 pub mod forward;
 pub mod job;
 pub mod listener;
--- a/crates/gate/src/pool.rs
+++ b/crates/gate/src/pool.rs
@@ -50,6 +50,16 @@
     Broken,
 }
 
+impl Error {
+    /// Returns whether the request may have reached the other side and have been executed.
+    pub fn may_have_run(self) -> bool {
+        match self {
+            Self::Refused | Self::Unreachable | Self::Unsent => false,
+            Self::Broken => true,
+        }
+    }
+}
+
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
--- a/crates/gate/src/splice/source.rs
+++ b/crates/gate/src/splice/source.rs
@@ -151,6 +151,7 @@
             response,
             info,
             reservation,
+            ..
         } = exchange;
         Self {
             reader: Reader {
