gate: a status that promises "not run" is passed on only if the endpoint states it

What callers saw: 408, 429 or 503 for a request that an endpoint had run (REFUSED); they sent it again under another id, and the thing was done twice. PROTOCOL: these statuses promise that the request has not run, and a response without the header that states it does not say so.

Cause: `receive_complete` passed the endpoint's response on as it was.

Change: such a response is a failed attempt that may have run, whatever the route's kind: a repeatable request is sent again, any other gets 502, without the endpoint's seal, since a failure with a seal and another status would be no endpoint's answer.

--- a/crates/gate/src/execution.rs
+++ b/crates/gate/src/execution.rs
@@ -129,6 +129,18 @@
     }
 }
 
+/// Returns whether a status promises the caller that the request was not executed and never will be
+/// (source: the users' protocol).
+pub fn promises(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Evidence that an attempt was not executed and will not be.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Disproof(());
--- a/crates/gate/src/forward/race.rs
+++ b/crates/gate/src/forward/race.rs
@@ -8,7 +8,7 @@
 use super::attempt::{Exchange, Progress, Reservation};
 use super::stall;
 use crate::dialect::Dialect;
-use crate::execution::Permit;
+use crate::execution::{self, Permit};
 use crate::splice::{EventSource, Step};
 use bytes::Bytes;
 use futures::stream::{FuturesUnordered, StreamExt};
@@ -334,6 +334,13 @@
                 self.inquire(&progress);
                 End::Failed
             }
+            Some(_) if execution::promises(status) => {
+                let why = format!("status {status} without a statement that it was not run");
+                self.log.record_failure(attempt, &why, true);
+                self.log
+                    .set_reason("its status promised what it did not state");
+                End::Failed
+            }
             Some(response) if can_retry => {
                 self.log
                     .record_failure(attempt, &format!("status {status}"), true);
