gate: "not run" is believed only with the request's id and without a seal

What callers saw: an at-most-once request ran at two endpoints (TWICE), or at one, and was refused with 503 (REFUSED).

Cause: a response that bears no id counted as the request's own. An endpoint may send further bytes after a response; if they look like a refusal and meet the next request on the connection, that request was taken for not run: sent again, or refused with a promise. A seal beside the statement contradicts it and was not looked at.

Change: `Disproof::of_response` wants the request's id and no seal; otherwise the attempt failed and may have run, and its connection is closed. An answer that ends the matter may still lack the id. The line `failed` names the doubt.

--- a/crates/gate/src/execution.rs
+++ b/crates/gate/src/execution.rs
@@ -11,6 +11,7 @@
 use catalog::kind::Kind;
 use http::StatusCode;
 use std::cell::Cell;
+use std::fmt;
 use std::rc::Rc;
 
 /// Why a request may not be sent.
@@ -151,9 +152,44 @@
         (!error.may_have_run()).then_some(Self(()))
     }
 
-    /// Returns the evidence in the head of a response; `None` if the request may have been executed.
-    pub fn of_response(status: StatusCode, info: &ResponseInfo) -> Option<Self> {
-        let stated = info.not_run || status == StatusCode::MISDIRECTED_REQUEST;
-        stated.then_some(Self(()))
+    /// Returns the evidence in the head of a response to the request `id`; `None` if the head states
+    /// nothing.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Doubt`] if the head states that the request was not executed, but does not prove it.
+    pub fn of_response(
+        status: StatusCode,
+        info: &ResponseInfo,
+        id: Option<&str>,
+    ) -> std::result::Result<Option<Self>, Doubt> {
+        if !info.not_run && status != StatusCode::MISDIRECTED_REQUEST {
+            return Ok(None);
+        }
+        if info.request_id.as_deref() != id {
+            return Err(Doubt::Origin);
+        }
+        match info.sealed {
+            true => Err(Doubt::Seal),
+            false => Ok(Some(Self(()))),
+        }
+    }
+}
+
+/// Why a statement that a request was not executed proves nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Doubt {
+    /// It lacks the request's id, so it may belong to an earlier request on the connection.
+    Origin,
+    /// It has a seal, which only a response to an executed request has.
+    Seal,
+}
+
+impl fmt::Display for Doubt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Origin => "response states that it was not run, without the request's id",
+            Self::Seal => "response states that it was not run, with a seal",
+        })
     }
 }
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -202,7 +202,7 @@
         let not_run = exchange.not_run();
         self.log.record_failure(
             exchange.reservation.attempt(),
-            &describe_refusal(status, not_run, &exchange.info, self.job.info.id.as_deref()),
+            &describe_refusal(status, not_run, &exchange.info),
             !not_run,
         );
         let outcome = refusal_outcome(&exchange);
@@ -428,27 +428,16 @@
     }
 }
 
-/// Describes a refusal for the log, with what proves that it belongs to the request `id`, the faulty
-/// stage that the head of a chain reported and the rest that the endpoint asked for.
-fn describe_refusal(
-    status: StatusCode,
-    not_run: bool,
-    info: &ResponseInfo,
-    id: Option<&str>,
-) -> String {
+/// Describes a refusal for the log, with the faulty stage that the head of a chain reported and the
+/// rest that the endpoint asked for.
+fn describe_refusal(status: StatusCode, not_run: bool, info: &ResponseInfo) -> String {
     let run = if not_run { ", not run" } else { "" };
-    let origin = match info.request_id.as_deref() {
-        found if found == id => "",
-        None => ", without id",
-        Some(_) => ", with another id",
-    };
-    let seal = if info.sealed { ", sealed" } else { "" };
     let stage = info.faulty_stage.map(|c| format!(", for {c}"));
     let rest = info
         .retry_after
         .map(|r| format!(", retry after {} ms", r.as_millis()));
     format!(
-        "status {}{run}{origin}{seal}{}{}",
+        "status {}{run}{}{}",
         status.as_u16(),
         stage.unwrap_or_default(),
         rest.unwrap_or_default()
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -3,7 +3,7 @@
 use super::Forwarder;
 use super::stall::{self, Verdict};
 use crate::dialect::{Dialect, ForwardInfo, ResponseInfo};
-use crate::execution::{Attempt, Disproof, Permit};
+use crate::execution::{Attempt, Disproof, Doubt, Permit};
 use crate::pool::{self, Conn};
 use crate::worker::Worker;
 use http::{Request, Response, StatusCode};
@@ -144,6 +144,8 @@
     TimedOut,
     /// The response belongs to another request, or lacks the seal of the endpoint.
     Unverified,
+    /// The response states that the request was not executed, but does not prove it.
+    Doubtful(Doubt),
 }
 
 impl Failure {
@@ -152,7 +154,7 @@
         match self {
             Self::Connection(error) => error.may_have_run(),
             Self::Leaving | Self::Resting => false,
-            Self::TimedOut | Self::Unverified => true,
+            Self::TimedOut | Self::Unverified | Self::Doubtful(_) => true,
         }
     }
 
@@ -169,6 +171,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Connection(error) => return error.fmt(f),
+            Self::Doubtful(doubt) => return doubt.fmt(f),
             Self::Leaving => "an endpoint announced that it leaves",
             Self::Resting => "endpoint at rest",
             Self::TimedOut => "no response head before the timeout",
@@ -205,19 +208,21 @@
         let failure = match exchanged {
             Ok((conn, response, attempt)) => {
                 let info = self.worker.dialect.response_info(response.headers());
-                if self.is_genuine(&response, &info) {
-                    let exchange = Exchange {
-                        disproof: Disproof::of_response(response.status(), &info),
-                        conn,
-                        response,
-                        info,
-                        reservation,
-                        attempt,
-                    };
-                    self.record_head(&exchange);
-                    return Ok(exchange);
+                match self.verify(&response, &info) {
+                    Ok(disproof) => {
+                        let exchange = Exchange {
+                            conn,
+                            response,
+                            info,
+                            reservation,
+                            attempt,
+                            disproof,
+                        };
+                        self.record_head(&exchange);
+                        return Ok(exchange);
+                    }
+                    Err(failure) => failure,
                 }
-                Failure::Unverified
             }
             Err(failure) => failure,
         };
@@ -393,6 +398,20 @@
         request
     }
 
+    /// Checks that a response belongs to this request and was produced by the endpoint. Returns the
+    /// evidence that the request was not executed, if the endpoint states that.
+    fn verify(
+        &self,
+        response: &Response<Incoming>,
+        info: &ResponseInfo,
+    ) -> Result<Option<Disproof>, Failure> {
+        if !self.is_genuine(response, info) {
+            return Err(Failure::Unverified);
+        }
+        let id = self.job.info.id.as_deref();
+        Disproof::of_response(response.status(), info, id).map_err(Failure::Doubtful)
+    }
+
     /// Returns whether a response belongs to this request and was produced by the endpoint. An
     /// endpoint may send a second response late, which then takes the place of the next one. A
     /// success without a seal has no proven origin.
