gate: a node that relays believes "not run" of another node only if it is stated

Cause, the same as for endpoints, found by looking for it elsewhere: the response to a relayed request was passed on by its status. A node of an earlier version passes on 503, 429 and 408 of endpoints that ran the request, so a fleet in the middle of a roll still breaks REFUSED at its isolated nodes.

Change: nodes state "not run" with the request's id in refusals of relayed requests, by the headers that endpoints use (`Dialect::add_statement`), and the node that relays asks for the same evidence. Without it the caller gets 502. During a roll from an earlier version refusals of nodes that don't state it yet become 502 at isolated nodes; no other request is concerned.

Checked on the way: `entry` and `route` take the request's flag `sent` before the first byte and give it back only if the library hands the request back; `terminate`, `requeue` and `recover` ask it; a forward to the owner of a key that fails answers `unknown`. By reading, nothing to change there. A caller's own header that says "relayed" only keeps its request from being relayed.

--- a/crates/gate/src/dialect.rs
+++ b/crates/gate/src/dialect.rs
@@ -116,7 +116,10 @@
     fn add_headers(&self, headers: &mut HeaderMap, info: &ForwardInfo<'_>);
     /// Adds the headers for another node, which restore what [`Self::is_stripped`] withholds.
     fn add_relay_headers(&self, headers: &mut HeaderMap, info: &RelayInfo<'_>);
-    /// Parses the headers of an endpoint's response.
+    /// Adds the statement to a response to another node that the request `id` was not executed, as
+    /// [`Self::response_info`] reads it.
+    fn add_statement(&self, headers: &mut HeaderMap, id: Option<&str>);
+    /// Parses the headers of a response of an endpoint, or of another node that a request was relayed to.
     fn response_info(&self, headers: &HeaderMap) -> ResponseInfo;
     /// Encodes the list of addresses that callers should use for the next `ttl`.
     fn addresses(&self, addresses: &[SocketAddr], ttl: Duration) -> Bytes;
--- a/crates/gate/src/execution.rs
+++ b/crates/gate/src/execution.rs
@@ -78,15 +78,22 @@
         self.state.possible_runs.get()
     }
 
-    /// Returns the refusal that is true: `promise` if the request was not executed and will not be, or
-    /// else one for the reason `otherwise`. After a promise there are no more permits.
-    pub fn refuse(&self, promise: Refusal, otherwise: Reason) -> Refusal {
+    /// Returns whether the caller may be promised that the request was not executed and will not be.
+    /// After that there are no more permits.
+    pub fn promise(&self) -> bool {
         let state = &self.state;
-        if state.permits.get() + state.possible_runs.get() > 0 {
-            return Refusal::new(otherwise);
+        let not_run = state.permits.get() + state.possible_runs.get() == 0;
+        state.refused.set(state.refused.get() || not_run);
+        not_run
+    }
+
+    /// Returns the refusal that is true: `promise` if [`Self::promise`] allows it, or else one for the
+    /// reason `otherwise`.
+    pub fn refuse(&self, promise: Refusal, otherwise: Reason) -> Refusal {
+        match self.promise() {
+            true => promise,
+            false => Refusal::new(otherwise),
         }
-        state.refused.set(true);
-        promise
     }
 }
 
@@ -185,11 +192,18 @@
     Seal,
 }
 
-impl fmt::Display for Doubt {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+impl Doubt {
+    /// Returns the text for the log.
+    pub fn as_str(self) -> &'static str {
+        match self {
             Self::Origin => "response states that it was not run, without the request's id",
             Self::Seal => "response states that it was not run, with a seal",
-        })
+        }
+    }
+}
+
+impl fmt::Display for Doubt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
     }
 }
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -153,7 +153,9 @@
                 Lost::Exhausted => forwarder.exhausted(),
             };
             forwarder.log.end_refused(refusal);
-            refusal.response()
+            let info = &forwarder.job.info;
+            let dialect = &forwarder.worker.dialect;
+            refusal.response_to(dialect, info.id.as_deref(), info.relayed)
         }
     }
 }
--- a/crates/gate/src/forward/relay.rs
+++ b/crates/gate/src/forward/relay.rs
@@ -7,7 +7,7 @@
 use super::{Forwarder, MAX_BODY_BYTES};
 use crate::admit;
 use crate::dialect::{Dialect, RelayInfo};
-use crate::execution::{Disproof, Permit};
+use crate::execution::{self, Attempt, Disproof, Permit};
 use crate::pool::{self, Conn};
 use crate::refusal::Refusal;
 use crate::splice::{Chunk, Incomplete};
@@ -31,6 +31,7 @@
 pub(crate) struct Relayed {
     conn: Conn,
     response: Response<Incoming>,
+    attempt: Attempt,
 }
 
 /// Body of a response for the caller.
@@ -102,7 +103,11 @@
         let attempt = permit.begin();
         let sent = timeout(limit, conn.send(self.relay_request())).await;
         match sent.unwrap_or(Err(pool::Error::Broken)) {
-            Ok(response) => Ok(Relayed { conn, response }),
+            Ok(response) => Ok(Relayed {
+                conn,
+                response,
+                attempt,
+            }),
             Err(error) => {
                 Disproof::of_failure(error).map(|disproof| attempt.disprove(disproof));
                 Err(error)
@@ -133,8 +138,28 @@
     mut forwarder: Forwarder<D>,
     relayed: Relayed,
 ) -> Result<Response<Content<impl Stream<Item = Chunk>>>, Refusal> {
-    let Relayed { conn, response } = relayed;
+    let Relayed {
+        conn,
+        response,
+        attempt,
+    } = relayed;
     let status = response.status();
+    if execution::promises(status) {
+        let info = forwarder.worker.dialect.response_info(response.headers());
+        let id = forwarder.job.info.id.as_deref();
+        match Disproof::of_response(status, &info, id) {
+            Ok(Some(disproof)) => drop(attempt.disprove(disproof)),
+            Ok(None) => forwarder
+                .log
+                .set_reason("the other node did not state that it was not run"),
+            Err(doubt) => forwarder.log.set_reason(doubt.as_str()),
+        }
+        if !forwarder.executions.promise() {
+            let refusal = forwarder.exhausted();
+            forwarder.log.end_refused(refusal);
+            return Err(refusal);
+        }
+    }
     let (mut parts, incoming) = response.into_parts();
     let headers = std::mem::take(&mut parts.headers);
     parts.headers = admit::returned(&headers);
--- a/crates/gate/src/refusal.rs
+++ b/crates/gate/src/refusal.rs
@@ -1,6 +1,8 @@
 //! Error responses that the node generates itself.
 
 use crate::body::{self, Body};
+use crate::dialect::Dialect;
+use crate::execution;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Response, StatusCode};
 use std::time::Duration;
@@ -96,6 +98,21 @@
         }
     }
 
+    /// Returns the HTTP response to the request `id`. If another node relays the request, the headers
+    /// state that it was not executed, since that node does not believe a status alone.
+    pub fn response_to<D: Dialect, S>(
+        self,
+        dialect: &D,
+        id: Option<&str>,
+        relayed: bool,
+    ) -> Response<Body<S>> {
+        let mut response = self.response();
+        if relayed && execution::promises(response.status()) {
+            dialect.add_statement(response.headers_mut(), id);
+        }
+        response
+    }
+
     /// Returns the HTTP response.
     pub fn response<S>(self) -> Response<Body<S>> {
         let body = serde_json::json!({ "error": self.reason.message() }).to_string();
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -397,11 +397,14 @@
     ) -> Response<Body<impl Stream<Item = Chunk>>> {
         let received_at = Instant::now();
         let guard = Guard::new(self.stats.clone(), |s| &s.in_flight);
-        match self.admit(request, received_at).await {
+        let info = self.dialect.request_info(request.headers());
+        let (id, relayed) = (info.id.clone(), info.relayed);
+        match self.admit(request, info, received_at).await {
             Ok(job) => forward::run(self, job, guard).await,
-            Err((refusal, id)) => {
-                self.record_refusal(&id, refusal, received_at);
-                refusal.response()
+            Err(refusal) => {
+                let id = id.as_deref();
+                self.record_refusal(id.unwrap_or_default(), refusal, received_at);
+                refusal.response_to(&self.dialect, id, relayed)
             }
         }
     }
@@ -409,34 +412,30 @@
     async fn admit(
         &self,
         request: Request<Incoming>,
+        info: RequestInfo,
         received_at: Instant,
-    ) -> Result<Job, (Refusal, String)> {
+    ) -> Result<Job, Refusal> {
         let (parts, incoming) = request.into_parts();
-        let info = self.dialect.request_info(&parts.headers);
-        let id = info.id.clone().unwrap_or_default();
         let (view, admitted) = match self.admit_head(&parts, info, received_at).await {
             Ok(admitted) => admitted,
             Err(refusal) => {
                 let limits = self.view().map(|v| v.fleet.catalog.limits);
                 admit::discard_body(incoming, limits.unwrap_or_default().body_bytes).await;
-                return Err((refusal, id));
+                return Err(refusal);
             }
         };
         let catalog = &view.fleet.catalog;
-        let result = async {
-            let body = admit::body(incoming, catalog.limits.body_bytes).await?;
-            let random = rand::rng().random();
-            admit::job(
-                &self.dialect,
-                catalog,
-                admitted,
-                parts,
-                body,
-                received_at,
-                random,
-            )
-        };
-        result.await.map_err(|refusal| (refusal, id))
+        let body = admit::body(incoming, catalog.limits.body_bytes).await?;
+        let random = rand::rng().random();
+        admit::job(
+            &self.dialect,
+            catalog,
+            admitted,
+            parts,
+            body,
+            received_at,
+            random,
+        )
     }
 
     /// Checks the head of a request by the view that is in force, and returns that view.
--- a/crates/gate/tests/isolated.rs
+++ b/crates/gate/tests/isolated.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use steer::transition::Transition;
 use support::caller::{ids, request, send};
-use support::isolation::{add_relay, isolate, isolations};
+use support::isolation::{add_relay, isolate, isolations, refused_node};
 use support::server::{Behavior, Server};
 use support::{LAYERS, Node, node, plain, run, stage};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -49,17 +49,6 @@
     failing.count()
 }
 
-/// Starts a node whose plain endpoints refuse connections.
-async fn refused_node() -> Node {
-    let mut endpoints = Vec::new();
-    for _ in 0..3 {
-        let server = Server::start(vec![Behavior::Silent]).await;
-        server.crash().await;
-        endpoints.push(plain(server.addr));
-    }
-    node(endpoints).await
-}
-
 async fn connected_node(behavior: Behavior) -> (Node, Server) {
     let server = Server::start(vec![behavior]).await;
     (node(vec![plain(server.addr)]).await, server)
--- a/crates/gate/tests/once.rs
+++ b/crates/gate/tests/once.rs
@@ -4,7 +4,7 @@
 
 use http::StatusCode;
 use support::caller::{Received, request, send};
-use support::isolation::{add_relay, isolate};
+use support::isolation::{add_relay, isolate, refused_node};
 use support::server::{Behavior, Server};
 use support::{node, plain, run};
 
@@ -98,3 +98,42 @@
         }
     });
 }
+
+// Guards against a promise of another node that it did not state, such as a status of an endpoint that a
+// node of an earlier version passes on.
+#[test]
+fn a_relay_promises_only_what_it_states() {
+    run(async {
+        for (headers, status) in [
+            ("", StatusCode::BAD_GATEWAY),
+            ("id: r1\r\n", StatusCode::BAD_GATEWAY),
+            ("unrun: 1\r\n", StatusCode::BAD_GATEWAY),
+            ("id: r1\r\nunrun: 1\r\n", StatusCode::SERVICE_UNAVAILABLE),
+        ] {
+            let relay = Server::start(vec![Behavior::WithHeaders(503, headers)]).await;
+            let node = refused_node().await;
+            isolate(&node, "/once/x").await;
+            add_relay(&node, relay.addr, &[]);
+            let response = send(node.addr, request("/once/x")).await;
+            assert_eq!(response.status, status, "{headers:?}");
+            assert_eq!(relay.heads().len(), 1);
+        }
+    });
+}
+
+// Guards against refusals of another node, at its admission, that the node which relays does not believe.
+#[test]
+fn a_refusal_at_the_admission_of_another_node_is_passed_on() {
+    run(async {
+        let server = Server::start(vec![Behavior::Answer(200, "x")]).await;
+        let other = node(vec![plain(server.addr)]).await;
+        let node = refused_node().await;
+        isolate(&node, "/once/x").await;
+        add_relay(&node, other.addr, &[]);
+        other.worker.close();
+        let response = send(node.addr, request("/once/x")).await;
+        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(response.headers.contains_key("retry-after"));
+        assert!(server.heads().is_empty());
+    });
+}
--- a/crates/gate/tests/support/dialect.rs
+++ b/crates/gate/tests/support/dialect.rs
@@ -69,6 +69,13 @@
         }
     }
 
+    fn add_statement(&self, headers: &mut HeaderMap, id: Option<&str>) {
+        headers.insert("unrun", HeaderValue::from_static("1"));
+        if let Some(id) = id {
+            headers.insert("id", HeaderValue::try_from(id).unwrap());
+        }
+    }
+
     fn response_info(&self, headers: &HeaderMap) -> ResponseInfo {
         ResponseInfo {
             request_id: text(headers, "id"),
--- a/crates/gate/tests/support/isolation.rs
+++ b/crates/gate/tests/support/isolation.rs
@@ -1,7 +1,8 @@
 //! Isolation of a node from the endpoints of a service.
 
-use super::Node;
 use super::caller::{request, send};
+use super::server::{Behavior, Server};
+use super::{Node, node, plain};
 use gate::view::{Relay, View};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -43,3 +44,14 @@
     let isolated = tokio::time::timeout(DETECTION_TIME, isolated).await;
     isolated.expect("the node does not know that it is isolated");
 }
+
+/// Starts a node whose plain endpoints refuse connections.
+pub async fn refused_node() -> Node {
+    let mut endpoints = Vec::new();
+    for _ in 0..3 {
+        let server = Server::start(vec![Behavior::Silent]).await;
+        server.crash().await;
+        endpoints.push(plain(server.addr));
+    }
+    node(endpoints).await
+}
