node: the soak of processes has both deployments' shapes; the other soak counts runs without a response

The other soak checked that an at-most-once request runs once only if its caller had received a response; it now checks all of them.

--- a/crates/node/tests/once.rs
+++ b/crates/node/tests/once.rs
@@ -29,12 +29,15 @@
 mod record;
 #[path = "support/seeds.rs"]
 mod seeds;
+#[path = "once/shape.rs"]
+mod shape;
 #[path = "../../../platform/standin/mod.rs"]
 mod standin;
 
 use caller::Things;
 use fleet::Fleet;
 use record::Record;
+use shape::Shape;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -42,8 +45,6 @@
 
 /// Default seeds, also run in CI.
 const SEEDS: [u64; 2] = [1, 2];
-/// Default number of nodes.
-const NODES: usize = 8;
 const CALLERS: u64 = 24;
 /// Steps of a run; a fault may begin or end in each of them.
 const STEPS: usize = 60;
@@ -54,18 +55,23 @@
 const SERVE_TIMEOUT: Duration = Duration::from_secs(30);
 
 async fn soak(seed: u64, faulty: bool) -> Record {
-    let nodes = std::env::var("ONCE_NODES")
-        .ok()
-        .and_then(|n| n.parse().ok());
+    let shape = Shape::of_seed(seed);
     let folder = std::env::temp_dir().join(format!("once-{}-{seed}-{faulty}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
-    let mut fleet = Fleet::start(seed, nodes.unwrap_or(NODES), faulty, &folder).await;
+    let mut fleet = Fleet::start(seed, shape, faulty, &folder).await;
     let things = Things::default();
     wait_until_serving(&mut fleet, seed).await;
     let stop = CancellationToken::new();
     let callers = (0..CALLERS).map(|number| {
         let (things, stop) = (things.clone(), stop.clone());
-        tokio::spawn(caller::run(seed, number, fleet.addrs(), things, stop))
+        tokio::spawn(caller::run(
+            seed,
+            number,
+            shape.time_limit,
+            fleet.addrs(),
+            things,
+            stop,
+        ))
     });
     let callers: Vec<_> = callers.collect();
     for _ in 0..STEPS {
@@ -79,7 +85,8 @@
     let runs: Vec<String> = fleet.endpoints.iter().flat_map(|e| e.runs()).collect();
     let record = Record::new(&things.lock().unwrap(), &runs);
     record.print(&format!(
-        "seed {seed}, faulty endpoints {faulty}, {} runs",
+        "seed {seed}, {}, faulty endpoints {faulty}, {} runs",
+        shape.name,
         runs.len()
     ));
     drop(fleet);
--- a/crates/node/tests/once/caller.rs
+++ b/crates/node/tests/once/caller.rs
@@ -11,8 +11,6 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-/// Time for which a caller waits for a thing, with all its attempts.
-const TIME_LIMIT: Duration = Duration::from_millis(1500);
 /// Maximum number of attempts for a thing.
 const MAX_ATTEMPTS: usize = 3;
 /// Range of the pause between two things, in milliseconds.
@@ -27,11 +25,12 @@
 /// What the callers observed.
 pub type Things = Arc<Mutex<Vec<Thing>>>;
 
-/// Has one thing after the other done until `stop` is cancelled. Connections are kept for first attempts;
+/// Has one thing after the other done, each within `time_limit`, until `stop` is cancelled. Connections are kept for first attempts;
 /// later ones are on new connections.
 pub async fn run(
     seed: u64,
     number: u64,
+    time_limit: Duration,
     nodes: Vec<SocketAddr>,
     things: Things,
     stop: CancellationToken,
@@ -44,7 +43,7 @@
             return;
         }
         let mut thing = Thing::default();
-        let deadline = Instant::now() + TIME_LIMIT;
+        let deadline = Instant::now() + time_limit;
         let mut node = nodes[rng.random_range(0..nodes.len())];
         while thing.attempts.len() < MAX_ATTEMPTS {
             let id = format!("{prefix}-{count}-{}", thing.attempts.len());
--- a/crates/node/tests/once/endpoint.rs
+++ b/crates/node/tests/once/endpoint.rs
@@ -1,6 +1,7 @@
 //! An endpoint process and the proxies between it and each node.
 
 use crate::proxy::Proxy;
+use crate::shape::Shape;
 use crate::standin::address;
 use crate::standin::process::{Settings, VARIABLE};
 use crate::standin::store::Store;
@@ -23,13 +24,20 @@
 
 impl Endpoint {
     /// Starts endpoint `number`, and lists it in the store of each node at the address of its proxy.
-    pub async fn start(number: usize, faulty: bool, folder: &Path, stores: &[Store]) -> Self {
+    pub async fn start(
+        number: usize,
+        faulty: bool,
+        shape: &Shape,
+        folder: &Path,
+        stores: &[Store],
+    ) -> Self {
         let name = format!("p{number}");
         let settings = Settings {
             id: format!("{name}-1"),
             listen: address::unused(),
             runs: folder.join(&name),
             faulty,
+            work_ms: shape.work_ms,
         };
         let mut proxies = Vec::new();
         for _ in stores {
--- a/crates/node/tests/once/fleet.rs
+++ b/crates/node/tests/once/fleet.rs
@@ -3,6 +3,7 @@
 use crate::endpoint::Endpoint;
 use crate::node::Node;
 use crate::proxy::Mode;
+use crate::shape::Shape;
 use crate::standin::store::Store;
 use crate::standin::{address, manifest};
 use rand::rngs::StdRng;
@@ -25,18 +26,20 @@
     pub nodes: Vec<Node>,
     pub endpoints: Vec<Endpoint>,
     version: u64,
+    /// Longest time for which a request is kept waiting.
+    timeout_ms: u64,
 }
 
 impl Fleet {
     /// Starts all processes. The endpoints write to files in `folder`.
-    pub async fn start(seed: u64, nodes: usize, faulty: bool, folder: &Path) -> Self {
+    pub async fn start(seed: u64, shape: Shape, faulty: bool, folder: &Path) -> Self {
         let mut stores = Vec::new();
-        for _ in 0..nodes {
+        for _ in 0..shape.nodes {
             stores.push(Store::start().await);
         }
         let mut endpoints = Vec::new();
         for number in 0..ENDPOINTS {
-            endpoints.push(Endpoint::start(number, faulty, folder, &stores).await);
+            endpoints.push(Endpoint::start(number, faulty, &shape, folder, &stores).await);
         }
         let mut fleet = Self {
             rng: StdRng::seed_from_u64(seed),
@@ -44,9 +47,10 @@
             nodes: Vec::new(),
             endpoints,
             version: 0,
+            timeout_ms: shape.timeout_ms,
         };
         fleet.publish();
-        let ports: Vec<_> = (0..2 * nodes).map(|_| address::unused()).collect();
+        let ports: Vec<_> = (0..2 * shape.nodes).map(|_| address::unused()).collect();
         for (number, store) in fleet.stores.iter().enumerate() {
             let zone = format!("z{}", number / NODES_PER_ZONE);
             let node = Node::start(number, &zone, store.addr, &ports);
@@ -63,9 +67,10 @@
     /// Writes the next version of the manifest, in which each request reaches one endpoint at most.
     fn publish(&mut self) {
         self.version += 1;
+        let timeout = format!(r#""timeout_ms":{}"#, self.timeout_ms);
         let once = manifest(self.version, "/safe/")
             .replace(r#""max_attempts":2"#, r#""max_attempts":1"#)
-            .replace(r#""timeout_ms":5000"#, r#""timeout_ms":800"#);
+            .replace(r#""timeout_ms":5000"#, &timeout);
         self.stores.iter().for_each(|s| s.put_manifest(&once));
     }
 
--- a/crates/node/tests/soak/guarantee.rs
+++ b/crates/node/tests/soak/guarantee.rs
@@ -77,11 +77,20 @@
             *runs.entry(&arrival.request).or_default() += 1;
         }
         let mut violations = self.observed.violations.clone();
-        for (id, status) in &self.observed.at_most_once {
+        // Also those whose callers received no response.
+        let at_most_once = self
+            .observed
+            .requests
+            .iter()
+            .filter(|(_, s)| s.at_most_once);
+        for (id, _) in at_most_once {
             let count = runs.get(id.as_str()).copied().unwrap_or(0);
             if count > 1 {
                 violations.push(format!("{id} ran {count} times"));
             }
+        }
+        for (id, status) in &self.observed.at_most_once {
+            let count = runs.get(id.as_str()).copied().unwrap_or(0);
             let promised_not_run = matches!(status.as_u16(), 408 | 421 | 429 | 503);
             if promised_not_run && count > 0 {
                 violations.push(format!("{id} ran although its caller got {status}"));
