--- a/crates/gate/tests/support/server.rs
+++ b/crates/gate/tests/support/server.rs
@@ -138,7 +138,12 @@
 impl Server {
     /// Starts an endpoint. The last behavior applies to all further requests.
     pub async fn start(behaviors: Vec<Behavior>) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        Self::start_at(([127, 0, 0, 1], 0).into(), behaviors).await
+    }
+
+    /// Like [`Self::start`], at a given address.
+    pub async fn start_at(addr: SocketAddr, behaviors: Vec<Behavior>) -> Self {
+        let listener = TcpListener::bind(addr).await.unwrap();
         let server = Self {
             addr: listener.local_addr().unwrap(),
             state: Arc::default(),
@@ -229,6 +234,11 @@
         self.closed.cancelled().await;
     }
 
+    /// Returns whether the endpoint has crashed.
+    pub fn has_crashed(&self) -> bool {
+        self.crashed.is_cancelled()
+    }
+
     async fn serve(self, mut stream: TcpStream) {
         let served = self.serve_requests(&mut stream);
         if self.closed.run_until_cancelled(served).await.is_none() {
