gate: an end that can't be told at once is counted when its evidence comes

Cause: a broken attempt got one verdict, at one moment. A refusal showed an end only if another endpoint of the service accepted; where all of them had ended, "not known" was stored as "has not ended", for good. So was an endpoint that had started again behind an open listener.

Change: a probe has three outcomes. An endpoint that refuses has ended if any other accepts, also one of another service. Otherwise the attempt is a case (steer::crash::Cases) that is decided by what comes later: another run at the address shows the end, a response of the run, its row as draining or its announcement shows that there was none. A row that is only missing decides nothing, so a node that is cut off charges no one. Probes are shared by run, not by address: the outcome of the run before was used for the next one. Line `settled`.

Tried and given up: to let a request with an open case run without attempts beside idle ones, whatever the address does: a stream whose first endpoint broke a connection then had no third one (a_third_endpoint_is_tried_for_a_stream_whose_second_one_is_silent). Only refused connections make a content suspect.

--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -15,9 +15,9 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use steer::Selector;
 use steer::health::Outcome;
 use steer::target::{Stage, Target};
+use steer::{Selector, Timestamp};
 use tokio::time::{Instant, timeout};
 
 /// The capacity that an attempt reserved at its endpoints, released when the attempt ends or is
@@ -76,6 +76,8 @@
     pub(crate) head: Stage,
     /// Number of the attempt; 0 until it is sent.
     pub(crate) attempt: Cell<u32>,
+    /// When it was sent.
+    sent_at: Cell<Timestamp>,
     /// Outcome that is reported if the attempt is dropped.
     pub(crate) dropped_as: Cell<Outcome>,
     /// Why another endpoint should be tried, until that was considered.
@@ -92,6 +94,7 @@
         Self {
             head: head.clone(),
             attempt: Cell::new(0),
+            sent_at: Cell::default(),
             dropped_as: Cell::new(Outcome::Unknown),
             idle_reason: Cell::new(None),
             was_idle: Cell::new(false),
@@ -202,6 +205,7 @@
         let crossings = self.crossings(&reservation.target.stages);
         let attempt = self.log.record_sent(&reservation.target, crossings);
         reservation.progress.attempt.set(attempt);
+        reservation.progress.sent_at.set(self.worker.now());
         let crashes = self.worker.crashes(&self.job);
         reservation.progress.earlier_crashes.replace(crashes);
         let exchanged = self.exchange(&mut reservation, permit, last_event_id).await;
@@ -258,6 +262,11 @@
         if exchange.info.leaving {
             self.worker.record_leaving(target.head());
         }
+        // Another run at the address responds with 421.
+        if exchange.response.status() != StatusCode::MISDIRECTED_REQUEST {
+            let sent_at = exchange.reservation.progress.sent_at.get();
+            self.worker.record_alive(&target.head().run, sent_at);
+        }
         self.worker
             .with_selector(|selector, now| match exchange.rest() {
                 Some(rest) => selector.record_rest(now, &target.head().run, rest),
--- a/crates/gate/src/forward/inquiry.rs
+++ b/crates/gate/src/forward/inquiry.rs
@@ -4,9 +4,10 @@
 use super::attempt::Progress;
 use super::race::Phase;
 use crate::dialect::Dialect;
+use crate::probe::Finding;
 use std::time::Duration;
 use steer::Timestamp;
-use steer::crash::Verdict;
+use steer::crash::{Case, Verdict};
 
 /// Retry-after delay while another request with the same content is on trial.
 const TRIAL_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -23,21 +24,31 @@
         if !serving {
             return;
         }
-        let (worker, addr) = (self.worker.clone(), head.addr);
-        let run = head.run.clone();
-        let features = self.job.features().to_vec();
+        let worker = self.worker.clone();
+        let features = self.job.features();
+        let record = self.log.broken(broken.attempt.get(), &head.run, features);
         let earlier_crashes = broken.earlier_crashes.take();
-        let record = self.log.broken(broken.attempt.get(), &head.run, &features);
+        let earlier_crashes = earlier_crashes.into_iter().chain(std::iter::repeat(0));
+        let crashes = earlier_crashes.map(|earlier| earlier.saturating_add(1));
+        let case = Case {
+            run: head.run.clone(),
+            addr: head.addr,
+            known: worker.with_selector(|selector, _| selector.runs_at(head.addr)),
+            features: features.iter().copied().zip(crashes).collect(),
+            broke_at: worker.now(),
+            refused: false,
+        };
         let inquiry = tokio::task::spawn_local(async move {
-            let others = || worker.with_selector(|selector, now| selector.sample_beside(now, &run));
-            let crashed = worker.probes.has_ended(addr, others).await;
-            if crashed {
-                let earlier_crashes = earlier_crashes.into_iter().chain(std::iter::repeat(0));
-                for (feature, earlier) in features.into_iter().zip(earlier_crashes) {
-                    worker.record_crash(feature, earlier.saturating_add(1));
-                }
+            let witnesses = || worker.witnesses(&case.run);
+            let finding = worker.probes.probe(&case.run, case.addr, witnesses).await;
+            record.end(finding);
+            match finding {
+                Finding::Ended => worker.record_end(&case),
+                Finding::Refused | Finding::Nothing => worker.open_case(Case {
+                    refused: finding == Finding::Refused,
+                    ..case
+                }),
             }
-            record.end(crashed);
         });
         self.inquiries.borrow_mut().push(inquiry);
     }
--- a/crates/gate/src/forward/request_log.rs
+++ b/crates/gate/src/forward/request_log.rs
@@ -3,6 +3,7 @@
 use crate::execution::Ledger;
 use crate::job::Job;
 use crate::metrics::Metrics;
+use crate::probe::Finding;
 use crate::refusal::Refusal;
 use catalog::endpoint::Run;
 use journal::Journal;
@@ -248,8 +249,9 @@
 }
 
 impl BrokenAttempt {
-    /// Writes the record; `crashed` is whether the endpoint has ended.
-    pub(crate) fn end(self, crashed: bool) {
+    /// Writes the record, with what the probe showed.
+    pub(crate) fn end(self, finding: Finding) {
+        let crashed = finding == Finding::Ended;
         if crashed {
             self.metrics.record_attempt("endpoint crashed");
         }
--- a/crates/gate/src/probe.rs
+++ b/crates/gate/src/probe.rs
@@ -2,10 +2,12 @@
 //!
 //! A broken connection alone doesn't show it. The endpoint may have given up one response, or only
 //! the connection was reset. The address of a machine that lost power or is cut off does not respond,
-//! which says nothing about the process. Nor does a refusal if the other endpoints refuse as well: then
-//! this node has lost its paths.
+//! which says nothing about the process. Nor does a refusal if all other endpoints refuse as well: then
+//! this node may have lost its paths. What a probe can't tell, later evidence does; see
+//! [`steer::crash::Cases`].
 
 use crate::reach;
+use catalog::endpoint::Run;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -20,47 +22,81 @@
 /// at the same time.
 const MAX_PROBE_AGE: Duration = Duration::from_millis(250);
 
-/// Whether the endpoint has ended; `None` while the probe runs.
-type Outcome = Option<bool>;
+/// What a probe shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Finding {
+    /// The endpoint refuses connections, and another one accepts them.
+    Ended,
+    /// The endpoint refuses connections, and so do the others.
+    Refused,
+    /// Nothing: an endpoint that accepts connections may have started again, and one that does not
+    /// respond may be out of reach.
+    Nothing,
+}
+
+/// Other endpoints, which show whether this node has paths.
+#[derive(Debug, Default)]
+pub(crate) struct Witnesses {
+    /// Endpoints of the same service.
+    pub(crate) beside: Vec<SocketAddr>,
+    /// Endpoints of other services.
+    pub(crate) elsewhere: Vec<SocketAddr>,
+}
+
+impl Witnesses {
+    /// Returns whether this node has paths to endpoints; also if there is no witness.
+    async fn confirm_paths(&self) -> bool {
+        let none = self.beside.is_empty() && self.elsewhere.is_empty();
+        none || reach::any_accepts(&self.beside).await || reach::any_accepts(&self.elsewhere).await
+    }
+}
+
+/// What a probe that has begun shows; `None` while it runs.
+type Outcome = watch::Receiver<Option<Finding>>;
 
-/// Recent probes by address.
+/// Recent probes by run.
 #[derive(Debug, Default)]
 pub(crate) struct Probes {
-    recent: RefCell<HashMap<SocketAddr, (Instant, watch::Receiver<Outcome>)>>,
+    recent: RefCell<HashMap<Run, (Instant, Outcome)>>,
 }
 
 impl Probes {
-    /// Returns whether the endpoint at `addr` has ended: it refuses connections, and one of the
-    /// endpoints that `others` returns accepts them. Without others, its refusal suffices. Concurrent
-    /// calls share a probe. Must be called within a [`tokio::task::LocalSet`].
-    pub(crate) async fn has_ended(
+    /// Probes a run at `addr`. Concurrent calls share a probe. Must be called within a
+    /// [`tokio::task::LocalSet`].
+    pub(crate) async fn probe(
         &self,
+        run: &Run,
         addr: SocketAddr,
-        others: impl FnOnce() -> Vec<SocketAddr>,
-    ) -> bool {
-        let mut outcome = self.outcome(addr, others);
+        witnesses: impl FnOnce() -> Witnesses,
+    ) -> Finding {
+        let mut outcome = self.outcome(run, addr, witnesses);
         // The sender is dropped only after the outcome, or with the runtime.
-        let ended = outcome.wait_for(Option::is_some).await;
-        ended.is_ok_and(|ended| *ended == Some(true))
+        let found = outcome.wait_for(Option::is_some).await;
+        let found = found.ok().and_then(|finding| *finding);
+        found.unwrap_or(Finding::Nothing)
     }
 
     fn outcome(
         &self,
+        run: &Run,
         addr: SocketAddr,
-        others: impl FnOnce() -> Vec<SocketAddr>,
-    ) -> watch::Receiver<Outcome> {
+        witnesses: impl FnOnce() -> Witnesses,
+    ) -> Outcome {
         let mut recent = self.recent.borrow_mut();
         recent.retain(|_, (started, _)| started.elapsed() < MAX_PROBE_AGE);
-        if let Some((_, outcome)) = recent.get(&addr) {
+        if let Some((_, outcome)) = recent.get(run) {
             return outcome.clone();
         }
         let (sender, outcome) = watch::channel(None);
-        recent.insert(addr, (Instant::now(), outcome.clone()));
-        let others = others();
+        recent.insert(run.clone(), (Instant::now(), outcome.clone()));
+        let witnesses = witnesses();
         tokio::task::spawn_local(async move {
-            let ended = refuses_connections(addr).await
-                && (others.is_empty() || reach::any_accepts(&others).await);
-            sender.send_replace(Some(ended));
+            let finding = match refuses_connections(addr).await {
+                true if witnesses.confirm_paths().await => Finding::Ended,
+                true => Finding::Refused,
+                false => Finding::Nothing,
+            };
+            sender.send_replace(Some(finding));
         });
         outcome
     }
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -9,12 +9,14 @@
 use crate::job::Job;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
-use crate::probe::Probes;
+use crate::probe::{Probes, Witnesses};
 use crate::refusal::{Reason, Refusal};
 use crate::splice::Chunk;
 use crate::stats::{self, Guard, Stats};
 use crate::trial::{Trial, Trials};
 use crate::view::{SharedView, View};
+use catalog::Endpoint;
+use catalog::endpoint::Run;
 use futures::Stream;
 use http::{Request, Response, request};
 use hyper::body::Incoming;
@@ -29,7 +31,7 @@
 use std::time::Duration;
 use steer::Selector;
 use steer::budget::Allowance;
-use steer::crash::{Finding, Findings, Fingerprint, Verdict};
+use steer::crash::{Case, Cases, Finding, Findings, Fingerprint, Verdict};
 use steer::health::Outcome;
 use steer::paths::Paths;
 use steer::target::{ReservationId, Stage};
@@ -101,6 +103,8 @@
     pub(crate) status_reports: RefCell<HashMap<SocketAddr, CachedReport>>,
     /// Contents under which endpoints crashed.
     crashes: RefCell<Findings>,
+    /// Broken attempts whose endpoint may have ended.
+    cases: RefCell<Cases>,
     /// Contents on trial of which a request is in flight.
     trials: Rc<Trials>,
     /// Probes of endpoints whose connections broke.
@@ -136,6 +140,7 @@
             rotation: Cell::new(0),
             status_reports: RefCell::default(),
             crashes: RefCell::default(),
+            cases: RefCell::default(),
             trials: Rc::default(),
             probes: Probes::default(),
             buffers: Buffers::default(),
@@ -186,6 +191,7 @@
                 for part in disproved {
                     self.send(Transition::Content(part, Finding::Completed));
                 }
+                self.settle_cases(now, &view.fleet.endpoints);
                 self.table_version.set(self.table_version.get() + 1);
                 self.capacity_freed.notify_waiters();
             }
@@ -288,7 +294,21 @@
 
     /// Returns whether a feature of `job` may crash endpoints.
     pub(crate) fn is_suspect(&self, job: &Job) -> bool {
-        self.crashes(job).iter().any(|&crashes| crashes > 0)
+        !self.suspects(job).is_empty()
+    }
+
+    /// Returns the features of `job` that may crash endpoints.
+    fn suspects(&self, job: &Job) -> Vec<Fingerprint> {
+        self.view();
+        let (crashes, cases) = (self.crashes.borrow(), self.cases.borrow());
+        if crashes.is_empty() && cases.is_empty() {
+            return Vec::new();
+        }
+        let now = self.now();
+        let is_suspect =
+            |f: &Fingerprint| crashes.crashes(now, *f) > 0 || cases.is_suspect(now, *f);
+        let features = job.features().iter().copied();
+        features.filter(is_suspect).collect()
     }
 
     /// Begins a trial of the features of `job` that are on trial; `None` if one is in progress.
@@ -302,9 +322,46 @@
         Trial::begin(self.trials.clone(), features.collect())
     }
 
-    /// Records that a feature has crashed this number of endpoints in a row.
-    pub(crate) fn record_crash(&self, content: Fingerprint, crashes: u8) {
-        self.record_finding(content, Finding::Crashed(crashes));
+    /// Returns endpoints that show whether this node has paths, for a probe of `run`.
+    pub(crate) fn witnesses(&self, run: &Run) -> Witnesses {
+        self.with_selector(|selector, now| Witnesses {
+            beside: selector.sample_beside(now, run),
+            elsewhere: selector.sample_elsewhere(run),
+        })
+    }
+
+    /// Records that the run of a broken attempt has ended.
+    pub(crate) fn record_end(&self, case: &Case) {
+        for &(feature, crashes) in &case.features {
+            self.record_finding(feature, Finding::Crashed(crashes));
+        }
+    }
+
+    /// Records that it is not known whether the run of a broken attempt has ended.
+    pub(crate) fn open_case(&self, case: Case) {
+        self.cases.borrow_mut().open(case);
+    }
+
+    /// Records that a run responded to a request which was sent at `sent_at`.
+    pub(crate) fn record_alive(&self, run: &Run, sent_at: Duration) {
+        self.cases.borrow_mut().acquit(run, sent_at);
+    }
+
+    /// Records the crashes that the registered endpoints show.
+    fn settle_cases(&self, now: Duration, endpoints: &[Endpoint]) {
+        let selector = self.selector.borrow();
+        let has_left = |run: &Run| selector.has_announced(run);
+        let ended = self.cases.borrow_mut().settle(now, endpoints, has_left);
+        for case in ended {
+            self.journal.record(Event::Settled {
+                run: case.run.to_string(),
+                content: case
+                    .features
+                    .first()
+                    .map_or_else(String::new, |(f, _)| format!("{f:016x}")),
+            });
+            self.record_end(&case);
+        }
     }
 
     /// Records that a request completed.
@@ -316,6 +373,8 @@
         {
             self.record_finding(job.fingerprint(), Finding::Completed);
         }
+        let mut cases = self.cases.borrow_mut();
+        job.features().iter().for_each(|&f| cases.clear(f));
         let now = self.now();
         for &part in job.parts() {
             if self.crashes.borrow_mut().prove(now, part) {
--- a/crates/journal/src/event.rs
+++ b/crates/journal/src/event.rs
@@ -188,9 +188,17 @@
         content: String,
         /// Fingerprints of the parts of its prompt that other requests may share.
         parts: Vec<String>,
-        /// Whether the endpoint has ended: it refuses connections and had not announced that it leaves.
+        /// Whether the endpoint has ended: it refuses connections, another one accepts them, and it had
+        /// not announced that it leaves. If not, it may be found later; see [`Self::Settled`].
         crashed: bool,
     },
+    /// Another run at the address of an endpoint shows that the one of a broken attempt has ended.
+    Settled {
+        /// Run of the endpoint: its id and start time.
+        run: String,
+        /// Fingerprint of the request's content, in hexadecimal digits.
+        content: String,
+    },
     /// A request ended.
     Ended {
         /// Request id.
--- a/crates/steer/src/crash.rs
+++ b/crates/steer/src/crash.rs
@@ -16,10 +16,15 @@
 //! since a part may crash endpoints in requests that have nothing else in common. A part that was
 //! ever in a request that completed does not, so it is no longer counted. Content and parts are
 //! called the features of a request.
+//!
+//! Where it can't be told at once whether an endpoint has ended, the attempt is a [`Case`] until the
+//! evidence comes.
 
+mod cases;
 mod findings;
 mod proven;
 
+pub use cases::{Case, Cases};
 pub use findings::{Finding, Findings};
 
 use crate::Timestamp;
--- a/crates/steer/src/selector/departing.rs
+++ b/crates/steer/src/selector/departing.rs
@@ -27,6 +27,11 @@
         stages.any(|s| self.departures.contains(&s.run))
     }
 
+    /// Returns whether an endpoint announced that it leaves.
+    pub fn has_announced(&self, run: &Run) -> bool {
+        self.departures.contains(run)
+    }
+
     /// Returns whether an endpoint is registered as ready and has not announced that it leaves.
     pub fn is_serving(&self, run: &Run) -> bool {
         let row = self.index.get(run).map(|&at| &self.rows[at]);
--- a/crates/steer/src/selector/reached.rs
+++ b/crates/steer/src/selector/reached.rs
@@ -42,6 +42,19 @@
         })
     }
 
+    /// Returns the addresses of up to [`SAMPLE`] endpoints of other services than that of `run` at random,
+    /// those that don't fail here first.
+    pub fn sample_elsewhere(&mut self, run: &Run) -> Vec<SocketAddr> {
+        let service = self.service_of(run).map(str::to_owned);
+        self.sample_rows(|row| Some(&row.endpoint.service) != service.as_ref())
+    }
+
+    /// Returns the runs that are registered at an address.
+    pub fn runs_at(&self, addr: SocketAddr) -> Vec<Run> {
+        let rows = self.rows.iter().filter(|row| row.endpoint.addr == addr);
+        rows.map(|row| row.endpoint.run.clone()).collect()
+    }
+
     fn sample_rows(&mut self, include: impl Fn(&Row) -> bool) -> Vec<SocketAddr> {
         let rng = &mut self.rng;
         let serving = |row: &&Row| row.endpoint.state == State::Ready && !row.leaving;
