gate: a content that may have crashed an endpoint runs one at a time

Callers saw: a small service whose endpoints all end at once, twice.

Cause: copies of a content that run at the same time count as one crash, since a harmless content in demand may be in flight at several endpoints that are lost together (test endpoints_lost_together_count_as_one_crash). After one crash nothing was held back, so the second wave ended all endpoints again: of eight, 8 and 8. And requests that waited for an endpoint were judged before the wait; its end is the start of new runs, which is also the evidence of the crash.

Ruled out: to count each endpoint that ends under copies of a content. It would condemn a content in demand for one loss of power.

Change: from the first crash, or while a connection was refused and the case is open, a node runs one request with the content at a time. The others wait for its end as long as for an endpoint, and then go on if it completed; else they are refused until the suspension ends. A request is judged again once it has an endpoint.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -267,6 +267,13 @@
         granted
     }
 
+    /// Returns the maximum wait of a new request for an endpoint.
+    fn max_queue_time(&self) -> Duration {
+        let latency_target = self.job.route().latency_target;
+        let max_wait = latency_target.mul_f64(MAX_QUEUE_TIME_FRACTION);
+        max_wait.min(self.job.time_left())
+    }
+
     /// Selects a target and reserves its capacity. Waits for free capacity for up to `max_wait`, or
     /// a fraction of the route's latency target.
     pub(crate) async fn acquire_target(
@@ -274,12 +281,8 @@
         max_wait: Option<Duration>,
     ) -> Result<steer::target::Target, Shortage> {
         let started = tokio::time::Instant::now();
-        let default_wait = self
-            .job
-            .route()
-            .latency_target
-            .mul_f64(MAX_QUEUE_TIME_FRACTION);
-        let max_wait = max_wait.unwrap_or(default_wait).min(self.job.time_left());
+        let max_wait =
+            max_wait.map_or_else(|| self.max_queue_time(), |w| w.min(self.job.time_left()));
         let need = self.job.need();
         loop {
             let selected = self.query_untried(|selector, now, service, tried| {
--- a/crates/gate/src/forward/inquiry.rs
+++ b/crates/gate/src/forward/inquiry.rs
@@ -8,6 +8,16 @@
 use std::time::Duration;
 use steer::Timestamp;
 use steer::crash::{Case, Verdict};
+use tokio::time::Instant;
+
+/// Whether an attempt may be started.
+enum Turn {
+    Now,
+    /// Once another request with a feature of this one has ended.
+    Later,
+    /// Not before this time.
+    Refused(Timestamp),
+}
 
 /// Retry-after delay while another request with the same content is on trial.
 const TRIAL_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -62,18 +72,56 @@
         }
     }
 
-    /// Returns until when no attempt of the request may be started because its content crashes
-    /// endpoints; `None` if one may be started now.
+    /// Waits until an attempt may be started. Returns until when none may be because the request's
+    /// content crashes endpoints; `None` if one may be started now.
     pub(crate) async fn refused_until(&self, phase: Phase) -> Option<Timestamp> {
         self.finish_inquiries().await;
+        let deadline = Instant::now() + self.max_queue_time();
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            match self.turn(phase) {
+                Turn::Later if !left.is_zero() => self.worker.trials.wait_for_end(left).await,
+                turn => return self.refusal_end(turn),
+            }
+        }
+    }
+
+    /// Returns until when the attempt that is about to be started must not be, after what became known
+    /// since [`Self::refused_until`]; `None` if it may be started.
+    pub(crate) fn barred_until(&self, phase: Phase) -> Option<Timestamp> {
+        self.refusal_end(self.turn(phase))
+    }
+
+    fn refusal_end(&self, turn: Turn) -> Option<Timestamp> {
+        match turn {
+            Turn::Now => None,
+            Turn::Later => Some(self.worker.now().saturating_add(TRIAL_RETRY_AFTER)),
+            Turn::Refused(until) => Some(until),
+        }
+    }
+
+    /// Returns whether an attempt may be started now, and if so makes the request the trial of the
+    /// features that may crash endpoints.
+    fn turn(&self, phase: Phase) -> Turn {
         match (self.worker.verdict(&self.job), phase) {
-            (Verdict::Condemned(until), _) => Some(until),
-            (_, Phase::Resuming(_)) | (Verdict::Allowed, _) => None,
-            (Verdict::Suspended(until), Phase::Opening) => Some(until),
+            (Verdict::Condemned(until), _) => Turn::Refused(until),
+            (_, Phase::Resuming(_)) => Turn::Now,
+            (Verdict::Suspended(until), Phase::Opening) => Turn::Refused(until),
             (Verdict::OnTrial, Phase::Opening) => {
                 // A trial ends with the first attempt that reaches an endpoint, also if it is refused.
-                let begun = !self.reached.get() && self.begin_trial();
-                (!begun).then(|| self.worker.now().saturating_add(TRIAL_RETRY_AFTER))
+                match !self.reached.get() && self.begin_trial() {
+                    true => Turn::Now,
+                    false => {
+                        let until = self.worker.now().saturating_add(TRIAL_RETRY_AFTER);
+                        Turn::Refused(until)
+                    }
+                }
+            }
+            (Verdict::Allowed, Phase::Opening) => {
+                match !self.worker.is_suspect(&self.job) || self.begin_trial() {
+                    true => Turn::Now,
+                    false => Turn::Later,
+                }
             }
         }
     }
--- a/crates/gate/src/forward/race.rs
+++ b/crates/gate/src/forward/race.rs
@@ -244,7 +244,12 @@
         }
         let target = self.acquire_target(phase.max_wait()).await;
         let target = target.map_err(Lost::Shortage)?;
-        Ok((Reservation::new(self.worker.clone(), target), permit))
+        let reservation = Reservation::new(self.worker.clone(), target);
+        // Endpoints that start again end the wait for capacity, and may show a crash.
+        match self.barred_until(phase) {
+            Some(until) => Err(Lost::Crashing { until }),
+            None => Ok((reservation, permit)),
+        }
     }
 
     /// Reports the attempts that are dropped because another one goes on with the response.
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -105,8 +105,8 @@
     crashes: RefCell<Findings>,
     /// Broken attempts whose endpoint may have ended.
     cases: RefCell<Cases>,
-    /// Contents on trial of which a request is in flight.
-    trials: Rc<Trials>,
+    /// Features on trial of which a request is in flight.
+    pub(crate) trials: Rc<Trials>,
     /// Probes of endpoints whose connections broke.
     pub(crate) probes: Probes,
     /// Buffers for the bodies of responses.
@@ -311,15 +311,9 @@
         features.filter(is_suspect).collect()
     }
 
-    /// Begins a trial of the features of `job` that are on trial; `None` if one is in progress.
+    /// Begins a trial of the features of `job` that may crash endpoints; `None` if one is in progress.
     pub(crate) fn begin_trial(&self, job: &Job) -> Option<Trial> {
-        let now = self.now();
-        let crashes = self.crashes.borrow();
-        let on_trial = |feature: &&Fingerprint| {
-            crashes.verdict(now, || std::slice::from_ref(*feature)) == Verdict::OnTrial
-        };
-        let features = job.features().iter().filter(on_trial).copied();
-        Trial::begin(self.trials.clone(), features.collect())
+        Trial::begin(self.trials.clone(), self.suspects(job))
     }
 
     /// Returns endpoints that show whether this node has paths, for a probe of `run`.
