gate: a request that is refused for its crashes is not relayed

Callers would see: a condemned request is refused by a node and run by another. Once all endpoints of a service have ended, a node counts as isolated from it, and `run` relayed before the first attempt and after any lost race, also one that was lost because the content crashes endpoints. A node that has not heard of the crashes yet, or counts fewer, then sends it on.

Test in the same commit: on the code before, the relayed request is answered with 200 where 503 is due. Only contents whose verdict is "allowed" are relayed now.

--- a/crates/gate/src/forward/relay.rs
+++ b/crates/gate/src/forward/relay.rs
@@ -20,6 +20,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use steer::budget::Purpose;
+use steer::crash::Verdict;
 use tokio::time::timeout;
 
 /// Maximum number of nodes that a request is sent to.
@@ -53,10 +54,12 @@
 }
 
 impl<D: Dialect> Forwarder<D> {
-    /// Returns whether the request is to be relayed: this node is isolated from its service, and no
-    /// other node relays it already.
+    /// Returns whether the request is to be relayed: this node is isolated from its service, no other
+    /// node relays it already, and its content is not known to crash endpoints.
     pub(crate) fn must_relay(&self) -> bool {
-        !self.job.info.relayed && self.worker.is_isolated(&self.job.service().name)
+        !self.job.info.relayed
+            && self.worker.is_isolated(&self.job.service().name)
+            && self.worker.verdict(&self.job) == Verdict::Allowed
     }
 
     /// Sends the request to another node that reaches endpoints of its service, and waits for the head
--- a/crates/gate/tests/small_service.rs
+++ b/crates/gate/tests/small_service.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use support::caller::{Received, request, send};
+use support::isolation::{add_relay, isolate};
 use support::server::{Behavior, Server};
 use support::{LAYERS, Node, endpoint_for, node, run, stage, view, wait_for_request};
 
@@ -239,3 +240,26 @@
         }
     });
 }
+
+// Guards against a request that is refused for its crashes and is sent to another node all the same, as
+// all endpoints that ended look like lost paths.
+#[test]
+fn a_request_that_crashes_endpoints_is_not_relayed() {
+    run(async {
+        let mut service = Service::start("/once/x", Behavior::Crash, 2).await;
+        for _ in 0..ROUNDS {
+            service.send(1).await;
+            service.restart_crashed().await;
+        }
+        join_all(service.servers.iter().map(Server::crash)).await;
+        isolate(&service.node, "/safe/other").await;
+        let sound = Server::start(vec![Behavior::Answer(200, "x")]).await;
+        let other = node(vec![endpoint_for("/once/x")(&sound)]).await;
+        add_relay(&service.node, other.addr, &[]);
+        let refused = service.send(1).await;
+        assert_eq!(refused[0].status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(sound.heads().is_empty());
+        let relayed = send(service.node.addr, request("/once/other")).await;
+        assert_eq!(relayed.status, StatusCode::OK);
+    });
+}
