node: a store that is restored from an older copy is followed

Three acked catalogs were in force at no node for up to 2.5 s.

Cause: an offset was compared with one of another sequence. A store that comes back from an older copy gives offsets out again; the reader went on from its own and learned nothing of what was written below it, and where the read failed with 410, the full page was dropped since its end was lower than the table's.

Ruled out: reads that hang (the store's figures show answered reads each second) and versions that were seen and not taken (no line).

Change: an offset consists of the store's era (header Store-Era) and the number of the change, in one number that orders by both (catalog::source). So each place that keeps, sends or compares offsets is covered, and the encoding between nodes stays; a node of the version before sends offsets of era 0, which are lower than any. An answer of another era than the read's leads to a full read, whose pages must be of one era; chunks of a transfer too. A table that moves to a later era counts rows that the copy lacks like rows that lapsed in an outage, keeps as draining what was seen to leave, and keeps the newer catalog for peers that start.

--- a/crates/catalog/src/source.rs
+++ b/crates/catalog/src/source.rs
@@ -3,13 +3,40 @@
 //! A copy holds the latest record of each key and the offset of the next change that it lacks.
 //! Offsets order all changes of a table, so two copies can be compared: the one with the higher
 //! offset replaces the other. A node that can't read the store takes over a peer's copy.
+//!
+//! A store that is restored from an older copy of itself begins a new era and gives numbers of changes
+//! out again. So an offset consists of the era and the number, and any offset of a later era is higher.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-/// Position of a change in the sequence of all changes of its table.
+/// Number of times that the store was restored from a copy; 0 if it does not name its era.
+pub type Era = u32;
+
+/// Position of a change in the sequence of all changes of its table: the store's era in the upper bits,
+/// and the number of the change in that era in the lower [`NUMBER_BITS`]; see [`offset`].
 pub type Offset = u64;
 
+/// Number of bits of an offset that hold the number of the change.
+const NUMBER_BITS: u32 = 40;
+
+/// Returns the offset of the change with a number in an era; `None` if one of them is too large.
+pub fn offset(era: Era, number: u64) -> Option<Offset> {
+    let in_range = era < 1 << (u64::BITS - NUMBER_BITS) && number < 1 << NUMBER_BITS;
+    in_range.then_some(u64::from(era) << NUMBER_BITS | number)
+}
+
+/// Returns the era of an offset.
+pub fn era(offset: Offset) -> Era {
+    // The upper bits are fewer than those of an era.
+    (offset >> NUMBER_BITS) as Era
+}
+
+/// Returns the number of the change at an offset in its era.
+pub fn number(offset: Offset) -> u64 {
+    offset & ((1 << NUMBER_BITS) - 1)
+}
+
 /// A change of one key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
@@ -101,6 +128,13 @@
         changed
     }
 
+    /// Replaces the value of a key that exists by one that the store has lost.
+    pub fn restore(&mut self, key: &str, value: Arc<[u8]>) {
+        if let Some(record) = self.rows.get_mut(key) {
+            record.value = Some(value);
+        }
+    }
+
     /// Returns the value of `key`.
     pub fn get(&self, key: &str) -> Option<&Arc<[u8]>> {
         self.rows.get(key)?.value.as_ref()
--- a/crates/journal/src/event.rs
+++ b/crates/journal/src/event.rs
@@ -58,8 +58,10 @@
         run: String,
         /// New state of the endpoint.
         state: String,
-        /// Offset of the change in the table of endpoints.
+        /// Number of the change in the table of endpoints, in its era.
         offset: u64,
+        /// Number of times that the store was restored from a copy.
+        era: u32,
     },
     /// A node joined, left or changed its state.
     Node {
--- a/crates/node/src/hosted/control/pulls.rs
+++ b/crates/node/src/hosted/control/pulls.rs
@@ -16,7 +16,7 @@
 use super::assignment::Assignment;
 use super::copy::{Request, Response, Scope};
 use adapter::store::Table;
-use catalog::source::{Offset, Page};
+use catalog::source::{self, Offset, Page};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -253,8 +253,14 @@
             };
         }
         let page = match before {
-            Some(before) if continues => join_chunks(before, response.page),
-            None if continues => return Action::Discard,
+            Some(before) if continues && same_era(&before, &response.page) => {
+                join_chunks(before, response.page)
+            }
+            // The peer has moved on to a later era, of which this is the first chunk.
+            Some(before) if continues && before.next_offset < response.page.next_offset => {
+                response.page
+            }
+            _ if continues => return Action::Discard,
             _ => response.page,
         };
         let last = page.records.last().map(|r| r.offset);
@@ -276,6 +282,10 @@
     page
 }
 
+fn same_era(a: &Page, b: &Page) -> bool {
+    source::era(a.next_offset) == source::era(b.next_offset)
+}
+
 fn same_kind(a: Request, b: Request) -> bool {
     a == b || (a.table().is_some() && a.table() == b.table())
 }
--- a/crates/node/src/hosted/control/reader.rs
+++ b/crates/node/src/hosted/control/reader.rs
@@ -65,8 +65,8 @@
 }
 
 /// Reads the changes of a table from the offset `from` on, or the whole table if there is no
-/// offset. Returns `None` if the store has discarded those changes; the whole table must be read
-/// then.
+/// offset. Returns `None` if the store has discarded those changes, or was restored from a copy; the
+/// whole table must be read then.
 async fn read(platform: &Platform, table: Table, from: Option<Offset>) -> Result<Option<Page>> {
     let store = platform.store();
     let Some(from) = from else {
@@ -78,7 +78,7 @@
     };
     Ok(match store.read_changes(table, from, wait).await? {
         Changes::Page(page) => Some(page),
-        Changes::Compacted => None,
+        Changes::Compacted | Changes::Restored => None,
     })
 }
 
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -22,7 +22,7 @@
 use adapter::store::Table;
 use catalog::Endpoint;
 use catalog::endpoint::State as EndpointState;
-use catalog::source::Page;
+use catalog::source::{self, Page};
 use gate::metrics::Metrics;
 use gate::view::{SharedView, View};
 use isolation::Isolation;
@@ -268,7 +268,8 @@
         let mut text = format!("catalog {version}\nassignment {:?}\n", self.assignment);
         for table in [Table::Operator, Table::Endpoints] {
             let (name, next) = (reader::label(table), self.tables.next_offset(table));
-            text.push_str(&format!("table {name} known up to {next}\n"));
+            let (era, next) = (source::era(next), source::number(next));
+            text.push_str(&format!("table {name} known up to {next} in era {era}\n"));
         }
         for peer in self.group.roster().iter() {
             text.push_str(&format!("node {peer}\n"));
@@ -323,10 +324,12 @@
                 return self.publish_finding(*content, *finding);
             }
         };
+        let next = self.tables.next_offset(Table::Endpoints);
         self.journal.record(JournalEvent::Endpoint {
             run: run.to_string(),
             state: state.to_owned(),
-            offset: self.tables.next_offset(Table::Endpoints),
+            offset: source::number(next),
+            era: source::era(next),
         });
         let Some(ejected) = ejected else {
             return;
--- a/crates/node/src/hosted/control/tables.rs
+++ b/crates/node/src/hosted/control/tables.rs
@@ -2,7 +2,9 @@
 //!
 //! During a store outage and shortly after it, an endpoint whose row has disappeared stays in use
 //! for a while: rows expire while they can't be rewritten, and live endpoints rewrite theirs within
-//! about two seconds after the outage.
+//! about two seconds after the outage. The same holds for a store that was restored from an older copy,
+//! which lacks the rows that were written since. That an endpoint has left is not undone by its row in
+//! such a copy.
 
 use adapter::Platform;
 use adapter::store::Table;
@@ -14,6 +16,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
+use steer::departures::Departures;
 use tokio::time::Instant;
 
 /// Time after the last failed read began within which live endpoints rewrite their expired rows. The
@@ -21,6 +24,12 @@
 /// left in time must get no more requests.
 const ROW_REWRITE_WINDOW: Duration = Duration::from_millis(2900);
 
+/// Returns whether a page is the first one of a later era than that of a table.
+fn is_restore(table: &source::Table, page: &Page) -> bool {
+    let before = table.next_offset();
+    before > 0 && source::era(before) < source::era(page.next_offset)
+}
+
 /// An endpoint and the state of its row.
 #[derive(Clone, Debug)]
 struct Entry {
@@ -58,6 +67,18 @@
     entries: BTreeMap<String, Entry>,
     /// The last series of failed reads of the endpoints' table.
     outage: Option<Outage>,
+    start: Instant,
+    /// Runs that were draining or whose row was removed.
+    left: Departures,
+}
+
+/// What became of a catalog.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Adoption {
+    InForce,
+    /// A catalog of the same or a later version is in force.
+    Older,
+    Invalid,
 }
 
 impl Tables {
@@ -70,6 +91,8 @@
             catalog: None,
             entries: BTreeMap::new(),
             outage: None,
+            start: Instant::now(),
+            left: Departures::default(),
         }
     }
 
@@ -135,42 +158,69 @@
     ) -> bool {
         match table {
             Table::Operator => {
+                let before = self.operator.get(adapter::CATALOG_KEY).cloned();
+                let restored = is_restore(&self.operator, &page);
                 let changed = self.operator.apply(page);
-                changed.iter().any(|k| k == adapter::CATALOG_KEY)
-                    && self.adopt_catalog(platform, source)
+                if !changed.iter().any(|k| k == adapter::CATALOG_KEY) {
+                    return false;
+                }
+                let adoption = self.adopt_catalog(platform, source);
+                if let Some(before) = before
+                    && restored
+                    && adoption == Adoption::Older
+                {
+                    // A peer that starts now gets the newer one too.
+                    self.operator.restore(adapter::CATALOG_KEY, before);
+                }
+                adoption == Adoption::InForce
             }
             Table::Endpoints => {
                 let next = page.next_offset;
+                let restored = is_restore(&self.endpoints, &page);
+                if restored {
+                    self.record_restore();
+                }
                 let changed = self.endpoints.apply(page);
                 let mut any_changed = false;
                 for key in changed {
-                    any_changed |= self.update_endpoint(platform, &key, next);
+                    any_changed |= self.update_endpoint(platform, &key, next, restored);
                 }
                 any_changed
             }
         }
     }
 
+    /// Records that the store was restored from a copy, which may lack rows of live endpoints.
+    fn record_restore(&mut self) {
+        let now = Instant::now();
+        let ongoing = self.outage.filter(|outage| outage.ongoing);
+        self.outage = Some(Outage {
+            began: ongoing.map_or(now, |outage| outage.began),
+            last_failure: now,
+            ongoing: ongoing.is_some(),
+        });
+    }
+
     /// Puts the operator's newest catalog in force if its version is above the current one. Returns
-    /// whether it did.
-    fn adopt_catalog(&mut self, platform: &Platform, source: &'static str) -> bool {
+    /// what became of it.
+    fn adopt_catalog(&mut self, platform: &Platform, source: &'static str) -> Adoption {
         let Some(value) = self.operator.get(adapter::CATALOG_KEY) else {
-            return false;
+            return Adoption::Invalid;
         };
         let before = self.catalog.as_ref().map_or(0, |c| c.version);
         let (version, outcome, adopted) = match platform.decode_catalog(value) {
             // A catalog is never replaced by an older one, whatever its source.
             Ok(catalog) if catalog.version <= before => {
-                (catalog.version, "older".to_owned(), false)
+                (catalog.version, "older".to_owned(), Adoption::Older)
             }
             Ok(catalog) => {
                 let version = catalog.version;
                 self.catalog = Some(Arc::new(catalog));
-                (version, "in force".to_owned(), true)
+                (version, "in force".to_owned(), Adoption::InForce)
             }
             Err(findings) => {
                 let findings: Vec<_> = findings.iter().map(ToString::to_string).collect();
-                (0, findings.join("; "), false)
+                (0, findings.join("; "), Adoption::Invalid)
             }
         };
         self.journal.record(Event::Catalog {
@@ -182,12 +232,27 @@
         adopted
     }
 
-    /// Decodes the row of one endpoint after a change. Returns whether the endpoint changed.
-    fn update_endpoint(&mut self, platform: &Platform, key: &str, offset: Offset) -> bool {
+    /// Decodes the row of one endpoint after a change; `restored` is whether the row is that of an older
+    /// copy. Returns whether the endpoint changed.
+    fn update_endpoint(
+        &mut self,
+        platform: &Platform,
+        key: &str,
+        offset: Offset,
+        restored: bool,
+    ) -> bool {
         let Some(value) = self.endpoints.get(key) else {
             return self.remove_endpoint(key, offset);
         };
-        let decoded = platform.decode_endpoint(key, value);
+        let mut decoded = platform.decode_endpoint(key, value);
+        if let Ok(endpoint) = &mut decoded {
+            if restored && self.left.contains(&endpoint.run) {
+                endpoint.state = State::Draining;
+            }
+            if endpoint.state == State::Draining {
+                self.left.record(self.start.elapsed(), &endpoint.run);
+            }
+        }
         let state = match &decoded {
             Ok(e) => format!("{:?} at {} layers {}", e.state, e.addr, e.span),
             Err(why) => format!("unusable row: {why}"),
@@ -238,7 +303,7 @@
             );
             return false;
         }
-        self.entries.remove(key);
+        self.remove_entry(key);
         self.log_endpoint(key, "gone".to_owned(), offset);
         true
     }
@@ -249,6 +314,9 @@
         if self.outage.is_some_and(|outage| outage.ongoing) {
             return false;
         }
+        let entries = &self.entries;
+        let known = |run: &Run| entries.get(&run.id).is_some_and(|k| k.endpoint.run == *run);
+        self.left.expire(self.start.elapsed(), known);
         let expired = |k: &Entry| k.lapse.is_some_and(|lapse| now >= lapse.kept_until);
         let gone: Vec<String> = self
             .entries
@@ -257,7 +325,7 @@
             .map(|(key, _)| key.clone())
             .collect();
         for key in &gone {
-            self.entries.remove(key);
+            self.remove_entry(key);
             self.log_endpoint(
                 key,
                 "gone: its row was not written again".to_owned(),
@@ -267,9 +335,20 @@
         !gone.is_empty()
     }
 
+    fn remove_entry(&mut self, key: &str) {
+        if let Some(entry) = self.entries.remove(key) {
+            self.left.record(self.start.elapsed(), &entry.endpoint.run);
+        }
+    }
+
     fn log_endpoint(&self, key: &str, state: String, offset: Offset) {
         let run = self.entries.get(key);
         let run = run.map_or_else(|| key.to_owned(), |k| k.endpoint.run.to_string());
-        self.journal.record(Event::Endpoint { run, state, offset });
+        self.journal.record(Event::Endpoint {
+            run,
+            state,
+            offset: source::number(offset),
+            era: source::era(offset),
+        });
     }
 }
--- a/crates/platform/src/http/client.rs
+++ b/crates/platform/src/http/client.rs
@@ -62,10 +62,8 @@
         wait: Duration,
     ) -> Result<Bytes> {
         let response = self.send(method, path, headers, body, wait).await?;
-        match response.status().is_success() {
-            true => Ok(response.into_body()),
-            false => Err(Error::sent(cause_of_status(&response))),
-        }
+        check_status(&response)?;
+        Ok(response.into_body())
     }
 
     /// Like [`Client::call_with`], but returns the response whatever its status.
@@ -172,6 +170,14 @@
     }
 }
 
+/// Returns an error unless a response is a success.
+pub fn check_status<B>(response: &Response<B>) -> Result<()> {
+    match response.status().is_success() {
+        true => Ok(()),
+        false => Err(Error::sent(cause_of_status(response))),
+    }
+}
+
 /// Returns the cause for a response that is not a success.
 fn cause_of_status<B>(response: &Response<B>) -> Cause {
     if response.status() != StatusCode::TOO_MANY_REQUESTS {
