node: a copy from before a restore does not count as up to date

A peer that does not know yet that the store was restored, or a node of the version before, which knows no eras, answers "up to date" with a copy that is not used. Its askers counted their own copy as fresh for it, so they did not read the store themselves, without end.

--- a/crates/node/src/hosted/control/state/exchange.rs
+++ b/crates/node/src/hosted/control/state/exchange.rs
@@ -12,7 +12,7 @@
 use adapter::store::Table;
 use catalog::Endpoint;
 use catalog::endpoint::Run;
-use catalog::source::Offset;
+use catalog::source::{self, Offset};
 use journal::event::Event as JournalEvent;
 use rand::seq::IndexedRandom;
 use std::collections::BTreeSet;
@@ -119,7 +119,11 @@
 
     /// Records whether a peer's copy of a table is up to date.
     fn record_copy(&mut self, now: Instant, table: Table, peer: SocketAddr, response: &Response) {
-        if response.up_to_date && !self.assignment.reads {
+        // The copy of a peer that does not know yet that the store was restored is not used.
+        let own = self.tables.next_offset(table);
+        let earlier_era = source::era(response.page.next_offset) < source::era(own);
+        let up_to_date = response.up_to_date && !earlier_era;
+        if up_to_date && !self.assignment.reads {
             if table == Table::Endpoints {
                 self.tables.record_read();
             }
@@ -129,7 +133,7 @@
             if !response.more {
                 status.current_at = Some(now);
             }
-        } else if !response.up_to_date {
+        } else if !up_to_date {
             self.pulls.mark_failed(now, peer);
         }
     }
