--- /dev/null
+++ b/crates/node/tests/setback.rs
@@ -0,0 +1,280 @@
+//! Soak test: real nodes before a store that is set back to older copies of itself, and before a small
+//! service whose endpoints crash together under one request.
+//!
+//! Faults, drawn by a seed, follow each other and overlap: the store is restored and is down, nodes are
+//! killed, terminated, paused and continued, catalogs replace each other. Callers send the crashing
+//! request to several nodes at once throughout, and crashed endpoints start again. Checked:
+//!
+//! - all nodes have the newest catalog in force two seconds after it was written, once faults of the
+//!   nodes are over for three seconds, also if the store is set back just before;
+//! - the request ends at most three more endpoints later than three seconds after the third.
+//!
+//! `SETBACK_SEEDS=100..150 cargo test --release -p wigeonshelf --test setback -- --nocapture` runs
+//! other seeds, `SETBACK_NODES=40` more nodes.
+
+#[path = "support/instance.rs"]
+mod instance;
+#[path = "support/process.rs"]
+mod process;
+#[path = "support/seeds.rs"]
+mod seeds;
+#[path = "../../../platform/standin/mod.rs"]
+mod standin;
+
+use futures::future::join_all;
+use instance::Instance;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use standin::caller::{self, Call};
+use standin::engine::Engine;
+use standin::manifest;
+use standin::store::Store;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, sleep_until};
+
+const VARIABLE: &str = "SETBACK_SEEDS";
+const SEEDS: [u64; 3] = [1, 2, 3];
+/// Environment variable with the number of nodes.
+const NODES_VARIABLE: &str = "SETBACK_NODES";
+const NODES: usize = 4;
+const ENGINES: usize = 2;
+const PLAIN_ENDPOINTS: usize = 3;
+const ROUNDS: usize = 2;
+/// Steps of a round with faults of nodes.
+const STEPS: usize = 12;
+const STEP_INTERVAL: Duration = Duration::from_millis(200);
+/// Time without faults of nodes and outages of the store before a catalog must be in force in time.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Time within which a node exits that was terminated.
+const EXIT_TIME: Duration = Duration::from_secs(4);
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(2);
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Path of the request under which endpoints crash.
+const CRASHING: &str = "/safe/bad";
+/// Copies of it that are sent at a time.
+const COPIES: usize = 3;
+/// Time until an endpoint that crashed starts again.
+const RESTART_TIME: Duration = Duration::from_millis(1200);
+/// Number of endpoints that it may end before it counts as crashing, and after that.
+const MAX_ENDS: usize = 3;
+
+struct Cluster {
+    rng: StdRng,
+    store: Store,
+    nodes: Vec<Instance>,
+    engines: Vec<Engine>,
+    plain: Vec<Engine>,
+    started: usize,
+    version: u64,
+}
+
+impl Cluster {
+    async fn start(seed: u64) -> Self {
+        let store = Store::start().await;
+        store.name_era();
+        let mut cluster = Self {
+            rng: StdRng::seed_from_u64(seed),
+            store,
+            nodes: Vec::new(),
+            engines: Vec::new(),
+            plain: Vec::new(),
+            started: 0,
+            version: 0,
+        };
+        cluster.publish();
+        for number in 0..ENGINES {
+            let engine = Engine::start(&format!("e{number}"), &cluster.store).await;
+            cluster.engines.push(engine);
+        }
+        cluster.start_plain().await;
+        let nodes = std::env::var(NODES_VARIABLE).ok();
+        for number in 0..nodes.and_then(|n| n.parse().ok()).unwrap_or(NODES) {
+            let seeds: Vec<SocketAddr> = cluster.nodes.iter().take(3).map(|n| n.peers).collect();
+            let (name, key) = (format!("setback-{seed}-{number}"), "05".repeat(32));
+            let node = Instance::start(&name, &key, &seeds, cluster.store.addr);
+            cluster.nodes.push(node);
+        }
+        cluster.await_catalog(START_TIMEOUT).await.unwrap();
+        cluster
+    }
+
+    /// Starts endpoints of the small service until there are enough.
+    async fn start_plain(&mut self) {
+        while self.running() < PLAIN_ENDPOINTS {
+            self.started += 1;
+            let engine = Engine::start_plain(&format!("p{}", self.started), &self.store).await;
+            engine.crash_on(CRASHING);
+            self.plain.push(engine);
+        }
+    }
+
+    fn running(&self) -> usize {
+        let running = self.plain.iter().filter(|e| e.stopped_at().is_none());
+        running.count()
+    }
+
+    fn publish(&mut self) {
+        self.version += 1;
+        self.store.put_manifest(&manifest(self.version, "/safe/"));
+    }
+
+    /// Sets the store back by a few records, and lets the endpoints that run write theirs again.
+    fn restore(&mut self) {
+        self.store.restore(self.rng.random_range(1..=4));
+        let all = self.engines.iter().chain(&self.plain);
+        let running = all.filter(|e| e.stopped_at().is_none());
+        running.for_each(|e| e.register_as(e.advertised()));
+        self.store.put_manifest(&manifest(self.version, "/safe/"));
+    }
+
+    fn step(&mut self) {
+        let node = self.rng.random_range(0..self.nodes.len());
+        let process = &mut self.nodes[node].process;
+        match self.rng.random_range(0..9) {
+            0 => process.kill(),
+            1 => drop(process.signal("-TERM")),
+            2 | 3 => drop(process.signal("-STOP")),
+            4 => self.continue_all(),
+            5 | 6 => self.restore(),
+            7 => {
+                let down = self.rng.random();
+                self.store.set_down(down);
+            }
+            _ => self.publish(),
+        }
+        self.restart_exited();
+    }
+
+    fn restart_exited(&mut self) {
+        for node in &mut self.nodes {
+            if node.process.exit_status().is_some() {
+                node.process.restart();
+            }
+        }
+    }
+
+    fn continue_all(&self) {
+        for node in &self.nodes {
+            node.process.signal("-CONT");
+        }
+    }
+
+    /// Ends the faults of nodes and the store. A node that was terminated ends within its grace period.
+    async fn end_faults(&mut self) {
+        self.store.set_down(false);
+        self.continue_all();
+        let end = Instant::now() + EXIT_TIME;
+        while Instant::now() < end {
+            self.restart_exited();
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// Waits until all nodes have the newest catalog in force. Returns the lines of those that do not
+    /// within this time.
+    async fn await_catalog(&self, limit: Duration) -> Result<(), Vec<String>> {
+        let deadline = Instant::now() + limit;
+        let newest = format!("catalog {}", self.version);
+        let catalogs = self.nodes.iter().map(async |node| {
+            loop {
+                let dump = node.page("/dump").await.unwrap_or_default();
+                let line = dump.lines().find(|line| line.starts_with("catalog "));
+                let line = line.unwrap_or("no dump").to_owned();
+                if line == newest || Instant::now() >= deadline {
+                    return line;
+                }
+                sleep(POLL_INTERVAL).await;
+            }
+        });
+        let late: Vec<String> = join_all(catalogs).await;
+        let late: Vec<String> = late.into_iter().filter(|line| *line != newest).collect();
+        late.is_empty().then_some(()).ok_or(late)
+    }
+}
+
+/// Sends copies of the crashing request to several nodes at once, again and again.
+async fn send_crashing(seed: u64, callers: Vec<SocketAddr>) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    for number in 0_u64.. {
+        let id = format!("bad-{number}");
+        let call = Call {
+            method: "GET",
+            path: CRASHING,
+            id: &id,
+            key: "k1",
+            deadline: "2000",
+        };
+        let nodes: Vec<SocketAddr> = (0..COPIES)
+            .map(|_| callers[rng.random_range(0..callers.len())])
+            .collect();
+        join_all(nodes.iter().map(|node| caller::send(*node, &call))).await;
+        sleep(Duration::from_millis(rng.random_range(20..200))).await;
+    }
+}
+
+/// Plays a run and returns what was wrong.
+async fn play(seed: u64) -> Vec<String> {
+    let mut cluster = Cluster::start(seed).await;
+    let callers = cluster.nodes.iter().map(|n| n.callers).collect();
+    let sending = tokio::spawn(send_crashing(seed, callers));
+    let mut wrong = Vec::new();
+    let mut restores = 0;
+    for _ in 0..ROUNDS {
+        for _ in 0..STEPS {
+            sleep(STEP_INTERVAL).await;
+            cluster.step();
+            let crashed = cluster.plain.iter().filter_map(Engine::stopped_at).max();
+            if crashed.is_some_and(|at| at.elapsed() > RESTART_TIME) {
+                cluster.start_plain().await;
+            }
+        }
+        cluster.end_faults().await;
+        sleep_until(Instant::now() + CONTACT_TIME).await;
+        for _ in 0..cluster.rng.random_range(1..=3) {
+            cluster.restore();
+            restores += 1;
+            (0..cluster.rng.random_range(1..=3)).for_each(|_| cluster.publish());
+            if let Err(late) = cluster.await_catalog(IN_FORCE_WITHIN).await {
+                wrong.push(format!("catalog {}: {late:?}", cluster.version));
+            }
+        }
+        cluster.start_plain().await;
+    }
+    sending.abort();
+    let mut ends: Vec<_> = cluster
+        .plain
+        .iter()
+        .filter_map(Engine::stopped_at)
+        .collect();
+    ends.sort_unstable();
+    let third = ends.get(MAX_ENDS - 1).copied();
+    let later = ends
+        .iter()
+        .filter(|at| third.is_some_and(|t| **at > t + CONTACT_TIME));
+    let later = later.count();
+    if later > MAX_ENDS {
+        wrong.push(format!(
+            "{later} endpoints ended later, {} in all",
+            ends.len()
+        ));
+    }
+    println!(
+        "seed {seed}: {restores} restores, {} endpoints ended, {later} later; wrong: {wrong:?}",
+        ends.len()
+    );
+    wrong
+}
+
+// Guards against nodes that don't follow a store that was restored, and against a request that ends the
+// endpoints of a small service time and again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nodes_follow_a_restored_store_and_refuse_a_crashing_request() {
+    let mut wrong = Vec::new();
+    for seed in seeds::given(VARIABLE, &SEEDS) {
+        let found = play(seed).await;
+        wrong.extend(found.into_iter().map(|text| format!("seed {seed}: {text}")));
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
