--- a/crates/gate/src/forward/inquiry.rs
+++ b/crates/gate/src/forward/inquiry.rs
@@ -95,11 +95,16 @@
     fn refusal_end(&self, turn: Turn) -> Option<Timestamp> {
         match turn {
             Turn::Now => None,
-            Turn::Later => Some(self.worker.now().saturating_add(TRIAL_RETRY_AFTER)),
+            Turn::Later => Some(self.trial_end()),
             Turn::Refused(until) => Some(until),
         }
     }
 
+    /// Returns when the trial in progress is likely to have ended.
+    fn trial_end(&self) -> Timestamp {
+        self.worker.now().saturating_add(TRIAL_RETRY_AFTER)
+    }
+
     /// Returns whether an attempt may be started now, and if so makes the request the trial of the
     /// features that may crash endpoints.
     fn turn(&self, phase: Phase) -> Turn {
@@ -111,10 +116,7 @@
                 // A trial ends with the first attempt that reaches an endpoint, also if it is refused.
                 match !self.reached.get() && self.begin_trial() {
                     true => Turn::Now,
-                    false => {
-                        let until = self.worker.now().saturating_add(TRIAL_RETRY_AFTER);
-                        Turn::Refused(until)
-                    }
+                    false => Turn::Refused(self.trial_end()),
                 }
             }
             (Verdict::Allowed, Phase::Opening) => {
