--- a/crates/gate/src/view.rs
+++ b/crates/gate/src/view.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use steer::Fleet;
 use steer::crash::Ledger;
+use tokio::sync::watch;
 
 /// Snapshot of the state that the control task knows.
 #[derive(Clone, Debug, Default)]
@@ -33,3 +34,7 @@
 
 /// The current view, replaced by the control task; empty until a catalog is in force.
 pub type SharedView = Arc<ArcSwapOption<View>>;
+
+/// Signals that a view with another set of ended runs was stored. The number rises with each such view,
+/// after it was stored.
+pub type Changes = watch::Receiver<u64>;
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -16,7 +16,7 @@
 use crate::splice::Chunk;
 use crate::stats::{self, Guard, Stats};
 use crate::trial::Trials;
-use crate::view::{SharedView, View};
+use crate::view::{Changes, SharedView, View};
 use futures::Stream;
 use http::{Request, Response, request};
 use hyper::body::Incoming;
@@ -65,6 +65,8 @@
     pub dialect: D,
     /// The view that the control task publishes.
     pub shared_view: SharedView,
+    /// Signals views with another set of ended runs.
+    pub changes: Changes,
     /// Log of decisions.
     pub journal: Journal,
     /// Counters and histograms.
@@ -88,6 +90,7 @@
     dumps: mpsc::Sender<oneshot::Sender<String>>,
     pub(crate) stats: Rc<Stats>,
     shared_view: SharedView,
+    changes: Changes,
     transitions: mpsc::Sender<Transition>,
     selector: RefCell<Selector>,
     /// The view that `selector` was last updated with.
@@ -131,6 +134,7 @@
             pool: Pool::new(stats.clone()),
             stats,
             shared_view: parts.shared_view,
+            changes: parts.changes,
             transitions: parts.transitions,
             selector: RefCell::new(Selector::new(parts.seed, parts.allowance)),
             view: RefCell::new(None),
@@ -150,6 +154,11 @@
         })
     }
 
+    /// Returns a receiver that is notified of views with another set of ended runs.
+    pub fn changes(&self) -> Changes {
+        self.changes.clone()
+    }
+
     /// Returns the number of requests in flight.
     pub fn in_flight(&self) -> u64 {
         self.stats.in_flight.get()
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -207,6 +207,7 @@
         dumps,
         dialect: Plain,
         shared_view: shared_view.clone(),
+        changes: tokio::sync::watch::channel(0).1,
         journal,
         allowance,
         seed: 1,
--- a/crates/node/src/hosted/control.rs
+++ b/crates/node/src/hosted/control.rs
@@ -53,6 +53,8 @@
     pub seed: u64,
     /// The view that control publishes to the worker.
     pub shared_view: SharedView,
+    /// Signals the worker that a view with another set of ended runs was stored.
+    pub changes: watch::Sender<u64>,
     /// Log of decisions.
     pub journal: Journal,
     /// Counters and histograms.
--- a/crates/node/src/hosted/process.rs
+++ b/crates/node/src/hosted/process.rs
@@ -27,7 +27,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
 use tokio_util::sync::CancellationToken;
 
@@ -97,6 +97,7 @@
     });
     let shutdown = Shutdown::default();
     let shared_view = SharedView::default();
+    let (changes, changes_receiver) = watch::channel(0);
     let incarnation = incarnation();
     let seed = seed(&settings.name, incarnation);
     let (transitions, transition_queue) = mpsc::channel(TRANSITION_QUEUE_LEN);
@@ -110,6 +111,7 @@
         dumps,
         dialect: Headers::default(),
         shared_view: shared_view.clone(),
+        changes: changes_receiver,
         journal: journal.clone(),
         allowance: settings.allowance,
         seed,
@@ -121,6 +123,7 @@
         incarnation,
         seed,
         shared_view,
+        changes,
         journal: journal.clone(),
         metrics,
         leave: shutdown.leave.clone(),
