member, wire: observation and broadcast of ended runs

The node that polls an engine is to tell all nodes within milliseconds that the engine has ended; the ordinary dissemination takes up to a second and more. Observation::Ended is appended to the format (nodes of the version before can't decode it). Renewals spread as before. Each origin speaks for itself: a withdrawal takes back only its own verdict.

--- a/crates/member/src/dissemination.rs
+++ b/crates/member/src/dissemination.rs
@@ -308,6 +308,7 @@
         if let Some(own) = self.roster.get_mut(me) {
             own.version = version;
         }
+        self.broadcast_changes(now, version, &observations);
         for body in observations {
             self.mark_leaving(me, &body);
             if body.urgent() {
@@ -332,12 +333,12 @@
     }
 
     /// Returns whether an item of another node holds the same observation and stays valid for at least half
-    /// its time to live. An observation about its origin says nothing about another node.
+    /// its time to live.
     fn is_published_elsewhere(&self, now: Now, body: &item::Observation) -> bool {
         let (Some(ttl), key) = (body.ttl(), body.key()) else {
             return false;
         };
-        if matches!(body, item::Observation::Isolated { .. }) {
+        if body.is_own() {
             return false;
         }
         let others = self.store.origins().filter(|o| *o != self.me);
@@ -346,22 +347,24 @@
         same.any(|s| s.expires_at.is_some_and(lasts) && s.body.clone().with_ttl(ttl) == *body)
     }
 
-    /// Handles an urgent item and forwards it if it is new. The version of its origin does not change: earlier
+    /// Handles an urgent item and forwards it if it is new. Returns whether it is. The version of its origin does not change: earlier
     /// publications may still be missing, and the exchange must request them.
-    pub(crate) fn handle_item(&mut self, now: Now, item: Item, out: &mut Vec<Action>) {
+    pub(crate) fn handle_item(&mut self, now: Now, item: Item, out: &mut Vec<Action>) -> bool {
         let known = self.roster.get(item.origin).map(|p| p.identity.incarnation);
         if known != Some(item.incarnation) || item.origin == self.me {
             self.counters.stale += 1;
-            return;
+            return false;
         }
         if !item.body.urgent() {
             self.counters.stale += 1;
-            return;
+            return false;
         }
         let published_elsewhere = self.is_published_elsewhere(now, &item.body);
-        if self.learn(now, item.clone(), out) && !published_elsewhere {
+        let new = self.learn(now, item.clone(), out);
+        if new && !published_elsewhere {
             self.queue_urgent(now, item);
         }
+        new
     }
 
     /// Stores an item of a peer. Returns whether it is new.
--- a/crates/member/src/exchange.rs
+++ b/crates/member/src/exchange.rs
@@ -27,9 +27,9 @@
 /// Returns the estimated size of an encoded observation.
 fn estimated_bytes(body: &item::Observation) -> usize {
     match body {
-        item::Observation::Endpoint { name, .. } | item::Observation::Releasing { name, .. } => {
-            SMALL_ITEM_BYTES + 8 + name.len()
-        }
+        item::Observation::Endpoint { name, .. }
+        | item::Observation::Releasing { name, .. }
+        | item::Observation::Ended { name, .. } => SMALL_ITEM_BYTES + 8 + name.len(),
         item::Observation::Isolated { service, .. } => SMALL_ITEM_BYTES + 8 + service.len(),
         item::Observation::Suspect { .. }
         | item::Observation::Pending { .. }
--- a/crates/member/src/group.rs
+++ b/crates/member/src/group.rs
@@ -8,7 +8,7 @@
 use crate::fetch::Fetch;
 use crate::head::Head;
 use crate::identity::{Id, Identity, Incarnation};
-use crate::item::Version;
+use crate::item::{Item, Version};
 use crate::message::{Body, Message, Row, Run, Update};
 use crate::peer::{Entry, ListedState, Peer, State};
 use crate::probe::Probes;
@@ -54,6 +54,8 @@
     pub(crate) updates: Vec<QueuedUpdate>,
     /// Urgent items to be forwarded.
     pub(crate) urgent: VecDeque<UrgentItem>,
+    /// Own items to be broadcast when the event has been handled.
+    pub(crate) broadcasts: Vec<Item>,
     /// Whether an update or a head is to be sent before the next round.
     pub(crate) flush_pending: bool,
     pub(crate) last_flush: Option<Now>,
@@ -85,6 +87,7 @@
             version: 0,
             updates: Vec::new(),
             urgent: VecDeque::new(),
+            broadcasts: Vec::new(),
             flush_pending: false,
             last_flush: None,
             probes: Probes::default(),
@@ -107,6 +110,7 @@
             Event::ConnectFailed(peer) => self.connect_failed(peer, out),
             Event::Quit => self.quit(),
         }
+        self.send_broadcasts(out);
         self.flush(now, out);
         #[cfg(debug_assertions)]
         self.assert();
@@ -212,9 +216,7 @@
             Body::Identify => self.send_identity(id, from, out),
             Body::Rows(rows) => rows.into_iter().for_each(|r| self.merge_row(now, r, out)),
             Body::Empty => {}
-            Body::Items(items) => items
-                .into_iter()
-                .for_each(|i| self.handle_item(now, i, out)),
+            Body::Items(items) => self.handle_items(now, items, out),
             Body::Digest(summaries) => self.handle_digest(now, id, from, &summaries, out),
             Body::Delta(delta) => self.handle_delta(now, id, from, delta, out),
         }
--- a/crates/member/src/item.rs
+++ b/crates/member/src/item.rs
@@ -43,6 +43,8 @@
     Cleared(Fingerprint),
     /// A service, by name, whose endpoints the origin may be isolated from.
     Isolated(String),
+    /// An engine, by run, that the origin polls.
+    Ended(String),
     /// Demand of a team at the origin.
     Demand(Team),
 }
@@ -124,6 +126,15 @@
         /// Requests in flight.
         in_flight: Level,
     },
+    /// The run of an engine that the origin polls has ended, or is alive after all.
+    Ended {
+        /// The run, as text.
+        name: String,
+        /// Whether the run has ended.
+        ended: bool,
+        /// Time until the observation expires.
+        ttl: Duration,
+    },
 }
 
 impl Observation {
@@ -141,6 +152,7 @@
             Self::Cleared { fingerprint, .. } => Key::Cleared(*fingerprint),
             Self::Isolated { service, .. } => Key::Isolated(service.clone()),
             Self::Demand { team, .. } => Key::Demand(*team),
+            Self::Ended { name, .. } => Key::Ended(name.clone()),
         }
     }
 
@@ -153,7 +165,8 @@
             | Self::Pending { ttl, .. }
             | Self::Condemned { ttl, .. }
             | Self::Cleared { ttl, .. }
-            | Self::Isolated { ttl, .. } => Some(*ttl),
+            | Self::Isolated { ttl, .. }
+            | Self::Ended { ttl, .. } => Some(*ttl),
             _ => None,
         }
     }
@@ -167,7 +180,8 @@
             | Self::Pending { ttl, .. }
             | Self::Condemned { ttl, .. }
             | Self::Cleared { ttl, .. }
-            | Self::Isolated { ttl, .. } => *ttl = new_ttl,
+            | Self::Isolated { ttl, .. }
+            | Self::Ended { ttl, .. } => *ttl = new_ttl,
             _ => {}
         }
         self
@@ -182,6 +196,19 @@
         }
     }
 
+    /// Returns whether a change of the observation is broadcast to all nodes that accept work, with
+    /// everything that is published together with it.
+    pub fn broadcast(&self) -> bool {
+        matches!(self, Self::Ended { .. })
+    }
+
+    /// Returns whether each node speaks for itself: the same observation of another node doesn't replace
+    /// one of this node. Another node's state says nothing about this one, and the withdrawal of a verdict
+    /// only takes back the verdict of its own origin.
+    pub fn is_own(&self) -> bool {
+        matches!(self, Self::Isolated { .. } | Self::Ended { .. })
+    }
+
     /// Returns whether the observation is sent on at once instead of with the next exchange. Demand and
     /// load change continuously, and their readers allow for a delay.
     pub fn urgent(&self) -> bool {
@@ -241,6 +268,7 @@
             } => {
                 write!(f, "demand {team:x} rate {rate} in-flight {in_flight}")
             }
+            Self::Ended { name, ended, ttl } => write!(f, "run {name} ended={ended} for {ttl:?}"),
         }
     }
 }
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -16,6 +16,7 @@
 //! admission (`route`).
 
 pub mod action;
+mod broadcast;
 pub mod counters;
 pub mod demand;
 mod dissemination;
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -50,6 +50,21 @@
         counts.map(|(name, _)| name.to_owned()).collect()
     }
 
+    /// Returns the runs that at least `min_nodes` nodes say have ended.
+    pub fn ended_by(&self, now: Now, min_nodes: usize) -> BTreeSet<String> {
+        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+        for body in self.observed(now) {
+            if let Observation::Ended {
+                name, ended: true, ..
+            } = body
+            {
+                *counts.entry(name).or_default() += 1;
+            }
+        }
+        let counts = counts.into_iter().filter(|&(_, count)| count >= min_nodes);
+        counts.map(|(name, _)| name.to_owned()).collect()
+    }
+
     /// Returns the services that each node is isolated from, without the nodes that are isolated from
     /// none.
     pub fn isolated(&self, now: Now) -> BTreeMap<Id, BTreeSet<&str>> {
--- a/crates/wire/src/raw.rs
+++ b/crates/wire/src/raw.rs
@@ -234,4 +234,9 @@
         isolated: bool,
         ttl: u32,
     },
+    Ended {
+        name: String,
+        ended: bool,
+        ttl: u32,
+    },
 }
--- a/crates/wire/src/raw/decode.rs
+++ b/crates/wire/src/raw/decode.rs
@@ -344,6 +344,11 @@
                 isolated,
                 ttl: check_ttl(ttl)?,
             },
+            Observation::Ended { name, ended, ttl } => Self::Ended {
+                name: check_name(name, "run")?,
+                ended,
+                ttl: check_ttl(ttl)?,
+            },
             Observation::Demand {
                 team,
                 rate,
--- a/crates/wire/src/raw/encode.rs
+++ b/crates/wire/src/raw/encode.rs
@@ -254,6 +254,11 @@
                 isolated: *isolated,
                 ttl: ceil_seconds(*ttl),
             },
+            item::Observation::Ended { name, ended, ttl } => Self::Ended {
+                name: name.clone(),
+                ended: *ended,
+                ttl: ceil_seconds(*ttl),
+            },
             item::Observation::Demand {
                 team,
                 rate,
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -67,6 +67,11 @@
             rate: Level(40),
             in_flight: Level(50),
         },
+        Observation::Ended {
+            name: "e-1@7".into(),
+            ended: true,
+            ttl,
+        },
     ]
 }
 
