platform, adapter: kept connections to engines whose end is reported at once

The pooling client notices a closed connection with the next call only, and does not tell a refused connection from one that timed out. Failure detection needs both. A poll decodes the report only on request.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,6 +1,7 @@
 //! Clients of the platform's services over HTTP/1.1.
 
 pub mod client;
+pub mod kept;
 pub mod list;
 pub mod log;
 pub mod weights;
