node: failure detection for the engines that a node polls

Each node found an ended engine by itself, from the stalls of its own responses, 0.35 to 0.66 s after the failure. The node that polls an engine now also watches whether it is alive (control::liveness, without I/O): it notices the closing of the kept poll connection, and two unanswered polls in a row; either counts only with a witness, unanswered polls only if the process ran on time. Verdicts are broadcast, and reach the worker as Fleet::ended without the throttle of views. Loads are taken as often as before. Services whose routes have no pause target are polled as before.

--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -45,6 +45,8 @@
     endpoints: Gauge<u64>,
     view_age: Gauge<f64>,
     isolated: Gauge<u64>,
+    verdicts: Counter<u64>,
+    ended: Gauge<u64>,
 }
 
 impl Metrics {
@@ -86,6 +88,11 @@
                 .with_unit("s")
                 .build(),
             isolated: meter.u64_gauge("wigeonshelf_isolated").build(),
+            verdicts: count(
+                "wigeonshelf_engine_verdicts",
+                "Verdicts of this node on the engines that it polls, by what",
+            ),
+            ended: meter.u64_gauge("wigeonshelf_ended_engines").build(),
             registry,
         }
     }
@@ -159,6 +166,17 @@
         self.isolated.record(isolated.into(), &[service]);
     }
 
+    /// Counts a verdict that an engine has ended by its evidence, a withdrawal, or a suspicion that was
+    /// dropped by the reason.
+    pub fn record_verdict(&self, what: &'static str) {
+        self.verdicts.add(1, &[KeyValue::new("what", what)]);
+    }
+
+    /// Records the number of runs that any node found to have ended.
+    pub fn record_ended(&self, runs: usize) {
+        self.ended.record(runs as u64, &[]);
+    }
+
     /// Encodes all metrics in the text format.
     pub fn encode(&self) -> Result<Vec<u8>> {
         let mut text = Vec::new();
--- a/crates/node/src/hosted/control.rs
+++ b/crates/node/src/hosted/control.rs
@@ -7,8 +7,10 @@
 pub mod copy;
 pub mod failures;
 pub mod input;
+pub mod liveness;
 pub mod loads;
 pub mod orders;
+pub mod polls;
 pub mod pulls;
 pub mod reader;
 pub mod state;
@@ -29,7 +31,7 @@
 use std::time::Duration;
 use steer::transition::Transition;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::MissedTickBehavior;
+use tokio::time::{Instant, MissedTickBehavior};
 use tokio_util::sync::CancellationToken;
 use wire::peer::{Inbound, Link, Setup};
 
@@ -123,6 +125,8 @@
             () = end.cancelled() => break,
             _ = step.tick() => state.step(),
             Some(input) = inputs.recv() => state.handle_input(input),
+            // After the inputs, so that answers that have arrived are handled before a deadline.
+            () = wait_until(state.next_deadline()) => state.check_engines(),
             Some(reply) = dump_requests.recv() => {
                 // Sending fails only if the requester has gone away.
                 let _ = reply.send(state.dump());
@@ -132,6 +136,14 @@
     state.announce_exit();
 }
 
+/// Waits until `deadline`; forever if there is none.
+async fn wait_until(deadline: Option<Instant>) {
+    match deadline {
+        Some(deadline) => tokio::time::sleep_until(deadline).await,
+        None => std::future::pending().await,
+    }
+}
+
 async fn forward_transitions(mut transitions: mpsc::Receiver<Transition>, inputs: InputSender) {
     while let Some(transition) = transitions.recv().await {
         if inputs.send(Input::Transition(transition)).await.is_err() {
--- a/crates/node/src/hosted/control/failures.rs
+++ b/crates/node/src/hosted/control/failures.rs
@@ -1,4 +1,4 @@
-//! Endpoints that several nodes report as failing.
+//! Endpoints that several nodes report as failing or ended.
 //!
 //! A node that can't reach an endpoint may be cut off itself, so a single failure report does not
 //! suffice where other nodes could confirm it. An endpoint that is reported for `LOST_AFTER` counts
@@ -30,8 +30,9 @@
     /// Recomputes the failing endpoints from the failure reports of all nodes and from the engines
     /// that did not answer polls. Returns whether the set changed.
     ///
-    /// Being unresponsive counts as one more failure report. An endpoint that is already failing
-    /// stays so while it is unresponsive: if it were released once the reports expire, every node
+    /// Being unresponsive or ended counts as one more failure report, both together too, since the same
+    /// node may have found both. An endpoint that is already failing
+    /// stays so while it is one of them: if it were released once the reports expire, every node
     /// would send to it again.
     pub fn update(
         &mut self,
@@ -42,9 +43,11 @@
     ) -> bool {
         let quorum = FAILURE_QUORUM.min(group.accepting().count().max(1));
         let mut failing = group.ejected_by(elapsed, quorum);
+        failing.extend(group.ended_by(elapsed, quorum));
         let reported = group.ejected_by(elapsed, 1);
+        let ended = group.ended_by(elapsed, 1);
         let kept = unresponsive
-            .iter()
+            .union(&ended)
             .filter(|run| reported.contains(*run) || self.current.contains(*run));
         failing.extend(kept.cloned());
         self.since.retain(|run, _| failing.contains(run));
--- a/crates/node/src/hosted/control/input.rs
+++ b/crates/node/src/hosted/control/input.rs
@@ -1,6 +1,7 @@
 //! Inputs of the control state, sent by its tasks.
 
 use super::copy::Request;
+use super::polls::Found;
 use super::uploads;
 use adapter::report::Report;
 use adapter::store::Table;
@@ -43,6 +44,8 @@
     Delivered(uploads::Id),
     /// An engine was polled for its status report; `None` if it did not answer.
     Report(Run, Option<Report>),
+    /// A poll found something out about a watched engine.
+    Engine(Found),
     /// The worker ejected an endpoint, or uses it again.
     Transition(Transition),
     /// A message from a peer.
--- a/crates/node/src/hosted/control/loads.rs
+++ b/crates/node/src/hosted/control/loads.rs
@@ -189,8 +189,32 @@
         self.leaving.clone()
     }
 
-    /// Returns whether a run is to be polled now; if so, records the poll.
+    /// Returns whether the last report of a run shows KV memory in use.
+    pub fn in_use(&self, run: &str) -> bool {
+        self.rows.get(run).is_some_and(|row| row.figures.used > 0.0)
+    }
+
+    /// Returns whether a run announced to this node that it leaves.
+    pub fn is_leaving(&self, run: &str) -> bool {
+        self.leaving.contains(run)
+    }
+
+    /// Records that a run announced in an answer to this node that it leaves.
+    pub fn record_leaving(&mut self, run: &str) {
+        self.leaving.insert(run.to_owned());
+    }
+
+    /// Returns whether a run is to be polled for its load now; if so, records the poll.
     pub fn due(&mut self, now: Instant, run: &str) -> bool {
+        let due = self.is_due(now, run);
+        if due {
+            self.last_polls.insert(run.to_owned(), now);
+        }
+        due
+    }
+
+    /// Returns whether a run is to be polled for its load now.
+    pub fn is_due(&self, now: Instant, run: &str) -> bool {
         let figures = self.rows.get(run).map(|r| r.figures);
         let busy = figures.is_some_and(|f| f.used > f.capacity * BUSY_UTILIZATION);
         let frequent = busy || self.misses.contains_key(run);
@@ -199,14 +223,8 @@
         } else {
             IDLE_POLL_INTERVAL
         };
-        let due = self
-            .last_polls
-            .get(run)
-            .is_none_or(|&at| now >= at + period);
-        if due {
-            self.last_polls.insert(run.to_owned(), now);
-        }
-        due
+        let last = self.last_polls.get(run);
+        last.is_none_or(|&at| now >= at + period)
     }
 
     /// Discards expired entries.
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -1,15 +1,20 @@
 //! State of control and its transitions on inputs and time.
 
 mod contents;
+mod engines;
 mod exchange;
 mod isolation;
 mod peers;
+mod placement;
+mod view;
 
 use super::assignment::Assignment;
 use super::failures::Failures;
 use super::input::{Input, InputSender};
+use super::liveness::Liveness;
 use super::loads::Loads;
 use super::orders::Orders;
+use super::polls::Lines;
 use super::pulls::Pulls;
 use super::reader;
 use super::tables::Tables;
@@ -20,11 +25,9 @@
 use adapter::Platform;
 use adapter::report::Control as Engine;
 use adapter::store::Table;
-use catalog::Endpoint;
-use catalog::endpoint::State as EndpointState;
 use catalog::source::{self, Page};
 use gate::metrics::Metrics;
-use gate::view::{SharedView, View};
+use gate::view::SharedView;
 use isolation::Isolation;
 use journal::Journal;
 use journal::event::Event as JournalEvent;
@@ -33,11 +36,10 @@
 use member::group::Group;
 use member::identity::Identity;
 use member::item::Observation;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use steer::Fleet;
 use steer::crash::Ledger;
 use steer::departures::Departures;
 use steer::transition::Transition;
@@ -69,13 +71,6 @@
 const FIRST_CATALOG_TIMEOUT: Duration = Duration::from_millis(700);
 /// Lifetime of a failure report: long enough for the endpoint to be retried a few times.
 const FAILURE_REPORT_TTL: Duration = Duration::from_millis(2500);
-/// Lifetime of the announcement that an endpoint is to release its layers: until its report of the
-/// new layers has reached all nodes.
-const MOVE_NOTICE_TTL: Duration = Duration::from_secs(3);
-/// Until membership has settled, a recently started node assumes that one node per this number of
-/// endpoints selects chains at the same time. Without this assumption, nodes that start together
-/// all select the cheapest chain, each as if it were the only node.
-const ENDPOINTS_PER_SELECTING_NODE: usize = 2;
 /// Number of peers from which copies are requested at once: the store may refuse one of them too.
 const PEERS_PER_COPY: usize = 2;
 
@@ -99,6 +94,8 @@
     incarnation: u64,
     platform: Arc<Platform>,
     shared_view: SharedView,
+    /// Signals views with another set of ended runs to the worker.
+    changes: watch::Sender<u64>,
     journal: Journal,
     link: Link,
     inputs: InputSender,
@@ -125,7 +122,13 @@
     pulls: Pulls,
     uploads: Uploads<CopyReply>,
     loads: Loads,
-    /// Clients of the engines that this node polls.
+    /// Which of the engines that this node polls are alive.
+    liveness: Liveness,
+    /// Connections to the engines whose liveness is watched.
+    lines: Lines,
+    /// Runs that any node found to have ended, as last published to the worker.
+    ended: Arc<BTreeSet<String>>,
+    /// Clients of the other engines that this node polls.
     engines: BTreeMap<SocketAddr, Arc<Engine>>,
     /// When copies were last requested because the store could not be read.
     last_copy_request: Instant,
@@ -165,6 +168,7 @@
             incarnation: control.incarnation,
             platform,
             shared_view: control.shared_view,
+            changes: control.changes,
             link,
             leave: control.leave,
             start: Instant::now(),
@@ -186,6 +190,9 @@
             pulls: Pulls::default(),
             uploads: Uploads::default(),
             loads: Loads::default(),
+            liveness: Liveness::default(),
+            lines: Lines::default(),
+            ended: Arc::default(),
             engines: BTreeMap::new(),
             last_copy_request: Instant::now(),
             metrics_updated: Instant::now(),
@@ -227,6 +234,7 @@
                 self.serve_waiting(now);
             }
             Input::Report(run, report) => self.handle_report(now, run, report),
+            Input::Engine(found) => self.handle_found(now, found),
             Input::Transition(transition) => self.publish_transition(transition),
             Input::Peer(inbound) => self.handle_inbound(inbound),
             Input::OrderEnded(order, attempt) => self.orders.finish(now, order, &attempt),
@@ -256,6 +264,7 @@
         self.update_metrics(now);
         self.copy_from_peers(now);
         self.poll_engines(now);
+        self.refresh_ended(now);
         self.give_orders(now);
         self.dirty |= std::mem::take(&mut self.loads_changed);
         self.publish();
@@ -283,6 +292,10 @@
         for run in self.failures.current().iter() {
             text.push_str(&format!("failing {run}\n"));
         }
+        for run in self.ended.iter() {
+            text.push_str(&format!("ended {run}\n"));
+        }
+        text.push_str(&self.liveness.to_string());
         text.push_str(&self.dump_contents());
         text.push_str(&format!(
             "uploads waiting {}, in flight {} bytes\n",
@@ -324,13 +337,7 @@
                 return self.publish_finding(*content, *finding);
             }
         };
-        let next = self.tables.next_offset(Table::Endpoints);
-        self.journal.record(JournalEvent::Endpoint {
-            run: run.to_string(),
-            state: state.to_owned(),
-            offset: source::number(next),
-            era: source::era(next),
-        });
+        self.record_endpoint(&run.to_string(), state);
         let Some(ejected) = ejected else {
             return;
         };
@@ -343,6 +350,17 @@
         self.dirty = true;
     }
 
+    /// Writes a decision line about an endpoint.
+    fn record_endpoint(&self, run: &str, state: &str) {
+        let next = self.tables.next_offset(Table::Endpoints);
+        self.journal.record(JournalEvent::Endpoint {
+            run: run.to_owned(),
+            state: state.to_owned(),
+            offset: source::number(next),
+            era: source::era(next),
+        });
+    }
+
     fn apply_read(&mut self, now: Instant, table: Table, page: Page) {
         let status = self.status(table);
         let unreadable_since = status.unreadable_since.take();
@@ -419,99 +437,6 @@
     fn settled(&self) -> bool {
         self.group.is_settled(self.start.elapsed())
     }
-
-    /// Plans and sends orders to endpoints if this is one of the node's duties.
-    fn give_orders(&mut self, now: Instant) {
-        if self.leaving || !self.settled() || !self.assignment.gives_orders() {
-            return;
-        }
-        if !self.planning.due(now) {
-            return self.orders.send_planned(now);
-        }
-        let Some(catalog) = self.tables.catalog() else {
-            return;
-        };
-        let failures = &self.failures;
-        let live = self.tables.endpoints();
-        let live = live.filter(|e| !failures.is_lost(now, &e.run.to_string()));
-        let live: Vec<Endpoint> = live.map(|e| self.planned(now, e)).collect();
-        self.orders
-            .step(now, &self.assignment, catalog, live.iter());
-        let ended = Instant::now();
-        self.planning.record_run(now, ended);
-        self.metrics.record_control_run("plan", ended - now);
-        self.announce_moves();
-    }
-
-    /// Returns an endpoint as orders are planned for it. One that announced that it leaves is draining,
-    /// also while its row says otherwise: it gets no new requests, so its layers are missing.
-    fn planned(&self, now: Instant, endpoint: &Endpoint) -> Endpoint {
-        let mut planned = self.loads.overlay(now, endpoint);
-        if self.departures.contains(&planned.run) {
-            planned.state = EndpointState::Draining;
-        }
-        planned
-    }
-
-    /// Announces to the other nodes which endpoints are to release layers.
-    fn announce_moves(&mut self) {
-        let moving = self.orders.take_moving().into_iter();
-        let moving = moving.map(|run| Observation::Releasing {
-            name: run.to_string(),
-            ttl: MOVE_NOTICE_TTL,
-        });
-        let moving: Vec<Observation> = moving.collect();
-        if !moving.is_empty() {
-            self.handle_event(Event::Publish(moving));
-            self.dirty = true;
-        }
-    }
-
-    /// Publishes the view if it changed. A change that is not urgent may be delayed to a later
-    /// step.
-    fn publish(&mut self) {
-        let now = Instant::now();
-        let due = self.dirty && self.publishing.due(now);
-        if !due && !self.urgent {
-            return;
-        }
-        (self.dirty, self.urgent) = (false, false);
-        self.update_failures(now);
-        let Some(catalog) = self.tables.catalog() else {
-            return;
-        };
-        let nodes = self.caller_addrs();
-        let endpoints = self.tables.endpoints();
-        let endpoints: Vec<Endpoint> = endpoints.map(|e| self.loads.overlay(now, e)).collect();
-        let selecting_nodes = match self.settled() {
-            true => nodes.len(),
-            false => endpoints.len() / ENDPOINTS_PER_SELECTING_NODE,
-        };
-        let view = View {
-            fleet: Fleet {
-                catalog: catalog.clone(),
-                endpoints: Arc::new(endpoints),
-                loads: Arc::new(self.loads.view(now, self.start)),
-                reported_failed: self.failures.current(),
-                ended: Arc::default(),
-                releasing: Arc::new(self.group.releasing(self.start.elapsed())),
-                leaving: Arc::new(self.loads.leaving()),
-                members: Arc::new(nodes.clone()),
-                me: Some(self.settings.callers),
-                nodes: nodes.len().max(1),
-                selecting_nodes,
-                budget_nodes: self.budget_nodes(),
-            },
-            nodes,
-            relays: self.relays(),
-            leaving: self.leaving,
-            crashes: Arc::new(self.crashes.clone()),
-        };
-        self.shared_view.store(Some(Arc::new(view)));
-        let ended = Instant::now();
-        self.publishing.record_run(now, ended);
-        self.metrics.record_control_run("view", ended - now);
-    }
 }
 
 fn dependency_name(table: Table) -> String {
--- a/crates/node/src/hosted/control/state/exchange.rs
+++ b/crates/node/src/hosted/control/state/exchange.rs
@@ -1,6 +1,6 @@
-//! Exchange of table copies and engine loads with peers, and polls of engines.
+//! Exchange of table copies and engine loads with peers.
 
-use super::super::assignment::{self, Assignment, EngineCounts};
+use super::super::assignment::{Assignment, EngineCounts};
 use super::super::copy::{self, CHUNK_BYTES, Request, Response};
 use super::super::input::Input;
 use super::super::pulls::Action;
@@ -8,16 +8,11 @@
     COPY_INTERVAL, CopyReply, ENDPOINTS_COPY_TIMEOUT, FIRST_CATALOG_TIMEOUT, OPERATOR_COPY_TIMEOUT,
     PEERS_PER_COPY, State, TableStatus,
 };
-use adapter::report::{Control as Engine, Report};
 use adapter::store::Table;
-use catalog::Endpoint;
-use catalog::endpoint::Run;
 use catalog::source::{self, Offset};
 use journal::event::Event as JournalEvent;
 use rand::seq::IndexedRandom;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use tokio::time::Instant;
 use wire::frame::CopyRequest;
 
@@ -55,7 +50,7 @@
     }
 
     /// Counts the engines of each zone.
-    fn engines_by_zone(&self) -> EngineCounts<'_> {
+    pub(super) fn engines_by_zone(&self) -> EngineCounts<'_> {
         let mut counts = EngineCounts::new();
         let engines = self.tables.endpoints().filter(|e| e.accelerator.is_some());
         engines.for_each(|e| *counts.entry(&e.zone).or_default() += 1);
@@ -195,59 +190,6 @@
         });
     }
 
-    /// Polls the engines assigned to this node that are due.
-    pub(super) fn poll_engines(&mut self, now: Instant) {
-        self.loads.expire(now);
-        if self.leaving || self.tables.catalog().is_none() {
-            return;
-        }
-        // Nodes that start together would each poll all engines until they know each other. Before
-        // membership has settled, engines are polled only if they are no more than one node polls
-        // anyway.
-        if !self.settled()
-            && self.engines_by_zone().values().sum::<usize>() > assignment::ENGINES_PER_POLLER
-        {
-            return;
-        }
-        let endpoints = self.tables.endpoints();
-        let own =
-            endpoints.filter(|e| e.accelerator.is_some() && self.assignment.polls(&e.zone, &e.run));
-        let own: Vec<Endpoint> = own.cloned().collect();
-        let addrs: BTreeSet<SocketAddr> = own.iter().map(|e| e.addr).collect();
-        self.engines.retain(|addr, _| addrs.contains(addr));
-        for endpoint in own {
-            if !self.loads.due(now, &endpoint.run.to_string()) {
-                continue;
-            }
-            let engine = self.engines.entry(endpoint.addr);
-            let engine = engine.or_insert_with(|| Arc::new(Engine::new(endpoint.addr)));
-            let (engine, inputs) = (engine.clone(), self.inputs.clone());
-            tokio::spawn(async move {
-                // The missing report of an unresponsive engine is an input too.
-                let report = engine.fetch_report().await.ok();
-                // Sending fails only if control has ended.
-                let _ = inputs.send(Input::Report(endpoint.run, report)).await;
-            });
-        }
-    }
-
-    pub(super) fn handle_report(&mut self, now: Instant, run: Run, report: Option<Report>) {
-        let Some(report) = report else {
-            let endpoint = self.tables.endpoints().find(|e| e.run == run);
-            // An isolated node gets no reports, whatever the engines do.
-            if endpoint.is_none_or(|e| !self.isolated.contains_key(&e.service)) {
-                self.loads.record_miss(now, &run.to_string());
-            }
-            return;
-        };
-        // Another run has taken over the address, and has a row of its own.
-        if report.is_from_another_run(&run) {
-            return;
-        }
-        self.loads.record(now, &run.to_string(), &report);
-        self.loads_changed = true;
-    }
-
     /// Requests copies of both tables from random peers while the store can't be read, and of the
     /// operator's table alone while no catalog is known some time after the start.
     pub(super) fn copy_from_peers(&mut self, now: Instant) {
--- a/crates/node/src/hosted/control/state/peers.rs
+++ b/crates/node/src/hosted/control/state/peers.rs
@@ -75,6 +75,9 @@
             Action::Learned(item) => {
                 self.learn_content(&item.body);
                 self.dirty = true;
+                if item.body.broadcast() {
+                    self.refresh_ended(Instant::now());
+                }
             }
             Action::FetchHead { addr, .. } => {
                 self.fetch_catalog(Instant::now(), addr);
