steer, gate: ended runs in the view, and a wake-up of the workers

The detection of ended engines (part 1 of docs/design/hard-load.md) publishes them to the workers. Fleet::ended lists them, and gate::view::Changes wakes a worker when the list differs. Nothing sets or reads either yet.

--- a/crates/gate/src/view.rs
+++ b/crates/gate/src/view.rs
@@ -31,5 +31,9 @@
     pub isolated_from: Vec<String>,
 }
 
+/// Wakes the workers: the number rises after a view with another set of ended runs
+/// ([`Fleet::ended`]) was stored.
+pub type Changes = tokio::sync::watch::Receiver<u64>;
+
 /// The current view, replaced by the control task; empty until a catalog is in force.
 pub type SharedView = Arc<ArcSwapOption<View>>;
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -16,7 +16,7 @@
 use crate::splice::Chunk;
 use crate::stats::{self, Guard, Stats};
 use crate::trial::Trials;
-use crate::view::{SharedView, View};
+use crate::view::{Changes, SharedView, View};
 use futures::Stream;
 use http::{Request, Response, request};
 use hyper::body::Incoming;
@@ -65,6 +65,8 @@
     pub dialect: D,
     /// The view that the control task publishes.
     pub shared_view: SharedView,
+    /// Wakes the worker when a view with other ended runs was published.
+    pub changes: Changes,
     /// Log of decisions.
     pub journal: Journal,
     /// Counters and histograms.
@@ -88,6 +90,7 @@
     dumps: mpsc::Sender<oneshot::Sender<String>>,
     pub(crate) stats: Rc<Stats>,
     shared_view: SharedView,
+    pub(crate) changes: Changes,
     transitions: mpsc::Sender<Transition>,
     selector: RefCell<Selector>,
     /// The view that `selector` was last updated with.
@@ -131,6 +134,7 @@
             pool: Pool::new(stats.clone()),
             stats,
             shared_view: parts.shared_view,
+            changes: parts.changes,
             transitions: parts.transitions,
             selector: RefCell::new(Selector::new(parts.seed, parts.allowance)),
             view: RefCell::new(None),
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -32,7 +32,7 @@
 use steer::budget::Allowance;
 use steer::transition::Transition;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 /// A node under test.
 pub struct Node {
@@ -40,6 +40,8 @@
     pub addr: SocketAddr,
     pub worker: Rc<Worker<Plain>>,
     pub shared_view: SharedView,
+    /// Wakes the worker when a view with other ended runs was stored.
+    pub changed: watch::Sender<u64>,
     pub stop: Stop,
     /// What the worker reported to the control task.
     pub transitions: Rc<RefCell<Vec<Transition>>>,
@@ -201,12 +203,14 @@
             list.borrow_mut().push(transition);
         }
     });
+    let (changed, _) = watch::channel(0);
     let (dumps, _) = mpsc::channel(1);
     let worker = Worker::new(Parts {
         metrics: Metrics::new(&opentelemetry::global::meter("test"), Registry::new()),
         dumps,
         dialect: Plain,
         shared_view: shared_view.clone(),
+        changes: changed.subscribe(),
         journal,
         allowance,
         seed: 1,
@@ -221,6 +225,7 @@
         addr,
         worker,
         shared_view,
+        changed,
         stop,
         transitions: reported,
     }
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -493,6 +493,7 @@
                 endpoints: Arc::new(endpoints),
                 loads: Arc::new(self.loads.view(now, self.start)),
                 reported_failed: self.failures.current(),
+                ended: Arc::default(),
                 releasing: Arc::new(self.group.releasing(self.start.elapsed())),
                 leaving: Arc::new(self.loads.leaving()),
                 members: Arc::new(nodes.clone()),
--- a/crates/node/src/hosted/process.rs
+++ b/crates/node/src/hosted/process.rs
@@ -27,7 +27,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
 use tokio_util::sync::CancellationToken;
 
@@ -100,6 +100,8 @@
     let incarnation = incarnation();
     let seed = seed(&settings.name, incarnation);
     let (transitions, transition_queue) = mpsc::channel(TRANSITION_QUEUE_LEN);
+    // Kept until the end, since the receivers of a closed channel are not woken.
+    let (_ended_changed, changes) = watch::channel(0);
     let (dumps, dump_queue) = mpsc::channel(DUMP_QUEUE_LEN);
     let registry = Registry::new();
     // Kept alive until the end, since the instruments stop working when the provider is dropped.
@@ -110,6 +112,7 @@
         dumps,
         dialect: Headers::default(),
         shared_view: shared_view.clone(),
+        changes,
         journal: journal.clone(),
         allowance: settings.allowance,
         seed,
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -17,6 +17,8 @@
     pub loads: Arc<BTreeMap<String, Load>>,
     /// Runs of endpoints that several nodes reported as failing, in text form.
     pub reported_failed: Arc<BTreeSet<String>>,
+    /// Runs of endpoints that a node found to have ended, in text form.
+    pub ended: Arc<BTreeSet<String>>,
     /// Runs of endpoints that are about to release their layers to load others, in text form.
     pub releasing: Arc<BTreeSet<String>>,
     /// Runs of endpoints that announced to this node that they leave, in text form.
