steer: responses move off endpoints that have ended, and moves price links

100 of 220 responses moved over an inter-zone link in the same second, which takes 3.5 s, and a chain that lost two stages was mended one stage at a time. Selector::evacuate plans the idle responses of a node: all ended stages in one replacement, or a new chain, by the time until the next event. The moves of other nodes are simulated, and load endpoints and links. Late responses give way for at most one pause target. Selector::reroute, the path without a notification, uses the same simulation and the same limit of a link; its other prices stay.

Run: cargo test -p wigeonshelf-steer, all passed.

--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod chain;
 pub mod crash;
 pub mod departures;
+pub mod evacuation;
 pub mod fleet;
 pub mod health;
 mod jitter;
--- a/crates/steer/src/row.rs
+++ b/crates/steer/src/row.rs
@@ -50,6 +50,8 @@
     pub failure_published: bool,
     /// Whether several nodes reported the endpoint as failing.
     pub reported_failed: bool,
+    /// When the view first listed the endpoint as ended, if it does.
+    pub ended_since: Option<Timestamp>,
     /// Whether the endpoint is about to release its layers to load others.
     pub releasing: bool,
     /// Whether the endpoint itself announced that it leaves.
@@ -77,6 +79,7 @@
             saturation: 0.0,
             failure_published: false,
             reported_failed: false,
+            ended_since: None,
             releasing: false,
             leaving: false,
             zone,
--- a/crates/steer/src/search.rs
+++ b/crates/steer/src/search.rs
@@ -9,6 +9,7 @@
 
 use crate::Timestamp;
 use crate::chain::{MAX_FILL, MAX_FILL_URGENT, Need};
+use crate::evacuation::queues::Queues;
 use crate::link::Links;
 use crate::row::Row;
 use crate::shortage::Shortage;
@@ -100,6 +101,8 @@
     pub(crate) nodes: f64,
     /// Traffic of this node between zones.
     pub(crate) links: &'a Links,
+    /// Transfers of moving responses, for a search for one of them.
+    pub(crate) queues: Option<&'a Queues>,
     /// Mean residence time of requests.
     pub(crate) residence: Duration,
     pub(crate) now: Timestamp,
@@ -313,11 +316,17 @@
         if used > MAX_LINK_UTILIZATION {
             return None;
         }
+        let queued = match self.queues {
+            Some(queues) if !queues.carries(from, to, transfer) => return None,
+            Some(queues) => queues.link(from, to),
+            None => 0.0,
+        };
         // Each token waits for the previous one, so each pays the delay. All requests share the
         // link, so the request's own transfer time is weighted with a factor.
         Some(
             delay.as_secs_f64() * f64::from(need.size.answer)
-                + LINK_COST_FACTOR * transfer / (1.0 - used),
+                + LINK_COST_FACTOR * transfer / (1.0 - used)
+                + queued,
         )
     }
 
@@ -371,22 +380,6 @@
     }
 }
 
-/// Adds the renewed prefill of `tokens` tokens to the endpoints of a chain, for the next search: it
-/// takes capacity, and delays later requests.
-pub(crate) fn add_prefill(
-    engine: &Engine,
-    candidates: &mut [Candidate<'_>],
-    chain: &[Segment],
-    tokens: f64,
-) {
-    add_load(candidates, chain, tokens);
-    for (candidate, segment) in candidates_on(candidates, chain) {
-        let row = candidate.row;
-        candidate.backlog_secs +=
-            row.prefill_secs * row.slowdown * tokens * engine.model_fraction(segment.span.len());
-    }
-}
-
 /// Returns the candidates that a chain runs on, each with its segment; a chain contains each
 /// endpoint at most once.
 fn candidates_on<'r, 'a>(
--- a/crates/steer/src/selector.rs
+++ b/crates/steer/src/selector.rs
@@ -3,7 +3,9 @@
 mod chain;
 mod departing;
 mod dump;
+mod evacuate;
 mod limited;
+mod moves;
 mod reached;
 mod reported;
 mod reroute;
@@ -12,6 +14,7 @@
 use crate::budget::{Allowance, Budget, Purpose};
 use crate::chain::Need;
 use crate::departures::Departures;
+use crate::evacuation::queues::OwnMoves;
 use crate::fleet::Fleet;
 use crate::health::Outcome;
 use crate::limit::Limit;
@@ -68,6 +71,7 @@
     reservations: BTreeMap<ReservationId, Reservation>,
     budgets: BTreeMap<String, Budget>,
     links: Links,
+    own_moves: OwnMoves,
     /// Flow of requests by the name of a model service.
     flows: BTreeMap<String, Flow>,
     departures: Departures,
@@ -90,6 +94,7 @@
             reservations: BTreeMap::new(),
             budgets: BTreeMap::new(),
             links: Links::default(),
+            own_moves: OwnMoves::default(),
             flows: BTreeMap::new(),
             departures: Departures::default(),
             transitions: Vec::new(),
@@ -124,6 +129,8 @@
             }
             let run = endpoint.run.to_string();
             row.reported_failed = fleet.reported_failed.contains(&run);
+            let ended = fleet.ended.contains(&run);
+            row.ended_since = ended.then(|| row.ended_since.unwrap_or(now));
             row.releasing = fleet.releasing.contains(&run);
             if fleet.leaving.contains(&run) {
                 self.record_leaving(now, &endpoint.run, endpoint.addr);
@@ -135,6 +142,7 @@
             self.index.insert(endpoint.run.clone(), self.rows.len());
             self.rows.push(row);
         }
+        self.own_moves.expire(now);
         let index = &self.index;
         self.departures.expire(now, |run| index.contains_key(run));
         self.keep_limits(now, &previous);
--- a/crates/steer/src/selector/chain.rs
+++ b/crates/steer/src/selector/chain.rs
@@ -167,6 +167,7 @@
             zones: &self.zones,
             nodes: self.nodes(),
             links: &self.links,
+            queues: None,
             residence,
             now,
         }
--- a/crates/steer/src/selector/dump.rs
+++ b/crates/steer/src/selector/dump.rs
@@ -21,6 +21,9 @@
             if row.leaving {
                 write!(f, " leaving")?;
             }
+            if let Some(since) = row.ended_since {
+                write!(f, " ended since {:.3}", since.as_secs_f64())?;
+            }
             write!(
                 f,
                 " {:?} layers {} flying {}",
@@ -33,6 +36,9 @@
                 row.capacity,
                 row.health.failures()
             )?;
+            if let Some(until) = self.own_moves.prefill_until(&endpoint.run) {
+                write!(f, " moves until {:.3}", until.as_secs_f64())?;
+            }
             if let Some(rest) = &row.rest {
                 write!(f, " rest until {:.3}", rest.until().as_secs_f64())?;
             }
