--- a/crates/gate/src/forward/request_log.rs
+++ b/crates/gate/src/forward/request_log.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use steer::crash::Fingerprint;
+use steer::evacuation::{Decision, Plan};
 use steer::scarcity::Scarcity;
 use steer::shortage::Shortage;
 use steer::target::{Stage, Target};
@@ -108,6 +109,40 @@
         });
     }
 
+    /// Records how a response continues whose chain has ended stages, after an idle time.
+    pub(crate) fn record_move(
+        &self,
+        attempt: u32,
+        ended: &[SocketAddr],
+        decision: &Decision,
+        idle: Duration,
+    ) {
+        let option = match decision.plan {
+            Plan::Replace(_) => "replace",
+            Plan::Resume(_) => "resume",
+            Plan::Defer(_) => "defer",
+            Plan::Stay => "stay",
+        };
+        self.metrics.record_move(option, idle);
+        let ms = |time: Option<Duration>| time.map(|t| t.as_millis() as u64);
+        let ended: Vec<_> = ended.iter().map(SocketAddr::to_string).collect();
+        self.journal.record(Event::Moved {
+            id: self.id.clone(),
+            attempt,
+            ended: ended.join(","),
+            option,
+            replace_ms: ms(decision.replace),
+            resume_ms: ms(decision.resume),
+            quiet_ms: idle.as_millis() as u64,
+            after_ms: self.received_at.elapsed().as_millis() as u64,
+        });
+    }
+
+    /// Returns whether an event was sent to the caller.
+    pub(crate) fn has_started(&self) -> bool {
+        self.first_event.is_some()
+    }
+
     /// Records that no endpoint could take the request.
     pub(crate) fn record_shortage(&self, shortage: Shortage, scarcity: &Scarcity) {
         let percent = |fraction: f64| (fraction * 100.0).round() as u64;
--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -32,6 +32,8 @@
     registry: Registry,
     requests: Counter<u64>,
     attempts: Counter<u64>,
+    moves: Counter<u64>,
+    move_idle: Histogram<f64>,
     store_reads: Counter<u64>,
     first_event: Histogram<f64>,
     pause: Histogram<f64>,
@@ -64,6 +66,14 @@
         Self {
             requests: count("wigeonshelf_requests", "Requests by outcome and status"),
             attempts: count("wigeonshelf_attempts", "Attempts by how they ended"),
+            moves: count(
+                "wigeonshelf_moves",
+                "Decisions about responses whose chain has an ended stage, by option",
+            ),
+            move_idle: seconds(
+                "wigeonshelf_move_idle",
+                "Time without an event until such a decision",
+            ),
             store_reads: count(
                 "wigeonshelf_store_reads",
                 "Reads of the store by table and outcome",
@@ -104,6 +114,13 @@
         self.attempts.add(1, &[KeyValue::new("what", what)]);
     }
 
+    /// Counts a decision about a response whose chain has an ended stage, after an idle time.
+    pub fn record_move(&self, option: &'static str, idle: Duration) {
+        let option = [KeyValue::new("option", option)];
+        self.moves.add(1, &option);
+        self.move_idle.record(idle.as_secs_f64(), &option);
+    }
+
     /// Records the time to the first event of a response.
     pub fn record_first_event(&self, time: Duration) {
         self.first_event.record(time.as_secs_f64(), &[]);
--- a/crates/journal/src/event.rs
+++ b/crates/journal/src/event.rs
@@ -144,6 +144,27 @@
         /// Time from the request's arrival to the change, in milliseconds.
         after_ms: u64,
     },
+    /// A response whose chain has ended stages was idle, and it was decided how it continues.
+    Moved {
+        /// Request id.
+        id: String,
+        /// Number of the attempt.
+        attempt: u32,
+        /// Addresses of the ended stages, separated by commas.
+        ended: String,
+        /// `replace`: other stages take over; `resume`: a further attempt on a new chain; `defer`: it
+        /// gives way to responses that can still be on time; `stay`: neither is possible now.
+        option: &'static str,
+        /// Estimated time until the next event after a replacement, in milliseconds, if possible.
+        replace_ms: Option<u64>,
+        /// Estimated time until the next event after a resumption, in milliseconds; `None` if it is
+        /// not possible or a replacement is sooner in any case.
+        resume_ms: Option<u64>,
+        /// Time without an event, in milliseconds.
+        quiet_ms: u64,
+        /// Time from the request's arrival, in milliseconds.
+        after_ms: u64,
+    },
     /// The endpoint of an attempt is idle, and another one is tried beside it.
     Idle {
         /// Request id.
