--- a/crates/steer/src/selector.rs
+++ b/crates/steer/src/selector.rs
@@ -6,6 +6,7 @@
 mod evacuate;
 mod limited;
 mod moves;
+mod others;
 mod reached;
 mod reported;
 mod reroute;
--- a/crates/steer/src/selector/evacuate.rs
+++ b/crates/steer/src/selector/evacuate.rs
@@ -1,7 +1,8 @@
 //! Plans for the idle responses of this node whose chains have ended stages.
 
 use super::Selector;
-use super::moves::{Others, Path, Scope};
+use super::moves::{Path, Scope};
+use super::others::Others;
 use crate::Timestamp;
 use crate::evacuation::queues::Queues;
 use crate::evacuation::{
@@ -132,6 +133,10 @@
             let age = row.ended_since.map(|since| scope.now.saturating_sub(since));
             row.endpoint.service == scope.service.name && age.is_some_and(|a| a < MOVE_TIME)
         });
+        let losses = lost
+            .iter()
+            .map(|&at| self.loss_of_endpoint(scope.engine, at));
+        let losses: Vec<_> = losses.collect();
         let since = lost
             .iter()
             .filter_map(|&at| self.rows[at].ended_since)
@@ -150,7 +155,7 @@
             return Vec::new();
         };
         let context = f64::from(first.context);
-        let mut others = Others::new(self, scope, &first.need, context, &lost, elapsed);
+        let mut others = Others::new(self, scope, &first.need, context, &losses, elapsed);
         if members.iter().any(|&at| evacuees[at].retry.is_some()) {
             others = others.resumable_on(&usable);
         }
--- a/crates/steer/src/selector/moves.rs
+++ b/crates/steer/src/selector/moves.rs
@@ -3,7 +3,6 @@
 
 use super::{Selector, Share};
 use crate::chain::Need;
-use crate::evacuation::INCREMENTS;
 use crate::evacuation::queues::Queues;
 use crate::row::Row;
 use crate::search::{self, Neighbors, Search, Segment};
@@ -53,11 +52,15 @@
     /// Indexes of the first and the last stage among those of the target.
     first: usize,
     last: usize,
-    neighbors: Neighbors,
+    pub(super) neighbors: Neighbors,
 }
 
 impl Gap<'_> {
-    fn span(&self) -> Span {
+    pub(super) fn stages(&self) -> &[Stage] {
+        &self.target.stages[self.first..=self.last]
+    }
+
+    pub(super) fn span(&self) -> Span {
         let stages = &self.target.stages;
         Span {
             from: stages[self.first].span.from,
@@ -293,150 +296,6 @@
     }
 }
 
-/// An endpoint whose requests of other nodes move.
-struct Source {
-    span: Span,
-    neighbors: Neighbors,
-    /// Whether the endpoint is the head of its chains, which can't be replaced.
-    is_head: bool,
-    usable: Vec<usize>,
-    /// Tokens that move in each increment.
-    tokens: f64,
-}
-
-/// Simulated moves of the other nodes.
-pub(super) struct Others<'a> {
-    scope: Scope<'a>,
-    need: &'a Need,
-    context: f64,
-    sources: Vec<Source>,
-    /// Endpoints of new chains; `None` if the responses are not resumed.
-    resumable: Option<Vec<usize>>,
-    /// The cheapest new chain, until a move loads it.
-    new_chain: Option<Path>,
-    done: u32,
-    pub(super) queues: Queues,
-}
-
-impl<'a> Others<'a> {
-    /// Prepares the simulation of the moves off the endpoints with the indexes `lost`, which began
-    /// `elapsed` ago.
-    pub(super) fn new(
-        selector: &Selector,
-        scope: Scope<'a>,
-        need: &'a Need,
-        context: f64,
-        lost: &[usize],
-        elapsed: Duration,
-    ) -> Self {
-        let source = |&at: &usize| {
-            let row = &selector.rows[at];
-            let span = row.endpoint.span;
-            let has_next = span.to < scope.engine.layers;
-            Source {
-                span,
-                // Most chains stay within a zone.
-                neighbors: Neighbors {
-                    before: Some(row.zone),
-                    after: has_next.then_some(row.zone),
-                },
-                is_head: span.from == 0,
-                usable: selector.rows_where(|r| scope.is_usable(r) && overlaps(r, span)),
-                tokens: selector.stranded_tokens(scope.now, row) / f64::from(INCREMENTS),
-            }
-        };
-        let (rows, zones) = (selector.rows.len(), selector.zones.len());
-        let mut queues = Queues::new(rows, zones, elapsed);
-        let row = |run: &_| selector.index.get(run).copied();
-        selector.own_moves.add_to(scope.now, &mut queues, row);
-        let sources = lost.iter().map(source).filter(|s| s.tokens > 0.0);
-        Self {
-            scope,
-            need,
-            context,
-            sources: sources.collect(),
-            resumable: None,
-            new_chain: None,
-            done: 0,
-            queues,
-        }
-    }
-
-    /// Lets the responses of the other nodes be resumed on these endpoints too.
-    pub(super) fn resumable_on(self, usable: &[usize]) -> Self {
-        Self {
-            resumable: Some(usable.to_vec()),
-            ..self
-        }
-    }
-
-    /// Simulates moves until `increments` are done.
-    pub(super) fn advance(&mut self, selector: &Selector, increments: u32) {
-        let sources = std::mem::take(&mut self.sources);
-        while self.done < increments {
-            self.done += 1;
-            for source in &sources {
-                self.step(selector, source);
-            }
-        }
-        self.sources = sources;
-    }
-
-    /// Moves one increment of a source's tokens.
-    fn step(&mut self, selector: &Selector, source: &Source) {
-        let replace = match source.is_head {
-            true => None,
-            false => {
-                let found = selector.cheapest_path(
-                    self.scope,
-                    source.span,
-                    source.neighbors,
-                    &source.usable,
-                    &self.queues,
-                    self.need,
-                );
-                found.ok().map(|path| {
-                    let time = self.time_over(selector, &path, 0.0);
-                    (path, time)
-                })
-            }
-        };
-        let replace_time = replace.as_ref().map(|(_, time)| *time);
-        let resume = match self.resumable {
-            Some(_) if replace_time.is_none_or(|t| t > crate::evacuation::NEW_CHAIN_SECS) => {
-                self.find_new_chain(selector)
-            }
-            _ => None,
-        };
-        let resume_time = resume.as_ref().map(|(_, time)| *time);
-        let chosen = match crate::evacuation::prefers_resumption(replace_time, resume_time) {
-            true => {
-                self.new_chain = None;
-                resume
-            }
-            false => replace,
-        };
-        if let Some((path, _)) = chosen {
-            selector.add_path(self.scope, &mut self.queues, &path, source.tokens);
-        }
-    }
-
-    fn time_over(&self, selector: &Selector, path: &Path, start: f64) -> f64 {
-        selector.time_over(self.scope, &self.queues, path, self.context, start)
-    }
-
-    /// Returns a cheap new chain and the time until its first event.
-    fn find_new_chain(&mut self, selector: &Selector) -> Option<(Path, f64)> {
-        let usable = self.resumable.as_ref()?;
-        if self.new_chain.is_none() {
-            self.new_chain = selector.new_chain(self.scope, usable, &self.queues, self.need);
-        }
-        let path = self.new_chain.clone()?;
-        let time = self.time_over(selector, &path, crate::evacuation::NEW_CHAIN_SECS);
-        Some((path, time))
-    }
-}
-
 impl Selector {
     /// Returns the cheapest chain over all layers.
     pub(super) fn new_chain(
@@ -453,13 +312,4 @@
         let found = self.cheapest_path(scope, span, Neighbors::default(), usable, queues, need);
         found.ok()
     }
-
-    /// Returns the number of tokens of other nodes' requests at each layer of a lost endpoint, by
-    /// its last load report.
-    fn stranded_tokens(&self, now: Timestamp, row: &Row) -> f64 {
-        // None of these requests ends while its stage is lost, so none is discounted.
-        let used = row.used(now, self.nodes(), Duration::MAX);
-        let layers = f64::from(row.endpoint.span.len().max(1));
-        (used - row.reserved).max(0.0) / layers
-    }
 }
--- a/crates/steer/src/selector/reroute.rs
+++ b/crates/steer/src/selector/reroute.rs
@@ -8,7 +8,8 @@
 //! crossed the same link, so would its transfers.
 
 use super::Selector;
-use super::moves::{Others, Scope};
+use super::moves::Scope;
+use super::others::Others;
 use crate::chain::Need;
 use crate::evacuation::INCREMENTS;
 use crate::search::Segment;
@@ -49,12 +50,9 @@
             residence: self.flow(service, engine).residence(),
             queue_factor: 1.0,
         };
-        let mut stages = target.stages.iter();
-        let lost = stages.find(|s| s.addr == faulty_stage);
-        let lost: Vec<usize> = lost
-            .and_then(|s| self.index.get(&s.run))
-            .copied()
-            .into_iter()
+        let lost: Vec<_> = gaps
+            .iter()
+            .flat_map(|gap| self.losses_of_gap(gap))
             .collect();
         let tokens = need.tokens();
         let mut others = Others::new(self, scope, need, tokens, &lost, Duration::ZERO);
--- a/crates/steer/tests/evacuation.rs
+++ b/crates/steer/tests/evacuation.rs
@@ -281,3 +281,51 @@
     assert_eq!(defer(rank(240, 60), 5, 50), None);
     assert_eq!(defer(rank(240, 60), 400, 300), None);
 }
+
+// Guards against a batch that is planned in order of arrival: responses that are late already were
+// entered first, and would take the prefill of those that can still be on time.
+#[test]
+fn late_responses_of_a_batch_are_planned_after_the_others() {
+    let rows = vec![
+        endpoint(1, "a", "slow", 0, 21),
+        endpoint(2, "a", "slow", 21, LAYERS),
+    ];
+    let spare = endpoint(3, "a", "slow", 21, LAYERS);
+    let base = Fleet {
+        catalog: catalog_with(Engine {
+            layers: LAYERS,
+            ..large_engine(21, 400)
+        }),
+        ..fleet(rows.clone(), 1)
+    };
+    let mut node = Selector::new(1, ALLOWANCE);
+    node.update_fleet(Duration::ZERO, base.clone());
+    let evacuees: Vec<Evacuee> = (0..16)
+        .map(|at| Evacuee {
+            target: node.select(Duration::ZERO, 0, &NEED, &[]).unwrap(),
+            service: 0,
+            need: NEED,
+            context: CONTEXT,
+            idle: if at < 8 { ms(260) } else { ms(60) },
+            pause_target: Some(PAUSE_TARGET),
+            retry: None,
+            place: 0.0,
+            may_defer: true,
+        })
+        .collect();
+    let lost = rows[1].run.to_string();
+    let view = Fleet {
+        endpoints: Arc::new([rows, vec![spare]].concat()),
+        ended: Arc::new([lost].into()),
+        ..base
+    };
+    node.update_fleet(ms(10), view);
+    let decisions = node.evacuate(ms(10), &evacuees);
+    let (late, others) = decisions.split_at(8);
+    let is_deferred = |plan: &Plan| matches!(plan, Plan::Defer(_));
+    assert!(late.iter().all(|d| is_deferred(&d.plan)), "{late:?}");
+    assert!(
+        others.iter().all(|d| matches!(d.plan, Plan::Replace(_))),
+        "{others:?}"
+    );
+}
