gate: plan a move again when the head refuses the order

Ruled out: the estimates of links; the plans themselves did not cross (estimates of 0 to 72 ms). Change: the missing stage is reported, the old stages are reserved again, and the response is planned again at once, up to four times.

--- a/crates/gate/src/forward/evacuation.rs
+++ b/crates/gate/src/forward/evacuation.rs
@@ -8,7 +8,7 @@
 use super::Forwarder;
 use super::attempt::Reservation;
 use super::stall::PROBE_INTERVAL;
-use crate::dialect::Dialect;
+use crate::dialect::{Dialect, RerouteOutcome};
 use crate::execution::Permit;
 use crate::view::Changes;
 use crate::worker::Worker;
@@ -26,6 +26,9 @@
 
 /// Time after a resumption until the old chain is planned again, if the new one sends no event.
 const RESUMPTION_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum number of orders in a row that the head refuses before the response is planned again at
+/// the usual interval. Endpoints fail and fill up in groups.
+const MAX_REFUSED_ORDERS: u32 = 4;
 /// Why another endpoint is tried beside an attempt whose response is resumed.
 const REASON: &str = "a stage of its chain has ended";
 
@@ -44,6 +47,8 @@
     moved: bool,
     /// Whether it was recorded that the response can't move.
     stay_recorded: bool,
+    /// Number of orders that the head refused since the last event.
+    refused_orders: u32,
 }
 
 impl Evacuation {
@@ -60,6 +65,7 @@
             not_before: Instant::now(),
             moved: false,
             stay_recorded: false,
+            refused_orders: 0,
         }
     }
 
@@ -106,6 +112,7 @@
             _ => {}
         }
         (self.moved, self.may_defer, self.stay_recorded) = (false, true, false);
+        self.refused_orders = 0;
     }
 
     fn pause(&mut self, time: Duration) {
@@ -236,8 +243,17 @@
         match decision.plan {
             Plan::Replace(stages) => {
                 evacuation.moved = true;
-                self.order_replacement(reservation, &ended, stages).await;
+                let outcome = self.order_replacement(reservation, &ended, stages).await;
                 evacuation.refresh(&self.worker, &reservation.target);
+                if let RerouteOutcome::Missing(stage) = outcome {
+                    self.worker
+                        .with_selector(|selector, now| selector.report_missing(now, stage));
+                    evacuation.refused_orders += 1;
+                    // Without this stage, a new chain may be the faster option.
+                    if evacuation.refused_orders < MAX_REFUSED_ORDERS {
+                        evacuation.pause(Duration::ZERO);
+                    }
+                }
                 None
             }
             Plan::Resume(target) => {
@@ -315,7 +331,7 @@
         reservation: &mut Reservation<D>,
         ended: &[std::net::SocketAddr],
         stages: Vec<Stage>,
-    ) {
+    ) -> RerouteOutcome {
         let crossings = self.crossings(&stages);
         for &stage in ended {
             self.log
@@ -325,7 +341,7 @@
         let dialect = &self.worker.dialect;
         let ordered = dialect.reroute(self.job.id(), &reservation.target.stages);
         let outcome = ordered.await;
-        let outcome = self.replace_missing(reservation, outcome).await;
-        self.settle(reservation, previous, outcome);
+        self.settle(reservation, previous, Some(outcome));
+        outcome
     }
 }
