gate: a reserved chain is used if the old attempt ends meanwhile

If the old attempt failed in the turn in which its response was planned, the race selected another chain and took a second retry from the budget.

--- a/crates/gate/src/forward/race.rs
+++ b/crates/gate/src/forward/race.rs
@@ -159,9 +159,13 @@
                 if let Some(Fallback::Ended(source)) = fallback {
                     return Ok(Winner::Events(source, Step::End));
                 }
-                let target = match unsent > MAX_UNSENT_ATTEMPTS {
-                    true => Err(Lost::Exhausted),
-                    false => self.next_target(phase).await,
+                // A request that may have crashed its endpoint is checked anew.
+                let planned = self.planned.take();
+                let planned = planned.filter(|_| !self.worker.is_suspect(&self.job));
+                let target = match planned {
+                    Some(planned) => Ok((planned.reservation, planned.permit)),
+                    None if unsent > MAX_UNSENT_ATTEMPTS => Err(Lost::Exhausted),
+                    None => self.next_target(phase).await,
                 };
                 match target {
                     Ok((reservation, permit)) => {
