steer: keep capacity free for the urgent requests that are expected

Cause: less urgent requests fill endpoints up to 95%, while load reports do not show the urgent requests that all nodes received since; the first customer's urgent responses are late as often as its least urgent ones. Change: where the routes of a service have more than one priority, less urgent requests leave free at each layer the rate of urgent requests x nodes x age of the reports x their mean size, down to a fill of 0.7. Replacements of stages are not limited by it. Nothing records urgent requests yet.

--- a/crates/steer/src/chain.rs
+++ b/crates/steer/src/chain.rs
@@ -12,6 +12,10 @@
 pub const MAX_FILL: f64 = 0.95;
 /// Same for urgent requests.
 pub const MAX_FILL_URGENT: f64 = 1.0;
+/// Lower bound of the fraction that requests without urgency may fill while capacity is kept for the
+/// urgent requests that are expected until the next load report. It leaves them most of the capacity
+/// if the expectation is too high.
+pub const MIN_FILL: f64 = 0.7;
 
 /// Requirements of a request on a chain of endpoints.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/steer/src/queue.rs
+++ b/crates/steer/src/queue.rs
@@ -10,6 +10,7 @@
 //! event is the number of requests times the number of waiting teams.
 
 mod estimate;
+pub(crate) mod reserve;
 mod share;
 
 use crate::Timestamp;
--- a/crates/steer/src/search.rs
+++ b/crates/steer/src/search.rs
@@ -10,6 +10,7 @@
 use crate::Timestamp;
 use crate::chain::{MAX_FILL, MAX_FILL_URGENT, Need};
 use crate::link::Links;
+use crate::queue::reserve::Reserve;
 use crate::row::Row;
 use crate::shortage::Shortage;
 use catalog::Layer;
@@ -100,6 +101,8 @@
     pub(crate) nodes: f64,
     /// Traffic of this node between zones.
     pub(crate) links: &'a Links,
+    /// Capacity that is kept for urgent requests beyond the fixed part, if any.
+    pub(crate) reserve: Option<&'a Reserve>,
     /// Mean residence time of requests.
     pub(crate) residence: Duration,
     pub(crate) now: Timestamp,
@@ -132,10 +135,10 @@
         if !self.is_covered(&cuts) {
             return Err(Shortage::Layers);
         }
-        let max_fill = if need.urgent {
-            MAX_FILL_URGENT
-        } else {
-            MAX_FILL
+        let max_fill = |span: Span| match self.reserve {
+            _ if need.urgent => MAX_FILL_URGENT,
+            Some(reserve) => reserve.max_fill(span),
+            None => MAX_FILL,
         };
         let size = need.tokens();
         let fits = |l: Layer| self.max_capacity(l) * MAX_FILL_URGENT >= size;
@@ -170,7 +173,7 @@
                 let Some((start, previous)) = self.best_entry(&best, &hops, at, row, index) else {
                     continue;
                 };
-                let free = row.capacity * max_fill - used;
+                let free = row.capacity * max_fill(span) - used;
                 for to in at + 1..cuts.len() {
                     if cuts[to] > span.to.min(self.span.to) {
                         break;
--- a/crates/steer/src/selector.rs
+++ b/crates/steer/src/selector.rs
@@ -8,6 +8,7 @@
 mod reported;
 mod reroute;
 mod resting;
+mod urgent;
 
 use crate::budget::{Allowance, Budget, Purpose};
 use crate::chain::Need;
@@ -16,6 +17,7 @@
 use crate::health::Outcome;
 use crate::limit::Limit;
 use crate::link::Links;
+use crate::queue::reserve::UrgentDemand;
 use crate::rest::Rest;
 use crate::row::Row;
 use crate::scarcity::Scarcity;
@@ -70,6 +72,8 @@
     links: Links,
     /// Flow of requests by the name of a model service.
     flows: BTreeMap<String, Flow>,
+    /// Urgent requests by the name of a service.
+    urgent_demands: BTreeMap<String, UrgentDemand>,
     departures: Departures,
     transitions: Vec<Transition>,
     next_reservation: ReservationId,
@@ -91,6 +95,7 @@
             budgets: BTreeMap::new(),
             links: Links::default(),
             flows: BTreeMap::new(),
+            urgent_demands: BTreeMap::new(),
             departures: Departures::default(),
             transitions: Vec::new(),
             next_reservation: 1,
--- a/crates/steer/src/selector/chain.rs
+++ b/crates/steer/src/selector/chain.rs
@@ -3,6 +3,7 @@
 use super::Selector;
 use crate::chain::Need;
 use crate::jitter::Jitter;
+use crate::queue::reserve::Reserve;
 use crate::row::Row;
 use crate::search::{self, Candidate, Neighbors, Search, Segment};
 use crate::shortage::Shortage;
@@ -23,6 +24,12 @@
     pub(super) fraction: f64,
 }
 
+/// What a request needs, and what it leaves free for urgent ones.
+struct Demand<'a> {
+    need: &'a Need,
+    reserve: Option<Reserve>,
+}
+
 impl Selector {
     /// Selects a chain for a request of a model service, without the endpoints in `tried`.
     pub(super) fn chain(
@@ -65,12 +72,16 @@
         if usable.is_empty() {
             return Err(Shortage::Endpoints);
         }
+        let demand = Demand {
+            need,
+            reserve: self.urgent_reserve(now, service, engine, need, usable),
+        };
         self.search_shortlist(engine, usable, |listed| {
             let candidates = self.candidates(now, flow.residence(), listed.rows);
             self.chain_after_others(
                 now,
                 engine,
-                need,
+                &demand,
                 candidates,
                 flow.scaled(listed.fraction),
                 increments,
@@ -125,7 +136,7 @@
         &self,
         now: Timestamp,
         engine: &Engine,
-        need: &Need,
+        demand: &Demand<'_>,
         mut candidates: Vec<Candidate<'_>>,
         flow: Flow,
         increments: u32,
@@ -136,13 +147,16 @@
             self.selecting_nodes(),
             mean_report_age(now, &candidates),
         );
-        let tokens = need.tokens() * others / f64::from(unreported::INCREMENTS);
+        let tokens = demand.need.tokens() * others / f64::from(unreported::INCREMENTS);
         unreported::assign_incrementally(
             &mut candidates,
             increments,
             |candidates| {
-                self.search(now, engine, residence, candidates)
-                    .cheapest_chain(need)
+                let search = Search {
+                    reserve: demand.reserve.as_ref(),
+                    ..self.search(now, engine, residence, candidates)
+                };
+                search.cheapest_chain(demand.need)
             },
             |candidates, chain| search::add_load(candidates, chain, tokens),
         )
@@ -167,6 +181,7 @@
             zones: &self.zones,
             nodes: self.nodes(),
             links: &self.links,
+            reserve: None,
             residence,
             now,
         }
@@ -223,9 +238,12 @@
 
 /// Returns the mean age of the load reports of the candidates.
 fn mean_report_age(now: Timestamp, candidates: &[Candidate<'_>]) -> Duration {
-    let ages = candidates
-        .iter()
-        .filter_map(|c| c.row.load.map(|l| l.age(now)));
+    mean_age(now, candidates.iter().map(|c| c.row))
+}
+
+/// Returns the mean age of the load reports of these rows.
+pub(super) fn mean_age<'a>(now: Timestamp, rows: impl Iterator<Item = &'a Row>) -> Duration {
+    let ages = rows.filter_map(|row| row.load.map(|l| l.age(now)));
     let (count, sum) = ages.fold((0, Duration::ZERO), |(n, sum), age| (n + 1, sum + age));
     sum.checked_div(count).unwrap_or_default()
 }
--- a/crates/steer/src/unreported.rs
+++ b/crates/steer/src/unreported.rs
@@ -147,7 +147,7 @@
 
     /// Returns the arrival rate per second: the long-term rate, or the short-term rate if it is
     /// higher.
-    fn rate(&self, now: Timestamp) -> f64 {
+    pub(crate) fn rate(&self, now: Timestamp) -> f64 {
         let first_at = self.first_at.unwrap_or(now);
         let time = now.saturating_sub(first_at);
         let (long_term, short_term) = (
