steer: a waiting request that does not use its turn loses it

Cause: the task of a resumption runs only while its caller reads; one that holds the turn and does not run would block the queue. Change: a turn ends after 50 ms; such a request gets none until it polls. Ends of waits are found by the state machine itself, so that an entry whose task does not run is removed in time.

--- a/crates/steer/src/queue.rs
+++ b/crates/steer/src/queue.rs
@@ -30,6 +30,9 @@
 /// Maximum number of smaller requests of its priority that get capacity past a request. Without a
 /// limit, small requests would take the capacity that a large one waits for as it becomes free.
 const MAX_PASSED: u32 = 8;
+/// Time after which a request that has the turn and does nothing loses it. The task of a resumption
+/// does not run while its caller does not read, and must not block the others.
+const TURN_TIMEOUT: Duration = Duration::from_millis(50);
 /// Fraction of its remaining wait within which a request must be expected to get a slot to be
 /// admitted. The rest covers later requests that are more urgent, and the error of the rate.
 const ADMISSION_FRACTION: f64 = 0.8;
@@ -131,6 +134,8 @@
     missed: bool,
     /// Whether it ever found no capacity.
     ever_missed: bool,
+    /// Whether it did not use its last turn, and has done nothing since.
+    unresponsive: bool,
     /// Number of smaller requests that got capacity past it.
     passed: u32,
     /// Number of requests before it when it joined.
@@ -150,7 +155,9 @@
     next_ticket: Ticket,
     /// The request that may look for capacity.
     turn: Option<Ticket>,
-    /// The first request, which polls.
+    /// When that request got the turn.
+    turn_since: Timestamp,
+    /// The first request that responds; it polls.
     first: Option<Ticket>,
     rate: SlotRate,
     /// Whether capacity is missing for another reason than load, such as the loss of all endpoints.
@@ -185,6 +192,7 @@
             joined_at: now,
             missed: false,
             ever_missed: false,
+            unresponsive: false,
             passed: 0,
             joined_behind: self.position(ticket),
             admitted: false,
@@ -199,9 +207,13 @@
         self.settle(now)
     }
 
-    /// The time between two checks is over. Only the first request checks, since endpoints also
-    /// become available by the passage of time.
+    /// The request was woken without having the turn, or its time between two checks is over. Only
+    /// the first request looks for capacity then, since endpoints also become available by the
+    /// passage of time.
     pub fn poll(&mut self, now: Timestamp, ticket: Ticket) -> Vec<Action> {
+        if let Some(waiting) = self.waiting.get_mut(&ticket) {
+            waiting.unresponsive = false;
+        }
         match self.is_first(ticket) {
             true => self.freed(now),
             false => self.settle(now),
@@ -214,6 +226,7 @@
         if let Some(waiting) = self.waiting.get_mut(&ticket) {
             waiting.missed = true;
             waiting.ever_missed = true;
+            waiting.unresponsive = false;
         }
         self.settle(now)
     }
@@ -248,14 +261,6 @@
         self.settle(now)
     }
 
-    /// The wait of the request is over.
-    pub fn expired(&mut self, now: Timestamp, ticket: Ticket) -> Vec<Action> {
-        let refused = self.refuse(now, ticket, Cause::Expired, self.position(ticket));
-        let mut actions = Vec::from_iter(refused);
-        actions.extend(self.settle(now));
-        actions
-    }
-
     /// The service was removed: all its requests are refused.
     pub fn close(&mut self, now: Timestamp) -> Vec<Action> {
         let order = self.order().into_iter().enumerate();
@@ -300,15 +305,22 @@
     /// request that polls.
     fn settle(&mut self, now: Timestamp) -> Vec<Action> {
         self.rate.set_busy(now, !self.waiting.is_empty());
-        let mut actions = self.refuse_hopeless(now);
+        let mut actions = self.refuse_late(now);
         self.refuse_beyond_bound(now, &mut actions);
+        if now > self.turn_since + TURN_TIMEOUT
+            && let Some(waiting) = self.turn.and_then(|t| self.waiting.get_mut(&t))
+        {
+            waiting.unresponsive = true;
+        }
         let order = self.order();
         let turn = self.next_to_look(&order);
         if turn != self.turn {
             self.turn = turn;
+            self.turn_since = now;
             actions.extend(turn.map(Action::Wake));
         }
-        let first = order.first().copied();
+        let responds = |t: &&Ticket| self.waiting.get(t).is_some_and(|w| !w.unresponsive);
+        let first = order.iter().find(responds).copied();
         if first != self.first {
             self.first = first;
             // It may have missed in this round already, and has to poll from now on.
@@ -340,11 +352,8 @@
         lines
     }
 
-    /// Refuses the requests that are not expected to get a slot within their wait.
-    fn refuse_hopeless(&mut self, now: Timestamp) -> Vec<Action> {
-        if self.suspended || self.rate.per_second(now).is_none() {
-            return Vec::new();
-        }
+    /// Refuses the requests whose wait is over, or that are not expected to get a slot within it.
+    fn refuse_late(&mut self, now: Timestamp) -> Vec<Action> {
         let mut actions = Vec::new();
         let mut ahead = 0;
         for ticket in self.order() {
@@ -359,8 +368,12 @@
 
     /// Returns why a request with `ahead` others before it is refused, if it is.
     fn judge(&mut self, now: Timestamp, ticket: Ticket, ahead: usize) -> Option<Cause> {
-        let estimate = self.rate.wait(now, ahead)?;
+        let estimate = self.estimate(now, ahead);
         let waiting = self.waiting.get_mut(&ticket)?;
+        if now > waiting.entry.until {
+            return Some(Cause::Expired);
+        }
+        let estimate = estimate?;
         // The first one gets whatever becomes free, so a mean rate does not tell that it gets none.
         if ahead == 0 || waiting.entry.purpose == Purpose::Resumption {
             waiting.admitted = true;
@@ -397,6 +410,7 @@
     fn next_to_look(&self, order: &[Ticket]) -> Option<Ticket> {
         let ahead = order.iter().take(LOOK_AHEAD);
         let ahead = ahead.filter_map(|t| Some((*t, self.waiting.get(t)?)));
+        let ahead = ahead.filter(|(_, waiting)| !waiting.unresponsive);
         let mut before: Vec<&Waiting> = Vec::new();
         for (ticket, waiting) in ahead {
             if !waiting.missed && before.iter().all(|b| waiting.may_pass(b)) {
@@ -407,6 +421,12 @@
         None
     }
 
+    /// Returns the time until a request with `ahead` others before it is expected to get a slot.
+    fn estimate(&self, now: Timestamp, ahead: usize) -> Option<Duration> {
+        let wait = self.rate.wait(now, ahead);
+        wait.filter(|_| !self.suspended)
+    }
+
     fn refuse(
         &mut self,
         now: Timestamp,
@@ -414,10 +434,7 @@
         cause: Cause,
         ahead: usize,
     ) -> Option<Action> {
-        let estimate = match self.suspended {
-            true => None,
-            false => self.rate.wait(now, ahead),
-        };
+        let estimate = self.estimate(now, ahead);
         let waiting = self.remove(ticket)?;
         let refused = Refused {
             cause,
