--- a/crates/steer/src/queue.rs
+++ b/crates/steer/src/queue.rs
@@ -36,6 +36,9 @@
 /// Fraction of its remaining wait within which a request must be expected to get a slot to be
 /// admitted. The rest covers later requests that are more urgent, and the error of the rate.
 const ADMISSION_FRACTION: f64 = 0.8;
+/// Fraction of its wait after which an admitted request is judged once more as at its admission. If the
+/// rate has fallen, it is refused before half of its wait is over, with time left for a retry.
+const REVIEW_FRACTION: f64 = 0.4;
 
 /// Number of a waiting request, in the order of arrival.
 pub type Ticket = u64;
@@ -142,6 +145,8 @@
     joined_behind: usize,
     /// Whether it was expected to get a slot once the rate was known.
     admitted: bool,
+    /// Whether it was expected to get one after [`REVIEW_FRACTION`] of its wait too.
+    reviewed: bool,
 }
 
 /// Queue of one service at one node.
@@ -196,6 +201,7 @@
             passed: 0,
             joined_behind: self.position(ticket),
             admitted: false,
+            reviewed: false,
         };
         self.waiting.insert(ticket, waiting);
         (ticket, self.settle(now))
@@ -207,9 +213,8 @@
         self.settle(now)
     }
 
-    /// The request was woken without having the turn, or its time between two checks is over. Only
-    /// the first request looks for capacity then, since endpoints also become available by the
-    /// passage of time.
+    /// The time between two checks of the request is over. Only the first request looks for capacity
+    /// then, since endpoints also become available by the passage of time.
     pub fn poll(&mut self, now: Timestamp, ticket: Ticket) -> Vec<Action> {
         if let Some(waiting) = self.waiting.get_mut(&ticket) {
             waiting.unresponsive = false;
@@ -380,11 +385,14 @@
             return None;
         }
         let remaining = waiting.entry.until.saturating_sub(now);
-        let limit = match waiting.admitted {
+        let max_wait = waiting.entry.until.saturating_sub(waiting.joined_at);
+        let is_due = now >= waiting.joined_at + max_wait.mul_f64(REVIEW_FRACTION);
+        let limit = match waiting.admitted && (waiting.reviewed || !is_due) {
             true => remaining,
             false => remaining.mul_f64(ADMISSION_FRACTION),
         };
         waiting.admitted = true;
+        waiting.reviewed = is_due;
         (estimate > limit).then_some(match ahead > waiting.joined_behind {
             true => Cause::Overtaken,
             false => Cause::TooLate,
