--- a/crates/gate/src/forward/request_log.rs
+++ b/crates/gate/src/forward/request_log.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use steer::crash::Fingerprint;
+use steer::queue::Refused;
 use steer::scarcity::Scarcity;
 use steer::shortage::Shortage;
 use steer::target::{Stage, Target};
@@ -124,6 +125,25 @@
         });
     }
 
+    /// Records that the queue of a service refused the request.
+    pub(crate) fn record_queue_refusal(
+        &self,
+        service: &str,
+        refused: &Refused,
+        retry_after: Duration,
+    ) {
+        let millis = |time: Duration| time.as_millis() as u64;
+        self.journal.record(Event::QueueRefusal {
+            id: self.id.clone(),
+            service: service.to_owned(),
+            cause: refused.cause.as_str(),
+            ahead: refused.ahead,
+            estimate_ms: refused.estimate.map(millis),
+            waited_ms: millis(refused.waited),
+            retry_after_ms: millis(retry_after),
+        });
+    }
+
     /// Records that an attempt is idle, and that another endpoint is tried beside it.
     pub(crate) fn record_idle(&self, attempt: u32, why: &'static str) {
         self.metrics.record_attempt("idle");
--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -45,6 +45,8 @@
     endpoints: Gauge<u64>,
     view_age: Gauge<f64>,
     isolated: Gauge<u64>,
+    waiting: Gauge<u64>,
+    queue_refusals: Counter<u64>,
 }
 
 impl Metrics {
@@ -86,6 +88,11 @@
                 .with_unit("s")
                 .build(),
             isolated: meter.u64_gauge("wigeonshelf_isolated").build(),
+            waiting: meter.u64_gauge("wigeonshelf_waiting").build(),
+            queue_refusals: count(
+                "wigeonshelf_queue_refusals",
+                "Requests that a queue refused by service and cause",
+            ),
             registry,
         }
     }
@@ -159,6 +166,19 @@
         self.isolated.record(isolated.into(), &[service]);
     }
 
+    /// Records the number of requests that wait in the queue of a service.
+    pub fn record_waiting(&self, service: &str, count: usize) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.waiting.record(count as u64, &[service]);
+    }
+
+    /// Counts a request that the queue of a service refused, by cause.
+    pub fn record_queue_refusal(&self, service: &str, cause: &'static str) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.queue_refusals
+            .add(1, &[service, KeyValue::new("cause", cause)]);
+    }
+
     /// Encodes all metrics in the text format.
     pub fn encode(&self) -> Result<Vec<u8>> {
         let mut text = Vec::new();
--- a/crates/journal/src/event.rs
+++ b/crates/journal/src/event.rs
@@ -129,6 +129,24 @@
         /// Version of the catalog that admitted the request.
         catalog: u64,
     },
+    /// The queue of a service refused a request that waited for capacity.
+    QueueRefusal {
+        /// Request id.
+        id: String,
+        /// Name of the service.
+        service: String,
+        /// `full`, `too_late`, `overtaken`, `expired` or `removed`.
+        cause: &'static str,
+        /// Number of requests before it in the queue.
+        ahead: usize,
+        /// Time in milliseconds until it was expected to get a slot; `None` if the rate at which
+        /// slots become free is unknown.
+        estimate_ms: Option<u64>,
+        /// Time that it waited, in milliseconds.
+        waited_ms: u64,
+        /// Time in milliseconds after which the caller is to retry.
+        retry_after_ms: u64,
+    },
     /// A stage of a chain was replaced while its request was in flight.
     Detour {
         /// Request id.
