gate: waiting requests get capacity in the order of their service's queue

Change: where a service's routes have more than one priority or the catalog has more than one team, acquire_target joins the queue of the service, and Place drives it: only the request with the turn looks for capacity, the first polls every 25 ms, the others check their own wait every 100 ms. Refused requests get Retry-After by the estimate. Other services wait as before; the functions moved to forward/acquire.rs. A released slot is told to the queue of its service only.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -1,5 +1,6 @@
 //! Forwards a request to endpoints until one responds, with retries where the route allows them.
 
+mod acquire;
 pub mod attempt;
 mod inquiry;
 pub mod migration;
@@ -19,6 +20,7 @@
 use crate::stats::Guard;
 use crate::trial::Trial;
 use crate::worker::Worker;
+use acquire::RETRY_AFTER_FULL;
 use attempt::{Exchange, Progress, Reservation};
 use bytes::Bytes;
 use catalog::ServiceId;
@@ -33,22 +35,18 @@
 use relay::Content;
 use request_log::RequestLog;
 use std::cell::{Cell, OnceCell, RefCell};
-use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use steer::budget::Purpose;
 use steer::health::Outcome;
+use steer::queue::Refused;
 use steer::shortage::Shortage;
 use steer::{Selector, Timestamp};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-/// Maximum wait for an endpoint with free capacity, as a fraction of the route's latency target.
-/// After that time another node that the caller retries on is as likely to find capacity as this
-/// one.
-const MAX_QUEUE_TIME_FRACTION: f64 = 0.4;
 /// Time after which an idempotent request without a response is retried on another endpoint, as a
 /// multiple of the route's latency target.
 const HEAD_TIMEOUT_FACTOR: f64 = 1.5;
@@ -58,20 +56,9 @@
 const MAX_DRAINED_BYTES: usize = 64 << 10;
 /// Maximum time for reading a refusal's body.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(100);
-/// Retry-after delay when all endpoints are full: a fraction of a response's duration.
-const RETRY_AFTER_FULL: Duration = Duration::from_millis(400);
-/// Retry-after delay when endpoints are missing: about the time in which an endpoint loads its
-/// layers.
-const RETRY_AFTER_MISSING: Duration = Duration::from_millis(800);
-/// Range of the time over which the callers that were refused are spread after the end of a rest; in
-/// between, it is as long as what is left of the rest.
-const REST_SPREAD: RangeInclusive<Duration> = Duration::from_millis(100)..=Duration::from_secs(1);
 /// Time over which the callers of a content are spread that crashes endpoints, so that it doesn't
 /// return at all nodes at once.
 const CRASHING_SPREAD: Duration = Duration::from_secs(1);
-/// Retry-after delay when no endpoint is large enough for the request: an additional endpoint is
-/// needed.
-const RETRY_AFTER_TOO_LARGE: Duration = Duration::from_secs(3);
 
 /// A request in flight.
 pub(crate) struct Forwarder<D: Dialect> {
@@ -85,6 +72,8 @@
     /// Whether an attempt reached an endpoint. From then on further attempts count against the
     /// retry budget.
     pub(crate) reached: Cell<bool>,
+    /// How the queue of the service refused the request.
+    queue_refusal: Cell<Option<Refused>>,
     /// Notified when an attempt is idle.
     pub(crate) idle: Notify,
     /// Inquiries into broken attempts.
@@ -110,6 +99,7 @@
         tried: RefCell::default(),
         executions,
         reached: Cell::new(false),
+        queue_refusal: Cell::new(None),
         idle: Notify::new(),
         inquiries: RefCell::default(),
         trial: OnceCell::new(),
@@ -122,7 +112,13 @@
     }
     let service = forwarder.job.service().name.clone();
     let worker = forwarder.worker.clone();
-    worker.with_selector(|selector, now| selector.record_request(now, &service));
+    let need = forwarder.job.need();
+    worker.with_selector(|selector, now| {
+        selector.record_request(now, &service);
+        if need.urgent {
+            selector.record_urgent(now, &service, &need);
+        }
+    });
     match forwarder.race(None, Phase::Opening).await {
         Ok(Winner::Complete(response)) => {
             // An endpoint that answers with an error may not have run the request to its end.
@@ -267,48 +263,6 @@
         granted
     }
 
-    /// Returns the maximum wait of a new request for an endpoint.
-    fn max_queue_time(&self) -> Duration {
-        let latency_target = self.job.route().latency_target;
-        let max_wait = latency_target.mul_f64(MAX_QUEUE_TIME_FRACTION);
-        max_wait.min(self.job.time_left())
-    }
-
-    /// Selects a target and reserves its capacity. Waits for free capacity for up to `max_wait`, or
-    /// a fraction of the route's latency target.
-    pub(crate) async fn acquire_target(
-        &self,
-        max_wait: Option<Duration>,
-    ) -> Result<steer::target::Target, Shortage> {
-        let started = tokio::time::Instant::now();
-        let max_wait =
-            max_wait.map_or_else(|| self.max_queue_time(), |w| w.min(self.job.time_left()));
-        let need = self.job.need();
-        loop {
-            let selected = self.query_untried(|selector, now, service, tried| {
-                selector.select(now, service, &need, tried)
-            });
-            let shortage = match selected {
-                Ok(target) => {
-                    self.worker.metrics.record_queue_time(started.elapsed());
-                    return Ok(target);
-                }
-                Err(shortage) => shortage,
-            };
-            let waited = started.elapsed();
-            let remaining = max_wait.saturating_sub(waited);
-            let in_vain = match shortage {
-                Shortage::Size => true,
-                Shortage::Rest { until } => until > self.worker.now() + remaining,
-                _ => self.worker.is_isolated(&self.job.service().name),
-            };
-            if in_vain || remaining.is_zero() {
-                return Err(shortage);
-            }
-            self.worker.wait_for_capacity(remaining).await;
-        }
-    }
-
     /// Selects a target for an attempt beside those that are running, and takes the retry from the
     /// budget, but not from what is left for responses that have no endpoint any more; `None` if the
     /// request may not be retried or no other endpoint can take it now.
@@ -408,29 +362,6 @@
         let promise = Refusal::with_retry_after(Reason::Crashing, retry_after);
         self.executions.refuse(promise, Reason::OutcomeUnknown)
     }
-
-    /// Records a shortage and returns the refusal when no endpoint can take the request.
-    fn refuse_for_shortage(&mut self, shortage: Shortage) -> Refusal {
-        self.log.set_reason(shortage.as_str());
-        let scarcity = self.current_service().map(|service| {
-            self.worker
-                .with_selector(|selector, now| selector.scarcity(now, service))
-        });
-        self.log
-            .record_shortage(shortage, &scarcity.unwrap_or_default());
-        let retry_after = match shortage {
-            Shortage::Capacity => jitter(RETRY_AFTER_FULL),
-            Shortage::Endpoints | Shortage::Layers => jitter(RETRY_AFTER_MISSING),
-            Shortage::Size => jitter(RETRY_AFTER_TOO_LARGE),
-            Shortage::Rest { until } => {
-                let left = until.saturating_sub(self.worker.now());
-                let spread = left.clamp(*REST_SPREAD.start(), *REST_SPREAD.end());
-                left + random_part(spread)
-            }
-        };
-        let promise = Refusal::with_retry_after(Reason::Unavailable, retry_after);
-        self.executions.refuse(promise, Reason::OutcomeUnknown)
-    }
 }
 
 /// Describes a refusal for the log, with the faulty stage that the head of a chain reported and the
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -1,6 +1,7 @@
 //! State of a request worker, and the handling of a request from admission to response.
 
 mod crashes;
+mod waiting;
 
 use crate::admit::{self, Admitted};
 use crate::body::Body;
@@ -38,6 +39,7 @@
 use steer::transition::Transition;
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::Instant;
+use waiting::Lines;
 
 /// Retry-after delay when this node is about to end. It is short because another node can take the
 /// request at once.
@@ -95,8 +97,10 @@
     /// Number of views that `selector` was updated with, and of endpoints that announced that they
     /// leave.
     table_version: Cell<u64>,
-    /// Notified when capacity may have become free.
+    /// Notified when capacity may have become free, for requests of services without a queue.
     capacity_freed: Notify,
+    /// Queues of the requests that wait for capacity.
+    lines: RefCell<Lines>,
     started_at: Instant,
     rotation: Cell<usize>,
     /// Cached status reports of the heads of chains.
@@ -136,6 +140,7 @@
             view: RefCell::new(None),
             table_version: Cell::new(0),
             capacity_freed: Notify::new(),
+            lines: RefCell::default(),
             started_at: Instant::now(),
             rotation: Cell::new(0),
             status_reports: RefCell::default(),
@@ -193,7 +198,9 @@
                 }
                 self.settle_cases(now, &view.fleet.endpoints);
                 self.table_version.set(self.table_version.get() + 1);
-                self.capacity_freed.notify_waiters();
+                let catalog = &view.fleet.catalog;
+                self.close_queues(|service| catalog.service_id(service).is_some());
+                self.notify_capacity();
             }
             *current = newest.clone();
         }
@@ -289,6 +296,7 @@
     /// Wakes the requests that wait for capacity.
     pub(crate) fn notify_capacity(&self) {
         self.capacity_freed.notify_waiters();
+        self.notify_queues(None);
     }
 
     /// Releases the reservation of an attempt.
@@ -298,8 +306,15 @@
         outcome: Outcome,
         faulty_stage: Option<SocketAddr>,
     ) {
-        self.with_selector(|selector, now| selector.end(now, reservation, outcome, faulty_stage));
-        self.capacity_freed.notify_one();
+        let service = self.with_selector(|selector, now| {
+            let service = selector.service_of_reservation(reservation);
+            let service = service.map(str::to_owned);
+            selector.end(now, reservation, outcome, faulty_stage);
+            service
+        });
+        if !self.notify_queues(service.as_deref()) || service.is_none() {
+            self.capacity_freed.notify_one();
+        }
     }
 
     /// Closes idle connections that timed out, or whose endpoint or node is not used any more, and drops
@@ -328,7 +343,8 @@
         let control = control.unwrap_or_else(|| "control does not answer\n".to_owned());
         let time = self.now().as_secs_f64();
         let selector = self.selector.borrow();
-        format!("time {time:.3}\n{}{selector}{control}", self.stats)
+        let queues = self.dump_queues();
+        format!("time {time:.3}\n{}{selector}{queues}{control}", self.stats)
     }
 
     /// Serves a request of a caller.
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -95,7 +95,7 @@
     }
 }
 
-fn tables() -> Tables {
+pub fn tables() -> Tables {
     let stream = Kind::Stream(Stream {
         resumable: true,
         pause: Some(Duration::from_millis(250)),
