steer: the queue's tests check that no slot stays unused

Cause: the aims of the queue's tests bound order and waits, not lost wake-ups at every step. Change: the simulated endpoint asserts in each millisecond that its slot is in use or nobody waits.

--- a/crates/steer/tests/queue.rs
+++ b/crates/steer/tests/queue.rs
@@ -92,6 +92,8 @@
                 let actions = self.queue.freed(self.now);
                 self.apply(actions);
             }
+            // No slot stays unused while requests wait.
+            assert!(self.busy_until.is_some() || self.queue.is_empty());
             if self.now.as_millis().is_multiple_of(25)
                 && let Some(&first) = self.queue.order().first()
             {
