--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -49,6 +49,8 @@
     isolated: Gauge<u64>,
     verdicts: Counter<u64>,
     ended: Gauge<u64>,
+    waiting: Gauge<u64>,
+    queue_refusals: Counter<u64>,
 }
 
 impl Metrics {
@@ -103,6 +105,11 @@
                 "Verdicts of this node on the engines that it polls, by what",
             ),
             ended: meter.u64_gauge("wigeonshelf_ended_engines").build(),
+            waiting: meter.u64_gauge("wigeonshelf_waiting").build(),
+            queue_refusals: count(
+                "wigeonshelf_queue_refusals",
+                "Requests that a queue refused by service and cause",
+            ),
             registry,
         }
     }
@@ -194,6 +201,19 @@
         self.ended.record(runs as u64, &[]);
     }
 
+    /// Records the number of requests that wait in the queue of a service.
+    pub fn record_waiting(&self, service: &str, count: usize) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.waiting.record(count as u64, &[service]);
+    }
+
+    /// Counts a request that the queue of a service refused, by cause.
+    pub fn record_queue_refusal(&self, service: &str, cause: &'static str) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.queue_refusals
+            .add(1, &[service, KeyValue::new("cause", cause)]);
+    }
+
     /// Encodes all metrics in the text format.
     pub fn encode(&self) -> Result<Vec<u8>> {
         let mut text = Vec::new();
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod link;
 pub mod load;
 pub mod paths;
+pub mod queue;
 pub mod rest;
 pub mod row;
 pub mod scarcity;
--- a/crates/steer/src/search.rs
+++ b/crates/steer/src/search.rs
@@ -11,6 +11,7 @@
 use crate::chain::{MAX_FILL, MAX_FILL_URGENT, Need};
 use crate::evacuation::queues::Queues;
 use crate::link::Links;
+use crate::queue::reserve::Reserve;
 use crate::row::Row;
 use crate::shortage::Shortage;
 use catalog::Layer;
@@ -103,6 +104,8 @@
     pub(crate) links: &'a Links,
     /// Transfers of moving responses, for a search for one of them.
     pub(crate) queues: Option<&'a Queues>,
+    /// Capacity that is kept for urgent requests beyond the fixed part, if any.
+    pub(crate) reserve: Option<&'a Reserve>,
     /// Mean residence time of requests.
     pub(crate) residence: Duration,
     pub(crate) now: Timestamp,
@@ -135,10 +138,10 @@
         if !self.is_covered(&cuts) {
             return Err(Shortage::Layers);
         }
-        let max_fill = if need.urgent {
-            MAX_FILL_URGENT
-        } else {
-            MAX_FILL
+        let max_fill = |span: Span| match self.reserve {
+            _ if need.urgent => MAX_FILL_URGENT,
+            Some(reserve) => reserve.max_fill(span),
+            None => MAX_FILL,
         };
         let size = need.tokens();
         let fits = |l: Layer| self.max_capacity(l) * MAX_FILL_URGENT >= size;
@@ -173,7 +176,7 @@
                 let Some((start, previous)) = self.best_entry(&best, &hops, at, row, index) else {
                     continue;
                 };
-                let free = row.capacity * max_fill - used;
+                let free = row.capacity * max_fill(span) - used;
                 for to in at + 1..cuts.len() {
                     if cuts[to] > span.to.min(self.span.to) {
                         break;
--- a/crates/steer/src/selector.rs
+++ b/crates/steer/src/selector.rs
@@ -11,6 +11,7 @@
 mod reported;
 mod reroute;
 mod resting;
+mod urgent;
 
 use crate::budget::{Allowance, Budget, Purpose};
 use crate::chain::Need;
@@ -20,6 +21,7 @@
 use crate::health::Outcome;
 use crate::limit::Limit;
 use crate::link::Links;
+use crate::queue::reserve::UrgentDemand;
 use crate::rest::Rest;
 use crate::row::Row;
 use crate::scarcity::Scarcity;
@@ -75,6 +77,8 @@
     own_moves: OwnMoves,
     /// Flow of requests by the name of a model service.
     flows: BTreeMap<String, Flow>,
+    /// Urgent requests by the name of a service.
+    urgent_demands: BTreeMap<String, UrgentDemand>,
     departures: Departures,
     transitions: Vec<Transition>,
     next_reservation: ReservationId,
@@ -97,6 +101,7 @@
             links: Links::default(),
             own_moves: OwnMoves::default(),
             flows: BTreeMap::new(),
+            urgent_demands: BTreeMap::new(),
             departures: Departures::default(),
             transitions: Vec::new(),
             next_reservation: 1,
