node: no verdicts on engines while many do not answer, and pollers that are not readers

Each verdict wrote a line on each of 73 nodes. Change: pollers are the nodes after a zone's readers where it has enough nodes; unanswered polls give no verdict unless at least twice as many engines of the service answered meanwhile; only the node that gives a verdict writes a line.

--- a/crates/node/src/hosted/control/assignment.rs
+++ b/crates/node/src/hosted/control/assignment.rs
@@ -8,8 +8,9 @@
 //!   then grows more slowly than the number of nodes. A node that joins a running fleet reads only
 //!   for itself at first: it has no tables to serve until it has read them completely, and nodes
 //!   that switched to it from another reader would get no updates meanwhile.
-//! - The first nodes of each zone are pollers: they poll the engines of the zone for their loads,
-//!   each a bounded number.
+//! - The first nodes of each zone that are not readers are pollers: they poll the engines of the zone
+//!   for their loads, each a bounded number. A reader sends tables to the other nodes, which can fill
+//!   its link for 100 ms; polls then seem unanswered. In a zone with too few nodes, readers poll.
 //! - The first nodes of the fleet give orders to endpoints, each to a bounded number.
 
 use catalog::endpoint::{Run, Span};
@@ -98,7 +99,7 @@
         let mut poll_shards = BTreeMap::new();
         for (&zone, &engine_count) in engines {
             let limit = engine_count.div_ceil(ENGINES_PER_POLLER).max(1);
-            let mut zone_pollers = first_in_zone(&accepting, zone, limit);
+            let mut zone_pollers = pollers_in_zone(&accepting, zone, limit);
             if zone_pollers.is_empty() {
                 // The zone has no node: the first node of the fleet polls its engines.
                 zone_pollers = accepting.first().copied().into_iter().collect();
@@ -149,7 +150,7 @@
 /// Selects the readers of a zone: the first of the nodes that have not recently started, or of all
 /// nodes if all have.
 fn select_readers<'a>(now: Now, local: &[&'a Peer]) -> Vec<&'a Peer> {
-    let limit = local.len().div_ceil(NODES_PER_READER).max(MIN_READERS);
+    let limit = reader_count(local.len());
     let is_starting = |p: &Peer| {
         p.state_since > DISCOVERY_TIME && now.saturating_sub(p.state_since) < READER_WARMUP
     };
@@ -158,6 +159,22 @@
     readers.into_iter().take(limit).collect()
 }
 
+/// Returns the number of readers in a zone with this number of nodes.
+fn reader_count(nodes: usize) -> usize {
+    nodes.div_ceil(NODES_PER_READER).max(MIN_READERS)
+}
+
+/// Selects at most `limit` pollers of a zone: the nodes after its readers if there are enough.
+fn pollers_in_zone<'a>(accepting: &[&'a Peer], zone: &str, limit: usize) -> Vec<&'a Peer> {
+    let mut local = first_in_zone(accepting, zone, usize::MAX);
+    let readers = reader_count(local.len());
+    if local.len() >= readers + limit {
+        local.drain(..readers);
+    }
+    local.truncate(limit);
+    local
+}
+
 /// Computes the shard of a node among the endpoints without layers, if it gives orders at all.
 fn order_shard(me: Id, accepting: &[&Peer], engines: &EngineCounts<'_>) -> Option<Shard> {
     let endpoints: usize = engines.values().sum();
--- a/crates/node/src/hosted/control/liveness.rs
+++ b/crates/node/src/hosted/control/liveness.rs
@@ -34,6 +34,9 @@
 /// Shortest time between two requests for witnesses of one service. One request serves all engines of the
 /// service that fail together.
 const MIN_WITNESS_INTERVAL: Duration = Duration::from_millis(10);
+/// Number of engines of a service that must have answered for each one that did not. More engines that
+/// do not answer at once point to the path or the link of this node.
+const ANSWERS_PER_VERDICT: usize = 2;
 /// Time for which contacts with engines that are not watched are kept, longer than any suspicion lasts
 /// before it is judged.
 const CONTACT_RETENTION: Duration = Duration::from_secs(2);
@@ -258,6 +261,8 @@
             "late"
         } else if !self.has_witness(run, service, |c| c.answered_at >= Some(since)) {
             "no witness"
+        } else if self.is_widespread(since, service) {
+            "widespread"
         } else {
             return self.conclude(now, run, Evidence::Unanswered);
         };
@@ -265,6 +270,24 @@
         self.actions.push(Action::Drop { run, reason });
     }
 
+    /// Returns whether too many engines of a service have been unanswered since `since`, in comparison to
+    /// those that answered.
+    fn is_widespread(&self, since: Instant, service: &str) -> bool {
+        let engines = || self.engines.iter().filter(|(_, e)| e.service == service);
+        let answered = |run: &String| {
+            let contact = self.contacts.get(run);
+            contact.is_some_and(|c| c.answered_at >= Some(since))
+        };
+        let unanswered = engines().filter(|(run, e)| {
+            let known = e.verdict.is_some_and(|v| v.published_at < since);
+            e.phase.suspected_since().is_some() && !known && !answered(run)
+        });
+        // The engine that is judged is no longer in a phase that shows the suspicion.
+        let unanswered = unanswered.count() + 1;
+        let answered = engines().filter(|(run, _)| answered(run)).count();
+        unanswered > 1 && answered < ANSWERS_PER_VERDICT * unanswered
+    }
+
     /// Judges the engines of a service that refuse connections.
     fn judge_refused(&mut self, now: Instant, service: &str) {
         if self.isolated.contains(service) {
--- a/crates/node/src/hosted/control/state/view.rs
+++ b/crates/node/src/hosted/control/state/view.rs
@@ -66,15 +66,7 @@
         if *self.ended == ended {
             return;
         }
-        let before = std::mem::replace(&mut self.ended, Arc::new(ended));
-        for run in self.ended.difference(&before) {
-            if !self.liveness.watches(run) {
-                self.record_endpoint(run, "has ended, as another node found");
-            }
-        }
-        for run in before.difference(&self.ended) {
-            self.record_endpoint(run, "no longer counts as ended");
-        }
+        self.ended = Arc::new(ended);
         self.metrics.record_ended(self.ended.len());
         self.update_failures(now);
         self.dirty = true;
