gate: move responses at once off endpoints whose end is confirmed

Ruled out: the notification (known 10 ms after the crash). Change: where the ended run is also reported as failing by two reports (a refused connection counts as two), a response moves after 5 ms without an event; a single report still needs an idle response.

--- a/crates/gate/src/forward/evacuation.rs
+++ b/crates/gate/src/forward/evacuation.rs
@@ -26,6 +26,9 @@
 
 /// Time after a resumption until the old chain is planned again, if the new one sends no event.
 const RESUMPTION_TIMEOUT: Duration = Duration::from_millis(500);
+/// Idle time after which a response moves off an endpoint whose end is confirmed. Waiting for a missing
+/// event would use a third of the pause target; the rest covers events that are still on their way.
+const CONFIRMED_IDLE: Duration = Duration::from_millis(5);
 /// Maximum number of orders in a row that the head refuses before the response is planned again at
 /// the usual interval. Endpoints fail and fill up in groups.
 const MAX_REFUSED_ORDERS: u32 = 4;
@@ -38,6 +41,8 @@
     /// Version of the selector's table that was last checked.
     table_version: u64,
     has_ended_stage: bool,
+    /// Whether the end of one of them is confirmed.
+    is_confirmed: bool,
     /// Times between the events of the response.
     pub(crate) gaps: Gaps,
     place: f64,
@@ -59,6 +64,7 @@
             changes,
             table_version: 0,
             has_ended_stage: false,
+            is_confirmed: false,
             gaps: Gaps::default(),
             place: rand::rng().random_range(0.0..1.0),
             may_defer: true,
@@ -94,7 +100,11 @@
         if !self.has_ended_stage {
             return None;
         }
-        let left = self.gaps.idle_after(latency_target).saturating_sub(idle);
+        let idle_after = match self.is_confirmed {
+            true => CONFIRMED_IDLE,
+            false => self.gaps.idle_after(latency_target),
+        };
+        let left = idle_after.saturating_sub(idle);
         Some(left.max(self.not_before.saturating_duration_since(Instant::now())))
     }
 
@@ -102,6 +112,8 @@
     fn refresh<D: Dialect>(&mut self, worker: &Worker<D>, target: &Target) {
         self.has_ended_stage = !target.head().span.is_empty()
             && worker.with_selector(|selector, _| selector.has_ended_stage(target));
+        self.is_confirmed = self.has_ended_stage
+            && worker.with_selector(|selector, _| selector.has_confirmed_end(target));
     }
 
     /// Records that an event arrived `gap` after the one before. A gap in which the response moved is
