--- a/crates/node/src/hosted/control/liveness.rs
+++ b/crates/node/src/hosted/control/liveness.rs
@@ -130,10 +130,11 @@
         if let Some(engine) = self.engines.get_mut(run) {
             engine.phase = Phase::Idle;
             engine.adapt_timeout(elapsed);
-            if engine.verdict.take().is_some() {
+            if let Some(verdict) = engine.verdict.take() {
                 engine.next_poll = engine.interval.map(|interval| now + interval);
                 self.actions.push(Action::Withdraw {
                     run: run.to_owned(),
+                    evidence: verdict.evidence,
                 });
             }
         }
--- a/crates/node/src/hosted/control/liveness/engine.rs
+++ b/crates/node/src/hosted/control/liveness/engine.rs
@@ -91,6 +91,8 @@
     Withdraw {
         /// The run.
         run: String,
+        /// What the verdict was based on.
+        evidence: Evidence,
     },
     /// Record that a suspicion was dropped, with the reason.
     Drop {
--- a/crates/node/src/hosted/control/state/engines.rs
+++ b/crates/node/src/hosted/control/state/engines.rs
@@ -199,11 +199,10 @@
         if let Some(report) = &answer.report
             && report.is_from_another_run(&target.run)
         {
-            // A report of an earlier run may come from a row that is ahead of the process.
+            // An earlier run may still answer when the row of the next one is there: no sign of an end.
             if report.started_at > target.run.started_at {
-                self.liveness.replaced(now, name);
+                return self.liveness.replaced(now, name);
             }
-            return;
         }
         self.liveness.answered(now, name, &target.service, elapsed);
         if answer.leaving && purpose != Purpose::Witness {
@@ -252,10 +251,10 @@
                     evidence,
                     renewal,
                 } => self.publish_ended(now, run, evidence, renewal),
-                Action::Withdraw { run } => {
+                Action::Withdraw { run, evidence } => {
                     self.metrics.record_verdict("withdrawn");
                     self.record_endpoint(&run, "has not ended: answers again");
-                    self.publish_verdict(now, run, false, true);
+                    self.publish_verdict(now, run, false, evidence.is_conclusive());
                 }
                 Action::Drop { reason, .. } => self.metrics.record_verdict(reason),
             }
--- a/crates/node/tests/ended_engines.rs
+++ b/crates/node/tests/ended_engines.rs
@@ -97,6 +97,9 @@
     let time = fleet.wait_until_ended(2, true).await;
     println!("all nodes know after {time:?}");
     assert!(time <= MAX_CRASH_TIME, "{time:?}");
+    // A refusal counts as two failure reports, so no node needs one of its own.
+    let failing = |dumps: &[String]| dumps.iter().all(|d| d.contains("\nfailing e2@7\n"));
+    assert!(failing(&fleet.dumps().await));
     sleep(POLLS).await;
     let dumps = fleet.dumps().await;
     for number in (0..ENGINES).filter(|n| *n != 2) {
--- a/crates/node/tests/liveness.rs
+++ b/crates/node/tests/liveness.rs
@@ -118,7 +118,7 @@
                 Action::Ended { run, evidence, .. } => {
                     self.verdicts.push((after, run, Some(evidence)))
                 }
-                Action::Withdraw { run } => self.verdicts.push((after, run, None)),
+                Action::Withdraw { run, .. } => self.verdicts.push((after, run, None)),
                 Action::Drop { .. } => {}
             }
         }
