catalog, adapter: chunk and pairs of an engine's prefill

Cause: the selection is to price the prefill of long prompts, whose time grows with the pairs of tokens; the manifest states both figures (`chunk`, `pairs_per_m`), and they were not decoded. Change: Engine::prefill_chunk and prefill_ms_per_1m_pairs, both optional in the manifest; a chunk of no token and a negative or infinite time are findings of the service, reported with all others. Catalog::lowest_priority, for the header of priorities.

--- a/crates/catalog/src/checked.rs
+++ b/crates/catalog/src/checked.rs
@@ -29,6 +29,7 @@
     pub requires_key: bool,
     /// Limits on the connections and requests of callers.
     pub limits: Limits,
+    lowest_priority: u8,
     hosts: HashMap<String, Vec<RouteId>>,
     keys: HashMap<String, TeamId>,
 }
@@ -57,6 +58,11 @@
         self.keys.get(key).map(|&id| &self.teams[id as usize])
     }
 
+    /// Returns the numerically largest priority of the routes and teams; 0 if there are none.
+    pub fn lowest_priority(&self) -> u8 {
+        self.lowest_priority
+    }
+
     /// Returns the service with this id.
     pub fn service(&self, id: ServiceId) -> Option<&Service> {
         self.services.get(id as usize)
@@ -83,12 +89,15 @@
             .into_iter()
             .filter_map(|r| route(r, &services, &mut findings))
             .collect();
+        let services = tables.services.iter();
+        services.for_each(|s| check_engine(s, &mut findings));
         let (teams, keys) = teams(tables.teams.as_deref().unwrap_or_default(), &mut findings);
         if !findings.is_empty() {
             return Err(findings);
         }
         Ok(Self {
             version: tables.version,
+            lowest_priority: lowest_priority(&routes, &teams),
             hosts: hosts(&routes),
             routes,
             services: tables.services,
@@ -145,6 +154,33 @@
     })
 }
 
+/// Reports invalid figures of the prefill of a service's engine.
+fn check_engine(service: &Service, findings: &mut Vec<Finding>) {
+    let Some(engine) = &service.engine else {
+        return;
+    };
+    let location = format!("service {}", service.name);
+    if engine.prefill_chunk == Some(0) {
+        findings.push(Finding::new(
+            location.clone(),
+            "engine: chunk must be at least 1 token",
+        ));
+    }
+    let pairs = engine.prefill_ms_per_1m_pairs;
+    if !pairs.is_finite() || pairs < 0.0 {
+        findings.push(Finding::new(
+            location,
+            format!("engine: pairs_per_m must be at least 0, not {pairs}"),
+        ));
+    }
+}
+
+fn lowest_priority(routes: &[Route], teams: &[Team]) -> u8 {
+    let teams = teams.iter().filter_map(|t| t.priority);
+    let priorities = routes.iter().map(|r| r.priority).chain(teams);
+    priorities.max().unwrap_or_default()
+}
+
 fn hosts(routes: &[Route]) -> HashMap<String, Vec<RouteId>> {
     let mut hosts: HashMap<String, Vec<RouteId>> = HashMap::new();
     for (id, route) in (0..).zip(routes) {
--- a/crates/catalog/src/engine.rs
+++ b/crates/catalog/src/engine.rs
@@ -26,6 +26,13 @@
     pub step_time_per_1k_context: Duration,
     /// Prompt tokens that are prefilled per second through all layers, at prefill factor 1.
     pub prefill_rate: f64,
+    /// Largest number of prompt tokens that are prefilled in one step; `None` if the operator does
+    /// not state it. Not 0 in a checked catalog.
+    pub prefill_chunk: Option<u32>,
+    /// Time that each million pairs of a prompt token and any earlier one adds to the prefill
+    /// through all layers, at prefill factor 1, in milliseconds. Finite and not negative in a
+    /// checked catalog.
+    pub prefill_ms_per_1m_pairs: f64,
     /// Number of decode steps between two events of a response.
     pub steps_per_event: u32,
     /// Time to load all layers.
@@ -112,6 +119,14 @@
         Duration::try_from_secs_f64(per_layer).unwrap_or_default()
     }
 
+    /// Returns the work of the prefill of a prompt: the number of tokens whose prefill without
+    /// attention to earlier ones takes as long.
+    pub fn prefill_work(&self, prompt: u32) -> f64 {
+        let tokens = f64::from(prompt);
+        let million_pairs = tokens * (tokens - 1.0).max(0.0) / 2.0 / 1e6;
+        tokens + million_pairs * self.prefill_ms_per_1m_pairs / 1000.0 * self.prefill_rate
+    }
+
     /// Returns the time that a typical request spends in a chain under moderate load: the base time
     /// of all its decode steps, at twice the step factor of the fastest accelerator kind, since
     /// chains mix kinds.
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -58,6 +58,8 @@
         step_time_per_request: Duration::ZERO,
         step_time_per_1k_context: Duration::ZERO,
         prefill_rate: 1e5,
+        prefill_chunk: None,
+        prefill_ms_per_1m_pairs: 0.0,
         steps_per_event: 1,
         load_time: Duration::from_secs(1),
         parallel_loads: 4,
--- a/crates/place/tests/plan.rs
+++ b/crates/place/tests/plan.rs
@@ -30,6 +30,8 @@
         step_time_per_request: Duration::from_nanos(4590),
         step_time_per_1k_context: Duration::from_nanos(6150),
         prefill_rate: 164_000.0,
+        prefill_chunk: None,
+        prefill_ms_per_1m_pairs: 0.0,
         steps_per_event: 4,
         load_time: Duration::from_secs(14),
         parallel_loads: 6,
@@ -165,6 +167,8 @@
         step_time_per_request: Duration::from_nanos(2760),
         step_time_per_1k_context: Duration::from_nanos(3700),
         prefill_rate: 272_000.0,
+        prefill_chunk: None,
+        prefill_ms_per_1m_pairs: 0.0,
         steps_per_event: 2,
         inter_zone_bps: 6.5e9,
         accelerators: vec![
--- a/crates/steer/tests/support/mod.rs
+++ b/crates/steer/tests/support/mod.rs
@@ -36,6 +36,8 @@
         step_time_per_request: Duration::from_micros(5),
         step_time_per_1k_context: Duration::from_micros(5),
         prefill_rate: 100_000.0,
+        prefill_chunk: None,
+        prefill_ms_per_1m_pairs: 0.0,
         steps_per_event: 1,
         load_time: Duration::from_secs(10),
         parallel_loads: 4,
