--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -49,6 +49,13 @@
         self.progress.attempt.get()
     }
 
+    /// Records that the first event of the attempt arrived.
+    pub(crate) fn record_first_event(&self) {
+        let id = self.target.reservation;
+        self.worker
+            .with_selector(|selector, now| selector.record_first_event(now, id));
+    }
+
     /// Releases the reservation and reports the outcome; see [`steer::Selector::end`].
     pub(crate) fn end(mut self, outcome: Outcome, faulty_stage: Option<SocketAddr>) {
         self.ended = true;
@@ -394,11 +401,14 @@
         *request.method_mut() = job.method.clone();
         *request.uri_mut() = job.uri.clone();
         *request.headers_mut() = job.headers.clone();
+        let may_overtake = self
+            .worker
+            .with_selector(|selector, _| selector.may_overtake(target.reservation));
         let info = ForwardInfo {
             target,
             time_left: job.time_left(),
             team: job.team.as_deref(),
-            priority: job.service().engine.as_ref().map(|_| job.priority),
+            priority: job.engine_priority(may_overtake),
             last_event_id,
         };
         self.worker
--- a/crates/gate/src/forward/request_log.rs
+++ b/crates/gate/src/forward/request_log.rs
@@ -25,6 +25,8 @@
     id: String,
     route: String,
     catalog_version: u64,
+    /// Number of tokens of the prompt, if the service runs a model.
+    prompt: Option<u32>,
     received_at: Instant,
     first_event: Option<Instant>,
     attempts: Cell<u32>,
@@ -44,6 +46,11 @@
             id: job.id().to_owned(),
             route: job.route().name.clone(),
             catalog_version: job.catalog.version,
+            prompt: job
+                .service()
+                .engine
+                .as_ref()
+                .map(|_| job.need().size.prompt),
             received_at: job.received_at,
             first_event: None,
             attempts: Cell::new(0),
@@ -71,6 +78,7 @@
             stages: stage_list(&target.stages),
             crossings,
             catalog: self.catalog_version,
+            prompt: self.prompt,
         });
         attempt
     }
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 use steer::chain::Need;
 use steer::crash::Fingerprint;
+use steer::prefill::Admission;
 use tokio::time::Instant;
 
 /// Priority at which requests count as urgent.
@@ -123,6 +124,20 @@
         ])
     }
 
+    /// Returns the priority for the endpoint if the request is sent now; `None` if the service runs
+    /// no model. `may_overtake` states whether its prefill may overtake long prompts.
+    pub fn engine_priority(&self, may_overtake: bool) -> Option<u8> {
+        self.service().engine.as_ref()?;
+        let admission = Admission {
+            priority: self.priority,
+            prompt: self.need().size.prompt,
+            waited: self.received_at.elapsed(),
+            may_overtake,
+            latency_target: self.route().latency_target,
+        };
+        Some(admission.engine_priority(&self.catalog, self.service))
+    }
+
     /// Returns the size and urgency by which a chain is selected.
     pub fn need(&self) -> Need {
         let typical = self.service().engine.as_ref().map(|e| e.typical_size);
--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -45,6 +45,7 @@
     endpoints: Gauge<u64>,
     view_age: Gauge<f64>,
     isolated: Gauge<u64>,
+    prefill: Gauge<f64>,
 }
 
 impl Metrics {
@@ -86,6 +87,11 @@
                 .with_unit("s")
                 .build(),
             isolated: meter.u64_gauge("wigeonshelf_isolated").build(),
+            prefill: meter
+                .f64_gauge("wigeonshelf_prefill")
+                .with_unit("s")
+                .with_description("Prefill that this node has in progress, by service")
+                .build(),
             registry,
         }
     }
@@ -159,6 +165,12 @@
         self.isolated.record(isolated.into(), &[service]);
     }
 
+    /// Records the prefill that this node has in progress at the endpoints of a service, in seconds.
+    pub fn record_prefill(&self, service: &str, secs: f64) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.prefill.record(secs, &[service]);
+    }
+
     /// Encodes all metrics in the text format.
     pub fn encode(&self) -> Result<Vec<u8>> {
         let mut text = Vec::new();
--- a/crates/gate/src/splice/source.rs
+++ b/crates/gate/src/splice/source.rs
@@ -225,6 +225,9 @@
     /// Restarts the idle time if events were received.
     fn received(&mut self, step: Step) -> Step {
         if matches!(step, Step::Events(_)) {
+            if !self.has_started {
+                self.reservation.record_first_event();
+            }
             self.has_started = true;
             self.last_active = Instant::now();
             self.next_probe = stall::NEXT_EVENT_PROBE_DELAY;
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -315,6 +315,15 @@
         self.status_reports
             .borrow_mut()
             .retain(|addr, _| known(*addr));
+        self.record_prefill();
+    }
+
+    /// Records the prefill in progress in the metrics.
+    fn record_prefill(&self) {
+        let selector = self.selector.borrow();
+        for (service, secs) in selector.prefill_in_progress(self.now()) {
+            self.metrics.record_prefill(service, secs);
+        }
     }
 
     /// Returns the text of the state dump, with the control task's part if it responds in time.
--- a/crates/gate/tests/support/dialect.rs
+++ b/crates/gate/tests/support/dialect.rs
@@ -47,6 +47,9 @@
         if let Some(team) = info.team {
             set("team", team.to_owned());
         }
+        if let Some(priority) = info.priority {
+            set("priority", priority.to_string());
+        }
         if let Some(after) = info.last_event_id {
             set("after", after.to_string());
         }
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -143,6 +143,16 @@
     view
 }
 
+/// Returns the same view with the next catalog version, which states the prefill chunk of engines.
+pub fn with_chunk(mut view: View) -> View {
+    let mut tables = tables();
+    tables.version += 1;
+    let engines = tables.services.iter_mut().filter_map(|s| s.engine.as_mut());
+    engines.for_each(|e| e.prefill_chunk = Some(512));
+    view.fleet.catalog = Arc::new(Catalog::try_from(tables).unwrap());
+    view
+}
+
 /// Creates an endpoint of the service without an engine.
 pub fn plain(addr: SocketAddr) -> Endpoint {
     Endpoint {
--- a/crates/journal/src/event.rs
+++ b/crates/journal/src/event.rs
@@ -95,6 +95,9 @@
         crossings: u32,
         /// Version of the catalog that chose the route.
         catalog: u64,
+        /// Number of tokens of the prompt; the service's usual one if the caller did not state it,
+        /// and `None` for a service without an engine.
+        prompt: Option<u32>,
     },
     /// A request was sent to another node, since this one is isolated from the endpoints of its service.
     /// That node writes lines with the same id.
