ctl: late and lost requests by the size of their prompts

Cause: operators could not tell whether long or short prompts are late. Change: wigeonctl losses --by-size counts late and lost requests in the smallest half of the prompts, the next 40% and the largest tenth, by the field `prompt` of the line `sent`; without the flag the output is as before.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -181,6 +181,13 @@
             "svg",
             "Also writes a chart of the losses over time",
         ))
+        .arg(
+            Arg::new("by-size")
+                .long("by-size")
+                .action(ArgAction::SetTrue)
+                .conflicts_with("compare")
+                .help("Also counts late and lost requests by the size of their prompts"),
+        )
         .arg(number(
             "head",
             "MS",
--- a/crates/ctl/src/losses.rs
+++ b/crates/ctl/src/losses.rs
@@ -3,7 +3,7 @@
 //! Each request that ended is counted once: as on time, or as late, refused, broken off, failed or
 //! abandoned by its caller, with exactly one cause. The output is a table of causes and a table of
 //! their counts over time, or both as JSON; optionally a chart of the counts over time; or the
-//! causes of two runs side by side. Counted separately are requests without a line for their end,
+//! causes of two runs side by side. The counts can also be given by the size of the prompts. Counted separately are requests without a line for their end,
 //! losses whose cause the lines don't show, requests that the catalog doesn't allow, and lines that
 //! can't be parsed.
 
@@ -11,6 +11,7 @@
 mod chart;
 mod compare;
 mod request;
+mod size;
 
 use crate::failure::{Result, input};
 use crate::line::{Reader, Skipped};
@@ -21,6 +22,7 @@
 use eyre::WrapErr;
 use request::{Limits, Request};
 use serde::Serialize;
+use size::Sizes;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::fs::File;
@@ -37,12 +39,12 @@
     };
     let interval = Duration::from_secs(number("every"));
     if let Some(files) = args.get_many::<PathBuf>("compare") {
-        let runs = files.map(|file| Losses::read(open(file)?, &limits, interval));
+        let runs = files.map(|file| Losses::read(open(file)?, &limits, interval, false));
         let runs: Vec<Losses> = runs.collect::<Result<_>>()?;
         return output.show(&Comparison::new(&runs[0], &runs[1]));
     }
     let input = Reader::new(std::io::stdin().lock(), "standard input");
-    let losses = Losses::read(input, &limits, interval)?;
+    let losses = Losses::read(input, &limits, interval, args.get_flag("by-size"))?;
     output.show(&losses)?;
     match args.get_one::<PathBuf>("svg") {
         Some(file) => chart::write(&losses, file),
@@ -83,13 +85,21 @@
     /// Counts by the interval in which requests were received. The key is the interval's start in
     /// seconds since the first request.
     intervals: BTreeMap<u64, BTreeMap<Cause, u64>>,
+    /// Counts by the size of the prompts, if requested.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    sizes: Option<Sizes>,
     #[serde(rename = "unread")]
     skipped: Skipped,
 }
 
 impl Losses {
     /// Reads all lines and classifies their requests.
-    fn read<R: BufRead>(mut lines: Reader<R>, limits: &Limits, interval: Duration) -> Result<Self> {
+    fn read<R: BufRead>(
+        mut lines: Reader<R>,
+        limits: &Limits,
+        interval: Duration,
+        by_size: bool,
+    ) -> Result<Self> {
         let mut requests: BTreeMap<String, Request> = BTreeMap::new();
         for line in lines.by_ref() {
             let id = line.text("id");
@@ -106,6 +116,7 @@
             interval_s: interval.as_secs().max(1),
             causes: BTreeMap::new(),
             intervals: BTreeMap::new(),
+            sizes: by_size.then(|| Sizes::count(requests.values(), limits)),
             skipped: lines.finish()?,
         };
         for request in requests.values() {
@@ -163,6 +174,9 @@
             let counts: Vec<_> = counts.collect();
             writeln!(f, "{second:>7}  {}", counts.join("; "))?;
         }
-        Ok(())
+        match &self.sizes {
+            Some(sizes) => write!(f, "\n{sizes}"),
+            None => Ok(()),
+        }
     }
 }
--- a/crates/ctl/src/losses/request.rs
+++ b/crates/ctl/src/losses/request.rs
@@ -40,6 +40,8 @@
     rerouted: bool,
     /// Hops between availability zones in the latest chain; `None` if no line had the number.
     zone_crossings: Option<u64>,
+    /// Number of tokens of the prompt; `None` if no line had it.
+    prompt: Option<u64>,
     end: Option<End>,
 }
 
@@ -50,6 +52,7 @@
         match line.event.as_str() {
             "sent" => {
                 self.attempts += 1;
+                self.prompt = line.number("prompt").or(self.prompt);
                 self.zone_crossings = crossings.or(self.zone_crossings);
             }
             "detour" => {
@@ -67,6 +70,11 @@
         self.end.as_ref().map(|e| e.received_at)
     }
 
+    /// Returns the number of tokens of the prompt, if a line had it.
+    pub fn prompt(&self) -> Option<u64> {
+        self.prompt
+    }
+
     /// Returns why the request was late or lost, and by how much it exceeded a limit (zero unless
     /// late); `None` if it was on time or has no line for its end.
     pub fn loss(&self, limits: &Limits) -> Option<(Cause, Duration)> {
--- a/crates/ctl/tests/losses.rs
+++ b/crates/ctl/tests/losses.rs
@@ -90,6 +90,40 @@
     assert!(text.contains("late, a stage was replaced"), "{text}");
 }
 
+// Guards against long prompts whose losses vanish in the totals, and against requests that are left
+// out of all classes.
+#[test]
+fn counts_losses_by_the_size_of_prompts() {
+    let lines = (1..=20).map(|n| {
+        let size = if n == 20 { String::new() } else { format!(r#","prompt":{}"#, n * 100) };
+        let (outcome, head) = match n {
+            17 => ("refused", 10),
+            18 | 19 => ("answered", 900),
+            _ => ("answered", 60),
+        };
+        format!(
+            r#"{{"time":1000,"event":"sent","id":"r{n}","attempt":1,"crossings":0{size}}}
+{{"time":1900,"event":"ended","id":"r{n}","status":200,"outcome":"{outcome}","why":"no room","head_ms":{head},"all_ms":900}}"#
+        )
+    });
+    let lines: Vec<String> = lines.collect();
+    let output = run(&["--output", "json", "--by-size"], &lines.join("\n"));
+    let tables: Value = serde_json::from_slice(&output.stdout).unwrap();
+    let class = |at: usize| {
+        let class = &tables["sizes"]["classes"][at];
+        ["ended", "late", "lost"].map(|name| class[name].as_u64().unwrap())
+    };
+    assert_eq!([0, 1, 2].map(class), [[10, 0, 0], [8, 1, 1], [1, 1, 0]]);
+    assert_eq!(tables["sizes"]["classes"][1]["tokens"][0], 1100);
+    assert_eq!(tables["sizes"]["unsized"], 1);
+    let text = run(&["--by-size"], &lines.join("\n")).stdout;
+    let text = String::from_utf8(text).unwrap();
+    assert!(
+        text.contains("largest tenth, 1900 to 1900 tokens"),
+        "{text}"
+    );
+}
+
 /// Returns the `ended` line of a request whose caller left after `all` ms, `quiet` ms after its
 /// last event.
 fn left(id: &str, all: u64, quiet: u64) -> String {
