--- a/crates/gate/src/forward/request_log.rs
+++ b/crates/gate/src/forward/request_log.rs
@@ -12,6 +12,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use steer::crash::Fingerprint;
+use steer::evacuation::{Decision, Plan};
+use steer::queue::Refused;
 use steer::scarcity::Scarcity;
 use steer::shortage::Shortage;
 use steer::target::{Stage, Target};
@@ -116,6 +118,40 @@
         });
     }
 
+    /// Records how a response continues whose chain has ended stages, after an idle time.
+    pub(crate) fn record_move(
+        &self,
+        attempt: u32,
+        ended: &[SocketAddr],
+        decision: &Decision,
+        idle: Duration,
+    ) {
+        let option = match decision.plan {
+            Plan::Replace(_) => "replace",
+            Plan::Resume(_) => "resume",
+            Plan::Defer(_) => "defer",
+            Plan::Stay => "stay",
+        };
+        self.metrics.record_move(option, idle);
+        let ms = |time: Option<Duration>| time.map(|t| t.as_millis() as u64);
+        let ended: Vec<_> = ended.iter().map(SocketAddr::to_string).collect();
+        self.journal.record(Event::Moved {
+            id: self.id.clone(),
+            attempt,
+            ended: ended.join(","),
+            option,
+            replace_ms: ms(decision.replace),
+            resume_ms: ms(decision.resume),
+            quiet_ms: idle.as_millis() as u64,
+            after_ms: self.received_at.elapsed().as_millis() as u64,
+        });
+    }
+
+    /// Returns whether an event was sent to the caller.
+    pub(crate) fn has_started(&self) -> bool {
+        self.first_event.is_some()
+    }
+
     /// Records that no endpoint could take the request.
     pub(crate) fn record_shortage(&self, shortage: Shortage, scarcity: &Scarcity) {
         let percent = |fraction: f64| (fraction * 100.0).round() as u64;
@@ -132,6 +168,25 @@
         });
     }
 
+    /// Records that the queue of a service refused the request.
+    pub(crate) fn record_queue_refusal(
+        &self,
+        service: &str,
+        refused: &Refused,
+        retry_after: Duration,
+    ) {
+        let millis = |time: Duration| time.as_millis() as u64;
+        self.journal.record(Event::QueueRefusal {
+            id: self.id.clone(),
+            service: service.to_owned(),
+            cause: refused.cause.as_str(),
+            ahead: refused.ahead,
+            estimate_ms: refused.estimate.map(millis),
+            waited_ms: millis(refused.waited),
+            retry_after_ms: millis(retry_after),
+        });
+    }
+
     /// Records that an attempt is idle, and that another endpoint is tried beside it.
     pub(crate) fn record_idle(&self, attempt: u32, why: &'static str) {
         self.metrics.record_attempt("idle");
--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -32,6 +32,8 @@
     registry: Registry,
     requests: Counter<u64>,
     attempts: Counter<u64>,
+    moves: Counter<u64>,
+    move_idle: Histogram<f64>,
     store_reads: Counter<u64>,
     first_event: Histogram<f64>,
     pause: Histogram<f64>,
@@ -46,6 +48,10 @@
     view_age: Gauge<f64>,
     isolated: Gauge<u64>,
     prefill: Gauge<f64>,
+    verdicts: Counter<u64>,
+    ended: Gauge<u64>,
+    waiting: Gauge<u64>,
+    queue_refusals: Counter<u64>,
 }
 
 impl Metrics {
@@ -65,6 +71,14 @@
         Self {
             requests: count("wigeonshelf_requests", "Requests by outcome and status"),
             attempts: count("wigeonshelf_attempts", "Attempts by how they ended"),
+            moves: count(
+                "wigeonshelf_moves",
+                "Decisions about responses whose chain has an ended stage, by option",
+            ),
+            move_idle: seconds(
+                "wigeonshelf_move_idle",
+                "Time without an event until such a decision",
+            ),
             store_reads: count(
                 "wigeonshelf_store_reads",
                 "Reads of the store by table and outcome",
@@ -92,6 +106,16 @@
                 .with_unit("s")
                 .with_description("Prefill that this node has in progress, by service")
                 .build(),
+            verdicts: count(
+                "wigeonshelf_engine_verdicts",
+                "Verdicts of this node on the engines that it polls, by what",
+            ),
+            ended: meter.u64_gauge("wigeonshelf_ended_engines").build(),
+            waiting: meter.u64_gauge("wigeonshelf_waiting").build(),
+            queue_refusals: count(
+                "wigeonshelf_queue_refusals",
+                "Requests that a queue refused by service and cause",
+            ),
             registry,
         }
     }
@@ -110,6 +134,13 @@
         self.attempts.add(1, &[KeyValue::new("what", what)]);
     }
 
+    /// Counts a decision about a response whose chain has an ended stage, after an idle time.
+    pub fn record_move(&self, option: &'static str, idle: Duration) {
+        let option = [KeyValue::new("option", option)];
+        self.moves.add(1, &option);
+        self.move_idle.record(idle.as_secs_f64(), &option);
+    }
+
     /// Records the time to the first event of a response.
     pub fn record_first_event(&self, time: Duration) {
         self.first_event.record(time.as_secs_f64(), &[]);
@@ -171,6 +202,30 @@
         self.prefill.record(secs, &[service]);
     }
 
+    /// Counts a verdict that an engine has ended by its evidence, a withdrawal, or a suspicion that was
+    /// dropped by the reason.
+    pub fn record_verdict(&self, what: &'static str) {
+        self.verdicts.add(1, &[KeyValue::new("what", what)]);
+    }
+
+    /// Records the number of runs that any node found to have ended.
+    pub fn record_ended(&self, runs: usize) {
+        self.ended.record(runs as u64, &[]);
+    }
+
+    /// Records the number of requests that wait in the queue of a service.
+    pub fn record_waiting(&self, service: &str, count: usize) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.waiting.record(count as u64, &[service]);
+    }
+
+    /// Counts a request that the queue of a service refused, by cause.
+    pub fn record_queue_refusal(&self, service: &str, cause: &'static str) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.queue_refusals
+            .add(1, &[service, KeyValue::new("cause", cause)]);
+    }
+
     /// Encodes all metrics in the text format.
     pub fn encode(&self) -> Result<Vec<u8>> {
         let mut text = Vec::new();
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -1,12 +1,14 @@
 //! State of a request worker, and the handling of a request from admission to response.
 
 mod crashes;
+mod waiting;
 
 use crate::admit::{self, Admitted};
 use crate::body::Body;
 use crate::buffer::Buffers;
 use crate::dialect::{Dialect, RequestInfo};
 use crate::forward;
+use crate::forward::evacuation::Evacuees;
 use crate::forward::stall::CachedReport;
 use crate::job::Job;
 use crate::metrics::Metrics;
@@ -16,7 +18,7 @@
 use crate::splice::Chunk;
 use crate::stats::{self, Guard, Stats};
 use crate::trial::Trials;
-use crate::view::{SharedView, View};
+use crate::view::{Changes, SharedView, View};
 use futures::Stream;
 use http::{Request, Response, request};
 use hyper::body::Incoming;
@@ -38,6 +40,7 @@
 use steer::transition::Transition;
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::Instant;
+use waiting::Lines;
 
 /// Retry-after delay when this node is about to end. It is short because another node can take the
 /// request at once.
@@ -65,6 +68,8 @@
     pub dialect: D,
     /// The view that the control task publishes.
     pub shared_view: SharedView,
+    /// Signals views with another set of ended runs.
+    pub changes: Changes,
     /// Log of decisions.
     pub journal: Journal,
     /// Counters and histograms.
@@ -88,6 +93,7 @@
     dumps: mpsc::Sender<oneshot::Sender<String>>,
     pub(crate) stats: Rc<Stats>,
     shared_view: SharedView,
+    pub(crate) changes: Changes,
     transitions: mpsc::Sender<Transition>,
     selector: RefCell<Selector>,
     /// The view that `selector` was last updated with.
@@ -95,8 +101,10 @@
     /// Number of views that `selector` was updated with, and of endpoints that announced that they
     /// leave.
     table_version: Cell<u64>,
-    /// Notified when capacity may have become free.
+    /// Notified when capacity may have become free, for requests of services without a queue.
     capacity_freed: Notify,
+    /// Queues of the requests that wait for capacity.
+    lines: RefCell<Lines>,
     started_at: Instant,
     rotation: Cell<usize>,
     /// Cached status reports of the heads of chains.
@@ -109,6 +117,8 @@
     pub(crate) trials: Rc<Trials>,
     /// Probes of endpoints whose connections broke.
     pub(crate) probes: Probes,
+    /// Responses whose moves off ended endpoints are planned together.
+    pub(crate) evacuees: Evacuees,
     /// Buffers for the bodies of responses.
     pub(crate) buffers: Buffers,
     /// The paths to endpoints.
@@ -131,11 +141,13 @@
             pool: Pool::new(stats.clone()),
             stats,
             shared_view: parts.shared_view,
+            changes: parts.changes,
             transitions: parts.transitions,
             selector: RefCell::new(Selector::new(parts.seed, parts.allowance)),
             view: RefCell::new(None),
             table_version: Cell::new(0),
             capacity_freed: Notify::new(),
+            lines: RefCell::default(),
             started_at: Instant::now(),
             rotation: Cell::new(0),
             status_reports: RefCell::default(),
@@ -143,6 +155,7 @@
             cases: RefCell::default(),
             trials: Rc::default(),
             probes: Probes::default(),
+            evacuees: Evacuees::default(),
             buffers: Buffers::default(),
             paths: RefCell::default(),
             me: me.clone(),
@@ -150,6 +163,11 @@
         })
     }
 
+    /// Returns a receiver that is notified of views with another set of ended runs.
+    pub fn changes(&self) -> Changes {
+        self.changes.clone()
+    }
+
     /// Returns the number of requests in flight.
     pub fn in_flight(&self) -> u64 {
         self.stats.in_flight.get()
@@ -193,7 +211,9 @@
                 }
                 self.settle_cases(now, &view.fleet.endpoints);
                 self.table_version.set(self.table_version.get() + 1);
-                self.capacity_freed.notify_waiters();
+                let catalog = &view.fleet.catalog;
+                self.close_queues(|service| catalog.service_id(service).is_some());
+                self.notify_capacity();
             }
             *current = newest.clone();
         }
@@ -289,6 +309,7 @@
     /// Wakes the requests that wait for capacity.
     pub(crate) fn notify_capacity(&self) {
         self.capacity_freed.notify_waiters();
+        self.notify_queues(None);
     }
 
     /// Releases the reservation of an attempt.
@@ -298,8 +319,15 @@
         outcome: Outcome,
         faulty_stage: Option<SocketAddr>,
     ) {
-        self.with_selector(|selector, now| selector.end(now, reservation, outcome, faulty_stage));
-        self.capacity_freed.notify_one();
+        let service = self.with_selector(|selector, now| {
+            let service = selector.service_of_reservation(reservation);
+            let service = service.map(str::to_owned);
+            selector.end(now, reservation, outcome, faulty_stage);
+            service
+        });
+        if !self.notify_queues(service.as_deref()) || service.is_none() {
+            self.capacity_freed.notify_one();
+        }
     }
 
     /// Closes idle connections that timed out, or whose endpoint or node is not used any more, and drops
@@ -337,7 +365,8 @@
         let control = control.unwrap_or_else(|| "control does not answer\n".to_owned());
         let time = self.now().as_secs_f64();
         let selector = self.selector.borrow();
-        format!("time {time:.3}\n{}{selector}{control}", self.stats)
+        let queues = self.dump_queues();
+        format!("time {time:.3}\n{}{selector}{queues}{control}", self.stats)
     }
 
     /// Serves a request of a caller.
--- a/crates/journal/src/event.rs
+++ b/crates/journal/src/event.rs
@@ -132,6 +132,24 @@
         /// Version of the catalog that admitted the request.
         catalog: u64,
     },
+    /// The queue of a service refused a request that waited for capacity.
+    QueueRefusal {
+        /// Request id.
+        id: String,
+        /// Name of the service.
+        service: String,
+        /// `full`, `too_late`, `overtaken`, `expired` or `removed`.
+        cause: &'static str,
+        /// Number of requests before it in the queue.
+        ahead: usize,
+        /// Time in milliseconds until it was expected to get a slot; `None` if the rate at which
+        /// slots become free is unknown.
+        estimate_ms: Option<u64>,
+        /// Time that it waited, in milliseconds.
+        waited_ms: u64,
+        /// Time in milliseconds after which the caller is to retry.
+        retry_after_ms: u64,
+    },
     /// A stage of a chain was replaced while its request was in flight.
     Detour {
         /// Request id.
@@ -147,6 +165,27 @@
         /// Time from the request's arrival to the change, in milliseconds.
         after_ms: u64,
     },
+    /// A response whose chain has ended stages was idle, and it was decided how it continues.
+    Moved {
+        /// Request id.
+        id: String,
+        /// Number of the attempt.
+        attempt: u32,
+        /// Addresses of the ended stages, separated by commas.
+        ended: String,
+        /// `replace`: other stages take over; `resume`: a further attempt on a new chain; `defer`: it
+        /// gives way to responses that can still be on time; `stay`: neither is possible now.
+        option: &'static str,
+        /// Estimated time until the next event after a replacement, in milliseconds, if possible.
+        replace_ms: Option<u64>,
+        /// Estimated time until the next event after a resumption, in milliseconds; `None` if it is
+        /// not possible or a replacement is sooner in any case.
+        resume_ms: Option<u64>,
+        /// Time without an event, in milliseconds.
+        quiet_ms: u64,
+        /// Time from the request's arrival, in milliseconds.
+        after_ms: u64,
+    },
     /// The endpoint of an attempt is idle, and another one is tried beside it.
     Idle {
         /// Request id.
--- a/crates/steer/src/selector.rs
+++ b/crates/steer/src/selector.rs
@@ -3,20 +3,26 @@
 mod chain;
 mod departing;
 mod dump;
+mod evacuate;
 mod limited;
+mod moves;
+mod others;
 mod prefill;
 mod reached;
 mod reported;
 mod reroute;
 mod resting;
+mod urgent;
 
 use crate::budget::{Allowance, Budget, Purpose};
 use crate::chain::Need;
 use crate::departures::Departures;
+use crate::evacuation::queues::OwnMoves;
 use crate::fleet::Fleet;
 use crate::health::Outcome;
 use crate::limit::Limit;
 use crate::link::Links;
+use crate::queue::reserve::UrgentDemand;
 use crate::rest::Rest;
 use crate::row::Row;
 use crate::scarcity::Scarcity;
@@ -71,10 +77,13 @@
     reservations: BTreeMap<ReservationId, Reservation>,
     budgets: BTreeMap<String, Budget>,
     links: Links,
+    own_moves: OwnMoves,
     /// Flow of requests by the name of a model service.
     flows: BTreeMap<String, Flow>,
     /// Prefill by the name of a service that has a policy.
     prefills: BTreeMap<String, prefill::Prefill>,
+    /// Urgent requests by the name of a service.
+    urgent_demands: BTreeMap<String, UrgentDemand>,
     departures: Departures,
     transitions: Vec<Transition>,
     next_reservation: ReservationId,
@@ -95,8 +104,10 @@
             reservations: BTreeMap::new(),
             budgets: BTreeMap::new(),
             links: Links::default(),
+            own_moves: OwnMoves::default(),
             flows: BTreeMap::new(),
             prefills: BTreeMap::new(),
+            urgent_demands: BTreeMap::new(),
             departures: Departures::default(),
             transitions: Vec::new(),
             next_reservation: 1,
@@ -130,6 +141,8 @@
             }
             let run = endpoint.run.to_string();
             row.reported_failed = fleet.reported_failed.contains(&run);
+            let ended = fleet.ended.contains(&run);
+            row.ended_since = ended.then(|| row.ended_since.unwrap_or(now));
             row.releasing = fleet.releasing.contains(&run);
             if fleet.leaving.contains(&run) {
                 self.record_leaving(now, &endpoint.run, endpoint.addr);
@@ -141,6 +154,7 @@
             self.index.insert(endpoint.run.clone(), self.rows.len());
             self.rows.push(row);
         }
+        self.own_moves.expire(now);
         let index = &self.index;
         self.departures.expire(now, |run| index.contains_key(run));
         self.keep_limits(now, &previous);
--- a/crates/steer/src/selector/chain.rs
+++ b/crates/steer/src/selector/chain.rs
@@ -4,6 +4,7 @@
 use crate::chain::Need;
 use crate::jitter::Jitter;
 use crate::prefill::pricing::Pricing;
+use crate::queue::reserve::Reserve;
 use crate::row::Row;
 use crate::search::{self, Candidate, Neighbors, Search, Segment};
 use crate::shortage::Shortage;
@@ -25,12 +26,13 @@
 }
 
 /// What a chain is selected for.
-#[derive(Clone, Copy)]
 struct Request<'a> {
     engine: &'a Engine,
     need: &'a Need,
     /// Pricing of prefill; `None` if it has no price in the service.
     prefill: Option<Pricing>,
+    /// Capacity that is left free for urgent requests.
+    reserve: Option<Reserve>,
 }
 
 impl Selector {
@@ -72,19 +74,20 @@
         increments: u32,
     ) -> Result<Vec<Segment>> {
         let flow = self.flow(service, engine);
+        if usable.is_empty() {
+            return Err(Shortage::Endpoints);
+        }
         let request = Request {
             engine,
             need,
             prefill: self.prefill_pricing(&service.name, engine, flow.residence(), need),
+            reserve: self.urgent_reserve(now, service, engine, need, usable),
         };
-        if usable.is_empty() {
-            return Err(Shortage::Endpoints);
-        }
         self.search_shortlist(engine, usable, |listed| {
             let candidates = self.candidates(now, flow.residence(), listed.rows);
             self.chain_after_others(
                 now,
-                request,
+                &request,
                 candidates,
                 flow.scaled(listed.fraction),
                 increments,
@@ -138,32 +141,28 @@
     fn chain_after_others(
         &self,
         now: Timestamp,
-        request: Request<'_>,
+        request: &Request<'_>,
         mut candidates: Vec<Candidate<'_>>,
         flow: Flow,
         increments: u32,
     ) -> Result<Vec<Segment>> {
-        let Request {
-            engine,
-            need,
-            prefill,
-        } = request;
         let residence = flow.residence();
         let others = flow.others_in_flight(
             now,
             self.selecting_nodes(),
             mean_report_age(now, &candidates),
         );
-        let tokens = need.tokens() * others / f64::from(unreported::INCREMENTS);
+        let tokens = request.need.tokens() * others / f64::from(unreported::INCREMENTS);
         unreported::assign_incrementally(
             &mut candidates,
             increments,
             |candidates| {
                 let search = Search {
-                    prefill,
-                    ..self.search(now, engine, residence, candidates)
+                    prefill: request.prefill,
+                    reserve: request.reserve.as_ref(),
+                    ..self.search(now, request.engine, residence, candidates)
                 };
-                search.cheapest_chain(need)
+                search.cheapest_chain(request.need)
             },
             |candidates, chain| search::add_load(candidates, chain, tokens),
         )
@@ -188,6 +187,8 @@
             zones: &self.zones,
             nodes: self.nodes(),
             links: &self.links,
+            queues: None,
+            reserve: None,
             residence,
             prefill: None,
             now,
@@ -246,9 +247,12 @@
 
 /// Returns the mean age of the load reports of the candidates.
 fn mean_report_age(now: Timestamp, candidates: &[Candidate<'_>]) -> Duration {
-    let ages = candidates
-        .iter()
-        .filter_map(|c| c.row.load.map(|l| l.age(now)));
+    mean_age(now, candidates.iter().map(|c| c.row))
+}
+
+/// Returns the mean age of the load reports of these rows.
+pub(super) fn mean_age<'a>(now: Timestamp, rows: impl Iterator<Item = &'a Row>) -> Duration {
+    let ages = rows.filter_map(|row| row.load.map(|l| l.age(now)));
     let (count, sum) = ages.fold((0, Duration::ZERO), |(n, sum), age| (n + 1, sum + age));
     sum.checked_div(count).unwrap_or_default()
 }
