--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -47,6 +47,7 @@
     endpoints: Gauge<u64>,
     view_age: Gauge<f64>,
     isolated: Gauge<u64>,
+    prefill: Gauge<f64>,
     verdicts: Counter<u64>,
     ended: Gauge<u64>,
     waiting: Gauge<u64>,
@@ -100,6 +101,11 @@
                 .with_unit("s")
                 .build(),
             isolated: meter.u64_gauge("wigeonshelf_isolated").build(),
+            prefill: meter
+                .f64_gauge("wigeonshelf_prefill")
+                .with_unit("s")
+                .with_description("Prefill that this node has in progress, by service")
+                .build(),
             verdicts: count(
                 "wigeonshelf_engine_verdicts",
                 "Verdicts of this node on the engines that it polls, by what",
@@ -190,6 +196,12 @@
         self.isolated.record(isolated.into(), &[service]);
     }
 
+    /// Records the prefill that this node has in progress at the endpoints of a service, in seconds.
+    pub fn record_prefill(&self, service: &str, secs: f64) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.prefill.record(secs, &[service]);
+    }
+
     /// Counts a verdict that an engine has ended by its evidence, a withdrawal, or a suspicion that was
     /// dropped by the reason.
     pub fn record_verdict(&self, what: &'static str) {
--- a/crates/gate/src/splice/source.rs
+++ b/crates/gate/src/splice/source.rs
@@ -260,6 +260,9 @@
     /// Restarts the idle time if events were received.
     fn received(&mut self, step: Step) -> Step {
         if matches!(step, Step::Events(_)) {
+            if !self.has_started {
+                self.reservation.record_first_event();
+            }
             let gap = self.has_started.then(|| self.idle_time());
             self.evacuation.record_event(gap);
             self.has_started = true;
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -60,6 +60,8 @@
         step_time_per_request: Duration::ZERO,
         step_time_per_1k_context: Duration::ZERO,
         prefill_rate: 1e5,
+        prefill_chunk: None,
+        prefill_ms_per_1m_pairs: 0.0,
         steps_per_event: 1,
         load_time: Duration::from_secs(1),
         parallel_loads: 4,
@@ -143,6 +145,16 @@
     view
 }
 
+/// Returns the same view with the next catalog version, which states the prefill chunk of engines.
+pub fn with_chunk(mut view: View) -> View {
+    let mut tables = tables();
+    tables.version += 1;
+    let engines = tables.services.iter_mut().filter_map(|s| s.engine.as_mut());
+    engines.for_each(|e| e.prefill_chunk = Some(512));
+    view.fleet.catalog = Arc::new(Catalog::try_from(tables).unwrap());
+    view
+}
+
 /// Creates an endpoint of the service without an engine.
 pub fn plain(addr: SocketAddr) -> Endpoint {
     Endpoint {
--- a/crates/steer/src/selector.rs
+++ b/crates/steer/src/selector.rs
@@ -7,6 +7,7 @@
 mod limited;
 mod moves;
 mod others;
+mod prefill;
 mod reached;
 mod reported;
 mod reroute;
@@ -55,6 +56,8 @@
 struct Reservation {
     began: Timestamp,
     shares: Vec<Share>,
+    /// Whether its prefill may overtake long prompts.
+    overtakes: bool,
 }
 
 /// Selects the endpoints for the requests of one worker.
@@ -77,6 +80,8 @@
     own_moves: OwnMoves,
     /// Flow of requests by the name of a model service.
     flows: BTreeMap<String, Flow>,
+    /// Prefill by the name of a service that has a policy.
+    prefills: BTreeMap<String, prefill::Prefill>,
     /// Urgent requests by the name of a service.
     urgent_demands: BTreeMap<String, UrgentDemand>,
     departures: Departures,
@@ -101,6 +106,7 @@
             links: Links::default(),
             own_moves: OwnMoves::default(),
             flows: BTreeMap::new(),
+            prefills: BTreeMap::new(),
             urgent_demands: BTreeMap::new(),
             departures: Departures::default(),
             transitions: Vec::new(),
@@ -154,6 +160,7 @@
         self.keep_limits(now, &previous);
         self.keep_rests(now, previous);
         self.fleet = fleet;
+        self.update_prefill_policies();
     }
 
     /// Returns the number of nodes that send requests, at least 1.
@@ -189,13 +196,16 @@
     ) -> Result<Target> {
         let segments = self.choose(now, service, need, tried)?;
         let catalog = self.fleet.catalog.clone();
-        let engine = catalog.service(service).and_then(|s| s.engine.as_ref());
-        let Some(engine) = engine else {
+        let service = catalog.service(service);
+        let Some((service, engine)) = service.and_then(|s| Some((s, s.engine.as_ref()?))) else {
             return Ok(self.reserve(now, &segments, 0.0));
         };
         let zones: Vec<usize> = segments.iter().map(|s| self.rows[s.row].zone).collect();
         self.record_hops(now, &zones, search::bits(engine, need));
-        Ok(self.reserve(now, &segments, need.tokens()))
+        let target = self.reserve(now, &segments, need.tokens());
+        let attempt = target.reservation;
+        self.begin_prefill(now, &service.name, engine, need, attempt, &segments);
+        Ok(target)
     }
 
     /// Returns whether [`Self::select`] would find a target. It reserves neither endpoint nor link
@@ -279,9 +289,12 @@
         self.rng.set_stream(self.next_reservation);
         let (shares, stages) = self.reserve_segments(segments, tokens);
         self.record_requests(now, segments);
-        let began = now;
-        self.reservations
-            .insert(reservation, Reservation { began, shares });
+        let held = Reservation {
+            began: now,
+            shares,
+            overtakes: false,
+        };
+        self.reservations.insert(reservation, held);
         Target {
             reservation,
             stages,
@@ -344,6 +357,7 @@
                 continue;
             };
             let row = &mut self.rows[at];
+            row.prefill.end(id);
             let concerned = match (blame, outcome) {
                 (Some(addr), _) => addr == share.addr,
                 (None, Outcome::Success) => true,
--- a/crates/steer/src/selector/chain.rs
+++ b/crates/steer/src/selector/chain.rs
@@ -3,6 +3,7 @@
 use super::Selector;
 use crate::chain::Need;
 use crate::jitter::Jitter;
+use crate::prefill::pricing::Pricing;
 use crate::queue::reserve::Reserve;
 use crate::row::Row;
 use crate::search::{self, Candidate, Neighbors, Search, Segment};
@@ -24,9 +25,13 @@
     pub(super) fraction: f64,
 }
 
-/// What a request needs, and what it leaves free for urgent ones.
-struct Demand<'a> {
+/// What a chain is selected for.
+struct Request<'a> {
+    engine: &'a Engine,
     need: &'a Need,
+    /// Pricing of prefill; `None` if it has no price in the service.
+    prefill: Option<Pricing>,
+    /// Capacity that is left free for urgent requests.
     reserve: Option<Reserve>,
 }
 
@@ -72,16 +77,17 @@
         if usable.is_empty() {
             return Err(Shortage::Endpoints);
         }
-        let demand = Demand {
+        let request = Request {
+            engine,
             need,
+            prefill: self.prefill_pricing(&service.name, engine, flow.residence(), need),
             reserve: self.urgent_reserve(now, service, engine, need, usable),
         };
         self.search_shortlist(engine, usable, |listed| {
             let candidates = self.candidates(now, flow.residence(), listed.rows);
             self.chain_after_others(
                 now,
-                engine,
-                &demand,
+                &request,
                 candidates,
                 flow.scaled(listed.fraction),
                 increments,
@@ -135,8 +141,7 @@
     fn chain_after_others(
         &self,
         now: Timestamp,
-        engine: &Engine,
-        demand: &Demand<'_>,
+        request: &Request<'_>,
         mut candidates: Vec<Candidate<'_>>,
         flow: Flow,
         increments: u32,
@@ -147,16 +152,17 @@
             self.selecting_nodes(),
             mean_report_age(now, &candidates),
         );
-        let tokens = demand.need.tokens() * others / f64::from(unreported::INCREMENTS);
+        let tokens = request.need.tokens() * others / f64::from(unreported::INCREMENTS);
         unreported::assign_incrementally(
             &mut candidates,
             increments,
             |candidates| {
                 let search = Search {
-                    reserve: demand.reserve.as_ref(),
-                    ..self.search(now, engine, residence, candidates)
+                    prefill: request.prefill,
+                    reserve: request.reserve.as_ref(),
+                    ..self.search(now, request.engine, residence, candidates)
                 };
-                search.cheapest_chain(demand.need)
+                search.cheapest_chain(request.need)
             },
             |candidates, chain| search::add_load(candidates, chain, tokens),
         )
@@ -184,6 +190,7 @@
             queues: None,
             reserve: None,
             residence,
+            prefill: None,
             now,
         }
     }
@@ -231,6 +238,7 @@
                 used: row.used(now, nodes, residence),
                 price_factor: jitter.factor(&mut rng, row.zone),
                 backlog_secs: 0.0,
+                prefill_secs: row.prefill.remaining_secs(now),
             }
         };
         rows.iter().map(candidate).collect()
