steer: estimate moves with the decode steps between chunks of prefill

Change: where the catalog states the chunk, the time of prefill includes those steps, and only one stage's remaining chunks delay a chain.

--- a/crates/steer/src/selector/moves.rs
+++ b/crates/steer/src/selector/moves.rs
@@ -33,9 +33,19 @@
         tokens * self.engine.activation_bytes * 8.0 / self.engine.inter_zone_bps.max(1.0)
     }
 
-    /// Returns the time to prefill `tokens` tokens at `layers` layers.
+    /// Returns the time to prefill `tokens` tokens at `layers` layers. Between two chunks an engine runs the
+    /// decode steps of one event, which take several times as long as the chunk.
     fn prefill_secs(&self, row: &Row, layers: Layer, tokens: f64) -> f64 {
-        row.prefill_secs * row.slowdown * tokens * self.engine.model_fraction(layers)
+        let decode = self.engine.prefill_chunk.map_or(0.0, |chunk| {
+            row.step_secs * f64::from(self.engine.steps_per_event) / f64::from(chunk.max(1))
+        });
+        (row.prefill_secs + decode) * row.slowdown * tokens * self.engine.model_fraction(layers)
+    }
+
+    /// Returns the number of tokens that a stage prefills before the next one can begin.
+    fn chunk(&self, tokens: f64) -> f64 {
+        let chunk = self.engine.prefill_chunk.map(f64::from);
+        chunk.map_or(tokens, |chunk| chunk.min(tokens))
     }
 
     /// Returns whether an endpoint can take a moving response.
@@ -199,13 +209,17 @@
             _ => at,
         };
         let (mut at, mut zone) = (start, path.neighbors.before);
+        // Stages work on different chunks at the same time, so only one of them delays the rest.
+        let chunk = scope.chunk(tokens);
+        let mut rest: f64 = 0.0;
         for segment in &path.segments {
             let row = &self.rows[segment.row];
             at = cross(zone, Some(row.zone), at).max(queues.prefill(segment.row));
-            at += scope.prefill_secs(row, segment.span.len(), tokens);
+            at += scope.prefill_secs(row, segment.span.len(), chunk);
+            rest = rest.max(scope.prefill_secs(row, segment.span.len(), tokens - chunk));
             zone = Some(row.zone);
         }
-        cross(zone, path.neighbors.after, at)
+        cross(zone, path.neighbors.after, at + rest)
     }
 
     /// Adds the prefill and the transfers of `tokens` tokens over new stages to queues.
