--- a/crates/node/tests/liveness.rs
+++ b/crates/node/tests/liveness.rs
@@ -285,3 +285,18 @@
     world.act();
     assert_eq!(world.verdict(world.now).1, Some(Evidence::Replaced));
 }
+
+/// Guards against verdicts on many sound engines at once while the link of their node is full: their polls
+/// are unanswered, and the few that answer are taken for witnesses.
+#[test]
+fn many_unanswered_engines_give_no_verdict() {
+    for (dark, verdicts) in [(4, 4), (12, 0), (20, 0)] {
+        let mut world = World::new(29);
+        world.run(ms(70));
+        for engine in world.engines.values_mut().take(dark) {
+            *engine = Engine::Dark;
+        }
+        world.run(ms(400));
+        assert_eq!(world.verdicts.len(), verdicts, "{dark} of 29 engines");
+    }
+}
--- a/crates/node/tests/soak/cluster.rs
+++ b/crates/node/tests/soak/cluster.rs
@@ -38,6 +38,18 @@
         engine.register_as(proxy.addr);
         Self { engine, proxy }
     }
+
+    /// Closes open connections and refuses new ones, as a process that crashes.
+    fn crash(&self) {
+        self.proxy.refuse(true);
+        self.proxy.set(Mode::Reset(0));
+    }
+
+    /// Ends the faults of its connections.
+    fn recover(&self) {
+        self.proxy.refuse(false);
+        self.proxy.set(Mode::Pass);
+    }
 }
 
 /// A running cluster.
@@ -109,7 +121,7 @@
                 let fault = self.fault();
                 self.endpoints[proxy].proxy.set(fault);
             }
-            4 | 5 => self.endpoints.iter().for_each(|e| e.proxy.set(Mode::Pass)),
+            4 | 5 => self.endpoints.iter().for_each(Endpoint::recover),
             6 => self.nodes[node].signal("-KILL"),
             7 => self.nodes[node].signal("-TERM"),
             8 => self.nodes[node].signal("-STOP"),
@@ -124,6 +136,7 @@
             16 | 17 => self.leave().await,
             18..=22 => self.pause_streams(),
             23 => self.break_streams(),
+            24 => self.crash(),
             _ => self.version(),
         }
         self.restart_nodes();
@@ -214,15 +227,22 @@
         });
     }
 
+    /// Two endpoints crash together, until connections recover.
+    fn crash(&mut self) {
+        for _ in 0..2 {
+            let number = self.rng.random_range(0..self.endpoints.len());
+            self.endpoints[number].crash();
+        }
+    }
+
     /// Ends all faults.
     pub fn end_faults(&mut self) {
         self.store.set_down(false);
-        let endpoints = self.endpoints.iter();
-        self.store_proxies
-            .iter()
-            .chain(endpoints.clone().map(|e| &e.proxy))
-            .for_each(|p| p.set(Mode::Pass));
-        endpoints.for_each(|e| e.engine.end_faults());
+        self.store_proxies.iter().for_each(|p| p.set(Mode::Pass));
+        for endpoint in &self.endpoints {
+            endpoint.recover();
+            endpoint.engine.end_faults();
+        }
         self.nodes.iter_mut().for_each(|n| n.signal("-CONT"));
         self.restart_nodes();
     }
