--- a/crates/gate/src/forward/acquire.rs
+++ b/crates/gate/src/forward/acquire.rs
@@ -98,17 +98,17 @@
             until,
         };
         let place = self.worker.join_queue(&self.job.service().name, entry);
-        let mut shortage = Shortage::Capacity;
+        let mut shortage = None;
         loop {
             if let Err(refused) = place.turn().await {
                 self.queue_refusal.set(Some(refused));
                 return Err(match refused.cause {
-                    Cause::Expired => shortage,
                     Cause::Removed => Shortage::Endpoints,
-                    Cause::Full | Cause::TooLate | Cause::Overtaken => Shortage::Capacity,
+                    // One that never had the turn does not know what is missing.
+                    _ => shortage.unwrap_or_else(|| self.current_shortage(&need)),
                 });
             }
-            shortage = match self.select(&need) {
+            let found = match self.select(&need) {
                 Ok(target) => {
                     place.granted();
                     self.worker.metrics.record_queue_time(started.elapsed());
@@ -117,13 +117,22 @@
                 Err(shortage) => shortage,
             };
             let remaining = until.saturating_sub(self.worker.now());
-            if self.is_in_vain(shortage, remaining) {
-                return Err(shortage);
+            if self.is_in_vain(found, remaining) {
+                return Err(found);
             }
-            place.missed(shortage == Shortage::Capacity);
+            place.missed(found == Shortage::Capacity);
+            shortage = Some(found);
         }
     }
 
+    /// Returns what a request lacks that did not look for capacity itself.
+    fn current_shortage(&self, need: &Need) -> Shortage {
+        let found = self.query_untried(|selector, now, service, tried| {
+            selector.can_select(now, service, need, tried)
+        });
+        found.err().unwrap_or(Shortage::Capacity)
+    }
+
     /// Returns the need by which a request in a queue is placed. What less urgent requests leave free
     /// for urgent ones is available to responses in progress too, since those can't be refused.
     fn ordered_need(&self, purpose: Purpose) -> Need {
--- a/crates/gate/src/forward/evacuation.rs
+++ b/crates/gate/src/forward/evacuation.rs
@@ -239,6 +239,11 @@
         let ended = self
             .worker
             .with_selector(|selector, _| selector.ended_stages(&reservation.target));
+        if ended.is_empty() {
+            // The stages were replaced on another path meanwhile.
+            evacuation.refresh(&self.worker, &reservation.target);
+            return None;
+        }
         let may_retry = !self.worker.is_suspect(&self.job) && self.planned.borrow().is_none();
         let permit = may_retry.then(|| self.executions.permit().ok()).flatten();
         let evacuee = self.evacuee(reservation, evacuation, idle, position, permit.is_some());
--- a/crates/gate/src/worker/waiting.rs
+++ b/crates/gate/src/worker/waiting.rs
@@ -159,9 +159,13 @@
             let left = self.until.saturating_sub(self.worker.now()) + Duration::from_millis(1);
             let woken = timeout(interval.min(left), self.seat.woken.notified()).await;
             // A poll wakes the first request again, so one after each wake-up would never end.
-            if woken.is_err() && self.seat.refused.get().is_none() {
-                self.update(|queue, now| queue.poll(now, self.ticket));
+            if self.seat.refused.get().is_some() {
+                continue;
             }
+            self.update(|queue, now| match woken {
+                Ok(()) => queue.responds(now, self.ticket),
+                Err(_) => queue.poll(now, self.ticket),
+            });
         }
     }
 
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -3,7 +3,7 @@
 use crate::Now;
 use crate::group::Group;
 use crate::identity::Id;
-use crate::item::{Fingerprint, Key, Observation};
+use crate::item::{Fingerprint, Key, Observation, Version};
 use crate::level::Level;
 use crate::peer::Peer;
 use crate::store::Slot;
@@ -65,6 +65,37 @@
         counts.map(|(name, _)| name.to_owned()).collect()
     }
 
+    /// Returns the runs whose end is confirmed: another node than the one that says so reports it too, or
+    /// the same node published a failure report of the endpoint together with it.
+    pub fn confirmed_ended(&self, now: Now) -> BTreeSet<String> {
+        let mut ended: Vec<(&str, Id, Version)> = Vec::new();
+        let mut reports: BTreeMap<&str, Vec<(Id, Version)>> = BTreeMap::new();
+        for origin in self.store().origins() {
+            for (_, slot) in self.valid_items(origin, now) {
+                let source = (origin, slot.version);
+                match &slot.body {
+                    Observation::Ended {
+                        name, ended: true, ..
+                    } => ended.push((name, source.0, source.1)),
+                    Observation::Endpoint {
+                        name,
+                        ejected: true,
+                        ..
+                    } => reports.entry(name).or_default().push(source),
+                    _ => {}
+                }
+            }
+        }
+        let is_confirmed = |&&(name, origin, version): &&(&str, Id, Version)| {
+            let mut others = ended.iter().filter(|e| e.0 == name);
+            let mut reports = reports.get(name).into_iter().flatten();
+            others.any(|other| other.1 != origin)
+                || reports.any(|r| r.0 != origin || r.1 == version)
+        };
+        let confirmed = ended.iter().filter(is_confirmed);
+        confirmed.map(|(name, _, _)| (*name).to_owned()).collect()
+    }
+
     /// Returns the services that each node is isolated from, without the nodes that are isolated from
     /// none.
     pub fn isolated(&self, now: Now) -> BTreeMap<Id, BTreeSet<&str>> {
--- a/crates/node/src/hosted/control/liveness.rs
+++ b/crates/node/src/hosted/control/liveness.rs
@@ -8,6 +8,8 @@
 //! A connection that is accepted doesn't show that an engine is alive: the kernel accepts connections
 //! for a stopped process, and another process may have taken over the address. An answer of the run does.
 //!
+//! Unanswered polls of many engines at once are no evidence either: then the link of this node is full.
+//!
 //! Designed for the 48 engines that one node polls, up to 7 polls a second each, and for all of them
 //! ending at once.
 
@@ -133,6 +135,8 @@
         if let Some(engine) = self.engines.get_mut(run) {
             engine.phase = Phase::Idle;
             engine.adapt_timeout(elapsed);
+            // A poll that fell due while this one was unanswered is not late.
+            engine.next_poll = engine.next_poll.map(|at| at.max(now));
             if let Some(verdict) = engine.verdict.take() {
                 engine.next_poll = engine.interval.map(|interval| now + interval);
                 self.actions.push(Action::Withdraw {
@@ -262,7 +266,7 @@
             "late"
         } else if !self.has_witness(run, service, |c| c.answered_at >= Some(since)) {
             "no witness"
-        } else if self.is_widespread(since, service) {
+        } else if self.is_widespread(now, since, service) {
             "widespread"
         } else {
             return self.conclude(now, run, Evidence::Unanswered);
@@ -273,19 +277,21 @@
 
     /// Returns whether too many engines of a service have been unanswered since `since`, in comparison to
     /// those that answered.
-    fn is_widespread(&self, since: Instant, service: &str) -> bool {
-        let engines = || self.engines.iter().filter(|(_, e)| e.service == service);
-        let answered = |run: &String| {
-            let contact = self.contacts.get(run);
-            contact.is_some_and(|c| c.answered_at >= Some(since))
-        };
-        let unanswered = engines().filter(|(run, e)| {
-            let known = e.verdict.is_some_and(|v| v.published_at < since);
-            e.phase.suspected_since().is_some() && !known && !answered(run)
+    fn is_widespread(&self, now: Instant, since: Instant, service: &str) -> bool {
+        let engines = self.engines.iter().filter(|(_, e)| e.service == service);
+        let last_answer = |run: &String| self.contacts.get(run).and_then(|c| c.answered_at);
+        // An engine that is polled and sound has answered within an interval.
+        let unanswered = engines.filter(|(run, engine)| match (engine.verdict, engine.interval) {
+            (Some(verdict), _) => verdict.published_at >= since,
+            (None, Some(interval)) => {
+                last_answer(run).is_none_or(|at| now > at + interval + MAX_LATENESS)
+            }
+            (None, None) => false,
         });
-        // The engine that is judged is no longer in a phase that shows the suspicion.
-        let unanswered = unanswered.count() + 1;
-        let answered = engines().filter(|(run, _)| answered(run)).count();
+        let unanswered = unanswered.count();
+        // Engines that are not watched here count too, as witnesses.
+        let contacts = self.contacts.values().filter(|c| c.service == service);
+        let answered = contacts.filter(|c| c.answered_at >= Some(since)).count();
         unanswered > 1 && answered < ANSWERS_PER_VERDICT * unanswered
     }
 
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -128,6 +128,8 @@
     lines: Lines,
     /// Runs that any node found to have ended, as last published to the worker.
     ended: Arc<BTreeSet<String>>,
+    /// Those of them whose end is confirmed.
+    confirmed_ended: Arc<BTreeSet<String>>,
     /// Clients of the other engines that this node polls.
     engines: BTreeMap<SocketAddr, Arc<Engine>>,
     /// When copies were last requested because the store could not be read.
@@ -193,6 +195,7 @@
             liveness: Liveness::default(),
             lines: Lines::default(),
             ended: Arc::default(),
+            confirmed_ended: Arc::default(),
             engines: BTreeMap::new(),
             last_copy_request: Instant::now(),
             metrics_updated: Instant::now(),
--- a/crates/node/src/hosted/control/state/view.rs
+++ b/crates/node/src/hosted/control/state/view.rs
@@ -40,6 +40,7 @@
                 loads: Arc::new(self.loads.view(now, self.start)),
                 reported_failed: self.failures.current(),
                 ended: self.ended.clone(),
+                confirmed_ended: self.confirmed_ended.clone(),
                 releasing: Arc::new(self.group.releasing(self.start.elapsed())),
                 leaving: Arc::new(self.loads.leaving()),
                 members: Arc::new(nodes.clone()),
@@ -62,17 +63,21 @@
     /// Publishes the runs that have ended to the worker at once, if they changed. The rest of the view is
     /// taken from the last one, since computing it takes milliseconds in a large fleet.
     pub(super) fn refresh_ended(&mut self, now: Instant) {
-        let ended = self.group.ended_by(self.start.elapsed(), 1);
-        if *self.ended == ended {
+        let elapsed = self.start.elapsed();
+        let ended = self.group.ended_by(elapsed, 1);
+        let confirmed = self.group.confirmed_ended(elapsed);
+        if *self.ended == ended && *self.confirmed_ended == confirmed {
             return;
         }
         self.ended = Arc::new(ended);
+        self.confirmed_ended = Arc::new(confirmed);
         self.metrics.record_ended(self.ended.len());
         self.update_failures(now);
         self.dirty = true;
         if let Some(current) = self.shared_view.load_full() {
             let mut view = View::clone(&current);
             view.fleet.ended = self.ended.clone();
+            view.fleet.confirmed_ended = self.confirmed_ended.clone();
             view.fleet.reported_failed = self.failures.current();
             self.shared_view.store(Some(Arc::new(view)));
             self.changes.send_modify(|number| *number += 1);
--- a/crates/node/tests/liveness.rs
+++ b/crates/node/tests/liveness.rs
@@ -300,3 +300,21 @@
         assert_eq!(world.verdicts.len(), verdicts, "{dark} of 29 engines");
     }
 }
+
+/// Guards against suspicions of a dark engine that are dropped since a slow engine beside it answers after
+/// its next poll was due, which made this process seem late.
+#[test]
+fn a_dark_engine_is_found_beside_a_slow_one() {
+    let mut world = World::new(8);
+    world
+        .engines
+        .insert("e2@1".to_owned(), Engine::Answers(ms(300)));
+    world.run(ms(5_000));
+    world.verdicts.clear();
+    let dark_at = world.now;
+    world.engines.insert("e1@1".to_owned(), Engine::Dark);
+    world.run(ms(900));
+    let (after, evidence) = world.verdict(dark_at);
+    assert_eq!(evidence, Some(Evidence::Unanswered));
+    assert!(after <= INTERVAL + ms(80 + 40 + 5), "{after:?}");
+}
--- a/crates/steer/src/fleet.rs
+++ b/crates/steer/src/fleet.rs
@@ -19,6 +19,8 @@
     pub reported_failed: Arc<BTreeSet<String>>,
     /// Runs of engines that the node that polls them found to have ended, in text form.
     pub ended: Arc<BTreeSet<String>>,
+    /// Those of them whose end is confirmed by another node or by refused connections.
+    pub confirmed_ended: Arc<BTreeSet<String>>,
     /// Runs of endpoints that are about to release their layers to load others, in text form.
     pub releasing: Arc<BTreeSet<String>>,
     /// Runs of endpoints that announced to this node that they leave, in text form.
--- a/crates/steer/src/prefill/overtaking.rs
+++ b/crates/steer/src/prefill/overtaking.rs
@@ -12,6 +12,9 @@
 /// number of nodes: the parts of many nodes are smaller than single prompts, and what the nodes send
 /// beyond their parts at a time averages out by that factor.
 const WINDOW_FRACTION: f64 = 0.2;
+/// Number of nodes beyond which the window does not grow, so that a long prompt that waits for a whole
+/// window still meets its target.
+const MAX_WINDOW_NODES: f64 = 100.0;
 
 /// What this worker may still send to one endpoint ahead of long prompts.
 #[derive(Clone, Copy, Debug, Default)]
@@ -33,7 +36,8 @@
     /// long prompts pass as many stages.
     pub fn excess_at(&self, now: Timestamp, policy: &Policy, nodes: f64) -> f64 {
         let part = MAX_FRACTION / nodes.max(1.0);
-        let window = policy.latency_target.as_secs_f64() * WINDOW_FRACTION * nodes.max(1.0).sqrt();
+        let scale = nodes.clamp(1.0, MAX_WINDOW_NODES).sqrt();
+        let window = policy.latency_target.as_secs_f64() * WINDOW_FRACTION * scale;
         let passed = now.saturating_sub(self.updated_at).as_secs_f64();
         (self.excess_secs - part * passed).max(-part * window)
     }
--- a/crates/steer/src/queue.rs
+++ b/crates/steer/src/queue.rs
@@ -10,6 +10,7 @@
 //! event is the number of requests times the number of waiting teams.
 
 mod estimate;
+mod refusal;
 pub(crate) mod reserve;
 mod share;
 
@@ -17,6 +18,7 @@
 use crate::budget::Purpose;
 use catalog::{Catalog, ServiceId};
 use estimate::SlotRate;
+pub use refusal::{Cause, Refused};
 use share::Class;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -72,54 +74,6 @@
     }
 }
 
-/// Why a waiting request is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Cause {
-    /// Too many requests wait, and it is the last one.
-    Full,
-    /// It is not expected to get a slot within its wait.
-    TooLate,
-    /// Like [`Self::TooLate`], since requests that arrived later go before it.
-    Overtaken,
-    /// Its wait is over.
-    Expired,
-    /// The service was removed.
-    Removed,
-}
-
-impl Cause {
-    /// Returns the label for logs and metrics.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Full => "full",
-            Self::TooLate => "too_late",
-            Self::Overtaken => "overtaken",
-            Self::Expired => "expired",
-            Self::Removed => "removed",
-        }
-    }
-}
-
-/// Refusal of a waiting request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refused {
-    /// Why it is refused.
-    pub cause: Cause,
-    /// Number of requests before it.
-    pub ahead: usize,
-    /// Time until it was expected to get a slot; `None` if the rate of slots is unknown.
-    pub estimate: Option<Duration>,
-    /// How long it waited.
-    pub waited: Duration,
-}
-
-impl Refused {
-    /// Returns the time after which a retry can succeed, before it is spread.
-    pub fn retry_after(&self) -> Duration {
-        estimate::retry_after(self.estimate)
-    }
-}
-
 /// What a waiting request is told.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Action {
@@ -227,6 +181,15 @@
         }
     }
 
+    /// The task of the request runs again without having the turn.
+    pub fn responds(&mut self, now: Timestamp, ticket: Ticket) -> Vec<Action> {
+        let waiting = self.waiting.get_mut(&ticket);
+        match waiting.is_some_and(|w| std::mem::take(&mut w.unresponsive)) {
+            true => self.settle(now),
+            false => Vec::new(),
+        }
+    }
+
     /// The request with the turn found no capacity; `by_load` tells whether the endpoints are full.
     pub fn missed(&mut self, now: Timestamp, ticket: Ticket, by_load: bool) -> Vec<Action> {
         self.suspended = !by_load;
@@ -367,9 +330,8 @@
     /// Refuses the requests whose wait is over, or that are not expected to get a slot within it.
     fn refuse_late(&mut self, now: Timestamp) -> Vec<Action> {
         let order = self.order();
-        // While the first one may still find capacity, those behind it may too: several slots can
-        // become free together.
-        let is_full = self.first_responding(&order).is_some_and(|w| w.missed);
+        // While any of them may still look for capacity, nothing is known of the others.
+        let is_full = !order.is_empty() && self.next_to_look(&order).is_none();
         let mut actions = Vec::new();
         let mut ahead = 0;
         for ticket in order {
@@ -490,7 +452,9 @@
     /// capacity that an urgent one waits for piece by piece.
     fn may_pass(&self, before: &Self) -> bool {
         let (own, other) = (&self.entry, &before.entry);
-        let is_smaller = own.rank() == other.rank() && own.tokens < other.tokens;
+        // A resumption may wait for longer than new requests do at all.
+        let same_class = own.rank() == other.rank() || other.purpose == Purpose::Resumption;
+        let is_smaller = same_class && own.tokens < other.tokens;
         (own.urgent && !other.urgent) || (is_smaller && before.passed < MAX_PASSED)
     }
 }
--- a/crates/steer/src/search.rs
+++ b/crates/steer/src/search.rs
@@ -116,6 +116,15 @@
     pub(crate) now: Timestamp,
 }
 
+/// What one candidate offers to a request.
+struct Terms {
+    /// Price of a layer.
+    price: f64,
+    prefill: PrefillPrice,
+    /// Capacity that the request may take, in token-layers.
+    free: f64,
+}
+
 /// Vertex of the graph: the indexes of a cut and of the availability zone of the stage that ends
 /// there.
 type Vertex = (usize, usize);
@@ -154,11 +163,12 @@
             return Err(Shortage::Size);
         }
         let hops = self.hop_costs(need);
-        let prices: Vec<(f64, PrefillPrice)> = self
-            .candidates
-            .iter()
-            .map(|c| (self.price_per_layer(c, need), self.prefill_price(c)))
-            .collect();
+        let terms = self.candidates.iter().map(|c| Terms {
+            price: self.price_per_layer(c, need),
+            prefill: self.prefill_price(c),
+            free: c.row.capacity * max_fill(c.row.endpoint.span) - c.used,
+        });
+        let terms: Vec<Terms> = terms.collect();
         let mut best: Vec<Option<Path>> = vec![None; cuts.len() * self.zones.len()];
         let mut reached: Vec<bool> = vec![false; cuts.len()];
         reached[0] = true;
@@ -166,11 +176,10 @@
             if !reached[at] {
                 continue;
             }
-            for (candidate, (price, prefill)) in self.candidates.iter().zip(&prices) {
+            for (candidate, terms) in self.candidates.iter().zip(&terms) {
                 let &Candidate {
                     index,
                     row,
-                    used,
                     backlog_secs,
                     ..
                 } = candidate;
@@ -181,17 +190,16 @@
                 let Some((start, previous)) = self.best_entry(&best, &hops, at, row, index) else {
                     continue;
                 };
-                let free = row.capacity * max_fill(span) - used;
                 for to in at + 1..cuts.len() {
                     if cuts[to] > span.to.min(self.span.to) {
                         break;
                     }
                     let layers = f64::from(cuts[to] - cuts[at]);
-                    if size * layers > free {
+                    if size * layers > terms.free {
                         break;
                     }
-                    let cost = start + STAGE_COST_SECS + backlog_secs + price * layers;
-                    let cost = cost + prefill.of(layers);
+                    let cost = start + STAGE_COST_SECS + backlog_secs + terms.price * layers;
+                    let cost = cost + terms.prefill.of(layers);
                     let slot = &mut best[self.slot((to, row.zone))];
                     if slot.is_none_or(|b| cost < b.cost) {
                         let span = Span {
--- a/crates/steer/src/selector/evacuate.rs
+++ b/crates/steer/src/selector/evacuate.rs
@@ -57,11 +57,11 @@
         !self.fleet.ended.is_empty() && target.stages.iter().any(|s| self.has_ended(s))
     }
 
-    /// Returns whether the end of an ended endpoint of a chain is confirmed by enough reports for the
-    /// endpoint to be left out of new chains.
+    /// Returns whether the end of an endpoint of a chain is confirmed.
     pub fn has_confirmed_end(&self, target: &Target) -> bool {
-        let mut ended = target.stages.iter().filter(|s| self.has_ended(s));
-        ended.any(|s| self.fleet.reported_failed.contains(&s.run.to_string()))
+        let confirmed = &self.fleet.confirmed_ended;
+        let mut stages = target.stages.iter();
+        stages.any(|s| confirmed.contains(&s.run.to_string()))
     }
 
     /// Returns the addresses of the stages of a chain whose endpoint has ended.
--- a/crates/steer/src/selector/moves.rs
+++ b/crates/steer/src/selector/moves.rs
@@ -298,7 +298,17 @@
         tokens: f64,
     ) -> Target {
         self.record_move(scope, path, need, tokens);
-        self.reserve(scope.now, &path.segments, need.tokens())
+        let target = self.reserve(scope.now, &path.segments, need.tokens());
+        let (service, attempt) = (&scope.service.name, target.reservation);
+        self.begin_prefill(
+            scope.now,
+            service,
+            scope.engine,
+            need,
+            attempt,
+            &path.segments,
+        );
+        target
     }
 
     /// Replaces the shares of an attempt at some addresses by others.
--- a/crates/steer/tests/queue.rs
+++ b/crates/steer/tests/queue.rs
@@ -139,17 +139,28 @@
 #[test]
 fn a_refused_request_has_waited_at_most_half_of_its_maximum_wait() {
     for (max_wait, count) in [(800, 30), (800, 64), (400, 30), (2_000, 60)] {
-        let mut bench = Bench::new(count, ms(max_wait));
-        // Twice as many arrivals as slots.
-        for _ in 0..40 {
-            bench.run(ms(30));
-            bench.join_many(1, "a", 1);
-        }
-        bench.run(ms(max_wait));
-        let longest = bench.refused.values().map(|r| r.waited).max().unwrap();
-        assert!(longest <= ms(max_wait / 2), "{longest:?} of {max_wait} ms");
-        assert!(bench.granted.len() >= 20, "{}", bench.granted.len());
+        refusals_come_by_half_of_the_wait(count, ms(max_wait));
+    }
+}
+
+// Guards against the same where the rate of slots becomes known only after half of the wait, as with a
+// latency target of 500 ms.
+#[test]
+fn a_short_maximum_wait_is_refused_by_its_half() {
+    refusals_come_by_half_of_the_wait(30, ms(200));
+}
+
+fn refusals_come_by_half_of_the_wait(count: usize, max_wait: Duration) {
+    let mut bench = Bench::new(count, max_wait);
+    // Twice as many arrivals as slots.
+    for _ in 0..40 {
+        bench.run(ms(30));
+        bench.join_many(1, "a", 1);
     }
+    bench.run(max_wait);
+    let longest = bench.refused.values().map(|r| r.waited).max().unwrap();
+    assert!(longest <= max_wait / 2, "{longest:?} of {max_wait:?}");
+    assert!(bench.granted.len() >= 20, "{}", bench.granted.len());
 }
 
 // Guards against requests that can't be served since more urgent ones arrived, and wait on.
@@ -176,6 +187,26 @@
     assert!(bench.queue.is_first(urgent));
 }
 
+// Guards against a request that is refused by an estimate although it may still find the capacity that a
+// larger one before it can't use.
+#[test]
+fn a_smaller_request_looks_for_capacity_before_it_is_refused() {
+    let mut bench = Bench::new(4, ms(200));
+    bench.run(ms(190));
+    let large = Entry {
+        tokens: 10_000.0,
+        ..entry("a", 1, bench.now + ms(200))
+    };
+    let (large, _) = bench.queue.join(bench.now, large);
+    while bench.queue.is_turn(large) {
+        bench.queue.missed(bench.now, large, true);
+    }
+    let (small, _) = bench
+        .queue
+        .join(bench.now, entry("b", 1, bench.now + ms(200)));
+    assert!(bench.queue.is_turn(small));
+}
+
 // Guards against responses in progress that are cut off since others wait.
 #[test]
 fn resumptions_go_first_and_are_never_refused_by_an_estimate() {
