steer, gate: comments after the last read of the diff

Cause: comments told how a value was chosen, used figurative words, or left out moves off confirmed ends.

--- a/crates/gate/src/forward/evacuation.rs
+++ b/crates/gate/src/forward/evacuation.rs
@@ -1,7 +1,7 @@
 //! Moves responses off endpoints that have ended.
 //!
 //! A node is notified when another node found that an endpoint has ended. A response whose chain
-//! runs through it is checked at once, and again when it would be idle by its own gaps. What it
+//! runs through it moves at once if the end is confirmed, else when it is idle by its own gaps. What it
 //! does is decided by [`steer::Selector::evacuate`]. Responses that are idle at the same time are
 //! planned together, so that those that can still be on time go first.
 
--- a/crates/gate/src/worker/waiting.rs
+++ b/crates/gate/src/worker/waiting.rs
@@ -25,7 +25,7 @@
     seats: HashMap<Ticket, Rc<Seat>>,
 }
 
-/// What the task of a waiting request is told.
+/// Messages to the task of a waiting request.
 #[derive(Debug, Default)]
 struct Seat {
     woken: Notify,
@@ -103,7 +103,7 @@
         dumps.collect()
     }
 
-    /// Passes an event to the queue of a service, and tells the tasks what it decides.
+    /// Passes an event to the queue of a service, and notifies the tasks of its decisions.
     fn update_line(&self, service: &str, event: impl FnOnce(&mut Line, Timestamp) -> Vec<Action>) {
         let now = self.now();
         let mut lines = self.lines.borrow_mut();
--- a/crates/steer/src/evacuation.rs
+++ b/crates/steer/src/evacuation.rs
@@ -1,8 +1,8 @@
 //! Evacuation of responses whose chain runs through an endpoint that has ended.
 //!
 //! All nodes learn of an ended endpoint at about the same time, and together have some hundred
-//! responses there. A response is moved if it is idle by its own gaps ([`gaps::Gaps`]). It either
-//! gets other stages in place of the ended ones, or is resumed on a new chain, whichever lets it
+//! responses there. A response is moved if the end is confirmed, or if it is idle by its own gaps
+//! ([`gaps::Gaps`]). It either gets other stages in place of the ended ones, or is resumed on a new chain, whichever lets it
 //! continue earlier. Both times are estimated behind the prefill and the transfers of the other
 //! moving responses ([`queues::Queues`]), which are simulated from the last load reports. Responses
 //! that can still meet their pause target go first.
@@ -28,9 +28,8 @@
 pub(crate) const NEW_CHAIN_SECS: f64 = 0.04;
 
 /// Factor on the time that a response waits in a queue, relative to the time of its later events, when
-/// new stages are selected: the wait is one pause, which makes the response late. Of 507 responses
-/// whose layers no endpoint of their zone holds, 266 are on time with 1, 307 with 3, 298 with 10 and
-/// 269 with 30 (`crates/steer/tests/evacuation.rs`).
+/// new stages are selected: the wait is one pause, which makes the response late, whereas slower events
+/// do not.
 pub(crate) const QUEUE_FACTOR: f64 = 3.0;
 
 /// Time after the notification within which other nodes move their responses. Most of them are idle
@@ -52,7 +51,7 @@
     pub need: Need,
     /// Number of tokens so far, which new stages prefill.
     pub context: u32,
-    /// Time since the last event, or since the request was sent.
+    /// Time since the last event, or since the request arrived.
     pub idle: Duration,
     /// Longest idle time with which the response is still on time.
     pub pause_target: Option<Duration>,
--- a/crates/steer/src/evacuation/queues.rs
+++ b/crates/steer/src/evacuation/queues.rs
@@ -52,7 +52,7 @@
         (self.links[self.slot(a, b)] - self.elapsed).max(0.0)
     }
 
-    /// Returns whether a link can carry a transfer within the patience of callers.
+    /// Returns whether a link can carry a transfer before callers leave.
     pub fn carries(&self, a: usize, b: usize, secs: f64) -> bool {
         self.link(a, b) + secs <= PATIENCE_SECS * LINK_FRACTION
     }
--- a/crates/steer/src/queue.rs
+++ b/crates/steer/src/queue.rs
@@ -74,7 +74,7 @@
     }
 }
 
-/// What a waiting request is told.
+/// A message to a waiting request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Action {
     /// It has the turn, or is the first now and must call [`Queue::poll`] at intervals.
--- a/crates/steer/tests/queue.rs
+++ b/crates/steer/tests/queue.rs
@@ -227,7 +227,7 @@
 }
 
 // Guards against lost wake-ups: a slot stays unused although requests wait, since the one that was
-// woken leaves or its task does not run, or nobody polls any more.
+// woken leaves or its task does not run, or no request polls any more.
 #[test]
 fn a_request_that_does_not_take_the_slot_passes_the_turn_on() {
     let mut bench = Bench::new(0, ms(800));
