node: engines whose polls take long are polled for their load only

Change: the shortest recent time of a poll above 3 ms ends the frequent polls of an engine; closings are noticed as before.

--- a/crates/node/src/hosted/control/liveness.rs
+++ b/crates/node/src/hosted/control/liveness.rs
@@ -72,7 +72,7 @@
             let engine = engine.or_insert_with(|| Engine::new(watch.service));
             if engine.interval != watch.interval {
                 engine.interval = watch.interval;
-                engine.next_poll = watch.interval.map(|interval| now + interval);
+                engine.next_poll = engine.next_poll_after(now);
             }
         }
         self.contacts.retain(|_, contact| {
@@ -135,10 +135,11 @@
         if let Some(engine) = self.engines.get_mut(run) {
             engine.phase = Phase::Idle;
             engine.adapt_timeout(elapsed);
+            engine.record_poll_time(elapsed);
             // A poll that fell due while this one was unanswered is not late.
             engine.next_poll = engine.next_poll.map(|at| at.max(now));
             if let Some(verdict) = engine.verdict.take() {
-                engine.next_poll = engine.interval.map(|interval| now + interval);
+                engine.next_poll = engine.next_poll_after(now);
                 self.actions.push(Action::Withdraw {
                     run: run.to_owned(),
                     evidence: verdict.evidence,
@@ -281,13 +282,16 @@
         let engines = self.engines.iter().filter(|(_, e)| e.service == service);
         let last_answer = |run: &String| self.contacts.get(run).and_then(|c| c.answered_at);
         // An engine that is polled and sound has answered within an interval.
-        let unanswered = engines.filter(|(run, engine)| match (engine.verdict, engine.interval) {
-            (Some(verdict), _) => verdict.published_at >= since,
-            (None, Some(interval)) => {
-                last_answer(run).is_none_or(|at| now > at + interval + MAX_LATENESS)
-            }
-            (None, None) => false,
-        });
+        let unanswered =
+            engines.filter(
+                |(run, engine)| match (engine.verdict, engine.poll_interval()) {
+                    (Some(verdict), _) => verdict.published_at >= since,
+                    (None, Some(interval)) => {
+                        last_answer(run).is_none_or(|at| now > at + interval + MAX_LATENESS)
+                    }
+                    (None, None) => false,
+                },
+            );
         let unanswered = unanswered.count();
         // Engines that are not watched here count too, as witnesses.
         let contacts = self.contacts.values().filter(|c| c.service == service);
--- a/crates/node/src/hosted/control/liveness/engine.rs
+++ b/crates/node/src/hosted/control/liveness/engine.rs
@@ -15,6 +15,12 @@
 const RENEWAL_AGE: Duration = Duration::from_millis(1000);
 /// Factor from the time of an engine's late answer to the timeout of its next polls.
 const LATE_ANSWER_FACTOR: u32 = 2;
+/// Time of a poll above which an engine is polled for its load only. At 7 polls a second, such polls take
+/// more than a fiftieth of the engine's time from its requests.
+const MAX_FREQUENT_POLL_TIME: Duration = Duration::from_millis(3);
+/// Factor by which the known time of a poll grows with each poll that takes longer. The shortest recent
+/// one counts, since the others include delays of this node.
+const POLL_TIME_GROWTH: f64 = 1.1;
 /// Upper bound of the timeout of a poll. It is the time after which a poll is given up altogether.
 const MAX_POLL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Interval at which an engine is tried again that refuses connections while there is no witness.
@@ -173,6 +179,8 @@
     pub(super) phase: Phase,
     /// Timeout of its polls.
     pub(super) timeout: Duration,
+    /// Shortest recent time of an answered poll.
+    pub(super) poll_time: Option<Duration>,
     pub(super) last_reconnect: Option<Instant>,
     pub(super) verdict: Option<Verdict>,
 }
@@ -180,7 +188,7 @@
 impl Engine {
     /// Begins a poll.
     pub(super) fn poll(&mut self, now: Instant, run: &str, actions: &mut Vec<Action>) {
-        self.next_poll = self.interval.map(|interval| now + interval);
+        self.next_poll = self.next_poll_after(now);
         self.phase = Phase::Polled {
             since: now,
             deadline: now + self.timeout,
@@ -191,6 +199,23 @@
         });
     }
 
+    /// Returns the interval of polls; `None` if the engine is only polled on request.
+    pub(super) fn poll_interval(&self) -> Option<Duration> {
+        let is_costly = self.poll_time.is_some_and(|t| t > MAX_FREQUENT_POLL_TIME);
+        self.interval.filter(|_| !is_costly)
+    }
+
+    /// Returns when the poll after one at `now` is due.
+    pub(super) fn next_poll_after(&self, now: Instant) -> Option<Instant> {
+        self.poll_interval().map(|interval| now + interval)
+    }
+
+    /// Records how long an answered poll took.
+    pub(super) fn record_poll_time(&mut self, elapsed: Duration) {
+        let known = self.poll_time.map(|t| t.mul_f64(POLL_TIME_GROWTH));
+        self.poll_time = Some(known.map_or(elapsed, |known| known.min(elapsed)));
+    }
+
     /// Sends the second poll of a suspicion on a new connection.
     pub(super) fn poll_again(
         &mut self,
@@ -218,6 +243,7 @@
             next_poll: None,
             phase: Phase::Idle,
             timeout: POLL_TIMEOUT,
+            poll_time: None,
             last_reconnect: None,
             verdict: None,
         }
--- a/crates/node/tests/liveness.rs
+++ b/crates/node/tests/liveness.rs
@@ -318,3 +318,17 @@
     assert_eq!(evidence, Some(Evidence::Unanswered));
     assert!(after <= INTERVAL + ms(80 + 40 + 5), "{after:?}");
 }
+
+/// Guards against polls that take a noticeable part of an engine's time from its requests.
+#[test]
+fn engines_whose_polls_take_long_are_not_polled_often() {
+    let mut world = World::new(8);
+    for engine in world.engines.values_mut() {
+        *engine = Engine::Answers(ms(6));
+    }
+    world.run(ms(5_000));
+    let polls = world.polls;
+    world.run(ms(5_000));
+    assert_eq!(world.polls, polls);
+    assert_eq!(world.verdicts, []);
+}
