--- a/crates/ctl/src/losses/request.rs
+++ b/crates/ctl/src/losses/request.rs
@@ -51,7 +51,9 @@
         let crossings = line.number("crossings");
         match line.event.as_str() {
             "sent" => {
-                self.attempts += 1;
+                // An attempt is sent once more if its connection was closed before.
+                let number = line.number("attempt");
+                self.attempts = number.map_or(self.attempts + 1, |n| n.max(self.attempts));
                 self.prompt = line.number("prompt").or(self.prompt);
                 self.zone_crossings = crossings.or(self.zone_crossings);
             }
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -214,8 +214,7 @@
         self.tried
             .borrow_mut()
             .extend(reservation.target.stages.iter().map(|s| s.run.clone()));
-        let crossings = self.crossings(&reservation.target.stages);
-        let attempt = self.log.record_sent(&reservation.target, crossings);
+        let attempt = self.log.begin_attempt();
         reservation.progress.attempt.set(attempt);
         reservation.progress.sent_at.set(self.worker.now());
         let crashes = self.worker.crashes(&self.job);
@@ -328,6 +327,13 @@
             .with_selector(|selector, _| selector.crossings(stages))
     }
 
+    fn record_sent(&self, reservation: &Reservation<D>, conn: Option<&Conn>) {
+        let target = &reservation.target;
+        let crossings = self.crossings(&target.stages);
+        self.log
+            .record_sent(reservation.attempt(), target, crossings, conn);
+    }
+
     /// Sends the request and waits for the head of the response. If the endpoint closed the idle connection
     /// before, the request is sent on a new one.
     async fn exchange(
@@ -339,7 +345,9 @@
         let addr = reservation.target.head().addr;
         let mut is_retry = false;
         loop {
-            let mut conn = self.connect(&reservation.target).await?;
+            let conn = self.connect(&reservation.target).await;
+            self.record_sent(reservation, conn.as_ref().ok());
+            let mut conn = conn?;
             let request = self.request(&reservation.target, last_event_id);
             let attempt = permit.begin();
             let error = match self
@@ -357,6 +365,8 @@
                 return Err(error);
             }
             is_retry = true;
+            self.log
+                .record_resent(reservation.attempt(), &error.to_string());
             self.worker.pool.close_idle(addr);
         }
     }
--- a/crates/gate/src/forward/request_log.rs
+++ b/crates/gate/src/forward/request_log.rs
@@ -3,6 +3,7 @@
 use crate::execution::Ledger;
 use crate::job::Job;
 use crate::metrics::Metrics;
+use crate::pool::Conn;
 use crate::probe::Finding;
 use crate::refusal::Refusal;
 use catalog::endpoint::Run;
@@ -69,11 +70,22 @@
         self.reason.set(reason);
     }
 
-    /// Records that an attempt was sent, and returns its number.
-    pub(crate) fn record_sent(&self, target: &Target, crossings: u32) -> u32 {
+    /// Begins an attempt, and returns its number.
+    pub(crate) fn begin_attempt(&self) -> u32 {
         let attempt = self.attempts.get() + 1;
         self.attempts.set(attempt);
         self.metrics.record_attempt("sent");
+        attempt
+    }
+
+    /// Records that the request of an attempt is sent on `conn`; `None` if no connection was established.
+    pub(crate) fn record_sent(
+        &self,
+        attempt: u32,
+        target: &Target,
+        crossings: u32,
+        conn: Option<&Conn>,
+    ) {
         self.journal.record(Event::Sent {
             id: self.id.clone(),
             attempt,
@@ -81,8 +93,20 @@
             crossings,
             catalog: self.catalog_version,
             prompt: self.prompt,
+            conn: conn.map(Conn::id),
+            nth: conn.map(Conn::request_number),
+        });
+    }
+
+    /// Records that the request of an attempt is sent once more, on another connection.
+    pub(crate) fn record_resent(&self, attempt: u32, why: &str) {
+        self.metrics.record_attempt("resent");
+        self.journal.record(Event::Resent {
+            id: self.id.clone(),
+            attempt,
+            why: why.to_owned(),
+            after_ms: self.received_at.elapsed().as_millis() as u64,
         });
-        attempt
     }
 
     /// Records that the request was sent to another node, and returns the number of the attempt.
--- a/crates/gate/src/pool.rs
+++ b/crates/gate/src/pool.rs
@@ -10,7 +10,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -76,12 +76,18 @@
 /// Result of sending a request.
 pub type Result<T> = std::result::Result<T, Error>;
 
+/// Number of a connection, from 1 in the order in which a worker opened them.
+pub type ConnId = u64;
+
 /// A connection that is in use. Dropping it closes it, whereupon the endpoint cancels the request.
 #[derive(Debug)]
 pub struct Conn {
+    id: ConnId,
     sender: SendRequest<Full<Bytes>>,
     addr: SocketAddr,
     opened_at: Instant,
+    /// Number of requests that it was handed out for.
+    requests: u32,
     /// How long the connection may be idle and still be reused.
     idle_timeout: Duration,
 }
@@ -98,6 +104,8 @@
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConn>>>,
     /// Times up to which connections were opened that are not reused.
     retired: RefCell<HashMap<SocketAddr, Instant>>,
+    /// Number of the last connection that was opened.
+    last_id: Cell<ConnId>,
     stats: Rc<Stats>,
 }
 
@@ -107,18 +115,35 @@
         Self {
             idle: RefCell::default(),
             retired: RefCell::default(),
+            last_id: Cell::new(0),
             stats,
         }
     }
 
     /// Returns a connection to `addr`: an idle one that is still open, or a new one.
     pub async fn get(&self, addr: SocketAddr) -> Result<Conn> {
-        if let Some(conn) = self.take_idle(addr) {
-            return Ok(conn);
-        }
+        let mut conn = match self.take_idle(addr) {
+            Some(conn) => conn,
+            None => self.open(addr).await?,
+        };
+        conn.requests += 1;
+        Ok(conn)
+    }
+
+    async fn open(&self, addr: SocketAddr) -> Result<Conn> {
         stats::increment(&self.stats.connects);
         let connected = timeout(CONNECT_TIMEOUT, connect(addr)).await;
-        connected.unwrap_or(Err(Error::Unreachable))
+        let (sender, opened_at) = connected.unwrap_or(Err(Error::Unreachable))?;
+        let id = self.last_id.get() + 1;
+        self.last_id.set(id);
+        Ok(Conn {
+            id,
+            sender,
+            addr,
+            opened_at,
+            requests: 0,
+            idle_timeout: DEFAULT_IDLE_TIMEOUT,
+        })
     }
 
     fn take_idle(&self, addr: SocketAddr) -> Option<Conn> {
@@ -180,6 +205,16 @@
 }
 
 impl Conn {
+    /// Returns its number.
+    pub fn id(&self) -> ConnId {
+        self.id
+    }
+
+    /// Returns the position of its current request among those that it carried, from 1.
+    pub fn request_number(&self) -> u32 {
+        self.requests
+    }
+
     /// Sends a request and waits for the head of the response.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
         match self.sender.try_send_request(request).await {
@@ -192,7 +227,7 @@
     }
 }
 
-async fn connect(addr: SocketAddr) -> Result<Conn> {
+async fn connect(addr: SocketAddr) -> Result<(SendRequest<Full<Bytes>>, Instant)> {
     let stream = TcpStream::connect(addr).await.map_err(|_| Error::Refused)?;
     // Without these options requests are slower or a lost endpoint is detected later, but the
     // connection works; failures are ignored.
@@ -207,12 +242,7 @@
     tokio::task::spawn_local(async move {
         let _ = conn.await;
     });
-    Ok(Conn {
-        sender,
-        addr,
-        opened_at: Instant::now(),
-        idle_timeout: DEFAULT_IDLE_TIMEOUT,
-    })
+    Ok((sender, Instant::now()))
 }
 
 /// Returns whether the endpoint closes the connection after its response.
--- a/crates/journal/src/event.rs
+++ b/crates/journal/src/event.rs
@@ -98,6 +98,23 @@
         /// Number of tokens of the prompt; the service's usual one if the caller did not state it,
         /// and `None` for a service without an engine.
         prompt: Option<u32>,
+        /// Number of the connection to the endpoint, from 1 in the order in which the node opened them;
+        /// `None` if none was established.
+        conn: Option<u64>,
+        /// Position of the request among those that the connection carried, from 1.
+        nth: Option<u32>,
+    },
+    /// The connection of an attempt was closed before its request was sent, which is sent once more on
+    /// another connection. A further `sent` line with the number of the attempt follows.
+    Resent {
+        /// Request id.
+        id: String,
+        /// Number of the attempt, from 1.
+        attempt: u32,
+        /// Why it is known that the request was not sent.
+        why: String,
+        /// Time from the request's arrival, in milliseconds.
+        after_ms: u64,
     },
     /// A request was sent to another node, since this one is isolated from the endpoints of its service.
     /// That node writes lines with the same id.
