gate: a connection carries each request once, so that a copy of a refusal disproves no later sending

Cause: an endpoint may send a response a second time, late, in the place of the next one on the connection. The ledger accepted "not run" if the response had the request's id, and a request could be sent on a connection that had carried it before: to the same endpoint after its pause, or at once where an endpoint was restarted at its address, since the row of its run before stays for three heartbeats and both runs share the pool's connections. A copy of the 421 for the first run then counted for the sending to the second one, and the request went on to another endpoint.

Ruled out: requests that count as unsent and were sent (hyper returns a request only if it never began to write it), and permits that are granted twice (by reading the ledger's uses).

Change: a connection knows the hashes of the ids that it carried, and is not handed out for a request that it carried. It is closed after 1,024 requests, which bounds the list to 8 KiB. True refusals still permit another attempt at once.

A test of leaving.rs sent two requests under one id, which no caller does; they have ids of their own now, and what it checks is the same.

--- a/crates/gate/src/execution.rs
+++ b/crates/gate/src/execution.rs
@@ -160,7 +160,9 @@
     }
 
     /// Returns the evidence in the head of a response to the request `id`; `None` if the head states
-    /// nothing.
+    /// nothing. The response must come from a connection that was handed out for this sending
+    /// ([`pool::Pool::get`]) and so carries the request for the first time: on another one, the head may be a
+    /// copy of the response to an earlier sending.
     ///
     /// # Errors
     ///
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -308,7 +308,8 @@
     /// Returns a connection to the head of a target, unless an endpoint of the target announced that it
     /// leaves, or asked for rest, while it was established.
     async fn connect(&self, target: &Target) -> Result<Conn, Failure> {
-        let conn = self.worker.pool.get(target.head().addr).await?;
+        let id = self.job.info.id.as_deref();
+        let conn = self.worker.pool.get(target.head().addr, id).await?;
         let check = |selector: &mut Selector, now| {
             if selector.is_leaving(target) {
                 return Err(Failure::Leaving);
--- a/crates/gate/src/forward/relay.rs
+++ b/crates/gate/src/forward/relay.rs
@@ -101,7 +101,8 @@
     }
 
     async fn relay_to(&self, node: SocketAddr, permit: Permit) -> pool::Result<Relayed> {
-        let mut conn = self.worker.pool.get(node).await?;
+        let id = self.job.info.id.as_deref();
+        let mut conn = self.worker.pool.get(node, id).await?;
         let limit = self.job.time_left() + REPORT_TIME;
         let attempt = permit.begin();
         let sent = timeout(limit, conn.send(self.relay_request())).await;
--- a/crates/gate/src/pool.rs
+++ b/crates/gate/src/pool.rs
@@ -1,5 +1,9 @@
 //! Pool of keep-alive HTTP/1.1 connections to endpoints. Each connection carries one request at a
 //! time.
+//!
+//! An endpoint may send a response a second time, late, in the place of the next response on the
+//! connection. The request's id tells such a copy from the response to another request, but not from the
+//! response to a later sending of the same one. So a connection never carries the same request twice.
 
 use crate::stats::{self, Stats};
 use bytes::Bytes;
@@ -18,6 +22,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Timeout for establishing a connection; covers a few round trips and one retransmission.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -36,6 +41,9 @@
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections to one endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 64;
+/// Number of requests after which a connection is closed. It limits the memory for their ids to 8 KiB a
+/// connection; a new one costs little beside so many requests.
+const MAX_REQUESTS: usize = 1024;
 
 /// Why no response head was received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,6 +87,9 @@
 /// Number of a connection, from 1 in the order in which a worker opened them.
 pub type ConnId = u64;
 
+/// Hash of a request's id.
+type IdHash = u64;
+
 /// A connection that is in use. Dropping it closes it, whereupon the endpoint cancels the request.
 #[derive(Debug)]
 pub struct Conn {
@@ -86,8 +97,8 @@
     sender: SendRequest<Full<Bytes>>,
     addr: SocketAddr,
     opened_at: Instant,
-    /// Number of requests that it was handed out for.
-    requests: u32,
+    /// The requests that it was handed out for, at most [`MAX_REQUESTS`].
+    carried: Vec<IdHash>,
     /// How long the connection may be idle and still be reused.
     idle_timeout: Duration,
 }
@@ -120,13 +131,15 @@
         }
     }
 
-    /// Returns a connection to `addr`: an idle one that is still open, or a new one.
-    pub async fn get(&self, addr: SocketAddr) -> Result<Conn> {
-        let mut conn = match self.take_idle(addr) {
+    /// Returns a connection to `addr` for one sending of the request `id`: an idle one that is still open
+    /// and has not carried this request, or a new one.
+    pub async fn get(&self, addr: SocketAddr, id: Option<&str>) -> Result<Conn> {
+        let request = xxh3_64(id.unwrap_or_default().as_bytes());
+        let mut conn = match self.take_idle(addr, request) {
             Some(conn) => conn,
             None => self.open(addr).await?,
         };
-        conn.requests += 1;
+        conn.carried.push(request);
         Ok(conn)
     }
 
@@ -141,27 +154,28 @@
             sender,
             addr,
             opened_at,
-            requests: 0,
+            carried: Vec::new(),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
         })
     }
 
-    fn take_idle(&self, addr: SocketAddr) -> Option<Conn> {
+    fn take_idle(&self, addr: SocketAddr, request: IdHash) -> Option<Conn> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&addr)?;
-        while let Some(IdleConn { conn, idle_since }) = list.pop() {
+        loop {
+            let fresh = |i: &IdleConn| !i.conn.carried.contains(&request);
+            let IdleConn { conn, idle_since } = list.remove(list.iter().rposition(fresh)?);
             if conn.sender.is_ready() && idle_since.elapsed() < conn.idle_timeout {
                 return Some(conn);
             }
         }
-        None
     }
 
     /// Returns a connection to the pool after its response was read completely. A connection that
-    /// the endpoint closes after this response, by its headers, or that was retired meanwhile is
-    /// closed.
+    /// the endpoint closes after this response, by its headers, that was retired meanwhile or that has
+    /// carried its last request is closed.
     pub fn put(&self, mut conn: Conn, headers: &HeaderMap, idle_timeout: Option<Duration>) {
-        if closes_connection(headers) {
+        if closes_connection(headers) || conn.carried.len() >= MAX_REQUESTS {
             return;
         }
         let retired = self.retired.borrow().get(&conn.addr).copied();
@@ -211,8 +225,8 @@
     }
 
     /// Returns the position of its current request among those that it carried, from 1.
-    pub fn request_number(&self) -> u32 {
-        self.requests
+    pub fn request_number(&self) -> usize {
+        self.carried.len()
     }
 
     /// Sends a request and waits for the head of the response.
--- a/crates/gate/tests/leaving.rs
+++ b/crates/gate/tests/leaving.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use steer::load::Load;
-use support::caller::{Received, ids, request, send};
+use support::caller::{Received, ids, request, request_as, send};
 use support::server::{Behavior, Server, header};
 use support::{
     LAYERS, Node, node, plain, run, stage, view, wait_for_request, with_services_reordered,
@@ -248,8 +248,8 @@
     run(async {
         let server = Server::start(vec![OK, OK.leaving(), OK]).await;
         let node = node(vec![plain(server.addr)]).await;
-        for _ in 0..2 {
-            send(node.addr, request("/safe/x")).await;
+        for id in ["r1", "r2"] {
+            send(node.addr, request_as(id, "/safe/x")).await;
         }
         wait_for_closed(&server, 1).await;
         let mut restarted = plain(server.addr);
--- a/crates/gate/tests/support/caller.rs
+++ b/crates/gate/tests/support/caller.rs
@@ -29,6 +29,13 @@
         .unwrap()
 }
 
+/// Like [`request`], with another id.
+pub fn request_as(id: &str, path: &str) -> Request<Full<bytes::Bytes>> {
+    let mut request = request(path);
+    request.headers_mut().insert("id", id.parse().unwrap());
+    request
+}
+
 /// Sends a request on a new connection and reads the response to its end.
 pub async fn send(addr: SocketAddr, request: Request<Full<bytes::Bytes>>) -> Received {
     let stream = TcpStream::connect(addr).await.unwrap();
--- a/crates/gate/tests/support/server.rs
+++ b/crates/gate/tests/support/server.rs
@@ -17,6 +17,8 @@
     Answer(u16, &'static str),
     /// Responds with this status and states that the request was not executed.
     Refuse(u16),
+    /// Like `Refuse`, and sends the response again in the place of the next one on the connection.
+    RefuseTwice(u16),
     /// Responds with this status and these header lines, each with its line break.
     WithHeaders(u16, &'static str),
     /// Responds with 503, states that the request was not executed, and asks to be left alone for
@@ -32,6 +34,11 @@
     EventsThenCrash(u64, u64),
     /// Does what the first behavior says if the request has this path, else what the second says.
     ForPath(&'static str, Box<Behavior>, Box<Behavior>),
+    /// Does what the first behavior says with the first request of each id, and what the second says with
+    /// further ones.
+    OnceForId(Box<Behavior>, Box<Behavior>),
+    /// Does what the first behavior says if the request is for this run, else what the second says.
+    ForRun(String, Box<Behavior>, Box<Behavior>),
     /// Sends a head or a body of this kind without end, until the connection closes.
     Endless(Endless),
     /// Responds with the id of another request.
@@ -311,6 +318,14 @@
                 let headers = format!("id: {id}\r\nunrun: 1\r\n{notice}");
                 write(stream, &answer(status, &headers, "")).await
             }
+            Behavior::RefuseTwice(status) => {
+                let headers = format!("id: {id}\r\nunrun: 1\r\n{notice}");
+                let refusal = answer(status, &headers, "");
+                write(stream, &refusal).await?;
+                let next = stream.peek(&mut [0]).await;
+                next.ok().filter(|&n| n > 0)?;
+                write(stream, &refusal).await
+            }
             Behavior::WithHeaders(status, headers) => {
                 write(stream, &answer(status, headers, "x")).await
             }
@@ -355,6 +370,19 @@
                 let behavior = if matches { *behavior } else { *other };
                 Box::pin(self.perform(stream, head, behavior)).await
             }
+            Behavior::OnceForId(first, further) => {
+                let heads = self.heads();
+                let same = heads
+                    .iter()
+                    .filter(|h| header(h, "id") == header(head, "id"));
+                let behavior = if same.count() == 1 { *first } else { *further };
+                Box::pin(self.perform(stream, head, behavior)).await
+            }
+            Behavior::ForRun(run, behavior, other) => {
+                let matches = header(head, "expect").as_ref() == Some(&run);
+                let behavior = if matches { *behavior } else { *other };
+                Box::pin(self.perform(stream, head, behavior)).await
+            }
             Behavior::HalfBody => {
                 let full = answer(200, &own, "0123456789");
                 write(stream, &full[..full.len() - 5]).await;
--- a/crates/journal/src/event.rs
+++ b/crates/journal/src/event.rs
@@ -102,7 +102,7 @@
         /// `None` if none was established.
         conn: Option<u64>,
         /// Position of the request among those that the connection carried, from 1.
-        nth: Option<u32>,
+        nth: Option<usize>,
     },
     /// The connection of an attempt was closed before its request was sent, which is sent once more on
     /// another connection. A further `sent` line with the number of the attempt follows.
