gate: a response without an id belongs to the first request on its connection only

Callers could get bytes that belong to another response, and an at-most-once request without an id could run twice.

A response without an id counted as the response to any request, and two absent ids as equal.

Change: a response without an id is accepted only if nothing was sent on the connection before. A request without an id is sent on a new connection, which is not kept.

--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -223,7 +223,7 @@
         let failure = match exchanged {
             Ok((conn, response, attempt)) => {
                 let info = self.worker.dialect.response_info(response.headers());
-                match self.verify(&response, &info) {
+                match self.verify(&conn, &response, &info) {
                     Ok(disproof) => {
                         let exchange = Exchange {
                             conn,
@@ -460,10 +460,11 @@
     /// evidence that the request was not executed, if the endpoint states that.
     fn verify(
         &self,
+        conn: &Conn,
         response: &Response<Incoming>,
         info: &ResponseInfo,
     ) -> Result<Option<Disproof>, Failure> {
-        if !self.is_genuine(response, info) {
+        if !self.is_genuine(conn, response, info) {
             return Err(Failure::Unverified);
         }
         let id = self.job.info.id.as_deref();
@@ -471,10 +472,14 @@
     }
 
     /// Returns whether a response belongs to this request and was produced by the endpoint. An
-    /// endpoint may send a second response late, which then takes the place of the next one. A
-    /// success without a seal has no proven origin.
-    fn is_genuine(&self, response: &Response<Incoming>, info: &ResponseInfo) -> bool {
-        let own_id = info.request_id.is_none() || info.request_id == self.job.info.id;
+    /// endpoint may send a second response late, which then takes the place of the next one; without an
+    /// id, that can only be excluded for the first response on a connection. A success without a seal has no
+    /// proven origin.
+    fn is_genuine(&self, conn: &Conn, response: &Response<Incoming>, info: &ResponseInfo) -> bool {
+        let own_id = match &info.request_id {
+            Some(id) => self.job.info.id.as_ref() == Some(id),
+            None => conn.request_number() == 1,
+        };
         let success = response.status().is_success();
         let encoded = response
             .headers()
--- a/crates/gate/src/pool.rs
+++ b/crates/gate/src/pool.rs
@@ -3,7 +3,8 @@
 //!
 //! An endpoint may send a response a second time, late, in the place of the next response on the
 //! connection. The request's id tells such a copy from the response to another request, but not from the
-//! response to a later sending of the same one. So a connection never carries the same request twice.
+//! response to a later sending of the same one. So a connection never carries the same request twice, and a
+//! request without an id has a connection of its own.
 
 use crate::stats::{self, Stats};
 use bytes::Bytes;
@@ -97,8 +98,8 @@
     sender: SendRequest<Full<Bytes>>,
     addr: SocketAddr,
     opened_at: Instant,
-    /// The requests that it was handed out for, at most [`MAX_REQUESTS`].
-    carried: Vec<IdHash>,
+    /// The requests that it was handed out for, at most [`MAX_REQUESTS`]; `None` for one without an id.
+    carried: Vec<Option<IdHash>>,
     /// How long the connection may be idle and still be reused.
     idle_timeout: Duration,
 }
@@ -132,10 +133,11 @@
     }
 
     /// Returns a connection to `addr` for one sending of the request `id`: an idle one that is still open
-    /// and has not carried this request, or a new one.
+    /// and has not carried this request, or a new one. A request without an id gets a new one.
     pub async fn get(&self, addr: SocketAddr, id: Option<&str>) -> Result<Conn> {
-        let request = xxh3_64(id.unwrap_or_default().as_bytes());
-        let mut conn = match self.take_idle(addr, request) {
+        let request = id.map(|id| xxh3_64(id.as_bytes()));
+        let idle = request.and_then(|request| self.take_idle(addr, request));
+        let mut conn = match idle {
             Some(conn) => conn,
             None => self.open(addr).await?,
         };
@@ -163,7 +165,7 @@
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&addr)?;
         loop {
-            let fresh = |i: &IdleConn| !i.conn.carried.contains(&request);
+            let fresh = |i: &IdleConn| !i.conn.carried.contains(&Some(request));
             let IdleConn { conn, idle_since } = list.remove(list.iter().rposition(fresh)?);
             if conn.sender.is_ready() && idle_since.elapsed() < conn.idle_timeout {
                 return Some(conn);
@@ -172,10 +174,11 @@
     }
 
     /// Returns a connection to the pool after its response was read completely. A connection that
-    /// the endpoint closes after this response, by its headers, that was retired meanwhile or that has
-    /// carried its last request is closed.
+    /// the endpoint closes after this response, by its headers, that was retired meanwhile, that has carried
+    /// its last request or one without an id is closed.
     pub fn put(&self, mut conn: Conn, headers: &HeaderMap, idle_timeout: Option<Duration>) {
-        if closes_connection(headers) || conn.carried.len() >= MAX_REQUESTS {
+        let is_spent = conn.carried.len() >= MAX_REQUESTS || conn.carried.contains(&None);
+        if is_spent || closes_connection(headers) {
             return;
         }
         let retired = self.retired.borrow().get(&conn.addr).copied();
--- a/crates/gate/tests/copies.rs
+++ b/crates/gate/tests/copies.rs
@@ -99,6 +99,37 @@
     });
 }
 
+// Guards against bytes that belong to no request, believed of a request without an id.
+#[test]
+fn bytes_of_no_request_disprove_no_sending_without_an_id() {
+    run(async {
+        let stray = "HTTP/1.1 503 X\r\nunrun: 1\r\ncontent-length: 0\r\n\r\n".to_owned();
+        let (answer, later) = (Behavior::Answer(200, "x"), Behavior::Answer(200, "x"));
+        let server = Server::start(vec![Behavior::Stray(answer.into(), stray), later]).await;
+        let node = node(vec![plain(server.addr)]).await;
+        assert_eq!(send_once(&node, "r1").await.status, StatusCode::OK);
+        let mut request = request("/once/x");
+        request.headers_mut().remove("id");
+        let response = send(node.addr, request).await;
+        assert_at_most_once(server.heads().len() - 1, &response, "without an id");
+    });
+}
+
+// Guards against a response without an id that is passed on as the one to the next request.
+#[test]
+fn a_success_without_an_id_belongs_to_no_later_request() {
+    run(async {
+        let stray = "HTTP/1.1 200 X\r\nseal: s\r\ncontent-length: 5\r\n\r\nstray".to_owned();
+        let (answer, later) = (Behavior::Answer(200, "x"), Behavior::Answer(200, "x"));
+        let server = Server::start(vec![Behavior::Stray(answer.into(), stray), later]).await;
+        let node = node(vec![plain(server.addr)]).await;
+        for id in ["r1", "r2"] {
+            let response = send_once(&node, id).await;
+            assert_ne!(response.body, "stray", "{id}: {response:?}");
+        }
+    });
+}
+
 // Guards against lines from which it can't be told whether a request was sent twice on one connection.
 #[test]
 fn a_line_of_a_sending_names_its_connection() {
--- a/crates/gate/tests/support/server.rs
+++ b/crates/gate/tests/support/server.rs
@@ -21,6 +21,8 @@
     Refuse(u16),
     /// Like `Refuse`, and sends the response again in the place of the next one on the connection.
     RefuseTwice(u16),
+    /// Does what the behavior says, and sends this text in the place of the next response on the connection.
+    Stray(Box<Behavior>, String),
     /// Responds with this status and these header lines, each with its line break.
     WithHeaders(u16, &'static str),
     /// Responds with 503, states that the request was not executed, and asks to be left alone for
@@ -329,9 +331,11 @@
                 let headers = format!("id: {id}\r\nunrun: 1\r\n{notice}");
                 let refusal = answer(status, &headers, "");
                 write(stream, &refusal).await?;
-                let next = stream.peek(&mut [0]).await;
-                next.ok().filter(|&n| n > 0)?;
-                write(stream, &refusal).await
+                write_before_next(stream, &refusal).await
+            }
+            Behavior::Stray(behavior, text) => {
+                Box::pin(self.perform(stream, head, *behavior)).await?;
+                write_before_next(stream, &text).await
             }
             Behavior::WithHeaders(status, headers) => {
                 write(stream, &answer(status, headers, "x")).await
@@ -502,6 +506,13 @@
     None
 }
 
+/// Waits for the next request and writes this text before its response.
+async fn write_before_next(stream: &mut TcpStream, text: &str) -> Option<()> {
+    let next = stream.peek(&mut [0]).await;
+    next.ok().filter(|&n| n > 0)?;
+    write(stream, text).await
+}
+
 async fn write(stream: &mut TcpStream, text: &str) -> Option<()> {
     stream.write_all(text.as_bytes()).await.ok()
 }
