node: the soak of processes has copies of refusals, rows that outlive a run, and responses without a length

Its endpoints doubled successes only, and its rows of a run ended with the restart, so that a request was never sent to two runs over one connection; its callers did not look at the body of a success.

Change: faulty endpoints refuse most requests in some windows, send some refusals again, late or in the place of the next response, and respond without a length, with or without the body. The row of a run stays for 3.6 s after it ended. Latency targets are those of the deployments. A success with another body than the endpoint's is a violation.

--- a/crates/node/tests/once.rs
+++ b/crates/node/tests/once.rs
@@ -3,12 +3,15 @@
 //! Nodes and endpoints are paused, killed, terminated and restarted at their addresses while requests
 //! run, and single nodes are cut off from all endpoints. Callers keep their connections and return by the
 //! platform's rules: under another id after a promise, or if a connection was closed without their request
-//! having been read. In runs with faulty endpoints these also lose, double and falsify responses.
+//! having been read. The row of an endpoint's run before stays for a while after a restart. In runs with
+//! faulty endpoints these also lose, double and falsify responses, refuse requests in series, send refusals
+//! again in the place of a later response, and respond without a length.
 //! Checked are, from the endpoints' own files:
 //!
 //! - a request runs at most once, by its id;
 //! - a request does not run if its caller got 408, 421, 429 or 503;
-//! - a thing runs at most once, under whichever ids.
+//! - a thing runs at most once, under whichever ids;
+//! - a success has the whole body.
 //!
 //! `ONCE_SEEDS=100..150 cargo test --release -p wigeonshelf --test once -- --nocapture` runs other seeds.
 //! `ONCE_NODES` sets the number of nodes, `NODE_LOGS` the folder for their lines.
--- a/crates/node/tests/once/endpoint.rs
+++ b/crates/node/tests/once/endpoint.rs
@@ -85,16 +85,16 @@
         self.child.try_wait().unwrap().is_none()
     }
 
-    /// Starts the process again at its address under another id.
-    pub fn restart(&mut self, stores: &[Store]) {
-        for store in stores {
-            store.put_registration(&self.settings.id, "");
-        }
+    /// Starts the process again at its address under another id, and returns the id of the run before,
+    /// whose row stays.
+    pub fn restart(&mut self, stores: &[Store]) -> String {
         self.run += 1;
-        self.settings.id = format!("{}-{}", self.name, self.run);
+        let id = format!("{}-{}", self.name, self.run);
+        let before = std::mem::replace(&mut self.settings.id, id);
         self.child = spawn(&self.settings);
         self.proxies.iter().for_each(|p| p.refuse(false));
         self.register(stores, false);
+        before
     }
 
     /// Returns the ids of the requests that it ran, in order.
--- a/crates/node/tests/once/fleet.rs
+++ b/crates/node/tests/once/fleet.rs
@@ -10,12 +10,14 @@
 use rand::{RngExt, SeedableRng};
 use std::net::SocketAddr;
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Number of nodes of an availability zone. All of them read the store themselves, so that each may have
 /// a store of its own.
 const NODES_PER_ZONE: usize = 2;
 const ENDPOINTS: usize = 3;
+/// Time for which the row of a run that ended stays: three heartbeats of the users' platform.
+const ROW_LIFETIME: Duration = Duration::from_millis(3600);
 /// Kinds of steps.
 const STEPS: usize = 14;
 
@@ -26,8 +28,9 @@
     pub nodes: Vec<Node>,
     pub endpoints: Vec<Endpoint>,
     version: u64,
-    /// Longest time for which a request is kept waiting.
-    timeout_ms: u64,
+    /// Ids of the runs that ended, and when.
+    ended: Vec<(Instant, String)>,
+    shape: Shape,
 }
 
 impl Fleet {
@@ -47,7 +50,8 @@
             nodes: Vec::new(),
             endpoints,
             version: 0,
-            timeout_ms: shape.timeout_ms,
+            ended: Vec::new(),
+            shape,
         };
         fleet.publish();
         let ports: Vec<_> = (0..2 * shape.nodes).map(|_| address::unused()).collect();
@@ -67,10 +71,12 @@
     /// Writes the next version of the manifest, in which each request reaches one endpoint at most.
     fn publish(&mut self) {
         self.version += 1;
-        let timeout = format!(r#""timeout_ms":{}"#, self.timeout_ms);
+        let timeout = format!(r#""timeout_ms":{}"#, self.shape.timeout_ms);
+        let target = format!(r#""target_latency_ms":{}"#, self.shape.latency_target_ms);
         let once = manifest(self.version, "/safe/")
             .replace(r#""max_attempts":2"#, r#""max_attempts":1"#)
-            .replace(r#""timeout_ms":5000"#, &timeout);
+            .replace(r#""timeout_ms":5000"#, &timeout)
+            .replace(r#""target_latency_ms":500"#, &target);
         self.stores.iter().for_each(|s| s.put_manifest(&once));
     }
 
@@ -137,14 +143,24 @@
         self.endpoints[endpoint].proxies[node].set(mode);
     }
 
-    /// Restarts the nodes that have exited, and at random the endpoints that have.
+    /// Restarts the nodes that have exited, and at random the endpoints that have. Removes the rows of runs
+    /// that ended long ago.
     fn restart_some(&mut self) {
         self.nodes.iter_mut().for_each(Node::restart_if_exited);
         for endpoint in &mut self.endpoints {
             if !endpoint.is_running() && self.rng.random_bool(0.4) {
-                endpoint.restart(&self.stores);
+                let before = endpoint.restart(&self.stores);
+                self.ended.push((Instant::now(), before));
             }
         }
+        let stores = &self.stores;
+        self.ended.retain(|(at, id)| {
+            let stays = at.elapsed() < ROW_LIFETIME;
+            if !stays {
+                stores.iter().for_each(|s| s.put_registration(id, ""));
+            }
+            stays
+        });
     }
 
     /// Ends all faults.
--- a/crates/node/tests/once/record.rs
+++ b/crates/node/tests/once/record.rs
@@ -1,6 +1,7 @@
 //! What ran, against what callers observed.
 
 use crate::caller::Thing;
+use crate::standin::process::BODY;
 use crate::standin::requester::End;
 use std::collections::BTreeMap;
 
@@ -13,6 +14,8 @@
     pub refused: Vec<String>,
     /// Things that ran more than once, though none of their requests did.
     pub things: Vec<String>,
+    /// Successes whose body is not that of the endpoint.
+    pub cut: Vec<String>,
     /// Number of attempts by how they ended.
     ends: BTreeMap<String, usize>,
 }
@@ -35,6 +38,10 @@
                         .twice
                         .push(format!("{id} at {node} ran {times} times: {end:?}"));
                 }
+                if matches!(end, End::Response { status: 200, length, .. } if *length != BODY.len())
+                {
+                    record.cut.push(format!("{id} at {node}: {end:?}"));
+                }
                 if end.is_promise() && count(id) > 0 {
                     record.refused.push(format!("{id} at {node} ran: {end:?}"));
                 }
@@ -49,7 +56,8 @@
 
     /// Returns whether nothing is wrong.
     pub fn is_clean(&self) -> bool {
-        self.twice.is_empty() && self.refused.is_empty() && self.things.is_empty()
+        let all = [&self.twice, &self.refused, &self.things, &self.cut];
+        all.iter().all(|found| found.is_empty())
     }
 
     /// Returns whether any request was served; without that the run shows nothing.
@@ -64,6 +72,7 @@
             ("twice", &self.twice),
             ("refused", &self.refused),
             ("thing", &self.things),
+            ("cut", &self.cut),
         ];
         for (what, found) in all {
             found
--- a/crates/node/tests/once/shape.rs
+++ b/crates/node/tests/once/shape.rs
@@ -9,6 +9,8 @@
     pub nodes: usize,
     /// Longest time for which a request is kept waiting, in milliseconds.
     pub timeout_ms: u64,
+    /// Time within which a response is on time, in milliseconds.
+    pub latency_target_ms: u64,
     /// Time for which a caller waits for a thing, with all its attempts.
     pub time_limit: Duration,
     /// Mean time for which a request runs, in milliseconds.
@@ -19,6 +21,7 @@
     name: "guruhaat-prod",
     nodes: 8,
     timeout_ms: 800,
+    latency_target_ms: 300,
     time_limit: Duration::from_millis(1500),
     work_ms: 60,
 };
@@ -27,6 +30,7 @@
     name: "ql-menus",
     nodes: 7,
     timeout_ms: 1200,
+    latency_target_ms: 150,
     time_limit: Duration::from_millis(2500),
     work_ms: 30,
 };
