--- a/crates/gate/tests/copies.rs
+++ b/crates/gate/tests/copies.rs
@@ -99,14 +99,21 @@
     });
 }
 
+/// Returns an endpoint that sends this text in the place of its second response, and its node.
+async fn stray_fleet(text: &str) -> (Server, Node) {
+    let answer = || Behavior::Answer(200, "x");
+    let first = Behavior::Stray(answer().into(), text.to_owned());
+    let server = Server::start(vec![first, answer()]).await;
+    let node = node(vec![plain(server.addr)]).await;
+    (server, node)
+}
+
 // Guards against bytes that belong to no request, believed of a request without an id.
 #[test]
 fn bytes_of_no_request_disprove_no_sending_without_an_id() {
     run(async {
-        let stray = "HTTP/1.1 503 X\r\nunrun: 1\r\ncontent-length: 0\r\n\r\n".to_owned();
-        let (answer, later) = (Behavior::Answer(200, "x"), Behavior::Answer(200, "x"));
-        let server = Server::start(vec![Behavior::Stray(answer.into(), stray), later]).await;
-        let node = node(vec![plain(server.addr)]).await;
+        let stray = "HTTP/1.1 503 X\r\nunrun: 1\r\ncontent-length: 0\r\n\r\n";
+        let (server, node) = stray_fleet(stray).await;
         assert_eq!(send_once(&node, "r1").await.status, StatusCode::OK);
         let mut request = request("/once/x");
         request.headers_mut().remove("id");
@@ -119,10 +126,8 @@
 #[test]
 fn a_success_without_an_id_belongs_to_no_later_request() {
     run(async {
-        let stray = "HTTP/1.1 200 X\r\nseal: s\r\ncontent-length: 5\r\n\r\nstray".to_owned();
-        let (answer, later) = (Behavior::Answer(200, "x"), Behavior::Answer(200, "x"));
-        let server = Server::start(vec![Behavior::Stray(answer.into(), stray), later]).await;
-        let node = node(vec![plain(server.addr)]).await;
+        let stray = "HTTP/1.1 200 X\r\nseal: s\r\ncontent-length: 5\r\n\r\nstray";
+        let (_server, node) = stray_fleet(stray).await;
         for id in ["r1", "r2"] {
             let response = send_once(&node, id).await;
             assert_ne!(response.body, "stray", "{id}: {response:?}");
--- a/crates/gate/tests/support/isolation.rs
+++ b/crates/gate/tests/support/isolation.rs
@@ -1,7 +1,7 @@
 //! Isolation of a node from the endpoints of a service.
 
 use super::caller::{request, send};
-use super::{LAYERS, Node, node, plain, refusing_addr, stage};
+use super::{Node, endpoint_at, node, refusing_addr};
 use gate::view::{Relay, View};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -51,9 +51,6 @@
 
 /// Starts a node whose endpoints that serve this path refuse connections.
 pub async fn refused_node_for(path: &str) -> Node {
-    let endpoints = (0..3).map(|_| match path.starts_with("/chat/") {
-        true => stage(refusing_addr(), 0, LAYERS),
-        false => plain(refusing_addr()),
-    });
-    node(endpoints.collect()).await
+    let endpoint = endpoint_at(path);
+    node((0..3).map(|_| endpoint(refusing_addr())).collect()).await
 }
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -251,10 +251,16 @@
 }
 
 /// Returns the function that creates the endpoints which serve a path.
-pub fn endpoint_for(path: &str) -> fn(&Server) -> Endpoint {
+pub fn endpoint_for(path: &str) -> impl Fn(&Server) -> Endpoint + use<> {
+    let endpoint = endpoint_at(path);
+    move |server| endpoint(server.addr)
+}
+
+/// Like [`endpoint_for`], by address.
+pub fn endpoint_at(path: &str) -> fn(SocketAddr) -> Endpoint {
     match path.starts_with("/chat/") {
-        true => |server| stage(server.addr, 0, LAYERS),
-        false => |server| plain(server.addr),
+        true => |addr| stage(addr, 0, LAYERS),
+        false => plain,
     }
 }
 
--- a/crates/gate/tests/support/server.rs
+++ b/crates/gate/tests/support/server.rs
@@ -38,9 +38,6 @@
     EventsThenCrash(u64, u64),
     /// Does what the first behavior says if the request has this path, else what the second says.
     ForPath(&'static str, Box<Behavior>, Box<Behavior>),
-    /// Does what the first behavior says with the first request of each id, and what the second says with
-    /// further ones.
-    OnceForId(Box<Behavior>, Box<Behavior>),
     /// Does what the first behavior says if the request is for this run, else what the second says.
     ForRun(String, Box<Behavior>, Box<Behavior>),
     /// Sends a head or a body of this kind without end, until the connection closes.
@@ -316,22 +313,18 @@
             other => (other, String::new()),
         };
         let own = format!("id: {id}\r\nseal: s\r\n{notice}");
+        let refusal = |status| answer(status, &format!("id: {id}\r\nunrun: 1\r\n{notice}"), "");
         match behavior {
             Behavior::Answer(status, body) => write(stream, &answer(status, &own, body)).await,
-            Behavior::Refuse(status) => {
-                let headers = format!("id: {id}\r\nunrun: 1\r\n{notice}");
-                write(stream, &answer(status, &headers, "")).await
-            }
+            Behavior::Refuse(status) => write(stream, &refusal(status)).await,
             Behavior::Text(text) => {
                 write(stream, &text).await?;
                 stream.shutdown().await.ok()?;
                 self.wait_for_close(stream).await
             }
             Behavior::RefuseTwice(status) => {
-                let headers = format!("id: {id}\r\nunrun: 1\r\n{notice}");
-                let refusal = answer(status, &headers, "");
-                write(stream, &refusal).await?;
-                write_before_next(stream, &refusal).await
+                let twice = Behavior::Stray(Behavior::Refuse(status).into(), refusal(status));
+                Box::pin(self.perform(stream, head, twice)).await
             }
             Behavior::Stray(behavior, text) => {
                 Box::pin(self.perform(stream, head, *behavior)).await?;
@@ -381,14 +374,6 @@
                 let behavior = if matches { *behavior } else { *other };
                 Box::pin(self.perform(stream, head, behavior)).await
             }
-            Behavior::OnceForId(first, further) => {
-                let heads = self.heads();
-                let same = heads
-                    .iter()
-                    .filter(|h| header(h, "id") == header(head, "id"));
-                let behavior = if same.count() == 1 { *first } else { *further };
-                Box::pin(self.perform(stream, head, behavior)).await
-            }
             Behavior::ForRun(run, behavior, other) => {
                 let matches = header(head, "expect").as_ref() == Some(&run);
                 let behavior = if matches { *behavior } else { *other };
