review: a stopped node cuts requests that it took after three seconds

Cause: a node accepts requests for 0.38 of the grace time after SIGTERM, which is 3.04 s, and aborts what is in flight after 7.52 s. Only requests that were sent within 3 s may be cut off.

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Stops and starts a node in turn; exits with 1 if a request was lost.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review/standin drain . review/1
--- /dev/null
+++ b/review/standin/main.rs
@@ -0,0 +1,52 @@
+//! Cases of the review that run against node processes: `standin CASE ROOT DIRECTORY`.
+//!
+//! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` in the
+//! environment there is no disruption.
+
+mod crash;
+mod drain;
+mod endpoint;
+mod http;
+mod node;
+mod platform;
+mod record;
+mod store;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// How a case ended.
+pub enum Outcome {
+    Broken(String),
+    Held(String),
+    Failed(String),
+}
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().collect();
+    let [_, case, root, dir] = args.as_slice() else {
+        eprintln!("usage: standin CASE ROOT DIRECTORY");
+        return ExitCode::from(2);
+    };
+    let (root, dir) = (PathBuf::from(root), PathBuf::from(dir));
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let settings = std::env::temp_dir().join(format!("review-{}-{}", case, std::process::id()));
+    if std::fs::create_dir_all(&settings).is_err() {
+        return ExitCode::from(2);
+    }
+    let record = record::Record::create(&dir.join("record.txt"));
+    let outcome = match case.as_str() {
+        "crash" => crash::run(&root, &settings, &record, trouble),
+        "drain" => drain::run(&root, &settings, &record, trouble),
+        _ => Outcome::Failed(format!("no case {case}")),
+    };
+    let _ = std::fs::remove_dir_all(&settings);
+    let (code, text) = match outcome {
+        Outcome::Broken(text) => (1, format!("BROKEN: {text}")),
+        Outcome::Held(text) => (0, format!("held: {text}")),
+        Outcome::Failed(text) => (2, format!("could not run: {text}")),
+    };
+    record.line(&text);
+    println!("{text}");
+    ExitCode::from(code)
+}
