review: bodies of requests are held without a common bound

Cause: a node reads each body into memory, up to the operator's limit, and keeps it until the response has ended; there is no bound over all requests.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,6 +7,7 @@
 mod drain;
 mod endpoint;
 mod http;
+mod memory;
 mod node;
 mod platform;
 mod record;
@@ -38,6 +39,7 @@
     let outcome = match case.as_str() {
         "crash" => crash::run(&root, &settings, &record, trouble),
         "drain" => drain::run(&root, &settings, &record, trouble),
+        "memory" => memory::run(&root, &settings, &record, trouble),
         _ => Outcome::Failed(format!("no case {case}")),
     };
     let _ = std::fs::remove_dir_all(&settings);
--- a/review/standin/node.rs
+++ b/review/standin/node.rs
@@ -100,6 +100,15 @@
         sent_at
     }
 
+    /// Returns the resident memory of the process; 0 if it does not run.
+    pub fn memory_mb(&self) -> u64 {
+        let id = self.process.as_ref().map_or(0, Child::id);
+        let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let kib = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+        kib.unwrap_or(0) / 1024
+    }
+
     /// Waits until the process has ended by itself, and kills it after `limit`, as the platform does.
     pub fn wait_for_end(&mut self, limit: Duration) {
         let until = Instant::now() + limit;
