review: each node holds a trial of a crashing request for itself

Cause: a content that crashed endpoints is tried by one request at a time at each node, and no node knows of the trials of the others.

--- a/review/standin/crash.rs
+++ b/review/standin/crash.rs
@@ -13,6 +13,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+const ENGINES: u32 = 8;
 /// `bounds.contact_ms` of the pages.
 const CONTACT: Duration = Duration::from_secs(3);
 /// Time until a killed process is started again.
@@ -31,7 +32,7 @@
 };
 
 pub fn run(root: &Path, dir: &Path, record: &Record, trouble: bool) -> Outcome {
-    let Some(mut nodes) = platform::start(root, dir, ENGINE, record) else {
+    let Some(mut nodes) = platform::start::<3>(root, dir, ENGINES, ENGINE, record) else {
         return Outcome::Failed("the nodes do not get ready".to_owned());
     };
     let addresses = nodes.each_ref().map(|node| node.callers);
@@ -103,7 +104,7 @@
 }
 
 /// Counts the retries that reached replicas later than `CONTACT` after the third crash.
-fn judge(record: &Record, sent: &[(String, bool)], served: u32) -> Outcome {
+pub fn judge(record: &Record, sent: &[(String, bool)], served: u32) -> Outcome {
     let crashes = record.times("crash ");
     let Some((third, _)) = crashes.get(CRASHES - 1) else {
         return Outcome::Failed(format!(
@@ -130,7 +131,7 @@
 }
 
 /// Sends a request and reads its response. Returns the status; 0 if it is not complete.
-fn send(to: SocketAddr, path: &str, id: &str, record: &Record) -> u16 {
+pub fn send(to: SocketAddr, path: &str, id: &str, record: &Record) -> u16 {
     record.line(&format!("sent {id} {path} to {to}"));
     let exchange = || -> std::io::Result<u16> {
         let mut conn = Conn::connect(to, Duration::from_secs(1))?;
--- a/review/standin/drain.rs
+++ b/review/standin/drain.rs
@@ -14,6 +14,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+const ENGINES: u32 = 8;
 /// `bounds.grace_s` of the pages.
 const GRACE: Duration = Duration::from_secs(8);
 /// Requests sent up to this time after the SIGTERM may be cut off at the end of the grace time.
@@ -42,7 +43,7 @@
 }
 
 pub fn run(root: &Path, dir: &Path, record: &Record, trouble: bool) -> Outcome {
-    let Some(mut nodes) = platform::start(root, dir, STREAM, record) else {
+    let Some(mut nodes) = platform::start::<3>(root, dir, ENGINES, STREAM, record) else {
         return Outcome::Failed("the nodes do not get ready".to_owned());
     };
     let (mut broken, mut sent_late, mut served) = (Vec::new(), 0, 0);
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -12,6 +12,7 @@
 mod platform;
 mod record;
 mod store;
+mod trials;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -40,6 +41,7 @@
         "crash" => crash::run(&root, &settings, &record, trouble),
         "drain" => drain::run(&root, &settings, &record, trouble),
         "memory" => memory::run(&root, &settings, &record, trouble),
+        "trials" => trials::run(&root, &settings, &record, trouble),
         _ => Outcome::Failed(format!("no case {case}")),
     };
     let _ = std::fs::remove_dir_all(&settings);
--- a/review/standin/memory.rs
+++ b/review/standin/memory.rs
@@ -12,6 +12,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+const ENGINES: u32 = 8;
 /// `limits.memory_mb` of the pages' example of settings, in binary megabytes.
 const MEMORY_MB: u64 = 260;
 /// Size of a body, below the `max_body_bytes` of 4,194,304.
@@ -30,7 +31,7 @@
 };
 
 pub fn run(root: &Path, dir: &Path, record: &Record, trouble: bool) -> Outcome {
-    let Some(mut nodes) = platform::start(root, dir, ENGINE, record) else {
+    let Some(mut nodes) = platform::start::<3>(root, dir, ENGINES, ENGINE, record) else {
         return Outcome::Failed("the nodes do not get ready".to_owned());
     };
     let addresses = nodes.each_ref().map(|node| node.callers);
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -16,28 +16,40 @@
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
 "tenants":[{"name":"north","api_keys":["k1"],"priority":1}]}"#;
 
-/// Number of engines.
-const ENGINES: u32 = 8;
 /// Number of endpoints of the plain service.
 const PLAIN_ENDPOINTS: u32 = 3;
 const PLAIN: Kind = Kind::Plain {
     work: Duration::from_millis(30),
 };
 
-/// Starts the deployment with engines of this kind, and waits until its three nodes are ready and know the
+/// Starts `N` nodes and this number of engines of this kind, and waits until the nodes are ready and know the
 /// engines' layers; `None` if they do not get ready.
-pub fn start(root: &Path, dir: &Path, engine: Kind, record: &Record) -> Option<[Node; 3]> {
+pub fn start<const N: usize>(
+    root: &Path,
+    dir: &Path,
+    engines: u32,
+    engine: Kind,
+    record: &Record,
+) -> Option<[Node; N]> {
     let store = Store::start();
     store.put("keyed.op", "config", MANIFEST);
-    for number in 0..ENGINES {
+    for number in 0..engines {
         endpoint::start(&format!("i-e{number}"), "a", engine, &store, record);
     }
     for number in 0..PLAIN_ENDPOINTS {
         endpoint::start(&format!("i-p{number}"), "a", PLAIN, &store, record);
     }
-    let names = ["front-a-1", "front-a-2", "front-a-3"];
-    let mut nodes = names.map(|name| Node::new(root, dir, name, "a", store.addr));
-    let seeds = nodes.each_ref().map(|node| node.control);
+    let mut nodes: [Node; N] = std::array::from_fn(|number| {
+        Node::new(
+            root,
+            dir,
+            &format!("front-a-{}", number + 1),
+            "a",
+            store.addr,
+        )
+    });
+    // The settings name at most three seeds.
+    let seeds: Vec<_> = nodes.iter().map(|node| node.control).take(3).collect();
     for node in &mut nodes {
         node.set_seeds(&seeds);
         node.start();
