review: scripts name their record and read TROUBLE themselves

Cause: the stand-in chose the name of the record and read the environment, so that the scripts did not show either; case 4 left out the kills only.

Change: each script passes record.txt and TROUBLE on. With TROUBLE=0 case 4 has neither kills nor a request that crashes replicas. Case 2 records the short requests too.

--- a/review/standin/crash.rs
+++ b/review/standin/crash.rs
@@ -24,6 +24,8 @@
 const CRASHES: usize = 3;
 const MAX_RETRIES: usize = 3;
 const KILLS: usize = 2;
+/// Path of requests that crash nothing.
+pub const HARMLESS: &str = "/chat/menu";
 /// Length of each part of the case: until the first kill, and after each kill.
 const PART: Duration = Duration::from_secs(28);
 const ENGINE: Kind = Kind::Model {
@@ -62,7 +64,8 @@
     // Times at which the deadly request was sent, and whether all nodes were in touch then.
     let mut sent: Vec<(String, bool)> = Vec::new();
     let mut started_at = Instant::now();
-    let mut number = 0;
+    let (mut number, mut whole) = (0, 0);
+    let path = if trouble { DEADLY } else { HARMLESS };
     for part in 0..=KILLS {
         let end = Instant::now() + PART;
         if part > 0 {
@@ -94,12 +97,19 @@
             let id = format!("{:016x}", 0xdead_0000 + number);
             let in_touch = started_at.elapsed() > CONTACT;
             sent.push((id.clone(), in_touch));
-            send(addresses[number % addresses.len()], DEADLY, &id, record);
+            let status = send(addresses[number % addresses.len()], path, &id, record);
+            whole += usize::from(status == 200);
             thread::sleep(RETURN_INTERVAL);
         }
     }
     ended.store(true, Ordering::SeqCst);
     let _ = others.join();
+    if !trouble {
+        return match whole == sent.len() {
+            true => Outcome::Held(format!("{whole} of {} served", sent.len())),
+            false => Outcome::Broken(format!("{whole} of {} served", sent.len())),
+        };
+    }
     judge(record, &sent, served.load(Ordering::SeqCst))
 }
 
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,7 +1,7 @@
-//! Cases of the review that run against node processes: `standin CASE ROOT DIRECTORY`.
+//! Cases of the review that run against node processes: `standin CASE ROOT RECORD TROUBLE`.
 //!
-//! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` in the
-//! environment there is no disruption.
+//! Writes what was sent, answered and run to the file `RECORD`. Without disruption if `TROUBLE` is 0. Exits with
+//! 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod crash;
 mod drain;
@@ -26,17 +26,17 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().collect();
-    let [_, case, root, dir] = args.as_slice() else {
-        eprintln!("usage: standin CASE ROOT DIRECTORY");
+    let [_, case, root, record, trouble] = args.as_slice() else {
+        eprintln!("usage: standin CASE ROOT RECORD TROUBLE");
         return ExitCode::from(2);
     };
-    let (root, dir) = (PathBuf::from(root), PathBuf::from(dir));
-    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let (root, record) = (PathBuf::from(root), PathBuf::from(record));
+    let trouble = trouble != "0";
     let settings = std::env::temp_dir().join(format!("review-{}-{}", case, std::process::id()));
     if std::fs::create_dir_all(&settings).is_err() {
         return ExitCode::from(2);
     }
-    let record = record::Record::create(&dir.join("record.txt"));
+    let record = record::Record::create(&record);
     let outcome = match case.as_str() {
         "crash" => crash::run(&root, &settings, &record, trouble),
         "drain" => drain::run(&root, &settings, &record, trouble),
--- a/review/standin/memory.rs
+++ b/review/standin/memory.rs
@@ -115,8 +115,10 @@
             "GET /read/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 2500\r\nAuthorization: Token k1\r\n\r\n"
         );
         let sent_at = Instant::now();
+        record.line(&format!("sent {id}"));
         match open.write(request.as_bytes()).and_then(|()| open.message()) {
             Ok(response) => {
+                record.line(&format!("answered {id} {}", response.status()));
                 let closes = response.header("connection").contains("close");
                 conn = (!closes).then_some(open);
             }
--- a/review/standin/trials.rs
+++ b/review/standin/trials.rs
@@ -2,7 +2,7 @@
 //! time after it has crashed the third.
 
 use crate::Outcome;
-use crate::crash::{judge, send};
+use crate::crash::{HARMLESS, judge, send};
 use crate::endpoint::{DEADLY, Kind};
 use crate::http;
 use crate::platform;
@@ -18,7 +18,6 @@
 const FIRST_COPIES: usize = 2;
 /// Time until it comes again.
 const RETURN: Duration = Duration::from_secs(16);
-const HARMLESS: &str = "/chat/menu";
 const ENGINE: Kind = Kind::Model {
     events: 10,
     interval: Duration::from_millis(50),
