review: nodes of scripts get ports of their own

Cause: ports that the kernel gives to outgoing connections could be taken twice while scripts run beside each other; 34 of 300 requests of case 1 with TROUBLE=0 then got 404 from a listener of another script, and passed as whole.

Change: ports below those of the kernel, by the process; without a disruption case 1 asks for status 200.

--- a/review/standin/drain.rs
+++ b/review/standin/drain.rs
@@ -96,8 +96,8 @@
                     request.id
                 ));
             }
-            if !trouble && !request.whole {
-                broken.push(format!("{} is not whole without a disruption", request.id));
+            if !trouble && !(request.whole && request.status == 200) {
+                broken.push(format!("{} is not served without a disruption", request.id));
             }
         }
         if !node.wait_until_ready(Duration::from_secs(8)) {
--- a/review/standin/node.rs
+++ b/review/standin/node.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::http::Conn;
@@ -19,10 +20,25 @@
     process: Option<Child>,
 }
 
-/// Returns a free port on a loopback address.
+/// Lowest port for nodes, and number of ports for each script. They lie below those that the kernel gives to
+/// outgoing connections, and differ between scripts that run beside each other.
+const FIRST_PORT: u32 = 12_000;
+const PORTS_PER_SCRIPT: u32 = 80;
+const SCRIPTS: u32 = 250;
+
+/// Number of ports that were looked at.
+static TAKEN: AtomicU32 = AtomicU32::new(0);
+
+/// Returns a free port on a loopback address, another one each time.
 fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("port");
-    listener.local_addr().expect("address")
+    let first = FIRST_PORT + std::process::id() % SCRIPTS * PORTS_PER_SCRIPT;
+    loop {
+        let port = first + TAKEN.fetch_add(1, Ordering::SeqCst);
+        let port = u16::try_from(port).expect("a free port");
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().expect("address");
+        }
+    }
 }
 
 impl Node {
