--- a/crates/catalog/src/endpoint.rs
+++ b/crates/catalog/src/endpoint.rs
@@ -1,6 +1,7 @@
 //! Registered endpoints, their runs, and the layers that they hold.
 
 use crate::Layer;
+use crate::bounds::{MAX_LAYERS, OutOfBounds};
 use std::fmt;
 use std::net::SocketAddr;
 
@@ -59,6 +60,21 @@
     }
 }
 
+impl TryFrom<(Layer, Layer)> for Span {
+    type Error = OutOfBounds;
+
+    /// Creates the range from a first layer and one past the last, which come in this order and are at
+    /// most [`MAX_LAYERS`].
+    fn try_from((from, to): (Layer, Layer)) -> Result<Self, OutOfBounds> {
+        match from <= to && to <= MAX_LAYERS {
+            true => Ok(Self { from, to }),
+            false => Err(OutOfBounds::new(format!(
+                "layers {from}-{to} are no range up to {MAX_LAYERS}"
+            ))),
+        }
+    }
+}
+
 impl fmt::Display for Span {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}-{}", self.from, self.to)
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -10,6 +10,7 @@
 //! Out of scope: reading the tables from the platform's store (`platform/`), selecting the endpoint
 //! of a request (`steer`), assigning layers to endpoints (`place`).
 
+pub mod bounds;
 pub mod checked;
 pub mod endpoint;
 pub mod engine;
