gate, node: a node that leaves accepts only requests that can end before it does

Cause: requests were accepted for 0.38 of the grace time, from when the node handled the signal and until a timer had fired. The platform excuses a cut for requests sent within 3 s of the signal. Nothing asked whether a request could end.

A smaller fraction of the grace time holds at 8 s only.

Change: each request is judged when it is admitted, after its body has arrived: by its deadline, or by its expected end within the time for which callers keep addresses. The abort follows from the grace time. The thread that accepts requests decides when the node is idle.

--- a/crates/gate/src/admit.rs
+++ b/crates/gate/src/admit.rs
@@ -96,8 +96,7 @@
     let service = route
         .service(random)
         .ok_or(Refusal::new(Reason::Unavailable))?;
-    let timeout = admitted.info.timeout.unwrap_or(route.timeout);
-    let deadline = received_at + timeout.min(route.timeout).min(MAX_TIMEOUT);
+    let deadline = deadline(catalog, &admitted, received_at);
     let priority = admitted.team.as_ref().and_then(|t| t.priority);
     Ok(Job {
         info: admitted.info,
@@ -117,6 +116,13 @@
     })
 }
 
+/// Returns the deadline of an admitted request: the caller's timeout, or the route's if that is shorter.
+pub fn deadline(catalog: &Catalog, admitted: &Admitted, received_at: Instant) -> Instant {
+    let limit = catalog.routes[admitted.route as usize].timeout;
+    let timeout = admitted.info.timeout.unwrap_or(limit);
+    received_at + timeout.min(limit).min(MAX_TIMEOUT)
+}
+
 /// Upper bound on the time of any request; a value far above it would overflow `Instant`.
 const MAX_TIMEOUT: Duration = Duration::from_secs(24 * 3600);
 
--- a/crates/gate/src/discovery.rs
+++ b/crates/gate/src/discovery.rs
@@ -9,9 +9,10 @@
 
 /// Maximum number of addresses in a response; callers don't read more.
 const MAX_ADDRESSES: usize = 64;
-/// How long callers may cache the list. Some cache it three times as long; a node that leaves keeps
-/// serving for longer than that.
+/// How long callers may cache the list.
 pub const ADDRESS_TTL: Duration = Duration::from_secs(1);
+/// How long some callers cache it nevertheless.
+pub const MAX_ADDRESS_AGE: Duration = ADDRESS_TTL.saturating_mul(3);
 
 /// Returns the addresses of the nodes in `view`. `rotation` shifts the start of the list, so that
 /// successive responses cover all nodes when there are more than `MAX_ADDRESSES`.
@@ -35,9 +36,9 @@
     response
 }
 
-/// Responds to a readiness check: 200 if this node accepts requests, 503 otherwise.
-pub fn readiness<S>(view: Option<&View>) -> Response<Body<S>> {
-    let ready = view.is_some_and(|v| !v.leaving);
+/// Responds to a readiness check: 200 if this node has a view and does not leave, 503 otherwise.
+pub fn readiness<S>(view: Option<&View>, leaving: bool) -> Response<Body<S>> {
+    let ready = view.is_some() && !leaving;
     let mut response = Response::new(body::full(if ready { "ready\n" } else { "not ready\n" }));
     if !ready {
         *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -130,6 +130,7 @@
             // An endpoint that answers with an error may not have run the request to its end.
             if response.status().is_success() {
                 forwarder.worker.record_completed(&forwarder.job);
+                forwarder.worker.record_duration(&forwarder.job);
             }
             forwarder.log.end_answered(response.status().as_u16());
             response.map(body::full)
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -15,8 +15,10 @@
 pub mod admit;
 pub mod body;
 mod buffer;
+pub mod departure;
 pub mod dialect;
 pub mod discovery;
+mod duration;
 pub mod events;
 pub mod execution;
 pub mod forward;
--- a/crates/gate/src/listener.rs
+++ b/crates/gate/src/listener.rs
@@ -139,7 +139,7 @@
             worker.next_rotation(),
         ),
         Port::Ready if path == worker.dialect.ready_path() => {
-            discovery::readiness(worker.view().as_deref())
+            discovery::readiness(worker.view().as_deref(), leaving)
         }
         Port::Metrics if path == METRICS_PATH => metrics(&worker),
         Port::Metrics if path == DUMP_PATH => Response::new(crate::body::full(worker.dump().await)),
--- a/crates/gate/src/splice.rs
+++ b/crates/gate/src/splice.rs
@@ -158,6 +158,7 @@
             source.finish(&self.forwarder);
         }
         self.forwarder.worker.record_completed(&self.forwarder.job);
+        self.forwarder.worker.record_duration(&self.forwarder.job);
         self.forwarder.log.end_answered(StatusCode::OK.as_u16());
     }
 }
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -6,7 +6,9 @@
 use crate::admit::{self, Admitted};
 use crate::body::Body;
 use crate::buffer::Buffers;
+use crate::departure::{Claim, Schedule};
 use crate::dialect::{Dialect, RequestInfo};
+use crate::duration::Durations;
 use crate::forward;
 use crate::forward::evacuation::Evacuees;
 use crate::forward::stall::CachedReport;
@@ -42,13 +44,12 @@
 use tokio::time::Instant;
 use waiting::Lines;
 
-/// Retry-after delay when this node is about to end. It is short because another node can take the
-/// request at once.
+/// Retry-after delay when this node is about to end and another node can take the request at once.
 const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(50);
-/// Retry-after delay when this node has no catalog. A node that starts while others run gets their
-/// catalog before callers are sent to it. So a node without a catalog means that all nodes
-/// restarted while the store was unavailable, which lasts for seconds. The delay has to cover that,
-/// since most callers retry only once.
+/// Retry-after delay when this node has no catalog, or is about to end and is the only one. A node that
+/// starts while others run gets their catalog before callers are sent to it. So a node without a
+/// catalog means that all nodes restarted while the store was unavailable, which lasts for seconds. The
+/// delay has to cover that, since most callers retry only once.
 const NO_CATALOG_RETRY_AFTER: Duration = Duration::from_millis(1500);
 
 /// Time since the start during which requests wait for the first catalog. Nodes that start together
@@ -125,7 +126,11 @@
     pub(crate) paths: RefCell<Paths>,
     /// This worker, for tasks that it starts.
     pub(crate) me: Weak<Self>,
-    /// Whether new requests are refused because the process is about to end.
+    /// Expected durations of responses.
+    durations: RefCell<Durations>,
+    /// Times of the node's departure, once it leaves.
+    departure: Cell<Option<Schedule>>,
+    /// Whether all new requests are refused because the process is about to end.
     closing: Cell<bool>,
 }
 
@@ -159,6 +164,8 @@
             buffers: Buffers::default(),
             paths: RefCell::default(),
             me: me.clone(),
+            durations: RefCell::default(),
+            departure: Cell::new(None),
             closing: Cell::new(false),
         })
     }
@@ -179,14 +186,21 @@
         self.stats.connections.get()
     }
 
-    /// Refuses new requests from now on.
+    /// Accepts only those requests from now on that can end before the node does.
+    pub fn leave(&self, schedule: Schedule) {
+        self.departure.set(Some(schedule));
+    }
+
+    /// Refuses all new requests from now on.
     pub fn close(&self) {
         self.closing.set(true);
     }
 
-    /// Returns whether connections of callers are to be closed after the response in progress.
+    /// Returns whether the node leaves: connections of callers are to be closed after the response in
+    /// progress.
     pub fn leaving(&self) -> bool {
-        self.closing.get() || self.view().is_some_and(|v| v.leaving)
+        let departs = self.closing.get() || self.departure.get().is_some();
+        departs || self.view().is_some_and(|v| v.leaving)
     }
 
     /// Returns the current view and updates the selector if the view changed. What the selector
@@ -406,7 +420,7 @@
         let catalog = &view.fleet.catalog;
         let body = admit::body(incoming, catalog.limits.body_bytes).await?;
         let random = rand::rng().random();
-        admit::job(
+        let job = admit::job(
             &self.dialect,
             catalog,
             admitted,
@@ -414,7 +428,47 @@
             body,
             received_at,
             random,
-        )
+        )?;
+        // The body may have arrived long after the head.
+        let claim = Claim {
+            deadline: job.deadline,
+            expected: Some(self.expected_duration(&job)),
+            relayed: job.info.relayed,
+        };
+        self.check_departure(&view, &claim)?;
+        Ok(job)
+    }
+
+    /// Refuses a request that may not end before this node does.
+    fn check_departure(&self, view: &View, claim: &Claim) -> Result<(), Refusal> {
+        let departure = self.departure.get();
+        let accepts = departure.is_none_or(|d| d.accepts(Instant::now(), claim));
+        if accepts && !self.closing.get() {
+            return Ok(());
+        }
+        // Other nodes that leave too count, since their successors may not be known yet.
+        let retry_after = match view.fleet.budget_nodes > 1 {
+            true => LEAVING_RETRY_AFTER,
+            false => forward::jitter(NO_CATALOG_RETRY_AFTER),
+        };
+        Err(Refusal::with_retry_after(Reason::Leaving, retry_after))
+    }
+
+    /// Returns the expected duration of a response: that of recent ones, or else the latency target.
+    fn expected_duration(&self, job: &Job) -> Duration {
+        let durations = self.durations.borrow();
+        let expected = durations.expected(job.service(), job.need().size.answer);
+        expected.unwrap_or(job.route().latency_target)
+    }
+
+    /// Records that a request was answered completely. The rest of a response that its caller had begun to
+    /// receive elsewhere is not counted.
+    pub(crate) fn record_duration(&self, job: &Job) {
+        if job.info.last_event_id.is_none() {
+            let (tokens, time) = (job.need().size.answer, job.received_at.elapsed());
+            let mut durations = self.durations.borrow_mut();
+            durations.record(job.service(), tokens, time);
+        }
     }
 
     /// Checks the head of a request by the view that is in force, and returns that view.
@@ -430,13 +484,17 @@
                 forward::jitter(NO_CATALOG_RETRY_AFTER),
             ));
         };
+        let claim = Claim {
+            deadline: received_at,
+            expected: None,
+            relayed: info.relayed,
+        };
         if self.closing.get() {
-            return Err(Refusal::with_retry_after(
-                Reason::Leaving,
-                LEAVING_RETRY_AFTER,
-            ));
+            self.check_departure(&view, &claim)?;
         }
         let admitted = admit::head(&view.fleet.catalog, head, info)?;
+        let deadline = admit::deadline(&view.fleet.catalog, &admitted, received_at);
+        self.check_departure(&view, &Claim { deadline, ..claim })?;
         Ok((view, admitted))
     }
 
--- /dev/null
+++ b/crates/gate/tests/departure.rs
@@ -0,0 +1,210 @@
+//! Requests that arrive while their node leaves.
+
+mod support;
+
+use bytes::Bytes;
+use gate::departure::Schedule;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use std::time::Duration;
+use support::caller::{Received, ids, request, send};
+use support::server::{Behavior, Server};
+use support::{LAYERS, Node, node, plain, run, stage, wait_for_request};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+const OK: Behavior = Behavior::Answer(200, "x");
+/// Grace time of the platform's pages.
+const GRACE: Duration = Duration::from_secs(8);
+
+fn millis(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Makes a node behave as `after` a signal to stop.
+fn leave(node: &Node, after: Duration, grace: Duration) {
+    let signalled_at = Instant::now() - after;
+    node.worker.leave(Schedule::new(signalled_at, grace));
+}
+
+/// A request whose caller waits for this time.
+fn waiting(path: &str, time: Duration) -> Request<Full<Bytes>> {
+    let mut request = request(path);
+    let time = time.as_millis().to_string();
+    request
+        .headers_mut()
+        .insert("deadline", time.parse().unwrap());
+    request
+}
+
+fn assert_refused(response: &Received, server: &Server) {
+    assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(response.headers.contains_key("retry-after"));
+    assert_eq!(response.headers["connection"], "close");
+    assert!(server.heads().is_empty());
+}
+
+// Guards against a request that a leaving node accepts later than callers cache its address, and cuts
+// when it ends, since the request's deadline is after that.
+#[test]
+fn a_late_request_whose_response_could_be_cut_is_refused() {
+    run(async {
+        for (after, accepted) in [(2_600, true), (2_800, false), (3_020, false)] {
+            let server = Server::start(vec![Behavior::Events(1, 3)]).await;
+            let node = node(vec![stage(server.addr, 0, LAYERS)]).await;
+            leave(&node, millis(after), GRACE);
+            // The route's timeout of 5 s is shorter.
+            let response = send(node.addr, waiting("/chat/x", millis(20_000))).await;
+            match accepted {
+                true => assert_eq!(ids(&response.body), [1, 2, 3]),
+                false => assert_refused(&response, &server),
+            }
+        }
+    });
+}
+
+// Guards against a refusal of requests that end before their node does in any case.
+#[test]
+fn a_request_whose_deadline_is_before_the_end_is_served_until_then() {
+    run(async {
+        for (after, time, accepted) in [
+            (4_900, 2_500, true),
+            (5_100, 2_500, false),
+            (7_000, 400, true),
+            (7_600, 400, false),
+        ] {
+            let server = Server::start(vec![OK]).await;
+            let node = node(vec![plain(server.addr)]).await;
+            leave(&node, millis(after), GRACE);
+            let response = send(node.addr, waiting("/once/x", millis(time))).await;
+            match accepted {
+                true => assert_eq!(response.status, StatusCode::OK, "after {after} ms"),
+                false => assert_refused(&response, &server),
+            }
+        }
+    });
+}
+
+// Guards against times that are all fractions of the grace time: callers cache addresses for as long
+// whatever it is.
+#[test]
+fn the_time_for_late_requests_does_not_grow_with_the_grace_time() {
+    let signalled_at = Instant::now();
+    for (grace, accept_ms, abort_ms) in [(1, 940, 940), (8, 2_750, 7_520), (60, 2_750, 56_400)] {
+        let schedule = Schedule::new(signalled_at, Duration::from_secs(grace));
+        assert_eq!(schedule.accept_until(), signalled_at + millis(accept_ms));
+        assert_eq!(schedule.abort_at(), signalled_at + millis(abort_ms));
+    }
+}
+
+// Guards against a request whose head arrives in time and whose body does not: it counts as sent with
+// its last byte.
+#[test]
+fn a_body_that_arrives_too_late_is_refused() {
+    run(async {
+        let server = Server::start(vec![OK]).await;
+        let node = node(vec![plain(server.addr)]).await;
+        leave(&node, millis(2_650), GRACE);
+        let mut stream = TcpStream::connect(node.addr).await.unwrap();
+        let head = "POST /once/x HTTP/1.1\r\nhost: h\r\nid: r1\r\nkey: k1\r\ndeadline: 5000\r\n\
+                    content-length: 4\r\n\r\n";
+        stream.write_all(head.as_bytes()).await.unwrap();
+        tokio::time::sleep(millis(200)).await;
+        stream.write_all(b"body").await.unwrap();
+        let mut response = String::new();
+        stream.read_to_string(&mut response).await.unwrap();
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+        assert!(server.heads().is_empty());
+    });
+}
+
+// Guards against a caller that waits for a response which its node is known to cut.
+#[test]
+fn a_response_that_is_not_expected_to_end_in_time_is_refused_at_once() {
+    run(async {
+        let slow = Behavior::EventsWithPause(1..=2, millis(500), 3..=4);
+        let server = Server::start(vec![slow, Behavior::Events(1, 4)]).await;
+        let endpoint = stage(server.addr, 0, LAYERS);
+        let node = node(vec![endpoint]).await;
+        let response = send(node.addr, request("/chat/x")).await;
+        assert_eq!(ids(&response.body), [1, 2, 3, 4]);
+        // 0.44 s are left.
+        leave(&node, millis(500), Duration::from_secs(1));
+        let response = send(node.addr, request("/chat/x")).await;
+        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(server.heads().len(), 1);
+    });
+}
+
+// Guards against a second signal that is ignored.
+#[test]
+fn a_closed_node_refuses_requests_that_would_end_in_time() {
+    run(async {
+        let server = Server::start(vec![OK]).await;
+        let node = node(vec![plain(server.addr)]).await;
+        leave(&node, Duration::ZERO, GRACE);
+        node.worker.close();
+        let response = send(node.addr, waiting("/once/x", millis(500))).await;
+        assert_refused(&response, &server);
+    });
+}
+
+// Guards against a promise that another node can take the request at once where there is none.
+#[test]
+fn a_refusal_without_another_node_asks_for_the_time_of_a_restart() {
+    run(async {
+        for (nodes, range) in [(2, 0.0..0.1), (1, 1.4..3.1)] {
+            let node = node(Vec::new()).await;
+            let mut view = support::view(Vec::new());
+            view.fleet.budget_nodes = nodes;
+            node.shared_view.store(Some(std::sync::Arc::new(view)));
+            node.worker.close();
+            let response = send(node.addr, request("/once/x")).await;
+            let retry_after = response.headers["retry-after"].to_str().unwrap();
+            let retry_after: f64 = retry_after.parse().unwrap();
+            assert!(range.contains(&retry_after), "{retry_after}");
+        }
+    });
+}
+
+// Guards against a request that a caller sent before the end of the time for late requests, and that
+// is dropped while it waits for a slot.
+#[test]
+fn a_waiting_request_that_was_accepted_is_served() {
+    run(async {
+        let server = Server::start(vec![OK.held(), OK]).await;
+        let mut endpoint = plain(server.addr);
+        endpoint.slots = 1;
+        let node = node(vec![endpoint]).await;
+        let held: Vec<_> = (0..4)
+            .map(|_| tokio::task::spawn_local(send(node.addr, request("/once/x"))))
+            .collect();
+        wait_for_request(&server).await;
+        leave(&node, millis(2_700), GRACE);
+        let waiting = tokio::task::spawn_local(send(node.addr, request("/once/x")));
+        tokio::time::sleep(millis(100)).await;
+        server.release(1);
+        for response in held.into_iter().chain([waiting]) {
+            assert_eq!(response.await.unwrap().status, StatusCode::OK);
+        }
+    });
+}
+
+// Guards against a relayed request that is cut by a node whose caller does not know that it leaves.
+#[test]
+fn a_leaving_node_takes_a_relayed_request_only_if_it_ends_in_time() {
+    run(async {
+        for (time, relayed) in [(4_000, true), (20_000, false)] {
+            let server = Server::start(vec![Behavior::Events(1, 3)]).await;
+            let node = node(vec![stage(server.addr, 0, LAYERS)]).await;
+            leave(&node, millis(3_000), GRACE);
+            let mut request = waiting("/chat/x", millis(time));
+            let relay = "1".parse().unwrap();
+            request.headers_mut().insert("relayed", relay);
+            let response = send(node.addr, request).await;
+            assert_eq!(response.status.is_success(), relayed);
+            assert_eq!(server.heads().len(), usize::from(relayed));
+        }
+    });
+}
--- a/crates/node/src/hosted/process.rs
+++ b/crates/node/src/hosted/process.rs
@@ -2,16 +2,17 @@
 //!
 //! A signal starts a graceful drain. The node is no longer listed among the addresses for callers,
 //! reports itself as not ready, and sends responses with `connection: close`. Callers cache
-//! addresses for a while and reuse open connections, so new requests are still served for the first
-//! `SERVE_FRACTION` of the grace time. After that they are refused as not run. The process ends
-//! when no connection of a caller is open, which is after the last response was written, or shortly
-//! before it would be killed.
+//! addresses for a while and reuse open connections, so requests still arrive. Those that can end
+//! before the node does are served, and the others are refused as not run ([`gate::departure`]). The
+//! process ends when no connection of a caller is open, which is after the last response was written,
+//! or shortly before it would be killed.
 
 use super::control::Control;
 use super::settings::{self, Settings};
 use crate::process::{incarnation, meter_provider, runtime};
 use adapter::header::Headers;
 use eyre::{Result, WrapErr};
+use gate::departure::Schedule;
 use gate::listener::{self, Port, Stop};
 use gate::metrics::Metrics;
 use gate::view::SharedView;
@@ -23,18 +24,14 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-/// Fraction of the grace time in which new requests are still served.
-const SERVE_FRACTION: f64 = 0.38;
-/// Fraction of the grace time after which requests in flight are aborted.
-const ABORT_FRACTION: f64 = 0.94;
 /// Interval at which the number of callers' connections is checked during a drain.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum time to write the remaining decision lines at the end.
@@ -53,16 +50,18 @@
 /// Cancellation tokens that stop the parts of a node, in the order of a drain.
 #[derive(Clone, Debug, Default)]
 struct Shutdown {
+    /// Times of the drain, set before it begins.
+    schedule: Arc<OnceLock<Schedule>>,
     /// Cancelled when the drain begins.
     leave: CancellationToken,
-    /// Cancelled when new requests are refused.
+    /// Cancelled when all new requests are refused.
     close: CancellationToken,
+    /// Cancelled by the worker when no connection of a caller is open and it accepts no more requests.
+    idle: CancellationToken,
     /// Stops the listeners and their connections.
     serving: Stop,
     /// Cancelled when control must stop.
     control: CancellationToken,
-    /// Number of open connections of callers, for the thread that waits for their end.
-    connections: Arc<AtomicU64>,
 }
 
 /// The signals that a node handles.
@@ -185,19 +184,27 @@
     loop {
         tokio::select! {
             () = shutdown.serving.kill.cancelled() => return Ok(()),
-            () = shutdown.close.cancelled() => break,
+            () = shutdown.leave.cancelled() => break,
             _ = prune_tick.tick() => worker.prune(),
         }
     }
-    worker.close();
+    if let Some(schedule) = shutdown.schedule.get() {
+        worker.leave(*schedule);
+    }
     loop {
-        shutdown
-            .connections
-            .store(worker.open_connections(), Ordering::Relaxed);
         tokio::select! {
             () = shutdown.serving.kill.cancelled() => return Ok(()),
+            _ = prune_tick.tick() => worker.prune(),
             () = tokio::time::sleep(DRAIN_POLL_INTERVAL) => {}
         }
+        if shutdown.close.is_cancelled() {
+            worker.close();
+        }
+        // Decided on the thread that accepts requests, so that none is accepted in between.
+        if shutdown.serving.drain.is_cancelled() && worker.open_connections() == 0 {
+            worker.close();
+            shutdown.idle.cancel();
+        }
     }
 }
 
@@ -226,26 +233,26 @@
     leave(&watch, shutdown, &mut signals.terminate).await;
 }
 
-/// Drains the node within the grace time. Another SIGTERM ends the time in which new requests are
-/// served.
+/// Drains the node within the grace time. After another SIGTERM all new requests are refused.
 async fn leave(watch: &SettingsWatch, shutdown: &Shutdown, terminate: &mut Signal) {
-    let grace = watch.settings.grace;
-    let started = tokio::time::Instant::now();
+    let schedule = Schedule::new(Instant::now(), watch.settings.grace);
     watch.journal.record(Event::Stop {
         reason: "signal to end",
     });
+    // Only this function sets it.
+    let _ = shutdown.schedule.set(schedule);
     shutdown.leave.cancel();
     tokio::select! {
-        () = tokio::time::sleep(grace.mul_f64(SERVE_FRACTION)) => {}
-        _ = terminate.recv() => {}
+        () = tokio::time::sleep_until(schedule.accept_until()) => {}
+        _ = terminate.recv() => shutdown.close.cancel(),
     }
-    shutdown.connections.store(u64::MAX, Ordering::Relaxed);
-    shutdown.close.cancel();
     shutdown.serving.drain.cancel();
-    let deadline = started + grace.mul_f64(ABORT_FRACTION);
-    while shutdown.connections.load(Ordering::Relaxed) > 0 && tokio::time::Instant::now() < deadline
-    {
-        tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+    loop {
+        tokio::select! {
+            () = shutdown.idle.cancelled() => break,
+            () = tokio::time::sleep_until(schedule.abort_at()) => break,
+            _ = terminate.recv() => shutdown.close.cancel(),
+        }
     }
     // Gives the last responses time to be written to their sockets.
     tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
@@ -267,7 +274,7 @@
             Ok(new) => {
                 log::set_max_level(new.level);
                 self.settings = new;
-                "changed: the level of lines is taken, the rest at the next start".to_owned()
+                "changed: the level of lines and the grace time are taken, the rest at the next start".to_owned()
             }
             Err(findings) => {
                 let findings: Vec<_> = findings.iter().map(ToString::to_string).collect();
--- a/crates/node/tests/hosted_drain.rs
+++ b/crates/node/tests/hosted_drain.rs
@@ -15,13 +15,13 @@
 /// Length of the response, above what the kernel buffers for a connection.
 const BODY_BYTES: usize = 8 << 20;
 /// Time after which the endpoint responds: after the node began to refuse new requests.
-const RESPONSE_DELAY: Duration = Duration::from_millis(2200);
+const RESPONSE_DELAY: Duration = Duration::from_millis(2900);
 
-/// Starts a node with a grace time of five seconds and returns the address for its callers.
-fn start_with(store: SocketAddr) -> (Process, SocketAddr) {
+/// Starts a node with a grace time in seconds and returns the address for its callers.
+fn start_with(store: SocketAddr, grace_secs: u64) -> (Process, SocketAddr) {
     let [callers, peers] = std::array::from_fn(|_| address::unused());
     let settings = format!(
-        "[node]\nname = drain\nzone = a\nregion = south\ngrace = 5s\n[callers]\nlisten = {callers}\n\
+        "[node]\nname = drain\nzone = a\nregion = south\ngrace = {grace_secs}s\n[callers]\nlisten = {callers}\n\
          [peers]\nlisten = {peers}\nkey = {}\nseeds =\n[store]\naddress = {}\nheartbeat = 200ms\n\
          [logging]\nlevel = info\n",
         "01".repeat(32),
@@ -59,7 +59,7 @@
     let store = Store::start().await;
     bulk::start("bulk", &store, RESPONSE_DELAY, BODY_BYTES).await;
     store.put_manifest(&manifest(1, "/safe/"));
-    let (node, callers) = start_with(store.addr);
+    let (node, callers) = start_with(store.addr, 5);
     wait_for_catalog(callers).await;
     tokio::time::sleep(Duration::from_millis(300)).await;
     let response = tokio::spawn(bulk::read_slowly(callers, "/once/x"));
@@ -70,13 +70,47 @@
     assert_eq!(length, BODY_BYTES);
 }
 
+// Guards against requests that a node accepts after SIGTERM and cuts at the end of the grace time,
+// though they came later than the platform excuses it for.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_after_the_signal_are_served_whole_or_refused() {
+    let store = Store::start().await;
+    bulk::start("bulk", &store, Duration::from_millis(4600), 1000).await;
+    store.put_manifest(&manifest(1, "/safe/"));
+    let (node, callers) = start_with(store.addr, 8);
+    wait_for_catalog(callers).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert!(node.signal("-TERM"));
+    let sent = [500, 1500, 2500, 2960, 2990, 3010].map(|after| {
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(after)).await;
+            let id = format!("r{after}");
+            let call = Call {
+                method: "GET",
+                path: "/once/x",
+                id: &id,
+                key: "k1",
+                deadline: "5000",
+            };
+            let answer = caller::send(callers, &call).await;
+            let answer = answer.filter(|a| a.complete);
+            (after, answer.map(|a| a.status.as_u16()))
+        })
+    });
+    for request in sent {
+        let (after, status) = request.await.unwrap();
+        let expected = if after <= 2500 { 200 } else { 503 };
+        assert_eq!(status, Some(expected), "sent {after} ms after the signal");
+    }
+}
+
 // Guards against a node that a signal kills because it accepts callers before it handles signals.
 #[test]
 fn signal_right_after_the_start_does_not_kill_a_node() {
     const STARTS: usize = 20;
     let store: SocketAddr = address::unused();
     for start in 0..STARTS {
-        let (mut node, callers) = start_with(store);
+        let (mut node, callers) = start_with(store, 5);
         let signal = node.prepare_signal("-HUP");
         while std::net::TcpStream::connect(callers).is_err() {
             std::hint::spin_loop();
