gate: a new connection to a draining node gets a response

Cause: the HTTP library closes a connection at once on a graceful shutdown if nothing was read or written yet.

Change: a connection is shut down after its first request has arrived, or after a second without one.

--- a/crates/gate/src/listener.rs
+++ b/crates/gate/src/listener.rs
@@ -33,6 +33,8 @@
 /// `TCP_USER_TIMEOUT` of callers' connections: time without an acknowledgement of sent data after
 /// which the kernel closes the connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time in which the first request on a connection must arrive while the node drains.
+const FIRST_REQUEST_TIME: Duration = Duration::from_secs(1);
 /// Minimum read buffer for request heads that the HTTP library accepts.
 const MIN_HEAD_BUFFER_BYTES: usize = 8192;
 
@@ -114,17 +116,36 @@
         // The library has a single timeout for reading a head, which also runs while a keep-alive
         // connection is idle.
         .header_read_timeout(limits.idle_time.max(limits.head_time))
-        .max_buf_size(limits.head_bytes.max(MIN_HEAD_BUFFER_BYTES) * 2);
-    let service = service_fn(move |request| respond(worker.clone(), request, port));
+        .max_buf_size(
+            limits
+                .head_bytes
+                .max(MIN_HEAD_BUFFER_BYTES)
+                .saturating_mul(2),
+        );
+    let used = CancellationToken::new();
+    let first_request = used.clone();
+    let service = service_fn(move |request| {
+        first_request.cancel();
+        respond(worker.clone(), request, port)
+    });
     let mut conn = pin!(builder.serve_connection(TokioIo::new(stream), service));
     // An error ends only this caller's connection, and its request writes its own log lines.
     tokio::select! {
         _ = conn.as_mut() => return,
-        () = stop.drain.cancelled() => conn.as_mut().graceful_shutdown(),
+        () = drained(stop, &used) => conn.as_mut().graceful_shutdown(),
     }
     let _ = conn.await;
 }
 
+/// Waits until a connection is to be closed after the request in progress, if any: the node drains, and
+/// the first request on the connection has arrived. The HTTP library closes a connection without a
+/// request at once, and a caller that has just connected would get no response.
+async fn drained(stop: &Stop, used: &CancellationToken) {
+    stop.drain.cancelled().await;
+    // The connection is closed in any case.
+    let _ = tokio::time::timeout(FIRST_REQUEST_TIME, used.cancelled()).await;
+}
+
 async fn respond<D: Dialect>(
     worker: Rc<Worker<D>>,
     request: Request<Incoming>,
