gate: a request that a leaving node refuses is relayed to another

A node that reaches no endpoint passed on the 503 of a node that leaves, though a third node could take the request.

Cause: any response of the other node ended the relay.

Change: a refusal with proof by a node that closes its connections counts as no response; the next node is asked.

The new test in crates/gate/tests/isolated.rs failed before.

--- a/crates/gate/src/forward/relay.rs
+++ b/crates/gate/src/forward/relay.rs
@@ -79,7 +79,13 @@
             }
             let attempt = self.log.record_relayed(node);
             match self.relay_to(node, permit).await {
-                Ok(relayed) => return Some(relayed),
+                Ok(relayed) => match self.unless_leaving(relayed) {
+                    Some(relayed) => return Some(relayed),
+                    None => {
+                        let why = "relay: the other node leaves";
+                        self.log.record_failure(attempt, why, false);
+                    }
+                },
                 Err(error) => {
                     let ran = error.may_have_run();
                     if ran {
@@ -94,6 +100,24 @@
         None
     }
 
+    /// Returns the response; `None` if the other node refused the request and closes its connections,
+    /// as a node that leaves does, so that a third node may take it.
+    fn unless_leaving(&self, relayed: Relayed) -> Option<Relayed> {
+        let (status, headers) = (relayed.response.status(), relayed.response.headers());
+        if status != StatusCode::SERVICE_UNAVAILABLE || !pool::closes_connection(headers) {
+            return Some(relayed);
+        }
+        let info = self.worker.dialect.response_info(headers);
+        match Disproof::of_response(status, &info, self.job.info.id.as_deref()) {
+            Ok(Some(disproof)) => {
+                drop(relayed.attempt.disprove(disproof));
+                None
+            }
+            // [`receive`] decides what a refusal without proof means.
+            Ok(None) | Err(_) => Some(relayed),
+        }
+    }
+
     fn relay_nodes(&self) -> Vec<SocketAddr> {
         let service = &self.job.service().name;
         let view = self.worker.view();
--- a/crates/gate/src/pool.rs
+++ b/crates/gate/src/pool.rs
@@ -267,7 +267,7 @@
 }
 
 /// Returns whether the endpoint closes the connection after its response.
-fn closes_connection(headers: &HeaderMap) -> bool {
+pub(crate) fn closes_connection(headers: &HeaderMap) -> bool {
     let values = headers.get_all(CONNECTION).iter();
     let mut values = values.filter_map(|v| v.to_str().ok());
     values.any(|v| v.to_ascii_lowercase().contains("close"))
--- a/crates/gate/tests/isolated.rs
+++ b/crates/gate/tests/isolated.rs
@@ -230,3 +230,26 @@
         assert_eq!(ids(&response.body), [1, 2, 3, 4]);
     });
 }
+
+// Guards against a refusal of a leaving node that is passed on to the caller although a third node can
+// take the request.
+#[test]
+fn a_request_that_a_leaving_node_refuses_is_relayed_to_another() {
+    run(async {
+        let server = Server::start(vec![Behavior::Answer(200, "x")]).await;
+        let leaving = node(vec![plain(server.addr)]).await;
+        let staying = node(vec![plain(server.addr)]).await;
+        leaving.worker.close();
+        for path in ["/safe/x", "/once/x"] {
+            for _ in 0..8 {
+                let node = refused_node().await;
+                isolate(&node, path).await;
+                add_relay(&node, leaving.addr, &[]);
+                add_relay(&node, staying.addr, &[]);
+                let response = send(node.addr, request(path)).await;
+                assert_eq!(response.status, StatusCode::OK);
+            }
+        }
+        assert_eq!(server.heads().len(), 16);
+    });
+}
