--- a/crates/steer/src/selector.rs
+++ b/crates/steer/src/selector.rs
@@ -261,7 +261,13 @@
             if !row.is_available(now) {
                 continue;
             }
-            if row.in_flight > row.endpoint.slots.max(1) * MAX_IN_FLIGHT_PER_SLOT {
+            if row.in_flight
+                > row
+                    .endpoint
+                    .slots
+                    .max(1)
+                    .saturating_mul(MAX_IN_FLIGHT_PER_SLOT)
+            {
                 full = true;
                 continue;
             }
