--- a/crates/node/src/hosted/control/loads.rs
+++ b/crates/node/src/hosted/control/loads.rs
@@ -9,6 +9,7 @@
 use super::copy::{CHUNK_BYTES, Scope};
 use adapter::report::Report;
 use catalog::Endpoint;
+use catalog::bounds::{Amount, Factor, OutOfBounds};
 use catalog::endpoint::Span;
 use eyre::{Result, ensure};
 use serde::{Deserialize, Serialize};
@@ -36,10 +37,9 @@
 /// Maximum size of an encoded list of reports that is decoded.
 const MAX_ENCODED_BYTES: usize = 4 << 20;
 
-/// The part of a report that is kept and sent between nodes: KV memory in use and its capacity,
-/// slowdown, number of queued requests, and the layers held (`from` inclusive, `to` exclusive).
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-struct Figures {
+/// Encoded form of [`Figures`]; `from` is inclusive and `to` exclusive.
+#[derive(Serialize, Deserialize)]
+struct RawFigures {
     used: f32,
     #[serde(rename = "room")]
     capacity: f32,
@@ -50,6 +50,17 @@
     to: u32,
 }
 
+/// The part of a report that is kept and sent between nodes: KV memory in use and its capacity,
+/// slowdown, number of queued requests, and the layers held.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Figures {
+    used: f32,
+    capacity: f32,
+    slowdown: f32,
+    queued: u32,
+    span: Span,
+}
+
 impl From<&Report> for Figures {
     fn from(report: &Report) -> Self {
         Self {
@@ -57,12 +68,41 @@
             capacity: report.kv_capacity as f32,
             slowdown: report.slowdown as f32,
             queued: report.queued,
-            from: report.span.from,
-            to: report.span.to,
+            span: report.span,
         }
     }
 }
 
+impl From<Figures> for RawFigures {
+    fn from(figures: Figures) -> Self {
+        Self {
+            used: figures.used,
+            capacity: figures.capacity,
+            slowdown: figures.slowdown,
+            queued: figures.queued,
+            from: figures.span.from,
+            to: figures.span.to,
+        }
+    }
+}
+
+impl TryFrom<RawFigures> for Figures {
+    type Error = OutOfBounds;
+
+    fn try_from(raw: RawFigures) -> std::result::Result<Self, OutOfBounds> {
+        Amount::try_from(f64::from(raw.used))?;
+        Amount::try_from(f64::from(raw.capacity))?;
+        Factor::try_from(f64::from(raw.slowdown))?;
+        Ok(Self {
+            used: raw.used,
+            capacity: raw.capacity,
+            slowdown: raw.slowdown,
+            queued: raw.queued,
+            span: Span::try_from((raw.from, raw.to))?,
+        })
+    }
+}
+
 /// A report with its origin.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Row {
@@ -97,7 +137,7 @@
     run: String,
     age_ms: u32,
     /// `None` if the run is unresponsive.
-    figures: Option<Figures>,
+    figures: Option<RawFigures>,
 }
 
 /// The newest report of each run.
@@ -262,7 +302,7 @@
             .map(|(run, row)| Raw {
                 run: run.clone(),
                 age_ms: (now - row.at).as_millis() as u32,
-                figures: Some(row.figures),
+                figures: Some(row.figures.into()),
             });
         let unresponsive = self.unresponsive().into_iter().map(|run| Raw {
             run,
@@ -306,6 +346,13 @@
             let Some(at) = at else {
                 continue;
             };
+            let figures = match Figures::try_from(figures) {
+                Ok(figures) => figures,
+                Err(error) => {
+                    log::warn!("unusable load of {} from peer {peer}: {error}", raw.run);
+                    continue;
+                }
+            };
             let existing = self.rows.get(&raw.run);
             if existing.is_some_and(|k| k.at + DUPLICATE_TOLERANCE >= at) || now >= at + REPORT_TTL
             {
@@ -336,8 +383,7 @@
         let mut endpoint = endpoint.clone();
         let row = self.rows.get(&endpoint.run.to_string());
         if let Some(row) = row.filter(|r| now < r.at + MAX_OVERLAY_AGE) {
-            let Figures { from, to, .. } = row.figures;
-            endpoint.span = Span { from, to };
+            endpoint.span = row.figures.span;
         }
         endpoint
     }
--- a/crates/node/tests/loads.rs
+++ b/crates/node/tests/loads.rs
@@ -181,3 +181,31 @@
     loads.expire(start + secs(60));
     assert!(loads.leaving().is_empty());
 }
+
+// Guards against loads of a peer that are out of bounds: an infinite slowdown ends the process when an
+// answer moves to that engine. The loads beside it are taken.
+#[test]
+fn loads_of_a_peer_that_are_out_of_bounds_are_left_out() {
+    let (now, peer): (_, SocketAddr) = (Instant::now(), ([10, 0, 0, 1], 80).into());
+    let odd = [
+        |r: &mut Report| r.slowdown = 1e300,
+        |r: &mut Report| r.slowdown = f64::NAN,
+        |r: &mut Report| r.slowdown = -1.0,
+        |r: &mut Report| r.kv_used = 1e300,
+        |r: &mut Report| r.kv_capacity = -1.0,
+        |r: &mut Report| r.span.to = u32::MAX,
+        |r: &mut Report| r.span.from = 5,
+    ];
+    let mut sender = Loads::default();
+    sender.record(now, "sound@1", &report(1.0));
+    for (number, change) in odd.iter().enumerate() {
+        let mut report = report(1.0);
+        change(&mut report);
+        sender.record(now, &format!("odd-{number}@1"), &report);
+    }
+    let mut receiver = Loads::default();
+    let bytes = sender.encode(now, Own, 0).unwrap();
+    assert!(receiver.merge(now, peer, Own, &bytes).unwrap());
+    let known = receiver.view(now, now);
+    assert_eq!(known.keys().collect::<Vec<_>>(), ["sound@1"]);
+}
--- a/crates/steer/src/evacuation/queues.rs
+++ b/crates/steer/src/evacuation/queues.rs
@@ -1,6 +1,7 @@
 //! Prefill and transfers that precede a moving response, by endpoint and by inter-zone link.
 
 use crate::Timestamp;
+use catalog::bounds;
 use catalog::endpoint::Run;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -86,13 +87,13 @@
     /// Records prefill at an endpoint.
     pub(crate) fn record_prefill(&mut self, now: Timestamp, run: &Run, secs: f64) {
         let until = self.endpoints.entry(run.clone()).or_default();
-        *until = now.max(*until) + Duration::from_secs_f64(secs.max(0.0));
+        *until = now.max(*until).saturating_add(bounds::duration(secs));
     }
 
     /// Records a transfer between two zones.
     pub(crate) fn record_transfer(&mut self, now: Timestamp, a: usize, b: usize, secs: f64) {
         let until = self.links.entry((a.min(b), a.max(b))).or_default();
-        *until = now.max(*until) + Duration::from_secs_f64(secs.max(0.0));
+        *until = now.max(*until).saturating_add(bounds::duration(secs));
     }
 
     /// Returns when an endpoint will have done its prefill.
--- a/crates/steer/src/queue/estimate.rs
+++ b/crates/steer/src/queue/estimate.rs
@@ -1,6 +1,7 @@
 //! Estimate of the wait for a slot, by the rate at which slots recently became free for a queue.
 
 use crate::Timestamp;
+use catalog::bounds;
 use std::time::Duration;
 
 /// Time in which the weight of a slot decays by a factor of e. It covers several slots of a service
@@ -80,9 +81,7 @@
     pub(super) fn wait(&self, now: Timestamp, ahead: usize) -> Option<Duration> {
         let interval = 1.0 / self.per_second(now)?;
         let elapsed = self.busy_time(now).as_secs_f64().min(interval);
-        Some(Duration::from_secs_f64(
-            interval * (ahead + 1) as f64 - elapsed,
-        ))
+        Some(bounds::duration(interval * (ahead + 1) as f64 - elapsed))
     }
 
     /// Returns the time since the last slot during which requests waited.
--- a/crates/steer/tests/evacuation.rs
+++ b/crates/steer/tests/evacuation.rs
@@ -19,6 +19,7 @@
 use steer::chain::Need;
 use steer::evacuation::gaps::Gaps;
 use steer::evacuation::{Evacuee, Plan, Rank, deferral};
+use steer::load::Load;
 use steer::target::{Stage, Target};
 use steer::{Fleet, Selector};
 use support::{ALLOWANCE, TYPICAL_SIZE, catalog_with, endpoint, fleet, large_engine, load, ms};
@@ -365,3 +366,42 @@
         "{others:?}"
     );
 }
+
+// Guards against an endpoint that reports to be infinitely slow: what is expected to take longer than any
+// duration ends the process when a response moves to it.
+#[test]
+fn an_endless_prefill_does_not_end_the_process() {
+    for slowdown in [1e38, f64::INFINITY] {
+        let (mut nodes, targets) = crash(1, true, true);
+        let report = |e: Endpoint| {
+            let load = Load {
+                slowdown,
+                ..load(9, 0.0, 0, ms(10))
+            };
+            (e.run.to_string(), load)
+        };
+        let ended = endpoints().into_iter().map(|e| e.run);
+        let ended = ended.filter(|run| LOST.contains(&run.id.as_str()));
+        let view = Fleet {
+            catalog: catalog_with(engine()),
+            loads: Arc::new(endpoints().into_iter().map(report).collect()),
+            ended: Arc::new(ended.map(|run| run.to_string()).collect()),
+            ..fleet(endpoints(), NODES)
+        };
+        for (number, target) in targets {
+            let evacuee = Evacuee {
+                target,
+                service: 0,
+                need: NEED,
+                context: CONTEXT,
+                idle: ms(100),
+                pause_target: Some(PAUSE_TARGET),
+                retry: Some(Purpose::Resumption),
+                place: 0.5,
+                may_defer: false,
+            };
+            nodes[number].update_fleet(NOTIFIED, view.clone());
+            nodes[number].evacuate(NOTIFIED, &[evacuee]);
+        }
+    }
+}
