catalog: figures out of bounds are findings

A manifest with a large number of layers made nodes allocate as much; large times and factors overflowed sums and products of durations, which ends the thread; a time limit for heads of 1e300 ms became 0 and closed each connection of callers; a header limit of 2^64-1 overflowed, so that the HTTP library refused it by a panic.

Change: Catalog::try_from reports names, times, amounts, factors and limits that are out of bounds; the version before stays in force. Estimates from the figures saturate.

--- a/crates/catalog/src/checked.rs
+++ b/crates/catalog/src/checked.rs
@@ -1,5 +1,7 @@
 //! Validation of raw tables, and the checked catalog with its lookups.
 
+use crate::bounds::{Amount, Factor, MAX_HEAD_BYTES, MAX_LAYERS, MAX_TIME, Name};
+use crate::engine::Engine;
 use crate::finding::Finding;
 use crate::limits::Limits;
 use crate::raw::{self, Tables};
@@ -9,6 +11,7 @@
 use crate::{Result, RouteId, ServiceId, TeamId, Version};
 use std::collections::HashMap;
 use std::fmt;
+use std::time::Duration;
 
 /// A validated version of the operator's configuration.
 ///
@@ -90,7 +93,8 @@
             .filter_map(|r| route(r, &services, &mut findings))
             .collect();
         let services = tables.services.iter();
-        services.for_each(|s| check_engine(s, &mut findings));
+        services.for_each(|s| check_service(s, &mut findings));
+        check_limits(&tables.limits, &mut findings);
         let (teams, keys) = teams(tables.teams.as_deref().unwrap_or_default(), &mut findings);
         if !findings.is_empty() {
             return Err(findings);
@@ -140,6 +144,16 @@
     if raw.timeout.is_zero() {
         report("timeout must be above 0".to_owned());
     }
+    let pause = raw.kind.stream().and_then(|s| s.pause);
+    let times = [
+        ("timeout", raw.timeout),
+        ("latency target", raw.latency_target),
+        ("longest pause", pause.unwrap_or_default()),
+    ];
+    times
+        .iter()
+        .filter_map(|(name, time)| excess(name, *time))
+        .for_each(&mut report);
     (findings.len() == findings_before).then(|| Route {
         host: raw.host.to_ascii_lowercase(),
         name: raw.name,
@@ -154,11 +168,94 @@
     })
 }
 
-/// Reports invalid figures of the prefill of a service's engine.
-fn check_engine(service: &Service, findings: &mut Vec<Finding>) {
-    let Some(engine) = &service.engine else {
-        return;
+/// Describes a time that is too long.
+fn excess(name: &str, time: Duration) -> Option<String> {
+    (time > MAX_TIME).then(|| format!("{name} must be at most {} s", MAX_TIME.as_secs()))
+}
+
+/// Reports limits on callers that are out of bounds.
+fn check_limits(limits: &Limits, findings: &mut Vec<Finding>) {
+    let mut report = |message| findings.push(Finding::new("limits", message));
+    let times = [
+        ("time for a header section", limits.head_time),
+        ("idle time", limits.idle_time),
+    ];
+    times
+        .iter()
+        .filter_map(|(name, time)| excess(name, *time))
+        .for_each(&mut report);
+    if limits.head_bytes > MAX_HEAD_BYTES {
+        report(format!(
+            "header section must be at most {MAX_HEAD_BYTES} bytes"
+        ));
+    }
+}
+
+/// Reports a name of a service, or figures of its engine, that are out of bounds.
+fn check_service(service: &Service, findings: &mut Vec<Finding>) {
+    if let Err(error) = Name::try_from(service.name.clone()) {
+        let start: String = service.name.chars().take(20).collect();
+        findings.push(Finding::new(
+            format!("service {start:?}"),
+            error.to_string(),
+        ));
+    }
+    if let Some(engine) = &service.engine {
+        check_prefill(service, engine, findings);
+        check_figures(service, engine, findings);
+    }
+}
+
+/// Reports figures of an engine that are out of bounds. Those of its prefill are checked by
+/// [`check_prefill`] as well.
+fn check_figures(service: &Service, engine: &Engine, findings: &mut Vec<Finding>) {
+    let location = format!("service {}", service.name);
+    let mut report = |message: String| {
+        findings.push(Finding::new(location.clone(), format!("engine: {message}")));
     };
+    if engine.layers > MAX_LAYERS {
+        report(format!("layers must be at most {MAX_LAYERS}"));
+    }
+    let delays = engine.delays.iter().map(|d| ("delay", d.delay));
+    let times = [
+        ("step time", engine.step_time),
+        ("step time per request", engine.step_time_per_request),
+        ("step time per context", engine.step_time_per_1k_context),
+        ("load time", engine.load_time),
+    ];
+    let times = times.into_iter().chain(delays);
+    times
+        .filter_map(|(name, time)| excess(name, time))
+        .for_each(&mut report);
+    let amounts = [
+        ("layer size", engine.layer_bytes),
+        ("KV cache size", engine.kv_bytes_per_token),
+        ("activation size", engine.activation_bytes),
+        ("prefill rate", engine.prefill_rate),
+        ("bandwidth", engine.inter_zone_bps),
+    ];
+    let kinds = &engine.accelerators;
+    let memories = kinds.iter().map(|k| ("memory", k.memory_bytes));
+    for (name, value) in amounts.into_iter().chain(memories) {
+        if let Err(error) = Amount::try_from(value) {
+            report(format!("{name}: {error}"));
+        }
+    }
+    let factors = kinds.iter().flat_map(|k| {
+        [
+            ("step factor", k.step_factor),
+            ("prefill factor", k.prefill_factor),
+        ]
+    });
+    for (name, value) in factors {
+        if let Err(error) = Factor::try_from(value) {
+            report(format!("{name}: {error}"));
+        }
+    }
+}
+
+/// Reports invalid figures of the prefill of a service's engine.
+fn check_prefill(service: &Service, engine: &Engine, findings: &mut Vec<Finding>) {
     let location = format!("service {}", service.name);
     if engine.prefill_chunk == Some(0) {
         findings.push(Finding::new(
@@ -167,7 +264,7 @@
         ));
     }
     let pairs = engine.prefill_ms_per_1m_pairs;
-    if !pairs.is_finite() || pairs < 0.0 {
+    if Amount::try_from(pairs).is_err() {
         findings.push(Finding::new(
             location,
             format!("engine: pairs_per_m must be at least 0, not {pairs}"),
--- a/crates/catalog/src/engine.rs
+++ b/crates/catalog/src/engine.rs
@@ -1,6 +1,7 @@
 //! Performance model of the inference engines of a model service.
 
 use crate::Layer;
+use crate::bounds;
 use std::time::Duration;
 
 /// Number of requests that are assumed to share one decode step when the cost of a request is
@@ -116,7 +117,7 @@
         let prefill = accelerator.prefill_factor / self.prefill_rate.max(1.0);
         let total = step_time * f64::from(size.answer) + prefill * f64::from(size.prompt);
         let per_layer = total / f64::from(self.layers.max(1));
-        Duration::try_from_secs_f64(per_layer).unwrap_or_default()
+        bounds::duration(per_layer)
     }
 
     /// Returns the work of the prefill of a prompt: the number of tokens whose prefill without
@@ -138,8 +139,8 @@
         } else {
             1.0
         };
-        self.step_time
-            .mul_f64(f64::from(self.typical_size.answer) * factor)
+        let steps = f64::from(self.typical_size.answer) * factor;
+        bounds::duration(self.step_time.as_secs_f64() * steps)
     }
 
     /// Returns the fraction of the model that `layers` layers make up.
--- a/crates/node/src/hosted/control/orders.rs
+++ b/crates/node/src/hosted/control/orders.rs
@@ -10,6 +10,7 @@
 use super::assignment::Assignment;
 use super::input::{Attempt, Input, InputSender};
 use adapter::report::Control;
+use catalog::bounds::MAX_TIME;
 use catalog::endpoint::{Run, Span, State};
 use catalog::engine::Engine;
 use catalog::{Catalog, Endpoint};
@@ -225,7 +226,8 @@
             let load_time = engine
                 .load_time
                 .mul_f64(engine.model_fraction(order.span.len()))
-                * concurrent_loads;
+                .saturating_mul(concurrent_loads)
+                .min(MAX_TIME);
             self.enqueue(now, Planned { order, load_time });
         }
     }
