node: an odd row is logged with its key and reason, once for each change

A row that never named an endpoint left no line, so that operators could not tell why it is not used.

Change: the reasons are kept by key; a line is written when one is new.

The new test failed before.

--- a/crates/node/src/hosted/control/tables.rs
+++ b/crates/node/src/hosted/control/tables.rs
@@ -65,6 +65,8 @@
     endpoints: source::Table,
     catalog: Option<Arc<Catalog>>,
     entries: BTreeMap<String, Entry>,
+    /// What is wrong with the rows that name no endpoint, by their keys.
+    unusable: BTreeMap<String, String>,
     /// The last series of failed reads of the endpoints' table.
     outage: Option<Outage>,
     start: Instant,
@@ -90,6 +92,7 @@
             endpoints: source::Table::default(),
             catalog: None,
             entries: BTreeMap::new(),
+            unusable: BTreeMap::new(),
             outage: None,
             start: Instant::now(),
             left: Departures::default(),
@@ -242,6 +245,7 @@
         restored: bool,
     ) -> bool {
         let Some(value) = self.endpoints.get(key) else {
+            self.unusable.remove(key);
             return self.remove_endpoint(key, offset);
         };
         let mut decoded = platform.decode_endpoint(key, value);
@@ -253,31 +257,37 @@
                 self.left.record(self.start.elapsed(), &endpoint.run);
             }
         }
-        let state = match &decoded {
-            Ok(e) => format!("{:?} at {} layers {}", e.state, e.addr, e.span),
-            Err(why) => format!("unusable row: {why}"),
+        let endpoint = match decoded {
+            Ok(endpoint) => endpoint,
+            Err(why) => return self.set_unusable(key, why, offset),
         };
-        let same = match (&decoded, self.entries.get(key)) {
-            (Ok(new), Some(entry)) => entry.lapse.is_none() && *new == entry.endpoint,
-            (Err(_), None) => true,
-            _ => false,
-        };
-        match decoded {
-            Ok(endpoint) => {
-                let entry = Entry {
-                    endpoint,
-                    lapse: None,
-                };
-                self.entries.insert(key.to_owned(), entry);
-            }
-            Err(_) => {
-                self.entries.remove(key);
-            }
+        self.unusable.remove(key);
+        let known = self.entries.get(key);
+        if known.is_some_and(|k| k.lapse.is_none() && k.endpoint == endpoint) {
+            return false;
         }
-        if !same {
-            self.log_endpoint(key, state, offset);
+        let state = format!(
+            "{:?} at {} layers {}",
+            endpoint.state, endpoint.addr, endpoint.span
+        );
+        let entry = Entry {
+            endpoint,
+            lapse: None,
+        };
+        self.entries.insert(key.to_owned(), entry);
+        self.log_endpoint(key, state, offset);
+        true
+    }
+
+    /// Records that the row of a key names no endpoint, and writes a line if that, or the reason, is new.
+    /// Returns whether it named one before.
+    fn set_unusable(&mut self, key: &str, why: String, offset: Offset) -> bool {
+        let changed = self.entries.remove(key).is_some();
+        if self.unusable.get(key) != Some(&why) {
+            self.log_endpoint(key, format!("unusable row: {why}"), offset);
+            self.unusable.insert(key.to_owned(), why);
         }
-        !same
+        changed
     }
 
     fn remove_endpoint(&mut self, key: &str, offset: Offset) -> bool {
--- a/crates/node/tests/odd_rows.rs
+++ b/crates/node/tests/odd_rows.rs
@@ -8,11 +8,16 @@
 mod standin;
 
 use adapter::Platform;
+use adapter::store::Table;
 use catalog::bounds::MAX_NAME_BYTES;
+use catalog::source::{Page, Record};
 use http::StatusCode;
 use instance::Instance;
+use journal::event::Event;
+use journal::{Journal, Message};
 use member::item::{Item, Observation};
 use member::message::{Body, Message as Gossip};
+use node::hosted::control::tables::Tables;
 use standin::caller::{self, Call};
 use standin::engine::Engine;
 use standin::manifest;
@@ -117,6 +122,57 @@
     }
 }
 
+// Guards against odd rows that no line names, and against a line at each write of the same row.
+#[test]
+fn an_odd_row_is_logged_once_for_each_change() {
+    let platform = Platform::new(([127, 0, 0, 1], 1).into());
+    let (journal, lines) = Journal::new(64);
+    let mut tables = Tables::new(journal);
+    let sound = row(r#"{"from":0,"to":4}"#, "4", "127.0.0.1:1");
+    let (odd, other) = (sound.replace("ready", "asleep"), "[]".to_owned());
+    let writes = [&odd, &odd, &other, &other, &sound, &sound, &odd, &odd];
+    let mut changes = Vec::new();
+    for (number, value) in writes.into_iter().enumerate() {
+        let offset = number as u64;
+        // Each write differs, as that of a heartbeat does.
+        let value = format!("{value}{}", " ".repeat(number));
+        let record = Record {
+            key: "odd".to_owned(),
+            value: Some(value.into_bytes().into()),
+            offset,
+        };
+        let page = Page {
+            records: vec![record],
+            next_offset: offset + 1,
+            complete: false,
+        };
+        changes.push(tables.apply(&platform, Table::Endpoints, page, "store"));
+    }
+    assert_eq!(
+        changes,
+        [false, false, false, false, true, false, true, false]
+    );
+    let states = lines.try_iter().filter_map(|message| match message {
+        Message::Line(line) => match line.event {
+            Event::Endpoint { run, state, .. } => Some((run, state)),
+            _ => None,
+        },
+        _ => None,
+    });
+    let states: Vec<(String, String)> = states.collect();
+    let starts = [
+        ("odd", "unusable row: unknown state"),
+        ("odd", "unusable row: invalid type"),
+        ("odd@7", "Ready at 127.0.0.1:1 layers 0-4"),
+        ("odd", "unusable row: unknown state"),
+    ];
+    assert_eq!(states.len(), starts.len(), "{states:?}");
+    for ((run, state), (expected, start)) in states.iter().zip(starts) {
+        assert_eq!(run, expected);
+        assert!(state.starts_with(start), "{state}");
+    }
+}
+
 // Guards against an endpoint whose name makes the messages of a node that reports it invalid for its
 // peers, which then close the connection at each of them.
 #[test]
