wire, member: a suspicion leaves a number for its refutation

A message with a number of refutations of 2^32-1 about a node made its next refutation overflow: a panic in a debug build, a refutation that nobody believes otherwise.

Change: such numbers are refused where they enter, and the sum saturates.

The new test failed before; not seen in a fleet.

--- a/crates/member/src/dissemination.rs
+++ b/crates/member/src/dissemination.rs
@@ -150,7 +150,7 @@
         let Some(own) = self.roster.get_mut(self.me) else {
             return;
         };
-        own.refutations += 1;
+        own.refutations = own.refutations.saturating_add(1);
         let run = to_run(own);
         self.queue_update(Update::Alive(run));
         self.flush_pending = true;
--- a/crates/wire/src/raw/decode.rs
+++ b/crates/wire/src/raw/decode.rs
@@ -40,6 +40,13 @@
     fits.then_some(text).ok_or(Error::InvalidField(field))
 }
 
+/// Refuses a number of refutations that the next refutation can't exceed.
+fn check_refutations(number: u32) -> Result<u32> {
+    (number < u32::MAX)
+        .then_some(number)
+        .ok_or(Error::InvalidField("turn"))
+}
+
 /// Refuses the index of a bucket that doesn't exist.
 fn check_bucket(index: u8) -> Result<u8> {
     let fits = usize::from(index) < BUCKETS;
@@ -161,7 +168,7 @@
         };
         Ok(Self {
             identity,
-            refutations: raw.refutations,
+            refutations: check_refutations(raw.refutations)?,
         })
     }
 }
@@ -172,24 +179,26 @@
     fn try_from(raw: Update) -> Result<Self> {
         Ok(match raw {
             Update::Join(row) => Self::Join(row.try_into()?),
-            Update::Suspect(run) => Self::Suspect(run.into()),
-            Update::Alive(run) => Self::Alive(run.into()),
-            Update::Left(run) => Self::Left(run.into()),
+            Update::Suspect(run) => Self::Suspect(run.try_into()?),
+            Update::Alive(run) => Self::Alive(run.try_into()?),
+            Update::Left(run) => Self::Left(run.try_into()?),
         })
     }
 }
 
-impl From<Run> for message::Run {
-    fn from(raw: Run) -> Self {
+impl TryFrom<Run> for message::Run {
+    type Error = Error;
+
+    fn try_from(raw: Run) -> Result<Self> {
         let (id, incarnation) = (
             u64::from_le_bytes(raw.id),
             u64::from_le_bytes(raw.incarnation),
         );
-        Self {
+        Ok(Self {
             id,
             incarnation,
-            refutations: raw.refutations,
-        }
+            refutations: check_refutations(raw.refutations)?,
+        })
     }
 }
 
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -252,9 +252,12 @@
         version: 1,
         body: excessive_ttl,
     };
+    let mut refuted = row();
+    refuted.refutations = u32::MAX;
     let bad = [
         Body::Rows(vec![long]),
         Body::Rows(vec![control]),
+        Body::Rows(vec![refuted]),
         Body::Delta(unordered),
         Body::Delta(bucket),
         Body::Digest(digest),
@@ -269,6 +272,27 @@
     }
 }
 
+/// Guards against a suspicion that its subject can't refute, since the number of refutations overflows.
+#[test]
+fn a_suspicion_leaves_a_number_for_its_refutation() {
+    for (refutations, is_valid) in [(u32::MAX - 1, true), (u32::MAX, false)] {
+        let run = Run {
+            id: 1,
+            incarnation: 1,
+            refutations,
+        };
+        let message = Message {
+            from: 2,
+            incarnation: 1,
+            head: None,
+            updates: vec![Update::Suspect(run)],
+            body: Body::Empty,
+        };
+        let bytes = Frame::send(message).encode().expect("encodes");
+        assert_eq!(Frame::decode(&bytes).is_ok(), is_valid);
+    }
+}
+
 /// Guards against a peer that sends garbage, by a fault or on purpose: every byte string decodes to
 /// an error or a frame, without a panic.
 #[test]
