--- a/crates/steer/src/search.rs
+++ b/crates/steer/src/search.rs
@@ -149,7 +149,7 @@
     pub(crate) fn cheapest_chain(&self, need: &Need) -> Result<Vec<Segment>, Shortage> {
         debug_assert!(self.candidates.iter().all(|c| c.row.is_available(self.now)));
         let cuts = self.cuts();
-        if !self.is_covered(&cuts) {
+        if self.span.is_empty() || !self.is_covered(&cuts) {
             return Err(Shortage::Layers);
         }
         let max_fill = |span: Span| match self.reserve {
