--- a/crates/node/src/hosted/process.rs
+++ b/crates/node/src/hosted/process.rs
@@ -10,6 +10,7 @@
 use super::control::Control;
 use super::settings::{self, Settings};
 use crate::process::{incarnation, meter_provider, runtime};
+use crate::settings::Source;
 use adapter::header::Headers;
 use eyre::{Result, WrapErr};
 use gate::departure::Schedule;
@@ -22,7 +23,6 @@
 use opentelemetry::metrics::MeterProvider;
 use prometheus::Registry;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
@@ -44,6 +44,7 @@
 const TRANSITION_QUEUE_LEN: usize = 256;
 /// Capacity of the queue of dump requests.
 const DUMP_QUEUE_LEN: usize = 4;
+
 /// Maximum number of connections of each listener for addresses, readiness and metrics.
 const MAX_AUXILIARY_CONNECTIONS: usize = 256;
 
@@ -83,7 +84,7 @@
 }
 
 /// Runs a node until a signal stops it.
-pub fn run(file: &Path, settings: Settings) -> Result<()> {
+pub fn run(source: Source, settings: Settings) -> Result<()> {
     // Signals are handled before callers are accepted: by default they would kill the process.
     let main_runtime = runtime()?;
     let signals = main_runtime.block_on(async { Signals::listen() })?;
@@ -132,7 +133,7 @@
     let control =
         builder.spawn(move || runtime()?.block_on(control.run(transition_queue, dump_queue)))?;
     let watch = SettingsWatch {
-        file: file.to_owned(),
+        source,
         settings,
         journal: journal.clone(),
     };
@@ -212,9 +213,9 @@
     entry::listener::open(addr).wrap_err_with(|| format!("listener {addr}"))
 }
 
-/// The settings in use, and the file that they are reloaded from.
+/// The settings in use, and where they are reloaded from.
 struct SettingsWatch {
-    file: PathBuf,
+    source: Source,
     settings: Settings,
     journal: Journal,
 }
@@ -264,7 +265,7 @@
     /// Reloads the settings if the file changed. `signalled` is true if a signal requested this;
     /// the outcome is then logged even if nothing changed.
     fn reload(&mut self, signalled: bool) {
-        let outcome = match settings::load(&self.file) {
+        let outcome = match settings::load(&self.source) {
             Ok(new) if format!("{new:?}") == format!("{:?}", self.settings) => {
                 if !signalled {
                     return;
--- a/crates/node/src/hosted/settings.rs
+++ b/crates/node/src/hosted/settings.rs
@@ -4,7 +4,8 @@
 use crate::settings::section::{Section, stray_keys, unknown_sections};
 use crate::settings::text::Text;
 use crate::settings::value::{self, addr, addrs, level, name, nonzero_time, peer_key, time};
-use crate::settings::{self, Result};
+use crate::settings::{self, Result, Source};
+use memory::shares::DEFAULT_MEMORY_BYTES;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -66,6 +67,8 @@
     pub allowance: Allowance,
     /// Maximum number of callers' connections.
     pub connections: usize,
+    /// Memory of the machine in bytes, which the process must not exceed.
+    pub memory_bytes: usize,
     /// Time from the signal to end until the platform kills the process.
     pub grace: Duration,
     /// Log level of lines about the process itself; decision lines don't depend on it.
@@ -78,16 +81,13 @@
     content.lines().any(|line| line.trim() == "[store]")
 }
 
-/// Reads and checks the settings in `file`.
+/// Reads and checks the settings of a source.
 ///
 /// # Errors
 ///
 /// Returns all findings if the file can't be read or a setting is wrong.
-pub fn load(file: &Path) -> Result<Settings> {
-    let name = file.display().to_string();
-    let content = std::fs::read_to_string(file)
-        .map_err(|e| vec![Finding::of_file(&name, format!("can't be read: {e}"))])?;
-    read(&name, &content)
+pub fn load(source: &Source) -> Result<Settings> {
+    check(&source.text()?)
 }
 
 /// Checks the settings in `content`. `name` is the name of their file in findings.
@@ -140,6 +140,7 @@
     let allowance = allowance(text, findings);
     let mut limits = Section::new(text, LIMITS);
     let descriptors = limits.value_or("descriptors", DEFAULT_DESCRIPTORS, value::count, findings);
+    let memory_bytes = limits.value_or("memory", DEFAULT_MEMORY_BYTES, value::memory, findings);
     limits.finish(findings);
     let mut logging = Section::new(text, LOGGING);
     let level = logging.value_or("level", log::LevelFilter::Info, level, findings);
@@ -161,6 +162,7 @@
         connections: descriptors
             .saturating_sub(RESERVED_DESCRIPTORS)
             .max(MIN_CONNECTIONS),
+        memory_bytes,
         grace,
         level,
     })
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -4,9 +4,9 @@
 use clap::{Arg, ArgMatches, Command, value_parser};
 use eyre::Result;
 use node::process::Process;
-use node::settings::{self, Settings};
+use node::settings::{self, Settings, Source};
 use node::{hosted, logging, process};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -14,6 +14,7 @@
 const EXIT_INVALID_SETTINGS: u8 = 2;
 
 const CONFIG_ARG: &str = "config";
+const MEMORY_ARG: &str = "memory";
 const CHECK_COMMAND: &str = "check";
 
 fn main() -> ExitCode {
@@ -31,26 +32,40 @@
         .value_name("FILE")
         .value_parser(value_parser!(PathBuf))
         .help("Settings file in INI format");
+    let memory = Arg::new(MEMORY_ARG)
+        .long("memory")
+        .value_name("SIZE")
+        .value_parser(memory)
+        .help("Memory of the machine, such as 260MB; goes before [limits] memory of the file");
     let check = Command::new(CHECK_COMMAND)
         .about("Checks the settings and prints every finding, without starting a node")
-        .arg(config.clone().required(true));
+        .arg(config.clone().required(true))
+        .arg(memory.clone());
     Command::new("wigeonshelf")
         .version(clap::crate_version!())
         .about("Entry node of a router for pipelines over mixed accelerators")
         .args_conflicts_with_subcommands(true)
         .arg_required_else_help(true)
         .arg(config)
+        .arg(memory)
         .subcommand(check)
 }
 
-/// Loads the settings. On failure, prints every finding to standard error and returns the exit
-/// code.
-fn load(matches: &ArgMatches) -> std::result::Result<Settings, ExitCode> {
+/// Returns where the settings come from; the exit code if the command line does not say.
+fn source(matches: &ArgMatches) -> std::result::Result<Source, ExitCode> {
     let Some(file) = matches.get_one::<PathBuf>(CONFIG_ARG) else {
         eprintln!("--config is missing");
         return Err(ExitCode::from(EXIT_INVALID_SETTINGS));
     };
-    report_findings(settings::load(file))
+    Ok(Source {
+        file: file.clone(),
+        memory: matches.get_one::<String>(MEMORY_ARG).cloned(),
+    })
+}
+
+/// Checks the text of the memory of the machine.
+fn memory(text: &str) -> settings::value::Result<String> {
+    settings::value::memory(text).map(|_| text.to_owned())
 }
 
 /// Unwraps checked settings. On failure, prints their findings to standard error and returns the
@@ -63,40 +78,29 @@
 }
 
 fn check(matches: &ArgMatches) -> ExitCode {
-    if let Some(file) = hosted_file(matches) {
-        return match load_hosted(&file) {
-            Ok(settings) => {
-                println!("the settings of node {} are valid", settings.name);
-                ExitCode::SUCCESS
-            }
-            Err(code) => code,
-        };
-    }
-    match load(matches) {
-        Ok(settings) => {
-            println!("the settings of node {} are valid", settings.node.name);
+    let source = match source(matches) {
+        Ok(source) => source,
+        Err(code) => return code,
+    };
+    let name = match hosted::settings::is_hosted(&source.file) {
+        true => report_findings(hosted::settings::load(&source)).map(|s| s.name),
+        false => report_findings(settings::load(&source)).map(|s| s.node.name),
+    };
+    match name {
+        Ok(name) => {
+            println!("the settings of node {name} are valid");
             ExitCode::SUCCESS
         }
         Err(code) => code,
     }
 }
 
-/// Returns the settings file if it belongs to a node on a platform's store.
-fn hosted_file(matches: &ArgMatches) -> Option<PathBuf> {
-    let file = matches.get_one::<PathBuf>(CONFIG_ARG)?;
-    hosted::settings::is_hosted(file).then(|| file.clone())
-}
-
-fn load_hosted(file: &Path) -> std::result::Result<hosted::settings::Settings, ExitCode> {
-    report_findings(hosted::settings::load(file))
-}
-
-fn run_hosted(file: &Path) -> ExitCode {
-    let settings = match load_hosted(file) {
+fn run_hosted(source: Source) -> ExitCode {
+    let settings = match report_findings(hosted::settings::load(&source)) {
         Ok(settings) => settings,
         Err(code) => return code,
     };
-    match hosted::process::run(file, settings) {
+    match hosted::process::run(source, settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error:#}");
@@ -106,10 +110,14 @@
 }
 
 fn run(matches: &ArgMatches) -> ExitCode {
-    if let Some(file) = hosted_file(matches) {
-        return run_hosted(&file);
+    let source = match source(matches) {
+        Ok(source) => source,
+        Err(code) => return code,
+    };
+    if hosted::settings::is_hosted(&source.file) {
+        return run_hosted(source);
     }
-    let settings = match load(matches) {
+    let settings = match report_findings(settings::load(&source)) {
         Ok(settings) => settings,
         Err(code) => return code,
     };
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -14,7 +14,7 @@
 use entry::tls::Files;
 use finding::Finding;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// Result of checking settings.
@@ -128,16 +128,40 @@
     pub file: Option<PathBuf>,
 }
 
-/// Reads and checks the settings in `file`.
+/// Reads and checks the settings of a source.
 ///
 /// # Errors
 ///
 /// Returns all findings if the file can't be read or a setting is invalid.
-pub fn load(file: &Path) -> Result<Settings> {
-    let name = file.display().to_string();
-    let content = std::fs::read_to_string(file)
-        .map_err(|e| vec![Finding::of_file(&name, format!("can't be read: {e}"))])?;
-    read(&name, &content)
+pub fn load(source: &Source) -> Result<Settings> {
+    check::check(&source.text()?)
+}
+
+/// Where the settings of a process come from.
+#[derive(Clone, Debug)]
+pub struct Source {
+    /// The settings file.
+    pub file: PathBuf,
+    /// Memory of the machine, if the command line gives it; goes before that of the file.
+    pub memory: Option<String>,
+}
+
+impl Source {
+    /// Reads and parses the file.
+    ///
+    /// # Errors
+    ///
+    /// Returns all findings if the file can't be read or parsed.
+    pub fn text(&self) -> Result<text::Text> {
+        let name = self.file.display().to_string();
+        let content = std::fs::read_to_string(&self.file)
+            .map_err(|e| vec![Finding::of_file(&name, format!("can't be read: {e}"))])?;
+        let mut text = text::Text::parse(&name, &content)?;
+        if let Some(memory) = &self.memory {
+            text.set(check::LIMITS, check::MEMORY, memory);
+        }
+        Ok(text)
+    }
 }
 
 /// Checks the settings in `content`. `name` is the name of their file in findings.
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -18,7 +18,9 @@
 const ADMIN: &str = "admin";
 const PLATFORM: &str = "platform";
 const TRUST: &str = "trust";
-const LIMITS: &str = "limits";
+pub(super) const LIMITS: &str = "limits";
+/// Key of the memory of the machine.
+pub(super) const MEMORY: &str = "memory";
 const ROLL: &str = "roll";
 const LOGGING: &str = "logging";
 const SECTIONS: [&str; 9] = [
--- a/crates/node/src/settings/text.rs
+++ b/crates/node/src/settings/text.rs
@@ -33,6 +33,20 @@
 }
 
 impl Text {
+    /// Sets a value that the command line gives, in place of that of the file.
+    pub fn set(&mut self, section: &str, key: &str, value: &str) {
+        let is_same = |e: &&mut Entry| e.section == section && e.key == key;
+        match self.entries.iter_mut().find(is_same) {
+            Some(entry) => entry.value = value.to_owned(),
+            None => self.entries.push(Entry {
+                line: 0,
+                section: section.to_owned(),
+                key: key.to_owned(),
+                value: value.to_owned(),
+            }),
+        }
+    }
+
     /// Parses `content`. `file` is the name of the file in findings.
     ///
     /// # Errors
--- a/crates/node/src/settings/value.rs
+++ b/crates/node/src/settings/value.rs
@@ -1,6 +1,7 @@
 //! Parsers of the values of settings.
 
 use super::SIGNER_KEY_BYTES;
+use memory::shares::MIN_MEMORY_BYTES;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -70,6 +71,22 @@
     }
 }
 
+/// Parses the memory of a machine in binary megabytes, such as `260MB`, and returns it in bytes.
+pub fn memory(text: &str) -> Result<usize> {
+    let number = text.strip_suffix("MB").map(str::trim);
+    let bytes = number.and_then(|n| n.parse::<usize>().ok()?.checked_mul(1 << 20));
+    match bytes {
+        Some(bytes) if bytes >= MIN_MEMORY_BYTES => Ok(bytes),
+        Some(_) => {
+            let least = MIN_MEMORY_BYTES >> 20;
+            Err(format!(
+                "{text:?} is less than the {least}MB that a node needs"
+            ))
+        }
+        None => Err(format!("{text:?} is not an amount of memory such as 260MB")),
+    }
+}
+
 /// Returns a parser of integers from 1 to `max`.
 pub fn up_to(max: usize) -> impl Fn(&str) -> Result<usize> {
     move |text| match count(text)? {
