--- a/crates/node/tests/support/process.rs
+++ b/crates/node/tests/support/process.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_wigeonshelf");
 
@@ -54,6 +55,41 @@
         self.child.try_wait().unwrap()
     }
 
+    /// Returns what the process uses and has used. The process must be running.
+    pub fn usage(&self) -> Usage {
+        let folder = format!("/proc/{}", self.child.id());
+        let status = std::fs::read_to_string(format!("{folder}/status")).unwrap();
+        let value = |name: &str| {
+            let line = status.lines().find_map(|line| line.strip_prefix(name));
+            let number = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+            number.unwrap_or_else(|| panic!("no {name} in {status}"))
+        };
+        Usage {
+            peak_kb: value("VmHWM:"),
+            resident_kb: value("VmRSS:"),
+            descriptors: std::fs::read_dir(format!("{folder}/fd")).unwrap().count() as u64,
+        }
+    }
+
+    /// Returns the largest resident memory so far, in binary kilobytes; `None` once the process has ended.
+    pub fn peak_kb(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"))?;
+        line.split_whitespace().next()?.parse().ok()
+    }
+
+    /// Returns the time of the processor that the process has used, which the kernel counts in ticks of 10 ms.
+    pub fn processor_time(&self) -> Duration {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        let fields = stat.rsplit(')').next().unwrap().split_whitespace();
+        let ticks: u64 = fields
+            .skip(11)
+            .take(2)
+            .map(|t| t.parse::<u64>().unwrap())
+            .sum();
+        Duration::from_millis(10 * ticks)
+    }
+
     /// Prepares a signal.
     pub fn prepare_signal(&self, name: &str) -> PreparedSignal {
         let script = format!("read -r line; kill {name} {}", self.child.id());
@@ -71,6 +107,17 @@
     }
 }
 
+/// What a process uses.
+#[derive(Clone, Copy, Debug)]
+pub struct Usage {
+    /// Largest resident memory so far, in binary kilobytes.
+    pub peak_kb: u64,
+    /// Resident memory, in binary kilobytes.
+    pub resident_kb: u64,
+    /// Number of open descriptors.
+    pub descriptors: u64,
+}
+
 /// A signal that is sent without the delay of starting a program.
 pub struct PreparedSignal(Child);
 
