gate: bodies of requests share a budget, in which those without progress give way

Callers saw: a process that ran out of memory is killed, and with it every request in flight there.

Cause: admit::body collected each body with no bound over all of them and no time limit. The frames were kept as they came: a chunk of a byte is 32 bytes of list and keeps the read buffer that it was cut from. Job::body was kept until the response had ended, also where nothing can be sent again. A head that lists 16,000 parts of a prompt became 16,000 strings.

Change: gate::admission. A body takes memory from the node's budget as it arrives, in segments whose size is what is counted; so do requests in flight, with their heads. Where the budget is full, bodies that received less than 64 KB in the last second give way, and if there is none the one that asks is refused: 503, not run, with Retry-After. So bodies that are half-way don't block each other, and a caller can only stay by sending as ordinary ones do. Requests of the usual size have an eighth of the budget for themselves. A body ends at its request's deadline (503) or after idle_timeout_ms without a byte (408). A large body is dropped once it is not sent again; that of a stream which may be resumed is the first to go. 256 parts of a prompt are read. A manifest that allows bodies for which there is no memory is logged.

Ruled out: a budget that is taken at the announcement, which a crowd that sends nothing would use up; a bound on the number of large bodies, which does not bound small ones in tiny chunks.

Worker's handling of arriving requests is now worker/arrival.rs. Values that are quoted in lines are shortened by one function, catalog::quote, ids too: a line of the log may hold an id of the length of a head otherwise.

--- a/crates/catalog/src/checked.rs
+++ b/crates/catalog/src/checked.rs
@@ -4,6 +4,7 @@
 use crate::engine::Engine;
 use crate::finding::Finding;
 use crate::limits::Limits;
+use crate::quote::start_of;
 use crate::raw::{self, Tables};
 use crate::route::{Route, Share};
 use crate::service::Service;
@@ -194,7 +195,7 @@
 /// Reports a name of a service, or figures of its engine, that are out of bounds.
 fn check_service(service: &Service, findings: &mut Vec<Finding>) {
     if let Err(error) = Name::try_from(service.name.clone()) {
-        let start: String = service.name.chars().take(20).collect();
+        let start = start_of(&service.name, 20);
         findings.push(Finding::new(
             format!("service {start:?}"),
             error.to_string(),
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod finding;
 pub mod kind;
 pub mod limits;
+pub mod quote;
 pub mod raw;
 pub mod route;
 pub mod service;
--- /dev/null
+++ b/crates/gate/src/admission/reception.rs
@@ -0,0 +1,169 @@
+//! Bodies that are being received.
+
+use super::{Admission, Holder, MAX_ROOM_TRIES, Registration, SMALL_BODY_BYTES, Way};
+use crate::refusal::Reason;
+use bytes::Bytes;
+use hyper::body::{Body, Incoming};
+use memory::budget::{Class, Lease, Part};
+use memory::buffer::Buffer;
+use memory::content::Content;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Bounds of a request's body.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Arrival {
+    /// Maximum length in bytes.
+    pub(crate) max_bytes: usize,
+    /// When the caller no longer waits for the response.
+    pub(crate) deadline: Instant,
+    /// Longest time without a byte.
+    pub(crate) idle_time: Duration,
+}
+
+/// What ended a step of the reception.
+enum Step {
+    /// The body has ended.
+    End,
+    /// The connection broke, or the body is malformed.
+    Broken,
+    /// The body exceeds its maximum length.
+    TooLong,
+    /// The budget has no room for the next bytes.
+    Full,
+}
+
+/// A body that is being received. The memory is given back before the registration is.
+struct Reception {
+    body: Incoming,
+    buffer: Buffer,
+    /// Bytes that were received and are not in the buffer yet.
+    rest: Bytes,
+    max_bytes: usize,
+}
+
+impl Reception {
+    fn new(lease: Lease, body: Incoming, max_bytes: usize) -> Self {
+        let expected = body.size_hint().exact();
+        let expected = expected.map(|e| usize::try_from(e).unwrap_or(usize::MAX));
+        Self {
+            buffer: Buffer::new(lease, expected),
+            body,
+            rest: Bytes::new(),
+            max_bytes,
+        }
+    }
+
+    /// Returns the part of the budget from which the next bytes are taken.
+    fn class(&self) -> Class {
+        match self.buffer.cost() + self.buffer.needed() <= SMALL_BODY_BYTES {
+            true => Class::Small,
+            false => Class::Large,
+        }
+    }
+
+    /// Moves received bytes into the buffer. Returns false if the budget has no room for them.
+    fn store(&mut self) -> bool {
+        while !self.rest.is_empty() {
+            if !self.buffer.try_reserve(self.class()) {
+                return false;
+            }
+            self.buffer.push(&mut self.rest);
+        }
+        true
+    }
+
+    fn poll_step(&mut self, cx: &mut Context<'_>) -> Poll<Step> {
+        loop {
+            if !self.store() {
+                return Poll::Ready(Step::Full);
+            }
+            let frame = match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
+                None => return Poll::Ready(Step::End),
+                Some(Err(_)) => return Poll::Ready(Step::Broken),
+                Some(Ok(frame)) => frame,
+            };
+            // Trailers are not passed on.
+            self.rest = frame.into_data().unwrap_or_default();
+            if self.buffer.len() + self.rest.len() > self.max_bytes {
+                return Poll::Ready(Step::TooLong);
+            }
+        }
+    }
+
+    /// Receives what has arrived, and records the progress.
+    async fn step(&mut self, holder: &Holder) -> Step {
+        poll_fn(|cx| {
+            let before = self.buffer.len();
+            let step = self.poll_step(cx);
+            let received = self.buffer.len() - before;
+            if received > 0 {
+                holder.record(received);
+                holder.set_bytes(self.buffer.cost());
+            }
+            step
+        })
+        .await
+    }
+}
+
+impl Admission {
+    /// Receives the body of a request completely.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why the request is refused.
+    pub(crate) async fn receive(
+        self: &Rc<Self>,
+        body: Incoming,
+        arrival: &Arrival,
+    ) -> Result<Content, Reason> {
+        if body.is_end_stream() {
+            return Ok(Content::default());
+        }
+        let max_bytes = arrival.max_bytes;
+        let holder = Holder::new(Way::Body, Some(arrival.deadline), arrival.idle_time);
+        let registration = self.register(holder);
+        let mut reception = Reception::new(self.lease(Part::Bodies), body, max_bytes);
+        let received = self.receive_all(&mut reception, &registration).await;
+        // The memory of a refused body is given back before its registration is.
+        received.map(|()| reception.buffer.finish())
+    }
+
+    async fn receive_all(
+        self: &Rc<Self>,
+        reception: &mut Reception,
+        registration: &Registration,
+    ) -> Result<(), Reason> {
+        let holder = registration.holder();
+        let mut tries = 0;
+        loop {
+            let step = tokio::select! {
+                biased;
+                step = reception.step(holder) => step,
+                reason = holder.ended() => return Err(reason),
+            };
+            match step {
+                Step::End => return Ok(()),
+                Step::Broken => return Err(Reason::Malformed),
+                Step::TooLong => return Err(Reason::BodyTooLarge),
+                Step::Full => {
+                    let (needed, class) = (reception.buffer.needed(), reception.class());
+                    let has_room =
+                        tries < MAX_ROOM_TRIES && self.make_room(needed, class, Some(holder)).await;
+                    if !has_room {
+                        return Err(Reason::Overloaded);
+                    }
+                    tries += 1;
+                    if reception.buffer.try_reserve(class) {
+                        tries = 0;
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/gate/src/admit.rs
+++ b/crates/gate/src/admit.rs
@@ -1,19 +1,22 @@
 //! Admission of requests: checks them against the catalog.
 
+use crate::admission::{self, Kept};
 use crate::dialect::{Dialect, RequestInfo};
 use crate::job::Job;
 use crate::refusal::{Reason, Refusal};
-use bytes::Bytes;
 use catalog::{Catalog, RouteId};
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
 use http::request::Parts;
 use http::{HeaderMap, HeaderName};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use memory::budget::Lease;
+use memory::content::Content;
 use std::cell::OnceCell;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 /// Hop-by-hop headers, which concern a single connection and are not forwarded (RFC 9110, section
 /// 7.6.1).
@@ -61,34 +64,40 @@
     Ok(Admitted { info, route, team })
 }
 
-/// Reads a body of at most `max_bytes` bytes.
-pub async fn body(body: Incoming, max_bytes: usize) -> Result<Bytes, Refusal> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::new(Reason::BodyTooLarge)),
-        Err(_) => Err(Refusal::new(Reason::Malformed)),
-    }
-}
-
 /// Reads the body of a refused request and drops it, within `max_bytes` and a time limit. If the
 /// connection closed while the body still arrives, it would be reset, and the caller would not get
 /// the refusal.
-pub async fn discard_body(body: Incoming, max_bytes: usize) {
+pub(crate) async fn discard_body(body: Incoming, max_bytes: usize) {
     let mut body = Limited::new(body, max_bytes);
     let rest = async { while let Some(Ok(_)) = body.frame().await {} };
     // The refusal is sent in any case.
-    let _ = tokio::time::timeout(DISCARD_TIMEOUT, rest).await;
+    let _ = timeout(DISCARD_TIMEOUT, rest).await;
+}
+
+/// Returns the memory that a request takes while it is in flight, without its body, in bytes.
+pub(crate) fn cost(parts: &Parts, info: &RequestInfo) -> usize {
+    let fields = parts.headers.iter();
+    let head_bytes: usize = fields.map(|(n, v)| n.as_str().len() + v.len()).sum();
+    let head_bytes = head_bytes + parts.uri.path().len();
+    let fields = parts.headers.len() + info.shared_parts.len();
+    admission::request_cost(head_bytes, fields)
+}
+
+/// The memory of a request: that of its head and of its state, and its body.
+pub(crate) struct Load {
+    pub(crate) room: Lease,
+    pub(crate) body: Content,
 }
 
 /// Builds the job from the parts of an admitted request.
 ///
 /// `random` selects the service if the route splits its traffic among several.
-pub fn job<D: Dialect>(
+pub(crate) fn job<D: Dialect>(
     dialect: &D,
     catalog: &Arc<Catalog>,
     admitted: Admitted,
     parts: Parts,
-    body: Bytes,
+    load: Load,
     received_at: Instant,
     random: u64,
 ) -> Result<Job, Refusal> {
@@ -108,7 +117,8 @@
         method: parts.method,
         uri: parts.uri,
         headers: forwarded(dialect, &parts.headers),
-        body,
+        body: Rc::new(Kept::new(load.body)),
+        _room: load.room,
         received_at,
         deadline,
         features: OnceCell::new(),
--- a/crates/gate/src/body.rs
+++ b/crates/gate/src/body.rs
@@ -1,14 +1,15 @@
 //! Bodies of responses to callers.
 
 use bytes::Bytes;
-use http_body_util::{Either, Full, StreamBody};
+use http_body_util::{Either, StreamBody};
+use memory::content::{Content, ContentBody};
 
 /// A buffered body, or a stream `S` of frames.
-pub type Body<S> = Either<Full<Bytes>, StreamBody<S>>;
+pub type Body<S> = Either<ContentBody, StreamBody<S>>;
 
 /// Creates a buffered body.
 pub fn full<S>(body: impl Into<Bytes>) -> Body<S> {
-    Either::Left(Full::new(body.into()))
+    Either::Left(Content::from(body.into()).into_body())
 }
 
 /// Creates a streamed body.
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -250,7 +250,24 @@
         if permit.as_ref().err() == Some(&Denial::AttemptsUsed) {
             self.log.set_reason("the route's attempts are used up");
         }
-        permit.ok()
+        permit.ok().filter(|_| self.has_body())
+    }
+
+    /// Returns the permission to send the request beside attempts that are running; `None` if it may not be
+    /// sent again.
+    pub(crate) fn further_permit(&self) -> Option<Permit> {
+        let permit = self.executions.permit().ok();
+        permit.filter(|_| self.has_body())
+    }
+
+    /// Returns whether the body is still there. It is dropped if others need the memory.
+    fn has_body(&self) -> bool {
+        let released = self.job.body.is_released();
+        if released {
+            self.log
+                .set_reason("its body was dropped for want of memory");
+        }
+        !released
     }
 
     /// Takes an attempt from the retry budget. Attempts are free until one reached an endpoint.
@@ -282,7 +299,7 @@
         if self.worker.is_suspect(&self.job) || !self.has_budget() {
             return None;
         }
-        let permit = self.executions.permit().ok()?;
+        let permit = self.further_permit()?;
         let service = self.current_service().ok()?;
         let need = self.job.need();
         let tried = self.tried.borrow();
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -8,8 +8,8 @@
 use crate::pool::{self, Conn};
 use crate::worker::Worker;
 use http::{Request, Response, StatusCode};
-use http_body_util::Full;
 use hyper::body::Incoming;
+use memory::content::ContentBody;
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::net::SocketAddr;
@@ -378,7 +378,7 @@
     async fn await_head(
         &self,
         conn: &mut Conn,
-        request: Request<Full<bytes::Bytes>>,
+        request: Request<ContentBody>,
         reservation: &mut Reservation<D>,
         last_event_id: Option<u64>,
     ) -> Result<Response<Incoming>, Failure> {
@@ -434,9 +434,9 @@
         }
     }
 
-    fn request(&self, target: &Target, last_event_id: Option<u64>) -> Request<Full<bytes::Bytes>> {
+    fn request(&self, target: &Target, last_event_id: Option<u64>) -> Request<ContentBody> {
         let job = &self.job;
-        let mut request = Request::new(Full::new(job.body.clone()));
+        let mut request = Request::new(job.sent_body());
         *request.method_mut() = job.method.clone();
         *request.uri_mut() = job.uri.clone();
         *request.headers_mut() = job.headers.clone();
--- a/crates/gate/src/forward/evacuation.rs
+++ b/crates/gate/src/forward/evacuation.rs
@@ -245,7 +245,7 @@
             return None;
         }
         let may_retry = !self.worker.is_suspect(&self.job) && self.planned.borrow().is_none();
-        let permit = may_retry.then(|| self.executions.permit().ok()).flatten();
+        let permit = may_retry.then(|| self.further_permit()).flatten();
         let evacuee = self.evacuee(reservation, evacuation, idle, position, permit.is_some());
         let ticket = Ticket::new(self.worker.clone(), evacuee?);
         // Lets the other responses that the same notification woke join.
--- a/crates/gate/src/forward/race.rs
+++ b/crates/gate/src/forward/race.rs
@@ -316,6 +316,9 @@
             self.end_refused(exchange).await;
             return End::Failed;
         }
+        if !self.job.kind().repeatable() {
+            self.job.release_body();
+        }
         self.receive_complete(exchange).await
     }
 
--- a/crates/gate/src/forward/relay.rs
+++ b/crates/gate/src/forward/relay.rs
@@ -15,8 +15,9 @@
 use bytes::Bytes;
 use futures::Stream;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
+use memory::content::ContentBody;
 use rand::seq::SliceRandom;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -145,9 +146,9 @@
         }
     }
 
-    fn relay_request(&self) -> Request<Full<Bytes>> {
+    fn relay_request(&self) -> Request<ContentBody> {
         let job = &self.job;
-        let mut request = Request::new(Full::new(job.body.clone()));
+        let mut request = Request::new(job.sent_body());
         *request.method_mut() = job.method.clone();
         *request.uri_mut() = job.uri.clone();
         *request.headers_mut() = job.headers.clone();
--- a/crates/gate/src/forward/request_log.rs
+++ b/crates/gate/src/forward/request_log.rs
@@ -7,6 +7,7 @@
 use crate::probe::Finding;
 use crate::refusal::Refusal;
 use catalog::endpoint::Run;
+use catalog::quote::{MAX_QUOTED_CHARS, start_of};
 use journal::Journal;
 use journal::event::Event;
 use std::cell::Cell;
@@ -46,7 +47,7 @@
         Self {
             journal,
             metrics,
-            id: job.id().to_owned(),
+            id: start_of(job.id(), MAX_QUOTED_CHARS).to_owned(),
             route: job.route().name.clone(),
             catalog_version: job.catalog.version,
             prompt: job
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -1,7 +1,7 @@
 //! Admitted requests.
 
+use crate::admission::{Kept, SMALL_BODY_BYTES};
 use crate::dialect::RequestInfo;
-use bytes::Bytes;
 use catalog::Catalog;
 use catalog::engine::Size;
 use catalog::kind::Kind;
@@ -10,8 +10,11 @@
 use catalog::{RouteId, ServiceId};
 use http::header::HOST;
 use http::{HeaderMap, Method, Uri};
+use memory::budget::Lease;
+use memory::content::{Content, ContentBody};
 use sha2::{Digest, Sha256};
 use std::cell::OnceCell;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use steer::chain::Need;
@@ -46,8 +49,10 @@
     pub uri: Uri,
     /// Headers that are forwarded to the endpoint.
     pub headers: HeaderMap,
-    /// Request body.
-    pub body: Bytes,
+    /// Request body, until it is dropped because the request is not sent again.
+    pub(crate) body: Rc<Kept>,
+    /// The memory of the request, without its body.
+    pub(crate) _room: Lease,
     /// Arrival time.
     pub received_at: Instant,
     /// Deadline: the caller's timeout, or the route's if that is shorter.
@@ -97,7 +102,7 @@
             let service = self.service().name.as_bytes();
             let parts = self.info.shared_parts.iter();
             parts
-                .map(|part| hash([b"part", service, part.as_bytes()]))
+                .map(|part| hash([b"part", service], &[part.as_bytes()]))
                 .collect()
         })
     }
@@ -115,13 +120,39 @@
         let host = self.headers.get(HOST).map_or(&[][..], |h| h.as_bytes());
         let path = self.uri.path_and_query().map_or("", |p| p.as_str());
         let team = self.team.as_deref().unwrap_or_default();
-        hash([
+        let fields = [
             team.as_bytes(),
             host,
             self.method.as_str().as_bytes(),
             path.as_bytes(),
-            &self.body,
-        ])
+        ];
+        let content = self.content();
+        let segments: Vec<&[u8]> = content.segments().iter().map(|s| &s[..]).collect();
+        hash(fields, &segments)
+    }
+
+    /// Returns the body; an empty one once it was dropped.
+    fn content(&self) -> Content {
+        self.body.get().unwrap_or_default()
+    }
+
+    /// Returns the body for one sending of the request.
+    pub(crate) fn sent_body(&self) -> ContentBody {
+        self.content().into_body()
+    }
+
+    /// Returns whether the body takes more memory than that of a usual request.
+    pub(crate) fn is_large(&self) -> bool {
+        self.content().len() > SMALL_BODY_BYTES
+    }
+
+    /// Drops a large body, since the request is not sent again.
+    pub(crate) fn release_body(&self) {
+        if self.is_large() {
+            // What is derived from the body is kept.
+            self.features();
+            self.body.release();
+        }
     }
 
     /// Returns the priority for the endpoint if the request is sent now; `None` if the service runs
@@ -155,12 +186,16 @@
     }
 }
 
-fn hash<const N: usize>(fields: [&[u8]; N]) -> Fingerprint {
+/// Returns the hash of fields, the last of which is in segments.
+fn hash<const N: usize>(fields: [&[u8]; N], last: &[&[u8]]) -> Fingerprint {
     let mut hash = Sha256::new();
     for field in fields {
         hash.update((field.len() as u64).to_le_bytes());
         hash.update(field);
     }
+    let length: usize = last.iter().map(|segment| segment.len()).sum();
+    hash.update((length as u64).to_le_bytes());
+    last.iter().for_each(|segment| hash.update(segment));
     let digest: [u8; 32] = hash.finalize().into();
     let (first, _) = digest.split_first_chunk().unwrap_or((&[0; 8], &[]));
     Fingerprint::from_le_bytes(*first)
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -12,6 +12,7 @@
 //! Selection of endpoints is in `steer`; the state of the fleet is maintained by the control task
 //! of the node.
 
+pub mod admission;
 pub mod admit;
 pub mod body;
 mod buffer;
--- a/crates/gate/src/listener.rs
+++ b/crates/gate/src/listener.rs
@@ -20,6 +20,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
+use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -60,6 +61,9 @@
     pub kill: CancellationToken,
 }
 
+/// Interval at which bodies are checked for being overdue.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Accepts up to `max_connections` concurrent connections until `stop.kill` is cancelled.
 pub async fn run<D: Dialect>(
     worker: Rc<Worker<D>>,
@@ -70,9 +74,15 @@
 ) {
     let tracker = TaskTracker::new();
     let permits = std::sync::Arc::new(Semaphore::new(max_connections));
+    let mut sweep = tokio::time::interval(SWEEP_INTERVAL);
+    sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         let accepted = tokio::select! {
             () = stop.kill.cancelled() => return,
+            _ = sweep.tick(), if port == Port::Callers => {
+                worker.admission.sweep();
+                continue;
+            }
             accepted = listener.accept() => accepted,
         };
         let Ok((stream, _)) = accepted else {
--- a/crates/gate/src/metrics.rs
+++ b/crates/gate/src/metrics.rs
@@ -52,6 +52,11 @@
     ended: Gauge<u64>,
     waiting: Gauge<u64>,
     queue_refusals: Counter<u64>,
+    memory: Gauge<u64>,
+    memory_limit: Gauge<u64>,
+    memory_refusals: Counter<u64>,
+    evictions: Counter<u64>,
+    connections: Gauge<u64>,
 }
 
 impl Metrics {
@@ -116,6 +121,25 @@
                 "wigeonshelf_queue_refusals",
                 "Requests that a queue refused by service and cause",
             ),
+            memory: meter
+                .u64_gauge("wigeonshelf_memory")
+                .with_unit("By")
+                .with_description("Memory that callers make the node hold, by part")
+                .build(),
+            memory_limit: meter
+                .u64_gauge("wigeonshelf_memory_limit")
+                .with_unit("By")
+                .with_description("Budget of the memory that callers make the node hold")
+                .build(),
+            memory_refusals: count(
+                "wigeonshelf_memory_refusals",
+                "Requests that were refused for their size, for want of memory or of progress, by reason",
+            ),
+            evictions: count(
+                "wigeonshelf_evictions",
+                "Bodies and connections that gave way to others, by what",
+            ),
+            connections: meter.u64_gauge("wigeonshelf_connections").build(),
             registry,
         }
     }
@@ -226,6 +250,33 @@
             .add(1, &[service, KeyValue::new("cause", cause)]);
     }
 
+    /// Records the budget of the memory that callers make the node hold.
+    pub fn record_memory_limit(&self, bytes: usize) {
+        self.memory_limit.record(bytes as u64, &[]);
+    }
+
+    /// Records the memory that callers make the node hold for one purpose.
+    pub fn record_memory(&self, part: &'static str, bytes: usize) {
+        self.memory
+            .record(bytes as u64, &[KeyValue::new("part", part)]);
+    }
+
+    /// Counts a request that was refused for its size, for want of memory or of progress.
+    pub fn record_memory_refusal(&self, reason: &'static str) {
+        self.memory_refusals
+            .add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts what gave way to others, or was turned away for them.
+    pub fn record_eviction(&self, what: &'static str) {
+        self.evictions.add(1, &[KeyValue::new("what", what)]);
+    }
+
+    /// Records the number of open connections of callers.
+    pub fn record_connections(&self, count: u64) {
+        self.connections.record(count, &[]);
+    }
+
     /// Encodes all metrics in the text format.
     pub fn encode(&self) -> Result<Vec<u8>> {
         let mut text = Vec::new();
--- a/crates/gate/src/pool.rs
+++ b/crates/gate/src/pool.rs
@@ -7,13 +7,12 @@
 //! request without an id has a connection of its own.
 
 use crate::stats::{self, Stats};
-use bytes::Bytes;
 use http::header::CONNECTION;
 use http::{HeaderMap, Request, Response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use memory::content::ContentBody;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -95,7 +94,7 @@
 #[derive(Debug)]
 pub struct Conn {
     id: ConnId,
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<ContentBody>,
     addr: SocketAddr,
     opened_at: Instant,
     /// The requests that it was handed out for, at most [`MAX_REQUESTS`].
@@ -237,7 +236,7 @@
     }
 
     /// Sends a request and waits for the head of the response.
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
+    pub async fn send(&mut self, request: Request<ContentBody>) -> Result<Response<Incoming>> {
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(mut error) => match error.take_message() {
@@ -248,7 +247,7 @@
     }
 }
 
-async fn connect(addr: SocketAddr) -> Result<(SendRequest<Full<Bytes>>, Instant)> {
+async fn connect(addr: SocketAddr) -> Result<(SendRequest<ContentBody>, Instant)> {
     let stream = TcpStream::connect(addr).await.map_err(|_| Error::Refused)?;
     // Without these options requests are slower or a lost endpoint is detected later, but the
     // connection works; failures are ignored.
--- a/crates/gate/src/refusal.rs
+++ b/crates/gate/src/refusal.rs
@@ -32,6 +32,10 @@
     TimedOut,
     /// The deadline passed, and the request was not executed.
     ExpiredNotRun,
+    /// The node has no memory for the request now, and it was not executed.
+    Overloaded,
+    /// The body did not arrive in time, and the request was not executed.
+    SlowBody,
 }
 
 impl Reason {
@@ -42,16 +46,43 @@
             | Self::Leaving
             | Self::Unavailable
             | Self::Crashing
-            | Self::ExpiredNotRun => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::ExpiredNotRun
+            | Self::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
         }
     }
 
+    /// Returns the name of the reason in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::NoCatalog => "no_catalog",
+            Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
+            Self::BodyTooLarge => "body_too_large",
+            Self::Malformed => "malformed",
+            Self::Leaving => "leaving",
+            Self::Unavailable => "unavailable",
+            Self::Crashing => "crashing",
+            Self::OutcomeUnknown => "outcome_unknown",
+            Self::TimedOut => "timed_out",
+            Self::ExpiredNotRun => "expired",
+            Self::Overloaded => "overloaded",
+            Self::SlowBody => "slow_body",
+        }
+    }
+
+    /// Returns whether requests are refused for it because of how they arrive, of which a crowd of callers
+    /// makes many.
+    pub fn is_of_arrival(self) -> bool {
+        matches!(self, Self::BodyTooLarge | Self::Overloaded | Self::SlowBody)
+    }
+
     /// Returns the error message in the response body.
     pub fn message(self) -> &'static str {
         match self {
@@ -68,6 +99,8 @@
             }
             Self::TimedOut => "the time is over; the request may have run",
             Self::ExpiredNotRun => "the time is over; the request has not run",
+            Self::Overloaded => "this node has no memory for the request now; it has not run",
+            Self::SlowBody => "the body did not arrive in time; the request has not run",
         }
     }
 }
--- a/crates/gate/src/splice.rs
+++ b/crates/gate/src/splice.rs
@@ -10,13 +10,14 @@
 
 mod source;
 
+use crate::admission::{Holder, Registration, Way};
 use crate::dialect::Dialect;
 use crate::forward::Forwarder;
 use crate::forward::race::{Lost, Phase, Winner};
 use bytes::Bytes;
 use futures::Stream;
 use http::{HeaderMap, StatusCode};
-use hyper::body::Frame;
+use hyper::body::{Body, Frame};
 use source::Batch;
 use std::fmt;
 
@@ -51,6 +52,8 @@
     /// Whether an event was forwarded.
     has_started: bool,
     done: bool,
+    /// The body of the request, which may be dropped from now on.
+    _kept: Option<Registration>,
 }
 
 /// Returns the head and the body of a response that continues `source`, whose first step is `first`.
@@ -60,7 +63,9 @@
     first: Step,
 ) -> (Head, impl Stream<Item = Chunk>) {
     let head = source.head();
+    let kept = keep_body(&forwarder);
     let splice = Splice {
+        _kept: kept,
         last_event_id: forwarder.job.info.last_event_id,
         forwarder,
         source: Some(source),
@@ -74,6 +79,25 @@
     (head, body)
 }
 
+/// Drops a large body that is not sent again, or else registers that it may be dropped for others. A response
+/// that has begun can then not be resumed from another endpoint; its caller can.
+fn keep_body<D: Dialect>(forwarder: &Forwarder<D>) -> Option<Registration> {
+    let job = &forwarder.job;
+    if !job.is_large() {
+        return None;
+    }
+    if !job.kind().repeatable() {
+        job.release_body();
+        return None;
+    }
+    // What is derived from the body is needed later.
+    job.features();
+    let limits = &job.catalog.limits;
+    let holder = Holder::new(Way::Kept(job.body.clone()), None, limits.idle_time);
+    holder.set_bytes(job.sent_body().size_hint().lower() as usize);
+    Some(forwarder.worker.admission.register(holder))
+}
+
 impl<D: Dialect> Splice<D> {
     /// Returns the next frame of the body; `None` at its end. `ready` is a step that was read before.
     async fn next_chunk(&mut self, ready: Option<Step>) -> Option<Chunk> {
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -1,32 +1,23 @@
 //! State of a request worker, and the handling of a request from admission to response.
 
+mod arrival;
 mod crashes;
 mod waiting;
 
-use crate::admit::{self, Admitted};
-use crate::body::Body;
+use crate::admission::Admission;
 use crate::buffer::Buffers;
-use crate::departure::{Claim, Schedule};
-use crate::dialect::{Dialect, RequestInfo};
+use crate::departure::Schedule;
+use crate::dialect::Dialect;
 use crate::duration::Durations;
-use crate::forward;
 use crate::forward::evacuation::Evacuees;
 use crate::forward::stall::CachedReport;
-use crate::job::Job;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::probe::Probes;
-use crate::refusal::{Reason, Refusal};
-use crate::splice::Chunk;
-use crate::stats::{self, Guard, Stats};
+use crate::stats::{self, Stats};
 use crate::trial::Trials;
 use crate::view::{Changes, SharedView, View};
-use futures::Stream;
-use http::{Request, Response, request};
-use hyper::body::Incoming;
 use journal::Journal;
-use journal::event::Event;
-use rand::RngExt;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -44,14 +35,6 @@
 use tokio::time::Instant;
 use waiting::Lines;
 
-/// Retry-after delay when this node is about to end and another node can take the request at once.
-const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(50);
-/// Retry-after delay when this node has no catalog, or is about to end and is the only one. A node that
-/// starts while others run gets their catalog before callers are sent to it. So a node without a
-/// catalog means that all nodes restarted while the store was unavailable, which lasts for seconds. The
-/// delay has to cover that, since most callers retry only once.
-const NO_CATALOG_RETRY_AFTER: Duration = Duration::from_millis(1500);
-
 /// Time since the start during which requests wait for the first catalog. Nodes that start together
 /// read it from the store at the same time.
 const STARTUP_WAIT_WINDOW: Duration = Duration::from_millis(2000);
@@ -79,6 +62,8 @@
     pub dumps: mpsc::Sender<oneshot::Sender<String>>,
     /// Budget for retries.
     pub allowance: Allowance,
+    /// Memory of the machine in bytes; see [`crate::admission::Shares`].
+    pub memory_bytes: usize,
     /// Seed of the random number generator that selects endpoints.
     pub seed: u64,
     /// Transitions of endpoints that are reported to the control task.
@@ -122,6 +107,8 @@
     pub(crate) evacuees: Evacuees,
     /// Buffers for the bodies of responses.
     pub(crate) buffers: Buffers,
+    /// Memory that callers make the node hold.
+    pub(crate) admission: Rc<Admission>,
     /// The paths to endpoints.
     pub(crate) paths: RefCell<Paths>,
     /// This worker, for tasks that it starts.
@@ -138,6 +125,7 @@
     /// Creates a worker without a view.
     pub fn new(parts: Parts<D>) -> Rc<Self> {
         let stats = Rc::new(Stats::default());
+        let admission = Admission::new(parts.memory_bytes, parts.metrics.clone());
         Rc::new_cyclic(|me| Self {
             dialect: parts.dialect,
             journal: parts.journal,
@@ -162,6 +150,7 @@
             probes: Probes::default(),
             evacuees: Evacuees::default(),
             buffers: Buffers::default(),
+            admission,
             paths: RefCell::default(),
             me: me.clone(),
             durations: RefCell::default(),
@@ -226,6 +215,7 @@
                 self.settle_cases(now, &view.fleet.endpoints);
                 self.table_version.set(self.table_version.get() + 1);
                 let catalog = &view.fleet.catalog;
+                self.admission.check_limits(catalog);
                 self.close_queues(|service| catalog.service_id(service).is_some());
                 self.notify_capacity();
             }
@@ -382,141 +372,6 @@
         let queues = self.dump_queues();
         format!("time {time:.3}\n{}{selector}{queues}{control}", self.stats)
     }
-
-    /// Serves a request of a caller.
-    pub async fn serve(
-        self: Rc<Self>,
-        request: Request<Incoming>,
-    ) -> Response<Body<impl Stream<Item = Chunk>>> {
-        let received_at = Instant::now();
-        let guard = Guard::new(self.stats.clone(), |s| &s.in_flight);
-        let info = self.dialect.request_info(request.headers());
-        let (id, relayed) = (info.id.clone(), info.relayed);
-        match self.admit(request, info, received_at).await {
-            Ok(job) => forward::run(self, job, guard).await,
-            Err(refusal) => {
-                let id = id.as_deref();
-                self.record_refusal(id.unwrap_or_default(), refusal, received_at);
-                refusal.response_to(&self.dialect, id, relayed)
-            }
-        }
-    }
-
-    async fn admit(
-        &self,
-        request: Request<Incoming>,
-        info: RequestInfo,
-        received_at: Instant,
-    ) -> Result<Job, Refusal> {
-        let (parts, incoming) = request.into_parts();
-        let (view, admitted) = match self.admit_head(&parts, info, received_at).await {
-            Ok(admitted) => admitted,
-            Err(refusal) => {
-                let limits = self.view().map(|v| v.fleet.catalog.limits);
-                admit::discard_body(incoming, limits.unwrap_or_default().body_bytes).await;
-                return Err(refusal);
-            }
-        };
-        let catalog = &view.fleet.catalog;
-        let body = admit::body(incoming, catalog.limits.body_bytes).await?;
-        let random = rand::rng().random();
-        let job = admit::job(
-            &self.dialect,
-            catalog,
-            admitted,
-            parts,
-            body,
-            received_at,
-            random,
-        )?;
-        // The body may have arrived long after the head.
-        let claim = Claim {
-            deadline: job.deadline,
-            expected: Some(self.expected_duration(&job)),
-            relayed: job.info.relayed,
-        };
-        self.check_departure(&view, &claim)?;
-        Ok(job)
-    }
-
-    /// Refuses a request that may not end before this node does.
-    fn check_departure(&self, view: &View, claim: &Claim) -> Result<(), Refusal> {
-        let departure = self.departure.get();
-        let accepts = departure.is_none_or(|d| d.accepts(Instant::now(), claim));
-        if accepts && !self.closing.get() {
-            return Ok(());
-        }
-        // Other nodes that leave too count, since their successors may not be known yet.
-        let retry_after = match view.fleet.budget_nodes > 1 {
-            true => LEAVING_RETRY_AFTER,
-            false => forward::jitter(NO_CATALOG_RETRY_AFTER),
-        };
-        Err(Refusal::with_retry_after(Reason::Leaving, retry_after))
-    }
-
-    /// Returns the expected duration of a response: that of recent ones, or else the latency target.
-    fn expected_duration(&self, job: &Job) -> Duration {
-        let durations = self.durations.borrow();
-        let expected = durations.expected(job.service(), job.need().size.answer);
-        expected.unwrap_or(job.route().latency_target)
-    }
-
-    /// Records that a request was answered completely. The rest of a response that its caller had begun to
-    /// receive elsewhere is not counted.
-    pub(crate) fn record_duration(&self, job: &Job) {
-        if job.info.last_event_id.is_none() {
-            let (tokens, time) = (job.need().size.answer, job.received_at.elapsed());
-            let mut durations = self.durations.borrow_mut();
-            durations.record(job.service(), tokens, time);
-        }
-    }
-
-    /// Checks the head of a request by the view that is in force, and returns that view.
-    async fn admit_head(
-        &self,
-        head: &request::Parts,
-        info: RequestInfo,
-        received_at: Instant,
-    ) -> Result<(Arc<View>, Admitted), Refusal> {
-        let Some(view) = self.wait_for_view(info.timeout, received_at).await else {
-            return Err(Refusal::with_retry_after(
-                Reason::NoCatalog,
-                forward::jitter(NO_CATALOG_RETRY_AFTER),
-            ));
-        };
-        let claim = Claim {
-            deadline: received_at,
-            expected: None,
-            relayed: info.relayed,
-        };
-        if self.closing.get() {
-            self.check_departure(&view, &claim)?;
-        }
-        let admitted = admit::head(&view.fleet.catalog, head, info)?;
-        let deadline = admit::deadline(&view.fleet.catalog, &admitted, received_at);
-        self.check_departure(&view, &Claim { deadline, ..claim })?;
-        Ok((view, admitted))
-    }
-
-    fn record_refusal(&self, id: &str, refusal: Refusal, received_at: Instant) {
-        let all_ms = received_at.elapsed().as_millis() as u64;
-        let status = refusal.reason.status().as_u16();
-        self.metrics
-            .record_request("refused", status, received_at.elapsed());
-        self.journal.record(Event::Ended {
-            id: id.to_owned(),
-            route: String::new(),
-            status,
-            outcome: "refused",
-            why: refusal.reason.message().to_owned(),
-            attempts: 0,
-            possible_runs: 0,
-            head_ms: all_ms,
-            all_ms,
-            pause_ms: 0,
-            quiet_ms: all_ms,
-        });
-    }
 }
 
 /// Maximum wait for the control task's part of the state dump.
--- /dev/null
+++ b/crates/gate/tests/arrival.rs
@@ -0,0 +1,177 @@
+//! Requests whose bodies are too long, late or more than the memory holds, and the refusals that their
+//! callers read.
+
+mod support;
+
+use catalog::limits::Limits;
+use http::StatusCode;
+use journal::Journal;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use support::caller::{request_as, send};
+use support::server::{Behavior, Server};
+use support::{ALLOWANCE, Node, endpoint_for, node, run, start_on, view, with_limits};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Memory of a machine whose budget holds three of the largest bodies.
+const SMALL_MEMORY_BYTES: usize = 48 << 20;
+/// Largest body of the catalog.
+const BODY_BYTES: usize = 4 << 20;
+/// Time in which a refusal that does not wait for anything must arrive, far above what it takes.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// A caller that sends parts of a request.
+struct Caller {
+    conn: TcpStream,
+}
+
+impl Caller {
+    async fn connect(addr: SocketAddr) -> Self {
+        Self {
+            conn: TcpStream::connect(addr).await.unwrap(),
+        }
+    }
+
+    /// Sends a head, and the first bytes of a body.
+    async fn send(&mut self, id: &str, path: &str, deadline: u64, framing: &str, sent: usize) {
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: h\r\nid: {id}\r\nkey: k1\r\ndeadline: {deadline}\r\n{framing}\r\n\r\n"
+        );
+        let mut bytes = head.into_bytes();
+        bytes.resize(bytes.len() + sent, b'x');
+        self.conn.write_all(&bytes).await.unwrap();
+    }
+
+    /// Reads a response to the end of its connection or of its body.
+    async fn read(&mut self) -> String {
+        let mut text = Vec::new();
+        let read = async {
+            let mut buffer = [0; 1024];
+            while !String::from_utf8_lossy(&text).contains('}') {
+                match self.conn.read(&mut buffer).await {
+                    Ok(read) if read > 0 => text.extend_from_slice(&buffer[..read]),
+                    _ => return,
+                }
+            }
+        };
+        let ended = tokio::time::timeout(REFUSAL_TIMEOUT, read).await;
+        assert!(ended.is_ok(), "no response in time");
+        String::from_utf8_lossy(&text).into_owned()
+    }
+}
+
+/// Starts a caller that sends a body of the largest size but for its last byte.
+async fn send_short(node: &Node, id: &str, path: &str) -> Caller {
+    let mut caller = Caller::connect(node.addr).await;
+    let framing = format!("content-length: {BODY_BYTES}");
+    caller
+        .send(id, path, 20_000, &framing, BODY_BYTES - 1)
+        .await;
+    caller
+}
+
+async fn small_node(server: &Server, path: &str) -> Node {
+    let node = start_on(SMALL_MEMORY_BYTES, ALLOWANCE, Journal::disabled()).await;
+    let view = view(vec![endpoint_for(path)(server)]);
+    node.shared_view.store(Some(Arc::new(view)));
+    node
+}
+
+fn status(response: &str) -> &str {
+    response.split(' ').nth(1).unwrap_or_default()
+}
+
+// Guards against bodies that are held open past the time for which their callers wait.
+#[test]
+fn a_body_that_is_not_there_by_its_deadline_is_refused_as_not_run() {
+    run(async {
+        let server = Server::start(vec![Behavior::Answer(200, "whole")]).await;
+        let node = node(vec![endpoint_for("/once/x")(&server)]).await;
+        let mut caller = Caller::connect(node.addr).await;
+        let framing = "content-length: 1000";
+        caller.send("r1", "/once/x", 500, framing, 999).await;
+        let response = caller.read().await;
+        assert_eq!(status(&response), "503", "{response}");
+        assert!(response.contains("has not run"), "{response}");
+        assert!(server.heads().is_empty());
+    });
+}
+
+// Guards against bodies without progress that are held open for as long as a route allows.
+#[test]
+fn a_body_without_progress_gets_408() {
+    run(async {
+        let server = Server::start(vec![Behavior::Answer(200, "whole")]).await;
+        let node = node(Vec::new()).await;
+        let limits = Limits {
+            idle_time: Duration::from_millis(600),
+            ..Limits::default()
+        };
+        let view = view(vec![endpoint_for("/once/x")(&server)]);
+        node.shared_view
+            .store(Some(Arc::new(with_limits(view, limits))));
+        let mut caller = Caller::connect(node.addr).await;
+        let framing = "content-length: 1000";
+        caller.send("r1", "/once/x", 4000, framing, 999).await;
+        let response = caller.read().await;
+        assert_eq!(status(&response), "408", "{response}");
+        assert!(server.heads().is_empty());
+    });
+}
+
+// Guards against a crowd of bodies that never end and keep out the bodies of others.
+#[test]
+fn bodies_without_progress_give_way_to_others() {
+    run(async {
+        let server = Server::start(vec![Behavior::Answer(200, "whole")]).await;
+        let node = small_node(&server, "/once/x").await;
+        let mut short = Vec::new();
+        for number in 0..4 {
+            short.push(send_short(&node, &format!("s{number}"), "/once/x").await);
+        }
+        tokio::time::sleep(Duration::from_millis(1200)).await;
+        let mut whole = request_as("w1", "/once/x");
+        *whole.body_mut() = vec![b'x'; BODY_BYTES].into();
+        let response = send(node.addr, whole).await;
+        assert_eq!(response.status, StatusCode::OK, "{}", response.body);
+        let mut refused = 0;
+        for caller in &mut short {
+            let read = tokio::time::timeout(Duration::from_millis(300), caller.read()).await;
+            let Ok(response) = read else { continue };
+            assert_eq!(status(&response), "503", "{response}");
+            assert!(
+                response.to_lowercase().contains("retry-after"),
+                "{response}"
+            );
+            refused += 1;
+        }
+        assert!(refused > 0);
+        assert!(server.heads().iter().all(|head| head.contains("w1")));
+    });
+}
+
+// Guards against bodies that are kept for streams which have begun, and that keep out other bodies. The stream
+// goes on without its body.
+#[test]
+fn a_body_that_is_kept_for_a_resumption_gives_way() {
+    run(async {
+        let events = Behavior::EventsWithPause(1..=3, Duration::from_millis(1300), 4..=6);
+        let server = Server::start(vec![events]).await;
+        let node = small_node(&server, "/chat/x").await;
+        let mut whole = request_as("w1", "/chat/x");
+        *whole.body_mut() = vec![b'x'; BODY_BYTES].into();
+        let addr = node.addr;
+        let stream = tokio::task::spawn_local(async move { send(addr, whole).await });
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        for number in 0..3 {
+            let mut caller = send_short(&node, &format!("s{number}"), "/chat/x").await;
+            let read = tokio::time::timeout(Duration::from_millis(200), caller.read()).await;
+            assert!(read.is_err(), "refused: {}", read.unwrap());
+        }
+        let response = stream.await.unwrap();
+        assert_eq!(response.status, StatusCode::OK);
+        assert!(response.complete);
+    });
+}
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -47,6 +47,8 @@
     pub transitions: Rc<RefCell<Vec<Transition>>>,
 }
 
+/// Memory of the machine of a node in bytes.
+const MEMORY_BYTES: usize = 260 << 20;
 /// Number of layers of the model.
 pub const LAYERS: Layer = 4;
 
@@ -145,6 +147,15 @@
     view
 }
 
+/// Returns the same view with the next catalog version, which has other limits.
+pub fn with_limits(mut view: View, limits: Limits) -> View {
+    let mut tables = tables();
+    tables.version += 1;
+    tables.limits = limits;
+    view.fleet.catalog = Arc::new(Catalog::try_from(tables).unwrap());
+    view
+}
+
 /// Returns the same view with the next catalog version, which states the prefill chunk of engines.
 pub fn with_chunk(mut view: View) -> View {
     let mut tables = tables();
@@ -206,6 +217,11 @@
 
 /// Like [`start`], with a journal.
 pub async fn start_with(allowance: Allowance, journal: Journal) -> Node {
+    start_on(MEMORY_BYTES, allowance, journal).await
+}
+
+/// Like [`start_with`], on a machine with this memory in bytes.
+pub async fn start_on(memory_bytes: usize, allowance: Allowance, journal: Journal) -> Node {
     let shared_view: SharedView = Arc::new(ArcSwapOption::empty());
     let (transitions, mut received) = mpsc::channel(64);
     let reported: Rc<RefCell<Vec<Transition>>> = Rc::default();
@@ -218,6 +234,7 @@
     let (changed, _) = watch::channel(0);
     let (dumps, _) = mpsc::channel(1);
     let worker = Worker::new(Parts {
+        memory_bytes,
         metrics: Metrics::new(&opentelemetry::global::meter("test"), Registry::new()),
         dumps,
         dialect: Plain,
--- a/crates/node/src/hosted/process.rs
+++ b/crates/node/src/hosted/process.rs
@@ -114,6 +114,7 @@
         changes: changes_receiver,
         journal: journal.clone(),
         allowance: settings.allowance,
+        memory_bytes: settings.memory_bytes,
         seed,
         transitions,
     };
