gate: responses wait for room, and are counted until their caller has them

Cause: Buffers counted a response only while it was received, and threw it away where its 48 MB were full, whoever waited for it and however short it was. Once it was joined it was in nobody's count.

Change: a response takes its memory from the node's budget, and holds it until the connection has taken its body. One of known length takes all of it before it is read, so that responses that wait hold none; one of unknown length that waits in its middle may have to give way after a second, as before. Those up to 64 KiB have the reserve. The receive buffer of a connection to an endpoint is 32 KB.

Ruled out: to pass a response on while it is received: one that is cut off could then not be retried at another endpoint.

--- a/crates/gate/src/admission/reception.rs
+++ b/crates/gate/src/admission/reception.rs
@@ -12,7 +12,10 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
+
+/// Pause before a response looks for room again when nobody has to give way.
+const ROOM_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Bounds of a request's body.
 #[derive(Clone, Copy, Debug)]
@@ -166,4 +169,70 @@
             }
         }
     }
+
+    /// Receives the body of a response completely by `deadline`; `None` if it is cut off, exceeds
+    /// `max_bytes`, or finds no room. A response may have run, so it waits for room: one of known length for
+    /// all of it, so that those that wait hold nothing.
+    pub(crate) async fn collect(
+        self: &Rc<Self>,
+        body: Incoming,
+        max_bytes: usize,
+        deadline: Instant,
+    ) -> Option<Content> {
+        if body.is_end_stream() {
+            return Some(Content::default());
+        }
+        let max_bytes = max_bytes.min(self.max_body_bytes());
+        let expected = body.size_hint().exact().unwrap_or_default();
+        if usize::try_from(expected).is_ok_and(|e| e > max_bytes) {
+            return None;
+        }
+        let mut room = self.lease(Part::Responses);
+        let cost = Buffer::cost_of(expected as usize);
+        if cost > SMALL_BODY_BYTES {
+            while !room.try_grow(cost, Class::Large) {
+                self.wait_for_room(cost, Class::Large, deadline).await?;
+            }
+        }
+        let mut reception = Reception::new(room, body, max_bytes);
+        // Only one that waits for room in its middle has to give way.
+        let mut waiting: Option<Registration> = None;
+        loop {
+            let step = tokio::select! {
+                biased;
+                step = poll_fn(|cx| reception.poll_step(cx)) => step,
+                () = sleep_until(deadline) => return None,
+            };
+            match step {
+                Step::End => return Some(reception.buffer.finish()),
+                Step::Broken | Step::TooLong => return None,
+                Step::Full => {}
+            }
+            let time_left = deadline.saturating_duration_since(Instant::now());
+            let register = || self.register(Holder::new(Way::Body, None, time_left));
+            let holder = waiting.get_or_insert_with(register).holder().clone();
+            holder.set_bytes(reception.buffer.cost());
+            let (needed, class) = (reception.buffer.needed(), reception.class());
+            tokio::select! {
+                _ = holder.ended() => return None,
+                room = self.wait_for_room(needed, class, deadline) => room?,
+            }
+        }
+    }
+
+    /// Waits until there may be room for a response; `None` once its deadline has passed.
+    async fn wait_for_room(
+        self: &Rc<Self>,
+        bytes: usize,
+        class: Class,
+        deadline: Instant,
+    ) -> Option<()> {
+        if Instant::now() >= deadline {
+            return None;
+        }
+        if !self.make_room(bytes, class, None).await {
+            tokio::time::sleep(ROOM_INTERVAL).await;
+        }
+        Some(())
+    }
 }
--- a/crates/gate/src/body.rs
+++ b/crates/gate/src/body.rs
@@ -7,9 +7,14 @@
 /// A buffered body, or a stream `S` of frames.
 pub type Body<S> = Either<ContentBody, StreamBody<S>>;
 
-/// Creates a buffered body.
+/// Creates a buffered body whose memory is not counted.
 pub fn full<S>(body: impl Into<Bytes>) -> Body<S> {
-    Either::Left(Content::from(body.into()).into_body())
+    content(Content::from(body.into()))
+}
+
+/// Creates a buffered body.
+pub fn content<S>(content: Content) -> Body<S> {
+    Either::Left(content.into_body())
 }
 
 /// Creates a streamed body.
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -24,7 +24,6 @@
 use crate::worker::Worker;
 use acquire::RETRY_AFTER_FULL;
 use attempt::{Exchange, Progress, Reservation};
-use bytes::Bytes;
 use catalog::ServiceId;
 use catalog::endpoint::Run;
 use catalog::kind::Kind;
@@ -33,9 +32,10 @@
 use futures::{Stream, StreamExt};
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
+use memory::content::Content;
 use race::{Lost, Phase, Winner};
 use rand::RngExt;
-use relay::Content;
+use relay::Received;
 use request_log::RequestLog;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
@@ -133,7 +133,7 @@
                 forwarder.worker.record_duration(&forwarder.job);
             }
             forwarder.log.end_answered(response.status().as_u16());
-            response.map(body::full)
+            response.map(body::content)
         }
         Ok(Winner::Events(source, first)) => {
             let (head, body) = splice::stream(forwarder, *source, first);
@@ -165,12 +165,12 @@
 
 /// Returns the response to a request that was relayed.
 fn pass_on<R: Stream<Item = Chunk>, S: Stream<Item = Chunk>>(
-    received: Result<Response<Content<R>>, Refusal>,
+    received: Result<Response<Received<R>>, Refusal>,
 ) -> Response<Body<Either<R, S>>> {
     match received {
         Ok(response) => response.map(|content| match content {
-            Content::Complete(bytes) => body::full(bytes),
-            Content::Frames(frames) => body::stream(frames.left_stream()),
+            Received::Complete(content) => body::content(content),
+            Received::Frames(frames) => body::stream(frames.left_stream()),
         }),
         Err(refusal) => refusal.response(),
     }
@@ -178,7 +178,7 @@
 
 impl<D: Dialect> Forwarder<D> {
     /// Reads a response completely; `None` if it was cut off, or may have been, or exceeds the size limit.
-    async fn read_complete(&self, exchange: Exchange<D>) -> Option<Response<Bytes>> {
+    async fn read_complete(&self, exchange: Exchange<D>) -> Option<Response<Content>> {
         let Exchange {
             conn,
             response,
@@ -188,9 +188,11 @@
         } = exchange;
         let is_delimited = framing::is_delimited(&response);
         let (mut parts, body) = response.into_parts();
-        let body = self.worker.buffers.collect(body, MAX_BODY_BYTES);
-        let body = timeout(self.job.time_left(), body).await;
-        let Some(body) = body.ok().flatten().filter(|_| is_delimited) else {
+        let admission = &self.worker.admission;
+        let body = admission
+            .collect(body, MAX_BODY_BYTES, self.job.deadline)
+            .await;
+        let Some(body) = body.filter(|_| is_delimited) else {
             reservation.end(Outcome::Failed, None);
             return None;
         };
--- a/crates/gate/src/forward/race.rs
+++ b/crates/gate/src/forward/race.rs
@@ -10,9 +10,9 @@
 use crate::dialect::Dialect;
 use crate::execution::{self, Permit};
 use crate::splice::{EventSource, Step};
-use bytes::Bytes;
 use futures::stream::{FuturesUnordered, StreamExt};
 use http::{Response, StatusCode};
+use memory::content::Content;
 use std::rc::Rc;
 use std::time::Duration;
 use steer::Timestamp;
@@ -38,7 +38,7 @@
 /// Response of the attempt that won.
 pub(crate) enum Winner<D: Dialect> {
     /// A buffered response.
-    Complete(Response<Bytes>),
+    Complete(Response<Content>),
     /// An event stream, and the step that was read from it.
     Events(Box<EventSource<D>>, Step),
 }
@@ -68,7 +68,7 @@
 enum End<D: Dialect> {
     Won(Winner<D>),
     /// The endpoint responded with an error; another one may do better.
-    ServerError(Response<Bytes>),
+    ServerError(Response<Content>),
     /// The request was not sent.
     Unsent,
     /// The endpoint refused the request, or failed.
@@ -77,7 +77,7 @@
 
 /// Response that is used if no other attempt does better.
 enum Fallback<D: Dialect> {
-    ServerError(Response<Bytes>),
+    ServerError(Response<Content>),
     /// An event stream that ended without a further event.
     Ended(Box<EventSource<D>>),
 }
--- a/crates/gate/src/forward/relay.rs
+++ b/crates/gate/src/forward/relay.rs
@@ -17,7 +17,7 @@
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
-use memory::content::ContentBody;
+use memory::content::{Content, ContentBody};
 use rand::seq::SliceRandom;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -38,9 +38,9 @@
 }
 
 /// Body of a response for the caller.
-pub(crate) enum Content<S> {
+pub(crate) enum Received<S> {
     /// A body that was received completely.
-    Complete(Bytes),
+    Complete(Content),
     /// A body that is passed on while it is received.
     Frames(S),
 }
@@ -168,7 +168,7 @@
 pub(crate) async fn receive<D: Dialect>(
     mut forwarder: Forwarder<D>,
     relayed: Relayed,
-) -> Result<Response<Content<impl Stream<Item = Chunk>>>, Refusal> {
+) -> Result<Response<Received<impl Stream<Item = Chunk>>>, Refusal> {
     let Relayed {
         conn,
         response,
@@ -208,12 +208,11 @@
         let frames = futures::stream::unfold(Some(passage), |passage| async {
             passage?.next_frame().await
         });
-        return Ok(Response::from_parts(parts, Content::Frames(frames)));
+        return Ok(Response::from_parts(parts, Received::Frames(frames)));
     }
-    let limit = forwarder.job.time_left() + REPORT_TIME;
-    let worker = forwarder.worker.clone();
-    let body = worker.buffers.collect(incoming, MAX_BODY_BYTES);
-    let body = timeout(limit, body).await.ok().flatten();
+    let limit = forwarder.job.deadline + REPORT_TIME;
+    let admission = forwarder.worker.admission.clone();
+    let body = admission.collect(incoming, MAX_BODY_BYTES, limit).await;
     let Some(body) = body.filter(|_| is_delimited) else {
         let refusal = forwarder.exhausted();
         forwarder.log.end_refused(refusal);
@@ -221,7 +220,7 @@
     };
     forwarder.worker.pool.put(conn, &headers, None);
     forwarder.log.end_answered(status.as_u16());
-    let content = Content::Complete(body);
+    let content = Received::Complete(body);
     Ok(Response::from_parts(parts, content))
 }
 
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -15,7 +15,6 @@
 pub mod admission;
 pub mod admit;
 pub mod body;
-mod buffer;
 pub mod departure;
 pub mod dialect;
 pub mod discovery;
--- a/crates/gate/src/pool.rs
+++ b/crates/gate/src/pool.rs
@@ -20,7 +20,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
+use tokio::net::TcpSocket;
 use tokio::time::{Instant, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -39,6 +39,9 @@
 /// Maximum size of a response head, and of what is read at once of a body. An endpoint may send a head
 /// without end on each of its connections.
 const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Size of the kernel's receive buffer of a connection in bytes. An endpoint fills it if the caller does not
+/// read.
+const RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
 /// Maximum number of idle connections to one endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 64;
 /// Number of requests after which a connection is closed. It limits the memory for their ids to 8 KiB a
@@ -248,7 +251,14 @@
 }
 
 async fn connect(addr: SocketAddr) -> Result<(SendRequest<ContentBody>, Instant)> {
-    let stream = TcpStream::connect(addr).await.map_err(|_| Error::Refused)?;
+    let socket = match addr.is_ipv4() {
+        true => TcpSocket::new_v4(),
+        false => TcpSocket::new_v6(),
+    };
+    let socket = socket.map_err(|_| Error::Refused)?;
+    // The connection works with any buffer; a failure is ignored.
+    let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    let stream = socket.connect(addr).await.map_err(|_| Error::Refused)?;
     // Without these options requests are slower or a lost endpoint is detected later, but the
     // connection works; failures are ignored.
     let _ = stream.set_nodelay(true);
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -5,7 +5,6 @@
 mod waiting;
 
 use crate::admission::Admission;
-use crate::buffer::Buffers;
 use crate::departure::Schedule;
 use crate::dialect::Dialect;
 use crate::duration::Durations;
@@ -105,8 +104,6 @@
     pub(crate) probes: Probes,
     /// Responses whose moves off ended endpoints are planned together.
     pub(crate) evacuees: Evacuees,
-    /// Buffers for the bodies of responses.
-    pub(crate) buffers: Buffers,
     /// Memory that callers make the node hold.
     pub(crate) admission: Rc<Admission>,
     /// The paths to endpoints.
@@ -149,7 +146,6 @@
             trials: Rc::default(),
             probes: Probes::default(),
             evacuees: Evacuees::default(),
-            buffers: Buffers::default(),
             admission,
             paths: RefCell::default(),
             me: me.clone(),
