gate: connections give way, and what they hold is counted

Callers saw: connections that were reset at once, for as long as others held all of them without a request. A process that exceeded its memory for heads without an end, for responses that nobody read, and for crowds at the ports for lists, readiness and metrics.

Cause: permits for connections were one pool, and who held one kept it. The timeout of a head was 15 s in place of the operator's 3. The library keeps space in each connection for the future and the body of a request, so an idle connection took 23 KB. Nothing counted the buffers of a connection whose caller does not read.

Change: gate::connection. Above the maximum the connection that has sent no whole request for longest is closed for the new one, if it was quiet for 300 ms; never one whose request is being served. A head ends after twice the operator's time. Heads above 8 KiB and callers that don't read take memory from the budget and give way in it; without progress for idle_timeout_ms they are closed. Reads are of less than the library's buffer, which so does not grow. The kernel's buffers have a fixed size. The number of connections follows from the memory as well as from the descriptors, and each of the other listeners has a tenth of them.

--- a/crates/gate/src/admission.rs
+++ b/crates/gate/src/admission.rs
@@ -147,6 +147,11 @@
         self.budget.used()
     }
 
+    /// Returns whether more is in use than the budget has.
+    pub(crate) fn is_exceeded(&self) -> bool {
+        self.used() > self.budget.capacity(Class::Small)
+    }
+
     /// Registers what holds memory and may have to give it back.
     pub(crate) fn register(self: &Rc<Self>, holder: Holder) -> Registration {
         Registration::new(self.clone(), holder)
--- a/crates/gate/src/admission/holder.rs
+++ b/crates/gate/src/admission/holder.rs
@@ -20,6 +20,8 @@
 pub(crate) enum Way {
     /// The body that is being received is refused.
     Body,
+    /// The connection is closed, whose caller does not read or does not end a head.
+    Connection,
     /// The body of a request that was answered in part is dropped, so that the response can't be resumed
     /// elsewhere.
     Kept(Rc<Kept>),
@@ -30,6 +32,7 @@
     pub(crate) fn name(&self) -> &'static str {
         match self {
             Self::Body => "body",
+            Self::Connection => "connection",
             Self::Kept(_) => "kept",
         }
     }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod admission;
 pub mod admit;
 pub mod body;
+mod connection;
 pub mod departure;
 pub mod dialect;
 pub mod discovery;
--- a/crates/gate/src/listener.rs
+++ b/crates/gate/src/listener.rs
@@ -1,25 +1,29 @@
 //! Listeners of a worker: requests, service discovery, readiness and metrics.
 
-use crate::body::Body;
+use crate::body::{Body, Tracked};
+use crate::connection::{Connections, Socket, State};
 use crate::dialect::Dialect;
 use crate::discovery;
 use crate::splice::Chunk;
 use crate::stats::Guard;
 use crate::worker::Worker;
+use catalog::limits::Limits;
 use futures::Stream;
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use memory::shares::RECEIVE_BUFFER_BYTES;
 use socket2::SockRef;
 use std::convert::Infallible;
-use std::pin::pin;
+use std::future::poll_fn;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
 use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -61,10 +65,13 @@
     pub kill: CancellationToken,
 }
 
-/// Interval at which bodies are checked for being overdue.
+/// Interval at which connections and bodies are checked for being overdue.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
+/// Size of the kernel's send buffer of a connection, which a response fills whose caller does not read.
+const SEND_BUFFER_BYTES: usize = 64 << 10;
 
-/// Accepts up to `max_connections` concurrent connections until `stop.kill` is cancelled.
+/// Accepts up to `max_connections` concurrent connections until `stop.kill` is cancelled. Above that, the
+/// connection that has sent no whole request for longest gives way.
 pub async fn run<D: Dialect>(
     worker: Rc<Worker<D>>,
     listener: TcpListener,
@@ -73,14 +80,24 @@
     stop: Stop,
 ) {
     let tracker = TaskTracker::new();
-    let permits = std::sync::Arc::new(Semaphore::new(max_connections));
+    let connections = Connections::new(max_connections, worker.metrics.clone());
     let mut sweep = tokio::time::interval(SWEEP_INTERVAL);
     sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    // Accepted connections inherit the sizes. Failures are ignored: connections work with any buffer.
+    let socket = SockRef::from(&listener);
+    let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    let _ = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
+    let serves_requests = port == Port::Callers;
     loop {
         let accepted = tokio::select! {
+            biased;
             () = stop.kill.cancelled() => return,
-            _ = sweep.tick(), if port == Port::Callers => {
-                worker.admission.sweep();
+            _ = sweep.tick(), if serves_requests || !connections.is_empty() => {
+                connections.sweep();
+                if serves_requests {
+                    worker.admission.sweep();
+                    worker.metrics.record_connections(worker.open_connections());
+                }
                 continue;
             }
             accepted = listener.accept() => accepted,
@@ -89,21 +106,22 @@
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        // Above the limit the connection is closed at once, and the caller connects to another
-        // node.
-        let Ok(permit) = permits.clone().try_acquire_owned() else {
+        let limits = worker.view().map(|v| v.fleet.catalog.limits);
+        let limits = limits.unwrap_or_default();
+        let state = Rc::new(State::new(worker.admission.clone(), limits));
+        // If none gives way, the caller connects to another node.
+        let Some(listed) = connections.add(state.clone()) else {
             continue;
         };
-        let worker = worker.clone();
-        let stop = stop.clone();
-        let open =
-            (port == Port::Callers).then(|| Guard::new(worker.stats.clone(), |s| &s.connections));
+        let (worker, stop) = (worker.clone(), stop.clone());
+        let open = serves_requests.then(|| Guard::new(worker.stats.clone(), |s| &s.connections));
         tracker.spawn_local(async move {
             tokio::select! {
                 () = stop.kill.cancelled() => {}
-                () = serve_connection(worker, stream, port, &stop) => {}
+                () = state.closed() => {}
+                () = serve_connection(worker, stream, port, &stop, &state, &limits) => {}
             }
-            drop((permit, open));
+            drop((listed, open));
         });
     }
 }
@@ -113,18 +131,18 @@
     stream: TcpStream,
     port: Port,
     stop: &Stop,
+    state: &Rc<State>,
+    limits: &Limits,
 ) {
     // Without these options responses are slower or a lost caller is detected later, but the
     // connection works; failures are ignored.
     let _ = stream.set_nodelay(true);
     let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
-    let limits = worker.view().map(|v| v.fleet.catalog.limits);
-    let limits = limits.unwrap_or_default();
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
         // The library has a single timeout for reading a head, which also runs while a keep-alive
-        // connection is idle.
+        // connection is idle. That of a head is checked with the connections.
         .header_read_timeout(limits.idle_time.max(limits.head_time))
         .max_buf_size(
             limits
@@ -134,17 +152,26 @@
         );
     let used = CancellationToken::new();
     let first_request = used.clone();
+    let connection = state.clone();
+    // The library keeps space for the future in each connection, also while it is idle.
     let service = service_fn(move |request| {
         first_request.cancel();
-        respond(worker.clone(), request, port)
+        Box::pin(respond(worker.clone(), request, port, connection.clone()))
     });
-    let mut conn = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let socket = Socket::new(stream, state.clone());
+    let mut conn = builder.serve_connection(TokioIo::new(socket), service);
     // An error ends only this caller's connection, and its request writes its own log lines.
-    tokio::select! {
-        _ = conn.as_mut() => return,
-        () = drained(stop, &used) => conn.as_mut().graceful_shutdown(),
+    let ended = tokio::select! {
+        ended = poll_fn(|cx| conn.poll_without_shutdown(cx)) => Some(ended),
+        () = drained(stop, &used) => None,
+    };
+    if ended.is_none() {
+        Pin::new(&mut conn).graceful_shutdown();
+        let _ = poll_fn(|cx| conn.poll_without_shutdown(cx)).await;
     }
-    let _ = conn.await;
+    let mut socket = conn.into_parts().io.into_inner();
+    // The connection is closed in any case.
+    let _ = socket.shutdown().await;
 }
 
 /// Waits until a connection is to be closed after the request in progress, if any: the node drains, and
@@ -160,7 +187,9 @@
     worker: Rc<Worker<D>>,
     request: Request<Incoming>,
     port: Port,
-) -> Result<Response<Body<impl Stream<Item = Chunk>>>, Infallible> {
+    connection: Rc<State>,
+) -> Result<Response<Tracked<Body<impl Stream<Item = Chunk>>>>, Infallible> {
+    let tracker = connection.begin_request();
     let leaving = worker.leaving();
     let path = request.uri().path();
     let mut response = match port {
@@ -181,7 +210,13 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    Ok(response)
+    let length = response.body().size_hint().lower();
+    // Those of requests take their memory from the budget already.
+    tracker.set_length(
+        usize::try_from(length).unwrap_or(usize::MAX),
+        port != Port::Callers,
+    );
+    Ok(response.map(|body| Tracked::new(body, tracker)))
 }
 
 fn metrics<D: Dialect, S>(worker: &Worker<D>) -> Response<Body<S>> {
--- a/crates/gate/tests/arrival.rs
+++ b/crates/gate/tests/arrival.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use support::caller::{request_as, send};
+use support::caller::{request, request_as, send};
 use support::server::{Behavior, Server};
 use support::{ALLOWANCE, Node, endpoint_for, node, run, start_on, view, with_limits};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -175,3 +175,43 @@
         assert!(response.complete);
     });
 }
+
+// Guards against connections that stay open with a part of a head.
+#[test]
+fn a_head_that_takes_too_long_ends_its_connection() {
+    run(async {
+        let node = node(Vec::new()).await;
+        let limits = Limits {
+            head_time: Duration::from_millis(300),
+            ..Limits::default()
+        };
+        let limited = with_limits(view(Vec::new()), limits);
+        node.shared_view.store(Some(Arc::new(limited)));
+        let mut caller = Caller::connect(node.addr).await;
+        caller
+            .conn
+            .write_all(b"GET /safe/x HTTP/1.1\r\n")
+            .await
+            .unwrap();
+        let mut buffer = [0; 16];
+        let read = tokio::time::timeout(REFUSAL_TIMEOUT, caller.conn.read(&mut buffer)).await;
+        // A reset also counts as closed.
+        assert!(!matches!(read.expect("closed"), Ok(1..)));
+    });
+}
+
+// Guards against callers that hold all connections without a request.
+#[test]
+fn a_new_connection_takes_the_place_of_a_quiet_one() {
+    run(async {
+        let server = Server::start(vec![Behavior::Answer(200, "whole")]).await;
+        let node = node(vec![endpoint_for("/safe/x")(&server)]).await;
+        let mut quiet = Vec::new();
+        for _ in 0..100 {
+            quiet.push(TcpStream::connect(node.addr).await.unwrap());
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let response = send(node.addr, request("/safe/x")).await;
+        assert_eq!(response.status, StatusCode::OK, "{}", response.body);
+    });
+}
--- a/crates/node/src/hosted/process.rs
+++ b/crates/node/src/hosted/process.rs
@@ -45,9 +45,6 @@
 /// Capacity of the queue of dump requests.
 const DUMP_QUEUE_LEN: usize = 4;
 
-/// Maximum number of connections of each listener for addresses, readiness and metrics.
-const MAX_AUXILIARY_CONNECTIONS: usize = 256;
-
 /// Cancellation tokens that stop the parts of a node, in the order of a drain.
 #[derive(Clone, Debug, Default)]
 struct Shutdown {
@@ -159,7 +156,7 @@
         (settings.metrics, Port::Metrics),
     ] {
         if let Some(addr) = addr {
-            listeners.push((bind(addr)?, port, MAX_AUXILIARY_CONNECTIONS));
+            listeners.push((bind(addr)?, port, settings.auxiliary_connections));
         }
     }
     let shutdown = shutdown.clone();
--- a/crates/node/src/hosted/settings.rs
+++ b/crates/node/src/hosted/settings.rs
@@ -5,7 +5,7 @@
 use crate::settings::text::Text;
 use crate::settings::value::{self, addr, addrs, level, name, nonzero_time, peer_key, time};
 use crate::settings::{self, Result, Source};
-use memory::shares::DEFAULT_MEMORY_BYTES;
+use memory::shares::{DEFAULT_MEMORY_BYTES, Shares};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -29,6 +29,8 @@
 const RESERVED_DESCRIPTORS: usize = 1200;
 /// Minimum number of callers' connections, whatever the number of descriptors.
 const MIN_CONNECTIONS: usize = 256;
+/// Number of the listeners for addresses, readiness and metrics.
+const AUXILIARY_LISTENERS: usize = 3;
 /// Default time from the signal to end until the platform kills the process.
 const DEFAULT_GRACE: Duration = Duration::from_secs(8);
 /// Default interval at which endpoints write their row.
@@ -67,6 +69,8 @@
     pub allowance: Allowance,
     /// Maximum number of callers' connections.
     pub connections: usize,
+    /// Maximum number of connections of each listener for addresses, readiness and metrics.
+    pub auxiliary_connections: usize,
     /// Memory of the machine in bytes, which the process must not exceed.
     pub memory_bytes: usize,
     /// Time from the signal to end until the platform kills the process.
@@ -142,6 +146,7 @@
     let descriptors = limits.value_or("descriptors", DEFAULT_DESCRIPTORS, value::count, findings);
     let memory_bytes = limits.value_or("memory", DEFAULT_MEMORY_BYTES, value::memory, findings);
     limits.finish(findings);
+    let shares = Shares::of(memory_bytes);
     let mut logging = Section::new(text, LOGGING);
     let level = logging.value_or("level", log::LevelFilter::Info, level, findings);
     logging.finish(findings);
@@ -159,9 +164,8 @@
         store: address?,
         heartbeat,
         allowance,
-        connections: descriptors
-            .saturating_sub(RESERVED_DESCRIPTORS)
-            .max(MIN_CONNECTIONS),
+        connections: max_connections(descriptors, &shares),
+        auxiliary_connections: shares.auxiliary_connections,
         memory_bytes,
         grace,
         level,
@@ -175,6 +179,13 @@
     listen
 }
 
+/// Returns the number of callers' connections for which descriptors and memory suffice.
+fn max_connections(descriptors: usize, shares: &Shares) -> usize {
+    let by_memory = shares.connections - AUXILIARY_LISTENERS * shares.auxiliary_connections;
+    let by_descriptors = descriptors.saturating_sub(RESERVED_DESCRIPTORS);
+    by_descriptors.max(MIN_CONNECTIONS).min(by_memory)
+}
+
 fn allowance(text: &Text, findings: &mut Vec<Finding>) -> Allowance {
     let default = Allowance {
         ratio: 0.1,
