gate: refusals are sent as soon as they are known, and can be read

Callers saw: a refusal that came only after their body, up to a second late, or a reset in its place. A body that was announced as too long was read up to the limit first.

Cause: a refused body was read and dropped before the response was sent, for a second at most, and the connection was closed with what was unread, which resets it.

Change: a body that is announced as too long is refused with 413 at its head. The rest of a short body that arrives at once is dropped as before, so that the connection is kept.

Ruled out: to read all of a body without end; to close at once.

--- a/crates/gate/src/admit.rs
+++ b/crates/gate/src/admit.rs
@@ -1,6 +1,6 @@
 //! Admission of requests: checks them against the catalog.
 
-use crate::admission::{self, Kept};
+use crate::admission::{self, Kept, SMALL_BODY_BYTES};
 use crate::dialect::{Dialect, RequestInfo};
 use crate::job::Job;
 use crate::refusal::{Reason, Refusal};
@@ -9,7 +9,7 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderName};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use memory::budget::Lease;
 use memory::content::Content;
 use std::cell::OnceCell;
@@ -31,8 +31,8 @@
     "upgrade",
 ];
 
-/// Maximum time for reading the body of a refused request.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum time for reading the rest of a short body of a refused request.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Result of checking a request's head.
 #[derive(Debug)]
@@ -64,14 +64,24 @@
     Ok(Admitted { info, route, team })
 }
 
-/// Reads the body of a refused request and drops it, within `max_bytes` and a time limit. If the
-/// connection closed while the body still arrives, it would be reset, and the caller would not get
-/// the refusal.
-pub(crate) async fn discard_body(body: Incoming, max_bytes: usize) {
-    let mut body = Limited::new(body, max_bytes);
-    let rest = async { while let Some(Ok(_)) = body.frame().await {} };
-    // The refusal is sent in any case.
-    let _ = timeout(DISCARD_TIMEOUT, rest).await;
+/// Reads the body of a refused request and drops it, if it is short and arrives at once. Returns whether it
+/// was read completely. If not, the connection can't be used for another request.
+pub(crate) async fn discard_body(body: Incoming) -> bool {
+    let declared = body.size_hint().lower();
+    if declared > SMALL_BODY_BYTES as u64 {
+        return false;
+    }
+    let mut body = Limited::new(body, SMALL_BODY_BYTES);
+    let rest = async {
+        loop {
+            match body.frame().await {
+                None => return true,
+                Some(Ok(_)) => {}
+                Some(Err(_)) => return false,
+            }
+        }
+    };
+    timeout(DISCARD_TIMEOUT, rest).await.unwrap_or(false)
 }
 
 /// Returns the memory that a request takes while it is in flight, without its body, in bytes.
--- a/crates/gate/src/connection.rs
+++ b/crates/gate/src/connection.rs
@@ -1,8 +1,10 @@
 //! Connections of callers: their sockets, what they are doing, and which one gives way when there are too
 //! many.
 
+mod linger;
 mod socket;
 
+pub(crate) use linger::linger;
 pub(crate) use socket::Socket;
 
 use crate::admission::{Admission, Holder, Registration, Way};
@@ -31,6 +33,8 @@
 /// What a connection is doing, in the order in which connections give way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Phase {
+    /// It is to be closed once its caller has read the response.
+    Closing,
     /// It has sent a part of a head.
     Head,
     /// It has sent no part of the next request.
@@ -54,6 +58,8 @@
     response_bytes: Cell<usize>,
     /// The part of it that has not taken its memory.
     uncounted_bytes: Cell<usize>,
+    /// Whether the response was sent before the request was read completely.
+    unread: Cell<bool>,
     /// The memory of a long head, or of a response that is not read.
     held: RefCell<Option<Held>>,
     /// Whether its head was found to be overdue at the last check.
@@ -79,6 +85,7 @@
             head_bytes: Cell::new(0),
             response_bytes: Cell::new(0),
             uncounted_bytes: Cell::new(0),
+            unread: Cell::new(false),
             held: RefCell::new(None),
             was_overdue: Cell::new(false),
             closed: Cell::new(false),
@@ -95,6 +102,7 @@
     pub(crate) fn begin_request(self: &Rc<Self>) -> Response {
         self.enter(Phase::Busy);
         self.used.set(true);
+        self.unread.set(false);
         self.head_bytes.set(0);
         self.response_bytes.set(0);
         self.uncounted_bytes.set(0);
@@ -102,12 +110,27 @@
         Response(self.clone())
     }
 
+    /// Records that the response is sent before the request was read. The connection is closed after it.
+    pub(crate) fn set_unread(&self) {
+        self.unread.set(true);
+    }
+
+    /// Returns whether the caller may still be sending a request that was answered.
+    pub(crate) fn is_unread(&self) -> bool {
+        self.unread.get()
+    }
+
+    /// Records that the connection is closed once its caller has read the response.
+    pub(crate) fn begin_closing(&self) {
+        self.enter(Phase::Closing);
+    }
+
     /// Records received bytes.
     fn record_read(&self, bytes: usize) {
         match self.phase.get() {
             Phase::Idle => self.enter(Phase::Head),
             Phase::Head => {}
-            Phase::Busy => return,
+            Phase::Busy | Phase::Closing => return,
         }
         let head_bytes = self.head_bytes.get() + bytes;
         self.head_bytes.set(head_bytes);
@@ -228,6 +251,11 @@
 pub(crate) struct Response(Rc<State>);
 
 impl Response {
+    /// Returns the connection.
+    pub(crate) fn state(&self) -> &Rc<State> {
+        &self.0
+    }
+
     /// Sets the length of the body, as far as it is known, and whether its memory is still to be taken.
     pub(crate) fn set_length(&self, bytes: usize, is_uncounted: bool) {
         self.0.response_bytes.set(bytes);
--- a/crates/gate/src/listener.rs
+++ b/crates/gate/src/listener.rs
@@ -1,7 +1,7 @@
 //! Listeners of a worker: requests, service discovery, readiness and metrics.
 
 use crate::body::{Body, Tracked};
-use crate::connection::{Connections, Socket, State};
+use crate::connection::{self, Connections, Socket, State};
 use crate::dialect::Dialect;
 use crate::discovery;
 use crate::splice::Chunk;
@@ -165,13 +165,21 @@
         ended = poll_fn(|cx| conn.poll_without_shutdown(cx)) => Some(ended),
         () = drained(stop, &used) => None,
     };
-    if ended.is_none() {
-        Pin::new(&mut conn).graceful_shutdown();
-        let _ = poll_fn(|cx| conn.poll_without_shutdown(cx)).await;
-    }
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            Pin::new(&mut conn).graceful_shutdown();
+            poll_fn(|cx| conn.poll_without_shutdown(cx)).await
+        }
+    };
     let mut socket = conn.into_parts().io.into_inner();
-    // The connection is closed in any case.
-    let _ = socket.shutdown().await;
+    if ended.is_ok() && state.is_unread() {
+        state.begin_closing();
+        Box::pin(connection::linger(socket, limits.body_bytes)).await;
+    } else {
+        // The connection is closed in any case.
+        let _ = socket.shutdown().await;
+    }
 }
 
 /// Waits until a connection is to be closed after the request in progress, if any: the node drains, and
@@ -203,10 +211,10 @@
         }
         Port::Metrics if path == METRICS_PATH => metrics(&worker),
         Port::Metrics if path == DUMP_PATH => Response::new(crate::body::full(worker.dump().await)),
-        Port::Callers => worker.serve(request).await,
+        Port::Callers => worker.serve(request, connection).await,
         _ => not_found(),
     };
-    if leaving {
+    if leaving || tracker.state().is_unread() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/gate/src/worker/arrival.rs
+++ b/crates/gate/src/worker/arrival.rs
@@ -5,6 +5,7 @@
 use crate::admission::Arrival;
 use crate::admit::{self, Admitted, Load};
 use crate::body::Body;
+use crate::connection;
 use crate::departure::Claim;
 use crate::dialect::{Dialect, RequestInfo};
 use crate::forward;
@@ -16,7 +17,7 @@
 use catalog::quote::{MAX_QUOTED_CHARS, start_of};
 use futures::Stream;
 use http::{Request, Response, request};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use journal::event::Event;
 use memory::budget::Lease;
 use rand::RngExt;
@@ -38,15 +39,16 @@
 
 impl<D: Dialect> Worker<D> {
     /// Serves a request of a caller.
-    pub async fn serve(
+    pub(crate) async fn serve(
         self: Rc<Self>,
         request: Request<Incoming>,
+        connection: Rc<connection::State>,
     ) -> Response<Body<impl Stream<Item = Chunk>>> {
         let received_at = Instant::now();
         let guard = Guard::new(self.stats.clone(), |s| &s.in_flight);
         let info = self.dialect.request_info(request.headers());
         let (id, relayed) = (info.id.clone(), info.relayed);
-        match self.admit(request, info, received_at).await {
+        match self.admit(request, info, received_at, &connection).await {
             Ok(job) => Box::pin(forward::run(self, job, guard)).await,
             Err(refusal) => {
                 let id = id.as_deref();
@@ -61,13 +63,14 @@
         request: Request<Incoming>,
         info: RequestInfo,
         received_at: Instant,
+        connection: &connection::State,
     ) -> Result<Job, Refusal> {
         let (parts, incoming) = request.into_parts();
         let cost = admit::cost(&parts, &info);
         let head = self.admit_head(&parts, info, received_at).await;
         let taken = match head {
             Ok((view, admitted)) => {
-                let room = self.take_room(cost).await;
+                let room = self.take_room(cost, &view, &incoming).await;
                 room.map(|room| (view, admitted, room))
             }
             Err(refusal) => Err(refusal),
@@ -75,8 +78,9 @@
         let (view, admitted, room) = match taken {
             Ok(taken) => taken,
             Err(refusal) => {
-                let limits = self.view().map(|v| v.fleet.catalog.limits);
-                admit::discard_body(incoming, limits.unwrap_or_default().body_bytes).await;
+                if !admit::discard_body(incoming).await {
+                    connection.set_unread();
+                }
                 return Err(refusal);
             }
         };
@@ -88,7 +92,10 @@
         };
         let body = match self.admission.receive(incoming, &arrival).await {
             Ok(body) => body,
-            Err(reason) => return Err(arrival_refusal(reason)),
+            Err(reason) => {
+                connection.set_unread();
+                return Err(arrival_refusal(reason));
+            }
         };
         let load = Load { room, body };
         let random = rand::rng().random();
@@ -111,8 +118,12 @@
         Ok(job)
     }
 
-    /// Takes the memory of a request that its head permits.
-    async fn take_room(&self, cost: usize) -> Result<Lease, Refusal> {
+    /// Takes the memory of a request that its head permits. A body that is announced as too long is refused
+    /// before it arrives.
+    async fn take_room(&self, cost: usize, view: &View, body: &Incoming) -> Result<Lease, Refusal> {
+        if body.size_hint().lower() > self.max_body_bytes(view) as u64 {
+            return Err(Refusal::new(Reason::BodyTooLarge));
+        }
         let room = self.admission.request(cost).await;
         room.map_err(arrival_refusal)
     }
--- a/crates/gate/tests/arrival.rs
+++ b/crates/gate/tests/arrival.rs
@@ -83,6 +83,48 @@
     response.split(' ').nth(1).unwrap_or_default()
 }
 
+// Guards against a body that is announced as too long and read nevertheless.
+#[test]
+fn a_body_that_is_announced_as_too_long_is_refused_at_once() {
+    run(async {
+        let node = node(Vec::new()).await;
+        for path in ["/safe/x", "/once/x", "/chat/x"] {
+            let mut caller = Caller::connect(node.addr).await;
+            caller
+                .send("r1", path, 4000, "content-length: 200000000", 0)
+                .await;
+            let response = caller.read().await;
+            assert_eq!(status(&response), "413", "{response}");
+        }
+    });
+}
+
+// Guards against a reset of the connection, with which a caller loses the refusal that it reads after it has
+// sent its body.
+#[test]
+fn callers_that_send_too_much_can_read_their_refusal() {
+    run(async {
+        let node = node(Vec::new()).await;
+        let chunk = format!("10000\r\n{}\r\n", "x".repeat(0x10000));
+        let lengths = [
+            ("content-length: 6000000".to_owned(), vec![b'x'; 6_000_000]),
+            (
+                "transfer-encoding: chunked".to_owned(),
+                format!("{}0\r\n\r\n", chunk.repeat(92)).into_bytes(),
+            ),
+        ];
+        for (framing, body) in lengths {
+            let mut caller = Caller::connect(node.addr).await;
+            caller.send("r1", "/once/x", 4000, &framing, 0).await;
+            // The node may stop reading at some point; what counts is the response.
+            let _ = tokio::time::timeout(REFUSAL_TIMEOUT, caller.conn.write_all(&body)).await;
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            let response = caller.read().await;
+            assert_eq!(status(&response), "413", "{framing}: {response}");
+        }
+    });
+}
+
 // Guards against bodies that are held open past the time for which their callers wait.
 #[test]
 fn a_body_that_is_not_there_by_its_deadline_is_refused_as_not_run() {
@@ -152,6 +194,21 @@
     });
 }
 
+// Guards against large bodies that take the room of ordinary requests.
+#[test]
+fn ordinary_requests_are_served_beside_large_bodies() {
+    run(async {
+        let server = Server::start(vec![Behavior::Answer(200, "whole")]).await;
+        let node = small_node(&server, "/safe/x").await;
+        let mut short = Vec::new();
+        for number in 0..8 {
+            short.push(send_short(&node, &format!("s{number}"), "/safe/x").await);
+            let response = send(node.addr, request("/safe/x")).await;
+            assert_eq!(response.status, StatusCode::OK, "{}", response.body);
+        }
+    });
+}
+
 // Guards against bodies that are kept for streams which have begun, and that keep out other bodies. The stream
 // goes on without its body.
 #[test]
@@ -176,6 +233,28 @@
     });
 }
 
+// Guards against a manifest that allows bodies for which the node has no memory: one alone would end it.
+#[test]
+fn a_body_for_which_no_memory_suffices_gets_413() {
+    run(async {
+        let server = Server::start(vec![Behavior::Answer(200, "whole")]).await;
+        let node = small_node(&server, "/once/x").await;
+        let limits = Limits {
+            body_bytes: 1 << 30,
+            ..Limits::default()
+        };
+        let view = view(vec![endpoint_for("/once/x")(&server)]);
+        node.shared_view
+            .store(Some(Arc::new(with_limits(view, limits))));
+        let mut caller = Caller::connect(node.addr).await;
+        caller
+            .send("r1", "/once/x", 4000, "content-length: 100000000", 0)
+            .await;
+        let response = caller.read().await;
+        assert_eq!(status(&response), "413", "{response}");
+    });
+}
+
 // Guards against connections that stay open with a part of a head.
 #[test]
 fn a_head_that_takes_too_long_ends_its_connection() {
