entry: bodies of requests share a budget

Callers saw: a process that ran out of memory.

Cause: entry::request_body bounds a body and its time, and nothing over all: 4,096 connections a worker, 256 streams each, 1 MiB each.

Change: all listeners of a process share a budget from [limits] memory. A body takes its memory as it arrives, and as much again for what is parsed from it. Without room it is refused: 503 overloaded, not-run, Retry-After. While half of the budget is used, a body that pauses for a second gives way. The number of connections of a worker is bounded by the memory too, HTTP/2 windows are 64 KB, and body_bytes above what the memory allows is a finding.

--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -1,5 +1,7 @@
 //! Limits of a listener and of callers' requests.
 
+use memory::budget::Budget;
+use memory::shares::{DEFAULT_MEMORY_BYTES, Shares};
 use std::time::Duration;
 
 /// Limits of one listener.
@@ -19,6 +21,8 @@
     pub body_timeout: Duration,
     /// Time without progress after which a connection is closed.
     pub idle_timeout: Duration,
+    /// Memory for the bodies of requests; clones share it.
+    pub memory: Budget,
 }
 
 impl Default for Limits {
@@ -31,6 +35,7 @@
             head_timeout: Duration::from_secs(5),
             body_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_secs(120),
+            memory: Shares::of(DEFAULT_MEMORY_BYTES).budget(),
         }
     }
 }
--- a/crates/entry/src/request_body.rs
+++ b/crates/entry/src/request_body.rs
@@ -4,36 +4,102 @@
 use crate::limits::Limits;
 use bytes::Bytes;
 use http::StatusCode;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Limited};
+use memory::budget::{Budget, Class, Part};
+use memory::buffer::Buffer;
+use memory::shares::SMALL_BODY_BYTES;
 use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
 use viz::{Body, Request};
 
 /// Maximum time for reading the body of a refused request.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time without a byte after which a body has to give way if memory is scarce.
+const STALL_TIME: Duration = Duration::from_secs(1);
+/// Delay after which a caller may send a request again for whose body there was no memory.
+const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// Bytes that each byte of a body takes once it is parsed, beside the body itself.
+const PARSED_FACTOR: usize = 1;
 
 /// Reads the complete body of `req`. A declared length above the limit is rejected before a byte
-/// is read. The timeout limits the memory that slow callers can occupy.
+/// is read. The timeout limits the time for which slow callers can occupy memory.
+///
+/// # Errors
+///
+/// Returns an error if the body is too long, breaks off or is late, or if the listeners have no memory for it.
 pub async fn read(req: &mut Request, limits: &Limits) -> Result<Bytes> {
-    let declared = viz::RequestExt::content_length(req).unwrap_or(0);
-    if declared > limits.max_body_bytes as u64 {
+    let declared = viz::RequestExt::content_length(req);
+    if declared.is_some_and(|length| length > limits.max_body_bytes as u64) {
         return Err(too_large(limits));
     }
-    let body = std::mem::replace(req.body_mut(), Body::Empty);
-    let collected = Limited::new(body, limits.max_body_bytes).collect();
-    match tokio::time::timeout(limits.body_timeout, collected).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large(limits)),
-        Ok(Err(_)) => Err(Error::new(
-            StatusCode::BAD_REQUEST,
-            "broken_body",
-            "the body ended early",
-        )),
-        Err(_) => Err(Error::new(
-            StatusCode::REQUEST_TIMEOUT,
-            "slow_body",
-            "the body did not come in time",
-        )),
+    let mut body = std::mem::replace(req.body_mut(), Body::Empty);
+    let expected = declared.and_then(|length| usize::try_from(length).ok());
+    let mut buffer = Buffer::new(limits.memory.lease(Part::Bodies), expected);
+    let deadline = Instant::now() + limits.body_timeout;
+    loop {
+        let patience = deadline.min(Instant::now() + STALL_TIME);
+        match timeout_at(patience, body.frame()).await {
+            Ok(None) => break,
+            Ok(Some(Ok(frame))) => {
+                // Trailers are not used.
+                store(&mut buffer, frame.into_data().unwrap_or_default(), limits)?;
+            }
+            Ok(Some(Err(_))) => {
+                return Err(Error::new(
+                    StatusCode::BAD_REQUEST,
+                    "broken_body",
+                    "the body ended early",
+                ));
+            }
+            Err(_) if Instant::now() >= deadline => {
+                return Err(Error::new(
+                    StatusCode::REQUEST_TIMEOUT,
+                    "slow_body",
+                    "the body did not come in time",
+                ));
+            }
+            Err(_) if is_scarce(&limits.memory) => return Err(overloaded()),
+            Err(_) => {}
+        }
+    }
+    let (len, class) = (buffer.len(), class_of(&buffer));
+    if !buffer.try_lease(len * PARSED_FACTOR, class) {
+        return Err(overloaded());
+    }
+    Ok(buffer.finish().into_bytes())
+}
+
+/// Moves received bytes into the buffer.
+fn store(buffer: &mut Buffer, mut bytes: Bytes, limits: &Limits) -> Result<()> {
+    if buffer.len() + bytes.len() > limits.max_body_bytes {
+        return Err(too_large(limits));
     }
+    while !bytes.is_empty() {
+        if !buffer.try_reserve(class_of(buffer)) {
+            return Err(overloaded());
+        }
+        buffer.push(&mut bytes);
+    }
+    Ok(())
+}
+
+/// Returns the part of the budget from which a body takes its memory.
+fn class_of(buffer: &Buffer) -> Class {
+    match buffer.cost() + buffer.needed() <= SMALL_BODY_BYTES {
+        true => Class::Small,
+        false => Class::Large,
+    }
+}
+
+/// Returns whether so little memory is left that bodies without progress have to give way.
+fn is_scarce(memory: &Budget) -> bool {
+    memory.used() > memory.capacity(Class::Large) / 2
+}
+
+fn overloaded() -> Error {
+    let message = "the node has no memory for the body now; the request has not run";
+    let error = Error::new(StatusCode::SERVICE_UNAVAILABLE, "overloaded", message);
+    error.with_retry_after(OVERLOAD_RETRY_AFTER)
 }
 
 /// Reads the rest of the body of a refused request and drops it, within the listener's limits. If
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -39,6 +39,9 @@
 /// Maximum number of bytes that are buffered per stream for a caller that reads slowly.
 const MAX_SEND_BUFFER_BYTES: usize = 64 << 10;
 
+/// Bytes that the caller of an HTTP/2 connection may send before they are read.
+const WINDOW_BYTES: u32 = 64 << 10;
+
 /// A listener that is not running yet.
 pub struct Server {
     /// Listening socket.
@@ -197,6 +200,8 @@
             .max_header_list_size(u32::try_from(self.limits.max_head_bytes).unwrap_or(u32::MAX))
             .max_pending_accept_reset_streams(MAX_PENDING_RESETS)
             .max_send_buf_size(MAX_SEND_BUFFER_BYTES)
+            .initial_stream_window_size(WINDOW_BYTES)
+            .initial_connection_window_size(WINDOW_BYTES)
             .keep_alive_interval(self.limits.idle_timeout / 4)
             .keep_alive_timeout(self.limits.head_timeout);
         builder
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -8,6 +8,8 @@
 use bundle::signer::Signer;
 use entry::limits::{Limits, RequestLimits};
 use entry::tls::Files;
+use memory::budget::Budget;
+use memory::shares::{self, DEFAULT_MEMORY_BYTES, Shares};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -61,12 +63,13 @@
     unknown_sections(text, &SECTIONS, &mut findings);
     stray_keys(text, &mut findings);
     let node = node(text, &mut findings);
-    let callers = listener(text, CALLERS, &mut findings);
+    let (request_limits, shares) = limits(text, &mut findings);
+    let memory = shares.budget();
+    let callers = listener(text, CALLERS, &memory, &mut findings);
     let peers = peers(text, &mut findings);
-    let admin = listener(text, ADMIN, &mut findings);
+    let admin = listener(text, ADMIN, &memory, &mut findings);
     let platform = platform(text, &mut findings);
     let trust = trust(text, &mut findings);
-    let request_limits = request_limits(text, &mut findings);
     let roll = roll(text, &mut findings);
     let logging = logging(text, &mut findings);
     check_distinct_addresses(text, [&callers, &admin], &peers, &mut findings);
@@ -75,12 +78,16 @@
         return Err(findings);
     }
     let parts = (node, callers, peers, admin, platform);
-    let (Some(node), Some(callers), Some(peers), Some(admin), Some(platform)) = parts else {
+    let (Some(node), Some(mut callers), Some(peers), Some(admin), Some(platform)) = parts else {
         return Err(vec![Finding::of_file(
             &text.file,
             "settings are incomplete",
         )]);
     };
+    callers.limits.max_connections = callers
+        .limits
+        .max_connections
+        .min((shares.connections / node.workers).max(1));
     Ok(Settings {
         node,
         callers,
@@ -121,7 +128,12 @@
     })
 }
 
-fn listener(text: &Text, name: &'static str, findings: &mut Vec<Finding>) -> Option<Listener> {
+fn listener(
+    text: &Text,
+    name: &'static str,
+    memory: &Budget,
+    findings: &mut Vec<Finding>,
+) -> Option<Listener> {
     let mut section = Section::new(text, name);
     let defaults = Limits::default();
     let listen = section.required("listen", addr, findings);
@@ -149,7 +161,12 @@
         head_timeout: section.value_or("head_time", defaults.head_timeout, nonzero_time, findings),
         body_timeout: section.value_or("body_time", defaults.body_timeout, nonzero_time, findings),
         idle_timeout: section.value_or("idle_time", defaults.idle_timeout, nonzero_time, findings),
+        memory: memory.clone(),
     };
+    if limits.max_body_bytes > shares::max_body_bytes(memory) {
+        let message = "more than the memory of the machine allows, which [limits] memory gives";
+        findings.push(section.finding_for("body_bytes", message));
+    }
     check_advertised(&section, listen, advertise, findings);
     let tls = tls(&mut section, findings);
     section.finish(findings);
@@ -272,7 +289,7 @@
     signers
 }
 
-fn request_limits(text: &Text, findings: &mut Vec<Finding>) -> RequestLimits {
+fn limits(text: &Text, findings: &mut Vec<Finding>) -> (RequestLimits, Shares) {
     let mut section = Section::new(text, LIMITS);
     let defaults = RequestLimits::default();
     let limits = RequestLimits {
@@ -298,8 +315,9 @@
     if limits.default_deadline > limits.max_deadline {
         findings.push(section.finding_for("usual_deadline", "longer than longest_deadline"));
     }
+    let memory = section.value_or(MEMORY, DEFAULT_MEMORY_BYTES, value::memory, findings);
     section.finish(findings);
-    limits
+    (limits, Shares::of(memory))
 }
 
 fn roll(text: &Text, findings: &mut Vec<Finding>) -> lease::roll::Settings {
