--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -4,7 +4,7 @@
 //! reset, stalled or cut in one direction; nodes are paused, killed, terminated and restarted; the
 //! store is down or discards its history; catalog versions replace each other. In runs with faults
 //! of endpoints, these also turn requests away, leave, pause and break responses. Callers send
-//! requests throughout. The following guarantees are checked from what callers and endpoints
+//! requests throughout, and crowds of callers that don't behave come and go. The following guarantees are checked from what callers and endpoints
 //! observed:
 //!
 //! - an at-most-once request runs at most once;
@@ -15,7 +15,8 @@
 //! - after all faults have ended, all nodes serve again;
 //! - an endpoint that asked a node for rest gets at most two more requests from it in that time;
 //! - a node that passed on that an endpoint leaves sends no new requests there;
-//! - a response of sound endpoints is not cut off beside a catalog change.
+//! - a response of sound endpoints is not cut off beside a catalog change;
+//! - no node exceeds the memory of its settings.
 //!
 //! `SOAK_SEEDS=100..150 cargo test --release -p wigeonshelf --test soak -- --nocapture` runs other
 //! seeds.
@@ -24,6 +25,10 @@
 mod caller;
 #[path = "soak/cluster.rs"]
 mod cluster;
+#[path = "soak/crowd.rs"]
+mod crowd;
+#[path = "crowd/caller.rs"]
+mod crowd_caller;
 #[path = "soak/guarantee.rs"]
 mod guarantee;
 #[path = "soak/node.rs"]
@@ -84,6 +89,7 @@
             end.clone(),
         )));
     }
+    tasks.push(tokio::spawn(crowd::run(seed, addrs.clone(), end.clone())));
     for (addr, run) in addrs.iter().zip(cluster.runs.clone()) {
         tasks.push(tokio::spawn(caller::watch_versions(
             *addr,
@@ -100,6 +106,8 @@
     for _ in 0..steps {
         tokio::time::sleep(STEP_INTERVAL).await;
         cluster.step().await;
+        let excess = cluster.memory_excess();
+        observed.lock().unwrap().violations.extend(excess);
     }
     cluster.end_faults();
     *end.lock().unwrap() = true;
--- a/crates/node/tests/soak/cluster.rs
+++ b/crates/node/tests/soak/cluster.rs
@@ -1,6 +1,6 @@
 //! Nodes, endpoints, store and faults of a soak run.
 
-use crate::node::Node;
+use crate::node::{MEMORY_MB, Node};
 use crate::proxy::{Mode, Proxy};
 use crate::standin::address;
 use crate::standin::engine::Engine;
@@ -235,6 +235,15 @@
         }
     }
 
+    /// Returns the nodes that have exceeded the memory of their settings.
+    pub fn memory_excess(&self) -> Vec<String> {
+        let peaks = self.nodes.iter().filter_map(|n| Some((n, n.peak_kb()?)));
+        let excess = peaks.filter(|(_, peak)| *peak > MEMORY_MB * 1024);
+        excess
+            .map(|(n, peak)| format!("{} used {peak} KB", n.callers))
+            .collect()
+    }
+
     /// Ends all faults.
     pub fn end_faults(&mut self) {
         self.store.set_down(false);
--- a/crates/node/tests/soak/node.rs
+++ b/crates/node/tests/soak/node.rs
@@ -6,6 +6,9 @@
 use std::ops::RangeInclusive;
 use std::time::Instant;
 
+/// Memory that the settings of a node give it, in binary megabytes.
+pub const MEMORY_MB: u64 = 64;
+
 /// What happened to a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Event {
@@ -31,7 +34,8 @@
         let content = format!(
             "[node]\nname = n{number}\nzone = {zone}\nregion = south\ngrace = 2s\n\
              [callers]\nlisten = {}\n[peers]\nlisten = {}\nkey = {}\nseeds = {}\n\
-             [store]\naddress = {store}\nheartbeat = 200ms\n",
+             [store]\naddress = {store}\nheartbeat = 200ms\n\
+             [limits]\nmemory = {MEMORY_MB}MB\n",
             own[0],
             own[1],
             "02".repeat(32),
@@ -70,6 +74,11 @@
         }
     }
 
+    /// Returns its largest memory so far in binary kilobytes; `None` if it does not run.
+    pub fn peak_kb(&self) -> Option<u64> {
+        self.process.peak_kb()
+    }
+
     /// Returns whether it received SIGTERM between `from` and `to`.
     pub fn was_terminated(&self, from: Instant, to: Instant) -> bool {
         self.events_between(from, to)
