gate: a body that is kept for a resumption is dropped for others only

Callers would have seen: a stream with a body above 64 KiB that is cut off when its endpoint fails more than idle_timeout_ms after its begin, in calm.

Cause: since the bodies of requests share a budget, one that is kept for a stream is among those who may have to give way, and the check of their progress took it for a body that does not arrive.

Change: it has no time of its own; it is dropped where memory is needed.

The new test failed on the commit before: events 1 to 8 of 12.

--- a/crates/gate/src/admission/holder.rs
+++ b/crates/gate/src/admission/holder.rs
@@ -188,8 +188,11 @@
         is_slow.then_some((1 + rate, self.begin))
     }
 
-    /// Returns why its time is over.
+    /// Returns why its time is over. A body that is kept has no time of its own.
     fn overdue(&self, now: Instant) -> Option<Reason> {
+        if let Way::Kept(_) = self.way {
+            return None;
+        }
         if self.deadline.is_some_and(|d| now >= d) {
             return Some(Reason::ExpiredNotRun);
         }
--- a/crates/gate/tests/arrival.rs
+++ b/crates/gate/tests/arrival.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use support::caller::{request, request_as, send};
+use support::caller::{ids, request, request_as, send};
 use support::server::{Behavior, Server};
 use support::{ALLOWANCE, Node, endpoint_for, node, run, start_on, view, with_limits};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -233,6 +233,35 @@
     });
 }
 
+// Guards against a body that is dropped in calm, so that a long stream can't be resumed.
+#[test]
+fn a_stream_with_a_large_body_is_resumed_after_the_idle_time() {
+    run(async {
+        let first = Server::start(vec![Behavior::PacedEvents(8, Duration::from_millis(200))]).await;
+        let second = Server::start(vec![Behavior::Events(9, 12)]).await;
+        let node = node(Vec::new()).await;
+        let limits = Limits {
+            idle_time: Duration::from_millis(300),
+            ..Limits::default()
+        };
+        let endpoints = |servers: &[&Server]| {
+            let endpoints = servers.iter().map(|s| endpoint_for("/chat/x")(s));
+            let view = with_limits(view(endpoints.collect()), limits);
+            node.shared_view.store(Some(Arc::new(view)));
+        };
+        endpoints(&[&first]);
+        let mut whole = request_as("w1", "/chat/x");
+        *whole.body_mut() = vec![b'x'; BODY_BYTES].into();
+        let addr = node.addr;
+        let stream = tokio::task::spawn_local(async move { send(addr, whole).await });
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        endpoints(&[&first, &second]);
+        let response = stream.await.unwrap();
+        assert_eq!(ids(&response.body), (1..=12).collect::<Vec<u64>>());
+        assert!(response.complete);
+    });
+}
+
 // Guards against a manifest that allows bodies for which the node has no memory: one alone would end it.
 #[test]
 fn a_body_for_which_no_memory_suffices_gets_413() {
