memory, gate, entry: one loop receives bodies, and one place states the buffer of a connection

gate::admission and entry::request_body each had the loop that moves bytes into a buffer and the rule which part of the budget they are taken from. They are Buffer::store and Buffer::class now.

The most that the HTTP library buffers stood in the listener and, without its minimum, in what a connection counts whose caller does not read; both call connection::max_buffer_bytes. For heads of less than 8 KiB that count is now what the library buffers; otherwise nothing changes.

The length of a kept body is asked of it, in place of a copy's size hint; State::record_written, which only passed its argument on, is gone.

--- a/crates/entry/src/request_body.rs
+++ b/crates/entry/src/request_body.rs
@@ -7,7 +7,6 @@
 use http_body_util::{BodyExt, Limited};
 use memory::budget::{Budget, Class, Part};
 use memory::buffer::Buffer;
-use memory::shares::SMALL_BODY_BYTES;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 use viz::{Body, Request};
@@ -37,12 +36,18 @@
     let mut buffer = Buffer::new(limits.memory.lease(Part::Bodies), expected);
     let deadline = Instant::now() + limits.body_timeout;
     loop {
-        let patience = deadline.min(Instant::now() + STALL_TIME);
-        match timeout_at(patience, body.frame()).await {
+        let check_at = deadline.min(Instant::now() + STALL_TIME);
+        match timeout_at(check_at, body.frame()).await {
             Ok(None) => break,
             Ok(Some(Ok(frame))) => {
                 // Trailers are not used.
-                store(&mut buffer, frame.into_data().unwrap_or_default(), limits)?;
+                let mut bytes = frame.into_data().unwrap_or_default();
+                if buffer.len() + bytes.len() > limits.max_body_bytes {
+                    return Err(too_large(limits));
+                }
+                if !buffer.store(&mut bytes) {
+                    return Err(overloaded());
+                }
             }
             Ok(Some(Err(_))) => {
                 return Err(Error::new(
@@ -62,35 +67,13 @@
             Err(_) => {}
         }
     }
-    let (len, class) = (buffer.len(), class_of(&buffer));
+    let (len, class) = (buffer.len(), buffer.class());
     if !buffer.try_lease(len * PARSED_FACTOR, class) {
         return Err(overloaded());
     }
     Ok(buffer.finish().into_bytes())
 }
 
-/// Moves received bytes into the buffer.
-fn store(buffer: &mut Buffer, mut bytes: Bytes, limits: &Limits) -> Result<()> {
-    if buffer.len() + bytes.len() > limits.max_body_bytes {
-        return Err(too_large(limits));
-    }
-    while !bytes.is_empty() {
-        if !buffer.try_reserve(class_of(buffer)) {
-            return Err(overloaded());
-        }
-        buffer.push(&mut bytes);
-    }
-    Ok(())
-}
-
-/// Returns the part of the budget from which a body takes its memory.
-fn class_of(buffer: &Buffer) -> Class {
-    match buffer.cost() + buffer.needed() <= SMALL_BODY_BYTES {
-        true => Class::Small,
-        false => Class::Large,
-    }
-}
-
 /// Returns whether so little memory is left that bodies without progress have to give way.
 fn is_scarce(memory: &Budget) -> bool {
     memory.used() > memory.capacity(Class::Large) / 2
--- a/crates/gate/src/admission/holder.rs
+++ b/crates/gate/src/admission/holder.rs
@@ -56,6 +56,11 @@
         self.content.borrow().clone()
     }
 
+    /// Returns the length of the body in bytes; 0 once it was dropped.
+    pub(crate) fn len(&self) -> usize {
+        self.content.borrow().as_ref().map_or(0, Content::len)
+    }
+
     /// Drops the body. The request can't be sent again.
     pub(crate) fn release(&self) {
         self.content.take();
--- a/crates/gate/src/admission/reception.rs
+++ b/crates/gate/src/admission/reception.rs
@@ -61,28 +61,9 @@
         }
     }
 
-    /// Returns the part of the budget from which the next bytes are taken.
-    fn class(&self) -> Class {
-        match self.buffer.cost() + self.buffer.needed() <= SMALL_BODY_BYTES {
-            true => Class::Small,
-            false => Class::Large,
-        }
-    }
-
-    /// Moves received bytes into the buffer. Returns false if the budget has no room for them.
-    fn store(&mut self) -> bool {
-        while !self.rest.is_empty() {
-            if !self.buffer.try_reserve(self.class()) {
-                return false;
-            }
-            self.buffer.push(&mut self.rest);
-        }
-        true
-    }
-
     fn poll_step(&mut self, cx: &mut Context<'_>) -> Poll<Step> {
         loop {
-            if !self.store() {
+            if !self.buffer.store(&mut self.rest) {
                 return Poll::Ready(Step::Full);
             }
             let frame = match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
@@ -155,7 +136,7 @@
                 Step::Broken => return Err(Reason::Malformed),
                 Step::TooLong => return Err(Reason::BodyTooLarge),
                 Step::Full => {
-                    let (needed, class) = (reception.buffer.needed(), reception.class());
+                    let (needed, class) = (reception.buffer.needed(), reception.buffer.class());
                     let has_room =
                         tries < MAX_ROOM_TRIES && self.make_room(needed, class, Some(holder)).await;
                     if !has_room {
@@ -212,7 +193,7 @@
             let register = || self.register(Holder::new(Way::Body, None, time_left));
             let holder = waiting.get_or_insert_with(register).holder().clone();
             holder.set_bytes(reception.buffer.cost());
-            let (needed, class) = (reception.buffer.needed(), reception.class());
+            let (needed, class) = (reception.buffer.needed(), reception.buffer.class());
             tokio::select! {
                 _ = holder.ended() => return None,
                 room = self.wait_for_room(needed, class, deadline) => room?,
--- a/crates/gate/src/body.rs
+++ b/crates/gate/src/body.rs
@@ -27,7 +27,7 @@
     Either::Right(StreamBody::new(Box::pin(stream)))
 }
 
-/// A body that tells its connection when it was passed on completely, or given up.
+/// A body that notifies its connection when it was passed on completely, or dropped.
 pub(crate) struct Tracked<B> {
     body: B,
     _response: connection::Response,
--- a/crates/gate/src/connection.rs
+++ b/crates/gate/src/connection.rs
@@ -30,6 +30,17 @@
 /// Time for a head, as a multiple of the operator's limit, that a connection may be cut off in its middle.
 const HEAD_TIME_FACTOR: u32 = 2;
 
+/// Minimum buffer for a head that the HTTP library accepts, in bytes.
+const MIN_HEAD_BUFFER_BYTES: usize = 8192;
+
+/// Returns the most that the HTTP library buffers of what it reads, and of what it writes, in bytes.
+pub(crate) fn max_buffer_bytes(limits: &Limits) -> usize {
+    limits
+        .head_bytes
+        .max(MIN_HEAD_BUFFER_BYTES)
+        .saturating_mul(2)
+}
+
 /// What a connection is doing, in the order in which connections give way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Phase {
@@ -142,8 +153,7 @@
 
     /// Records that the socket takes no more bytes for now.
     fn record_blocked(&self) {
-        // The library buffers as much as it accepts of a head.
-        let buffered = BLOCKED_BYTES.saturating_add(2 * self.limits.head_bytes);
+        let buffered = BLOCKED_BYTES.saturating_add(max_buffer_bytes(&self.limits));
         let bytes = buffered.saturating_add(self.uncounted_bytes.get());
         self.with_held(bytes, |held, added| {
             // The memory is in use already.
@@ -155,11 +165,6 @@
         });
     }
 
-    /// Records sent bytes.
-    fn record_written(&self, bytes: usize) {
-        self.record_progress(bytes);
-    }
-
     /// Records that the socket has taken all bytes.
     fn record_flushed(&self) {
         if self.phase.get() != Phase::Head {
@@ -167,6 +172,7 @@
         }
     }
 
+    /// Records bytes of a long head, or of a response that was not read, that have passed.
     fn record_progress(&self, bytes: usize) {
         if let Some(held) = &*self.held.borrow() {
             held.registration.holder().record(bytes);
--- a/crates/gate/src/connection/socket.rs
+++ b/crates/gate/src/connection/socket.rs
@@ -30,7 +30,7 @@
     fn written(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         match &written {
             Poll::Pending => self.state.record_blocked(),
-            Poll::Ready(Ok(bytes)) => self.state.record_written(*bytes),
+            Poll::Ready(Ok(bytes)) => self.state.record_progress(*bytes),
             Poll::Ready(Err(_)) => {}
         }
         written
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -143,7 +143,7 @@
 
     /// Returns whether the body takes more memory than that of a usual request.
     pub(crate) fn is_large(&self) -> bool {
-        self.content().len() > SMALL_BODY_BYTES
+        self.body.len() > SMALL_BODY_BYTES
     }
 
     /// Drops a large body, since the request is not sent again.
--- a/crates/gate/src/listener.rs
+++ b/crates/gate/src/listener.rs
@@ -40,8 +40,6 @@
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time in which the first request on a connection must arrive while the node drains.
 const FIRST_REQUEST_TIME: Duration = Duration::from_secs(1);
-/// Minimum read buffer for request heads that the HTTP library accepts.
-const MIN_HEAD_BUFFER_BYTES: usize = 8192;
 
 /// The role of a listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -144,12 +142,7 @@
         // The library has a single timeout for reading a head, which also runs while a keep-alive
         // connection is idle. That of a head is checked with the connections.
         .header_read_timeout(limits.idle_time.max(limits.head_time))
-        .max_buf_size(
-            limits
-                .head_bytes
-                .max(MIN_HEAD_BUFFER_BYTES)
-                .saturating_mul(2),
-        );
+        .max_buf_size(connection::max_buffer_bytes(limits));
     let used = CancellationToken::new();
     let first_request = used.clone();
     let connection = state.clone();
--- a/crates/gate/src/splice.rs
+++ b/crates/gate/src/splice.rs
@@ -17,7 +17,7 @@
 use bytes::Bytes;
 use futures::Stream;
 use http::{HeaderMap, StatusCode};
-use hyper::body::{Body, Frame};
+use hyper::body::Frame;
 use source::Batch;
 use std::fmt;
 
@@ -94,7 +94,7 @@
     job.features();
     let limits = &job.catalog.limits;
     let holder = Holder::new(Way::Kept(job.body.clone()), None, limits.idle_time);
-    holder.set_bytes(job.sent_body().size_hint().lower() as usize);
+    holder.set_bytes(job.body.len());
     Some(forwarder.worker.admission.register(holder))
 }
 
--- a/crates/memory/src/buffer.rs
+++ b/crates/memory/src/buffer.rs
@@ -2,6 +2,7 @@
 
 use crate::budget::{Class, Lease};
 use crate::content::Content;
+use crate::shares::SMALL_BODY_BYTES;
 use bytes::{Bytes, BytesMut};
 
 /// Size of a segment in bytes. Segments of one size can be reused for each other when they were freed.
@@ -93,6 +94,27 @@
         self.lease.try_grow(bytes, class)
     }
 
+    /// Returns the part of the budget from which the next bytes are taken: that of a body of the usual size,
+    /// until it exceeds that size.
+    pub fn class(&self) -> Class {
+        match self.cost() + self.needed() <= SMALL_BODY_BYTES {
+            true => Class::Small,
+            false => Class::Large,
+        }
+    }
+
+    /// Moves all bytes of `chunk` into the buffer. Returns false if the budget has no room for what is left
+    /// of it.
+    pub fn store(&mut self, chunk: &mut Bytes) -> bool {
+        while !chunk.is_empty() {
+            if !self.try_reserve(self.class()) {
+                return false;
+            }
+            self.push(chunk);
+        }
+        true
+    }
+
     /// Copies as many bytes from the front of `chunk` as fit into what is allocated.
     pub fn push(&mut self, chunk: &mut Bytes) {
         let room = self.tail.capacity() - self.tail.len();
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -36,7 +36,7 @@
         .long("memory")
         .value_name("SIZE")
         .value_parser(memory)
-        .help("Memory of the machine, such as 260MB; goes before [limits] memory of the file");
+        .help("Memory of the machine, such as 260MB; overrides [limits] memory of the file");
     let check = Command::new(CHECK_COMMAND)
         .about("Checks the settings and prints every finding, without starting a node")
         .arg(config.clone().required(true))
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -142,7 +142,7 @@
 pub struct Source {
     /// The settings file.
     pub file: PathBuf,
-    /// Memory of the machine, if the command line gives it; goes before that of the file.
+    /// Memory of the machine, if the command line gives it; overrides that of the file.
     pub memory: Option<String>,
 }
 
