standin, node: endpoints of crowd tests stand with the other stand-ins

crowd/site.rs held a manifest, a row and responses in the platform's words, and the row and the seal stood in standin::bulk as well. Crowds share one way to start their members, tests one way to gather a crowd of a kind, and the readers of a process's status are one. Crowds, bounds and assertions are as they were.

--- a/crates/node/tests/crowd.rs
+++ b/crates/node/tests/crowd.rs
@@ -14,7 +14,8 @@
 mod standin;
 
 use caller::{Crowd, Reading, get, in_chunks, many_parts, short_head, with_length};
-use site::{BODY_BYTES, HEAD_BYTES, MEMORY_MB, Site, manifest};
+use site::{BODY_BYTES, HEAD_BYTES, MEMORY_MB, Site};
+use standin::plain;
 use std::time::Duration;
 use tokio::sync::{Mutex, MutexGuard};
 
@@ -52,24 +53,24 @@
     site.node.check(&format!("{when}, left"));
 }
 
-fn large_with_length(site: &Site) -> Vec<Crowd> {
-    let request = |id| with_length("/once/x", id, BODY_BYTES, BODY_BYTES - 1);
+/// Gathers one crowd, whose members read their responses.
+fn one_crowd(site: &Site, count: usize, request: impl Fn(usize) -> Vec<u8>) -> Vec<Crowd> {
     vec![Crowd::gather(
         site.node.callers,
-        LARGE,
+        count,
         Reading::All,
         request,
     )]
 }
 
+fn large_with_length(site: &Site) -> Vec<Crowd> {
+    let request = |id| with_length("/once/x", id, BODY_BYTES, BODY_BYTES - 1);
+    one_crowd(site, LARGE, request)
+}
+
 fn large_in_chunks(site: &Site) -> Vec<Crowd> {
     let request = |id| in_chunks("/chat/x", id, BODY_BYTES - 1, 64 << 10, false);
-    vec![Crowd::gather(
-        site.node.callers,
-        LARGE,
-        Reading::All,
-        request,
-    )]
+    one_crowd(site, LARGE, request)
 }
 
 fn tiny_chunks(site: &Site) -> Vec<Crowd> {
@@ -84,12 +85,7 @@
 
 fn small_in_tiny_chunks(site: &Site) -> Vec<Crowd> {
     let request = |id| in_chunks("/once/x", id, 16 << 10, 1, false);
-    vec![Crowd::gather(
-        site.node.callers,
-        MANY,
-        Reading::All,
-        request,
-    )]
+    one_crowd(site, MANY, request)
 }
 
 fn large_whole(site: &Site) -> Vec<Crowd> {
@@ -116,32 +112,17 @@
 
 fn short_heads(site: &Site) -> Vec<Crowd> {
     let request = |id| short_head("/safe/x", id, HEAD_BYTES - 1000);
-    vec![Crowd::gather(
-        site.node.callers,
-        MANY,
-        Reading::All,
-        request,
-    )]
+    one_crowd(site, MANY, request)
 }
 
 fn heads_of_many_parts(site: &Site) -> Vec<Crowd> {
     let request = |id| many_parts("/safe/x", id, HEAD_BYTES - 1000);
-    vec![Crowd::gather(
-        site.node.callers,
-        MANY,
-        Reading::All,
-        request,
-    )]
+    one_crowd(site, MANY, request)
 }
 
 fn silent_connections(site: &Site) -> Vec<Crowd> {
     let request = |_| Vec::new();
-    vec![Crowd::gather(
-        site.node.callers,
-        TOO_MANY,
-        Reading::All,
-        request,
-    )]
+    one_crowd(site, TOO_MANY, request)
 }
 
 fn unread_responses(site: &Site) -> Vec<Crowd> {
@@ -159,12 +140,7 @@
         requests.extend(with_length("/once/x", id, BODY_BYTES, BODY_BYTES - 1));
         requests
     };
-    vec![Crowd::gather(
-        site.node.callers,
-        LARGE,
-        Reading::All,
-        request,
-    )]
+    one_crowd(site, LARGE, request)
 }
 
 /// Crowds at the addresses that are not for requests.
@@ -410,7 +386,8 @@
     for (version, body_bytes) in [(2, BODY_BYTES / 4), (3, 256 << 20), (4, BODY_BYTES)] {
         let mut crowds = large_with_length(&site);
         crowds.extend(large_in_chunks(&site));
-        site.store.put_manifest(&manifest(version, body_bytes));
+        site.store
+            .put_manifest(&plain::manifest(version, HEAD_BYTES, body_bytes));
         crowds.extend(large_whole(&site));
         site.store.set_down(version == 3);
         crowds.extend(over_the_limit(&site));
--- a/crates/node/tests/crowd/caller.rs
+++ b/crates/node/tests/crowd/caller.rs
@@ -40,21 +40,17 @@
         reading: Reading,
         request: impl Fn(usize) -> Vec<u8>,
     ) -> Self {
-        let mut crowd = Self {
-            members: JoinSet::new(),
-            settled: Arc::default(),
-        };
-        for number in 0..count {
-            let (bytes, settled) = (request(number), crowd.settled.clone());
-            crowd.members.spawn(async move {
+        Self::start(
+            count,
+            request,
+            move |bytes: Vec<u8>, settled: Arc<AtomicUsize>| async move {
                 let conn = send(addr, &bytes, reading).await;
                 drop(bytes);
                 settled.fetch_add(1, Ordering::Relaxed);
                 hold(conn, reading).await;
                 std::future::pending::<()>().await;
-            });
-        }
-        crowd
+            },
+        )
     }
 
     /// Like [`Self::gather`]; members whose connection ends connect again.
@@ -63,22 +59,32 @@
         count: usize,
         request: impl Fn(usize) -> Vec<u8>,
     ) -> Self {
-        let mut crowd = Self {
-            members: JoinSet::new(),
-            settled: Arc::default(),
-        };
-        for number in 0..count {
-            let (bytes, settled) = (request(number), crowd.settled.clone());
-            crowd.members.spawn(async move {
+        Self::start(
+            count,
+            request,
+            move |bytes: Vec<u8>, settled: Arc<AtomicUsize>| async move {
                 loop {
                     let conn = send(addr, &bytes, Reading::All).await;
                     settled.fetch_add(1, Ordering::Relaxed);
                     hold(conn, Reading::All).await;
                     tokio::time::sleep(RETURN_DELAY).await;
                 }
-            });
+            },
+        )
+    }
+
+    /// Starts `count` members, each with its request and the number of those that have sent theirs.
+    fn start<F: Future<Output = ()> + Send + 'static>(
+        count: usize,
+        request: impl Fn(usize) -> Vec<u8>,
+        member: impl Fn(Vec<u8>, Arc<AtomicUsize>) -> F,
+    ) -> Self {
+        let settled: Arc<AtomicUsize> = Arc::default();
+        let mut members = JoinSet::new();
+        for number in 0..count {
+            members.spawn(member(request(number), settled.clone()));
         }
-        crowd
+        Self { members, settled }
     }
 
     /// Waits until all members have sent their request, or have failed to.
--- a/crates/node/tests/crowd/site.rs
+++ b/crates/node/tests/crowd/site.rs
@@ -3,10 +3,8 @@
 use crate::caller;
 use crate::process::{self, Process};
 use crate::standin::address;
-use crate::standin::http::{Body, HttpRequest, answer, answer_in_parts, serve};
+use crate::standin::plain;
 use crate::standin::store::Store;
-use http::header::HeaderValue;
-use hyper::body::Bytes;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -22,15 +20,6 @@
 pub const HEAD_BYTES: usize = 64 << 10;
 /// Number of endpoints, so many that a node that reaches none is isolated.
 const ENDPOINTS: usize = 4;
-/// Length of the responses under `/safe/long` and `/once/long`.
-const LONG_BYTES: usize = 3 << 20;
-/// Number and size of the events under `/chat/flood`, which are sent at once.
-const FLOOD_EVENTS: usize = 64;
-const FLOOD_EVENT_BYTES: usize = 32 << 10;
-/// Number of events under `/chat/slow`, and the time between two.
-const SLOW_EVENTS: usize = 20;
-const SLOW_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Number of tries of an ordinary request, and the pause between two.
 const TRIES: usize = 100;
 const TRY_INTERVAL: Duration = Duration::from_millis(100);
@@ -41,30 +30,9 @@
 /// Time for one try.
 const TRY_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Returns a manifest of version `version` whose requests may have bodies of `body_bytes`.
-pub fn manifest(version: u64, body_bytes: usize) -> String {
-    let route = |name: &str, kind: &str, more: &str| {
-        format!(
-            r#"{{"name":"{name}","host":"h","path_prefix":"/{name}/","kind":"{kind}","timeout_ms":20000,
-            "target_latency_ms":500,"priority":1,"service":"app","max_attempts":2,"public":false{more}}}"#
-        )
-    };
-    let routes = [
-        route("safe", "safe", ""),
-        route("once", "unsafe", ""),
-        route("chat", "streaming", r#","gap_aim_ms":250"#),
-        route(
-            "resume",
-            "streaming",
-            r#","resumable":true,"gap_aim_ms":250"#,
-        ),
-    ];
-    format!(
-        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"app","max_conns":2000}}],
-        "limits":{{"max_header_bytes":{HEAD_BYTES},"max_body_bytes":{body_bytes},"header_timeout_ms":3000,"idle_timeout_ms":15000}},
-        "tenants":[{{"name":"north","api_keys":["k1"]}}]}}"#,
-        routes.join(",")
-    )
+/// Returns a manifest of version `version` with the limits of these tests.
+fn manifest(version: u64) -> String {
+    plain::manifest(version, HEAD_BYTES, BODY_BYTES)
 }
 
 /// A node, its addresses and its limits.
@@ -190,9 +158,9 @@
     /// Starts a node, and waits until it serves.
     pub async fn start(name: &str) -> Self {
         let store = Store::start().await;
-        store.put_manifest(&manifest(1, BODY_BYTES));
+        store.put_manifest(&manifest(1));
         for number in 0..ENDPOINTS {
-            register(&store, &format!("p{number}"), serve(respond).await);
+            plain::start(&format!("p{number}"), &store).await;
         }
         let mut node = Node::start(name, "a", store.addr, &[]);
         node.check_ordinary("start").await;
@@ -203,9 +171,14 @@
     /// another one.
     pub async fn start_isolated(&self, name: &str) -> Node {
         let store = Store::start().await;
-        store.put_manifest(&manifest(1, BODY_BYTES));
+        store.put_manifest(&manifest(1));
         for number in 0..ENDPOINTS {
-            register(&store, &format!("p{number}"), address::unused());
+            plain::register(
+                &store,
+                &format!("p{number}"),
+                address::unused(),
+                plain::SLOTS,
+            );
         }
         let mut node = Node::start(name, "b", store.addr, &[self.node.peers]);
         node.check_ordinary("start of the second node").await;
@@ -213,44 +186,6 @@
     }
 }
 
-fn register(store: &Store, id: &str, addr: SocketAddr) {
-    let row = format!(
-        r#"{{"service":"app","address":"{addr}","zone":"a","version":"v1","slots":2000,"state":"ready","sequence":1,"born":7}}"#
-    );
-    store.put_registration(id, &row);
-}
-
-/// Answers a request of a node.
-async fn respond(request: HttpRequest) -> http::Response<Body> {
-    let path = request.uri().path();
-    let mut response = match path.rsplit('/').next() {
-        Some("long") => answer(200, vec![b'a'; LONG_BYTES]),
-        Some("flood") => {
-            let parts = (1..=FLOOD_EVENTS)
-                .map(|n| (Duration::ZERO, Ok(Bytes::from(event(n, FLOOD_EVENT_BYTES)))));
-            answer_in_parts(200, parts.collect())
-        }
-        Some("slow") => {
-            let parts = (1..=SLOW_EVENTS).map(|n| (SLOW_INTERVAL, Ok(Bytes::from(event(n, 200)))));
-            answer_in_parts(200, parts.collect())
-        }
-        _ if path.starts_with("/chat/") || path.starts_with("/resume/") => {
-            answer(200, event(1, 200))
-        }
-        _ => answer(200, "ordinary"),
-    };
-    let headers = response.headers_mut();
-    headers.insert("x-response-seal", HeaderValue::from_static("seal"));
-    if let Some(id) = request.headers().get("x-request-id") {
-        headers.insert("x-request-id", id.clone());
-    }
-    response
-}
-
-fn event(id: usize, length: usize) -> String {
-    format!("id: {id}\ndata: {}\n\n", "e".repeat(length))
-}
-
 /// Sends a request on a new connection and returns the status of the response; `None` if there is none.
 pub async fn status(addr: SocketAddr, request: &[u8]) -> Option<u16> {
     let exchange = async {
--- a/crates/node/tests/support/process.rs
+++ b/crates/node/tests/support/process.rs
@@ -57,24 +57,24 @@
 
     /// Returns what the process uses and has used. The process must be running.
     pub fn usage(&self) -> Usage {
-        let folder = format!("/proc/{}", self.child.id());
-        let status = std::fs::read_to_string(format!("{folder}/status")).unwrap();
-        let value = |name: &str| {
-            let line = status.lines().find_map(|line| line.strip_prefix(name));
-            let number = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
-            number.unwrap_or_else(|| panic!("no {name} in {status}"))
-        };
+        let value = |name| self.status_kb(name).unwrap_or_else(|| panic!("no {name}"));
+        let folder = format!("/proc/{}/fd", self.child.id());
         Usage {
             peak_kb: value("VmHWM:"),
             resident_kb: value("VmRSS:"),
-            descriptors: std::fs::read_dir(format!("{folder}/fd")).unwrap().count() as u64,
+            descriptors: std::fs::read_dir(folder).unwrap().count() as u64,
         }
     }
 
     /// Returns the largest resident memory so far, in binary kilobytes; `None` once the process has ended.
     pub fn peak_kb(&self) -> Option<u64> {
+        self.status_kb("VmHWM:")
+    }
+
+    /// Returns an amount of the kernel's status of the process, in binary kilobytes.
+    fn status_kb(&self, name: &str) -> Option<u64> {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
-        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"))?;
+        let line = status.lines().find_map(|l| l.strip_prefix(name))?;
         line.split_whitespace().next()?.parse().ok()
     }
 
