entry: answers take memory from the budget, and connections that are not read give way

What callers saw: at a node with signed bundles, callers that ask for long answers made the process outgrow its machine.

Cause: the budget of the entry counted bodies only. Tokens waited for their callers in a queue without a bound, were kept until the answer ended, and a call buffered sixteen chunks of any size. What was passed to a connection and not sent was in nobody's count, and the kernel's buffers grew as they liked.

Change: a request takes 8 KB, its tokens what they cost while they are kept and while they wait, a service's answer its chunks, a connection what its socket has not taken. A request without room gets 503, not run; an answer without room ends with `unknown`; a chunk waits. While half of the budget is used, connections that were not read for a second are closed. Buffers of the kernel have the sizes that they have at hosted nodes.

--- a/crates/engine/src/service.rs
+++ b/crates/engine/src/service.rs
@@ -25,6 +25,10 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+/// Maximum size of a connection's read buffer in bytes, and so of the head of a response and of a chunk of its
+/// body.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// Cause of a failed call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Cause {
@@ -221,7 +225,9 @@
         .map_err(|_| failure)?
         .map_err(|_| failure)?;
     socket.set_nodelay(true).map_err(|_| failure)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(socket))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(TokioIo::new(socket))
         .await
         .map_err(|_| failure)?;
     let task = tokio::spawn(connection.map(|_| ())).abort_handle();
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -1,5 +1,6 @@
 //! The answer to a completion, as a handler reads it while the answer is generated.
 
+use crate::account::{Account, GROWTH_FACTOR, token_bytes};
 use crate::api::chat::Usage;
 use crate::api::error::Error;
 use crate::api::params::{Kind, Params};
@@ -50,6 +51,7 @@
     id: String,
     created: u64,
     replies: mpsc::UnboundedReceiver<Reply>,
+    account: Account,
     guard: Option<Guard>,
     filter: Filter,
     token_count: u32,
@@ -58,11 +60,13 @@
 }
 
 impl Answer {
-    /// Creates the answer to a request with `params`; the core sends its parts to `replies`.
+    /// Creates the answer to a request with `params`; the core sends its parts to `replies`, with memory of
+    /// `account`.
     pub fn new(
         params: Params,
         guard: Guard,
         replies: mpsc::UnboundedReceiver<Reply>,
+        account: Account,
         metrics: Metrics,
     ) -> Self {
         let prefix = match params.kind {
@@ -75,6 +79,7 @@
             filter: Filter::new(params.stops.clone()),
             params,
             replies,
+            account,
             guard: Some(guard),
             token_count: 0,
             last_token_at: Instant::now(),
@@ -125,6 +130,11 @@
         }
     }
 
+    /// Takes memory for text that is held until the answer is complete. Returns false if there is no room.
+    pub fn try_hold(&self, text: &str) -> bool {
+        self.account.try_grow(GROWTH_FACTOR * text.len())
+    }
+
     /// Waits for the next reply of the core. If the core has stopped, the outcome is unknown.
     pub async fn next_reply(&mut self) -> Reply {
         self.replies.recv().await.unwrap_or(Reply::Done(End {
@@ -143,7 +153,10 @@
     /// Converts a reply into a part.
     pub fn part(&mut self, reply: Reply) -> Part {
         match reply {
-            Reply::Token(token) => self.push_token(&token.text),
+            Reply::Token(token) => {
+                self.account.shrink(token_bytes(&token));
+                self.push_token(&token.text)
+            }
             Reply::Done(end) => Part::End(self.filter.finish(), end),
             Reply::Refused(refusal) => Part::Refused(refusal.into()),
             Reply::Error(error) => Part::Refused(*error),
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -1,5 +1,6 @@
 //! Runs one attempt of a request on its endpoints and reports its events to the core.
 
+use crate::account::{Account, GROWTH_FACTOR};
 use crate::claim::MAX_CACHED_BODY_BYTES;
 use crate::core::{Command, Tx};
 use bytes::{Bytes, BytesMut};
@@ -13,12 +14,16 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 /// Maximum number of chunks of a service's answer that are buffered for a slow caller.
 pub const MAX_BUFFERED_CHUNKS: usize = 16;
 
+/// Interval at which a chunk that waits for memory looks for it.
+const ROOM_INTERVAL: Duration = Duration::from_millis(20);
+
 /// The failure of a call whose answer was interrupted after its head.
 const BODY_INTERRUPTED: service::Failure = service::Failure {
     cause: service::Cause::Reset,
@@ -54,6 +59,10 @@
     pub body: Bytes,
     /// Receives the chunks of the answer. A full channel applies backpressure to the service.
     pub chunks: mpsc::Sender<Bytes>,
+    /// Memory of the chunks until they are passed on, and of the copy for retries.
+    pub account: Account,
+    /// Whether a short answer is cached for retries.
+    pub is_cached: bool,
     /// Time limit of the call and choice of its connection.
     pub options: service::CallOptions,
 }
@@ -168,12 +177,21 @@
     let (parts, body) = response.into_parts();
     cx.call_event(CallEvent::Head(Box::new(parts)));
     let mut body = body.into_data_stream();
-    let mut copy = BodyCopy::default();
+    let mut copy = BodyCopy {
+        too_long: !call.is_cached,
+        ..BodyCopy::default()
+    };
     while let Some(chunk) = body.next().await {
         let Ok(chunk) = chunk else {
             return CallEvent::Failed(BODY_INTERRUPTED);
         };
-        copy.push(&chunk);
+        copy.push(&chunk, &call.account);
+        // The account gives the memory back when the chunk is passed on, or with the answer. Calls that wait hold no
+        // copies, so that they can't wait for each other.
+        while !call.chunks.is_closed() && !call.account.try_grow(chunk.len()) {
+            copy.discard(&call.account);
+            tokio::time::sleep(ROOM_INTERVAL).await;
+        }
         // Sending fails after the caller has left. The core then cancels this attempt unless the
         // request is not repeatable; in that case the rest is read, to be cached for a retry.
         let _ = call.chunks.send(chunk).await;
@@ -181,7 +199,7 @@
     CallEvent::Finished(copy.finish())
 }
 
-/// A copy of a body, discarded once it exceeds `MAX_CACHED_BODY_BYTES`.
+/// A copy of a body, discarded once it exceeds `MAX_CACHED_BODY_BYTES` or memory is short.
 #[derive(Default)]
 struct BodyCopy {
     bytes: BytesMut,
@@ -189,15 +207,25 @@
 }
 
 impl BodyCopy {
-    fn push(&mut self, chunk: &[u8]) {
-        self.too_long |= self.bytes.len() + chunk.len() > MAX_CACHED_BODY_BYTES;
+    fn push(&mut self, chunk: &[u8], account: &Account) {
         if self.too_long {
-            self.bytes.clear();
+            return;
+        }
+        self.too_long = self.bytes.len() + chunk.len() > MAX_CACHED_BODY_BYTES
+            || !account.try_grow(GROWTH_FACTOR * chunk.len());
+        if self.too_long {
+            self.discard(account);
         } else {
             self.bytes.extend_from_slice(chunk);
         }
     }
 
+    fn discard(&mut self, account: &Account) {
+        self.too_long = true;
+        let bytes = std::mem::take(&mut self.bytes);
+        account.shrink(GROWTH_FACTOR * bytes.len());
+    }
+
     fn finish(self) -> Option<Bytes> {
         (!self.too_long).then(|| self.bytes.freeze())
     }
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -3,14 +3,14 @@
 //! Commands arrive through one unbounded channel. It needs no bound of its own: each arrival
 //! occupies a stream, whose number the listener limits, and an attempt sends only a few events for
 //! each token that its endpoints generate. The reply channel of a session holds at most the
-//! request's number of tokens; tokens are retained until the end anyway, so that another attempt
-//! can continue after them.
+//! request's number of tokens, whose memory the session's account takes from the listeners' budget.
 //!
 //! Endpoint ids are valid for one bundle only. A failure carries the id that its attempt was
 //! started with, as the router expects. Other data that may outlive a bundle (probes, load reports,
 //! events for the control thread) identifies endpoints by name.
 
 mod claims;
+mod generated;
 mod message;
 mod progress;
 mod session;
@@ -23,7 +23,7 @@
 use arc_swap::ArcSwap;
 use bundle::Bundle;
 use bundle::id::EndpointId;
-use engine::chain::{Stop, Token};
+use engine::chain::Stop;
 use engine::pool::Pool;
 use route::action::{Action, Hop, Observation};
 use route::event::{Event, TICK};
@@ -39,6 +39,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use generated::Generated;
 pub use message::{Arrival, Command, ControlEvent, Demand, End, Reply, WorkerEvent};
 use session::{Running, Session};
 
@@ -237,8 +238,9 @@
     fn arrive(&mut self, arrival: Arrival) {
         let session = Session {
             work: arrival.work,
+            generated: Generated::new(arrival.account.clone()),
+            account: arrival.account,
             reply: arrival.reply,
-            generated: Vec::new(),
             end: End {
                 outcome: Outcome::Unknown,
                 stop: Stop::End,
@@ -402,6 +404,22 @@
         self.notify_run_ended(id, &session, outcome);
     }
 
+    /// Ends a request whose answer has no room in memory. It has run in part.
+    fn exhaust(&mut self, id: Id) {
+        self.handle(Event::Left(id));
+        let Some(session) = self.remove(id) else {
+            return;
+        };
+        self.metrics.record_end(Outcome::Unknown);
+        self.metrics.exhausted_answers.add(1, &[]);
+        let end = End {
+            outcome: Outcome::Unknown,
+            ..session.end
+        };
+        let _ = session.reply.send(Reply::Done(end));
+        self.notify_run_ended(id, &session, Outcome::Unknown);
+    }
+
     /// Removes a session from the table and cancels its attempt.
     fn remove(&mut self, id: Id) -> Option<Session> {
         let session = self.sessions.remove(&id)?;
@@ -467,11 +485,11 @@
     }
 }
 
-fn spawn_completion(cx: Context, prompt: &Arc<Prompt>, generated: &[Token], stages: Vec<Stage>) {
+fn spawn_completion(cx: Context, prompt: &Arc<Prompt>, generated: &Generated, stages: Vec<Stage>) {
     tokio::spawn(attempt::run_completion(
         cx,
         prompt.clone(),
-        generated.to_vec(),
+        generated.tokens(),
         stages,
     ));
 }
--- a/crates/entry/src/core/claims.rs
+++ b/crates/entry/src/core/claims.rs
@@ -1,9 +1,10 @@
 //! Requests with an idempotency key: they wait for the control thread's verdict, then run, are
 //! answered from the cache or fail.
 
-use super::message::{Reply, WorkerEvent};
+use super::message::{End, Reply, WorkerEvent};
 use super::session::Session;
 use super::{COMPLETE_CALL_END, Core};
+use crate::account::token_bytes;
 use crate::attempt::Work;
 use crate::claim::{self, CachedAnswer, Verdict};
 use route::outcome::Outcome;
@@ -45,6 +46,14 @@
         };
         match (answer, &session.work) {
             (CachedAnswer::Completion(tokens, end), _) => {
+                let room = tokens.iter().map(token_bytes).sum();
+                if !session.account.try_grow(room) {
+                    self.metrics.exhausted_answers.add(1, &[]);
+                    return reply(Reply::Done(End {
+                        outcome: Outcome::Unknown,
+                        ..*end
+                    }));
+                }
                 tokens.iter().for_each(|t| reply(Reply::Token(t.clone())));
                 reply(Reply::Done(*end));
             }
--- a/crates/entry/src/core/message.rs
+++ b/crates/entry/src/core/message.rs
@@ -1,5 +1,6 @@
 //! Messages that a core receives and sends.
 
+use crate::account::Account;
 use crate::api::error::Error;
 use crate::attempt::{CallEvent, Work};
 use crate::claim::{self, Claim, Verdict};
@@ -44,6 +45,8 @@
     pub work: Work,
     /// The idempotency key under which the request runs at most once, if any.
     pub claim: Option<Claim>,
+    /// Memory of the answer.
+    pub account: Account,
     /// Receives the answer.
     pub reply: mpsc::UnboundedSender<Reply>,
 }
--- a/crates/entry/src/core/progress.rs
+++ b/crates/entry/src/core/progress.rs
@@ -33,8 +33,8 @@
         match event {
             chain::Event::Sent => {}
             chain::Event::Progress { hop, .. } => self.handle(Event::Progress(id, attempt, hop)),
+            chain::Event::Token(token) if !session.try_add(&token) => self.exhaust(id),
             chain::Event::Token(token) => {
-                session.generated.push(token.clone());
                 let _ = session.reply.send(Reply::Token(token));
                 self.metrics.tokens.add(1, &[]);
                 self.handle(Event::Token(id, attempt));
--- a/crates/entry/src/core/session.rs
+++ b/crates/entry/src/core/session.rs
@@ -1,6 +1,8 @@
 //! The state of a request in a core's table.
 
+use super::generated::Generated;
 use super::message::{End, Reply};
+use crate::account::{Account, token_bytes};
 use crate::attempt::{Stage, Work};
 use crate::claim::CachedAnswer;
 use bundle::Bundle;
@@ -17,8 +19,9 @@
 /// A request from its arrival to its end.
 pub(super) struct Session {
     pub(super) work: Work,
+    pub(super) account: Account,
     pub(super) reply: mpsc::UnboundedSender<Reply>,
-    pub(super) generated: Vec<Token>,
+    pub(super) generated: Generated,
     pub(super) end: End,
     pub(super) repeatable: bool,
     /// Hash of the idempotency key, if the request has a claim.
@@ -33,6 +36,11 @@
 }
 
 impl Session {
+    /// Takes memory for a token that is kept and sent to the caller. Returns false if there is no room.
+    pub(super) fn try_add(&mut self, token: &Token) -> bool {
+        self.generated.try_push(token) && self.account.try_grow(token_bytes(token))
+    }
+
     /// Returns the complete answer, to be cached for retries.
     pub(super) fn cached_answer(&self) -> Option<CachedAnswer> {
         match &self.work {
@@ -41,7 +49,7 @@
                     outcome: Outcome::Complete,
                     ..self.end
                 };
-                Some(CachedAnswer::Completion(self.generated.clone(), end))
+                Some(CachedAnswer::Completion(self.generated.tokens(), end))
             }
             Work::Call(_) => Some(CachedAnswer::Call(self.head.clone()?, self.body.clone()?)),
         }
--- a/crates/entry/src/handler/call.rs
+++ b/crates/entry/src/handler/call.rs
@@ -3,6 +3,7 @@
 use super::complete::fingerprint;
 use super::forward::Original;
 use super::{Shared, with_request_id};
+use crate::account::Account;
 use crate::answer::Guard;
 use crate::api::error::{Error, Result};
 use crate::api::header::{
@@ -78,10 +79,13 @@
         head_timeout: request.deadline.saturating_sub(state.start.elapsed()),
         new_connection: !repeatable,
     };
+    let account = Account::open(&state.limits.memory)?;
     let work = Call {
         head: Arc::new(head),
         body: body.clone(),
         chunks: chunk_tx,
+        account: account.clone(),
+        is_cached: claim.is_some(),
         options,
     };
     let time_left = options.head_timeout;
@@ -91,6 +95,7 @@
         bundle: bundle.clone(),
         work: Work::Call(work),
         claim,
+        account,
         reply,
     };
     let answer = submit(state, arrival, replies, chunk_rx).await;
@@ -142,6 +147,7 @@
     chunk_rx: mpsc::Receiver<Bytes>,
 ) -> Result<Response> {
     let mut body = ResponseBody {
+        account: arrival.account.clone(),
         guard: Guard::new(arrival.request.id, state.tx.clone()),
         replies,
         chunks: chunk_rx,
@@ -162,6 +168,7 @@
     #[expect(dead_code, reason = "notifies the core on drop")]
     guard: Guard,
     replies: mpsc::UnboundedReceiver<Reply>,
+    account: Account,
     chunks: mpsc::Receiver<Bytes>,
     ended: bool,
 }
@@ -184,6 +191,14 @@
     /// Returns the next chunk. The attempt sends all chunks before it reports its end to the core,
     /// so the chunks that are in the channel at that time are the rest of the answer.
     async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        let item = self.next_chunk().await;
+        if let Some(Ok(chunk)) = &item {
+            self.account.shrink(chunk.len());
+        }
+        item
+    }
+
+    async fn next_chunk(&mut self) -> Option<io::Result<Bytes>> {
         if self.ended {
             return self.chunks.try_recv().ok().map(Ok);
         }
--- a/crates/entry/src/handler/complete.rs
+++ b/crates/entry/src/handler/complete.rs
@@ -2,6 +2,7 @@
 
 use super::forward::Original;
 use super::{Shared, with_request_id};
+use crate::account::Account;
 use crate::answer::{Answer, Guard, Part};
 use crate::api::chunk::Chunk;
 use crate::api::error::{Error, Result, outcome_value};
@@ -56,7 +57,7 @@
     let max_tokens = max_tokens(state, bundle, resolved.model, &params)?;
     let (mut arrival, answer) = prepare(
         state, &snapshot, &header, params, &resolved, max_tokens, &body,
-    );
+    )?;
     arrival.claim = super::key::claim(&header, bundle, &arrival.request)?;
     let id = arrival.request.id;
     let time_left = arrival
@@ -133,7 +134,7 @@
     resolved: &ResolvedModel,
     max_tokens: u32,
     body: &[u8],
-) -> (Arrival, Answer) {
+) -> Result<(Arrival, Answer)> {
     let bundle = &snapshot.view.bundle;
     let model = &bundle.models[usize::from(resolved.model)];
     let adapter = resolved.adapter.as_ref();
@@ -159,16 +160,18 @@
         priority_rank: bundle.priorities[usize::from(header.priority)].rank,
     };
     let (reply, replies) = mpsc::unbounded_channel();
+    let account = Account::open(&state.limits.memory)?;
     let guard = Guard::new(request.id, state.tx.clone());
     let arrival = Arrival {
         request,
         bundle: bundle.clone(),
         work: Work::Completion(Arc::new(prompt)),
         claim: None,
+        account: account.clone(),
         reply,
     };
-    let answer = Answer::new(params, guard, replies, state.metrics.clone());
-    (arrival, answer)
+    let answer = Answer::new(params, guard, replies, account, state.metrics.clone());
+    Ok((arrival, answer))
 }
 
 /// Returns chained hashes of the prompt's blocks. The hashes of two prompts for the same model are
@@ -223,7 +226,12 @@
     let mut text = String::new();
     loop {
         match answer.next_part().await {
-            Part::Text(more) => text.push_str(&more),
+            Part::Text(more) => {
+                if !answer.try_hold(&more) {
+                    return Err(Error::from_outcome(Outcome::Unknown));
+                }
+                text.push_str(&more);
+            }
             Part::Refused(error) => return Err(error),
             Part::End(rest, end) if end.outcome == Outcome::Complete => {
                 text.push_str(&rest);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 //! Out of scope: the selection of endpoints for a request (`route`), the state of the fleet (the
 //! control thread, in the node's crate) and the protocol of endpoints (`engine`).
 
+pub mod account;
 pub mod address;
 pub mod admin;
 pub mod answer;
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -1,6 +1,6 @@
 //! Limits of a listener and of callers' requests.
 
-use memory::budget::Budget;
+use memory::budget::{Budget, Class};
 use memory::shares::{DEFAULT_MEMORY_BYTES, Shares};
 use std::time::Duration;
 
@@ -21,10 +21,17 @@
     pub body_timeout: Duration,
     /// Time without progress after which a connection is closed.
     pub idle_timeout: Duration,
-    /// Memory for the bodies of requests; clones share it.
+    /// Memory for the bodies of requests and for answers; clones share it.
     pub memory: Budget,
 }
 
+impl Limits {
+    /// Returns whether so little memory is left that callers without progress have to give way.
+    pub(crate) fn is_memory_scarce(&self) -> bool {
+        self.memory.used() > self.memory.capacity(Class::Large) / 2
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -33,6 +33,10 @@
     pub stale_events: Counter<u64>,
     /// Connections closed on accept because the listener was at its limit.
     pub refused_connections: Counter<u64>,
+    /// Answers that ended early because there was no memory for more of them.
+    pub exhausted_answers: Counter<u64>,
+    /// Connections closed because their callers did not read while memory was scarce.
+    pub unread_connections: Counter<u64>,
     /// Seconds from arrival to the first token.
     pub first_token: Histogram<f64>,
     /// Seconds between two tokens of an answer.
@@ -57,6 +61,8 @@
             forwarded: counter("wigeonshelf_forwarded"),
             stale_events: counter("wigeonshelf_stale_events"),
             refused_connections: counter("wigeonshelf_connections_refused"),
+            exhausted_answers: counter("wigeonshelf_answers_exhausted"),
+            unread_connections: counter("wigeonshelf_connections_unread"),
             first_token: time("wigeonshelf_first_token"),
             inter_token: time("wigeonshelf_inter_token"),
         }
--- a/crates/entry/src/request_body.rs
+++ b/crates/entry/src/request_body.rs
@@ -1,11 +1,12 @@
 //! Reads the bodies of requests within the listener's limits.
 
+use crate::account::overloaded;
 use crate::api::error::{Error, Result};
 use crate::limits::Limits;
 use bytes::Bytes;
 use http::StatusCode;
 use http_body_util::{BodyExt, Limited};
-use memory::budget::{Budget, Class, Part};
+use memory::budget::Part;
 use memory::buffer::Buffer;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -15,8 +16,6 @@
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time without a byte after which a body has to give way if memory is scarce.
 const STALL_TIME: Duration = Duration::from_secs(1);
-/// Delay after which a caller may send a request again for whose body there was no memory.
-const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Bytes that each byte of a body takes once it is parsed, beside the body itself.
 const PARSED_FACTOR: usize = 1;
 
@@ -63,7 +62,7 @@
                     "the body did not come in time",
                 ));
             }
-            Err(_) if is_scarce(&limits.memory) => return Err(overloaded()),
+            Err(_) if limits.is_memory_scarce() => return Err(overloaded()),
             Err(_) => {}
         }
     }
@@ -74,17 +73,6 @@
     Ok(buffer.finish().into_bytes())
 }
 
-/// Returns whether so little memory is left that bodies without progress have to give way.
-fn is_scarce(memory: &Budget) -> bool {
-    memory.used() > memory.capacity(Class::Large) / 2
-}
-
-fn overloaded() -> Error {
-    let message = "the node has no memory for the body now; the request has not run";
-    let error = Error::new(StatusCode::SERVICE_UNAVAILABLE, "overloaded", message);
-    error.with_retry_after(OVERLOAD_RETRY_AFTER)
-}
-
 /// Reads the rest of the body of a refused request and drops it, within the listener's limits. If
 /// the connection closed while the body still arrives, it would be reset, and the caller would not
 /// get the refusal.
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -10,6 +10,7 @@
 //! connection, the request and the endpoint that serves it without limit.
 
 mod activity;
+mod socket;
 
 use crate::limits::Limits;
 use crate::metrics::Metrics;
@@ -17,6 +18,9 @@
 use activity::{Activity, TrackedService};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
+use memory::shares::{RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES};
+use socket::{Socket, Unsent};
+use socket2::SockRef;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
@@ -33,6 +37,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Interval at which a connection is checked for being idle.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for which a caller that does not read keeps its connection while memory is scarce.
+const UNREAD_TIME: Duration = Duration::from_secs(1);
 /// Maximum number of streams that a caller may reset before they are accepted; more of them close
 /// the connection. Limits HTTP/2 reset floods.
 const MAX_PENDING_RESETS: usize = 64;
@@ -79,6 +85,10 @@
     /// Serves until `shutdown.close` is cancelled and all connections have ended, or until
     /// `shutdown.kill` is cancelled.
     pub async fn run(self, shutdown: Shutdown) {
+        // Accepted connections inherit the sizes. Failures are ignored: connections work with any buffer.
+        let socket = SockRef::from(&self.listener);
+        let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+        let _ = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
         let tracker = TaskTracker::new();
         let permits = Arc::new(Semaphore::new(self.limits.max_connections));
         let Self {
@@ -145,11 +155,13 @@
     where
         I: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
-        let activity = Arc::new(Activity::default());
+        let unsent = Arc::new(Unsent::new(&self.limits.memory));
+        let activity = Arc::new(Activity::new(unsent.clone()));
         let inner = Responder::new(self.tree.clone(), Some(addr));
         let service = TrackedService::new(inner, activity.clone(), shutdown.drain.clone());
         let builder = self.builder();
-        let mut conn = pin!(builder.serve_connection(TokioIo::new(io), service));
+        let mut conn =
+            pin!(builder.serve_connection(TokioIo::new(Socket::new(io, unsent)), service));
         let mut idle_since = Instant::now();
         let mut goaway_sent = false;
         let mut closing = false;
@@ -173,6 +185,10 @@
             if idle_since.elapsed() > self.idle_limit(&activity) {
                 return;
             }
+            if self.limits.is_memory_scarce() && activity.unread_for() >= UNREAD_TIME {
+                self.metrics.unread_connections.add(1, &[]);
+                return;
+            }
         }
     }
 
--- a/crates/entry/src/server/activity.rs
+++ b/crates/entry/src/server/activity.rs
@@ -1,17 +1,21 @@
 //! Tracks the requests of one connection: whether each waits for the node or for its caller.
 
+use super::socket::Unsent;
 use crate::api::error::Error;
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
 use http::{Method, StatusCode};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::service::Service;
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use viz::{IntoResponse, Request, Responder, Response};
 
@@ -29,7 +33,6 @@
 ];
 
 /// Activity of one connection.
-#[derive(Default)]
 pub(super) struct Activity {
     /// Number of requests that wait for the node to produce the next part of the answer. A request
     /// whose part is ready but not yet read is not counted: it waits for its caller, who may never
@@ -40,9 +43,34 @@
     /// Value of `steps` at the last call of `has_progressed`.
     last_steps: AtomicUsize,
     http2: AtomicBool,
+    /// Times since which the connection has not asked for the next part of an answer, by request.
+    waiting: Mutex<BTreeMap<usize, Instant>>,
+    unsent: Arc<Unsent>,
 }
 
 impl Activity {
+    pub(super) fn new(unsent: Arc<Unsent>) -> Self {
+        Self {
+            pending_on_node: AtomicUsize::new(0),
+            steps: AtomicUsize::new(0),
+            last_steps: AtomicUsize::new(0),
+            http2: AtomicBool::new(false),
+            waiting: Mutex::default(),
+            unsent,
+        }
+    }
+
+    /// Returns the time for which the caller has not read what it was sent, or an answer on one of its streams.
+    pub(super) fn unread_for(&self) -> Duration {
+        let oldest = self.waiting().values().min().copied();
+        let waiting_for = oldest.map_or(Duration::ZERO, |since| since.elapsed());
+        waiting_for.max(self.unsent.blocked_for())
+    }
+
+    fn waiting(&self) -> MutexGuard<'_, BTreeMap<usize, Instant>> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns whether any request was received.
     pub(super) fn has_requests(&self) -> bool {
         self.steps.load(Ordering::Relaxed) > 0
@@ -131,12 +159,15 @@
 /// answer, and false while the part waits to be read by the caller.
 struct RequestActivity {
     activity: Arc<Activity>,
+    /// Number of the request on its connection.
+    number: usize,
     node_busy: bool,
 }
 
 impl RequestActivity {
     fn new(activity: Arc<Activity>) -> Self {
         Self {
+            number: activity.steps.load(Ordering::Relaxed),
             activity,
             node_busy: false,
         }
@@ -147,6 +178,7 @@
         self.activity.steps.fetch_add(1, Ordering::Relaxed);
         if !self.node_busy {
             self.node_busy = true;
+            self.activity.waiting().remove(&self.number);
             self.activity
                 .pending_on_node
                 .fetch_add(1, Ordering::Relaxed);
@@ -157,6 +189,7 @@
     fn end_step(&mut self) {
         if self.node_busy {
             self.node_busy = false;
+            self.activity.waiting().insert(self.number, Instant::now());
             self.activity
                 .pending_on_node
                 .fetch_sub(1, Ordering::Relaxed);
@@ -167,6 +200,7 @@
 impl Drop for RequestActivity {
     fn drop(&mut self) {
         self.end_step();
+        self.activity.waiting().remove(&self.number);
     }
 }
 
@@ -186,8 +220,12 @@
     ) -> Poll<Option<Result<Frame<Bytes>, viz::Error>>> {
         self.request.begin_step();
         let frame = Pin::new(&mut self.body).poll_frame(cx);
-        if frame.is_ready() {
+        if let Poll::Ready(frame) = &frame {
             self.request.end_step();
+            if let Some(Ok(frame)) = frame {
+                let bytes = frame.data_ref().map_or(0, Bytes::len);
+                self.request.activity.unsent.add(bytes);
+            }
         }
         frame
     }
--- a/crates/gate/src/listener.rs
+++ b/crates/gate/src/listener.rs
@@ -15,7 +15,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use memory::shares::RECEIVE_BUFFER_BYTES;
+use memory::shares::{RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES};
 use socket2::SockRef;
 use std::convert::Infallible;
 use std::future::poll_fn;
@@ -65,8 +65,6 @@
 
 /// Interval at which connections and bodies are checked for being overdue.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
-/// Size of the kernel's send buffer of a connection, which a response fills whose caller does not read.
-const SEND_BUFFER_BYTES: usize = 64 << 10;
 
 /// Accepts up to `max_connections` concurrent connections until `stop.kill` is cancelled. Above that, the
 /// connection that has sent no whole request for longest gives way.
--- a/crates/memory/src/shares.rs
+++ b/crates/memory/src/shares.rs
@@ -19,6 +19,9 @@
 /// request is served. It is the window of a body on its way, so a far smaller one would make distant callers
 /// slow.
 pub const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
+/// Size of the kernel's send buffer of a caller's connection in bytes, which a response fills whose caller does not
+/// read.
+pub const SEND_BUFFER_BYTES: usize = 64 << 10;
 /// Memory of a connection in bytes that is idle or sends a short head, beside what its receive buffer holds.
 const IDLE_CONNECTION_BYTES: usize = 12 << 10;
 /// Share of the connections that each auxiliary listener has.
--- a/crates/node/tests/crowd/caller.rs
+++ b/crates/node/tests/crowd/caller.rs
@@ -1,12 +1,13 @@
 //! Callers that send requests and hold their connections open.
 #![allow(dead_code)]
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinSet;
 
 /// Maximum time until all members of a crowd have sent what they have to send. Those that the node does
@@ -16,6 +17,9 @@
 /// Time for which a member of a crowd that returns waits before it connects again.
 const RETURN_DELAY: Duration = Duration::from_millis(200);
 
+/// Receive buffer of a member whose kernel takes little, in bytes.
+const STALLED_BUFFER_BYTES: u32 = 4 << 10;
+
 /// What a member does with the response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reading {
@@ -23,6 +27,8 @@
     All,
     /// It never reads.
     Nothing,
+    /// It never reads, and its kernel takes little.
+    Stalled,
 }
 
 /// A crowd of callers. Dropping it closes its connections.
@@ -100,11 +106,11 @@
 
 /// Connects and sends a request. The node may end the connection at any time, and need not read all.
 async fn send(addr: SocketAddr, bytes: &[u8], reading: Reading) -> Option<TcpStream> {
-    let mut conn = TcpStream::connect(addr).await.ok()?;
+    let mut conn = connect(addr, reading).await.ok()?;
     let (mut reader, mut writer) = conn.split();
     let write = writer.write_all(bytes);
     match reading {
-        Reading::Nothing => write.await.ok()?,
+        Reading::Nothing | Reading::Stalled => write.await.ok()?,
         Reading::All => {
             // A response may come before the request is sent completely.
             let mut sink = tokio::io::sink();
@@ -117,12 +123,21 @@
     Some(conn)
 }
 
+/// Connects with the receive buffer for a way of reading.
+pub async fn connect(addr: SocketAddr, reading: Reading) -> io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    if reading == Reading::Stalled {
+        socket.set_recv_buffer_size(STALLED_BUFFER_BYTES)?;
+    }
+    socket.connect(addr).await
+}
+
 /// Holds a connection until the node ends it.
 async fn hold(conn: Option<TcpStream>, reading: Reading) {
     let Some(mut conn) = conn else {
         return;
     };
-    if reading == Reading::Nothing {
+    if reading != Reading::All {
         std::future::pending::<()>().await;
     }
     let mut buffer = vec![0; 16 << 10];
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -134,7 +134,12 @@
     }
 
     async fn start_service(&mut self, service: &'static str, index: usize) -> Result<()> {
-        let handle = standin::service::Service::start(standin::service::Config::default()).await?;
+        let config = standin::service::Config {
+            pieces: self.plan.pieces,
+            piece_bytes: self.plan.piece_bytes,
+            ..standin::service::Config::default()
+        };
+        let handle = standin::service::Service::start(config).await?;
         self.services.push(Service {
             name: format!("{service}-{index}"),
             service,
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -73,6 +73,10 @@
     pub teams: Vec<Team>,
     /// Number of endpoints of each plain service.
     pub services: usize,
+    /// Number of pieces of a service's answer.
+    pub pieces: usize,
+    /// Minimum size of a piece, in bytes.
+    pub piece_bytes: usize,
     /// Time for which a leaving node accepts new connections.
     pub drain: Duration,
     /// Time for which callers may use the answer to an address request.
@@ -129,6 +133,8 @@
             batch: 0,
             teams: vec![KITCHENS, DUTY],
             services: 2,
+            pieces: 1,
+            piece_bytes: 64,
             drain: Duration::from_millis(500),
             address_ttl: Duration::from_millis(500),
             load_time: Duration::ZERO,
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -203,6 +203,11 @@
         self.state.fault.failing.store(on, Ordering::SeqCst);
     }
 
+    /// Ends answers only at their maximum length while `on`.
+    pub fn set_endless(&self, on: bool) {
+        self.state.fault.endless.store(on, Ordering::SeqCst);
+    }
+
     /// Refuses new requests as busy while `on`.
     pub fn set_busy(&self, on: bool) {
         self.state.fault.busy.store(on, Ordering::SeqCst);
--- a/crates/standin/src/engine/fault.rs
+++ b/crates/standin/src/engine/fault.rs
@@ -42,6 +42,8 @@
     pub(super) busy: AtomicBool,
     pub(super) leaving: AtomicBool,
     pub(super) failing: AtomicBool,
+    /// Whether answers end only at their maximum length.
+    pub(super) endless: AtomicBool,
     pub(super) hold_steps: watch::Sender<bool>,
     settings: Mutex<Settings>,
 }
@@ -60,6 +62,7 @@
             busy: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             failing: AtomicBool::new(false),
+            endless: AtomicBool::new(false),
             hold_steps: watch::Sender::new(false),
             settings: Mutex::new(settings),
         }
--- a/crates/standin/src/engine/stage/work.rs
+++ b/crates/standin/src/engine/stage/work.rs
@@ -223,6 +223,7 @@
         }
         let last = outputs.last().copied().unwrap_or_default();
         let (token, end) = vocabulary::pick(self.kv.draw(last, self.open.seed));
+        let end = end && !self.state.fault.endless.load(Ordering::SeqCst);
         let (id, text) = (token.id, token.text);
         StepOutput {
             reply: Reply::Token {
