--- a/review/standin-2/client.rs
+++ b/review/standin-2/client.rs
@@ -35,11 +35,18 @@
 
 /// Sends a request and reads the answer as it arrives, until its end or the time limit.
 pub fn send(addr: SocketAddr, request: &[u8], limit: Duration) -> Answer {
-    let mut answer = Answer { status: 0, events: Vec::new(), complete: false, body: Vec::new() };
+    let mut answer = Answer {
+        status: 0,
+        events: Vec::new(),
+        complete: false,
+        body: Vec::new(),
+    };
     let until = Instant::now() + limit;
     let _ = receive(addr, request, limit, until, &mut answer);
     let text = String::from_utf8_lossy(&answer.body).into_owned();
-    let ids = text.lines().filter_map(|l| l.strip_prefix("id:")?.trim().parse().ok());
+    let ids = text
+        .lines()
+        .filter_map(|l| l.strip_prefix("id:")?.trim().parse().ok());
     answer.events = ids.collect();
     answer
 }
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -14,7 +14,10 @@
 impl Message {
     /// Returns the value of a header field; empty if there is none.
     pub fn header(&self, name: &str) -> &str {
-        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map_or("", |(_, v)| v)
     }
 
@@ -32,7 +35,10 @@
     pub fn query(&self, name: &str) -> Option<String> {
         let (_, query) = self.word(1).split_once('?')?;
         let pairs = query.split('&').filter_map(|p| p.split_once('='));
-        pairs.filter(|(n, _)| *n == name).map(|(_, v)| decode(v)).next()
+        pairs
+            .filter(|(n, _)| *n == name)
+            .map(|(_, v)| decode(v))
+            .next()
     }
 
     /// Returns the path of the request, without its query.
@@ -100,7 +106,9 @@
 
 /// Returns whether the body of a message comes in chunks.
 pub fn is_chunked(message: &Message) -> bool {
-    message.header("transfer-encoding").eq_ignore_ascii_case("chunked")
+    message
+        .header("transfer-encoding")
+        .eq_ignore_ascii_case("chunked")
 }
 
 /// Reads a whole message; `None` at the end of the connection.
@@ -139,7 +147,11 @@
 /// Takes the value of a number in a flat JSON text.
 pub fn json_number(text: &str, name: &str) -> Option<u64> {
     let (_, rest) = text.split_once(&format!("\"{name}\":"))?;
-    let digits: String = rest.trim().chars().take_while(char::is_ascii_digit).collect();
+    let digits: String = rest
+        .trim()
+        .chars()
+        .take_while(char::is_ascii_digit)
+        .collect();
     digits.parse().ok()
 }
 
--- a/review/standin-2/kept_body.rs
+++ b/review/standin-2/kept_body.rs
@@ -43,7 +43,12 @@
 }
 
 fn manifest() -> String {
-    let tenant = |n| format!(r#"{{"name":"t{n}","api_keys":["{}"],"priority":1}}"#, key(n));
+    let tenant = |n| {
+        format!(
+            r#"{{"name":"t{n}","api_keys":["{}"],"priority":1}}"#,
+            key(n)
+        )
+    };
     let tenants: Vec<String> = (0..TENANTS).map(tenant).collect();
     let tenants = tenants.join(",");
     format!(
@@ -71,7 +76,9 @@
         sent: Arc::default(),
         changed: Arc::default(),
     };
-    let replicas: Vec<_> = (1..=REPLICAS).map(|n| Replica::start(&service, n)).collect();
+    let replicas: Vec<_> = (1..=REPLICAS)
+        .map(|n| Replica::start(&service, n))
+        .collect();
     let addrs = free_addrs("127.0.6.1");
     let mut node = Setup {
         name: "front-hobart-a-1".to_owned(),
@@ -123,7 +130,10 @@
     let _ = crashing.join();
     let changed = service.changed.lock().unwrap().clone();
     let tally = sender.tally.lock().unwrap().clone();
-    let summary = format!("answers {tally:?}; UNASKED: {} requests ran with another body {changed:?}", changed.len());
+    let summary = format!(
+        "answers {tally:?}; UNASKED: {} requests ran with another body {changed:?}",
+        changed.len()
+    );
     record.line(&summary);
     println!("{summary}");
     let whole = tally.get("200 whole").copied().unwrap_or(0);
@@ -167,17 +177,30 @@
             "POST /rewrite/2f HTTP/1.1\r\nHost: menus.example\r\nX-Request-Id: {id}\r\nX-Model: m\r\nX-Token-Usage: 800,{tokens}\r\nX-Length-Hint: {tokens}\r\nX-Prompt-Prefix: 5c1e07a2:40,{number:x}:760\r\nX-Deadline-Ms: 20000\r\nAuthorization: Token {key}\r\nContent-Length: {length}\r\n\r\n"
         );
         let request = [head.as_bytes(), &body].concat();
-        self.sent.lock().unwrap().insert(id.clone(), (length, hash(&body)));
-        self.record.line(&format!("requester sends {id} with a body of {length} bytes"));
+        self.sent
+            .lock()
+            .unwrap()
+            .insert(id.clone(), (length, hash(&body)));
+        self.record.line(&format!(
+            "requester sends {id} with a body of {length} bytes"
+        ));
         let answer = client::send(self.callers, &request, TIME_LIMIT);
         let whole = answer.complete && answer.events.len() == tokens / STRIDE;
         self.record.line(&format!(
             "requester gets {} for {id}: {} events, {}",
             answer.status,
             answer.events.len(),
-            if answer.complete { "ended as complete" } else { "cut off" }
+            if answer.complete {
+                "ended as complete"
+            } else {
+                "cut off"
+            }
         ));
-        let name = format!("{} {}", answer.status, if whole { "whole" } else { "not whole" });
+        let name = format!(
+            "{} {}",
+            answer.status,
+            if whole { "whole" } else { "not whole" }
+        );
         *self.tally.lock().unwrap().entry(name).or_default() += 1;
     }
 }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -19,7 +19,10 @@
         eprintln!("usage: standin CASE FOLDER");
         return ExitCode::from(2);
     };
-    let trouble = std::env::var("TROUBLE").is_ok_and(|t| t == "0").then_some(false).unwrap_or(true);
+    let trouble = std::env::var("TROUBLE")
+        .is_ok_and(|t| t == "0")
+        .then_some(false)
+        .unwrap_or(true);
     let record = record::Record::create(&PathBuf::from(folder).join("record.txt"));
     let name = format!("wigeonshelf-review-{}", std::process::id());
     let temporary = std::env::temp_dir().join(name);
--- a/review/standin-2/model.rs
+++ b/review/standin-2/model.rs
@@ -61,8 +61,15 @@
 
 impl Life {
     fn new(number: usize, lifetime: u64) -> Arc<Self> {
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
-        Arc::new(Self { id: format!("i-{number}-{lifetime}"), born, state: Mutex::default() })
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap()
+            .as_millis() as u64;
+        Arc::new(Self {
+            id: format!("i-{number}-{lifetime}"),
+            born,
+            state: Mutex::default(),
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -87,9 +94,11 @@
         let accepting = replica.clone();
         std::thread::spawn(move || accepting.accept());
         let beating = replica.clone();
-        std::thread::spawn(move || loop {
-            beating.beat();
-            std::thread::sleep(HEARTBEAT);
+        std::thread::spawn(move || {
+            loop {
+                beating.beat();
+                std::thread::sleep(HEARTBEAT);
+            }
         });
         replica
     }
@@ -101,7 +110,9 @@
     /// Ends the lifetime in the middle of what it does. A new one starts after `time`, with nothing loaded.
     pub fn crash(self: &Arc<Self>, time: Duration) {
         let life = self.life();
-        self.service.record.line(&format!("replica {} crashes", life.id));
+        self.service
+            .record
+            .line(&format!("replica {} crashes", life.id));
         let mut state = life.lock();
         state.down = true;
         for connection in state.connections.drain(..) {
@@ -117,7 +128,10 @@
             std::thread::sleep(time.saturating_sub(3 * HEARTBEAT));
             let lifetime = id.rsplit('-').next().unwrap().parse::<u64>().unwrap() + 1;
             *replica.life.lock().unwrap() = Life::new(number, lifetime);
-            replica.service.record.line(&format!("replica i-{number}-{lifetime} starts"));
+            replica
+                .service
+                .record
+                .line(&format!("replica i-{number}-{lifetime} starts"));
             replica.beat();
         });
     }
@@ -131,7 +145,12 @@
         }
         let name = if state.draining { "draining" } else { "ready" };
         let (from, to) = shown(&state);
-        let Service { name: service, zone, slots, .. } = &self.service;
+        let Service {
+            name: service,
+            zone,
+            slots,
+            ..
+        } = &self.service;
         let entry = format!(
             r#"{{"service":"{service}","address":"{}","zone":"{zone}","version":"v1","slots":{slots},"state":"{name}","cold_left_ms":0,"born":{},"kind":"card","layers":{{"from":{from},"to":{to},"version":1}},"sequence":1}}"#,
             self.addr, life.born,
@@ -174,7 +193,13 @@
         match request.path() {
             "/wigeonshelf/report" => {
                 let report = self.report(life);
-                http::respond(stream, 200, "Content-Type: application/json\r\n", report.as_bytes()).ok()
+                http::respond(
+                    stream,
+                    200,
+                    "Content-Type: application/json\r\n",
+                    report.as_bytes(),
+                )
+                .ok()
             }
             "/wigeonshelf/order" => {
                 let status = self.order(life, &String::from_utf8_lossy(&request.body));
@@ -207,7 +232,10 @@
         if http::json_text(body, "operation").as_deref() != Some("place") {
             return 404;
         }
-        let (Some(from), Some(to)) = (http::json_number(body, "from"), http::json_number(body, "to")) else {
+        let (Some(from), Some(to)) = (
+            http::json_number(body, "from"),
+            http::json_number(body, "to"),
+        ) else {
             return 400;
         };
         let mut state = life.lock();
@@ -217,7 +245,9 @@
         state.sequence += 1;
         state.held = (from as u32, to as u32);
         state.loading_until = Some(Instant::now() + Duration::from_millis(300));
-        self.service.record.line(&format!("replica {} is to hold {from}-{to}", life.id));
+        self.service
+            .record
+            .line(&format!("replica {} is to hold {from}-{to}", life.id));
         202
     }
 
@@ -246,7 +276,14 @@
         ran
     }
 
-    fn run(&self, life: &Life, stream: &TcpStream, request: &Message, id: &str, echo: &str) -> Option<()> {
+    fn run(
+        &self,
+        life: &Life,
+        stream: &TcpStream,
+        request: &Message,
+        id: &str,
+        echo: &str,
+    ) -> Option<()> {
         let after: u64 = request.header("last-event-id").parse().unwrap_or(0);
         let sent = self.service.sent.lock().unwrap().get(id).copied();
         let length = request.body.len();
@@ -265,7 +302,11 @@
         );
         std::io::Write::write_all(&mut &*stream, head.as_bytes()).ok()?;
         let usage = request.header("x-token-usage");
-        let tokens: u64 = usage.rsplit(',').next().and_then(|n| n.trim().parse().ok()).unwrap_or(0);
+        let tokens: u64 = usage
+            .rsplit(',')
+            .next()
+            .and_then(|n| n.trim().parse().ok())
+            .unwrap_or(0);
         for event in after + 1..=tokens / self.service.stride {
             std::thread::sleep(self.service.interval);
             if life.is_down() {
--- a/review/standin-2/node.rs
+++ b/review/standin-2/node.rs
@@ -39,14 +39,24 @@
     let bind = || TcpListener::bind((ip, 0)).unwrap();
     let all = [bind(), bind(), bind(), bind()];
     let [callers, directory, ready, peers] = all.map(|l| l.local_addr().unwrap());
-    Addrs { callers, directory, ready, peers }
+    Addrs {
+        callers,
+        directory,
+        ready,
+        peers,
+    }
 }
 
 /// Returns the values of a `key = "value"` line of the deploy file.
 fn deploy_value(text: &str, key: &str) -> String {
     let lines = text.lines().filter_map(|l| l.split_once('='));
     let mut values = lines.filter(|(name, _)| name.trim() == key).map(|(_, v)| v);
-    values.next().unwrap_or_default().trim().trim_matches('"').to_owned()
+    values
+        .next()
+        .unwrap_or_default()
+        .trim()
+        .trim_matches('"')
+        .to_owned()
 }
 
 impl Setup {
@@ -71,16 +81,19 @@
             ("bounds.budget_window_s", "10".to_owned()),
             ("limits.max_fds", "4200".to_owned()),
         ];
-        values.iter().fold(template.to_owned(), |text, (name, value)| {
-            text.replace(&format!("{{{{{name}}}}}"), value)
-        })
+        values
+            .iter()
+            .fold(template.to_owned(), |text, (name, value)| {
+                text.replace(&format!("{{{{{name}}}}}"), value)
+            })
     }
 
     /// Starts the node. Its settings and its output are in `folder`.
     pub fn start(self, folder: &Path) -> Node {
         let root = std::env::current_dir().unwrap();
         let deploy = std::fs::read_to_string(root.join("deploy/system.toml")).unwrap();
-        let template = std::fs::read_to_string(root.join(deploy_value(&deploy, "template"))).unwrap();
+        let template =
+            std::fs::read_to_string(root.join(deploy_value(&deploy, "template"))).unwrap();
         let file: PathBuf = folder.join(format!("{}.ini", self.name));
         std::fs::write(&file, self.settings(&template)).unwrap();
         let run = deploy_value(&deploy, "run");
@@ -110,8 +123,12 @@
     /// Returns whether it says that it is ready.
     pub fn is_ready(&self) -> bool {
         let request = "GET /wigeonshelf/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-        crate::client::exchange(self.setup.addrs.ready, request.as_bytes(), Duration::from_secs(1))
-            .is_ok_and(|answer| answer.status() == 200)
+        crate::client::exchange(
+            self.setup.addrs.ready,
+            request.as_bytes(),
+            Duration::from_secs(1),
+        )
+        .is_ok_and(|answer| answer.status() == 200)
     }
 
     /// Waits until it is ready.
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -70,7 +70,10 @@
             "/wigeonshelf/log-read" => {
                 let number = |name| request.query(name).and_then(|n| n.parse::<u64>().ok());
                 let wait = Duration::from_millis(number("wait_ms").unwrap_or(0).min(30_000));
-                (200, self.read(&topic, number("from").unwrap_or(0) as usize, wait))
+                (
+                    200,
+                    self.read(&topic, number("from").unwrap_or(0) as usize, wait),
+                )
             }
             _ => (404, Vec::new()),
         }
@@ -124,7 +127,11 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut out = String::new();
     for part in bytes.chunks(3) {
-        let b = [part[0], *part.get(1).unwrap_or(&0), *part.get(2).unwrap_or(&0)];
+        let b = [
+            part[0],
+            *part.get(1).unwrap_or(&0),
+            *part.get(2).unwrap_or(&0),
+        ];
         let n = u32::from_be_bytes([0, b[0], b[1], b[2]]);
         for i in 0..4 {
             let digit = DIGITS[(n >> (18 - 6 * i) & 63) as usize] as char;
