--- a/review/standin-2/kept_body.rs
+++ b/review/standin-2/kept_body.rs
@@ -79,11 +79,14 @@
     let replicas: Vec<_> = (1..=REPLICAS)
         .map(|n| Replica::start(&service, n))
         .collect();
-    let addrs = free_addrs("127.0.6.1");
+    // An address of its own, so that runs beside each other don't share the port of the metrics.
+    let process = std::process::id();
+    let ip = format!("127.6.{}.{}", process / 250 % 250 + 1, process % 250 + 1);
+    let addrs = free_addrs(&ip);
     let mut node = Setup {
         name: "front-hobart-a-1".to_owned(),
         zone: "hobart-a".to_owned(),
-        ip: "127.0.6.1".to_owned(),
+        ip,
         addrs,
         seeds: vec![addrs.peers],
         store: store.addr,
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,5 +1,5 @@
 //! Stand-ins of the platform, of replicas and of requesters for the cases of the second review. The first argument
-//! names the case, the second one its folder. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case
+//! names the case, the second one the file of its record. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case
 //! could not run. With `TROUBLE=0` in the environment, the disruption is left out.
 
 mod client;
@@ -15,15 +15,15 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = &arguments[..] else {
-        eprintln!("usage: standin CASE FOLDER");
+    let [_, case, file] = &arguments[..] else {
+        eprintln!("usage: standin CASE RECORD");
         return ExitCode::from(2);
     };
     let trouble = std::env::var("TROUBLE")
         .is_ok_and(|t| t == "0")
         .then_some(false)
         .unwrap_or(true);
-    let record = record::Record::create(&PathBuf::from(folder).join("record.txt"));
+    let record = record::Record::create(&PathBuf::from(file));
     let name = format!("wigeonshelf-review-{}", std::process::id());
     let temporary = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&temporary).unwrap();
