gate: a permit holds the body that it permits to send

Cause: the body of a stream that has begun may be dropped for others. It was there when the permit was given, and dropped while the attempt waited for an endpoint or a connection. Job::content returned an empty body for one that was gone, so nothing could tell the two apart. Retries, attempts beside an idle one, planned moves, relays and the second sending on a new connection rested on the same check.

Ruled out: checking again before the sending; the next path that waits would break it again.

Change: Permit holds the body and is the only source of it. A dropped body is replaced by the hash of its request's content, and asking for it is an error. A body that a permit or a connection holds does not give way, since dropping it frees nothing.

--- a/crates/gate/src/admission.rs
+++ b/crates/gate/src/admission.rs
@@ -10,7 +10,7 @@
 mod holder;
 mod reception;
 
-pub(crate) use holder::{Holder, Kept, Registration, Way};
+pub(crate) use holder::{Droppable, Holder, Registration, Way};
 pub(crate) use reception::Arrival;
 
 use crate::metrics::Metrics;
--- a/crates/gate/src/admission/holder.rs
+++ b/crates/gate/src/admission/holder.rs
@@ -1,12 +1,13 @@
 //! Those who hold memory of the budget, and may have to give it back.
 
 use super::Admission;
+use crate::kept;
 use crate::refusal::Reason;
-use memory::content::Content;
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
+use steer::crash::Fingerprint;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -24,7 +25,15 @@
     Connection,
     /// The body of a request that was answered in part is dropped, so that the response can't be resumed
     /// elsewhere.
-    Kept(Rc<Kept>),
+    Kept(Droppable),
+}
+
+/// A body that may be dropped for others.
+#[derive(Clone, Debug)]
+pub(crate) struct Droppable {
+    pub(crate) body: Rc<kept::Body>,
+    /// Hash of the content of its request.
+    pub(crate) fingerprint: Fingerprint,
 }
 
 impl Way {
@@ -38,40 +47,6 @@
     }
 }
 
-/// The body of a request, for as long as the request may be sent again.
-#[derive(Debug, Default)]
-pub(crate) struct Kept {
-    content: RefCell<Option<Content>>,
-}
-
-impl Kept {
-    pub(crate) fn new(content: Content) -> Self {
-        Self {
-            content: RefCell::new(Some(content)),
-        }
-    }
-
-    /// Returns the body; `None` once it was dropped.
-    pub(crate) fn get(&self) -> Option<Content> {
-        self.content.borrow().clone()
-    }
-
-    /// Returns the length of the body in bytes; 0 once it was dropped.
-    pub(crate) fn len(&self) -> usize {
-        self.content.borrow().as_ref().map_or(0, Content::len)
-    }
-
-    /// Drops the body. The request can't be sent again.
-    pub(crate) fn release(&self) {
-        self.content.take();
-    }
-
-    /// Returns whether the body was dropped.
-    pub(crate) fn is_released(&self) -> bool {
-        self.content.borrow().is_none()
-    }
-}
-
 /// Progress over about a second.
 #[derive(Clone, Copy, Debug)]
 struct Progress {
@@ -178,15 +153,16 @@
     fn end(&self, reason: Reason) {
         self.ended.set(Some(reason));
         if let Way::Kept(kept) = &self.way {
-            kept.release();
+            kept.body.release(kept.fingerprint);
         }
         self.notify.notify_one();
     }
 
     /// Returns its rank among those that have to give way, lowest first; `None` if it does not have to.
     fn rank(&self, now: Instant) -> Option<(usize, Instant)> {
-        if let Way::Kept(_) = self.way {
-            return Some((0, self.begin));
+        if let Way::Kept(kept) = &self.way {
+            // A body that is being sent, or is about to be, frees nothing.
+            return (!kept.body.is_in_use()).then_some((0, self.begin));
         }
         let rate = self.progress.get().rate(now);
         let is_slow = now.duration_since(self.begin) >= GRACE && rate < MIN_PROGRESS;
--- a/crates/gate/src/admit.rs
+++ b/crates/gate/src/admit.rs
@@ -1,8 +1,9 @@
 //! Admission of requests: checks them against the catalog.
 
-use crate::admission::{self, Kept, SMALL_BODY_BYTES};
+use crate::admission::{self, SMALL_BODY_BYTES};
 use crate::dialect::{Dialect, RequestInfo};
 use crate::job::Job;
+use crate::kept;
 use crate::refusal::{Reason, Refusal};
 use catalog::{Catalog, RouteId};
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
@@ -127,7 +128,7 @@
         method: parts.method,
         uri: parts.uri,
         headers: forwarded(dialect, &parts.headers),
-        body: Rc::new(Kept::new(load.body)),
+        body: Rc::new(kept::Body::new(load.body)),
         _room: load.room,
         received_at,
         deadline,
--- a/crates/gate/src/execution.rs
+++ b/crates/gate/src/execution.rs
@@ -1,15 +1,18 @@
 //! What is known about the executions of one request: whether it may be sent to an endpoint or a node,
 //! and whether a refusal may promise that it was not executed.
 //!
-//! A request is sent by a [`Permit`] of its [`Ledger`]. Once it begins to be sent, it counts as one that
+//! A request is sent by a [`Permit`] of its [`Ledger`]. The permit holds the body, and is the only source of
+//! it, so a request whose body was dropped can't be sent. Once it begins to be sent, it counts as one that
 //! may be executed, until a [`Disproof`] shows that it was not. Nothing else ends that doubt, so a path
 //! that forgets to report an outcome only makes refusals more cautious. Nothing here does I/O.
 
 use crate::dialect::ResponseInfo;
+use crate::kept;
 use crate::pool;
 use crate::refusal::{Reason, Refusal};
 use catalog::kind::Kind;
 use http::StatusCode;
+use memory::content::{Content, ContentBody};
 use std::cell::Cell;
 use std::fmt;
 use std::rc::Rc;
@@ -23,13 +26,22 @@
     AttemptsUsed,
     /// Its caller was promised that it is not executed.
     Refused,
+    /// Its body was dropped.
+    BodyDropped,
+}
+
+impl From<kept::Dropped> for Denial {
+    fn from(_: kept::Dropped) -> Self {
+        Self::BodyDropped
+    }
 }
 
 /// Result of asking for a permit.
 pub type Result<T> = std::result::Result<T, Denial>;
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
+    body: Rc<kept::Body>,
     /// Permits that are neither used nor dropped.
     permits: Cell<u32>,
     /// Attempts that may have been executed, or may still be.
@@ -47,16 +59,25 @@
 }
 
 impl Ledger {
-    /// Creates the ledger of a request that was not sent yet.
-    pub fn new(kind: Kind, max_attempts: u32) -> Self {
+    /// Creates the ledger of a request with this body that was not sent yet.
+    pub fn new(kind: Kind, max_attempts: u32, body: Rc<kept::Body>) -> Self {
         Self {
             repeatable: kind.repeatable(),
             max_attempts,
-            state: Rc::default(),
+            state: Rc::new(State {
+                body,
+                permits: Cell::new(0),
+                possible_runs: Cell::new(0),
+                refused: Cell::new(false),
+            }),
         }
     }
 
     /// Returns the permission to send the request once.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request may not be sent.
     pub fn permit(&self) -> Result<Permit> {
         let state = &self.state;
         let in_doubt = state.permits.get() + state.possible_runs.get();
@@ -67,10 +88,7 @@
             _ if in_doubt >= self.max_attempts => return Err(Denial::AttemptsUsed),
             _ => {}
         }
-        state.permits.set(state.permits.get() + 1);
-        Ok(Permit {
-            state: state.clone(),
-        })
+        Ok(Permit::new(state.clone())?)
     }
 
     /// Returns the number of attempts that may have been executed, or may still be.
@@ -97,21 +115,29 @@
     }
 }
 
-/// Permission to send a request once. Dropping it returns it.
+/// Permission to send a request once, with its body. Dropping it returns it.
 #[derive(Debug)]
 #[must_use]
 pub struct Permit {
     state: Rc<State>,
+    body: Content,
 }
 
 impl Permit {
-    /// Uses the permission: from now on the request may be executed.
-    pub fn begin(self) -> Attempt {
+    fn new(state: Rc<State>) -> kept::Result<Self> {
+        let body = state.body.get()?;
+        state.permits.set(state.permits.get() + 1);
+        Ok(Self { state, body })
+    }
+
+    /// Uses the permission: from now on the request may be executed. Returns the body to be sent.
+    pub fn begin(mut self) -> (Attempt, ContentBody) {
         let runs = &self.state.possible_runs;
         runs.set(runs.get() + 1);
-        Attempt {
+        let attempt = Attempt {
             state: self.state.clone(),
-        }
+        };
+        (attempt, std::mem::take(&mut self.body).into_body())
     }
 }
 
@@ -128,12 +154,15 @@
 }
 
 impl Attempt {
-    /// Returns the permission to send, since the attempt was not executed and will not be.
-    pub fn disprove(self, _: Disproof) -> Permit {
-        let (permits, runs) = (&self.state.permits, &self.state.possible_runs);
+    /// Returns the permission to send again, since the attempt was not executed and will not be.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`kept::Dropped`] if the body was dropped meanwhile.
+    pub fn disprove(self, _: Disproof) -> kept::Result<Permit> {
+        let runs = &self.state.possible_runs;
         runs.set(runs.get() - 1);
-        permits.set(permits.get() + 1);
-        Permit { state: self.state }
+        Permit::new(self.state)
     }
 }
 
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -13,7 +13,7 @@
 use crate::admit;
 use crate::body::{self, Body};
 use crate::dialect::{Dialect, ResponseInfo};
-use crate::execution::{Denial, Ledger, Permit};
+use crate::execution::{self, Denial, Ledger, Permit};
 use crate::framing;
 use crate::job::Job;
 use crate::pool::Conn;
@@ -94,7 +94,7 @@
     job: Job,
     guard: Guard,
 ) -> Response<Body<impl Stream<Item = Chunk>>> {
-    let executions = Ledger::new(job.kind(), job.route().max_attempts);
+    let executions = Ledger::new(job.kind(), job.route().max_attempts, job.body.clone());
     let (journal, metrics) = (worker.journal.clone(), worker.metrics.clone());
     let log = RequestLog::new(journal, metrics, &job, executions.clone());
     let mut forwarder = Forwarder {
@@ -223,7 +223,8 @@
             disproof,
         } = exchange;
         if let Some(disproof) = disproof {
-            drop(attempt.disprove(disproof));
+            // Whether the request is sent again is decided elsewhere.
+            let _ = attempt.disprove(disproof);
         }
         reservation.end(outcome, info.faulty_stage);
         self.drain_body(conn, response, &info).await;
@@ -252,24 +253,21 @@
         if permit.as_ref().err() == Some(&Denial::AttemptsUsed) {
             self.log.set_reason("the route's attempts are used up");
         }
-        permit.ok().filter(|_| self.has_body())
+        self.granted(permit)
     }
 
     /// Returns the permission to send the request beside attempts that are running; `None` if it may not be
     /// sent again.
     pub(crate) fn further_permit(&self) -> Option<Permit> {
-        let permit = self.executions.permit().ok();
-        permit.filter(|_| self.has_body())
+        self.granted(self.executions.permit())
     }
 
-    /// Returns whether the body is still there. It is dropped if others need the memory.
-    fn has_body(&self) -> bool {
-        let released = self.job.body.is_released();
-        if released {
+    fn granted(&self, permit: execution::Result<Permit>) -> Option<Permit> {
+        if permit.as_ref().err() == Some(&Denial::BodyDropped) {
             self.log
                 .set_reason("its body was dropped for want of memory");
         }
-        !released
+        permit.ok()
     }
 
     /// Takes an attempt from the retry budget. Attempts are free until one reached an endpoint.
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -349,8 +349,8 @@
             let conn = self.connect(&reservation.target).await;
             self.record_sent(reservation, conn.as_ref().ok());
             let mut conn = conn?;
-            let request = self.request(&reservation.target, last_event_id);
-            let attempt = permit.begin();
+            let (attempt, body) = permit.begin();
+            let request = self.request(body, &reservation.target, last_event_id);
             let error = match self
                 .await_head(&mut conn, request, reservation, last_event_id)
                 .await
@@ -361,11 +361,12 @@
             let Some(disproof) = error.disproof() else {
                 return Err(error);
             };
-            permit = attempt.disprove(disproof);
+            let again = attempt.disprove(disproof);
             if is_retry {
                 return Err(error);
             }
             is_retry = true;
+            permit = again.map_err(|_| error)?;
             self.log
                 .record_resent(reservation.attempt(), &error.to_string());
             self.worker.pool.close_idle(addr);
@@ -434,9 +435,14 @@
         }
     }
 
-    fn request(&self, target: &Target, last_event_id: Option<u64>) -> Request<ContentBody> {
+    fn request(
+        &self,
+        body: ContentBody,
+        target: &Target,
+        last_event_id: Option<u64>,
+    ) -> Request<ContentBody> {
         let job = &self.job;
-        let mut request = Request::new(job.sent_body());
+        let mut request = Request::new(body);
         *request.method_mut() = job.method.clone();
         *request.uri_mut() = job.uri.clone();
         *request.headers_mut() = job.headers.clone();
--- a/crates/gate/src/forward/relay.rs
+++ b/crates/gate/src/forward/relay.rs
@@ -111,7 +111,8 @@
         let info = self.worker.dialect.response_info(headers);
         match Disproof::of_response(status, &info, self.job.info.id.as_deref()) {
             Ok(Some(disproof)) => {
-                drop(relayed.attempt.disprove(disproof));
+                // A third node gets a permit of its own.
+                let _ = relayed.attempt.disprove(disproof);
                 None
             }
             // [`receive`] decides what a refusal without proof means.
@@ -131,8 +132,8 @@
         let id = self.job.info.id.as_deref();
         let mut conn = self.worker.pool.get(node, id).await?;
         let limit = self.job.time_left() + REPORT_TIME;
-        let attempt = permit.begin();
-        let sent = timeout(limit, conn.send(self.relay_request())).await;
+        let (attempt, body) = permit.begin();
+        let sent = timeout(limit, conn.send(self.relay_request(body))).await;
         match sent.unwrap_or(Err(pool::Error::Broken)) {
             Ok(response) => Ok(Relayed {
                 conn,
@@ -140,15 +141,18 @@
                 attempt,
             }),
             Err(error) => {
-                Disproof::of_failure(error).map(|disproof| attempt.disprove(disproof));
+                if let Some(disproof) = Disproof::of_failure(error) {
+                    // Another node gets a permit of its own.
+                    let _ = attempt.disprove(disproof);
+                }
                 Err(error)
             }
         }
     }
 
-    fn relay_request(&self) -> Request<ContentBody> {
+    fn relay_request(&self, body: ContentBody) -> Request<ContentBody> {
         let job = &self.job;
-        let mut request = Request::new(job.sent_body());
+        let mut request = Request::new(body);
         *request.method_mut() = job.method.clone();
         *request.uri_mut() = job.uri.clone();
         *request.headers_mut() = job.headers.clone();
@@ -179,7 +183,10 @@
         let info = forwarder.worker.dialect.response_info(response.headers());
         let id = forwarder.job.info.id.as_deref();
         match Disproof::of_response(status, &info, id) {
-            Ok(Some(disproof)) => drop(attempt.disprove(disproof)),
+            Ok(Some(disproof)) => {
+                // The request is not sent again.
+                let _ = attempt.disprove(disproof);
+            }
             Ok(None) => forwarder
                 .log
                 .set_reason("the other node did not state that it was not run"),
--- a/crates/gate/src/job.rs
+++ b/crates/gate/src/job.rs
@@ -1,7 +1,8 @@
 //! Admitted requests.
 
-use crate::admission::{Kept, SMALL_BODY_BYTES};
+use crate::admission::{Droppable, SMALL_BODY_BYTES};
 use crate::dialect::RequestInfo;
+use crate::kept;
 use catalog::Catalog;
 use catalog::engine::Size;
 use catalog::kind::Kind;
@@ -11,7 +12,7 @@
 use http::header::HOST;
 use http::{HeaderMap, Method, Uri};
 use memory::budget::Lease;
-use memory::content::{Content, ContentBody};
+use memory::content::Content;
 use sha2::{Digest, Sha256};
 use std::cell::OnceCell;
 use std::rc::Rc;
@@ -49,8 +50,8 @@
     pub uri: Uri,
     /// Headers that are forwarded to the endpoint.
     pub headers: HeaderMap,
-    /// Request body, until it is dropped because the request is not sent again.
-    pub(crate) body: Rc<Kept>,
+    /// Request body, until it is dropped. It is sent by an [`crate::execution::Permit`] only.
+    pub(crate) body: Rc<kept::Body>,
     /// The memory of the request, without its body.
     pub(crate) _room: Lease,
     /// Arrival time.
@@ -111,12 +112,16 @@
     /// content, then the parts of its prompt.
     pub fn features(&self) -> &[Fingerprint] {
         self.features.get_or_init(|| {
-            let content = std::iter::once(self.hash_content());
+            let content = match self.body.get() {
+                Ok(body) => self.hash_content(&body),
+                Err(dropped) => dropped.fingerprint,
+            };
+            let content = std::iter::once(content);
             content.chain(self.parts().iter().copied()).collect()
         })
     }
 
-    fn hash_content(&self) -> Fingerprint {
+    fn hash_content(&self, body: &Content) -> Fingerprint {
         let host = self.headers.get(HOST).map_or(&[][..], |h| h.as_bytes());
         let path = self.uri.path_and_query().map_or("", |p| p.as_str());
         let team = self.team.as_deref().unwrap_or_default();
@@ -126,21 +131,10 @@
             self.method.as_str().as_bytes(),
             path.as_bytes(),
         ];
-        let content = self.content();
-        let segments: Vec<&[u8]> = content.segments().iter().map(|s| &s[..]).collect();
+        let segments: Vec<&[u8]> = body.segments().iter().map(|s| &s[..]).collect();
         hash(fields, &segments)
     }
 
-    /// Returns the body; an empty one once it was dropped.
-    fn content(&self) -> Content {
-        self.body.get().unwrap_or_default()
-    }
-
-    /// Returns the body for one sending of the request.
-    pub(crate) fn sent_body(&self) -> ContentBody {
-        self.content().into_body()
-    }
-
     /// Returns whether the body takes more memory than that of a usual request.
     pub(crate) fn is_large(&self) -> bool {
         self.body.len() > SMALL_BODY_BYTES
@@ -149,9 +143,15 @@
     /// Drops a large body, since the request is not sent again.
     pub(crate) fn release_body(&self) {
         if self.is_large() {
-            // What is derived from the body is kept.
-            self.features();
-            self.body.release();
+            self.body.release(self.fingerprint());
+        }
+    }
+
+    /// Returns the body for those who may drop it.
+    pub(crate) fn droppable_body(&self) -> Droppable {
+        Droppable {
+            body: self.body.clone(),
+            fingerprint: self.fingerprint(),
         }
     }
 
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod forward;
 mod framing;
 pub mod job;
+pub mod kept;
 pub mod listener;
 pub mod metrics;
 pub mod pool;
--- a/crates/gate/src/splice.rs
+++ b/crates/gate/src/splice.rs
@@ -90,10 +90,9 @@
         job.release_body();
         return None;
     }
-    // What is derived from the body is needed later.
-    job.features();
     let limits = &job.catalog.limits;
-    let holder = Holder::new(Way::Kept(job.body.clone()), None, limits.idle_time);
+    let way = Way::Kept(job.droppable_body());
+    let holder = Holder::new(way, None, limits.idle_time);
     holder.set_bytes(job.body.len());
     Some(forwarder.worker.admission.register(holder))
 }
--- a/crates/memory/src/content.rs
+++ b/crates/memory/src/content.rs
@@ -65,6 +65,12 @@
         self.len() == 0
     }
 
+    /// Returns whether there are other clones, which hold the memory too.
+    pub fn is_shared(&self) -> bool {
+        let shared = self.shared.as_ref();
+        shared.is_some_and(|s| Arc::strong_count(s) > 1)
+    }
+
     /// Returns the bytes in one piece. It holds the memory if this is the only clone. Bytes in several
     /// segments are copied.
     pub fn into_bytes(self) -> Bytes {
