response: one place decides whether a parsed head is that of a response

An endpoint's status 600, 700 or 999 reached callers as an answer, and 101 did through a node that relays. 000, reported of other systems, did not: the HTTP library does not parse it, like other codes below 100, two or four digits, other versions and plain text.

Cause: five places each made a part of the checks. The library's status holds 100 to 999. The version of a response, which concerns one connection, was passed on with its head.

Change: response::head checks status and upgrade, and how the body ends. The pool of connections to endpoints and nodes, the client of services and those of the store and of engines return only what passed. Responses have the version of this side. gate::framing is part of it now.

--- a/crates/engine/src/service.rs
+++ b/crates/engine/src/service.rs
@@ -17,6 +17,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use response::head::Head;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -38,7 +39,8 @@
     Reset,
     /// The head of the response was not received in time.
     Silent,
-    /// The end of the response is not delimited, so that a truncated response would look complete.
+    /// What was received is no response, or its end is not delimited, so that a truncated response would look
+    /// complete.
     Protocol,
     /// The request can't be sent over HTTP/1.1.
     Invalid,
@@ -239,13 +241,12 @@
 fn accept(
     pool: &Pool,
     connection: Connection,
-    response: Response<hyper::body::Incoming>,
+    mut response: Response<hyper::body::Incoming>,
 ) -> Result<Response<Body>> {
-    use hyper::body::Body as _;
-    let has_end = response.body().is_end_stream()
-        || response.body().size_hint().exact().is_some()
-        || response.headers().contains_key(TRANSFER_ENCODING);
-    if !has_end {
+    let head = Head::try_from(&response);
+    // The version concerns a single connection.
+    *response.version_mut() = Version::HTTP_11;
+    if !head.is_ok_and(|head| head.is_delimited()) {
         connection.task.abort();
         return Err(Failure {
             cause: Cause::Protocol,
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -14,7 +14,6 @@
 use crate::body::{self, Body};
 use crate::dialect::{Dialect, ResponseInfo};
 use crate::execution::{self, Denial, Ledger, Permit};
-use crate::framing;
 use crate::job::Job;
 use crate::pool::Conn;
 use crate::refusal::{Reason, Refusal};
@@ -181,18 +180,18 @@
     async fn read_complete(&self, exchange: Exchange<D>) -> Option<Response<Content>> {
         let Exchange {
             conn,
+            head,
             response,
             info,
             reservation,
             ..
         } = exchange;
-        let is_delimited = framing::is_delimited(&response);
         let (mut parts, body) = response.into_parts();
         let admission = &self.worker.admission;
         let body = admission
             .collect(body, MAX_BODY_BYTES, self.job.deadline)
             .await;
-        let Some(body) = body.filter(|_| is_delimited) else {
+        let Some(body) = body.filter(|_| head.is_delimited()) else {
             reservation.end(Outcome::Failed, None);
             return None;
         };
@@ -221,6 +220,7 @@
             reservation,
             attempt,
             disproof,
+            ..
         } = exchange;
         if let Some(disproof) = disproof {
             // Whether the request is sent again is decided elsewhere.
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -5,11 +5,12 @@
 use super::stall::{self, Verdict};
 use crate::dialect::{Dialect, ForwardInfo, ResponseInfo};
 use crate::execution::{Attempt, Disproof, Doubt, Permit};
-use crate::pool::{self, Conn};
+use crate::pool::{self, Conn, Received};
 use crate::worker::Worker;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use memory::content::ContentBody;
+use response::head::Head;
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::net::SocketAddr;
@@ -118,6 +119,7 @@
 /// An attempt whose response head was received.
 pub(crate) struct Exchange<D: Dialect> {
     pub(crate) conn: Conn,
+    pub(crate) head: Head,
     pub(crate) response: Response<Incoming>,
     pub(crate) info: ResponseInfo,
     pub(crate) reservation: Reservation<D>,
@@ -221,12 +223,14 @@
         reservation.progress.earlier_crashes.replace(crashes);
         let exchanged = self.exchange(&mut reservation, permit, last_event_id).await;
         let failure = match exchanged {
-            Ok((conn, response, attempt)) => {
+            Ok((conn, received, attempt)) => {
+                let Received { head, response } = received;
                 let info = self.worker.dialect.response_info(response.headers());
                 match self.verify(&conn, &response, &info) {
                     Ok(disproof) => {
                         let exchange = Exchange {
                             conn,
+                            head,
                             response,
                             info,
                             reservation,
@@ -342,7 +346,7 @@
         reservation: &mut Reservation<D>,
         mut permit: Permit,
         last_event_id: Option<u64>,
-    ) -> Result<(Conn, Response<Incoming>, Attempt), Failure> {
+    ) -> Result<(Conn, Received, Attempt), Failure> {
         let addr = reservation.target.head().addr;
         let mut is_retry = false;
         loop {
@@ -355,7 +359,7 @@
                 .await_head(&mut conn, request, reservation, last_event_id)
                 .await
             {
-                Ok(response) => return Ok((conn, response, attempt)),
+                Ok(received) => return Ok((conn, received, attempt)),
                 Err(error) => error,
             };
             let Some(disproof) = error.disproof() else {
@@ -382,7 +386,7 @@
         request: Request<ContentBody>,
         reservation: &mut Reservation<D>,
         last_event_id: Option<u64>,
-    ) -> Result<Response<Incoming>, Failure> {
+    ) -> Result<Received, Failure> {
         let latency_target = self.job.route().latency_target;
         let mut evacuation = Evacuation::new(&self.worker);
         let started = Instant::now();
@@ -490,7 +494,6 @@
         let encoded = response
             .headers()
             .contains_key(http::header::CONTENT_ENCODING);
-        let upgraded = response.status() == StatusCode::SWITCHING_PROTOCOLS;
-        own_id && !upgraded && !encoded && (!success || info.sealed)
+        own_id && !encoded && (!success || info.sealed)
     }
 }
--- a/crates/gate/src/forward/relay.rs
+++ b/crates/gate/src/forward/relay.rs
@@ -8,7 +8,6 @@
 use crate::admit;
 use crate::dialect::{Dialect, RelayInfo};
 use crate::execution::{self, Attempt, Disproof, Permit};
-use crate::framing;
 use crate::pool::{self, Conn};
 use crate::refusal::Refusal;
 use crate::splice::{Chunk, Incomplete};
@@ -33,7 +32,7 @@
 /// A response of another node whose head was received.
 pub(crate) struct Relayed {
     conn: Conn,
-    response: Response<Incoming>,
+    received: pool::Received,
     attempt: Attempt,
 }
 
@@ -104,7 +103,8 @@
     /// Returns the response; `None` if the other node refused the request and closes its connections,
     /// as a node that leaves does, so that a third node may take it.
     fn unless_leaving(&self, relayed: Relayed) -> Option<Relayed> {
-        let (status, headers) = (relayed.response.status(), relayed.response.headers());
+        let response = &relayed.received.response;
+        let (status, headers) = (response.status(), response.headers());
         if status != StatusCode::SERVICE_UNAVAILABLE || !pool::closes_connection(headers) {
             return Some(relayed);
         }
@@ -135,9 +135,9 @@
         let (attempt, body) = permit.begin();
         let sent = timeout(limit, conn.send(self.relay_request(body))).await;
         match sent.unwrap_or(Err(pool::Error::Broken)) {
-            Ok(response) => Ok(Relayed {
+            Ok(received) => Ok(Relayed {
                 conn,
-                response,
+                received,
                 attempt,
             }),
             Err(error) => {
@@ -175,9 +175,10 @@
 ) -> Result<Response<Received<impl Stream<Item = Chunk>>>, Refusal> {
     let Relayed {
         conn,
-        response,
+        received: pool::Received { head, response },
         attempt,
     } = relayed;
+    let is_delimited = head.is_delimited();
     let status = response.status();
     if execution::promises(status) {
         let info = forwarder.worker.dialect.response_info(response.headers());
@@ -198,7 +199,6 @@
             return Err(refusal);
         }
     }
-    let is_delimited = framing::is_delimited(&response);
     let (mut parts, incoming) = response.into_parts();
     let headers = std::mem::take(&mut parts.headers);
     parts.headers = admit::returned(&headers);
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -23,7 +23,6 @@
 pub mod events;
 pub mod execution;
 pub mod forward;
-mod framing;
 pub mod job;
 pub mod kept;
 pub mod listener;
--- a/crates/gate/src/pool.rs
+++ b/crates/gate/src/pool.rs
@@ -8,11 +8,12 @@
 
 use crate::stats::{self, Stats};
 use http::header::CONNECTION;
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, Request, Response, Version};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use memory::content::ContentBody;
+use response::head::{Head, Invalid};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -59,6 +60,8 @@
     Unsent,
     /// The connection broke or the response was malformed; the request may have been executed.
     Broken,
+    /// What was received is no response; the request may have been executed.
+    Invalid(Invalid),
 }
 
 impl Error {
@@ -66,7 +69,7 @@
     pub fn may_have_run(self) -> bool {
         match self {
             Self::Refused | Self::Unreachable | Self::Unsent => false,
-            Self::Broken => true,
+            Self::Broken | Self::Invalid(_) => true,
         }
     }
 }
@@ -78,6 +81,7 @@
             Self::Unreachable => "no connection before the timeout",
             Self::Unsent => "connection closed before the request was sent",
             Self::Broken => "connection broke",
+            Self::Invalid(invalid) => return invalid.fmt(f),
         })
     }
 }
@@ -87,6 +91,25 @@
 /// Result of sending a request.
 pub type Result<T> = std::result::Result<T, Error>;
 
+/// A response whose head was received and checked.
+#[derive(Debug)]
+pub struct Received {
+    /// What was found in the head.
+    pub head: Head,
+    /// The response. Its version is that of this side, since it concerns a single connection.
+    pub response: Response<Incoming>,
+}
+
+impl TryFrom<Response<Incoming>> for Received {
+    type Error = Invalid;
+
+    fn try_from(mut response: Response<Incoming>) -> std::result::Result<Self, Invalid> {
+        let head = Head::try_from(&response)?;
+        *response.version_mut() = Version::HTTP_11;
+        Ok(Self { head, response })
+    }
+}
+
 /// Number of a connection, from 1 in the order in which a worker opened them.
 pub type ConnId = u64;
 
@@ -239,9 +262,9 @@
     }
 
     /// Sends a request and waits for the head of the response.
-    pub async fn send(&mut self, request: Request<ContentBody>) -> Result<Response<Incoming>> {
+    pub async fn send(&mut self, request: Request<ContentBody>) -> Result<Received> {
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => Received::try_from(response).map_err(Error::Invalid),
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(Error::Unsent),
                 None => Err(Error::Broken),
--- a/crates/gate/src/splice/source.rs
+++ b/crates/gate/src/splice/source.rs
@@ -9,7 +9,6 @@
 use crate::forward::evacuation::Evacuation;
 use crate::forward::migration::Migration;
 use crate::forward::stall;
-use crate::framing;
 use crate::pool::Conn;
 use bytes::Bytes;
 use http::Response;
@@ -161,6 +160,7 @@
     pub(crate) fn new(exchange: Exchange<D>, last_active: Instant) -> Self {
         let Exchange {
             conn,
+            head,
             response,
             info,
             reservation,
@@ -169,7 +169,7 @@
         let evacuation = Evacuation::new(reservation.worker());
         Self {
             reader: Reader {
-                is_delimited: framing::is_delimited(&response),
+                is_delimited: head.is_delimited(),
                 response,
                 splitter: Splitter::default(),
                 pending_error: None,
--- a/crates/platform/src/http/client.rs
+++ b/crates/platform/src/http/client.rs
@@ -5,8 +5,10 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Body;
 use hyper_util::client::legacy::{self, connect::HttpConnector};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use response::head::Head;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
@@ -152,6 +154,7 @@
     max_bytes: usize,
 ) -> Result<Response<Bytes>> {
     let response = inner.request(request).await.map_err(transport_error)?;
+    check_head(&response)?;
     let (head, body) = response.into_parts();
     match Limited::new(body, max_bytes).collect().await {
         Ok(body) => Ok(Response::from_parts(head, body.to_bytes())),
@@ -163,6 +166,17 @@
     }
 }
 
+/// Checks that what was received is a response, and that a success is marked at its end: it would look
+/// complete otherwise if it was cut off.
+pub(super) fn check_head<B: Body>(response: &Response<B>) -> Result<()> {
+    let head = Head::try_from(response);
+    let head = head.map_err(|invalid| Error::sent(Cause::Decode(invalid.to_string())))?;
+    match head.is_delimited() || !response.status().is_success() {
+        true => Ok(()),
+        false => Err(Error::sent(Cause::Broken)),
+    }
+}
+
 fn transport_error(error: legacy::Error) -> Error {
     match error.is_connect() {
         true => Error::unsent(Cause::Connect),
--- a/crates/platform/src/http/kept.rs
+++ b/crates/platform/src/http/kept.rs
@@ -4,6 +4,7 @@
 //! not say whether a connection was refused or timed out. Failure detection needs both.
 
 use crate::error::{Cause, Error, Result};
+use crate::http::client::check_head;
 use bytes::Bytes;
 use http::header::HOST;
 use http::{HeaderValue, Request, Response, Uri};
@@ -86,6 +87,7 @@
             ready.map_err(|_| Error::unsent(Cause::Broken))?;
             let response = self.sender.send_request(request).await;
             let response = response.map_err(|_| Error::sent(Cause::Broken))?;
+            check_head(&response)?;
             let (head, body) = response.into_parts();
             let body = Limited::new(body, max_bytes).collect().await;
             let body = body.map_err(|_| Error::sent(Cause::Broken))?;
