response, gate: the work for what an endpoint sends is bounded

Comments counted as progress, so no other endpoint was tried.

Cause: memory is bounded at each step, the work was not.

Ruled out: a limit on the length or the time of a response, which cuts sound ones; slowing the endpoint down, which keeps the caller waiting; a count of interim responses alone.

Change: response::meter gives each connection to an endpoint or a node units, which bytes, reads and frames cost, and requests and what is used of a response grant. Without units the connection fails, and the endpoint counts as failing. Heads of endpoints have 16 KB in place of 64.

--- a/crates/gate/src/admission/reception.rs
+++ b/crates/gate/src/admission/reception.rs
@@ -7,6 +7,7 @@
 use memory::budget::{Class, Lease, Part};
 use memory::buffer::Buffer;
 use memory::content::Content;
+use response::meter::Meter;
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -47,10 +48,12 @@
     /// Bytes that were received and are not in the buffer yet.
     rest: Bytes,
     max_bytes: usize,
+    /// Bounds the work for a response.
+    meter: Option<Meter>,
 }
 
 impl Reception {
-    fn new(lease: Lease, body: Incoming, max_bytes: usize) -> Self {
+    fn new(lease: Lease, body: Incoming, max_bytes: usize, meter: Option<Meter>) -> Self {
         let expected = body.size_hint().exact();
         let expected = expected.map(|e| usize::try_from(e).unwrap_or(usize::MAX));
         Self {
@@ -58,6 +61,7 @@
             body,
             rest: Bytes::new(),
             max_bytes,
+            meter,
         }
     }
 
@@ -73,6 +77,12 @@
             };
             // Trailers are not passed on.
             self.rest = frame.into_data().unwrap_or_default();
+            if let Some(meter) = &self.meter {
+                meter.record_part(self.rest.len());
+                if meter.is_exhausted() {
+                    return Poll::Ready(Step::Broken);
+                }
+            }
             if self.buffer.len() + self.rest.len() > self.max_bytes {
                 return Poll::Ready(Step::TooLong);
             }
@@ -112,7 +122,7 @@
         let max_bytes = arrival.max_bytes;
         let holder = Holder::new(Way::Body, Some(arrival.deadline), arrival.idle_time);
         let registration = self.register(holder);
-        let mut reception = Reception::new(self.lease(Part::Bodies), body, max_bytes);
+        let mut reception = Reception::new(self.lease(Part::Bodies), body, max_bytes, None);
         let received = self.receive_all(&mut reception, &registration).await;
         // The memory of a refused body is given back before its registration is.
         received.map(|()| reception.buffer.finish())
@@ -152,13 +162,14 @@
     }
 
     /// Receives the body of a response completely by `deadline`; `None` if it is cut off, exceeds
-    /// `max_bytes`, or finds no room. A response may have run, so it waits for room: one of known length for
+    /// `max_bytes` or the work that `meter` allows, or finds no room. A response may have run, so it waits for room: one of known length for
     /// all of it, so that those that wait hold nothing.
     pub(crate) async fn collect(
         self: &Rc<Self>,
         body: Incoming,
         max_bytes: usize,
         deadline: Instant,
+        meter: &Meter,
     ) -> Option<Content> {
         if body.is_end_stream() {
             return Some(Content::default());
@@ -175,7 +186,7 @@
                 self.wait_for_room(cost, Class::Large, deadline).await?;
             }
         }
-        let mut reception = Reception::new(room, body, max_bytes);
+        let mut reception = Reception::new(room, body, max_bytes, Some(meter.clone()));
         // Only one that waits for room in its middle has to give way.
         let mut waiting: Option<Registration> = None;
         loop {
--- a/crates/gate/src/events.rs
+++ b/crates/gate/src/events.rs
@@ -17,6 +17,15 @@
     pub bytes: Bytes,
 }
 
+impl Event {
+    /// Returns whether the event brings the response forward: it has an id or data. Others are comments, which
+    /// only keep a connection open.
+    pub fn has_content(&self) -> bool {
+        let mut lines = self.bytes.split(|&b| b == b'\n');
+        self.id.is_some() || lines.any(|line| line.starts_with(b"data"))
+    }
+}
+
 /// Buffers the bytes of a stream and iterates over its complete events.
 #[derive(Debug, Default)]
 pub struct Splitter {
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -30,7 +30,6 @@
 use futures::future::Either;
 use futures::{Stream, StreamExt};
 use http::{Response, StatusCode};
-use http_body_util::BodyExt;
 use memory::content::Content;
 use race::{Lost, Phase, Winner};
 use rand::RngExt;
@@ -189,7 +188,7 @@
         let (mut parts, body) = response.into_parts();
         let admission = &self.worker.admission;
         let body = admission
-            .collect(body, MAX_BODY_BYTES, self.job.deadline)
+            .collect(body, MAX_BODY_BYTES, self.job.deadline, conn.meter())
             .await;
         let Some(body) = body.filter(|_| head.is_delimited()) else {
             reservation.end(Outcome::Failed, None);
@@ -238,9 +237,9 @@
         info: &ResponseInfo,
     ) {
         let (parts, body) = response.into_parts();
-        let body = http_body_util::Limited::new(body, MAX_DRAINED_BYTES).collect();
+        let body = response::body::discard(body, MAX_DRAINED_BYTES);
         let read = timeout(self.job.time_left().min(DRAIN_TIMEOUT), body).await;
-        if matches!(read, Ok(Ok(_))) {
+        if read == Ok(true) {
             self.worker
                 .pool
                 .put(conn, &parts.headers, info.idle_timeout);
--- a/crates/gate/src/forward/race.rs
+++ b/crates/gate/src/forward/race.rs
@@ -328,6 +328,8 @@
         loop {
             match source.watch(self, position).await {
                 Step::Idle(reason) => self.report_idle(&source.progress(), reason),
+                // Comments decide nothing between attempts, and are not passed on.
+                Step::Events(batch) if !batch.has_content => {}
                 Step::Failed(reason) => {
                     self.log.set_reason(reason);
                     source.fail(self, reason);
--- a/crates/gate/src/forward/relay.rs
+++ b/crates/gate/src/forward/relay.rs
@@ -219,7 +219,9 @@
     }
     let limit = forwarder.job.deadline + REPORT_TIME;
     let admission = forwarder.worker.admission.clone();
-    let body = admission.collect(incoming, MAX_BODY_BYTES, limit).await;
+    let meter = conn.meter();
+    let body = admission.collect(incoming, MAX_BODY_BYTES, limit, meter);
+    let body = body.await;
     let Some(body) = body.filter(|_| is_delimited) else {
         let refusal = forwarder.exhausted();
         forwarder.log.end_refused(refusal);
@@ -237,6 +239,8 @@
         let left = self.forwarder.job.time_left() + REPORT_TIME;
         match timeout(left, self.body.frame()).await {
             Ok(Some(Ok(frame))) => {
+                let length = frame.data_ref().map_or(0, Bytes::len);
+                self.conn.meter().record_frame(length);
                 let Ok(data) = frame.into_data() else {
                     return Some((Ok(Frame::data(Bytes::new())), Some(self)));
                 };
--- a/crates/gate/src/pool.rs
+++ b/crates/gate/src/pool.rs
@@ -10,18 +10,17 @@
 use http::header::CONNECTION;
 use http::{HeaderMap, Request, Response, Version};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
+use hyper::client::conn::http1::SendRequest;
 use memory::content::ContentBody;
+use response::connection::{self, Opened, Options};
 use response::head::{Head, Invalid};
-use socket2::SockRef;
+use response::meter::{self, Allowance, Meter};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpSocket;
 use tokio::time::{Instant, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -37,12 +36,17 @@
 /// that is sent while the endpoint closes the connection is lost, and it is unknown whether it was
 /// executed.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.6;
-/// Maximum size of a response head, and of what is read at once of a body. An endpoint may send a head
-/// without end on each of its connections.
-const MAX_HEAD_BYTES: usize = 64 << 10;
-/// Size of the kernel's receive buffer of a connection in bytes. An endpoint fills it if the caller does not
-/// read.
-const RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
+/// Bounds of a connection. The buffer bounds a response head, and what is read at once of a body; an endpoint
+/// may send a head without end on each of its connections.
+const OPTIONS: Options = Options {
+    buffer_bytes: 16 << 10,
+    receive_buffer_bytes: 32 << 10,
+    user_timeout: Some(TCP_USER_TIMEOUT),
+    allowance: Allowance {
+        head: 128 << 10,
+        body: 4 << 20,
+    },
+};
 /// Maximum number of idle connections to one endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 64;
 /// Number of requests after which a connection is closed. It limits the memory for their ids to 8 KiB a
@@ -62,6 +66,8 @@
     Broken,
     /// What was received is no response; the request may have been executed.
     Invalid(Invalid),
+    /// The response took more work than it brought; the request may have been executed.
+    Exhausted,
 }
 
 impl Error {
@@ -69,7 +75,7 @@
     pub fn may_have_run(self) -> bool {
         match self {
             Self::Refused | Self::Unreachable | Self::Unsent => false,
-            Self::Broken | Self::Invalid(_) => true,
+            Self::Broken | Self::Invalid(_) | Self::Exhausted => true,
         }
     }
 }
@@ -82,6 +88,7 @@
             Self::Unsent => "connection closed before the request was sent",
             Self::Broken => "connection broke",
             Self::Invalid(invalid) => return invalid.fmt(f),
+            Self::Exhausted => return meter::Exhausted.fmt(f),
         })
     }
 }
@@ -121,6 +128,7 @@
 pub struct Conn {
     id: ConnId,
     sender: SendRequest<ContentBody>,
+    meter: Meter,
     addr: SocketAddr,
     opened_at: Instant,
     /// The requests that it was handed out for, at most [`MAX_REQUESTS`].
@@ -175,15 +183,25 @@
 
     async fn open(&self, addr: SocketAddr) -> Result<Conn> {
         stats::increment(&self.stats.connects);
-        let connected = timeout(CONNECT_TIMEOUT, connect(addr)).await;
-        let (sender, opened_at) = connected.unwrap_or(Err(Error::Unreachable))?;
+        let connected = timeout(CONNECT_TIMEOUT, connection::connect(addr, &OPTIONS)).await;
+        let opened = connected.map_err(|_| Error::Unreachable)?;
+        let Opened {
+            sender,
+            driver,
+            meter,
+        } = opened.map_err(|_| Error::Refused)?;
+        // Errors of the connection are returned to the request that uses it.
+        tokio::task::spawn_local(async move {
+            let _ = driver.await;
+        });
         let id = self.last_id.get() + 1;
         self.last_id.set(id);
         Ok(Conn {
             id,
             sender,
+            meter,
             addr,
-            opened_at,
+            opened_at: Instant::now(),
             carried: Vec::new(),
             has_ids: true,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
@@ -261,43 +279,28 @@
         self.carried.len()
     }
 
+    /// Returns the bound on the work for its responses.
+    pub(crate) fn meter(&self) -> &Meter {
+        &self.meter
+    }
+
     /// Sends a request and waits for the head of the response.
     pub async fn send(&mut self, request: Request<ContentBody>) -> Result<Received> {
+        self.meter.begin();
         match self.sender.try_send_request(request).await {
-            Ok(response) => Received::try_from(response).map_err(Error::Invalid),
+            Ok(response) => {
+                self.meter.begin_body();
+                Received::try_from(response).map_err(Error::Invalid)
+            }
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(Error::Unsent),
+                None if self.meter.is_exhausted() => Err(Error::Exhausted),
                 None => Err(Error::Broken),
             },
         }
     }
 }
 
-async fn connect(addr: SocketAddr) -> Result<(SendRequest<ContentBody>, Instant)> {
-    let socket = match addr.is_ipv4() {
-        true => TcpSocket::new_v4(),
-        false => TcpSocket::new_v6(),
-    };
-    let socket = socket.map_err(|_| Error::Refused)?;
-    // The connection works with any buffer; a failure is ignored.
-    let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
-    let stream = socket.connect(addr).await.map_err(|_| Error::Refused)?;
-    // Without these options requests are slower or a lost endpoint is detected later, but the
-    // connection works; failures are ignored.
-    let _ = stream.set_nodelay(true);
-    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
-    let handshake = http1::Builder::new()
-        .max_buf_size(MAX_HEAD_BYTES)
-        .handshake(TokioIo::new(stream))
-        .await;
-    let (sender, conn) = handshake.map_err(|_| Error::Refused)?;
-    // Errors of the connection are returned to the request that uses it.
-    tokio::task::spawn_local(async move {
-        let _ = conn.await;
-    });
-    Ok((sender, Instant::now()))
-}
-
 /// Returns whether the endpoint closes the connection after its response.
 pub(crate) fn closes_connection(headers: &HeaderMap) -> bool {
     let values = headers.get_all(CONNECTION).iter();
--- a/crates/gate/src/splice/source.rs
+++ b/crates/gate/src/splice/source.rs
@@ -14,6 +14,7 @@
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use response::meter::{self, Meter};
 use std::rc::Rc;
 use std::time::Duration;
 use steer::health::Outcome;
@@ -31,6 +32,8 @@
     pub(super) count: usize,
     /// Id of the last event; `None` if no event has an id.
     pub(super) last_id: Option<u64>,
+    /// Whether one of them is not a mere comment.
+    pub(crate) has_content: bool,
 }
 
 /// Result of reading from an endpoint's stream.
@@ -56,6 +59,8 @@
     pending_error: Option<&'static str>,
     /// Whether the connection broke before the end of the response.
     broken: bool,
+    /// Bounds the work for the response.
+    meter: Meter,
 }
 
 impl Reader {
@@ -63,7 +68,12 @@
     pub(super) async fn next(&mut self, position: Option<u64>) -> Step {
         loop {
             match self.take_events(position) {
-                Ok(Some(batch)) => return Step::Events(batch),
+                Ok(Some(batch)) => {
+                    if batch.has_content {
+                        self.meter.record_frame(batch.bytes.len());
+                    }
+                    return Step::Events(batch);
+                }
                 Ok(None) => {}
                 Err(reason) => return Step::Failed(reason),
             }
@@ -77,11 +87,15 @@
                     return Step::Failed("ended with its connection, without a mark of its end");
                 }
                 None => return Step::End,
+                Some(Err(_)) if self.meter.is_exhausted() => {
+                    return Step::Failed(meter::Exhausted::MESSAGE);
+                }
                 Some(Err(_)) => {
                     self.broken = true;
                     return Step::Failed("connection broke");
                 }
                 Some(Ok(frame)) => {
+                    self.meter.record_frame(0);
                     if let Some(data) = frame.data_ref() {
                         self.splitter.feed(data);
                     }
@@ -111,13 +125,16 @@
                     break;
                 }
             }
+            let has_content = event.has_content();
             batch = Some(match batch {
                 None => Batch {
                     bytes: event.bytes,
                     count: 1,
                     last_id: event.id.or(last_id),
+                    has_content,
                 },
                 Some(earlier) => Batch {
+                    has_content: earlier.has_content || has_content,
                     bytes: [earlier.bytes, event.bytes].concat().into(),
                     count: earlier.count + 1,
                     last_id: event.id.or(last_id),
@@ -174,6 +191,7 @@
                 splitter: Splitter::default(),
                 pending_error: None,
                 broken: false,
+                meter: conn.meter().clone(),
             },
             reservation,
             conn,
@@ -264,9 +282,11 @@
         }
     }
 
-    /// Restarts the idle time if events were received.
+    /// Restarts the idle time if events were received that bring the response forward.
     fn received(&mut self, step: Step) -> Step {
-        if matches!(step, Step::Events(_)) {
+        if let Step::Events(batch) = &step
+            && batch.has_content
+        {
             if !self.has_started {
                 self.reservation.record_first_event();
             }
--- a/crates/gate/tests/status.rs
+++ b/crates/gate/tests/status.rs
@@ -123,7 +123,8 @@
 fn a_repeatable_request_goes_on_elsewhere() {
     run(async {
         for path in ["/safe/x", "/chat/x"] {
-            let text = format!("HTTP/1.1 600 X\r\nid: r1\r\nseal: s\r\ncontent-length: 0\r\n\r\n");
+            let text =
+                "HTTP/1.1 600 X\r\nid: r1\r\nseal: s\r\ncontent-length: 0\r\n\r\n".to_owned();
             let faulty = Server::start(vec![Behavior::Text(text)]).await;
             let sound = match path {
                 "/chat/x" => Behavior::Events(1, 1),
--- a/crates/gate/tests/support/server.rs
+++ b/crates/gate/tests/support/server.rs
@@ -82,9 +82,54 @@
 /// What an endpoint sends without end.
 #[derive(Clone, Copy, Debug)]
 pub enum Endless {
+    /// A header.
     Head,
+    /// A body without a length.
     Body,
+    /// An event.
     Event,
+    /// Interim responses.
+    Interim,
+    /// Header lines.
+    HeaderLines,
+    /// Chunks of a byte.
+    ShortChunks,
+    /// Zeros before the length of a chunk.
+    Zeros,
+    /// The extension of a chunk.
+    Extension,
+    /// Trailers.
+    Trailers,
+    /// Comments of an event stream, in chunks.
+    Comments,
+    /// The same event again, in chunks.
+    SameEvent,
+    /// The body of a refusal, in chunks of a byte.
+    Refusal,
+}
+
+impl Endless {
+    /// Returns what is sent first, with these header lines, and then without end.
+    fn text(self, lines: &str) -> (String, String) {
+        let head = format!("HTTP/1.1 200 OK\r\n{lines}");
+        let chunked = format!("{head}transfer-encoding: chunked\r\n\r\n");
+        let refusal =
+            format!("HTTP/1.1 503 X\r\n{lines}unrun: 1\r\ntransfer-encoding: chunked\r\n\r\n");
+        match self {
+            Self::Head => (head + "x-endless: ", "x".to_owned()),
+            Self::Body => (head + "\r\n", "x".to_owned()),
+            Self::Event => (head + "\r\nid: 1\ndata: ", "x".to_owned()),
+            Self::Interim => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n".to_owned()),
+            Self::HeaderLines => (head, "x-a: b\r\n".to_owned()),
+            Self::ShortChunks => (chunked, chunk("x")),
+            Self::Zeros => (chunked, "0".to_owned()),
+            Self::Extension => (chunked + "1;", "x".to_owned()),
+            Self::Trailers => (chunked + "0\r\n", "x-a: b\r\n".to_owned()),
+            Self::Comments => (chunked + &chunks(1..=1), chunk(": c\n\n")),
+            Self::SameEvent => (chunked, chunks(1..=1)),
+            Self::Refusal => (refusal, chunk("x")),
+        }
+    }
 }
 
 impl Behavior {
@@ -139,6 +184,8 @@
     lost_responses: usize,
     /// Number of connections that the other side closed during a response.
     aborted: usize,
+    /// Bytes that were sent without end, by connection.
+    endless_bytes: Vec<usize>,
     /// Number of accepted connections.
     opened: usize,
     /// Number of connections that the other side closed between two requests.
@@ -215,6 +262,11 @@
         self.state.lock().unwrap().aborted
     }
 
+    /// Returns the bytes that were sent without end on connections that were closed since.
+    pub fn endless_bytes(&self) -> Vec<usize> {
+        self.state.lock().unwrap().endless_bytes.clone()
+    }
+
     /// Lets this number of held responses be sent.
     pub fn release(&self, count: usize) {
         self.released.add_permits(count);
@@ -386,15 +438,14 @@
                 reset(stream)
             }
             Behavior::Endless(kind) => {
-                let head = "HTTP/1.1 200 OK\r\n".to_owned() + &own;
-                let start = match kind {
-                    Endless::Head => head + "x-endless: ",
-                    Endless::Body => head + "\r\n",
-                    Endless::Event => head + "\r\nid: 1\ndata: ",
-                };
+                let (start, filler) = kind.text(&own);
                 write(stream, &start).await?;
-                let filler = "x".repeat(1 << 16);
-                while write(stream, &filler).await.is_some() {}
+                let filler = filler.repeat((1 << 16) / filler.len());
+                let mut written = 0;
+                while write(stream, &filler).await.is_some() {
+                    written += filler.len();
+                }
+                self.state.lock().unwrap().endless_bytes.push(written);
                 None
             }
             Behavior::Silent => self.wait_for_close(stream).await,
--- a/crates/response/src/head.rs
+++ b/crates/response/src/head.rs
@@ -1,7 +1,7 @@
 //! Whether a parsed head is that of a response.
 
-use http::header::TRANSFER_ENCODING;
 use http::Response;
+use http::header::TRANSFER_ENCODING;
 use http_body::Body;
 use std::fmt;
 
