gate: events that are being received take their memory from the budget

90 streams from an endpoint that sends an event without end took 122 MiB of a machine of 64; the process would have ended, with the requests of other callers.

Cause: up to 1 MB of an event is buffered for each stream, and counted nowhere.

Change: what a stream buffers beyond 16 KB, which its request has taken already, is leased. Without room for 200 ms the stream ends: streams that wait hold memory, and wait for each other (a trial that waited until the deadline blocked all of them).

tests/long_events.rs failed before at 122 MiB; the limit is the memory of the machine, with the test's own endpoint and callers in it.

--- a/crates/gate/src/events.rs
+++ b/crates/gate/src/events.rs
@@ -40,6 +40,11 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Returns the size of the buffer in bytes.
+    pub fn capacity(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Returns whether the buffer holds an incomplete event.
     pub fn has_partial(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/gate/src/splice/source.rs
+++ b/crates/gate/src/splice/source.rs
@@ -1,6 +1,7 @@
 //! The event stream of one endpoint.
 
 use super::Head;
+use crate::admission::Admission;
 use crate::admit;
 use crate::dialect::{Dialect, ResponseInfo};
 use crate::events::{Event, Splitter};
@@ -14,6 +15,7 @@
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use memory::budget::{Class, Lease, Part};
 use response::meter::{self, Meter};
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,6 +26,13 @@
 /// finds its timers expired before it has read from its connections.
 const READ_TIME: Duration = Duration::from_millis(2);
 
+/// Size up to which the memory of the buffered events is counted with the request.
+const FREE_BUFFER_BYTES: usize = 16 << 10;
+/// Pause before a stream looks for room again.
+const ROOM_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest wait for room. Streams that wait hold memory, and wait for each other.
+const MAX_ROOM_WAIT: Duration = Duration::from_millis(200);
+
 /// Complete events that follow each other.
 #[derive(Debug)]
 pub(crate) struct Batch {
@@ -61,6 +70,11 @@
     broken: bool,
     /// Bounds the work for the response.
     meter: Meter,
+    admission: Rc<Admission>,
+    /// The memory of a long event.
+    room: Lease,
+    /// Since when there is no room for more of it.
+    lacks_room_since: Option<Instant>,
 }
 
 impl Reader {
@@ -77,6 +91,14 @@
                 Ok(None) => {}
                 Err(reason) => return Step::Failed(reason),
             }
+            while !self.has_room() {
+                let since = *self.lacks_room_since.get_or_insert_with(Instant::now);
+                if since.elapsed() >= MAX_ROOM_WAIT {
+                    return Step::Failed("no memory for a long event");
+                }
+                sleep(ROOM_INTERVAL).await;
+            }
+            self.lacks_room_since = None;
             match self.response.body_mut().frame().await {
                 None if self.splitter.has_partial() => {
                     self.broken = true;
@@ -104,6 +126,19 @@
         }
     }
 
+    /// Takes memory for the event that is being received; false if there is none now.
+    fn has_room(&mut self) -> bool {
+        let needed = self.splitter.capacity().saturating_sub(FREE_BUFFER_BYTES);
+        let lacking = needed.saturating_sub(self.room.bytes());
+        if lacking == 0 {
+            self.room.shrink_to(needed);
+            return true;
+        }
+        self.room.try_grow(lacking, Class::Large)
+            || (self.admission.evict(lacking, Class::Large, None)
+                && self.room.try_grow(lacking, Class::Large))
+    }
+
     /// Returns the complete events that are buffered, without those up to `position`.
     fn take_events(&mut self, position: Option<u64>) -> Result<Option<Batch>, &'static str> {
         if let Some(reason) = self.pending_error {
@@ -184,6 +219,7 @@
             ..
         } = exchange;
         let evacuation = Evacuation::new(reservation.worker());
+        let admission = reservation.worker().admission.clone();
         Self {
             reader: Reader {
                 is_delimited: head.is_delimited(),
@@ -192,6 +228,9 @@
                 pending_error: None,
                 broken: false,
                 meter: conn.meter().clone(),
+                room: admission.lease(Part::Responses),
+                lacks_room_since: None,
+                admission,
             },
             reservation,
             conn,
