platform, adapter: what engines report is bounded, for each and together

120 engines whose reports are bodies without end took 201,592 KB of a machine of 64 MB, and interim responses 89,144 KB. One call read 190 MB of interim responses in its 600 ms.

Cause: the clients of engines took the general limits, 8 MB for a body and 400 KB for a head and a buffer, and nothing counted the calls together. The work of a call was bounded by its time alone.

Change: 256 KB for a report or an answer to an order, 16 KB for a head and a buffer. What exceeds 4 KB comes from a budget of 2 in 100 of the memory that all clients of engines share. Connections are metered, frames cost.

--- a/crates/memory/src/shares.rs
+++ b/crates/memory/src/shares.rs
@@ -26,6 +26,9 @@
 const IDLE_CONNECTION_BYTES: usize = 12 << 10;
 /// Share of the connections that each auxiliary listener has.
 const AUXILIARY_SHARE: f64 = 0.1;
+/// Share of the memory for reports of engines and their answers to orders that are being received, a part of
+/// that of the process's own state.
+const REPORTS_SHARE: f64 = 0.02;
 /// Maximum number of connections of an auxiliary listener.
 const MAX_AUXILIARY_CONNECTIONS: usize = 256;
 /// Number of the largest bodies that the budget holds at the same time.
@@ -43,6 +46,8 @@
     /// Maximum number of connections of a listener that serves no requests of callers; part of
     /// `connections`.
     pub auxiliary_connections: usize,
+    /// Bytes for what engines report.
+    pub report_bytes: usize,
 }
 
 impl Shares {
@@ -58,6 +63,7 @@
             reserve_bytes: share(budget_bytes, RESERVE_SHARE),
             connections,
             auxiliary_connections: auxiliary.min(MAX_AUXILIARY_CONNECTIONS),
+            report_bytes: share(memory_bytes, REPORTS_SHARE),
         }
     }
 
@@ -65,6 +71,11 @@
     pub fn budget(&self) -> Budget {
         Budget::new(self.budget_bytes, self.reserve_bytes)
     }
+
+    /// Returns an unused budget for what engines report.
+    pub fn reports(&self) -> Budget {
+        Budget::new(self.report_bytes, 0)
+    }
 }
 
 /// Returns the size in bytes of the largest body for which a budget has room.
--- a/crates/node/examples/poll_cost.rs
+++ b/crates/node/examples/poll_cost.rs
@@ -6,6 +6,7 @@
 
 use adapter::report::{Control, Session};
 use eyre::Result;
+use memory::budget::Budget;
 use standin::engine::Engine;
 use standin::store::Store;
 use std::net::SocketAddr;
@@ -54,15 +55,16 @@
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> Result<()> {
     let addr = start_engine()?;
+    let budget = Budget::new(1 << 20, 0);
     for _ in 0..2 {
         measure("timer alone", async || true).await?;
-        let control = Control::new(addr);
+        let control = Control::new(addr, budget.clone());
         measure("pooling client, decoded", async || {
             control.fetch_report().await.is_ok()
         })
         .await?;
         for decode in [true, false] {
-            let opened = Session::open(addr).await;
+            let opened = Session::open(addr, budget.clone()).await;
             let (mut session, driver) = opened.map_err(|e| eyre::eyre!("{e:?}"))?;
             tokio::spawn(driver.run());
             measure(&format!("kept connection, decode {decode}"), async || {
--- a/crates/node/src/hosted/control.rs
+++ b/crates/node/src/hosted/control.rs
@@ -26,6 +26,7 @@
 use gate::view::SharedView;
 use input::{INPUT_QUEUE_LEN, Input, InputSender};
 use journal::Journal;
+use memory::budget::Budget;
 use state::State;
 use std::sync::Arc;
 use std::time::Duration;
@@ -61,6 +62,8 @@
     pub journal: Journal,
     /// Counters and histograms.
     pub metrics: Metrics,
+    /// The memory of what engines report.
+    pub reports: Budget,
     /// Cancelled when the node begins to drain.
     pub leave: CancellationToken,
     /// Cancelled when control must stop.
--- a/crates/node/src/hosted/control/orders.rs
+++ b/crates/node/src/hosted/control/orders.rs
@@ -16,6 +16,7 @@
 use catalog::{Catalog, Endpoint};
 use journal::Journal;
 use journal::event::Event;
+use memory::budget::Budget;
 use place::holder::Holder;
 use place::order::{Order, Outcome};
 use place::plan;
@@ -77,15 +78,23 @@
     last_arrival: Instant,
     /// All endpoints of the last plan, to detect new ones.
     seen: BTreeSet<Run>,
+    /// The memory of what endpoints answer.
+    budget: Budget,
 }
 
 impl Orders {
     /// Creates the state without any order. `gather_time` is the time within which endpoints that
-    /// started together register.
-    pub fn new(journal: Journal, inputs: InputSender, gather_time: Duration) -> Self {
+    /// started together register. What endpoints answer takes its memory from `budget`.
+    pub fn new(
+        journal: Journal,
+        inputs: InputSender,
+        gather_time: Duration,
+        budget: Budget,
+    ) -> Self {
         Self {
             journal,
             inputs,
+            budget,
             pending: BTreeMap::new(),
             planned: VecDeque::new(),
             moves: VecDeque::new(),
@@ -234,9 +243,9 @@
 
     fn send(&mut self, order: Order) {
         self.in_flight += 1;
-        let inputs = self.inputs.clone();
+        let (inputs, budget) = (self.inputs.clone(), self.budget.clone());
         tokio::spawn(async move {
-            let attempt = send(&order).await;
+            let attempt = send(&order, budget).await;
             // Sending fails only if control has ended.
             let _ = inputs.send(Input::OrderEnded(order, attempt)).await;
         });
@@ -296,8 +305,8 @@
 /// The endpoint's row does not contain the number of orders that it has accepted, and may be
 /// seconds old. So the status report is fetched first, and the order carries the number from that
 /// report.
-async fn send(order: &Order) -> Attempt {
-    let control = Control::new(order.addr);
+async fn send(order: &Order, budget: Budget) -> Attempt {
+    let control = Control::new(order.addr, budget);
     let Ok(report) = control.fetch_report().await else {
         let (report, outcome) = (None, Outcome::Refused);
         return Attempt { report, outcome };
--- a/crates/node/src/hosted/control/polls.rs
+++ b/crates/node/src/hosted/control/polls.rs
@@ -7,6 +7,7 @@
 use adapter::report::{Answer, Driver, OpenError, Session};
 use catalog::Endpoint;
 use catalog::endpoint::Run;
+use memory::budget::Budget;
 use platform::error::Cause;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -98,14 +99,25 @@
 }
 
 /// The kept connections to the watched engines.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Lines {
     lines: BTreeMap<String, Line>,
     /// Number of the last connection.
     last_id: ConnectionId,
+    /// The memory of the reports.
+    budget: Budget,
 }
 
 impl Lines {
+    /// Creates an empty set of connections. Reports take their memory from `budget`.
+    pub fn new(budget: Budget) -> Self {
+        Self {
+            lines: BTreeMap::new(),
+            last_id: 0,
+            budget,
+        }
+    }
+
     /// Closes the connections to engines that are not in `targets`, and enters the new ones.
     pub fn retain(&mut self, targets: Vec<Target>) {
         let mut before = std::mem::take(&mut self.lines);
@@ -145,6 +157,7 @@
             target: line.target.clone(),
             purpose,
             inputs: inputs.clone(),
+            budget: self.budget.clone(),
         };
         tokio::spawn(task.run(connection, self.last_id));
     }
@@ -156,6 +169,7 @@
             target: Arc::new(target),
             purpose: Purpose::Witness,
             inputs: inputs.clone(),
+            budget: self.budget.clone(),
         };
         tokio::spawn(task.run(None, self.last_id));
     }
@@ -194,6 +208,7 @@
     target: Arc<Target>,
     purpose: Purpose,
     inputs: InputSender,
+    budget: Budget,
 }
 
 impl Task {
@@ -203,7 +218,7 @@
         let new = connection.is_none();
         let (mut session, id) = match connection {
             Some(connection) => connection,
-            None => match Session::open(self.target.addr).await {
+            None => match Session::open(self.target.addr, self.budget.clone()).await {
                 Ok((session, driver)) => {
                     self.send(Sign::Accepted(id)).await;
                     self.drive(driver, id);
--- a/crates/node/src/hosted/control/state.rs
+++ b/crates/node/src/hosted/control/state.rs
@@ -36,6 +36,7 @@
 use member::group::Group;
 use member::identity::Identity;
 use member::item::Observation;
+use memory::budget::Budget;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -126,6 +127,8 @@
     liveness: Liveness,
     /// Connections to the engines whose liveness is watched.
     lines: Lines,
+    /// The memory of what engines report.
+    reports: Budget,
     /// Runs that any node found to have ended, as last published to the worker.
     ended: Arc<BTreeSet<String>>,
     /// Those of them whose end is confirmed.
@@ -182,7 +185,12 @@
             crashes: Ledger::new(control.seed),
             crashes_checked: Instant::now(),
             isolated: BTreeMap::new(),
-            orders: Orders::new(control.journal.clone(), inputs.clone(), settings.heartbeat),
+            orders: Orders::new(
+                control.journal.clone(),
+                inputs.clone(),
+                settings.heartbeat,
+                control.reports.clone(),
+            ),
             inputs,
             journal: control.journal,
             operator: TableStatus::default(),
@@ -193,7 +201,8 @@
             uploads: Uploads::default(),
             loads: Loads::default(),
             liveness: Liveness::default(),
-            lines: Lines::default(),
+            lines: Lines::new(control.reports.clone()),
+            reports: control.reports,
             ended: Arc::default(),
             confirmed_ended: Arc::default(),
             engines: BTreeMap::new(),
--- a/crates/node/src/hosted/control/state/engines.rs
+++ b/crates/node/src/hosted/control/state/engines.rs
@@ -46,7 +46,8 @@
                 continue;
             }
             let engine = self.engines.entry(endpoint.addr);
-            let engine = engine.or_insert_with(|| Arc::new(Engine::new(endpoint.addr)));
+            let engine = engine
+                .or_insert_with(|| Arc::new(Engine::new(endpoint.addr, self.reports.clone())));
             let (engine, inputs) = (engine.clone(), self.inputs.clone());
             tokio::spawn(async move {
                 // The missing report of an unresponsive engine is an input too.
--- a/crates/node/src/hosted/process.rs
+++ b/crates/node/src/hosted/process.rs
@@ -20,6 +20,7 @@
 use gate::worker::{Parts, Worker};
 use journal::Journal;
 use journal::event::Event;
+use memory::shares::Shares;
 use opentelemetry::metrics::MeterProvider;
 use prometheus::Registry;
 use std::net::SocketAddr;
@@ -103,10 +104,11 @@
     // Kept alive until the end, since the instruments stop working when the provider is dropped.
     let provider = meter_provider(&registry)?;
     let metrics = Metrics::new(&provider.meter("wigeonshelf"), registry);
+    let reports = Shares::of(settings.memory_bytes).reports();
     let parts = Parts {
         metrics: metrics.clone(),
         dumps,
-        dialect: Headers::default(),
+        dialect: Headers::new(reports.clone()),
         shared_view: shared_view.clone(),
         changes: changes_receiver,
         journal: journal.clone(),
@@ -124,6 +126,7 @@
         changes,
         journal: journal.clone(),
         metrics,
+        reports,
         leave: shutdown.leave.clone(),
         end: shutdown.control.clone(),
     };
--- a/crates/node/tests/orders.rs
+++ b/crates/node/tests/orders.rs
@@ -7,6 +7,7 @@
 use journal::Journal;
 use member::identity::Identity;
 use member::peer::Peer;
+use memory::budget::Budget;
 use node::hosted::control::assignment::{Assignment, ENDPOINTS_PER_ORDERER, EngineCounts};
 use node::hosted::control::input::Input;
 use node::hosted::control::orders::{MAX_CONCURRENT_ORDERS, MOVE_NOTICE, Orders};
@@ -89,7 +90,7 @@
     let endpoints: Vec<Endpoint> = (0..ENDPOINTS).map(|n| empty(n, addr)).collect();
     let (journal, _lines) = Journal::new(1024);
     let (inputs, mut ended) = mpsc::channel(ENDPOINTS);
-    let mut orders = Orders::new(journal, inputs, Duration::ZERO);
+    let mut orders = Orders::new(journal, inputs, Duration::ZERO, Budget::new(1 << 20, 0));
     let (assignment, catalog) = (sole_assignment(), catalog());
     orders.step(Instant::now(), &assignment, &catalog, endpoints.iter());
     orders.step(Instant::now(), &assignment, &catalog, endpoints.iter());
@@ -114,7 +115,7 @@
     let endpoints: Vec<Endpoint> = (0..ENDPOINTS).map(|n| empty(n, closed)).collect();
     let (journal, _lines) = Journal::new(1024);
     let (inputs, mut ended) = mpsc::channel(ENDPOINTS);
-    let mut orders = Orders::new(journal, inputs, Duration::ZERO);
+    let mut orders = Orders::new(journal, inputs, Duration::ZERO, Budget::new(1 << 20, 0));
     orders.step(
         Instant::now(),
         &sole_assignment(),
@@ -179,7 +180,7 @@
 fn announced(start: Instant, endpoints: &[Endpoint]) -> (Orders, Run) {
     let (journal, _lines) = Journal::new(64);
     let (inputs, _taken) = mpsc::channel(64);
-    let mut orders = Orders::new(journal, inputs, Duration::ZERO);
+    let mut orders = Orders::new(journal, inputs, Duration::ZERO, Budget::new(1 << 20, 0));
     orders.step(start, &sole_assignment(), &catalog(), endpoints.iter());
     let moving = orders.take_moving();
     assert_eq!(moving.len(), 1, "{moving:?}");
--- a/crates/platform/src/http/client.rs
+++ b/crates/platform/src/http/client.rs
@@ -1,13 +1,16 @@
 //! HTTP client with limits, shared by the clients of all three services.
 
 use crate::error::{Cause, Error, Result};
+use crate::http::connector::Connector;
 use crate::limits::Limits;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Body;
-use hyper_util::client::legacy::{self, connect::HttpConnector};
+use hyper_util::client::legacy;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use memory::budget::Budget;
+use response::body;
 use response::head::Head;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
@@ -19,23 +22,38 @@
 /// Maximum number of idle connections.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
-type Inner = legacy::Client<HttpConnector, Full<Bytes>>;
+/// Number of the largest responses that a client without a shared budget receives at once.
+const MAX_CONCURRENT_RESPONSES: usize = 2;
+
+type Inner = legacy::Client<Connector, Full<Bytes>>;
 
 /// HTTP client of one service at one address.
 #[derive(Debug)]
 pub struct Client {
     addr: SocketAddr,
     limits: Limits,
+    /// The memory of the responses that are being received.
+    budget: Budget,
     inner: Mutex<Inner>,
 }
 
 impl Client {
     /// Creates a client of the service at `addr`.
     pub fn new(addr: SocketAddr, limits: Limits) -> Self {
+        let bytes = limits
+            .max_response_bytes
+            .saturating_mul(MAX_CONCURRENT_RESPONSES);
+        Self::sharing(addr, limits, Budget::new(bytes, 0))
+    }
+
+    /// Creates a client of the service at `addr`, whose responses take their memory from a budget that it shares
+    /// with other clients.
+    pub fn sharing(addr: SocketAddr, limits: Limits, budget: Budget) -> Self {
         Self {
             addr,
             limits,
-            inner: Mutex::new(build(&limits)),
+            budget,
+            inner: Mutex::new(build(addr, &limits)),
         }
     }
 
@@ -88,7 +106,7 @@
         let limit = self.limits.call_timeout.saturating_add(wait);
         match timeout(
             limit,
-            exchange(inner, request, self.limits.max_response_bytes),
+            exchange(inner, request, self.limits.max_response_bytes, &self.budget),
         )
         .await
         {
@@ -132,15 +150,15 @@
     /// and the other pooled connections to the same address may be unresponsive too, so later calls
     /// use new connections.
     fn replace_pool(&self) {
-        *self.inner.lock().unwrap_or_else(PoisonError::into_inner) = build(&self.limits);
+        let new = build(self.addr, &self.limits);
+        *self.inner.lock().unwrap_or_else(PoisonError::into_inner) = new;
     }
 }
 
-fn build(limits: &Limits) -> Inner {
-    let mut connector = HttpConnector::new();
-    connector.set_connect_timeout(Some(limits.connect_timeout));
-    connector.set_nodelay(true);
+fn build(addr: SocketAddr, limits: &Limits) -> Inner {
+    let connector = Connector::new(addr, limits);
     legacy::Client::builder(TokioExecutor::new())
+        .http1_max_buf_size(super::OPTIONS.buffer_bytes)
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
         .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
@@ -152,17 +170,18 @@
     inner: Inner,
     request: Request<Full<Bytes>>,
     max_bytes: usize,
+    budget: &Budget,
 ) -> Result<Response<Bytes>> {
     let response = inner.request(request).await.map_err(transport_error)?;
     check_head(&response)?;
     let (head, body) = response.into_parts();
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => Ok(Response::from_parts(head, body.to_bytes())),
+    match body::collect(body, max_bytes, budget).await {
+        Ok(body) => Ok(Response::from_parts(head, body)),
         // For a refused call the status suffices, so an unreadable body is replaced by an empty
         // one.
         Err(_) if !head.status.is_success() => Ok(Response::from_parts(head, Bytes::new())),
-        Err(e) if e.is::<LengthLimitError>() => Err(Error::sent(Cause::TooLarge(max_bytes))),
-        Err(_) => Err(Error::sent(Cause::Broken)),
+        Err(body::Error::TooLarge(limit)) => Err(Error::sent(Cause::TooLarge(limit))),
+        Err(body::Error::Broken) => Err(Error::sent(Cause::Broken)),
     }
 }
 
--- a/crates/platform/src/http/kept.rs
+++ b/crates/platform/src/http/kept.rs
@@ -4,18 +4,21 @@
 //! not say whether a connection was refused or timed out. Failure detection needs both.
 
 use crate::error::{Cause, Error, Result};
+use crate::http::OPTIONS;
 use crate::http::client::check_head;
 use bytes::Bytes;
 use http::header::HOST;
 use http::{HeaderValue, Request, Response, Uri};
-use http_body_util::{BodyExt, Empty, Limited};
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
+use http_body_util::Empty;
+use hyper::client::conn::http1::SendRequest;
+use memory::budget::Budget;
+use response::body;
+use response::connection::{self, Opened};
+use response::meter::Meter;
 use std::fmt;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 /// Why no connection was established.
@@ -31,11 +34,12 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Empty<Bytes>>,
+    meter: Meter,
     host: HeaderValue,
 }
 
 /// The part of a connection that does its I/O.
-pub struct Driver(http1::Connection<TokioIo<TcpStream>, Empty<Bytes>>);
+pub struct Driver(connection::Driver<Empty<Bytes>>);
 
 impl Driver {
     /// Runs until the connection is closed, by either side.
@@ -57,27 +61,34 @@
         addr: SocketAddr,
         limit: Duration,
     ) -> std::result::Result<(Self, Driver), OpenError> {
-        let stream = match timeout(limit, TcpStream::connect(addr)).await {
-            Ok(Ok(stream)) => stream,
+        let opened = match timeout(limit, connection::connect(addr, &OPTIONS)).await {
+            Ok(Ok(opened)) => opened,
             Ok(Err(error)) => return Err(open_error(error.kind())),
             Err(_) => return Err(OpenError::Unreachable),
         };
-        // Without it a request is only delayed.
-        let _ = stream.set_nodelay(true);
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
-        let (sender, driver) = handshake.map_err(|_| OpenError::Unreachable)?;
+        let Opened {
+            sender,
+            driver,
+            meter,
+        } = opened;
         let host = HeaderValue::from_str(&addr.to_string());
         let host = host.map_err(|_| OpenError::Unreachable)?;
-        Ok((Self { sender, host }, Driver(driver)))
+        let connection = Self {
+            sender,
+            meter,
+            host,
+        };
+        Ok((connection, Driver(driver)))
     }
 
-    /// Requests `path` and reads the response, whose body has at most `max_bytes` bytes, within `limit`.
-    /// After an error the connection is of no further use.
+    /// Requests `path` and reads the response within `limit`. Its body has at most `max_bytes` bytes, and takes its
+    /// memory from `budget`. After an error the connection is of no further use.
     pub async fn get(
         &mut self,
         path: &'static str,
         limit: Duration,
         max_bytes: usize,
+        budget: &Budget,
     ) -> Result<Response<Bytes>> {
         let mut request = Request::new(Empty::new());
         *request.uri_mut() = Uri::from_static(path);
@@ -85,13 +96,15 @@
         let exchange = async {
             let ready = self.sender.ready().await;
             ready.map_err(|_| Error::unsent(Cause::Broken))?;
+            self.meter.begin();
             let response = self.sender.send_request(request).await;
             let response = response.map_err(|_| Error::sent(Cause::Broken))?;
             check_head(&response)?;
             let (head, body) = response.into_parts();
-            let body = Limited::new(body, max_bytes).collect().await;
+            self.meter.begin_body();
+            let body = body::collect(body, max_bytes, budget).await;
             let body = body.map_err(|_| Error::sent(Cause::Broken))?;
-            Ok(Response::from_parts(head, body.to_bytes()))
+            Ok(Response::from_parts(head, body))
         };
         let result = timeout(limit, exchange).await;
         result.unwrap_or(Err(Error::sent(Cause::Timeout)))
