gate, node: requests that a leaving node gives up get a response

In a planned stop, whatever was in flight at the abort ended with a closed connection: requests at endpoints whose responses took longer than usual, relayed ones, those that waited for a slot, and bodies on their way. Their callers could not tell what became of them. Requests that run at most once were accepted in the grace time on an estimate.

Cause: the abort cancelled the connections, and nothing asked what the node knew of their requests.

A request that runs at most once is accepted after the signal only if its deadline is before the abort.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -110,7 +110,7 @@
         _in_flight: guard,
     };
     if forwarder.must_relay()
-        && let Some(relayed) = forwarder.relay().await
+        && let Some(relayed) = forwarder.unless_aborted(forwarder.relay()).await.flatten()
     {
         return pass_on(relay::receive(forwarder, relayed).await);
     }
@@ -123,7 +123,8 @@
             selector.record_urgent(now, &service, &need);
         }
     });
-    match forwarder.race(None, Phase::Opening).await {
+    let race = forwarder.unless_aborted(forwarder.race(None, Phase::Opening));
+    match race.await.unwrap_or(Err(Lost::Aborted)) {
         Ok(Winner::Complete(response)) => {
             // An endpoint that answers with an error may not have run the request to its end.
             if response.status().is_success() {
@@ -143,7 +144,7 @@
         Err(lost) => {
             // The paths may have been lost meanwhile.
             if forwarder.must_relay()
-                && let Some(relayed) = forwarder.relay().await
+                && let Some(relayed) = forwarder.unless_aborted(forwarder.relay()).await.flatten()
             {
                 return pass_on(relay::receive(forwarder, relayed).await);
             }
@@ -152,6 +153,7 @@
                 Lost::Crashing { until } => forwarder.refuse_crashing(until),
                 Lost::Deadline => forwarder.expired(),
                 Lost::Exhausted => forwarder.exhausted(),
+                Lost::Aborted => forwarder.refuse_aborted(),
             };
             forwarder.log.end_refused(refusal);
             let info = &forwarder.job.info;
@@ -362,6 +364,27 @@
         }
     }
 
+    /// Waits for a result; `None` if requests in flight are given up before.
+    async fn unless_aborted<T>(&self, result: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            () = self.worker.aborted() => None,
+            result = result => Some(result),
+        }
+    }
+
+    /// Returns the refusal of a request that is given up because the node is about to end.
+    fn refuse_aborted(&self) -> Refusal {
+        self.log.set_reason("the node is about to end");
+        match self.worker.view() {
+            Some(view) => {
+                let promise = self.worker.leaving_refusal(&view);
+                self.executions.refuse(promise, Reason::OutcomeUnknown)
+            }
+            None => self.exhausted(),
+        }
+    }
+
     /// Returns the refusal after the deadline.
     fn expired(&self) -> Refusal {
         let not_run = Refusal::new(Reason::ExpiredNotRun);
--- a/crates/gate/src/forward/race.rs
+++ b/crates/gate/src/forward/race.rs
@@ -54,6 +54,8 @@
     Deadline,
     /// The request's content crashes endpoints, and is not sent before this time.
     Crashing { until: Timestamp },
+    /// The node is about to end.
+    Aborted,
 }
 
 /// An attempt that takes part.
--- a/crates/gate/src/forward/relay.rs
+++ b/crates/gate/src/forward/relay.rs
@@ -221,7 +221,7 @@
     let admission = forwarder.worker.admission.clone();
     let meter = conn.meter();
     let body = admission.collect(incoming, MAX_BODY_BYTES, limit, meter);
-    let body = body.await;
+    let body = forwarder.unless_aborted(body).await.flatten();
     let Some(body) = body.filter(|_| is_delimited) else {
         let refusal = forwarder.exhausted();
         forwarder.log.end_refused(refusal);
--- a/crates/gate/src/splice.rs
+++ b/crates/gate/src/splice.rs
@@ -191,6 +191,6 @@
     match lost {
         Lost::Shortage(_) => Some("no endpoint to go on from"),
         Lost::Crashing { .. } => Some("its content crashes endpoints"),
-        Lost::Exhausted | Lost::Deadline => None,
+        Lost::Exhausted | Lost::Deadline | Lost::Aborted => None,
     }
 }
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -32,6 +32,7 @@
 use steer::transition::Transition;
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 use waiting::Lines;
 
 /// Time since the start during which requests wait for the first catalog. Nodes that start together
@@ -116,6 +117,8 @@
     departure: Cell<Option<Schedule>>,
     /// Whether all new requests are refused because the process is about to end.
     closing: Cell<bool>,
+    /// Cancelled when requests in flight are given up.
+    abort: CancellationToken,
 }
 
 impl<D: Dialect> Worker<D> {
@@ -152,6 +155,7 @@
             durations: RefCell::default(),
             departure: Cell::new(None),
             closing: Cell::new(false),
+            abort: CancellationToken::new(),
         })
     }
 
@@ -181,6 +185,18 @@
         self.closing.set(true);
     }
 
+    /// Refuses all new requests, and gives up those in flight: each without a response gets one that says what is
+    /// known of it.
+    pub fn abort(&self) {
+        self.close();
+        self.abort.cancel();
+    }
+
+    /// Waits until requests in flight are given up.
+    pub(crate) async fn aborted(&self) {
+        self.abort.cancelled().await;
+    }
+
     /// Returns whether the node leaves: connections of callers are to be closed after the response in
     /// progress.
     pub fn leaving(&self) -> bool {
--- a/crates/gate/src/worker/arrival.rs
+++ b/crates/gate/src/worker/arrival.rs
@@ -90,11 +90,15 @@
             deadline: admit::deadline(catalog, &admitted, received_at),
             idle_time: catalog.limits.idle_time,
         };
-        let body = match self.admission.receive(incoming, &arrival).await {
+        let received = tokio::select! {
+            received = self.admission.receive(incoming, &arrival) => received.map_err(arrival_refusal),
+            () = self.aborted() => Err(self.leaving_refusal(&view)),
+        };
+        let body = match received {
             Ok(body) => body,
-            Err(reason) => {
+            Err(refusal) => {
                 connection.set_unread();
-                return Err(arrival_refusal(reason));
+                return Err(refusal);
             }
         };
         let load = Load { room, body };
@@ -113,6 +117,7 @@
             deadline: job.deadline,
             expected: Some(self.expected_duration(&job)),
             relayed: job.info.relayed,
+            repeatable: job.kind().repeatable(),
         };
         self.check_departure(&view, &claim)?;
         Ok(job)
@@ -141,12 +146,17 @@
         if accepts && !self.closing.get() {
             return Ok(());
         }
+        Err(self.leaving_refusal(view))
+    }
+
+    /// Returns the refusal of a request that has not run and is to be sent to another node.
+    pub(crate) fn leaving_refusal(&self, view: &View) -> Refusal {
         // Other nodes that leave too count, since their successors may not be known yet.
         let retry_after = match view.fleet.budget_nodes > 1 {
             true => LEAVING_RETRY_AFTER,
             false => forward::jitter(NO_CATALOG_RETRY_AFTER),
         };
-        Err(Refusal::with_retry_after(Reason::Leaving, retry_after))
+        Refusal::with_retry_after(Reason::Leaving, retry_after)
     }
 
     /// Returns the expected duration of a response: that of recent ones, or else the latency target.
@@ -183,13 +193,19 @@
             deadline: received_at,
             expected: None,
             relayed: info.relayed,
+            repeatable: true,
         };
         if self.closing.get() {
             self.check_departure(&view, &claim)?;
         }
-        let admitted = admit::head(&view.fleet.catalog, head, info)?;
-        let deadline = admit::deadline(&view.fleet.catalog, &admitted, received_at);
-        self.check_departure(&view, &Claim { deadline, ..claim })?;
+        let catalog = &view.fleet.catalog;
+        let admitted = admit::head(catalog, head, info)?;
+        let claim = Claim {
+            deadline: admit::deadline(catalog, &admitted, received_at),
+            repeatable: catalog.routes[admitted.route as usize].kind.repeatable(),
+            ..claim
+        };
+        self.check_departure(&view, &claim)?;
         Ok((view, admitted))
     }
 
--- a/crates/gate/tests/departure.rs
+++ b/crates/gate/tests/departure.rs
@@ -8,8 +8,9 @@
 use http_body_util::Full;
 use std::time::Duration;
 use support::caller::{Received, ids, request, send};
-use support::server::{Behavior, Server};
-use support::{LAYERS, Node, node, plain, run, stage, wait_for_request};
+use support::isolation::{add_relay, isolate, refused_node_for};
+use support::server::{Behavior, Endless, Server};
+use support::{LAYERS, Node, endpoint_for, node, plain, run, stage, wait_for_request};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -137,6 +138,110 @@
     });
 }
 
+// Guards against a request that runs at most once and that a leaving node accepts though it may have to give it up:
+// its caller can't send it again.
+#[test]
+fn a_request_that_runs_at_most_once_is_refused_unless_it_ends_in_time() {
+    run(async {
+        for (path, accepted) in [("/once/x", false), ("/safe/x", true)] {
+            let server = Server::start(vec![OK]).await;
+            let node = node(vec![plain(server.addr)]).await;
+            // The deadline is 4 s away, and the abort 3.66 s.
+            leave(&node, millis(100), Duration::from_secs(4));
+            let response = send(node.addr, request(path)).await;
+            match accepted {
+                true => assert_eq!(response.status, StatusCode::OK),
+                false => assert_refused(&response, &server),
+            }
+        }
+    });
+}
+
+/// Sends a request, gives up what is in flight once it has reached the endpoint, and returns the response.
+async fn give_up(node: &Node, server: &Server, path: &'static str) -> Received {
+    let addr = node.addr;
+    let sending = tokio::task::spawn_local(async move { send(addr, request(path)).await });
+    wait_for_request(server).await;
+    node.worker.abort();
+    sending.await.unwrap()
+}
+
+// Guards against requests that are given up at the end of the grace time without a response: their callers can't
+// tell what became of them, and wait for nothing.
+#[test]
+fn a_request_that_is_given_up_gets_a_response() {
+    run(async {
+        for path in ["/once/x", "/safe/x", "/chat/x"] {
+            for behavior in [Behavior::Silent, Behavior::Endless(Endless::Body)] {
+                let server = Server::start(vec![behavior.clone()]).await;
+                let node = node(vec![endpoint_for(path)(&server)]).await;
+                let response = give_up(&node, &server, path).await;
+                assert_eq!(response.status, StatusCode::BAD_GATEWAY, "{path}");
+                assert!(response.complete, "{path}");
+                let again = send(node.addr, request(path)).await;
+                assert_eq!(again.status, StatusCode::SERVICE_UNAVAILABLE);
+                assert_eq!(server.heads().len(), 1);
+            }
+        }
+    });
+}
+
+// Guards against the same at a node that relays the request.
+#[test]
+fn a_relayed_request_that_is_given_up_gets_a_response() {
+    run(async {
+        for path in ["/once/x", "/safe/x", "/chat/x"] {
+            let relay = Server::start(vec![Behavior::Silent]).await;
+            let node = refused_node_for(path).await;
+            isolate(&node, path).await;
+            add_relay(&node, relay.addr, &[]);
+            let response = give_up(&node, &relay, path).await;
+            assert_eq!(response.status, StatusCode::BAD_GATEWAY, "{path}");
+            assert!(response.complete, "{path}");
+        }
+    });
+}
+
+// Guards against a request that is given up before it was sent, without the promise that it has not run.
+#[test]
+fn a_request_that_was_not_sent_is_refused_as_not_run() {
+    run(async {
+        // It waits for an endpoint.
+        let server = Server::start(vec![OK.held()]).await;
+        let mut endpoint = plain(server.addr);
+        endpoint.slots = 1;
+        let busy = node(vec![endpoint]).await;
+        let addr = busy.addr;
+        let held: Vec<_> = (0..8)
+            .map(|_| tokio::task::spawn_local(send(addr, request("/once/x"))))
+            .collect();
+        tokio::time::sleep(millis(50)).await;
+        busy.worker.abort();
+        let mut statuses = Vec::new();
+        for response in held {
+            let response = response.await.unwrap();
+            assert!(response.complete);
+            statuses.push(response.status.as_u16());
+        }
+        let refused = statuses.iter().filter(|s| **s == 503).count();
+        assert_eq!(refused, 8 - server.heads().len(), "{statuses:?}");
+        assert!(refused > 0 && statuses.iter().all(|s| [502, 503].contains(s)));
+        // Its body has not arrived.
+        let server = Server::start(vec![OK]).await;
+        let node = node(vec![plain(server.addr)]).await;
+        let mut stream = TcpStream::connect(node.addr).await.unwrap();
+        let head = "POST /once/x HTTP/1.1\r\nhost: h\r\nid: r1\r\nkey: k1\r\ndeadline: 4000\r\n\
+                    content-length: 4\r\n\r\nbo";
+        stream.write_all(head.as_bytes()).await.unwrap();
+        tokio::time::sleep(millis(50)).await;
+        node.worker.abort();
+        let mut response = String::new();
+        stream.read_to_string(&mut response).await.unwrap();
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+        assert!(server.heads().is_empty());
+    });
+}
+
 // Guards against a second signal that is ignored.
 #[test]
 fn a_closed_node_refuses_requests_that_would_end_in_time() {
--- a/crates/node/src/hosted/process.rs
+++ b/crates/node/src/hosted/process.rs
@@ -5,7 +5,8 @@
 //! addresses for a while and reuse open connections, so requests still arrive. Those that can end
 //! before the node does are served, and the others are refused as not run ([`gate::departure`]). The
 //! process ends when no connection of a caller is open, which is after the last response was written,
-//! or shortly before it would be killed.
+//! or shortly before it would be killed. Requests that have no response by then get one that says what is
+//! known of them.
 
 use super::control::Control;
 use super::settings::{self, Settings};
@@ -55,6 +56,8 @@
     leave: CancellationToken,
     /// Cancelled when all new requests are refused.
     close: CancellationToken,
+    /// Cancelled when requests in flight are given up.
+    abort: CancellationToken,
     /// Cancelled by the worker when no connection of a caller is open and it accepts no more requests.
     idle: CancellationToken,
     /// Stops the listeners and their connections.
@@ -202,6 +205,9 @@
         if shutdown.close.is_cancelled() {
             worker.close();
         }
+        if shutdown.abort.is_cancelled() {
+            worker.abort();
+        }
         // Decided on the thread that accepts requests, so that none is accepted in between.
         if shutdown.serving.drain.is_cancelled() && worker.open_connections() == 0 {
             worker.close();
@@ -256,6 +262,12 @@
             _ = terminate.recv() => shutdown.close.cancel(),
         }
     }
+    shutdown.abort.cancel();
+    // Callers read the responses to what was given up; streams go on until the end.
+    tokio::select! {
+        () = shutdown.idle.cancelled() => {}
+        () = tokio::time::sleep_until(schedule.end_at()) => {}
+    }
     // Gives the last responses time to be written to their sockets.
     tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     shutdown.control.cancel();
--- a/crates/node/tests/crowd/site.rs
+++ b/crates/node/tests/crowd/site.rs
@@ -1,5 +1,4 @@
 //! Nodes with little memory, and the endpoints and the store behind them.
-#![allow(dead_code)]
 
 use crate::caller;
 use crate::process::{self, Process};
