entry, node: requests that are given up at the end of a drain get an answer

At the path with signed bundles, requests in flight at the end of the finish timeout, or at a second signal, ended with their connections.

Change: before the kill each worker's core gives up its requests. One that no attempt was started for is refused as not run, any other ends with the outcome `unknown`; the node waits 250 ms at most for the answers. Core:: exhaust ends by Core::finish now.

rig's a_request_that_is_given_up_gets_an_answer failed before (kill in place of abort: the client gets a broken connection).

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -63,6 +63,11 @@
     reason: Reason::NoEndpoint,
     retry_after: None,
 };
+/// The refusal of a request that the node gives up before it was run.
+const LEAVING: Refusal = Refusal {
+    reason: Reason::Leaving,
+    retry_after: Some(Duration::from_secs(1)),
+};
 /// The end of a service's answer that is complete.
 const COMPLETE_CALL_END: End = End {
     outcome: Outcome::Complete,
@@ -86,6 +91,8 @@
     actions: Vec<Action>,
     /// Events that must not be lost and that wait for space in the ring to the control thread.
     outbox: VecDeque<WorkerEvent>,
+    /// Whether the node is about to end.
+    aborted: bool,
 }
 
 /// The newest counters and gauges of a router, for the metrics page.
@@ -130,6 +137,7 @@
             reported_at: parts.start,
             actions: Vec::new(),
             outbox: VecDeque::new(),
+            aborted: false,
         }
     }
 
@@ -232,10 +240,35 @@
             Command::Dump(reply) => {
                 let _ = reply.send(self.dump());
             }
+            Command::Abort => self.abort(),
+        }
+    }
+
+    /// Gives up all requests, and refuses those that arrive from now on.
+    fn abort(&mut self) {
+        self.aborted = true;
+        let ids: Vec<Id> = self.sessions.keys().copied().collect();
+        for id in ids {
+            let session = self.sessions.get(&id);
+            let Some((started, unclaimed)) = session.map(|s| (s.started, s.unclaimed.is_some()))
+            else {
+                continue;
+            };
+            if !unclaimed {
+                self.handle(Event::Left(id));
+            }
+            match started {
+                true => self.finish(id, Outcome::Unknown),
+                false => self.refuse(id, LEAVING),
+            }
         }
     }
 
     fn arrive(&mut self, arrival: Arrival) {
+        if self.aborted {
+            let _ = arrival.reply.send(Reply::Refused(LEAVING));
+            return;
+        }
         let session = Session {
             work: arrival.work,
             generated: Generated::new(arrival.account.clone()),
@@ -252,6 +285,7 @@
             head: None,
             body: None,
             running: None,
+            started: false,
         };
         let id = arrival.request.id;
         let Some(claim) = arrival.claim else {
@@ -350,6 +384,7 @@
             return;
         };
         let cancel = CancellationToken::new();
+        session.started = true;
         session.running = Some(Running {
             attempt,
             stages: stages.clone(),
@@ -407,17 +442,8 @@
     /// Ends a request whose answer has no room in memory. It has run in part.
     fn exhaust(&mut self, id: Id) {
         self.handle(Event::Left(id));
-        let Some(session) = self.remove(id) else {
-            return;
-        };
-        self.metrics.record_end(Outcome::Unknown);
         self.metrics.exhausted_answers.add(1, &[]);
-        let end = End {
-            outcome: Outcome::Unknown,
-            ..session.end
-        };
-        let _ = session.reply.send(Reply::Done(end));
-        self.notify_run_ended(id, &session, Outcome::Unknown);
+        self.finish(id, Outcome::Unknown);
     }
 
     /// Removes a session from the table and cancels its attempt.
--- a/crates/entry/src/core/message.rs
+++ b/crates/entry/src/core/message.rs
@@ -32,6 +32,8 @@
     Ticket(oneshot::Sender<String>),
     /// Requests a dump of the state as text.
     Dump(oneshot::Sender<String>),
+    /// The node is about to end: each request gets an answer that says what is known of it.
+    Abort,
 }
 
 /// A new request.
--- a/crates/entry/src/core/session.rs
+++ b/crates/entry/src/core/session.rs
@@ -33,6 +33,8 @@
     /// Body of a service's answer, if it is short enough to be cached.
     pub(super) body: Option<Bytes>,
     pub(super) running: Option<Running>,
+    /// Whether an attempt was started.
+    pub(super) started: bool,
 }
 
 impl Session {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -178,5 +178,6 @@
         _ = signals.terminate.recv() => log::warn!("received a second signal; aborting the requests in flight"),
         _ = signals.interrupt.recv() => log::warn!("received a second signal; aborting the requests in flight"),
     }
+    process.abort().await;
     shutdown.serving.kill.cancel();
 }
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -3,14 +3,14 @@
 //! A graceful shutdown has three phases. First, nodes no longer offer this node's address to
 //! callers, and it asks connected callers to reconnect elsewhere. It still accepts new connections
 //! and requests, because callers cache addresses for a while. After the drain time it accepts no
-//! more connections and finishes the requests in flight. Requests are aborted only when the finish
-//! timeout elapses or a second signal arrives.
+//! more connections and finishes the requests in flight. Requests are given up only when the finish
+//! timeout elapses or a second signal arrives; each of them gets an answer that says what is known of it.
 
 use crate::control::{self, Control};
 use crate::gauges;
 use crate::settings::{Listener, Settings};
 use entry::admin;
-use entry::core::{Reports, Tx};
+use entry::core::{Command, Reports, Tx};
 use entry::listener;
 use entry::metrics::{Metrics, RingOverflows};
 use entry::server::{Server, Shutdown};
@@ -29,6 +29,8 @@
 use tokio_util::sync::CancellationToken;
 use viz::Tree;
 
+/// Time for the answers to requests that are given up.
+const ABORT_TIME: Duration = Duration::from_millis(250);
 /// Interval at which a draining node checks whether its workers have finished.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Capacity, in events, of each ring between control and a worker.
@@ -57,6 +59,8 @@
     pub admin: SocketAddr,
     shutdown: ShutdownSignals,
     workers: Vec<JoinHandle<std::io::Result<()>>>,
+    /// Send commands to the workers' cores.
+    cores: Vec<Tx>,
     other_threads: Vec<JoinHandle<Result<()>>>,
     drain_time: Duration,
     finish_timeout: Duration,
@@ -120,12 +124,12 @@
         gauges::register(&meter, reports);
         overflows.register(&meter);
         let admin_addr = admin_listener.local_addr()?;
-        let worker_senders = workers.iter().map(|w| w.tx.clone()).collect();
+        let cores: Vec<Tx> = workers.iter().map(|w| w.tx.clone()).collect();
         let admin_parts = AdminParts {
             listener: admin_listener,
             settings: settings.admin.clone(),
             control: request_tx,
-            workers: worker_senders,
+            workers: cores.clone(),
             registry,
             metrics: metrics.clone(),
             tls: admin_tls.clone(),
@@ -151,6 +155,7 @@
             admin: admin_addr,
             shutdown,
             workers: workers.into_iter().map(|w: Handle| w.thread).collect(),
+            cores,
             other_threads: vec![admin_thread, control_thread],
             drain_time: settings.node.drain_time,
             finish_timeout: settings.node.finish_timeout,
@@ -175,6 +180,21 @@
         }
     }
 
+    /// Gives up the requests in flight: each gets an answer that says what is known of it. Completes when the
+    /// answers were written, or after a time.
+    pub async fn abort(&self) {
+        self.shutdown.serving.drain.cancel();
+        self.shutdown.serving.close.cancel();
+        for core in &self.cores {
+            // Fails only if the worker has ended.
+            let _ = core.send(Command::Abort);
+        }
+        let deadline = tokio::time::Instant::now() + ABORT_TIME;
+        while !self.workers_finished() && tokio::time::Instant::now() < deadline {
+            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+        }
+    }
+
     /// Returns whether the threads of all workers have ended.
     fn workers_finished(&self) -> bool {
         self.workers.iter().all(JoinHandle::is_finished)
--- a/crates/rig/tests/drain.rs
+++ b/crates/rig/tests/drain.rs
@@ -8,10 +8,14 @@
 use std::time::Duration;
 
 fn paced() -> Plan {
+    paced_by(Duration::from_millis(2))
+}
+
+fn paced_by(layer_time: Duration) -> Plan {
     let stage = |from, to| Stage {
         from,
         to,
-        layer_time: Duration::from_millis(2),
+        layer_time,
     };
     Plan {
         stages: vec![stage(0, 6), stage(6, 12)],
@@ -52,6 +56,39 @@
     }
 }
 
+// Guards against requests that are given up at the end of the finish timeout without an answer: their callers
+// can't tell what became of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_is_given_up_gets_an_answer() {
+    // A token takes longer than the test.
+    let plan = paced_by(Duration::from_secs(1));
+    let fleet = Fleet::start(plan).await.expect("fleet");
+    let addr = fleet.node(0).callers;
+    let mut running = tokio::task::JoinSet::new();
+    for n in 0..4 {
+        running.spawn(async move {
+            let caller = match n % 2 {
+                0 => Caller::new(),
+                _ => Caller::http2(),
+            };
+            let request = ChatRequest {
+                stream: n % 4 < 2,
+                ..ChatRequest::new(format!("menu {n}"))
+            };
+            (request.stream, caller.chat(addr, &request).await)
+        });
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.node(0).abort().await;
+    while let Some(answer) = running.join_next().await {
+        let (is_stream, answer) = answer.expect("no panic");
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.outcome.as_deref(), Some("unknown"), "{answer:?}");
+        // A stream that stays incomplete ends with its connection, after the event that names the outcome.
+        assert_eq!(answer.broken, is_stream, "{answer:?}");
+    }
+}
+
 // The other nodes no longer offer a leaving node to callers.
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_node_is_not_offered() {
