--- a/crates/catalog/src/source.rs
+++ b/crates/catalog/src/source.rs
@@ -10,6 +10,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+/// Largest table that is read, in bytes with [`RECORD_COST`] for each record: three times that of the largest fleet
+/// which is designed for. Whoever sends a table page by page could otherwise go on without end.
+pub const MAX_TABLE_BYTES: usize = 8 << 20;
+/// Bytes that a record takes beside its key and its value.
+const RECORD_COST: usize = 128;
+
 /// Number of times that the store was restored from a copy; 0 if it does not name its era.
 pub type Era = u32;
 
@@ -49,6 +55,11 @@
 }
 
 impl Record {
+    /// Returns the memory that the record takes, in bytes.
+    pub fn cost(&self) -> usize {
+        self.size() + RECORD_COST
+    }
+
     /// Returns the approximate size of the record in a message between nodes, in bytes.
     fn size(&self) -> usize {
         size_of::<Offset>() + self.key.len() + self.value.as_ref().map_or(0, |v| v.len())
@@ -66,6 +77,13 @@
     pub complete: bool,
 }
 
+impl Page {
+    /// Returns the memory that the records take, in bytes.
+    pub fn cost(&self) -> usize {
+        self.records.iter().map(Record::cost).sum()
+    }
+}
+
 /// One of several messages that bring a peer's copy up to date.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Chunk {
--- a/crates/node/src/hosted/control/pulls.rs
+++ b/crates/node/src/hosted/control/pulls.rs
@@ -16,7 +16,7 @@
 use super::assignment::Assignment;
 use super::copy::{Request, Response, Scope};
 use adapter::store::Table;
-use catalog::source::{self, Offset, Page};
+use catalog::source::{self, MAX_TABLE_BYTES, Offset, Page};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -263,6 +263,10 @@
             _ if continues => return Action::Discard,
             _ => response.page,
         };
+        if page.cost() > MAX_TABLE_BYTES {
+            log::warn!("peer {peer} sends a table that exceeds {MAX_TABLE_BYTES} bytes");
+            return Action::Discard;
+        }
         let last = page.records.last().map(|r| r.offset);
         match last {
             Some(last) if response.more => {
--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -3,8 +3,9 @@
 //! Faults follow each other and overlap: connections to endpoints and to the store are delayed,
 //! reset, stalled or cut in one direction; nodes are paused, killed, terminated and restarted; the
 //! store is down or discards its history; catalog versions replace each other. In runs with faults
-//! of endpoints, these also turn requests away, leave, pause and break responses. Callers send
-//! requests throughout, and crowds of callers that don't behave come and go. The following guarantees are checked from what callers and endpoints
+//! of endpoints, these also turn requests away, leave, pause and break responses; in the others,
+//! endpoints that send bytes without end come and go. Callers send requests throughout, and crowds of callers
+//! that don't behave come and go. The following guarantees are checked from what callers and endpoints
 //! observed:
 //!
 //! - an at-most-once request runs at most once;
@@ -29,6 +30,8 @@
 mod crowd;
 #[path = "crowd/caller.rs"]
 mod crowd_caller;
+#[path = "soak/endless.rs"]
+mod endless;
 #[path = "soak/guarantee.rs"]
 mod guarantee;
 #[path = "soak/node.rs"]
@@ -90,6 +93,10 @@
         )));
     }
     tasks.push(tokio::spawn(crowd::run(seed, addrs.clone(), end.clone())));
+    if !endpoint_faults {
+        let store = cluster.store.clone();
+        tasks.push(tokio::spawn(endless::run(seed, store, end.clone())));
+    }
     for (addr, run) in addrs.iter().zip(cluster.runs.clone()) {
         tasks.push(tokio::spawn(caller::watch_versions(
             *addr,
--- a/crates/node/tests/soak/cluster.rs
+++ b/crates/node/tests/soak/cluster.rs
@@ -55,7 +55,7 @@
 /// A running cluster.
 pub struct Cluster {
     rng: StdRng,
-    store: Store,
+    pub store: Store,
     /// Proxy between each node and the store.
     store_proxies: Vec<Proxy>,
     pub endpoints: Vec<Endpoint>,
--- a/crates/node/tests/transfers.rs
+++ b/crates/node/tests/transfers.rs
@@ -1,7 +1,7 @@
 //! Transfers of tables from a reader whose responses are late, lost or refused.
 
 use adapter::store::Table;
-use catalog::source::{Page, Record, Table as Copy};
+use catalog::source::{MAX_TABLE_BYTES, Page, Record, Table as Copy};
 use node::hosted::control::assignment::Assignment;
 use node::hosted::control::copy::{Request, Response};
 use node::hosted::control::pulls::{Action, PULL_INTERVAL, Pulls};
@@ -157,3 +157,43 @@
     let pulls_in_time = (ms(2000).as_millis() / PULL_INTERVAL.as_millis()) as usize + 1;
     assert!(requests <= pulls_in_time, "{requests} requests in 2 s");
 }
+
+// Guards against a peer whose table has no end, and that is asked for more until the memory is used up.
+#[test]
+fn a_transfer_without_end_is_given_up() {
+    let mut pulls = Pulls::default();
+    let now = Instant::now();
+    assert!(pulls.begin(now, CATALOG, reader(), 1));
+    let mut request = CATALOG;
+    let mut received = 0;
+    for number in 0.. {
+        let record = Record {
+            key: format!("row-{number:09}"),
+            value: Some(vec![b'x'; 64 << 10].into()),
+            offset: number,
+        };
+        received += record.cost();
+        assert!(received < 2 * MAX_TABLE_BYTES, "the transfer goes on");
+        let page = Page {
+            records: vec![record],
+            next_offset: 1 << 30,
+            complete: true,
+        };
+        let response = Response {
+            page,
+            up_to_date: true,
+            more: true,
+        };
+        pulls.finish(request, reader(), true);
+        match pulls.handle_chunk(reader(), request, response) {
+            Action::FetchKeys(_) => {
+                request = KEYS;
+                assert!(pulls.begin(now, KEYS, reader(), PEERS_PER_COPY));
+            }
+            action => {
+                assert_eq!(action, Action::Discard);
+                return;
+            }
+        }
+    }
+}
