engine: the work for what a plain service sends is bounded

A service at the path with signed bundles that sent interim responses without end was read at 112 MB/s until the deadline of its call (561 MB in 5 s); so were zeros before the length of a chunk.

Cause: the same as at endpoints of the platform: the memory of a call is bounded, its work was not.

Change: the client's connections come from response::connection, with its meter; each frame that is passed on grants units.

bytes_that_bring_nothing_end_the_call failed before.

--- a/crates/engine/src/service.rs
+++ b/crates/engine/src/service.rs
@@ -15,20 +15,27 @@
 use http::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use http::{HeaderValue, Request, Response, Uri, Version};
 use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
+use hyper::client::conn::http1::SendRequest;
+use response::connection::{self, Opened, Options};
 use response::head::Head;
+use response::meter::{Allowance, Meter};
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
-/// Maximum size of a connection's read buffer in bytes, and so of the head of a response and of a chunk of its
-/// body.
-const MAX_BUFFER_BYTES: usize = 64 << 10;
+/// Bounds of a connection. The buffer bounds the head of a response and a chunk of its body.
+const OPTIONS: Options = Options {
+    buffer_bytes: 64 << 10,
+    receive_buffer_bytes: 64 << 10,
+    user_timeout: None,
+    allowance: Allowance {
+        head: 128 << 10,
+        body: 4 << 20,
+    },
+};
 
 /// Cause of a failed call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -86,6 +93,8 @@
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    /// Bounds the work for its responses.
+    meter: Meter,
     task: AbortHandle,
     addr: SocketAddr,
 }
@@ -141,6 +150,7 @@
     sent: &AtomicBool,
 ) -> std::result::Result<Response<Body>, AttemptError> {
     sent.store(true, Ordering::SeqCst);
+    connection.meter.begin();
     let response = timeout(
         options.head_timeout,
         connection.sender.try_send_request(request),
@@ -222,18 +232,20 @@
         cause: Cause::Connect,
         sent: false,
     };
-    let socket = timeout(limits.connect_timeout, TcpStream::connect(addr))
-        .await
-        .map_err(|_| failure)?
-        .map_err(|_| failure)?;
-    socket.set_nodelay(true).map_err(|_| failure)?;
-    let (sender, connection) = http1::Builder::new()
-        .max_buf_size(MAX_BUFFER_BYTES)
-        .handshake(TokioIo::new(socket))
-        .await
-        .map_err(|_| failure)?;
-    let task = tokio::spawn(connection.map(|_| ())).abort_handle();
-    Ok(Connection { sender, task, addr })
+    let connected = timeout(limits.connect_timeout, connection::connect(addr, &OPTIONS)).await;
+    let opened = connected.map_err(|_| failure)?;
+    let Opened {
+        sender,
+        driver,
+        meter,
+    } = opened.map_err(|_| failure)?;
+    let task = tokio::spawn(driver.map(|_| ())).abort_handle();
+    Ok(Connection {
+        sender,
+        meter,
+        task,
+        addr,
+    })
 }
 
 /// Accepts a response whose end is delimited, so that a truncated body is detected. Any other
@@ -253,5 +265,6 @@
             sent: true,
         });
     }
+    connection.meter.begin_body();
     Ok(response.map(|incoming| Body::new(pool.clone(), connection, incoming)))
 }
--- a/crates/engine/src/service/body.rs
+++ b/crates/engine/src/service/body.rs
@@ -58,7 +58,13 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Failure>>> {
         let frame = ready!(Pin::new(&mut self.incoming).poll_frame(cx));
         match frame {
-            Some(Ok(frame)) => Poll::Ready(Some(Ok(frame))),
+            Some(Ok(frame)) => {
+                if let Some(connection) = &self.connection {
+                    let length = frame.data_ref().map_or(0, Bytes::len);
+                    connection.meter.record_frame(length);
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
             Some(Err(_)) => {
                 self.connection = None;
                 Poll::Ready(Some(Err(Failure {
--- a/crates/engine/tests/status.rs
+++ b/crates/engine/tests/status.rs
@@ -1,11 +1,13 @@
-//! Responses of plain services that are none, or in an earlier version of HTTP.
+//! Responses of plain services that are none, are in an earlier version of HTTP, or don't end.
 
 use bytes::Bytes;
 use engine::pool::Pool;
 use engine::service::{self, CallOptions, Cause};
 use http::{Request, Version};
+use http_body_util::BodyExt;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -64,3 +66,46 @@
     let response = call(text).await.unwrap();
     assert_eq!(response.version(), Version::HTTP_11);
 }
+
+/// Starts a service that sends the first text and then the second one without end. Returns its address, and the
+/// bytes that the connection has taken.
+async fn endless(start: &'static str, repeated: &'static str) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let taken: Arc<AtomicUsize> = Arc::default();
+    let written = taken.clone();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let _ = stream.read(&mut [0; 1024]).await;
+        let _ = stream.write_all(start.as_bytes()).await;
+        let piece = repeated.repeat((64 << 10) / repeated.len());
+        while stream.write_all(piece.as_bytes()).await.is_ok() {
+            written.fetch_add(piece.len(), Ordering::Relaxed);
+        }
+    });
+    (addr, taken)
+}
+
+// Guards against a service that keeps a core busy for as long as a call may last, with bytes that bring nothing.
+#[tokio::test]
+async fn bytes_that_bring_nothing_end_the_call() {
+    // Of them, the kernels hold up to half.
+    const MAX_BYTES: usize = 16 << 20;
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    for (start, repeated) in [("", "HTTP/1.1 103 X\r\n\r\n"), (chunked, "0")] {
+        let (addr, taken) = endless(start, repeated).await;
+        let request = Request::get("/").body(Bytes::new()).unwrap();
+        let options = CallOptions {
+            head_timeout: Duration::from_secs(5),
+            new_connection: true,
+        };
+        let sent = AtomicBool::new(false);
+        let pool = Pool::default();
+        let response = service::call(&pool, addr, request, options, &sent);
+        let whole = async { response.await?.into_body().collect().await };
+        let ended = tokio::time::timeout(Duration::from_secs(5), whole).await;
+        assert!(ended.expect("the call ends").is_err(), "{repeated:?}");
+        let taken = taken.load(Ordering::Relaxed);
+        assert!(taken <= MAX_BYTES, "{repeated:?}: {taken}");
+    }
+}
