gate: only a long event is leased, and its memory goes with it

Found by reading: the buffer of an ordinary stream may grow above 16 KB for a moment, and under a crowd the stream would then have ended for want of memory. The other way round, the rest of a buffer kept the memory of a long event that was passed on.

Change: what counts is the length of the incomplete event; the rest after a long event is copied.

--- a/crates/gate/src/admission/reception.rs
+++ b/crates/gate/src/admission/reception.rs
@@ -162,8 +162,8 @@
     }
 
     /// Receives the body of a response completely by `deadline`; `None` if it is cut off, exceeds
-    /// `max_bytes` or the work that `meter` allows, or finds no room. A response may have run, so it waits for room: one of known length for
-    /// all of it, so that those that wait hold nothing.
+    /// `max_bytes` or the work that `meter` allows, or finds no room. A response may have run, so it waits for
+    /// room: one of known length for all of it, so that those that wait hold nothing.
     pub(crate) async fn collect(
         self: &Rc<Self>,
         body: Incoming,
--- a/crates/gate/src/events.rs
+++ b/crates/gate/src/events.rs
@@ -7,6 +7,8 @@
 
 /// Maximum size of an event; a longer one fails the stream.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Size above which an event is a long one.
+const LONG_EVENT_BYTES: usize = 16 << 10;
 
 /// A complete event, including the empty line that terminates it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -40,9 +42,12 @@
         self.buffer.extend_from_slice(bytes);
     }
 
-    /// Returns the size of the buffer in bytes.
-    pub fn capacity(&self) -> usize {
-        self.buffer.capacity()
+    /// Returns the memory of the incomplete event, if it is a long one, in bytes.
+    pub fn long_event_bytes(&self) -> usize {
+        match self.buffer.len() > LONG_EVENT_BYTES {
+            true => self.buffer.capacity(),
+            false => 0,
+        }
     }
 
     /// Returns whether the buffer holds an incomplete event.
@@ -73,6 +78,10 @@
         };
         self.scanned = 0;
         let bytes = self.buffer.split_to(end).freeze();
+        if end > LONG_EVENT_BYTES {
+            // The rest would keep the memory of the event.
+            self.buffer = BytesMut::from(&self.buffer[..]);
+        }
         let id = event_id(&bytes);
         Some(Event { id, bytes })
     }
--- a/crates/gate/src/splice/source.rs
+++ b/crates/gate/src/splice/source.rs
@@ -26,8 +26,6 @@
 /// finds its timers expired before it has read from its connections.
 const READ_TIME: Duration = Duration::from_millis(2);
 
-/// Size up to which the memory of the buffered events is counted with the request.
-const FREE_BUFFER_BYTES: usize = 16 << 10;
 /// Pause before a stream looks for room again.
 const ROOM_INTERVAL: Duration = Duration::from_millis(20);
 /// Longest wait for room. Streams that wait hold memory, and wait for each other.
@@ -126,9 +124,10 @@
         }
     }
 
-    /// Takes memory for the event that is being received; false if there is none now.
+    /// Takes memory for a long event that is being received; false if there is none now. That of others is
+    /// counted with the request.
     fn has_room(&mut self) -> bool {
-        let needed = self.splitter.capacity().saturating_sub(FREE_BUFFER_BYTES);
+        let needed = self.splitter.long_event_bytes();
         let lacking = needed.saturating_sub(self.room.bytes());
         if lacking == 0 {
             self.room.shrink_to(needed);
--- a/crates/response/src/meter.rs
+++ b/crates/response/src/meter.rs
@@ -103,12 +103,13 @@
 
     fn update(&self, change: impl Fn(usize) -> usize) {
         let left = &self.shared.left;
-        // Never fails, since the change is always made.
-        let _ = left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |l| match l {
+        let update = |left| match left {
             // An exhausted connection stays so until its end.
             0 => None,
             left => Some(change(left)),
-        });
+        };
+        // Fails if it is exhausted.
+        let _ = left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, update);
     }
 }
 
