--- a/crates/gate/tests/kept.rs
+++ b/crates/gate/tests/kept.rs
@@ -3,13 +3,15 @@
 mod support;
 
 use catalog::Catalog;
-use catalog::raw::Team;
 use journal::Journal;
 use std::sync::Arc;
 use std::time::Duration;
 use support::caller::{ids, request_as, send};
 use support::server::{Behavior, Server, header};
-use support::{ALLOWANCE, LAYERS, Node, run, stage, start_on, tables, view, wait_for_request};
+use support::{
+    ALLOWANCE, LAYERS, Node, run, stage, start_on, tables, view, wait_for_request,
+    with_room_for_one, with_second_team,
+};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
@@ -47,17 +49,7 @@
 
 /// Publishes this endpoint alone, with room for one request.
 fn publish(node: &Node, server: &Server) {
-    let mut tables = tables();
-    // With two teams, requests wait in a queue.
-    let south = Team {
-        name: "south".to_owned(),
-        keys: vec!["k2".to_owned()],
-        priority: None,
-    };
-    tables.teams.as_mut().unwrap().push(south);
-    // A request takes 80 token-layers of 120.
-    let engine = tables.services[1].engine.as_mut().unwrap();
-    engine.kv_bytes_per_token = 5e7;
+    let tables = with_room_for_one(with_second_team(tables()));
     let mut view = view(vec![stage(server.addr, 0, LAYERS)]);
     view.fleet.catalog = Arc::new(Catalog::try_from(tables).unwrap());
     node.shared_view.store(Some(Arc::new(view)));
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -134,6 +134,24 @@
     }
 }
 
+/// Adds a second team with the key `k2`, so that requests wait in a queue.
+pub fn with_second_team(mut tables: Tables) -> Tables {
+    let south = Team {
+        name: "south".to_owned(),
+        keys: vec!["k2".to_owned()],
+        priority: None,
+    };
+    tables.teams.get_or_insert_default().push(south);
+    tables
+}
+
+/// Lets a request take so much memory of an engine that each holds one: 80 token-layers of 120.
+pub fn with_room_for_one(mut tables: Tables) -> Tables {
+    let engines = tables.services.iter_mut().filter_map(|s| s.engine.as_mut());
+    engines.for_each(|engine| engine.kv_bytes_per_token = 5e7);
+    tables
+}
+
 fn catalog() -> Arc<Catalog> {
     Arc::new(Catalog::try_from(tables()).unwrap())
 }
--- a/crates/gate/tests/waiting.rs
+++ b/crates/gate/tests/waiting.rs
@@ -3,7 +3,6 @@
 mod support;
 
 use catalog::Catalog;
-use catalog::raw::Team;
 use gate::view::View;
 use http::StatusCode;
 use journal::Journal;
@@ -12,7 +11,10 @@
 use std::time::Duration;
 use support::caller::{Received, request, send};
 use support::server::{Behavior, Server, header};
-use support::{ALLOWANCE, LAYERS, Node, run, stage, start_with, tables, view, with_all_removed};
+use support::{
+    ALLOWANCE, LAYERS, Node, run, stage, start_with, tables, view, with_all_removed,
+    with_room_for_one, with_second_team,
+};
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
@@ -31,15 +33,7 @@
     urgent.prefix = "/urgent/".to_owned();
     urgent.priority = 0;
     tables.routes.push(urgent);
-    let south = Team {
-        name: "south".to_owned(),
-        keys: vec!["k2".to_owned()],
-        priority: None,
-    };
-    tables.teams.as_mut().unwrap().push(south);
-    // A request takes 80 token-layers of 120.
-    let engine = tables.services[1].engine.as_mut().unwrap();
-    engine.kv_bytes_per_token = 5e7;
+    let tables = with_room_for_one(with_second_team(tables));
     let mut view = view(vec![stage(server.addr, 0, LAYERS)]);
     view.fleet.catalog = Arc::new(Catalog::try_from(tables).unwrap());
     let node = start_with(ALLOWANCE, journal).await;
