--- a/crates/journal/src/event.rs
+++ b/crates/journal/src/event.rs
@@ -253,6 +253,19 @@
         /// not announced that it leaves. If not, it may be found later; see [`Self::Settled`].
         crashed: bool,
     },
+    /// A response ended with its connection, by which its endpoint may have marked its end.
+    Unmarked {
+        /// Request id.
+        id: String,
+        /// Number of the attempt.
+        attempt: u32,
+        /// Run of the endpoint: its id and start time.
+        run: String,
+        /// Id of the last event of a stream; `None` if it has none.
+        event_id: Option<u64>,
+        /// Time from the request's arrival, in milliseconds.
+        after_ms: u64,
+    },
     /// Another run at the address of an endpoint shows that the one of a broken attempt has ended.
     Settled {
         /// Run of the endpoint: its id and start time.
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -12,7 +12,7 @@
 use event::Event;
 use serde::Serialize;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -44,6 +44,8 @@
 pub struct Journal {
     queue: Option<SyncSender<Message>>,
     dropped: Arc<AtomicU64>,
+    /// Whether the log is to end, so that its writer no longer waits for further lines.
+    ending: Arc<AtomicBool>,
 }
 
 impl Journal {
@@ -53,6 +55,7 @@
         let journal = Self {
             queue: Some(tx),
             dropped: Arc::default(),
+            ending: Arc::default(),
         };
         (journal, rx)
     }
@@ -62,6 +65,7 @@
         Self {
             queue: None,
             dropped: Arc::default(),
+            ending: Arc::default(),
         }
     }
 
--- a/crates/journal/src/writer.rs
+++ b/crates/journal/src/writer.rs
@@ -3,6 +3,7 @@
 use crate::event::Event;
 use crate::{Journal, Line, Message, unix_millis};
 use std::io::Write;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, TryRecvError};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -28,6 +29,7 @@
     /// blocked output does not keep the process from ending.
     pub fn finish(self, timeout: Duration) {
         let deadline = Instant::now() + timeout;
+        self.journal.ending.store(true, Ordering::Relaxed);
         let mut end_sent = false;
         while !self.thread.is_finished() && Instant::now() < deadline {
             end_sent = end_sent || self.journal.end();
@@ -42,13 +44,13 @@
     lines: Receiver<Message>,
     mut out: W,
 ) -> std::io::Result<Writer> {
-    let dropped = journal.dropped.clone();
+    let (dropped, ending) = (journal.dropped.clone(), journal.ending.clone());
     let builder = std::thread::Builder::new().name("journal".to_owned());
     let thread = builder.spawn(move || {
         let mut buffer = Vec::new();
         loop {
-            let ended = collect_batch(&lines, &mut buffer);
-            let lost = dropped.swap(0, std::sync::atomic::Ordering::Relaxed);
+            let ended = collect_batch(&lines, &ending, &mut buffer);
+            let lost = dropped.swap(0, Ordering::Relaxed);
             if lost > 0 {
                 let event = Event::Overflow { lost };
                 let time = unix_millis();
@@ -69,12 +71,14 @@
 
 /// Waits for a line and appends it and the lines that follow within [`BATCH_INTERVAL`] to `buffer`.
 /// Returns whether the log has ended.
-fn collect_batch(lines: &Receiver<Message>, buffer: &mut Vec<u8>) -> bool {
+fn collect_batch(lines: &Receiver<Message>, ending: &AtomicBool, buffer: &mut Vec<u8>) -> bool {
     match lines.recv() {
         Ok(Message::Line(line)) => append_line(&line, buffer),
         Ok(Message::End) | Err(_) => return true,
     }
-    std::thread::sleep(BATCH_INTERVAL);
+    if !ending.load(Ordering::Relaxed) {
+        std::thread::sleep(BATCH_INTERVAL);
+    }
     for _ in 0..MAX_BATCH_LINES {
         match lines.try_recv() {
             Ok(Message::Line(line)) => append_line(&line, buffer),
--- a/crates/journal/tests/journal.rs
+++ b/crates/journal/tests/journal.rs
@@ -86,3 +86,23 @@
     (0..100).for_each(|n| journal.record(order(n)));
     writer.finish(Duration::from_millis(50));
 }
+
+// Guards against lines of requests that end with the process, lost because the writer waits for further ones after
+// each batch.
+#[test]
+fn all_lines_are_written_within_the_time_for_the_end() {
+    const LINES: usize = 4000;
+    let written = Arc::new(Mutex::new(Vec::new()));
+    let (release, blocked): (Sender<()>, _) = channel();
+    drop(release);
+    let (journal, lines) = Journal::new(journal::QUEUE_CAPACITY);
+    let out = BlockedOutput {
+        release: blocked,
+        written: written.clone(),
+    };
+    let writer = journal::writer::start(&journal, lines, out).unwrap();
+    (0..LINES as u64).for_each(|n| journal.record(order(n)));
+    writer.finish(Duration::from_millis(300));
+    let text = String::from_utf8(written.lock().unwrap().clone()).unwrap();
+    assert_eq!(text.lines().count(), LINES);
+}
