gate: log responses that end with their connection, and streams cut by the node's end

What was missing: a response that ends with its connection left a line only as a failure, without what the caller had by then; and a stream that the node cut at its own end was logged as left by its caller, so the log could not tell a caller that gave up from one that was cut.

Change: the line `unmarked` names request, attempt, endpoint and last event; `ended` says `broken off`, `the node ended` for what was in flight at the end. So an end by close, a cut at the abort and a caller that left are three different lines.

Evidence: a_stream_that_the_end_of_the_node_cuts_is_logged_so; before, it was `left`, `the caller left`.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -93,8 +93,7 @@
     guard: Guard,
 ) -> Response<Body<impl Stream<Item = Chunk>>> {
     let executions = Ledger::new(job.kind(), job.route().max_attempts, job.body.clone());
-    let (journal, metrics) = (worker.journal.clone(), worker.metrics.clone());
-    let log = RequestLog::new(journal, metrics, &job, executions.clone());
+    let log = RequestLog::new(&worker, &job, executions.clone());
     let mut forwarder = Forwarder {
         worker,
         job,
@@ -192,6 +191,10 @@
         let body = admission
             .collect(body, MAX_BODY_BYTES, self.job.deadline, conn.meter())
             .await;
+        if body.is_some() && !head.is_delimited() {
+            let run = &reservation.target.head().run;
+            self.log.record_unmarked(reservation.attempt(), run, None);
+        }
         let Some(body) = body.filter(|_| head.is_delimited()) else {
             reservation.end(Outcome::Failed, None);
             return None;
--- a/crates/gate/src/forward/request_log.rs
+++ b/crates/gate/src/forward/request_log.rs
@@ -1,11 +1,13 @@
 //! Log and metrics of one request.
 
+use crate::dialect::Dialect;
 use crate::execution::Ledger;
 use crate::job::Job;
 use crate::metrics::Metrics;
 use crate::pool::Conn;
 use crate::probe::Finding;
 use crate::refusal::Refusal;
+use crate::worker::Worker;
 use catalog::endpoint::Run;
 use catalog::quote::{MAX_QUOTED_CHARS, start_of};
 use journal::Journal;
@@ -20,12 +22,15 @@
 use steer::shortage::Shortage;
 use steer::target::{Stage, Target};
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 /// Records the events of one request. If it is dropped before the end, it records that the caller
-/// left.
+/// left, or that the node ended.
 pub(crate) struct RequestLog {
     journal: Journal,
     metrics: Metrics,
+    /// Cancelled when the node is about to end.
+    ending: CancellationToken,
     id: String,
     route: String,
     catalog_version: u64,
@@ -43,10 +48,11 @@
 }
 
 impl RequestLog {
-    pub(crate) fn new(journal: Journal, metrics: Metrics, job: &Job, executions: Ledger) -> Self {
+    pub(crate) fn new<D: Dialect>(worker: &Worker<D>, job: &Job, executions: Ledger) -> Self {
         Self {
-            journal,
-            metrics,
+            journal: worker.journal.clone(),
+            metrics: worker.metrics.clone(),
+            ending: worker.ending(),
             id: start_of(job.id(), MAX_QUOTED_CHARS).to_owned(),
             route: job.route().name.clone(),
             catalog_version: job.catalog.version,
@@ -236,6 +242,18 @@
         });
     }
 
+    /// Records that the response of an attempt ended with its connection, after event `event_id`.
+    pub(crate) fn record_unmarked(&self, attempt: u32, run: &Run, event_id: Option<u64>) {
+        self.metrics.record_attempt("unmarked end");
+        self.journal.record(Event::Unmarked {
+            id: self.id.clone(),
+            attempt,
+            run: run.to_string(),
+            event_id,
+            after_ms: self.received_at.elapsed().as_millis() as u64,
+        });
+    }
+
     /// Records that an endpoint names another limit than before; `interval` is the time between two
     /// requests.
     pub(crate) fn record_limit(&self, run: &Run, interval: Option<Duration>) {
@@ -357,8 +375,12 @@
 
 impl Drop for RequestLog {
     fn drop(&mut self) {
-        if !self.ended {
-            self.end(0, "left", "the caller left".to_owned());
+        if self.ended {
+            return;
+        }
+        match self.ending.is_cancelled() {
+            true => self.end(0, "broken off", "the node ended".to_owned()),
+            false => self.end(0, "left", "the caller left".to_owned()),
         }
     }
 }
--- a/crates/gate/src/splice/source.rs
+++ b/crates/gate/src/splice/source.rs
@@ -50,6 +50,8 @@
     Events(Batch),
     /// The endpoint ended the response.
     End,
+    /// The connection ended, by which the endpoint may have ended the response.
+    Closed,
     /// The stream broke or is invalid.
     Failed(&'static str),
     /// The endpoint has been idle for so long that another one should be tried. It may still
@@ -102,10 +104,7 @@
                     self.broken = true;
                     return Step::Failed("ended in the middle of an event");
                 }
-                None if !self.is_delimited => {
-                    self.broken = true;
-                    return Step::Failed("ended with its connection, without a mark of its end");
-                }
+                None if !self.is_delimited => return Step::Closed,
                 None => return Step::End,
                 Some(Err(_)) if self.meter.is_exhausted() => {
                     return Step::Failed(meter::Exhausted::MESSAGE);
@@ -260,9 +259,28 @@
         self.last_active.elapsed()
     }
 
+    /// Waits for the next events after event `position`, or the end of the response.
+    pub(crate) async fn watch(&mut self, forwarder: &Forwarder<D>, position: Option<u64>) -> Step {
+        match self.watch_events(forwarder, position).await {
+            Step::Closed => self.confirm_end(forwarder, position),
+            step => step,
+        }
+    }
+
+    /// Decides whether a response is whole that ended with its connection after event `position`.
+    fn confirm_end(&mut self, forwarder: &Forwarder<D>, position: Option<u64>) -> Step {
+        let reservation = &self.reservation;
+        let run = &reservation.target.head().run;
+        forwarder
+            .log
+            .record_unmarked(reservation.attempt(), run, position);
+        self.reader.broken = true;
+        Step::Failed("ended with its connection, without a mark of its end")
+    }
+
     /// Waits for the next events after event `position`. While the source is idle, its chain is
     /// checked, and stages that stall or depart are replaced.
-    pub(crate) async fn watch(&mut self, forwarder: &Forwarder<D>, position: Option<u64>) -> Step {
+    async fn watch_events(&mut self, forwarder: &Forwarder<D>, position: Option<u64>) -> Step {
         // Events that arrived while the caller did not read are not counted as missing.
         let awaited_since = Instant::now();
         let latency_target = forwarder.job.route().latency_target;
--- a/crates/gate/src/worker.rs
+++ b/crates/gate/src/worker.rs
@@ -192,6 +192,11 @@
         self.abort.cancel();
     }
 
+    /// Returns the token that is cancelled when requests in flight are given up.
+    pub(crate) fn ending(&self) -> CancellationToken {
+        self.abort.clone()
+    }
+
     /// Waits until requests in flight are given up.
     pub(crate) async fn aborted(&self) {
         self.abort.cancelled().await;
--- a/crates/gate/tests/departure.rs
+++ b/crates/gate/tests/departure.rs
@@ -6,11 +6,16 @@
 use gate::departure::Schedule;
 use http::{Request, StatusCode};
 use http_body_util::Full;
+use journal::event::Event;
+use journal::{Journal, Line, Message};
 use std::time::Duration;
-use support::caller::{Received, ids, request, send};
+use support::caller::{Received, ids, request, send, try_send};
 use support::isolation::{add_relay, isolate, refused_node_for};
 use support::server::{Behavior, Endless, Server};
-use support::{LAYERS, Node, endpoint_for, node, plain, run, stage, wait_for_request};
+use support::{
+    ALLOWANCE, LAYERS, Node, endpoint_for, node, plain, run, stage, start_with, view,
+    wait_for_request,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -313,3 +318,34 @@
         }
     });
 }
+
+// Guards against a stream that a node cuts at its own end and logs as left by its caller.
+#[test]
+fn a_stream_that_the_end_of_the_node_cuts_is_logged_so() {
+    run(async {
+        let server = Server::start(vec![Behavior::EventsThenStall(1, 2)]).await;
+        let (journal, lines) = Journal::new(journal::QUEUE_CAPACITY);
+        let node = start_with(ALLOWANCE, journal).await;
+        let view = view(vec![endpoint_for("/chat/x")(&server)]);
+        node.shared_view.store(Some(view.into()));
+        let sending = tokio::task::spawn_local(try_send(node.addr, request("/chat/x")));
+        wait_for_request(&server).await;
+        tokio::time::sleep(millis(50)).await;
+        node.worker.abort();
+        tokio::time::sleep(millis(50)).await;
+        node.stop.kill.cancel();
+        let response = sending.await.unwrap().unwrap();
+        assert!(!response.complete);
+        let ends: Vec<_> = lines
+            .try_iter()
+            .filter_map(|message| match message {
+                Message::Line(Line {
+                    event: Event::Ended { outcome, why, .. },
+                    ..
+                }) => Some((outcome, why)),
+                _ => None,
+            })
+            .collect();
+        assert_eq!(ends, [("broken off", "the node ended".to_owned())]);
+    });
+}
