--- /dev/null
+++ b/crates/gate/tests/ends.rs
@@ -0,0 +1,285 @@
+//! Ends of responses: in each way that HTTP has for them, and those that only look like one.
+
+mod support;
+
+use gate::view::View;
+use std::time::Duration;
+use support::caller::{Received, ids, request, send, try_send};
+use support::server::{Behavior, Server};
+use support::{
+    ALLOWANCE, endpoint_for, node, run, send_with_failover, start, view, with_unresumable_streams,
+};
+
+/// Lines of a head that bears the id of [`request`] and a seal.
+const LINES: &str = "id: r1\r\nseal: s\r\n";
+const BODY: &str = "sheet";
+
+/// How an endpoint marks the end of a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    Length,
+    LastChunk,
+    /// The last chunk, with an extension before it and trailers behind it.
+    Trailers,
+    /// A length, in HTTP/1.0.
+    EarlierLength,
+    /// The end of the connection.
+    Close,
+    /// The same, announced in the head.
+    AnnouncedClose,
+    /// The same, in HTTP/1.0.
+    EarlierClose,
+}
+
+impl End {
+    const ALL: [Self; 7] = [
+        Self::Length,
+        Self::LastChunk,
+        Self::Trailers,
+        Self::EarlierLength,
+        Self::Close,
+        Self::AnnouncedClose,
+        Self::EarlierClose,
+    ];
+    /// Those without a mark in the response itself.
+    const UNMARKED: [Self; 3] = [Self::Close, Self::AnnouncedClose, Self::EarlierClose];
+
+    /// Returns a response with this body.
+    fn response(self, body: &str) -> String {
+        let length = body.len();
+        let chunk = format!("{length:x}\r\n{body}\r\n");
+        match self {
+            Self::Length => {
+                format!("HTTP/1.1 200 OK\r\n{LINES}content-length: {length}\r\n\r\n{body}")
+            }
+            Self::LastChunk => format!(
+                "HTTP/1.1 200 OK\r\n{LINES}transfer-encoding: chunked\r\n\r\n{chunk}0\r\n\r\n"
+            ),
+            Self::Trailers => format!(
+                "HTTP/1.1 200 OK\r\n{LINES}transfer-encoding: chunked\r\n\r\n{length:x};a=b\r\n{body}\r\n0;c\r\nx-sum: 1\r\n\r\n"
+            ),
+            Self::EarlierLength => {
+                format!("HTTP/1.0 200 OK\r\n{LINES}content-length: {length}\r\n\r\n{body}")
+            }
+            Self::Close => format!("HTTP/1.1 200 OK\r\n{LINES}\r\n{body}"),
+            Self::AnnouncedClose => {
+                format!("HTTP/1.1 200 OK\r\n{LINES}connection: close\r\n\r\n{body}")
+            }
+            Self::EarlierClose => format!("HTTP/1.0 200 OK\r\n{LINES}\r\n{body}"),
+        }
+    }
+}
+
+fn events(from: u64, to: u64) -> String {
+    (from..=to)
+        .map(|n| format!("id: {n}\ndata: t{n}\n\n"))
+        .collect()
+}
+
+/// A kind of request, with a response body for it.
+struct Case {
+    path: &'static str,
+    body: String,
+    change: fn(View) -> View,
+}
+
+/// Returns a case for each kind of route.
+fn cases() -> [Case; 4] {
+    let case = |path, body: &str, change| Case {
+        path,
+        body: body.to_owned(),
+        change,
+    };
+    [
+        case("/safe/x", BODY, |view| view),
+        case("/once/x", BODY, |view| view),
+        case("/chat/x", &events(1, 3), |view| view),
+        case("/chat/x", &events(1, 3), with_unresumable_streams),
+    ]
+}
+
+/// Returns the response to a request of this kind, through a node with one endpoint that behaves so, and the number of
+/// times that it was sent.
+async fn respond(case: &Case, behavior: Behavior) -> (Option<Received>, usize) {
+    let server = Server::start(vec![behavior]).await;
+    let node = start(ALLOWANCE).await;
+    let view = (case.change)(view(vec![endpoint_for(case.path)(&server)]));
+    node.shared_view.store(Some(view.into()));
+    let mut request = request(case.path);
+    request
+        .headers_mut()
+        .insert("deadline", "1500".parse().unwrap());
+    let response = try_send(node.addr, request).await;
+    (response, server.heads().len())
+}
+
+fn is_complete_success(response: Option<&Received>) -> bool {
+    response.is_some_and(|r| r.status.is_success() && r.complete)
+}
+
+// Guards against whole responses that are broken off, refused or asked for again because of the way in which their
+// endpoint ends them.
+#[test]
+fn a_response_is_whole_however_its_endpoint_ends_it() {
+    run(async {
+        for case in cases() {
+            for end in End::ALL {
+                let text = Behavior::Text(end.response(&case.body));
+                let (response, sent) = respond(&case, text).await;
+                let path = case.path;
+                assert!(
+                    is_complete_success(response.as_ref()),
+                    "{path} {end:?}: {response:?}"
+                );
+                assert_eq!(response.unwrap().body, case.body, "{path} {end:?}");
+                assert_eq!(sent, 1, "{path} {end:?}");
+            }
+        }
+    });
+}
+
+// Guards against an endpoint that counts as failing because of the way in which it ends its responses.
+#[test]
+fn an_endpoint_is_not_failing_because_it_closes_connections() {
+    run(async {
+        for path in ["/once/x", "/chat/x"] {
+            let body = if path == "/chat/x" {
+                events(1, 3)
+            } else {
+                BODY.to_owned()
+            };
+            let text = Behavior::Text(End::Close.response(&body));
+            let server = Server::start(vec![text]).await;
+            let node = node(vec![endpoint_for(path)(&server)]).await;
+            for number in 0..10 {
+                let response = send(node.addr, request(path)).await;
+                assert!(
+                    is_complete_success(Some(&response)),
+                    "{path} {number}: {response:?}"
+                );
+            }
+            assert!(node.transitions.borrow().is_empty(), "{path}");
+        }
+    });
+}
+
+// Guards against a response without a mark of its end whose connection is reset, and that counts as whole.
+#[test]
+fn a_response_whose_connection_is_reset_is_not_complete() {
+    run(async {
+        for case in cases() {
+            for end in End::UNMARKED {
+                let text = end.response(&case.body);
+                let (response, _) = respond(&case, Behavior::TextThenReset(text)).await;
+                let path = case.path;
+                assert!(
+                    !is_complete_success(response.as_ref()),
+                    "{path} {end:?}: {response:?}"
+                );
+            }
+        }
+    });
+}
+
+// Guards against a response without a mark of its end that counts as whole though its endpoint was killed in its
+// middle.
+#[test]
+fn a_response_of_an_endpoint_that_was_killed_is_not_complete() {
+    run(async {
+        for case in cases() {
+            for end in End::UNMARKED {
+                let text = end.response(&case.body);
+                let (response, _) = respond(&case, Behavior::TextThenExit(text)).await;
+                let path = case.path;
+                assert!(
+                    !is_complete_success(response.as_ref()),
+                    "{path} {end:?}: {response:?}"
+                );
+            }
+        }
+    });
+}
+
+// Guards against a response that ends right after its head, or in the middle of an event, and counts as whole.
+#[test]
+fn a_response_that_has_not_begun_or_stops_in_an_event_is_not_complete() {
+    run(async {
+        for case in cases() {
+            let is_stream = case.path == "/chat/x";
+            let half = events(1, 2) + "id: 3\ndata: t";
+            let bodies = ["", &half];
+            for body in &bodies[..if is_stream { 2 } else { 1 }] {
+                for end in End::UNMARKED {
+                    let text = Behavior::Text(end.response(body));
+                    let (response, _) = respond(&case, text).await;
+                    let path = case.path;
+                    assert!(
+                        !is_complete_success(response.as_ref()),
+                        "{path} {end:?}: {response:?}"
+                    );
+                }
+            }
+        }
+    });
+}
+
+// Guards against a stream that is resumed after a break and whose second endpoint ends it with the connection.
+#[test]
+fn a_resumed_stream_is_whole_however_its_last_endpoint_ends_it() {
+    run(async {
+        for end in End::ALL {
+            let first = Behavior::EventsThenReset(1, 2);
+            let rest = Behavior::Text(end.response(&events(3, 4)));
+            let (response, servers) =
+                send_with_failover("/chat/x", ALLOWANCE, first, vec![rest], |view| view).await;
+            assert!(response.complete, "{end:?}: {response:?}");
+            assert_eq!(ids(&response.body), [1, 2, 3, 4], "{end:?}");
+            assert_eq!(servers[0].heads().len(), 1, "{end:?}");
+        }
+    });
+}
+
+// Guards against a stream that is broken off although the endpoint it is resumed at, which has nothing more to send,
+// says so.
+#[test]
+fn a_stream_that_breaks_after_its_last_event_is_whole() {
+    run(async {
+        for end in End::ALL {
+            let first = Behavior::EventsThenReset(1, 4);
+            let rest = Behavior::Text(end.response(""));
+            let (response, _) =
+                send_with_failover("/chat/x", ALLOWANCE, first, vec![rest], |view| view).await;
+            assert!(response.complete, "{end:?}: {response:?}");
+            assert_eq!(ids(&response.body), [1, 2, 3, 4], "{end:?}");
+        }
+    });
+}
+
+// Guards against the same beside a stop: the connection of a caller that a leaving node breaks off.
+#[test]
+fn a_leaving_node_passes_responses_on_whole_however_they_end() {
+    run(async {
+        for case in cases() {
+            for end in End::ALL {
+                let text = Behavior::Text(end.response(&case.body));
+                let delayed = text.delayed(Duration::from_millis(60));
+                let server = Server::start(vec![delayed]).await;
+                let node = start(ALLOWANCE).await;
+                let view = (case.change)(view(vec![endpoint_for(case.path)(&server)]));
+                node.shared_view.store(Some(view.into()));
+                let sending = try_send(node.addr, request(case.path));
+                let stopping = async {
+                    support::wait_for_request(&server).await;
+                    node.stop.drain.cancel();
+                };
+                let (response, ()) = tokio::join!(sending, stopping);
+                let path = case.path;
+                assert!(
+                    is_complete_success(response.as_ref()),
+                    "{path} {end:?}: {response:?}"
+                );
+                assert_eq!(response.unwrap().body, case.body, "{path} {end:?}");
+            }
+        }
+    });
+}
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -165,6 +165,20 @@
     view
 }
 
+/// Returns the same view with the next catalog version, whose streams can't be resumed.
+pub fn with_unresumable_streams(mut view: View) -> View {
+    let mut tables = tables();
+    tables.version += 1;
+    let kinds = tables.routes.iter_mut().map(|r| &mut r.kind);
+    kinds.for_each(|kind| {
+        if let Kind::Stream(stream) = kind {
+            stream.resumable = false;
+        }
+    });
+    view.fleet.catalog = Arc::new(Catalog::try_from(tables).unwrap());
+    view
+}
+
 /// Returns the same view with the next catalog version, which has other limits.
 pub fn with_limits(mut view: View, limits: Limits) -> View {
     let mut tables = tables();
--- a/crates/gate/tests/support/server.rs
+++ b/crates/gate/tests/support/server.rs
@@ -10,6 +10,9 @@
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
+/// Time in which the files of a process are closed that is killed.
+const EXIT_TIME: Duration = Duration::from_millis(5);
+
 /// What an endpoint does with a request.
 #[derive(Clone, Debug)]
 pub enum Behavior {
@@ -17,6 +20,11 @@
     Answer(u16, &'static str),
     /// Sends this text as it is, then closes the connection.
     Text(String),
+    /// Sends this text as it is, then resets the connection.
+    TextThenReset(String),
+    /// Sends this text as it is and closes the connection, then the listener and all other connections, as a
+    /// process that is killed.
+    TextThenExit(String),
     /// Responds with this status and states that the request was not executed.
     Refuse(u16),
     /// Like `Refuse`, and sends the response again in the place of the next one on the connection.
@@ -165,6 +173,8 @@
     refusing: CancellationToken,
     /// Cancelled when the endpoint crashes.
     crashed: CancellationToken,
+    /// Cancelled when it ends without resetting its connections.
+    exited: CancellationToken,
     /// Cancelled when the listener is closed.
     closed: CancellationToken,
 }
@@ -207,6 +217,7 @@
             released: Arc::new(Semaphore::new(0)),
             refusing: CancellationToken::new(),
             crashed: CancellationToken::new(),
+            exited: CancellationToken::new(),
             closed: CancellationToken::new(),
         };
         server.state.lock().unwrap().behaviors = behaviors.into();
@@ -303,7 +314,8 @@
 
     async fn serve(self, mut stream: TcpStream) {
         let served = self.serve_requests(&mut stream);
-        if self.closed.run_until_cancelled(served).await.is_none() {
+        let is_cut = self.closed.run_until_cancelled(served).await.is_none();
+        if is_cut && !self.exited.is_cancelled() {
             reset(&stream);
         }
     }
@@ -374,6 +386,20 @@
                 stream.shutdown().await.ok()?;
                 self.wait_for_close(stream).await
             }
+            Behavior::TextThenReset(text) => {
+                write(stream, &text).await?;
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                reset(stream)
+            }
+            Behavior::TextThenExit(text) => {
+                write(stream, &text).await?;
+                stream.shutdown().await.ok()?;
+                // The kernel closes the files of a process one after the other.
+                tokio::time::sleep(EXIT_TIME).await;
+                self.exited.cancel();
+                self.crash().await;
+                None
+            }
             Behavior::RefuseTwice(status) => {
                 let twice = Behavior::Stray(Behavior::Refuse(status).into(), refusal(status));
                 Box::pin(self.perform(stream, head, twice)).await
