gate: a response that its endpoint ends by closing the connection is whole

Other responses of such endpoints became 502, also those that must not be repeated, and their endpoints counted as failing, so that further requests were refused.

Cause: since a body with neither a length nor chunks never counted as complete, since a killed endpoint closes its connections in the same way. The lack of proof that a body is whole was taken for proof that it is cut.

Ruled out: the SIGTERM (the same in calm), slow callers, chunked bodies, bodies with a length (ends.rs: all whole before). A second sending from the last event id as evidence, which is what the node did: it ends in the same way, and takes a slot and retry budget for each response.

Change: response::ending. When a body has ended with its connection, the node opens a new one to the same endpoint. If it is still open 50 ms later, the process that ended the body is alive, so it was not killed in the middle: the body is whole, and the connection is kept in place of the one that was used up. It is cut as before if the connection was reset, if the endpoint accepts no connection, if nothing of the body has arrived, or if it stops in an event. Between nodes a response always has a mark, so a relayed one without is cut, as before.

Why it works: the kernel closes all sockets of a process that ends within one pass, the listener among them.

Not covered: a living endpoint that stops in the middle of such a body between two events and closes the connection in order. The wire does not tell it from an end.

--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -191,11 +191,16 @@
         let body = admission
             .collect(body, MAX_BODY_BYTES, self.job.deadline, conn.meter())
             .await;
-        if body.is_some() && !head.is_delimited() {
-            let run = &reservation.target.head().run;
-            self.log.record_unmarked(reservation.attempt(), run, None);
-        }
-        let Some(body) = body.filter(|_| head.is_delimited()) else {
+        let body = match body {
+            Some(body) if !head.is_delimited() => {
+                // The status of a failure says all that a caller acts on.
+                let has_begun = !body.is_empty() || !parts.status.is_success();
+                let is_whole = self.confirm_end(&reservation.progress, has_begun, None);
+                is_whole.await.then_some(body)
+            }
+            body => body,
+        };
+        let Some(body) = body else {
             reservation.end(Outcome::Failed, None);
             return None;
         };
@@ -207,6 +212,20 @@
         Some(Response::from_parts(parts, body))
     }
 
+    /// Returns whether the response of an attempt is whole that ended with its connection, after event `event_id`.
+    /// One that has not begun is not: it may have been cut right behind its head.
+    pub(crate) async fn confirm_end(
+        &self,
+        progress: &Progress,
+        has_begun: bool,
+        event_id: Option<u64>,
+    ) -> bool {
+        let is_alive = self.worker.pool.is_alive(progress.head.addr);
+        let is_whole = has_begun && timeout(self.job.time_left(), is_alive).await == Ok(true);
+        self.log.record_unmarked(progress, event_id, is_whole);
+        is_whole
+    }
+
     /// Ends an attempt that the endpoint refused.
     pub(crate) async fn end_refused(&self, exchange: Exchange<D>) {
         let status = exchange.response.status();
--- a/crates/gate/src/forward/relay.rs
+++ b/crates/gate/src/forward/relay.rs
@@ -2,7 +2,8 @@
 //!
 //! The other node treats it as a request of a caller of its own, so admission, retries, the retry
 //! budget and the deadline are those of that node, and its response is passed on as it is. It does not
-//! relay the request further.
+//! relay the request further. A node marks the end of each response by a length or chunks, however its
+//! endpoint did, so a response that ends with its connection is cut off.
 
 use super::{Forwarder, MAX_BODY_BYTES};
 use crate::admit;
--- a/crates/gate/src/forward/request_log.rs
+++ b/crates/gate/src/forward/request_log.rs
@@ -2,6 +2,7 @@
 
 use crate::dialect::Dialect;
 use crate::execution::Ledger;
+use crate::forward::attempt::Progress;
 use crate::job::Job;
 use crate::metrics::Metrics;
 use crate::pool::Conn;
@@ -242,14 +243,21 @@
         });
     }
 
-    /// Records that the response of an attempt ended with its connection, after event `event_id`.
-    pub(crate) fn record_unmarked(&self, attempt: u32, run: &Run, event_id: Option<u64>) {
+    /// Records that the response of an attempt ended with its connection, after event `event_id`, and whether it
+    /// counts as whole.
+    pub(crate) fn record_unmarked(
+        &self,
+        progress: &Progress,
+        event_id: Option<u64>,
+        is_whole: bool,
+    ) {
         self.metrics.record_attempt("unmarked end");
         self.journal.record(Event::Unmarked {
             id: self.id.clone(),
-            attempt,
-            run: run.to_string(),
+            attempt: progress.attempt.get(),
+            run: progress.head.run.to_string(),
             event_id,
+            whole: is_whole,
             after_ms: self.received_at.elapsed().as_millis() as u64,
         });
     }
--- a/crates/gate/src/pool.rs
+++ b/crates/gate/src/pool.rs
@@ -13,6 +13,7 @@
 use hyper::client::conn::http1::SendRequest;
 use memory::content::ContentBody;
 use response::connection::{self, Opened, Options};
+use response::ending;
 use response::head::{Head, Invalid};
 use response::meter::{self, Allowance, Meter};
 use std::cell::{Cell, RefCell};
@@ -228,12 +229,16 @@
         if is_spent || closes_connection(headers) {
             return;
         }
+        conn.idle_timeout =
+            idle_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |i| i.mul_f64(IDLE_TIMEOUT_FRACTION));
+        self.keep(conn);
+    }
+
+    fn keep(&self, conn: Conn) {
         let retired = self.retired.borrow().get(&conn.addr).copied();
         if retired.is_some_and(|at| conn.opened_at <= at) {
             return;
         }
-        conn.idle_timeout =
-            idle_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |i| i.mul_f64(IDLE_TIMEOUT_FRACTION));
         let idle_since = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let list = idle.entry(conn.addr).or_default();
@@ -242,6 +247,19 @@
         }
     }
 
+    /// Returns whether an endpoint keeps a new connection open, which one that is ending does not. The
+    /// connection is then kept for a later request.
+    pub(crate) async fn is_alive(&self, addr: SocketAddr) -> bool {
+        let Ok(conn) = self.open(addr).await else {
+            return false;
+        };
+        let is_alive = ending::stays_open(&conn.sender).await;
+        if is_alive {
+            self.keep(conn);
+        }
+        is_alive
+    }
+
     /// Closes connections that exceeded their idle timeout, and all connections to addresses for
     /// which `known` is false.
     pub fn prune(&self, known: impl Fn(SocketAddr) -> bool) {
--- a/crates/gate/src/splice/source.rs
+++ b/crates/gate/src/splice/source.rs
@@ -262,18 +262,18 @@
     /// Waits for the next events after event `position`, or the end of the response.
     pub(crate) async fn watch(&mut self, forwarder: &Forwarder<D>, position: Option<u64>) -> Step {
         match self.watch_events(forwarder, position).await {
-            Step::Closed => self.confirm_end(forwarder, position),
+            Step::Closed => self.confirm_end(forwarder, position).await,
             step => step,
         }
     }
 
     /// Decides whether a response is whole that ended with its connection after event `position`.
-    fn confirm_end(&mut self, forwarder: &Forwarder<D>, position: Option<u64>) -> Step {
-        let reservation = &self.reservation;
-        let run = &reservation.target.head().run;
-        forwarder
-            .log
-            .record_unmarked(reservation.attempt(), run, position);
+    async fn confirm_end(&mut self, forwarder: &Forwarder<D>, position: Option<u64>) -> Step {
+        let has_begun = self.has_started || position.is_some();
+        let progress = &self.reservation.progress;
+        if forwarder.confirm_end(progress, has_begun, position).await {
+            return Step::End;
+        }
         self.reader.broken = true;
         Step::Failed("ended with its connection, without a mark of its end")
     }
--- a/crates/journal/src/event.rs
+++ b/crates/journal/src/event.rs
@@ -263,6 +263,8 @@
         run: String,
         /// Id of the last event of a stream; `None` if it has none.
         event_id: Option<u64>,
+        /// Whether the response counts as whole: it has begun, and its endpoint accepts connections.
+        whole: bool,
         /// Time from the request's arrival, in milliseconds.
         after_ms: u64,
     },
--- a/crates/response/src/head.rs
+++ b/crates/response/src/head.rs
@@ -20,8 +20,8 @@
 pub enum Framing {
     /// After a length, after the last chunk, or there is none.
     Delimited,
-    /// With its connection. A body whose sender stopped in its middle ends in the same way, so it does not
-    /// count as complete (RFC 9112, sections 6.3 and 8).
+    /// With its connection. A body whose sender stopped in its middle may end in the same way; see
+    /// [`crate::ending`].
     UntilClose,
 }
 
