engine, entry: answers of plain services that end with their connection are whole

Change: the body of such a response ends as complete if the service keeps a new connection open, which is kept for later calls; else, and if nothing of it had arrived, with an error, so that the caller's answer is aborted.

--- a/crates/engine/src/service.rs
+++ b/crates/engine/src/service.rs
@@ -7,6 +7,7 @@
 mod idle;
 
 pub use body::Body;
+use body::End;
 pub(crate) use idle::IdleConnections;
 
 use crate::pool::{Limits, Pool};
@@ -17,6 +18,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
 use response::connection::{self, Opened, Options};
+use response::ending;
 use response::head::Head;
 use response::meter::{Allowance, Meter};
 use std::fmt;
@@ -46,8 +48,7 @@
     Reset,
     /// The head of the response was not received in time.
     Silent,
-    /// What was received is no response, or its end is not delimited, so that a truncated response would look
-    /// complete.
+    /// What was received is no response.
     Protocol,
     /// The request can't be sent over HTTP/1.1.
     Invalid,
@@ -248,8 +249,14 @@
     })
 }
 
-/// Accepts a response whose end is delimited, so that a truncated body is detected. Any other
-/// response fails the call.
+/// Returns a new connection to a service that keeps it open; `None` if it is ending.
+async fn witness(addr: SocketAddr, limits: Limits) -> Option<Connection> {
+    let connection = connect(addr, &limits).await.ok()?;
+    let stays_open = ending::stays_open(&connection.sender).await;
+    stays_open.then_some(connection)
+}
+
+/// Accepts what is a response. Anything else fails the call.
 fn accept(
     pool: &Pool,
     connection: Connection,
@@ -258,13 +265,20 @@
     let head = Head::try_from(&response);
     // The version concerns a single connection.
     *response.version_mut() = Version::HTTP_11;
-    if !head.is_ok_and(|head| head.is_delimited()) {
+    let Ok(head) = head else {
         connection.task.abort();
         return Err(Failure {
             cause: Cause::Protocol,
             sent: true,
         });
-    }
+    };
     connection.meter.begin_body();
-    Ok(response.map(|incoming| Body::new(pool.clone(), connection, incoming)))
+    let end = match head.is_delimited() {
+        true => End::Marked,
+        // The status of a failure says all that a caller acts on.
+        false => End::Close {
+            has_begun: !response.status().is_success(),
+        },
+    };
+    Ok(response.map(|incoming| Body::new(pool.clone(), connection, incoming, end)))
 }
--- a/crates/engine/src/service/body.rs
+++ b/crates/engine/src/service/body.rs
@@ -1,28 +1,54 @@
 //! Streamed body of a response of a service.
 
-use super::{Cause, Connection, Failure};
+use super::{Cause, Connection, Failure, witness};
 use crate::pool::Pool;
 use bytes::Bytes;
 use futures::FutureExt;
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use tokio::task::JoinHandle;
+
+/// The failure of a call whose response was interrupted after its head.
+const INTERRUPTED: Failure = Failure {
+    cause: Cause::Reset,
+    sent: true,
+};
+
+/// How the end of a body is marked.
+#[derive(Debug)]
+pub(super) enum End {
+    /// By a length or the last chunk.
+    Marked,
+    /// By the end of the connection.
+    Close {
+        /// Whether a part of the body has arrived. One that ends right behind its head may have been cut.
+        has_begun: bool,
+    },
+    /// By the end of the connection, if the service keeps another one open.
+    Unconfirmed(JoinHandle<Option<Connection>>),
+}
 
 /// Streamed body of a response. It ends without an error only if it is complete. If it is dropped
 /// earlier, its connection is closed, so that the service notices that the caller has left.
 #[derive(Debug)]
 pub struct Body {
     pool: Pool,
+    addr: SocketAddr,
     connection: Option<Connection>,
     incoming: Incoming,
+    end: End,
 }
 
 impl Body {
-    pub(super) fn new(pool: Pool, connection: Connection, incoming: Incoming) -> Self {
+    pub(super) fn new(pool: Pool, connection: Connection, incoming: Incoming, end: End) -> Self {
         let mut body = Self {
             pool,
+            addr: connection.addr,
             connection: Some(connection),
             incoming,
+            end,
         };
         if body.incoming.is_end_stream() {
             body.release_connection();
@@ -56,9 +82,23 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Failure>>> {
+        if let End::Unconfirmed(witness) = &mut self.end {
+            let witness = ready!(Pin::new(witness).poll(cx));
+            self.end = End::Marked;
+            return Poll::Ready(match witness.ok().flatten() {
+                Some(connection) => {
+                    self.pool.idle().put(connection);
+                    None
+                }
+                None => Some(Err(INTERRUPTED)),
+            });
+        }
         let frame = ready!(Pin::new(&mut self.incoming).poll_frame(cx));
         match frame {
             Some(Ok(frame)) => {
+                if let End::Close { has_begun } = &mut self.end {
+                    *has_begun = true;
+                }
                 if let Some(connection) = &self.connection {
                     let length = frame.data_ref().map_or(0, Bytes::len);
                     connection.meter.record_frame(length);
@@ -67,20 +107,25 @@
             }
             Some(Err(_)) => {
                 self.connection = None;
-                Poll::Ready(Some(Err(Failure {
-                    cause: Cause::Reset,
-                    sent: true,
-                })))
-            }
-            None => {
-                self.release_connection();
-                Poll::Ready(None)
+                Poll::Ready(Some(Err(INTERRUPTED)))
             }
+            None => match self.end {
+                End::Marked | End::Unconfirmed(_) => {
+                    self.release_connection();
+                    Poll::Ready(None)
+                }
+                End::Close { has_begun: false } => Poll::Ready(Some(Err(INTERRUPTED))),
+                End::Close { has_begun: true } => {
+                    let witness = witness(self.addr, *self.pool.limits());
+                    self.end = End::Unconfirmed(tokio::spawn(witness));
+                    self.poll_frame(cx)
+                }
+            },
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        self.incoming.is_end_stream()
+        matches!(self.end, End::Marked) && self.incoming.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
@@ -93,5 +138,8 @@
         if let Some(connection) = self.connection.take() {
             connection.task.abort();
         }
+        if let End::Unconfirmed(witness) = &self.end {
+            witness.abort();
+        }
     }
 }
--- a/crates/rig/tests/services.rs
+++ b/crates/rig/tests/services.rs
@@ -104,3 +104,22 @@
     }
     assert_eq!(effects(&fleet, NEWSLETTER, "half"), 1);
 }
+
+// Guards against answers that are broken off because their endpoint ends them with the connection. The connection of
+// one is lost, so a call that is not repeatable must not be made again either.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_ends_with_its_connection_is_whole() {
+    let fleet = Fleet::start(Plan::default()).await.expect("fleet");
+    for service in &fleet.services {
+        service.handle.end_by_close(true);
+    }
+    for service in [LOOKUP, NEWSLETTER] {
+        for n in 0..4 {
+            let key = format!("closed-{n}");
+            let reply = call(&fleet, service, &key).await.expect("answer");
+            assert_eq!(reply.status, StatusCode::OK);
+            assert_eq!(reply.body, expected(&key));
+            assert_eq!(effects(&fleet, service, &key), 1);
+        }
+    }
+}
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -9,7 +9,7 @@
 use fault::Fault;
 use futures::{StreamExt, stream};
 use http::header::{CONTENT_LENGTH, RETRY_AFTER};
-use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Limited, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::service::service_fn;
@@ -168,6 +168,11 @@
         self.state.fault.truncate.store(on, Ordering::SeqCst);
     }
 
+    /// Answers in HTTP/1.0 without a length, so that each answer ends with its connection, while `on`.
+    pub fn end_by_close(&self, on: bool) {
+        self.state.fault.end_by_close.store(on, Ordering::SeqCst);
+    }
+
     /// Refuses each call with status 503 and `retry-after: 1`, without an effect, while `on`.
     pub fn set_busy(&self, on: bool) {
         self.state.fault.busy.store(on, Ordering::SeqCst);
@@ -251,7 +256,9 @@
                 piece
             });
         let mut response = Response::new(StreamBody::new(pieces.boxed()));
-        if is_single {
+        if self.fault.end_by_close.load(Ordering::SeqCst) {
+            *response.version_mut() = Version::HTTP_10;
+        } else if is_single {
             response.headers_mut().insert(CONTENT_LENGTH, length.into());
         }
         response
--- a/crates/standin/src/service/fault.rs
+++ b/crates/standin/src/service/fault.rs
@@ -24,6 +24,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Fault {
     pub(super) truncate: AtomicBool,
+    pub(super) end_by_close: AtomicBool,
     pub(super) busy: AtomicBool,
     settings: Mutex<Settings>,
 }
