gate: a stream that is cut does not look complete to a caller of HTTP/1.0

Cause: a body that fails closes the connection, and the kernel sends FIN in any case.

Ruled out: responses of known length, and callers of HTTP/1.1, who see the missing last chunk.

Change: while such a response is not passed on completely, dropping the socket resets the connection; also when the node ends or the connection gives way for want of memory.

Test: a_cut_stream_does_not_look_complete_to_a_caller_of_an_earlier_version failed before: the connection of the cut stream was closed in order, as that of the whole one.

--- a/crates/gate/src/body.rs
+++ b/crates/gate/src/body.rs
@@ -30,15 +30,12 @@
 /// A body that notifies its connection when it was passed on completely, or dropped.
 pub(crate) struct Tracked<B> {
     body: B,
-    _response: connection::Response,
+    response: connection::Response,
 }
 
 impl<B> Tracked<B> {
     pub(crate) fn new(body: B, response: connection::Response) -> Self {
-        Self {
-            body,
-            _response: response,
-        }
+        Self { body, response }
     }
 }
 
@@ -50,7 +47,11 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let frame = Pin::new(&mut self.body).poll_frame(cx);
+        if matches!(frame, Poll::Ready(None)) {
+            self.response.state().set_ends_response(false);
+        }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/gate/src/connection.rs
+++ b/crates/gate/src/connection.rs
@@ -71,6 +71,8 @@
     uncounted_bytes: Cell<usize>,
     /// Whether the response was sent before the request was read completely.
     unread: Cell<bool>,
+    /// Whether a response is being sent whose end is that of the connection.
+    ends_response: Cell<bool>,
     /// The memory of a long head, or of a response that is not read.
     held: RefCell<Option<Held>>,
     /// Whether its head was found to be overdue at the last check.
@@ -97,6 +99,7 @@
             response_bytes: Cell::new(0),
             uncounted_bytes: Cell::new(0),
             unread: Cell::new(false),
+            ends_response: Cell::new(false),
             held: RefCell::new(None),
             was_overdue: Cell::new(false),
             closed: Cell::new(false),
@@ -131,6 +134,17 @@
         self.unread.get()
     }
 
+    /// Records whether a response is being sent whose end is that of the connection. Until it is passed on
+    /// completely, the connection must not be closed in order.
+    pub(crate) fn set_ends_response(&self, ends: bool) {
+        self.ends_response.set(ends);
+    }
+
+    /// Returns whether closing the connection in order would make a response look complete that is not.
+    pub(crate) fn ends_response(&self) -> bool {
+        self.ends_response.get()
+    }
+
     /// Records that the connection is closed once its caller has read the response.
     pub(crate) fn begin_closing(&self) {
         self.enter(Phase::Closing);
--- a/crates/gate/src/connection/socket.rs
+++ b/crates/gate/src/connection/socket.rs
@@ -1,10 +1,12 @@
 //! The socket of a caller's connection, which reports what it reads and whether it takes what is written.
 
 use super::State;
+use socket2::SockRef;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf, Take};
 use tokio::net::TcpStream;
 
@@ -37,6 +39,16 @@
     }
 }
 
+impl Drop for Socket {
+    fn drop(&mut self) {
+        if self.state.ends_response() {
+            // The kernel resets the connection, also if it has unsent bytes. A failure leaves it closed in order.
+            let socket = SockRef::from(self.stream.get_ref());
+            let _ = socket.set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 impl AsyncRead for Socket {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/gate/src/listener.rs
+++ b/crates/gate/src/listener.rs
@@ -10,7 +10,7 @@
 use catalog::limits::Limits;
 use futures::Stream;
 use http::header::{CONNECTION, HeaderValue};
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, Version};
 use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -167,7 +167,7 @@
     if ended.is_ok() && state.is_unread() {
         state.begin_closing();
         Box::pin(connection::linger(socket, limits.body_bytes)).await;
-    } else {
+    } else if !state.ends_response() {
         // The connection is closed in any case.
         let _ = socket.shutdown().await;
     }
@@ -189,6 +189,7 @@
     connection: Rc<State>,
 ) -> Result<Response<Tracked<Body<impl Stream<Item = Chunk>>>>, Infallible> {
     let tracker = connection.begin_request();
+    let is_earlier = request.version() < Version::HTTP_11;
     let leaving = worker.leaving();
     let path = request.uri().path();
     let mut response = match port {
@@ -209,7 +210,11 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    let length = response.body().size_hint().lower();
+    let size = response.body().size_hint();
+    // HTTP/1.0 has no chunks.
+    let ends_with_connection = is_earlier && size.exact().is_none();
+    tracker.state().set_ends_response(ends_with_connection);
+    let length = size.lower();
     // Those of requests take their memory from the budget already.
     tracker.set_length(
         usize::try_from(length).unwrap_or(usize::MAX),
--- a/crates/gate/tests/ends.rs
+++ b/crates/gate/tests/ends.rs
@@ -283,3 +283,32 @@
         }
     });
 }
+
+/// Returns what a caller of HTTP/1.0 receives, and whether its connection was closed in order.
+async fn send_earlier(node: &support::Node, path: &str) -> (String, bool) {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut stream = tokio::net::TcpStream::connect(node.addr).await.unwrap();
+    let head = format!(
+        "POST {path} HTTP/1.0\r\nhost: h\r\nid: r1\r\nkey: k1\r\ndeadline: 1500\r\ncontent-length: 4\r\n\r\nbody"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut bytes = Vec::new();
+    let ended = stream.read_to_end(&mut bytes).await;
+    (String::from_utf8(bytes).unwrap(), ended.is_ok())
+}
+
+// Guards against a stream that is cut and looks complete to a caller of HTTP/1.0, for whom it ends with the connection.
+#[test]
+fn a_cut_stream_does_not_look_complete_to_a_caller_of_an_earlier_version() {
+    run(async {
+        let cut = Behavior::EventsThenReset(1, 2);
+        for (behavior, is_whole) in [(Behavior::Events(1, 3), true), (cut, false)] {
+            let server = Server::start(vec![behavior]).await;
+            let node = start(ALLOWANCE).await;
+            let view = with_unresumable_streams(view(vec![endpoint_for("/chat/x")(&server)]));
+            node.shared_view.store(Some(view.into()));
+            let (text, in_order) = send_earlier(&node, "/chat/x").await;
+            assert_eq!(in_order, is_whole, "{text}");
+        }
+    });
+}
