gate: a stream may end with blank lines or a comment

Cause: at the end of a body any byte behind the last event counted as a part of an event, so as a break in its middle. An event stream may end so; blank lines and comments are no part of an event.

Change: Splitter::has_partial looks for a line with a field; what follows the last event is passed on before the end.

--- a/crates/gate/src/events.rs
+++ b/crates/gate/src/events.rs
@@ -50,9 +50,17 @@
         }
     }
 
-    /// Returns whether the buffer holds an incomplete event.
+    /// Returns whether the buffer holds an incomplete event: a line that is neither blank nor a comment.
     pub fn has_partial(&self) -> bool {
-        !self.buffer.is_empty()
+        let mut lines = self.buffer[..].split(|&b| b == b'\n');
+        lines.any(|line| !matches!(line, [] | [b'\r'] | [b':', ..]))
+    }
+
+    /// Takes what follows the last event of a stream that has ended; `None` if nothing does.
+    pub fn take_tail(&mut self) -> Option<Bytes> {
+        self.scanned = 0;
+        let tail = self.buffer.split().freeze();
+        (!tail.is_empty()).then_some(tail)
     }
 
     /// Returns whether the buffered event exceeds the maximum size.
--- a/crates/gate/src/splice/source.rs
+++ b/crates/gate/src/splice/source.rs
@@ -35,7 +35,7 @@
 #[derive(Debug)]
 pub(crate) struct Batch {
     pub(super) bytes: Bytes,
-    /// Number of events, at least 1.
+    /// Number of events; 0 for what follows the last one.
     pub(super) count: usize,
     /// Id of the last event; `None` if no event has an id.
     pub(super) last_id: Option<u64>,
@@ -104,8 +104,20 @@
                     self.broken = true;
                     return Step::Failed("ended in the middle of an event");
                 }
-                None if !self.is_delimited => return Step::Closed,
-                None => return Step::End,
+                None => {
+                    if let Some(tail) = self.splitter.take_tail() {
+                        return Step::Events(Batch {
+                            bytes: tail,
+                            count: 0,
+                            last_id: position,
+                            has_content: false,
+                        });
+                    }
+                    return match self.is_delimited {
+                        true => Step::End,
+                        false => Step::Closed,
+                    };
+                }
                 Some(Err(_)) if self.meter.is_exhausted() => {
                     return Step::Failed(meter::Exhausted::MESSAGE);
                 }
--- a/crates/gate/tests/ends.rs
+++ b/crates/gate/tests/ends.rs
@@ -312,3 +312,46 @@
         }
     });
 }
+
+/// Ends of a stream's body that are no part of an event.
+const TAILS: [&str; 5] = ["\n", "\r\n", "\n\n", ": bye\n", ": bye\n\n"];
+
+// Guards against a stream that is broken off because of a blank line or a comment behind its last event.
+#[test]
+fn a_stream_is_whole_whatever_follows_its_last_event() {
+    run(async {
+        for case in cases().into_iter().filter(|c| c.path == "/chat/x") {
+            for end in End::ALL {
+                for tail in TAILS {
+                    let text = Behavior::Text(end.response(&(events(1, 3) + tail)));
+                    let (response, sent) = respond(&case, text).await;
+                    assert!(
+                        is_complete_success(response.as_ref()),
+                        "{end:?} {tail:?}: {response:?}"
+                    );
+                    assert_eq!(ids(&response.unwrap().body), [1, 2, 3], "{end:?} {tail:?}");
+                    assert_eq!(sent, 1, "{end:?} {tail:?}");
+                }
+            }
+        }
+    });
+}
+
+// Guards against a stream whose lines end with a carriage return and a line feed, and that is broken off.
+#[test]
+fn a_stream_is_whole_with_both_line_ends() {
+    run(async {
+        for case in cases().into_iter().filter(|c| c.path == "/chat/x") {
+            for end in End::ALL {
+                let body = events(1, 3).replace('\n', "\r\n");
+                let (response, sent) = respond(&case, Behavior::Text(end.response(&body))).await;
+                assert!(
+                    is_complete_success(response.as_ref()),
+                    "{end:?}: {response:?}"
+                );
+                assert_eq!(response.unwrap().body, body, "{end:?}");
+                assert_eq!(sent, 1, "{end:?}");
+            }
+        }
+    });
+}
