entry: an answer that is cut does not look complete to a caller of HTTP/1.0

Change: until such an answer is passed on completely, dropping its socket resets the connection, also below TLS.

Test: a_truncated_answer_does_not_look_complete_to_a_caller_of_an_earlier_version (crates/rig/tests/services.rs) failed before: the truncated answer ended in order. A whole one still does.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -19,7 +19,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use memory::shares::{RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES};
-use socket::{Socket, Unsent};
+use socket::{Reset, Socket, Unsent};
 use socket2::SockRef;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -153,7 +153,7 @@
 
     async fn http<I>(&self, io: I, addr: SocketAddr, shutdown: &Shutdown)
     where
-        I: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+        I: AsyncRead + AsyncWrite + Reset + Unpin + Send + 'static,
     {
         let unsent = Arc::new(Unsent::new(&self.limits.memory));
         let activity = Arc::new(Activity::new(unsent.clone()));
--- a/crates/entry/src/server/activity.rs
+++ b/crates/entry/src/server/activity.rs
@@ -121,6 +121,7 @@
         request.begin_step();
         let http2 = req.version() == http::Version::HTTP_2;
         self.activity.http2.store(http2, Ordering::Relaxed);
+        let is_earlier = req.version() < http::Version::HTTP_11;
         if let Some(error) = unroutable(&req) {
             return Box::pin(async move { Ok(error.into_response()) });
         }
@@ -132,6 +133,10 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
+            // HTTP/1.0 has no chunks.
+            if is_earlier && response.body().size_hint().exact().is_none() {
+                request.activity.unsent.set_ends_answer(true);
+            }
             Ok(response.map(|body| track_body(body, request)))
         })
     }
@@ -222,9 +227,17 @@
         let frame = Pin::new(&mut self.body).poll_frame(cx);
         if let Poll::Ready(frame) = &frame {
             self.request.end_step();
-            if let Some(Ok(frame)) = frame {
-                let bytes = frame.data_ref().map_or(0, Bytes::len);
-                self.request.activity.unsent.add(bytes);
+            let unsent = &self.request.activity.unsent;
+            let is_end = match frame {
+                Some(Ok(frame)) => {
+                    unsent.add(frame.data_ref().map_or(0, Bytes::len));
+                    self.body.is_end_stream()
+                }
+                Some(Err(_)) => false,
+                None => true,
+            };
+            if is_end {
+                unsent.set_ends_answer(false);
             }
         }
         frame
--- a/crates/entry/src/server/socket.rs
+++ b/crates/entry/src/server/socket.rs
@@ -1,18 +1,24 @@
 //! The socket of a caller's connection, and the memory of what it has not taken yet.
 
 use memory::budget::{Budget, Lease, Part};
+use socket2::SockRef;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
 use tokio::time::Instant;
+use tokio_rustls::server::TlsStream;
 
 /// Parts of answers that were passed to a connection and that its socket has not taken.
 #[derive(Debug)]
 pub(super) struct Unsent {
     state: Mutex<State>,
+    /// Whether an answer is being sent whose end is that of the connection.
+    ends_answer: AtomicBool,
 }
 
 #[derive(Debug)]
@@ -29,9 +35,16 @@
                 lease: budget.lease(Part::Connections),
                 blocked_since: None,
             }),
+            ends_answer: AtomicBool::new(false),
         }
     }
 
+    /// Records whether an answer is being sent whose end is that of the connection. Until it is passed on
+    /// completely, the connection must not be closed in order.
+    pub(super) fn set_ends_answer(&self, ends: bool) {
+        self.ends_answer.store(ends, Ordering::Relaxed);
+    }
+
     /// Records a part of an answer that was passed to the connection. It is in memory already.
     pub(super) fn add(&self, bytes: usize) {
         self.lock().lease.grow(bytes);
@@ -65,19 +78,47 @@
     }
 }
 
-/// A socket that records what it takes.
-pub(super) struct Socket<I> {
+/// A connection that can be reset.
+pub(super) trait Reset {
+    /// Makes the kernel reset the connection when it is closed.
+    fn reset_on_close(&self);
+}
+
+impl Reset for TcpStream {
+    fn reset_on_close(&self) {
+        // A failure leaves the connection to be closed in order.
+        let _ = SockRef::from(self).set_linger(Some(Duration::ZERO));
+    }
+}
+
+impl Reset for TlsStream<TcpStream> {
+    fn reset_on_close(&self) {
+        self.get_ref().0.reset_on_close();
+    }
+}
+
+/// A socket that records what it takes. It is reset if it is dropped in the middle of an answer whose end is that of
+/// the connection.
+pub(super) struct Socket<I: Reset> {
     io: I,
     unsent: Arc<Unsent>,
 }
 
-impl<I> Socket<I> {
+impl<I: Reset> Drop for Socket<I> {
+    fn drop(&mut self) {
+        if self.unsent.ends_answer.load(Ordering::Relaxed) {
+            self.io.reset_on_close();
+        }
+    }
+}
+
+impl<I: Reset> Socket<I> {
     pub(super) fn new(io: I, unsent: Arc<Unsent>) -> Self {
         Self { io, unsent }
     }
 }
 
-impl<I: AsyncRead + Unpin> AsyncRead for Socket<I> {
+impl<I: AsyncRead + Reset + Unpin> AsyncRead for Socket<I> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -87,7 +128,7 @@
     }
 }
 
-impl<I: AsyncWrite + Unpin> AsyncWrite for Socket<I> {
+impl<I: AsyncWrite + Reset + Unpin> AsyncWrite for Socket<I> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/crates/rig/tests/services.rs
+++ b/crates/rig/tests/services.rs
@@ -7,6 +7,8 @@
 use standin::service::{Config, CrashPoint, answer};
 use std::sync::LazyLock;
 use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 struct Reply {
     status: StatusCode,
@@ -123,3 +125,33 @@
         }
     }
 }
+
+// Guards against an answer that is truncated and looks complete to a caller of HTTP/1.0, for whom it ends with the
+// connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_truncated_answer_does_not_look_complete_to_a_caller_of_an_earlier_version() {
+    // An answer of several pieces is sent without a length.
+    let plan = Plan {
+        pieces: 4,
+        ..Plan::default()
+    };
+    let fleet = Fleet::start(plan).await.expect("fleet");
+    for truncated in [false, true] {
+        for service in &fleet.services {
+            service.handle.truncate_answers(truncated);
+        }
+        let mut stream = TcpStream::connect(fleet.node(0).callers)
+            .await
+            .expect("connects");
+        let key = dated(&format!("truncated-{truncated}"));
+        let head = format!(
+            "POST /services/{LOOKUP}/send HTTP/1.0\r\nhost: h\r\nauthorization: Bearer {}\r\nidempotency-key: {key}\r\ncontent-length: 1\r\n\r\nx",
+            KITCHENS.key
+        );
+        stream.write_all(head.as_bytes()).await.expect("sends");
+        let mut bytes = Vec::new();
+        let in_order = stream.read_to_end(&mut bytes).await.is_ok();
+        let text = String::from_utf8_lossy(&bytes);
+        assert_eq!(in_order, !truncated, "{text}");
+    }
+}
