node: the soak gets endpoints that end their responses in each legal way

Checked: a request to which such an endpoint wrote its whole response is not broken off or answered with 502, unless its node was interrupted or its time was nearly over; half a stream is never complete; at most once holds for their runs too.

--- a/crates/gate/tests/ends.rs
+++ b/crates/gate/tests/ends.rs
@@ -5,6 +5,7 @@
 use gate::view::View;
 use std::time::Duration;
 use support::caller::{Received, ids, request, send, try_send};
+use support::isolation::{add_relay, isolate, refused_node_for};
 use support::server::{Behavior, Server};
 use support::{
     ALLOWANCE, endpoint_for, node, run, send_with_failover, start, view, with_unresumable_streams,
@@ -255,6 +256,37 @@
     });
 }
 
+// Guards against the same through another node, which marks the ends of responses in its own way.
+#[test]
+fn a_relayed_response_is_whole_however_its_endpoint_ends_it() {
+    run(async {
+        for path in ["/safe/x", "/once/x", "/chat/x"] {
+            let body = match path {
+                "/chat/x" => events(1, 3),
+                _ => BODY.to_owned(),
+            };
+            let isolated = refused_node_for(path).await;
+            isolate(&isolated, path).await;
+            for end in End::ALL {
+                let server = Server::start(vec![Behavior::Text(end.response(&body))]).await;
+                let other = node(vec![endpoint_for(path)(&server)]).await;
+                let current = isolated.shared_view.load_full().unwrap();
+                let mut changed = View::clone(&current);
+                changed.relays.clear();
+                isolated.shared_view.store(Some(changed.into()));
+                add_relay(&isolated, other.addr, &[]);
+                let response = send(isolated.addr, request(path)).await;
+                assert!(
+                    is_complete_success(Some(&response)),
+                    "{path} {end:?}: {response:?}"
+                );
+                assert_eq!(response.body, body, "{path} {end:?}");
+                assert_eq!(server.heads().len(), 1, "{path} {end:?}");
+            }
+        }
+    });
+}
+
 // Guards against the same beside a stop: the connection of a caller that a leaving node breaks off.
 #[test]
 fn a_leaving_node_passes_responses_on_whole_however_they_end() {
--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -4,7 +4,8 @@
 //! reset, stalled or cut in one direction; nodes are paused, killed, terminated and restarted; the
 //! store is down or discards its history; catalog versions replace each other. In runs with faults
 //! of endpoints, these also turn requests away, leave, pause and break responses; in the others,
-//! endpoints that send bytes without end come and go. Callers send requests throughout, and crowds of callers
+//! endpoints that send bytes without end, and others that end their responses in each way that HTTP allows, come
+//! and go. Callers send requests throughout, and crowds of callers
 //! that don't behave come and go. The following guarantees are checked from what callers and endpoints
 //! observed:
 //!
@@ -17,6 +18,7 @@
 //! - an endpoint that asked a node for rest gets at most two more requests from it in that time;
 //! - a node that passed on that an endpoint leaves sends no new requests there;
 //! - a response of sound endpoints is not cut off beside a catalog change;
+//! - a response is not cut off because of the way in which its endpoint ends it;
 //! - no node exceeds the memory of its settings.
 //!
 //! `SOAK_SEEDS=100..150 cargo test --release -p wigeonshelf --test soak -- --nocapture` runs other
@@ -32,6 +34,8 @@
 mod crowd_caller;
 #[path = "soak/endless.rs"]
 mod endless;
+#[path = "soak/ends.rs"]
+mod ends;
 #[path = "soak/guarantee.rs"]
 mod guarantee;
 #[path = "soak/node.rs"]
@@ -93,9 +97,11 @@
         )));
     }
     tasks.push(tokio::spawn(crowd::run(seed, addrs.clone(), end.clone())));
+    let mut ends = None;
     if !endpoint_faults {
         let store = cluster.store.clone();
-        tasks.push(tokio::spawn(endless::run(seed, store, end.clone())));
+        tasks.push(tokio::spawn(endless::run(seed, store.clone(), end.clone())));
+        ends = Some(tokio::spawn(ends::run(seed, store, end.clone())));
     }
     for (addr, run) in addrs.iter().zip(cluster.runs.clone()) {
         tasks.push(tokio::spawn(caller::watch_versions(
@@ -121,19 +127,26 @@
     for task in tasks {
         let _ = tokio::time::timeout(Duration::from_secs(10), task).await;
     }
+    let ends = match ends {
+        Some(task) => task.await.unwrap(),
+        None => Vec::new(),
+    };
     wait_until_serving(&mut cluster, &addrs, &observed).await;
     let observed = observed.lock().unwrap();
-    let violations = Record::new(&cluster, &observed).check();
+    let record = Record::new(&cluster, &observed, &ends);
+    let violations = record.check();
     println!(
-        "seed {seed}, faults of endpoints {endpoint_faults}: {} sent, {} answered, {} at most once; \
-         wrong: {} of the base, {} in rest, {} after leaving, {} cut",
+        "seed {seed}, faults of endpoints {endpoint_faults}: {} sent, {} answered, {} at most once, {} ended in \
+         any way; wrong: {} of the base, {} in rest, {} after leaving, {} cut, {} by their ends",
         observed.requests.len(),
         observed.answered,
         observed.at_most_once.len(),
+        record.ended_in_any_way(),
         violations.base.len(),
         violations.rest.len(),
         violations.leaving.len(),
-        violations.cut.len()
+        violations.cut.len(),
+        violations.ends.len()
     );
     print!("{}", Summary::new(&observed, &format!("s{seed}-")));
     let all = [
@@ -141,6 +154,7 @@
         &violations.rest,
         &violations.leaving,
         &violations.cut,
+        &violations.ends,
     ];
     for wrong in all.into_iter().flatten() {
         println!("seed {seed}: {wrong}");
@@ -204,9 +218,19 @@
     assert!(wrong.is_empty(), "violations by seed: {wrong:#?}");
 }
 
+/// The runs without faults of endpoints.
+static PLAIN_RUNS: LazyLock<Vec<(u64, Violations)>> =
+    LazyLock::new(|| run(&seeds::given(VARIABLE, &SEEDS), false));
+
 #[test]
 fn guarantees_hold_under_faults() {
-    assert_none(&run(&seeds::given(VARIABLE, &SEEDS), false), |v| &v.base);
+    assert_none(&PLAIN_RUNS, |v| &v.base);
+}
+
+// Guards against responses that are cut off because of the way in which their endpoint ends them.
+#[test]
+fn responses_are_whole_however_their_endpoints_end_them() {
+    assert_none(&PLAIN_RUNS, |v| &v.ends);
 }
 
 // Guards against requests that run twice, or responses with wrong events, while endpoints turn
--- a/crates/node/tests/soak/guarantee.rs
+++ b/crates/node/tests/soak/guarantee.rs
@@ -3,6 +3,7 @@
 use crate::cluster::{Cluster, Endpoint};
 use crate::node::Node;
 use crate::observation::{DEADLINE, Observations, Outcome, Sent};
+use crate::standin::ends;
 use crate::standin::engine::arrival::{Arrival, Reply};
 use http::StatusCode;
 use std::collections::BTreeMap;
@@ -30,6 +31,7 @@
     pub rest: Vec<String>,
     pub leaving: Vec<String>,
     pub cut: Vec<String>,
+    pub ends: Vec<String>,
 }
 
 /// What is known about a run after its end.
@@ -38,15 +40,22 @@
     pub observed: &'a Observations,
     /// Arrivals at each endpoint.
     arrivals: Vec<(&'a Endpoint, Vec<Arrival>)>,
+    /// Runs at endpoints that end their responses in each way that HTTP allows.
+    ends: Vec<(&'a ends::Endpoint, Vec<ends::Run>)>,
 }
 
 impl<'a> Record<'a> {
-    pub fn new(cluster: &'a Cluster, observed: &'a Observations) -> Self {
+    pub fn new(
+        cluster: &'a Cluster,
+        observed: &'a Observations,
+        ends: &'a [ends::Endpoint],
+    ) -> Self {
         let endpoints = cluster.endpoints.iter();
         Self {
             cluster,
             observed,
             arrivals: endpoints.map(|e| (e, e.engine.arrivals())).collect(),
+            ends: ends.iter().map(|e| (e, e.runs())).collect(),
         }
     }
 
@@ -57,9 +66,36 @@
             rest: self.check_rest(),
             leaving: self.check_leaving(),
             cut: self.check_cut(),
+            ends: self.check_ends(),
         }
     }
 
+    /// Returns the number of requests that endpoints ran which end their responses in any way.
+    pub fn ended_in_any_way(&self) -> usize {
+        self.ends.iter().map(|(_, runs)| runs.len()).sum()
+    }
+
+    /// A request to which an endpoint has written its whole response gets it whole, however that ends.
+    fn check_ends(&self) -> Vec<String> {
+        let runs = self.ends.iter().flat_map(|(endpoint, runs)| {
+            let whole = runs.iter().filter(|r| r.whole);
+            whole.map(move |run| (endpoint, run))
+        });
+        let cut = runs.filter_map(|(endpoint, run)| {
+            let sent = self.sent(&run.request)?;
+            let (ended, outcome) = sent.end.as_ref().filter(|(_, o)| o.is_broken())?;
+            (!self.may_cut(sent, *ended)).then(|| {
+                let after = *ended - sent.at;
+                let kind = endpoint.end;
+                format!(
+                    "{} with {kind:?} ended after {after:?} with {outcome:?}",
+                    run.request
+                )
+            })
+        });
+        cut.collect()
+    }
+
     fn sent(&self, request: &str) -> Option<&'a Sent> {
         self.observed.requests.get(request)
     }
@@ -76,6 +112,9 @@
         for arrival in arrivals.filter(|a| a.was_run()) {
             *runs.entry(&arrival.request).or_default() += 1;
         }
+        for run in self.ends.iter().flat_map(|(_, runs)| runs) {
+            *runs.entry(&run.request).or_default() += 1;
+        }
         let mut violations = self.observed.violations.clone();
         // Also those whose callers received no response.
         let at_most_once = self
--- a/crates/node/tests/soak/observation.rs
+++ b/crates/node/tests/soak/observation.rs
@@ -40,6 +40,14 @@
             Self::GivenUp => false,
         }
     }
+
+    /// Returns whether it is cut, or the node states that the connection to an endpoint broke.
+    pub fn is_broken(&self) -> bool {
+        match self {
+            Self::Response { status, .. } if *status == StatusCode::BAD_GATEWAY => true,
+            _ => self.is_cut(),
+        }
+    }
 }
 
 /// A request that was sent.
