gate, entry: the end of a response that is that of the connection counts once it is written

A caller of HTTP/1.0 whose connection is dropped while the last bytes of a response wait to be written would have lost them behind an orderly close. Now the connection is closed in order only after the HTTP library has written the response to its end, which is also simpler: the bodies need not tell. No test: what is unwritten at that moment depends on the kernel.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -157,18 +157,23 @@
     {
         let unsent = Arc::new(Unsent::new(&self.limits.memory));
         let activity = Arc::new(Activity::new(unsent.clone()));
+        let socket = Socket::new(io, unsent.clone());
         let inner = Responder::new(self.tree.clone(), Some(addr));
         let service = TrackedService::new(inner, activity.clone(), shutdown.drain.clone());
         let builder = self.builder();
-        let mut conn =
-            pin!(builder.serve_connection(TokioIo::new(Socket::new(io, unsent)), service));
+        let mut conn = pin!(builder.serve_connection(TokioIo::new(socket), service));
         let mut idle_since = Instant::now();
         let mut goaway_sent = false;
         let mut closing = false;
         let mut check = tokio::time::interval(IDLE_CHECK_INTERVAL);
         loop {
             tokio::select! {
-                _ = conn.as_mut() => return,
+                ended = conn.as_mut() => {
+                    if ended.is_ok() {
+                        unsent.set_ends_answer(false);
+                    }
+                    return;
+                }
                 () = shutdown.close.cancelled(), if !closing => {
                     closing = true;
                     conn.as_mut().graceful_shutdown();
--- a/crates/entry/src/server/activity.rs
+++ b/crates/entry/src/server/activity.rs
@@ -227,17 +227,9 @@
         let frame = Pin::new(&mut self.body).poll_frame(cx);
         if let Poll::Ready(frame) = &frame {
             self.request.end_step();
-            let unsent = &self.request.activity.unsent;
-            let is_end = match frame {
-                Some(Ok(frame)) => {
-                    unsent.add(frame.data_ref().map_or(0, Bytes::len));
-                    self.body.is_end_stream()
-                }
-                Some(Err(_)) => false,
-                None => true,
-            };
-            if is_end {
-                unsent.set_ends_answer(false);
+            if let Some(Ok(frame)) = frame {
+                let bytes = frame.data_ref().map_or(0, Bytes::len);
+                self.request.activity.unsent.add(bytes);
             }
         }
         frame
--- a/crates/entry/src/server/socket.rs
+++ b/crates/entry/src/server/socket.rs
@@ -39,7 +39,7 @@
         }
     }
 
-    /// Records whether an answer is being sent whose end is that of the connection. Until it is passed on
+    /// Records whether an answer is being sent whose end is that of the connection. Until it is written
     /// completely, the connection must not be closed in order.
     pub(super) fn set_ends_answer(&self, ends: bool) {
         self.ends_answer.store(ends, Ordering::Relaxed);
--- a/crates/gate/src/body.rs
+++ b/crates/gate/src/body.rs
@@ -30,12 +30,15 @@
 /// A body that notifies its connection when it was passed on completely, or dropped.
 pub(crate) struct Tracked<B> {
     body: B,
-    response: connection::Response,
+    _response: connection::Response,
 }
 
 impl<B> Tracked<B> {
     pub(crate) fn new(body: B, response: connection::Response) -> Self {
-        Self { body, response }
+        Self {
+            body,
+            _response: response,
+        }
     }
 }
 
@@ -47,11 +50,7 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        let frame = Pin::new(&mut self.body).poll_frame(cx);
-        if matches!(frame, Poll::Ready(None)) {
-            self.response.state().set_ends_response(false);
-        }
-        frame
+        Pin::new(&mut self.body).poll_frame(cx)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/gate/src/connection.rs
+++ b/crates/gate/src/connection.rs
@@ -134,7 +134,7 @@
         self.unread.get()
     }
 
-    /// Records whether a response is being sent whose end is that of the connection. Until it is passed on
+    /// Records whether a response is being sent whose end is that of the connection. Until it is written
     /// completely, the connection must not be closed in order.
     pub(crate) fn set_ends_response(&self, ends: bool) {
         self.ends_response.set(ends);
--- a/crates/gate/src/listener.rs
+++ b/crates/gate/src/listener.rs
@@ -164,6 +164,9 @@
         }
     };
     let mut socket = conn.into_parts().io.into_inner();
+    if ended.is_ok() {
+        state.set_ends_response(false);
+    }
     if ended.is_ok() && state.is_unread() {
         state.begin_closing();
         Box::pin(connection::linger(socket, limits.body_bytes)).await;
