gate, node: tests share the start of a hosted node and the assertion that a response is cut

Cause: ends.rs of node had its own copy of the start of a process and of the wait for its catalog, which hosted_drain.rs has, and two tests of ends.rs of gate ended in the same assertion. Ruled out as worth sharing: the assertions on whole responses in framing.rs, whose texts and kinds of request differ.

Change: crates/node/tests/support/hosted.rs serves both files; assert_not_complete serves both tests. Their assertions, texts and bounds are the same; the node of ends.rs is now named "drain" in its settings, and its catalog is awaited with GET.

--- a/crates/gate/tests/ends.rs
+++ b/crates/gate/tests/ends.rs
@@ -70,6 +70,16 @@
     response.is_some_and(|r| r.status.is_success() && r.complete)
 }
 
+/// Asserts that the response of an endpoint that behaves so is no complete success.
+async fn assert_not_complete(case: &Case, behavior: Behavior) {
+    let (response, _) = respond(case, behavior.clone()).await;
+    assert!(
+        !is_complete_success(response.as_ref()),
+        "{} {behavior:?}: {response:?}",
+        case.path
+    );
+}
+
 // Guards against whole responses that are broken off, refused or asked for again because of the way in which their
 // endpoint ends them.
 #[test]
@@ -124,13 +134,7 @@
     run(async {
         for (case, cut) in cases().iter().flat_map(|case| cuts.map(|cut| (case, cut))) {
             for end in End::UNMARKED {
-                let cut = cut(response(end, &case.body));
-                let (response, _) = respond(case, cut).await;
-                let path = case.path;
-                assert!(
-                    !is_complete_success(response.as_ref()),
-                    "{path} {end:?}: {response:?}"
-                );
+                assert_not_complete(case, cut(response(end, &case.body))).await;
             }
         }
     });
@@ -146,13 +150,7 @@
             let bodies = ["", &half];
             for body in &bodies[..if is_stream { 2 } else { 1 }] {
                 for end in End::UNMARKED {
-                    let text = Behavior::Text(response(end, body));
-                    let (response, _) = respond(&case, text).await;
-                    let path = case.path;
-                    assert!(
-                        !is_complete_success(response.as_ref()),
-                        "{path} {end:?}: {response:?}"
-                    );
+                    assert_not_complete(&case, Behavior::Text(response(end, body))).await;
                 }
             }
         }
--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -1,15 +1,17 @@
 //! Responses that pass through a stopping process, for each way in which their endpoints end them.
 
+#[path = "support/hosted.rs"]
+mod hosted;
 #[path = "support/process.rs"]
 mod process;
 #[path = "../../../platform/standin/mod.rs"]
 mod standin;
 
-use process::Process;
+use hosted::{start_with, wait_for_catalog};
 use standin::caller::{self, Call};
 use standin::ends::{End, Endpoint};
+use standin::plain;
 use standin::store::Store;
-use standin::{address, plain};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -22,19 +24,6 @@
 const REQUESTS: usize = 8;
 const SEND_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Starts a node and returns the address for its callers.
-fn start(store: SocketAddr) -> (Process, SocketAddr) {
-    let [callers, peers] = std::array::from_fn(|_| address::unused());
-    let settings = format!(
-        "[node]\nname = ends\nzone = a\nregion = south\ngrace = 8s\n[callers]\nlisten = {callers}\n\
-         [peers]\nlisten = {peers}\nkey = {}\nseeds =\n[store]\naddress = {store}\nheartbeat = 200ms\n\
-         [logging]\nlevel = info\n",
-        "01".repeat(32)
-    );
-    let file = process::settings(callers, &settings);
-    (Process::start(file), callers)
-}
-
 fn call<'a>(path: &'a str, id: &'a str) -> Call<'a> {
     Call {
         method: "POST",
@@ -45,19 +34,6 @@
     }
 }
 
-/// Waits until the node has the catalog.
-async fn wait_for_catalog(addr: SocketAddr) {
-    for poll in 0..500 {
-        let id = format!("w{poll}");
-        let answer = caller::send(addr, &call("/none/x", &id)).await;
-        if answer.is_some_and(|a| a.status == http::StatusCode::NOT_FOUND) {
-            return;
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-    panic!("the node gets no catalog");
-}
-
 /// Returns what is wrong with the response to a request, if anything is: it must be whole, or a refusal.
 async fn send(addr: SocketAddr, route: &str, id: String) -> Result<bool, String> {
     let path = format!("/{route}/x");
@@ -92,7 +68,7 @@
         plain::register(&store, &id, endpoint.addr, plain::SLOTS);
     }
     store.put_manifest(&plain::manifest(1, 16384, 65536));
-    let (node, addr) = start(store.addr);
+    let (node, addr) = start_with(store.addr, 8);
     wait_for_catalog(addr).await;
     tokio::time::sleep(Duration::from_millis(300)).await;
     let mut sent = Vec::new();
--- a/crates/node/tests/hosted_drain.rs
+++ b/crates/node/tests/hosted_drain.rs
@@ -1,11 +1,13 @@
 //! Signals and drains of the real binary on a platform's store.
 
+#[path = "support/hosted.rs"]
+mod hosted;
 #[path = "support/process.rs"]
 mod process;
 #[path = "../../../platform/standin/mod.rs"]
 mod standin;
 
-use process::Process;
+use hosted::{start_with, wait_for_catalog};
 use standin::caller::{self, Call};
 use standin::store::Store;
 use standin::{address, bulk, manifest};
@@ -17,41 +19,6 @@
 /// Time after which the endpoint responds: after the node began to refuse new requests.
 const RESPONSE_DELAY: Duration = Duration::from_millis(2900);
 
-/// Starts a node with a grace time in seconds and returns the address for its callers.
-fn start_with(store: SocketAddr, grace_secs: u64) -> (Process, SocketAddr) {
-    let [callers, peers] = std::array::from_fn(|_| address::unused());
-    let settings = format!(
-        "[node]\nname = drain\nzone = a\nregion = south\ngrace = {grace_secs}s\n[callers]\nlisten = {callers}\n\
-         [peers]\nlisten = {peers}\nkey = {}\nseeds =\n[store]\naddress = {}\nheartbeat = 200ms\n\
-         [logging]\nlevel = info\n",
-        "01".repeat(32),
-        store
-    );
-    let file = process::settings(callers, &settings);
-    (Process::start(file), callers)
-}
-
-/// Waits until the node has the catalog.
-async fn wait_for_catalog(addr: SocketAddr) {
-    let call = Call {
-        method: "GET",
-        path: "/none/x",
-        id: "r0",
-        key: "k1",
-        deadline: "1000",
-    };
-    for _ in 0..500 {
-        if caller::send(addr, &call)
-            .await
-            .is_some_and(|answer| answer.status == http::StatusCode::NOT_FOUND)
-        {
-            return;
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-    panic!("the node gets no catalog");
-}
-
 // Guards against a drain that ends the process while a response is still being written: its caller
 // reads slowly, and the end of the grace time is more than a second away.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
